Admit requests within each client account's limits

Cause: a request must be let in or refused before anything is sent, and a refusal must say when coming back helps.

Weighed: a bucket that refuses a request larger than itself (never lets a long report in when the daemon's share is small) against one that goes below zero and is paid back first; the second keeps the long-run rate exact. Charging tokens as they are generated lets a burst of starts through; charging the estimate at admission and settling at the end does not.

Change: `Admission.admit` gives a `Permit` or raises one of the closed list with `ran: no` and the time at which the bucket will have enough, jittered upwards. Requests and tokens a second and concurrent requests come from `Allowances`, so that shares between daemons can move under it; a change of rate that is noticed late is credited at the lower of both rates. `CapacityQueue` bounds the daemon's own work: by priority, refused early when the wait expected is too long.

Conclusion: enough for the entry daemon to wire; shares between daemons come next.

--- /dev/null
+++ b/hemlockswitch/request/admission.py
@@ -0,0 +1,250 @@
+"""Admission: whether a request may begin here, decided before anything is sent."""
+
+import random
+from collections.abc import Callable
+from types import TracebackType
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ErrorKind, RequestError
+from hemlockswitch.request.allowances import Allowance, Allowances, Shortage
+from hemlockswitch.request.buckets import BURST_MS, MS_PER_SECOND, Bucket
+from hemlockswitch.request.capacity import CapacityQueue
+
+DEFAULT_DURATION_MS = 1_000.0
+DURATION_WEIGHT = 0.1
+JITTER_RATIO = 0.5
+JITTER_FLOOR_MS = 20.0
+LONGEST_RETRY_MS = 30_000.0
+SEEK_WAIT_MS = 150.0
+EPSILON = 1e-9
+
+
+class Permit:
+    """The right to run one admitted request; closing it settles the account.
+
+    Explanation
+    ===========
+
+    Use it as a context manager, or call `close` once the request has ended. Closing twice does
+    nothing. A request that was refused later, before it was sent, is closed with `cancel`, which
+    gives back everything.
+    """
+
+    def __init__(self, ledger: "_Ledger", leave: Callable[[], None], tokens_charged: int) -> None:
+        self._ledger = ledger
+        self._leave = leave
+        self._tokens_charged = tokens_charged
+        self._tokens_used = 0
+        self._open = True
+
+    def record_tokens(self, count: int) -> None:
+        """Add `count` tokens to what the request used."""
+        self._tokens_used += count
+
+    def close(self) -> None:
+        """End the request: settle its tokens and free its place."""
+        self._end(refund_request=False)
+
+    def cancel(self) -> None:
+        """Give everything back: the request was not sent."""
+        self._tokens_used = 0
+        self._end(refund_request=True)
+
+    def _end(self, refund_request: bool) -> None:
+        if not self._open:
+            return
+        self._open = False
+        self._ledger.settle(self._tokens_charged - self._tokens_used, refund_request)
+        self._leave()
+
+    def __enter__(self) -> "Permit":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+
+class Admission:
+    """Admits requests within each client account's allowance and the daemon's own capacity.
+
+    Explanation
+    ===========
+
+    A request that lacks allowance may wait `seek_wait_ms` while more is sought from other
+    daemons; every other refusal is at once. Refusals are of the closed list, were never sent
+    (``ran: no``), and say when the bucket will have enough, jittered upwards so that callers
+    do not return together.
+
+    Parameters
+    ==========
+
+    allowances : where the daemon's allowance for an account comes from.
+    clock : the process's clock.
+    capacity : the daemon's own bound on requests in progress.
+    seek_wait_ms : how long a request may wait for an allowance to grow.
+    """
+
+    def __init__(
+        self,
+        allowances: Allowances,
+        clock: Clock,
+        capacity: CapacityQueue,
+        seek_wait_ms: float = SEEK_WAIT_MS,
+    ) -> None:
+        self._allowances = allowances
+        self._clock = clock
+        self._capacity = capacity
+        self._seek_wait_ms = seek_wait_ms
+        self._ledgers: dict[str, _Ledger] = {}
+        self._random = random.Random()
+
+    def admit(
+        self,
+        account: str,
+        tokens_wanted: int,
+        priority: int = 1,
+        deadline_ms: float | None = None,
+    ) -> Permit:
+        """Admit a request or refuse it.
+
+        Parameters
+        ==========
+
+        account : name of the client account.
+        tokens_wanted : the tokens to charge until the request ends: its prompt and the most
+            it may generate.
+        priority : 0 goes first when the daemon is at its capacity.
+        deadline_ms : the clock's reading at which the caller gives up.
+
+        Raises
+        ======
+
+        RequestError : one of the limits, ``overloaded``, or the deadline; nothing was sent.
+        """
+        ledger = self._charge(account, tokens_wanted, deadline_ms)
+        try:
+            self._capacity.enter(priority, deadline_ms)
+        except BaseException:
+            ledger.settle(tokens_wanted, refund_request=True)
+            raise
+        return Permit(ledger, self._capacity.leave, tokens_wanted)
+
+    def refresh(self, account: str) -> None:
+        """Take note that the allowance of `account` changed just now."""
+        if account in self._ledgers:
+            self._find_ledger(account)
+
+    def count_running(self, account: str) -> int:
+        """Return the account's requests in progress here."""
+        ledger = self._ledgers.get(account)
+        return 0 if ledger is None else ledger.running
+
+    def _charge(self, account: str, tokens: int, deadline_ms: float | None) -> "_Ledger":
+        ledger = self._find_ledger(account)
+        refusal = ledger.charge(tokens, deadline_ms)
+        if refusal is None:
+            return ledger
+        if self._seek(account, refusal.shortage, deadline_ms):
+            ledger = self._find_ledger(account)
+            refusal = ledger.charge(tokens, deadline_ms)
+            if refusal is None:
+                return ledger
+        raise refusal.build_error(self._jitter(refusal.wait_ms))
+
+    def _seek(self, account: str, shortage: Shortage, deadline_ms: float | None) -> bool:
+        wait_ms = self._seek_wait_ms
+        if deadline_ms is not None:
+            wait_ms = min(wait_ms, deadline_ms - self._clock.now_ms())
+        return wait_ms > 0 and self._allowances.seek_more(account, shortage, wait_ms)
+
+    def _find_ledger(self, account: str) -> "_Ledger":
+        allowance = self._allowances.find_allowance(account)
+        if allowance is None:
+            raise RequestError(ErrorKind.UNAUTHORIZED, "unknown client account")
+        ledger = self._ledgers.get(account)
+        if ledger is None:
+            ledger = _Ledger(self._clock, allowance)
+            self._ledgers[account] = ledger
+        ledger.set_allowance(allowance)
+        return ledger
+
+    def _jitter(self, wait_ms: float) -> int:
+        spread_ms = max(wait_ms * JITTER_RATIO, JITTER_FLOOR_MS)
+        return int(min(wait_ms, LONGEST_RETRY_MS) + self._random.uniform(1, spread_ms))
+
+
+class _Refusal:
+    """Why a request was not let in, and what would have let it in."""
+
+    def __init__(self, kind: ErrorKind, wait_ms: float | None, shortage: Shortage) -> None:
+        self.kind = kind
+        self.wait_ms = DEFAULT_DURATION_MS if wait_ms is None else wait_ms
+        self.shortage = shortage
+
+    def build_error(self, retry_after_ms: int) -> RequestError:
+        """Return the error that the caller gets."""
+        detail = "the client account's limit is reached"
+        return RequestError(self.kind, detail, retry_after_ms=retry_after_ms)
+
+
+class _Ledger:
+    """One client account's buckets and requests in progress on this daemon."""
+
+    def __init__(self, clock: Clock, allowance: Allowance) -> None:
+        now_ms = clock.now_ms()
+        self.running = 0
+        self._clock = clock
+        self._allowance = allowance
+        self._requests = Bucket(now_ms, allowance.requests_per_second, smallest=1)
+        self._tokens = Bucket(now_ms, allowance.tokens_per_second)
+        self._started_ms: list[float] = []
+        self._duration_ms = DEFAULT_DURATION_MS
+
+    def set_allowance(self, allowance: Allowance) -> None:
+        """Use `allowance` from now on."""
+        if allowance == self._allowance:
+            return
+        now_ms = self._clock.now_ms()
+        self._allowance = allowance
+        self._requests.set_rate(now_ms, allowance.requests_per_second)
+        self._tokens.set_rate(now_ms, allowance.tokens_per_second)
+
+    def charge(self, tokens: int, deadline_ms: float | None) -> _Refusal | None:
+        """Charge one request with its estimate, or say why not; all or nothing."""
+        now_ms = self._clock.now_ms()
+        if self.running >= self._allowance.concurrent_requests:
+            shortage = Shortage(concurrent_requests=1, deadline_ms=deadline_ms)
+            return _Refusal(ErrorKind.CONCURRENCY_LIMIT, self._estimate_free_ms(now_ms), shortage)
+        if not self._requests.take(now_ms, 1):
+            wait_ms = self._requests.measure_wait_ms(now_ms, 1)
+            return _Refusal(ErrorKind.REQUEST_LIMIT, wait_ms, Shortage(requests_per_second=1))
+        if not self._tokens.take(now_ms, tokens):
+            self._requests.give_back(now_ms, 1)
+            wait_ms = self._tokens.measure_wait_ms(now_ms, tokens)
+            rate = tokens * MS_PER_SECOND / BURST_MS
+            return _Refusal(ErrorKind.TOKEN_LIMIT, wait_ms, Shortage(tokens_per_second=rate))
+        self.running += 1
+        self._started_ms.append(now_ms)
+        return None
+
+    def settle(self, tokens_unused: int, refund_request: bool) -> None:
+        """End one request and give back what it did not use."""
+        now_ms = self._clock.now_ms()
+        self.running -= 1
+        started_ms = self._started_ms.pop(0)
+        self._tokens.give_back(now_ms, tokens_unused)
+        if refund_request:
+            self._requests.give_back(now_ms, 1)
+            return
+        taken_ms = now_ms - started_ms
+        self._duration_ms += DURATION_WEIGHT * (taken_ms - self._duration_ms)
+
+    def _estimate_free_ms(self, now_ms: float) -> float:
+        if not self._started_ms:
+            return self._duration_ms
+        return max(self._started_ms[0] + self._duration_ms - now_ms, JITTER_FLOOR_MS)
--- /dev/null
+++ b/hemlockswitch/request/buckets.py
@@ -0,0 +1,89 @@
+"""Token buckets whose rate may change at any moment."""
+
+BURST_MS = 1_000.0
+MS_PER_SECOND = 1_000.0
+
+
+class Bucket:
+    """A token bucket that holds at most what its rate brings in `BURST_MS`.
+
+    Explanation
+    ===========
+
+    The level may fall below zero: a request larger than the bucket is let in when the bucket is
+    full, and what it took too much is paid back before the next one. When the rate changes, the
+    time since the last look is credited at the lower of both rates, so that a change that was
+    noticed late never admits more.
+
+    Parameters
+    ==========
+
+    now_ms : the time of the clock that later calls use.
+    rate : units a second.
+    smallest : the bucket always has room for this much.
+
+    Examples
+    ========
+
+    >>> bucket = Bucket(now_ms=0, rate=2, smallest=1)
+    >>> bucket.take(now_ms=0, amount=2), bucket.take(now_ms=0, amount=1)
+    (True, False)
+    >>> bucket.measure_wait_ms(now_ms=0, amount=1)
+    500.0
+    >>> bucket.take(now_ms=500, amount=1)
+    True
+    """
+
+    def __init__(self, now_ms: float, rate: float, smallest: float = 0.0) -> None:
+        self._smallest = smallest
+        self._rate = rate
+        self._level = self._capacity()
+        self._updated_ms = now_ms
+
+    @property
+    def level(self) -> float:
+        """What the bucket held at the last look."""
+        return self._level
+
+    def set_rate(self, now_ms: float, rate: float) -> None:
+        """Change the rate from now on."""
+        previous = self._rate
+        self._rate = min(previous, rate)
+        self._refill(now_ms)
+        self._rate = rate
+        self._level = min(self._level, self._capacity())
+
+    def take(self, now_ms: float, amount: float) -> bool:
+        """Take `amount` if the bucket holds it, or is full and `amount` is larger."""
+        self._refill(now_ms)
+        if self._rate <= 0 or self._level < self._find_needed(amount):
+            return False
+        self._level -= amount
+        return True
+
+    def give_back(self, now_ms: float, amount: float) -> None:
+        """Put back `amount`, or take it whatever the level when it is negative."""
+        self._refill(now_ms)
+        self._level = min(self._level + amount, self._capacity())
+
+    def measure_wait_ms(self, now_ms: float, amount: float) -> float | None:
+        """Return how long until `amount` can be taken, or None if it never can."""
+        self._refill(now_ms)
+        if self._rate <= 0:
+            return None
+        missing = self._find_needed(amount) - self._level
+        return max(missing, 0) / self._rate * MS_PER_SECOND
+
+    def _find_needed(self, amount: float) -> float:
+        return min(amount, self._capacity())
+
+    def _capacity(self) -> float:
+        if self._rate <= 0:
+            return 0.0
+        return max(self._rate * BURST_MS / MS_PER_SECOND, self._smallest)
+
+    def _refill(self, now_ms: float) -> None:
+        elapsed_ms = max(now_ms - self._updated_ms, 0)
+        self._updated_ms = max(now_ms, self._updated_ms)
+        earned = self._rate * elapsed_ms / MS_PER_SECOND
+        self._level = min(self._level + earned, self._capacity())
--- /dev/null
+++ b/hemlockswitch/request/capacity.py
@@ -0,0 +1,153 @@
+"""The daemon's own bound on requests in progress, and the queue in front of it."""
+
+import bisect
+import itertools
+from dataclasses import dataclass, field
+
+from gevent.event import Event
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import ErrorKind, RequestError
+
+DEFAULT_PLACES = 1_024
+DEFAULT_QUEUE_LENGTH = 256
+LONGEST_WAIT_MS = 2_000.0
+FIRST_DURATION_MS = 500.0
+DURATION_WEIGHT = 0.05
+
+
+@dataclass(order=True)
+class _Waiter:
+    """One request in the queue; smaller goes first."""
+
+    priority: int
+    number: int
+    ready: Event = field(compare=False, default_factory=Event)
+    evicted: bool = field(compare=False, default=False)
+
+
+class CapacityQueue:
+    """Lets in so many requests at a time; others wait by priority, or are refused early.
+
+    Explanation
+    ===========
+
+    A request is refused at once when the queue is full of requests that go before it, or when
+    the wait it can expect is longer than its caller or `longest_wait_ms` allows. A request that
+    goes before the last one waiting takes its place in a full queue.
+
+    Parameters
+    ==========
+
+    clock : the process's clock.
+    places : requests in progress at a time.
+    queue_length : requests that may wait.
+    longest_wait_ms : no request waits longer.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        places: int = DEFAULT_PLACES,
+        queue_length: int = DEFAULT_QUEUE_LENGTH,
+        longest_wait_ms: float = LONGEST_WAIT_MS,
+    ) -> None:
+        self._clock = clock
+        self._places = places
+        self._queue_length = queue_length
+        self._longest_wait_ms = longest_wait_ms
+        self._running = 0
+        self._waiting: list[_Waiter] = []
+        self._numbers = itertools.count()
+        self._left_ms: float | None = None
+        self._gap_ms = FIRST_DURATION_MS / places
+
+    @property
+    def running(self) -> int:
+        """Requests in progress."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._waiting)
+
+    def enter(self, priority: int, deadline_ms: float | None = None) -> None:
+        """Take a place, waiting for one if that is worth it.
+
+        Raises
+        ======
+
+        RequestError : ``overloaded``, or ``deadline_before_dispatch`` when the caller's time
+            ends first.
+        """
+        self._check_deadline(deadline_ms)
+        if self._running < self._places and not self._waiting:
+            self._running += 1
+            return
+        waiter = _Waiter(priority, next(self._numbers))
+        wait_ms = self._find_longest_wait_ms(deadline_ms)
+        self._check_wait(waiter, wait_ms)
+        self._make_room(waiter)
+        bisect.insort(self._waiting, waiter)
+        self._wait(waiter, wait_ms, deadline_ms)
+
+    def leave(self) -> None:
+        """Free a place; the first in the queue gets it."""
+        self._note_gap()
+        if self._waiting:
+            self._waiting.pop(0).ready.set()
+            return
+        self._running -= 1
+
+    def _check_deadline(self, deadline_ms: float | None) -> None:
+        if deadline_ms is not None and deadline_ms <= self._clock.now_ms():
+            raise RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the caller's time is over")
+
+    def _find_longest_wait_ms(self, deadline_ms: float | None) -> float:
+        if deadline_ms is None:
+            return self._longest_wait_ms
+        return min(self._longest_wait_ms, deadline_ms - self._clock.now_ms())
+
+    def _check_wait(self, waiter: _Waiter, wait_ms: float) -> None:
+        ahead = bisect.bisect(self._waiting, waiter) + 1
+        if ahead * self._gap_ms > wait_ms:
+            raise self._build_overloaded("the expected wait is too long")
+
+    def _make_room(self, waiter: _Waiter) -> None:
+        if len(self._waiting) < self._queue_length:
+            return
+        if not self._waiting or self._waiting[-1].priority <= waiter.priority:
+            raise self._build_overloaded("the queue is full")
+        last = self._waiting.pop()
+        last.evicted = True
+        last.ready.set()
+
+    def _wait(self, waiter: _Waiter, wait_ms: float, deadline_ms: float | None) -> None:
+        try:
+            ready = waiter.ready.wait(timeout=wait_ms / MS_PER_SECOND)
+        except BaseException:
+            self._abandon(waiter)
+            raise
+        if ready and not waiter.evicted:
+            return
+        if not waiter.evicted:
+            self._waiting.remove(waiter)
+            self._check_deadline(deadline_ms)
+        raise self._build_overloaded("no place became free in time")
+
+    def _abandon(self, waiter: _Waiter) -> None:
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+        elif waiter.ready.is_set() and not waiter.evicted:
+            self.leave()
+
+    def _build_overloaded(self, detail: str) -> RequestError:
+        retry_after_ms = int(max(self._gap_ms * (len(self._waiting) + 1), 50))
+        return RequestError(ErrorKind.OVERLOADED, detail, retry_after_ms=retry_after_ms)
+
+    def _note_gap(self) -> None:
+        now_ms = self._clock.now_ms()
+        if self._left_ms is not None and self._running >= self._places:
+            self._gap_ms += DURATION_WEIGHT * (now_ms - self._left_ms - self._gap_ms)
+        self._left_ms = now_ms
