Add the stand-in engine and plain service

Every test, the demo and the measurements need backend servers whose answers a checker can foretell. Token i is a function of model, prompt and i, so any engine continues another's answer and a wrong continuation is counted.

Weighed: one writer task for all streams against one reader task a stream; the latter is kept as it is plain, and its cost is to be measured.

--- /dev/null
+++ b/hemlockswitch/programs/standin.py
@@ -0,0 +1,92 @@
+"""``hemlock-standin``: the outside systems' stand-ins, one process each."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json
+from pathlib import Path
+from typing import Any
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+
+class StandinCommand(Command):
+    """One stand-in; reads a JSON settings file and serves until it is stopped."""
+
+    options = [option("settings", None, "JSON settings file", flag=False)]
+
+    def handle(self) -> int:
+        """Read the settings and serve."""
+        self.serve(json.loads(Path(self.option("settings")).read_text()))
+        return 0
+
+    def serve(self, settings: dict[str, Any]) -> None:
+        """Serve until the process is asked to stop."""
+        raise NotImplementedError
+
+
+class EngineCommand(StandinCommand):
+    """Serve a model engine."""
+
+    name = "engine"
+    description = "serve a stand-in model engine"
+
+    def serve(self, settings: dict[str, Any]) -> None:
+        """Serve a model engine."""
+        from hemlockswitch.standin.engine_api import EngineSettings, serve_engine
+
+        serve_engine(EngineSettings.model_validate(settings))
+
+
+class ServiceCommand(StandinCommand):
+    """Serve a plain service."""
+
+    name = "service"
+    description = "serve a stand-in plain service"
+
+    def serve(self, settings: dict[str, Any]) -> None:
+        """Serve a plain service."""
+        from hemlockswitch.standin.service import ServiceSettings, serve_service
+
+        serve_service(ServiceSettings.model_validate(settings))
+
+
+class PlatformCommand(StandinCommand):
+    """Serve the platform: object service, VM list, cloud API."""
+
+    name = "platform"
+    description = "serve a stand-in platform"
+
+    def serve(self, settings: dict[str, Any]) -> None:
+        """Serve the platform."""
+        from hemlockswitch.standin.platform import serve_platform
+
+        serve_platform(settings)
+
+
+class ProxyCommand(StandinCommand):
+    """Serve the fault-injecting proxy."""
+
+    name = "proxy"
+    description = "serve a fault-injecting TCP proxy"
+
+    def serve(self, settings: dict[str, Any]) -> None:
+        """Serve the proxy."""
+        from hemlockswitch.standin.proxy import ProxySettings, serve_proxy
+
+        serve_proxy(ProxySettings.model_validate(settings))
+
+
+def main() -> int:
+    """Run the command line."""
+    application = Application("hemlock-standin")
+    for command in (EngineCommand, ServiceCommand, PlatformCommand, ProxyCommand):
+        application.add(command())
+    return application.run()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/hemlockswitch/standin/batch.py
@@ -0,0 +1,254 @@
+"""Continuous batching: streams wait for a slot, prefill, and gain one token a step."""
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+import gevent
+import gevent.event
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.standin.answers import make_token, seed_answer
+from hemlockswitch.standin.cache import PrefixCache
+
+NEVER_MS = float("inf")
+
+
+class Phase(Enum):
+    """Where a stream stands."""
+
+    WAITING = "waiting"
+    PREFILL = "prefill"
+    RUNNING = "running"
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+
+
+ENDED = (Phase.FINISHED, Phase.CANCELLED)
+
+
+@dataclass(eq=False)
+class Stream:
+    """One request on an engine.
+
+    Parameters
+    ==========
+
+    stream_id : the caller's name of this stream.
+    prompt_tokens : words of the prompt.
+    start : position of the first token that this engine makes.
+    max_tokens : tokens of the whole answer, those before `start` included.
+    prefixes : hashes of the prompt's blocks.
+    carried_tokens : leading tokens (prompt and answer) that an imported KV cache brings.
+    linger_ms : how long to go on without a reader.
+    deadline_ms : monotonic time after which nobody wants the answer.
+    """
+
+    stream_id: str
+    model: str
+    prompt: str
+    prompt_tokens: int
+    start: int
+    max_tokens: int
+    prefixes: tuple[int, ...]
+    priority: int = 1
+    carried_tokens: int = 0
+    linger_ms: float = 0
+    deadline_ms: float = NEVER_MS
+    phase: Phase = Phase.WAITING
+    cached_tokens: int = 0
+    prefill_left: float = 0
+    recomputed_tokens: int = 0
+    produced: int = 0
+    readers: int = 0
+    expires_at_ms: float = NEVER_MS
+    shown_as: "Stream | None" = None
+    changed: gevent.event.Event = field(default_factory=gevent.event.Event)
+    seed: int = 0
+
+    def __post_init__(self) -> None:
+        self.seed = seed_answer(self.model, self.prompt)
+        self.produced = self.start
+
+    @property
+    def ended(self) -> bool:
+        """Whether no further token comes."""
+        return self.phase in ENDED
+
+    def token(self, index: int) -> str:
+        """Return token `index` of the answer."""
+        return make_token(self.seed, index)
+
+    def list_tokens(self) -> Iterator[str]:
+        """Yield the tokens made here so far."""
+        return (self.token(index) for index in range(self.start, self.produced))
+
+
+@dataclass
+class BatchSettings:
+    """Speed and size of an engine."""
+
+    slots: int = 16
+    token_ms: float = 20
+    prefill_tokens_per_s: float = 8_000
+    queue_length: int = 256
+
+
+class Batch:
+    """The streams of one engine and the task that moves them on.
+
+    Explanation
+    ===========
+
+    All running streams gain a token in the same step, as in a real engine. The prefill budget of
+    a step goes to the streams in slots by priority, then by arrival.
+    """
+
+    def __init__(self, settings: BatchSettings, cache: PrefixCache, clock: Clock) -> None:
+        self._settings = settings
+        self._cache = cache
+        self._clock = clock
+        self._waiting: list[tuple[int, int, Stream]] = []
+        self._arrivals = 0
+        self._in_slots: list[Stream] = []
+        self.streams: dict[str, Stream] = {}
+        self.slow_factor = 1.0
+        self.frozen_until_ms = 0.0
+        self.tokens_produced = 0
+        self.recomputed_tokens = 0
+        self.cancelled: list[str] = []
+
+    @property
+    def running(self) -> int:
+        """Streams in slots."""
+        return len(self._in_slots)
+
+    @property
+    def waiting(self) -> int:
+        """Streams without a slot."""
+        return len(self._waiting)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further stream may wait."""
+        return len(self._waiting) >= self._settings.queue_length
+
+    @property
+    def prefill_backlog(self) -> int:
+        """Prompt tokens still to be computed."""
+        return int(sum(stream.prefill_left for stream in self._in_slots))
+
+    def add(self, stream: Stream) -> None:
+        """Queue a new stream."""
+        self.streams[stream.stream_id] = stream
+        self._arrivals += 1
+        heapq.heappush(self._waiting, (stream.priority, self._arrivals, stream))
+
+    def cancel(self, stream: Stream) -> None:
+        """Stop a stream and free its slot; one that has ended stays as it is."""
+        if stream.ended:
+            return
+        self._end(stream, Phase.CANCELLED)
+        self.cancelled.append(stream.stream_id)
+
+    def attach(self, stream: Stream) -> None:
+        """Note that somebody reads the stream."""
+        stream.readers += 1
+        stream.expires_at_ms = NEVER_MS
+
+    def detach(self, stream: Stream) -> None:
+        """Note that a reader left; without another the stream lingers, then goes."""
+        stream.readers -= 1
+        if stream.readers > 0:
+            return
+        stream.expires_at_ms = self._clock.now_ms() + stream.linger_ms
+        if stream.linger_ms <= 0:
+            self._forget(stream)
+
+    def run(self) -> None:
+        """Step for ever."""
+        next_ms = self._clock.now_ms()
+        while True:
+            next_ms += self._settings.token_ms * self.slow_factor
+            self._clock.sleep_ms(next_ms - self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            if now_ms > next_ms + self._settings.token_ms:
+                next_ms = now_ms
+            if now_ms >= self.frozen_until_ms:
+                self.step(now_ms)
+
+    def step(self, now_ms: float) -> None:
+        """Expire, admit, prefill, and give every running stream a token."""
+        self._expire(now_ms)
+        self._admit()
+        self._prefill()
+        for stream in [item for item in self._in_slots if item.phase is Phase.RUNNING]:
+            self._produce(stream)
+
+    def _expire(self, now_ms: float) -> None:
+        for stream in list(self.streams.values()):
+            if now_ms >= stream.deadline_ms:
+                self.cancel(stream)
+            if now_ms >= stream.expires_at_ms:
+                self._forget(stream)
+
+    def _forget(self, stream: Stream) -> None:
+        self.cancel(stream)
+        self.streams.pop(stream.stream_id, None)
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._in_slots) < self._settings.slots:
+            _, _, stream = heapq.heappop(self._waiting)
+            if stream.ended:
+                continue
+            self._begin_prefill(stream)
+            self._in_slots.append(stream)
+
+    def _begin_prefill(self, stream: Stream) -> None:
+        stream.phase = Phase.PREFILL
+        stream.cached_tokens = self._cache.count_cached_tokens(stream.prefixes)
+        known = max(stream.cached_tokens, stream.carried_tokens)
+        stream.prefill_left = max(stream.prompt_tokens + stream.start - known, 0)
+        if stream.start > 0:
+            stream.recomputed_tokens = int(stream.prefill_left)
+            self.recomputed_tokens += stream.recomputed_tokens
+
+    def _prefill(self) -> None:
+        budget = self._settings.prefill_tokens_per_s * self._settings.token_ms / MS_PER_SECOND
+        for stream in sorted(self._in_slots, key=lambda item: item.priority):
+            if stream.phase is not Phase.PREFILL:
+                continue
+            done = min(budget, stream.prefill_left)
+            stream.prefill_left -= done
+            budget -= done
+            if stream.prefill_left <= 0:
+                self._cache.store(stream.prefixes)
+                stream.phase = Phase.RUNNING
+
+    def _produce(self, stream: Stream) -> None:
+        if stream.produced < stream.max_tokens:
+            stream.produced += 1
+            self.tokens_produced += 1
+        if stream.produced >= stream.max_tokens:
+            self._end(stream, Phase.FINISHED)
+        else:
+            stream.changed.set()
+
+    def _end(self, stream: Stream, phase: Phase) -> None:
+        stream.phase = phase
+        if stream in self._in_slots:
+            self._in_slots.remove(stream)
+        stream.changed.set()
+
+
+def wait_for_change(stream: Stream, sent: int) -> None:
+    """Return when the stream has more than `sent` tokens or has ended."""
+    while stream.produced <= sent and not stream.ended:
+        stream.changed.clear()
+        stream.changed.wait()
+
+
+def spawn_batch(batch: Batch) -> gevent.Greenlet:
+    """Start the batch's task."""
+    return gevent.spawn(batch.run)
--- /dev/null
+++ b/hemlockswitch/standin/engine.py
@@ -0,0 +1,216 @@
+"""The stand-in model engine: its settings, its state, and what it counts for the tests."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent
+from pydantic import BaseModel, ConfigDict, Field
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.standin.answers import (
+    DEFAULT_MAX_TOKENS,
+    count_words,
+    hash_prefixes,
+    join_prompt,
+)
+from hemlockswitch.standin.batch import NEVER_MS, Batch, BatchSettings, Stream
+from hemlockswitch.standin.cache import PrefixCache
+from hemlockswitch.standin.faults import FaultBox, Faults
+
+
+class EngineSettings(BaseModel):
+    """What the settings file of a stand-in engine holds."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    name: str = "engine"
+    listen: str = "127.0.0.1:0"
+    models: tuple[str, ...] = ("assistant-llm",)
+    role: str = "mixed"
+    slots: int = 16
+    token_ms: float = 20
+    prefill_tokens_per_s: float = 8_000
+    queue_length: int = 256
+    cache_tokens: int = 65_536
+    cache_event_delay_ms: float = 500
+    cache_event_gap_every: int = 0
+    load_lag_ms: float = 500
+    checks_fencing: bool = True
+    model_load_ms: float = 0
+    kv_bytes_per_token: int = 1_024
+    kv_bytes_per_s: float = 50_000_000
+
+
+class ChatRequest(BaseModel):
+    """The body of a model request; fields that the stand-in has no use for may be there."""
+
+    model: str
+    messages: list[dict[str, Any]] = Field(min_length=1)
+    max_tokens: int = Field(default=DEFAULT_MAX_TOKENS, ge=0)
+    stream: bool = False
+    continue_tokens: list[str] = []
+    kv_handle: str | None = None
+
+
+class Order(BaseModel):
+    """The wanted state of an engine, under a fencing number."""
+
+    fencing: int
+    wanted: dict[str, Any]
+
+
+@dataclass
+class EngineCounts:
+    """What the tests judge by."""
+
+    runs: Counter = field(default_factory=Counter)
+    resumed: list[str] = field(default_factory=list)
+    refused: int = 0
+    prompt_tokens: int = 0
+    foreign_continuations: int = 0
+    begun_after_leaving_ms: list[float] = field(default_factory=list)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    stale_orders_applied: int = 0
+    stale_orders_refused: int = 0
+
+
+class Engine:
+    """The state of one stand-in engine, apart from HTTP."""
+
+    def __init__(self, settings: EngineSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.cache = PrefixCache(
+            settings.cache_tokens,
+            settings.cache_event_delay_ms,
+            settings.cache_event_gap_every,
+            clock,
+        )
+        speed = BatchSettings(
+            settings.slots, settings.token_ms, settings.prefill_tokens_per_s, settings.queue_length
+        )
+        self.batch = Batch(speed, self.cache, clock)
+        self.faults = FaultBox()
+        self.counts = EngineCounts()
+        self.models = list(settings.models)
+        self.role = settings.role
+        self.draining = False
+        self.highest_fencing = 0
+        self.leaving_since_ms: float | None = None
+        self._unpaired: Stream | None = None
+        self._report: dict[str, Any] = {}
+        self._reported_at_ms = clock.now_ms()
+        self.take_report()
+
+    def begin(self, request: ChatRequest, headers: Mapping[str, str]) -> Stream:
+        """Queue a checked request and return its stream."""
+        prompt = join_prompt(request.messages)
+        now_ms = self.clock.now_ms()
+        deadline = headers.get("X-DEADLINE-MS")
+        stream = Stream(
+            stream_id=headers.get("X-REQUEST-ID") or make_identifier("stream"),
+            model=request.model,
+            prompt=prompt,
+            prompt_tokens=count_words(prompt),
+            start=len(request.continue_tokens),
+            max_tokens=request.max_tokens,
+            prefixes=tuple(hash_prefixes(prompt)),
+            priority=int(headers.get("X-PRIORITY") or 1),
+            linger_ms=float(headers.get("X-LINGER-MS") or 0),
+            deadline_ms=now_ms + float(deadline) if deadline else NEVER_MS,
+        )
+        self._count(stream, request, now_ms)
+        self.batch.add(stream)
+        return stream
+
+    def _count(self, stream: Stream, request: ChatRequest, now_ms: float) -> None:
+        self.counts.runs[stream.stream_id] += 1
+        self.counts.prompt_tokens += stream.prompt_tokens
+        if self.leaving_since_ms is not None:
+            self.counts.begun_after_leaving_ms.append(now_ms - self.leaving_since_ms)
+        own = [stream.token(index) for index in range(stream.start)]
+        if request.continue_tokens != own:
+            self.counts.foreign_continuations += 1
+
+    def mix(self, stream: Stream) -> None:
+        """Swap the answers of `stream` and the one mixed before it."""
+        other = self._unpaired
+        if other is None or other.ended:
+            self._unpaired = stream
+            return
+        self._unpaired = None
+        stream.shown_as, other.shown_as = other, stream
+
+    def set_faults(self, faults: Faults) -> None:
+        """Put faults in force in place of the earlier ones."""
+        self.faults.set(faults)
+        self.batch.slow_factor = faults.slow_factor
+        self.batch.frozen_until_ms = self.clock.now_ms() + faults.freeze_ms
+
+    def apply_order(self, order: Order) -> bool:
+        """Apply an order; return whether its fencing number was good enough."""
+        stale = order.fencing < self.highest_fencing
+        if stale and self.settings.checks_fencing:
+            self.counts.stale_orders_refused += 1
+            return False
+        self.counts.stale_orders_applied += stale
+        self.highest_fencing = max(order.fencing, self.highest_fencing)
+        self.counts.orders.append(order.model_dump())
+        gevent.spawn(self._follow, order.wanted)
+        return True
+
+    def _follow(self, wanted: dict[str, Any]) -> None:
+        self.role = wanted.get("role", self.role)
+        self.draining = wanted.get("state", "serving") == "drained"
+        models = list(wanted.get("models", self.models))
+        self.models = [model for model in self.models if model in models]
+        for model in models:
+            if model not in self.models:
+                self.clock.sleep_ms(self.settings.model_load_ms)
+                self.models.append(model)
+
+    def take_report(self) -> None:
+        """Note the load that is reported until the next time."""
+        self._reported_at_ms = self.clock.now_ms()
+        self._report = {
+            "running": self.batch.running,
+            "waiting": self.batch.waiting,
+            "slots": self.settings.slots,
+            "kv_used": self.cache.used_tokens,
+            "kv_total": self.settings.cache_tokens,
+            "prefill_tokens_per_s": self.settings.prefill_tokens_per_s,
+            "prefill_backlog": self.batch.prefill_backlog,
+            "models": list(self.models),
+            "role": self.role,
+            "draining": self.draining,
+        }
+
+    def report_load(self) -> dict[str, Any]:
+        """Return the last report and its age."""
+        return {**self._report, "age_ms": self.clock.now_ms() - self._reported_at_ms}
+
+    def run_reports(self) -> None:
+        """Report for ever, with the lag of the settings."""
+        while True:
+            self.clock.sleep_ms(self.settings.load_lag_ms)
+            self.take_report()
+
+    def describe_stats(self) -> dict[str, Any]:
+        """Return what the tests judge by."""
+        counts = dict(vars(self.counts))
+        return {
+            **counts,
+            "name": self.settings.name,
+            "recomputed_tokens": self.batch.recomputed_tokens,
+            "tokens_produced": self.batch.tokens_produced,
+            "cancelled": self.batch.cancelled,
+            "running": self.batch.running,
+            "waiting": self.batch.waiting,
+            "models": self.models,
+            "role": self.role,
+            "draining": self.draining,
+            "highest_fencing": self.highest_fencing,
+        }
--- /dev/null
+++ b/hemlockswitch/standin/service.py
@@ -0,0 +1,152 @@
+"""The stand-in plain service: repeats what it was told and counts how often it ran what."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import falcon
+from pydantic import BaseModel, ConfigDict
+
+from hemlockswitch.core.clock import Clock, SystemClock
+from hemlockswitch.standin.faults import FaultBox, Faults
+from hemlockswitch.standin.server import (
+    SOCKET_KEY,
+    RefusalError,
+    cut_connection,
+    make_application,
+    read_body,
+    serve_until_stopped,
+)
+
+
+class ServiceSettings(BaseModel):
+    """What the settings file of a stand-in service holds."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    name: str = "service"
+    listen: str = "127.0.0.1:0"
+    delay_ms: float = 0
+
+
+@dataclass
+class ServiceCounts:
+    """What the tests judge by."""
+
+    runs_by_request: Counter = field(default_factory=Counter)
+    runs_by_key: Counter = field(default_factory=Counter)
+    runs_by_path: Counter = field(default_factory=Counter)
+    runs: int = 0
+    refused: int = 0
+    begun_after_leaving_ms: list[float] = field(default_factory=list)
+
+
+class Service:
+    """The state of one stand-in service."""
+
+    def __init__(self, settings: ServiceSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.faults = FaultBox()
+        self.counts = ServiceCounts()
+        self.leaving_since_ms: float | None = None
+        self._held_answer: dict[str, Any] | None = None
+
+    def note_run(self, request: falcon.Request) -> None:
+        """Count one run."""
+        self.counts.runs += 1
+        self.counts.runs_by_path[f"{request.method} {request.path}"] += 1
+        self.counts.runs_by_request[request.get_header("X-Request-Id") or ""] += 1
+        key = request.get_header("Idempotency-Key")
+        if key:
+            self.counts.runs_by_key[key] += 1
+        if self.leaving_since_ms is not None:
+            since_ms = self.clock.now_ms() - self.leaving_since_ms
+            self.counts.begun_after_leaving_ms.append(since_ms)
+
+    def swap_answer(self, answer: dict[str, Any]) -> dict[str, Any]:
+        """Return the answer of the call before this one, and hold this one's for the next."""
+        earlier, self._held_answer = self._held_answer, answer
+        return earlier or answer
+
+
+class Calls:
+    """Every path that is not the stand-in's own."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+
+    def __call__(self, req: falcon.Request, resp: falcon.Response, **parts: str) -> None:
+        """Run a call and repeat it in the answer."""
+        self._run(req, resp)
+
+    def _run(self, request: falcon.Request, response: falcon.Response) -> None:
+        faults = self._service.faults.take()
+        connection = request.env[SOCKET_KEY]
+        if faults.refuse_status:
+            self._service.counts.refused += 1
+            raise RefusalError(faults.refuse_status, "refused", faults.retry_after_ms)
+        if faults.cut_stage == "before_run":
+            cut_connection(connection)
+        body = request.bounded_stream.read().decode(errors="replace")
+        self._service.note_run(request)
+        delay_ms = (self._service.settings.delay_ms + faults.delay_ms) * faults.slow_factor
+        self._service.clock.sleep_ms(delay_ms + faults.freeze_ms)
+        if faults.cut_stage == "before_answer":
+            cut_connection(connection)
+        self._answer(request, response, body, faults)
+
+    def _answer(
+        self, request: falcon.Request, response: falcon.Response, body: str, faults: Faults
+    ) -> None:
+        answer = {
+            "service": self._service.settings.name,
+            "method": request.method,
+            "path": request.relative_uri,
+            "body": body,
+            "request_id": request.get_header("X-Request-Id"),
+            "run": self._service.counts.runs,
+        }
+        if faults.mix_answers:
+            answer = self._service.swap_answer(answer)
+        response.media = answer
+        response.set_header("X-Request-Id", str(answer["request_id"]))
+
+
+class Judge:
+    """``/standin/stats``, ``/standin/faults`` and ``/standin/leaving``."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+
+    def on_get_stats(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Give the counts."""
+        response.media = {**vars(self._service.counts), "name": self._service.settings.name}
+
+    def on_post_faults(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Replace the faults in force."""
+        faults = read_body(request, Faults)
+        self._service.faults.set(faults)
+        response.media = faults.model_dump()
+
+    def on_post_leaving(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Mark the service as leaving: what begins from now on is counted apart."""
+        self._service.leaving_since_ms = self._service.clock.now_ms()
+        response.media = {}
+
+
+def build_application(service: Service) -> Any:
+    """Return the WSGI application of a service."""
+    application = make_application()
+    judge = Judge(service)
+    application.add_route("/standin/stats", judge, suffix="stats")
+    application.add_route("/standin/faults", judge, suffix="faults")
+    application.add_route("/standin/leaving", judge, suffix="leaving")
+    application.add_sink(Calls(service), prefix=r"/(?P<path>.*)")
+    return application
+
+
+def serve_service(settings: ServiceSettings) -> None:
+    """Serve a service until the process is asked to stop."""
+    service = Service(settings, SystemClock())
+    serve_until_stopped(build_application(service), settings.listen)
