--- /dev/null
+++ b/hemlockswitch/request/prefixes.py
@@ -0,0 +1,93 @@
+"""Prompt prefixes: the blocks that engines can cache, and what a daemon remembers of them."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import xxhash
+
+BLOCK_TOKENS = 16
+MAX_BLOCKS = 512
+REMEMBERED_BLOCKS = 20_000
+
+
+def count_tokens(text: str) -> int:
+    """Return the number of tokens of `text`, counted as whitespace-separated words.
+
+    Examples
+    ========
+
+    >>> count_tokens("is the hall  free?")
+    4
+    """
+    return len(text.split())
+
+
+def hash_blocks(text: str) -> tuple[int, ...]:
+    """Return one hash for each whole leading block of `text`.
+
+    Explanation
+    ===========
+
+    Each hash covers its block and all before it, so two prompts share the first ``n`` hashes
+    exactly when they share the first ``n`` blocks. A last block that is not full is left out.
+
+    Examples
+    ========
+
+    >>> greeting = "word " * 20
+    >>> len(hash_blocks(greeting))
+    1
+    >>> hash_blocks(greeting + "a " * 12)[0] == hash_blocks(greeting)[0]
+    True
+    """
+    words = text.split()
+    whole = min(len(words) // BLOCK_TOKENS, MAX_BLOCKS)
+    hashes = []
+    previous = 0
+    for number in range(whole):
+        block = " ".join(words[number * BLOCK_TOKENS : (number + 1) * BLOCK_TOKENS])
+        previous = xxhash.xxh3_64_intdigest(block.encode(), seed=previous)
+        hashes.append(previous)
+    return tuple(hashes)
+
+
+class PrefixMemory:
+    """Which leading blocks were lately sent to which backend server, bounded in size.
+
+    Parameters
+    ==========
+
+    capacity : number of (block, server) pairs kept; the least lately used go first.
+
+    Examples
+    ========
+
+    >>> memory = PrefixMemory()
+    >>> memory.remember("llm-1", (1, 2, 3))
+    >>> memory.count_cached("llm-1", (1, 2, 9))
+    32
+    >>> memory.count_cached("llm-2", (1, 2, 9))
+    0
+    """
+
+    def __init__(self, capacity: int = REMEMBERED_BLOCKS) -> None:
+        self._capacity = capacity
+        self._pairs: OrderedDict[tuple[str, int], None] = OrderedDict()
+
+    def remember(self, server_name: str, blocks: Sequence[int]) -> None:
+        """Note that a prompt with these leading blocks went to the server."""
+        for block in reversed(blocks):
+            pair = (server_name, block)
+            self._pairs[pair] = None
+            self._pairs.move_to_end(pair)
+        while len(self._pairs) > self._capacity:
+            self._pairs.popitem(last=False)
+
+    def count_cached(self, server_name: str, blocks: Sequence[int]) -> int:
+        """Return how many leading tokens the server probably still has in its cache."""
+        matched = 0
+        for block in blocks:
+            if (server_name, block) not in self._pairs:
+                break
+            matched += 1
+        return matched * BLOCK_TOKENS
