Add the peer network: typed messages over bounded TCP streams

Cause: configuration, limits, claims and handover need one way to talk to other daemons.

Weighed: msgpack's streaming unpacker with max_buffer_size against a length prefix. The prefix lets a frame be refused before it is read, and lets a queue count whole frames, so that the oldest one-way message can go when the queue is full.

--- /dev/null
+++ b/hemlockswitch/connection/links.py
@@ -0,0 +1,315 @@
+"""One TCP stream between two processes of the system: frames, a bounded queue, its two tasks."""
+
+import struct
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import IntEnum
+
+import gevent
+from gevent import socket
+from gevent.event import Event as Signal
+
+from hemlockswitch.connection.messages import MAX_FRAME_BYTES
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import ErrorKind, PeerError
+
+HEADER = struct.Struct(">IBI")
+READ_BYTES = 65_536
+WRITE_BYTES = 65_536
+
+
+class FrameKind(IntEnum):
+    """What a frame is for."""
+
+    ONE_WAY = 0
+    ASK = 1
+    REPLY = 2
+
+
+FRAME_KINDS = frozenset(int(kind) for kind in FrameKind)
+
+
+@dataclass(frozen=True)
+class Frame:
+    """One message on a stream.
+
+    Parameters
+    ==========
+
+    kind : one-way, a question, or the reply to a question.
+    number : pairs a reply with its question; 0 for a one-way message.
+    body : the msgpack form of the message.
+    """
+
+    kind: FrameKind
+    number: int
+    body: bytes
+
+    def encode(self) -> bytes:
+        """Return the frame as it goes on the stream."""
+        return HEADER.pack(len(self.body), self.kind, self.number) + self.body
+
+
+@dataclass(frozen=True)
+class PeerBounds:
+    """Bounds of the peer network, in bytes, frames and milliseconds."""
+
+    queue_frames: int = 1_024
+    queue_bytes: int = 2 * MAX_FRAME_BYTES
+    handler_tasks: int = 256
+    accepted_streams: int = 1_024
+    connect_timeout_ms: int = 1_000
+    hello_timeout_ms: int = 2_000
+    write_timeout_ms: int = 5_000
+    idle_ms: int = 60_000
+    first_backoff_ms: int = 100
+    longest_backoff_ms: int = 2_000
+
+
+@dataclass
+class Traffic:
+    """What a process has sent to and received from its peers, for metrics and measurement."""
+
+    messages_in: int = 0
+    messages_out: int = 0
+    bytes_in: int = 0
+    bytes_out: int = 0
+    dropped: int = 0
+    connections: int = 0
+
+
+class FrameDecoder:
+    """Cut a byte stream into frames; a frame over the bound is an error before it is read.
+
+    Examples
+    ========
+
+    >>> decoder = FrameDecoder()
+    >>> wire = Frame(FrameKind.ASK, 7, b"abc").encode()
+    >>> [frame.number for frame in decoder.feed(wire[:5])]
+    []
+    >>> [frame.number for frame in decoder.feed(wire[5:])]
+    [7]
+    """
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, received: bytes) -> Iterator[Frame]:
+        """Add bytes and yield each frame that is now whole."""
+        self._buffer += received
+        while len(self._buffer) >= HEADER.size:
+            length, kind, number = HEADER.unpack_from(self._buffer)
+            if length > MAX_FRAME_BYTES or kind not in FRAME_KINDS:
+                raise PeerError(ErrorKind.BODY_TOO_LARGE, f"a frame of {length} bytes")
+            end = HEADER.size + length
+            if len(self._buffer) < end:
+                return
+            body = bytes(self._buffer[HEADER.size : end])
+            del self._buffer[:end]
+            yield Frame(FrameKind(kind), number, body)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP and the port of an ``ip:port`` address.
+
+    Examples
+    ========
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not port.isdigit():
+        raise PeerError(ErrorKind.BAD_REQUEST, f"not an address: {address!r}")
+    return host, int(port)
+
+
+class Link:
+    """A stream to one peer. It owns its socket; two tasks read and write it.
+
+    Explanation
+    ===========
+
+    The queue of frames to send is bounded. When it is full the oldest one-way frame goes, since
+    one-way messages are repaired by later ones; a question is refused instead of dropped.
+
+    Parameters
+    ==========
+
+    address : the peer's listening address; empty until the peer of an accepted socket gives it.
+    connection : an accepted socket, or None to connect when the link starts.
+    source_host : the local IP from which to connect.
+    greeting : frame that a connecting link sends first.
+    on_frame, on_close : called with the link (and the frame); they must not raise.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connection: socket.socket | None,
+        *,
+        source_host: str,
+        greeting: bytes,
+        on_frame: Callable[["Link", Frame], None],
+        on_close: Callable[["Link", bool], None],
+        clock: Clock,
+        bounds: PeerBounds,
+        traffic: Traffic,
+    ) -> None:
+        self.address = address
+        self.closed = False
+        self.accepted = connection is not None
+        self.last_received_ms = clock.now_ms()
+        self.last_used_ms = self.last_received_ms
+        self._connection = connection
+        self._source_host = source_host
+        self._greeting = greeting
+        self._on_frame = on_frame
+        self._on_close = on_close
+        self._clock = clock
+        self._bounds = bounds
+        self._traffic = traffic
+        self._queue: deque[tuple[FrameKind, bytes]] = deque()
+        self._queued_bytes = 0
+        self._wake = Signal()
+        self._heard = False
+        self._ended = Signal()
+        self._tasks: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Start the link's tasks."""
+        self._tasks.append(gevent.spawn(self._run))
+
+    def put(self, frame: Frame) -> None:
+        """Queue `frame`.
+
+        Raises
+        ======
+
+        PeerError : the link is closed, or full of frames that may not be dropped.
+        """
+        if self.closed:
+            raise PeerError(ErrorKind.PEER_UNAVAILABLE, f"no stream to {self.address}")
+        wire = frame.encode()
+        self._make_room(len(wire), frame.kind)
+        self._queue.append((frame.kind, wire))
+        self._queued_bytes += len(wire)
+        self._wake.set()
+
+    def _make_room(self, size_bytes: int, kind: FrameKind) -> None:
+        bounds = self._bounds
+        while (
+            len(self._queue) >= bounds.queue_frames
+            or self._queued_bytes + size_bytes > bounds.queue_bytes
+        ):
+            oldest = next((entry for entry in self._queue if entry[0] is FrameKind.ONE_WAY), None)
+            if oldest is None:
+                self._traffic.dropped += 1
+                raise PeerError(ErrorKind.OVERLOADED, f"the queue to {self.address} is full")
+            self._queue.remove(oldest)
+            self._queued_bytes -= len(oldest[1])
+            self._traffic.dropped += 1
+
+    def close(self, failed: bool = False) -> None:
+        """End the stream and its tasks; `failed` tells the owner to wait before the next one."""
+        if self.closed:
+            return
+        self.closed = True
+        if self._connection is not None:
+            self._connection.close()
+        self._on_close(self, failed)
+        self._ended.set()
+        current = gevent.getcurrent()
+        for task in self._tasks:
+            if task is not current:
+                task.kill(block=False)
+
+    def wait_closed(self) -> None:
+        """Wait until the stream has ended."""
+        self._ended.wait()
+
+    def is_idle(self, now_ms: float) -> bool:
+        """Return whether the stream may be closed for want of use.
+
+        The accepting end waits longer, so that the two ends seldom cross while closing.
+        """
+        if not self.address:
+            return now_ms - self.last_used_ms > self._bounds.hello_timeout_ms
+        idle_ms = self._bounds.idle_ms * (2 if self.accepted else 1)
+        return not self._queue and now_ms - self.last_used_ms > idle_ms
+
+    def _run(self) -> None:
+        if self._connection is None and not self._connect():
+            self.close(failed=True)
+            return
+        self._prepare()
+        self._traffic.connections += 1
+        self._tasks.append(gevent.spawn(self._read))
+        self._write()
+
+    def _connect(self) -> bool:
+        timeout_s = self._bounds.connect_timeout_ms / MS_PER_SECOND
+        try:
+            self._connection = socket.create_connection(
+                split_address(self.address), timeout_s, source_address=(self._source_host, 0)
+            )
+            self._connection.sendall(self._greeting)
+        except (OSError, PeerError):
+            return False
+        return True
+
+    def _prepare(self) -> None:
+        assert self._connection is not None
+        self._connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._connection.settimeout(self._bounds.write_timeout_ms / MS_PER_SECOND)
+
+    def _write(self) -> None:
+        assert self._connection is not None
+        try:
+            while not self.closed:
+                if not self._queue:
+                    self._wake.clear()
+                    self._wake.wait()
+                self._connection.sendall(self._take_batch())
+        except OSError:
+            self.close(failed=True)
+
+    def _take_batch(self) -> bytes:
+        batch = bytearray()
+        while self._queue and len(batch) < WRITE_BYTES:
+            _, wire = self._queue.popleft()
+            self._queued_bytes -= len(wire)
+            batch += wire
+            self._traffic.messages_out += 1
+        self._traffic.bytes_out += len(batch)
+        self.last_used_ms = self._clock.now_ms()
+        return bytes(batch)
+
+    def _read(self) -> None:
+        assert self._connection is not None
+        decoder = FrameDecoder()
+        try:
+            while not self.closed:
+                received = self._receive()
+                if not received:
+                    break
+                for frame in decoder.feed(received):
+                    self._traffic.messages_in += 1
+                    self._on_frame(self, frame)
+        except (OSError, PeerError):
+            self.close(failed=True)
+            return
+        self.close(failed=not self._heard)
+
+    def _receive(self) -> bytes:
+        assert self._connection is not None
+        # Waiting for the socket apart from recv keeps the write time-out off idle streams.
+        socket.wait_read(self._connection.fileno())
+        received = self._connection.recv(READ_BYTES)
+        self._heard = True
+        self._traffic.bytes_in += len(received)
+        self.last_received_ms = self._clock.now_ms()
+        self.last_used_ms = self.last_received_ms
+        return received
--- a/hemlockswitch/core/errors.py
+++ b/hemlockswitch/core/errors.py
@@ -40,6 +40,7 @@
     INVALID_CONFIGURATION = "invalid_configuration"
     REVISION_CONFLICT = "revision_conflict"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
+    PEER_UNAVAILABLE = "peer_unavailable"
     STALE_FENCING = "stale_fencing"
     INTERNAL = "internal"
 
@@ -87,6 +88,7 @@
     ErrorKind.INVALID_CONFIGURATION: Answer(422, Ran.NO),
     ErrorKind.REVISION_CONFLICT: Answer(409, Ran.NO),
     ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, Ran.NO, 2_000),
+    ErrorKind.PEER_UNAVAILABLE: Answer(503, Ran.UNKNOWN, 1_000),
     ErrorKind.STALE_FENCING: Answer(409, Ran.NO),
     ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN),
 }
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -15,6 +15,15 @@
     PROCESS_STOPPING = (102, "process_stopping")
     PROCESS_STOPPED = (103, "process_stopped")
     TASK_FAILED = (104, "task_failed")
+    PEER_REFUSED = (501, "peer_refused")
+    PEER_MESSAGE_UNKNOWN = (502, "peer_message_unknown")
+    PEER_HANDLER_FAILED = (503, "peer_handler_failed")
+    MEMBER_CHANGED = (504, "member_changed")
+    MEMBERSHIP_JOINED = (505, "membership_joined")
+    MEMBERSHIP_ISOLATED = (506, "membership_isolated")
+    MEMBERSHIP_REFUTED = (507, "membership_refuted")
+    ZONE_SUSPECTED = (508, "zone_suspected")
+    NEWS_TOO_LARGE = (509, "news_too_large")
 
     def __init__(self, number: int, label: str) -> None:
         self.number = number
