Check operator files whole, and compare them by path

Cause: pydantic alone cannot say that a name stands twice, that a minimum exceeds the licence, or that a file does not fit the platform's value; and an operator who gets one mistake at a time applies ten times.

Weighed: checks on the valid model only (a wrong type then hides every other mistake), or on the JSON tree (chosen: each check takes what it can read). A difference by list position makes one new account change every later one; by name it is one change, with the lists kept sorted by name. Whole numbers in quotes, keys that stand twice in one object, NaN and lone surrogates are refused: pydantic and json take them silently.

ClientAccount.uses names the models and services that an account may call.

--- /dev/null
+++ b/hemlockswitch/programs/ctl.py
@@ -0,0 +1,29 @@
+"""`hemlock-ctl`: the operators' command. It steers the system only by applying files."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys
+
+from cleo.application import Application
+
+import hemlockswitch
+from hemlockswitch.programs.ctl_files import CheckCommand
+
+
+def make_application() -> Application:
+    """Return the command line with all its commands."""
+    application = Application("hemlock-ctl", hemlockswitch.__version__)
+    application.set_display_name("hemlock-ctl")
+    application.add(CheckCommand())
+    return application
+
+
+def main() -> int:
+    """Run one command and return its exit code."""
+    return make_application().run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/hemlockswitch/version/checks.py
@@ -0,0 +1,227 @@
+"""Checks of a whole operator file, with the path and the reason of every mistake.
+
+Explanation
+===========
+
+`parse_file` is the one way from an operator's text to an `OperatorFile`. It reports all mistakes
+at once: a file with a field of the wrong type still has its references and counts checked, on
+whatever of it can be read. Paths are those of the operator's own text, such as
+``models[0].min_copies``.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import ValidationError
+
+from hemlockswitch.core.errors import ConfigurationError, ErrorKind
+from hemlockswitch.version.documents import encode_canonical, read_document, sort_file_tree
+from hemlockswitch.version.mistakes import Mistake, Path, format_path, list_model_mistakes
+from hemlockswitch.version.models import Model, OperatorFile, Service
+
+MAX_VALUE_BYTES = 1_048_576
+"""The largest value that the platform's service stores."""
+
+REVISION_FIELDS_BYTES = 1_024
+"""Room in the stored value for the fields of a revision beside its file."""
+
+ACCOUNTS = "client_accounts"
+COPIED_KINDS: dict[str, type[Model] | type[Service]] = {"models": Model, "services": Service}
+"""The lists whose elements run as licensed copies."""
+
+
+class InvalidFileError(ConfigurationError):
+    """An operator file that cannot be applied.
+
+    Parameters
+    ==========
+
+    mistakes : every mistake that was found.
+    """
+
+    def __init__(self, mistakes: list[Mistake]) -> None:
+        lines = "; ".join(str(mistake) for mistake in mistakes)
+        super().__init__(ErrorKind.INVALID_CONFIGURATION, lines)
+        self.mistakes = tuple(mistakes)
+
+    @classmethod
+    def from_reason(cls, reason: str) -> "InvalidFileError":
+        """Return the error for a file that is wrong as a whole."""
+        return cls([Mistake("", reason)])
+
+
+@dataclass(frozen=True)
+class CheckedFile:
+    """A file without mistakes: the tree that is stored, and its model."""
+
+    tree: dict[str, Any]
+    file: OperatorFile
+
+
+@dataclass(frozen=True)
+class _Entry:
+    """One readable element of a list of the file."""
+
+    path: Path
+    value: Any
+
+    @property
+    def label(self) -> str:
+        """The path as operators read it."""
+        return format_path(self.path)
+
+
+def parse_file(text: str) -> CheckedFile:
+    """Return the configuration in `text`.
+
+    Raises
+    ======
+
+    InvalidFileError : with every mistake in the file.
+
+    Examples
+    ========
+
+    >>> parse_file('{"zones": ["abdoun-hall"]}').file.zones
+    ('abdoun-hall',)
+    >>> parse_file('{"zones": ["a", "a"]}')
+    Traceback (most recent call last):
+    ...
+    hemlockswitch.version.checks.InvalidFileError: invalid_configuration: zones[1]: stands already ...
+    """
+    try:
+        document = read_document(text)
+    except ValueError as error:
+        raise InvalidFileError.from_reason(f"not JSON: {error}") from error
+    if not isinstance(document.tree, dict):
+        raise InvalidFileError.from_reason("must be one JSON object")
+    mistakes = list(document.mistakes)
+    checked: CheckedFile | None = None
+    try:
+        checked = _complete(document.tree)
+    except ValidationError as error:
+        mistakes.extend(list_model_mistakes(error))
+    mistakes.extend(list_relation_mistakes(document.tree))
+    mistakes.extend(_check_size(checked.tree if checked else document.tree))
+    if mistakes or checked is None:
+        raise InvalidFileError(mistakes)
+    return checked
+
+
+def list_relation_mistakes(tree: dict[str, Any]) -> list[Mistake]:
+    """Return the mistakes that no single field shows: references, doubles and counts."""
+    return [mistake for check in _CHECKS for mistake in check(tree)]
+
+
+def _complete(tree: dict[str, Any]) -> CheckedFile:
+    """Write out the defaults and sort, so that the stored tree says all that is in force."""
+    file = OperatorFile.model_validate_json(encode_canonical(tree), strict=True)
+    return CheckedFile(sort_file_tree(file.model_dump(mode="json")), file)
+
+
+def _list_entries(tree: dict[str, Any], field: str, kind: type) -> list[_Entry]:
+    """Return the elements of a list that have the wanted type; fields are checked elsewhere."""
+    values = tree.get(field)
+    if not isinstance(values, list):
+        return []
+    entries = [_Entry((field, index), value) for index, value in enumerate(values)]
+    return [entry for entry in entries if isinstance(entry.value, kind)]
+
+
+def _list_fields(tree: dict[str, Any], field: str, inner: str, kind: type) -> list[_Entry]:
+    """Return one field of each object in a list."""
+    return [
+        _Entry((*item.path, inner), item.value[inner])
+        for item in _list_entries(tree, field, dict)
+        if isinstance(item.value.get(inner), kind)
+    ]
+
+
+def _list_names(tree: dict[str, Any], *fields: str) -> list[_Entry]:
+    return [entry for field in fields for entry in _list_fields(tree, field, "name", str)]
+
+
+def _find_doubles(entries: list[_Entry]) -> Iterator[Mistake]:
+    first: dict[Any, str] = {}
+    for entry in entries:
+        if entry.value in first:
+            yield Mistake(entry.label, f"stands already at {first[entry.value]}")
+        first.setdefault(entry.value, entry.label)
+
+
+def _check_doubles(tree: dict[str, Any]) -> Iterator[Mistake]:
+    """Models and services share one set of names, because backend servers name either."""
+    yield from _find_doubles(_list_entries(tree, "zones", str))
+    yield from _find_doubles(_list_names(tree, ACCOUNTS))
+    yield from _find_doubles(_list_fields(tree, ACCOUNTS, "key_hash", str))
+    yield from _find_doubles(_list_names(tree, *COPIED_KINDS))
+    yield from _find_doubles(_list_entries(tree, "draining", str))
+
+
+def _check_copies(tree: dict[str, Any]) -> Iterator[Mistake]:
+    for field, kind in COPIED_KINDS.items():
+        for item in _list_entries(tree, field, dict):
+            licensed = _find_count(item, kind, "licensed_copies")
+            wanted = _find_count(item, kind, "min_copies")
+            if licensed is not None and wanted is not None and wanted > licensed:
+                reason = f"{wanted} copies cannot be met: the licence allows {licensed}"
+                yield Mistake(format_path((*item.path, "min_copies")), reason)
+
+
+def _find_count(item: _Entry, kind: type[Model] | type[Service], field: str) -> int | None:
+    value = item.value.get(field, kind.model_fields[field].default)
+    return value if type(value) is int else None
+
+
+def _check_tokens(tree: dict[str, Any]) -> Iterator[Mistake]:
+    for item in _list_entries(tree, "models", dict):
+        most = _find_count(item, Model, "max_tokens")
+        context = _find_count(item, Model, "context_tokens")
+        if most is not None and context is not None and most > context:
+            reason = f"{most} tokens do not fit the context of {context}"
+            yield Mistake(format_path((*item.path, "max_tokens")), reason)
+
+
+def _check_operations(tree: dict[str, Any]) -> Iterator[Mistake]:
+    """Two operations with one path would leave open whether a call may be repeated."""
+    for service in _list_entries(tree, "services", dict):
+        operations = _list_fields(service.value, "operations", "path", str)
+        placed = [_Entry((*service.path, *entry.path), entry.value) for entry in operations]
+        yield from _find_doubles(placed)
+
+
+def _check_uses(tree: dict[str, Any]) -> Iterator[Mistake]:
+    known = {entry.value for entry in _list_names(tree, *COPIED_KINDS)}
+    for account in _list_entries(tree, ACCOUNTS, dict):
+        for use in _list_entries(account.value, "uses", str):
+            if use.value not in known:
+                path = format_path((*account.path, *use.path))
+                yield Mistake(path, f"no model or service is named {use.value!r}")
+
+
+def _check_draining(tree: dict[str, Any]) -> Iterator[Mistake]:
+    """What drains is a backend server, by its VM name, and nothing that the file itself names."""
+    named = {entry.value: entry.label for entry in _list_names(tree, *COPIED_KINDS, ACCOUNTS)}
+    named |= {entry.value: entry.label for entry in _list_entries(tree, "zones", str)}
+    for entry in _list_entries(tree, "draining", str):
+        if entry.value in named:
+            reason = f"names {named[entry.value]}; only a backend server's VM can drain"
+            yield Mistake(entry.label, reason)
+
+
+def _check_size(tree: dict[str, Any]) -> Iterator[Mistake]:
+    size_bytes = len(encode_canonical(tree).encode()) + REVISION_FIELDS_BYTES
+    if size_bytes > MAX_VALUE_BYTES:
+        reason = f"{size_bytes} bytes as stored; the platform takes {MAX_VALUE_BYTES}"
+        yield Mistake("", reason)
+
+
+_CHECKS: tuple[Callable[[dict[str, Any]], Iterator[Mistake]], ...] = (
+    _check_doubles,
+    _check_copies,
+    _check_tokens,
+    _check_operations,
+    _check_uses,
+    _check_draining,
+)
--- /dev/null
+++ b/hemlockswitch/version/differences.py
@@ -0,0 +1,190 @@
+"""The difference of two configurations as typed changes by path.
+
+Explanation
+===========
+
+Both sides are JSON trees. An object of a named list (accounts, models, services) is addressed by
+its name, so a change of one account is one change, whatever its place. Every other list is
+replaced as a whole. Lists of named objects are kept sorted by name, as in the stored form, so
+applying the changes gives the exact other tree; the digest proves it.
+"""
+
+import copy
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Any
+
+from hemlockswitch.core.errors import ConfigurationError, ErrorKind
+from hemlockswitch.version.documents import encode_canonical, find_sort_key
+
+Steps = tuple[str, ...]
+"""The keys, and in named lists the names, from the root of the tree to a place in it."""
+
+
+@dataclass(frozen=True)
+class Put:
+    """The value at `path` becomes `value`, or comes to be there."""
+
+    path: Steps
+    value: Any
+
+
+@dataclass(frozen=True)
+class Remove:
+    """What is at `path` goes away."""
+
+    path: Steps
+
+
+Change = Put | Remove
+
+
+def compare_trees(old: Any, new: Any, path: Steps = ()) -> list[Change]:
+    """Return the changes that turn `old` into `new`.
+
+    Examples
+    ========
+
+    >>> compare_trees({"a": 1, "b": {"c": 2}}, {"a": 1, "b": {"c": 3}})
+    [Put(path=('b', 'c'), value=3)]
+    """
+    if encode_canonical(old) == encode_canonical(new):
+        return []
+    old_children = _find_children(old)
+    new_children = _find_children(new)
+    if not path and (old_children is None or new_children is None):
+        raise ConfigurationError(ErrorKind.INVALID_CONFIGURATION, "the root is not an object")
+    if old_children is None or new_children is None or type(old) is not type(new):
+        return [Put(path, new)]
+    changes: list[Change] = [
+        Remove((*path, key)) for key in sorted(old_children.keys() - new_children.keys())
+    ]
+    for key, value in sorted(new_children.items()):
+        if key in old_children:
+            changes.extend(compare_trees(old_children[key], value, (*path, key)))
+        else:
+            changes.append(Put((*path, key), value))
+    return changes
+
+
+def apply_changes(tree: Any, changes: Sequence[Change]) -> Any:
+    """Return a new tree with the changes applied; `tree` stays as it is.
+
+    Raises
+    ======
+
+    ConfigurationError : a change names a place that the tree does not have.
+    """
+    changed = copy.deepcopy(tree)
+    for change in changes:
+        try:
+            parent = _walk(changed, change.path[:-1])
+            apply_change(change, parent)
+        except (KeyError, StopIteration, TypeError) as error:
+            raise ConfigurationError(
+                ErrorKind.INVALID_CONFIGURATION, f"no place {format_steps(change.path)}"
+            ) from error
+    return changed
+
+
+@singledispatch
+def apply_change(change: Change, parent: Any) -> None:
+    """Apply one change to the object or list that holds its place."""
+    raise TypeError(f"not a change: {change!r}")
+
+
+@apply_change.register
+def _(change: Put, parent: Any) -> None:
+    key = change.path[-1]
+    if isinstance(parent, dict):
+        parent[key] = change.value
+        return
+    kept = [element for element in parent if element["name"] != key]
+    parent[:] = sorted([*kept, change.value], key=find_sort_key)
+
+
+@apply_change.register
+def _(change: Remove, parent: Any) -> None:
+    key = change.path[-1]
+    if isinstance(parent, dict):
+        del parent[key]
+        return
+    parent.remove(_find_named(parent, key))
+
+
+@singledispatch
+def describe_change(change: Change) -> str:
+    """Return a change in one line for an operator."""
+    raise TypeError(f"not a change: {change!r}")
+
+
+@describe_change.register
+def _(change: Put) -> str:
+    return f"{format_steps(change.path)} = {encode_canonical(change.value)}"
+
+
+@describe_change.register
+def _(change: Remove) -> str:
+    return f"{format_steps(change.path)} removed"
+
+
+def format_steps(path: Steps) -> str:
+    """Return a path in the way operators read it.
+
+    Examples
+    ========
+
+    >>> format_steps(("models", "assistant-llm", "min_copies"))
+    'models/assistant-llm/min_copies'
+    """
+    return "/".join(path)
+
+
+def pack_changes(changes: Sequence[Change]) -> list[list[Any]]:
+    """Return changes as lists that msgpack and JSON can carry: path, then the value if any."""
+    return [
+        [list(change.path), change.value] if isinstance(change, Put) else [list(change.path)]
+        for change in changes
+    ]
+
+
+def unpack_changes(rows: Sequence[Sequence[Any]]) -> list[Change]:
+    """Return the changes that `pack_changes` wrote.
+
+    Raises
+    ======
+
+    ConfigurationError : a row is not a change.
+    """
+    changes: list[Change] = []
+    for row in rows:
+        path = tuple(row[0]) if row and isinstance(row[0], list) else ()
+        if not path or len(row) > 2 or not all(isinstance(step, str) for step in path):
+            raise ConfigurationError(ErrorKind.INVALID_CONFIGURATION, "not a change")
+        changes.append(Put(path, row[1]) if len(row) == 2 else Remove(path))
+    return changes
+
+
+def _find_children(value: Any) -> dict[str, Any] | None:
+    """Return the addressable children of an object or a list of named objects."""
+    if isinstance(value, dict):
+        return value
+    if isinstance(value, list) and all(_is_named(element) for element in value):
+        children = {element["name"]: element for element in value}
+        return children if list(children) == sorted(children) else None
+    return None
+
+
+def _is_named(element: Any) -> bool:
+    return isinstance(element, dict) and isinstance(element.get("name"), str)
+
+
+def _walk(tree: Any, path: Steps) -> Any:
+    for step in path:
+        tree = tree[step] if isinstance(tree, dict) else _find_named(tree, step)
+    return tree
+
+
+def _find_named(elements: list[Any], name: str) -> Any:
+    return next(element for element in elements if element["name"] == name)
--- /dev/null
+++ b/hemlockswitch/version/documents.py
@@ -0,0 +1,118 @@
+"""JSON documents: strict reading, one canonical form, and its digest.
+
+Explanation
+===========
+
+The canonical form is made once, when a file is applied. From then on the JSON tree itself is
+stored, sent and compared, never a model's own dump, so that a process with newer defaults gives
+the same digest for a revision as the process that made it.
+"""
+
+import hashlib
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from hemlockswitch.version.mistakes import Mistake, Path, format_path
+
+SORTED_FIELDS = ("client_accounts", "draining", "models", "services", "zones")
+"""Lists of the operators' file whose order has no meaning."""
+
+
+@dataclass(frozen=True)
+class Document:
+    """A JSON tree and the mistakes of its text that the tree does not show."""
+
+    tree: Any
+    mistakes: tuple[Mistake, ...]
+
+
+class _Object(dict):
+    """A JSON object that remembers which keys stood in it twice."""
+
+    doubled: tuple[str, ...] = ()
+
+
+def read_document(text: str) -> Document:
+    """Return the JSON tree of `text`, refusing what JSON leaves open.
+
+    Raises
+    ======
+
+    ValueError : the text is not JSON.
+
+    Examples
+    ========
+
+    >>> [str(mistake) for mistake in read_document('{"limits": {"a": 1, "a": 2}}').mistakes]
+    ['limits.a: the key stands twice in one object']
+    """
+    try:
+        tree = json.loads(text, object_pairs_hook=_make_object, parse_constant=_refuse_constant)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
+    encode_canonical(tree).encode()
+    return Document(tree, tuple(_list_doubled_keys(tree, ())))
+
+
+def encode_canonical(tree: Any) -> str:
+    """Return the one canonical text of a JSON tree.
+
+    Examples
+    ========
+
+    >>> encode_canonical({"b": 1, "a": [True]})
+    '{"a":[true],"b":1}'
+    """
+    return json.dumps(
+        tree, sort_keys=True, separators=(",", ":"), ensure_ascii=False, allow_nan=False
+    )
+
+
+def digest_tree(tree: Any) -> str:
+    """Return the SHA-256 of the canonical form of `tree`."""
+    return "sha256:" + hashlib.sha256(encode_canonical(tree).encode()).hexdigest()
+
+
+def sort_file_tree(tree: dict[str, Any]) -> dict[str, Any]:
+    """Return a file's tree with the lists sorted whose order has no meaning."""
+    return {
+        key: sorted(value, key=find_sort_key) if key in SORTED_FIELDS else value
+        for key, value in tree.items()
+    }
+
+
+def find_sort_key(element: Any) -> str:
+    """Return the name of a named object, or the text itself."""
+    return element["name"] if isinstance(element, dict) else element
+
+
+def _make_object(pairs: list[tuple[str, Any]]) -> _Object:
+    made = _Object(pairs)
+    if len(made) < len(pairs):
+        keys = [key for key, _ in pairs]
+        made.doubled = tuple(sorted({key for key in keys if keys.count(key) > 1}))
+    return made
+
+
+def _refuse_constant(name: str) -> Any:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def _list_doubled_keys(tree: Any, path: Path) -> list[Mistake]:
+    found: list[Mistake] = []
+    if isinstance(tree, _Object):
+        for doubled in tree.doubled:
+            place = format_path((*path, doubled))
+            found.append(Mistake(place, "the key stands twice in one object"))
+    for key, child in _list_children(tree):
+        found.extend(_list_doubled_keys(child, (*path, key)))
+    return found
+
+
+def _list_children(tree: Any) -> list[tuple[str | int, Any]]:
+    if isinstance(tree, dict):
+        return list(tree.items())
+    if isinstance(tree, list):
+        return list(enumerate(tree))
+    return []
--- a/hemlockswitch/version/models.py
+++ b/hemlockswitch/version/models.py
@@ -37,6 +37,8 @@
     key_hash: KeyHash
     limits: AccountLimits
     priority: int = Field(default=1, ge=0, le=9)
+    uses: tuple[Name, ...] = ()
+    """Names of the models and services that it may call; empty for all."""
 
 
 class Model(_Checked):
--- /dev/null
+++ b/hemlockswitch/version/revisions.py
@@ -0,0 +1,124 @@
+"""A revision: one whole configuration with its number, and how the platform stores it."""
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from hemlockswitch.core.errors import ConfigurationError, ErrorKind
+from hemlockswitch.version.checks import CheckedFile
+from hemlockswitch.version.documents import digest_tree
+from hemlockswitch.version.models import KeyHash, OperatorFile
+
+REVISION_KIND = "revisions"
+POINTER_KIND = "pointers"
+CURRENT_POINTER = "current"
+NO_REVISION = 0
+"""The number that stands for no configuration at all."""
+
+
+class _Stored(BaseModel):
+    """Base of the values in the platform's service; unknown fields are of a newer program."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class StoredRevision(_Stored):
+    """The value of ``revisions/<number>``; it is written once and never changed."""
+
+    number: int = Field(gt=NO_REVISION)
+    digest: KeyHash
+    apply_id: str
+    previous: int = Field(ge=NO_REVISION)
+    applied_wall_ms: int = Field(ge=0)
+    file: dict[str, Any]
+
+
+class StoredPointer(_Stored):
+    """The value of ``pointers/current``: the revision that is to be in force."""
+
+    number: int = Field(gt=NO_REVISION)
+    digest: KeyHash
+    apply_id: str
+
+
+@dataclass(frozen=True)
+class Revision:
+    """One whole configuration as it was applied.
+
+    Parameters
+    ==========
+
+    number : rises with each apply; numbers may be missing, none is used twice.
+    digest : of the canonical form of `tree`.
+    apply_id : made by the apply that wrote it, so that the apply recognises its own write.
+    previous : the number of the revision that the operator saw; 0 for the first.
+    applied_wall_ms : when the operator's command made it.
+    tree : the file's JSON tree; what is stored, sent and compared.
+    file : the file's model.
+    """
+
+    number: int
+    digest: str
+    apply_id: str
+    previous: int
+    applied_wall_ms: int
+    tree: dict[str, Any]
+    file: OperatorFile
+
+    @classmethod
+    def from_checked(
+        cls, checked: CheckedFile, number: int, apply_id: str, previous: int, applied_wall_ms: int
+    ) -> "Revision":
+        """Make the revision that an apply proposes."""
+        digest = digest_tree(checked.tree)
+        return cls(number, digest, apply_id, previous, applied_wall_ms, checked.tree, checked.file)
+
+    @classmethod
+    def from_value(cls, value: Any) -> "Revision":
+        """Read a stored or received revision.
+
+        Raises
+        ======
+
+        ConfigurationError : it is not a revision, or its content is not what its digest says.
+        """
+        try:
+            stored = StoredRevision.model_validate(value)
+            file = OperatorFile.model_validate(stored.file, strict=False)
+        except ValidationError as error:
+            raise _make_error(f"not a stored revision: {error.error_count()} mistakes") from error
+        if digest_tree(stored.file) != stored.digest:
+            raise _make_error(f"revision {stored.number} does not match its digest")
+        return cls(
+            stored.number,
+            stored.digest,
+            stored.apply_id,
+            stored.previous,
+            stored.applied_wall_ms,
+            stored.file,
+            file,
+        )
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the value to store or send."""
+        return {
+            "number": self.number,
+            "digest": self.digest,
+            "apply_id": self.apply_id,
+            "previous": self.previous,
+            "applied_wall_ms": self.applied_wall_ms,
+            "file": self.tree,
+        }
+
+    def to_pointer(self) -> dict[str, Any]:
+        """Return the value of the pointer that puts this revision in force."""
+        return {"number": self.number, "digest": self.digest, "apply_id": self.apply_id}
+
+    def renumber(self, number: int) -> "Revision":
+        """Return the same proposal under another number."""
+        return replace(self, number=number)
+
+
+def _make_error(detail: str) -> ConfigurationError:
+    return ConfigurationError(ErrorKind.INVALID_CONFIGURATION, detail)
