Add the fault-injecting proxy

Tests must cut, hold back, slow and lose traffic between any two processes. Links are made at run time and rule each source of callers apart, so that one zone can be cut off while another still gets through. A black hole holds bytes back and passes them on when it heals, as TCP does; only a lost answer drops bytes.

Weighed: sleeping between read and write, which doubles a delay under a stream of small pieces; a queue for each direction keeps the delay as set.

--- /dev/null
+++ b/hemlockswitch/standin/links.py
@@ -0,0 +1,314 @@
+"""One link of the fault-injecting proxy: a listening address whose bytes go to a target."""
+
+from enum import StrEnum
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.queue import Queue
+from gevent.server import StreamServer
+from pydantic import BaseModel, ConfigDict, Field
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.standin.server import CutError, cut_connection, parse_address
+
+READ_BYTES = 65_536
+PIECES_UNDERWAY = 256
+TICK_MS = 10
+
+
+class Mode(StrEnum):
+    """What a link does with connections."""
+
+    PASS = "pass"
+    CUT = "cut"
+    REFUSE = "refuse"
+    BLACK_HOLE = "black_hole"
+
+
+class Direction(StrEnum):
+    """Which way bytes go."""
+
+    NONE = "none"
+    TO_TARGET = "to_target"
+    TO_CALLER = "to_caller"
+
+
+class LostAnswer(StrEnum):
+    """How the answers of a link are lost after their requests went through."""
+
+    NONE = "none"
+    SILENT = "silent"
+    RESET = "reset"
+
+
+class LinkFaults(BaseModel):
+    """What goes wrong on a link.
+
+    Explanation
+    ===========
+
+    Every post replaces the faults in force for its `source`. TCP loses no bytes in a real
+    network partition that heals, so a black hole and a freeze hold bytes back and pass them on
+    later; only a lost answer drops bytes, and its connection stays unusable.
+
+    Parameters
+    ==========
+
+    source : callers whose IP begins with this; the longest that fits decides.
+    mode : pass; cut resets old and new connections; refuse stops listening too; black_hole
+        holds back everything.
+    delay_ms : added to each piece, per direction.
+    bytes_per_s : bandwidth of each connection and direction; 0 for no bound.
+    cut_after_bytes : reset a connection after this many bytes in `cut_direction`, counted from
+        the time of the post.
+    lose_answer : drop what the target answers, silently or with a reset.
+    lose_count : for how many connections answers are lost; 0 for all.
+    freeze : hold back one direction.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    source: str = ""
+    mode: Mode = Mode.PASS
+    delay_ms: float = Field(default=0, ge=0)
+    bytes_per_s: float = Field(default=0, ge=0)
+    cut_after_bytes: int | None = None
+    cut_direction: Direction = Direction.TO_CALLER
+    lose_answer: LostAnswer = LostAnswer.NONE
+    lose_count: int = 0
+    freeze: Direction = Direction.NONE
+
+
+class Link:
+    """A named link. Its connections look the faults up for each piece they move.
+
+    Parameters
+    ==========
+
+    name : what tests call it.
+    listen : address to listen on.
+    target : where bytes go; may be set later.
+    clock : source of time.
+    """
+
+    def __init__(self, name: str, listen: str, target: str, clock: Clock) -> None:
+        self.name = name
+        self.target = target
+        self.clock = clock
+        self.connections_made = 0
+        self.answers_lost = 0
+        self.bytes_moved = {Direction.TO_TARGET: 0, Direction.TO_CALLER: 0}
+        self._faults: dict[str, LinkFaults] = {"": LinkFaults()}
+        self._connections: set[Connection] = set()
+        self._server = self._start(parse_address(listen))
+        self.address = f"{self._server.server_host}:{self._server.server_port}"
+        self._placeholder: Any = None
+
+    def find_faults(self, source: str) -> LinkFaults:
+        """Return the faults for a caller's IP."""
+        fitting = [prefix for prefix in self._faults if source.startswith(prefix)]
+        return self._faults[max(fitting, key=len)]
+
+    def set_faults(self, faults: LinkFaults) -> None:
+        """Replace the faults of one source."""
+        self._faults[faults.source] = faults
+        for connection in list(self._connections):
+            connection.reset_counters()
+            if self.find_faults(connection.source).mode in (Mode.CUT, Mode.REFUSE):
+                connection.reset()
+        self._listen_or_refuse()
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state of the link for the control API."""
+        return {
+            "name": self.name,
+            "address": self.address,
+            "target": self.target,
+            "open": len(self._connections),
+            "connections_made": self.connections_made,
+            "answers_lost": self.answers_lost,
+            "bytes_moved": self.bytes_moved,
+            "faults": [faults.model_dump() for faults in self._faults.values()],
+        }
+
+    def close(self) -> None:
+        """Stop listening and reset what is open."""
+        self._server.stop()
+        for connection in list(self._connections):
+            connection.reset()
+
+    def take_lost_answer(self, source: str) -> LostAnswer:
+        """Return how the answer of a connection is lost, counting it."""
+        faults = self.find_faults(source)
+        if faults.lose_answer is LostAnswer.NONE:
+            return LostAnswer.NONE
+        if faults.lose_count == 1:
+            mended = {"lose_answer": LostAnswer.NONE, "lose_count": 0}
+            self._faults[faults.source] = faults.model_copy(update=mended)
+        elif faults.lose_count > 1:
+            fewer = {"lose_count": faults.lose_count - 1}
+            self._faults[faults.source] = faults.model_copy(update=fewer)
+        self.answers_lost += 1
+        return faults.lose_answer
+
+    def _start(self, address: tuple[str, int]) -> StreamServer:
+        server = StreamServer(address, self._serve)
+        server.reuse_addr = 1
+        server.start()
+        return server
+
+    def _listen_or_refuse(self) -> None:
+        refusing = any(faults.mode is Mode.REFUSE for faults in self._faults.values())
+        address = parse_address(self.address)
+        if refusing and self._placeholder is None:
+            self._server.stop()
+            self._placeholder = hold_port(address)
+        elif not refusing and self._placeholder is not None:
+            self._placeholder.close()
+            self._placeholder = None
+            self._server = self._start(address)
+
+    def _serve(self, caller: Any, source: tuple[str, int]) -> None:
+        if self.find_faults(source[0]).mode in (Mode.CUT, Mode.REFUSE) or not self.target:
+            close_hard(caller)
+            return
+        connection = Connection(self, caller, source[0])
+        self._connections.add(connection)
+        self.connections_made += 1
+        try:
+            connection.run()
+        finally:
+            self._connections.discard(connection)
+
+
+class Connection:
+    """One caller's connection through a link, and the tasks that move its bytes."""
+
+    def __init__(self, link: Link, caller: Any, source: str) -> None:
+        self.source = source
+        self._link = link
+        self._caller = caller
+        self._target: Any = None
+        self._tasks: list[gevent.Greenlet] = []
+        self._moved = dict.fromkeys(Direction, 0)
+        self._lost: LostAnswer | None = None
+
+    def run(self) -> None:
+        """Move bytes both ways until both sides have ended or the link resets."""
+        self._hold_back(Direction.TO_TARGET)
+        try:
+            self._target = socket.create_connection(parse_address(self._link.target))
+        except OSError:
+            close_hard(self._caller)
+            return
+        for side in (self._caller, self._target):
+            side.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._spawn(self._caller, self._target, Direction.TO_TARGET)
+        self._spawn(self._target, self._caller, Direction.TO_CALLER)
+        gevent.joinall(self._tasks)
+        self._caller.close()
+        self._target.close()
+
+    def reset(self) -> None:
+        """End the connection with a reset to both sides."""
+        for side in (self._caller, self._target):
+            if side is not None:
+                close_hard(side)
+        own = gevent.getcurrent()
+        gevent.killall([task for task in self._tasks if task is not own], block=False)
+
+    def reset_counters(self) -> None:
+        """Count bytes anew for `cut_after_bytes`."""
+        self._moved = dict.fromkeys(Direction, 0)
+
+    def _spawn(self, source: Any, sink: Any, direction: Direction) -> None:
+        pieces: Queue = Queue(maxsize=PIECES_UNDERWAY)
+        self._tasks.append(gevent.spawn(self._read, source, pieces))
+        self._tasks.append(gevent.spawn(self._write, sink, pieces, direction))
+
+    def _read(self, source: Any, pieces: Queue) -> None:
+        while True:
+            try:
+                piece = source.recv(READ_BYTES)
+            except OSError:
+                piece = b""
+            pieces.put((self._link.clock.now_ms(), piece))
+            if not piece:
+                return
+
+    def _write(self, sink: Any, pieces: Queue, direction: Direction) -> None:
+        while True:
+            read_at_ms, piece = pieces.get()
+            self._hold_back(direction)
+            faults = self._link.find_faults(self.source)
+            self._link.clock.sleep_ms(read_at_ms + faults.delay_ms - self._link.clock.now_ms())
+            if not piece:
+                end_writing(sink)
+                return
+            if not self._deliver(sink, piece, direction, faults):
+                return
+
+    def _deliver(self, sink: Any, piece: bytes, direction: Direction, faults: LinkFaults) -> bool:
+        if direction is Direction.TO_CALLER and self._is_lost():
+            return self._lost is LostAnswer.SILENT
+        left = self._count_left(direction, faults)
+        piece = piece[:left]
+        if faults.bytes_per_s:
+            self._link.clock.sleep_ms(len(piece) / faults.bytes_per_s * MS_PER_SECOND)
+        try:
+            sink.sendall(piece)
+        except OSError:
+            self.reset()
+            return False
+        self._moved[direction] += len(piece)
+        self._link.bytes_moved[direction] += len(piece)
+        if len(piece) == left:
+            self.reset()
+            return False
+        return True
+
+    def _count_left(self, direction: Direction, faults: LinkFaults) -> int | None:
+        """Return how many bytes may still pass, None for no bound."""
+        if direction is not faults.cut_direction or faults.cut_after_bytes is None:
+            return None
+        return max(faults.cut_after_bytes - self._moved[direction], 0)
+
+    def _is_lost(self) -> bool:
+        if self._lost in (None, LostAnswer.NONE):
+            self._lost = self._link.take_lost_answer(self.source)
+            if self._lost is LostAnswer.RESET:
+                self.reset()
+        return self._lost is not LostAnswer.NONE
+
+    def _hold_back(self, direction: Direction) -> None:
+        while self._is_held(direction):
+            self._link.clock.sleep_ms(TICK_MS)
+
+    def _is_held(self, direction: Direction) -> bool:
+        faults = self._link.find_faults(self.source)
+        return faults.mode is Mode.BLACK_HOLE or faults.freeze is direction
+
+
+def close_hard(side: Any) -> None:
+    """Close a socket with a reset; one that is closed already stays so."""
+    try:
+        cut_connection(side)
+    except (CutError, OSError):
+        return
+
+
+def end_writing(side: Any) -> None:
+    """Tell the other end that no more comes."""
+    try:
+        side.shutdown(socket.SHUT_WR)
+    except OSError:
+        return
+
+
+def hold_port(address: tuple[str, int]) -> Any:
+    """Return a socket that is bound but does not listen, so that connections are refused."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(address)
+    return holder
