--- /dev/null
+++ b/features/support/processes.py
@@ -0,0 +1,154 @@
+"""Real processes for the tests: start, wait until ready, freeze, stop, and leave nothing."""
+
+import ctypes
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[2]
+READY_LIMIT_S = 30
+STOP_LIMIT_S = 20
+POLL_S = 0.01
+LOG_TAIL_LINES = 40
+_PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None)
+
+
+class HarnessError(AssertionError):
+    """A process or a condition did not come as it should."""
+
+
+def wait_until(condition: Callable[[], Any], what: str, limit_s: float = 20) -> Any:
+    """Return the first truthy value of `condition`, or fail after `limit_s`.
+
+    Explanation
+    ===========
+
+    Connection failures while asking count as not yet; any other exception is a mistake of the
+    test and passes through.
+    """
+    deadline = time.monotonic() + limit_s
+    last: Any = None
+    while time.monotonic() < deadline:
+        try:
+            last = condition()
+        except OSError as error:
+            last = error
+        else:
+            if last:
+                return last
+        time.sleep(POLL_S * 2)
+    raise HarnessError(f"{what}: not within {limit_s} s, last saw {last!r}")
+
+
+def _die_with_parent() -> None:
+    _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Program:
+    """One running program of the project.
+
+    Parameters
+    ==========
+
+    name : for logs and messages.
+    command : arguments behind ``python -m``; the settings file is added.
+    settings : content of the settings file.
+    folder : where the settings, output and log files go.
+    """
+
+    def __init__(
+        self, name: str, command: list[str], settings: dict[str, Any], folder: Path
+    ) -> None:
+        self.name = name
+        self.module = command[0]
+        self.settings = settings
+        self._addresses: dict[str, str] = {}
+        settings_file = folder / f"{name}.json"
+        settings_file.write_text(json.dumps(settings))
+        self.output_file = folder / f"{name}.out"
+        self.log_file = folder / f"{name}.log"
+        with self.output_file.open("wb") as output, self.log_file.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", *command, "--settings", str(settings_file)],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=log,
+                preexec_fn=_die_with_parent,
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """The addresses of the ready line; waits for it."""
+        if not self._addresses:
+            self._addresses = wait_until(self._read_ready, f"{self.name} ready", READY_LIMIT_S)
+        return self._addresses
+
+    def _read_ready(self) -> dict[str, str] | None:
+        for line in self.output_file.read_text().splitlines(keepends=True):
+            if line.startswith('{"ready"') and line.endswith("\n"):
+                return json.loads(line)["addresses"]
+        if not self.is_running:
+            raise HarnessError(f"{self.name} ended before it was ready:\n{self.read_log()}")
+        return None
+
+    def read_log(self, lines: int = LOG_TAIL_LINES) -> str:
+        """Return the end of what the process wrote to standard error."""
+        text = self.log_file.read_text(errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
+
+    def freeze(self) -> None:
+        """Halt the process, as a paused VM."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self._process.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to stop, and return at once."""
+        self._process.terminate()
+
+    def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Return the exit code once the process has ended."""
+        try:
+            return self._process.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            raise HarnessError(f"{self.name} did not end within {limit_s} s") from None
+
+    def stop(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Stop the process gracefully and return its exit code; kill it if it does not."""
+        self.terminate()
+        try:
+            return self.wait(limit_s)
+        except HarnessError:
+            self.kill()
+            raise
+
+    def kill(self) -> None:
+        """End the process at once, frozen or not."""
+        if self.is_running:
+            self._process.kill()
+        self._process.wait()
+
+    def read_memory_mb(self) -> float:
+        """Return the resident memory in megabytes."""
+        fields = Path(f"/proc/{self.pid}/statm").read_text().split()
+        return int(fields[1]) * os.sysconf("SC_PAGE_SIZE") / 1_000_000
--- a/hemlockswitch/standin/platform.py
+++ b/hemlockswitch/standin/platform.py
@@ -22,6 +22,7 @@
 )
 from hemlockswitch.standin.platform_objects import MAX_VALUE_BYTES, ObjectStore, WriteResult
 from hemlockswitch.standin.platform_vms import StandinVm, StartRequest, VmRegistry, render_vm
+from hemlockswitch.standin.server import print_ready
 
 SOCKET_KEY = "standin.socket"
 SILENCE_MS = 120_000
@@ -422,7 +423,7 @@
     Explanation
     ===========
 
-    Prints ``{"ready": true, "addresses": {"listen": "ip:port"}}`` once it listens.
+    Prints the ready line with its address, ``http``, once it listens.
 
     Parameters
     ==========
@@ -432,5 +433,5 @@
     server = make_server(PlatformSettings.model_validate(settings))
     address = f"{server.server_host}:{server.server_port}"
     gevent.signal_handler(signal.SIGTERM, server.stop)
-    print(json.dumps({"ready": True, "addresses": {"listen": address}}), flush=True)
+    print_ready({"http": address})
     server.serve_forever()
--- a/hemlockswitch/standin/server.py
+++ b/hemlockswitch/standin/server.py
@@ -22,7 +22,13 @@
 class _Handler(WSGIHandler):
     """A handler that lets the application reach its connection, to cut it."""
 
+    def handle(self) -> None:
+        """Serve one connection, each write sent at once."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def get_environ(self) -> dict[str, Any]:
+        """Return the request's environment with its connection."""
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
         return environ
