--- a/features/standins.feature
+++ b/features/standins.feature
@@ -33,3 +33,11 @@
     When a call with the key "k1" is sent twice
     Then the first has no answer and the second has one
     And the service has run "k1" 2 times
+
+  Scenario: A moved KV cache spares the recomputing
+    Given the stand-in engines "first" and "second"
+    When "first" cuts the connection after 5 tokens of an answer of 12
+    And the KV cache of the stream moves from "first" to "second"
+    And the rest is asked of "second" with the 5 tokens
+    Then the joined answer is whole
+    And "second" has recomputed 0 tokens
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.support.calls import ChatStream, call, make_chat
+from features.support.calls import ChatStream, call, make_chat, post_json
 from features.support.operator_files import MODEL
 from hemlockswitch.standin.answers import count_words, make_token
 
@@ -47,6 +47,15 @@
     stream.follow(find_address(context, name), path).read_all()
 
 
+@when('the KV cache of the stream moves from "{first}" to "{second}"')
+def move_cache(context, first, second):
+    source = find_address(context, first)
+    handle = post_json(source, "/v1/kv/export", {"stream_id": "s1"})["kv_handle"]
+    order = {"source": source, "kv_handle": handle}
+    moved = post_json(find_address(context, second), "/v1/kv/import", order)
+    context.stream.body["kv_handle"] = moved["kv_handle"]
+
+
 @then("the joined answer is whole")
 def check_answer(context):
     assert context.stream.check.list_problems() == [], context.stream.check.list_problems()
--- a/hemlockswitch/standin/batch.py
+++ b/hemlockswitch/standin/batch.py
@@ -76,6 +76,15 @@
         """Whether no further token comes."""
         return self.phase in ENDED
 
+    @property
+    def computed_tokens(self) -> int:
+        """Tokens of prompt and answer whose KV cache the engine holds."""
+        if self.phase is Phase.WAITING:
+            return 0
+        if self.phase is Phase.PREFILL:
+            return int(self.prompt_tokens + self.start - self.prefill_left)
+        return self.prompt_tokens + self.produced
+
     def token(self, index: int) -> str:
         """Return token `index` of the answer."""
         return make_token(self.seed, index)
--- a/hemlockswitch/standin/engine.py
+++ b/hemlockswitch/standin/engine.py
@@ -19,6 +19,7 @@
 from hemlockswitch.standin.batch import NEVER_MS, Batch, BatchSettings, Stream
 from hemlockswitch.standin.cache import PrefixCache
 from hemlockswitch.standin.faults import FaultBox, Faults
+from hemlockswitch.standin.kv import KvStore
 
 
 class EngineSettings(BaseModel):
@@ -55,6 +56,19 @@
     kv_handle: str | None = None
 
 
+class KvExport(BaseModel):
+    """Which stream's KV cache to offer."""
+
+    stream_id: str
+
+
+class KvImport(BaseModel):
+    """Which KV cache to pull, and from which engine."""
+
+    source: str
+    kv_handle: str
+
+
 class Order(BaseModel):
     """The wanted state of an engine, under a fencing number."""
 
@@ -93,6 +107,7 @@
             settings.slots, settings.token_ms, settings.prefill_tokens_per_s, settings.queue_length
         )
         self.batch = Batch(speed, self.cache, clock)
+        self.kv = KvStore(settings.kv_bytes_per_token, settings.kv_bytes_per_s, clock)
         self.faults = FaultBox()
         self.counts = EngineCounts()
         self.models = list(settings.models)
@@ -122,6 +137,7 @@
             linger_ms=float(headers.get("X-LINGER-MS") or 0),
             deadline_ms=now_ms + float(deadline) if deadline else NEVER_MS,
         )
+        stream.carried_tokens = self.kv.count_carried_tokens(request.kv_handle, stream.seed)
         self._count(stream, request, now_ms)
         self.batch.add(stream)
         return stream
@@ -207,6 +223,8 @@
             "recomputed_tokens": self.batch.recomputed_tokens,
             "tokens_produced": self.batch.tokens_produced,
             "cancelled": self.batch.cancelled,
+            "kv_exported": self.kv.exported,
+            "kv_imported": self.kv.imported,
             "running": self.batch.running,
             "waiting": self.batch.waiting,
             "models": self.models,
--- a/hemlockswitch/standin/engine_api.py
+++ b/hemlockswitch/standin/engine_api.py
@@ -7,7 +7,14 @@
 
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.standin.batch import Phase, Stream, spawn_batch, wait_for_change
-from hemlockswitch.standin.engine import ChatRequest, Engine, EngineSettings, Order
+from hemlockswitch.standin.engine import (
+    ChatRequest,
+    Engine,
+    EngineSettings,
+    KvExport,
+    KvImport,
+    Order,
+)
 from hemlockswitch.standin.faults import Faults
 from hemlockswitch.standin.server import (
     SOCKET_KEY,
@@ -117,6 +124,29 @@
         response.media = {"produced": stream.produced}
 
 
+class KvCaches:
+    """``/v1/kv/export``, ``/v1/kv/import`` and ``/v1/kv/{handle}``."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    def on_post_export(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Offer the KV cache of a stream."""
+        stream = self._engine.batch.streams.get(read_body(request, KvExport).stream_id)
+        if stream is None:
+            raise RefusalError(404, "unknown_stream")
+        response.media = self._engine.kv.export(stream)
+
+    def on_post_import(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Pull a KV cache from another engine."""
+        order = read_body(request, KvImport)
+        response.media = self._engine.kv.pull(order.source, order.kv_handle)
+
+    def on_get(self, request: falcon.Request, response: falcon.Response, handle: str) -> None:
+        """Give a KV cache to another engine."""
+        response.media = self._engine.kv.describe(handle)
+
+
 class Reports:
     """``GET /v1/load`` and ``GET /v1/cache-events``."""
 
@@ -178,6 +208,10 @@
     application.add_route("/v1/chat/completions", Chat(engine))
     application.add_route("/v1/streams/{stream_id}", streams)
     application.add_route("/v1/streams/{stream_id}/cancel", streams, suffix="cancel")
+    kv_caches = KvCaches(engine)
+    application.add_route("/v1/kv/export", kv_caches, suffix="export")
+    application.add_route("/v1/kv/import", kv_caches, suffix="import")
+    application.add_route("/v1/kv/{handle}", kv_caches)
     application.add_route("/v1/load", reports, suffix="load")
     application.add_route("/v1/cache-events", reports, suffix="events")
     application.add_route("/v1/orders", Orders(engine))
