--- /dev/null
+++ b/hemlockswitch/connection/accounts.py
@@ -0,0 +1,72 @@
+"""Client accounts found by their keys, without telling anything by the time it takes."""
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+from typing import Self
+
+from hemlockswitch.core.errors import ErrorKind, RequestError
+from hemlockswitch.version.models import ClientAccount
+
+SCHEME = "bearer "
+HASH_PREFIX = "sha256:"
+
+
+def hash_key(key: str) -> str:
+    """Return the form in which the configuration keeps an account key.
+
+    Examples
+    ========
+
+    >>> hash_key("secret")[:13]
+    'sha256:2bb80d'
+    """
+    return HASH_PREFIX + hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+class AccountKeys:
+    """The accounts of one revision, looked up by the caller's key.
+
+    Parameters
+    ==========
+
+    accounts : the revision's client accounts.
+    """
+
+    def __init__(self, accounts: Iterable[ClientAccount]) -> None:
+        self._accounts = [(account.key_hash.encode(), account) for account in accounts]
+
+    @classmethod
+    def from_config(cls, accounts: Iterable[ClientAccount]) -> Self:
+        """Return the keys of a configuration's accounts."""
+        return cls(accounts)
+
+    def authenticate(self, authorization: str | None) -> ClientAccount:
+        """Return the account that an ``Authorization`` header names.
+
+        Explanation
+        ===========
+
+        Every account is compared, in constant time each, so that the time tells nothing about
+        which key was near.
+
+        Raises
+        ======
+
+        RequestError : `UNAUTHORIZED`, the same for a missing and an unknown key.
+        """
+        found: ClientAccount | None = None
+        given = hash_key(_take_key(authorization)).encode()
+        for key_hash, account in self._accounts:
+            if hmac.compare_digest(key_hash, given):
+                found = account
+        if found is None:
+            raise RequestError(ErrorKind.UNAUTHORIZED, "no account has this key")
+        return found
+
+
+def _take_key(authorization: str | None) -> str:
+    """Return the key in a bearer header, or an empty one."""
+    if authorization is None or not authorization.lower().startswith(SCHEME):
+        return ""
+    return authorization[len(SCHEME) :].strip()
--- /dev/null
+++ b/hemlockswitch/connection/backends.py
@@ -0,0 +1,298 @@
+"""Backend servers: one exchange over a socket that this module owns.
+
+Explanation
+===========
+
+geventhttpclient's client sends a request again by itself when a kept connection turns out to be
+closed. A non-idempotent call must not be sent twice, so each exchange here has a connection of
+its own; the library builds the request's bytes and parses the answer.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import gevent
+from gevent import socket
+from gevent.hub import Waiter
+from geventhttpclient.client import HTTPClient
+from geventhttpclient.response import HTTPParseError, HTTPResponse
+
+from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.core.errors import BackendError, ErrorKind, Ran
+
+READ_EVENT = 1
+READ_BYTES = 65_536
+CONNECT_TIMEOUT_MS = 1_000
+SEND_TIMEOUT_MS = 5_000
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class Stage(StrEnum):
+    """How far an exchange had come when it failed."""
+
+    BEFORE_SEND = "before_send"
+    DURING_SEND = "during_send"
+    AFTER_SEND = "after_send"
+    DURING_ANSWER = "during_answer"
+
+
+class ExchangeError(BackendError):
+    """An exchange with a backend server that failed, with the stage it had reached."""
+
+    def __init__(self, stage: Stage, detail: str) -> None:
+        ran = Ran.NO if stage is Stage.BEFORE_SEND else Ran.UNKNOWN
+        super().__init__(ErrorKind.OUTCOME_UNKNOWN, f"{stage}: {detail}", ran=ran)
+        self.stage = stage
+
+
+@dataclass(frozen=True)
+class BackendCall:
+    """One request to send to a backend server."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class BackendAnswer:
+    """A whole answer of a backend server."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class _RequestBuilder(HTTPClient):
+    """Access to the library's request builder, which refuses injected headers."""
+
+    def build(self, call: BackendCall) -> bytes:
+        headers = {**call.headers, "Connection": "close", "Content-Length": str(len(call.body))}
+        head = self._build_request(call.method, call.path, call.body or None, headers)
+        return head.encode("latin-1") + call.body
+
+
+class _AnswerParser(HTTPResponse):
+    """The library's parser, with the body taken out piece by piece."""
+
+    def __init__(self, method: str) -> None:
+        super().__init__(method=method)
+        self.pieces: list[bytes] = []
+
+    def _on_body(self, buf: bytearray) -> None:
+        self.pieces.append(bytes(buf))
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head of the final answer is complete."""
+        return self.headers_complete and self.get_code() >= 200
+
+    def take_body(self) -> bytes:
+        """Return and forget the body parsed since the last call."""
+        if len(self.pieces) == 1:
+            return self.pieces.pop()
+        body = b"".join(self.pieces)
+        self.pieces.clear()
+        return body
+
+
+class BackendExchange:
+    """One request sent and its answer read on one connection.
+
+    Explanation
+    ===========
+
+    Reads wait on one watcher for the life of the exchange and make no time-out each; whoever
+    bounds the exchange calls `interrupt`, which raises in the reading task.
+    """
+
+    def __init__(self, connection: socket.socket, parser: _AnswerParser) -> None:
+        self._connection = connection
+        self._parser = parser
+        self._hub = gevent.get_hub()
+        self._watcher = self._hub.loop.io(connection.fileno(), READ_EVENT)
+        self._waiter: Waiter[None] | None = None
+        self._interruption: BaseException | None = None
+        self.reads = 0
+
+    @classmethod
+    def open(
+        cls, address: str, call: BackendCall, connect_timeout_ms: int = CONNECT_TIMEOUT_MS
+    ) -> "BackendExchange":
+        """Connect and send `call`; the answer is not awaited.
+
+        Raises
+        ======
+
+        ExchangeError : with the stage `BEFORE_SEND` or `DURING_SEND`.
+        """
+        host, _, port = address.rpartition(":")
+        request = cls._build(host, int(port), call)
+        connection = cls._connect(host, int(port), connect_timeout_ms)
+        try:
+            connection.settimeout(SEND_TIMEOUT_MS / MS_PER_SECOND)
+            connection.sendall(request)
+        except BaseException as error:
+            connection.close()
+            if isinstance(error, OSError):
+                raise ExchangeError(Stage.DURING_SEND, str(error)) from error
+            raise
+        connection.settimeout(0.0)
+        return cls(connection, _AnswerParser(call.method))
+
+    @staticmethod
+    def _build(host: str, port: int, call: BackendCall) -> bytes:
+        try:
+            return _RequestBuilder(host, port).build(call)
+        except (ValueError, UnicodeEncodeError) as error:
+            raise ExchangeError(Stage.BEFORE_SEND, str(error)) from error
+
+    @staticmethod
+    def _connect(host: str, port: int, timeout_ms: int) -> socket.socket:
+        try:
+            connection = socket.create_connection((host, port), timeout_ms / MS_PER_SECOND)
+        except OSError as error:
+            raise ExchangeError(Stage.BEFORE_SEND, str(error)) from error
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return connection
+
+    @property
+    def status(self) -> int:
+        """The HTTP status; only after `read_head`."""
+        return self._parser.get_code()
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """The answer's headers with lower-case names; only after `read_head`."""
+        return {name.lower(): value for name, value in self._parser.items()}
+
+    def read_head(self) -> int:
+        """Wait for the head of the answer and return its status."""
+        while not self._parser.begun:
+            if not self._receive():
+                raise ExchangeError(Stage.AFTER_SEND, "closed before an answer")
+        return self.status
+
+    def read(self) -> bytes:
+        """Return the next piece of the body, or ``b""`` when the answer is complete.
+
+        Raises
+        ======
+
+        ExchangeError : the connection ended inside the answer.
+        """
+        while True:
+            if self._parser.pieces:
+                return self._parser.take_body()
+            if self._parser.message_complete:
+                return b""
+            if not self._receive() and not self._parser.message_complete:
+                raise ExchangeError(Stage.DURING_ANSWER, "closed inside the answer")
+
+    def read_whole(self) -> BackendAnswer:
+        """Read the whole answer, bounded in size."""
+        self.read_head()
+        pieces = []
+        size_bytes = 0
+        while piece := self.read():
+            size_bytes += len(piece)
+            if size_bytes > MAX_ANSWER_BYTES:
+                raise ExchangeError(Stage.DURING_ANSWER, "answer too large")
+            pieces.append(piece)
+        return BackendAnswer(self.status, self.headers, b"".join(pieces))
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a task waits for bytes now."""
+        return self._waiter is not None
+
+    def interrupt(self, error: BaseException) -> None:
+        """Raise `error` in the task that reads now, or at its next read."""
+        self._interruption = error
+        if self._waiter is not None:
+            self._hub.loop.run_callback(self._waiter.switch, None)
+
+    def close(self) -> None:
+        """Give the socket back; safe to call twice."""
+        self._watcher.stop()
+        self._watcher.close()
+        self._connection.close()
+
+    def _receive(self) -> bool:
+        """Wait for bytes and parse them; return False at the end of the connection."""
+        self._wait_readable()
+        try:
+            data = self._connection.recv(READ_BYTES)
+        except BlockingIOError:
+            return True
+        except OSError as error:
+            raise ExchangeError(self._stage, str(error)) from error
+        self.reads += 1
+        try:
+            self._parser.feed(data)
+        except HTTPParseError as error:
+            raise ExchangeError(self._stage, f"not HTTP: {error}") from error
+        return bool(data)
+
+    @property
+    def _stage(self) -> Stage:
+        return Stage.DURING_ANSWER if self._parser.begun else Stage.AFTER_SEND
+
+    def _wait_readable(self) -> None:
+        self._raise_interruption()
+        waiter: Waiter[None] = Waiter(self._hub)
+        self._waiter = waiter
+        self._watcher.start(waiter.switch, None)
+        try:
+            waiter.get()
+        finally:
+            self._waiter = None
+            self._watcher.stop()
+        self._raise_interruption()
+
+    def _raise_interruption(self) -> None:
+        if self._interruption is not None:
+            error, self._interruption = self._interruption, None
+            raise error
+
+
+class BackendClient:
+    """Whole exchanges with backend servers, bounded in time."""
+
+    def call(self, address: str, call: BackendCall, timeout_ms: float) -> BackendAnswer:
+        """Send `call` and return the whole answer.
+
+        Raises
+        ======
+
+        ExchangeError : with the stage reached; also when `timeout_ms` is over.
+        """
+        stage = Stage.BEFORE_SEND
+        timeout = gevent.Timeout(timeout_ms / MS_PER_SECOND)
+        timeout.start()
+        exchange: BackendExchange | None = None
+        try:
+            exchange = self.open(address, call)
+            stage = Stage.AFTER_SEND
+            exchange.read_head()
+            stage = Stage.DURING_ANSWER
+            return exchange.read_whole()
+        except gevent.Timeout as expired:
+            if expired is not timeout:
+                raise
+            raise ExchangeError(self._correct(stage), "time-out") from expired
+        finally:
+            timeout.close()
+            if exchange is not None:
+                exchange.close()
+
+    def open(self, address: str, call: BackendCall) -> BackendExchange:
+        """Connect and send `call`; the answer is read from the exchange returned."""
+        return BackendExchange.open(address, call)
+
+    @staticmethod
+    def _correct(stage: Stage) -> Stage:
+        """Return the stage to assume when the time ran out while connecting or sending."""
+        return Stage.DURING_SEND if stage is Stage.BEFORE_SEND else stage
--- /dev/null
+++ b/hemlockswitch/connection/caller_server.py
@@ -0,0 +1,165 @@
+"""The HTTP server towards callers: gevent's, with bounds on time and size for each caller.
+
+Explanation
+===========
+
+A caller that sends its head too slowly, sends too large a head, or never reads its answer costs
+a bounded amount of memory and time. The answer's writes share the socket's own time-out, which
+gevent starts only when the send buffer is full, so a caller that reads costs no timer.
+"""
+
+import socket as system_socket
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+
+MAX_HEAD_BYTES = 32_768
+HEAD_TIMEOUT_MS = 10_000
+IDLE_TIMEOUT_MS = 75_000
+BACKLOG = 1_024
+SEND_BUFFER_BYTES = 262_144
+READ_EVENT = 1
+CONNECTION_KEY = "hemlockswitch.connection"
+TARGET_KEY = "hemlockswitch.target"
+
+
+class HeadTooLargeError(ValueError):
+    """The request's head is over the bound; pywsgi answers 400 and closes."""
+
+
+class CallerConnection:
+    """What a request needs to know of its caller's connection.
+
+    Parameters
+    ==========
+
+    connection : the accepted socket; the server goes on owning it.
+    """
+
+    def __init__(self, connection: Any) -> None:
+        self._connection = connection
+        self._watcher: Any = None
+
+    def watch(self, on_gone: Callable[[], None]) -> None:
+        """Call `on_gone` once if the caller closes its connection, until `release`."""
+        loop = gevent.get_hub().loop
+        self._watcher = loop.io(self._connection.fileno(), READ_EVENT)
+        self._watcher.start(self._look, on_gone)
+
+    def release(self) -> None:
+        """Stop watching."""
+        if self._watcher is not None:
+            self._watcher.stop()
+            self._watcher.close()
+            self._watcher = None
+
+    def _look(self, on_gone: Callable[[], None]) -> None:
+        """Look at the readable socket without taking bytes; a later request may wait there."""
+        try:
+            gone = self._connection._sock.recv(1, system_socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return
+        except OSError:
+            gone = True
+        self.release()
+        if gone:
+            on_gone()
+
+
+class _BoundedLines:
+    """A view of the connection's reader that counts the bytes of a head."""
+
+    def __init__(self, reader: Any) -> None:
+        self._reader = reader
+        self._left = MAX_HEAD_BYTES
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return one line and count it."""
+        line = self._reader.readline(min(limit, self._left + 1) if limit > 0 else self._left + 1)
+        self._left -= len(line)
+        if self._left < 0:
+            raise HeadTooLargeError(f"a head over {MAX_HEAD_BYTES} bytes")
+        return line
+
+
+class CallerHandler(WSGIHandler):
+    """One caller's connection, with bounds on the head and on each write."""
+
+    def read_requestline(self) -> str:
+        """Wait for the next request, at most the idle time."""
+        self.socket.settimeout(IDLE_TIMEOUT_MS / MS_PER_SECOND)
+        return super().read_requestline()
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the head within a whole time-out, however its bytes are spread."""
+        self.socket.settimeout(self.server.caller_timeout_ms / MS_PER_SECOND)
+        with gevent.Timeout(HEAD_TIMEOUT_MS / MS_PER_SECOND, ConnectionAbortedError("slow head")):
+            return super().read_request(raw_requestline)
+
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
+        """Parse the head's fields from a bounded reader."""
+        reader, *rest = args
+        return super().MessageClass(_BoundedLines(reader), *rest)
+
+    def get_environ(self) -> dict[str, Any]:
+        """Add the connection and the target as it was sent."""
+        environ = super().get_environ()
+        environ[CONNECTION_KEY] = CallerConnection(self.socket)
+        environ[TARGET_KEY] = self.path
+        return environ
+
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """Log a failure by its type and close; a caller that is gone is no failure."""
+        if not issubclass(t, OSError | gevent.GreenletExit):
+            log_event(Event.TASK_FAILED, "error", task="caller", error=f"{t.__name__}: {v}")
+        self.close_connection = True
+        if not issubclass(t, OSError):
+            self._send_error_response_if_possible(500)
+
+    def _handle_client_error(self, ex: Exception) -> Any:
+        if isinstance(ex, OSError):
+            return None
+        return ("400", _MALFORMED)
+
+    def log_request(self) -> None:
+        """Requests are counted in metrics and traced; no line each."""
+
+
+class CallerServer(WSGIServer):
+    """A server on one address with bounded callers.
+
+    Parameters
+    ==========
+
+    address : host and port; port 0 takes any free one.
+    application : the WSGI application.
+    caller_timeout_ms : how long one read or write of a caller may block.
+    """
+
+    handler_class = CallerHandler
+
+    def __init__(self, address: tuple[str, int], application: Any, caller_timeout_ms: int) -> None:
+        environ = {"SERVER_NAME": address[0]}
+        super().__init__(address, application, backlog=BACKLOG, log=None, environ=environ)
+        self.caller_timeout_ms = caller_timeout_ms
+
+    @property
+    def bound_address(self) -> str:
+        """The ``ip:port`` that it listens on."""
+        return f"{self.server_host}:{self.server_port}"
+
+
+_BODY = (
+    b'{"error": {"kind": "bad_request", "message": "malformed or oversized request head", '
+    b'"ran": "no", "retry_after_ms": 0, "request_id": ""}}'
+)
+_MALFORMED = (
+    b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Type: application/json\r\n"
+    b"Content-Length: %d\r\n\r\n" % len(_BODY)
+) + _BODY
--- /dev/null
+++ b/hemlockswitch/process/entry.py
@@ -0,0 +1,172 @@
+"""The entry daemon: its parts, wired together, started and stopped in order."""
+
+from collections.abc import Callable
+from typing import Any, Self
+
+import gevent
+
+from hemlockswitch.connection.backends import BackendClient
+from hemlockswitch.connection.caller_server import CallerServer
+from hemlockswitch.connection.callers import build_application
+from hemlockswitch.connection.control_api import StatusPage, build_control_application
+from hemlockswitch.core.clock import Clock, SystemClock
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.backends import BackendDirectory
+from hemlockswitch.process.metrics import EntryMetrics
+from hemlockswitch.process.news import NewsBoard
+from hemlockswitch.process.polling import PlatformPoll
+from hemlockswitch.process.reports import RequestReports
+from hemlockswitch.process.serving import Serving
+from hemlockswitch.request.admission import Admission
+from hemlockswitch.request.allowances import FixedAllowances
+from hemlockswitch.request.attempt import AttemptOpener
+from hemlockswitch.request.capacity import CapacityQueue
+from hemlockswitch.request.overdue import OverdueSweep
+from hemlockswitch.request.relay import Relay
+from hemlockswitch.request.retries import RetryBudget
+from hemlockswitch.request.routing import Router
+from hemlockswitch.request.service_call import NoClaims, ServiceCaller
+from hemlockswitch.version.models import Limits, Model, OperatorFile
+from hemlockswitch.version.settings import EntrySettings, split_address
+
+STOP_STEP_MS = 20.0
+LAST_BYTES_MS = 200.0
+
+
+class EntryDaemon:
+    """One `hemlock-entry` process.
+
+    Explanation
+    ===========
+
+    `__init__` builds the parts, lowest first; `start` opens the sockets and spawns the tasks;
+    `stop` ends them gracefully. Each part owns its sockets and state.
+
+    Parameters
+    ==========
+
+    settings : the checked settings file.
+    clock : the process's clock.
+    """
+
+    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.metrics = EntryMetrics()
+        self.status = StatusPage()
+        self.board = NewsBoard()
+        self.file: OperatorFile | None = None
+        self.revision = 0
+        self._tasks: list[gevent.Greenlet] = []
+        self._build_facts()
+        self._build_requests()
+        self._build_servers()
+
+    @classmethod
+    def from_settings(cls, settings: EntrySettings) -> Self:
+        """Return a daemon on the system's clock."""
+        return cls(settings, SystemClock())
+
+    def _build_facts(self) -> None:
+        """Build what the daemon knows: backend servers and the configuration in force."""
+        self.directory = BackendDirectory(self.board, self.clock, self.settings.zone)
+        self.poll = PlatformPoll(
+            self.settings.platform, self.settings.name, self.board, self.clock, self.use_file
+        )
+        self.status.add("revision", lambda: self.revision)
+        self.status.add("zone", lambda: self.settings.zone)
+        self.status.add("name", lambda: self.settings.name)
+
+    def _build_requests(self) -> None:
+        """Build the path of a request."""
+        client = BackendClient()
+        reports = RequestReports(self.metrics)
+        self.router = Router(self.directory, self._find_target_ms)
+        self.budget = RetryBudget(Limits().retry_ratio, self.clock)
+        self.opener = AttemptOpener(client, self.clock)
+        self.relay = Relay(
+            self.router, self.directory, self.opener, self.budget, self.clock, reports
+        )
+        self.sweep = OverdueSweep(self.relay, self.clock)
+        self.services = ServiceCaller(
+            self.router, self.directory, client, self.budget, self.clock, reports, NoClaims()
+        )
+        allowances = FixedAllowances(self._find_file, lambda: 1)
+        self.admission = Admission(allowances, self.clock, CapacityQueue(self.clock))
+        self.serving = Serving(self.relay, self.services, self.admission, self.metrics, self.clock)
+        self.metrics.in_progress.set_function(lambda: self.serving.in_progress)
+        self.status.add("requests_in_progress", lambda: self.serving.in_progress)
+
+    def _build_servers(self) -> None:
+        """Build the two HTTP servers; nothing listens yet."""
+        timeout_ms = self.settings.caller_timeout_ms
+        self.callers = CallerServer(
+            split_address(self.settings.listen),
+            build_application(self.serving, self.clock),
+            timeout_ms,
+        )
+        self.control = CallerServer(
+            split_address(self.settings.control_listen),
+            build_control_application(self.status, self.metrics.render),
+            timeout_ms,
+        )
+
+    def use_file(self, file: OperatorFile, number: int) -> None:
+        """Put a configuration in force in every part."""
+        self.file, self.revision = file, number
+        self.metrics.revision.set(number)
+        self.budget.set_ratio(file.limits.retry_ratio)
+        self.directory.set_draining(file.draining)
+        self.serving.use_configuration(file)
+
+    def start(self) -> dict[str, str]:
+        """Open the sockets, spawn the tasks, and return the addresses that are bound."""
+        self.control.start()
+        self.callers.start()
+        self.spawn("poll", self.poll.run)
+        self.spawn("sweep", self.sweep.run)
+        return {
+            "callers": self.callers.bound_address,
+            "control": self.control.bound_address,
+        }
+
+    def spawn(self, name: str, run: Callable[[], Any]) -> None:
+        """Run a task until the daemon stops; a task that fails is logged and started again."""
+        self._tasks.append(gevent.spawn(self._keep_running, name, run))
+
+    def _keep_running(self, name: str, run: Callable[[], Any]) -> None:
+        while True:
+            try:
+                run()
+                return
+            except Exception as error:
+                log_event(Event.TASK_FAILED, "error", task=name, error=repr(error))
+                self.clock.sleep_ms(1_000)
+
+    def stop(self) -> None:
+        """Refuse new work, let requests in progress end within the grace, then stop."""
+        self.serving.stop_accepting()
+        until_ms = self.clock.now_ms() + self.settings.stop_grace_ms
+        while self.serving.in_progress and self.clock.now_ms() < until_ms:
+            self.clock.sleep_ms(STOP_STEP_MS)
+        self.clock.sleep_ms(LAST_BYTES_MS)
+        gevent.killall(self._tasks)
+        self.callers.stop(timeout=1)
+        self.control.stop(timeout=1)
+
+    def _find_file(self) -> OperatorFile:
+        assert self.file is not None
+        return self.file
+
+    def _find_target_ms(self, target: str) -> int:
+        """Return the wanted time to the first token, or to the answer of a service."""
+        models = self.file.models if self.file else ()
+        for model in models:
+            if model.name == target:
+                return model.first_token_target_ms
+        services = self.file.services if self.file else ()
+        for service in services:
+            if service.name == target:
+                return service.timeout_ms
+        return Model.model_fields["first_token_target_ms"].default
--- /dev/null
+++ b/hemlockswitch/process/serving.py
@@ -0,0 +1,269 @@
+"""Serves the callers' requests: from the account's key to the last byte of the answer."""
+
+import json
+from collections.abc import Callable, Iterator
+from typing import Any, Protocol
+
+from hemlockswitch.connection.accounts import AccountKeys
+from hemlockswitch.connection.callers import (
+    EVENT_STREAM,
+    CallerAnswer,
+    CallerRequest,
+    describe_error,
+)
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ErrorKind, HemlockError, RequestError
+from hemlockswitch.process.metrics import EntryMetrics
+from hemlockswitch.request.generation import ChatRequest, Generation
+from hemlockswitch.request.prefixes import count_tokens
+from hemlockswitch.request.relay import Relay
+from hemlockswitch.request.running import CallerGoneError
+from hemlockswitch.request.service_call import ServiceCaller
+from hemlockswitch.version.models import ClientAccount, Limits, Model, OperatorFile, Service
+
+DEFAULT_LIMITS = Limits()
+
+
+class Permit(Protocol):
+    """The right to run one admitted request."""
+
+    def record_tokens(self, count: int) -> None:
+        """Add tokens to what the request used."""
+
+    def close(self) -> None:
+        """End the request."""
+
+    def cancel(self) -> None:
+        """Give everything back: nothing was sent."""
+
+
+class Admitter(Protocol):
+    """Who decides whether a request may begin."""
+
+    def admit(
+        self,
+        account: str,
+        tokens_wanted: int,
+        priority: int = 1,
+        deadline_ms: float | None = None,
+    ) -> Permit:
+        """Admit a request or raise a refusal."""
+
+
+class Resumer(Protocol):
+    """Who serves the rest of requests that came from another daemon."""
+
+    def resume(self, request: CallerRequest, account: str, resumed_id: str) -> CallerAnswer:
+        """Return the rest of an earlier request's answer."""
+
+
+class Serving:
+    """The callers' service of one daemon.
+
+    Parameters
+    ==========
+
+    relay, services : carry requests out.
+    admission : decides whether they may begin.
+    metrics : counts them.
+    clock : the process's clock.
+    resumer : serves requests that another daemon handed over; None where there is none.
+    """
+
+    def __init__(
+        self,
+        relay: Relay,
+        services: ServiceCaller,
+        admission: Admitter,
+        metrics: EntryMetrics,
+        clock: Clock,
+        resumer: Resumer | None = None,
+    ) -> None:
+        self._relay = relay
+        self._services = services
+        self._admission = admission
+        self._metrics = metrics
+        self._clock = clock
+        self.resumer = resumer
+        self._file: OperatorFile | None = None
+        self._keys = AccountKeys(())
+        self._stopping = False
+        self.in_progress = 0
+
+    def use_configuration(self, file: OperatorFile) -> None:
+        """Serve by `file` from now on; requests in progress go on as they began."""
+        self._keys = AccountKeys.from_config(file.client_accounts)
+        self._file = file
+
+    def stop_accepting(self) -> None:
+        """Refuse new work from now on."""
+        self._stopping = True
+
+    def is_ready(self) -> bool:
+        """Whether new work is taken."""
+        return self._file is not None and not self._stopping
+
+    def limit_body_bytes(self) -> int:
+        """Return the largest body that may be read."""
+        limits = self._file.limits if self._file else DEFAULT_LIMITS
+        return limits.body_bytes
+
+    def complete(self, request: CallerRequest) -> CallerAnswer:
+        """Serve a model request."""
+        account = self._authenticate(request)
+        chat = ChatRequest.from_body(request.body)
+        model = self._find_model(chat.model)
+        generation = self._build_generation(request, chat, model, account)
+        wanted = count_tokens(generation.prompt) + generation.max_tokens
+        permit = self._admission.admit(
+            account.name, wanted, generation.priority, generation.deadline_ms
+        )
+        return self.answer(generation, request, permit)
+
+    def answer(
+        self, generation: Generation, request: CallerRequest, permit: Permit
+    ) -> CallerAnswer:
+        """Relay an admitted generation: as a stream, or whole when the caller wants that."""
+        events = self._account(generation, request, permit)
+        if generation.stream:
+            first = next(events)
+            return CallerAnswer(200, _Events(generation, first, events), {}, EVENT_STREAM)
+        for _ in events:
+            pass
+        body = json.dumps(generation.join_answer(), ensure_ascii=False).encode()
+        return CallerAnswer(200, body)
+
+    def call_service(self, request: CallerRequest, service: str, path: str) -> CallerAnswer:
+        """Serve a call of a plain service."""
+        account = self._authenticate(request)
+        found = self._find_service(service)
+        limit_ms = self._clock.now_ms() + found.timeout_ms
+        deadline_ms = min(limit_ms, request.deadline_ms or limit_ms)
+        priority = self._find_priority(request, account)
+        permit = self._admission.admit(account.name, 0, priority, deadline_ms)
+        return self._count(
+            permit,
+            service,
+            lambda: self._services.call(request, account.name, found, path, deadline_ms),
+        )
+
+    def resume(self, request: CallerRequest, resumed_id: str) -> CallerAnswer:
+        """Serve the rest of an earlier request."""
+        account = self._authenticate(request)
+        if self.resumer is None:
+            raise RequestError(ErrorKind.UNKNOWN_REQUEST, "no such request here")
+        return self.resumer.resume(request, account.name, resumed_id)
+
+    def _authenticate(self, request: CallerRequest) -> ClientAccount:
+        return self._keys.authenticate(request.headers.get("authorization"))
+
+    def _find_model(self, name: str) -> Model:
+        models = self._file.models if self._file else ()
+        for model in models:
+            if model.name == name:
+                return model
+        raise RequestError(ErrorKind.UNKNOWN_MODEL, "no such model")
+
+    def _find_service(self, name: str) -> Service:
+        services = self._file.services if self._file else ()
+        for service in services:
+            if service.name == name:
+                return service
+        raise RequestError(ErrorKind.UNKNOWN_SERVICE, "no such service")
+
+    @staticmethod
+    def _find_priority(request: CallerRequest, account: ClientAccount) -> int:
+        """Return the request's priority; a caller may lower its account's, not raise it."""
+        asked = request.priority
+        return account.priority if asked is None else max(asked, account.priority)
+
+    def _build_generation(
+        self, request: CallerRequest, chat: ChatRequest, model: Model, account: ClientAccount
+    ) -> Generation:
+        assert self._file is not None
+        wanted = chat.max_tokens or model.max_tokens
+        if wanted > model.max_tokens:
+            raise RequestError(ErrorKind.BAD_REQUEST, f"max_tokens: over {model.max_tokens}")
+        if count_tokens(chat.prompt) + wanted > model.context_tokens:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST, f"messages: over the context of {model.context_tokens}"
+            )
+        longest_ms = self._clock.now_ms() + self._file.limits.default_deadline_ms
+        return Generation(
+            request_id=request.request_id,
+            account=account.name,
+            body=request.body,
+            model=chat.model,
+            prompt=chat.prompt,
+            stream=chat.stream,
+            max_tokens=wanted,
+            priority=self._find_priority(request, account),
+            deadline_ms=request.deadline_ms or longest_ms,
+            trace_parent=request.headers.get("traceparent", ""),
+        )
+
+    def _account(
+        self, generation: Generation, request: CallerRequest, permit: Permit
+    ) -> Iterator[bytes]:
+        """Relay and count; the permit is closed however the relay ends."""
+        outcome = "ok"
+        self.in_progress += 1
+        try:
+            yield from self._relay.run(generation, request.connection)
+        except HemlockError as error:
+            outcome = error.kind.value
+            raise
+        except (CallerGoneError, GeneratorExit):
+            outcome = "caller_gone"
+            raise
+        finally:
+            self.in_progress -= 1
+            used = len(generation.tokens)
+            permit.record_tokens(count_tokens(generation.prompt) + used if used else 0)
+            permit.close()
+            self._metrics.requests.labels(generation.model, outcome).inc()
+            if generation.first_token_ms is not None:
+                streamed_ms = self._clock.now_ms() - generation.first_token_ms
+                self._metrics.observe_answer(generation.model, used, streamed_ms)
+
+    def _count(self, permit: Permit, target: str, call: Callable[[], CallerAnswer]) -> CallerAnswer:
+        outcome = "ok"
+        self.in_progress += 1
+        begun_ms = self._clock.now_ms()
+        try:
+            return call()
+        except HemlockError as error:
+            outcome = error.kind.value
+            raise
+        finally:
+            self.in_progress -= 1
+            permit.close()
+            self._metrics.requests.labels(target, outcome).inc()
+            waited_ms = self._clock.now_ms() - begun_ms
+            self._metrics.call_seconds.labels(target).observe(waited_ms / 1_000)
+
+
+class _Events:
+    """A stream's events for the server: an error after the first becomes the last event."""
+
+    def __init__(self, generation: Generation, first: bytes, events: Iterator[bytes]) -> None:
+        self._generation = generation
+        self._first: bytes | None = first
+        self._events: Any = events
+
+    def __iter__(self) -> "_Events":
+        return self
+
+    def __next__(self) -> bytes:
+        if self._first is not None:
+            first, self._first = self._first, None
+            return first
+        try:
+            return next(self._events)
+        except HemlockError as error:
+            body = describe_error(error, self._generation.request_id)
+            return b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
+
+    def close(self) -> None:
+        """End the relay when the server is done with the caller, whole or not."""
+        self._events.close()
--- /dev/null
+++ b/hemlockswitch/request/attempt.py
@@ -0,0 +1,199 @@
+"""One attempt of a generation on one backend server: open, resume, cancel."""
+
+import json
+from collections.abc import Callable
+
+import gevent
+
+from hemlockswitch.connection.backends import (
+    BackendCall,
+    BackendClient,
+    BackendExchange,
+    ExchangeError,
+    Stage,
+)
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.request.chunks import ChunkChecker, EventSplitter
+from hemlockswitch.request.generation import Generation
+
+LINGER_MS = 10_000
+CANCEL_TIMEOUT_MS = 2_000
+HEAD_TIMEOUT_MS = 15_000
+RESUME_HEAD_TIMEOUT_MS = 1_000
+OK = 200
+REFUSED_STATUSES = frozenset({404, 409, 429, 503})
+
+
+class AttemptLostError(Exception):
+    """An attempt that ended without the whole answer.
+
+    Parameters
+    ==========
+
+    reason : for the log and the error's detail.
+    ran : whether the backend server may have begun the request.
+    resumable : whether the same stream may still be read from the same backend server.
+    """
+
+    def __init__(self, reason: str, ran: Ran = Ran.UNKNOWN, resumable: bool = False) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.ran = ran
+        self.resumable = resumable
+
+
+class Attempt:
+    """The open stream of an attempt.
+
+    Parameters
+    ==========
+
+    exchange : the connection; closed by `close`.
+    checker : checks events against this attempt's stream id.
+    """
+
+    def __init__(self, exchange: BackendExchange, checker: ChunkChecker) -> None:
+        self.exchange = exchange
+        self.checker = checker
+        self.splitter = EventSplitter()
+
+    def read_events(self) -> list[bytes]:
+        """Return the next events; the end of the connection before the last is a loss."""
+        try:
+            data = self.exchange.read()
+        except ExchangeError as failure:
+            raise AttemptLostError(failure.detail, resumable=True) from failure
+        if not data:
+            raise AttemptLostError("the answer was truncated", resumable=True)
+        try:
+            return self.splitter.split(data)
+        except ValueError as error:
+            raise AttemptLostError(str(error)) from error
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.exchange.close()
+
+
+class AttemptOpener:
+    """Opens, resumes and cancels streams on backend servers.
+
+    Parameters
+    ==========
+
+    client : sends the calls.
+    clock : for deadlines carried along.
+    """
+
+    def __init__(self, client: BackendClient, clock: Clock) -> None:
+        self._client = client
+        self._clock = clock
+
+    def open(
+        self,
+        generation: Generation,
+        kv_handle: str | None,
+        watch: Callable[[BackendExchange], None],
+    ) -> Attempt:
+        """Send the generation's current attempt and wait for the head of its answer.
+
+        Parameters
+        ==========
+
+        generation : with its server and stream id set.
+        kv_handle : an imported KV cache, if any.
+        watch : told of the exchange before it is awaited, so that it can be interrupted.
+
+        Raises
+        ======
+
+        AttemptLostError : with what is known of whether it ran.
+        RequestError : the engine says that the request itself is wrong.
+        """
+        call = BackendCall(
+            "POST",
+            "/v1/chat/completions",
+            generation.build_body(kv_handle),
+            self._build_headers(generation),
+        )
+        return self._start(generation, call, watch, HEAD_TIMEOUT_MS)
+
+    def resume(self, generation: Generation, watch: Callable[[BackendExchange], None]) -> Attempt:
+        """Read the same stream again from the next position, on the same backend server."""
+        path = f"/v1/streams/{generation.stream_id}?from={len(generation.tokens)}"
+        call = BackendCall("GET", path, headers=self._build_headers(generation))
+        return self._start(generation, call, watch, RESUME_HEAD_TIMEOUT_MS)
+
+    def cancel(self, address: str, stream_id: str) -> None:
+        """Tell an engine, without waiting for it, that a stream is no longer wanted."""
+        gevent.spawn(self._cancel, address, stream_id)
+
+    def _cancel(self, address: str, stream_id: str) -> None:
+        call = BackendCall("POST", f"/v1/streams/{stream_id}/cancel")
+        try:
+            self._client.call(address, call, CANCEL_TIMEOUT_MS)
+        except ExchangeError:
+            return
+
+    def _build_headers(self, generation: Generation) -> dict[str, str]:
+        left_ms = max(1, int(generation.deadline_ms - self._clock.now_ms()))
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": generation.stream_id,
+            "X-Deadline-Ms": str(left_ms),
+            "X-Priority": str(generation.priority),
+            "X-Linger-Ms": str(LINGER_MS),
+        }
+        if generation.trace_parent:
+            headers["traceparent"] = generation.trace_parent
+        return headers
+
+    def _start(
+        self,
+        generation: Generation,
+        call: BackendCall,
+        watch: Callable[[BackendExchange], None],
+        timeout_ms: int,
+    ) -> Attempt:
+        assert generation.server is not None
+        try:
+            exchange = self._client.open(generation.server.address, call)
+        except ExchangeError as failure:
+            raise AttemptLostError(failure.detail, failure.answer.ran) from failure
+        try:
+            watch(exchange)
+            self._await_head(exchange, timeout_ms)
+        except BaseException:
+            exchange.close()
+            raise
+        earlier = frozenset(generation.earlier_ids)
+        checker = ChunkChecker(generation.stream_id, generation.request_id, earlier)
+        return Attempt(exchange, checker)
+
+    def _await_head(self, exchange: BackendExchange, timeout_ms: int) -> None:
+        lost = AttemptLostError("no answer in time", resumable=True)
+        try:
+            with gevent.Timeout(timeout_ms / MS_PER_SECOND, lost):
+                status = exchange.read_head()
+                if status != OK:
+                    _raise_refusal(status, exchange.read_whole().body)
+        except ExchangeError as failure:
+            resumable = failure.stage is not Stage.BEFORE_SEND
+            raise AttemptLostError(failure.detail, failure.answer.ran, resumable) from failure
+
+
+def _raise_refusal(status: int, body: bytes) -> None:
+    """Raise what a status other than 200 means."""
+    if status in REFUSED_STATUSES:
+        raise AttemptLostError(f"the backend server refused with {status}", Ran.NO)
+    if status >= 500:
+        raise AttemptLostError(f"the backend server answered {status}")
+    raise RequestError(ErrorKind.BAD_REQUEST, f"the engine refused it: {_read_reason(body)}")
+
+
+def _read_reason(body: bytes) -> str:
+    try:
+        return str(json.loads(body)["error"])[:200]
+    except (ValueError, KeyError, TypeError):
+        return "no reason given"
--- /dev/null
+++ b/hemlockswitch/request/chunks.py
@@ -0,0 +1,186 @@
+"""Engine events checked one by one, and rewritten for the caller, without JSON work for most."""
+
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+SEPARATOR = b"\n\n"
+DONE = b"data: [DONE]"
+DONE_EVENT = DONE + SEPARATOR
+MAX_EVENT_BYTES = 1_048_576
+_ESCAPES = (b"\\", b'"')
+
+
+class Verdict(StrEnum):
+    """What a checked event is worth."""
+
+    TOKEN = "token"
+    FINISH = "finish"
+    DONE = "done"
+    IGNORED = "ignored"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True)
+class Checked:
+    """An event that was checked.
+
+    Parameters
+    ==========
+
+    verdict : what it is.
+    content : the token's text, for `TOKEN`, and for a `FINISH` that carries text.
+    event : the event as the caller gets it, without the id line.
+    usage : the engine's usage, with the last chunk.
+    """
+
+    verdict: Verdict
+    content: bytes = b""
+    event: bytes = b""
+    usage: dict[str, Any] | None = None
+
+
+IGNORED = Checked(Verdict.IGNORED)
+INVALID = Checked(Verdict.INVALID)
+ENDED = Checked(Verdict.DONE)
+
+
+class EventSplitter:
+    """Cuts the bytes of a stream into whole events.
+
+    Examples
+    ========
+
+    >>> splitter = EventSplitter()
+    >>> splitter.split(b"id: s:0\\ndata: a\\n\\nid: s")
+    [b'id: s:0\\ndata: a']
+    >>> splitter.split(b":1\\ndata: b\\n\\n")
+    [b'id: s:1\\ndata: b']
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def split(self, data: bytes) -> list[bytes]:
+        """Return the events completed by `data`.
+
+        Raises
+        ======
+
+        ValueError : an event is larger than any engine's.
+        """
+        if self._rest:
+            data = self._rest + data
+        events = data.split(SEPARATOR)
+        self._rest = events.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ValueError("an event without an end")
+        return events
+
+
+class ChunkChecker:
+    """Checks the events of one stream against its id and the next position.
+
+    Explanation
+    ===========
+
+    The first token event is parsed as JSON and checked field by field. What stands before and
+    after its content is then kept, and later events that match both byte for byte are proved
+    equal in form; only their content is new. Anything else is parsed again.
+
+    Parameters
+    ==========
+
+    stream_id : the id that this attempt gave the engine.
+    request_id : the id that the caller sees in its place.
+    own_ids : stream ids of earlier attempts; their late chunks are ignored, not an error.
+    """
+
+    def __init__(
+        self, stream_id: str, request_id: str, own_ids: frozenset[str] = frozenset()
+    ) -> None:
+        self._stream_id = stream_id
+        self._request_id = request_id
+        self._own_ids = own_ids
+        self._id_line = f"id: {stream_id}:".encode()
+        self._before = b""
+        self._after = b""
+        self._before_out = b""
+
+    def check(self, event: bytes, position: int) -> Checked:
+        """Return the verdict on `event` when `position` is the next one wanted."""
+        if self._before:
+            start = b"%b%d%b" % (self._id_line, position, self._before)
+            if event.startswith(start) and event.endswith(self._after):
+                content = event[len(start) : -len(self._after)]
+                if b"\\" not in content and b'"' not in content:
+                    return Checked(Verdict.TOKEN, content, self._before_out + content + self._after)
+        return self._check_slowly(event, position)
+
+    def _check_slowly(self, event: bytes, position: int) -> Checked:
+        if event == DONE:
+            return ENDED
+        id_line, _, data_line = event.partition(b"\n")
+        if not id_line or id_line.startswith(b":"):
+            return IGNORED
+        named_id, _, named_position = id_line.removeprefix(b"id: ").rpartition(b":")
+        if named_id.decode("utf-8", "replace") in self._own_ids:
+            return IGNORED
+        if named_id.decode("utf-8", "replace") != self._stream_id or not named_position.isdigit():
+            return INVALID
+        if int(named_position) < position:
+            return IGNORED
+        if int(named_position) > position:
+            return INVALID
+        return self._check_data(event, data_line)
+
+    def _check_data(self, event: bytes, data_line: bytes) -> Checked:
+        try:
+            chunk = json.loads(data_line.removeprefix(b"data: "))
+            choice = chunk["choices"][0]
+            content = choice["delta"].get("content") or ""
+            finish = choice["finish_reason"]
+            matches = chunk["id"] == self._stream_id and isinstance(content, str)
+        except (ValueError, KeyError, IndexError, TypeError, AttributeError):
+            return INVALID
+        if not matches:
+            return INVALID
+        chunk["id"] = self._request_id
+        text = content.encode("utf-8", "surrogatepass")
+        if finish is not None:
+            return Checked(Verdict.FINISH, text, _encode(chunk), chunk.get("usage"))
+        self._learn(event, text)
+        return Checked(Verdict.TOKEN, text, _encode(chunk))
+
+    def _learn(self, event: bytes, content: bytes) -> None:
+        """Keep the form around the content where the content stands plainly and once."""
+        quoted = b'"content": "' + content + b'"'
+        if self._before or not content or any(mark in content for mark in _ESCAPES):
+            return
+        if event.count(quoted) != 1:
+            return
+        before, after = event.split(quoted)
+        id_line, newline, data = before.partition(b"\n")
+        stream_id = self._stream_id.encode()
+        if data.count(stream_id) != 1:
+            return
+        opening = newline + data + b'"content": "'
+        self._before = opening
+        self._before_out = opening.replace(stream_id, self._request_id.encode())
+        self._after = b'"' + after
+
+
+def _encode(chunk: dict[str, Any]) -> bytes:
+    return b"\ndata: " + json.dumps(chunk, ensure_ascii=False).encode("utf-8", "surrogatepass")
+
+
+def rewrite_usage(event: bytes, completion_tokens: int) -> bytes:
+    """Return a last chunk whose usage counts the whole answer, not its last attempt alone."""
+    chunk = json.loads(event.removeprefix(b"\ndata: "))
+    usage = chunk.get("usage")
+    if usage is not None:
+        usage["completion_tokens"] = completion_tokens
+        usage["total_tokens"] = usage.get("prompt_tokens", 0) + completion_tokens
+        usage.pop("recomputed_tokens", None)
+    return _encode(chunk)
--- /dev/null
+++ b/hemlockswitch/request/overdue.py
@@ -0,0 +1,59 @@
+"""The sweep over running generations: deadlines and silent streams, without a timer for each."""
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ErrorKind, RequestError
+from hemlockswitch.request.attempt import AttemptLostError
+from hemlockswitch.request.relay import Relay
+from hemlockswitch.request.running import Running
+
+SWEEP_MS = 100.0
+FIRST_TOKEN_LIMIT_MS = 20_000.0
+TOKEN_GAP_LIMIT_MS = 3_000.0
+
+
+class OverdueSweep:
+    """Ends generations past their deadline and leaves backend servers that fell silent.
+
+    Parameters
+    ==========
+
+    relay : whose running generations are swept.
+    clock : the process's clock.
+    """
+
+    def __init__(self, relay: Relay, clock: Clock) -> None:
+        self._relay = relay
+        self._clock = clock
+
+    def run(self) -> None:
+        """Sweep for ever."""
+        while True:
+            self._clock.sleep_ms(SWEEP_MS)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Look at every running generation once."""
+        now_ms = self._clock.now_ms()
+        for running in list(self._relay.running.values()):
+            if now_ms >= running.generation.deadline_ms:
+                running.stop(
+                    RequestError(
+                        ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=running.state_ran()
+                    )
+                )
+            elif self._is_silent(running, now_ms):
+                running.interrupt(AttemptLostError("the backend server fell silent"))
+
+    @staticmethod
+    def _is_silent(running: Running, now_ms: float) -> bool:
+        """Return whether nothing was read for too long; a caller that blocks is not silence."""
+        exchange = running.exchange
+        if exchange is None or not exchange.is_waiting:
+            running.reads_seen = -1
+            return False
+        if exchange.reads != running.reads_seen:
+            running.reads_seen = exchange.reads
+            running.quiet_since_ms = now_ms
+            return False
+        limit_ms = TOKEN_GAP_LIMIT_MS if running.own_token else FIRST_TOKEN_LIMIT_MS
+        return now_ms - running.quiet_since_ms > limit_ms
--- /dev/null
+++ b/hemlockswitch/request/relay.py
@@ -0,0 +1,279 @@
+"""The relay: one generation followed over as many backend servers as its whole answer takes."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from hemlockswitch.connection.caller_server import CallerConnection
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.request.attempt import Attempt, AttemptLostError, AttemptOpener
+from hemlockswitch.request.chunks import DONE_EVENT, SEPARATOR, Checked, Verdict, rewrite_usage
+from hemlockswitch.request.generation import Cause, Generation
+from hemlockswitch.request.retries import RetryBudget
+from hemlockswitch.request.running import (
+    CallerGoneError,
+    Chooser,
+    Directory,
+    MoveReady,
+    RelayObserver,
+    Running,
+    build_need,
+)
+from hemlockswitch.version.backend import BackendServer
+
+MAX_ATTEMPTS = 16
+CONTINUE_PATIENCE_MS = 5_000.0
+CHOOSE_AGAIN_MS = 50.0
+
+
+class Relay:
+    """Relays generations and continues them elsewhere when an attempt is lost.
+
+    Parameters
+    ==========
+
+    chooser, directory : where to send, and who is in progress where.
+    opener : opens streams on backend servers.
+    budget : bounds how often work is repeated.
+    clock : the process's clock.
+    observer : hears what happens.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        directory: Directory,
+        opener: AttemptOpener,
+        budget: RetryBudget,
+        clock: Clock,
+        observer: RelayObserver,
+    ) -> None:
+        self._chooser = chooser
+        self._directory = directory
+        self._opener = opener
+        self._budget = budget
+        self._clock = clock
+        self._observer = observer
+        self.running: dict[str, Running] = {}
+
+    def run(
+        self, generation: Generation, connection: CallerConnection | None = None
+    ) -> Iterator[bytes]:
+        """Yield the caller's events until the answer is whole.
+
+        Raises
+        ======
+
+        RequestError : the request was given up on; the error says whether it ran.
+        CallerGoneError : the caller left; the engine was told to stop.
+        """
+        running = Running(generation, build_need(generation), self._clock.now_ms())
+        self.running[generation.request_id] = running
+        if connection is not None:
+            connection.watch(lambda: running.stop(CallerGoneError("the caller left")))
+        try:
+            self._budget.earn()
+            yield from self._run_attempts(running)
+            yield DONE_EVENT
+        finally:
+            if connection is not None:
+                connection.release()
+            del self.running[generation.request_id]
+
+    def _run_attempts(self, running: Running) -> Iterator[bytes]:
+        generation = running.generation
+        cause = generation.cause
+        resume = bool(generation.stream_id)
+        while not generation.finish_event:
+            self._check_wanted(running)
+            try:
+                if not resume:
+                    self._begin_attempt(running, cause)
+                yield from self._run_attempt(running, resume)
+                cause, resume = Cause.RECLAIM, False
+            except AttemptLostError as lost:
+                resume = self._may_resume(running, lost)
+                if not resume:
+                    cause = self._prepare_again(running, lost)
+
+    def _check_wanted(self, running: Running) -> None:
+        """Raise when nobody waits for the answer any more."""
+        if running.stopped is not None:
+            raise running.stopped
+        if self._clock.now_ms() < running.generation.deadline_ms:
+            return
+        ran = running.state_ran()
+        if ran is Ran.NO:
+            raise RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
+        raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=ran)
+
+    @staticmethod
+    def _may_resume(running: Running, lost: AttemptLostError) -> bool:
+        """Return whether to read the same stream again; only after it brought a token."""
+        if not lost.resumable or not running.own_token or running.generation.move is not None:
+            return False
+        running.own_token = False
+        return True
+
+    def _prepare_again(self, running: Running, lost: AttemptLostError) -> Cause:
+        """Leave the lost attempt and take what another one costs from the budget."""
+        generation = running.generation
+        server = generation.server
+        assert server is not None
+        running.excluded.add(server.name)
+        self._observer.attempt_ended(generation, running.estimate_recomputed(), lost.reason)
+        if lost.ran is not Ran.NO:
+            running.sent = True
+            self._opener.cancel(server.address, generation.stream_id)
+        if self._directory.is_leaving(server.name):
+            return Cause.RECLAIM
+        if running.attempts >= MAX_ATTEMPTS or not self._spend(running):
+            raise self._give_up(running, lost.reason)
+        return Cause.FAILURE if generation.tokens else Cause.RETRY
+
+    def _spend(self, running: Running) -> bool:
+        patience_ms = CONTINUE_PATIENCE_MS if running.generation.tokens else 0.0
+        left_ms = running.generation.deadline_ms - self._clock.now_ms()
+        return self._budget.wait(min(patience_ms, left_ms))
+
+    @staticmethod
+    def _give_up(running: Running, reason: str) -> RequestError:
+        ran = running.state_ran()
+        if ran is Ran.NO:
+            return RequestError(ErrorKind.NO_BACKEND, reason)
+        return RequestError(ErrorKind.OUTCOME_UNKNOWN, reason, ran=ran, retry_after_ms=1_000)
+
+    def _begin_attempt(self, running: Running, cause: Cause) -> None:
+        generation = running.generation
+        move = generation.move
+        server = self._choose(running)
+        prepared = move is not None and move.target.name == server.name
+        running.kv_handle = move.kv_handle if move is not None and prepared else None
+        generation.begin_attempt(server, cause)
+        running.attempts += 1
+        running.own_token = False
+        running.base_tokens = len(generation.tokens)
+        self._observer.attempt_began(generation)
+
+    def _run_attempt(self, running: Running, resume: bool) -> Iterator[bytes]:
+        """Open and follow one attempt; returns at the last event or when a move is ready."""
+        generation = running.generation
+        server = generation.server
+        assert server is not None
+        ticket = self._directory.begin(server.name, running.need.prompt_tokens)
+        failed = False
+        attempt: Attempt | None = None
+        try:
+            if resume:
+                attempt = self._opener.resume(generation, running.watch)
+            else:
+                attempt = self._opener.open(generation, running.kv_handle, running.watch)
+            running.sent = True
+            yield from self._follow(running, attempt, ticket)
+        except AttemptLostError as lost:
+            failed = lost.ran is not Ran.NO
+            raise
+        except MoveReady:
+            self._leave(running)
+        except BaseException:
+            self._opener.cancel(server.address, generation.stream_id)
+            raise
+        finally:
+            running.watch(None)
+            self._directory.end(ticket, failed)
+            if attempt is not None:
+                attempt.close()
+
+    def _choose(self, running: Running) -> BackendServer:
+        """Return the prepared target, or choose one, waiting a while for a begun answer."""
+        move = running.generation.move
+        if move is not None and not self._directory.is_leaving(move.target.name):
+            return move.target
+        patience_ms = 0.0 if running.state_ran() is Ran.NO else CONTINUE_PATIENCE_MS
+        until_ms = min(self._clock.now_ms() + patience_ms, running.generation.deadline_ms)
+        while True:
+            try:
+                need = build_need(running.generation, frozenset(running.excluded))
+                return self._chooser.choose(need)
+            except RequestError as refusal:
+                if self._clock.now_ms() + CHOOSE_AGAIN_MS > until_ms:
+                    raise self._explain(running, refusal) from refusal
+            running.excluded.clear()
+            self._clock.sleep_ms(CHOOSE_AGAIN_MS)
+            self._check_wanted(running)
+
+    @staticmethod
+    def _explain(running: Running, refusal: RequestError) -> RequestError:
+        """Return the router's refusal with what is known of earlier attempts."""
+        return RequestError(
+            refusal.kind,
+            refusal.detail,
+            ran=running.state_ran(),
+            retry_after_ms=refusal.answer.retry_after_ms,
+        )
+
+    def _follow(self, running: Running, attempt: Attempt, ticket: Any) -> Iterator[bytes]:
+        """Yield the checked events of one attempt, as many at once as were read at once."""
+        generation = running.generation
+        head = f"id: {generation.request_id}:".encode()
+        while True:
+            pieces, wrong = self._check_events(running, attempt, head)
+            if pieces:
+                if not running.own_token:
+                    self._note_token(running, ticket)
+                yield b"".join(pieces)
+            if wrong:
+                raise AttemptLostError(f"the backend server's answer was wrong: {wrong}")
+            if generation.finish_event:
+                return
+            if generation.move is not None:
+                raise MoveReady
+
+    def _check_events(
+        self, running: Running, attempt: Attempt, head: bytes
+    ) -> tuple[list[bytes], str]:
+        """Read once; return the caller's events and what was wrong with the rest, if anything."""
+        tokens = running.generation.tokens
+        pieces: list[bytes] = []
+        for event in attempt.read_events():
+            position = len(tokens)
+            checked = attempt.checker.check(event, position)
+            if checked.verdict is Verdict.TOKEN:
+                pieces.append(b"%b%d%b%b" % (head, position, checked.event, SEPARATOR))
+                tokens.append(checked.content)
+            elif checked.verdict is Verdict.IGNORED:
+                self._observer.events_dropped(1)
+            elif checked.verdict is Verdict.FINISH:
+                event_out = self._finish(running, checked)
+                pieces.append(b"%b%d%b%b" % (head, position, event_out, SEPARATOR))
+                return pieces, ""
+            else:
+                return pieces, checked.verdict.value
+        return pieces, ""
+
+    def _leave(self, running: Running) -> None:
+        """End the old stream before another one goes on from the next position."""
+        generation = running.generation
+        assert generation.server is not None
+        self._opener.cancel(generation.server.address, generation.stream_id)
+        self._observer.attempt_ended(generation, running.estimate_recomputed(), "moved")
+
+    def _note_token(self, running: Running, ticket: Any) -> None:
+        """Note the first token of an attempt, and of the whole answer."""
+        running.own_token = True
+        self._directory.note_first_token(ticket)
+        generation = running.generation
+        if generation.first_token_ms is None:
+            generation.first_token_ms = self._clock.now_ms()
+            self._observer.first_token(generation, generation.first_token_ms - running.begun_ms)
+
+    def _finish(self, running: Running, checked: Checked) -> bytes:
+        """Keep the last event and return it as the caller gets it."""
+        generation = running.generation
+        if checked.content:
+            generation.tokens.append(checked.content)
+        generation.finish_event = rewrite_usage(checked.event, len(generation.tokens))
+        usage = checked.usage or {}
+        recomputed_tokens = int(usage.get("recomputed_tokens") or 0)
+        self._observer.attempt_ended(generation, recomputed_tokens, "finished")
+        return generation.finish_event
--- /dev/null
+++ b/hemlockswitch/request/retries.py
@@ -0,0 +1,78 @@
+"""The retry budget: repeated work as a bounded ratio of new work."""
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+
+BURST = 64.0
+FLOOR_PER_SECOND = 2.0
+WAIT_STEP_MS = 20.0
+
+
+class RetryBudget:
+    """How many more times requests may be sent again.
+
+    Explanation
+    ===========
+
+    Each new request earns `ratio` of a retry and each retry spends one, up to a burst that lets
+    the streams of a few lost backend servers continue at once. A small floor per second lets a
+    daemon with little traffic retry too. Without the budget a wave of failures would become a
+    wave of retries as large as the traffic itself.
+
+    Parameters
+    ==========
+
+    ratio : retries earned by one new request.
+    clock : the clock that paces the floor.
+
+    Examples
+    ========
+
+    >>> from hemlockswitch.core.clock import ManualClock
+    >>> budget = RetryBudget(0.5, ManualClock(), burst=1.0)
+    >>> budget.take(), budget.take()
+    (True, False)
+    >>> budget.earn()
+    >>> budget.earn()
+    >>> budget.take()
+    True
+    """
+
+    def __init__(self, ratio: float, clock: Clock, burst: float = BURST) -> None:
+        self._ratio = ratio
+        self._clock = clock
+        self._burst = burst
+        self._left = burst
+        self._paced_ms = clock.now_ms()
+
+    def set_ratio(self, ratio: float) -> None:
+        """Use the ratio of a new revision."""
+        self._ratio = ratio
+
+    def earn(self) -> None:
+        """Count one new request."""
+        self._add(self._ratio)
+
+    def take(self) -> bool:
+        """Spend one retry; return False when none is left."""
+        self._pace()
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+    def wait(self, patience_ms: float) -> bool:
+        """Spend one retry, waiting up to `patience_ms` for the floor to bring it."""
+        until_ms = self._clock.now_ms() + patience_ms
+        while not self.take():
+            if self._clock.now_ms() + WAIT_STEP_MS > until_ms:
+                return False
+            self._clock.sleep_ms(WAIT_STEP_MS)
+        return True
+
+    def _pace(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._add((now_ms - self._paced_ms) / MS_PER_SECOND * FLOOR_PER_SECOND)
+        self._paced_ms = now_ms
+
+    def _add(self, amount: float) -> None:
+        self._left = min(self._burst, self._left + amount)
--- /dev/null
+++ b/hemlockswitch/request/running.py
@@ -0,0 +1,136 @@
+"""A generation while this daemon relays it, and what the relay needs from other layers."""
+
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from hemlockswitch.connection.backends import BackendExchange
+from hemlockswitch.core.errors import Ran
+from hemlockswitch.request.generation import Cause, Generation
+from hemlockswitch.request.prefixes import count_tokens, hash_blocks
+from hemlockswitch.request.routing import Need
+from hemlockswitch.version.backend import BackendServer
+
+
+class CallerGoneError(OSError):
+    """The caller closed its connection; nobody waits for the answer."""
+
+
+class MoveReady(Exception):  # noqa: N818
+    """Wakes a relay whose generation may switch to another backend server."""
+
+
+class Chooser(Protocol):
+    """Who chooses a backend server; the router."""
+
+    def choose(self, need: Need) -> BackendServer:
+        """Return the server for `need`, or raise a refusal."""
+
+
+class Directory(Protocol):
+    """Who counts the requests in progress at each backend server."""
+
+    def begin(self, name: str, prompt_tokens: int = 0) -> Any:
+        """Count a request as in progress and return its ticket."""
+
+    def note_first_token(self, ticket: Any) -> None:
+        """Note that its prompt is computed."""
+
+    def end(self, ticket: Any, failed: bool = False) -> None:
+        """Count it as over."""
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether the server is leaving."""
+
+
+class RelayObserver(Protocol):
+    """Who hears what the relay does; metrics and traces."""
+
+    def attempt_began(self, generation: Generation) -> None:
+        """An attempt was chosen and is about to be sent."""
+
+    def first_token(self, generation: Generation, waited_ms: float) -> None:
+        """The caller's first token is here."""
+
+    def attempt_ended(self, generation: Generation, recomputed_tokens: int, reason: str) -> None:
+        """An attempt is over; `recomputed_tokens` had been computed before."""
+
+    def events_dropped(self, count: int) -> None:
+        """Late or doubled events were dropped."""
+
+
+@dataclass
+class Running:
+    """A generation while this daemon relays it.
+
+    Parameters
+    ==========
+
+    exchange : what the relay reads now; None between attempts.
+    stopped : why the relay must end; raised at its next wait.
+    excluded : servers that lost this generation.
+    sent : whether any backend server may have begun it.
+    own_token : whether the attempt in progress brought a token.
+    base_tokens : tokens that the attempt in progress had to recompute, its prompt aside.
+    reads_seen, quiet_since_ms : kept by the sweep that looks for silent streams.
+    moving_to : the server that a move is being prepared on; empty when none is.
+    """
+
+    generation: Generation
+    need: Need
+    begun_ms: float
+    exchange: BackendExchange | None = None
+    stopped: BaseException | None = None
+    excluded: set[str] = field(default_factory=set)
+    attempts: int = 0
+    sent: bool = False
+    own_token: bool = False
+    base_tokens: int = 0
+    kv_handle: str | None = None
+    reads_seen: int = -1
+    quiet_since_ms: float = 0.0
+    moving: bool = False
+    moving_to: str = ""
+
+    def stop(self, error: BaseException) -> None:
+        """Make the relay raise `error` at its next wait."""
+        if self.stopped is None:
+            self.stopped = error
+            self.interrupt(error)
+
+    def interrupt(self, error: BaseException) -> None:
+        """Raise `error` where the relay waits for the backend server, if it does."""
+        if self.exchange is not None:
+            self.exchange.interrupt(error)
+
+    def watch(self, exchange: BackendExchange | None) -> None:
+        """Keep the exchange that may be interrupted."""
+        self.exchange = exchange
+        self.reads_seen = -1
+        if self.stopped is not None:
+            self.interrupt(self.stopped)
+
+    def state_ran(self) -> Ran:
+        """Return what an answer may say of whether the generation ran."""
+        if self.generation.tokens:
+            return Ran.YES
+        return Ran.UNKNOWN if self.sent else Ran.NO
+
+    def estimate_recomputed(self) -> int:
+        """Return the tokens that the attempt in progress computed again, without its usage."""
+        first = self.generation.cause is Cause.FIRST
+        if first or not self.own_token or self.kv_handle is not None:
+            return 0
+        return count_tokens(self.generation.prompt) + self.base_tokens
+
+
+def build_need(generation: Generation, exclude: frozenset[str] = frozenset()) -> Need:
+    """Return what the router must know of a generation."""
+    done = len(generation.tokens)
+    return Need(
+        target=generation.model,
+        prefix_blocks=hash_blocks(generation.prompt),
+        prompt_tokens=count_tokens(generation.prompt) + done,
+        max_tokens=max(generation.max_tokens - done, 1),
+        priority=0 if done else generation.priority,
+        exclude=exclude,
+    )
--- /dev/null
+++ b/hemlockswitch/request/service_call.py
@@ -0,0 +1,281 @@
+"""Calls of plain services: repeated only where that is safe, and stated honestly where not."""
+
+import hashlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from hemlockswitch.connection.backends import (
+    BackendAnswer,
+    BackendCall,
+    BackendClient,
+    ExchangeError,
+    Stage,
+)
+from hemlockswitch.connection.callers import CallerAnswer, CallerRequest
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.request.retries import RetryBudget
+from hemlockswitch.request.routing import Need
+from hemlockswitch.request.running import Chooser, Directory
+from hemlockswitch.version.backend import BackendServer
+from hemlockswitch.version.models import Operation, Service
+
+MAX_DISPATCHES = 4
+PASSED_TO_SERVICE = ("content-type", "accept", "accept-language", "idempotency-key")
+PASSED_TO_CALLER = ("content-type", "content-language", "etag", "location")
+OWN_ID = "x-request-id"
+JSON_TYPE = "application/json"
+
+
+@dataclass(frozen=True)
+class ServiceAnswer:
+    """A service's whole answer, as a caller gets it and a claim keeps it."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class Claims(Protocol):
+    """Who makes sure that a key's call is dispatched once in the whole system."""
+
+    def run_once(
+        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], ServiceAnswer]
+    ) -> ServiceAnswer:
+        """Return the key's answer, from `dispatch` or from an earlier call."""
+
+
+class NoClaims:
+    """Refuses every key, for a daemon that has nowhere to keep claims."""
+
+    def run_once(
+        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], ServiceAnswer]
+    ) -> ServiceAnswer:
+        """Refuse; nothing was run."""
+        raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "no place to keep the key's claim")
+
+
+class ServiceObserver(Protocol):
+    """Who hears of dispatches."""
+
+    def dispatch_began(self, request: CallerRequest, server: BackendServer) -> Any:
+        """A call is about to be sent; returns headers that carry the trace."""
+
+    def dispatch_ended(self, request: CallerRequest, outcome: str) -> None:
+        """It is over."""
+
+
+@dataclass
+class _Progress:
+    """What happened to a call so far."""
+
+    excluded: set[str]
+    dispatches: int = 0
+    ran: Ran = Ran.NO
+    last: BackendAnswer | None = None
+
+
+def find_operation(service: Service, method: str, path: str) -> Operation:
+    """Return the operation with the longest path prefix that matches.
+
+    Explanation
+    ===========
+
+    A path that a service might read otherwise than this daemon (dot segments, doubled slashes,
+    escapes) is refused, so that no call passes as an idempotent operation that it is not.
+
+    Raises
+    ======
+
+    RequestError : `UNKNOWN_OPERATION`.
+    """
+    plain = "%" not in path and "//" not in path and "\\" not in path and ";" not in path
+    dotted = any(part in (".", "..") for part in path.split("/"))
+    matching = [one for one in service.operations if _covers(one.path, path)]
+    if not plain or dotted or not matching:
+        raise RequestError(ErrorKind.UNKNOWN_OPERATION, f"{service.name} has no such operation")
+    longest = max(len(one.path) for one in matching)
+    for operation in matching:
+        if len(operation.path) == longest and method in operation.methods:
+            return operation
+    raise RequestError(ErrorKind.UNKNOWN_OPERATION, f"the operation does not allow {method}")
+
+
+def _covers(prefix: str, path: str) -> bool:
+    """Return whether `prefix` covers `path` up to the end of a segment."""
+    return path == prefix or path.startswith(prefix if prefix.endswith("/") else prefix + "/")
+
+
+class ServiceCaller:
+    """Passes calls on to plain services.
+
+    Explanation
+    ===========
+
+    An idempotent operation goes to another server when one failed, within the retry budget and
+    the deadline. Any other operation is dispatched at most once after a byte may have left; with
+    an idempotency key, at most once in the whole system, by a claim.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        directory: Directory,
+        client: BackendClient,
+        budget: RetryBudget,
+        clock: Clock,
+        observer: ServiceObserver,
+        claims: Claims,
+    ) -> None:
+        self._chooser = chooser
+        self._directory = directory
+        self._client = client
+        self._budget = budget
+        self._clock = clock
+        self._observer = observer
+        self._claims = claims
+
+    def call(
+        self, request: CallerRequest, account: str, service: Service, path: str, deadline_ms: float
+    ) -> CallerAnswer:
+        """Serve one call.
+
+        Raises
+        ======
+
+        RequestError : with `ran` as far as it is known.
+        """
+        operation = find_operation(service, request.method, path)
+        self._budget.earn()
+        key = request.idempotency_key
+        if operation.idempotent or key is None:
+            answer = self._dispatch(request, service, operation, path, deadline_ms)
+        else:
+            answer = self._claims.run_once(
+                account,
+                key,
+                fingerprint_call(request, service.name, path),
+                lambda: self._dispatch(request, service, operation, path, deadline_ms),
+            )
+        headers = {name: value for name, value in answer.headers.items() if name != "content-type"}
+        content_type = answer.headers.get("content-type", JSON_TYPE)
+        return CallerAnswer(answer.status, answer.body, headers, content_type)
+
+    def _dispatch(
+        self,
+        request: CallerRequest,
+        service: Service,
+        operation: Operation,
+        path: str,
+        deadline_ms: float,
+    ) -> ServiceAnswer:
+        progress = _Progress(excluded=set())
+        while True:
+            self._check_deadline(progress, deadline_ms)
+            server = self._choose(service, progress)
+            progress.dispatches += 1
+            try:
+                answer = self._send(request, server, path, deadline_ms)
+                if not (operation.idempotent and answer.status >= 500):
+                    return _keep(answer)
+                progress.last, progress.ran = answer, Ran.YES
+            except ExchangeError as failure:
+                self._note_failure(progress, failure, operation)
+            progress.excluded.add(server.name)
+            if progress.dispatches >= MAX_DISPATCHES or not self._budget.take():
+                return self._give_up(progress)
+
+    def _check_deadline(self, progress: _Progress, deadline_ms: float) -> None:
+        if self._clock.now_ms() < deadline_ms:
+            return
+        if progress.ran is Ran.NO:
+            raise RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
+        raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=progress.ran)
+
+    def _choose(self, service: Service, progress: _Progress) -> BackendServer:
+        need = Need(target=service.name, exclude=frozenset(progress.excluded))
+        try:
+            return self._chooser.choose(need)
+        except RequestError as refusal:
+            if progress.last is not None or progress.ran is not Ran.NO:
+                raise RequestError(
+                    refusal.kind,
+                    refusal.detail,
+                    ran=progress.ran,
+                    retry_after_ms=refusal.answer.retry_after_ms,
+                ) from refusal
+            raise
+
+    def _send(
+        self, request: CallerRequest, server: BackendServer, path: str, deadline_ms: float
+    ) -> BackendAnswer:
+        left_ms = max(deadline_ms - self._clock.now_ms(), 1.0)
+        headers = {
+            name: request.headers[name] for name in PASSED_TO_SERVICE if name in request.headers
+        }
+        headers["X-Request-Id"] = request.request_id
+        headers["X-Deadline-Ms"] = str(int(left_ms))
+        headers.update(self._observer.dispatch_began(request, server))
+        target = f"{path}?{request.query}" if request.query else path
+        call = BackendCall(request.method, target, request.body, headers)
+        ticket = self._directory.begin(server.name)
+        outcome = "failed"
+        try:
+            answer = self._client.call(server.address, call, left_ms)
+            self._check_own(answer, request.request_id)
+            outcome = "answered"
+            return answer
+        finally:
+            self._directory.end(ticket, failed=outcome == "failed")
+            self._observer.dispatch_ended(request, outcome)
+
+    @staticmethod
+    def _check_own(answer: BackendAnswer, request_id: str) -> None:
+        """Refuse an answer that is not marked as this request's."""
+        if answer.headers.get(OWN_ID) != request_id:
+            raise AnswerMixedError("the answer is not marked as this request's")
+
+    def _note_failure(
+        self, progress: _Progress, failure: ExchangeError, operation: Operation
+    ) -> None:
+        """Keep what the failure tells; raise where the call must not be sent again."""
+        if failure.stage is Stage.BEFORE_SEND:
+            return
+        progress.ran = Ran.UNKNOWN
+        if not operation.idempotent:
+            raise RequestError(
+                ErrorKind.OUTCOME_UNKNOWN, failure.detail, ran=Ran.UNKNOWN
+            ) from failure
+
+    @staticmethod
+    def _give_up(progress: _Progress) -> ServiceAnswer:
+        """Return the last answer of a server, or say that there is none."""
+        if progress.last is not None:
+            return _keep(progress.last)
+        if progress.ran is Ran.NO:
+            raise RequestError(ErrorKind.NO_BACKEND, "no backend server could be reached")
+        raise RequestError(
+            ErrorKind.OUTCOME_UNKNOWN, "no backend server answered", retry_after_ms=1_000
+        )
+
+
+class AnswerMixedError(ExchangeError):
+    """An answer without this request's id: whether the request ran is not known."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(Stage.DURING_ANSWER, detail)
+
+
+def _keep(answer: BackendAnswer) -> ServiceAnswer:
+    headers = {name: answer.headers[name] for name in PASSED_TO_CALLER if name in answer.headers}
+    return ServiceAnswer(answer.status, headers, answer.body)
+
+
+def fingerprint_call(request: CallerRequest, service: str, path: str) -> str:
+    """Return a hash of what the call asks for; the same key with another one is a conflict."""
+    digest = hashlib.sha256()
+    for part in (request.method, service, path, request.query):
+        digest.update(part.encode("utf-8", "surrogateescape") + b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
