Correct reported load for its age, use a stable subset, offers of other zones and circuits

A report is set against this daemon's own count at the time it was measured, and its trust falls with age towards the mean over the target's servers, so that a server that was idle a while ago does not draw everybody. The subset is chosen from the servers' side: each server takes the same number of daemons of its rendezvous order. Daemons choosing servers was ruled out: some servers get none. Servers of other zones count only for 2 s after the question that they answered was asked. Failing servers back off, with one trial in each back-off. The rule of choice is a singledispatch of its own so that others can be measured against it.

--- /dev/null
+++ b/hemlockswitch/connection/loads.py
@@ -0,0 +1,124 @@
+"""Reading the load that a backend server reports."""
+
+from dataclasses import dataclass
+
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.core.errors import BackendError, ErrorKind
+
+LOAD_PATH = "/v1/load"
+LOAD_TIMEOUT_MS = 1_000
+MAX_LOAD_BYTES = 65_536
+NOT_FOUND = 404
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """What a backend server said of its load.
+
+    Parameters
+    ==========
+
+    running, waiting : requests with and without a slot, of all daemons.
+    slots : requests that it works on at once.
+    prefill_tokens_per_s : speed of computing prompt tokens.
+    prefill_backlog : prompt tokens still to be computed; 0 where it does not say.
+    age_ms : how long before the answer it was measured.
+    draining : the server was ordered to finish and take nothing new.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    prefill_tokens_per_s: float = 4_000.0
+    prefill_backlog: float = 0.0
+    age_ms: float = 0.0
+    draining: bool = False
+
+
+class _LoadAnswer(BaseModel):
+    """The body of the answer; engines may say more."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    running: int = Field(ge=0)
+    waiting: int = Field(ge=0)
+    slots: int = Field(gt=0)
+    prefill_tokens_per_s: float = Field(default=4_000.0, gt=0)
+    prefill_backlog: float = Field(default=0.0, ge=0)
+    age_ms: float = Field(default=0.0, ge=0)
+    draining: bool = False
+
+
+class LoadClient:
+    """A kept connection to one backend server, for its load alone.
+
+    Explanation
+    ===========
+
+    Asking for the load may be repeated, so the library's kept connections can be used here.
+    """
+
+    def __init__(self, http: HTTPClient) -> None:
+        self._http = http
+
+    @classmethod
+    def from_address(cls, address: str, timeout_ms: float = LOAD_TIMEOUT_MS) -> "LoadClient":
+        """Return a client of the backend server at ``ip:port``."""
+        host, _, port = address.rpartition(":")
+        timeout_s = timeout_ms / MS_PER_SECOND
+        return cls(
+            HTTPClient(
+                host,
+                int(port),
+                concurrency=1,
+                connection_timeout=timeout_s,
+                network_timeout=timeout_s,
+            )
+        )
+
+    def read(self) -> LoadReport | None:
+        """Return the load, or None when the server does not report any.
+
+        Raises
+        ======
+
+        BackendError : it cannot be reached or its answer is not a load.
+        """
+        try:
+            response = self._http.get(LOAD_PATH)
+            body = bytes(response.read(MAX_LOAD_BYTES))
+            response.release()
+        except (OSError, HTTPParseError, EOFError) as error:
+            raise BackendError(ErrorKind.NO_BACKEND, f"load: {error}") from error
+        if response.status_code == NOT_FOUND:
+            return None
+        return parse_load(body)
+
+    def close(self) -> None:
+        """Give the connection back."""
+        self._http.close()
+
+
+def parse_load(body: bytes) -> LoadReport:
+    """Return the report in the body of an answer.
+
+    Raises
+    ======
+
+    BackendError : the body is not a load.
+
+    Examples
+    ========
+
+    >>> parse_load(b'{"running": 2, "waiting": 0, "slots": 16}').running
+    2
+    """
+    try:
+        answer = _LoadAnswer.model_validate_json(body)
+    except ValidationError as error:
+        raise BackendError(ErrorKind.ANSWER_INVALID, "load is not of the known form") from error
+    return LoadReport(**answer.model_dump())
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -16,6 +16,16 @@
     PROCESS_STOPPED = (103, "process_stopped")
     TASK_FAILED = (104, "task_failed")
 
+    BACKEND_LEAVING = (301, "backend_leaving")
+    BACKEND_FAILED = (302, "backend_failed")
+    BACKEND_RECORD_INVALID = (303, "backend_record_invalid")
+    WATCH_FAILED = (304, "watch_failed")
+    WATCH_RECOVERED = (305, "watch_recovered")
+    FACTS_STALE = (306, "facts_stale")
+    FACTS_REFRESHED = (307, "facts_refreshed")
+    ZONE_SILENT = (308, "zone_silent")
+    ZONE_HEARD = (309, "zone_heard")
+
     def __init__(self, number: int, label: str) -> None:
         self.number = number
         self.label = label
--- a/hemlockswitch/process/backends.py
+++ b/hemlockswitch/process/backends.py
@@ -3,73 +3,54 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from hemlockswitch.connection.loads import LoadReport
 from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.circuits import Circuit
+from hemlockswitch.process.loads import Others, ServerLoad, Ticket, average_others
 from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.subsets import SUBSET_SIZE, Subset
 from hemlockswitch.request.routing import Candidate
 from hemlockswitch.version.backend import BackendServer, BackendState
 
 VM_PREFIX = "vm/"
 NOTICE_PREFIX = "notice/"
-FIRST_BACK_OFF_MS = 250.0
-MAX_BACK_OFF_MS = 8_000.0
+ZONE_SILENCE_MS = 2_000.0
+DEFAULT_SERVICE_MS = 1_000.0
+SERVICE_WEIGHT = 0.05
 
 LeavingListener = Callable[[str, int], None]
 
 
-@dataclass(frozen=True)
-class Ticket:
-    """One request of this daemon in progress at a backend server."""
+@dataclass
+class _Known:
+    """What this daemon knows of one backend server beside its state."""
 
-    identifier: str
-    server_name: str
-    prompt_tokens: int
-    begun_ms: float
+    load: ServerLoad = field(default_factory=ServerLoad)
+    circuit: Circuit = field(default_factory=Circuit)
 
 
 @dataclass(frozen=True)
-class LoadReport:
-    """What a backend server last said of its load.
+class _ZoneOffer:
+    """The servers that another zone offered, and when this daemon asked for them."""
 
-    Parameters
-    ==========
+    servers: dict[str, BackendServer]
+    asked_ms: float
 
-    running, waiting : requests with and without a slot, of all daemons.
-    slots : requests that it works on at once.
-    prefill_tokens_per_s : speed of computing prompt tokens.
-    measured_ms : this daemon's clock when the engine counted.
-    own_requests : this daemon's own requests there at that time.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    prefill_tokens_per_s: float
-    measured_ms: float
-    own_requests: int
 
+class BackendDirectory:
+    """The backend servers that a daemon may use.
 
-@dataclass
-class _Circuit:
-    """Failures of a backend server in a row and when it may be tried again."""
-
-    failures: int = 0
-    closed_until_ms: float = 0.0
-
-
-@dataclass
-class _Known:
-    """All that this daemon knows of one backend server."""
-
-    server: BackendServer
-    tickets: dict[str, Ticket] = field(default_factory=dict)
-    waiting: dict[str, Ticket] = field(default_factory=dict)
-    report: LoadReport | None = None
-    circuit: _Circuit = field(default_factory=_Circuit)
+    Explanation
+    ===========
 
+    Servers of the own zone come from the news board (`vm/<name>` and `notice/<name>`). Servers
+    of another zone come from the answers of that zone's daemons, and count only for
+    `ZONE_SILENCE_MS` after the question was asked: a zone that is cut off gets no new work.
 
-class BackendDirectory:
-    """The backend servers of a daemon, learned from its news board.
+    A server that is once learned to be leaving stays leaving, whatever arrives later.
 
     Parameters
     ==========
@@ -77,21 +58,39 @@
     board : where facts of VMs and reclaim notices arrive.
     clock : the process's clock.
     zone : the daemon's own availability zone.
+    own_name : the daemon's name, for its stable subset.
+    members : gives the names of the zone's live daemons.
+    subset_size : servers of one target that a daemon uses on average.
     """
 
-    def __init__(self, board: NewsBoard, clock: Clock, zone: str) -> None:
+    def __init__(
+        self,
+        board: NewsBoard,
+        clock: Clock,
+        zone: str,
+        own_name: str = "",
+        members: Callable[[], list[str]] = list,
+        subset_size: int = SUBSET_SIZE,
+    ) -> None:
         self._clock = clock
-        self._zone = zone
+        self.zone = zone
+        self._own_name = own_name
+        self._members = members
+        self._subset_size = subset_size
+        self._servers: dict[str, BackendServer] = {}
+        self._offers: dict[str, _ZoneOffer] = {}
         self._known: dict[str, _Known] = {}
         self._leaving: dict[str, int] = {}
         self._draining: frozenset[str] = frozenset()
+        self._subsets: dict[str, Subset] = {}
+        self._chosen: dict[str, set[str]] = {}
+        self._servers_changed = True
+        self._service_ms: dict[str, float] = {}
         self._listeners: list[LeavingListener] = []
-        board.add_listener(VM_PREFIX, self._learn_vm)
-        board.add_listener(NOTICE_PREFIX, self._learn_notice)
-        for item in board.list_items(VM_PREFIX):
-            self._learn_vm(item)
-        for item in board.list_items(NOTICE_PREFIX):
-            self._learn_notice(item)
+        for prefix, learn in ((NOTICE_PREFIX, self._learn_notice), (VM_PREFIX, self._learn_vm)):
+            board.add_listener(prefix, learn)
+            for item in board.list_items(prefix):
+                learn(item)
 
     def add_leaving_listener(self, listener: LeavingListener) -> None:
         """Call ``listener(name, deadline_wall_ms)`` once for each server learned to be leaving.
@@ -103,42 +102,92 @@
     def set_draining(self, names: Iterable[str]) -> None:
         """Give no new work to `names`, the planned stops of the configuration in force."""
         self._draining = frozenset(names)
+        self._servers_changed = True
 
     def is_leaving(self, name: str) -> bool:
         """Return whether the server was ever learned to be leaving."""
         return name in self._leaving
 
+    def list_leaving(self) -> dict[str, int]:
+        """Return the servers that are leaving, with the deadline of each (0: not known)."""
+        return dict(self._leaving)
+
+    def list_draining(self) -> frozenset[str]:
+        """Return the names that the configuration in force stops as planned."""
+        return self._draining
+
     def find_server(self, name: str) -> BackendServer | None:
         """Return the server called `name`, in whatever state, or None."""
-        known = self._known.get(name)
-        return known.server if known else None
+        if name in self._servers:
+            return self._servers[name]
+        offers = (offer.servers.get(name) for offer in self._offers.values())
+        return next((server for server in offers if server is not None), None)
+
+    def list_own_servers(self, target: str = "") -> list[BackendServer]:
+        """Return the own zone's servers of `target` (of all without one) that may get work."""
+        return [
+            server
+            for server in self._servers.values()
+            if (not target or server.serves == target) and self._is_usable(server)
+        ]
+
+    def list_targets(self) -> set[str]:
+        """Return the models and services for which any server is known."""
+        offered = (server for offer in self._offers.values() for server in offer.servers.values())
+        return {server.serves for server in (*self._servers.values(), *offered)}
 
     def list_servers(self, target: str) -> list[BackendServer]:
-        """Return the servers of `target` that may get new work now."""
-        return [candidate.server for candidate in self.list_candidates(target)]
+        """Return the servers of `target` that may get new work now, from every zone."""
+        usable = [*self._list_subset(target), *self._list_offered(target)]
+        now_ms = self._clock.now_ms()
+        closed = [one for one in usable if not self._know(one.name).circuit.is_open(now_ms)]
+        return closed or usable
 
     def list_candidates(self, target: str) -> list[Candidate]:
-        """Return the servers of `target` that may get new work, with their load."""
-        return [
-            self._estimate(known)
-            for known in self._known.values()
-            if known.server.serves == target and self._may_take(known)
-        ]
+        """Return the servers of `target` that may get new work, with their load.
 
-    def begin(self, name: str, prompt_tokens: int = 0) -> Ticket:
-        """Count a request as in progress at the server."""
-        ticket = Ticket(make_identifier("tkt"), name, prompt_tokens, self._clock.now_ms())
+        Explanation
+        ===========
+
+        Servers that failed lately are left out, unless nothing else is left: a failure may have
+        been the request's, and refusing everything would be worse.
+        """
+        servers = self.list_servers(target)
+        now_ms = self._clock.now_ms()
+        loads = {server.name: self._know(server.name).load for server in servers}
+        typical = average_others(loads, now_ms)
+        return [self._estimate(server, loads[server.name], typical, now_ms) for server in servers]
+
+    def count_waiting(self) -> int:
+        """Return the number of this daemon's requests without a first token."""
+        return sum(len(known.load.waiting) for known in self._known.values())
+
+    def count_in_flight(self, name: str) -> int:
+        """Return the number of this daemon's requests in progress at the server."""
         known = self._known.get(name)
-        if known is not None:
-            known.tickets[ticket.identifier] = ticket
-            known.waiting[ticket.identifier] = ticket
+        return len(known.load.tickets) if known else 0
+
+    def begin(self, name: str, prompt_tokens: int = 0) -> Ticket:
+        """Count a request as in progress at the server.
+
+        Parameters
+        ==========
+
+        name : the server.
+        prompt_tokens : tokens that it has to compute before the first one.
+        """
+        now_ms = self._clock.now_ms()
+        ticket = Ticket(make_identifier("tkt"), name, prompt_tokens, now_ms)
+        known = self._know(name)
+        known.load.begin(ticket)
+        known.circuit.note_trial(now_ms)
         return ticket
 
     def note_first_token(self, ticket: Ticket) -> None:
         """Note that the request's prompt is computed."""
-        known = self._known.get(ticket.server_name)
-        if known is not None:
-            known.waiting.pop(ticket.identifier, None)
+        known = self._know(ticket.server_name)
+        known.load.note_first_token(ticket, self._clock.now_ms())
+        known.circuit.note_success()
 
     def end(self, ticket: Ticket, failed: bool = False) -> None:
         """Count the request as over; ending twice is ending once.
@@ -149,73 +198,123 @@
         ticket : what `begin` returned.
         failed : the server did not answer as it should; it is left alone for a while.
         """
-        known = self._known.get(ticket.server_name)
-        if known is None or known.tickets.pop(ticket.identifier, None) is None:
+        now_ms = self._clock.now_ms()
+        known = self._know(ticket.server_name)
+        if not known.load.end(ticket, now_ms):
             return
-        known.waiting.pop(ticket.identifier, None)
         if failed:
-            self._note_failure(known.circuit)
+            known.circuit.note_failure(now_ms)
+            log_event(Event.BACKEND_FAILED, "warning", vm=ticket.server_name)
         else:
-            known.circuit = _Circuit()
-
-    def count_in_flight(self, name: str) -> int:
-        """Return the number of this daemon's requests in progress at the server."""
-        known = self._known.get(name)
-        return len(known.tickets) if known else 0
+            known.circuit.note_success()
+            self._note_service(ticket, now_ms)
+        self._forget_gone(ticket.server_name)
 
-    def record_load(self, name: str, report: LoadReport) -> None:
+    def record_load(self, name: str, report: LoadReport, round_trip_ms: float = 0.0) -> None:
         """Keep the newest load report of a server."""
-        known = self._known.get(name)
-        if known is not None:
-            known.report = report
+        self._know(name).load.record(report, self._clock.now_ms(), round_trip_ms)
+
+    def learn_offer(self, zone: str, servers: Iterable[BackendServer], asked_ms: float) -> None:
+        """Keep what a daemon of another zone answered to a question asked at `asked_ms`."""
+        known = self._offers.get(zone)
+        if known is None or asked_ms > known.asked_ms:
+            self._offers[zone] = _ZoneOffer({one.name: one for one in servers}, asked_ms)
+
+    def learn_leaving(self, name: str, deadline_wall_ms: int = 0) -> None:
+        """Give no new work to `name` ever again."""
+        if name in self._leaving:
+            return
+        self._leaving[name] = deadline_wall_ms
+        self._servers_changed = True
+        log_event(Event.BACKEND_LEAVING, vm=name, deadline_wall_ms=deadline_wall_ms)
+        for listener in self._listeners:
+            listener(name, deadline_wall_ms)
 
-    def _may_take(self, known: _Known) -> bool:
-        name = known.server.name
+    def refresh_subsets(self) -> None:
+        """Choose the stable subset anew from the zone's live daemons and servers."""
+        self._servers_changed = False
+        members = self._members()
+        by_target: dict[str, set[str]] = {target: set() for target in self._chosen}
+        for server in self.list_own_servers():
+            by_target.setdefault(server.serves, set()).add(server.name)
+        for target, names in by_target.items():
+            subset = self._subsets.setdefault(target, Subset(self._own_name, self._subset_size))
+            self._chosen[target] = subset.update(members, names)
+
+    def _know(self, name: str) -> _Known:
+        return self._known.setdefault(name, _Known())
+
+    def _is_usable(self, server: BackendServer) -> bool:
+        report = self._known[server.name].load.report if server.name in self._known else None
         return (
-            known.server.state is BackendState.LIVE
-            and name not in self._leaving
-            and name not in self._draining
-            and self._clock.now_ms() >= known.circuit.closed_until_ms
+            server.state is BackendState.LIVE
+            and server.name not in self._leaving
+            and server.name not in self._draining
+            and not (report is not None and report.draining)
         )
 
-    def _estimate(self, known: _Known) -> Candidate:
-        prefill_tokens = sum(ticket.prompt_tokens for ticket in known.waiting.values())
-        own = len(known.tickets)
-        report = known.report
-        if report is None:
-            return Candidate(known.server, own_requests=own, own_prefill_tokens=prefill_tokens)
-        others = max(report.running + report.waiting - report.own_requests, 0)
+    def _list_subset(self, target: str) -> list[BackendServer]:
+        if self._servers_changed:
+            self.refresh_subsets()
+        servers = (self._servers.get(name) for name in self._chosen.get(target, ()))
+        return [server for server in servers if server is not None and self._is_usable(server)]
+
+    def _list_offered(self, target: str) -> list[BackendServer]:
+        oldest_ms = self._clock.now_ms() - ZONE_SILENCE_MS
+        return [
+            server
+            for zone, offer in self._offers.items()
+            if zone != self.zone and offer.asked_ms >= oldest_ms
+            for server in offer.servers.values()
+            if server.serves == target and self._is_usable(server)
+        ]
+
+    def _estimate(
+        self, server: BackendServer, load: ServerLoad, typical: Others, now_ms: float
+    ) -> Candidate:
+        others = load.estimate_others(now_ms, typical)
+        report = load.report
         return Candidate(
-            known.server,
-            own_requests=own,
-            other_requests=others,
-            own_prefill_tokens=prefill_tokens,
-            slots=report.slots,
-            prefill_tokens_per_s=report.prefill_tokens_per_s,
+            server,
+            own_requests=len(load.tickets),
+            other_requests=others.requests,
+            prefill_tokens=load.own_prefill_tokens + others.prefill_tokens,
+            slots=report.slots if report else 0,
+            prefill_tokens_per_s=report.prefill_tokens_per_s if report else 4_000.0,
+            service_ms=self._service_ms.get(server.serves, DEFAULT_SERVICE_MS),
+            distance_ms=load.distance_ms,
         )
 
-    def _note_failure(self, circuit: _Circuit) -> None:
-        circuit.failures += 1
-        back_off_ms = min(FIRST_BACK_OFF_MS * 2 ** (circuit.failures - 1), MAX_BACK_OFF_MS)
-        circuit.closed_until_ms = self._clock.now_ms() + back_off_ms
+    def _note_service(self, ticket: Ticket, now_ms: float) -> None:
+        """Move the target's mean time in a slot towards this request's."""
+        server = self.find_server(ticket.server_name)
+        if server is None:
+            return
+        held_ms = now_ms - ticket.begun_ms
+        mean_ms = self._service_ms.get(server.serves, held_ms)
+        self._service_ms[server.serves] = mean_ms + SERVICE_WEIGHT * (held_ms - mean_ms)
+
+    def _forget_gone(self, name: str) -> None:
+        """Give back the memory of a server that left, once nothing runs there."""
+        if name in self._leaving and self.count_in_flight(name) == 0:
+            self._known.pop(name, None)
 
     def _learn_vm(self, item: NewsItem) -> None:
-        server = BackendServer.from_record(item.value)
-        known = self._known.get(server.name)
-        if known is None:
-            self._known[server.name] = _Known(server)
-        else:
-            known.server = server
+        try:
+            server = BackendServer.from_record(item.value)
+        except (KeyError, TypeError, ValueError) as error:
+            log_event(Event.BACKEND_RECORD_INVALID, "warning", key=item.key, error=str(error))
+            return
+        self._servers_changed = True
         if server.state in (BackendState.LEAVING, BackendState.GONE):
-            self._mark_leaving(server.name, 0)
+            self.learn_leaving(server.name)
+        if server.state is BackendState.GONE:
+            self._servers.pop(server.name, None)
+            self._forget_gone(server.name)
+        elif server.zone == self.zone:
+            self._servers[server.name] = server
 
     def _learn_notice(self, item: NewsItem) -> None:
         name = item.key.removeprefix(NOTICE_PREFIX)
-        self._mark_leaving(name, int(item.value.get("deadline_wall_ms", 0)))
-
-    def _mark_leaving(self, name: str, deadline_wall_ms: int) -> None:
-        if name in self._leaving:
-            return
-        self._leaving[name] = deadline_wall_ms
-        for listener in self._listeners:
-            listener(name, deadline_wall_ms)
+        value = item.value if isinstance(item.value, dict) else {}
+        self.learn_leaving(name, int(value.get("deadline_wall_ms", 0)))
--- /dev/null
+++ b/hemlockswitch/process/loads.py
@@ -0,0 +1,158 @@
+"""How busy one backend server is: own requests in progress, and an estimate of all others'."""
+
+import math
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from hemlockswitch.connection.loads import LoadReport
+
+HISTORY_LENGTH = 256
+REPORT_TRUST_MS = 2_000.0
+OLDEST_REPORT_MS = 10_000.0
+ROUND_TRIPS_KEPT = 16
+
+
+@dataclass(frozen=True)
+class Ticket:
+    """One request of this daemon in progress at a backend server."""
+
+    identifier: str
+    server_name: str
+    prompt_tokens: int
+    begun_ms: float
+
+
+@dataclass(frozen=True)
+class Others:
+    """Estimate of what daemons other than this one have in progress at a server."""
+
+    requests: float = 0.0
+    prefill_tokens: float = 0.0
+
+
+@dataclass(frozen=True)
+class _Reading:
+    """A load report, set against this daemon's own count at the time it was measured."""
+
+    report: LoadReport
+    measured_ms: float
+    others: Others
+
+
+@dataclass
+class ServerLoad:
+    """The load of one backend server as this daemon sees it."""
+
+    tickets: dict[str, Ticket] = field(default_factory=dict)
+    waiting: dict[str, Ticket] = field(default_factory=dict)
+    _reading: _Reading | None = None
+    _history: deque[tuple[float, int, int]] = field(
+        default_factory=lambda: deque(maxlen=HISTORY_LENGTH)
+    )
+    _round_trips_ms: deque[float] = field(default_factory=lambda: deque(maxlen=ROUND_TRIPS_KEPT))
+
+    @property
+    def report(self) -> LoadReport | None:
+        """The newest report, or None."""
+        return self._reading.report if self._reading else None
+
+    @property
+    def own_prefill_tokens(self) -> int:
+        """Prompt tokens of own requests that have no first token yet."""
+        return sum(ticket.prompt_tokens for ticket in self.waiting.values())
+
+    @property
+    def distance_ms(self) -> float:
+        """One way to the server, from the fastest of the last exchanges."""
+        return min(self._round_trips_ms, default=0.0) / 2
+
+    def begin(self, ticket: Ticket) -> None:
+        """Count a request as in progress."""
+        self.tickets[ticket.identifier] = ticket
+        self.waiting[ticket.identifier] = ticket
+        self._note(ticket.begun_ms)
+
+    def note_first_token(self, ticket: Ticket, now_ms: float) -> None:
+        """Count a request's prompt as computed."""
+        if self.waiting.pop(ticket.identifier, None) is not None:
+            self._note(now_ms)
+
+    def end(self, ticket: Ticket, now_ms: float) -> bool:
+        """Count a request as over; return False when it was over already."""
+        if self.tickets.pop(ticket.identifier, None) is None:
+            return False
+        self.waiting.pop(ticket.identifier, None)
+        self._note(now_ms)
+        return True
+
+    def record(self, report: LoadReport, now_ms: float, round_trip_ms: float) -> None:
+        """Keep a load report that arrived now."""
+        self._round_trips_ms.append(round_trip_ms)
+        measured_ms = now_ms - report.age_ms - round_trip_ms / 2
+        own_requests, own_prefill = self._find_own(measured_ms)
+        others = Others(
+            max(report.running + report.waiting - own_requests, 0),
+            max(report.prefill_backlog - own_prefill, 0),
+        )
+        self._reading = _Reading(report, measured_ms, others)
+
+    def estimate_others(self, now_ms: float, typical: Others) -> Others:
+        """Return the others' part now.
+
+        Explanation
+        ===========
+
+        The older a report, the less it says of this server and the more the servers are alike:
+        the estimate moves from the report to `typical`, the mean over the target's servers. A
+        server that seemed idle some time ago does not draw everybody's work.
+        """
+        if self._reading is None:
+            return typical
+        age_ms = now_ms - self._reading.measured_ms
+        if age_ms > OLDEST_REPORT_MS:
+            return typical
+        trust = math.exp(-age_ms / REPORT_TRUST_MS)
+        known = self._reading.others
+        return Others(
+            trust * known.requests + (1 - trust) * typical.requests,
+            trust * known.prefill_tokens + (1 - trust) * typical.prefill_tokens,
+        )
+
+    def find_reported_others(self, now_ms: float) -> Others | None:
+        """Return the others' part as last reported, or None when that is too old."""
+        if self._reading is None or now_ms - self._reading.measured_ms > OLDEST_REPORT_MS:
+            return None
+        return self._reading.others
+
+    def _note(self, now_ms: float) -> None:
+        self._history.append((now_ms, len(self.tickets), self.own_prefill_tokens))
+
+    def _find_own(self, at_ms: float) -> tuple[int, int]:
+        """Return own requests and prompt tokens in progress at a past time."""
+        for then_ms, requests, prefill_tokens in reversed(self._history):
+            if then_ms <= at_ms:
+                return requests, prefill_tokens
+        if len(self._history) == HISTORY_LENGTH:
+            _, requests, prefill_tokens = self._history[0]
+            return requests, prefill_tokens
+        return 0, 0
+
+
+def average_others(loads: Mapping[str, ServerLoad], now_ms: float) -> Others:
+    """Return the mean of the others' parts over the servers that reported lately.
+
+    Examples
+    ========
+
+    >>> average_others({}, 0)
+    Others(requests=0.0, prefill_tokens=0.0)
+    """
+    reported = [load.find_reported_others(now_ms) for load in loads.values()]
+    known = [others for others in reported if others is not None]
+    if not known:
+        return Others()
+    return Others(
+        sum(others.requests for others in known) / len(known),
+        sum(others.prefill_tokens for others in known) / len(known),
+    )
--- /dev/null
+++ b/hemlockswitch/process/subsets.py
@@ -0,0 +1,75 @@
+"""The stable subset of a zone's backend servers that one daemon uses."""
+
+import math
+from collections.abc import Collection
+
+from hemlockswitch.core.identifiers import hash_stable
+
+SUBSET_SIZE = 32
+
+
+class Subset:
+    """Which of a zone's servers this daemon uses, where they are too many to use all.
+
+    Explanation
+    ===========
+
+    Each server takes the first ``n`` daemons of its own rendezvous order, ``n`` being the same
+    for all, so every server is used by equally many daemons. (If each daemon took the first
+    servers of its order, some servers would get no daemon at all.) A daemon that goes is
+    replaced at its own servers only, and a server that comes changes nothing else.
+
+    Ranks are kept, so a change of one daemon costs one hash a server, not one for each pair.
+
+    Parameters
+    ==========
+
+    own_name : this daemon.
+    size : servers that a daemon uses on average; with no more than these, it uses all.
+
+    Examples
+    ========
+
+    >>> subset = Subset("entry-1", size=2)
+    >>> sorted(subset.update({"entry-1", "entry-2"}, {"a", "b"}))
+    ['a', 'b']
+    """
+
+    def __init__(self, own_name: str, size: int = SUBSET_SIZE) -> None:
+        self._own_name = own_name
+        self._size = size
+        self._members: frozenset[str] = frozenset()
+        self._ranks: dict[str, int] = {}
+
+    def update(self, members: Collection[str], servers: Collection[str]) -> set[str]:
+        """Return the servers to use, given the zone's live daemons and live servers."""
+        others = frozenset(members) - {self._own_name}
+        self._follow_members(others)
+        self._follow_servers(servers)
+        if len(servers) <= self._size:
+            return set(servers)
+        daemons = len(others) + 1
+        takers = math.ceil(self._size * daemons / len(servers))
+        return {server for server, rank in self._ranks.items() if rank < takers}
+
+    def _follow_members(self, others: frozenset[str]) -> None:
+        come = others - self._members
+        gone = self._members - others
+        for server, rank in self._ranks.items():
+            own_weight = self._weigh(server, self._own_name)
+            rank += sum(self._weigh(server, name) > own_weight for name in come)
+            rank -= sum(self._weigh(server, name) > own_weight for name in gone)
+            self._ranks[server] = rank
+        self._members = others
+
+    def _follow_servers(self, servers: Collection[str]) -> None:
+        for server in set(self._ranks) - set(servers):
+            del self._ranks[server]
+        for server in set(servers) - set(self._ranks):
+            own_weight = self._weigh(server, self._own_name)
+            ahead = sum(self._weigh(server, name) > own_weight for name in self._members)
+            self._ranks[server] = ahead
+
+    @staticmethod
+    def _weigh(server: str, daemon: str) -> int:
+        return hash_stable(f"{server}\0{daemon}")
--- /dev/null
+++ b/hemlockswitch/request/choices.py
@@ -0,0 +1,120 @@
+"""Rules that pick one of the backend servers that could take a request."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Protocol
+
+from hemlockswitch.core.identifiers import rank_rendezvous
+from hemlockswitch.version.backend import BackendServer
+
+
+@dataclass(frozen=True)
+class Scored:
+    """A candidate with its prediction.
+
+    Parameters
+    ==========
+
+    server : the backend server.
+    first_token_ms : predicted time to the first token.
+    requests : estimate of all requests in progress there.
+    uncached_tokens : prompt tokens that it would have to compute.
+    """
+
+    server: BackendServer
+    first_token_ms: float
+    requests: float
+    uncached_tokens: int
+
+
+class Wanted(Protocol):
+    """What a rule needs to know of the request."""
+
+    @property
+    def target(self) -> str:
+        """Name of the model or service."""
+
+    @property
+    def prefix_blocks(self) -> tuple[int, ...]:
+        """Hashes of the prompt's leading blocks."""
+
+
+class Choice:
+    """Base of the rules; each holds its numbers."""
+
+
+@dataclass(frozen=True)
+class PredictedTime(Choice):
+    """The earliest predicted first token; among near ones the cheaper, then the prefix's home.
+
+    Parameters
+    ==========
+
+    margin_share : predictions within this share of the best count as equal,
+    margin_ms : and so do those within this time.
+    affinity_blocks : leading blocks that decide a prefix's home.
+    most_over_mean : a server with more than this many times the mean number of requests is
+        taken only when all others are far later, so that a popular prefix does not swamp it.
+    """
+
+    margin_share: float = 0.1
+    margin_ms: float = 5.0
+    affinity_blocks: int = 8
+    most_over_mean: float = 1.5
+
+
+@singledispatch
+def pick(choice: Choice, scored: Sequence[Scored], wanted: Wanted, chance: random.Random) -> Scored:
+    """Return the candidate that the rule `choice` takes.
+
+    Parameters
+    ==========
+
+    choice : the rule.
+    scored : at least one candidate.
+    wanted : the request.
+    chance : source of random numbers.
+    """
+    raise NotImplementedError(type(choice).__name__)
+
+
+@pick.register
+def _pick_predicted(
+    choice: PredictedTime, scored: Sequence[Scored], wanted: Wanted, chance: random.Random
+) -> Scored:
+    bounded = drop_swamped(scored, choice.most_over_mean)
+    best_ms = min(one.first_token_ms for one in bounded)
+    latest_ms = best_ms * (1 + choice.margin_share) + choice.margin_ms
+    near = [one for one in bounded if one.first_token_ms <= latest_ms]
+    cheapest = min(one.server.price_per_hour for one in near)
+    cheap = [one for one in near if one.server.price_per_hour <= cheapest]
+    if not wanted.prefix_blocks:
+        return min(cheap, key=lambda one: (one.requests, chance.random()))
+    return find_home(cheap, wanted, choice.affinity_blocks)
+
+
+def drop_swamped(scored: Sequence[Scored], most_over_mean: float) -> list[Scored]:
+    """Return the candidates whose requests are not far over the mean; never none.
+
+    Examples
+    ========
+
+    >>> server = BackendServer("llm-1", "marka-hall", "127.0.0.1:1", "assistant-llm")
+    >>> counts = [9, 1, 1]
+    >>> kept = drop_swamped([Scored(server, 0, count, 0) for count in counts], 1.5)
+    >>> [one.requests for one in kept]
+    [1, 1]
+    """
+    mean = sum(one.requests for one in scored) / len(scored)
+    most = most_over_mean * mean + 1
+    return [one for one in scored if one.requests <= most]
+
+
+def find_home(scored: Sequence[Scored], wanted: Wanted, affinity_blocks: int) -> Scored:
+    """Return the candidate that every daemon prefers for the request's leading blocks."""
+    by_name = {one.server.name: one for one in scored}
+    leading = wanted.prefix_blocks[:affinity_blocks]
+    key = f"{wanted.target}:{leading[-1] if leading else 0}"
+    return by_name[rank_rendezvous(key, by_name)[0]]
--- a/hemlockswitch/request/prefixes.py
+++ b/hemlockswitch/request/prefixes.py
@@ -3,11 +3,11 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
-import xxhash
+from hemlockswitch.core.identifiers import hash_stable
 
 BLOCK_TOKENS = 16
 MAX_BLOCKS = 512
-REMEMBERED_BLOCKS = 20_000
+REMEMBERED_BLOCKS = 4_096
 
 
 def count_tokens(text: str) -> int:
@@ -29,7 +29,8 @@
     ===========
 
     Each hash covers its block and all before it, so two prompts share the first ``n`` hashes
-    exactly when they share the first ``n`` blocks. A last block that is not full is left out.
+    exactly when they share the first ``n`` blocks. A last block that is not full is left out,
+    and so are blocks past `MAX_BLOCKS`, which bounds the work for a long prompt.
 
     Examples
     ========
@@ -46,7 +47,7 @@
     previous = 0
     for number in range(whole):
         block = " ".join(words[number * BLOCK_TOKENS : (number + 1) * BLOCK_TOKENS])
-        previous = xxhash.xxh3_64_intdigest(block.encode(), seed=previous)
+        previous = hash_stable(f"{previous:016x} {block}")
         hashes.append(previous)
     return tuple(hashes)
 
@@ -54,10 +55,16 @@
 class PrefixMemory:
     """Which leading blocks were lately sent to which backend server, bounded in size.
 
+    Explanation
+    ===========
+
+    An engine keeps the blocks used last, as this memory does, so what is remembered here is
+    probably still there. Where an answer says that less was cached, `forget_beyond` corrects it.
+
     Parameters
     ==========
 
-    capacity : number of (block, server) pairs kept; the least lately used go first.
+    capacity : number of blocks kept for each server; the least lately used go first.
 
     Examples
     ========
@@ -72,22 +79,35 @@
 
     def __init__(self, capacity: int = REMEMBERED_BLOCKS) -> None:
         self._capacity = capacity
-        self._pairs: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._blocks: dict[str, OrderedDict[int, None]] = {}
 
     def remember(self, server_name: str, blocks: Sequence[int]) -> None:
         """Note that a prompt with these leading blocks went to the server."""
+        kept = self._blocks.setdefault(server_name, OrderedDict())
         for block in reversed(blocks):
-            pair = (server_name, block)
-            self._pairs[pair] = None
-            self._pairs.move_to_end(pair)
-        while len(self._pairs) > self._capacity:
-            self._pairs.popitem(last=False)
+            kept[block] = None
+            kept.move_to_end(block)
+        while len(kept) > self._capacity:
+            kept.popitem(last=False)
 
     def count_cached(self, server_name: str, blocks: Sequence[int]) -> int:
         """Return how many leading tokens the server probably still has in its cache."""
+        kept = self._blocks.get(server_name) or ()
         matched = 0
         for block in blocks:
-            if (server_name, block) not in self._pairs:
+            if block not in kept:
                 break
             matched += 1
         return matched * BLOCK_TOKENS
+
+    def forget_beyond(self, server_name: str, blocks: Sequence[int], cached_tokens: int) -> None:
+        """Forget the blocks after the first `cached_tokens`, which the server did not have."""
+        kept = self._blocks.get(server_name)
+        if kept is None:
+            return
+        for block in blocks[cached_tokens // BLOCK_TOKENS :]:
+            kept.pop(block, None)
+
+    def forget_server(self, server_name: str) -> None:
+        """Forget all that was sent to a server that is no more."""
+        self._blocks.pop(server_name, None)
--- a/hemlockswitch/request/routing.py
+++ b/hemlockswitch/request/routing.py
@@ -1,19 +1,17 @@
 """The choice of a backend server for one request, by predicted time to the first token."""
 
-from collections.abc import Sequence
+import random
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from hemlockswitch.core.errors import ErrorKind, RequestError
-from hemlockswitch.core.identifiers import rank_rendezvous
+from hemlockswitch.request.choices import Choice, PredictedTime, Scored, pick
 from hemlockswitch.request.prefixes import PrefixMemory
 from hemlockswitch.version.backend import BackendServer
 
-DEFAULT_TARGET_MS = 830
-PATIENCE = 4.0
-AFFINITY_BLOCKS = 4
-TIE_SHARE = 0.1
-TIE_MS = 5.0
+PATIENCE_BY_PRIORITY = (6.0, 4.0, 2.0)
+RETRY_SPREAD = 0.25
 MS_PER_SECOND = 1_000
 
 
@@ -42,6 +40,21 @@
     deadline_ms: float | None = None
 
 
+@dataclass(frozen=True)
+class TargetTraits:
+    """What the configuration in force wants of a model or service.
+
+    Parameters
+    ==========
+
+    first_token_ms : wanted time to the first token, or to the answer of a service.
+    slots : requests that one copy works on at once, where it reports no number itself.
+    """
+
+    first_token_ms: float = 830.0
+    slots: int = 16
+
+
 @dataclass(frozen=True)
 class Candidate:
     """A backend server that may get new work, with what is known of its load.
@@ -52,20 +65,18 @@
     server : the backend server.
     own_requests : requests of this daemon in progress there.
     other_requests : estimate of the requests of all others there.
-    own_prefill_tokens : prompt tokens of own requests that have no first token yet.
-    other_waiting : estimate of others' requests that have no slot yet.
-    slots : requests that it works on at once.
+    prefill_tokens : estimate of the prompt tokens that it has still to compute.
+    slots : requests that it works on at once; 0 when it did not say.
     prefill_tokens_per_s : speed of computing prompt tokens.
     service_ms : mean time that a request holds its slot.
-    distance_ms : one way to its zone.
+    distance_ms : one way to it.
     """
 
     server: BackendServer
     own_requests: int = 0
     other_requests: float = 0.0
-    own_prefill_tokens: int = 0
-    other_waiting: float = 0.0
-    slots: int = 16
+    prefill_tokens: float = 0.0
+    slots: int = 0
     prefill_tokens_per_s: float = 4_000.0
     service_ms: float = 1_000.0
     distance_ms: float = 0.0
@@ -77,6 +88,9 @@
     def list_candidates(self, target: str) -> Sequence[Candidate]:
         """Return the servers for `target` that may get new work."""
 
+    def count_waiting(self) -> int:
+        """Return the number of this daemon's requests without a first token."""
+
 
 class Router:
     """Chooses the backend server with the earliest predicted first token.
@@ -85,13 +99,30 @@
     ==========
 
     source : who knows the backend servers.
-    find_target_ms : gives the wanted time to the first token of a model or service.
+    find_traits : gives what is wanted of a model or service.
+    queue_length : most requests of this daemon that may wait for a first token at once.
+    choice : the rule that picks one of the scored candidates.
+    await_facts : called before each choice; waits, bounded, when the facts are known to be old.
+    chance : source of random numbers.
     """
 
-    def __init__(self, source: CandidateSource, find_target_ms=lambda target: DEFAULT_TARGET_MS):
+    def __init__(
+        self,
+        source: CandidateSource,
+        find_traits: Callable[[str], TargetTraits] = lambda target: TargetTraits(),
+        *,
+        queue_length: int = 256,
+        choice: Choice | None = None,
+        await_facts: Callable[[], None] = lambda: None,
+        chance: random.Random | None = None,
+    ) -> None:
         self._source = source
-        self._find_target_ms = find_target_ms
-        self._memory = PrefixMemory()
+        self._find_traits = find_traits
+        self.queue_length = queue_length
+        self._choice = choice or PredictedTime()
+        self._await_facts = await_facts
+        self._chance = chance or random.Random()
+        self.memory = PrefixMemory()
 
     def choose(self, need: Need) -> BackendServer:
         """Return the server for `need` and remember what its cache will hold.
@@ -102,52 +133,94 @@
         RequestError : `NO_BACKEND` when no server may take it, `OVERLOADED` with a time to come
             back when every server would start it too late. Nothing was sent.
         """
-        candidates = [
-            candidate
-            for candidate in self._source.list_candidates(need.target)
+        self._await_facts()
+        traits = self._find_traits(need.target)
+        scored = self._score_all(need, traits)
+        best_ms = min(one.first_token_ms for one in scored)
+        self._refuse_late(need, best_ms, traits)
+        chosen = pick(self._choice, scored, need, self._chance)
+        self.memory.remember(chosen.server.name, need.prefix_blocks)
+        return chosen.server
+
+    def count_uncached(self, server_name: str, need: Need) -> int:
+        """Return the prompt tokens that the server would probably have to compute."""
+        cached = self.memory.count_cached(server_name, need.prefix_blocks)
+        return max(need.prompt_tokens - cached, 0)
+
+    def note_cached(self, server_name: str, need: Need, cached_tokens: int) -> None:
+        """Correct the memory by what the engine says it had cached."""
+        expected = self.memory.count_cached(server_name, need.prefix_blocks)
+        if cached_tokens < expected:
+            self.memory.forget_beyond(server_name, need.prefix_blocks, cached_tokens)
+
+    def _score_all(self, need: Need, traits: TargetTraits) -> list[Scored]:
+        candidates = self._source.list_candidates(need.target)
+        scored = [
+            self._score(candidate, need, traits)
+            for candidate in candidates
             if candidate.server.name not in need.exclude
         ]
-        if not candidates:
+        if not scored:
             raise RequestError(ErrorKind.NO_BACKEND, f"no backend server for {need.target}")
-        times = {
-            candidate.server.name: self.predict_first_token_ms(candidate, need)
-            for candidate in candidates
-        }
-        best_ms = min(times.values())
-        self._refuse_late(need, best_ms)
-        margin_ms = best_ms * (1 + TIE_SHARE) + TIE_MS
-        near = [one.server for one in candidates if times[one.server.name] <= margin_ms]
-        chosen = self._break_tie(need, near)
-        self._memory.remember(chosen.name, need.prefix_blocks)
-        return chosen
-
-    def predict_first_token_ms(self, candidate: Candidate, need: Need) -> float:
-        """Return the time until the first token if `need` went to `candidate` now."""
-        cached = self._memory.count_cached(candidate.server.name, need.prefix_blocks)
-        prefill_tokens = max(need.prompt_tokens - cached, 0) + candidate.own_prefill_tokens
-        prefill_ms = prefill_tokens / candidate.prefill_tokens_per_s * MS_PER_SECOND
-        ahead = candidate.own_requests + candidate.other_requests
-        beyond = max(ahead + 1 - candidate.slots, 0)
-        queue_ms = beyond / candidate.slots * candidate.service_ms
-        return queue_ms + prefill_ms + 2 * candidate.distance_ms
-
-    def _refuse_late(self, need: Need, best_ms: float) -> None:
-        allowed_ms = self._find_target_ms(need.target) * PATIENCE
+        return scored
+
+    def _score(self, candidate: Candidate, need: Need, traits: TargetTraits) -> Scored:
+        uncached = self.count_uncached(candidate.server.name, need)
+        return Scored(
+            server=candidate.server,
+            first_token_ms=predict_first_token_ms(candidate, uncached, traits.slots),
+            requests=candidate.own_requests + candidate.other_requests,
+            uncached_tokens=uncached,
+        )
+
+    def _refuse_late(self, need: Need, best_ms: float, traits: TargetTraits) -> None:
+        """Refuse a request that would begin too late, saying when the queue will have shrunk."""
+        step = min(max(need.priority, 0), len(PATIENCE_BY_PRIORITY) - 1)
+        allowed_ms = traits.first_token_ms * PATIENCE_BY_PRIORITY[step]
         if need.deadline_ms is not None:
             allowed_ms = min(allowed_ms, need.deadline_ms)
-        if best_ms > allowed_ms:
-            raise RequestError(
-                ErrorKind.OVERLOADED,
-                f"every backend server for {need.target} would start too late",
-                retry_after_ms=int(best_ms - allowed_ms) + 1,
-            )
-
-    def _break_tie(self, need: Need, near: Sequence[BackendServer]) -> BackendServer:
-        cheapest = min(server.price_per_hour for server in near)
-        names = {server.name: server for server in near if server.price_per_hour <= cheapest}
-        if not need.prefix_blocks:
-            key = f"{need.target}:{need.prompt_tokens}:{need.max_tokens}"
-        else:
-            leading = need.prefix_blocks[:AFFINITY_BLOCKS]
-            key = str(leading[-1])
-        return names[rank_rendezvous(key, names)[0]]
+        full = self._source.count_waiting() >= self.queue_length
+        if best_ms <= allowed_ms and not full:
+            return
+        wait_ms = max(best_ms - allowed_ms, best_ms / 2 if full else 0, 1)
+        spread = 1 + RETRY_SPREAD * self._chance.random()
+        raise RequestError(
+            ErrorKind.OVERLOADED,
+            f"every backend server for {need.target} would begin too late",
+            retry_after_ms=int(wait_ms * spread) + 1,
+        )
+
+
+def predict_first_token_ms(candidate: Candidate, uncached_tokens: int, slots: int) -> float:
+    """Return the time until the first token if a request went to `candidate` now.
+
+    Explanation
+    ===========
+
+    With all slots taken, a slot becomes free every ``service_ms / slots``, and the request is
+    behind those that wait already. Then its prompt is computed behind the prompts that are being
+    computed. The way there and back comes on top.
+
+    Parameters
+    ==========
+
+    candidate : the server and its load.
+    uncached_tokens : prompt tokens of the request that are not in its cache.
+    slots : slots to assume when the server did not say.
+
+    Examples
+    ========
+
+    >>> server = BackendServer("llm-1", "marka-hall", "127.0.0.1:1", "assistant-llm")
+    >>> predict_first_token_ms(Candidate(server, prefill_tokens=400), 400, 16)
+    200.0
+    >>> predict_first_token_ms(Candidate(server, own_requests=19, slots=16), 0, 16)
+    250.0
+    """
+    slots = candidate.slots or slots
+    ahead = candidate.own_requests + candidate.other_requests
+    behind = max(ahead + 1 - slots, 0)
+    queue_ms = behind * candidate.service_ms / slots
+    prefill_tokens = uncached_tokens + candidate.prefill_tokens
+    prefill_ms = prefill_tokens * MS_PER_SECOND / candidate.prefill_tokens_per_s
+    return queue_ms + prefill_ms + 2 * candidate.distance_ms
