--- a/hemlockswitch/process/backends.py
+++ b/hemlockswitch/process/backends.py
@@ -83,7 +83,7 @@
         self._leaving: dict[str, int] = {}
         self._draining: frozenset[str] = frozenset()
         self._subsets: dict[str, Subset] = {}
-        self._chosen: dict[str, set[str]] = {}
+        self._chosen: dict[str, list[str]] = {}
         self._servers_changed = True
         self._service_ms: dict[str, float] = {}
         self._listeners: list[LeavingListener] = []
@@ -239,7 +239,7 @@
             by_target.setdefault(server.serves, set()).add(server.name)
         for target, names in by_target.items():
             subset = self._subsets.setdefault(target, Subset(self._own_name, self._subset_size))
-            self._chosen[target] = subset.update(members, names)
+            self._chosen[target] = sorted(subset.update(members, names))
 
     def _know(self, name: str) -> _Known:
         return self._known.setdefault(name, _Known())
