Add membership, the failure detector and the spreading of news

Cause: configuration, limits and routing need to know which daemons run and to learn facts soon.

As items they use the same push and the same repair by digests, and "higher version wins" gives the order alive < suspect < leaving < dead within an incarnation.

Ruled out: accusing while hearing nobody. An isolated daemon would bring its accusations along when it heals and every member would have to refute; it now shows the others dead to itself only.

--- /dev/null
+++ b/hemlockswitch/process/membership.py
@@ -0,0 +1,270 @@
+"""Membership: which daemons there are, where, and in what state."""
+
+import contextlib
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+import gevent
+
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
+from hemlockswitch.core.errors import HemlockError, PeerError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.identifiers import rank_rendezvous
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.members import MEMBER_PREFIX, Member, MemberState
+from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.overlay import Links, choose_links
+from hemlockswitch.process.probes import Prober, ProbeTimes
+from hemlockswitch.process.spread import Spread
+
+__all__ = ["Member", "MemberState", "Membership", "ProbeTimes"]
+
+MemberListener = Callable[[Member], None]
+
+SWEEP_MS = 500
+FIRST_JOIN_MS = 200
+LONGEST_JOIN_MS = 5_000
+DISCOVERY_MS = 30_000
+
+
+class Membership:
+    """The members of the system as this daemon knows them.
+
+    Explanation
+    ===========
+
+    Each member is a news item that rises with the member's incarnation and, within one, with its
+    state; `Spread` passes the items on like any other. Only the daemon itself raises its
+    incarnation: when it hears that it is suspect or dead it refutes by a higher one.
+
+    A daemon that has heard nobody for the detection time is isolated. It accuses nobody then, since
+    its silence has one cause; `list_members` reports the others as dead until someone answers.
+
+    Parameters
+    ==========
+
+    own : this daemon; its `peer_address` and `incarnation` are set when it starts.
+    seeds : peer addresses to join by.
+    discover : returns further peer addresses, such as those of the platform's VM list; it may
+        raise a `HemlockError`, and is called seldom.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        board: NewsBoard,
+        network: PeerNetwork,
+        spread: Spread,
+        *,
+        seeds: Iterable[str] = (),
+        discover: Callable[[], list[str]] = list,
+        clock: Clock | None = None,
+        times: ProbeTimes | None = None,
+    ) -> None:
+        self.times = times or ProbeTimes()
+        self.joined = False
+        self._own = own
+        self._board = board
+        self._network = network
+        self._spread = spread
+        self._seeds = tuple(seeds)
+        self._discover = discover
+        self._clock = clock or SystemClock()
+        self._members: dict[str, Member] = {}
+        self._listeners: list[MemberListener] = []
+        self._links: Links | None = None
+        self._suspected_ms: dict[str, float] = {}
+        self._active_ms = 0.0
+        self._prober = self._make_prober()
+        self._tasks: list[gevent.Greenlet] = []
+        board.add_listener(MEMBER_PREFIX, self._learn)
+
+    def _make_prober(self) -> Prober:
+        return Prober(
+            self._own,
+            self._network,
+            self._spread,
+            self.times,
+            self._clock,
+            lambda: self._find_links().probed,
+            lambda: [member for member in self._members.values() if member.is_live],
+            self._suspect,
+        )
+
+    def start(self) -> None:
+        """Announce this daemon, join the others in the background, and begin to probe."""
+        address = self._network.address
+        incarnation = self._clock.wall_ms()
+        self._own = replace(self._own, peer_address=address, incarnation=incarnation)
+        self._board.learn(self._own.to_item())
+        self._spread.start(lambda: self._find_links().neighbours)
+        tasks = (self._join_forever, self._prober.run, self._sweep_forever, self._retry_dead)
+        self._tasks = [gevent.spawn(task) for task in tasks]
+
+    def leave(self) -> None:
+        """Tell the others that this daemon leaves; it takes no new work from now on."""
+        self._own = replace(self._own, state=MemberState.LEAVING)
+        self._board.learn(self._own.to_item())
+
+    def stop(self) -> None:
+        """Tell the others that this daemon has gone, and end the tasks."""
+        gevent.killall(self._tasks, block=False)
+        self._own = replace(self._own, state=MemberState.DEAD)
+        self._board.learn(self._own.to_item())
+        self._spread.stop()
+
+    @property
+    def own(self) -> Member:
+        """This daemon as the others should see it."""
+        return self._own
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether other members are known and none has answered for the detection time."""
+        others = any(one.is_live for one in self._members.values() if one.name != self._own.name)
+        return others and not self._has_heard_since(self.times.detection_ms)
+
+    def _has_heard_since(self, span_ms: float) -> bool:
+        return self._clock.now_ms() - self._prober.last_answer_ms <= span_ms
+
+    def list_members(self, zone: str | None = None) -> list[Member]:
+        """Return the known members, of one zone or of all, this daemon among them."""
+        members = list(self._members.values())
+        if self.is_isolated:
+            members = [self._show_isolated(member) for member in members]
+        return [member for member in members if zone is None or member.zone == zone]
+
+    def list_live(self, zone: str | None = None) -> list[Member]:
+        """Return the members that count as running: alive or suspect."""
+        return [member for member in self.list_members(zone) if member.is_live]
+
+    def list_names(self) -> list[str]:
+        """Return the names of the running members of this daemon's zone."""
+        return [member.name for member in self.list_live(self._own.zone)]
+
+    def add_listener(self, listener: MemberListener) -> None:
+        """Call `listener` with each member whose state or incarnation changed.
+
+        A listener must return at once.
+        """
+        self._listeners.append(listener)
+
+    def _show_isolated(self, member: Member) -> Member:
+        if member.name == self._own.name:
+            return member
+        return replace(member, state=max(member.state, MemberState.DEAD))
+
+    def _find_links(self) -> Links:
+        if self._links is None:
+            live = [member for member in self._members.values() if member.is_live]
+            if self._own.name not in {member.name for member in live}:
+                live.append(self._own)
+            self._links = choose_links(self._own, live)
+        return self._links
+
+    def _learn(self, item: NewsItem) -> None:
+        member = Member.from_item(item)
+        if member.name == self._own.name and member != self._own:
+            self._refute(member)
+            return
+        before = self._members.get(member.name)
+        self._members[member.name] = member
+        self._note_suspicion(member)
+        if before is None or before.is_live != member.is_live or before != member:
+            self._links = None
+        if before is None or before.state != member.state:
+            log_event(Event.MEMBER_CHANGED, member=member.name, state=member.state.name.lower())
+        for listener in self._listeners:
+            listener(member)
+
+    def _note_suspicion(self, member: Member) -> None:
+        if member.state is MemberState.SUSPECT:
+            self._suspected_ms[member.name] = self._active_ms
+        else:
+            self._suspected_ms.pop(member.name, None)
+
+    def _refute(self, heard: Member) -> None:
+        incarnation = max(self._clock.wall_ms(), heard.incarnation + 1)
+        self._own = replace(self._own, incarnation=incarnation)
+        log_event(Event.MEMBERSHIP_REFUTED, "warning", heard=heard.state.name.lower())
+        self._board.learn(self._own.to_item())
+
+    def _suspect(self, silent: list[Member]) -> None:
+        if len(silent) > 1:
+            log_event(Event.ZONE_SUSPECTED, "warning", zone=silent[0].zone, members=len(silent))
+        for member in silent:
+            known = self._members.get(member.name)
+            if known is not None and known.state is MemberState.ALIVE:
+                self._board.learn(replace(known, state=MemberState.SUSPECT).to_item())
+
+    def _sweep_forever(self) -> None:
+        last_ms = self._clock.now_ms()
+        while True:
+            gevent.sleep(SWEEP_MS / MS_PER_SECOND)
+            now_ms = self._clock.now_ms()
+            # A pause of this process is not time in which a suspect could have refuted.
+            self._active_ms += min(now_ms - last_ms, 2 * SWEEP_MS)
+            last_ms = now_ms
+            self._spread.forget_tombstones()
+            if self._has_heard_since(self.times.suspicion_ms):
+                self._end_suspicions()
+
+    def _end_suspicions(self) -> None:
+        probed = {member.name for member in self._find_links().probed}
+        for name, since_ms in list(self._suspected_ms.items()):
+            # Those that probe it speak first; the others only if all of them have gone as well.
+            wait_ms = self.times.suspicion_ms * (1 if name in probed else 2)
+            if self._active_ms - since_ms >= wait_ms:
+                self._board.learn(replace(self._members[name], state=MemberState.DEAD).to_item())
+
+    def _retry_dead(self) -> None:
+        while True:
+            gevent.sleep(self.times.retry_dead_ms * random.uniform(0.5, 1.5) / MS_PER_SECOND)
+            dead = [one for one in self._members.values() if one.state is MemberState.DEAD]
+            if dead:
+                self._try_address(random.choice(dead).peer_address)
+
+    def _join_forever(self) -> None:
+        wait_ms: float = FIRST_JOIN_MS
+        while True:
+            if self._needs_to_join():
+                self._try_candidates()
+                wait_ms = FIRST_JOIN_MS if self.joined else min(wait_ms * 2, LONGEST_JOIN_MS)
+            elif self._is_first_of_zone():
+                wait_ms = DISCOVERY_MS
+                self._try_candidates()
+            else:
+                wait_ms = DISCOVERY_MS
+            gevent.sleep(wait_ms * random.uniform(0.75, 1.25) / MS_PER_SECOND)
+
+    def _needs_to_join(self) -> bool:
+        return len(self.list_live()) < 2
+
+    def _is_first_of_zone(self) -> bool:
+        return rank_rendezvous(self._own.zone, self.list_names())[:1] == [self._own.name]
+
+    def _try_candidates(self) -> None:
+        known = {member.peer_address for member in self.list_live()}
+        for address in self._list_candidates():
+            if address not in known:
+                self._try_address(address)
+
+    def _list_candidates(self) -> list[str]:
+        candidates = list(self._seeds)
+        # The platform may be down; the seeds stay, and the next round asks it again.
+        with contextlib.suppress(HemlockError):
+            candidates += self._discover()
+        random.shuffle(candidates)
+        return [address for address in candidates if address != self._own.peer_address]
+
+    def _try_address(self, address: str) -> None:
+        try:
+            self._spread.repair(address)
+        except PeerError:
+            return
+        self._prober.last_answer_ms = self._clock.now_ms()
+        if not self.joined:
+            self.joined = True
+            log_event(Event.MEMBERSHIP_JOINED, through=address)
--- a/hemlockswitch/process/news.py
+++ b/hemlockswitch/process/news.py
@@ -15,11 +15,14 @@
     key : what it is about, such as ``vm/llm-1``, ``notice/llm-1`` or ``revision``.
     version : rises with each change of the fact; the platform's version where it has one.
     value : msgpack-ready content.
+    tombstone : the last word on its key, kept for a time so that older items do not come back,
+        then forgotten; it is not part of the digests that daemons compare.
     """
 
     key: str
     version: int
     value: Any
+    tombstone: bool = False
 
 
 Listener = Callable[[NewsItem], None]
@@ -68,6 +71,10 @@
                 listener(item)
         return True
 
+    def forget(self, key: str) -> None:
+        """Drop the item for `key` without telling the listeners."""
+        self._items.pop(key, None)
+
     def find(self, key: str) -> NewsItem | None:
         """Return the newest item for `key`, or None."""
         return self._items.get(key)
--- /dev/null
+++ b/hemlockswitch/process/overlay.py
@@ -0,0 +1,100 @@
+"""Who watches whom and who passes news to whom: dense inside a zone, a few links beyond it.
+
+Every daemon works the links out of the members that it knows; nothing is negotiated. Inside a
+zone the members stand on `RINGS` rings, each in another stable order, and each daemon probes its
+successor on every ring. Two zones of a region, and two regions, are joined by a few pairs of
+members chosen by rendezvous hashing. A member that comes or goes changes only the links next to it.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from hemlockswitch.core.identifiers import hash_stable, rank_rendezvous
+from hemlockswitch.process.members import Member
+
+RINGS = 3
+ZONE_LINKS = 2
+REGION_LINKS = 3
+
+
+@dataclass(frozen=True)
+class Links:
+    """A daemon's links.
+
+    Parameters
+    ==========
+
+    probed : members that this daemon probes.
+    neighbours : members to which it passes news: those that it probes and those that probe it.
+    """
+
+    probed: tuple[Member, ...] = ()
+    neighbours: tuple[Member, ...] = ()
+
+
+def choose_links(own: Member, members: Iterable[Member]) -> Links:
+    """Return the links of `own` among `members`.
+
+    Examples
+    ========
+
+    >>> people = [Member(f"d{n}", "hall", "", "", "") for n in range(20)]
+    >>> links = choose_links(people[0], people)
+    >>> 1 <= len(links.probed) <= RINGS and len(links.neighbours) <= 2 * RINGS
+    True
+    """
+    zones: dict[str, list[Member]] = defaultdict(list)
+    regions: dict[str, list[Member]] = defaultdict(list)
+    for member in members:
+        zones[member.zone].append(member)
+        regions[member.region].append(member)
+    after, before = _choose_ring_links(own, zones[own.zone])
+    beyond = _choose_pair_links(own, own.zone, _keep_region(zones, own.region), ZONE_LINKS)
+    beyond += _choose_pair_links(own, own.region, regions, REGION_LINKS)
+    return Links(_drop_repeats(after + beyond), _drop_repeats(after + before + beyond))
+
+
+def _choose_ring_links(own: Member, zone: list[Member]) -> tuple[list[Member], list[Member]]:
+    after: list[Member] = []
+    before: list[Member] = []
+    if len(zone) < 2:
+        return after, before
+    for ring in range(RINGS):
+        order = _order_ring(ring, zone)
+        place = next(place for place, member in enumerate(order) if member.name == own.name)
+        after.append(order[(place + 1) % len(order)])
+        before.append(order[place - 1])
+    return after, before
+
+
+def _order_ring(ring: int, zone: list[Member]) -> list[Member]:
+    return sorted(zone, key=lambda member: hash_stable(f"{ring}\0{member.name}"))
+
+
+def _keep_region(zones: dict[str, list[Member]], region: str) -> dict[str, list[Member]]:
+    return {zone: here for zone, here in zones.items() if here and here[0].region == region}
+
+
+def _choose_pair_links(
+    own: Member, place: str, places: dict[str, list[Member]], count: int
+) -> list[Member]:
+    links = []
+    own_names = [member.name for member in places.get(place, [])]
+    for other, members in places.items():
+        if other == place:
+            continue
+        pair = "\0".join(sorted((place, other)))
+        by_name = {member.name: member for member in members}
+        ours = rank_rendezvous(pair, own_names)[:count]
+        theirs = rank_rendezvous(pair, by_name)[:count]
+        longest = max(len(ours), len(theirs))
+        for rank in range(longest):
+            # The shorter list is used again, so that a small zone has all of its links as well.
+            if ours[rank % len(ours)] == own.name:
+                links.append(by_name[theirs[rank % len(theirs)]])
+    return links
+
+
+def _drop_repeats(members: list[Member]) -> tuple[Member, ...]:
+    return tuple({member.name: member for member in members}.values())
--- /dev/null
+++ b/hemlockswitch/process/probes.py
@@ -0,0 +1,211 @@
+"""The failure detector: probes the linked members, asks others before it suspects anyone."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import gevent
+
+from hemlockswitch.connection.messages import register_message
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import PeerError
+from hemlockswitch.process.members import Member
+from hemlockswitch.process.spread import Spread
+
+
+@register_message("probe")
+@dataclass(frozen=True)
+class Probe:
+    """A heartbeat: the prober's zone and the digest of what it shares with the receiver."""
+
+    zone: str
+    target_zone: str
+    digest: int
+
+
+@register_message("ack")
+@dataclass(frozen=True)
+class Ack:
+    """The answer to a probe: the digest that the answering daemon shares with the prober."""
+
+    digest: int
+
+
+@register_message("probe-for")
+@dataclass(frozen=True)
+class ProbeFor:
+    """Asks the receiver to probe the member at `address` in its place."""
+
+    address: str
+    zone: str
+
+
+@register_message("probed-for")
+@dataclass(frozen=True)
+class ProbedFor:
+    """Whether the member answered."""
+
+    answered: bool
+
+
+@dataclass(frozen=True)
+class ProbeTimes:
+    """The times of the failure detector in milliseconds.
+
+    Parameters
+    ==========
+
+    period_ms : each linked member is probed once in this time.
+    direct_ms : how long a probe waits.
+    indirect_ms : how long the probes through others wait.
+    suspicion_ms : a suspect that does not refute in this time is dead.
+    retry_dead_ms : how often a dead member is tried again.
+    """
+
+    period_ms: float = 1_000
+    direct_ms: float = 500
+    indirect_ms: float = 1_000
+    suspicion_ms: float = 3_000
+    retry_dead_ms: float = 5_000
+
+    @property
+    def detection_ms(self) -> float:
+        """Longest time from a daemon's end until those that probe it call it dead."""
+        sweep_ms = self.period_ms
+        return self.period_ms + self.direct_ms + self.indirect_ms + self.suspicion_ms + sweep_ms
+
+
+HELPERS = 3
+SAMPLE = 3
+PAUSE_FACTOR = 2
+
+
+class Prober:
+    """Probes the linked members each period and reports those that nobody reaches.
+
+    Explanation
+    ===========
+
+    A member that does not answer is probed through helpers: one of its zone, one of ours, one of
+    a third where there is one, so that a lost link alone accuses nobody. When a member of another
+    zone stays silent, a few more of that zone are tried; if none answers the zone as a whole is
+    reported. A round in which this process itself was paused, or heard nobody at all, accuses nobody.
+
+    Parameters
+    ==========
+
+    list_probed : the members to probe.
+    list_live : the members that count as running.
+    report : called with the members that nobody reaches.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        network: PeerNetwork,
+        spread: Spread,
+        times: ProbeTimes,
+        clock: Clock,
+        list_probed: Callable[[], Iterable[Member]],
+        list_live: Callable[[], list[Member]],
+        report: Callable[[list[Member]], None],
+    ) -> None:
+        self.last_answer_ms = clock.now_ms()
+        self._own = own
+        self._network = network
+        self._spread = spread
+        self._times = times
+        self._clock = clock
+        self._list_probed = list_probed
+        self._list_live = list_live
+        self._report = report
+        self._busy: set[str] = set()
+        network.handle(Probe, self._answer_probe, quick=True)
+        network.handle(ProbeFor, self._answer_probe_for)
+
+    def run(self) -> None:
+        """Probe each linked member once a period, spread over the period."""
+        while True:
+            probed = list(self._list_probed())
+            step_ms = self._times.period_ms / max(len(probed), 1)
+            for member in probed:
+                if member.name not in self._busy:
+                    self._busy.add(member.name)
+                    gevent.spawn(self._probe_member, member)
+                gevent.sleep(step_ms / MS_PER_SECOND)
+            if not probed:
+                gevent.sleep(step_ms / MS_PER_SECOND)
+
+    def probe(self, address: str, zone: str, timeout_ms: float) -> bool:
+        """Probe one address and return whether it answered."""
+        digest = self._spread.compute_digest(zone)
+        try:
+            ack = self._network.ask(address, Probe(self._own.zone, zone, digest), timeout_ms)
+        except PeerError:
+            return False
+        self.last_answer_ms = self._clock.now_ms()
+        self._spread.check_digest(address, zone, ack.digest)
+        return True
+
+    def _probe_member(self, member: Member) -> None:
+        try:
+            started_ms = self._clock.now_ms()
+            if self.probe(member.peer_address, member.zone, self._times.direct_ms):
+                return
+            if self._probe_through_others(member):
+                return
+            silent = self._find_silent(member)
+            allowed_ms = self._times.direct_ms + 2 * self._times.indirect_ms
+            paused = self._clock.now_ms() - started_ms > PAUSE_FACTOR * allowed_ms
+            # Where nobody else answered either, the fault may be on this side.
+            heard_others = self.last_answer_ms >= started_ms
+            if heard_others and not paused:
+                self._report(silent)
+        finally:
+            self._busy.discard(member.name)
+
+    def _find_silent(self, member: Member) -> list[Member]:
+        if member.zone == self._own.zone:
+            return [member]
+        others = [one for one in self._list_live() if one.zone == member.zone and one != member]
+        sample = random.sample(others, min(SAMPLE, len(others)))
+        timeout_ms = self._times.direct_ms
+        tasks = [gevent.spawn(self.probe, one.peer_address, one.zone, timeout_ms) for one in sample]
+        gevent.joinall(tasks)
+        return [member] if any(task.value for task in tasks) else [member, *others]
+
+    def _probe_through_others(self, member: Member) -> bool:
+        tasks = [
+            gevent.spawn(self._ask_helper, one, member) for one in self._choose_helpers(member)
+        ]
+        gevent.joinall(tasks)
+        return any(task.value for task in tasks)
+
+    def _ask_helper(self, helper: Member, member: Member) -> bool:
+        message = ProbeFor(member.peer_address, member.zone)
+        try:
+            reply = self._network.ask(helper.peer_address, message, self._times.indirect_ms)
+        except PeerError:
+            return False
+        self.last_answer_ms = self._clock.now_ms()
+        return reply.answered
+
+    def _choose_helpers(self, member: Member) -> list[Member]:
+        others = [one for one in self._list_live() if one.name not in (member.name, self._own.name)]
+        random.shuffle(others)
+        chosen: dict[str, Member] = {}
+        for one in others:
+            place = one.zone if one.zone in (member.zone, self._own.zone) else ""
+            chosen.setdefault(place, one)
+        for one in others:
+            if len(chosen) >= HELPERS:
+                break
+            chosen.setdefault(one.name, one)
+        return list({one.name: one for one in chosen.values()}.values())
+
+    def _answer_probe(self, sender: str, probe: Probe) -> Ack:
+        return Ack(self._spread.compute_digest(probe.zone))
+
+    def _answer_probe_for(self, sender: str, message: ProbeFor) -> ProbedFor:
+        return ProbedFor(self.probe(message.address, message.zone, self._times.direct_ms))
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,180 @@
+"""Membership in one process: daemons on loopback with short times, links cut at will."""
+
+from contextlib import ExitStack
+
+import gevent
+import pytest
+
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.errors import ErrorKind, PeerError
+from hemlockswitch.process.members import Member, MemberState
+from hemlockswitch.process.membership import Membership, ProbeTimes
+from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.overlay import choose_links
+from hemlockswitch.process.spread import Spread
+
+TIMES = ProbeTimes(100, 80, 150, 300, 200)
+
+
+class CutNetwork(PeerNetwork):
+    """A network whose links to some addresses are cut."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.cut = set()
+
+    def _find_link(self, address):
+        if address in self.cut:
+            raise PeerError(ErrorKind.PEER_UNAVAILABLE, "cut")
+        return super()._find_link(address)
+
+
+class Daemon:
+    def __init__(self, name, zone, seeds=()):
+        self.network = CutNetwork("test", name)
+        self.address = self.network.start()
+        self.board = NewsBoard()
+        self.spread = Spread(self.board, self.network, zone, zone_prefixes=("vm/",))
+        own = Member(name, zone, "", "", "")
+        self.membership = Membership(
+            own, self.board, self.network, self.spread, seeds=seeds, times=TIMES
+        )
+        self.membership.start()
+
+    def see(self):
+        return {one.name: one.state for one in self.membership.list_members() if one.is_live}
+
+    def crash(self):
+        gevent.killall(self.membership._tasks, block=False)
+        self.spread._task.kill(block=False)
+        self.network.stop()
+
+
+@pytest.fixture
+def start_daemons():
+    with ExitStack() as stack:
+
+        def start(*zones, seeds=()):
+            daemons = []
+            for number, zone in enumerate(zones):
+                first = tuple(daemon.address for daemon in daemons[:1]) or seeds
+                daemon = Daemon(f"{zone}-{number}", zone, first)
+                stack.callback(daemon.crash)
+                daemons.append(daemon)
+            return daemons
+
+        yield start
+
+
+def wait_until(condition, timeout_s=15):
+    with gevent.Timeout(timeout_s):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+def wait_all_see(daemons, count):
+    wait_until(lambda: all(len(daemon.see()) == count for daemon in daemons))
+
+
+def cut(left, right):
+    for one in left:
+        one.network.cut |= {other.address for other in right}
+    for one in right:
+        one.network.cut |= {other.address for other in left}
+
+
+def heal(daemons):
+    for daemon in daemons:
+        daemon.network.cut.clear()
+
+
+def test_daemons_join_by_one_seed_and_learn_each_others_news(start_daemons):
+    daemons = start_daemons("a", "a", "a", "b", "b", "b")
+    wait_all_see(daemons, 6)
+    daemons[0].board.learn(NewsItem("revision", 7, "content"))
+    daemons[0].board.learn(NewsItem("vm/llm-1", 1, "live"))
+    wait_until(lambda: all(daemon.board.find("revision") for daemon in daemons))
+    wait_until(lambda: all(daemon.board.find("vm/llm-1") for daemon in daemons[:3]))
+    assert not any(daemon.board.find("vm/llm-1") for daemon in daemons[3:])
+
+
+def test_a_crashed_daemon_is_dead_everywhere(start_daemons):
+    daemons = start_daemons("a", "a", "b", "b")
+    wait_all_see(daemons, 4)
+    daemons[1].crash()
+    wait_all_see([daemons[0], *daemons[2:]], 3)
+
+
+def test_one_cut_link_accuses_nobody(start_daemons):
+    daemons = start_daemons("a", "a", "b", "b")
+    wait_all_see(daemons, 4)
+    changes = []
+    for daemon in daemons:
+        daemon.membership.add_listener(changes.append)
+    cut(daemons[:1], daemons[1:2])
+    gevent.sleep(1)
+    assert [one for one in changes if one.state is not MemberState.ALIVE] == []
+
+
+def test_a_cut_zone_is_dead_to_the_others_and_joins_again(start_daemons):
+    daemons = start_daemons("a", "a", "b", "b", "c")
+    wait_all_see(daemons, 5)
+    cut(daemons[:2], daemons[2:])
+    wait_all_see(daemons[:2], 2)
+    wait_all_see(daemons[2:], 3)
+    daemons[4].board.learn(NewsItem("revision", 8, "news of the cut"))
+    heal(daemons)
+    wait_all_see(daemons, 5)
+    wait_until(lambda: daemons[0].board.find("revision") is not None)
+
+
+def test_an_isolated_daemon_shows_the_others_dead_and_accuses_nobody(start_daemons):
+    daemons = start_daemons("a", "a", "a")
+    wait_all_see(daemons, 3)
+    cut(daemons[:1], daemons[1:])
+    wait_all_see(daemons[:1], 1)
+    assert daemons[0].membership.is_isolated
+    incarnation = daemons[1].membership.own.incarnation
+    heal(daemons)
+    wait_all_see(daemons, 3)
+    assert daemons[1].membership.own.incarnation == incarnation
+
+
+def test_a_leaving_daemon_is_shown_leaving(start_daemons):
+    daemons = start_daemons("a", "a", "a")
+    wait_all_see(daemons, 3)
+    daemons[2].membership.leave()
+    wait_all_see(daemons[:2], 2)
+    members = {one.name: one for one in daemons[0].membership.list_members()}
+    assert members["a-2"].state is MemberState.LEAVING
+
+
+def test_a_restarted_daemon_overrides_its_earlier_self(start_daemons):
+    daemons = start_daemons("a", "a")
+    wait_all_see(daemons, 2)
+    daemons[1].crash()
+    wait_all_see(daemons[:1], 1)
+    again = Daemon("a-1", "a", (daemons[0].address,))
+    try:
+        wait_all_see([daemons[0], again], 2)
+    finally:
+        again.crash()
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 120])
+def test_every_member_is_probed_and_news_reaches_every_zone(size):
+    members = [
+        Member(f"d{zone}-{number}", f"zone{zone}", f"region{zone // 2}", "", "")
+        for zone in range(4)
+        for number in range(size)
+    ]
+    links = {member.name: choose_links(member, members) for member in members}
+    probed = {one.name for link in links.values() for one in link.probed}
+    assert probed == {member.name for member in members}
+    reached = {"d0-0"}
+    frontier = ["d0-0"]
+    while frontier:
+        found = {one.name for name in frontier for one in links[name].neighbours} - reached
+        reached |= found
+        frontier = list(found)
+    assert len(reached) == len(members)
