--- a/hemlockswitch/process/backends.py
+++ b/hemlockswitch/process/backends.py
@@ -1,5 +1,6 @@
 """The directory of backend servers: who may get new work, and how loaded each one is."""
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -74,6 +75,7 @@
     ) -> None:
         self._clock = clock
         self.zone = zone
+        self.overflowed_ms = -math.inf
         self._own_name = own_name
         self._members = members
         self._subset_size = subset_size
@@ -138,11 +140,18 @@
 
     def list_servers(self, target: str) -> list[BackendServer]:
         """Return the servers of `target` that may get new work now, from every zone."""
-        usable = [*self._list_subset(target), *self._list_offered(target)]
+        used = [*self._list_subset(target), *self._list_offered(target)]
+        usable = [server for server in used if self._is_usable(server)]
         now_ms = self._clock.now_ms()
         closed = [one for one in usable if not self._know(one.name).circuit.is_open(now_ms)]
         return closed or usable
 
+    def list_used(self) -> list[BackendServer]:
+        """Return the servers whose load matters to this daemon, draining ones among them."""
+        targets = self.list_targets()
+        used = (self._list_subset(target) + self._list_offered(target) for target in targets)
+        return [server for servers in used for server in servers if self._is_live(server)]
+
     def list_candidates(self, target: str) -> list[Candidate]:
         """Return the servers of `target` that may get new work, with their load.
 
@@ -158,6 +167,10 @@
         typical = average_others(loads, now_ms)
         return [self._estimate(server, loads[server.name], typical, now_ms) for server in servers]
 
+    def note_overflow(self) -> None:
+        """Note that the servers in use are too busy, so that other zones are asked for theirs."""
+        self.overflowed_ms = self._clock.now_ms()
+
     def count_waiting(self) -> int:
         """Return the number of this daemon's requests without a first token."""
         return sum(len(known.load.waiting) for known in self._known.values())
@@ -235,8 +248,9 @@
         self._servers_changed = False
         members = self._members()
         by_target: dict[str, set[str]] = {target: set() for target in self._chosen}
-        for server in self.list_own_servers():
-            by_target.setdefault(server.serves, set()).add(server.name)
+        for server in self._servers.values():
+            if self._is_live(server):
+                by_target.setdefault(server.serves, set()).add(server.name)
         for target, names in by_target.items():
             subset = self._subsets.setdefault(target, Subset(self._own_name, self._subset_size))
             self._chosen[target] = sorted(subset.update(members, names))
@@ -244,20 +258,21 @@
     def _know(self, name: str) -> _Known:
         return self._known.setdefault(name, _Known())
 
+    def _is_live(self, server: BackendServer) -> bool:
+        return server.state is BackendState.LIVE and server.name not in self._leaving
+
     def _is_usable(self, server: BackendServer) -> bool:
-        report = self._known[server.name].load.report if server.name in self._known else None
-        return (
-            server.state is BackendState.LIVE
-            and server.name not in self._leaving
-            and server.name not in self._draining
-            and not (report is not None and report.draining)
-        )
+        if not self._is_live(server) or server.name in self._draining:
+            return False
+        known = self._known.get(server.name)
+        report = known.load.report if known else None
+        return report is None or not report.draining
 
     def _list_subset(self, target: str) -> list[BackendServer]:
         if self._servers_changed:
             self.refresh_subsets()
         servers = (self._servers.get(name) for name in self._chosen.get(target, ()))
-        return [server for server in servers if server is not None and self._is_usable(server)]
+        return [server for server in servers if server is not None]
 
     def _list_offered(self, target: str) -> list[BackendServer]:
         oldest_ms = self._clock.now_ms() - ZONE_SILENCE_MS
@@ -266,7 +281,7 @@
             for zone, offer in self._offers.items()
             if zone != self.zone and offer.asked_ms >= oldest_ms
             for server in offer.servers.values()
-            if server.serves == target and self._is_usable(server)
+            if server.serves == target
         ]
 
     def _estimate(
--- /dev/null
+++ b/hemlockswitch/process/watchers.py
@@ -0,0 +1,308 @@
+"""Tasks that ask the platform on behalf of their zone: VM list, reclaim notices, the revision.
+
+Explanation
+===========
+
+Only the first few of the rendezvous order over the zone's live daemons ask; the rest hear from
+them through the news board. What a watcher learns of the notices it follows with a sign of life,
+the `feed/<zone>` item. A daemon that misses the sign asks the platform itself, so that frozen or
+dead watchers do not hide a notice until they are found dead.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import gevent
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import HemlockError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.identifiers import rank_rendezvous
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.backends import NOTICE_PREFIX, VM_PREFIX
+from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.version.backend import BackendState
+
+FEED_PREFIX = "feed/"
+WATCHERS = 2
+VM_LIST_INTERVAL_MS = 1_000
+NOTICE_WAIT_MS = 2_000
+POINTER_WAIT_MS = 5_000
+FEED_INTERVAL_MS = 1_000
+FEED_SILENCE_MS = 2_000
+IDLE_CHECK_MS = 250
+FIRST_RETRY_MS = 250
+MAX_RETRY_MS = 4_000
+GONE_AFTER_MS = 30_000
+
+
+class Platform(Protocol):
+    """What the watchers ask of the platform; each call has a time-out of its own."""
+
+    def list_vms(self, zone: str) -> Any:
+        """Return the VM list of a zone."""
+
+    def watch_notices(self, zone: str, since: int, wait_ms: int) -> Any:
+        """Return the reclaim notices after number `since`, waiting for the first."""
+
+    def watch(self, kind: str, since: int, wait_ms: int, prefix: str) -> Any:
+        """Return the objects of `kind` changed since a version, waiting for the first."""
+
+
+def is_watcher(own_name: str, zone: str, members: Sequence[str]) -> bool:
+    """Return whether this daemon is among those that ask the platform for its zone.
+
+    Examples
+    ========
+
+    >>> is_watcher("entry-1", "marka-hall", [])
+    True
+    """
+    names = {*members, own_name}
+    return own_name in rank_rendezvous(zone, names)[:WATCHERS]
+
+
+@dataclass(frozen=True)
+class Post:
+    """Where a watcher stands: the daemon's name and zone, and the zone's live daemons."""
+
+    own_name: str
+    zone: str
+    members: Callable[[], list[str]]
+
+    def is_watcher(self) -> bool:
+        """Return whether this daemon asks the platform now."""
+        return is_watcher(self.own_name, self.zone, self.members())
+
+
+class Watcher:
+    """A task that asks the platform again and again while it is this daemon's turn.
+
+    Parameters
+    ==========
+
+    label : what it asks for, in logs.
+    post : whose turn it is.
+    ask : asks once and passes on what it learned.
+    interval_ms : pause after an answer.
+    clock : the process's clock.
+    """
+
+    def __init__(
+        self, label: str, post: Post, ask: Callable[[], None], interval_ms: float, clock: Clock
+    ) -> None:
+        self._label = label
+        self._post = post
+        self._ask = ask
+        self._interval_ms = interval_ms
+        self._clock = clock
+        self._retry_ms = 0.0
+
+    def run(self) -> None:
+        """Ask for ever."""
+        while True:
+            self._clock.sleep_ms(self.step())
+
+    def step(self) -> float:
+        """Ask once if it is this daemon's turn, and return the pause that follows."""
+        if not self._post.is_watcher():
+            return IDLE_CHECK_MS
+        try:
+            self._ask()
+        except HemlockError as error:
+            return self._back_off(error)
+        if self._retry_ms:
+            log_event(Event.WATCH_RECOVERED, watch=self._label)
+            self._retry_ms = 0.0
+        return self._interval_ms
+
+    def _back_off(self, error: HemlockError) -> float:
+        if not self._retry_ms:
+            log_event(Event.WATCH_FAILED, "warning", watch=self._label, error=str(error))
+        self._retry_ms = min(max(self._retry_ms * 2, FIRST_RETRY_MS), MAX_RETRY_MS)
+        return self._retry_ms * random.uniform(0.5, 1.0)
+
+
+class VmList:
+    """Passes the platform's VM list of one zone on to the news board.
+
+    Explanation
+    ===========
+
+    The list lags, and how far changes. A VM that is not on it may be new or gone, so it counts
+    as gone only after it has been missing for `GONE_AFTER_MS`.
+    """
+
+    def __init__(self, platform: Platform, zone: str, board: NewsBoard, clock: Clock) -> None:
+        self._platform = platform
+        self._zone = zone
+        self._board = board
+        self._clock = clock
+        self._missing_since_ms: dict[str, float] = {}
+
+    def ask(self) -> None:
+        """Read the list once."""
+        listed = {vm.name: vm for vm in self._platform.list_vms(self._zone).vms}
+        for name, vm in listed.items():
+            self._missing_since_ms.pop(name, None)
+            self._board.learn(NewsItem(VM_PREFIX + name, vm.version, describe_vm(vm)))
+        self._note_missing(set(listed))
+
+    def _note_missing(self, listed: set[str]) -> None:
+        now_ms = self._clock.now_ms()
+        for item in self._board.list_items(VM_PREFIX):
+            name = item.key.removeprefix(VM_PREFIX)
+            own = item.value.get("zone") == self._zone
+            if not own or name in listed or item.value.get("state") == BackendState.GONE.value:
+                continue
+            since_ms = self._missing_since_ms.setdefault(name, now_ms)
+            if now_ms - since_ms >= GONE_AFTER_MS:
+                gone = {**item.value, "state": BackendState.GONE.value}
+                self._board.learn(NewsItem(item.key, item.version + 1, gone, tombstone=True))
+                del self._missing_since_ms[name]
+
+
+class NoticeFeed:
+    """Passes the cloud API's reclaim notices of one zone on to the news board.
+
+    Explanation
+    ===========
+
+    The `feed/<zone>` item says how far the feed was read and whether the platform answers. It is
+    marked as a tombstone because each is the last word until the next, and so it stays out of
+    the boards' digests.
+
+    A daemon that is no watcher asks by itself when the signs stop. When the watchers say that
+    the platform does not answer them, about as many others try as there are watchers.
+    """
+
+    def __init__(self, platform: Platform, post: Post, board: NewsBoard, clock: Clock) -> None:
+        self._platform = platform
+        self._post = post
+        self._board = board
+        self._clock = clock
+        self._number = 0
+        self._heard_ms = clock.now_ms()
+        self._answered_ms = clock.now_ms()
+        self._watchers_answered = True
+        self._key = FEED_PREFIX + post.zone
+        board.add_listener(self._key, self._hear)
+
+    @property
+    def silent_ms(self) -> float:
+        """How long ago any watcher of the zone gave a sign of life."""
+        return self._clock.now_ms() - self._heard_ms
+
+    def ask(self, wait_ms: int = NOTICE_WAIT_MS) -> None:
+        """Read the notices once, waiting for the first, and tell the zone."""
+        try:
+            page = self._platform.watch_notices(self._post.zone, self._number, wait_ms)
+        except HemlockError:
+            self._sign()
+            raise
+        self._answered_ms = self._clock.now_ms()
+        for notice in page.notices:
+            value = {"deadline_wall_ms": notice.deadline_wall_ms}
+            self._board.learn(NewsItem(NOTICE_PREFIX + notice.vm, notice.number, value))
+        self._number = page.number
+        self._sign()
+
+    def check(self) -> None:
+        """Give a sign of life, or ask in the watchers' place if they do not do their part."""
+        if self._post.is_watcher():
+            if self.silent_ms >= FEED_INTERVAL_MS / 2:
+                self._sign()
+        elif self.silent_ms > FEED_SILENCE_MS or self._is_substitute():
+            self._ask_once()
+
+    def run_checks(self) -> None:
+        """Check for ever."""
+        while True:
+            self._clock.sleep_ms(FEED_INTERVAL_MS * random.uniform(0.4, 0.6))
+            self.check()
+
+    def _is_substitute(self) -> bool:
+        if self._watchers_answered:
+            return False
+        return random.random() * len(self._post.members()) < WATCHERS
+
+    def _ask_once(self) -> None:
+        try:
+            self.ask(wait_ms=0)
+        except HemlockError as error:
+            log_event(Event.WATCH_FAILED, "warning", watch="notices in place", error=str(error))
+
+    def _sign(self) -> None:
+        known = self._board.find(self._key)
+        version = max(self._clock.wall_ms(), known.version + 1 if known else 0)
+        answered = self._clock.now_ms() - self._answered_ms <= NOTICE_WAIT_MS + FEED_SILENCE_MS
+        value = {"number": self._number, "answered": answered}
+        self._board.learn(NewsItem(self._key, version, value, tombstone=True))
+
+    def _hear(self, item: NewsItem) -> None:
+        if item.key != self._key:
+            return
+        self._heard_ms = self._clock.now_ms()
+        self._number = max(self._number, int(item.value.get("number", 0)))
+        self._watchers_answered = bool(item.value.get("answered", True))
+
+
+class Pointer:
+    """Follows the pointer to the configuration's current revision."""
+
+    def __init__(self, platform: Platform, kind: str, name: str, read: Callable[[], None]) -> None:
+        self._platform = platform
+        self._kind = kind
+        self._name = name
+        self._read = read
+        self._version = 0
+
+    def ask(self) -> None:
+        """Wait for a change of the pointer, and have the revision read when it comes."""
+        changes = self._platform.watch(self._kind, self._version, POINTER_WAIT_MS, self._name)
+        if changes.items:
+            self._read()
+        self._version = changes.version
+
+
+def describe_vm(vm: Any) -> dict[str, Any]:
+    """Return a VM of the platform's list as a news value."""
+    return {
+        "name": vm.name,
+        "zone": vm.zone,
+        "address": vm.address,
+        "control_address": vm.control_address,
+        "serves": vm.serves,
+        "machine_class": str(vm.machine_class),
+        "price_per_hour": vm.price_per_hour,
+        "state": str(vm.state),
+    }
+
+
+def start_watchers(
+    platform: Platform,
+    post: Post,
+    board: NewsBoard,
+    clock: Clock,
+    read_revision: Callable[[], None] | None = None,
+) -> tuple[NoticeFeed, list[gevent.Greenlet]]:
+    """Start the tasks of one daemon and return its notice feed and the tasks.
+
+    Parameters
+    ==========
+
+    read_revision : reads the current revision and puts it in force; None to leave it to others.
+    """
+    feed = NoticeFeed(platform, post, board, clock)
+    vms = VmList(platform, post.zone, board, clock)
+    watchers = [
+        Watcher("vm list", post, vms.ask, VM_LIST_INTERVAL_MS, clock),
+        Watcher("notices", post, feed.ask, 0, clock),
+    ]
+    if read_revision is not None:
+        pointer = Pointer(platform, "pointers", "current", read_revision)
+        watchers.append(Watcher("revision pointer", post, pointer.ask, 0, clock))
+    tasks = [gevent.spawn(watcher.run) for watcher in watchers]
+    return feed, [*tasks, gevent.spawn(feed.run_checks)]
--- a/hemlockswitch/request/routing.py
+++ b/hemlockswitch/request/routing.py
@@ -11,6 +11,7 @@
 from hemlockswitch.version.backend import BackendServer
 
 PATIENCE_BY_PRIORITY = (6.0, 4.0, 2.0)
+OVERFLOW_SHARE = 0.5
 RETRY_SPREAD = 0.25
 MS_PER_SECOND = 1_000
 
@@ -91,6 +92,9 @@
     def count_waiting(self) -> int:
         """Return the number of this daemon's requests without a first token."""
 
+    def note_overflow(self) -> None:
+        """Note that the servers in use are too busy."""
+
 
 class Router:
     """Chooses the backend server with the earliest predicted first token.
@@ -137,6 +141,8 @@
         traits = self._find_traits(need.target)
         scored = self._score_all(need, traits)
         best_ms = min(one.first_token_ms for one in scored)
+        if best_ms > traits.first_token_ms * OVERFLOW_SHARE:
+            self._source.note_overflow()
         self._refuse_late(need, best_ms, traits)
         chosen = pick(self._choice, scored, need, self._chance)
         self.memory.remember(chosen.server.name, need.prefix_blocks)
--- /dev/null
+++ b/tests/test_watchers.py
@@ -0,0 +1,125 @@
+from types import SimpleNamespace
+
+import pytest
+
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.core.identifiers import rank_rendezvous
+from hemlockswitch.process.news import NewsBoard
+from hemlockswitch.process.watchers import (
+    FEED_SILENCE_MS,
+    GONE_AFTER_MS,
+    MAX_RETRY_MS,
+    NoticeFeed,
+    Post,
+    VmList,
+    Watcher,
+    is_watcher,
+)
+
+ZONE = "marka-hall"
+NAMES = ["entry-1", "entry-2", "entry-3", "entry-4"]
+WATCHING = rank_rendezvous(ZONE, NAMES)[:2]
+RESTING = rank_rendezvous(ZONE, NAMES)[2]
+
+
+class FakePlatform:
+    def __init__(self):
+        self.vms = []
+        self.notices = []
+        self.asked = 0
+        self.is_down = False
+
+    def list_vms(self, zone):
+        return SimpleNamespace(vms=self.vms, version=9)
+
+    def watch_notices(self, zone, since, wait_ms):
+        self.asked += 1
+        if self.is_down:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+        found = [notice for notice in self.notices if notice.number > since]
+        return SimpleNamespace(notices=found, number=max((n.number for n in found), default=since))
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(10_000)
+
+
+def make_vm(name, state="live", version=1):
+    return SimpleNamespace(
+        name=name,
+        zone=ZONE,
+        address="127.0.0.1:1",
+        control_address="",
+        serves="m",
+        machine_class="reclaimable",
+        price_per_hour=1.0,
+        state=state,
+        version=version,
+    )
+
+
+def make_feed(clock, name, board=None):
+    platform = FakePlatform()
+    board = board or NewsBoard()
+    return platform, board, NoticeFeed(platform, Post(name, ZONE, lambda: NAMES), board, clock)
+
+
+def test_two_daemons_of_the_zone_watch_and_one_that_is_alone():
+    assert [name for name in NAMES if is_watcher(name, ZONE, NAMES)] == sorted(WATCHING)
+    assert is_watcher(RESTING, ZONE, [])
+
+
+def test_notices_and_the_sign_of_life_go_to_the_board(clock):
+    platform, board, feed = make_feed(clock, WATCHING[0])
+    platform.notices = [SimpleNamespace(number=4, vm="llm-1", deadline_wall_ms=77)]
+    feed.ask()
+    assert board.find("notice/llm-1").value == {"deadline_wall_ms": 77}
+    assert board.find(f"feed/{ZONE}").value == {"number": 4, "answered": True}
+
+
+def test_a_resting_daemon_asks_when_the_signs_stop(clock):
+    platform, board, feed = make_feed(clock, RESTING)
+    platform.notices = [SimpleNamespace(number=4, vm="llm-1", deadline_wall_ms=77)]
+    feed.check()
+    assert platform.asked == 0
+    clock.advance(FEED_SILENCE_MS + 1)
+    feed.check()
+    assert board.find("notice/llm-1") is not None
+    feed.check()
+    assert platform.asked == 1
+
+
+def test_a_watcher_with_the_platform_down_still_signs(clock):
+    platform, board, feed = make_feed(clock, WATCHING[1])
+    platform.is_down = True
+    clock.advance(60_000)
+    with pytest.raises(PlatformError):
+        feed.ask()
+    assert board.find(f"feed/{ZONE}").value["answered"] is False
+
+
+def test_a_vm_counts_as_gone_only_after_it_was_missing_for_long(clock):
+    platform, board = FakePlatform(), NewsBoard()
+    vms = VmList(platform, ZONE, board, clock)
+    platform.vms = [make_vm("a"), make_vm("b")]
+    vms.ask()
+    platform.vms = [make_vm("b")]
+    vms.ask()
+    clock.advance(GONE_AFTER_MS - 1)
+    vms.ask()
+    assert board.find("vm/a").value["state"] == "live"
+    clock.advance(1)
+    vms.ask()
+    assert board.find("vm/a").value["state"] == "gone"
+    assert board.find("vm/b").value["state"] == "live"
+
+
+def test_watcher_backs_off_while_the_platform_fails(clock):
+    def fail():
+        raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+
+    watcher = Watcher("vm list", Post("entry-1", ZONE, list), fail, 1_000, clock)
+    pauses = [watcher.step() for _ in range(12)]
+    assert pauses[0] < 250 < MAX_RETRY_MS / 2 <= pauses[-1] <= MAX_RETRY_MS
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,99 @@
+import pytest
+
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, PeerError
+from hemlockswitch.process.backends import ZONE_SILENCE_MS, BackendDirectory
+from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.zones import ZoneDesk, ZoneQuestions
+
+
+class FakeNetwork:
+    """Passes questions to one desk, with time going by on the way."""
+
+    def __init__(self, desk, clock):
+        self.desk = desk
+        self.clock = clock
+        self.delay_ms = 0
+        self.is_cut = False
+        self.offers = []
+
+    def ask(self, address, message, timeout_ms):
+        self.clock.advance(self.delay_ms)
+        if self.is_cut:
+            raise PeerError(ErrorKind.NOT_READY, "cut")
+        self.offers.append(self.desk.answer(address, message))
+        return self.offers[-1]
+
+
+class Zones:
+    """Two zones with one daemon each, of which one has servers."""
+
+    def __init__(self):
+        self.clock = ManualClock(1_000)
+        self.board = NewsBoard()
+        self.far = BackendDirectory(self.board, self.clock, "far")
+        self.near = BackendDirectory(NewsBoard(), self.clock, "near")
+        self.fresh = True
+        self.network = FakeNetwork(ZoneDesk(self.far, lambda: self.fresh), self.clock)
+        self.questions = ZoneQuestions(
+            "entry-1", self.near, self.network, lambda: {"far": ["1"], "near": ["2"]}, self.clock
+        )
+
+    def learn_vm(self, name, version=1, state="live"):
+        value = {"name": name, "zone": "far", "address": "127.0.0.1:1", "serves": "m"}
+        self.board.learn(NewsItem(f"vm/{name}", version, value | {"state": state}))
+
+    def list_names(self):
+        return [server.name for server in self.near.list_servers("m")]
+
+
+@pytest.fixture
+def zones():
+    zones = Zones()
+    zones.learn_vm("a")
+    zones.learn_vm("b")
+    return zones
+
+
+def test_servers_of_another_zone_are_offered_and_left_out_when_unchanged(zones):
+    zones.questions.ask_zone("far")
+    zones.clock.advance(ZONE_SILENCE_MS)
+    zones.questions.ask_zone("far")
+    assert sorted(zones.list_names()) == ["a", "b"]
+    assert [len(offer.servers) for offer in zones.network.offers] == [2, 0]
+
+
+def test_leaving_servers_are_told(zones):
+    zones.questions.ask_zone("far")
+    zones.board.learn(NewsItem("notice/a", 1, {"deadline_wall_ms": 5}))
+    zones.questions.ask_zone("far")
+    assert zones.list_names() == ["b"]
+    assert zones.near.is_leaving("a")
+
+
+def test_a_cut_zone_gets_no_work_and_a_late_answer_counts_from_its_question(zones):
+    zones.questions.ask_zone("far")
+    zones.network.is_cut = True
+    zones.clock.advance(ZONE_SILENCE_MS + 1)
+    zones.questions.ask_zone("far")
+    assert zones.list_names() == []
+    zones.network.is_cut = False
+    zones.network.delay_ms = ZONE_SILENCE_MS + 1
+    zones.questions.ask_zone("far")
+    assert zones.list_names() == []
+
+
+def test_a_paused_daemon_offers_nothing(zones):
+    zones.fresh = False
+    zones.questions.ask_zone("far")
+    assert zones.list_names() == []
+
+
+def test_other_zones_are_asked_while_servers_are_few_or_too_busy(zones):
+    assert zones.questions.is_needed()
+    for number in range(8):
+        value = {"name": f"n{number}", "zone": "near", "address": "127.0.0.1:1", "serves": "m"}
+        zones.near._learn_vm(NewsItem(f"vm/n{number}", 1, value))
+    assert not zones.questions.is_needed()
+    zones.near.note_overflow()
+    assert zones.questions.is_needed()
