--- a/hemlockswitch/connection/http.py
+++ b/hemlockswitch/connection/http.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
@@ -11,7 +12,7 @@
 
 
 class SingleSendClient(HTTPClient):
-    """A pooled client whose `request` never sends a request twice.
+    """A pooled client that never sends a request twice.
 
     Explanation
     ===========
@@ -21,21 +22,35 @@
     by its own first copy, and a plain service's PUT could run twice. Repeating is the caller's
     decision here.
 
-    `request` raises `NotSentError` when the request certainly did not leave; any other
-    exception leaves open whether it ran.
+    `open` and `exchange` are the two halves of `request`: what fails in `open` certainly did not
+    leave; what fails in `exchange` may have run.
     """
 
-    def request(
-        self, method: str, request_uri: str, body: Any = b"", headers: Any = None
-    ) -> HTTPSocketPoolResponse:
-        """Send one request of bytes on a pooled connection and read the answer's head."""
-        head = self._build_request(method, request_uri, body=body, headers=headers)
-        pool = self._connection_pool
+    def open(self) -> gevent.socket.socket:
+        """Take a connection from the pool or make one.
+
+        Raises
+        ======
+
+        NotSentError : no connection could be made.
+        """
         try:
-            connection = pool.get_socket()
-        except OSError as error:
+            return self._connection_pool.get_socket()
+        except (OSError, RuntimeError) as error:
             raise NotSentError(str(error)) from error
+
+    def exchange(
+        self,
+        connection: gevent.socket.socket,
+        method: str,
+        request_uri: str,
+        body: bytes = b"",
+        headers: Any = None,
+    ) -> HTTPSocketPoolResponse:
+        """Send one request on `connection` and read the head of its answer."""
+        pool = self._connection_pool
         try:
+            head = self._build_request(method, request_uri, body=body, headers=headers)
             connection.sendall(head.encode("latin-1") + body)
         except BaseException:
             pool.release_socket(connection)
@@ -47,3 +62,9 @@
             method=method,
             headers_type=self.headers_type,
         )
+
+    def request(
+        self, method: str, request_uri: str, body: Any = b"", headers: Any = None
+    ) -> HTTPSocketPoolResponse:
+        """Send one request of bytes on a pooled connection and read the head of its answer."""
+        return self.exchange(self.open(), method, request_uri, body, headers)
--- a/hemlockswitch/standin/platform.py
+++ b/hemlockswitch/standin/platform.py
@@ -407,10 +407,9 @@
     return app
 
 
-def make_server(settings: PlatformSettings) -> WSGIServer:
+def serve_app(app: falcon.App, listen: str) -> WSGIServer:
     """Return a started server; its `server_port` is the port it got."""
-    host, _, port = settings.listen.rpartition(":")
-    app = build_app(PlatformState(settings))
+    host, _, port = listen.rpartition(":")
     server = WSGIServer((host, int(port)), app, handler_class=_ConnectionHandler, log=None)
     server.start()
     return server
@@ -422,15 +421,16 @@
     Explanation
     ===========
 
-    Prints ``{"ready": true, "addresses": {"listen": "ip:port"}}`` once it listens.
+    Prints ``{"ready": true, "addresses": {"http": "ip:port"}}`` once it listens.
 
     Parameters
     ==========
 
     settings : the settings file's JSON object, fields of `PlatformSettings`.
     """
-    server = make_server(PlatformSettings.model_validate(settings))
+    checked = PlatformSettings.model_validate(settings)
+    server = serve_app(build_app(PlatformState(checked)), checked.listen)
     address = f"{server.server_host}:{server.server_port}"
     gevent.signal_handler(signal.SIGTERM, server.stop)
-    print(json.dumps({"ready": True, "addresses": {"listen": address}}), flush=True)
+    print(json.dumps({"ready": True, "addresses": {"http": address}}), flush=True)
     server.serve_forever()
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -8,7 +8,7 @@
 from geventhttpclient.response import HTTPConnectionClosed
 
 from hemlockswitch.connection.http import SingleSendClient
-from hemlockswitch.standin.platform import PlatformSettings, make_server
+from hemlockswitch.standin.platform import PlatformSettings, PlatformState, build_app, serve_app
 
 
 class Caller:
@@ -25,7 +25,9 @@
 
 @pytest.fixture
 def caller() -> Iterator[Caller]:
-    server = make_server(PlatformSettings(writes_per_s=20, start_ms=0))
+    server = serve_app(
+        build_app(PlatformState(PlatformSettings(writes_per_s=20, start_ms=0))), "127.0.0.1:0"
+    )
     yield Caller(server.server_port)
     server.stop()
 
