Wire the facts into the entry daemon: members, watchers, loads, zones, freshness

process/facts.py builds the peer network, membership, spreading, the directory and its tasks for one daemon.

--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -12,9 +12,8 @@
 from hemlockswitch.core.clock import Clock, SystemClock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.backends import BackendDirectory
+from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
-from hemlockswitch.process.news import NewsBoard
 from hemlockswitch.process.polling import PlatformPoll
 from hemlockswitch.process.reports import RequestReports
 from hemlockswitch.process.serving import Serving
@@ -25,9 +24,9 @@
 from hemlockswitch.request.overdue import OverdueSweep
 from hemlockswitch.request.relay import Relay
 from hemlockswitch.request.retries import RetryBudget
-from hemlockswitch.request.routing import Router
+from hemlockswitch.request.routing import Router, TargetTraits
 from hemlockswitch.request.service_call import NoClaims, ServiceCaller
-from hemlockswitch.version.models import Limits, Model, OperatorFile
+from hemlockswitch.version.models import Limits, OperatorFile
 from hemlockswitch.version.settings import EntrySettings, split_address
 
 STOP_STEP_MS = 20.0
@@ -55,7 +54,6 @@
         self.clock = clock
         self.metrics = EntryMetrics()
         self.status = StatusPage()
-        self.board = NewsBoard()
         self.file: OperatorFile | None = None
         self.revision = 0
         self._tasks: list[gevent.Greenlet] = []
@@ -70,9 +68,11 @@
 
     def _build_facts(self) -> None:
         """Build what the daemon knows: backend servers and the configuration in force."""
-        self.directory = BackendDirectory(self.board, self.clock, self.settings.zone)
+        self.facts = Facts.from_settings(self.settings, "entry", self.clock)
+        self.board = self.facts.board
+        self.directory = self.facts.directory
         self.poll = PlatformPoll(
-            self.settings.platform, self.settings.name, self.board, self.clock, self.use_file
+            self.settings.platform, self.settings.name, self.clock, self.use_file
         )
         self.status.add("revision", lambda: self.revision)
         self.status.add("zone", lambda: self.settings.zone)
@@ -82,7 +82,10 @@
         """Build the path of a request."""
         client = BackendClient()
         reports = RequestReports(self.metrics)
-        self.router = Router(self.directory, self._find_target_ms)
+        self.router = Router(
+            self.directory, self._find_traits, await_facts=self.facts.freshness.await_facts
+        )
+        self.directory.add_leaving_listener(lambda name, _: self.router.memory.forget_server(name))
         self.budget = RetryBudget(Limits().retry_ratio, self.clock)
         self.opener = AttemptOpener(client, self.clock)
         self.relay = Relay(
@@ -118,17 +121,20 @@
         self.metrics.revision.set(number)
         self.budget.set_ratio(file.limits.retry_ratio)
         self.directory.set_draining(file.draining)
+        self.router.queue_length = file.limits.queue_length
         self.serving.use_configuration(file)
 
     def start(self) -> dict[str, str]:
         """Open the sockets, spawn the tasks, and return the addresses that are bound."""
         self.control.start()
         self.callers.start()
+        peer_address = self.facts.start(self.callers.bound_address, self.spawn)
         self.spawn("poll", self.poll.run)
         self.spawn("sweep", self.sweep.run)
         return {
             "callers": self.callers.bound_address,
             "control": self.control.bound_address,
+            "peers": peer_address,
         }
 
     def spawn(self, name: str, run: Callable[[], Any]) -> None:
@@ -152,6 +158,7 @@
             self.clock.sleep_ms(STOP_STEP_MS)
         self.clock.sleep_ms(LAST_BYTES_MS)
         gevent.killall(self._tasks)
+        self.facts.stop()
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
@@ -159,14 +166,14 @@
         assert self.file is not None
         return self.file
 
-    def _find_target_ms(self, target: str) -> int:
-        """Return the wanted time to the first token, or to the answer of a service."""
+    def _find_traits(self, target: str) -> TargetTraits:
+        """Return what the configuration wants of a model or service."""
         models = self.file.models if self.file else ()
         for model in models:
             if model.name == target:
-                return model.first_token_target_ms
+                return TargetTraits(model.first_token_target_ms, model.slots_per_copy)
         services = self.file.services if self.file else ()
         for service in services:
             if service.name == target:
-                return service.timeout_ms
-        return Model.model_fields["first_token_target_ms"].default
+                return TargetTraits(service.timeout_ms, service.concurrent_calls_per_copy)
+        return TargetTraits()
--- /dev/null
+++ b/hemlockswitch/process/facts.py
@@ -0,0 +1,156 @@
+"""What a daemon knows of the world beside the configuration, and the tasks that keep it true."""
+
+from collections.abc import Callable
+from typing import Protocol, Self
+
+import gevent
+
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.backends import NOTICE_PREFIX, VM_PREFIX, BackendDirectory
+from hemlockswitch.process.freshness import Freshness, Refresh, choose_some
+from hemlockswitch.process.load_polls import LoadPolls
+from hemlockswitch.process.membership import Member, Membership
+from hemlockswitch.process.news import NewsBoard
+from hemlockswitch.process.spread import Spread
+from hemlockswitch.process.watchers import FEED_PREFIX, NoticeFeed, Post, VmList, Watcher
+from hemlockswitch.process.zones import ZoneDesk, ZoneQuestion, ZoneQuestions
+
+CLUSTER = "hemlockswitch"
+ZONE_PREFIXES = (VM_PREFIX, NOTICE_PREFIX, FEED_PREFIX)
+VM_LIST_INTERVAL_MS = 1_000
+PEERS_ASKED = 2
+ZONES_CHECK_MS = 500
+
+
+class DaemonSettings(Protocol):
+    """The settings that every daemon has."""
+
+    name: str
+    zone: str
+    region: str
+    peer_listen: str
+    platform: str
+    seeds: tuple[str, ...]
+
+
+class Facts:
+    """The board, the members, the backend servers, and how fresh all this is.
+
+    Explanation
+    ===========
+
+    Items of VMs, notices and the notice feed stay inside the zone; other zones hear of servers
+    by question (see `zones`).
+
+    Parameters
+    ==========
+
+    settings : the daemon's settings.
+    board : the daemon's news board.
+    network : the daemon's peer network.
+    platform : the daemon's client of the platform.
+    clock : the daemon's clock.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        board: NewsBoard,
+        network: PeerNetwork,
+        platform: PlatformClient,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self.board = board
+        self.network = network
+        self.platform = platform
+        self.membership: Membership | None = None
+        self.spread = Spread(
+            board, network, settings.zone, zone_prefixes=ZONE_PREFIXES, clock=clock
+        )
+        self.directory = BackendDirectory(
+            board, clock, settings.zone, settings.name, self.list_names
+        )
+        self.post = Post(settings.name, settings.zone, self.list_names)
+        self.feed = NoticeFeed(platform, self.post, board, clock)
+        self.vms = VmList(platform, settings.zone, board, clock)
+        self.loads = LoadPolls(self.directory, clock)
+        self.freshness = Freshness(clock, self._list_sources)
+        self.questions = ZoneQuestions(
+            settings.name, self.directory, network, self._list_addresses, clock
+        )
+        self._zone_tasks: dict[str, gevent.Greenlet] = {}
+        desk = ZoneDesk(self.directory, lambda: self.freshness.is_fresh)
+        network.handle(ZoneQuestion, desk.answer)
+
+    @classmethod
+    def from_settings(cls, settings: DaemonSettings, role: str, clock: Clock) -> Self:
+        """Return the facts of a daemon with a board, a network and a client of its own."""
+        network = PeerNetwork(CLUSTER, settings.name, settings.peer_listen, clock=clock)
+        platform = PlatformClient.from_settings(settings, role)
+        return cls(settings, NewsBoard(), network, platform, clock)
+
+    def list_names(self) -> list[str]:
+        """Return the names of the zone's live daemons of this program."""
+        return self.membership.list_names() if self.membership else [self._settings.name]
+
+    def start(self, caller_address: str, spawn: Callable[[str, Callable[[], None]], None]) -> str:
+        """Open the peer network, join the others, start the tasks; return the peer address.
+
+        Parameters
+        ==========
+
+        caller_address : where callers reach this daemon.
+        spawn : runs a named task until the daemon stops.
+        """
+        address = self.network.start()
+        settings = self._settings
+        own = Member(settings.name, settings.zone, settings.region, address, caller_address)
+        self.membership = Membership(
+            own, self.board, self.network, self.spread, seeds=settings.seeds, clock=self._clock
+        )
+        self.membership.start()
+        spawn("freshness", self.freshness.run)
+        watch_vms = Watcher("vm list", self.post, self.vms.ask, VM_LIST_INTERVAL_MS, self._clock)
+        spawn("vm list", watch_vms.run)
+        spawn("notices", Watcher("notices", self.post, self.feed.ask, 0, self._clock).run)
+        spawn("notice checks", self.feed.run_checks)
+        spawn("loads", self.loads.run)
+        spawn("zone questions", self._run_questions)
+        return address
+
+    def stop(self) -> None:
+        """Tell the others that this daemon has gone, and close its peer streams."""
+        gevent.killall(list(self._zone_tasks.values()), block=False)
+        if self.membership is not None:
+            self.membership.stop()
+        self.network.stop()
+
+    def _run_questions(self) -> None:
+        """Keep one asking task for each other zone that this daemon asks."""
+        while True:
+            wanted = set(self.questions.choose_zones())
+            for zone in set(self._zone_tasks) - wanted:
+                self._zone_tasks.pop(zone).kill(block=False)
+            for zone in wanted - set(self._zone_tasks):
+                self._zone_tasks[zone] = gevent.spawn(self.questions.run, zone)
+            self._clock.sleep_ms(ZONES_CHECK_MS)
+
+    def _list_addresses(self) -> dict[str, list[str]]:
+        addresses: dict[str, list[str]] = {}
+        for member in self.membership.list_live() if self.membership else ():
+            addresses.setdefault(member.zone, []).append(member.peer_address)
+        return addresses
+
+    def _list_sources(self) -> list[Refresh]:
+        """Return who can say what was missed during a pause: the feed, and some peers."""
+        peers = set(self._list_addresses().get(self._settings.zone, []))
+        chosen = choose_some(sorted(peers - {self.network.address}), PEERS_ASKED)
+        ask_peers: list[Refresh] = [self._make_question(address) for address in chosen]
+        return [lambda: self.feed.ask(wait_ms=0), *ask_peers]
+
+    def _make_question(self, address: str) -> Refresh:
+        return lambda: self.questions.refresh_from(address)
--- a/hemlockswitch/process/polling.py
+++ b/hemlockswitch/process/polling.py
@@ -1,4 +1,4 @@
-"""Asks the platform for the VM list and the configuration, in the simplest way."""
+"""Asks the platform for the configuration, in the simplest way."""
 
 import json
 from collections.abc import Callable
@@ -6,7 +6,6 @@
 
 from hemlockswitch.connection.backends import BackendCall, BackendClient, ExchangeError
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.news import NewsBoard, NewsItem
 from hemlockswitch.version.models import OperatorFile
 from hemlockswitch.version.revisions import (
     CURRENT_POINTER,
@@ -22,14 +21,13 @@
 
 
 class PlatformPoll:
-    """Learns facts by asking again and again.
+    """Learns of newer configurations by asking again and again.
 
     Parameters
     ==========
 
     platform : the platform's address.
     name : this daemon, for the platform's count of calls.
-    board : where the facts go.
     clock : paces the asking.
     use_file : called with a newer configuration and its number.
     """
@@ -38,13 +36,11 @@
         self,
         platform: str,
         name: str,
-        board: NewsBoard,
         clock: Clock,
         use_file: Callable[[OperatorFile, int], None],
     ) -> None:
         self._platform = platform
         self._headers = {"X-Role": "entry", "X-Daemon": name}
-        self._board = board
         self._clock = clock
         self._use_file = use_file
         self._client = BackendClient()
@@ -59,7 +55,6 @@
     def ask(self) -> None:
         """Ask once; an outage is answered by going on with what is known."""
         try:
-            self._ask_vms()
             self._ask_revision()
         except (ExchangeError, ValueError, KeyError):
             return
@@ -69,11 +64,6 @@
         answer = self._client.call(self._platform, call, TIMEOUT_MS)
         return json.loads(answer.body) if answer.status == OK else None
 
-    def _ask_vms(self) -> None:
-        listed = self._get("/vms")
-        for vm in listed["vms"] if listed else ():
-            self._board.learn(NewsItem(f"vm/{vm['name']}", vm["version"], vm))
-
     def _ask_revision(self) -> None:
         pointer = self._get(f"/objects/{POINTER_KIND}/{CURRENT_POINTER}")
         if pointer is None:
--- a/hemlockswitch/process/watchers.py
+++ b/hemlockswitch/process/watchers.py
@@ -14,8 +14,6 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-import gevent
-
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import HemlockError
 from hemlockswitch.core.events import Event
@@ -27,7 +25,6 @@
 
 FEED_PREFIX = "feed/"
 WATCHERS = 2
-VM_LIST_INTERVAL_MS = 1_000
 NOTICE_WAIT_MS = 2_000
 POINTER_WAIT_MS = 5_000
 FEED_INTERVAL_MS = 1_000
@@ -279,30 +276,3 @@
         "price_per_hour": vm.price_per_hour,
         "state": str(vm.state),
     }
-
-
-def start_watchers(
-    platform: Platform,
-    post: Post,
-    board: NewsBoard,
-    clock: Clock,
-    read_revision: Callable[[], None] | None = None,
-) -> tuple[NoticeFeed, list[gevent.Greenlet]]:
-    """Start the tasks of one daemon and return its notice feed and the tasks.
-
-    Parameters
-    ==========
-
-    read_revision : reads the current revision and puts it in force; None to leave it to others.
-    """
-    feed = NoticeFeed(platform, post, board, clock)
-    vms = VmList(platform, post.zone, board, clock)
-    watchers = [
-        Watcher("vm list", post, vms.ask, VM_LIST_INTERVAL_MS, clock),
-        Watcher("notices", post, feed.ask, 0, clock),
-    ]
-    if read_revision is not None:
-        pointer = Pointer(platform, "pointers", "current", read_revision)
-        watchers.append(Watcher("revision pointer", post, pointer.ask, 0, clock))
-    tasks = [gevent.spawn(watcher.run) for watcher in watchers]
-    return feed, [*tasks, gevent.spawn(feed.run_checks)]
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -32,7 +32,8 @@
         self.clock = ManualClock(1_000)
         self.board = NewsBoard()
         self.far = BackendDirectory(self.board, self.clock, "far")
-        self.near = BackendDirectory(NewsBoard(), self.clock, "near")
+        self.near_board = NewsBoard()
+        self.near = BackendDirectory(self.near_board, self.clock, "near")
         self.fresh = True
         self.network = FakeNetwork(ZoneDesk(self.far, lambda: self.fresh), self.clock)
         self.questions = ZoneQuestions(
@@ -93,7 +94,7 @@
     assert zones.questions.is_needed()
     for number in range(8):
         value = {"name": f"n{number}", "zone": "near", "address": "127.0.0.1:1", "serves": "m"}
-        zones.near._learn_vm(NewsItem(f"vm/n{number}", 1, value))
+        zones.near_board.learn(NewsItem(f"vm/n{number}", 1, value))
     assert not zones.questions.is_needed()
     zones.near.note_overflow()
     assert zones.questions.is_needed()
