Measure heartbeats and spreading at several sizes, four ways

Cause: docs/CAPACITY.md needs slopes, and the choice of rings needs figures beside full mesh, random probes and a broadcast tree.

Change: tools/capacity.py starts light daemons (membership and news only), measures rates in a quiet window, the reach of news, detection after a kill, and memory of held members and items.

Conclusion: the tool runs; no figure is claimed yet.

--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,232 @@
+"""Measure what control costs a daemon at several sizes, and work it out at the target size.
+
+``make capacity`` writes reports/capacity.json and prints the tables that docs/CAPACITY.md and
+docs/explanation/membership.md show. ``--sizes`` and ``--variants`` choose what runs.
+"""
+
+import argparse
+import json
+import random
+import select
+import signal
+import statistics
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+REPORT = ROOT / "reports" / "capacity.json"
+START_AT_ONCE = 8
+DAEMONS_IN_ZONE = 8
+ZONES_IN_REGION = 3
+ANSWER_TIMEOUT_S = 30
+JOIN_TIMEOUT_S = 60
+DETECTION_TIMEOUT_S = 30
+ITEM_COUNT = 20
+ITEM_BYTES = 300
+RATES = ("messages_in", "messages_out", "bytes_in", "bytes_out", "processor_ms")
+
+
+@dataclass
+class LightDaemon:
+    """A measured process and its pipe."""
+
+    name: str
+    process: subprocess.Popen
+    address: str
+
+    def ask(self, command: str) -> dict:
+        """Send one command and return its answer."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(command + "\n")
+        self.process.stdin.flush()
+        return read_line(self.process)
+
+
+def read_line(process: subprocess.Popen) -> dict:
+    """Return the next JSON line of a process, or raise when none comes."""
+    assert process.stdout is not None
+    ready, _, _ = select.select([process.stdout], [], [], ANSWER_TIMEOUT_S)
+    if not ready:
+        raise TimeoutError(f"process {process.pid} did not answer")
+    return json.loads(process.stdout.readline())
+
+
+def start_daemon(variant: str, number: int, seeds: list[str]) -> LightDaemon:
+    """Start one light process and wait until it listens."""
+    zone = number // DAEMONS_IN_ZONE
+    settings = {
+        "name": f"d{number:03}",
+        "variant": variant,
+        "zone": f"zone{zone}",
+        "region": f"region{zone // ZONES_IN_REGION}",
+        "seeds": seeds,
+    }
+    process = subprocess.Popen(
+        [sys.executable, "-m", "tools.capacity_daemon", json.dumps(settings)],
+        cwd=ROOT,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+    return LightDaemon(settings["name"], process, read_line(process)["address"])
+
+
+def start_daemons(variant: str, count: int) -> list[LightDaemon]:
+    """Start `count` daemons that join by the first."""
+    first = start_daemon(variant, 0, [])
+    with ThreadPoolExecutor(START_AT_ONCE) as pool:
+        rest = pool.map(lambda n: start_daemon(variant, n, [first.address]), range(1, count))
+        return [first, *rest]
+
+
+def stop_daemons(daemons: list[LightDaemon]) -> None:
+    """End the processes that this run started."""
+    for daemon in daemons:
+        daemon.process.kill()
+    for daemon in daemons:
+        daemon.process.wait()
+
+
+def read_reports(daemons: list[LightDaemon]) -> list[dict]:
+    """Return the report of each daemon."""
+    return [daemon.ask("report") for daemon in daemons]
+
+
+def wait_until_joined(daemons: list[LightDaemon]) -> float:
+    """Wait until every daemon sees every other; return the seconds that it took."""
+    started = time.monotonic()
+    while time.monotonic() - started < JOIN_TIMEOUT_S:
+        if all(report["live"] == len(daemons) for report in read_reports(daemons)):
+            return time.monotonic() - started
+        time.sleep(0.5)
+    raise TimeoutError("the daemons did not all see one another")
+
+
+def measure_rates(daemons: list[LightDaemon], window_s: float) -> dict:
+    """Return what a daemon uses per second over a quiet window: mean and largest."""
+    before = read_reports(daemons)
+    started = time.monotonic()
+    time.sleep(window_s)
+    after = read_reports(daemons)
+    span_s = time.monotonic() - started
+    rates = {}
+    for name in RATES:
+        each = [(b[name] - a[name]) / span_s for a, b in zip(before, after, strict=True)]
+        rates[name] = {"mean": statistics.mean(each), "max": max(each)}
+    rates["streams"] = statistics.mean(report["streams"] for report in after)
+    rates["added_bytes"] = statistics.mean(r["resident_bytes"] - r["bare_bytes"] for r in after)
+    return rates
+
+
+def measure_news(daemons: list[LightDaemon]) -> dict:
+    """Publish items at random daemons; return reach time and cost for each item."""
+    before = read_reports(daemons)
+    published = {}
+    for number in range(ITEM_COUNT):
+        origin = random.choice(daemons)
+        answer = origin.ask(f"publish item{number} {ITEM_BYTES}")
+        published[f"measured/item{number}"] = answer["published_ms"]
+        time.sleep(0.1)
+    time.sleep(5)
+    after = read_reports(daemons)
+    reach_ms = []
+    missed = 0
+    for key, when_ms in published.items():
+        learned = [report["learned_ms"].get(key) for report in after]
+        missed += learned.count(None)
+        reach_ms.append(max((ms for ms in learned if ms is not None)) - when_ms)
+    copies = [b["items_in"] - a["items_in"] for a, b in zip(before, after, strict=True)]
+    sent = [b["bytes_out"] - a["bytes_out"] for a, b in zip(before, after, strict=True)]
+    return {
+        "reach_ms": {"median": statistics.median(reach_ms), "max": max(reach_ms)},
+        "missed": missed,
+        "copies_per_item": statistics.mean(copies) / ITEM_COUNT,
+        "bytes_out_with_heartbeats": statistics.mean(sent),
+    }
+
+
+def measure_detection(daemons: list[LightDaemon], kills: int) -> dict:
+    """Kill daemons one by one; return the times until all others call each dead."""
+    times_ms = []
+    for _ in range(kills):
+        victim = daemons.pop(random.randrange(1, len(daemons)))
+        killed_ms = time.monotonic() * 1000
+        victim.process.send_signal(signal.SIGKILL)
+        victim.process.wait()
+        times_ms.append(wait_until_dead(daemons, victim.name) - killed_ms)
+    return {"all_ms": times_ms, "median_ms": statistics.median(times_ms), "max_ms": max(times_ms)}
+
+
+def wait_until_dead(daemons: list[LightDaemon], name: str) -> float:
+    """Return when the last daemon learned that `name` is dead."""
+    deadline = time.monotonic() + DETECTION_TIMEOUT_S
+    while time.monotonic() < deadline:
+        when = [report["dead_ms"].get(name) for report in read_reports(daemons)]
+        if None not in when:
+            return max(when)
+        time.sleep(0.25)
+    raise TimeoutError(f"{name} was not detected")
+
+
+def measure(variant: str, count: int, window_s: float, kills: int) -> dict:
+    """Run one variant at one size and return its figures."""
+    daemons = start_daemons(variant, count)
+    try:
+        joined_s = wait_until_joined(daemons)
+        time.sleep(3)
+        result = {"variant": variant, "daemons": count, "joined_s": joined_s}
+        result["idle"] = measure_rates(daemons, window_s)
+        result["news"] = measure_news(daemons)
+        result["detection"] = measure_detection(daemons, kills)
+        result["held"] = daemons[0].ask("hold 2000 2000")
+        return result
+    finally:
+        stop_daemons(daemons)
+
+
+def print_result(result: dict) -> None:
+    """Print one row."""
+    idle, news = result["idle"], result["news"]
+    print(
+        f"{result['variant']:7} {result['daemons']:4} daemons: "
+        f"{idle['messages_out']['mean']:6.1f} messages/s out, "
+        f"{idle['bytes_out']['mean']:7.0f} B/s out, "
+        f"{idle['processor_ms']['mean'] / 10:5.2f} % core, "
+        f"{idle['streams']:5.1f} streams, "
+        f"{idle['added_bytes'] / 1e6:5.2f} MB added, "
+        f"news {news['reach_ms']['median']:5.0f} ms (max {news['reach_ms']['max']:.0f}), "
+        f"{news['copies_per_item']:4.1f} copies, {news['missed']} missed, "
+        f"detected {result['detection']['median_ms']:.0f} ms "
+        f"(max {result['detection']['max_ms']:.0f})",
+        flush=True,
+    )
+
+
+def main() -> int:
+    """Run the chosen sizes and variants and write the report."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=[8, 16, 32])
+    parser.add_argument("--variants", nargs="+", default=["rings", "mesh", "random", "tree"])
+    parser.add_argument("--window-s", type=float, default=10)
+    parser.add_argument("--kills", type=int, default=3)
+    parser.add_argument("--report", type=Path, default=REPORT)
+    options = parser.parse_args()
+    results = []
+    for variant in options.variants:
+        for count in options.sizes:
+            result = measure(variant, count, options.window_s, options.kills)
+            print_result(result)
+            results.append(result)
+    options.report.parent.mkdir(exist_ok=True)
+    options.report.write_text(json.dumps({"results": results}, indent=1))
+    print(f"report: {options.report}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/capacity_daemon.py
@@ -0,0 +1,130 @@
+"""A light process for measurement: peer network, membership and news, and nothing else.
+
+Commands come on standard input, one a line; each is answered by one JSON line on standard output.
+"""
+
+import json
+import os
+import resource
+import sys
+import time
+
+import gevent
+from gevent.fileobject import FileObjectPosix
+
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.logs import configure_logs
+from hemlockswitch.process.members import MEMBER_PREFIX, Member
+from hemlockswitch.process.news import NewsBoard, NewsItem
+from tools.capacity_variants import VARIANTS
+
+PAGE_BYTES = resource.getpagesize()
+
+
+def read_resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    with open("/proc/self/statm") as status:
+        return int(status.read().split()[1]) * PAGE_BYTES
+
+
+class MeasuredDaemon:
+    """One daemon and the times at which it learned things."""
+
+    def __init__(self, settings: dict) -> None:
+        membership_type, spread_type = VARIANTS[settings["variant"]]
+        self.bare_bytes = read_resident_bytes()
+        self.network = PeerNetwork("capacity", settings["name"])
+        self.network.start()
+        self.board = NewsBoard()
+        self.spread = spread_type(self.board, self.network, settings["zone"])
+        own = Member(settings["name"], settings["zone"], settings["region"], "", "127.0.0.1:0")
+        self.membership = membership_type(
+            own, self.board, self.network, self.spread, seeds=settings["seeds"]
+        )
+        self.learned_ms: dict[str, float] = {}
+        self.dead_ms: dict[str, float] = {}
+        self.board.add_listener("measured/", self._note_news)
+        self.membership.add_listener(self._note_member)
+        self.membership.start()
+
+    def _note_news(self, item: NewsItem) -> None:
+        self.learned_ms[item.key] = time.monotonic() * 1000
+
+    def _note_member(self, member: Member) -> None:
+        if not member.is_live:
+            self.dead_ms.setdefault(member.name, time.monotonic() * 1000)
+
+    def report(self) -> dict:
+        """Return what has been counted so far."""
+        traffic = self.network.traffic
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            "messages_in": traffic.messages_in,
+            "messages_out": traffic.messages_out,
+            "bytes_in": traffic.bytes_in,
+            "bytes_out": traffic.bytes_out,
+            "streams": len(self.network.list_streams()),
+            "items_in": self.spread.items_in,
+            "items_known": self.spread.items_known,
+            "repairs": self.spread.repairs,
+            "live": len(self.membership.list_live()),
+            "processor_ms": (usage.ru_utime + usage.ru_stime) * 1000,
+            "resident_bytes": read_resident_bytes(),
+            "bare_bytes": self.bare_bytes,
+            "learned_ms": self.learned_ms,
+            "dead_ms": self.dead_ms,
+        }
+
+    def publish(self, key: str, size_bytes: int) -> dict:
+        """Learn a new item of this size and return when."""
+        now_ms = time.monotonic() * 1000
+        self.board.learn(NewsItem(f"measured/{key}", 1, "x" * size_bytes))
+        return {"published_ms": now_ms}
+
+    def hold(self, members: int, items: int) -> dict:
+        """Return the memory that further dead members and items take; nothing is sent."""
+        self.membership._spread._list_neighbours = tuple
+        before_bytes = read_resident_bytes()
+        for number in range(members):
+            member = Member(f"held-{number:06}", "zone", "region", "10.0.0.1:65000", "10.0.0.1:1")
+            item = member.to_item()
+            self.board.learn(NewsItem(item.key, item.version, item.value, True))
+        with_members_bytes = read_resident_bytes()
+        for number in range(items):
+            value = {"name": f"vm-{number:06}", "address": "10.0.0.1:65000", "state": "live"}
+            self.board.learn(NewsItem(f"vm/vm-{number:06}", 1, value))
+        with_items_bytes = read_resident_bytes()
+        return {
+            "member_bytes": (with_members_bytes - before_bytes) / max(members, 1),
+            "item_bytes": (with_items_bytes - with_members_bytes) / max(items, 1),
+            "prefix": MEMBER_PREFIX,
+        }
+
+
+def answer(daemon: MeasuredDaemon, line: str) -> dict:
+    """Run one command."""
+    command, *arguments = line.split()
+    if command == "report":
+        return daemon.report()
+    if command == "publish":
+        return daemon.publish(arguments[0], int(arguments[1]))
+    if command == "hold":
+        return daemon.hold(int(arguments[0]), int(arguments[1]))
+    raise ValueError(f"no command {command!r}")
+
+
+def main() -> None:
+    """Run until standard input ends."""
+    settings = json.loads(sys.argv[1])
+    configure_logs(settings["name"], "warning")
+    daemon = MeasuredDaemon(settings)
+    print(json.dumps({"ready": True, "address": daemon.network.address}), flush=True)
+    with FileObjectPosix(sys.stdin, "r", close=False) as commands:
+        for line in commands:
+            print(json.dumps(answer(daemon, line)), flush=True)
+            gevent.sleep(0)
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/capacity_variants.py
@@ -0,0 +1,109 @@
+"""The ways of heartbeats and of passing news on that docs/explanation/membership.md weighs.
+
+Only ``rings`` is the product's. The others exist to be measured beside it.
+"""
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+
+from hemlockswitch.connection.messages import register_message
+from hemlockswitch.core.errors import PeerError
+from hemlockswitch.process.membership import Membership
+from hemlockswitch.process.overlay import Links
+from hemlockswitch.process.spread import Fetch, News, Spread
+
+FANOUT = 6
+GRAFT_WAIT_S = 0.1
+
+
+class MeshMembership(Membership):
+    """Everyone probes everyone."""
+
+    def _find_links(self) -> Links:
+        others = tuple(one for one in self._members.values() if one.is_live and one != self.own)
+        return Links(others, others)
+
+
+class MeshSpread(Spread):
+    """The daemon that learns an item first sends it to all; nobody passes it on."""
+
+    def _push(self) -> None:
+        self._pending = {key: source for key, source in self._pending.items() if not source}
+        super()._push()
+
+
+class RandomMembership(Membership):
+    """One random member is probed each period; news go to a few random ones."""
+
+    def _find_links(self) -> Links:
+        others = [one for one in self._members.values() if one.is_live and one != self.own]
+        probed = random.sample(others, min(1, len(others)))
+        return Links(tuple(probed), tuple(random.sample(others, min(FANOUT, len(others)))))
+
+
+@register_message("variant-prune")
+@dataclass(frozen=True)
+class Prune:
+    """Tells a neighbour that what it sends comes by another link first."""
+
+
+@register_message("variant-have")
+@dataclass(frozen=True)
+class Have:
+    """Rows of key and version that the sender holds."""
+
+    rows: list[list[Any]]
+
+
+class TreeSpread(Spread):
+    """The rings' links cut down to a broadcast tree by duplicates, as in the paper."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._lazy: set[str] = set()
+        self._network.handle(Prune, self._prune, quick=True)
+        self._network.handle(Have, self._receive_have, quick=True)
+
+    def _prune(self, sender: str, message: Prune) -> None:
+        self._lazy.add(sender)
+
+    def _receive_news(self, sender: str, news: News) -> None:
+        before = self.items_known
+        super()._receive_news(sender, news)
+        if news.items and self.items_known - before == len(news.items):
+            self._lazy.add(sender)
+            self._network.send(sender, Prune())
+        else:
+            self._lazy.discard(sender)
+
+    def _send(self, address: str, items: list[Any]) -> None:
+        if address not in self._lazy:
+            super()._send(address, items)
+        elif items:
+            self._network.send(address, Have([[item.key, item.version] for item in items]))
+
+    def _receive_have(self, sender: str, message: Have) -> None:
+        if any(self._lacks(key, version, False) for key, version in message.rows):
+            gevent.spawn(self._graft, sender, message.rows)
+
+    def _graft(self, sender: str, rows: list[list[Any]]) -> None:
+        gevent.sleep(GRAFT_WAIT_S)
+        keys = [key for key, version in rows if self._lacks(key, version, False)]
+        if not keys:
+            return
+        self._lazy.discard(sender)
+        try:
+            self._receive_news(sender, self._network.ask(sender, Fetch(keys), 1_000))
+        except PeerError:
+            return
+
+
+VARIANTS: dict[str, tuple[type[Membership], type[Spread]]] = {
+    "rings": (Membership, Spread),
+    "mesh": (MeshMembership, MeshSpread),
+    "random": (RandomMembership, Spread),
+    "tree": (Membership, TreeSpread),
+}
