Write the shares' anchor through the platform client's typed outcomes

The client answers writes with Written, Conflict or Unknown and raises only when nothing was sent; an unknown write is read back, and a word is known again by its counter.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -38,7 +38,6 @@
     SHARES_EXPIRED = (701, "shares_expired")
     SHARES_GRANTED = (702, "shares_granted")
 
-
     def __init__(self, number: int, label: str) -> None:
         self.number = number
         self.label = label
--- a/hemlockswitch/process/share_anchor.py
+++ b/hemlockswitch/process/share_anchor.py
@@ -8,6 +8,7 @@
 from gevent.event import AsyncResult
 from gevent.queue import Empty, Queue
 
+from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome, Written
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.process.share_record import (
@@ -23,32 +24,16 @@
 MOST_ATTEMPTS = 4
 
 
-class StoredValue(Protocol):
-    """An object as the platform keeps it."""
-
-    @property
-    def version(self) -> int:
-        """The object's version."""
-
-    @property
-    def value(self) -> Any:
-        """The object's content."""
-
-
 class ObjectStore(Protocol):
-    """The part of the platform client that the anchor uses.
+    """The part of the platform client that the anchor uses."""
 
-    `create` and `update` raise `PlatformError` with ``revision_conflict`` when the version was
-    not the one given, and with ``platform_unavailable`` when nothing certain is known.
-    """
-
-    def read(self, kind: str, name: str) -> StoredValue | None:
+    def read(self, kind: str, name: str) -> StoredObject | None:
         """Return the object, or None."""
 
-    def create(self, kind: str, name: str, value: Any) -> Any:
+    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
         """Write an object that must not exist yet."""
 
-    def update(self, kind: str, name: str, value: Any, version: int) -> Any:
+    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
         """Write an object that must have `version`."""
 
 
@@ -141,17 +126,14 @@
 
         PlatformError : the platform did not confirm it.
         """
-        last: PlatformError | None = None
         for _ in range(MOST_ATTEMPTS):
-            try:
-                return self._try_write(asks)
-            except PlatformError as error:
-                if error.kind is not ErrorKind.REVISION_CONFLICT:
-                    raise
-                last = error
-        raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "too many writers") from last
-
-    def _try_write(self, asks: list[RenewShares]) -> list[SharesRenewed | None]:
+            replies = self._try_write(asks)
+            if replies is not None:
+                return replies
+        raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "no write was confirmed")
+
+    def _try_write(self, asks: list[RenewShares]) -> list[SharesRenewed | None] | None:
+        """Read, apply and write once; None when the write is not known to have taken effect."""
         stored = self._store.read(KIND, self._zone)
         record = ShareRecord() if stored is None else ShareRecord.from_value(stored.value)
         self._watch.observe(record.entries.values())
@@ -167,10 +149,10 @@
         for index in order:
             replies[index] = record.renew(asks[index], divided.totals, names, self._watch)
         if stored is None:
-            self._store.create(KIND, self._zone, record.to_value())
+            outcome = self._store.create(KIND, self._zone, record.to_value())
         else:
-            self._store.update(KIND, self._zone, record.to_value(), stored.version)
-        return replies
+            outcome = self._store.update(KIND, self._zone, record.to_value(), stored.version)
+        return replies if isinstance(outcome, Written) else None
 
     def _run(self) -> None:
         while True:
--- a/tests/share_fleet.py
+++ b/tests/share_fleet.py
@@ -1,7 +1,6 @@
 """A few daemons that share limits in one process: a fake network, a fake object service."""
 
-from dataclasses import dataclass
-
+from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PeerError, PlatformError
 from hemlockswitch.process.share_units import NOTHING, Units
@@ -35,12 +34,6 @@
         return self._base.now_ms() * self._rate + self._offset_ms
 
 
-@dataclass(frozen=True)
-class Stored:
-    version: int
-    value: object
-
-
 class FakeStore:
     """Conditional updates; faults: down, or the answers of writes lost."""
 
@@ -60,16 +53,15 @@
         return self.objects.get((kind, name))
 
     def create(self, kind, name, value):
-        self.update(kind, name, value, 0)
+        return self.update(kind, name, value, 0)
 
     def update(self, kind, name, value, version):
         self._call()
         known = self.objects.get((kind, name))
         if (known.version if known else 0) != version:
-            raise PlatformError(ErrorKind.REVISION_CONFLICT, "another version")
-        self.objects[kind, name] = Stored(version + 1, value)
-        if self.lose_answers:
-            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "the answer was lost")
+            return Conflict(known.version if known else 0)
+        self.objects[kind, name] = StoredObject(kind, name, version + 1, value)
+        return Unknown("the answer was lost") if self.lose_answers else Written(version + 1)
 
 
 class FakeNetwork:
