--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -24,6 +24,8 @@
     MEMBERSHIP_REFUTED = (507, "membership_refuted")
     ZONE_SUSPECTED = (508, "zone_suspected")
     NEWS_TOO_LARGE = (509, "news_too_large")
+    SHARES_EXPIRED = (701, "shares_expired")
+    SHARES_GRANTED = (702, "shares_granted")
 
     def __init__(self, number: int, label: str) -> None:
         self.number = number
