Count the tokens that a server has still to compute, not the whole prompts

The ticket of a request carried its whole prompt, so a server with a cached prefix looked busier than it was. The router now says at dispatch what is not cached and remembers the prefix then, for moved generations too. The correction by an answer's cached tokens is gone: once an answer is there, the whole prefix is cached.

--- a/hemlockswitch/request/prefixes.py
+++ b/hemlockswitch/request/prefixes.py
@@ -59,7 +59,7 @@
     ===========
 
     An engine keeps the blocks used last, as this memory does, so what is remembered here is
-    probably still there. Where an answer says that less was cached, `forget_beyond` corrects it.
+    probably still there.
 
     Parameters
     ==========
@@ -100,14 +100,6 @@
             matched += 1
         return matched * BLOCK_TOKENS
 
-    def forget_beyond(self, server_name: str, blocks: Sequence[int], cached_tokens: int) -> None:
-        """Forget the blocks after the first `cached_tokens`, which the server did not have."""
-        kept = self._blocks.get(server_name)
-        if kept is None:
-            return
-        for block in blocks[cached_tokens // BLOCK_TOKENS :]:
-            kept.pop(block, None)
-
     def forget_server(self, server_name: str) -> None:
         """Forget all that was sent to a server that is no more."""
         self._blocks.pop(server_name, None)
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -160,7 +160,8 @@
         generation = running.generation
         server = generation.server
         assert server is not None
-        ticket = self._directory.begin(server.name, running.need.prompt_tokens)
+        uncached_tokens = self._chooser.note_dispatch(server.name, build_need(generation))
+        ticket = self._directory.begin(server.name, uncached_tokens)
         failed = False
         attempt: Attempt | None = None
         try:
--- a/hemlockswitch/request/routing.py
+++ b/hemlockswitch/request/routing.py
@@ -129,7 +129,7 @@
         self.memory = PrefixMemory()
 
     def choose(self, need: Need) -> BackendServer:
-        """Return the server for `need` and remember what its cache will hold.
+        """Return the server for `need`.
 
         Raises
         ======
@@ -144,20 +144,18 @@
         if best_ms > traits.first_token_ms * OVERFLOW_SHARE:
             self._source.note_overflow()
         self._refuse_late(need, best_ms, traits)
-        chosen = pick(self._choice, scored, need, self._chance)
-        self.memory.remember(chosen.server.name, need.prefix_blocks)
-        return chosen.server
+        return pick(self._choice, scored, need, self._chance).server
 
     def count_uncached(self, server_name: str, need: Need) -> int:
         """Return the prompt tokens that the server would probably have to compute."""
         cached = self.memory.count_cached(server_name, need.prefix_blocks)
         return max(need.prompt_tokens - cached, 0)
 
-    def note_cached(self, server_name: str, need: Need, cached_tokens: int) -> None:
-        """Correct the memory by what the engine says it had cached."""
-        expected = self.memory.count_cached(server_name, need.prefix_blocks)
-        if cached_tokens < expected:
-            self.memory.forget_beyond(server_name, need.prefix_blocks, cached_tokens)
+    def note_dispatch(self, server_name: str, need: Need) -> int:
+        """Remember that the request goes to the server; return the tokens it has to compute."""
+        uncached = self.count_uncached(server_name, need)
+        self.memory.remember(server_name, need.prefix_blocks)
+        return uncached
 
     def _score_all(self, need: Need, traits: TargetTraits) -> list[Scored]:
         candidates = self._source.list_candidates(need.target)
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -25,6 +25,9 @@
     def choose(self, need: Need) -> BackendServer:
         """Return the server for `need`, or raise a refusal."""
 
+    def note_dispatch(self, server_name: str, need: Need) -> int:
+        """Note that `need` goes to the server; return the tokens it has to compute."""
+
 
 class Directory(Protocol):
     """Who counts the requests in progress at each backend server."""
