--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements and runners around the product; nothing here is shipped."""
+"""Programs for tests, the demo and measurements; not part of the product."""
