--- a/hemlockswitch/process/share_book.py
+++ b/hemlockswitch/process/share_book.py
@@ -132,6 +132,11 @@
         """Return what is lent out now."""
         return _sum_loans(self._list_given(), account)
 
+    def list_given(self, account: str, resource: Resource) -> list[Loan]:
+        """Return the loans of one resource that others have now."""
+        given = self._list_given()
+        return [loan for loan in given if loan.account == account and loan.resource is resource]
+
     def count_taken(self, account: str) -> Units:
         """Return what is borrowed and not ended, usable for new requests or not."""
         now_ms = self._clock.now_ms()
--- a/hemlockswitch/process/share_loans.py
+++ b/hemlockswitch/process/share_borrower.py
@@ -1,76 +1,36 @@
-"""Loans of shares between daemons: the lender deducts first, the borrower adds after."""
+"""The borrower's end of a loan: it adds after the lender deducted, and gives back what is idle."""
 
-import random
 from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Any, Protocol
 
 import gevent
 from gevent.event import Event
 
-from hemlockswitch.connection.messages import register_message
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import PeerError
 from hemlockswitch.process.share_book import LOAN_MS, REQUEST_MS, Loan, ShareBook
+from hemlockswitch.process.share_messages import (
+    BorrowShare,
+    CreditMover,
+    ExtendLoans,
+    LoanNetwork,
+    LoanReturned,
+    RecallLoan,
+    Terms,
+)
 from hemlockswitch.process.share_units import NOTHING, Resource, Units
 from hemlockswitch.request.allowances import Credit
 
 ASK_TIMEOUT_MS = 100.0
 LOAN_TIMEOUT_MS = 1_000.0
-BARREN_MS = 250.0
+SHORTEST_BARREN_MS = 100.0
+LONGEST_BARREN_MS = 800.0
 SILENT_MS = 1_000.0
 PARALLEL_ASKS = 4
 MOST_ASKS = 16
 IDLE_TICKS = 4
 
-Terms = list[list[int]]
-
-
-@register_message("borrow-share")
-@dataclass(frozen=True)
-class BorrowShare:
-    """Asks for units of one resource of an account."""
-
-    account: str
-    resource: str
-    units: int
-
-
-@register_message("share-lent")
-@dataclass(frozen=True)
-class ShareLent:
-    """What the lender deducted; no units when it has none to spare.
-
-    Parameters
-    ==========
-
-    duration_ms : counted by the borrower from before it asked.
-    requests_credit, tokens_credit : taken out of the lender's buckets, once.
-    """
-
-    number: int
-    units: int
-    duration_ms: float
-    requests_credit: float
-    tokens_credit: float
-
-
-@register_message("extend-loans")
-@dataclass(frozen=True)
-class ExtendLoans:
-    """Asks that loans last longer: pairs of number and units wanted; 0 gives a loan back."""
-
-    loans: Terms
-
-
-@register_message("loans-extended")
-@dataclass(frozen=True)
-class LoansExtended:
-    """Triples of number, units and duration in milliseconds; a loan not listed ends as it was."""
-
-    loans: Terms
-
 
 @dataclass(frozen=True)
 class _BorrowKey:
@@ -80,77 +40,6 @@
     resources: tuple[Resource, ...]
 
 
-class LoanNetwork(Protocol):
-    """The part of the peer network that loans use."""
-
-    def ask(self, address: str, message: Any, timeout_ms: float) -> Any:
-        """Return the peer's reply, or raise `PeerError`."""
-
-    def handle(self, message_type: type, handler: Callable[[str, Any], Any]) -> None:
-        """Serve messages of a type."""
-
-
-class Lender:
-    """Lends what this daemon does not need.
-
-    Parameters
-    ==========
-
-    book : the daemon's record.
-    count_needed : the units that an account's own demand here needs.
-    take_credit, add_credit : move what the buckets hold.
-    """
-
-    def __init__(
-        self,
-        book: ShareBook,
-        count_needed: Callable[[str], Units],
-        take_credit: Callable[[str, Units], Credit],
-        add_credit: Callable[[str, Credit], None],
-    ) -> None:
-        self._book = book
-        self._count_needed = count_needed
-        self._take_credit = take_credit
-        self._add_credit = add_credit
-
-    def register(self, network: LoanNetwork) -> None:
-        """Serve the loan messages of peers."""
-        network.handle(BorrowShare, self.lend)
-        network.handle(ExtendLoans, self.extend)
-
-    def lend(self, sender: str, ask: BorrowShare) -> ShareLent:
-        """Deduct what can be spared and answer with it."""
-        resource = Resource(ask.resource)
-        spare = min(self._count_spare(ask.account, resource), ask.units)
-        if spare <= 0:
-            return ShareLent(0, 0, 0.0, 0.0, 0.0)
-        credit = self._take_credit(ask.account, Units.only(resource, spare))
-        loan = self._book.lend(sender, ask.account, resource, spare)
-        if loan is None:
-            self._add_credit(ask.account, credit)
-            return ShareLent(0, 0, 0.0, 0.0, 0.0)
-        duration_ms = self._book.measure_left_ms(loan)
-        return ShareLent(loan.number, loan.units, duration_ms, credit.requests, credit.tokens)
-
-    def extend(self, sender: str, ask: ExtendLoans) -> LoansExtended:
-        """Let loans last, smaller where this daemon needs them itself."""
-        extended = []
-        for number, wanted in ask.loans:
-            self._book.shrink_given(sender, number, wanted)
-            given = self._book.find_given(sender, number)
-            if given is None:
-                continue
-            short = max(-self._count_spare(given.account, given.resource), 0)
-            loan = self._book.extend(sender, number, given.units - short)
-            if loan is not None:
-                extended.append([number, loan.units, int(self._book.measure_left_ms(loan))])
-        return LoansExtended(extended)
-
-    def _count_spare(self, account: str, resource: Resource) -> int:
-        own = self._book.count_own(account) - self._book.count_given(account)
-        return own.get(resource) - self._count_needed(account).get(resource)
-
-
 class ShareBorrower:
     """Borrows what requests lack, keeps what is used and gives the rest back.
 
@@ -160,7 +49,8 @@
     book : the daemon's record.
     network : the peer network.
     clock : the process's clock.
-    add_credit : puts into the buckets what came with a loan.
+    count_needed : the units that an account's own demand here needs.
+    credits : moves what the buckets hold.
     """
 
     def __init__(
@@ -168,18 +58,22 @@
         book: ShareBook,
         network: LoanNetwork,
         clock: Clock,
-        add_credit: Callable[[str, Credit], None],
+        count_needed: Callable[[str], Units],
+        credits: CreditMover,
     ) -> None:
         self._book = book
         self._network = network
         self._clock = clock
-        self._add_credit = add_credit
+        self._count_needed = count_needed
+        self._credits = credits
         self._running: dict[_BorrowKey, Event] = {}
         self._barren_until_ms: dict[_BorrowKey, float] = {}
         self._silent_until_ms: dict[str, float] = {}
         self._generous: dict[str, float] = {}
         self._surplus: dict[str, deque[int]] = defaultdict(lambda: deque(maxlen=IDLE_TICKS))
-        self._random = random.Random()
+        self._barren_ms: dict[_BorrowKey, float] = {}
+        self._returned: dict[tuple[str, int], Loan] = {}
+        network.handle(RecallLoan, self.return_idle)
 
     def borrow(self, account: str, asked: Units, lenders: list[str], wait_ms: float) -> bool:
         """Ask lenders in turn until `asked` is there or `wait_ms` is over.
@@ -201,30 +95,71 @@
         finally:
             del self._running[key]
             done.set()
-        if not received:
-            self._barren_until_ms[key] = self._clock.now_ms() + BARREN_MS
+        self._note_barren(key, received)
         return received
 
-    def extend_loans(self, count_needed: Callable[[str], Units]) -> None:
+    def return_idle(self, sender: str, ask: RecallLoan) -> LoanReturned:
+        """Deduct what is not needed of a loan that its lender recalls, and answer with it."""
+        loan = self._book.find_taken(sender, ask.number)
+        if loan is None:
+            # Never received or given back already.
+            return LoanReturned(0, 0.0, 0.0)
+        account, resource = loan.account, loan.resource
+        idle = self._book.count_held(account) - self._count_needed(account)
+        units = min(idle.get(resource), ask.units, loan.units)
+        if units <= 0:
+            return LoanReturned(loan.units, 0.0, 0.0)
+        credit = self._credits.take(account, Units.only(resource, units))
+        self._book.take(replace(loan, units=loan.units - units))
+        if loan.units == units:
+            self._returned[sender, loan.number] = loan
+        return LoanReturned(loan.units - units, credit.requests, credit.tokens)
+
+    def _note_barren(self, key: _BorrowKey, received: bool) -> None:
+        """Ask less and less often while nobody has anything; slots come free at any moment."""
+        if received:
+            self._barren_ms.pop(key, None)
+            return
+        pause_ms = self._barren_ms.get(key, SHORTEST_BARREN_MS)
+        self._barren_until_ms[key] = self._clock.now_ms() + pause_ms
+        longest_ms = SHORTEST_BARREN_MS if Resource.SLOTS in key.resources else LONGEST_BARREN_MS
+        self._barren_ms[key] = min(pause_ms * 2, longest_ms)
+
+    def extend_loans(self) -> None:
         """Keep the loans that are needed; give back slots that were idle for a while."""
         by_account: dict[str, list[Loan]] = defaultdict(list)
         for loan in self._book.list_taken():
             by_account[loan.account].append(loan)
         wanted: dict[str, Terms] = defaultdict(list)
         for account, loans in by_account.items():
-            self._choose(account, loans, count_needed(account), wanted)
-        asks = [gevent.spawn(self._extend_at, peer, terms) for peer, terms in wanted.items()]
-        gevent.joinall(asks)
+            self._choose(account, loans, self._count_needed(account), wanted)
+        self._return_again(wanted)
+        self._extend_at_all(wanted)
 
     def return_all(self) -> None:
         """Give every loan back."""
         wanted: dict[str, Terms] = defaultdict(list)
         for loan in self._book.list_taken():
-            self._book.take(replace(loan, units=0))
-            wanted[loan.peer].append([loan.number, 0])
-        gevent.joinall(
-            [gevent.spawn(self._extend_at, peer, terms) for peer, terms in wanted.items()]
-        )
+            self._return(loan)
+        self._return_again(wanted)
+        self._extend_at_all(wanted)
+
+    def _return(self, loan: Loan) -> None:
+        """Deduct a loan; its lender is told until it has answered."""
+        self._book.take(replace(loan, units=0))
+        self._returned[loan.peer, loan.number] = loan
+
+    def _return_again(self, wanted: dict[str, Terms]) -> None:
+        now_ms = self._clock.now_ms()
+        for key, loan in list(self._returned.items()):
+            if now_ms >= loan.until_ms:
+                del self._returned[key]
+            else:
+                wanted[loan.peer].append([loan.number, 0])
+
+    def _extend_at_all(self, wanted: dict[str, Terms]) -> None:
+        asks = [gevent.spawn(self._extend_at, peer, terms) for peer, terms in wanted.items()]
+        gevent.joinall(asks)
 
     def _ask_in_turn(self, account: str, asked: Units, lenders: list[str], wait_ms: float) -> bool:
         end_ms = self._clock.now_ms() + wait_ms
@@ -269,7 +204,7 @@
             self._extend_at(address, [[loan.number, loan.units]])
         else:
             self._book.take(loan)
-            self._add_credit(ask.account, Credit(lent.requests_credit, lent.tokens_credit))
+            self._credits.add(ask.account, Credit(lent.requests_credit, lent.tokens_credit))
         self._generous[address] = self._clock.now_ms()
         return lent.units
 
@@ -307,8 +242,7 @@
             if 0 < loan.units <= idle:
                 idle -= loan.units
                 surplus.clear()
-                self._book.take(replace(loan, units=0))
-                wanted[loan.peer].append([loan.number, 0])
+                self._return(loan)
             elif loan.until_ms - now_ms < REQUEST_MS * 3 / 2:
                 wanted[loan.peer].append([loan.number, loan.units])
 
@@ -318,6 +252,9 @@
             reply = self._network.ask(peer, ExtendLoans(terms), LOAN_TIMEOUT_MS)
         except PeerError:
             return
+        for number, units in terms:
+            if units == 0:
+                self._returned.pop((peer, number), None)
         for number, units, duration_ms in reply.loans:
             loan = self._book.find_taken(peer, number)
             if loan is not None:
--- /dev/null
+++ b/hemlockswitch/process/share_lender.py
@@ -0,0 +1,116 @@
+"""The lender's end of a loan: it deducts first, and recalls what its borrowers do not need."""
+
+from collections.abc import Callable
+
+import gevent
+
+from hemlockswitch.core.errors import PeerError
+from hemlockswitch.process.share_book import Loan, ShareBook
+from hemlockswitch.process.share_messages import (
+    BorrowShare,
+    CreditMover,
+    ExtendLoans,
+    LoanNetwork,
+    LoansExtended,
+    RecallLoan,
+    ShareLent,
+)
+from hemlockswitch.process.share_units import Resource, Units
+from hemlockswitch.request.allowances import Credit
+
+RECALL_TIMEOUT_MS = 60.0
+PARALLEL_RECALLS = 4
+
+
+class Lender:
+    """Lends what this daemon does not need, and recalls idle loans for another borrower.
+
+    Parameters
+    ==========
+
+    book : the daemon's record.
+    network : the peer network.
+    count_needed : the units that an account's own demand here needs.
+    credits : moves what the buckets hold.
+    """
+
+    def __init__(
+        self,
+        book: ShareBook,
+        network: LoanNetwork,
+        count_needed: Callable[[str], Units],
+        credits: CreditMover,
+    ) -> None:
+        self._book = book
+        self._network = network
+        self._count_needed = count_needed
+        self._credits = credits
+        network.handle(BorrowShare, self.lend)
+        network.handle(ExtendLoans, self.extend)
+
+    def lend(self, sender: str, ask: BorrowShare) -> ShareLent:
+        """Deduct what can be spared and answer with it."""
+        resource = Resource(ask.resource)
+        if self._count_spare(ask.account, resource) < ask.units:
+            self._recall(sender, ask.account, resource, ask.units)
+        spare = min(self._count_spare(ask.account, resource), ask.units)
+        if spare <= 0:
+            return ShareLent(0, 0, 0.0, 0.0, 0.0)
+        credit = self._credits.take(ask.account, Units.only(resource, spare))
+        loan = self._book.lend(sender, ask.account, resource, spare)
+        if loan is None:
+            self._credits.add(ask.account, credit)
+            return ShareLent(0, 0, 0.0, 0.0, 0.0)
+        duration_ms = self._book.measure_left_ms(loan)
+        return ShareLent(loan.number, loan.units, duration_ms, credit.requests, credit.tokens)
+
+    def extend(self, sender: str, ask: ExtendLoans) -> LoansExtended:
+        """Let loans last, smaller where this daemon needs them itself."""
+        extended = []
+        for number, wanted in ask.loans:
+            self._book.shrink_given(sender, number, wanted)
+            given = self._book.find_given(sender, number)
+            if given is None:
+                continue
+            short = max(-self._count_spare(given.account, given.resource), 0)
+            loan = self._book.extend(sender, number, given.units - short)
+            if loan is not None:
+                extended.append([number, loan.units, int(self._book.measure_left_ms(loan))])
+        return LoansExtended(extended)
+
+    def recall(self, account: str, asked: Units) -> bool:
+        """Take back for this daemon's own requests what its borrowers do not need."""
+        came = False
+        for resource in Resource:
+            if asked.get(resource) > 0:
+                came = self._recall("", account, resource, asked.get(resource)) or came
+        return came
+
+    def _recall(self, sender: str, account: str, resource: Resource, units: int) -> bool:
+        loans = [
+            loan
+            for loan in self._book.list_given(account, resource)
+            if loan.peer and loan.peer != sender
+        ]
+        loans.sort(key=lambda loan: -loan.units)
+        asks = [gevent.spawn(self._recall_one, loan, units) for loan in loans[:PARALLEL_RECALLS]]
+        gevent.joinall(asks)
+        return any(ask.value for ask in asks)
+
+    def _recall_one(self, loan: Loan, units: int) -> bool:
+        try:
+            reply = self._network.ask(
+                loan.peer, RecallLoan(loan.number, min(units, loan.units)), RECALL_TIMEOUT_MS
+            )
+        except PeerError:
+            return False
+        given = self._book.find_given(loan.peer, loan.number)
+        if given is None or reply.units_left >= given.units:
+            return False
+        self._book.shrink_given(loan.peer, loan.number, reply.units_left)
+        self._credits.add(loan.account, Credit(reply.requests_credit, reply.tokens_credit))
+        return True
+
+    def _count_spare(self, account: str, resource: Resource) -> int:
+        own = self._book.count_own(account) - self._book.count_given(account)
+        return own.get(resource) - self._count_needed(account).get(resource)
--- a/hemlockswitch/process/share_units.py
+++ b/hemlockswitch/process/share_units.py
@@ -9,6 +9,8 @@
 from hemlockswitch.request.allowances import Allowance
 from hemlockswitch.version.models import AccountLimits
 
+NEGLIGIBLE = 0.2
+
 
 class Resource(StrEnum):
     """What a limit bounds."""
@@ -104,10 +106,10 @@
         )
 
     def count_units(self, rate_of: Allowance) -> Units:
-        """Return the units that cover a demand, rounded up."""
+        """Return the units that cover a demand, rounded up but for what is next to nothing."""
         return Units(
-            ceil(rate_of.requests_per_second / self.requests_per_second),
-            ceil(rate_of.tokens_per_second / self.tokens_per_second),
+            max(ceil(rate_of.requests_per_second / self.requests_per_second - NEGLIGIBLE), 0),
+            max(ceil(rate_of.tokens_per_second / self.tokens_per_second - NEGLIGIBLE), 0),
             rate_of.concurrent_requests,
         )
 
--- a/hemlockswitch/process/shares.py
+++ b/hemlockswitch/process/shares.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 import gevent
 
@@ -13,7 +13,9 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.share_anchor import BATCH_MS, ObjectStore, ShareAnchor, ZoneTotals
 from hemlockswitch.process.share_book import TERM_MS, ShareBook
-from hemlockswitch.process.share_loans import Lender, ShareBorrower
+from hemlockswitch.process.share_borrower import ShareBorrower
+from hemlockswitch.process.share_lender import Lender
+from hemlockswitch.process.share_messages import LoanNetwork
 from hemlockswitch.process.share_record import (
     EntryWatch,
     RenewShares,
@@ -41,16 +43,6 @@
     address: str
 
 
-class Network(Protocol):
-    """The part of the peer network that shares use."""
-
-    def ask(self, address: str, message: Any, timeout_ms: float) -> Any:
-        """Return the peer's reply, or raise `PeerError`."""
-
-    def handle(self, message_type: type, handler: Callable[[str, Any], Any]) -> None:
-        """Serve messages of a type."""
-
-
 class Shares:
     """The daemon's `Allowances`: its shares, kept alive and moved on demand.
 
@@ -82,7 +74,7 @@
         zone: str,
         clock: Clock,
         store: ObjectStore,
-        network: Network,
+        network: LoanNetwork,
         find_file: Callable[[], OperatorFile],
         list_members: Callable[[], Iterable[ShareMember]],
         is_gone: Callable[[str], bool] = lambda name: False,
@@ -105,10 +97,10 @@
         self.anchor = ShareAnchor(
             store, zone, self._find_totals, EntryWatch(clock, is_gone), batch_ms
         )
-        self.lender = Lender(self.book, self.count_needed, self._take_credit, self._add_credit)
-        self.borrower = ShareBorrower(self.book, network, clock, self._add_credit)
+        credits = _Credits(self)
+        self.lender = Lender(self.book, network, self.count_needed, credits)
+        self.borrower = ShareBorrower(self.book, network, clock, self.count_needed, credits)
         network.handle(RenewShares, lambda sender, ask: self.anchor.renew(ask))
-        self.lender.register(network)
 
     def set_use(self, use: AccountUse) -> None:
         """Connect the admission that uses these shares."""
@@ -155,7 +147,8 @@
             wanted.tokens if lacking.tokens else 0,
             lacking.slots,
         )
-        return self.borrower.borrow(account, asked, self._list_lenders(), wait_ms)
+        recalled = self.lender.recall(account, asked)
+        return recalled or self.borrower.borrow(account, asked, self._list_lenders(), wait_ms)
 
     def renew(self) -> bool:
         """Say to the anchor that this daemon lives; return whether the word was written."""
@@ -261,7 +254,8 @@
             self._sizes_of = file
         return self._sizes.get(account)
 
-    def _take_credit(self, account: str, units: Units) -> Credit:
+    def take_credit(self, account: str, units: Units) -> Credit:
+        """Take at most what `units` hold out of the account's buckets."""
         sizes = self._find_sizes(account)
         if sizes is None or self._use is None:
             return Credit()
@@ -271,7 +265,8 @@
             account, Credit(rates.requests_per_second, rates.tokens_per_second)
         )
 
-    def _add_credit(self, account: str, credit: Credit) -> None:
+    def add_credit(self, account: str, credit: Credit) -> None:
+        """Put `credit` into the account's buckets."""
         if self._use is not None and self._find_sizes(account) is not None:
             self._use.add_credit(account, credit)
 
@@ -296,4 +291,19 @@
     def _keep_loans(self) -> None:
         while True:
             gevent.sleep(TICK_MS / MS_PER_SECOND)
-            self.borrower.extend_loans(self.count_needed)
+            self.borrower.extend_loans()
+
+
+class _Credits:
+    """The `CreditMover` of the loans: the buckets of the admission that uses the shares."""
+
+    def __init__(self, shares: Shares) -> None:
+        self._shares = shares
+
+    def take(self, account: str, units: Units) -> Credit:
+        """Take at most what `units` hold out of the account's buckets."""
+        return self._shares.take_credit(account, units)
+
+    def add(self, account: str, credit: Credit) -> None:
+        """Put `credit` into the account's buckets."""
+        self._shares.add_credit(account, credit)
--- a/hemlockswitch/request/buckets.py
+++ b/hemlockswitch/request/buckets.py
@@ -4,7 +4,7 @@
 
 BURST_MS = 1_000.0
 MS_PER_SECOND = 1_000.0
-METER_MS = 2_000.0
+METER_MS = 1_000.0
 
 
 class Bucket:
@@ -110,8 +110,8 @@
 
     >>> meter = Meter(now_ms=0)
     >>> meter.add(now_ms=0, amount=10)
-    >>> round(meter.measure(now_ms=0), 1), round(meter.measure(now_ms=2_000), 1)
-    (5.0, 1.8)
+    >>> round(meter.measure(now_ms=0), 1), round(meter.measure(now_ms=1_000), 1)
+    (10.0, 3.7)
     """
 
     def __init__(self, now_ms: float) -> None:
--- a/tests/share_fleet.py
+++ b/tests/share_fleet.py
@@ -162,7 +162,7 @@
             self.base.advance(step_ms)
             for daemon in list(self.daemons.values()):
                 if not daemon.frozen:
-                    daemon.shares.borrower.extend_loans(daemon.shares.count_needed)
+                    daemon.shares.borrower.extend_loans()
             if number % renew_every == renew_every - 1:
                 self.renew_all()
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -147,7 +147,7 @@
     elif choice < 0.4:
         daemon.shares.renew()
     elif choice < 0.6:
-        daemon.shares.borrower.extend_loans(daemon.shares.count_needed)
+        daemon.shares.borrower.extend_loans()
     else:
         admit(rng, fleet, daemon, running)
 
