--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -90,7 +90,8 @@
 
     def list_seeds(self) -> list[str]:
         """Return the peer addresses of the first daemons, to join through."""
-        return [item.addresses["peers"] for item in self.list_daemons()[:2]]
+        addresses = [item.addresses for item in self.list_daemons()[:2]]
+        return [item["peers"] for item in addresses if "peers" in item]
 
     def close(self) -> None:
         """End every process and remove the files."""
--- a/hemlockswitch/standin/engine.py
+++ b/hemlockswitch/standin/engine.py
@@ -81,6 +81,7 @@
     """What the tests judge by."""
 
     runs: Counter = field(default_factory=Counter)
+    trace_parents: dict[str, str] = field(default_factory=dict)
     resumed: list[str] = field(default_factory=list)
     refused: int = 0
     prompt_tokens: int = 0
@@ -139,6 +140,8 @@
         )
         stream.carried_tokens = self.kv.count_carried_tokens(request.kv_handle, stream.seed)
         self._count(stream, request, now_ms)
+        if "TRACEPARENT" in headers:
+            self.counts.trace_parents[stream.stream_id] = headers["TRACEPARENT"]
         self.batch.add(stream)
         return stream
 
--- a/hemlockswitch/standin/service.py
+++ b/hemlockswitch/standin/service.py
@@ -105,6 +105,7 @@
             "path": request.relative_uri,
             "body": body,
             "request_id": request.get_header("X-Request-Id"),
+            "traceparent": request.get_header("traceparent"),
             "run": self._service.counts.runs,
         }
         if faults.mix_answers:
