Add claims: a key's call is dispatched at most once in the whole system

Cause: two entry daemons, a repeat after a lost answer, or a repeat in another zone could each dispatch the same non-idempotent call.

Change: a claim is written to the platform before the dispatch, in one of 16 partitions. The partition's head object is the only arbiter (conditional update on its version). Operations that wait go into one write together; each is recognised by its claim's id, so a batch whose answer was lost is applied again to what is read back. Finished claims of a large head move to segments that never change, so a write stays small however many claims are kept. A daemon without the platform passes the operation to the partition's home or to other zones; where none can write, the call is refused with `ran: no`. A claim whose call was certainly not dispatched is given back; one without an outcome is never dispatched again.

Unit tests run against an object service in memory with lost answers, old reads and outage.

--- /dev/null
+++ b/hemlockswitch/process/claim_store.py
@@ -0,0 +1,295 @@
+"""The claims of this daemon: a key's call is dispatched once, and its answer kept."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Self
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.pool import Pool
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.claim_ledger import GiveBack, Place, Record, Result, Verdict
+from hemlockswitch.process.claim_objects import Bounds, ObjectService, PartitionObjects
+from hemlockswitch.process.claim_routes import (
+    PARTITIONS,
+    ClaimPeer,
+    ClaimRoutes,
+    NoPeers,
+    Peers,
+    list_no_peers,
+)
+from hemlockswitch.process.claim_writer import Pace, PartitionWriter, WriterCounts
+from hemlockswitch.request.claims import Claim, Outcome, StoredAnswer, digest_key
+
+REPEAT_PAUSES_MS = (100, 200, 400, 800)
+COME_BACK_MS = 1_000
+FULL_RETRY_MS = 30_000
+DISPATCH_TERM_MS = 120_000
+FRESH_MS = 10_000
+UNWRITTEN_OUTCOMES = 1_024
+OUTBOX_FIRST_PAUSE_MS = 250
+OUTBOX_LONGEST_PAUSE_MS = 5_000
+OUTBOX_LIFE_MS = 600_000
+
+
+@dataclass
+class _Running:
+    """A call with a key that this daemon is dealing with now."""
+
+    fingerprint: str
+    result: AsyncResult = field(default_factory=AsyncResult)
+
+
+@dataclass(frozen=True)
+class _Unwritten:
+    """An outcome that is not in the platform yet."""
+
+    fingerprint: str
+    outcome: Outcome
+
+
+class ClaimStore:
+    """Runs each key's call at most once in the whole system.
+
+    Explanation
+    ===========
+
+    The claim is in the platform before the call is dispatched, and only the daemon whose claim
+    it is dispatches, once. The outcome is written back after the caller has its answer. What
+    cannot be claimed is refused with ``ran: no``; a claim without an outcome is never dispatched
+    again. docs/explanation/claims.md weighs this against other ways.
+
+    Parameters
+    ==========
+
+    holder : names this process in its claims.
+    routes : brings operations to the platform.
+    clock : the time.
+    retention_ms : returns how long claims are kept.
+    is_gone : tells whether the holder of a claim is known to have left.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        routes: ClaimRoutes,
+        clock: Clock,
+        retention_ms: Callable[[], int],
+        is_gone: Callable[[str], bool] = lambda holder: False,
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self._holder = holder
+        self._routes = routes
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._is_gone = is_gone
+        self._running: dict[str, _Running] = {}
+        self._unwritten: dict[str, _Unwritten] = {}
+        self._outbox = Pool(UNWRITTEN_OUTCOMES)
+
+    @classmethod
+    def from_config(
+        cls,
+        name: str,
+        zone: str,
+        platform: ObjectService,
+        clock: Clock,
+        retention_ms: Callable[[], int],
+        *,
+        peers: Peers | None = None,
+        list_peers: Callable[[], list[ClaimPeer]] = list_no_peers,
+        is_gone: Callable[[str], bool] = lambda holder: False,
+        bounds: Bounds | None = None,
+        pace: Pace | None = None,
+        writer_counts: WriterCounts | None = None,
+    ) -> Self:
+        """Return the claims of a daemon, with a writer for each partition."""
+        counts = writer_counts or WriterCounts()
+        writers = [
+            PartitionWriter(
+                PartitionObjects(platform, f"p{number:03d}", bounds or Bounds()),
+                clock,
+                retention_ms,
+                pace or Pace(),
+                counts,
+            )
+            for number in range(PARTITIONS)
+        ]
+        routes = ClaimRoutes(name, zone, writers, peers or NoPeers(), list_peers)
+        holder = make_identifier(name)
+        return cls(holder, routes, clock, retention_ms, is_gone)
+
+    def run_once(
+        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
+    ) -> StoredAnswer:
+        """Return the key's answer, from `dispatch` or from an earlier call.
+
+        Parameters
+        ==========
+
+        account, key : the key is the account's own.
+        fingerprint : hash of what the call asks for.
+        dispatch : sends the call; called at most once.
+
+        Raises
+        ======
+
+        RequestError : `CLAIM_UNAVAILABLE`, nothing was run; `CLAIM_CONFLICT`, another dispatch
+            of this key is under way; `OUTCOME_UNKNOWN`, there was one and its end is not known;
+            `BAD_REQUEST`, the key was used for another call; or what `dispatch` raises.
+        """
+        digest = digest_key(account, key)
+        running = self._running.get(digest)
+        if running is not None:
+            return self._join(running, fingerprint)
+        unwritten = self._unwritten.get(digest)
+        if unwritten is not None:
+            return self._replay(unwritten.fingerprint, unwritten.outcome, fingerprint)
+        running = self._running[digest] = _Running(fingerprint)
+        try:
+            answer = self._claim_and_run(digest, fingerprint, dispatch)
+            running.result.set(answer)
+            return answer
+        except RequestError as error:
+            running.result.set_exception(error)
+            raise
+        finally:
+            del self._running[digest]
+
+    def describe(self) -> dict[str, int]:
+        """Return what happened to keys so far, for the status page."""
+        return {**self.counts, "unwritten_outcomes": len(self._outbox)}
+
+    def flush(self, timeout_ms: float) -> bool:
+        """Wait until the outcomes are written; return whether all are."""
+        return bool(self._outbox.join(timeout=timeout_ms / MS_PER_SECOND))
+
+    def _join(self, running: _Running, fingerprint: str) -> StoredAnswer:
+        """Wait shortly for the same key's call that this daemon is dealing with."""
+        self._check_fingerprint(running.fingerprint, fingerprint)
+        self.counts["joined"] += 1
+        try:
+            return running.result.get(timeout=sum(REPEAT_PAUSES_MS) / MS_PER_SECOND)
+        except gevent.Timeout:
+            raise self._make_conflict() from None
+
+    def _claim_and_run(
+        self, digest: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
+    ) -> StoredAnswer:
+        began_ms = self._clock.now_ms()
+        term_ms = min(DISPATCH_TERM_MS, self._retention_ms())
+        claim = Claim.make(fingerprint, self._holder, self._clock.wall_ms(), term_ms)
+        result = self._place(digest, claim, fingerprint)
+        if result.verdict is Verdict.PLACED:
+            self._check_fresh(digest, claim, began_ms)
+            return self._run(digest, claim, dispatch)
+        if result.claim is not None and result.claim.outcome is not None:
+            return self._replay(result.claim.fingerprint, result.claim.outcome, fingerprint)
+        raise self._refuse(digest, claim, result)
+
+    def _place(self, digest: str, claim: Claim, fingerprint: str) -> Result:
+        """Place a claim, waiting shortly while another's dispatch is under way."""
+        for pause_ms in (*REPEAT_PAUSES_MS, 0):
+            result = self._routes.perform(Place(digest, claim))
+            if result.verdict is not Verdict.STANDING or result.claim is None:
+                return result
+            self._check_fingerprint(result.claim.fingerprint, fingerprint)
+            if result.claim.outcome is not None or self._is_over(result.claim):
+                return result
+            self._clock.sleep_ms(pause_ms)
+        return result
+
+    def _is_over(self, claim: Claim) -> bool:
+        """Return whether a claim without an outcome will hardly get one."""
+        return self._clock.wall_ms() > claim.ends_wall_ms or self._is_gone(claim.holder)
+
+    def _check_fresh(self, digest: str, claim: Claim, began_ms: float) -> None:
+        """Refuse to dispatch on a claim that this process slept on.
+
+        A process that was paused may wake after its claim's retention, when a repeat has a claim
+        of its own.
+        """
+        if self._clock.now_ms() - began_ms <= min(FRESH_MS, self._retention_ms() / 2):
+            return
+        self._deliver(GiveBack(digest, claim))
+        self.counts["unavailable"] += 1
+        raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "the claim took too long")
+
+    def _run(self, digest: str, claim: Claim, dispatch: Callable[[], StoredAnswer]) -> StoredAnswer:
+        self.counts["placed"] += 1
+        try:
+            answer = dispatch()
+        except RequestError as error:
+            if error.answer.ran is Ran.NO:
+                self._deliver(GiveBack(digest, claim))
+            else:
+                self._record(digest, claim, Outcome.from_error(error))
+            raise
+        self._record(digest, claim, Outcome.from_answer(answer))
+        return answer
+
+    def _record(self, digest: str, claim: Claim, outcome: Outcome) -> None:
+        self._unwritten[digest] = _Unwritten(claim.fingerprint, outcome)
+        self._deliver(Record(digest, claim.claim_id, outcome))
+
+    def _deliver(self, operation: Record | GiveBack) -> None:
+        """Write an operation that nobody waits for, in a task of its own."""
+        if self._outbox.full():
+            # Without its outcome the claim stands: a repeat is told that the outcome is unknown.
+            log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
+            self._unwritten.pop(operation.digest, None)
+            return
+        self._outbox.spawn(self._keep_delivering, operation)
+
+    def _keep_delivering(self, operation: Record | GiveBack) -> None:
+        until_ms = self._clock.now_ms() + min(OUTBOX_LIFE_MS, self._retention_ms())
+        pause_ms = OUTBOX_FIRST_PAUSE_MS
+        try:
+            while self._clock.now_ms() < until_ms:
+                if self._routes.perform(operation).verdict is Verdict.DONE:
+                    return
+                self._clock.sleep_ms(pause_ms)
+                pause_ms = min(pause_ms * 2, OUTBOX_LONGEST_PAUSE_MS)
+            log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
+        finally:
+            self._unwritten.pop(operation.digest, None)
+
+    def _replay(self, kept_for: str, outcome: Outcome, fingerprint: str) -> StoredAnswer:
+        self._check_fingerprint(kept_for, fingerprint)
+        self.counts["replayed"] += 1
+        return outcome.replay()
+
+    def _refuse(self, digest: str, claim: Claim, result: Result) -> RequestError:
+        """Return the refusal of a call whose claim was not placed."""
+        if result.verdict is Verdict.STANDING and result.claim is not None:
+            if not self._is_over(result.claim):
+                return self._make_conflict()
+            self.counts["unknown"] += 1
+            log_event(Event.CLAIM_OUTCOME_UNKNOWN, "warning", claim=result.claim.claim_id)
+            detail = "a call with this key was begun and its end is not known"
+            return RequestError(ErrorKind.OUTCOME_UNKNOWN, detail)
+        self.counts["unavailable"] += 1
+        if result.verdict is Verdict.FULL:
+            log_event(Event.CLAIM_PARTITION_FULL, "warning")
+            detail = "the room for claims is used up"
+            return RequestError(ErrorKind.CLAIM_UNAVAILABLE, detail, retry_after_ms=FULL_RETRY_MS)
+        if result.verdict is Verdict.UNCERTAIN:
+            self._deliver(GiveBack(digest, claim))
+        return RequestError(ErrorKind.CLAIM_UNAVAILABLE, "the key could not be claimed")
+
+    def _make_conflict(self) -> RequestError:
+        self.counts["conflict"] += 1
+        detail = "a call with this key is under way"
+        return RequestError(ErrorKind.CLAIM_CONFLICT, detail, retry_after_ms=COME_BACK_MS)
+
+    @staticmethod
+    def _check_fingerprint(kept_for: str, fingerprint: str) -> None:
+        if kept_for != fingerprint:
+            detail = "the idempotency key was used for another call"
+            raise RequestError(ErrorKind.BAD_REQUEST, detail)
--- /dev/null
+++ b/hemlockswitch/process/claim_writer.py
@@ -0,0 +1,190 @@
+"""The task that writes one partition: every operation that waits goes into the next write."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.event import Event as Signal
+
+from hemlockswitch.connection.platform_models import Conflict, Unknown, WriteOutcome, Written
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.claim_ledger import Operation, Result, Verdict, apply
+from hemlockswitch.process.claim_objects import PartitionObjects
+
+MAX_WAITING = 4_096
+MAX_BATCH = 64
+MAX_ATTEMPTS = 8
+CONFLICT_PAUSE_MS = 10.0
+
+
+@dataclass(frozen=True)
+class Pace:
+    """When a partition's writes go out.
+
+    Parameters
+    ==========
+
+    interval_ms : least time between two writes of the partition by this daemon.
+    lazy_ms : how long operations that no caller waits for are held back for company.
+    """
+
+    interval_ms: float = 50.0
+    lazy_ms: float = 200.0
+
+
+@dataclass
+class _Waiting:
+    """An operation and who waits for its result."""
+
+    operation: Operation
+    result: AsyncResult = field(default_factory=AsyncResult)
+
+
+@dataclass
+class WriterCounts:
+    """What the writer did."""
+
+    operations: int = 0
+    writes: int = 0
+    conflicts: int = 0
+    unknown: int = 0
+
+
+class PartitionWriter:
+    """Applies operations to one partition in batches, one conditional write each.
+
+    Explanation
+    ===========
+
+    While a write is under way, what arrives waits and goes into the next one together. A write
+    refused by its condition, or with its answer lost, is followed by a fresh read and the same
+    operations again; they recognise their own claims.
+
+    Parameters
+    ==========
+
+    objects : the partition.
+    clock : the time.
+    retention_ms : returns how long claims are kept.
+    pace : when writes go out.
+    counts : where the work is counted; shared by the writers of a process.
+    """
+
+    def __init__(
+        self,
+        objects: PartitionObjects,
+        clock: Clock,
+        retention_ms: Callable[[], int],
+        pace: Pace,
+        counts: WriterCounts,
+    ) -> None:
+        self._objects = objects
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._pace = pace
+        self._counts = counts
+        self._waiting: deque[_Waiting] = deque()
+        self._arrived = Signal()
+        self._urgent = Signal()
+        self._last_write_ms = float("-inf")
+        self._task: gevent.Greenlet | None = None
+
+    def perform(self, operation: Operation) -> Result:
+        """Return what became of an operation once it is in the platform."""
+        if len(self._waiting) >= MAX_WAITING:
+            return Result(Verdict.UNAVAILABLE)
+        waiting = _Waiting(operation)
+        self._waiting.append(waiting)
+        self._arrived.set()
+        if not operation.lazy:
+            self._urgent.set()
+        if self._task is None:
+            self._task = gevent.spawn(self._run)
+        return waiting.result.get()
+
+    def stop(self) -> None:
+        """End the task; who waits is told that the outcome is uncertain."""
+        if self._task is not None:
+            self._task.kill(block=False)
+        for waiting in self._waiting:
+            waiting.result.set(Result(Verdict.UNCERTAIN))
+
+    def _run(self) -> None:
+        while True:
+            self._arrived.wait()
+            self._urgent.wait(self._pace.lazy_ms / MS_PER_SECOND)
+            due_ms = self._last_write_ms + self._pace.interval_ms
+            self._clock.sleep_ms(due_ms - self._clock.now_ms())
+            self._serve(self._take_batch())
+
+    def _take_batch(self) -> list[_Waiting]:
+        count = min(len(self._waiting), MAX_BATCH)
+        batch = [self._waiting.popleft() for _ in range(count)]
+        if not self._waiting:
+            self._arrived.clear()
+            self._urgent.clear()
+        return batch
+
+    def _serve(self, batch: list[_Waiting]) -> None:
+        self._counts.operations += len(batch)
+        try:
+            results = self._commit([waiting.operation for waiting in batch])
+        except Exception as error:
+            log_event(Event.TASK_FAILED, "error", task="claim writer", error=repr(error))
+            self._objects.forget()
+            results = [Result(Verdict.UNCERTAIN)] * len(batch)
+        for waiting, result in zip(batch, results, strict=True):
+            waiting.result.set(result)
+
+    def _commit(self, operations: list[Operation]) -> list[Result]:
+        """Apply a batch until one write of it took effect, or say what is known."""
+        uncertain = False
+        try:
+            for _ in range(MAX_ATTEMPTS):
+                was_known = self._objects.is_known()
+                results, outcome = self._try_once(operations)
+                if outcome is None and was_known and _depends_on_age(results):
+                    self._objects.forget()
+                    continue
+                if outcome is None or isinstance(outcome, Written):
+                    return results
+                uncertain = uncertain or isinstance(outcome, Unknown)
+                self._count_failure(outcome)
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "too many conflicts")
+        except HemlockError as error:
+            verdict = Verdict.UNCERTAIN if uncertain else Verdict.UNAVAILABLE
+            log_event(Event.CLAIM_WRITE_FAILED, "warning", verdict=verdict, reason=error.detail)
+            return [Result(verdict)] * len(operations)
+
+    def _try_once(self, operations: list[Operation]) -> tuple[list[Result], WriteOutcome | None]:
+        """Apply a batch and write it; the outcome is None where nothing had to be written."""
+        now_wall_ms = self._clock.wall_ms()
+        draft = self._objects.make_draft(now_wall_ms - self._retention_ms())
+        results = [apply(operation, draft) for operation in operations]
+        if not draft.changed:
+            return results, None
+        self._last_write_ms = self._clock.now_ms()
+        self._counts.writes += 1
+        return results, self._objects.write(draft, now_wall_ms)
+
+    def _count_failure(self, outcome: WriteOutcome) -> None:
+        if isinstance(outcome, Conflict):
+            self._counts.conflicts += 1
+            self._clock.sleep_ms(random.uniform(0, CONFLICT_PAUSE_MS))
+        else:
+            self._counts.unknown += 1
+
+
+def _depends_on_age(results: list[Result]) -> bool:
+    """Return whether a fresher head could change a result that needed no write."""
+    return any(
+        result.verdict is Verdict.FULL
+        or (result.claim is not None and result.claim.outcome is None)
+        for result in results
+    )
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,310 @@
+"""Claims against an object service in memory that fails on demand."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import pytest
+
+from hemlockswitch.connection.platform_models import (
+    Conflict,
+    StoredObject,
+    Unknown,
+    WriteOutcome,
+    Written,
+)
+from hemlockswitch.core.clock import SystemClock
+from hemlockswitch.core.errors import ErrorKind, PlatformError, Ran, RequestError
+from hemlockswitch.process import claim_store
+from hemlockswitch.process.claim_objects import Bounds
+from hemlockswitch.process.claim_routes import ClaimOperation, ClaimPeer
+from hemlockswitch.process.claim_store import ClaimStore
+from hemlockswitch.process.claim_writer import Pace
+from hemlockswitch.request.claims import KEPT_BODY_BYTES, StoredAnswer
+
+
+class Objects:
+    """Object service; `lose` answers are lost, `down` refuses, each call lets others run."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, tuple[int, Any]] = {}
+        self.history: dict[str, list[tuple[int, Any]]] = {}
+        self.version = 0
+        self.lose = 0
+        self.old_reads = 0
+        self.down = False
+        self.writes = 0
+
+    def _check(self) -> None:
+        gevent.sleep(0.001)
+        if self.down:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        self._check()
+        history = self.history.get(name, [])
+        if not history:
+            return None
+        back = min(self.old_reads, len(history) - 1)
+        self.old_reads = max(self.old_reads - 1, 0)
+        version, value = history[-1 - back]
+        return StoredObject(kind, name, version, value)
+
+    def _write(self, name: str, value: Any, expected: int) -> WriteOutcome:
+        self._check()
+        history = self.history.setdefault(name, [])
+        current = history[-1][0] if history else 0
+        if current != expected:
+            return Conflict(current)
+        self.version += 1
+        self.writes += 1
+        history.append((self.version, value))
+        if self.lose:
+            self.lose -= 1
+            return Unknown("lost")
+        return Written(self.version)
+
+    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
+        return self._write(name, value, 0)
+
+    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
+        return self._write(name, value, version)
+
+    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
+        self._check()
+        self.history.pop(name, None)
+        return Written(version)
+
+
+class Network:
+    """Peers that call one another's handlers; a cut address does not answer."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, Callable[[str, Any], Any]] = {}
+        self.asked: Counter[str] = Counter()
+
+    def join(self, address: str) -> "Network.Door":
+        return Network.Door(self, address)
+
+    class Door:
+        def __init__(self, network: "Network", address: str) -> None:
+            self.network, self.address = network, address
+
+        def handle(self, message_type: type, handler: Callable[[str, Any], Any]) -> None:
+            assert message_type is ClaimOperation
+            self.network.handlers[self.address] = handler
+
+        def ask(self, address: str, message: Any, timeout_ms: float) -> Any:
+            self.network.asked[address] += 1
+            return self.network.handlers[address](self.address, message)
+
+
+class Service:
+    """Counts runs; `hold` makes a run wait."""
+
+    def __init__(self) -> None:
+        self.runs = 0
+        self.hold = 0.0
+        self.error: RequestError | None = None
+        self.body = b"done"
+
+    def __call__(self) -> StoredAnswer:
+        if self.error is not None:
+            raise self.error
+        self.runs += 1
+        gevent.sleep(self.hold)
+        return StoredAnswer(201, {"content-type": "text/plain"}, self.body)
+
+
+def make_store(objects: Objects, name: str = "a", zone: str = "z", **settings: Any) -> ClaimStore:
+    settings = {"pace": Pace(0, 1), **settings}
+    retention_ms = settings.pop("retention_ms", 3_600_000)
+    return ClaimStore.from_config(
+        name, zone, objects, SystemClock(), lambda: retention_ms, **settings
+    )
+
+
+def run(store: ClaimStore, service: Service, key: str = "k", call: str = "f") -> StoredAnswer:
+    return store.run_once("qafza", key, call, service)
+
+
+def refuse(store: ClaimStore, service: Service, key: str = "k", call: str = "f") -> RequestError:
+    with pytest.raises(RequestError) as raised:
+        run(store, service, key, call)
+    return raised.value
+
+
+@pytest.fixture(autouse=True)
+def short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(claim_store, "REPEAT_PAUSES_MS", (5, 10))
+
+
+def test_a_repeat_anywhere_gets_the_kept_answer() -> None:
+    objects, service = Objects(), Service()
+    first, second = make_store(objects), make_store(objects, "b")
+    answer = run(first, service)
+    assert first.flush(5_000)
+    assert run(second, service) == run(first, service) == answer
+    assert service.runs == 1
+    assert run(second, service, key="k2") == answer and service.runs == 2
+
+
+def test_many_daemons_at_once_dispatch_once() -> None:
+    objects, service = Objects(), Service()
+    stores = [make_store(objects, f"d{number}") for number in range(6)]
+    tasks = [gevent.spawn(run, store, service) for store in stores for _ in range(3)]
+    gevent.joinall(tasks)
+    assert service.runs == 1
+    for task in tasks:
+        if task.exception is not None:
+            assert task.exception.kind is ErrorKind.CLAIM_CONFLICT
+
+
+def test_another_call_with_the_key_is_refused() -> None:
+    service, store = Service(), make_store(Objects())
+    run(store, service)
+    assert refuse(store, service, call="g").kind is ErrorKind.BAD_REQUEST
+    assert service.runs == 1
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3])
+def test_lost_answers_to_writes(lost: int) -> None:
+    objects, service = Objects(), Service()
+    objects.lose = lost
+    assert run(make_store(objects), service).status == 201
+    assert refuse(make_store(objects, "b"), service, call="g").kind is ErrorKind.BAD_REQUEST
+    assert service.runs == 1
+
+
+def test_old_reads_are_not_believed() -> None:
+    objects, service = Objects(), Service()
+    first = make_store(objects)
+    run(first, service)
+    first.flush(5_000)
+    run(first, service, "other")
+    first.flush(5_000)
+    objects.old_reads = 2
+    assert run(make_store(objects, "b"), service).status == 201
+    assert service.runs == 2
+
+
+def test_platform_down_runs_nothing() -> None:
+    objects, service = Objects(), Service()
+    objects.down = True
+    error = refuse(make_store(objects), service)
+    assert (error.kind, error.answer.ran) == (ErrorKind.CLAIM_UNAVAILABLE, Ran.NO)
+    assert error.answer.retry_after_ms > 0 and service.runs == 0
+
+
+def test_claim_uncertain_is_given_back() -> None:
+    objects, service = Objects(), Service()
+    store = make_store(objects)
+    objects.lose = 1
+    task = gevent.spawn(refuse, store, service)
+    while not objects.writes:
+        gevent.sleep(0)
+    objects.down = True
+    assert task.get(timeout=10).kind is ErrorKind.CLAIM_UNAVAILABLE
+    objects.down = False
+    assert store.flush(10_000)
+    assert run(make_store(objects, "b"), service).status == 201 and service.runs == 1
+
+
+def test_not_dispatched_gives_the_claim_back() -> None:
+    objects, service, store = Objects(), Service(), None
+    store = make_store(objects)
+    service.error = RequestError(ErrorKind.NO_BACKEND, "none")
+    assert refuse(store, service).kind is ErrorKind.NO_BACKEND
+    store.flush(5_000)
+    service.error = None
+    assert run(make_store(objects, "b"), service).status == 201
+
+
+def test_unknown_outcome_is_never_dispatched_again() -> None:
+    objects, service = Objects(), Service()
+    store = make_store(objects)
+    service.error = RequestError(ErrorKind.OUTCOME_UNKNOWN, "cut")
+    refuse(store, service)
+    store.flush(5_000)
+    service.error = None
+    error = refuse(make_store(objects, "b"), service)
+    assert (error.kind, error.answer.ran) == (ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+    assert service.runs == 0
+
+
+def test_dead_holder() -> None:
+    objects, service = Objects(), Service()
+    service.hold = 30
+    dead = gevent.spawn(run, make_store(objects), service)
+    while not service.runs:
+        gevent.sleep(0.001)
+    error = refuse(make_store(objects, "b"), service)
+    assert error.kind is ErrorKind.CLAIM_CONFLICT and error.answer.retry_after_ms > 0
+    knowing = make_store(objects, "c", is_gone=lambda holder: holder.startswith("a-"))
+    assert refuse(knowing, service).kind is ErrorKind.OUTCOME_UNKNOWN
+    dead.kill()
+    assert service.runs == 1
+
+
+def test_large_answer_is_known_by_digest() -> None:
+    objects, service, store = Objects(), Service(), None
+    store = make_store(objects)
+    service.body = b"x" * (KEPT_BODY_BYTES + 1)
+    run(store, service)
+    store.flush(5_000)
+    error = refuse(make_store(objects, "b"), service)
+    assert (error.kind, error.answer.ran) == (ErrorKind.OUTCOME_UNKNOWN, Ran.YES)
+
+
+def test_claims_move_to_segments_and_are_found_there() -> None:
+    objects, service = Objects(), Service()
+    settings = {"bounds": Bounds(head_bytes=600, max_segments=256)}
+    store = make_store(objects, **settings)
+    keys = [f"k{number}" for number in range(120)]
+    gevent.joinall([gevent.spawn(run, store, service, key) for key in keys], raise_error=True)
+    store.flush(10_000)
+    assert any(".s-" in name for name in objects.history)
+    fresh = make_store(objects, "b", **settings)
+    for key in keys:
+        run(fresh, service, key)
+    assert service.runs == len(keys)
+
+
+def test_full_partition_refuses_and_expiry_makes_room() -> None:
+    objects, service = Objects(), Service()
+    store = make_store(objects, bounds=Bounds(head_bytes=1, max_segments=1), retention_ms=1_000)
+    refused = []
+    for number in range(64):
+        try:
+            run(store, service, f"k{number}")
+        except RequestError as error:
+            refused.append(error)
+    assert refused and all(error.kind is ErrorKind.CLAIM_UNAVAILABLE for error in refused)
+    assert service.runs + len(refused) == 64
+    gevent.sleep(1.1)
+    before = service.runs
+    assert run(store, service, "later").status == 201 and service.runs == before + 1
+
+
+def test_home_writes_for_others_and_others_step_in() -> None:
+    objects, service, network = Objects(), Service(), Network()
+    peers = [ClaimPeer(f"d{number}", f"z{number % 2}", f"d{number}") for number in range(4)]
+    unreachable = Objects()
+    unreachable.down = True
+    stores = {}
+    for peer in peers:
+        stores[peer.name] = make_store(
+            unreachable if peer.zone == "z0" else objects,
+            peer.name,
+            peer.zone,
+            peers=network.join(peer.address),
+            list_peers=lambda me=peer: [other for other in peers if other != me],
+        )
+    for number in range(20):
+        assert run(stores["d0"], service, f"k{number}").status == 201
+    assert stores["d0"].flush(10_000)
+    for number in range(20):
+        run(stores["d3"], service, f"k{number}")
+    assert service.runs == 20
+    assert network.asked["d1"] and network.asked["d3"]
