Move generations off leaving servers, trace each hop, count answers in progress

Cause: an announced reclaim was answered only by losing the server; traces were missing; a stop could cut the last bytes of a whole answer to a slow caller.

Weighed: opening the new stream before the old one ends would overlap two continuations that need not be the same text, so the relay switches between two tokens instead.

Change: mover (finish in place, else carry the KV cache, else switch without it), spans for caller, admission, routing and each backend attempt, request records, a stop that waits until each answer's last byte is handed to the kernel.

--- a/hemlockswitch/connection/backends.py
+++ b/hemlockswitch/connection/backends.py
@@ -25,6 +25,7 @@
 READ_BYTES = 65_536
 CONNECT_TIMEOUT_MS = 1_000
 SEND_TIMEOUT_MS = 5_000
+BODILESS_STATUSES = frozenset({204, 304})
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
@@ -173,8 +174,15 @@
         while not self._parser.begun:
             if not self._receive():
                 raise ExchangeError(Stage.AFTER_SEND, "closed before an answer")
+        self._check_length()
         return self.status
 
+    def _check_length(self) -> None:
+        """Refuse an answer whose end could not be told from a cut."""
+        told = "content-length" in self._parser or "transfer-encoding" in self._parser
+        if not told and self.status not in BODILESS_STATUSES:
+            raise ExchangeError(Stage.DURING_ANSWER, "the answer does not state its length")
+
     def read(self) -> bytes:
         """Return the next piece of the body, or ``b""`` when the answer is complete.
 
--- a/hemlockswitch/connection/caller_server.py
+++ b/hemlockswitch/connection/caller_server.py
@@ -114,6 +114,14 @@
         environ[TARGET_KEY] = self.path
         return environ
 
+    def handle_one_response(self) -> None:
+        """Answer one request, counted until its last byte is handed to the kernel."""
+        self.server.answering += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.answering -= 1
+
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         """Log a failure by its type and close; a caller that is gone is no failure."""
         if not issubclass(t, OSError | gevent.GreenletExit):
@@ -140,6 +148,8 @@
     address : host and port; port 0 takes any free one.
     application : the WSGI application.
     caller_timeout_ms : how long one read or write of a caller may block.
+
+    Its `answering` is the number of requests that are not wholly answered.
     """
 
     handler_class = CallerHandler
@@ -148,6 +158,7 @@
         environ = {"SERVER_NAME": address[0]}
         super().__init__(address, application, backlog=BACKLOG, log=None, environ=environ)
         self.caller_timeout_ms = caller_timeout_ms
+        self.answering = 0
 
     @property
     def bound_address(self) -> str:
--- a/hemlockswitch/connection/callers.py
+++ b/hemlockswitch/connection/callers.py
@@ -37,6 +37,7 @@
     deadline_ms : monotonic time after which the caller has no use for an answer; None when the
         caller gave none.
     connection : to learn that the caller went away; None in tests.
+    answer_headers : filled by the service; they go with the answer, also with an error's.
     """
 
     request_id: str
@@ -47,6 +48,7 @@
     body: bytes = b""
     deadline_ms: float | None = None
     connection: CallerConnection | None = None
+    answer_headers: dict[str, str] = field(default_factory=dict)
 
     @property
     def idempotency_key(self) -> str | None:
@@ -73,8 +75,8 @@
 class CallerService(Protocol):
     """What serves the callers' requests."""
 
-    def is_ready(self) -> bool:
-        """Whether new work is taken."""
+    def check_ready(self) -> None:
+        """Raise a `RequestError` when no new work is taken."""
 
     def limit_body_bytes(self) -> int:
         """Return the largest body that may be read."""
@@ -134,11 +136,10 @@
     def read(self, req: falcon.Request) -> CallerRequest:
         """Read the request's body and headers, bounded in size and time."""
         req.context.request_id = make_identifier("req")
-        if not self._service.is_ready():
-            raise RequestError(ErrorKind.NOT_READY, "this daemon takes no new work now")
+        self._service.check_ready()
         headers = {name.lower(): value for name, value in req.headers.items()}
         _check_headers(headers)
-        return CallerRequest(
+        request = CallerRequest(
             request_id=req.context.request_id,
             method=req.method,
             path=req.path,
@@ -148,6 +149,8 @@
             deadline_ms=self._read_deadline(headers),
             connection=req.env.get(CONNECTION_KEY),
         )
+        req.context.answer_headers = request.answer_headers
+        return request
 
     def _read_deadline(self, headers: Mapping[str, str]) -> float | None:
         value = headers.get("x-deadline-ms")
@@ -207,11 +210,11 @@
     return int(value)
 
 
-def _send(resp: falcon.Response, answer: CallerAnswer, request_id: str) -> None:
+def _send(resp: falcon.Response, answer: CallerAnswer, request: CallerRequest) -> None:
     resp.status = answer.status
     resp.content_type = answer.content_type
-    resp.set_header("X-Request-Id", request_id)
-    for name, value in answer.headers.items():
+    resp.set_header("X-Request-Id", request.request_id)
+    for name, value in {**answer.headers, **request.answer_headers}.items():
         resp.set_header(name, value)
     if isinstance(answer.body, bytes):
         resp.data = answer.body
@@ -224,9 +227,8 @@
         self._service = service
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        ready = self._service.is_ready()
-        resp.status = 200 if ready else 503
-        resp.media = {"ready": ready}
+        self._service.check_ready()
+        resp.media = {"ready": True}
 
 
 class _Completions:
@@ -236,7 +238,7 @@
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         request = self._intake.read(req)
-        _send(resp, self._service.complete(request), request.request_id)
+        _send(resp, self._service.complete(request), request)
 
 
 class _Requests:
@@ -246,7 +248,8 @@
 
     def on_get(self, req: falcon.Request, resp: falcon.Response, request_id: str) -> None:
         request = self._intake.read(req)
-        _send(resp, self._service.resume(request, request_id), request_id)
+        _send(resp, self._service.resume(request, request_id), request)
+        resp.set_header("X-Request-Id", request_id)
 
 
 class _ServiceSink:
@@ -261,7 +264,7 @@
         request = self._intake.read(req)
         target = req.env.get(TARGET_KEY, req.path).partition("?")[0]
         path = target.removeprefix(f"{SERVICES_PREFIX}{service}") or "/"
-        _send(resp, self._service.call_service(request, service, path), request.request_id)
+        _send(resp, self._service.call_service(request, service, path), request)
 
 
 def _answer_error(
@@ -271,6 +274,10 @@
     resp.status = error.answer.status
     resp.media = describe_error(error, request_id)
     resp.set_header("X-Request-Id", request_id)
+    for name, value in getattr(req.context, "answer_headers", {}).items():
+        resp.set_header(name, value)
+    if error.kind is ErrorKind.LEAVING:
+        resp.set_header("Connection", "close")
     if error.answer.retry_after_ms:
         seconds = math.ceil(error.answer.retry_after_ms / MS_PER_SECOND)
         resp.set_header("Retry-After", str(seconds))
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -15,6 +15,7 @@
     PROCESS_STOPPING = (102, "process_stopping")
     PROCESS_STOPPED = (103, "process_stopped")
     TASK_FAILED = (104, "task_failed")
+    SPAN_ENDED = (201, "span_ended")
     PEER_REFUSED = (501, "peer_refused")
     PEER_MESSAGE_UNKNOWN = (502, "peer_message_unknown")
     PEER_HANDLER_FAILED = (503, "peer_handler_failed")
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -16,12 +16,15 @@
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.news import NewsBoard
 from hemlockswitch.process.polling import PlatformPoll
+from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
 from hemlockswitch.process.serving import Serving
+from hemlockswitch.process.traces import Tracing
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.allowances import FixedAllowances
 from hemlockswitch.request.attempt import AttemptOpener
 from hemlockswitch.request.capacity import CapacityQueue
+from hemlockswitch.request.moving import Mover
 from hemlockswitch.request.overdue import OverdueSweep
 from hemlockswitch.request.relay import Relay
 from hemlockswitch.request.retries import RetryBudget
@@ -31,7 +34,6 @@
 from hemlockswitch.version.settings import EntrySettings, split_address
 
 STOP_STEP_MS = 20.0
-LAST_BYTES_MS = 200.0
 
 
 class EntryDaemon:
@@ -81,22 +83,32 @@
     def _build_requests(self) -> None:
         """Build the path of a request."""
         client = BackendClient()
-        reports = RequestReports(self.metrics)
+        self.tracing = Tracing.from_setting(self.settings.traces, self.settings.name)
+        reports = RequestReports(self.metrics, self.tracing)
         self.router = Router(self.directory, self._find_target_ms)
         self.budget = RetryBudget(Limits().retry_ratio, self.clock)
         self.opener = AttemptOpener(client, self.clock)
         self.relay = Relay(
             self.router, self.directory, self.opener, self.budget, self.clock, reports
         )
+        self.mover = Mover(
+            lambda: list(self.relay.running.values()),
+            self.router,
+            self.directory,
+            client,
+            self.clock,
+        )
+        self.directory.add_leaving_listener(self.mover.leave)
         self.sweep = OverdueSweep(self.relay, self.clock)
         self.services = ServiceCaller(
             self.router, self.directory, client, self.budget, self.clock, reports, NoClaims()
         )
         allowances = FixedAllowances(self._find_file, lambda: 1)
         self.admission = Admission(allowances, self.clock, CapacityQueue(self.clock))
-        self.serving = Serving(self.relay, self.services, self.admission, self.metrics, self.clock)
-        self.metrics.in_progress.set_function(lambda: self.serving.in_progress)
-        self.status.add("requests_in_progress", lambda: self.serving.in_progress)
+        self.records = RequestRecords(self.admission, self.metrics, reports, self.clock)
+        self.serving = Serving(self.relay, self.services, self.records, self.clock)
+        self.metrics.in_progress.set_function(lambda: self.records.in_progress)
+        self.status.add("requests_in_progress", lambda: self.records.in_progress)
 
     def _build_servers(self) -> None:
         """Build the two HTTP servers; nothing listens yet."""
@@ -126,6 +138,8 @@
         self.callers.start()
         self.spawn("poll", self.poll.run)
         self.spawn("sweep", self.sweep.run)
+        if self.tracing.log_export is not None:
+            self.spawn("traces", self.tracing.log_export.run)
         return {
             "callers": self.callers.bound_address,
             "control": self.control.bound_address,
@@ -148,9 +162,8 @@
         """Refuse new work, let requests in progress end within the grace, then stop."""
         self.serving.stop_accepting()
         until_ms = self.clock.now_ms() + self.settings.stop_grace_ms
-        while self.serving.in_progress and self.clock.now_ms() < until_ms:
+        while self.callers.answering and self.clock.now_ms() < until_ms:
             self.clock.sleep_ms(STOP_STEP_MS)
-        self.clock.sleep_ms(LAST_BYTES_MS)
         gevent.killall(self._tasks)
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
--- /dev/null
+++ b/hemlockswitch/process/records.py
@@ -0,0 +1,154 @@
+"""The record of one caller's request: its permit, its spans, and how it counts in the end."""
+
+from types import TracebackType
+from typing import Protocol
+
+from hemlockswitch.connection.callers import CallerRequest
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import HemlockError, Ran
+from hemlockswitch.process.metrics import EntryMetrics
+from hemlockswitch.process.reports import RequestReports
+
+TRACE_HEADER = "X-Trace-Id"
+OK = "ok"
+CALLER_GONE = "caller_gone"
+
+
+class Permit(Protocol):
+    """The right to run one admitted request."""
+
+    def record_tokens(self, count: int) -> None:
+        """Add tokens to what the request used."""
+
+    def close(self) -> None:
+        """End the request."""
+
+    def cancel(self) -> None:
+        """Give everything back: nothing was sent."""
+
+
+class Admitter(Protocol):
+    """Who decides whether a request may begin."""
+
+    def admit(
+        self,
+        account: str,
+        tokens_wanted: int,
+        priority: int = 1,
+        deadline_ms: float | None = None,
+    ) -> Permit:
+        """Admit a request or raise a refusal."""
+
+
+class RequestRecord:
+    """One request from its first span to its last count; a context manager.
+
+    Parameters
+    ==========
+
+    records : where it is counted.
+    request_id, target : what it is and what it is for.
+    trace_id : of its spans.
+    """
+
+    def __init__(self, records: "RequestRecords", request_id: str, target: str) -> None:
+        self._records = records
+        self._request_id = request_id
+        self._target = target
+        self._permit: Permit | None = None
+        self.begun_ms = records.clock.now_ms()
+
+    def admit(
+        self, account: str, tokens_wanted: int, priority: int, deadline_ms: float | None
+    ) -> None:
+        """Take the permit; a refusal ends the record.
+
+        Raises
+        ======
+
+        RequestError : nothing was sent.
+        """
+        self._records.reports.hop_began(self._request_id, "admission")
+        try:
+            self._permit = self._records.admission.admit(
+                account, tokens_wanted, priority, deadline_ms
+            )
+        except BaseException as error:
+            self.end(error)
+            raise
+        self._records.reports.hop_ended(self._request_id, "admission")
+
+    def adopt_permit(self, permit: Permit) -> None:
+        """Hold a permit that was taken elsewhere."""
+        self._permit = permit
+
+    def record_tokens(self, count: int) -> None:
+        """Note tokens that the request used."""
+        if self._permit is not None:
+            self._permit.record_tokens(count)
+
+    def end(self, error: BaseException | None = None) -> None:
+        """Close the permit, the spans and the counts."""
+        permit, self._permit = self._permit, None
+        if permit is not None:
+            refund = isinstance(error, HemlockError) and error.answer.ran is Ran.NO
+            permit.cancel() if refund else permit.close()
+        self._records.count(self._request_id, self._target, _name_outcome(error))
+
+    def __enter__(self) -> "RequestRecord":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.end(error)
+
+
+class RequestRecords:
+    """Begins the records of requests and counts them.
+
+    Parameters
+    ==========
+
+    admission : decides whether requests may begin.
+    metrics, reports : where they are counted and traced.
+    clock : the process's clock.
+    """
+
+    def __init__(
+        self, admission: Admitter, metrics: EntryMetrics, reports: RequestReports, clock: Clock
+    ) -> None:
+        self.admission = admission
+        self.metrics = metrics
+        self.reports = reports
+        self.clock = clock
+        self.in_progress = 0
+
+    def begin(self, request: CallerRequest, target: str) -> RequestRecord:
+        """Begin a request's record and name its trace in the answer."""
+        parent = request.headers.get("traceparent", "")
+        trace_id = self.reports.request_began(request.request_id, target, parent)
+        request.answer_headers[TRACE_HEADER] = trace_id
+        self.in_progress += 1
+        return RequestRecord(self, request.request_id, target)
+
+    def count(self, request_id: str, target: str, outcome: str) -> None:
+        """Count a request that ended."""
+        self.in_progress -= 1
+        self.metrics.requests.labels(target, outcome).inc()
+        self.reports.request_ended(request_id, outcome)
+
+    def observe_call(self, target: str, begun_ms: float) -> None:
+        """Note how long a service's answer took."""
+        waited_ms = self.clock.now_ms() - begun_ms
+        self.metrics.call_seconds.labels(target).observe(waited_ms / MS_PER_SECOND)
+
+
+def _name_outcome(error: BaseException | None) -> str:
+    """Return the outcome for the metrics: ok, an error kind, or that the caller left."""
+    if error is None:
+        return OK
+    return error.kind.value if isinstance(error, HemlockError) else CALLER_GONE
--- a/hemlockswitch/process/serving.py
+++ b/hemlockswitch/process/serving.py
@@ -1,7 +1,7 @@
 """Serves the callers' requests: from the account's key to the last byte of the answer."""
 
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any, Protocol
 
 from hemlockswitch.connection.accounts import AccountKeys
@@ -13,43 +13,16 @@
 )
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, RequestError
-from hemlockswitch.process.metrics import EntryMetrics
+from hemlockswitch.process.records import RequestRecord, RequestRecords
 from hemlockswitch.request.generation import ChatRequest, Generation
 from hemlockswitch.request.prefixes import count_tokens
 from hemlockswitch.request.relay import Relay
-from hemlockswitch.request.running import CallerGoneError
 from hemlockswitch.request.service_call import ServiceCaller
 from hemlockswitch.version.models import ClientAccount, Limits, Model, OperatorFile, Service
 
 DEFAULT_LIMITS = Limits()
 
 
-class Permit(Protocol):
-    """The right to run one admitted request."""
-
-    def record_tokens(self, count: int) -> None:
-        """Add tokens to what the request used."""
-
-    def close(self) -> None:
-        """End the request."""
-
-    def cancel(self) -> None:
-        """Give everything back: nothing was sent."""
-
-
-class Admitter(Protocol):
-    """Who decides whether a request may begin."""
-
-    def admit(
-        self,
-        account: str,
-        tokens_wanted: int,
-        priority: int = 1,
-        deadline_ms: float | None = None,
-    ) -> Permit:
-        """Admit a request or raise a refusal."""
-
-
 class Resumer(Protocol):
     """Who serves the rest of requests that came from another daemon."""
 
@@ -64,31 +37,21 @@
     ==========
 
     relay, services : carry requests out.
-    admission : decides whether they may begin.
-    metrics : counts them.
+    records : admits, counts and traces them.
     clock : the process's clock.
-    resumer : serves requests that another daemon handed over; None where there is none.
     """
 
     def __init__(
-        self,
-        relay: Relay,
-        services: ServiceCaller,
-        admission: Admitter,
-        metrics: EntryMetrics,
-        clock: Clock,
-        resumer: Resumer | None = None,
+        self, relay: Relay, services: ServiceCaller, records: RequestRecords, clock: Clock
     ) -> None:
         self._relay = relay
         self._services = services
-        self._admission = admission
-        self._metrics = metrics
+        self._records = records
         self._clock = clock
-        self.resumer = resumer
+        self.resumer: Resumer | None = None
         self._file: OperatorFile | None = None
         self._keys = AccountKeys(())
         self._stopping = False
-        self.in_progress = 0
 
     def use_configuration(self, file: OperatorFile) -> None:
         """Serve by `file` from now on; requests in progress go on as they began."""
@@ -99,9 +62,18 @@
         """Refuse new work from now on."""
         self._stopping = True
 
-    def is_ready(self) -> bool:
-        """Whether new work is taken."""
-        return self._file is not None and not self._stopping
+    def check_ready(self) -> None:
+        """Raise when no new work is taken.
+
+        Raises
+        ======
+
+        RequestError : `LEAVING` once the daemon stops, `NOT_READY` before it has a configuration.
+        """
+        if self._stopping:
+            raise RequestError(ErrorKind.LEAVING, "this daemon is stopping")
+        if self._file is None:
+            raise RequestError(ErrorKind.NOT_READY, "no configuration is in force yet")
 
     def limit_body_bytes(self) -> int:
         """Return the largest body that may be read."""
@@ -115,16 +87,15 @@
         model = self._find_model(chat.model)
         generation = self._build_generation(request, chat, model, account)
         wanted = count_tokens(generation.prompt) + generation.max_tokens
-        permit = self._admission.admit(
-            account.name, wanted, generation.priority, generation.deadline_ms
-        )
-        return self.answer(generation, request, permit)
+        record = self._records.begin(request, generation.model)
+        record.admit(account.name, wanted, generation.priority, generation.deadline_ms)
+        return self.answer(generation, request, record)
 
     def answer(
-        self, generation: Generation, request: CallerRequest, permit: Permit
+        self, generation: Generation, request: CallerRequest, record: RequestRecord
     ) -> CallerAnswer:
         """Relay an admitted generation: as a stream, or whole when the caller wants that."""
-        events = self._account(generation, request, permit)
+        events = self._relay_recorded(generation, request, record)
         if generation.stream:
             first = next(events)
             return CallerAnswer(200, _Events(generation, first, events), {}, EVENT_STREAM)
@@ -133,19 +104,36 @@
         body = json.dumps(generation.join_answer(), ensure_ascii=False).encode()
         return CallerAnswer(200, body)
 
+    def _relay_recorded(
+        self, generation: Generation, request: CallerRequest, record: RequestRecord
+    ) -> Iterator[bytes]:
+        """Relay; the record ends however the relay does."""
+        with record:
+            try:
+                yield from self._relay.run(generation, request.connection)
+            finally:
+                self._record_tokens(generation, record)
+
+    def _record_tokens(self, generation: Generation, record: RequestRecord) -> None:
+        if generation.first_token_ms is None:
+            return
+        used = len(generation.tokens)
+        record.record_tokens(count_tokens(generation.prompt) + used)
+        streamed_ms = self._clock.now_ms() - generation.first_token_ms
+        self._records.metrics.observe_answer(generation.model, used, streamed_ms)
+
     def call_service(self, request: CallerRequest, service: str, path: str) -> CallerAnswer:
         """Serve a call of a plain service."""
         account = self._authenticate(request)
         found = self._find_service(service)
         limit_ms = self._clock.now_ms() + found.timeout_ms
         deadline_ms = min(limit_ms, request.deadline_ms or limit_ms)
-        priority = self._find_priority(request, account)
-        permit = self._admission.admit(account.name, 0, priority, deadline_ms)
-        return self._count(
-            permit,
-            service,
-            lambda: self._services.call(request, account.name, found, path, deadline_ms),
-        )
+        record = self._records.begin(request, service)
+        record.admit(account.name, 0, find_priority(request, account), deadline_ms)
+        with record:
+            answer = self._services.call(request, account.name, found, path, deadline_ms)
+            self._records.observe_call(service, record.begun_ms)
+            return answer
 
     def resume(self, request: CallerRequest, resumed_id: str) -> CallerAnswer:
         """Serve the rest of an earlier request."""
@@ -171,16 +159,10 @@
                 return service
         raise RequestError(ErrorKind.UNKNOWN_SERVICE, "no such service")
 
-    @staticmethod
-    def _find_priority(request: CallerRequest, account: ClientAccount) -> int:
-        """Return the request's priority; a caller may lower its account's, not raise it."""
-        asked = request.priority
-        return account.priority if asked is None else max(asked, account.priority)
-
     def _build_generation(
         self, request: CallerRequest, chat: ChatRequest, model: Model, account: ClientAccount
     ) -> Generation:
-        assert self._file is not None
+        limits = self._file.limits if self._file else DEFAULT_LIMITS
         wanted = chat.max_tokens or model.max_tokens
         if wanted > model.max_tokens:
             raise RequestError(ErrorKind.BAD_REQUEST, f"max_tokens: over {model.max_tokens}")
@@ -188,7 +170,7 @@
             raise RequestError(
                 ErrorKind.BAD_REQUEST, f"messages: over the context of {model.context_tokens}"
             )
-        longest_ms = self._clock.now_ms() + self._file.limits.default_deadline_ms
+        longest_ms = self._clock.now_ms() + limits.default_deadline_ms
         return Generation(
             request_id=request.request_id,
             account=account.name,
@@ -197,50 +179,16 @@
             prompt=chat.prompt,
             stream=chat.stream,
             max_tokens=wanted,
-            priority=self._find_priority(request, account),
+            priority=find_priority(request, account),
             deadline_ms=request.deadline_ms or longest_ms,
             trace_parent=request.headers.get("traceparent", ""),
         )
 
-    def _account(
-        self, generation: Generation, request: CallerRequest, permit: Permit
-    ) -> Iterator[bytes]:
-        """Relay and count; the permit is closed however the relay ends."""
-        outcome = "ok"
-        self.in_progress += 1
-        try:
-            yield from self._relay.run(generation, request.connection)
-        except HemlockError as error:
-            outcome = error.kind.value
-            raise
-        except (CallerGoneError, GeneratorExit):
-            outcome = "caller_gone"
-            raise
-        finally:
-            self.in_progress -= 1
-            used = len(generation.tokens)
-            permit.record_tokens(count_tokens(generation.prompt) + used if used else 0)
-            permit.close()
-            self._metrics.requests.labels(generation.model, outcome).inc()
-            if generation.first_token_ms is not None:
-                streamed_ms = self._clock.now_ms() - generation.first_token_ms
-                self._metrics.observe_answer(generation.model, used, streamed_ms)
-
-    def _count(self, permit: Permit, target: str, call: Callable[[], CallerAnswer]) -> CallerAnswer:
-        outcome = "ok"
-        self.in_progress += 1
-        begun_ms = self._clock.now_ms()
-        try:
-            return call()
-        except HemlockError as error:
-            outcome = error.kind.value
-            raise
-        finally:
-            self.in_progress -= 1
-            permit.close()
-            self._metrics.requests.labels(target, outcome).inc()
-            waited_ms = self._clock.now_ms() - begun_ms
-            self._metrics.call_seconds.labels(target).observe(waited_ms / 1_000)
+
+def find_priority(request: CallerRequest, account: ClientAccount) -> int:
+    """Return the request's priority; a caller may lower its account's, not raise it."""
+    asked = request.priority
+    return account.priority if asked is None else max(asked, account.priority)
 
 
 class _Events:
--- a/hemlockswitch/request/attempt.py
+++ b/hemlockswitch/request/attempt.py
@@ -145,8 +145,9 @@
             "X-Priority": str(generation.priority),
             "X-Linger-Ms": str(LINGER_MS),
         }
-        if generation.trace_parent:
-            headers["traceparent"] = generation.trace_parent
+        parent = generation.attempt_parent or generation.trace_parent
+        if parent:
+            headers["traceparent"] = parent
         return headers
 
     def _start(
--- a/hemlockswitch/request/generation.py
+++ b/hemlockswitch/request/generation.py
@@ -99,6 +99,7 @@
     tokens : the content of every token relayed, in order; its length is the next position.
     server : the backend server of the attempt in progress.
     move : set when another backend server is ready to go on.
+    trace_parent, attempt_parent : trace headers, the caller's and that of the attempt.
     finish_event : the last event, once the answer is complete.
     """
 
@@ -112,6 +113,7 @@
     priority: int
     deadline_ms: float
     trace_parent: str = ""
+    attempt_parent: str = ""
     tokens: list[bytes] = field(default_factory=list)
     stream_id: str = ""
     server: BackendServer | None = None
--- /dev/null
+++ b/hemlockswitch/request/moving.py
@@ -0,0 +1,172 @@
+"""Moves of generations away from a backend server whose reclaim was announced."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent.lock import BoundedSemaphore
+
+from hemlockswitch.connection.backends import BackendCall, BackendClient, ExchangeError
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import RequestError
+from hemlockswitch.request.generation import Generation, Move
+from hemlockswitch.request.running import Chooser, Directory, MoveReady, Running, build_need
+from hemlockswitch.version.backend import BackendServer
+
+MOVES_AT_ONCE = 16
+UNKNOWN_NOTICE_MS = 5_000.0
+RESERVE_MS = 700.0
+LOOK_AGAIN_MS = 200.0
+CHOOSE_AGAIN_MS = 100.0
+STEP_TIMEOUT_MS = 2_000.0
+MIN_STEP_MS = 50.0
+SLACK = 1.25
+START_GAP_MS = 50.0
+OK = 200
+
+
+@dataclass(frozen=True)
+class _Departure:
+    """What a move must know of the server that leaves."""
+
+    server: BackendServer
+    stream_id: str
+    deadline_ms: float
+
+
+class Mover:
+    """Moves each running generation off a leaving server, or lets it finish there.
+
+    Explanation
+    ===========
+
+    A generation whose rest fits into the notice finishes in place. Any other one gets its KV
+    cache exported, imported by another server, and is then told to switch; the relay switches
+    between two tokens. While the cache travels the old stream goes on. Near the end of the
+    notice generations switch without a cache, which costs recomputed tokens but no answer.
+
+    The number of caches that travel at once is bounded, so that a wave of notices does not
+    become a wave of copies. A target that is announced to leave meanwhile is given up.
+
+    Parameters
+    ==========
+
+    running : gives the generations in progress.
+    chooser, directory : choose targets and know who leaves.
+    client : sends the calls.
+    clock : the process's clock.
+    """
+
+    def __init__(
+        self,
+        running: Callable[[], list[Running]],
+        chooser: Chooser,
+        directory: Directory,
+        client: BackendClient,
+        clock: Clock,
+    ) -> None:
+        self._running = running
+        self._chooser = chooser
+        self._directory = directory
+        self._client = client
+        self._clock = clock
+        self._caches = BoundedSemaphore(MOVES_AT_ONCE)
+
+    def leave(self, name: str, deadline_wall_ms: float) -> None:
+        """Begin to move everything off the server called `name`; returns at once.
+
+        Parameters
+        ==========
+
+        deadline_wall_ms : when the server ends; 0 when nobody said.
+        """
+        left_ms = deadline_wall_ms - self._clock.wall_ms()
+        if not deadline_wall_ms:
+            left_ms = UNKNOWN_NOTICE_MS
+        deadline_ms = self._clock.now_ms() + left_ms
+        for running in self._running():
+            generation = running.generation
+            server = generation.server
+            if server is not None and server.name == name:
+                departure = _Departure(server, generation.stream_id, deadline_ms)
+                gevent.spawn(self._move, running, departure)
+
+    def _move(self, running: Running, departure: _Departure) -> None:
+        """Move one generation, unless it ends or is lost before."""
+        while self._is_there(running, departure):
+            if self._fits(running.generation, departure):
+                self._clock.sleep_ms(LOOK_AGAIN_MS)
+            elif self._prepare(running, departure):
+                return
+            else:
+                self._clock.sleep_ms(CHOOSE_AGAIN_MS)
+
+    @staticmethod
+    def _is_there(running: Running, departure: _Departure) -> bool:
+        generation = running.generation
+        same = generation.stream_id == departure.stream_id
+        return same and not generation.finish_event and running.stopped is None
+
+    def _fits(self, generation: Generation, departure: _Departure) -> bool:
+        """Return whether the rest is likely to come before the server ends."""
+        if generation.first_token_ms is None:
+            return False
+        done = len(generation.tokens)
+        now_ms = self._clock.now_ms()
+        gap_ms = START_GAP_MS
+        if done > 1:
+            gap_ms = (now_ms - generation.first_token_ms) / (done - 1)
+        rest_ms = (generation.max_tokens - done + 1) * gap_ms * SLACK
+        return now_ms + rest_ms + RESERVE_MS < departure.deadline_ms
+
+    def _prepare(self, running: Running, departure: _Departure) -> bool:
+        """Make another server ready and tell the relay; return False to try again."""
+        target = self._choose(running, departure)
+        if target is None:
+            return self._left_ms(departure) <= 0
+        kv_handle = None
+        if running.own_token and self._left_ms(departure) > RESERVE_MS:
+            with self._caches:
+                if self._left_ms(departure) > RESERVE_MS and self._is_there(running, departure):
+                    kv_handle = self._carry_cache(departure, target)
+        if self._directory.is_leaving(target.name):
+            return False
+        if self._is_there(running, departure):
+            running.generation.move = Move(target, kv_handle)
+            running.interrupt(MoveReady())
+        return True
+
+    def _choose(self, running: Running, departure: _Departure) -> BackendServer | None:
+        exclude = frozenset(running.excluded | {departure.server.name})
+        try:
+            return self._chooser.choose(build_need(running.generation, exclude))
+        except RequestError:
+            return None
+
+    def _carry_cache(self, departure: _Departure, target: BackendServer) -> str | None:
+        """Return the handle of the cache on `target`, or None when it could not be carried."""
+        timeout_ms = min(STEP_TIMEOUT_MS, max(self._left_ms(departure) - RESERVE_MS, MIN_STEP_MS))
+        source = departure.server.address
+        try:
+            exported = self._post(
+                source, "/v1/kv/export", {"stream_id": departure.stream_id}, timeout_ms
+            )
+            offer = {"source": source, "kv_handle": str(exported["kv_handle"])}
+            imported = self._post(target.address, "/v1/kv/import", offer, timeout_ms)
+            return str(imported["kv_handle"])
+        except (ExchangeError, ValueError, KeyError, TypeError):
+            return None
+
+    def _post(
+        self, address: str, path: str, body: dict[str, str], timeout_ms: float
+    ) -> dict[str, object]:
+        headers = {"Content-Type": "application/json"}
+        call = BackendCall("POST", path, json.dumps(body).encode(), headers)
+        answer = self._client.call(address, call, timeout_ms)
+        if answer.status != OK:
+            raise ValueError(f"{path} answered {answer.status}")
+        return json.loads(answer.body)
+
+    def _left_ms(self, departure: _Departure) -> float:
+        return departure.deadline_ms - self._clock.now_ms()
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -9,7 +9,7 @@
 from hemlockswitch.request.attempt import Attempt, AttemptLostError, AttemptOpener
 from hemlockswitch.request.chunks import DONE_EVENT, SEPARATOR, Checked, Verdict, rewrite_usage
 from hemlockswitch.request.generation import Cause, Generation
-from hemlockswitch.request.retries import RetryBudget
+from hemlockswitch.request.retries import Pace, RetryBudget
 from hemlockswitch.request.running import (
     CallerGoneError,
     Chooser,
@@ -24,6 +24,7 @@
 MAX_ATTEMPTS = 16
 CONTINUE_PATIENCE_MS = 5_000.0
 CHOOSE_AGAIN_MS = 50.0
+RECLAIM_STARTS_PER_S = 200.0
 
 
 class Relay:
@@ -54,6 +55,7 @@
         self._budget = budget
         self._clock = clock
         self._observer = observer
+        self._pace = Pace(RECLAIM_STARTS_PER_S, clock)
         self.running: dict[str, Running] = {}
 
     def run(
@@ -126,6 +128,7 @@
             running.sent = True
             self._opener.cancel(server.address, generation.stream_id)
         if self._directory.is_leaving(server.name):
+            self._pace.wait()
             return Cause.RECLAIM
         if running.attempts >= MAX_ATTEMPTS or not self._spend(running):
             raise self._give_up(running, lost.reason)
@@ -146,14 +149,20 @@
     def _begin_attempt(self, running: Running, cause: Cause) -> None:
         generation = running.generation
         move = generation.move
-        server = self._choose(running)
+        self._observer.choice_began(generation)
+        chosen = ""
+        try:
+            server = self._choose(running)
+            chosen = server.name
+        finally:
+            self._observer.choice_ended(generation, chosen)
         prepared = move is not None and move.target.name == server.name
         running.kv_handle = move.kv_handle if move is not None and prepared else None
         generation.begin_attempt(server, cause)
         running.attempts += 1
         running.own_token = False
         running.base_tokens = len(generation.tokens)
-        self._observer.attempt_began(generation)
+        generation.attempt_parent = self._observer.attempt_began(generation)
 
     def _run_attempt(self, running: Running, resume: bool) -> Iterator[bytes]:
         """Open and follow one attempt; returns at the last event or when a move is ready."""
--- a/hemlockswitch/request/retries.py
+++ b/hemlockswitch/request/retries.py
@@ -76,3 +76,37 @@
 
     def _add(self, amount: float) -> None:
         self._left = min(self._burst, self._left + amount)
+
+
+class Pace:
+    """Spaces out starts that cost no budget, such as those after an announced reclaim.
+
+    Parameters
+    ==========
+
+    per_second : most starts in a second.
+    clock : the clock that is waited on.
+
+    Examples
+    ========
+
+    >>> from hemlockswitch.core.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> pace = Pace(100, clock)
+    >>> pace.wait(); pace.wait(); pace.wait()
+    >>> clock.now_ms()
+    20.0
+    """
+
+    def __init__(self, per_second: float, clock: Clock) -> None:
+        self._gap_ms = MS_PER_SECOND / per_second
+        self._clock = clock
+        self._next_ms = clock.now_ms()
+
+    def wait(self) -> None:
+        """Return when the caller's turn has come."""
+        now_ms = self._clock.now_ms()
+        turn_ms = max(now_ms, self._next_ms)
+        self._next_ms = turn_ms + self._gap_ms
+        if turn_ms > now_ms:
+            self._clock.sleep_ms(turn_ms - now_ms)
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -45,8 +45,14 @@
 class RelayObserver(Protocol):
     """Who hears what the relay does; metrics and traces."""
 
-    def attempt_began(self, generation: Generation) -> None:
-        """An attempt was chosen and is about to be sent."""
+    def choice_began(self, generation: Generation) -> None:
+        """A backend server is being chosen."""
+
+    def choice_ended(self, generation: Generation, server_name: str) -> None:
+        """It was chosen; the name is empty when none was."""
+
+    def attempt_began(self, generation: Generation) -> str:
+        """An attempt is about to be sent; returns the trace header that goes with it."""
 
     def first_token(self, generation: Generation, waited_ms: float) -> None:
         """The caller's first token is here."""
@@ -71,8 +77,8 @@
     sent : whether any backend server may have begun it.
     own_token : whether the attempt in progress brought a token.
     base_tokens : tokens that the attempt in progress had to recompute, its prompt aside.
+    kv_handle : the KV cache that it began with.
     reads_seen, quiet_since_ms : kept by the sweep that looks for silent streams.
-    moving_to : the server that a move is being prepared on; empty when none is.
     """
 
     generation: Generation
@@ -88,8 +94,6 @@
     kv_handle: str | None = None
     reads_seen: int = -1
     quiet_since_ms: float = 0.0
-    moving: bool = False
-    moving_to: str = ""
 
     def stop(self, error: BaseException) -> None:
         """Make the relay raise `error` at its next wait."""
