--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -15,6 +15,16 @@
     PROCESS_STOPPING = (102, "process_stopping")
     PROCESS_STOPPED = (103, "process_stopped")
     TASK_FAILED = (104, "task_failed")
+    SPAN_ENDED = (201, "span_ended")
+    BACKEND_LEAVING = (301, "backend_leaving")
+    BACKEND_FAILED = (302, "backend_failed")
+    BACKEND_RECORD_INVALID = (303, "backend_record_invalid")
+    WATCH_FAILED = (304, "watch_failed")
+    WATCH_RECOVERED = (305, "watch_recovered")
+    FACTS_STALE = (306, "facts_stale")
+    FACTS_REFRESHED = (307, "facts_refreshed")
+    ZONE_SILENT = (308, "zone_silent")
+    ZONE_HEARD = (309, "zone_heard")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
@@ -31,16 +41,6 @@
     SHARES_EXPIRED = (701, "shares_expired")
     SHARES_GRANTED = (702, "shares_granted")
 
-    BACKEND_LEAVING = (301, "backend_leaving")
-    BACKEND_FAILED = (302, "backend_failed")
-    BACKEND_RECORD_INVALID = (303, "backend_record_invalid")
-    WATCH_FAILED = (304, "watch_failed")
-    WATCH_RECOVERED = (305, "watch_recovered")
-    FACTS_STALE = (306, "facts_stale")
-    FACTS_REFRESHED = (307, "facts_refreshed")
-    ZONE_SILENT = (308, "zone_silent")
-    ZONE_HEARD = (309, "zone_heard")
-
     def __init__(self, number: int, label: str) -> None:
         self.number = number
         self.label = label
