Apply a file as one revision, hold it so that it only rises, spread it by difference

Cause: a configuration that is changed in parts, by two operators at once, or by a write whose answer was lost, could be in force as a mix or twice; and a daemon that takes whatever it last heard can go back to an older one.

Weighed: one object rewritten in place (history lost, and a reader may hold either content under one name) against an immutable object for each revision and one pointer (chosen). When the number after the current one is taken by an apply that died between its two writes, overwriting it could change a revision that comes in force in the same moment; skipping the number cannot. An apply of the file in force already writes the pointer's own value again, conditionally: otherwise an old read passes for the present. Zones' words to operators: asking every daemon costs calls with the fleet; one status object a zone, written by one daemon, costs them with the zones (chosen).

A small change goes along with the news item; a daemon that missed some asks a peer for the difference from its own revision; whole content goes to new daemons; the platform comes last.

The daemons are not wired yet, so nothing is proved with processes.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -25,6 +25,13 @@
     ZONE_SUSPECTED = (508, "zone_suspected")
     NEWS_TOO_LARGE = (509, "news_too_large")
 
+    REVISION_IN_FORCE = (601, "revision_in_force")
+    OLDER_REVISION_REFUSED = (602, "older_revision_refused")
+    REVISION_DIGEST_DIFFERS = (603, "revision_digest_differs")
+    REVISION_UNUSABLE = (604, "revision_unusable")
+    REVISION_WATCH_FAILED = (605, "revision_watch_failed")
+    ZONE_STATUS_FAILED = (606, "zone_status_failed")
+
     def __init__(self, number: int, label: str) -> None:
         self.number = number
         self.label = label
--- /dev/null
+++ b/hemlockswitch/process/applying.py
@@ -0,0 +1,258 @@
+"""Apply one configuration as a whole: write its revision, then move the one pointer.
+
+Explanation
+===========
+
+The revision object is created if absent and never changed; the pointer moves by conditional
+update from the very version that held the revision the operator saw. So one of two racing
+operators wins whole and the other gets a conflict. Each write may be sent again after a lost
+answer: the second copy is refused by the first, and the refusal is recognised as the apply's own
+by its apply id.
+
+An apply that dies between its two writes leaves a revision object that no pointer names. It is
+never in force, since only its own apply would move the pointer to it, from a version that any
+later apply has passed. The next apply takes the next free number; nothing has to be cleaned.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hemlockswitch.connection.platform_models import Conflict, Unknown, WriteOutcome, Written
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
+from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.process.revision_store import Current, ObjectStore, RevisionStore
+from hemlockswitch.version.checks import CheckedFile
+from hemlockswitch.version.differences import Change, compare_trees
+from hemlockswitch.version.documents import digest_tree
+from hemlockswitch.version.revisions import (
+    CURRENT_POINTER,
+    POINTER_KIND,
+    REVISION_KIND,
+    Revision,
+)
+
+RETRY_PAUSE_MS = 200
+FINAL_REFUSALS = frozenset({ErrorKind.BODY_TOO_LARGE})
+"""Refusals that trying again does not change."""
+
+
+@dataclass(frozen=True)
+class Applied:
+    """An apply that took effect.
+
+    Parameters
+    ==========
+
+    number, digest, apply_id : of the revision.
+    changes : what it changed against the revision that the operator saw.
+    written : False when the file was in force already and nothing was written.
+    replaced_by : the number of a later revision that is in force by now, if any.
+    """
+
+    number: int
+    digest: str
+    apply_id: str
+    changes: tuple[Change, ...]
+    written: bool = True
+    replaced_by: int | None = None
+
+
+class RevisionConflictError(ConfigurationError):
+    """Another operator's revision is in force, and not the one that this operator saw.
+
+    Parameters
+    ==========
+
+    seen : the number that the operator saw.
+    found : the number of the revision in force.
+    their_changes : from the revision that the operator saw to the one in force, if it is known.
+    our_changes : from the revision in force to the operator's file.
+    """
+
+    def __init__(
+        self,
+        seen: int,
+        found: int,
+        their_changes: tuple[Change, ...],
+        our_changes: tuple[Change, ...],
+    ) -> None:
+        detail = f"revision {found} is in force, not {seen}; nothing was changed"
+        super().__init__(ErrorKind.REVISION_CONFLICT, detail)
+        self.seen = seen
+        self.found = found
+        self.their_changes = their_changes
+        self.our_changes = our_changes
+
+
+class UnknownOutcomeError(PlatformError):
+    """The platform did not say in time whether the pointer moved."""
+
+    def __init__(self, number: int, apply_id: str) -> None:
+        detail = f"no answer on whether revision {number} ({apply_id}) took effect"
+        super().__init__(ErrorKind.OUTCOME_UNKNOWN, detail)
+        self.number = number
+        self.apply_id = apply_id
+
+
+class Applier:
+    """Puts one checked file in force.
+
+    Parameters
+    ==========
+
+    objects : the platform's object service.
+    clock : the time.
+    patience_ms : how long to try before giving up.
+    """
+
+    def __init__(self, objects: ObjectStore, clock: Clock, patience_ms: float = 10_000) -> None:
+        self._objects = objects
+        self._store = RevisionStore(objects, clock, patience_ms)
+        self._clock = clock
+        self._deadline_ms = clock.now_ms() + patience_ms
+
+    def apply(self, checked: CheckedFile, seen: int | None) -> Applied:
+        """Put a file in force as one new revision.
+
+        Parameters
+        ==========
+
+        checked : the file.
+        seen : the number of the revision that the operator saw; None for whichever is there.
+
+        Raises
+        ======
+
+        RevisionConflictError : another revision is in force.
+        UnknownOutcomeError : it may or may not have taken effect.
+        PlatformError : the service does not answer; nothing was changed.
+        """
+        base = self._store.read_current()
+        if base.revision is not None and base.revision.digest == digest_tree(checked.tree):
+            return self._confirm_unchanged(checked, base, base.revision, seen)
+        if seen is not None and base.number != seen:
+            raise self._make_conflict(checked, seen, base)
+        return self._write(checked, base)
+
+    def _confirm_unchanged(
+        self, checked: CheckedFile, base: Current, revision: Revision, seen: int | None
+    ) -> Applied:
+        """Write the pointer's own value again: an old read must not pass for the present."""
+        outcome = self._write_until_known(
+            lambda: self._objects.update(
+                POINTER_KIND, CURRENT_POINTER, revision.to_pointer(), base.version
+            )
+        )
+        if isinstance(outcome, Written):
+            return Applied(revision.number, revision.digest, revision.apply_id, (), written=False)
+        found = self._store.read_current(outcome.version)
+        if found.number == base.number:
+            return Applied(revision.number, revision.digest, revision.apply_id, (), written=False)
+        raise self._make_conflict(checked, base.number if seen is None else seen, found)
+
+    def _write(self, checked: CheckedFile, base: Current) -> Applied:
+        proposal = self._write_revision(
+            Revision.from_checked(
+                checked,
+                base.number + 1,
+                make_identifier("apply"),
+                base.number,
+                self._clock.wall_ms(),
+            )
+        )
+        outcome = self._write_until_known(lambda: self._move_pointer(proposal, base), proposal)
+        if isinstance(outcome, Written):
+            return self._report(proposal, base, None)
+        return self._recognise(checked, proposal, base, outcome.version)
+
+    def _recognise(
+        self, checked: CheckedFile, proposal: Revision, base: Current, version: int
+    ) -> Applied:
+        """Tell a refusal by this apply's own earlier copy from a refusal by another operator."""
+        try:
+            found = self._store.read_current(version)
+            was_in_force = self._was_in_force(proposal, found)
+        except PlatformError as error:
+            raise UnknownOutcomeError(proposal.number, proposal.apply_id) from error
+        if not was_in_force:
+            raise self._make_conflict(checked, base.number, found)
+        later = None if found.number == proposal.number else found.number
+        return self._report(proposal, base, later)
+
+    def _write_revision(self, proposal: Revision) -> Revision:
+        """Create the revision object under the first free number."""
+        while True:
+            number, value = proposal.number, proposal.to_value()
+            outcome = self._write_until_known(
+                lambda: self._objects.create(REVISION_KIND, str(number), value)  # noqa: B023
+            )
+            if isinstance(outcome, Written) or self._is_own(proposal):
+                return proposal
+            proposal = proposal.renumber(number + 1)
+
+    def _is_own(self, proposal: Revision) -> bool:
+        """Return whether the object that stands under the number is this apply's own."""
+        while True:
+            found = self._store.read_revision(proposal.number)
+            if found is not None:
+                return found.apply_id == proposal.apply_id
+            self._pause()
+
+    def _move_pointer(self, proposal: Revision, base: Current) -> WriteOutcome:
+        value = proposal.to_pointer()
+        if base.revision is None:
+            return self._objects.create(POINTER_KIND, CURRENT_POINTER, value)
+        return self._objects.update(POINTER_KIND, CURRENT_POINTER, value, base.version)
+
+    def _was_in_force(self, proposal: Revision, found: Current) -> bool:
+        """Return whether the proposal is in force, or an ancestor of what is."""
+        revision = found.revision
+        while revision is not None and revision.number > proposal.number:
+            revision = self._store.read_revision(revision.previous) if revision.previous else None
+        return revision is not None and revision.apply_id == proposal.apply_id
+
+    def _write_until_known(
+        self, write: Callable[[], WriteOutcome], proposal: Revision | None = None
+    ) -> Written | Conflict:
+        """Send a conditional write until the service says what it did.
+
+        Sending it again is safe: when the first copy took effect, the second is refused.
+        """
+        may_have_run = False
+        while True:
+            error = PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "the platform does not answer")
+            try:
+                outcome = write()
+            except PlatformError as refusal:
+                error = refusal
+            else:
+                if not isinstance(outcome, Unknown):
+                    return outcome
+                may_have_run = True
+            if self._clock.now_ms() >= self._deadline_ms or error.kind in FINAL_REFUSALS:
+                if proposal is not None and may_have_run:
+                    raise UnknownOutcomeError(proposal.number, proposal.apply_id)
+                raise error
+            self._clock.sleep_ms(RETRY_PAUSE_MS)
+
+    def _pause(self) -> None:
+        if self._clock.now_ms() >= self._deadline_ms:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "the platform serves old reads")
+        self._clock.sleep_ms(RETRY_PAUSE_MS)
+
+    def _report(self, proposal: Revision, base: Current, later: int | None) -> Applied:
+        old_tree = {} if base.revision is None else base.revision.tree
+        changes = tuple(compare_trees(old_tree, proposal.tree))
+        return Applied(
+            proposal.number, proposal.digest, proposal.apply_id, changes, replaced_by=later
+        )
+
+    def _make_conflict(
+        self, checked: CheckedFile, seen: int, found: Current
+    ) -> RevisionConflictError:
+        known = self._store.read_revision(seen) if seen else None
+        found_tree = {} if found.revision is None else found.revision.tree
+        theirs = compare_trees(known.tree, found_tree) if known is not None else []
+        ours = compare_trees(found_tree, checked.tree)
+        return RevisionConflictError(seen, found.number, tuple(theirs), tuple(ours))
--- /dev/null
+++ b/hemlockswitch/process/configuration.py
@@ -0,0 +1,167 @@
+"""The configuration in force in this process: its number only rises."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ConfigurationError, ErrorKind
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.version.differences import Change, compare_trees
+from hemlockswitch.version.models import OperatorFile
+from hemlockswitch.version.revisions import NO_REVISION, Revision
+
+KEPT_ADOPTIONS = 64
+MOST_KEPT_CHANGES = 4_096
+"""Single changes kept over all steps to serve differences to daemons that lag."""
+
+Listener = Callable[[Revision], None]
+
+
+@dataclass(frozen=True)
+class Adoption:
+    """One step of this process from a revision to a later one.
+
+    Parameters
+    ==========
+
+    number : of the revision that came in force.
+    digest : its digest.
+    base_number, base_digest : of the revision before; 0 and empty for the first.
+    wall_ms : when it came in force here.
+    source : where it came from, such as ``platform``, a peer's address or ``news``.
+    changes : from the revision before; None where there is none or it was forgotten.
+    """
+
+    number: int
+    digest: str
+    base_number: int
+    base_digest: str
+    wall_ms: int
+    source: str
+    changes: tuple[Change, ...] | None
+
+
+class Configuration:
+    """Holds the revision in force and the steps that led to it.
+
+    Explanation
+    ===========
+
+    `adopt` replaces the one reference, so a request that reads `current` once sees one revision
+    whole. A lower number is never taken, wherever it comes from.
+
+    Parameters
+    ==========
+
+    clock : the time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._current: Revision | None = None
+        self._adoptions: deque[Adoption] = deque(maxlen=KEPT_ADOPTIONS)
+        self._listeners: list[Listener] = []
+
+    @property
+    def current(self) -> Revision | None:
+        """The revision in force; None before the first."""
+        return self._current
+
+    @property
+    def revision(self) -> int:
+        """The number in force; 0 before the first."""
+        return NO_REVISION if self._current is None else self._current.number
+
+    @property
+    def digest(self) -> str:
+        """The digest of the revision in force; empty before the first."""
+        return "" if self._current is None else self._current.digest
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether any revision is in force; a daemon takes no work before."""
+        return self._current is not None
+
+    @property
+    def file(self) -> OperatorFile:
+        """The operator file in force.
+
+        Raises
+        ======
+
+        ConfigurationError : none is in force yet.
+        """
+        if self._current is None:
+            raise ConfigurationError(ErrorKind.NOT_READY, "no configuration is in force yet")
+        return self._current.file
+
+    @property
+    def adoptions(self) -> tuple[Adoption, ...]:
+        """The latest steps, oldest first."""
+        return tuple(self._adoptions)
+
+    def adopt(self, revision: Revision, source: str = "") -> bool:
+        """Put a revision in force if it is higher than the one in force.
+
+        Returns
+        =======
+
+        bool : whether it came in force.
+        """
+        known = self._current
+        if known is not None and revision.number <= known.number:
+            self._report_refusal(known, revision, source)
+            return False
+        self._adoptions.append(self._make_adoption(known, revision, source))
+        self._forget_old_changes()
+        self._current = revision
+        log_event(
+            Event.REVISION_IN_FORCE, revision=revision.number, digest=revision.digest, source=source
+        )
+        for listener in self._listeners:
+            listener(revision)
+        return True
+
+    def add_listener(self, listener: Listener) -> None:
+        """Call `listener` for each revision that comes in force, and now for the one in force."""
+        self._listeners.append(listener)
+        if self._current is not None:
+            listener(self._current)
+
+    def find_changes(self, number: int, digest: str) -> tuple[Change, ...] | None:
+        """Return the changes from an earlier revision to the one in force, if they are kept."""
+        found: list[Change] = []
+        started = False
+        for step in self._adoptions:
+            started = started or (step.base_number, step.base_digest) == (number, digest)
+            if not started:
+                continue
+            if step.changes is None:
+                return None
+            found.extend(step.changes)
+        return tuple(found) if started else None
+
+    def _make_adoption(self, known: Revision | None, revision: Revision, source: str) -> Adoption:
+        old_number, old_digest = (known.number, known.digest) if known else (NO_REVISION, "")
+        changes = tuple(compare_trees(known.tree, revision.tree)) if known else None
+        wall_ms = self._clock.wall_ms()
+        return Adoption(
+            revision.number, revision.digest, old_number, old_digest, wall_ms, source, changes
+        )
+
+    def _forget_old_changes(self) -> None:
+        kept = 0
+        for place in range(len(self._adoptions) - 1, -1, -1):
+            step = self._adoptions[place]
+            kept += len(step.changes or ())
+            if kept > MOST_KEPT_CHANGES:
+                self._adoptions[place] = replace(step, changes=None)
+
+    def _report_refusal(self, known: Revision, revision: Revision, source: str) -> None:
+        fields = {"revision": known.number, "offered": revision.number, "source": source}
+        if revision.number < known.number:
+            log_event(Event.OLDER_REVISION_REFUSED, "debug", **fields)
+        elif revision.digest != known.digest:
+            log_event(Event.REVISION_DIGEST_DIFFERS, "error", **fields)
--- /dev/null
+++ b/hemlockswitch/process/revision_spread.py
@@ -0,0 +1,321 @@
+"""Spreads revisions between daemons: small changes with the news, the rest asked from a peer.
+
+Explanation
+===========
+
+The news item ``revision`` carries the number, the address of a daemon that holds the content, and
+the changes from the revision before where these are small. A daemon that has that revision adopts
+at once. Any other asks a peer by its own number and digest and gets the difference. Whole content
+goes only to a daemon that has none, or when no peer that was asked knows a difference. The
+platform is asked last, and only by the daemons that watch it anyway when all is well.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+import msgpack
+from gevent.event import Event as Signal
+
+from hemlockswitch.connection.messages import register_message
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import HemlockError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.configuration import Configuration
+from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.version.differences import (
+    apply_changes,
+    pack_changes,
+    unpack_changes,
+)
+from hemlockswitch.version.revisions import NO_REVISION, Revision
+
+REVISION_KEY = "revision"
+ASK_TIMEOUT_MS = 1_000
+FIRST_PAUSE_MS = 100
+LONGEST_PAUSE_MS = 2_000
+NEAR_PEERS_ASKED = 3
+FAR_PEERS_ASKED = 3
+PLATFORM_AFTER_MS = 5_000
+"""How long peers are tried before the platform; the daemons that watch it come sooner."""
+MOST_NEWS_CHANGES_BYTES = 4_096
+"""Larger differences are asked for instead of going along with the news."""
+
+
+@dataclass(frozen=True)
+class RevisionNews:
+    """The value of the news item about a revision.
+
+    Parameters
+    ==========
+
+    head : the revision's value without its file.
+    holder : peer address of a daemon that has the content.
+    base_number, base_digest : the revision to which `changes` apply.
+    changes : None where they are too large for the news.
+    """
+
+    head: dict[str, Any]
+    holder: str
+    base_number: int
+    base_digest: str
+    changes: list[Any] | None
+
+    @classmethod
+    def from_item(cls, item: NewsItem | None) -> "RevisionNews | None":
+        """Return what an item says; None for no item and for one of another version."""
+        try:
+            return None if item is None else cls(*item.value)
+        except TypeError:
+            return None
+
+    def to_item(self, number: int) -> NewsItem:
+        """Return the item that passes this on."""
+        value = [self.head, self.holder, self.base_number, self.base_digest, self.changes]
+        return NewsItem(REVISION_KEY, number, value)
+
+
+@register_message("revision-question")
+@dataclass(frozen=True)
+class RevisionQuestion:
+    """Asks for whatever is newer than `number`.
+
+    Parameters
+    ==========
+
+    number, digest : the revision that the asker has; 0 and empty for none.
+    whole : whether whole content is wanted when no difference is known.
+    """
+
+    number: int
+    digest: str
+    whole: bool
+
+
+@register_message("revision-answer")
+@dataclass(frozen=True)
+class RevisionAnswer:
+    """A revision as a difference, as a whole, or only as its number.
+
+    Parameters
+    ==========
+
+    head : the revision's value without its file; empty when the answerer has none.
+    changes : from the revision of the asker; None when that is not known.
+    file : the whole file's tree; None when it is not sent.
+    """
+
+    head: dict[str, Any]
+    changes: list[Any] | None = None
+    file: dict[str, Any] | None = None
+
+
+@dataclass
+class SpreadCounts:
+    """How this daemon received its revisions, for the metrics and /status."""
+
+    by_news: int = 0
+    by_difference: int = 0
+    by_whole: int = 0
+    by_platform: int = 0
+    failed: int = 0
+
+
+class RevisionSpread:
+    """Keeps this daemon's configuration at the highest revision that its peers know.
+
+    Parameters
+    ==========
+
+    configuration : what is in force here.
+    board : the news.
+    network : the streams to peers.
+    list_peers : peer addresses of running daemons, the nearest first.
+    read_platform : reads what the platform says is in force; raises `HemlockError`.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        board: NewsBoard,
+        network: PeerNetwork,
+        list_peers: Callable[[], Iterable[str]],
+        read_platform: Callable[[], Revision | None],
+        clock: Clock,
+    ) -> None:
+        self.counts = SpreadCounts()
+        self._configuration = configuration
+        self._board = board
+        self._network = network
+        self._list_peers = list_peers
+        self._read_platform = read_platform
+        self._clock = clock
+        self._wake = Signal()
+        self._task: gevent.Greenlet | None = None
+        self._platform_after_ms = clock.now_ms() + PLATFORM_AFTER_MS
+        network.handle(RevisionQuestion, self._answer)
+        board.add_listener(REVISION_KEY, lambda _: self._wake.set())
+        configuration.add_listener(self._publish)
+
+    def start(self) -> None:
+        """Start catching up in the background."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End the task."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    @property
+    def wanted(self) -> int:
+        """The highest number that this daemon has heard of."""
+        item = self._board.find(REVISION_KEY)
+        return NO_REVISION if item is None else item.version
+
+    def catch_up(self) -> bool:
+        """Try once to reach the highest known revision; return whether it is in force."""
+        if self._is_behind():
+            self._adopt_from_news()
+        if self._is_behind():
+            self._adopt_from_peers()
+        if self._is_behind():
+            self._adopt_from_platform()
+        return not self._is_behind()
+
+    def _run(self) -> None:
+        pause_ms = FIRST_PAUSE_MS
+        while True:
+            self._wake.clear()
+            if self.catch_up():
+                pause_ms = FIRST_PAUSE_MS
+                self._wake.wait()
+                self._platform_after_ms = self._clock.now_ms() + PLATFORM_AFTER_MS
+                continue
+            self._wake.wait(pause_ms * random.uniform(0.5, 1.5) / MS_PER_SECOND)
+            pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
+
+    def _is_behind(self) -> bool:
+        """Return whether there is a higher revision, or none in force at all."""
+        return not self._configuration.is_ready or self._configuration.revision < self.wanted
+
+    def _adopt_from_news(self) -> None:
+        news = RevisionNews.from_item(self._board.find(REVISION_KEY))
+        if news is None or news.changes is None:
+            return
+        have = self._configuration
+        if (news.base_number, news.base_digest) != (have.revision, have.digest):
+            return
+        if self._adopt(RevisionAnswer(news.head, news.changes), "news"):
+            self.counts.by_news += 1
+
+    def _adopt_from_peers(self) -> None:
+        """Ask peers for the difference; only when none knew one, ask again for the whole."""
+        addresses = self._choose_peers()
+        if self._configuration.is_ready:
+            for address in addresses:
+                if self._ask(address, whole=False):
+                    return
+        else:
+            addresses = self._rank_by_number(addresses)
+        for address in addresses:
+            if self._ask(address, whole=True):
+                return
+
+    def _rank_by_number(self, addresses: list[str]) -> list[str]:
+        """Return the peers that have a revision, the highest first: a new daemon begins there."""
+        asked = [gevent.spawn(self._find_number, address) for address in addresses]
+        gevent.joinall(asked)
+        numbers = {address: task.value for address, task in zip(addresses, asked, strict=True)}
+        having = [address for address in addresses if numbers[address] != NO_REVISION]
+        return sorted(having, key=lambda address: numbers[address], reverse=True)
+
+    def _find_number(self, address: str) -> int:
+        question = RevisionQuestion(NO_REVISION, "", whole=False)
+        try:
+            answer = self._network.ask(address, question, ASK_TIMEOUT_MS)
+            return int(answer.head.get("number", NO_REVISION))
+        except HemlockError:
+            return NO_REVISION
+
+    def _choose_peers(self) -> list[str]:
+        own = self._network.address
+        addresses = [address for address in self._list_peers() if address != own]
+        near = addresses[:NEAR_PEERS_ASKED]
+        far = addresses[NEAR_PEERS_ASKED:]
+        chosen = near + random.sample(far, min(len(far), FAR_PEERS_ASKED))
+        news = RevisionNews.from_item(self._board.find(REVISION_KEY))
+        if news is None or news.holder in ("", own):
+            return chosen
+        return [news.holder, *(address for address in chosen if address != news.holder)]
+
+    def _ask(self, address: str, whole: bool) -> bool:
+        """Ask one peer and adopt what it gives; return whether this daemon has caught up."""
+        have = self._configuration
+        question = RevisionQuestion(have.revision, have.digest, whole)
+        try:
+            answer = self._network.ask(address, question, ASK_TIMEOUT_MS)
+        except HemlockError:
+            return False
+        if answer.changes is None and answer.file is None:
+            return False
+        by_difference = answer.changes is not None
+        if self._adopt(answer, address):
+            self.counts.by_difference += by_difference
+            self.counts.by_whole += not by_difference
+        return not self._is_behind()
+
+    def _adopt_from_platform(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms < self._platform_after_ms:
+            return
+        self._platform_after_ms = now_ms + PLATFORM_AFTER_MS
+        try:
+            revision = self._read_platform()
+        except HemlockError:
+            return
+        if revision is not None and self._configuration.adopt(revision, "platform"):
+            self.counts.by_platform += 1
+
+    def _adopt(self, answer: RevisionAnswer, source: str) -> bool:
+        try:
+            revision = self._read_answer(answer)
+        except HemlockError as error:
+            self.counts.failed += 1
+            log_event(Event.REVISION_UNUSABLE, "warning", source=source, reason=error.detail)
+            return False
+        return self._configuration.adopt(revision, source)
+
+    def _read_answer(self, answer: RevisionAnswer) -> Revision:
+        tree = answer.file
+        if answer.changes is not None:
+            current = self._configuration.current
+            base = {} if current is None else current.tree
+            tree = apply_changes(base, unpack_changes(answer.changes))
+        return Revision.from_value(answer.head | {"file": tree})
+
+    def _answer(self, sender: str, question: RevisionQuestion) -> RevisionAnswer:
+        del sender
+        current = self._configuration.current
+        if current is None:
+            return RevisionAnswer({})
+        if current.number <= question.number:
+            return RevisionAnswer(current.to_head())
+        changes = self._configuration.find_changes(question.number, question.digest)
+        if changes is not None:
+            return RevisionAnswer(current.to_head(), pack_changes(changes))
+        return RevisionAnswer(current.to_head(), None, current.tree if question.whole else None)
+
+    def _publish(self, revision: Revision) -> None:
+        """Tell the others, with the changes where they are small."""
+        step = self._configuration.adoptions[-1]
+        rows = None if step.changes is None else pack_changes(step.changes)
+        if rows is not None and len(msgpack.packb(rows)) > MOST_NEWS_CHANGES_BYTES:
+            rows = None
+        news = RevisionNews(
+            revision.to_head(), self._network.address, step.base_number, step.base_digest, rows
+        )
+        self._board.learn(news.to_item(revision.number))
--- /dev/null
+++ b/hemlockswitch/process/zone_status.py
@@ -0,0 +1,217 @@
+"""What each zone tells operators: one object in the platform, written by one daemon at a low rate.
+
+Explanation
+===========
+
+Every daemon sends a short report to its zone's reporter, the first of the rendezvous order over
+the zone's live daemons: at once when a revision comes in force, and otherwise seldom. The
+reporter writes ``status/<zone>``. So the platform's writes grow with the number of zones and not
+of daemons, and a zone that is cut off from the platform goes silent as a whole, with the age of
+its last word.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import gevent
+from gevent.event import Event as Signal
+
+from hemlockswitch.connection.messages import register_message
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.connection.platform_models import Conflict, Unknown
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import PlatformError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.identifiers import rank_rendezvous
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.revision_store import ObjectStore
+
+STATUS_KIND = "status"
+REPORT_INTERVAL_MS = 10_000
+REPORTER_CHECK_MS = 1_000
+WRITE_INTERVAL_MS = 10_000
+SHORTEST_WRITE_INTERVAL_MS = 1_000
+FAILED_WRITE_PAUSE_MS = 2_000
+MOST_REPORTS = 1_024
+
+
+@register_message("daemon-report")
+@dataclass(frozen=True)
+class DaemonReport:
+    """What one daemon says of itself.
+
+    Parameters
+    ==========
+
+    name : of the daemon.
+    program : such as ``hemlock-entry``.
+    revision, digest : what is in force there; 0 and empty before the first.
+    ready : whether it takes new work.
+    details : a few numbers more, for people.
+    """
+
+    name: str
+    program: str
+    revision: int
+    digest: str
+    ready: bool
+    details: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class ZoneMember:
+    """A live daemon of the zone as the membership knows it."""
+
+    name: str
+    peer_address: str
+
+
+@dataclass(frozen=True)
+class _Heard:
+    report: DaemonReport
+    heard_ms: float
+
+
+class ZoneStatus:
+    """One daemon's part in its zone's status: it reports, and writes when it is its turn.
+
+    Parameters
+    ==========
+
+    zone, name : of this daemon.
+    describe : returns this daemon's report.
+    list_members : the live daemons of the zone, this one among them.
+    network : the streams to peers.
+    objects : the platform's object service.
+    clock : the time.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        name: str,
+        describe: Callable[[], DaemonReport],
+        list_members: Callable[[], Sequence[ZoneMember]],
+        network: PeerNetwork,
+        objects: ObjectStore,
+        clock: Clock,
+    ) -> None:
+        self._zone = zone
+        self._name = name
+        self._describe = describe
+        self._list_members = list_members
+        self._network = network
+        self._objects = objects
+        self._clock = clock
+        self._heard: dict[str, _Heard] = {}
+        self._version = 0
+        self._wake_report = Signal()
+        self._wake_write = Signal()
+        self._tasks: list[gevent.Greenlet] = []
+        network.handle(DaemonReport, self._hear, quick=True)
+
+    def start(self) -> None:
+        """Start reporting and, when it is this daemon's turn, writing."""
+        self._tasks = [gevent.spawn(self._report_forever), gevent.spawn(self._write_forever)]
+
+    def stop(self) -> None:
+        """End the tasks."""
+        gevent.killall(self._tasks, block=False)
+
+    def report_soon(self) -> None:
+        """Send a report without waiting for the interval; returns at once."""
+        self._wake_report.set()
+
+    def report(self) -> None:
+        """Send this daemon's report to the zone's reporter."""
+        report = self._describe()
+        reporter = self._find_reporter()
+        if reporter is None or reporter.name == self._name:
+            self._hear("", report)
+        else:
+            self._network.send(reporter.peer_address, report)
+
+    def write(self) -> bool:
+        """Write the zone's status if it is this daemon's turn; return whether it was written.
+
+        Raises
+        ======
+
+        PlatformError : the platform does not answer.
+        """
+        reporter = self._find_reporter()
+        if reporter is not None and reporter.name != self._name:
+            return False
+        value = self.make_value()
+        if self._version == 0:
+            outcome = self._objects.create(STATUS_KIND, self._zone, value)
+        else:
+            outcome = self._objects.update(STATUS_KIND, self._zone, value, self._version)
+        if isinstance(outcome, Unknown):
+            return False
+        self._version = outcome.version
+        return not isinstance(outcome, Conflict)
+
+    def make_value(self) -> dict[str, Any]:
+        """Return the status object's value."""
+        now_ms = self._clock.now_ms()
+        members = sorted(member.name for member in self._list_members()) or [self._name]
+        self._heard = {name: one for name, one in self._heard.items() if name in members}
+        return {
+            "zone": self._zone,
+            "writer": self._name,
+            "written_wall_ms": self._clock.wall_ms(),
+            "daemons": [self._describe_member(name, now_ms) for name in members],
+        }
+
+    def _describe_member(self, name: str, now_ms: float) -> dict[str, Any]:
+        heard = self._heard.get(name)
+        if heard is None:
+            return {"name": name, "revision": 0, "ready": False, "age_ms": None}
+        return asdict(heard.report) | {"age_ms": round(now_ms - heard.heard_ms)}
+
+    def _find_reporter(self) -> ZoneMember | None:
+        members = {member.name: member for member in self._list_members()}
+        ranked = rank_rendezvous(f"{STATUS_KIND}/{self._zone}", members)
+        return members[ranked[0]] if ranked else None
+
+    def _hear(self, _: str, report: DaemonReport) -> None:
+        if len(self._heard) >= MOST_REPORTS and report.name not in self._heard:
+            return
+        before = self._heard.get(report.name)
+        self._heard[report.name] = _Heard(report, self._clock.now_ms())
+        known = (report.revision, report.ready)
+        if before is None or (before.report.revision, before.report.ready) != known:
+            self._wake_write.set()
+
+    def _report_forever(self) -> None:
+        told: ZoneMember | None = None
+        due_ms = 0.0
+        while True:
+            reporter = self._find_reporter()
+            if self._wake_report.is_set() or reporter != told or self._clock.now_ms() >= due_ms:
+                self._wake_report.clear()
+                self.report()
+                told = reporter
+                due_ms = self._clock.now_ms() + REPORT_INTERVAL_MS * random.uniform(0.8, 1.2)
+            self._wake_report.wait(REPORTER_CHECK_MS / MS_PER_SECOND)
+
+    def _write_forever(self) -> None:
+        failing = False
+        while True:
+            self._wake_write.wait(WRITE_INTERVAL_MS / MS_PER_SECOND)
+            self._wake_write.clear()
+            try:
+                written = self.write()
+                failing = False
+            except PlatformError as error:
+                written = False
+                if not failing:
+                    log_event(Event.ZONE_STATUS_FAILED, "warning", reason=error.detail)
+                failing = True
+            pause_ms = FAILED_WRITE_PAUSE_MS if failing else SHORTEST_WRITE_INTERVAL_MS
+            self._clock.sleep_ms(pause_ms * random.uniform(0.8, 1.2))
+            if failing or not written:
+                self._wake_write.set()
--- /dev/null
+++ b/hemlockswitch/process/zone_view.py
@@ -0,0 +1,107 @@
+"""What an operator's command makes of the zones' status objects."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from hemlockswitch.connection.platform_models import StoredObject
+
+STALE_AFTER_MS = 25_000
+"""Two and a half writing intervals: a zone whose last word is older does not answer."""
+
+
+class ZoneState(StrEnum):
+    """Whether a revision is in force in a zone."""
+
+    IN_FORCE = "in_force"
+    WAITING = "waiting"
+    SILENT = "silent"
+    NEVER_HEARD = "never_heard"
+
+
+class StoredDaemon(BaseModel):
+    """One daemon in a zone's status object."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    name: str
+    program: str = ""
+    revision: int = Field(default=0, ge=0)
+    digest: str = ""
+    ready: bool = False
+    age_ms: int | None = None
+    details: dict[str, Any] = {}
+
+
+class StoredZone(BaseModel):
+    """The value of ``status/<zone>``."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    zone: str
+    writer: str
+    written_wall_ms: int
+    daemons: tuple[StoredDaemon, ...] = ()
+
+
+@dataclass(frozen=True)
+class ZoneView:
+    """One zone as its last word shows it.
+
+    Parameters
+    ==========
+
+    zone : its name.
+    state : against the revision that was asked for.
+    age_ms : how old the last word is, by the wall clocks of both ends; None where there is none.
+    revisions : the lowest and the highest revision in force there.
+    behind : names of the daemons that do not have the revision yet.
+    daemons : all that the zone says.
+    """
+
+    zone: str
+    state: ZoneState
+    age_ms: int | None = None
+    revisions: tuple[int, int] = (0, 0)
+    behind: tuple[str, ...] = ()
+    daemons: tuple[StoredDaemon, ...] = field(default=(), repr=False)
+
+
+def view_zones(
+    zones: Sequence[str], objects: Iterable[StoredObject], number: int, now_wall_ms: int
+) -> list[ZoneView]:
+    """Return every zone's view against revision `number`, in the order of `zones`.
+
+    Explanation
+    ===========
+
+    A zone is in force when its word says that each of its live daemons has the revision or a
+    later one, however old the word is: numbers only rise. A zone that is not there yet and whose
+    word is old is silent; how old is said.
+    """
+    stored = {one.zone: one for one in _read_zones(objects)}
+    return [_view_zone(zone, stored.get(zone), number, now_wall_ms) for zone in zones]
+
+
+def _read_zones(objects: Iterable[StoredObject]) -> Iterable[StoredZone]:
+    for item in objects:
+        try:
+            yield StoredZone.model_validate(item.value)
+        except ValidationError:
+            continue
+
+
+def _view_zone(zone: str, stored: StoredZone | None, number: int, now_wall_ms: int) -> ZoneView:
+    if stored is None:
+        return ZoneView(zone, ZoneState.NEVER_HEARD)
+    age_ms = max(now_wall_ms - stored.written_wall_ms, 0)
+    numbers = [daemon.revision for daemon in stored.daemons]
+    behind = tuple(daemon.name for daemon in stored.daemons if daemon.revision < number)
+    state = ZoneState.IN_FORCE if numbers and not behind else ZoneState.WAITING
+    if state is ZoneState.WAITING and age_ms > STALE_AFTER_MS:
+        state = ZoneState.SILENT
+    revisions = (min(numbers, default=0), max(numbers, default=0))
+    return ZoneView(zone, state, age_ms, revisions, behind, stored.daemons)
--- a/hemlockswitch/programs/ctl.py
+++ b/hemlockswitch/programs/ctl.py
@@ -9,14 +9,17 @@
 from cleo.application import Application
 
 import hemlockswitch
+from hemlockswitch.programs.ctl_apply import ApplyCommand, DiffCommand
 from hemlockswitch.programs.ctl_files import CheckCommand
+from hemlockswitch.programs.ctl_status import HistoryCommand, StatusCommand
 
 
 def make_application() -> Application:
     """Return the command line with all its commands."""
     application = Application("hemlock-ctl", hemlockswitch.__version__)
     application.set_display_name("hemlock-ctl")
-    application.add(CheckCommand())
+    for command in (CheckCommand, DiffCommand, ApplyCommand, StatusCommand, HistoryCommand):
+        application.add(command())
     return application
 
 
--- /dev/null
+++ b/hemlockswitch/programs/ctl_status.py
@@ -0,0 +1,194 @@
+"""`hemlock-ctl status` and `history`: what is in force where, and what was before."""
+
+from datetime import UTC, datetime
+from typing import Any
+
+from cleo.helpers import option
+
+from hemlockswitch.connection.platform_models import ListedVm
+from hemlockswitch.core.errors import HemlockError
+from hemlockswitch.process.fleet_view import count_copies, describe_copies, format_copies
+from hemlockswitch.process.revision_store import Current, RevisionStore
+from hemlockswitch.process.zone_status import STATUS_KIND
+from hemlockswitch.process.zone_view import ZoneView, view_zones
+from hemlockswitch.programs.ctl_apply import describe_view, format_view
+from hemlockswitch.programs.ctl_files import ExitCode
+from hemlockswitch.programs.ctl_platform import PLATFORM_OPTIONS, PlatformCommand
+from hemlockswitch.version.differences import compare_trees, describe_change
+from hemlockswitch.version.revisions import NO_REVISION, Revision
+
+NUMBERS_AHEAD = 3
+"""How far above the pointer `history` looks for revisions that never came in force."""
+
+
+class StatusCommand(PlatformCommand):
+    """Show zones, daemons, backend servers, copies and limits."""
+
+    name = "status"
+    description = "Show zones, daemons, revisions in force, backend servers and copies."
+    options = [*PLATFORM_OPTIONS, option("daemons", None, "Show every daemon, not only zones.")]
+    help = """Shows the revision that the pointer names, each zone's last word and its age, the
+backend servers of the VM list (it lags), and the copies of each model and service against the
+licence with what limits them.
+
+Exit codes: 0 shown, 4 the platform does not answer."""
+
+    def run_command(self) -> int:
+        """Ask and show."""
+        current = RevisionStore(self.client, self.clock, self.patience_ms).read_current()
+        vms = self._list_vms()
+        views = self._view_zones(current)
+        answer = self._describe(current, views, vms)
+        self.write_answer(answer, self._list_lines(current, views, vms))
+        return ExitCode.DONE
+
+    def _list_vms(self) -> tuple[ListedVm, ...] | None:
+        """Return the VM list; the cloud API may be down while the object service answers."""
+        try:
+            return self.client.list_vms().vms
+        except HemlockError:
+            return None
+
+    def _view_zones(self, current: Current) -> list[ZoneView]:
+        if current.revision is None:
+            return []
+        objects = self.client.list(STATUS_KIND).items
+        zones = current.revision.file.zones
+        return view_zones(zones, objects, current.number, self.clock.wall_ms())
+
+    def _describe(
+        self, current: Current, views: list[ZoneView], vms: tuple[ListedVm, ...] | None
+    ) -> dict[str, Any]:
+        file = None if current.revision is None else current.revision.file
+        counts = count_copies(file, vms) if file is not None and vms is not None else []
+        zones = [
+            describe_view(view) | {"daemons": [one.model_dump() for one in view.daemons]}
+            for view in views
+        ]
+        return {
+            "ok": True,
+            "revision": current.number,
+            "digest": "" if current.revision is None else current.revision.digest,
+            "zones": zones,
+            "backend_servers": None if vms is None else [describe_vm(vm) for vm in vms],
+            "copies": [describe_copies(count) for count in counts],
+        }
+
+    def _list_lines(
+        self, current: Current, views: list[ZoneView], vms: tuple[ListedVm, ...] | None
+    ) -> list[str]:
+        if current.revision is None:
+            return ["no revision was ever applied"]
+        lines = [f"revision {current.number} ({current.revision.digest})", "", "zones:"]
+        for view in views:
+            lines.append(f"  {format_view(view)}")
+            if self.option("daemons"):
+                lines += [f"    {format_daemon(one.model_dump())}" for one in view.daemons]
+        lines += ["", "copies:"]
+        if vms is None:
+            return [*lines, "  the VM list does not answer"]
+        lines += [f"  {format_copies(one)}" for one in count_copies(current.revision.file, vms)]
+        lines += ["", "backend servers:"]
+        lines += [f"  {format_vm(vm)}" for vm in vms]
+        lines += ["", "limits of the client accounts, over the whole system:"]
+        return lines + [f"  {line}" for line in list_limits(current.revision)]
+
+
+class HistoryCommand(PlatformCommand):
+    """Show earlier revisions and what each changed."""
+
+    name = "history"
+    description = "Show the latest revisions and what each one changed."
+    options = [
+        *PLATFORM_OPTIONS,
+        option("count", None, "How many revisions to show.", flag=False, default="10"),
+        option("changes", None, "Show each revision's changes."),
+    ]
+    help = """Walks back from the revision that the pointer names. A revision that no pointer ever
+named (its apply died, or lost a race) is shown as never in force.
+
+Exit codes: 0 shown, 4 the platform does not answer."""
+
+    def run_command(self) -> int:
+        """Read the revisions, the newest first."""
+        self._store = RevisionStore(self.client, self.clock, self.patience_ms)
+        current = self._store.read_current()
+        count = int(self.option("count"))
+        rows = self._list_rows(current.number, count)
+        self.write_answer({"ok": True, "revisions": rows}, [_format_row(row) for row in rows])
+        return ExitCode.DONE
+
+    def _list_rows(self, number: int, count: int) -> list[dict[str, Any]]:
+        rows: list[dict[str, Any]] = []
+        in_force = number
+        for at in range(number + NUMBERS_AHEAD, NO_REVISION, -1):
+            if len(rows) >= count:
+                break
+            revision = self._store.read_revision(at)
+            if revision is None:
+                continue
+            was_in_force = revision.number == in_force
+            if was_in_force:
+                in_force = revision.previous
+            rows.append(self._describe(revision, number, was_in_force))
+        return rows
+
+    def _describe(self, revision: Revision, current: int, was_in_force: bool) -> dict[str, Any]:
+        state = "replaced" if was_in_force else "never in force"
+        row = {
+            "number": revision.number,
+            "state": "in force" if revision.number == current else state,
+            "previous": revision.previous,
+            "applied_wall_ms": revision.applied_wall_ms,
+            "apply_id": revision.apply_id,
+            "digest": revision.digest,
+        }
+        if self.option("changes"):
+            before = self._store.read_revision(revision.previous) if revision.previous else None
+            tree = {} if before is None else before.tree
+            row["changes"] = [
+                describe_change(change) for change in compare_trees(tree, revision.tree)
+            ]
+        return row
+
+
+def _format_row(row: dict[str, Any]) -> str:
+    at = datetime.fromtimestamp(row["applied_wall_ms"] / 1_000, UTC).isoformat(timespec="seconds")
+    line = f"{row['number']}: {row['state']}, {at}, after {row['previous']}, {row['apply_id']}"
+    return "\n".join([line, *(f"  {change}" for change in row.get("changes", ()))])
+
+
+def describe_vm(vm: ListedVm) -> dict[str, Any]:
+    """Return a VM for a program."""
+    return {
+        "name": vm.name,
+        "zone": vm.zone,
+        "serves": vm.serves,
+        "state": vm.state,
+        "machine_class": vm.machine_class,
+        "price_per_hour": vm.price_per_hour,
+    }
+
+
+def format_vm(vm: ListedVm) -> str:
+    """Return a VM for people."""
+    price = f"{vm.machine_class} at {vm.price_per_hour} an hour"
+    return f"{vm.name}: {vm.state} in {vm.zone}, serves {vm.serves}, {price}"
+
+
+def format_daemon(daemon: dict[str, Any]) -> str:
+    """Return a daemon for people."""
+    ready = "ready" if daemon["ready"] else "not ready"
+    age = "never heard" if daemon["age_ms"] is None else f"{daemon['age_ms'] / 1_000:.1f} s ago"
+    details = " ".join(f"{key}={value}" for key, value in sorted(daemon["details"].items()))
+    return f"{daemon['name']}: revision {daemon['revision']}, {ready}, {age} {details}".rstrip()
+
+
+def list_limits(revision: Revision) -> list[str]:
+    """Return a line for each account's limits."""
+    return [
+        f"{one.name}: {one.limits.requests_per_second:g} requests/s,"
+        f" {one.limits.tokens_per_second:g} tokens/s,"
+        f" {one.limits.concurrent_requests} at once, priority {one.priority}"
+        for one in revision.file.client_accounts
+    ]
--- a/hemlockswitch/version/checks.py
+++ b/hemlockswitch/version/checks.py
@@ -9,6 +9,7 @@
 ``models[0].min_copies``.
 """
 
+import json
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -211,7 +212,7 @@
 
 
 def _check_size(tree: dict[str, Any]) -> Iterator[Mistake]:
-    size_bytes = len(encode_canonical(tree).encode()) + REVISION_FIELDS_BYTES
+    size_bytes = len(json.dumps(tree, separators=(",", ":"))) + REVISION_FIELDS_BYTES
     if size_bytes > MAX_VALUE_BYTES:
         reason = f"{size_bytes} bytes as stored; the platform takes {MAX_VALUE_BYTES}"
         yield Mistake("", reason)
--- a/hemlockswitch/version/revisions.py
+++ b/hemlockswitch/version/revisions.py
@@ -101,14 +101,17 @@
         )
 
     def to_value(self) -> dict[str, Any]:
-        """Return the value to store or send."""
+        """Return the value to store."""
+        return self.to_head() | {"file": self.tree}
+
+    def to_head(self) -> dict[str, Any]:
+        """Return the value without the file."""
         return {
             "number": self.number,
             "digest": self.digest,
             "apply_id": self.apply_id,
             "previous": self.previous,
             "applied_wall_ms": self.applied_wall_ms,
-            "file": self.tree,
         }
 
     def to_pointer(self) -> dict[str, Any]:
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,150 @@
+"""The revision in force only rises, and a daemon catches up by differences from its peers."""
+
+import json
+
+import pytest
+
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.clock import ManualClock, SystemClock
+from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
+from hemlockswitch.process.configuration import Configuration
+from hemlockswitch.process.news import NewsBoard
+from hemlockswitch.process.revision_spread import RevisionSpread
+from hemlockswitch.version.checks import parse_file
+from hemlockswitch.version.revisions import Revision
+
+
+def make_revision(number, copies=1, models=1):
+    rows = [{"name": f"m{row:05}", "licensed_copies": copies} for row in range(models)]
+    text = json.dumps({"zones": ["abdoun-hall"], "models": rows})
+    return Revision.from_checked(parse_file(text), number, f"apply-{number}", number - 1, 0)
+
+
+def test_an_older_or_equal_revision_is_never_taken():
+    configuration = Configuration(ManualClock())
+    numbers = []
+    configuration.add_listener(lambda revision: numbers.append(revision.number))
+    taken = [configuration.adopt(make_revision(number)) for number in (2, 1, 2, 5, 3)]
+    assert taken == [True, False, False, True, False]
+    assert numbers == [2, 5]
+
+
+def test_without_a_revision_the_file_is_refused():
+    with pytest.raises(ConfigurationError) as caught:
+        _ = Configuration(ManualClock()).file
+    assert caught.value.kind is ErrorKind.NOT_READY
+
+
+def test_a_damaged_revision_is_refused():
+    value = make_revision(1).to_value()
+    value["file"]["zones"] = ["other"]
+    with pytest.raises(ConfigurationError, match="digest"):
+        Revision.from_value(value)
+
+
+class Daemon:
+    """The parts of a daemon that hold and spread revisions."""
+
+    def __init__(self, peers=(), platform=None):
+        self.configuration = Configuration(SystemClock())
+        self.board = NewsBoard()
+        self.network = PeerNetwork("c", "d")
+        self.network.start()
+        self.platform_reads = 0
+        self.platform = platform
+        self.spread = RevisionSpread(
+            self.configuration,
+            self.board,
+            self.network,
+            lambda: [peer.network.address for peer in peers],
+            self.read_platform,
+            SystemClock(),
+        )
+
+    def read_platform(self):
+        self.platform_reads += 1
+        if self.platform is None:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+        return self.platform
+
+    def hear(self, other):
+        self.board.learn(other.board.find("revision"))
+
+
+@pytest.fixture
+def start():
+    started = []
+
+    def start_one(*peers, platform=None):
+        started.append(Daemon(peers, platform))
+        return started[-1]
+
+    yield start_one
+    for daemon in started:
+        daemon.network.stop()
+
+
+def test_a_small_change_comes_with_the_news(start):
+    first, second = start(), start()
+    for daemon in (first, second):
+        daemon.configuration.adopt(make_revision(1))
+    first.configuration.adopt(make_revision(2, copies=2))
+    second.hear(first)
+    assert second.spread.catch_up()
+    assert second.configuration.digest == first.configuration.digest
+    assert second.spread.counts.by_news == 1
+
+
+def test_a_daemon_that_missed_revisions_gets_the_difference(start):
+    first = start()
+    second = start(first)
+    for daemon in (first, second):
+        daemon.configuration.adopt(make_revision(1))
+    for number in (2, 3, 4):
+        first.configuration.adopt(make_revision(number, copies=number))
+    second.hear(first)
+    assert second.spread.catch_up()
+    assert second.configuration.revision == 4
+    assert (second.spread.counts.by_difference, second.spread.counts.by_whole) == (1, 0)
+
+
+def test_a_new_daemon_without_the_platform_gets_the_whole_from_a_peer(start):
+    first = start()
+    second = start(first)
+    first.configuration.adopt(make_revision(7, models=2_000))
+    assert not second.configuration.is_ready
+    assert second.spread.catch_up()
+    assert second.configuration.digest == first.configuration.digest
+    assert second.spread.counts.by_whole == 1
+
+
+def test_a_new_daemon_begins_with_the_highest_of_its_peers(start):
+    behind, ahead = start(), start()
+    behind.configuration.adopt(make_revision(3))
+    ahead.configuration.adopt(make_revision(4))
+    new = start(behind, ahead)
+    assert new.spread.catch_up()
+    assert [step.number for step in new.configuration.adoptions] == [4]
+
+
+def test_a_daemon_that_hears_of_a_higher_revision_waits_for_it(start):
+    behind, ahead = start(), start()
+    behind.configuration.adopt(make_revision(3))
+    ahead.configuration.adopt(make_revision(4))
+    new = start(behind)
+    new.hear(ahead)
+    ahead.network.stop()
+    assert not new.spread.catch_up()
+    assert new.configuration.revision == 3
+
+
+def test_changes_that_do_not_fit_the_revision_are_refused(start):
+    first = start()
+    second = start(first)
+    first.configuration.adopt(make_revision(1))
+    second.configuration.adopt(make_revision(1, copies=9))
+    first.configuration.adopt(make_revision(2, copies=2))
+    second.hear(first)
+    assert second.spread.catch_up()
+    assert second.configuration.digest == first.configuration.digest
+    assert second.spread.counts.by_whole == 1
