--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for tests, the demo and measurements; not part of the product."""
