--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -38,6 +38,12 @@
     MEMBERSHIP_REFUTED = (507, "membership_refuted")
     ZONE_SUSPECTED = (508, "zone_suspected")
     NEWS_TOO_LARGE = (509, "news_too_large")
+    REVISION_IN_FORCE = (601, "revision_in_force")
+    OLDER_REVISION_REFUSED = (602, "older_revision_refused")
+    REVISION_DIGEST_DIFFERS = (603, "revision_digest_differs")
+    REVISION_UNUSABLE = (604, "revision_unusable")
+    REVISION_WATCH_FAILED = (605, "revision_watch_failed")
+    ZONE_STATUS_FAILED = (606, "zone_status_failed")
     SHARES_EXPIRED = (701, "shares_expired")
     SHARES_GRANTED = (702, "shares_granted")
 
