Bound the refutations of a name that two processes hold; mind odd members

Cause: two processes of one name would have outbid each other's incarnation without end, and an item that is no member would have raised in the board's listener each time it arrived.

Ruled out: refuting with a delay; both would still go on. The newer process keeps the name, the older one logs member_name_taken.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -24,6 +24,8 @@
     MEMBERSHIP_REFUTED = (507, "membership_refuted")
     ZONE_SUSPECTED = (508, "zone_suspected")
     NEWS_TOO_LARGE = (509, "news_too_large")
+    MEMBER_INVALID = (510, "member_invalid")
+    MEMBER_NAME_TAKEN = (511, "member_name_taken")
 
     def __init__(self, number: int, label: str) -> None:
         self.number = number
--- a/hemlockswitch/process/members.py
+++ b/hemlockswitch/process/members.py
@@ -62,7 +62,8 @@
         """
         incarnation, state = divmod(item.version, STATES_PER_INCARNATION)
         name = item.key.removeprefix(MEMBER_PREFIX)
-        zone, region, peer_address, caller_address = item.value
+        # A later version may add fields at the end.
+        zone, region, peer_address, caller_address, *_ = item.value
         state = MemberState(state)
         return cls(name, zone, region, peer_address, caller_address, state, incarnation)
 
--- a/hemlockswitch/process/membership.py
+++ b/hemlockswitch/process/membership.py
@@ -165,9 +165,13 @@
         return self._links
 
     def _learn(self, item: NewsItem) -> None:
-        member = Member.from_item(item)
+        try:
+            member = Member.from_item(item)
+        except (TypeError, ValueError) as error:
+            log_event(Event.MEMBER_INVALID, "error", key=item.key, reason=str(error))
+            return
         if member.name == self._own.name and member != self._own:
-            self._refute(member)
+            self._hear_of_itself(member)
             return
         before = self._members.get(member.name)
         self._members[member.name] = member
@@ -181,10 +185,19 @@
 
     def _note_suspicion(self, member: Member) -> None:
         if member.state is MemberState.SUSPECT:
-            self._suspected_ms[member.name] = self._active_ms
+            # Rounded up to the next sweep: the time to refute is never cut short.
+            self._suspected_ms[member.name] = self._active_ms + SWEEP_MS
         else:
             self._suspected_ms.pop(member.name, None)
 
+    def _hear_of_itself(self, heard: Member) -> None:
+        another_process = heard.peer_address != self._own.peer_address
+        if another_process and heard.state is MemberState.ALIVE:
+            # The newer process keeps the name. Were both to claim it, neither would ever stop.
+            log_event(Event.MEMBER_NAME_TAKEN, "error", address=heard.peer_address)
+            return
+        self._refute(heard)
+
     def _refute(self, heard: Member) -> None:
         incarnation = max(self._clock.wall_ms(), heard.incarnation + 1)
         self._own = replace(self._own, incarnation=incarnation)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -161,6 +161,28 @@
         again.crash()
 
 
+def test_an_invalid_member_harms_nobody(start_daemons):
+    daemons = start_daemons("a", "a")
+    wait_all_see(daemons, 2)
+    daemons[0].board.learn(NewsItem("member/odd", 4, "not a member"))
+    daemons[0].board.learn(NewsItem("revision", 1, "after it"))
+    wait_until(lambda: daemons[1].board.find("revision"))
+    wait_all_see(daemons, 2)
+
+
+def test_two_processes_of_one_name_do_not_outbid_each_other(start_daemons):
+    daemons = start_daemons("a", "a")
+    wait_all_see(daemons, 2)
+    twin = Daemon("a-1", "a", (daemons[0].address,))
+    try:
+        wait_until(lambda: daemons[0].board.find("member/a-1").value[2] == twin.address)
+        incarnation = twin.membership.own.incarnation
+        gevent.sleep(0.3)
+        assert twin.membership.own.incarnation == incarnation
+    finally:
+        twin.crash()
+
+
 @pytest.mark.parametrize("size", [1, 2, 3, 120])
 def test_every_member_is_probed_and_news_reaches_every_zone(size):
     members = [
--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and runners around the product; nothing here is shipped."""
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -139,7 +139,7 @@
     for key, when_ms in published.items():
         learned = [report["learned_ms"].get(key) for report in after]
         missed += learned.count(None)
-        reach_ms.append(max((ms for ms in learned if ms is not None)) - when_ms)
+        reach_ms.append(max(ms for ms in learned if ms is not None) - when_ms)
     copies = [b["items_in"] - a["items_in"] for a, b in zip(before, after, strict=True)]
     sent = [b["bytes_out"] - a["bytes_out"] for a, b in zip(before, after, strict=True)]
     return {
--- a/tools/capacity_daemon.py
+++ b/tools/capacity_daemon.py
@@ -6,6 +6,8 @@
 import json
 import os
 import resource
+import socket
+import struct
 import sys
 import time
 
@@ -19,6 +21,8 @@
 from tools.capacity_variants import VARIANTS
 
 PAGE_BYTES = resource.getpagesize()
+# The fields segs_out and segs_in of Linux's struct tcp_info.
+SEGMENTS = struct.Struct("136x2I")
 
 
 def read_resident_bytes() -> int:
@@ -27,6 +31,18 @@
         return int(status.read().split()[1]) * PAGE_BYTES
 
 
+def count_segments(network: PeerNetwork) -> int:
+    """Return the TCP segments that the open streams have sent and received."""
+    total = 0
+    for link in network._all_links:
+        if link._connection is not None and not link.closed:
+            information = link._connection.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, SEGMENTS.size
+            )
+            total += sum(SEGMENTS.unpack(information))
+    return total
+
+
 class MeasuredDaemon:
     """One daemon and the times at which it learned things."""
 
@@ -63,6 +79,9 @@
             "messages_out": traffic.messages_out,
             "bytes_in": traffic.bytes_in,
             "bytes_out": traffic.bytes_out,
+            "segments": count_segments(self.network),
+            "links": len(list(self.membership._find_links().probed)),
+            "neighbours": len(list(self.membership._find_links().neighbours)),
             "streams": len(self.network.list_streams()),
             "items_in": self.spread.items_in,
             "items_known": self.spread.items_known,
