--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -38,6 +38,8 @@
     MEMBERSHIP_REFUTED = (507, "membership_refuted")
     ZONE_SUSPECTED = (508, "zone_suspected")
     NEWS_TOO_LARGE = (509, "news_too_large")
+    MEMBER_INVALID = (510, "member_invalid")
+    MEMBER_NAME_TAKEN = (511, "member_name_taken")
     REVISION_IN_FORCE = (601, "revision_in_force")
     OLDER_REVISION_REFUSED = (602, "older_revision_refused")
     REVISION_DIGEST_DIFFERS = (603, "revision_digest_differs")
