Let the stand-in service report its load

Cause: the demo judged 7 runs of one call; six were the daemons asking GET /v1/load, which the stand-in counted as calls. Ruled out: a doubled dispatch (one run for the call's request id).

--- a/hemlockswitch/standin/service.py
+++ b/hemlockswitch/standin/service.py
@@ -27,6 +27,7 @@
     name: str = "service"
     listen: str = "127.0.0.1:0"
     delay_ms: float = 0
+    slots: int = 32
 
 
 @dataclass
@@ -37,6 +38,7 @@
     runs_by_key: Counter = field(default_factory=Counter)
     runs_by_path: Counter = field(default_factory=Counter)
     runs: int = 0
+    running: int = 0
     refused: int = 0
     begun_after_leaving_ms: list[float] = field(default_factory=list)
 
@@ -91,7 +93,11 @@
         body = request.bounded_stream.read().decode(errors="replace")
         self._service.note_run(request)
         delay_ms = (self._service.settings.delay_ms + faults.delay_ms) * faults.slow_factor
-        self._service.clock.sleep_ms(delay_ms + faults.freeze_ms)
+        self._service.counts.running += 1
+        try:
+            self._service.clock.sleep_ms(delay_ms + faults.freeze_ms)
+        finally:
+            self._service.counts.running -= 1
         if faults.cut_stage == "before_answer":
             cut_connection(connection)
         self._answer(request, response, body, faults)
@@ -136,9 +142,27 @@
         response.media = {}
 
 
+class LoadPage:
+    """``GET /v1/load``: the reported load, which is no run of a call."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Give the calls in progress and the bound on them."""
+        slots = self._service.settings.slots
+        running = self._service.counts.running
+        response.media = {
+            "running": min(running, slots),
+            "waiting": max(running - slots, 0),
+            "slots": slots,
+        }
+
+
 def build_application(service: Service) -> Any:
     """Return the WSGI application of a service."""
     application = make_application()
+    application.add_route("/v1/load", LoadPage(service))
     judge = Judge(service)
     application.add_route("/standin/stats", judge, suffix="stats")
     application.add_route("/standin/faults", judge, suffix="faults")
