Wire claims into the entry daemon

Keyed calls were refused outright (`NoClaims`). They now go through `ClaimStore`, with the peers of the membership as other ways to the platform, a platform client of their own (1 s a call, role `claims`, a back-off that no watch's failure lengthens), the status page's `claims` and the metric `hemlock_claims_total`. A graceful stop waits up to 3 s for outcomes that are not written yet.

--- a/hemlockswitch/process/claim_store.py
+++ b/hemlockswitch/process/claim_store.py
@@ -73,6 +73,7 @@
     clock : the time.
     retention_ms : returns how long claims are kept.
     is_gone : tells whether the holder of a claim is known to have left.
+    count : called with what became of a call's claim.
     """
 
     def __init__(
@@ -82,8 +83,10 @@
         clock: Clock,
         retention_ms: Callable[[], int],
         is_gone: Callable[[str], bool] = lambda holder: False,
+        count: Callable[[str], None] = lambda outcome: None,
     ) -> None:
         self.counts: Counter[str] = Counter()
+        self._count_outside = count
         self._holder = holder
         self._routes = routes
         self._clock = clock
@@ -105,6 +108,7 @@
         peers: Peers | None = None,
         list_peers: Callable[[], list[ClaimPeer]] = list_no_peers,
         is_gone: Callable[[str], bool] = lambda holder: False,
+        count: Callable[[str], None] = lambda outcome: None,
         bounds: Bounds | None = None,
         pace: Pace | None = None,
         writer_counts: WriterCounts | None = None,
@@ -123,7 +127,7 @@
         ]
         routes = ClaimRoutes(name, zone, writers, peers or NoPeers(), list_peers)
         holder = make_identifier(name)
-        return cls(holder, routes, clock, retention_ms, is_gone)
+        return cls(holder, routes, clock, retention_ms, is_gone, count)
 
     def run_once(
         self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
@@ -170,10 +174,14 @@
         """Wait until the outcomes are written; return whether all are."""
         return bool(self._outbox.join(timeout=timeout_ms / MS_PER_SECOND))
 
+    def _count(self, outcome: str) -> None:
+        self.counts[outcome] += 1
+        self._count_outside(outcome)
+
     def _join(self, running: _Running, fingerprint: str) -> StoredAnswer:
         """Wait shortly for the same key's call that this daemon is dealing with."""
         self._check_fingerprint(running.fingerprint, fingerprint)
-        self.counts["joined"] += 1
+        self._count("joined")
         try:
             return running.result.get(timeout=sum(REPEAT_PAUSES_MS) / MS_PER_SECOND)
         except gevent.Timeout:
@@ -218,11 +226,11 @@
         if self._clock.now_ms() - began_ms <= min(FRESH_MS, self._retention_ms() / 2):
             return
         self._deliver(GiveBack(digest, claim))
-        self.counts["unavailable"] += 1
+        self._count("unavailable")
         raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "the claim took too long")
 
     def _run(self, digest: str, claim: Claim, dispatch: Callable[[], StoredAnswer]) -> StoredAnswer:
-        self.counts["placed"] += 1
+        self._count("placed")
         try:
             answer = dispatch()
         except RequestError as error:
@@ -262,7 +270,7 @@
 
     def _replay(self, kept_for: str, outcome: Outcome, fingerprint: str) -> StoredAnswer:
         self._check_fingerprint(kept_for, fingerprint)
-        self.counts["replayed"] += 1
+        self._count("replayed")
         return outcome.replay()
 
     def _refuse(self, digest: str, claim: Claim, result: Result) -> RequestError:
@@ -270,11 +278,11 @@
         if result.verdict is Verdict.STANDING and result.claim is not None:
             if not self._is_over(result.claim):
                 return self._make_conflict()
-            self.counts["unknown"] += 1
+            self._count("unknown")
             log_event(Event.CLAIM_OUTCOME_UNKNOWN, "warning", claim=result.claim.claim_id)
             detail = "a call with this key was begun and its end is not known"
             return RequestError(ErrorKind.OUTCOME_UNKNOWN, detail)
-        self.counts["unavailable"] += 1
+        self._count("unavailable")
         if result.verdict is Verdict.FULL:
             log_event(Event.CLAIM_PARTITION_FULL, "warning")
             detail = "the room for claims is used up"
@@ -284,7 +292,7 @@
         return RequestError(ErrorKind.CLAIM_UNAVAILABLE, "the key could not be claimed")
 
     def _make_conflict(self) -> RequestError:
-        self.counts["conflict"] += 1
+        self._count("conflict")
         detail = "a call with this key is under way"
         return RequestError(ErrorKind.CLAIM_CONFLICT, detail, retry_after_ms=COME_BACK_MS)
 
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -9,9 +9,12 @@
 from hemlockswitch.connection.caller_server import CallerServer
 from hemlockswitch.connection.callers import build_application
 from hemlockswitch.connection.control_api import StatusPage, build_control_application
+from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import Clock, SystemClock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.claim_members import ClaimMembers
+from hemlockswitch.process.claim_store import ClaimStore
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.polling import PlatformPoll
@@ -25,12 +28,14 @@
 from hemlockswitch.request.relay import Relay
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Router, TargetTraits
-from hemlockswitch.request.service_call import NoClaims, ServiceCaller
+from hemlockswitch.request.service_call import ServiceCaller
 from hemlockswitch.version.models import Limits, OperatorFile
 from hemlockswitch.version.settings import EntrySettings, split_address
 
 STOP_STEP_MS = 20.0
 LAST_BYTES_MS = 200.0
+CLAIM_CALL_MS = 1_000.0
+CLAIM_FLUSH_MS = 3_000.0
 
 
 class EntryDaemon:
@@ -92,8 +97,9 @@
             self.router, self.directory, self.opener, self.budget, self.clock, reports
         )
         self.sweep = OverdueSweep(self.relay, self.clock)
+        self.claims = self._make_claims()
         self.services = ServiceCaller(
-            self.router, self.directory, client, self.budget, self.clock, reports, NoClaims()
+            self.router, self.directory, client, self.budget, self.clock, reports, self.claims
         )
         allowances = FixedAllowances(self._find_file, lambda: 1)
         self.admission = Admission(allowances, self.clock, CapacityQueue(self.clock))
@@ -101,6 +107,28 @@
         self.metrics.in_progress.set_function(lambda: self.serving.in_progress)
         self.status.add("requests_in_progress", lambda: self.serving.in_progress)
 
+    def _make_claims(self) -> ClaimStore:
+        """Return the claims of keyed calls, on a platform client of their own.
+
+        Their calls are short and many; a watch that fails must not make them wait.
+        """
+        members = ClaimMembers(self.settings.name, lambda: self.facts.membership)
+        claims = ClaimStore.from_config(
+            self.settings.name,
+            self.settings.zone,
+            PlatformClient(
+                self.settings.platform, "claims", self.settings.name, timeout_ms=CLAIM_CALL_MS
+            ),
+            self.clock,
+            lambda: (self.file.limits if self.file else Limits()).claim_retention_ms,
+            peers=self.facts.network,
+            list_peers=members.list_peers,
+            is_gone=members.is_gone,
+            count=self.metrics.count_claim,
+        )
+        self.status.add("claims", claims.describe)
+        return claims
+
     def _build_servers(self) -> None:
         """Build the two HTTP servers; nothing listens yet."""
         timeout_ms = self.settings.caller_timeout_ms
@@ -157,6 +185,7 @@
         while self.serving.in_progress and self.clock.now_ms() < until_ms:
             self.clock.sleep_ms(STOP_STEP_MS)
         self.clock.sleep_ms(LAST_BYTES_MS)
+        self.claims.flush(CLAIM_FLUSH_MS)
         gevent.killall(self._tasks)
         self.facts.stop()
         self.callers.stop(timeout=1)
--- a/hemlockswitch/process/metrics.py
+++ b/hemlockswitch/process/metrics.py
@@ -70,6 +70,12 @@
             buckets=CALL_BUCKETS,
             registry=self.registry,
         )
+        self.claims = Counter(
+            "hemlock_claims",
+            "Calls with an idempotency key, by what became of their claim.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.in_progress = Gauge(
             "hemlock_requests_in_progress", "Requests in progress.", registry=self.registry
         )
@@ -77,6 +83,10 @@
             "hemlock_revision_number", "The configuration in force.", registry=self.registry
         )
 
+    def count_claim(self, outcome: str) -> None:
+        """Count what became of one call's claim."""
+        self.claims.labels(outcome).inc()
+
     def count_recomputed(self, cause: str, tokens: int) -> None:
         """Count tokens that were computed again because of `cause`."""
         if tokens:
--- a/hemlockswitch/request/claims.py
+++ b/hemlockswitch/request/claims.py
@@ -202,16 +202,6 @@
         """Return the key's answer, from `dispatch` or from an earlier call."""
 
 
-class NoClaims:
-    """Refuses every key, for a daemon that has nowhere to keep claims."""
-
-    def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
-    ) -> StoredAnswer:
-        """Refuse; nothing was run."""
-        raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "no place to keep the key's claim")
-
-
 def digest_key(account: str, key: str) -> str:
     """Return the name under which the claim of an account's key is kept.
 
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -1,7 +1,5 @@
 """Calls of plain services: repeated only where that is safe, and stated honestly where not."""
 
-import hashlib
-from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -15,6 +13,7 @@
 from hemlockswitch.connection.callers import CallerAnswer, CallerRequest
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.request.claims import Claims, StoredAnswer, fingerprint_call
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Need
 from hemlockswitch.request.running import Chooser, Directory
@@ -28,34 +27,6 @@
 JSON_TYPE = "application/json"
 
 
-@dataclass(frozen=True)
-class ServiceAnswer:
-    """A service's whole answer, as a caller gets it and a claim keeps it."""
-
-    status: int
-    headers: Mapping[str, str]
-    body: bytes
-
-
-class Claims(Protocol):
-    """Who makes sure that a key's call is dispatched once in the whole system."""
-
-    def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], ServiceAnswer]
-    ) -> ServiceAnswer:
-        """Return the key's answer, from `dispatch` or from an earlier call."""
-
-
-class NoClaims:
-    """Refuses every key, for a daemon that has nowhere to keep claims."""
-
-    def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], ServiceAnswer]
-    ) -> ServiceAnswer:
-        """Refuse; nothing was run."""
-        raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "no place to keep the key's claim")
-
-
 class ServiceObserver(Protocol):
     """Who hears of dispatches."""
 
@@ -155,7 +126,7 @@
             answer = self._claims.run_once(
                 account,
                 key,
-                fingerprint_call(request, service.name, path),
+                fingerprint_call(request.method, service.name, path, request.query, request.body),
                 lambda: self._dispatch(request, service, operation, path, deadline_ms),
             )
         headers = {name: value for name, value in answer.headers.items() if name != "content-type"}
@@ -169,7 +140,7 @@
         operation: Operation,
         path: str,
         deadline_ms: float,
-    ) -> ServiceAnswer:
+    ) -> StoredAnswer:
         progress = _Progress(excluded=set())
         while True:
             self._check_deadline(progress, deadline_ms)
@@ -249,7 +220,7 @@
             ) from failure
 
     @staticmethod
-    def _give_up(progress: _Progress) -> ServiceAnswer:
+    def _give_up(progress: _Progress) -> StoredAnswer:
         """Return the last answer of a server, or say that there is none."""
         if progress.last is not None:
             return _keep(progress.last)
@@ -267,15 +238,6 @@
         super().__init__(Stage.DURING_ANSWER, detail)
 
 
-def _keep(answer: BackendAnswer) -> ServiceAnswer:
+def _keep(answer: BackendAnswer) -> StoredAnswer:
     headers = {name: answer.headers[name] for name in PASSED_TO_CALLER if name in answer.headers}
-    return ServiceAnswer(answer.status, headers, answer.body)
-
-
-def fingerprint_call(request: CallerRequest, service: str, path: str) -> str:
-    """Return a hash of what the call asks for; the same key with another one is a conflict."""
-    digest = hashlib.sha256()
-    for part in (request.method, service, path, request.query):
-        digest.update(part.encode("utf-8", "surrogateescape") + b"\0")
-    digest.update(request.body)
-    return digest.hexdigest()
+    return StoredAnswer(answer.status, headers, answer.body)
