--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -169,7 +169,8 @@
         generation = running.generation
         server = generation.server
         assert server is not None
-        ticket = self._directory.begin(server.name, running.need.prompt_tokens)
+        uncached_tokens = self._chooser.note_dispatch(server.name, running.need)
+        ticket = self._directory.begin(server.name, uncached_tokens)
         failed = False
         attempt: Attempt | None = None
         try:
@@ -264,6 +265,7 @@
         """End the old stream before another one goes on from the next position."""
         generation = running.generation
         assert generation.server is not None
+        running.excluded.add(generation.server.name)
         self._opener.cancel(generation.server.address, generation.stream_id)
         self._observer.attempt_ended(generation, running.estimate_recomputed(), "moved")
 
