--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -43,6 +43,7 @@
         (make_event(2, "gap "), Verdict.INVALID),
         (make_event(1, "late ", stream="str-0"), Verdict.IGNORED),
         (make_event(1, "foreign ", stream="str-9"), Verdict.INVALID),
+        (make_event(1, "", finish="cancelled"), Verdict.INVALID),
         (make_event(1, "mixed ", data_id="str-9"), Verdict.INVALID),
         (b"id: str-1:1\ndata: {broken", Verdict.INVALID),
         (b"id: str-1:1\ndata: []", Verdict.INVALID),
