--- /dev/null
+++ b/hemlockswitch/process/control.py
@@ -0,0 +1,227 @@
+"""The controller of one availability zone: compares what is wanted with what there is.
+
+Each pass starts from the platform's truth, so a pass that failed half-way, or a controller that
+died in it, leaves nothing that the next pass does not see.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hemlockswitch.connection.orders import WantedState
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.copies import Copy, Plan, Planner, plan_over_licence
+from hemlockswitch.process.copy_changes import CopyStarter, CopyStopper, OrderGiver, StoppingCopy
+from hemlockswitch.process.copy_records import CopyRecord, CopyRecords, CopyState, CopyTable
+from hemlockswitch.process.lease import Lease
+from hemlockswitch.process.targets import WantedTarget, list_wanted
+from hemlockswitch.process.zone_view import LIVE, Sources, ZoneView
+from hemlockswitch.version.models import MachineClass, OperatorFile
+
+
+@dataclass(frozen=True)
+class ControlTimes:
+    """The controller's paces.
+
+    Parameters
+    ==========
+
+    replace_ms : expected time from a reclaim to a serving replacement.
+    shrink_after_ms : how long the demand stays low before a copy is stopped.
+    gone_after_ms : how long a VM is missing from the lagging list before it counts as gone.
+    parallel_starts : copies of one target that load their weights at once in a zone; the weight
+        store is rate-limited, so more at once would all be late.
+    """
+
+    replace_ms: float = 60_000
+    shrink_after_ms: float = 300_000
+    gone_after_ms: float = 10_000
+    parallel_starts: int = 2
+
+
+class Controller:
+    """Makes the passes of one zone's leader.
+
+    Parameters
+    ==========
+
+    zone : the availability zone.
+    lease : nothing is ordered, started or stopped without it.
+    records : which copies there are and should be.
+    sources : where the view of the zone comes from.
+    times : paces.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        lease: Lease,
+        records: CopyRecords,
+        sources: Sources,
+        times: ControlTimes | None = None,
+    ) -> None:
+        self._zone = zone
+        self._lease = lease
+        self._records = records
+        self._clock = sources.clock
+        self._times = times or ControlTimes()
+        self._giver = OrderGiver(sources.orders, lease)
+        self._starter = CopyStarter(sources.platform, records, lease, sources.clock)
+        self._stopper = CopyStopper(sources.platform, records, lease, sources.daemons, self._giver)
+        self._view = ZoneView(
+            zone,
+            sources,
+            self._times.shrink_after_ms,
+            self._times.gone_after_ms,
+            self._starter.refused.is_open,
+        )
+        self._plans: dict[str, Plan] = {}
+
+    def run_pass(self, file: OperatorFile) -> None:
+        """Compare and order once; does nothing without the lease."""
+        if not self._lease.is_held:
+            return
+        wanted = list_wanted(file)
+        self._view.refresh(wanted)
+        for one in wanted:
+            if self._lease.is_held:
+                self._control(one, frozenset(file.draining))
+
+    def describe(self) -> Mapping[str, object]:
+        """Return the last plans for the status page."""
+        return {
+            name: {
+                "busy": round(self._view.meter.get_now(name).busy, 2),
+                "holding_ms": round(self._view.meter.get_now(name).holding_ms),
+                "late_share": round(plan.late_share, 4),
+                "starts": len(plan.starts),
+                "stops": list(plan.stops),
+            }
+            for name, plan in self._plans.items()
+        }
+
+    def _control(self, one: WantedTarget, draining: frozenset[str]) -> None:
+        """Bring one target nearer to what is wanted: record first, then act on the record."""
+
+        def revise(found: CopyTable) -> CopyTable:
+            adopted = self._adopt(found, one.name)
+            return self._apply_plan(one, self._mark_stops(adopted, draining))
+
+        table = self._records.change(one.name, revise)
+        self._start_wanted(one, table)
+        self._advance_stops(one, table)
+        self._repair(one, table)
+
+    def _adopt(self, table: CopyTable, target: str) -> CopyTable:
+        """Record VMs that serve the target and have no record, so that they count as licence.
+
+        While a wanted copy of this zone has no VM yet, an unknown VM may be that copy's.
+        """
+        if any(self._is_own(copy, CopyState.WANTED) for copy in table.copies.values()):
+            return table
+        known = {record.vm for record in table.copies.values()}
+        for vm in self._view.list_unknown(target, known):
+            record = CopyRecord(
+                zone=vm.zone,
+                machine_class=MachineClass(vm.machine_class),
+                price_per_hour=vm.price_per_hour,
+                vm=vm.name,
+                address=vm.address,
+                state=CopyState.RUNNING,
+                since_wall_ms=self._clock.wall_ms(),
+            )
+            table = table.put(f"adopted-{vm.name}", record)
+        return table
+
+    def _is_own(self, record: CopyRecord, state: CopyState) -> bool:
+        return record.zone == self._zone and record.state == state
+
+    def _mark_stops(self, table: CopyTable, draining: frozenset[str]) -> CopyTable:
+        """Move to stopping what the operators drain, what is reclaimed and what is gone."""
+        for token, record in table.copies.items():
+            if not self._is_own(record, CopyState.RUNNING):
+                continue
+            is_leaving = record.vm in draining or self._view.is_leaving(record.vm)
+            if is_leaving or self._view.is_gone(record):
+                table = table.move(token, CopyState.STOPPING, self._clock.wall_ms())
+        return table
+
+    def _apply_plan(self, one: WantedTarget, table: CopyTable) -> CopyTable:
+        """Record the planner's starts as wanted, or its stops as stopping."""
+        plan = self._plan(one, table)
+        self._plans[one.name] = plan
+        wall_ms = self._clock.wall_ms()
+        for place in plan.starts:
+            record = CopyRecord(
+                zone=place.zone,
+                machine_class=place.machine_class,
+                price_per_hour=place.price_per_hour,
+                since_wall_ms=wall_ms,
+            )
+            table = table.put(make_identifier("copy"), record)
+            log_event(Event.COPY_WANTED, target=one.name, zone=place.zone)
+        for token in plan.stops:
+            if table.copies[token].state == CopyState.RUNNING:
+                table = table.move(token, CopyState.STOPPING, wall_ms)
+                log_event(Event.COPY_STOPPING, target=one.name, vm=table.copies[token].vm)
+        return table
+
+    def _plan(self, one: WantedTarget, table: CopyTable) -> Plan:
+        copies = [
+            Copy(token, self._view.make_place(record), record.state != CopyState.STOPPING)
+            for token, record in table.copies.items()
+        ]
+        over = plan_over_licence(copies, one.target)
+        if over:
+            return Plan(stops=over)
+        meter = self._view.meter
+        planner = Planner(one.target, self._times.replace_ms)
+        free = self._view.list_free(one)
+        plan = planner.plan(copies, free, meter.get_now(one.name), meter.get_peak(one.name))
+        is_stopping = any(not copy.is_staying for copy in copies)
+        if plan.stops and (is_stopping or not meter.is_settled):
+            return Plan(late_share=plan.late_share)
+        return plan
+
+    def _start_wanted(self, one: WantedTarget, table: CopyTable) -> None:
+        """Ask for this zone's wanted copies, few at a time and within the licence."""
+        if len(table.copies) > one.target.licensed:
+            return
+        own = {token: copy for token, copy in table.copies.items() if copy.zone == self._zone}
+        running = [copy for copy in own.values() if copy.state == CopyState.RUNNING]
+        loading = sum(1 for copy in running if self._view.is_loading(copy))
+        wanted = [token for token, copy in own.items() if copy.state == CopyState.WANTED]
+        for token in wanted[: max(0, self._times.parallel_starts - loading)]:
+            self._starter.start(one.name, token, own[token])
+
+    def _advance_stops(self, one: WantedTarget, table: CopyTable) -> None:
+        stopping = {
+            token: record
+            for token, record in table.copies.items()
+            if self._is_own(record, CopyState.STOPPING)
+        }
+        usage = self._stopper.announce(sorted(record.vm for record in stopping.values()))
+        for token, record in stopping.items():
+            copy = StoppingCopy(
+                one.name,
+                token,
+                record,
+                self._view.vms.get(record.vm),
+                self._view.find_load(record.vm),
+                one.takes_orders,
+                self._view.is_past(record),
+            )
+            self._stopper.advance(copy, usage)
+
+    def _repair(self, one: WantedTarget, table: CopyTable) -> None:
+        """Order engines whose report differs from what is wanted of them."""
+        if not one.takes_orders:
+            return
+        wanted = WantedState((one.name,))
+        for record in table.copies.values():
+            vm, load = self._view.vms.get(record.vm), self._view.find_load(record.vm)
+            if record.state != CopyState.RUNNING or vm is None or vm.state != LIVE:
+                continue
+            if load is not None and not load.is_in(wanted):
+                self._giver.give(vm, wanted)
--- /dev/null
+++ b/hemlockswitch/process/controller.py
@@ -0,0 +1,189 @@
+"""The controller daemon: its parts, wired together, started and stopped in order."""
+
+from typing import Self
+
+import gevent
+from gevent.event import Event as Signal
+from prometheus_client import CollectorRegistry, Gauge, generate_latest
+
+from hemlockswitch.connection.caller_server import CallerServer
+from hemlockswitch.connection.control_api import StatusPage, build_control_application
+from hemlockswitch.connection.orders import OrderClient
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
+from hemlockswitch.core.errors import HemlockError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.control import Controller, ControlTimes
+from hemlockswitch.process.copy_records import CopyRecords
+from hemlockswitch.process.lease import Lease, LeaseTimes
+from hemlockswitch.process.reclaims import Reclaims
+from hemlockswitch.process.usage import Daemons
+from hemlockswitch.process.zone_load import ZoneSummaries
+from hemlockswitch.process.zone_view import Sources
+from hemlockswitch.version.models import OperatorFile
+from hemlockswitch.version.revisions import (
+    CURRENT_POINTER,
+    NO_REVISION,
+    POINTER_KIND,
+    REVISION_KIND,
+    Revision,
+    StoredPointer,
+)
+from hemlockswitch.version.settings import ControllerSettings, split_address
+
+PLATFORM_ROLE = "controller"
+PAGE_TIMEOUT_MS = 10_000
+
+
+class CurrentFile:
+    """The configuration that the controller compares with; its number only rises."""
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self._platform = platform
+        self.number = NO_REVISION
+        self.file: OperatorFile | None = None
+
+    def refresh(self) -> OperatorFile | None:
+        """Return the newest file that the platform names, or the last one known."""
+        stored = self._platform.read(POINTER_KIND, CURRENT_POINTER)
+        if stored is None:
+            return self.file
+        pointer = StoredPointer.model_validate(stored.value)
+        if pointer.number > self.number:
+            self._adopt(pointer.number)
+        return self.file
+
+    def _adopt(self, number: int) -> None:
+        stored = self._platform.read(REVISION_KIND, str(number))
+        if stored is None:
+            return
+        self.file = Revision.from_value(stored.value).file
+        self.number = number
+
+
+class ControllerMetrics:
+    """What the controller shows of itself."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.held = Gauge(
+            "hemlock_lease_held", "1 while this process may give orders", registry=self.registry
+        )
+
+    def render(self) -> bytes:
+        """Return the Prometheus text."""
+        return generate_latest(self.registry)
+
+
+class ControllerDaemon:
+    """One `hemlock-controller` process: a candidate for its zone's lease, or the leader.
+
+    Parameters
+    ==========
+
+    settings : the checked settings file.
+    clock : the process's clock.
+    """
+
+    def __init__(self, settings: ControllerSettings, clock: Clock) -> None:
+        self.settings = settings
+        self._clock = clock
+        self._wake = Signal()
+        self._tasks: list[gevent.Greenlet] = []
+        self._platform = PlatformClient.from_settings(settings, PLATFORM_ROLE)
+        self._network = PeerNetwork("hemlockswitch", settings.name, settings.peer_listen)
+        self._current = CurrentFile(self._platform)
+        self._metrics = ControllerMetrics()
+        self.lease = Lease(
+            self._platform,
+            clock,
+            settings.zone,
+            settings.name,
+            LeaseTimes(**settings.lease.model_dump()),
+            lambda: settings.candidates,
+        )
+        self._metrics.held.set_function(lambda: self.lease.is_held)
+        self._reclaims = Reclaims(
+            self._platform, clock, settings.zone, settings.copies.risk_window_ms
+        )
+        self.controller = self._make_controller()
+        self._pages = self._make_pages()
+
+    @classmethod
+    def from_settings(cls, settings: ControllerSettings) -> Self:
+        """Return a daemon on the system's clock."""
+        return cls(settings, SystemClock())
+
+    def _make_controller(self) -> Controller:
+        settings, copies = self.settings, self.settings.copies
+        sources = Sources(
+            self._platform,
+            self._clock,
+            OrderClient(settings.order_timeout_ms),
+            Daemons(self._network, lambda: list(settings.seeds)),
+            self._reclaims,
+            ZoneSummaries(self._platform, self._clock, settings.zone, copies.report_ms),
+        )
+        times = ControlTimes(
+            copies.replace_ms, copies.shrink_after_ms, copies.gone_after_ms, copies.parallel_starts
+        )
+        records = CopyRecords(self._platform)
+        return Controller(settings.zone, self.lease, records, sources, times)
+
+    def _make_pages(self) -> CallerServer:
+        status = StatusPage()
+        status.add("name", lambda: self.settings.name)
+        status.add("zone", lambda: self.settings.zone)
+        status.add("revision", lambda: self._current.number)
+        status.add("lease", self.lease.describe)
+        status.add("copies", self.controller.describe)
+        application = build_control_application(status, self._metrics.render)
+        address = split_address(self.settings.control_listen)
+        return CallerServer(address, application, PAGE_TIMEOUT_MS)
+
+    def start(self) -> dict[str, str]:
+        """Open the sockets, spawn the tasks, and return the addresses that are bound."""
+        self._pages.start()
+        peer_address = self._network.start()
+        watch = self._reclaims.watch_forever
+        self._tasks = [
+            gevent.spawn(self._keep_lease),
+            gevent.spawn(self._keep_control),
+            gevent.spawn(watch, self._wake),
+        ]
+        return {"control": self._pages.bound_address, "peers": peer_address}
+
+    def stop(self) -> None:
+        """End the tasks between two orders, then give the lease back."""
+        gevent.killall(self._tasks)
+        self.lease.release()
+        self._network.stop()
+        self._pages.stop(timeout=1)
+
+    def _keep_lease(self) -> None:
+        while True:
+            was_held = self.lease.is_held
+            pause_ms = self.lease.take_turn()
+            if self.lease.is_held and not was_held:
+                self._wake.set()
+            self._clock.sleep_ms(pause_ms)
+
+    def _keep_control(self) -> None:
+        while True:
+            self._wake.clear()
+            self._run_pass()
+            self._wake.wait(self.settings.copies.pass_ms / MS_PER_SECOND)
+
+    def _run_pass(self) -> None:
+        if not self.lease.is_held:
+            return
+        try:
+            file = self._current.refresh()
+            if file is not None:
+                self.controller.run_pass(file)
+        except HemlockError as error:
+            log_event(Event.CONTROL_PASS_FAILED, "warning", kind=error.kind, detail=error.detail)
+        except Exception as error:
+            log_event(Event.TASK_FAILED, "error", task="control", error=repr(error))
--- /dev/null
+++ b/hemlockswitch/process/copy_changes.py
@@ -0,0 +1,232 @@
+"""The steps that start and stop copies: each one recorded before it has an effect."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from hemlockswitch.connection.orders import (
+    EngineState,
+    OrderClient,
+    OrderNotPermittedError,
+    OrderStale,
+    ReportedLoad,
+    WantedState,
+)
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.connection.platform_models import ListedVm
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import BackendError, ErrorKind, PeerError, PlatformError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.copy_records import CopyRecord, CopyRecords, CopyState
+from hemlockswitch.process.lease import Lease
+from hemlockswitch.process.usage import Daemons, Usage
+from hemlockswitch.version.models import MachineClass
+
+FIRST_PAUSE_MS = 1_000
+LONGEST_PAUSE_MS = 60_000
+
+
+@dataclass
+class _Refusal:
+    pause_ms: float
+    until_ms: float
+
+
+class RefusedPlaces:
+    """Machine classes in which the cloud API refused a start, each left alone for a while.
+
+    Examples
+    ========
+
+    >>> from hemlockswitch.core.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> refused = RefusedPlaces(clock)
+    >>> refused.add(MachineClass.RECLAIMABLE, 0)
+    >>> refused.is_open(MachineClass.RECLAIMABLE), refused.is_open(MachineClass.ON_DEMAND)
+    (False, True)
+    >>> clock.advance(1_000)
+    >>> refused.is_open(MachineClass.RECLAIMABLE)
+    True
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._refusals: dict[MachineClass, _Refusal] = {}
+
+    def add(self, machine_class: MachineClass, retry_after_ms: float) -> None:
+        """Leave a class alone, twice as long as the last time."""
+        known = self._refusals.get(machine_class)
+        doubled = known.pause_ms * 2 if known else FIRST_PAUSE_MS
+        pause_ms = min(max(doubled, retry_after_ms), LONGEST_PAUSE_MS)
+        self._refusals[machine_class] = _Refusal(pause_ms, self._clock.now_ms() + pause_ms)
+
+    def clear(self, machine_class: MachineClass) -> None:
+        """Forget the refusals of a class that has just given a VM."""
+        self._refusals.pop(machine_class, None)
+
+    def is_open(self, machine_class: MachineClass) -> bool:
+        """Return whether a start may be tried."""
+        known = self._refusals.get(machine_class)
+        return known is None or self._clock.now_ms() >= known.until_ms
+
+
+class CopyStarter:
+    """Asks the cloud API for the copies that the records want in this zone.
+
+    Explanation
+    ===========
+
+    The record with its token exists before the call, so a controller that dies between the two
+    leaves the token to its successor, and the same token never gives a second VM. A refused
+    start's record is removed, which frees its licence for another place.
+    """
+
+    def __init__(
+        self, platform: PlatformClient, records: CopyRecords, lease: Lease, clock: Clock
+    ) -> None:
+        self._platform = platform
+        self._records = records
+        self._lease = lease
+        self._clock = clock
+        self.refused = RefusedPlaces(clock)
+
+    def start(self, target: str, token: str, record: CopyRecord) -> None:
+        """Start one wanted copy, or take back its record if the start is refused."""
+        self._lease.get_fencing()
+        try:
+            vm = self._platform.start_vm(record.zone, target, record.machine_class, token)
+        except PlatformError as error:
+            if error.kind != ErrorKind.OVERLOADED:
+                raise
+            self._take_back(target, token, record, error)
+            return
+        self.refused.clear(record.machine_class)
+        wall_ms = self._clock.wall_ms()
+        self._records.change(
+            target,
+            lambda table: table.move(token, CopyState.RUNNING, wall_ms, vm.name, vm.address),
+        )
+        log_event(Event.COPY_STARTED, target=target, vm=vm.name, zone=record.zone)
+
+    def _take_back(self, target: str, token: str, record: CopyRecord, error: PlatformError) -> None:
+        self.refused.add(record.machine_class, error.answer.retry_after_ms)
+        self._records.change(target, lambda table: table.remove(token))
+        log_event(
+            Event.COPY_REFUSED,
+            "warning",
+            target=target,
+            zone=record.zone,
+            machine_class=record.machine_class,
+        )
+
+
+@dataclass(frozen=True)
+class StoppingCopy:
+    """A copy on its way out, with what is known of it now.
+
+    Parameters
+    ==========
+
+    target, token, record : which copy.
+    vm : its entry in the VM list; None when it is not listed.
+    load : the engine's last report; None when it gave none.
+    takes_orders : a model engine does, a plain service does not.
+    is_past : the cloud has taken the VM back by now.
+    """
+
+    target: str
+    token: str
+    record: CopyRecord
+    vm: ListedVm | None
+    load: ReportedLoad | None
+    takes_orders: bool
+    is_past: bool
+
+
+class OrderGiver:
+    """Gives orders under the lease and steps down when an engine knows a newer holder."""
+
+    def __init__(self, orders: OrderClient, lease: Lease) -> None:
+        self._orders = orders
+        self._lease = lease
+
+    def give(self, vm: ListedVm, wanted: WantedState) -> None:
+        """Order the engine on `vm` into `wanted`; a failed order is given again next pass."""
+        fencing = self._lease.get_fencing()
+        fields: dict[str, Any] = {"vm": vm.name, "fencing": fencing, "state": wanted.state}
+        try:
+            answer = self._orders.send_order(vm.address, fencing, wanted, self._lease.get_fencing)
+        except OrderNotPermittedError:
+            log_event(Event.ORDER_WITHHELD, "warning", **fields)
+            return
+        except BackendError as error:
+            log_event(Event.ORDER_FAILED, "warning", detail=error.detail, **fields)
+            return
+        if isinstance(answer, OrderStale):
+            log_event(Event.ORDER_STALE, "warning", highest=answer.highest, **fields)
+            self._lease.step_down(answer.highest)
+            return
+        log_event(Event.ORDER_DONE, **fields)
+
+
+class CopyStopper:
+    """Takes a copy out of service without cutting a request.
+
+    Explanation
+    ===========
+
+    The order of the steps: every daemon learns that the server leaves; every running daemon
+    confirms that it gives it no work and has none in progress there; the engine is ordered to
+    drain and reports itself empty; only then the VM is stopped, and only after the cloud API
+    confirmed the stop is the licence free. All steps may be repeated by a successor, and none is
+    ever taken back, so two controllers that both believe to hold the lease do no harm here.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        records: CopyRecords,
+        lease: Lease,
+        daemons: Daemons,
+        giver: OrderGiver,
+    ) -> None:
+        self._platform = platform
+        self._records = records
+        self._lease = lease
+        self._daemons = daemons
+        self._giver = giver
+
+    def announce(self, names: list[str]) -> Usage | None:
+        """Have the daemons learn of the planned stops and return their use of these servers."""
+        if not names:
+            return None
+        try:
+            self._daemons.announce_stop(names)
+            return self._daemons.ask_usage(names)
+        except PeerError as error:
+            log_event(Event.DAEMONS_SILENT, "warning", names=names, detail=error.detail)
+            return None
+
+    def advance(self, copy: StoppingCopy, usage: Usage | None) -> None:
+        """Take the next step that is allowed for a stopping copy."""
+        if copy.is_past:
+            self._stop(copy)
+            return
+        if usage is None or not usage.is_empty(copy.record.vm):
+            return
+        if not copy.takes_orders or copy.vm is None or self._is_drained(copy, copy.vm):
+            self._stop(copy)
+
+    def _is_drained(self, copy: StoppingCopy, vm: ListedVm) -> bool:
+        """Return whether the engine reports itself drained and empty; order it where it is not."""
+        load = copy.load
+        if load is None or not load.draining:
+            self._giver.give(vm, WantedState((copy.target,), state=EngineState.DRAINED))
+            return False
+        return load.running + load.waiting == 0
+
+    def _stop(self, copy: StoppingCopy) -> None:
+        self._lease.get_fencing()
+        self._platform.stop_vm(copy.record.vm)
+        self._records.change(copy.target, lambda table: table.remove(copy.token))
+        log_event(Event.COPY_GONE, target=copy.target, vm=copy.record.vm, zone=copy.record.zone)
--- /dev/null
+++ b/hemlockswitch/process/copy_records.py
@@ -0,0 +1,149 @@
+"""The record of licensed copies: one platform object for each model or service.
+
+A copy's record is written before its VM is asked for and removed after its VM is certainly gone,
+so the number of records is never below the number of licensed copies running. All zones' leaders
+write the same object, each under its version; the licence is checked inside that write.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from pydantic import BaseModel, ConfigDict
+
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.connection.platform_models import Conflict, WriteOutcome, Written
+from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.version.models import MachineClass
+
+COPIES_KIND = "copies"
+NO_VERSION = 0
+
+
+class CopyState(StrEnum):
+    """How far a copy has come; it only moves down this list."""
+
+    WANTED = "wanted"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class CopyRecord(BaseModel):
+    """One licensed copy.
+
+    Parameters
+    ==========
+
+    zone, machine_class, price_per_hour : its place.
+    vm, address : the VM; empty until the cloud API gave one.
+    state : how far it has come.
+    since_wall_ms : when it came into `state`; for people and for measuring starts.
+    """
+
+    model_config = ConfigDict(frozen=True)
+
+    zone: str
+    machine_class: MachineClass
+    price_per_hour: float = 1.0
+    vm: str = ""
+    address: str = ""
+    state: CopyState = CopyState.WANTED
+    since_wall_ms: int = 0
+
+
+class CopyTable(BaseModel):
+    """All copies of one target, by the token under which each was asked for."""
+
+    model_config = ConfigDict(frozen=True)
+
+    copies: dict[str, CopyRecord] = {}
+
+    def put(self, token: str, record: CopyRecord) -> "CopyTable":
+        """Return the table with `record` under `token`."""
+        return CopyTable(copies={**self.copies, token: record})
+
+    def move(
+        self, token: str, state: CopyState, wall_ms: int, vm: str = "", address: str = ""
+    ) -> "CopyTable":
+        """Return the table with one copy in a later state; a state never goes back."""
+        record = self.copies.get(token)
+        if record is None:
+            return self
+        order = list(CopyState)
+        if order.index(state) <= order.index(record.state):
+            return self
+        changes = {
+            "state": state,
+            "since_wall_ms": wall_ms,
+            "vm": vm or record.vm,
+            "address": address or record.address,
+        }
+        return self.put(token, record.model_copy(update=changes))
+
+    def remove(self, token: str) -> "CopyTable":
+        """Return the table without one copy."""
+        rest = {key: record for key, record in self.copies.items() if key != token}
+        return CopyTable(copies=rest)
+
+    def find_vm(self, vm: str) -> str:
+        """Return the token of the copy on `vm`, or an empty string."""
+        return next((token for token, record in self.copies.items() if record.vm == vm), "")
+
+
+Change = Callable[[CopyTable], CopyTable]
+
+
+class CopyRecords:
+    """Reads and changes the tables of copies.
+
+    Parameters
+    ==========
+
+    platform : its object service keeps the tables.
+    tries : how often a change that met another writer begins anew.
+    """
+
+    def __init__(self, platform: PlatformClient, tries: int = 4) -> None:
+        self._platform = platform
+        self._tries = tries
+
+    def read(self, target: str) -> CopyTable:
+        """Return the table of `target`; empty where there is none."""
+        return self._read(target)[1]
+
+    def change(self, target: str, change: Change) -> CopyTable:
+        """Apply `change` to the newest table and return what is stored then.
+
+        Explanation
+        ===========
+
+        `change` may be called again on a newer table, so it decides from its argument alone. A
+        lost answer is an error here: the next pass reads what became of it.
+
+        Raises
+        ======
+
+        PlatformError : the service does not answer, or others kept writing.
+        """
+        for _ in range(self._tries):
+            version, table = self._read(target)
+            changed = change(table)
+            if changed == table:
+                return table
+            outcome = self._write(target, changed, version)
+            if isinstance(outcome, Written):
+                return changed
+            if not isinstance(outcome, Conflict):
+                break
+        raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, f"copies of {target}: {outcome!r}")
+
+    def _read(self, target: str) -> tuple[int, CopyTable]:
+        stored = self._platform.read(COPIES_KIND, target)
+        if stored is None:
+            return NO_VERSION, CopyTable()
+        return stored.version, CopyTable.model_validate(stored.value)
+
+    def _write(self, target: str, table: CopyTable, version: int) -> WriteOutcome:
+        value = table.model_dump(mode="json")
+        if version == NO_VERSION:
+            return self._platform.create(COPIES_KIND, target, value)
+        return self._platform.update(COPIES_KIND, target, value, version)
--- /dev/null
+++ b/hemlockswitch/process/lease.py
@@ -0,0 +1,253 @@
+"""The lease of one availability zone: who may order, until when, under which number.
+
+The lease is one object of the platform, ``leases/<zone>``. Every write of it is conditional on
+the version that the writer knows, so the platform itself decides between two writers, and the
+version that a write returns is the fencing number of the orders given under it.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome, Written
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.core.logs import log_event
+
+LEASE_KIND = "leases"
+RENEWALS_REMEMBERED = 8
+
+
+@dataclass(frozen=True)
+class LeaseTimes:
+    """The durations that holder and successor agree on.
+
+    Parameters
+    ==========
+
+    term_ms : how long one write of the lease lasts.
+    renew_ms : time between two renewals.
+    stop_before_ms : a holder gives no order in this last part of the term; longer than an
+        order's time-out, so that an order is over before the term is.
+    margin_ms : what a successor waits beyond the term, for clocks that run at different rates.
+    look_ms : time between two looks at the lease, over all candidates of a zone together.
+    """
+
+    term_ms: int = 10_000
+    renew_ms: int = 3_000
+    stop_before_ms: int = 2_500
+    margin_ms: int = 1_000
+    look_ms: int = 2_500
+
+
+class LeaseError(HemlockError):
+    """An order was wanted by a process that may not give it now."""
+
+
+@dataclass(frozen=True)
+class _Held:
+    version: int
+    ends_ms: float
+
+
+@dataclass(frozen=True)
+class _Seen:
+    version: int
+    since_ms: float
+    term_ms: float
+
+
+class Lease:
+    """One process's side of its zone's lease: a candidate, or the holder.
+
+    Explanation
+    ===========
+
+    The term of a holder begins at its clock reading from before the write was sent; a successor
+    counts from a reading after it saw the version. So on any two clocks of about equal rate the
+    successor's wait ends later than the holder's term. A write whose answer was lost is looked
+    for by the identifier in its value; found, the term counts from when it was first sent.
+
+    Parameters
+    ==========
+
+    platform : where the object is kept.
+    clock : monotonic milliseconds.
+    zone : the availability zone.
+    holder : this process's name; only people read it.
+    times : the agreed durations.
+    count_candidates : how many controllers the zone has; spreads their looks.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        clock: Clock,
+        zone: str,
+        holder: str,
+        times: LeaseTimes | None = None,
+        count_candidates: Callable[[], int] = lambda: 2,
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._zone = zone
+        self._holder = holder
+        self._times = times or LeaseTimes()
+        self._count_candidates = count_candidates
+        self._held: _Held | None = None
+        self._seen: _Seen | None = None
+        self._sent_ms: dict[str, float] = {}
+        self._lapse_logged = False
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this process may give an order now."""
+        return self._held is not None and self._left_ms(self._held) > 0
+
+    def get_fencing(self) -> int:
+        """Return the fencing number, after reading the clock.
+
+        Raises
+        ======
+
+        LeaseError : this process does not hold the lease, or is too near to its end.
+        """
+        if self._held is None:
+            raise LeaseError(ErrorKind.STALE_FENCING, f"the lease of {self._zone} is not held")
+        if self._left_ms(self._held) <= 0:
+            self._log_lapse(self._held)
+            raise LeaseError(ErrorKind.STALE_FENCING, f"the lease of {self._zone} has lapsed")
+        return self._held.version
+
+    def describe(self) -> dict[str, object]:
+        """Return the state for the status page."""
+        return {
+            "held": self.is_held,
+            "fencing": self._held.version if self._held else 0,
+            "left_ms": round(self._left_ms(self._held)) if self._held else 0,
+        }
+
+    def take_turn(self) -> float:
+        """Do what is due, renew or look, and return the milliseconds until the next turn."""
+        try:
+            if self._held is not None:
+                return self._renew(self._held)
+            return self._look()
+        except PlatformError as error:
+            self._log_unreachable(error)
+            return self._times.renew_ms / 4
+
+    def step_down(self, highest: int) -> None:
+        """Stop ordering: a backend server has seen the fencing number `highest` of another."""
+        if self._held is not None and highest > self._held.version:
+            self._lose(highest)
+
+    def release(self) -> None:
+        """Give the lease back, so that a successor need not wait."""
+        held, self._held = self._held, None
+        if held is None:
+            return
+        value = {"holder": "", "write": "", "term_ms": 0}
+        try:
+            outcome = self._platform.update(LEASE_KIND, self._zone, value, held.version)
+        except PlatformError as error:
+            self._log_unreachable(error)
+            return
+        if isinstance(outcome, Written):
+            log_event(Event.LEASE_RELEASED, zone=self._zone, fencing=held.version)
+
+    def _left_ms(self, held: _Held) -> float:
+        return held.ends_ms - self._times.stop_before_ms - self._clock.now_ms()
+
+    def _renew(self, held: _Held) -> float:
+        self._write(
+            lambda value: self._platform.update(LEASE_KIND, self._zone, value, held.version)
+        )
+        return self._times.renew_ms
+
+    def _look(self) -> float:
+        found = self._platform.read(LEASE_KIND, self._zone)
+        if found is None:
+            self._write(lambda value: self._platform.create(LEASE_KIND, self._zone, value))
+            return self._times.renew_ms
+        now_ms = self._clock.now_ms()
+        seen = self._seen
+        if seen is None or seen.version != found.version:
+            self._seen = _Seen(found.version, now_ms, float(found.value["term_ms"]))
+            return self._plan_next_look(found, seen)
+        left_ms = seen.since_ms + seen.term_ms + self._times.margin_ms - now_ms
+        if left_ms > 0:
+            return min(left_ms, self._times.renew_ms)
+        return self._take(found.version)
+
+    def _plan_next_look(self, found: StoredObject, before: _Seen | None) -> float:
+        """Look twice in a row; after a change between the two the holder lives: rest long."""
+        if found.value["term_ms"] == 0:
+            return self._take(found.version)
+        two_renewals_ms = self._times.renew_ms * 2
+        now_ms = self._clock.now_ms()
+        if before is None or now_ms - before.since_ms > two_renewals_ms:
+            return self._times.renew_ms * 1.5
+        rest_ms = self._times.look_ms * max(1, self._count_candidates())
+        return rest_ms * random.uniform(0.5, 1.5)
+
+    def _take(self, version: int) -> float:
+        self._write(lambda value: self._platform.update(LEASE_KIND, self._zone, value, version))
+        return self._times.renew_ms
+
+    def _write(self, send: Callable[[dict[str, Any]], WriteOutcome]) -> None:
+        """Send one write of the lease and learn what became of it."""
+        identifier = make_identifier("lease")
+        sent_ms = self._clock.now_ms()
+        self._remember(identifier, sent_ms)
+        outcome = send(
+            {"holder": self._holder, "write": identifier, "term_ms": self._times.term_ms}
+        )
+        if isinstance(outcome, Written):
+            self._hold(outcome.version, sent_ms)
+        else:
+            self._read_back(outcome)
+
+    def _read_back(self, outcome: WriteOutcome) -> None:
+        """Find out whether the lease is ours after a lost answer or a conflict."""
+        found = self._platform.read(LEASE_KIND, self._zone)
+        if found is None:
+            return
+        sent_ms = self._sent_ms.get(found.value["write"])
+        is_old_read = self._held is not None and found.version < self._held.version
+        if sent_ms is not None and not is_old_read:
+            log_event(Event.LEASE_READ_BACK, zone=self._zone, fencing=found.version)
+            self._hold(found.version, sent_ms)
+            return
+        log_event(Event.LEASE_NOT_WRITTEN, zone=self._zone, outcome=repr(outcome))
+        if self._held is not None and found.version > self._held.version:
+            self._lose(found.version)
+
+    def _remember(self, identifier: str, sent_ms: float) -> None:
+        self._sent_ms[identifier] = sent_ms
+        while len(self._sent_ms) > RENEWALS_REMEMBERED:
+            del self._sent_ms[next(iter(self._sent_ms))]
+
+    def _hold(self, version: int, sent_ms: float) -> None:
+        if self._held is None:
+            log_event(Event.LEASE_TAKEN, zone=self._zone, fencing=version)
+        self._held = _Held(version, sent_ms + self._times.term_ms)
+        self._lapse_logged = False
+
+    def _lose(self, highest: int) -> None:
+        log_event(Event.LEASE_LOST, "warning", zone=self._zone, highest=highest)
+        self._held = None
+        self._seen = None
+        self._sent_ms.clear()
+
+    def _log_unreachable(self, error: PlatformError) -> None:
+        log_event(Event.LEASE_UNREACHABLE, "warning", zone=self._zone, detail=error.detail)
+
+    def _log_lapse(self, held: _Held) -> None:
+        if not self._lapse_logged:
+            log_event(Event.LEASE_LAPSED, "warning", zone=self._zone, fencing=held.version)
+            self._lapse_logged = True
--- /dev/null
+++ b/hemlockswitch/process/targets.py
@@ -0,0 +1,66 @@
+"""What the controller keeps for each model and service of the configuration."""
+
+from dataclasses import dataclass
+from functools import singledispatch
+
+from hemlockswitch.process.copies import Target
+from hemlockswitch.version.models import MachineClass, Model, OperatorFile, Service
+
+SERVICE_WAIT_MS = 250
+
+
+@dataclass(frozen=True)
+class WantedTarget:
+    """One model or service with what the controller needs beside the planner.
+
+    Parameters
+    ==========
+
+    target : what the planner keeps.
+    classes : machine classes that its copies may run on.
+    takes_orders : a model engine takes orders and reports its load, a plain service does not.
+    """
+
+    target: Target
+    classes: tuple[MachineClass, ...]
+    takes_orders: bool
+
+    @property
+    def name(self) -> str:
+        """The model's or service's name."""
+        return self.target.name
+
+
+@singledispatch
+def describe_wanted(item: object) -> WantedTarget:
+    """Return what the controller keeps for one model or service."""
+    raise TypeError(f"not a target: {item!r}")
+
+
+@describe_wanted.register
+def _(item: Model) -> WantedTarget:
+    target = Target(
+        item.name,
+        item.first_token_target_ms,
+        item.slots_per_copy,
+        item.min_copies,
+        item.licensed_copies,
+    )
+    return WantedTarget(target, item.machine_classes, takes_orders=True)
+
+
+@describe_wanted.register
+def _(item: Service) -> WantedTarget:
+    target = Target(
+        item.name,
+        SERVICE_WAIT_MS,
+        item.concurrent_calls_per_copy,
+        item.min_copies,
+        item.licensed_copies,
+    )
+    return WantedTarget(target, tuple(MachineClass), takes_orders=False)
+
+
+def list_wanted(file: OperatorFile) -> list[WantedTarget]:
+    """Return all targets of a configuration."""
+    return [describe_wanted(item) for item in (*file.models, *file.services)]
--- /dev/null
+++ b/hemlockswitch/process/zone_load.py
@@ -0,0 +1,183 @@
+"""What a zone's leader knows of load: its own engines' reports, and the other zones' summaries."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+import gevent
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from hemlockswitch.connection.orders import OrderClient, ReportedLoad
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.connection.platform_models import ListedVm, StoredObject, Written
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import BackendError
+from hemlockswitch.process.copies import Place
+from hemlockswitch.version.models import MachineClass
+
+STATUS_KIND = "status"
+ZONE_PREFIX = "zone-"
+SAMPLES_PER_PASS = 16
+CHANGE_SHARE = 0.1
+
+
+class ZoneLoads:
+    """The newest load report of each engine of the zone, a few asked on each pass.
+
+    Parameters
+    ==========
+
+    orders : asks the engines.
+    samples : how many engines one pass asks; the others keep their last report.
+    """
+
+    def __init__(self, orders: OrderClient, samples: int = SAMPLES_PER_PASS) -> None:
+        self._orders = orders
+        self._samples = samples
+        self._loads: dict[str, ReportedLoad] = {}
+        self._next = 0
+
+    def refresh(self, vms: Sequence[ListedVm]) -> None:
+        """Ask the next few of `vms`, all at once, and forget servers that are not among them."""
+        names = {vm.name for vm in vms}
+        self._loads = {name: load for name, load in self._loads.items() if name in names}
+        tasks = [gevent.spawn(self._ask, vm) for vm in self._take_turn(vms)]
+        gevent.joinall(tasks)
+
+    def find(self, name: str) -> ReportedLoad | None:
+        """Return the last report of a server, or None if it gives none."""
+        return self._loads.get(name)
+
+    def sum_busy(self, names: Iterable[str]) -> int:
+        """Return the requests running and waiting on the named servers."""
+        loads = [self._loads[name] for name in names if name in self._loads]
+        return sum(load.running + load.waiting for load in loads)
+
+    def _take_turn(self, vms: Sequence[ListedVm]) -> list[ListedVm]:
+        if len(vms) <= self._samples:
+            return list(vms)
+        ordered = sorted(vms, key=lambda vm: vm.name)
+        begin = self._next % len(ordered)
+        self._next = begin + self._samples
+        return (ordered + ordered)[begin : begin + self._samples]
+
+    def _ask(self, vm: ListedVm) -> None:
+        try:
+            self._loads[vm.name] = self._orders.read_load(vm.address)
+        except BackendError:
+            self._loads.pop(vm.name, None)
+
+
+class OfferedPlace(BaseModel):
+    """A machine class that a zone's leader would start now."""
+
+    model_config = ConfigDict(frozen=True)
+
+    machine_class: MachineClass
+    price_per_hour: float
+    reclaims_per_hour: float
+
+
+class ZoneSummary(BaseModel):
+    """What one zone's leader tells the others through the platform.
+
+    Parameters
+    ==========
+
+    busy : requests running and waiting, by model or service.
+    offers : machine classes in which starts are not known to be refused.
+    """
+
+    model_config = ConfigDict(frozen=True)
+
+    busy: dict[str, float] = {}
+    offers: tuple[OfferedPlace, ...] = ()
+
+    def differs_from(self, other: "ZoneSummary") -> bool:
+        """Return whether the others should hear of this one now rather than in a while."""
+        if self.offers != other.offers or set(self.busy) != set(other.busy):
+            return True
+        steps = [abs(busy - other.busy[name]) for name, busy in self.busy.items()]
+        limits = [max(1.0, CHANGE_SHARE * busy) for busy in other.busy.values()]
+        return any(step > limit for step, limit in zip(steps, limits, strict=True))
+
+
+@dataclass
+class _Heard:
+    version: int
+    since_ms: float
+    summary: ZoneSummary
+
+
+class ZoneSummaries:
+    """Writes the own zone's summary and reads the others'.
+
+    Parameters
+    ==========
+
+    platform : its object service carries the summaries, ``status/zone-<zone>``.
+    clock : ages are counted here from when a change was first seen.
+    zone : the own zone.
+    rest_ms : an unchanged summary is written again after this time, as a sign of life.
+    """
+
+    def __init__(
+        self, platform: PlatformClient, clock: Clock, zone: str, rest_ms: float = 10_000
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._zone = zone
+        self._rest_ms = rest_ms
+        self._heard: dict[str, _Heard] = {}
+        self._written: ZoneSummary | None = None
+        self._written_ms = 0.0
+
+    def exchange(self, own: ZoneSummary) -> None:
+        """Read all summaries and write the own one where it is due."""
+        page = self._platform.list(STATUS_KIND, ZONE_PREFIX)
+        for item in page.items:
+            self._hear(item)
+        is_due = self._clock.now_ms() - self._written_ms >= self._rest_ms
+        if self._written is None or is_due or own.differs_from(self._written):
+            self._write(own)
+
+    def sum_others(self, target: str) -> float:
+        """Return the last known load of all other zones on `target`.
+
+        A silent zone counts with its last word: its callers are still there.
+        """
+        others = [heard for zone, heard in self._heard.items() if zone != self._zone]
+        return sum(heard.summary.busy.get(target, 0.0) for heard in others)
+
+    def list_places(self) -> list[Place]:
+        """Return the places that other zones with a living leader offer."""
+        limit_ms = self._clock.now_ms() - 3 * self._rest_ms
+        return [
+            Place(zone, offer.machine_class, offer.price_per_hour, offer.reclaims_per_hour)
+            for zone, heard in sorted(self._heard.items())
+            if zone != self._zone and heard.since_ms >= limit_ms
+            for offer in heard.summary.offers
+        ]
+
+    def _hear(self, item: StoredObject) -> None:
+        zone = item.name.removeprefix(ZONE_PREFIX)
+        known = self._heard.get(zone)
+        if known is not None and known.version >= item.version:
+            return
+        try:
+            summary = ZoneSummary.model_validate(item.value)
+        except ValidationError:
+            return
+        self._heard[zone] = _Heard(item.version, self._clock.now_ms(), summary)
+
+    def _write(self, own: ZoneSummary) -> None:
+        name = ZONE_PREFIX + self._zone
+        value = own.model_dump(mode="json")
+        known = self._heard.get(self._zone)
+        if known is None:
+            outcome = self._platform.create(STATUS_KIND, name, value)
+        else:
+            outcome = self._platform.update(STATUS_KIND, name, value, known.version)
+        if isinstance(outcome, Written):
+            self._heard[self._zone] = _Heard(outcome.version, self._clock.now_ms(), own)
+            self._written = own
+            self._written_ms = self._clock.now_ms()
--- /dev/null
+++ b/hemlockswitch/process/zone_view.py
@@ -0,0 +1,185 @@
+"""What one zone's leader sees: its VMs, their load, the demand, and the places to start in."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hemlockswitch.connection.orders import OrderClient, ReportedLoad
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.connection.platform_models import ListedVm
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import PeerError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.copies import Place
+from hemlockswitch.process.copy_records import CopyRecord
+from hemlockswitch.process.demand import DemandMeter
+from hemlockswitch.process.reclaims import Reclaims
+from hemlockswitch.process.targets import WantedTarget
+from hemlockswitch.process.usage import Daemons, Usage
+from hemlockswitch.process.zone_load import OfferedPlace, ZoneLoads, ZoneSummaries, ZoneSummary
+from hemlockswitch.version.models import MachineClass
+
+GUESSED_PRICES = {MachineClass.RECLAIMABLE: 1.0, MachineClass.ON_DEMAND: 3.0}
+STARTING, LIVE, LEAVING = "starting", "live", "leaving"
+
+
+@dataclass(frozen=True)
+class Sources:
+    """Where the view comes from.
+
+    Parameters
+    ==========
+
+    platform : VM list.
+    clock : monotonic milliseconds.
+    orders : asks engines for their load.
+    daemons : asks entry daemons for their use of servers.
+    reclaims : the zone's notices.
+    summaries : the other zones' words.
+    """
+
+    platform: PlatformClient
+    clock: Clock
+    orders: OrderClient
+    daemons: Daemons
+    reclaims: Reclaims
+    summaries: ZoneSummaries
+
+
+class ZoneView:
+    """The zone as its leader sees it in this pass.
+
+    Parameters
+    ==========
+
+    zone : the availability zone.
+    sources : where the view comes from.
+    shrink_after_ms : how far back the peak demand reaches.
+    gone_after_ms : how long a VM is missing from the lagging list before it counts as gone.
+    is_open : whether a machine class is not left alone after refused starts.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        sources: Sources,
+        shrink_after_ms: float,
+        gone_after_ms: float,
+        is_open: Callable[[MachineClass], bool],
+    ) -> None:
+        self.zone = zone
+        self.vms: dict[str, ListedVm] = {}
+        self.meter = DemandMeter(sources.clock, shrink_after_ms)
+        self._sources = sources
+        self._gone_after_ms = gone_after_ms
+        self._is_open = is_open
+        self._loads = ZoneLoads(sources.orders)
+        self._prices: dict[MachineClass, float] = dict(GUESSED_PRICES)
+        self._last_listed_ms: dict[str, float] = {}
+        self._usage: Usage | None = None
+
+    def refresh(self, wanted: list[WantedTarget]) -> None:
+        """Take in the VM list, the engines' reports and the other zones' summaries."""
+        listed = self._sources.platform.list_vms(self.zone).vms
+        self.vms = {vm.name: vm for vm in listed}
+        now_ms = self._sources.clock.now_ms()
+        for vm in listed:
+            self._last_listed_ms[vm.name] = now_ms
+            if vm.price_per_hour > 0:
+                self._prices[MachineClass(vm.machine_class)] = vm.price_per_hour
+        models = {one.name for one in wanted if one.takes_orders}
+        self._loads.refresh([vm for vm in listed if vm.serves in models and vm.state != STARTING])
+        self._usage = self._ask_usage()
+        self._measure(wanted)
+
+    def find_load(self, name: str) -> ReportedLoad | None:
+        """Return the last load report of a server."""
+        return self._loads.find(name)
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether a VM of this zone is being reclaimed."""
+        vm = self.vms.get(name)
+        return (vm is not None and vm.state == LEAVING) or self._sources.reclaims.is_leaving(name)
+
+    def is_past(self, record: CopyRecord) -> bool:
+        """Return whether a copy's VM is gone, by its notice or for want of any sign of it."""
+        return self._sources.reclaims.is_past(record.vm) or self.is_gone(record)
+
+    def is_gone(self, record: CopyRecord) -> bool:
+        """Return whether a VM is long missing from the list and does not answer either."""
+        now_ms = self._sources.clock.now_ms()
+        last_ms = self._last_listed_ms.setdefault(record.vm, now_ms)
+        if record.vm in self.vms or now_ms - last_ms < self._gone_after_ms:
+            return False
+        return not self._sources.orders.is_reachable(record.address)
+
+    def is_loading(self, record: CopyRecord) -> bool:
+        """Return whether a running record's VM does not serve yet."""
+        vm = self.vms.get(record.vm)
+        if vm is None:
+            return record.vm not in self._last_listed_ms
+        return vm.state == STARTING
+
+    def list_unknown(self, target: str, known: set[str]) -> list[ListedVm]:
+        """Return listed VMs that serve the target, answer, and are not among `known`."""
+        return [
+            vm
+            for vm in self.vms.values()
+            if vm.serves == target
+            and vm.name not in known
+            and self._sources.orders.is_reachable(vm.address)
+        ]
+
+    def list_free(self, one: WantedTarget) -> list[Place]:
+        """Return the places where a copy of the target may be started now."""
+        own = [
+            Place(self.zone, offer.machine_class, offer.price_per_hour, offer.reclaims_per_hour)
+            for offer in self._list_offers()
+        ]
+        everywhere = own + self._sources.summaries.list_places()
+        return [place for place in everywhere if place.machine_class in one.classes]
+
+    def make_place(self, record: CopyRecord) -> Place:
+        """Return the planner's place of a recorded copy."""
+        rate = self._find_rate(record.zone, record.machine_class)
+        return Place(record.zone, record.machine_class, record.price_per_hour, rate)
+
+    def _find_rate(self, zone: str, machine_class: MachineClass) -> float:
+        own = self._sources.reclaims.compute_rate(machine_class)
+        if zone == self.zone:
+            return own
+        places = self._sources.summaries.list_places()
+        rates = {(place.zone, place.machine_class): place.reclaims_per_hour for place in places}
+        return rates.get((zone, machine_class), own)
+
+    def _ask_usage(self) -> Usage | None:
+        try:
+            return self._sources.daemons.ask_usage(self.vms)
+        except PeerError as error:
+            log_event(Event.DAEMONS_SILENT, "debug", detail=error.detail)
+            return None
+
+    def _measure(self, wanted: list[WantedTarget]) -> None:
+        busy = {one.name: self._sum_busy(one) for one in wanted}
+        self._sources.summaries.exchange(ZoneSummary(busy=busy, offers=self._list_offers()))
+        for name, own in busy.items():
+            total = own + self._sources.summaries.sum_others(name)
+            begun = self._usage.begun.get(name, 0) if self._usage else None
+            self.meter.add_sample(name, total, begun)
+
+    def _sum_busy(self, one: WantedTarget) -> float:
+        names = [vm.name for vm in self.vms.values() if vm.serves == one.name]
+        if one.takes_orders:
+            return self._loads.sum_busy(names)
+        return sum(self._usage.in_flight.get(name, 0) for name in names) if self._usage else 0
+
+    def _list_offers(self) -> tuple[OfferedPlace, ...]:
+        return tuple(
+            OfferedPlace(
+                machine_class=machine_class,
+                price_per_hour=price,
+                reclaims_per_hour=self._sources.reclaims.compute_rate(machine_class),
+            )
+            for machine_class, price in self._prices.items()
+            if self._is_open(machine_class)
+        )
--- a/hemlockswitch/version/settings.py
+++ b/hemlockswitch/version/settings.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 from typing import Annotated, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind
 from hemlockswitch.version.models import Name
@@ -105,8 +105,82 @@
     caller_timeout_ms: int = Field(default=10_000, gt=0)
 
 
+class LeaseSettings(BaseModel):
+    """The durations that all controllers of a zone share.
+
+    Parameters
+    ==========
+
+    term_ms : how long one write of the lease lasts.
+    renew_ms : time between two renewals.
+    stop_before_ms : no order is given in this last part of the term.
+    margin_ms : what a successor waits beyond the term.
+    look_ms : time between two looks at the lease, over all candidates of the zone together.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    term_ms: int = Field(default=10_000, gt=0)
+    renew_ms: int = Field(default=3_000, gt=0)
+    stop_before_ms: int = Field(default=2_500, gt=0)
+    margin_ms: int = Field(default=1_000, gt=0)
+    look_ms: int = Field(default=2_500, gt=0)
+
+    @model_validator(mode="after")
+    def _check_order(self) -> Self:
+        if self.renew_ms * 2 > self.term_ms - self.stop_before_ms:
+            raise ValueError("two renewals must fit into term_ms less stop_before_ms")
+        return self
+
+
+class CopySettings(BaseModel):
+    """How the controller plans copies.
+
+    Parameters
+    ==========
+
+    pass_ms : time between two comparisons of what is wanted with what there is.
+    replace_ms : expected time from a reclaim to a serving replacement.
+    shrink_after_ms : how long the demand stays low before a copy is stopped.
+    gone_after_ms : how long a VM is missing from the VM list before it counts as gone.
+    parallel_starts : copies of one target that load their weights at once in a zone.
+    report_ms : an unchanged summary for the other zones is written again after this time.
+    risk_window_ms : how far back reclaim waves count for the expected rate.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    pass_ms: int = Field(default=1_000, gt=0)
+    replace_ms: int = Field(default=60_000, gt=0)
+    shrink_after_ms: int = Field(default=300_000, gt=0)
+    gone_after_ms: int = Field(default=10_000, gt=0)
+    parallel_starts: int = Field(default=2, gt=0)
+    report_ms: int = Field(default=10_000, gt=0)
+    risk_window_ms: int = Field(default=3_600_000, gt=0)
+
+
 class ControllerSettings(ProgramSettings):
-    """Settings of `hemlock-controller`."""
+    """Settings of `hemlock-controller`.
+
+    Parameters
+    ==========
+
+    lease : durations that all controllers of the zone share.
+    copies : how copies are planned.
+    order_timeout_ms : the whole time that one order may take.
+    candidates : how many controllers the zone has, about; spreads their looks at the lease.
+    """
+
+    lease: LeaseSettings = LeaseSettings()
+    copies: CopySettings = CopySettings()
+    order_timeout_ms: int = Field(default=1_000, gt=0)
+    candidates: int = Field(default=2, gt=0)
+
+    @model_validator(mode="after")
+    def _check_order_timeout(self) -> Self:
+        if self.order_timeout_ms >= self.lease.stop_before_ms:
+            raise ValueError("order_timeout_ms must be less than lease.stop_before_ms")
+        return self
 
 
 def describe_mistakes(error: ValidationError) -> str:
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,166 @@
+"""The lease: one holder at a time by the clocks, and what lost answers and pauses do to it."""
+
+import pytest
+
+from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.process.lease import Lease, LeaseError, LeaseTimes
+
+TIMES = LeaseTimes(term_ms=10_000, renew_ms=3_000, stop_before_ms=2_500, margin_ms=1_000)
+ZONE = "abdoun-hall"
+
+
+class FakeObjects:
+    """One object with versions; `lose` writes take effect without an answer."""
+
+    def __init__(self):
+        self.stored = None
+        self.version = 0
+        self.lose = 0
+        self.down = False
+
+    def read(self, kind, name):
+        self._check()
+        return self.stored
+
+    def create(self, kind, name, value):
+        return self.update(kind, name, value, 0)
+
+    def update(self, kind, name, value, version):
+        self._check()
+        current = self.stored.version if self.stored else 0
+        if version != current:
+            return Conflict(current)
+        self.version += 1
+        self.stored = StoredObject(kind, name, self.version, value)
+        if self.lose:
+            self.lose -= 1
+            return Unknown("lost")
+        return Written(self.version)
+
+    def _check(self):
+        if self.down:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+
+
+@pytest.fixture
+def objects():
+    return FakeObjects()
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def make_lease(objects, clock, name="control-1"):
+    return Lease(objects, clock, ZONE, name, TIMES)
+
+
+def wait_until_taken(lease, clock, limit_ms=60_000):
+    waited_ms = 0.0
+    while not lease.is_held and waited_ms < limit_ms:
+        pause_ms = lease.take_turn()
+        if not lease.is_held:
+            clock.advance(pause_ms)
+            waited_ms += pause_ms
+    return waited_ms
+
+
+def test_the_first_takes_it_and_the_second_does_not(objects, clock):
+    first, second = make_lease(objects, clock), make_lease(objects, clock, "control-2")
+    first.take_turn()
+    second.take_turn()
+    assert first.is_held and not second.is_held
+    assert first.get_fencing() == objects.stored.version
+
+
+def test_each_renewal_raises_the_fencing_number(objects, clock):
+    lease = make_lease(objects, clock)
+    lease.take_turn()
+    before = lease.get_fencing()
+    clock.advance(TIMES.renew_ms)
+    lease.take_turn()
+    assert lease.get_fencing() > before
+
+
+def test_a_holder_stops_well_before_the_end(objects, clock):
+    lease = make_lease(objects, clock)
+    lease.take_turn()
+    clock.advance(TIMES.term_ms - TIMES.stop_before_ms)
+    with pytest.raises(LeaseError):
+        lease.get_fencing()
+
+
+def test_a_successor_waits_the_term_and_the_margin(objects, clock):
+    first, second = make_lease(objects, clock), make_lease(objects, clock, "control-2")
+    first.take_turn()
+    assert wait_until_taken(second, clock) >= TIMES.term_ms + TIMES.margin_ms
+    with pytest.raises(LeaseError):
+        first.get_fencing()
+    first.take_turn()
+    assert second.is_held and not first.is_held
+
+
+def test_a_living_holder_is_never_replaced(objects, clock):
+    first, second = make_lease(objects, clock), make_lease(objects, clock, "control-2")
+    first.take_turn()
+    for _ in range(200):
+        clock.advance(TIMES.renew_ms)
+        first.take_turn()
+        second.take_turn()
+        assert first.is_held and not second.is_held
+
+
+def test_a_lost_answer_to_a_renewal_is_read_back(objects, clock):
+    lease = make_lease(objects, clock)
+    lease.take_turn()
+    clock.advance(TIMES.renew_ms)
+    objects.lose = 1
+    lease.take_turn()
+    assert lease.get_fencing() == objects.stored.version
+    clock.advance(TIMES.term_ms - TIMES.stop_before_ms - 1)
+    assert lease.is_held
+
+
+def test_a_lost_answer_whose_read_back_fails_is_found_by_the_next_renewal(objects, clock):
+    lease = make_lease(objects, clock)
+    lease.take_turn()
+    objects.lose, read = 1, objects.read
+    objects.read = lambda kind, name: (_ for _ in ()).throw(
+        PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+    )
+    lease.take_turn()
+    objects.read = read
+    lease.take_turn()
+    assert lease.get_fencing() == objects.stored.version
+
+
+def test_no_platform_no_lease(objects, clock):
+    lease = make_lease(objects, clock)
+    lease.take_turn()
+    objects.down = True
+    for _ in range(20):
+        clock.advance(lease.take_turn())
+    assert not lease.is_held
+    objects.down = False
+    lease.take_turn()
+    assert lease.is_held
+
+
+def test_an_engine_that_knows_a_higher_number_ends_the_holding(objects, clock):
+    lease = make_lease(objects, clock)
+    lease.take_turn()
+    lease.step_down(lease.get_fencing())
+    assert lease.is_held
+    lease.step_down(lease.get_fencing() + 1)
+    assert not lease.is_held
+
+
+def test_a_released_lease_is_taken_at_once(objects, clock):
+    first, second = make_lease(objects, clock), make_lease(objects, clock, "control-2")
+    first.take_turn()
+    first.release()
+    second.take_turn()
+    assert second.is_held and not first.is_held
