Wire the shares of limits into the entry daemon

Cause: each daemon admitted the whole of every account's limit.

Change: the admission of `hemlock-entry` takes its allowance from `Shares`; buckets begin empty, because what is granted may have been used elsewhere a moment ago. A daemon is ready once its first grant is there, or after 2 s without one. A daemon that stops gives its shares back when it stops accepting and again when its last request has ended. `/status` shows `limits`.

A member that is counted as dead is no proof that it admits no more; only the VM list is.

--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -10,7 +10,8 @@
 from hemlockswitch.connection.callers import build_application
 from hemlockswitch.connection.control_api import StatusPage, build_control_application
 from hemlockswitch.connection.platform import PlatformClient
-from hemlockswitch.core.clock import Clock, SystemClock
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
+from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.claim_members import ClaimMembers
@@ -21,9 +22,10 @@
 from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
 from hemlockswitch.process.serving import Serving
+from hemlockswitch.process.share_members import is_vm_gone, list_share_members
+from hemlockswitch.process.shares import Shares
 from hemlockswitch.process.traces import Tracing
 from hemlockswitch.request.admission import Admission
-from hemlockswitch.request.allowances import FixedAllowances
 from hemlockswitch.request.attempt import AttemptOpener
 from hemlockswitch.request.capacity import CapacityQueue
 from hemlockswitch.request.moving import Mover
@@ -38,6 +40,7 @@
 STOP_STEP_MS = 20.0
 CLAIM_CALL_MS = 1_000.0
 CLAIM_FLUSH_MS = 3_000.0
+SHARE_CALL_MS = 1_000.0
 
 
 class EntryDaemon:
@@ -112,13 +115,32 @@
         self.services = ServiceCaller(
             self.router, self.directory, client, self.budget, self.clock, reports, self.claims
         )
-        allowances = FixedAllowances(self._find_file, lambda: 1)
-        self.admission = Admission(allowances, self.clock, CapacityQueue(self.clock))
+        self.shares = self._make_shares()
+        capacity = CapacityQueue(self.clock)
+        self.admission = Admission(self.shares, self.clock, capacity, starts_full=False)
+        self.shares.set_use(self.admission)
         self.records = RequestRecords(self.admission, self.metrics, reports, self.clock)
         self.serving = Serving(self.relay, self.services, self.records, self.clock)
+        self.serving.has_limits = lambda: self.shares.is_ready
         self.metrics.in_progress.set_function(lambda: self.records.in_progress)
         self.status.add("requests_in_progress", lambda: self.records.in_progress)
 
+    def _make_shares(self) -> Shares:
+        """Return the daemon's shares of the limits, on a platform client of their own."""
+        name = self.settings.name
+        shares = Shares(
+            name=name,
+            zone=self.settings.zone,
+            clock=self.clock,
+            store=PlatformClient(self.settings.platform, "limits", name, timeout_ms=SHARE_CALL_MS),
+            network=self.facts.network,
+            find_file=self._find_file,
+            list_members=lambda: list_share_members(self.facts.membership),
+            is_gone=lambda name: is_vm_gone(self.board, name),
+        )
+        self.status.add("limits", shares.describe)
+        return shares
+
     def _make_claims(self) -> ClaimStore:
         """Return the claims of keyed calls, on a platform client of their own.
 
@@ -163,6 +185,7 @@
         self.directory.set_draining(file.draining)
         self.router.queue_length = file.limits.queue_length
         self.serving.use_configuration(file)
+        self.shares.start()
 
     def start(self) -> dict[str, str]:
         """Open the sockets, spawn the tasks, and return the addresses that are bound."""
@@ -195,17 +218,21 @@
     def stop(self) -> None:
         """Refuse new work, let requests in progress end within the grace, then stop."""
         self.serving.stop_accepting()
+        gevent.spawn(self.shares.leave)
         until_ms = self.clock.now_ms() + self.settings.stop_grace_ms
         while self.callers.answering and self.clock.now_ms() < until_ms:
             self.clock.sleep_ms(STOP_STEP_MS)
         self.claims.flush(CLAIM_FLUSH_MS)
+        gevent.spawn(self.shares.leave).join(timeout=SHARE_CALL_MS / MS_PER_SECOND)
+        self.shares.stop()
         gevent.killall(self._tasks)
         self.facts.stop()
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
     def _find_file(self) -> OperatorFile:
-        assert self.file is not None
+        if self.file is None:
+            raise RequestError(ErrorKind.NOT_READY, "no configuration is in force yet")
         return self.file
 
     def _find_traits(self, target: str) -> TargetTraits:
--- a/hemlockswitch/process/serving.py
+++ b/hemlockswitch/process/serving.py
@@ -1,7 +1,7 @@
 """Serves the callers' requests: from the account's key to the last byte of the answer."""
 
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, Protocol
 
 from hemlockswitch.connection.accounts import AccountKeys
@@ -52,6 +52,7 @@
         self._file: OperatorFile | None = None
         self._keys = AccountKeys(())
         self._stopping = False
+        self.has_limits: Callable[[], bool] = lambda: True
 
     def use_configuration(self, file: OperatorFile) -> None:
         """Serve by `file` from now on; requests in progress go on as they began."""
@@ -68,12 +69,15 @@
         Raises
         ======
 
-        RequestError : `LEAVING` once the daemon stops, `NOT_READY` before it has a configuration.
+        RequestError : `LEAVING` once the daemon stops, `NOT_READY` before it has a configuration
+            and its shares of the limits.
         """
         if self._stopping:
             raise RequestError(ErrorKind.LEAVING, "this daemon is stopping")
         if self._file is None:
             raise RequestError(ErrorKind.NOT_READY, "no configuration is in force yet")
+        if not self.has_limits():
+            raise RequestError(ErrorKind.NOT_READY, "no limits were granted yet")
 
     def limit_body_bytes(self) -> int:
         """Return the largest body that may be read."""
--- a/hemlockswitch/process/shares.py
+++ b/hemlockswitch/process/shares.py
@@ -32,6 +32,8 @@
 TICK_MS = 500.0
 RENEW_TIMEOUT_MS = 2_000.0
 WRITERS = 2
+FIRST_GRANT_MS = 2_000.0
+HURRY_MS = 3_000.0
 
 
 @dataclass(frozen=True)
@@ -90,6 +92,10 @@
         self._list_members = list_members
         self._counter = 0
         self._leaving = False
+        self._granted = False
+        self._started_ms = 0.0
+        self._names: frozenset[str] = frozenset()
+        self._hurry_until_ms = 0.0
         self._use: AccountUse | None = None
         self._sizes: dict[str, UnitSizes] = {}
         self._sizes_of: OperatorFile | None = None
@@ -102,12 +108,21 @@
         self.borrower = ShareBorrower(self.book, network, clock, self.count_needed, credits)
         network.handle(RenewShares, lambda sender, ask: self.anchor.renew(ask))
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether there was a grant, or time enough for one; what is missing can be borrowed."""
+        waited = self._clock.now_ms() - self._started_ms > FIRST_GRANT_MS
+        return self._granted or (bool(self._tasks) and waited)
+
     def set_use(self, use: AccountUse) -> None:
         """Connect the admission that uses these shares."""
         self._use = use
 
     def start(self) -> None:
-        """Start the tasks that keep the shares alive."""
+        """Start the tasks that keep the shares alive; a second call does nothing."""
+        if self._tasks:
+            return
+        self._started_ms = self._clock.now_ms()
         self.anchor.start()
         self._tasks = [gevent.spawn(self._keep_renewing), gevent.spawn(self._keep_loans)]
 
@@ -169,6 +184,7 @@
             return False
         grants, floors = decode_grants(reply.grants), decode_grants(reply.floors)
         self.book.set_grants(grants, floors, sent_ms + TERM_MS)
+        self._granted = True
         return True
 
     def count_needed(self, account: str) -> Units:
@@ -286,7 +302,19 @@
             renewed = self.renew()
             self._note_term(was_in_term)
             was_in_term = self.book.in_term
-            gevent.sleep((RENEW_MS if renewed else RETRY_MS) / MS_PER_SECOND)
+            self._wait_to_renew(RENEW_MS if renewed else RETRY_MS)
+
+    def _wait_to_renew(self, longest_ms: float) -> None:
+        """Wait for the next word; it comes soon while the zone's daemons come and go."""
+        until_ms = self._clock.now_ms() + longest_ms
+        while self._clock.now_ms() < until_ms:
+            gevent.sleep(RETRY_MS / MS_PER_SECOND)
+            names = frozenset(member.name for member in self._list_members())
+            if names != self._names:
+                self._names = names
+                self._hurry_until_ms = self._clock.now_ms() + HURRY_MS
+            if self._clock.now_ms() < self._hurry_until_ms:
+                return
 
     def _keep_loans(self) -> None:
         while True:
