Add hemlock-load: open-loop arrivals from a seed, each answer checked

Figures and soak runs need callers that do not slow down with the system, come back when a refusal or a moved event says so, and hold every answer to its text and positions. Connections are the standard library's, one for each try: geventhttpclient's client sends again by itself when a connection is lost, which would run a call twice.

--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -25,6 +25,7 @@
 STANDIN = "hemlockswitch.programs.standin"
 ENTRY = "hemlockswitch.programs.entry"
 CONTROLLER = "hemlockswitch.programs.controller"
+LOAD = "hemlockswitch.programs.load"
 
 
 class Cluster:
--- /dev/null
+++ b/hemlockswitch/standin/load_calls.py
@@ -0,0 +1,259 @@
+"""One caller of `hemlock-load`: sends a request, comes back when told to, checks the answer."""
+
+import contextlib
+import http.client
+import json
+from collections.abc import Iterator
+from typing import Any
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.standin.load_plan import Arrival, CallMix, ChatMix
+from hemlockswitch.standin.load_results import Outcome, Verdict
+from hemlockswitch.standin.verification import (
+    AnswerCheck,
+    ServerEvent,
+    check_whole_answer,
+    read_server_events,
+)
+
+READ_BYTES = 65_536
+RETRY_FLOOR_MS = 20.0
+LOST_RETRY_MS = 100.0
+LOST = (OSError, http.client.HTTPException)
+
+
+class GiveUpError(Exception):
+    """The caller's patience is over, or coming back does not help."""
+
+
+class Caller:
+    """Runs one arrival to its end.
+
+    Parameters
+    ==========
+
+    arrival : what to send.
+    entries : callers' addresses of the entry daemons.
+    patience_ms : when the caller gives up, from the time the arrival was due.
+    clock : source of time.
+    """
+
+    def __init__(
+        self, arrival: Arrival, entries: tuple[str, ...], patience_ms: float, clock: Clock
+    ) -> None:
+        self._arrival = arrival
+        self._entries = entries
+        self._clock = clock
+        self._due_ms = clock.now_ms()
+        self._until_ms = self._due_ms + patience_ms
+        self._last_token_ms: float | None = None
+        self._key = make_identifier("key")
+        self.outcome = Outcome(arrival.number, arrival.account.name, arrival.mix.kind)
+        self.check = AnswerCheck(
+            getattr(arrival.mix, "model", ""), arrival.prompt, arrival.max_tokens
+        )
+
+    def run(self) -> Outcome:
+        """Send the request, and return how it ended."""
+        outcome = self.outcome
+        try:
+            if isinstance(self._arrival.mix, CallMix):
+                self._run_call(self._arrival.mix)
+            elif self._arrival.mix.stream:
+                self._run_stream(self._arrival.mix)
+            else:
+                self._run_whole(self._arrival.mix)
+        except GiveUpError as error:
+            if outcome.verdict is Verdict.UNFINISHED:
+                outcome.verdict = Verdict.FAILED
+                outcome.error_kind = outcome.error_kind or str(error)
+        outcome.took_ms = self._clock.now_ms() - self._due_ms
+        outcome.tokens = outcome.tokens or self.check.tokens
+        return outcome
+
+    # The three kinds of requests
+
+    def _run_stream(self, mix: ChatMix) -> None:
+        while not self._stream_once(mix):
+            self._check_patience()
+        if self.outcome.verdict is not Verdict.UNFINISHED:
+            return
+        self.outcome.problems = self.check.list_problems()
+        self.outcome.recomputed_tokens = self.check.usage.get("recomputed_tokens", 0)
+        self.outcome.verdict = Verdict.WRONG if self.outcome.problems else Verdict.WHOLE
+
+    def _stream_once(self, mix: ChatMix) -> bool:
+        """Read what one connection gives; return whether the request is over."""
+        try:
+            with contextlib.closing(self._connect()) as connection:
+                answer = self._send_stream(connection, mix)
+                if answer.status != 200:
+                    self._take_refusal(answer, may_repeat=True)
+                    return False
+                return self._read_stream(answer)
+        except LOST:
+            self.outcome.lost_connections += 1
+            self._wait(LOST_RETRY_MS)
+            return False
+
+    def _send_stream(
+        self, connection: http.client.HTTPConnection, mix: ChatMix
+    ) -> http.client.HTTPResponse:
+        headers = self._make_headers()
+        if not self.check.request_id:
+            body = json.dumps(self._make_chat(mix)).encode()
+            connection.request("POST", "/v1/chat/completions", body, headers)
+            return self._get_answer(connection)
+        self.outcome.resumed += 1
+        if self.check.last_event_id:
+            headers["Last-Event-ID"] = self.check.last_event_id
+        connection.request("GET", f"/v1/requests/{self.check.request_id}", None, headers)
+        return self._get_answer(connection)
+
+    def _get_answer(self, connection: http.client.HTTPConnection) -> http.client.HTTPResponse:
+        answer = connection.getresponse()
+        if not self.check.request_id and answer.status == 200:
+            self.check.request_id = answer.getheader("X-Request-Id") or ""
+        return answer
+
+    def _read_stream(self, answer: http.client.HTTPResponse) -> bool:
+        for event in read_server_events(iterate_lines(answer)):
+            if event.name == "moved":
+                self.outcome.moved += 1
+                self._wait(json.loads(event.data).get("retry_after_ms", 0))
+                return False
+            if event.name == "error":
+                self._take_error(json.loads(event.data)["error"])
+                return True
+            self._take_event(event)
+            if self.check.done:
+                return True
+            if 0 < self._arrival.give_up_after <= self.check.tokens:
+                self.outcome.verdict = Verdict.LEFT
+                return True
+        self.outcome.lost_connections += 1
+        return False
+
+    def _take_event(self, event: ServerEvent) -> None:
+        tokens = self.check.tokens
+        self.check.take(event)
+        if self.check.tokens == tokens:
+            return
+        now_ms = self._clock.now_ms()
+        if self._last_token_ms is None:
+            self.outcome.first_token_ms = now_ms - self._due_ms
+        else:
+            self.outcome.gaps_ms.append(now_ms - self._last_token_ms)
+        self._last_token_ms = now_ms
+
+    def _run_whole(self, mix: ChatMix) -> None:
+        answer = self._exchange("POST", "/v1/chat/completions", self._make_chat(mix), True)
+        if answer is None:
+            return
+        tokens = self._arrival.max_tokens
+        problems = check_whole_answer(answer, mix.model, self._arrival.prompt, tokens)
+        self.outcome.tokens = tokens
+        self.outcome.problems = problems
+        self.outcome.verdict = Verdict.WRONG if problems else Verdict.WHOLE
+
+    def _run_call(self, mix: CallMix) -> None:
+        may_repeat = mix.keyed or mix.repeatable
+        path = f"/services/{mix.service}{mix.path}"
+        answer = self._exchange(mix.method, path, {"text": self._arrival.text}, may_repeat)
+        if answer is None:
+            return
+        if json.loads(answer.get("body") or "{}").get("text") == self._arrival.text:
+            self.outcome.verdict = Verdict.WHOLE
+            return
+        self.outcome.problems = ["the answer repeats another call"]
+        self.outcome.verdict = Verdict.WRONG
+
+    def _exchange(self, method: str, path: str, body: Any, may_repeat: bool) -> Any:
+        """Return the decoded answer; None when the request ended without one."""
+        while self.outcome.verdict is Verdict.UNFINISHED:
+            self._check_patience()
+            try:
+                with contextlib.closing(self._connect()) as connection:
+                    headers = self._make_headers()
+                    connection.request(method, path, json.dumps(body).encode(), headers)
+                    answer = connection.getresponse()
+                    if answer.status == 200:
+                        return json.loads(answer.read())
+                    self._take_refusal(answer, may_repeat)
+            except LOST:
+                self.outcome.lost_connections += 1
+                if not may_repeat:
+                    self.outcome.verdict = Verdict.UNKNOWN
+                    return None
+                self._wait(LOST_RETRY_MS)
+        return None
+
+    # Parts of an exchange
+
+    def _connect(self) -> http.client.HTTPConnection:
+        draw = self._arrival.entry_draws + self.outcome.tries * 7
+        self.outcome.tries += 1
+        left_s = max(self._until_ms - self._clock.now_ms(), 1) / MS_PER_SECOND
+        address = self._entries[draw % len(self._entries)]
+        return http.client.HTTPConnection(address, timeout=left_s)
+
+    def _make_headers(self) -> dict[str, str]:
+        left_ms = int(max(self._until_ms - self._clock.now_ms(), 1))
+        headers = {
+            "Authorization": f"Bearer {self._arrival.account.key}",
+            "Content-Type": "application/json",
+            "X-Deadline-Ms": str(left_ms),
+        }
+        mix = self._arrival.mix
+        if isinstance(mix, CallMix) and mix.keyed:
+            headers["Idempotency-Key"] = self._key
+        if isinstance(mix, ChatMix) and mix.priority is not None:
+            headers["X-Priority"] = str(mix.priority)
+        return headers
+
+    def _make_chat(self, mix: ChatMix) -> dict[str, Any]:
+        messages = [{"role": "user", "content": self._arrival.text}]
+        return {
+            "model": mix.model,
+            "messages": messages,
+            "max_tokens": self._arrival.max_tokens,
+            "stream": mix.stream,
+        }
+
+    def _take_refusal(self, answer: http.client.HTTPResponse, may_repeat: bool) -> None:
+        """Wait as the refusal says, or give up where coming back does not help."""
+        content = answer.read()
+        try:
+            error = json.loads(content)["error"]
+        except (ValueError, KeyError, TypeError):
+            error = {"kind": f"status_{answer.status}", "ran": ""}
+        retry_after = answer.getheader("Retry-After")
+        repeat = retry_after is not None and (may_repeat or error.get("ran") == "no")
+        if not repeat:
+            self._take_error(error)
+            raise GiveUpError
+        self.outcome.refusals.append(error["kind"])
+        header_ms = float(retry_after or 0) * MS_PER_SECOND
+        self._wait(error.get("retry_after_ms") or header_ms)
+
+    def _take_error(self, error: dict[str, Any]) -> None:
+        self.outcome.error_kind = error.get("kind", "")
+        self.outcome.ran = error.get("ran", "")
+        refused = self.outcome.ran == "no"
+        self.outcome.verdict = Verdict.REFUSED if refused else Verdict.FAILED
+
+    def _wait(self, duration_ms: float) -> None:
+        self._clock.sleep_ms(max(duration_ms, RETRY_FLOOR_MS))
+
+    def _check_patience(self) -> None:
+        if self._clock.now_ms() >= self._until_ms:
+            raise GiveUpError("patience is over")
+
+
+def iterate_lines(answer: http.client.HTTPResponse) -> Iterator[bytes]:
+    """Yield the lines of an answer as they come, several to a read."""
+    rest = b""
+    while piece := answer.read1(READ_BYTES):
+        *lines, rest = (rest + piece).split(b"\n")
+        yield from lines
--- /dev/null
+++ b/hemlockswitch/standin/load_plan.py
@@ -0,0 +1,152 @@
+"""What `hemlock-load` sends: its settings, and the arrivals that a seed gives."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.standin.answers import join_prompt
+
+WORDS = ["slot", "hall", "party", "guide", "lunch", "waiver", "school", "linen", "panel", "lender"]
+
+
+class _Settings(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Account(_Settings):
+    """A client account that sends, and its share of the requests."""
+
+    name: str
+    key: str
+    weight: float = Field(default=1, gt=0)
+
+
+class ChatMix(_Settings):
+    """One kind of model request.
+
+    Parameters
+    ==========
+
+    prompt_words, max_tokens : smallest and largest; drawn evenly.
+    prefix_words, prefixes : a prompt begins with one of `prefixes` texts of so many words.
+    """
+
+    kind: Literal["chat"] = "chat"
+    weight: float = Field(default=1, gt=0)
+    model: str = "assistant-llm"
+    prompt_words: tuple[int, int] = (20, 200)
+    max_tokens: tuple[int, int] = (20, 120)
+    prefix_words: int = 0
+    prefixes: int = 1
+    stream: bool = True
+    priority: int | None = None
+
+
+class CallMix(_Settings):
+    """One kind of plain-service call; `keyed` sends an idempotency key and may repeat."""
+
+    kind: Literal["call"] = "call"
+    weight: float = Field(default=1, gt=0)
+    service: str = "booking-app"
+    method: str = "POST"
+    path: str = "/confirmations"
+    keyed: bool = True
+    repeatable: bool = False
+
+
+class LoadSettings(_Settings):
+    """What the settings file of `hemlock-load` holds.
+
+    Parameters
+    ==========
+
+    entries : callers' addresses; each request draws one, as behind a balancer.
+    requests_per_s : mean of the open-loop arrivals.
+    patience_ms : after this long a caller gives up.
+    give_up_share : share of the streams whose caller leaves after a few tokens.
+    """
+
+    entries: tuple[str, ...] = Field(min_length=1)
+    seed: int = 1
+    duration_ms: float = Field(default=10_000, gt=0)
+    requests_per_s: float = Field(default=10, gt=0)
+    accounts: tuple[Account, ...] = Field(min_length=1)
+    mix: tuple[ChatMix | CallMix, ...] = (ChatMix(),)
+    patience_ms: float = Field(default=30_000, gt=0)
+    give_up_share: float = Field(default=0, ge=0, le=1)
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """One request of the plan.
+
+    Parameters
+    ==========
+
+    number : place in the plan.
+    at_ms : when it is due, from the begin of the run.
+    text : content of the one message, or the body of a call.
+    give_up_after : tokens after which its caller leaves; 0 for never.
+    entry_draws : random numbers that choose the entry for each try.
+    """
+
+    number: int
+    at_ms: float
+    account: Account
+    mix: ChatMix | CallMix
+    text: str
+    max_tokens: int
+    give_up_after: int
+    entry_draws: int
+
+    @property
+    def prompt(self) -> str:
+        """The prompt text as engines see it."""
+        return join_prompt([{"role": "user", "content": self.text}])
+
+
+def plan_arrivals(settings: LoadSettings) -> Iterator[Arrival]:
+    """Yield the arrivals of a run in order; the same settings give the same ones.
+
+    Examples
+    ========
+
+    >>> account = Account(name="a", key="k")
+    >>> settings = LoadSettings(entries=("127.0.0.1:1",), accounts=(account,), duration_ms=1_000)
+    >>> list(plan_arrivals(settings)) == list(plan_arrivals(settings))
+    True
+    """
+    draw = random.Random(settings.seed)
+    at_ms = 0.0
+    number = 0
+    while True:
+        at_ms += draw.expovariate(settings.requests_per_s) * MS_PER_SECOND
+        if at_ms >= settings.duration_ms:
+            return
+        yield _plan_one(settings, draw, number, at_ms)
+        number += 1
+
+
+def _plan_one(settings: LoadSettings, draw: random.Random, number: int, at_ms: float) -> Arrival:
+    account = draw.choices(settings.accounts, [item.weight for item in settings.accounts])[0]
+    mix = draw.choices(settings.mix, [item.weight for item in settings.mix])[0]
+    text, max_tokens, give_up_after = f"call {number}", 0, 0
+    if isinstance(mix, ChatMix):
+        text = _draw_text(mix, draw, number)
+        max_tokens = draw.randint(*mix.max_tokens)
+        if draw.random() < settings.give_up_share:
+            give_up_after = draw.randint(1, max(1, max_tokens // 2))
+    return Arrival(
+        number, at_ms, account, mix, text, max_tokens, give_up_after, draw.getrandbits(32)
+    )
+
+
+def _draw_text(mix: ChatMix, draw: random.Random, number: int) -> str:
+    prefix = draw.randrange(mix.prefixes)
+    begin = [f"{WORDS[index % len(WORDS)]}-{prefix}" for index in range(mix.prefix_words)]
+    count = max(draw.randint(*mix.prompt_words) - mix.prefix_words, 1)
+    return " ".join([*begin, f"request-{number}", *draw.choices(WORDS, k=count - 1)])
--- a/hemlockswitch/standin/service.py
+++ b/hemlockswitch/standin/service.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import falcon
+import gevent
 from pydantic import BaseModel, ConfigDict
 
 from hemlockswitch.core.clock import Clock, SystemClock
@@ -27,6 +28,8 @@
     name: str = "service"
     listen: str = "127.0.0.1:0"
     delay_ms: float = 0
+    slots: int = 32
+    load_lag_ms: float = 500
 
 
 @dataclass
@@ -50,7 +53,10 @@
         self.faults = FaultBox()
         self.counts = ServiceCounts()
         self.leaving_since_ms: float | None = None
+        self.running = 0
         self._held_answer: dict[str, Any] | None = None
+        self._reported_running = 0
+        self._reported_at_ms = clock.now_ms()
 
     def note_run(self, request: falcon.Request) -> None:
         """Count one run."""
@@ -64,6 +70,19 @@
             since_ms = self.clock.now_ms() - self.leaving_since_ms
             self.counts.begun_after_leaving_ms.append(since_ms)
 
+    def report_load(self) -> dict[str, Any]:
+        """Return the last report of the load, and its age."""
+        age_ms = self.clock.now_ms() - self._reported_at_ms
+        report = {"running": self._reported_running, "waiting": 0, "slots": self.settings.slots}
+        return {**report, "age_ms": age_ms, "draining": False}
+
+    def run_reports(self) -> None:
+        """Report for ever, with the lag of the settings."""
+        while True:
+            self.clock.sleep_ms(self.settings.load_lag_ms)
+            self._reported_running = self.running
+            self._reported_at_ms = self.clock.now_ms()
+
     def swap_answer(self, answer: dict[str, Any]) -> dict[str, Any]:
         """Return the answer of the call before this one, and hold this one's for the next."""
         earlier, self._held_answer = self._held_answer, answer
@@ -91,7 +110,9 @@
         body = request.bounded_stream.read().decode(errors="replace")
         self._service.note_run(request)
         delay_ms = (self._service.settings.delay_ms + faults.delay_ms) * faults.slow_factor
+        self._service.running += 1
         self._service.clock.sleep_ms(delay_ms + faults.freeze_ms)
+        self._service.running -= 1
         if faults.cut_stage == "before_answer":
             cut_connection(connection)
         self._answer(request, response, body, faults)
@@ -114,6 +135,17 @@
         response.set_header("X-Request-Id", str(answer["request_id"]))
 
 
+class Report:
+    """``GET /v1/load``."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Report the load, with its age."""
+        response.media = self._service.report_load()
+
+
 class Judge:
     """``/standin/stats``, ``/standin/faults`` and ``/standin/leaving``."""
 
@@ -143,6 +175,7 @@
     application.add_route("/standin/stats", judge, suffix="stats")
     application.add_route("/standin/faults", judge, suffix="faults")
     application.add_route("/standin/leaving", judge, suffix="leaving")
+    application.add_route("/v1/load", Report(service))
     application.add_sink(Calls(service), prefix=r"/(?P<path>.*)")
     return application
 
@@ -150,4 +183,5 @@
 def serve_service(settings: ServiceSettings) -> None:
     """Serve a service until the process is asked to stop."""
     service = Service(settings, SystemClock())
+    gevent.spawn(service.run_reports)
     serve_until_stopped(build_application(service), settings.listen)
