--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -9,12 +9,10 @@
 from hemlockswitch.connection.caller_server import CallerServer
 from hemlockswitch.connection.callers import build_application
 from hemlockswitch.connection.control_api import StatusPage, build_control_application
-from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import Clock, SystemClock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.claim_members import ClaimMembers
-from hemlockswitch.process.claim_store import ClaimStore
+from hemlockswitch.process.claim_members import build_claims
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.polling import PlatformPoll
@@ -36,7 +34,6 @@
 from hemlockswitch.version.settings import EntrySettings, split_address
 
 STOP_STEP_MS = 20.0
-CLAIM_CALL_MS = 1_000.0
 CLAIM_FLUSH_MS = 3_000.0
 
 
@@ -108,7 +105,10 @@
         )
         self.directory.add_leaving_listener(self.mover.leave)
         self.sweep = OverdueSweep(self.relay, self.clock)
-        self.claims = self._make_claims()
+        self.claims = build_claims(
+            self.settings, self.facts, self.clock, self._find_limits, self.metrics.count_claim
+        )
+        self.status.add("claims", self.claims.describe)
         self.services = ServiceCaller(
             self.router, self.directory, client, self.budget, self.clock, reports, self.claims
         )
@@ -119,28 +119,6 @@
         self.metrics.in_progress.set_function(lambda: self.records.in_progress)
         self.status.add("requests_in_progress", lambda: self.records.in_progress)
 
-    def _make_claims(self) -> ClaimStore:
-        """Return the claims of keyed calls, on a platform client of their own.
-
-        Their calls are short and many; a watch that fails must not make them wait.
-        """
-        members = ClaimMembers(self.settings.name, lambda: self.facts.membership)
-        claims = ClaimStore.from_config(
-            self.settings.name,
-            self.settings.zone,
-            PlatformClient(
-                self.settings.platform, "claims", self.settings.name, timeout_ms=CLAIM_CALL_MS
-            ),
-            self.clock,
-            lambda: (self.file.limits if self.file else Limits()).claim_retention_ms,
-            peers=self.facts.network,
-            list_peers=members.list_peers,
-            is_gone=members.is_gone,
-            count=self.metrics.count_claim,
-        )
-        self.status.add("claims", claims.describe)
-        return claims
-
     def _build_servers(self) -> None:
         """Build the two HTTP servers; nothing listens yet."""
         timeout_ms = self.settings.caller_timeout_ms
@@ -204,6 +182,9 @@
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
+    def _find_limits(self) -> Limits:
+        return self.file.limits if self.file else Limits()
+
     def _find_file(self) -> OperatorFile:
         assert self.file is not None
         return self.file
