--- a/hemlockswitch/process/claim_routes.py
+++ b/hemlockswitch/process/claim_routes.py
@@ -165,6 +165,10 @@
         self._list_peers = list_peers
         peers.handle(ClaimOperation, self._serve)
 
+    def count_peers(self) -> int:
+        """Return how many other daemons can be asked."""
+        return len(self._list_peers())
+
     def perform(self, operation: Operation) -> Result:
         """Return what became of an operation, trying each way in turn."""
         partition = find_partition(operation.digest)
--- a/hemlockswitch/process/claim_store.py
+++ b/hemlockswitch/process/claim_store.py
@@ -168,7 +168,11 @@
 
     def describe(self) -> dict[str, int]:
         """Return what happened to keys so far, for the status page."""
-        return {**self.counts, "unwritten_outcomes": len(self._outbox)}
+        return {
+            **self.counts,
+            "unwritten_outcomes": len(self._outbox),
+            "peers": self._routes.count_peers(),
+        }
 
     def flush(self, timeout_ms: float) -> bool:
         """Wait until the outcomes are written; return whether all are."""
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -9,21 +9,19 @@
 from hemlockswitch.connection.caller_server import CallerServer
 from hemlockswitch.connection.callers import build_application
 from hemlockswitch.connection.control_api import StatusPage, build_control_application
-from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.claim_members import ClaimMembers
-from hemlockswitch.process.claim_store import ClaimStore
+from hemlockswitch.process.claim_members import build_claims
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.polling import PlatformPoll
 from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
 from hemlockswitch.process.serving import Serving
-from hemlockswitch.process.share_members import is_vm_gone, list_share_members
-from hemlockswitch.process.shares import Shares
+from hemlockswitch.process.share_members import CALL_MS as SHARE_CALL_MS
+from hemlockswitch.process.share_members import build_shares
 from hemlockswitch.process.traces import Tracing
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.attempt import AttemptOpener
@@ -38,9 +36,7 @@
 from hemlockswitch.version.settings import EntrySettings, split_address
 
 STOP_STEP_MS = 20.0
-CLAIM_CALL_MS = 1_000.0
 CLAIM_FLUSH_MS = 3_000.0
-SHARE_CALL_MS = 1_000.0
 
 
 class EntryDaemon:
@@ -111,11 +107,15 @@
         )
         self.directory.add_leaving_listener(self.mover.leave)
         self.sweep = OverdueSweep(self.relay, self.clock)
-        self.claims = self._make_claims()
+        self.claims = build_claims(
+            self.settings, self.facts, self.clock, self._find_limits, self.metrics.count_claim
+        )
+        self.status.add("claims", self.claims.describe)
         self.services = ServiceCaller(
             self.router, self.directory, client, self.budget, self.clock, reports, self.claims
         )
-        self.shares = self._make_shares()
+        self.shares = build_shares(self.settings, self.facts, self.clock, self._find_file)
+        self.status.add("limits", self.shares.describe)
         capacity = CapacityQueue(self.clock)
         self.admission = Admission(self.shares, self.clock, capacity, starts_full=False)
         self.shares.set_use(self.admission)
@@ -125,44 +125,6 @@
         self.metrics.in_progress.set_function(lambda: self.records.in_progress)
         self.status.add("requests_in_progress", lambda: self.records.in_progress)
 
-    def _make_shares(self) -> Shares:
-        """Return the daemon's shares of the limits, on a platform client of their own."""
-        name = self.settings.name
-        shares = Shares(
-            name=name,
-            zone=self.settings.zone,
-            clock=self.clock,
-            store=PlatformClient(self.settings.platform, "limits", name, timeout_ms=SHARE_CALL_MS),
-            network=self.facts.network,
-            find_file=self._find_file,
-            list_members=lambda: list_share_members(self.facts.membership),
-            is_gone=lambda name: is_vm_gone(self.board, name),
-        )
-        self.status.add("limits", shares.describe)
-        return shares
-
-    def _make_claims(self) -> ClaimStore:
-        """Return the claims of keyed calls, on a platform client of their own.
-
-        Their calls are short and many; a watch that fails must not make them wait.
-        """
-        members = ClaimMembers(self.settings.name, lambda: self.facts.membership)
-        claims = ClaimStore.from_config(
-            self.settings.name,
-            self.settings.zone,
-            PlatformClient(
-                self.settings.platform, "claims", self.settings.name, timeout_ms=CLAIM_CALL_MS
-            ),
-            self.clock,
-            lambda: (self.file.limits if self.file else Limits()).claim_retention_ms,
-            peers=self.facts.network,
-            list_peers=members.list_peers,
-            is_gone=members.is_gone,
-            count=self.metrics.count_claim,
-        )
-        self.status.add("claims", claims.describe)
-        return claims
-
     def _build_servers(self) -> None:
         """Build the two HTTP servers; nothing listens yet."""
         timeout_ms = self.settings.caller_timeout_ms
@@ -230,6 +192,9 @@
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
+    def _find_limits(self) -> Limits:
+        return self.file.limits if self.file else Limits()
+
     def _find_file(self) -> OperatorFile:
         if self.file is None:
             raise RequestError(ErrorKind.NOT_READY, "no configuration is in force yet")
--- a/hemlockswitch/process/shares.py
+++ b/hemlockswitch/process/shares.py
@@ -1,5 +1,6 @@
 """Shares of each account's limits between daemons: renewed at the anchor, moved between peers."""
 
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -104,7 +105,7 @@
             store, zone, self._find_totals, EntryWatch(clock, is_gone), batch_ms
         )
         credits = _Credits(self)
-        self.lender = Lender(self.book, network, self.count_needed, credits)
+        self.lender = Lender(self.book, network, clock, self.count_needed, credits)
         self.borrower = ShareBorrower(self.book, network, clock, self.count_needed, credits)
         network.handle(RenewShares, lambda sender, ask: self.anchor.renew(ask))
 
@@ -230,6 +231,7 @@
 
     def _list_lenders(self) -> list[str]:
         members = [member for member in self._list_members() if member.name != self._name]
+        random.shuffle(members)
         members.sort(key=lambda member: member.zone != self._zone)
         return [member.address for member in members]
 
