Hand over generations in progress when an entry VM leaves

Cause: an entry VM that was reclaimed ended its callers' streams; the rest of each was lost.

Weighed: a copy of each state at a peer all the time (a message for every few tokens of every stream), the state in the platform (its rate does not carry it, and it has outages), and moving the state when the notice comes. The last is taken; what it does not cover is a daemon that dies without notice.

Change: a reclaim notice for the daemon's own VM, or SIGTERM, starts one departure: no new work (healthz 503, LEAVING), the member state leaving, limits given back. What fits into the notice ends here. For the rest the relay stops between two events, its own task gives the state to the first live daemon of the rendezvous order (own zone first), and only after that answer the caller gets `event: moved`, or 503 `moved` where no head was sent yet. `GET /v1/requests/{id}` at any daemon asks the first three of each zone, reserves, confirms, then serves: the tokens that the caller did not get, then the engine's lingering stream by its id, or a continuation. The place and the tokens go with the request: it is admitted again without a refusal.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -1,7 +1,7 @@
 """The numbered log events. docs/reference/events.md is the catalogue; a test compares them.
 
 Each area owns a hundred: 1xx process, 2xx requests, 3xx routing and backend servers,
-4xx claims, 5xx membership and news, 6xx configuration, 7xx limits, 8xx control,
+4xx claims, 5xx membership and news, 6xx configuration, 7xx limits and handover, 8xx control,
 9xx stand-ins and load.
 """
 
@@ -48,6 +48,9 @@
     ZONE_STATUS_FAILED = (606, "zone_status_failed")
     SHARES_EXPIRED = (701, "shares_expired")
     SHARES_GRANTED = (702, "shares_granted")
+    ENTRY_LEAVING = (711, "entry_leaving")
+    HANDOVER_ENDED = (712, "handover_ended")
+    GENERATION_RESUMED = (713, "generation_resumed")
     LEASE_TAKEN = (801, "lease_taken")
     LEASE_LOST = (802, "lease_lost")
     LEASE_LAPSED = (803, "lease_lapsed")
--- /dev/null
+++ b/hemlockswitch/process/departure.py
@@ -0,0 +1,134 @@
+"""The end of an entry daemon's life: told by a signal or a reclaim notice, it leaves in order."""
+
+from collections.abc import Callable
+
+from gevent.event import Event as Signal
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.backends import NOTICE_PREFIX
+from hemlockswitch.process.facts import Facts
+from hemlockswitch.process.handover import Handover, HandoverMember
+from hemlockswitch.process.handover_messages import (
+    ConfirmTake,
+    DropState,
+    FindState,
+    HandOver,
+    TakeState,
+)
+from hemlockswitch.process.members import MemberState
+from hemlockswitch.process.news import NewsItem
+from hemlockswitch.process.records import RequestRecords
+from hemlockswitch.process.resuming import Resuming
+from hemlockswitch.process.serving import Serving
+from hemlockswitch.process.share_members import list_share_members
+from hemlockswitch.process.state_store import StateStore
+from hemlockswitch.request.admission import Admission
+from hemlockswitch.request.attempt import AttemptOpener
+from hemlockswitch.request.relay import Relay
+from hemlockswitch.version.settings import EntrySettings
+
+UNKNOWN_NOTICE_MS = 5_000.0
+
+
+class Departure:
+    """Hears that this daemon is to leave, and hands over what it still has.
+
+    Parameters
+    ==========
+
+    settings : of this daemon.
+    facts : its board, members and peer network.
+    clock : the process's clock.
+    relay : the generations in progress.
+    opener : ends the engine streams of generations that nobody fetched.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        facts: Facts,
+        clock: Clock,
+        relay: Relay,
+        opener: AttemptOpener,
+    ) -> None:
+        self._settings = settings
+        self._facts = facts
+        self._clock = clock
+        self.told = Signal()
+        self.store = StateStore(clock, opener.cancel)
+        self.handover = Handover(
+            name=settings.name,
+            zone=settings.zone,
+            clock=clock,
+            network=facts.network,
+            list_members=lambda: list_share_members(facts.membership),
+            list_running=lambda: list(relay.running.values()),
+            store=self.store,
+        )
+        self._serve_peers()
+        facts.board.add_listener(f"{NOTICE_PREFIX}{settings.name}", self._hear_notice)
+        facts.directory.add_leaving_listener(self._hear_leaving)
+
+    def build_resuming(
+        self, admission: Admission, records: RequestRecords, serving: Serving
+    ) -> Resuming:
+        """Return the service of the requests that were handed over."""
+        return Resuming(
+            name=self._settings.name,
+            clock=self._clock,
+            network=self._facts.network,
+            list_members=self._list_holders,
+            store=self.store,
+            admission=admission,
+            records=records,
+            answer=serving.answer,
+        )
+
+    def request(self) -> None:
+        """Leave within the grace of the settings; for signals."""
+        self.handover.set_deadline(self._clock.now_ms() + self._settings.stop_grace_ms)
+        self.told.set()
+
+    def run(self, is_busy: Callable[[], bool]) -> None:
+        """Tell the peers, then let end what fits and hand over the rest."""
+        self.request()
+        if self._facts.membership is not None:
+            self._facts.membership.leave()
+        self.handover.run(is_busy)
+        log_event(Event.HANDOVER_ENDED, counts=self.handover.describe())
+
+    def _serve_peers(self) -> None:
+        network = self._facts.network
+        network.handle(HandOver, self.store.put, quick=True)
+        network.handle(FindState, self.store.find, quick=True)
+        network.handle(TakeState, self.store.reserve, quick=True)
+        network.handle(ConfirmTake, self.store.confirm, quick=True)
+        network.handle(DropState, self.store.drop, quick=True)
+
+    def _hear_notice(self, item: NewsItem) -> None:
+        if item.key != f"{NOTICE_PREFIX}{self._settings.name}" or item.value is None:
+            return
+        left_ms = int(item.value.get("deadline_wall_ms", 0)) - self._clock.wall_ms()
+        self._leave_in(left_ms)
+
+    def _hear_leaving(self, name: str, deadline_wall_ms: int) -> None:
+        # The VM list says that it leaves, not when.
+        if name == self._settings.name and not deadline_wall_ms:
+            self._leave_in(UNKNOWN_NOTICE_MS)
+
+    def _leave_in(self, left_ms: float) -> None:
+        log_event(Event.ENTRY_LEAVING, left_ms=int(left_ms))
+        self.handover.set_deadline(self._clock.now_ms() + left_ms)
+        self.told.set()
+
+    def _list_holders(self) -> list[HandoverMember]:
+        """Return the entry daemons that may hold states: live ones and leaving ones."""
+        membership = self._facts.membership
+        members = membership.list_members() if membership is not None else []
+        return [
+            HandoverMember(member.name, member.zone, member.peer_address)
+            for member in members
+            if member.caller_address and member.state is not MemberState.DEAD
+        ]
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -14,6 +14,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.claim_members import build_claims
+from hemlockswitch.process.departure import Departure
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.polling import PlatformPoll
@@ -35,7 +36,6 @@
 from hemlockswitch.version.models import Limits, OperatorFile
 from hemlockswitch.version.settings import EntrySettings, split_address
 
-STOP_STEP_MS = 20.0
 CLAIM_FLUSH_MS = 3_000.0
 
 
@@ -122,6 +122,11 @@
         self.records = RequestRecords(self.admission, self.metrics, reports, self.clock)
         self.serving = Serving(self.relay, self.services, self.records, self.clock)
         self.serving.has_limits = lambda: self.shares.is_ready
+        self.departure = Departure(self.settings, self.facts, self.clock, self.relay, self.opener)
+        self.serving.resumer = self.departure.build_resuming(
+            self.admission, self.records, self.serving
+        )
+        self.status.add("handover", self.departure.handover.describe)
         self.metrics.in_progress.set_function(lambda: self.records.in_progress)
         self.status.add("requests_in_progress", lambda: self.records.in_progress)
 
@@ -156,6 +161,7 @@
         peer_address = self.facts.start(self.callers.bound_address, self.spawn)
         self.spawn("poll", self.poll.run)
         self.spawn("sweep", self.sweep.run)
+        self.spawn("waiting states", self.departure.store.run)
         if self.tracing.log_export is not None:
             self.spawn("traces", self.tracing.log_export.run)
         return {
@@ -178,12 +184,10 @@
                 self.clock.sleep_ms(1_000)
 
     def stop(self) -> None:
-        """Refuse new work, let requests in progress end within the grace, then stop."""
+        """Refuse new work, let requests in progress end or hand them over, then stop."""
         self.serving.stop_accepting()
         gevent.spawn(self.shares.leave)
-        until_ms = self.clock.now_ms() + self.settings.stop_grace_ms
-        while self.callers.answering and self.clock.now_ms() < until_ms:
-            self.clock.sleep_ms(STOP_STEP_MS)
+        self.departure.run(lambda: self.callers.answering > 0)
         self.claims.flush(CLAIM_FLUSH_MS)
         gevent.spawn(self.shares.leave).join(timeout=SHARE_CALL_MS / MS_PER_SECOND)
         self.shares.stop()
--- a/hemlockswitch/process/serving.py
+++ b/hemlockswitch/process/serving.py
@@ -17,6 +17,7 @@
 from hemlockswitch.request.generation import ChatRequest, Generation
 from hemlockswitch.request.prefixes import count_tokens
 from hemlockswitch.request.relay import Relay
+from hemlockswitch.request.running import MovedError
 from hemlockswitch.request.service_call import ServiceCaller
 from hemlockswitch.version.models import ClientAccount, Limits, Model, OperatorFile, Service
 
@@ -96,12 +97,19 @@
         return self.answer(generation, request, record)
 
     def answer(
-        self, generation: Generation, request: CallerRequest, record: RequestRecord
+        self,
+        generation: Generation,
+        request: CallerRequest,
+        record: RequestRecord,
+        replay: bytes = b"",
     ) -> CallerAnswer:
-        """Relay an admitted generation: as a stream, or whole when the caller wants that."""
+        """Relay an admitted generation: as a stream, or whole when the caller wants that.
+
+        `replay` are events of a resumed stream that the caller did not get.
+        """
         events = self._relay_recorded(generation, request, record)
         if generation.stream:
-            first = next(events)
+            first = replay or next(events)
             return CallerAnswer(200, _Events(generation, first, events), {}, EVENT_STREAM)
         for _ in events:
             pass
@@ -195,6 +203,12 @@
     return account.priority if asked is None else max(asked, account.priority)
 
 
+def render_moved(moved: MovedError, request_id: str) -> bytes:
+    """Return the event that tells a stream's caller where the rest is."""
+    body = {"request_id": request_id, "retry_after_ms": moved.answer.retry_after_ms}
+    return b"event: moved\ndata: " + json.dumps(body).encode() + b"\n\n"
+
+
 class _Events:
     """A stream's events for the server: an error after the first becomes the last event."""
 
@@ -212,6 +226,8 @@
             return first
         try:
             return next(self._events)
+        except MovedError as moved:
+            return render_moved(moved, self._generation.request_id)
         except HemlockError as error:
             body = describe_error(error, self._generation.request_id)
             return b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
--- a/hemlockswitch/programs/entry.py
+++ b/hemlockswitch/programs/entry.py
@@ -12,7 +12,6 @@
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
-from gevent.event import Event as Signal
 
 import hemlockswitch
 from hemlockswitch.core.errors import ConfigurationError
@@ -32,7 +31,8 @@
     description = "serve callers: admit, route and relay their requests"
     help = (
         "Reads a JSON settings file and serves until SIGTERM or SIGINT, which let requests in\n"
-        "progress end. Exit codes: 0 stopped gracefully, 2 the settings have mistakes."
+        "progress end or move to another daemon, as a reclaim notice does. Exit codes:\n"
+        "0 stopped gracefully, 2 the settings have mistakes."
     )
     options = [
         option("settings", None, "JSON settings file", flag=False),
@@ -60,14 +60,13 @@
 def serve(settings: EntrySettings) -> None:
     """Serve until the process is told to stop."""
     configure_logs(settings.name, settings.log_level)
-    stopping = Signal()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stopping.set)
     daemon = EntryDaemon.from_settings(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, daemon.departure.request)
     addresses = daemon.start()
     print(json.dumps({"ready": True, "addresses": addresses}), flush=True)
     log_event(Event.PROCESS_READY, addresses=addresses)
-    stopping.wait()
+    daemon.departure.told.wait()
     log_event(Event.PROCESS_STOPPING)
     daemon.stop()
     log_event(Event.PROCESS_STOPPED)
--- a/hemlockswitch/request/admission.py
+++ b/hemlockswitch/request/admission.py
@@ -139,6 +139,19 @@
             raise
         return Permit(ledger, self._capacity.leave, tokens_wanted)
 
+    def readmit(self, account: str, tokens_charged: int) -> Permit:
+        """Admit a request that another daemon had admitted, without a refusal.
+
+        Explanation
+        ===========
+
+        It takes a place and may exceed the allowance until it ends, so that new requests wait
+        for it; of its tokens those beyond `tokens_charged` are charged here when it ends.
+        """
+        ledger = self._find_ledger(account)
+        ledger.start()
+        return Permit(ledger, lambda: None, tokens_charged)
+
     def refresh(self, account: str) -> None:
         """Take note that the allowance of `account` changed just now."""
         if self._allowances.find_allowance(account) is not None:
@@ -278,10 +291,14 @@
             wait_ms = self._tokens.measure_wait_ms(now_ms, tokens)
             missing = (tokens - self._tokens.level) * MS_PER_SECOND / BURST_MS
             return _Refusal(ErrorKind.TOKEN_LIMIT, wait_ms, Shortage(tokens_per_second=missing))
-        self.running += 1
-        self._started_ms.append(now_ms)
+        self.start()
         return None
 
+    def start(self) -> None:
+        """Count one request as in progress."""
+        self.running += 1
+        self._started_ms.append(self._clock.now_ms())
+
     def settle(self, tokens_unused: int, refund_request: bool) -> None:
         """End one request and give back what it did not use."""
         now_ms = self._clock.now_ms()
--- a/hemlockswitch/request/generation.py
+++ b/hemlockswitch/request/generation.py
@@ -101,6 +101,7 @@
     move : set when another backend server is ready to go on.
     trace_parent, attempt_parent : trace headers, the caller's and that of the attempt.
     finish_event : the last event, once the answer is complete.
+    hops : how often another daemon has gone on with it.
     """
 
     request_id: str
@@ -122,6 +123,7 @@
     cause: Cause = Cause.FIRST
     earlier_ids: set[str] = field(default_factory=set)
     first_token_ms: float | None = None
+    hops: int = 0
 
     def begin_attempt(self, server: BackendServer, cause: Cause) -> str:
         """Take a new stream id for an attempt on `server` and return it."""
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -14,6 +14,7 @@
     CallerGoneError,
     Chooser,
     Directory,
+    HandoverRequested,
     MoveReady,
     RelayObserver,
     Running,
@@ -70,6 +71,7 @@
         CallerGoneError : the caller left; the engine was told to stop.
         """
         running = Running(generation, build_need(generation), self._clock.now_ms())
+        running.sent = bool(generation.stream_id)
         self.running[generation.request_id] = running
         if connection is not None:
             connection.watch(lambda: running.stop(CallerGoneError("the caller left")))
@@ -88,11 +90,15 @@
         resume = bool(generation.stream_id)
         while not generation.finish_event:
             self._check_wanted(running)
+            running.hand_over_if_asked()
             try:
                 if not resume:
                     self._begin_attempt(running, cause)
                 yield from self._run_attempt(running, resume)
                 cause, resume = Cause.RECLAIM, False
+            except HandoverRequested:
+                # The engine keeps the stream; whoever goes on reads it from the next position.
+                resume = True
             except AttemptLostError as lost:
                 resume = self._may_resume(running, lost)
                 if not resume:
@@ -185,6 +191,8 @@
             raise
         except MoveReady:
             self._leave(running)
+        except HandoverRequested:
+            raise
         except BaseException:
             self._opener.cancel(server.address, generation.stream_id)
             raise
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -1,10 +1,11 @@
 """A generation while this daemon relays it, and what the relay needs from other layers."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from hemlockswitch.connection.backends import BackendExchange
-from hemlockswitch.core.errors import Ran
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.prefixes import count_tokens, hash_blocks
 from hemlockswitch.request.routing import Need
@@ -19,6 +20,17 @@
     """Wakes a relay whose generation may switch to another backend server."""
 
 
+class HandoverRequested(Exception):  # noqa: N818
+    """Wakes a relay whose generation another daemon is to go on with."""
+
+
+class MovedError(RequestError):
+    """Another daemon owns the generation; the caller comes back for the rest with its id."""
+
+    def __init__(self) -> None:
+        super().__init__(ErrorKind.MOVED, "another daemon goes on with it")
+
+
 class Chooser(Protocol):
     """Who chooses a backend server; the router."""
 
@@ -82,6 +94,7 @@
     base_tokens : tokens that the attempt in progress had to recompute, its prompt aside.
     kv_handle : the KV cache that it began with.
     reads_seen, quiet_since_ms : kept by the sweep that looks for silent streams.
+    hand_over : asked for by `request_handover`; returns whether another daemon owns it now.
     """
 
     generation: Generation
@@ -97,6 +110,18 @@
     kv_handle: str | None = None
     reads_seen: int = -1
     quiet_since_ms: float = 0.0
+    hand_over: Callable[[Generation], bool] | None = None
+
+    def request_handover(self, hand_over: Callable[[Generation], bool]) -> None:
+        """Make the relay call `hand_over` in its own task, between two events."""
+        self.hand_over = hand_over
+        self.interrupt(HandoverRequested())
+
+    def hand_over_if_asked(self) -> None:
+        """Raise `MovedError` when another daemon has taken the generation."""
+        hand_over, self.hand_over = self.hand_over, None
+        if hand_over is not None and hand_over(self.generation):
+            raise MovedError
 
     def stop(self, error: BaseException) -> None:
         """Make the relay raise `error` at its next wait."""
@@ -115,6 +140,8 @@
         self.reads_seen = -1
         if self.stopped is not None:
             self.interrupt(self.stopped)
+        elif self.hand_over is not None:
+            self.interrupt(HandoverRequested())
 
     def state_ran(self) -> Ran:
         """Return what an answer may say of whether the generation ran."""
