--- a/hemlockswitch/process/departure.py
+++ b/hemlockswitch/process/departure.py
@@ -128,7 +128,7 @@
         membership = self._facts.membership
         members = membership.list_members() if membership is not None else []
         return [
-            HandoverMember(member.name, member.zone, member.peer_address)
+            HandoverMember(member.name, member.zone, member.peer_address, not member.is_live)
             for member in members
             if member.caller_address and member.state is not MemberState.DEAD
         ]
--- a/hemlockswitch/process/resuming.py
+++ b/hemlockswitch/process/resuming.py
@@ -139,7 +139,8 @@
         asks = [(member, gevent.spawn(self._find_at, member, question)) for member in members]
         gevent.joinall([task for _, task in asks])
         answers = [(task.value, member) for member, task in asks]
-        silent = {member.name for hops, member in answers if hops is None}
+        # One that was leaving and is silent has most likely gone, with all it had handed over.
+        silent = {member.name for hops, member in answers if hops is None and not member.leaving}
         holders = [(hops, member) for hops, member in answers if hops]
         holders.sort(key=lambda holder: holder[0], reverse=True)
         return holders, silent
--- a/hemlockswitch/process/shares.py
+++ b/hemlockswitch/process/shares.py
@@ -33,17 +33,18 @@
 TICK_MS = 500.0
 RENEW_TIMEOUT_MS = 2_000.0
 WRITERS = 2
-FIRST_GRANT_MS = 2_000.0
+FIRST_GRANT_MS = 3_000.0
 HURRY_MS = 3_000.0
 
 
 @dataclass(frozen=True)
 class ShareMember:
-    """A live daemon that may hold shares."""
+    """A daemon that may hold shares, or generations handed over."""
 
     name: str
     zone: str
     address: str
+    leaving: bool = False
 
 
 class Shares:
@@ -93,7 +94,7 @@
         self._list_members = list_members
         self._counter = 0
         self._leaving = False
-        self._granted = False
+        self._complete = False
         self._started_ms = 0.0
         self._names: frozenset[str] = frozenset()
         self._hurry_until_ms = 0.0
@@ -111,9 +112,23 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether there was a grant, or time enough for one; what is missing can be borrowed."""
-        waited = self._clock.now_ms() - self._started_ms > FIRST_GRANT_MS
-        return self._granted or (bool(self._tasks) and waited)
+        """Whether the even part was granted, or there was time enough to grant it.
+
+        What is missing after that time can be borrowed.
+        """
+        if not self._complete and self._tasks:
+            waited = self._clock.now_ms() - self._started_ms > FIRST_GRANT_MS
+            self._complete = waited or self._has_part()
+        return self._complete
+
+    def _has_part(self) -> bool:
+        divided = self._find_totals()
+        names = sorted(divided.names)
+        return self.book.in_term and all(
+            find_part(total, account, self._name, names).limit(self.book.find_grant(account))
+            == find_part(total, account, self._name, names)
+            for account, total in divided.totals.items()
+        )
 
     def set_use(self, use: AccountUse) -> None:
         """Connect the admission that uses these shares."""
@@ -185,7 +200,6 @@
             return False
         grants, floors = decode_grants(reply.grants), decode_grants(reply.floors)
         self.book.set_grants(grants, floors, sent_ms + TERM_MS)
-        self._granted = True
         return True
 
     def count_needed(self, account: str) -> Units:
--- a/hemlockswitch/request/admission.py
+++ b/hemlockswitch/request/admission.py
@@ -17,6 +17,8 @@
 LONGEST_RETRY_MS = 30_000.0
 SEEK_WAIT_MS = 150.0
 MOST_SEEKS = 6
+MOST_WAITING = 16
+WAIT_MARGIN_MS = 1.0
 
 
 class Permit:
@@ -75,8 +77,8 @@
     Explanation
     ===========
 
-    A request that lacks allowance may wait `seek_wait_ms` while more is sought from other
-    daemons; every other refusal is at once. Refusals are of the closed list, were never sent
+    A request that lacks allowance may wait up to `seek_wait_ms` while more is sought from other
+    daemons or the buckets fill; every other refusal is at once. Refusals are of the closed list, were never sent
     (``ran: no``), and say when the bucket will have enough, jittered upwards so that callers
     do not return together.
 
@@ -186,13 +188,27 @@
         seeks = 0
         while (refusal := ledger.charge(tokens, deadline_ms)) is not None:
             seeks += 1
-            if seeks > MOST_SEEKS or not self._seek(account, refusal.shortage, end_ms):
+            sought = seeks <= MOST_SEEKS and self._seek(account, refusal.shortage, end_ms)
+            if not sought and not self._wait(ledger, refusal, end_ms):
                 break
             ledger = self._find_ledger(account)
         if refusal is None:
             return ledger
         raise refusal.build_error(self._jitter(refusal.wait_ms))
 
+    def _wait(self, ledger: "_Ledger", refusal: "_Refusal", end_ms: float) -> bool:
+        """Wait for the buckets when they have enough very soon; return whether that was so."""
+        now_ms = self._clock.now_ms()
+        by_slots = refusal.kind is ErrorKind.CONCURRENCY_LIMIT
+        if by_slots or now_ms + refusal.wait_ms > end_ms or ledger.waiting >= MOST_WAITING:
+            return False
+        ledger.waiting += 1
+        try:
+            self._clock.sleep_ms(refusal.wait_ms + WAIT_MARGIN_MS)
+        finally:
+            ledger.waiting -= 1
+        return True
+
     def _seek(self, account: str, shortage: Shortage, end_ms: float) -> bool:
         wait_ms = end_ms - self._clock.now_ms()
         return wait_ms > 0 and self._allowances.seek_more(account, shortage, wait_ms)
@@ -233,6 +249,7 @@
     def __init__(self, clock: Clock, allowance: Allowance, starts_full: bool) -> None:
         now_ms = clock.now_ms()
         self.running = 0
+        self.waiting = 0
         self._clock = clock
         self._allowance = allowance
         requests_rate = allowance.requests_per_second
--- a/tests/share_fleet.py
+++ b/tests/share_fleet.py
@@ -33,6 +33,9 @@
     def now_ms(self):
         return self._base.now_ms() * self._rate + self._offset_ms
 
+    def sleep_ms(self, duration_ms):
+        self._base.advance(duration_ms)
+
 
 class FakeStore:
     """Conditional updates; faults: down, or the answers of writes lost."""
