--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -206,6 +206,7 @@
         services: int = 1,
         file: dict[str, Any] | None = None,
         engine_settings: dict[str, Any] | None = None,
+        entry_settings: dict[str, Any] | None = None,
     ) -> "Cluster":
         """Start a whole cluster, apply its file, and return when every entry daemon serves.
 
@@ -230,14 +231,14 @@
             if number <= services:
                 self.register(f"service-{zone}-{number}", zone, SERVICE)
         self.apply(file or make_operator_file(zones))
-        self.launch_entries(zones, entries)
+        self.launch_entries(zones, entries, **(entry_settings or {}))
         return self
 
-    def launch_entries(self, zones: tuple[str, ...], count: int) -> None:
+    def launch_entries(self, zones: tuple[str, ...], count: int, **settings: Any) -> None:
         """Start `count` entry daemons in each zone and wait until all serve."""
         for number in range(1, 1 + count):
             for zone in zones:
-                self.launch_entry(f"entry-{zone}-{number}", zone)
+                self.launch_entry(f"entry-{zone}-{number}", zone, **settings)
         for program in self.list_daemons():
             self.wait_until_serving(program)
 
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -109,6 +109,12 @@
             raise HarnessError(f"{self.name} ended before it was ready:\n{self.read_log()}")
         return None
 
+    def list_events(self, label: str) -> list[dict[str, Any]]:
+        """Return the log's events of one kind."""
+        lines = self.log_file.read_text(errors="replace").splitlines(keepends=True)
+        events = [json.loads(line) for line in lines if line[0] == "{" and line.endswith("\n")]
+        return [event for event in events if event.get("event") == label]
+
     def read_log(self, lines: int = LOG_TAIL_LINES) -> str:
         """Return the end of what the process wrote to standard error."""
         text = self.log_file.read_text(errors="replace")
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -6,12 +6,14 @@
 import secrets
 import sys
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from features.support.calls import ChatStream, Reply
 from features.support.cluster import Cluster
 from features.support.operator_files import MODEL, SERVICE, ZONES
+from features.support.processes import wait_until
 
 TEXT = "please draft a birthday party package for twelve children on Saturday"
 TOKENS = 24
@@ -23,37 +25,57 @@
     return f"00-{secrets.token_hex(16)}-{secrets.token_hex(8)}-01"
 
 
-def describe_identifiers(headers: dict[str, str]) -> str:
-    """Return the request id and the trace that an answer names."""
-    trace = headers.get("traceparent") or headers.get("x-trace-id", "not named")
-    return f"request {headers.get('x-request-id', 'none')}, trace in the answer {trace}"
+def list_spans(cluster: Cluster, trace_id: str) -> list[dict[str, Any]]:
+    """Return the spans of a trace that the entry daemons logged."""
+    logged = [span for item in cluster.list_daemons() for span in item.list_events("span_ended")]
+    return [span for span in logged if span["trace_id"] == trace_id]
+
+
+def has_child(spans: list[dict[str, Any]], parent_id: str) -> bool:
+    """Return whether a span under `parent_id` has ended; it ends after all those below it."""
+    return any(span["parent_id"] == parent_id for span in spans)
+
+
+def show_spans(cluster: Cluster, parent: str) -> None:
+    """Print every hop of a trace."""
+    _, trace_id, caller_span, _ = parent.split("-")
+    print(f"  trace {trace_id}")
+    print(f"  span {caller_span} the caller")
+    wait_until(lambda: has_child(list_spans(cluster, trace_id), caller_span), "the daemon's span")
+    for span in list_spans(cluster, trace_id):
+        print(
+            f"  span {span['span_id']} under {span['parent_id']}: {span['span']}, "
+            f"{span['duration_ms']} ms, by {span['process']}"
+        )
 
 
 def show_chat(cluster: Cluster) -> list[str]:
     """Send one streamed model request; return what is wrong with its answer."""
     parent = make_trace_parent()
     stream: ChatStream = cluster.chat(TEXT, TOKENS, traceparent=parent).read_all()
-    print(f"caller's span {parent}")
-    print(f"model request: {stream.status}, {describe_identifiers(stream.reply_headers)}")
+    print(f"model request: {stream.status}, {stream.reply_headers['x-request-id']}")
     if stream.reply is not None:
         return [f"model request refused: {stream.reply.body!r}"]
     problems = stream.check.list_problems()
     print(f"  {stream.check.tokens} tokens of {TOKENS}, usage {stream.check.usage}")
     for name in list_standins(cluster, "engine"):
         for stream_id, span in cluster.read_stats(name)["trace_parents"].items():
-            print(f"  run by {name} as {stream_id}, span {span}")
+            print(f"  run by {name} as {stream_id}, called under span {span.split('-')[2]}")
+    show_spans(cluster, parent)
     return problems + ([f"connection lost: {stream.lost}"] if stream.lost else [])
 
 
 def show_service_call(cluster: Cluster) -> list[str]:
     """Send one call of the plain service; return what is wrong with its answer."""
     parent = make_trace_parent()
-    reply: Reply = cluster.call_service("/confirmations", CONFIRMATION, traceparent=parent)
-    print(f"caller's span {parent}")
-    print(f"service call: {reply.status}, {describe_identifiers(reply.headers)}")
+    headers = {"Idempotency_Key": "demo-1", "traceparent": parent}
+    reply: Reply = cluster.call_service("/confirmations", CONFIRMATION, **headers)
+    print(f"service call: {reply.status}, {reply.headers['x-request-id']}")
     if reply.status != 200:
         return [f"service call: {reply.status} {reply.body!r}"]
-    print(f"  run by {reply.json['service']}, span {reply.json['traceparent']}")
+    span = reply.json["traceparent"].split("-")[2]
+    print(f"  run by {reply.json['service']}, called under span {span}")
+    show_spans(cluster, parent)
     runs = [cluster.read_stats(name)["runs"] for name in list_standins(cluster, "service")]
     return [] if sum(runs) == 1 else [f"the call ran {sum(runs)} times"]
 
@@ -67,7 +89,7 @@
     """Run the demo and return its exit code."""
     cluster = Cluster()
     try:
-        cluster.build()
+        cluster.build(entry_settings={"traces": "log"})
         print(f"{len(cluster.programs)} processes in zones {', '.join(ZONES)}")
         print(f"revision {cluster.revision} applied: model {MODEL}, service {SERVICE}")
         problems = show_chat(cluster) + show_service_call(cluster)
