--- a/hemlockswitch/process/claim_members.py
+++ b/hemlockswitch/process/claim_members.py
@@ -1,10 +1,18 @@
-"""What the claims know of the other entry daemons."""
+"""The claims of an entry daemon, and what they know of the other daemons."""
 
 from collections.abc import Callable
 
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.claim_routes import ClaimPeer
+from hemlockswitch.process.claim_store import ClaimStore
+from hemlockswitch.process.facts import DaemonSettings, Facts
 from hemlockswitch.process.members import Member, MemberState
 from hemlockswitch.process.membership import Membership
+from hemlockswitch.version.models import Limits
+
+ROLE = "claims"
+CALL_TIMEOUT_MS = 1_000
 
 
 class ClaimMembers:
@@ -44,3 +52,31 @@
     def _list_members(self) -> list[Member]:
         membership = self._find_membership()
         return membership.list_members() if membership is not None else []
+
+
+def build_claims(
+    settings: DaemonSettings,
+    facts: Facts,
+    clock: Clock,
+    find_limits: Callable[[], Limits],
+    count: Callable[[str], None],
+) -> ClaimStore:
+    """Return the claims of an entry daemon, on a platform client of their own.
+
+    Their calls are short and many; a watch that fails must not make them wait.
+    """
+    members = ClaimMembers(settings.name, lambda: facts.membership)
+    platform = PlatformClient(
+        settings.platform, ROLE, settings.name, timeout_ms=CALL_TIMEOUT_MS, clock=clock
+    )
+    return ClaimStore.from_config(
+        settings.name,
+        settings.zone,
+        platform,
+        clock,
+        lambda: find_limits().claim_retention_ms,
+        peers=facts.network,
+        list_peers=members.list_peers,
+        is_gone=members.is_gone,
+        count=count,
+    )
