--- a/hemlockswitch/connection/caller_server.py
+++ b/hemlockswitch/connection/caller_server.py
@@ -160,6 +160,18 @@
         self.caller_timeout_ms = caller_timeout_ms
         self.answering = 0
 
+    def init_socket(self) -> None:
+        """Listen with a bound on what the kernel holds of each caller's answer.
+
+        Explanation
+        ===========
+
+        Accepted sockets inherit the bound. Left to itself the kernel takes megabytes, and a
+        caller that never reads is noticed only when its whole answer lies there.
+        """
+        super().init_socket()
+        self.socket.setsockopt(system_socket.SOL_SOCKET, system_socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
     @property
     def bound_address(self) -> str:
         """The ``ip:port`` that it listens on."""
