--- a/hemlockswitch/connection/backends.py
+++ b/hemlockswitch/connection/backends.py
@@ -241,7 +241,8 @@
         try:
             self._parser.feed(data)
         except HTTPParseError as error:
-            raise ExchangeError(self._stage, f"not HTTP: {error}") from error
+            what = f"not HTTP: {error}" if data else "the connection was closed"
+            raise ExchangeError(self._stage, what) from error
         return bool(data)
 
     @property
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -1,7 +1,7 @@
 """Calls of plain services: repeated only where that is safe, and stated honestly where not."""
 
 import hashlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -15,6 +15,7 @@
 from hemlockswitch.connection.callers import CallerAnswer, CallerRequest
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.request.claims import StoredAnswer
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Need
 from hemlockswitch.request.running import Chooser, Directory
@@ -28,21 +29,12 @@
 JSON_TYPE = "application/json"
 
 
-@dataclass(frozen=True)
-class ServiceAnswer:
-    """A service's whole answer, as a caller gets it and a claim keeps it."""
-
-    status: int
-    headers: Mapping[str, str]
-    body: bytes
-
-
 class Claims(Protocol):
     """Who makes sure that a key's call is dispatched once in the whole system."""
 
     def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], ServiceAnswer]
-    ) -> ServiceAnswer:
+        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
+    ) -> StoredAnswer:
         """Return the key's answer, from `dispatch` or from an earlier call."""
 
 
@@ -50,8 +42,8 @@
     """Refuses every key, for a daemon that has nowhere to keep claims."""
 
     def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], ServiceAnswer]
-    ) -> ServiceAnswer:
+        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
+    ) -> StoredAnswer:
         """Refuse; nothing was run."""
         raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "no place to keep the key's claim")
 
@@ -169,7 +161,7 @@
         operation: Operation,
         path: str,
         deadline_ms: float,
-    ) -> ServiceAnswer:
+    ) -> StoredAnswer:
         progress = _Progress(excluded=set())
         while True:
             self._check_deadline(progress, deadline_ms)
@@ -249,7 +241,7 @@
             raise RequestError(kind, failure.detail, ran=Ran.UNKNOWN) from failure
 
     @staticmethod
-    def _give_up(progress: _Progress) -> ServiceAnswer:
+    def _give_up(progress: _Progress) -> StoredAnswer:
         """Return the last answer of a server, or say that there is none."""
         if progress.last is not None:
             return _keep(progress.last)
@@ -267,9 +259,9 @@
         super().__init__(Stage.DURING_ANSWER, detail)
 
 
-def _keep(answer: BackendAnswer) -> ServiceAnswer:
+def _keep(answer: BackendAnswer) -> StoredAnswer:
     headers = {name: answer.headers[name] for name in PASSED_TO_CALLER if name in answer.headers}
-    return ServiceAnswer(answer.status, headers, answer.body)
+    return StoredAnswer(answer.status, headers, answer.body)
 
 
 def fingerprint_call(request: CallerRequest, service: str, path: str) -> str:
