--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -12,6 +12,7 @@
 from hemlockswitch.core.clock import Clock, SystemClock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.claim_members import build_claims
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.polling import PlatformPoll
@@ -28,11 +29,12 @@
 from hemlockswitch.request.relay import Relay
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Router, TargetTraits
-from hemlockswitch.request.service_call import NoClaims, ServiceCaller
+from hemlockswitch.request.service_call import ServiceCaller
 from hemlockswitch.version.models import Limits, OperatorFile
 from hemlockswitch.version.settings import EntrySettings, split_address
 
 STOP_STEP_MS = 20.0
+CLAIM_FLUSH_MS = 3_000.0
 
 
 class EntryDaemon:
@@ -103,8 +105,12 @@
         )
         self.directory.add_leaving_listener(self.mover.leave)
         self.sweep = OverdueSweep(self.relay, self.clock)
+        self.claims = build_claims(
+            self.settings, self.facts, self.clock, self._find_limits, self.metrics.count_claim
+        )
+        self.status.add("claims", self.claims.describe)
         self.services = ServiceCaller(
-            self.router, self.directory, client, self.budget, self.clock, reports, NoClaims()
+            self.router, self.directory, client, self.budget, self.clock, reports, self.claims
         )
         allowances = FixedAllowances(self._find_file, lambda: 1)
         self.admission = Admission(allowances, self.clock, CapacityQueue(self.clock))
@@ -170,11 +176,15 @@
         until_ms = self.clock.now_ms() + self.settings.stop_grace_ms
         while self.callers.answering and self.clock.now_ms() < until_ms:
             self.clock.sleep_ms(STOP_STEP_MS)
+        self.claims.flush(CLAIM_FLUSH_MS)
         gevent.killall(self._tasks)
         self.facts.stop()
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
+    def _find_limits(self) -> Limits:
+        return self.file.limits if self.file else Limits()
+
     def _find_file(self) -> OperatorFile:
         assert self.file is not None
         return self.file
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -1,7 +1,5 @@
 """Calls of plain services: repeated only where that is safe, and stated honestly where not."""
 
-import hashlib
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -15,7 +13,7 @@
 from hemlockswitch.connection.callers import CallerAnswer, CallerRequest
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
-from hemlockswitch.request.claims import StoredAnswer
+from hemlockswitch.request.claims import Claims, StoredAnswer, fingerprint_call
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Need
 from hemlockswitch.request.running import Chooser, Directory
@@ -29,25 +27,6 @@
 JSON_TYPE = "application/json"
 
 
-class Claims(Protocol):
-    """Who makes sure that a key's call is dispatched once in the whole system."""
-
-    def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
-    ) -> StoredAnswer:
-        """Return the key's answer, from `dispatch` or from an earlier call."""
-
-
-class NoClaims:
-    """Refuses every key, for a daemon that has nowhere to keep claims."""
-
-    def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
-    ) -> StoredAnswer:
-        """Refuse; nothing was run."""
-        raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "no place to keep the key's claim")
-
-
 class ServiceObserver(Protocol):
     """Who hears of dispatches."""
 
@@ -147,7 +126,7 @@
             answer = self._claims.run_once(
                 account,
                 key,
-                fingerprint_call(request, service.name, path),
+                fingerprint_call(request.method, service.name, path, request.query, request.body),
                 lambda: self._dispatch(request, service, operation, path, deadline_ms),
             )
         headers = {name: value for name, value in answer.headers.items() if name != "content-type"}
@@ -262,12 +241,3 @@
 def _keep(answer: BackendAnswer) -> StoredAnswer:
     headers = {name: answer.headers[name] for name in PASSED_TO_CALLER if name in answer.headers}
     return StoredAnswer(answer.status, headers, answer.body)
-
-
-def fingerprint_call(request: CallerRequest, service: str, path: str) -> str:
-    """Return a hash of what the call asks for; the same key with another one is a conflict."""
-    digest = hashlib.sha256()
-    for part in (request.method, service, path, request.query):
-        digest.update(part.encode("utf-8", "surrogateescape") + b"\0")
-    digest.update(request.body)
-    return digest.hexdigest()
