--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -123,6 +123,12 @@
         self._sweeper = gevent.spawn(self._sweep)
         return self.address
 
+    @property
+    def bound_address(self) -> str:
+        """Where it listens, once started; peers may use another address to get here."""
+        assert self._server is not None
+        return f"{self._listen[0]}:{self._server.server_port}"
+
     def stop(self) -> None:
         """Close every stream and stop listening."""
         self._stopped = True
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -75,6 +75,9 @@
             self.settings.platform, self.settings.name, self.clock, self.use_file
         )
         self.status.add("revision", lambda: self.revision)
+        self.status.add("members", self.facts.describe_members)
+        self.status.add("backend_servers", self.facts.describe_backends)
+        self.status.add("leaving", lambda: sorted(self.directory.list_leaving()))
         self.status.add("zone", lambda: self.settings.zone)
         self.status.add("name", lambda: self.settings.name)
 
@@ -121,6 +124,7 @@
         self.metrics.revision.set(number)
         self.budget.set_ratio(file.limits.retry_ratio)
         self.directory.set_draining(file.draining)
+        self.facts.loads.set_models(model.name for model in file.models)
         self.router.queue_length = file.limits.queue_length
         self.serving.use_configuration(file)
 
--- a/hemlockswitch/process/facts.py
+++ b/hemlockswitch/process/facts.py
@@ -31,6 +31,7 @@
     zone: str
     region: str
     peer_listen: str
+    peer_advertise: str | None
     platform: str
     seeds: tuple[str, ...]
 
@@ -89,7 +90,13 @@
     @classmethod
     def from_settings(cls, settings: DaemonSettings, role: str, clock: Clock) -> Self:
         """Return the facts of a daemon with a board, a network and a client of its own."""
-        network = PeerNetwork(CLUSTER, settings.name, settings.peer_listen, clock=clock)
+        network = PeerNetwork(
+            CLUSTER,
+            settings.name,
+            settings.peer_listen,
+            advertise=settings.peer_advertise or "",
+            clock=clock,
+        )
         platform = PlatformClient.from_settings(settings, role)
         return cls(settings, NewsBoard(), network, platform, clock)
 
@@ -98,7 +105,7 @@
         return self.membership.list_names() if self.membership else [self._settings.name]
 
     def start(self, caller_address: str, spawn: Callable[[str, Callable[[], None]], None]) -> str:
-        """Open the peer network, join the others, start the tasks; return the peer address.
+        """Open the peer network, join the others, start the tasks; return where it listens.
 
         Parameters
         ==========
@@ -120,7 +127,27 @@
         spawn("notice checks", self.feed.run_checks)
         spawn("loads", self.loads.run)
         spawn("zone questions", self._run_questions)
-        return address
+        return self.network.bound_address
+
+    def describe_members(self) -> list[dict[str, str]]:
+        """Return the known daemons for the status page."""
+        members = self.membership.list_members() if self.membership else []
+        return [
+            {"name": one.name, "zone": one.zone, "state": one.state.name.lower()} for one in members
+        ]
+
+    def describe_backends(self) -> list[dict[str, object]]:
+        """Return the backend servers in use for the status page."""
+        return [
+            {
+                "name": server.name,
+                "zone": server.zone,
+                "serves": server.serves,
+                "in_flight": self.directory.count_in_flight(server.name),
+                "draining": server.name in self.directory.list_draining(),
+            }
+            for server in self.directory.list_used()
+        ]
 
     def stop(self) -> None:
         """Tell the others that this daemon has gone, and close its peer streams."""
--- a/hemlockswitch/process/watchers.py
+++ b/hemlockswitch/process/watchers.py
@@ -9,6 +9,7 @@
 dead watchers do not hide a notice until they are found dead.
 """
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -25,10 +26,12 @@
 
 FEED_PREFIX = "feed/"
 WATCHERS = 2
-NOTICE_WAIT_MS = 2_000
+SUBSTITUTES = 2
+NOTICE_WAIT_MS = 1_000
 POINTER_WAIT_MS = 5_000
 FEED_INTERVAL_MS = 1_000
 FEED_SILENCE_MS = 2_000
+ANSWER_MARGIN_MS = 500
 IDLE_CHECK_MS = 250
 FIRST_RETRY_MS = 250
 MAX_RETRY_MS = 4_000
@@ -48,7 +51,7 @@
         """Return the objects of `kind` changed since a version, waiting for the first."""
 
 
-def is_watcher(own_name: str, zone: str, members: Sequence[str]) -> bool:
+def is_watcher(own_name: str, zone: str, members: Sequence[str], count: int = WATCHERS) -> bool:
     """Return whether this daemon is among those that ask the platform for its zone.
 
     Examples
@@ -58,7 +61,7 @@
     True
     """
     names = {*members, own_name}
-    return own_name in rank_rendezvous(zone, names)[:WATCHERS]
+    return own_name in rank_rendezvous(zone, names)[:count]
 
 
 @dataclass(frozen=True)
@@ -69,9 +72,9 @@
     zone: str
     members: Callable[[], list[str]]
 
-    def is_watcher(self) -> bool:
-        """Return whether this daemon asks the platform now."""
-        return is_watcher(self.own_name, self.zone, self.members())
+    def is_watcher(self, count: int = WATCHERS) -> bool:
+        """Return whether this daemon is among the first `count`, which ask the platform now."""
+        return is_watcher(self.own_name, self.zone, self.members(), count)
 
 
 class Watcher:
@@ -172,7 +175,7 @@
     the boards' digests.
 
     A daemon that is no watcher asks by itself when the signs stop. When the watchers say that
-    the platform does not answer them, about as many others try as there are watchers.
+    the platform does not answer them, the next ones of the order ask as well.
     """
 
     def __init__(self, platform: Platform, post: Post, board: NewsBoard, clock: Clock) -> None:
@@ -197,6 +200,7 @@
         try:
             page = self._platform.watch_notices(self._post.zone, self._number, wait_ms)
         except HemlockError:
+            self._answered_ms = -math.inf
             self._sign()
             raise
         self._answered_ms = self._clock.now_ms()
@@ -221,9 +225,7 @@
             self.check()
 
     def _is_substitute(self) -> bool:
-        if self._watchers_answered:
-            return False
-        return random.random() * len(self._post.members()) < WATCHERS
+        return not self._watchers_answered and self._post.is_watcher(WATCHERS + SUBSTITUTES)
 
     def _ask_once(self) -> None:
         try:
@@ -234,7 +236,7 @@
     def _sign(self) -> None:
         known = self._board.find(self._key)
         version = max(self._clock.wall_ms(), known.version + 1 if known else 0)
-        answered = self._clock.now_ms() - self._answered_ms <= NOTICE_WAIT_MS + FEED_SILENCE_MS
+        answered = self._clock.now_ms() - self._answered_ms <= NOTICE_WAIT_MS + ANSWER_MARGIN_MS
         value = {"number": self._number, "answered": answered}
         self._board.learn(NewsItem(self._key, version, value, tombstone=True))
 
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -5,7 +5,7 @@
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.core.identifiers import rank_rendezvous
-from hemlockswitch.process.news import NewsBoard
+from hemlockswitch.process.news import NewsBoard, NewsItem
 from hemlockswitch.process.watchers import (
     FEED_SILENCE_MS,
     GONE_AFTER_MS,
@@ -94,12 +94,19 @@
 def test_a_watcher_with_the_platform_down_still_signs(clock):
     platform, board, feed = make_feed(clock, WATCHING[1])
     platform.is_down = True
-    clock.advance(60_000)
     with pytest.raises(PlatformError):
         feed.ask()
     assert board.find(f"feed/{ZONE}").value["answered"] is False
 
 
+def test_the_next_daemons_ask_when_the_watchers_get_no_answer(clock):
+    platform, board, feed = make_feed(clock, RESTING)
+    sign = NewsItem(f"feed/{ZONE}", 1, {"number": 0, "answered": False}, tombstone=True)
+    board.learn(sign)
+    feed.check()
+    assert platform.asked == 1
+
+
 def test_a_vm_counts_as_gone_only_after_it_was_missing_for_long(clock):
     platform, board = FakePlatform(), NewsBoard()
     vms = VmList(platform, ZONE, board, clock)
