--- a/hemlockswitch/process/backends.py
+++ b/hemlockswitch/process/backends.py
@@ -293,6 +293,7 @@
             server,
             own_requests=len(load.tickets),
             other_requests=others.requests,
+            reported_requests=report.running + report.waiting if report else 0,
             prefill_tokens=load.own_prefill_tokens + others.prefill_tokens,
             slots=report.slots if report else 0,
             prefill_tokens_per_s=report.prefill_tokens_per_s if report else 4_000.0,
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -142,7 +142,6 @@
         self.metrics.revision.set(number)
         self.budget.set_ratio(file.limits.retry_ratio)
         self.directory.set_draining(file.draining)
-        self.facts.loads.set_models(model.name for model in file.models)
         self.router.queue_length = file.limits.queue_length
         self.serving.use_configuration(file)
 
--- a/hemlockswitch/process/load_polls.py
+++ b/hemlockswitch/process/load_polls.py
@@ -1,7 +1,6 @@
 """Tasks that read the reported load of the backend servers that this daemon uses."""
 
 import random
-from collections.abc import Iterable
 
 import gevent
 
@@ -17,12 +16,7 @@
 
 
 class LoadPolls:
-    """Keeps one polling task for each model engine in use.
-
-    Explanation
-    ===========
-
-    Plain services are not asked: to them it would be one more call to run.
+    """Keeps one polling task for each server in use.
 
     Parameters
     ==========
@@ -38,13 +32,8 @@
         self._directory = directory
         self._clock = clock
         self._interval_ms = interval_ms
-        self._models: frozenset[str] = frozenset()
         self._tasks: dict[str, gevent.Greenlet] = {}
 
-    def set_models(self, names: Iterable[str]) -> None:
-        """Ask the servers of these models, which the configuration in force names."""
-        self._models = frozenset(names)
-
     def run(self) -> None:
         """Start and end polling tasks for ever, as servers come and go."""
         while True:
@@ -54,8 +43,7 @@
 
     def follow(self) -> None:
         """Start and end polling tasks once."""
-        servers = self._directory.list_used()
-        used = {server.name: server for server in servers if server.serves in self._models}
+        used = {server.name: server for server in self._directory.list_used()}
         for name in set(self._tasks) - set(used):
             self._tasks.pop(name).kill(block=False)
         for name in set(used) - set(self._tasks):
--- a/hemlockswitch/request/choices.py
+++ b/hemlockswitch/request/choices.py
@@ -21,12 +21,14 @@
     first_token_ms : predicted time to the first token.
     requests : estimate of all requests in progress there.
     uncached_tokens : prompt tokens that it would have to compute.
+    reported_requests : requests in progress there as it last said itself.
     """
 
     server: BackendServer
     first_token_ms: float
     requests: float
     uncached_tokens: int
+    reported_requests: int = 0
 
 
 class Wanted(Protocol):
--- a/hemlockswitch/request/routing.py
+++ b/hemlockswitch/request/routing.py
@@ -10,6 +10,7 @@
 from hemlockswitch.request.prefixes import PrefixMemory
 from hemlockswitch.version.backend import BackendServer
 
+DEFAULT_CHOICE: Choice = PredictedTime()
 PATIENCE_BY_PRIORITY = (6.0, 4.0, 2.0)
 OVERFLOW_SHARE = 0.5
 RETRY_SPREAD = 0.25
@@ -66,6 +67,7 @@
     server : the backend server.
     own_requests : requests of this daemon in progress there.
     other_requests : estimate of the requests of all others there.
+    reported_requests : all requests as the server last said.
     prefill_tokens : estimate of the prompt tokens that it has still to compute.
     slots : requests that it works on at once; 0 when it did not say.
     prefill_tokens_per_s : speed of computing prompt tokens.
@@ -76,6 +78,7 @@
     server: BackendServer
     own_requests: int = 0
     other_requests: float = 0.0
+    reported_requests: int = 0
     prefill_tokens: float = 0.0
     slots: int = 0
     prefill_tokens_per_s: float = 4_000.0
@@ -123,7 +126,7 @@
         self._source = source
         self._find_traits = find_traits
         self.queue_length = queue_length
-        self._choice = choice or PredictedTime()
+        self._choice = choice or DEFAULT_CHOICE
         self._await_facts = await_facts
         self._chance = chance or random.Random()
         self.memory = PrefixMemory()
@@ -174,6 +177,7 @@
             server=candidate.server,
             first_token_ms=predict_first_token_ms(candidate, uncached, traits.slots),
             requests=candidate.own_requests + candidate.other_requests,
+            reported_requests=candidate.reported_requests,
             uncached_tokens=uncached,
         )
 
--- a/hemlockswitch/standin/batch.py
+++ b/hemlockswitch/standin/batch.py
@@ -126,6 +126,7 @@
         self.frozen_until_ms = 0.0
         self.tokens_produced = 0
         self.recomputed_tokens = 0
+        self.prefilled_tokens = 0
         self.cancelled: list[str] = []
 
     @property
@@ -219,6 +220,7 @@
         stream.cached_tokens = self._cache.count_cached_tokens(stream.prefixes)
         known = max(stream.cached_tokens, stream.carried_tokens)
         stream.prefill_left = max(stream.prompt_tokens + stream.start - known, 0)
+        self.prefilled_tokens += int(stream.prefill_left)
         if stream.start > 0:
             stream.recomputed_tokens = int(stream.prefill_left)
             self.recomputed_tokens += stream.recomputed_tokens
--- a/hemlockswitch/standin/engine.py
+++ b/hemlockswitch/standin/engine.py
@@ -224,6 +224,7 @@
             **counts,
             "name": self.settings.name,
             "recomputed_tokens": self.batch.recomputed_tokens,
+            "prefilled_tokens": self.batch.prefilled_tokens,
             "tokens_produced": self.batch.tokens_produced,
             "cancelled": self.batch.cancelled,
             "kv_exported": self.kv.exported,
--- /dev/null
+++ b/tools/routing_baselines.py
@@ -0,0 +1,67 @@
+"""The rules of choice that the router's own is measured against."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from hemlockswitch.request.choices import Choice, PredictedTime, Scored, Wanted, find_home, pick
+
+
+@dataclass(frozen=True)
+class RandomChoice(Choice):
+    """Any server."""
+
+
+@dataclass(frozen=True)
+class LeastReported(Choice):
+    """The server that last reported the fewest requests."""
+
+
+@dataclass(frozen=True)
+class TwoChoices(Choice):
+    """The less busy of two servers drawn at random, by the same estimate as the router's."""
+
+
+@dataclass(frozen=True)
+class AffinityOnly(Choice):
+    """The home of the prompt's leading blocks, however busy."""
+
+    affinity_blocks: int = 8
+
+
+CHOICES: dict[str, Choice] = {
+    "predicted": PredictedTime(),
+    "random": RandomChoice(),
+    "least_reported": LeastReported(),
+    "two_choices": TwoChoices(),
+    "affinity": AffinityOnly(),
+}
+
+
+@pick.register
+def _(
+    choice: RandomChoice, scored: Sequence[Scored], wanted: Wanted, chance: random.Random
+) -> Scored:
+    return chance.choice(scored)
+
+
+@pick.register
+def _(
+    choice: LeastReported, scored: Sequence[Scored], wanted: Wanted, chance: random.Random
+) -> Scored:
+    return min(scored, key=lambda one: (one.reported_requests, chance.random()))
+
+
+@pick.register
+def _(
+    choice: TwoChoices, scored: Sequence[Scored], wanted: Wanted, chance: random.Random
+) -> Scored:
+    drawn = chance.sample(list(scored), min(2, len(scored)))
+    return min(drawn, key=lambda one: one.requests)
+
+
+@pick.register
+def _(
+    choice: AffinityOnly, scored: Sequence[Scored], wanted: Wanted, chance: random.Random
+) -> Scored:
+    return find_home(scored, wanted, choice.affinity_blocks)
--- /dev/null
+++ b/tools/routing_entry.py
@@ -0,0 +1,24 @@
+"""``hemlock-entry`` with another rule of choice: ``--choice NAME`` before its own options."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys
+
+from hemlockswitch.programs.entry import main
+from hemlockswitch.request import routing
+from tools.routing_baselines import CHOICES
+
+
+def take_choice(arguments: list[str]) -> str:
+    """Remove ``--choice NAME`` from the arguments and return the name."""
+    place = arguments.index("--choice")
+    name = arguments[place + 1]
+    del arguments[place : place + 2]
+    return name
+
+
+if __name__ == "__main__":
+    routing.DEFAULT_CHOICE = CHOICES[take_choice(sys.argv)]
+    sys.exit(main())
