--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -79,6 +79,9 @@
             self.settings.platform, self.settings.name, self.clock, self.use_file
         )
         self.status.add("revision", lambda: self.revision)
+        self.status.add("members", self.facts.describe_members)
+        self.status.add("backend_servers", self.facts.describe_backends)
+        self.status.add("leaving", lambda: sorted(self.directory.list_leaving()))
         self.status.add("zone", lambda: self.settings.zone)
         self.status.add("name", lambda: self.settings.name)
 
