Announce large news and fetch them once; probe every two seconds

Cause: at the target size every item went 3.4 to 3.8 times over the links of each daemon, and heartbeats each second cost 1.65 KB/s with TCP and IP headers, of 2 KB/s allowed.

Weighed, measured at 8 and 16 daemons with items of 300 bytes: whole items over every link (3.4 and 3.8 copies at each daemon, 22 and 36 ms to reach all), a broadcast tree grown by pruning duplicates (1.2 and 1.3 copies, 123 and 156 ms: pruned links are missed at first and grafted after a wait), and announcing to every link and fetching once (0.9 and 0.9 copies, 23 and 44 ms). The last needs no state of a tree and was chosen; small items still go whole.

Change: Have and Retrievals; period_ms 1,000 to 2,000, so that the bound for detection is 8 s.

--- a/hemlockswitch/process/membership.py
+++ b/hemlockswitch/process/membership.py
@@ -16,14 +16,13 @@
 from hemlockswitch.process.members import MEMBER_PREFIX, Member, MemberState
 from hemlockswitch.process.news import NewsBoard, NewsItem
 from hemlockswitch.process.overlay import Links, choose_links
-from hemlockswitch.process.probes import Prober, ProbeTimes
+from hemlockswitch.process.probes import SWEEP_MS, Prober, ProbeTimes
 from hemlockswitch.process.spread import Spread
 
 __all__ = ["Member", "MemberState", "Membership", "ProbeTimes"]
 
 MemberListener = Callable[[Member], None]
 
-SWEEP_MS = 500
 FIRST_JOIN_MS = 200
 LONGEST_JOIN_MS = 5_000
 DISCOVERY_MS = 30_000
--- /dev/null
+++ b/hemlockswitch/process/news_messages.py
@@ -0,0 +1,120 @@
+"""The messages in which daemons pass news on, and the bounds of doing so."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from hemlockswitch.connection.messages import register_message
+from hemlockswitch.process.news import NewsItem
+
+
+@register_message("news")
+@dataclass(frozen=True)
+class News:
+    """Items as rows of key, version, value and whether it is a tombstone."""
+
+    items: list[list[Any]]
+
+
+@register_message("have")
+@dataclass(frozen=True)
+class Have:
+    """Announces large items that the sender holds, as rows of key and version."""
+
+    held: list[list[Any]]
+
+
+@register_message("fetch")
+@dataclass(frozen=True)
+class Fetch:
+    """Asks for the items with these keys."""
+
+    keys: list[str]
+
+
+@register_message("compare")
+@dataclass(frozen=True)
+class Compare:
+    """Asks what the receiver holds in the buckets that differ from the sender's."""
+
+    zone: str
+    buckets: bytes
+
+
+@register_message("difference")
+@dataclass(frozen=True)
+class Difference:
+    """The buckets compared, and rows of key, version and tombstone for what is held in them."""
+
+    buckets: list[int]
+    held: list[list[Any]]
+
+
+@dataclass(frozen=True)
+class SpreadBounds:
+    """Bounds of the spreading of news.
+
+    Parameters
+    ==========
+
+    batch_ms : a new item waits this long for others to go along with it.
+    batch_bytes : most bytes in one message of items.
+    eager_bytes : a larger item is announced, and fetched once by each daemon that lacks it.
+    item_bytes : a larger item is not passed on.
+    held_rows : most rows in one `Difference`.
+    fetch_keys : most keys in one `Fetch`.
+    ask_timeout_ms : how long a daemon waits for each reply.
+    tombstone_ms : how long a tombstone is kept; longer than a cut that must heal by itself.
+    """
+
+    batch_ms: int = 10
+    batch_bytes: int = 65_536
+    eager_bytes: int = 128
+    item_bytes: int = 524_288
+    held_rows: int = 4_000
+    fetch_keys: int = 500
+    ask_timeout_ms: int = 2_000
+    tombstone_ms: int = 7_200_000
+
+
+@dataclass(frozen=True)
+class Row:
+    """An item ready to be sent, with its size."""
+
+    content: list[Any]
+    size_bytes: int
+
+    @classmethod
+    def from_item(cls, item: NewsItem) -> "Row":
+        """Return the row of an item.
+
+        Examples
+        ========
+
+        >>> Row.from_item(NewsItem("revision", 3, "")).content
+        ['revision', 3, '', False]
+        """
+        content = [item.key, item.version, item.value, item.tombstone]
+        return cls(content, len(msgpack.packb(content)))
+
+
+def cut_rows(rows: list[Row], batch_bytes: int) -> list[list[Any]]:
+    """Return the rows' contents in batches of at most `batch_bytes`, a larger row by itself.
+
+    Examples
+    ========
+
+    >>> rows = [Row(["a"], 40), Row(["b"], 40), Row(["c"], 40)]
+    >>> cut_rows(rows, 90)
+    [[['a'], ['b']], [['c']]]
+    """
+    batches: list[list[Any]] = []
+    size_bytes = 0
+    for row in rows:
+        size_bytes += row.size_bytes
+        if not batches or size_bytes > batch_bytes:
+            batches.append([])
+            size_bytes = row.size_bytes
+        batches[-1].append(row.content)
+    return batches
--- a/hemlockswitch/process/probes.py
+++ b/hemlockswitch/process/probes.py
@@ -13,6 +13,11 @@
 from hemlockswitch.process.members import Member
 from hemlockswitch.process.spread import Spread
 
+SWEEP_MS = 500
+HELPERS = 3
+SAMPLE = 3
+PAUSE_FACTOR = 2
+
 
 @register_message("probe")
 @dataclass(frozen=True)
@@ -63,7 +68,7 @@
     retry_dead_ms : how often a dead member is tried again.
     """
 
-    period_ms: float = 1_000
+    period_ms: float = 2_000
     direct_ms: float = 500
     indirect_ms: float = 1_000
     suspicion_ms: float = 3_000
@@ -72,13 +77,8 @@
     @property
     def detection_ms(self) -> float:
         """Longest time from a daemon's end until those that probe it call it dead."""
-        sweep_ms = self.period_ms
-        return self.period_ms + self.direct_ms + self.indirect_ms + self.suspicion_ms + sweep_ms
-
-
-HELPERS = 3
-SAMPLE = 3
-PAUSE_FACTOR = 2
+        probing_ms = self.period_ms + 2 * self.direct_ms + self.indirect_ms
+        return probing_ms + self.suspicion_ms + 2 * SWEEP_MS
 
 
 class Prober:
--- a/hemlockswitch/process/spread.py
+++ b/hemlockswitch/process/spread.py
@@ -3,14 +3,11 @@
 import contextlib
 import struct
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Any
 
 import gevent
-import msgpack
 from gevent.event import Event as Signal
 
-from hemlockswitch.connection.messages import register_message
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, PeerError
@@ -19,65 +16,19 @@
 from hemlockswitch.process.digests import Digest, choose_bucket, list_different
 from hemlockswitch.process.members import Member
 from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.news_messages import (
+    Compare,
+    Difference,
+    Fetch,
+    Have,
+    News,
+    Row,
+    SpreadBounds,
+    cut_rows,
+)
+from hemlockswitch.process.retrieval import Retrievals
 
-
-@register_message("news")
-@dataclass(frozen=True)
-class News:
-    """Items as rows of key, version, value and whether it is a tombstone."""
-
-    items: list[list[Any]]
-
-
-@register_message("compare")
-@dataclass(frozen=True)
-class Compare:
-    """Asks what the receiver holds in the buckets that differ from the sender's."""
-
-    zone: str
-    buckets: bytes
-
-
-@register_message("difference")
-@dataclass(frozen=True)
-class Difference:
-    """The buckets compared, and rows of key, version and tombstone for what is held in them."""
-
-    buckets: list[int]
-    held: list[list[Any]]
-
-
-@register_message("fetch")
-@dataclass(frozen=True)
-class Fetch:
-    """Asks for the items with these keys."""
-
-    keys: list[str]
-
-
-@dataclass(frozen=True)
-class SpreadBounds:
-    """Bounds of the spreading of news.
-
-    Parameters
-    ==========
-
-    batch_ms : a new item waits this long for others to go along with it.
-    batch_bytes : most bytes in one message of items.
-    item_bytes : a larger item is not passed on.
-    held_rows : most rows in one `Difference`.
-    fetch_keys : most keys in one `Fetch`.
-    ask_timeout_ms : how long a repair waits for each reply.
-    tombstone_ms : how long a tombstone is kept; longer than a cut that must heal by itself.
-    """
-
-    batch_ms: int = 10
-    batch_bytes: int = 65_536
-    item_bytes: int = 524_288
-    held_rows: int = 4_000
-    fetch_keys: int = 500
-    ask_timeout_ms: int = 2_000
-    tombstone_ms: int = 7_200_000
+__all__ = ["Spread", "SpreadBounds"]
 
 
 class Spread:
@@ -88,6 +39,8 @@
 
     An item that is new to the board goes at once to every neighbour but the one it came from,
     together with what else became new within `batch_ms`; only the newest version of a key waits.
+    A large item is announced instead, and each daemon that lacks it fetches it once.
+
     A heartbeat carries a digest; when it differs from a peer's twice running, the two boards are
     compared by buckets and both sides get what they lack. So a lost message or a healed cut costs
     about what differs.
@@ -128,6 +81,7 @@
         self._repairing: set[str] = set()
         self._tombstones: dict[str, float] = {}
         self._task: gevent.Greenlet | None = None
+        self._retrievals = Retrievals(network, self._bounds, self._lacks, self._receive_news)
         for item in board.list_items():
             self._count(item)
         board.add_listener("", self._count)
@@ -176,15 +130,22 @@
         PeerError : the peer did not answer.
         """
         self.repairs += 1
-        timeout_ms = self._bounds.ask_timeout_ms
         compare = Compare(self._zone if zone == self._zone else "", self._pack_buckets(zone))
-        difference = self._network.ask(address, compare, timeout_ms)
+        difference = self._network.ask(address, compare, self._bounds.ask_timeout_ms)
         held = {key: (version, tombstone) for key, version, tombstone in difference.held}
-        self._send_missing(address, zone, held, set(difference.buckets))
+        missing = self._list_missing(zone, held, set(difference.buckets))
+        self._send_items(address, self._make_rows(missing))
         wanted = [key for key, (version, gone) in held.items() if self._lacks(key, version, gone)]
-        for start in range(0, len(wanted), self._bounds.fetch_keys):
-            keys = wanted[start : start + self._bounds.fetch_keys]
-            self._receive_news(address, self._network.ask(address, Fetch(keys), timeout_ms))
+        self._retrievals.fetch(address, wanted)
+
+    def forget_tombstones(self) -> None:
+        """Drop the tombstones that have been kept long enough; the oldest stand first."""
+        oldest_ms = self._clock.now_ms() - self._bounds.tombstone_ms
+        for key, learned_ms in list(self._tombstones.items()):
+            if learned_ms > oldest_ms:
+                break
+            del self._tombstones[key]
+            self._board.forget(key)
 
     def _repair_quietly(self, address: str, zone: str) -> None:
         self._repairing.add(address)
@@ -196,25 +157,23 @@
     def _pack_buckets(self, zone: str) -> bytes:
         return self._everywhere.pack_buckets([self._in_zone] if zone == self._zone else [])
 
-    def _lacks(self, key: str, version: int, tombstone: bool) -> bool:
+    def _lacks(self, key: str, version: int, tombstone: bool = False) -> bool:
         known = self._board.find(key)
         return not tombstone if known is None else known.version < version
 
-    def _send_missing(
-        self, address: str, zone: str, held: dict[str, Any], buckets: set[int]
-    ) -> None:
+    def _list_missing(self, zone: str, held: dict[str, Any], buckets: set[int]) -> list[NewsItem]:
+        """Return the items in `buckets` of which a peer that holds `held` lacks our version."""
         missing = []
         for item in self._list_shared(zone):
-            if choose_bucket(item.key) not in buckets:
-                continue
             version, _ = held.get(item.key, (-1, False))
-            lacks = item.version > version and not (item.tombstone and version < 0)
-            if lacks:
+            # A peer that does not know the key needs no tombstone for it.
+            needed = version >= 0 or not item.tombstone
+            if item.version > version and needed and choose_bucket(item.key) in buckets:
                 missing.append(item)
-        self._send(address, missing)
+        return missing
 
     def _is_in_zone(self, key: str) -> bool:
-        return key.startswith(self._zone_prefixes) if self._zone_prefixes else False
+        return bool(self._zone_prefixes) and key.startswith(self._zone_prefixes)
 
     def _list_shared(self, zone: str) -> list[NewsItem]:
         items = self._board.list_items()
@@ -240,44 +199,40 @@
 
     def _push(self) -> None:
         pending, self._pending = self._pending, {}
-        items = [(self._board.find(key), source) for key, source in pending.items()]
+        found = [(self._board.find(key), source) for key, source in pending.items()]
+        waiting = [(item, source) for item, source in found if item is not None]
+        rows = self._make_rows(item for item, _ in waiting)
+        sources = {item.key: source for item, source in waiting}
         for member in self._list_neighbours():
             address = member.peer_address
             same_zone = member.zone == self._zone
             chosen = [
-                item
-                for item, source in items
-                if item is not None
-                and source != address
-                and (same_zone or not self._is_in_zone(item.key))
+                row
+                for row in rows
+                if sources[row.content[0]] != address
+                and (same_zone or not self._is_in_zone(row.content[0]))
             ]
-            self._send(address, chosen)
-
-    def _send(self, address: str, items: list[NewsItem]) -> None:
-        rows: list[list[Any]] = []
-        size_bytes = 0
-        for item in items:
-            row = [item.key, item.version, item.value, item.tombstone]
-            row_bytes = len(msgpack.packb(row))
-            if row_bytes > self._bounds.item_bytes:
-                log_event(Event.NEWS_TOO_LARGE, "error", key=item.key, size_bytes=row_bytes)
-                continue
-            if rows and size_bytes + row_bytes > self._bounds.batch_bytes:
-                self._network.send(address, News(rows))
-                rows, size_bytes = [], 0
-            rows.append(row)
-            size_bytes += row_bytes
-        if rows:
-            self._network.send(address, News(rows))
-
-    def forget_tombstones(self) -> None:
-        """Drop the tombstones that have been kept long enough; the oldest stand first."""
-        oldest_ms = self._clock.now_ms() - self._bounds.tombstone_ms
-        for key, learned_ms in list(self._tombstones.items()):
-            if learned_ms > oldest_ms:
-                break
-            del self._tombstones[key]
-            self._board.forget(key)
+            self._pass_on(address, chosen)
+
+    def _make_rows(self, items: Iterable[NewsItem]) -> list[Row]:
+        rows = [Row.from_item(item) for item in items]
+        for row in rows:
+            if row.size_bytes > self._bounds.item_bytes:
+                key, size_bytes = row.content[0], row.size_bytes
+                log_event(Event.NEWS_TOO_LARGE, "error", key=key, size_bytes=size_bytes)
+        return [row for row in rows if row.size_bytes <= self._bounds.item_bytes]
+
+    def _pass_on(self, address: str, rows: list[Row]) -> None:
+        """Send small items, announce large ones."""
+        eager_bytes = self._bounds.eager_bytes
+        self._send_items(address, [row for row in rows if row.size_bytes <= eager_bytes])
+        large = [row.content[:2] for row in rows if row.size_bytes > eager_bytes]
+        if large:
+            self._network.send(address, Have(large))
+
+    def _send_items(self, address: str, rows: list[Row]) -> None:
+        for batch in cut_rows(rows, self._bounds.batch_bytes):
+            self._network.send(address, News(batch))
 
     def _receive_news(self, sender: str, news: News) -> None:
         self._source = sender
@@ -303,18 +258,10 @@
         return _cut_to_bound(rows, self._bounds.held_rows)
 
     def _answer_fetch(self, sender: str, fetch: Fetch) -> News:
-        rows: list[list[Any]] = []
-        size_bytes = 0
-        for key in fetch.keys[: self._bounds.fetch_keys]:
-            item = self._board.find(key)
-            if item is None:
-                continue
-            row = [item.key, item.version, item.value, item.tombstone]
-            size_bytes += len(msgpack.packb(row))
-            if rows and size_bytes > self._bounds.item_bytes:
-                break
-            rows.append(row)
-        return News(rows)
+        items = (self._board.find(key) for key in fetch.keys[: self._bounds.fetch_keys])
+        rows = self._make_rows(item for item in items if item is not None)
+        batches = cut_rows(rows, self._bounds.item_bytes)
+        return News(batches[0] if batches else [])
 
 
 def _cut_to_bound(rows: dict[int, list[list[Any]]], bound: int) -> Difference:
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -18,6 +18,11 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from tools.capacity_target import find_slopes, print_target, work_out  # noqa: E402
+
+PRODUCT = "rings"
 REPORT = ROOT / "reports" / "capacity.json"
 START_AT_ONCE = 8
 DAEMONS_IN_ZONE = 8
@@ -25,9 +30,12 @@
 ANSWER_TIMEOUT_S = 30
 JOIN_TIMEOUT_S = 60
 DETECTION_TIMEOUT_S = 30
-ITEM_COUNT = 20
+ITEM_COUNT = 100
+ITEM_GAP_S = 0.05
 ITEM_BYTES = 300
-RATES = ("messages_in", "messages_out", "bytes_in", "bytes_out", "processor_ms")
+HELD_MEMBERS = 5_000
+HELD_ITEMS = 5_000
+RATES = ("messages_in", "messages_out", "bytes_in", "bytes_out", "segments", "processor_ms")
 
 
 @dataclass
@@ -118,7 +126,8 @@
     for name in RATES:
         each = [(b[name] - a[name]) / span_s for a, b in zip(before, after, strict=True)]
         rates[name] = {"mean": statistics.mean(each), "max": max(each)}
-    rates["streams"] = statistics.mean(report["streams"] for report in after)
+    for name in ("streams", "links", "neighbours"):
+        rates[name] = statistics.mean(report[name] for report in after)
     rates["added_bytes"] = statistics.mean(r["resident_bytes"] - r["bare_bytes"] for r in after)
     return rates
 
@@ -126,14 +135,16 @@
 def measure_news(daemons: list[LightDaemon]) -> dict:
     """Publish items at random daemons; return reach time and cost for each item."""
     before = read_reports(daemons)
+    started = time.monotonic()
     published = {}
     for number in range(ITEM_COUNT):
         origin = random.choice(daemons)
         answer = origin.ask(f"publish item{number} {ITEM_BYTES}")
         published[f"measured/item{number}"] = answer["published_ms"]
-        time.sleep(0.1)
-    time.sleep(5)
+        time.sleep(ITEM_GAP_S)
+    time.sleep(3)
     after = read_reports(daemons)
+    span_s = time.monotonic() - started
     reach_ms = []
     missed = 0
     for key, when_ms in published.items():
@@ -141,12 +152,18 @@
         missed += learned.count(None)
         reach_ms.append(max(ms for ms in learned if ms is not None) - when_ms)
     copies = [b["items_in"] - a["items_in"] for a, b in zip(before, after, strict=True)]
-    sent = [b["bytes_out"] - a["bytes_out"] for a, b in zip(before, after, strict=True)]
+    grown = {
+        name: statistics.mean(b[name] - a[name] for a, b in zip(before, after, strict=True))
+        for name in RATES
+    }
     return {
+        "span_s": span_s,
+        "items": ITEM_COUNT,
+        "item_bytes": ITEM_BYTES,
+        "grown": grown,
         "reach_ms": {"median": statistics.median(reach_ms), "max": max(reach_ms)},
         "missed": missed,
         "copies_per_item": statistics.mean(copies) / ITEM_COUNT,
-        "bytes_out_with_heartbeats": statistics.mean(sent),
     }
 
 
@@ -162,6 +179,25 @@
     return {"all_ms": times_ms, "median_ms": statistics.median(times_ms), "max_ms": max(times_ms)}
 
 
+def measure_heal(daemons: list[LightDaemon]) -> dict:
+    """Freeze the second half until the first calls it dead, then let it go on."""
+    half = len(daemons) // 2
+    frozen = daemons[half:]
+    for daemon in frozen:
+        daemon.process.send_signal(signal.SIGSTOP)
+    try:
+        for daemon in frozen:
+            wait_until_dead(daemons[:half], daemon.name)
+    finally:
+        for daemon in frozen:
+            daemon.process.send_signal(signal.SIGCONT)
+    before = read_reports(daemons[:half])
+    healed_s = wait_until_joined(daemons)
+    after = read_reports(daemons[:half])
+    grown = [b["bytes_out"] - a["bytes_out"] for a, b in zip(before, after, strict=True)]
+    return {"frozen": len(frozen), "healed_s": healed_s, "bytes_out": statistics.mean(grown)}
+
+
 def wait_until_dead(daemons: list[LightDaemon], name: str) -> float:
     """Return when the last daemon learned that `name` is dead."""
     deadline = time.monotonic() + DETECTION_TIMEOUT_S
@@ -183,7 +219,8 @@
         result["idle"] = measure_rates(daemons, window_s)
         result["news"] = measure_news(daemons)
         result["detection"] = measure_detection(daemons, kills)
-        result["held"] = daemons[0].ask("hold 2000 2000")
+        result["heal"] = measure_heal(daemons)
+        result["held"] = daemons[0].ask(f"hold {HELD_MEMBERS} {HELD_ITEMS}")
         return result
     finally:
         stop_daemons(daemons)
@@ -202,7 +239,8 @@
         f"news {news['reach_ms']['median']:5.0f} ms (max {news['reach_ms']['max']:.0f}), "
         f"{news['copies_per_item']:4.1f} copies, {news['missed']} missed, "
         f"detected {result['detection']['median_ms']:.0f} ms "
-        f"(max {result['detection']['max_ms']:.0f})",
+        f"(max {result['detection']['max_ms']:.0f}), "
+        f"{result['heal']['frozen']} frozen healed in {result['heal']['healed_s']:.1f} s",
         flush=True,
     )
 
@@ -211,7 +249,9 @@
     """Run the chosen sizes and variants and write the report."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="+", default=[8, 16, 32])
-    parser.add_argument("--variants", nargs="+", default=["rings", "mesh", "random", "tree"])
+    parser.add_argument(
+        "--variants", nargs="+", default=["rings", "flood", "tree", "mesh", "random"]
+    )
     parser.add_argument("--window-s", type=float, default=10)
     parser.add_argument("--kills", type=int, default=3)
     parser.add_argument("--report", type=Path, default=REPORT)
@@ -222,8 +262,12 @@
             result = measure(variant, count, options.window_s, options.kills)
             print_result(result)
             results.append(result)
+    slopes = find_slopes([result for result in results if result["variant"] == PRODUCT])
+    target = work_out(slopes) if slopes else {}
+    print_target(slopes, target)
     options.report.parent.mkdir(exist_ok=True)
-    options.report.write_text(json.dumps({"results": results}, indent=1))
+    report = {"results": results, "slopes": slopes, "target": target}
+    options.report.write_text(json.dumps(report, indent=1))
     print(f"report: {options.report}")
     return 0
 
--- /dev/null
+++ b/tools/capacity_target.py
@@ -0,0 +1,190 @@
+"""From measured slopes to the target size: what control costs a daemon there."""
+
+import statistics
+from collections import defaultdict
+from dataclasses import dataclass
+
+from hemlockswitch.process.members import Member
+from hemlockswitch.process.overlay import choose_links
+
+SEGMENT_HEADER_BYTES = 52
+SECONDS_A_DAY = 86_400
+MEGABYTE = 1e6
+
+
+@dataclass(frozen=True)
+class Target:
+    """The size that the users expect within two years, and their bounds for control."""
+
+    daemons: int = 1_700
+    zones: int = 16
+    regions: int = 6
+    runners: int = 12_000
+    changes_a_day: int = 15_000
+    change_bytes: int = 400
+    member_changes_a_day: int = 2 * 160 + 3 * 1_700
+    vm_changes_a_day: int = 4 * (160 + 1_700)
+    daemon_bytes_s: float = 2_000
+    core_percent: float = 3.1
+    memory_bytes: float = 32e6
+    spread_ms: float = 7_000
+
+
+def make_members(target: Target) -> list[Member]:
+    """Return the members of the target, spread evenly over zones."""
+    members = []
+    for number in range(target.daemons):
+        zone = number % target.zones
+        region = zone % target.regions
+        members.append(Member(f"entry-{number:04}", f"zone-{zone}", f"region-{region}", "", ""))
+    return members
+
+
+def study_overlay(members: list[Member]) -> dict:
+    """Return the degrees and the depth of the overlay that the product would choose."""
+    links = {member.name: choose_links(member, members) for member in members}
+    probes = [len(link.probed) for link in links.values()]
+    neighbours = [len(link.neighbours) for link in links.values()]
+    next_to: dict[str, set[str]] = defaultdict(set)
+    for name, link in links.items():
+        next_to[name] |= {one.name for one in link.neighbours}
+    depths = [count_hops(next_to, member.name) for member in members[:20]]
+    return {
+        "probes": {"mean": statistics.mean(probes), "max": max(probes)},
+        "neighbours": {"mean": statistics.mean(neighbours), "max": max(neighbours)},
+        "hops": max(depths),
+    }
+
+
+def count_hops(next_to: dict[str, set[str]], origin: str) -> int:
+    """Return after how many hops an item from `origin` has reached everyone."""
+    reached = {origin}
+    frontier = {origin}
+    hops = 0
+    while frontier:
+        frontier = {name for one in frontier for name in next_to[one]} - reached
+        reached |= frontier
+        hops += bool(frontier)
+    if len(reached) < len(next_to):
+        raise ValueError("the overlay does not reach everyone")
+    return hops
+
+
+def find_slopes(results: list[dict]) -> dict:
+    """Return each slope: its mean over the runs and its spread, half the range over the mean."""
+    values: dict[str, list[float]] = defaultdict(list)
+    for result in results:
+        for name, value in find_run_slopes(result).items():
+            values[name].append(value)
+    return {
+        name: {
+            "mean": statistics.mean(found),
+            "spread_percent": 50
+            * (max(found) - min(found))
+            / max(abs(statistics.mean(found)), 1e-9),
+        }
+        for name, found in values.items()
+    }
+
+
+def find_run_slopes(result: dict) -> dict[str, float]:
+    """Return the slopes of one run."""
+    idle, news = result["idle"], result["news"]
+    probes = idle["links"]
+    copies = news["copies_per_item"] * news["items"]
+
+    def grown(name: str) -> float:
+        quiet = idle[name]["mean"] * news["span_s"]
+        return max(news["grown"][name] - quiet, 0) / copies
+
+    return {
+        "messages_per_probe": (idle["messages_out"]["mean"] + idle["messages_in"]["mean"]) / probes,
+        "bytes_per_probe": (idle["bytes_out"]["mean"] + idle["bytes_in"]["mean"]) / probes,
+        "segments_per_probe": idle["segments"]["mean"] / probes,
+        "processor_ms_per_probe": idle["processor_ms"]["mean"] / probes,
+        "copies_per_neighbour": news["copies_per_item"] / idle["neighbours"],
+        "overhead_bytes_per_copy": (grown("bytes_out") + grown("bytes_in")) / 2
+        - news["item_bytes"],
+        "segments_per_copy": grown("segments"),
+        "processor_ms_per_copy": grown("processor_ms"),
+        "reach_ms": news["reach_ms"]["median"],
+        "bytes_per_stream": idle["added_bytes"] / idle["streams"],
+        "member_bytes": result["held"]["member_bytes"],
+        "item_bytes": result["held"]["item_bytes"],
+        "heal_bytes_per_member": result["heal"]["bytes_out"] / result["heal"]["frozen"],
+        "detection_ms": result["detection"]["max_ms"],
+    }
+
+
+def work_out(slopes: dict, target: Target | None = None) -> dict:
+    """Return what control costs a daemon at the target size."""
+    target = target or Target()
+    overlay = study_overlay(make_members(target))
+    slope = {name: value["mean"] for name, value in slopes.items()}
+    copies = overlay["neighbours"]["mean"] * slope["copies_per_neighbour"]
+    zone_share = 1 / target.zones
+    flows = {
+        "configuration": (target.changes_a_day / SECONDS_A_DAY, target.change_bytes),
+        "members": (target.member_changes_a_day / SECONDS_A_DAY, 80),
+        "vms": (target.vm_changes_a_day / SECONDS_A_DAY * zone_share, 250),
+    }
+    parts = {"heartbeats": work_out_heartbeats(slope, overlay["probes"]["mean"])}
+    for name, (items_s, size_bytes) in flows.items():
+        parts[name] = work_out_flow(slope, items_s * copies, size_bytes)
+    held_members = target.daemons + target.member_changes_a_day / 12
+    memory_bytes = (
+        slope["bytes_per_stream"] * overlay["neighbours"]["mean"]
+        + slope["member_bytes"] * held_members
+        + slope["item_bytes"] * target.runners * zone_share
+    )
+    return {
+        "overlay": overlay,
+        "copies": copies,
+        "parts": parts,
+        "bytes_s": sum(part["bytes_s"] for part in parts.values()),
+        "wire_bytes_s": sum(part["wire_bytes_s"] for part in parts.values()),
+        "core_percent": sum(part["core_percent"] for part in parts.values()),
+        "busiest_heartbeats": work_out_heartbeats(slope, overlay["probes"]["max"]),
+        "memory_bytes": memory_bytes,
+    }
+
+
+def work_out_heartbeats(slope: dict, probes: float) -> dict:
+    """Return bytes and processor time per second of `probes` linked members."""
+    bytes_s = slope["bytes_per_probe"] * probes
+    headers = slope["segments_per_probe"] * probes * SEGMENT_HEADER_BYTES
+    return {
+        "bytes_s": bytes_s,
+        "wire_bytes_s": bytes_s + headers,
+        "core_percent": slope["processor_ms_per_probe"] * probes / 10,
+    }
+
+
+def work_out_flow(slope: dict, copies_s: float, size_bytes: float) -> dict:
+    """Return bytes and processor time per second of a flow of items, in and out."""
+    bytes_s = 2 * copies_s * (size_bytes + slope["overhead_bytes_per_copy"])
+    headers = copies_s * slope["segments_per_copy"] * SEGMENT_HEADER_BYTES
+    return {
+        "bytes_s": bytes_s,
+        "wire_bytes_s": bytes_s + headers,
+        "core_percent": copies_s * slope["processor_ms_per_copy"] / 10,
+    }
+
+
+def print_target(slopes: dict, target: dict) -> None:
+    """Print the slopes and what they come to."""
+    for name, value in slopes.items():
+        print(f"  {name:26} {value['mean']:10.3f}  spread {value['spread_percent']:.0f} %")
+    if not target:
+        return
+    print(f"  overlay at the target: {target['overlay']}")
+    for name, part in target["parts"].items():
+        print(
+            f"  {name:14} {part['bytes_s']:7.0f} B/s, {part['wire_bytes_s']:7.0f} B/s with headers, "
+            f"{part['core_percent']:.3f} % of a core"
+        )
+    print(
+        f"  all            {target['bytes_s']:7.0f} B/s, {target['wire_bytes_s']:7.0f} B/s with "
+        f"headers, {target['core_percent']:.3f} % of a core, "
+        f"{target['memory_bytes'] / MEGABYTE:.1f} MB"
+    )
--- a/tools/capacity_variants.py
+++ b/tools/capacity_variants.py
@@ -12,8 +12,9 @@
 from hemlockswitch.connection.messages import register_message
 from hemlockswitch.core.errors import PeerError
 from hemlockswitch.process.membership import Membership
+from hemlockswitch.process.news_messages import Fetch, News, Row, SpreadBounds
 from hemlockswitch.process.overlay import Links
-from hemlockswitch.process.spread import Fetch, News, Spread
+from hemlockswitch.process.spread import Spread
 
 FANOUT = 6
 GRAFT_WAIT_S = 0.1
@@ -27,7 +28,14 @@
         return Links(others, others)
 
 
-class MeshSpread(Spread):
+class FloodSpread(Spread):
+    """Every item goes whole over every link."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, bounds=SpreadBounds(eager_bytes=1_000_000), **options)
+
+
+class MeshSpread(FloodSpread):
     """The daemon that learns an item first sends it to all; nobody passes it on."""
 
     def _push(self) -> None:
@@ -50,9 +58,9 @@
     """Tells a neighbour that what it sends comes by another link first."""
 
 
-@register_message("variant-have")
+@register_message("variant-announce")
 @dataclass(frozen=True)
-class Have:
+class Announce:
     """Rows of key and version that the sender holds."""
 
     rows: list[list[Any]]
@@ -65,7 +73,7 @@
         super().__init__(*arguments, **options)
         self._lazy: set[str] = set()
         self._network.handle(Prune, self._prune, quick=True)
-        self._network.handle(Have, self._receive_have, quick=True)
+        self._network.handle(Announce, self._receive_have, quick=True)
 
     def _prune(self, sender: str, message: Prune) -> None:
         self._lazy.add(sender)
@@ -79,13 +87,13 @@
         else:
             self._lazy.discard(sender)
 
-    def _send(self, address: str, items: list[Any]) -> None:
+    def _pass_on(self, address: str, rows: list[Row]) -> None:
         if address not in self._lazy:
-            super()._send(address, items)
-        elif items:
-            self._network.send(address, Have([[item.key, item.version] for item in items]))
+            self._send_items(address, rows)
+        elif rows:
+            self._network.send(address, Announce([row.content[:2] for row in rows]))
 
-    def _receive_have(self, sender: str, message: Have) -> None:
+    def _receive_have(self, sender: str, message: Announce) -> None:
         if any(self._lacks(key, version, False) for key, version in message.rows):
             gevent.spawn(self._graft, sender, message.rows)
 
@@ -103,7 +111,8 @@
 
 VARIANTS: dict[str, tuple[type[Membership], type[Spread]]] = {
     "rings": (Membership, Spread),
+    "flood": (Membership, FloodSpread),
     "mesh": (MeshMembership, MeshSpread),
-    "random": (RandomMembership, Spread),
+    "random": (RandomMembership, FloodSpread),
     "tree": (Membership, TreeSpread),
 }
