--- a/tools/measure_shares.py
+++ b/tools/measure_shares.py
@@ -291,6 +291,7 @@
 def summarise(account: str, phase: Phase, seconds: float) -> dict[str, Any]:
     """Return the figures of one account in one phase; percentages are of the limit."""
     limits = LIMITS[account]
+    least = 0.0
     if account == "rate":
         limit = limits["requests_per_second"] * seconds
         burst = limits["requests_per_second"] * BURST_S
@@ -298,6 +299,8 @@
         unused = max(limit - phase.admitted, 0) / limit
     else:
         slots = limits["concurrent_requests"]
+        erlangs = OFFERED_PER_S[account] * HOLD_MS[account] / MS_PER_SECOND
+        least = 1 - erlangs * (1 - find_blocking(erlangs, slots)) / slots
         over = max(phase.most_running - slots, 0) / slots
         unused = max(1 - phase.busy_ms / (slots * seconds * MS_PER_SECOND), 0)
     return {
@@ -306,11 +309,20 @@
         "most_running": phase.most_running,
         "over_admission_percent": round(over * 100, 1),
         "unused_percent": round(unused * 100, 1),
+        "least_unused_percent": round(least * 100, 1),
         "admit_p50_ms": phase.waits.get_value_at_percentile(50) / 1_000,
         "admit_p95_ms": phase.waits.get_value_at_percentile(95) / 1_000,
     }
 
 
+def find_blocking(erlangs: float, slots: int) -> float:
+    """Return Erlang's loss: what part one pool of slots would refuse of a random load."""
+    blocking = 1.0
+    for number in range(1, slots + 1):
+        blocking = erlangs * blocking / (number + erlangs * blocking)
+    return blocking
+
+
 def measure(method: str, seconds: float) -> dict[str, Any]:
     """Run every phase under one method."""
     state = PlatformState(PlatformSettings(answer_ms=PLATFORM_ANSWER_MS))
@@ -339,7 +351,7 @@
 
 def print_table(results: dict[str, Any]) -> None:
     """Print one line for each method, phase and account."""
-    columns = "method    phase    account  offered admitted  over%  unused%  p50 ms  p95 ms"
+    columns = "method    phase    account  offered admitted  over%  unused%  least%  p50 ms  p95 ms"
     print(f"{columns}  msgs/daemon/s  bytes/daemon/s  platform calls/s")
     for method, phases in results.items():
         for phase, figures in phases.items():
@@ -348,6 +360,7 @@
                 print(
                     f"{method:9} {phase:8} {account:8} {one['offered']:7} {one['admitted']:8}"
                     f" {one['over_admission_percent']:6} {one['unused_percent']:8}"
+                    f" {one['least_unused_percent']:7}"
                     f" {one['admit_p50_ms']:7.2f} {one['admit_p95_ms']:7.2f}"
                     f" {figures['messages_per_daemon_per_s']:14}"
                     f" {figures['bytes_per_daemon_per_s']:15}"
