--- a/hemlockswitch/process/control.py
+++ b/hemlockswitch/process/control.py
@@ -15,8 +15,8 @@
 from hemlockswitch.process.copy_changes import CopyStarter, CopyStopper, OrderGiver, StoppingCopy
 from hemlockswitch.process.copy_records import CopyRecord, CopyRecords, CopyState, CopyTable
 from hemlockswitch.process.lease import Lease
+from hemlockswitch.process.observed_zone import LIVE, ObservedZone, Sources
 from hemlockswitch.process.targets import WantedTarget, list_wanted
-from hemlockswitch.process.zone_view import LIVE, Sources, ZoneView
 from hemlockswitch.version.models import MachineClass, OperatorFile
 
 
@@ -69,7 +69,7 @@
         self._giver = OrderGiver(sources.orders, lease)
         self._starter = CopyStarter(sources.platform, records, lease, sources.clock)
         self._stopper = CopyStopper(sources.platform, records, lease, sources.daemons, self._giver)
-        self._view = ZoneView(
+        self._view = ObservedZone(
             zone,
             sources,
             self._times.shrink_after_ms,
--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -18,10 +18,10 @@
 from hemlockswitch.process.control import Controller, ControlTimes
 from hemlockswitch.process.copy_records import CopyRecords
 from hemlockswitch.process.lease import Lease, LeaseTimes
+from hemlockswitch.process.observed_zone import Sources
 from hemlockswitch.process.reclaims import Reclaims
 from hemlockswitch.process.usage import Daemons
 from hemlockswitch.process.zone_load import ZoneSummaries
-from hemlockswitch.process.zone_view import Sources
 from hemlockswitch.version.models import OperatorFile
 from hemlockswitch.version.revisions import (
     CURRENT_POINTER,
--- a/hemlockswitch/request/chunks.py
+++ b/hemlockswitch/request/chunks.py
@@ -9,6 +9,7 @@
 DONE = b"data: [DONE]"
 DONE_EVENT = DONE + SEPARATOR
 MAX_EVENT_BYTES = 1_048_576
+ABORTED = frozenset({"cancelled", "abort", "error"})
 _ESCAPES = (b"\\", b'"')
 
 
@@ -146,6 +147,8 @@
             return INVALID
         if not matches:
             return INVALID
+        if finish in ABORTED:
+            return INVALID
         chunk["id"] = self._request_id
         text = content.encode("utf-8", "surrogatepass")
         if finish is not None:
