Let the load program tell a refused connection from a lost answer

Cause: in a trial with one of four entry daemons stopped, 11 calls counted as of unknown outcome had met a closed port, where nothing was sent. They try another entry now. Recomputed tokens are added up only where an answer's usage says them; the 0 shown before was no measurement.

--- a/hemlockswitch/standin/load_calls.py
+++ b/hemlockswitch/standin/load_calls.py
@@ -80,7 +80,7 @@
         if self.outcome.verdict is not Verdict.UNFINISHED:
             return
         self.outcome.problems = self.check.list_problems()
-        self.outcome.recomputed_tokens = self.check.usage.get("recomputed_tokens", 0)
+        self.outcome.recomputed_tokens = self.check.usage.get("recomputed_tokens")
         self.outcome.verdict = Verdict.WRONG if self.outcome.problems else Verdict.WHOLE
 
     def _stream_once(self, mix: ChatMix) -> bool:
@@ -181,9 +181,10 @@
                     if answer.status == 200:
                         return json.loads(answer.read())
                     self._take_refusal(answer, may_repeat)
-            except LOST:
+            except LOST as error:
                 self.outcome.lost_connections += 1
-                if not may_repeat:
+                # Nothing was sent on a connection that was refused.
+                if not may_repeat and not isinstance(error, ConnectionRefusedError):
                     self.outcome.verdict = Verdict.UNKNOWN
                     return None
                 self._wait(LOST_RETRY_MS)
--- a/hemlockswitch/standin/load_results.py
+++ b/hemlockswitch/standin/load_results.py
@@ -36,6 +36,7 @@
     tries : exchanges, the first included.
     refusals : error kinds of the refusals that were followed by another try.
     problems : what the check of the answer found.
+    recomputed_tokens : what the answer's usage said; None when it did not say.
     """
 
     number: int
@@ -54,7 +55,7 @@
     gaps_ms: list[float] = field(default_factory=list)
     took_ms: float = 0
     problems: list[str] = field(default_factory=list)
-    recomputed_tokens: int = 0
+    recomputed_tokens: int | None = None
 
 
 class Distribution:
@@ -113,7 +114,8 @@
         self.refusals_retried.update(outcome.refusals)
         for name in ("tries", "resumed", "moved", "lost_connections", "tokens"):
             self.totals[name] += getattr(outcome, name)
-        self.totals["recomputed_tokens"] += outcome.recomputed_tokens
+        if outcome.recomputed_tokens is not None:
+            self.totals["recomputed_tokens"] += outcome.recomputed_tokens
         self._add_times(outcome)
         left = PROBLEMS_KEPT - len(self.problems)
         told = [f"request {outcome.number}: {problem}" for problem in outcome.problems]
