--- a/features/environment.py
+++ b/features/environment.py
@@ -1,17 +1,33 @@
-"""Hooks of behave: each scenario has its own cluster, and nothing of it stays behind."""
+"""Hooks of behave: each scenario has its own cluster, and nothing of it stays behind.
+
+A feature with the tag ``one_cluster`` has one cluster for all its scenarios.
+"""
 
 from behave.model_core import Status
 
 from features.support.cluster import Cluster
 
+SHARED_TAG = "one_cluster"
+FAILED = (Status.failed, Status.error, Status.hook_error)
+
+
+def before_feature(context, feature):
+    context.shared = Cluster() if SHARED_TAG in feature.tags else None
+
 
 def before_scenario(context, scenario):
-    context.cluster = Cluster()
+    context.cluster = context.shared or Cluster()
 
 
 def after_scenario(context, scenario):
     try:
-        if scenario.status in (Status.failed, Status.error, Status.hook_error):
+        if scenario.status in FAILED:
             print(context.cluster.describe_logs())
     finally:
-        context.cluster.close()
+        if context.shared is None:
+            context.cluster.close()
+
+
+def after_feature(context, feature):
+    if context.shared is not None:
+        context.shared.close()
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -1,7 +1,7 @@
 """The numbered log events. docs/reference/events.md is the catalogue; a test compares them.
 
 Each area owns a hundred: 1xx process, 2xx requests, 3xx routing and backend servers,
-4xx claims, 5xx membership and news, 6xx configuration, 7xx limits, 8xx control,
+4xx claims, 5xx membership and news, 6xx configuration, 7xx limits and handover, 8xx control,
 9xx stand-ins and load.
 """
 
@@ -48,6 +48,28 @@
     ZONE_STATUS_FAILED = (606, "zone_status_failed")
     SHARES_EXPIRED = (701, "shares_expired")
     SHARES_GRANTED = (702, "shares_granted")
+    ENTRY_LEAVING = (711, "entry_leaving")
+    HANDOVER_ENDED = (712, "handover_ended")
+    GENERATION_RESUMED = (713, "generation_resumed")
+    LEASE_TAKEN = (801, "lease_taken")
+    LEASE_LOST = (802, "lease_lost")
+    LEASE_LAPSED = (803, "lease_lapsed")
+    LEASE_RELEASED = (804, "lease_released")
+    LEASE_READ_BACK = (805, "lease_read_back")
+    LEASE_NOT_WRITTEN = (806, "lease_not_written")
+    LEASE_UNREACHABLE = (807, "lease_unreachable")
+    ORDER_DONE = (811, "order_done")
+    ORDER_STALE = (812, "order_stale")
+    ORDER_FAILED = (813, "order_failed")
+    ORDER_WITHHELD = (814, "order_withheld")
+    COPY_WANTED = (821, "copy_wanted")
+    COPY_STARTED = (822, "copy_started")
+    COPY_REFUSED = (823, "copy_refused")
+    COPY_STOPPING = (824, "copy_stopping")
+    COPY_GONE = (825, "copy_gone")
+    COPY_START_UNKNOWN = (826, "copy_start_unknown")
+    CONTROL_PASS_FAILED = (827, "control_pass_failed")
+    DAEMONS_SILENT = (828, "daemons_silent")
 
     def __init__(self, number: int, label: str) -> None:
         self.number = number
--- a/hemlockswitch/process/facts.py
+++ b/hemlockswitch/process/facts.py
@@ -129,6 +129,26 @@
         spawn("zone questions", self._run_questions)
         return self.network.bound_address
 
+    def describe_members(self) -> list[dict[str, str]]:
+        """Return the known daemons for the status page."""
+        members = self.membership.list_members() if self.membership else []
+        return [
+            {"name": one.name, "zone": one.zone, "state": one.state.name.lower()} for one in members
+        ]
+
+    def describe_backends(self) -> list[dict[str, object]]:
+        """Return the backend servers in use for the status page."""
+        return [
+            {
+                "name": server.name,
+                "zone": server.zone,
+                "serves": server.serves,
+                "in_flight": self.directory.count_in_flight(server.name),
+                "draining": server.name in self.directory.list_draining(),
+            }
+            for server in self.directory.list_used()
+        ]
+
     def stop(self) -> None:
         """Tell the others that this daemon has gone, and close its peer streams."""
         gevent.killall(list(self._zone_tasks.values()), block=False)
--- a/hemlockswitch/process/shares.py
+++ b/hemlockswitch/process/shares.py
@@ -1,8 +1,9 @@
 """Shares of each account's limits between daemons: renewed at the anchor, moved between peers."""
 
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 import gevent
 
@@ -13,7 +14,9 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.share_anchor import BATCH_MS, ObjectStore, ShareAnchor, ZoneTotals
 from hemlockswitch.process.share_book import TERM_MS, ShareBook
-from hemlockswitch.process.share_loans import Lender, ShareBorrower
+from hemlockswitch.process.share_borrower import ShareBorrower
+from hemlockswitch.process.share_lender import Lender
+from hemlockswitch.process.share_messages import LoanNetwork
 from hemlockswitch.process.share_record import (
     EntryWatch,
     RenewShares,
@@ -30,6 +33,8 @@
 TICK_MS = 500.0
 RENEW_TIMEOUT_MS = 2_000.0
 WRITERS = 2
+FIRST_GRANT_MS = 2_000.0
+HURRY_MS = 3_000.0
 
 
 @dataclass(frozen=True)
@@ -41,16 +46,6 @@
     address: str
 
 
-class Network(Protocol):
-    """The part of the peer network that shares use."""
-
-    def ask(self, address: str, message: Any, timeout_ms: float) -> Any:
-        """Return the peer's reply, or raise `PeerError`."""
-
-    def handle(self, message_type: type, handler: Callable[[str, Any], Any]) -> None:
-        """Serve messages of a type."""
-
-
 class Shares:
     """The daemon's `Allowances`: its shares, kept alive and moved on demand.
 
@@ -82,7 +77,7 @@
         zone: str,
         clock: Clock,
         store: ObjectStore,
-        network: Network,
+        network: LoanNetwork,
         find_file: Callable[[], OperatorFile],
         list_members: Callable[[], Iterable[ShareMember]],
         is_gone: Callable[[str], bool] = lambda name: False,
@@ -98,6 +93,10 @@
         self._list_members = list_members
         self._counter = 0
         self._leaving = False
+        self._granted = False
+        self._started_ms = 0.0
+        self._names: frozenset[str] = frozenset()
+        self._hurry_until_ms = 0.0
         self._use: AccountUse | None = None
         self._sizes: dict[str, UnitSizes] = {}
         self._sizes_of: OperatorFile | None = None
@@ -105,17 +104,26 @@
         self.anchor = ShareAnchor(
             store, zone, self._find_totals, EntryWatch(clock, is_gone), batch_ms
         )
-        self.lender = Lender(self.book, self.count_needed, self._take_credit, self._add_credit)
-        self.borrower = ShareBorrower(self.book, network, clock, self._add_credit)
+        credits = _Credits(self)
+        self.lender = Lender(self.book, network, clock, self.count_needed, credits)
+        self.borrower = ShareBorrower(self.book, network, clock, self.count_needed, credits)
         network.handle(RenewShares, lambda sender, ask: self.anchor.renew(ask))
-        self.lender.register(network)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether there was a grant, or time enough for one; what is missing can be borrowed."""
+        waited = self._clock.now_ms() - self._started_ms > FIRST_GRANT_MS
+        return self._granted or (bool(self._tasks) and waited)
 
     def set_use(self, use: AccountUse) -> None:
         """Connect the admission that uses these shares."""
         self._use = use
 
     def start(self) -> None:
-        """Start the tasks that keep the shares alive."""
+        """Start the tasks that keep the shares alive; a second call does nothing."""
+        if self._tasks:
+            return
+        self._started_ms = self._clock.now_ms()
         self.anchor.start()
         self._tasks = [gevent.spawn(self._keep_renewing), gevent.spawn(self._keep_loans)]
 
@@ -155,7 +163,8 @@
             wanted.tokens if lacking.tokens else 0,
             lacking.slots,
         )
-        return self.borrower.borrow(account, asked, self._list_lenders(), wait_ms)
+        recalled = self.lender.recall(account, asked)
+        return recalled or self.borrower.borrow(account, asked, self._list_lenders(), wait_ms)
 
     def renew(self) -> bool:
         """Say to the anchor that this daemon lives; return whether the word was written."""
@@ -176,6 +185,7 @@
             return False
         grants, floors = decode_grants(reply.grants), decode_grants(reply.floors)
         self.book.set_grants(grants, floors, sent_ms + TERM_MS)
+        self._granted = True
         return True
 
     def count_needed(self, account: str) -> Units:
@@ -221,6 +231,7 @@
 
     def _list_lenders(self) -> list[str]:
         members = [member for member in self._list_members() if member.name != self._name]
+        random.shuffle(members)
         members.sort(key=lambda member: member.zone != self._zone)
         return [member.address for member in members]
 
@@ -261,7 +272,8 @@
             self._sizes_of = file
         return self._sizes.get(account)
 
-    def _take_credit(self, account: str, units: Units) -> Credit:
+    def take_credit(self, account: str, units: Units) -> Credit:
+        """Take at most what `units` hold out of the account's buckets."""
         sizes = self._find_sizes(account)
         if sizes is None or self._use is None:
             return Credit()
@@ -271,7 +283,8 @@
             account, Credit(rates.requests_per_second, rates.tokens_per_second)
         )
 
-    def _add_credit(self, account: str, credit: Credit) -> None:
+    def add_credit(self, account: str, credit: Credit) -> None:
+        """Put `credit` into the account's buckets."""
         if self._use is not None and self._find_sizes(account) is not None:
             self._use.add_credit(account, credit)
 
@@ -291,9 +304,36 @@
             renewed = self.renew()
             self._note_term(was_in_term)
             was_in_term = self.book.in_term
-            gevent.sleep((RENEW_MS if renewed else RETRY_MS) / MS_PER_SECOND)
+            self._wait_to_renew(RENEW_MS if renewed else RETRY_MS)
+
+    def _wait_to_renew(self, longest_ms: float) -> None:
+        """Wait for the next word; it comes soon while the zone's daemons come and go."""
+        until_ms = self._clock.now_ms() + longest_ms
+        while self._clock.now_ms() < until_ms:
+            gevent.sleep(RETRY_MS / MS_PER_SECOND)
+            names = frozenset(member.name for member in self._list_members())
+            if names != self._names:
+                self._names = names
+                self._hurry_until_ms = self._clock.now_ms() + HURRY_MS
+            if self._clock.now_ms() < self._hurry_until_ms:
+                return
 
     def _keep_loans(self) -> None:
         while True:
             gevent.sleep(TICK_MS / MS_PER_SECOND)
-            self.borrower.extend_loans(self.count_needed)
+            self.borrower.extend_loans()
+
+
+class _Credits:
+    """The `CreditMover` of the loans: the buckets of the admission that uses the shares."""
+
+    def __init__(self, shares: Shares) -> None:
+        self._shares = shares
+
+    def take(self, account: str, units: Units) -> Credit:
+        """Take at most what `units` hold out of the account's buckets."""
+        return self._shares.take_credit(account, units)
+
+    def add(self, account: str, credit: Credit) -> None:
+        """Put `credit` into the account's buckets."""
+        self._shares.add_credit(account, credit)
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -215,9 +215,9 @@
             return
         progress.ran = Ran.UNKNOWN
         if not operation.idempotent:
-            raise RequestError(
-                ErrorKind.OUTCOME_UNKNOWN, failure.detail, ran=Ran.UNKNOWN
-            ) from failure
+            mixed = isinstance(failure, AnswerMixedError)
+            kind = ErrorKind.ANSWER_INVALID if mixed else ErrorKind.OUTCOME_UNKNOWN
+            raise RequestError(kind, failure.detail, ran=Ran.UNKNOWN) from failure
 
     @staticmethod
     def _give_up(progress: _Progress) -> StoredAnswer:
