Prove that 'not run' means not run, and mend what that found

The feature found two faults of its own: a model request that was sent and met silence until its deadline was answered with ran: no; and a lone server that cut every attempt was asked 16 times. A refused head or body was lost in a reset of the connection.

Weighed: the answers in doubt could all say unknown; but then a caller could not repeat after a refused connection, which is what a reclaim looks like.

--- a/hemlockswitch/connection/caller_server.py
+++ b/hemlockswitch/connection/caller_server.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import gevent
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.events import Event
@@ -23,7 +23,9 @@
 HEAD_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 75_000
 BACKLOG = 1_024
-SEND_BUFFER_BYTES = 262_144
+DRAIN_BYTES = 262_144
+DRAIN_TIMEOUT_MS = 500
+DRAIN_READ_BYTES = 16_384
 READ_EVENT = 1
 CONNECTION_KEY = "hemlockswitch.connection"
 TARGET_KEY = "hemlockswitch.target"
@@ -88,9 +90,32 @@
         return line
 
 
+class _BoundedInput(Input):
+    """A request's body of which only so much is read to no purpose after the answer."""
+
+    def __init__(self, *args: Any, **kw: Any) -> None:
+        super().__init__(*args, **kw)
+        self.abandoned = False
+
+    def _discard(self) -> None:
+        """Read a bounded rest, so that a refusal is not lost in a reset of the connection."""
+        left = DRAIN_BYTES
+        self.send_100_continue_enabled = False
+        with gevent.Timeout(DRAIN_TIMEOUT_MS / MS_PER_SECOND, False):
+            while left > 0:
+                piece = self.read(DRAIN_READ_BYTES)
+                if not piece:
+                    return
+                left -= len(piece)
+        self.abandoned = True
+
+
 class CallerHandler(WSGIHandler):
     """One caller's connection, with bounds on the head and on each write."""
 
+    wsgi_input: Any
+    close_connection: bool
+
     def read_requestline(self) -> str:
         """Wait for the next request, at most the idle time."""
         self.socket.settimeout(IDLE_TIMEOUT_MS / MS_PER_SECOND)
@@ -110,6 +135,11 @@
     def get_environ(self) -> dict[str, Any]:
         """Add the connection and the target as it was sent."""
         environ = super().get_environ()
+        given: Any = self.wsgi_input
+        self.wsgi_input = _BoundedInput(
+            self.rfile, self.content_length, given.socket, given.chunked_input
+        )
+        environ["wsgi.input"] = self.wsgi_input
         environ[CONNECTION_KEY] = CallerConnection(self.socket)
         environ[TARGET_KEY] = self.path
         return environ
@@ -121,6 +151,7 @@
             super().handle_one_response()
         finally:
             self.server.answering -= 1
+            self.close_connection = self.close_connection or self.wsgi_input.abandoned
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         """Log a failure by its type and close; a caller that is gone is no failure."""
@@ -133,7 +164,17 @@
     def _handle_client_error(self, ex: Exception) -> Any:
         if isinstance(ex, OSError):
             return None
-        return ("400", _MALFORMED)
+        self._refuse_head()
+        return None
+
+    def _refuse_head(self) -> None:
+        """Answer a wrong head, then read a bounded rest so that the answer is not lost."""
+        with gevent.Timeout(DRAIN_TIMEOUT_MS / MS_PER_SECOND, False):
+            self.socket.sendall(_MALFORMED)
+            self.socket.shutdown(system_socket.SHUT_WR)
+            left = DRAIN_BYTES
+            while left > 0 and (piece := self.socket.recv(DRAIN_READ_BYTES)):
+                left -= len(piece)
 
     def log_request(self) -> None:
         """Requests are counted in metrics and traced; no line each."""
--- a/hemlockswitch/request/overdue.py
+++ b/hemlockswitch/request/overdue.py
@@ -1,7 +1,6 @@
 """The sweep over running generations: deadlines and silent streams, without a timer for each."""
 
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.request.attempt import AttemptLostError
 from hemlockswitch.request.relay import Relay
 from hemlockswitch.request.running import Running
@@ -36,11 +35,7 @@
         now_ms = self._clock.now_ms()
         for running in list(self._relay.running.values()):
             if now_ms >= running.generation.deadline_ms:
-                running.stop(
-                    RequestError(
-                        ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=running.state_ran()
-                    )
-                )
+                running.stop(running.build_overdue())
             elif self._is_silent(running, now_ms):
                 running.interrupt(AttemptLostError("the backend server fell silent"))
 
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -22,6 +22,7 @@
 from hemlockswitch.version.backend import BackendServer
 
 MAX_ATTEMPTS = 16
+MAX_FRUITLESS = 4
 CONTINUE_PATIENCE_MS = 5_000.0
 CHOOSE_AGAIN_MS = 50.0
 RECLAIM_STARTS_PER_S = 200.0
@@ -102,12 +103,8 @@
         """Raise when nobody waits for the answer any more."""
         if running.stopped is not None:
             raise running.stopped
-        if self._clock.now_ms() < running.generation.deadline_ms:
-            return
-        ran = running.state_ran()
-        if ran is Ran.NO:
-            raise RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
-        raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=ran)
+        if self._clock.now_ms() >= running.generation.deadline_ms:
+            raise running.build_overdue()
 
     @staticmethod
     def _may_resume(running: Running, lost: AttemptLostError) -> bool:
@@ -125,12 +122,13 @@
         running.excluded.add(server.name)
         self._observer.attempt_ended(generation, running.estimate_recomputed(), lost.reason)
         if lost.ran is not Ran.NO:
-            running.sent = True
+            running.fruitless += not running.brought_token
             self._opener.cancel(server.address, generation.stream_id)
         if self._directory.is_leaving(server.name):
             self._pace.wait()
             return Cause.RECLAIM
-        if running.attempts >= MAX_ATTEMPTS or not self._spend(running):
+        spent = running.attempts >= MAX_ATTEMPTS or running.fruitless >= MAX_FRUITLESS
+        if spent or not self._spend(running):
             raise self._give_up(running, lost.reason)
         return Cause.FAILURE if generation.tokens else Cause.RETRY
 
@@ -161,6 +159,7 @@
         generation.begin_attempt(server, cause)
         running.attempts += 1
         running.own_token = False
+        running.brought_token = False
         running.base_tokens = len(generation.tokens)
         generation.attempt_parent = self._observer.attempt_began(generation)
 
@@ -172,16 +171,17 @@
         uncached_tokens = self._chooser.note_dispatch(server.name, running.need)
         ticket = self._directory.begin(server.name, uncached_tokens)
         failed = False
+        sent_before = running.sent
         attempt: Attempt | None = None
         try:
             if resume:
                 attempt = self._opener.resume(generation, running.watch)
             else:
                 attempt = self._opener.open(generation, running.kv_handle, running.watch)
-            running.sent = True
             yield from self._follow(running, attempt, ticket)
         except AttemptLostError as lost:
             failed = lost.ran is not Ran.NO
+            running.sent = sent_before or failed
             raise
         except MoveReady:
             self._leave(running)
@@ -271,7 +271,7 @@
 
     def _note_token(self, running: Running, ticket: Any) -> None:
         """Note the first token of an attempt, and of the whole answer."""
-        running.own_token = True
+        running.own_token = running.brought_token = True
         self._directory.note_first_token(ticket)
         generation = running.generation
         if generation.first_token_ms is None:
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol
 
 from hemlockswitch.connection.backends import BackendExchange
-from hemlockswitch.core.errors import Ran
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.prefixes import count_tokens, hash_blocks
 from hemlockswitch.request.routing import Need
@@ -78,7 +78,9 @@
     stopped : why the relay must end; raised at its next wait.
     excluded : servers that lost this generation.
     sent : whether any backend server may have begun it.
-    own_token : whether the attempt in progress brought a token.
+    fruitless : attempts that may have run and brought no token.
+    own_token : whether the connection in progress brought a token.
+    brought_token : whether the attempt in progress did, over all its connections.
     base_tokens : tokens that the attempt in progress had to recompute, its prompt aside.
     kv_handle : the KV cache that it began with.
     reads_seen, quiet_since_ms : kept by the sweep that looks for silent streams.
@@ -92,7 +94,9 @@
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
     sent: bool = False
+    fruitless: int = 0
     own_token: bool = False
+    brought_token: bool = False
     base_tokens: int = 0
     kv_handle: str | None = None
     reads_seen: int = -1
@@ -110,9 +114,10 @@
             self.exchange.interrupt(error)
 
     def watch(self, exchange: BackendExchange | None) -> None:
-        """Keep the exchange that may be interrupted."""
+        """Keep the exchange that may be interrupted; by then the request was sent."""
         self.exchange = exchange
         self.reads_seen = -1
+        self.sent = self.sent or exchange is not None
         if self.stopped is not None:
             self.interrupt(self.stopped)
 
@@ -122,10 +127,17 @@
             return Ran.YES
         return Ran.UNKNOWN if self.sent else Ran.NO
 
+    def build_overdue(self) -> RequestError:
+        """Return the answer to a request whose deadline has passed."""
+        ran = self.state_ran()
+        if ran is Ran.NO:
+            return RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
+        return RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=ran)
+
     def estimate_recomputed(self) -> int:
         """Return the tokens that the attempt in progress computed again, without its usage."""
         first = self.generation.cause is Cause.FIRST
-        if first or not self.own_token or self.kv_handle is not None:
+        if first or not self.brought_token or self.kv_handle is not None:
             return 0
         return count_tokens(self.generation.prompt) + self.base_tokens
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -109,6 +109,11 @@
             yield event
 
 
+class FakeExchange:
+    def interrupt(self, error):
+        pass
+
+
 class Opener:
     """Opens attempts that follow one script of faults each; no faults after the last."""
 
@@ -122,6 +127,7 @@
         faults = self.scripts.pop(0) if self.scripts else {}
         if isinstance(faults, Exception):
             raise faults
+        watch(FakeExchange())
         self.opened.append((generation.server.name, len(generation.tokens), kv_handle))
         return FakeAttempt(generation, len(generation.tokens), faults)
 
@@ -250,6 +256,29 @@
     assert bench.opener.opened == []
 
 
+def test_a_server_that_loses_every_attempt_is_not_asked_for_ever():
+    bench = Bench(*[{0: LOST}] * 20, burst=100.0)
+    with pytest.raises(RequestError) as raised:
+        bench.run()
+    assert raised.value.answer.ran is Ran.UNKNOWN
+    assert len(bench.opener.opened) == 4
+
+
+def test_a_deadline_that_passes_in_the_head_does_not_say_not_run():
+    bench = Bench()
+    running = []
+
+    def wait_for_head(generation, kv_handle, watch):
+        watch(FakeExchange())
+        running.extend(bench.relay.running.values())
+        raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "", ran=running[0].state_ran())
+
+    bench.opener.open = wait_for_head
+    with pytest.raises(RequestError) as raised:
+        bench.run()
+    assert raised.value.answer.ran is Ran.UNKNOWN
+
+
 def test_a_caller_that_leaves_cancels_the_engine():
     bench = Bench()
     stream = bench.relay.run(bench.generation)
