--- a/hemlockswitch/standin/service.py
+++ b/hemlockswitch/standin/service.py
@@ -40,6 +40,7 @@
     runs_by_key: Counter = field(default_factory=Counter)
     runs_by_path: Counter = field(default_factory=Counter)
     runs: int = 0
+    running: int = 0
     refused: int = 0
     begun_after_leaving_ms: list[float] = field(default_factory=list)
 
@@ -53,7 +54,6 @@
         self.faults = FaultBox()
         self.counts = ServiceCounts()
         self.leaving_since_ms: float | None = None
-        self.running = 0
         self._held_answer: dict[str, Any] | None = None
         self._reported_running = 0
         self._reported_at_ms = clock.now_ms()
@@ -73,14 +73,20 @@
     def report_load(self) -> dict[str, Any]:
         """Return the last report of the load, and its age."""
         age_ms = self.clock.now_ms() - self._reported_at_ms
-        report = {"running": self._reported_running, "waiting": 0, "slots": self.settings.slots}
-        return {**report, "age_ms": age_ms, "draining": False}
+        slots = self.settings.slots
+        return {
+            "running": min(self._reported_running, slots),
+            "waiting": max(self._reported_running - slots, 0),
+            "slots": slots,
+            "age_ms": age_ms,
+            "draining": False,
+        }
 
     def run_reports(self) -> None:
         """Report for ever, with the lag of the settings."""
         while True:
             self.clock.sleep_ms(self.settings.load_lag_ms)
-            self._reported_running = self.running
+            self._reported_running = self.counts.running
             self._reported_at_ms = self.clock.now_ms()
 
     def swap_answer(self, answer: dict[str, Any]) -> dict[str, Any]:
@@ -110,9 +116,11 @@
         body = request.bounded_stream.read().decode(errors="replace")
         self._service.note_run(request)
         delay_ms = (self._service.settings.delay_ms + faults.delay_ms) * faults.slow_factor
-        self._service.running += 1
-        self._service.clock.sleep_ms(delay_ms + faults.freeze_ms)
-        self._service.running -= 1
+        self._service.counts.running += 1
+        try:
+            self._service.clock.sleep_ms(delay_ms + faults.freeze_ms)
+        finally:
+            self._service.counts.running -= 1
         if faults.cut_stage == "before_answer":
             cut_connection(connection)
         self._answer(request, response, body, faults)
