--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -98,6 +98,7 @@
         self.name = name
         self.traffic = Traffic()
         self.address = advertise
+        self.bound_address = ""
         self._cluster = cluster
         self._listen = split_address(listen)
         self._clock = clock or SystemClock()
@@ -118,8 +119,8 @@
         pool = Pool(self._bounds.accepted_streams)
         self._server = StreamServer(self._listen, self._accept, spawn=pool)
         self._server.start()
-        if not self.address:
-            self.address = f"{self._listen[0]}:{self._server.server_port}"
+        self.bound_address = f"{self._listen[0]}:{self._server.server_port}"
+        self.address = self.address or self.bound_address
         self._sweeper = gevent.spawn(self._sweep)
         return self.address
 
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -80,6 +80,7 @@
         )
         self.status.add("revision", lambda: self.revision)
         self.status.add("zone", lambda: self.settings.zone)
+        self.status.add("members", self.facts.describe_members)
         self.status.add("name", lambda: self.settings.name)
 
     def _build_requests(self) -> None:
@@ -136,6 +137,7 @@
     def use_file(self, file: OperatorFile, number: int) -> None:
         """Put a configuration in force in every part."""
         self.file, self.revision = file, number
+        self.facts.zones = file.zones
         self.metrics.revision.set(number)
         self.budget.set_ratio(file.limits.retry_ratio)
         self.directory.set_draining(file.draining)
@@ -155,6 +157,7 @@
             "callers": self.callers.bound_address,
             "control": self.control.bound_address,
             "peers": peer_address,
+            "peers_bound": self.facts.network.bound_address,
         }
 
     def spawn(self, name: str, run: Callable[[], Any]) -> None:
@@ -173,6 +176,7 @@
     def stop(self) -> None:
         """Refuse new work, let requests in progress end within the grace, then stop."""
         self.serving.stop_accepting()
+        self.facts.leave()
         until_ms = self.clock.now_ms() + self.settings.stop_grace_ms
         while self.callers.answering and self.clock.now_ms() < until_ms:
             self.clock.sleep_ms(STOP_STEP_MS)
--- a/hemlockswitch/process/facts.py
+++ b/hemlockswitch/process/facts.py
@@ -9,15 +9,15 @@
 from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.backends import NOTICE_PREFIX, VM_PREFIX, BackendDirectory
+from hemlockswitch.process.discovery import Discovery
 from hemlockswitch.process.freshness import Freshness, Refresh, choose_some
 from hemlockswitch.process.load_polls import LoadPolls
-from hemlockswitch.process.membership import Member, Membership
+from hemlockswitch.process.membership import Member, Membership, ProbeTimes
 from hemlockswitch.process.news import NewsBoard
 from hemlockswitch.process.spread import Spread
 from hemlockswitch.process.watchers import FEED_PREFIX, NoticeFeed, Post, VmList, Watcher
 from hemlockswitch.process.zones import ZoneDesk, ZoneQuestion, ZoneQuestions
 
-CLUSTER = "hemlockswitch"
 ZONE_PREFIXES = (VM_PREFIX, NOTICE_PREFIX, FEED_PREFIX)
 VM_LIST_INTERVAL_MS = 1_000
 PEERS_ASKED = 2
@@ -30,7 +30,10 @@
     name: str
     zone: str
     region: str
+    cluster: str
     peer_listen: str
+    peer_advertise: str | None
+    probe_period_ms: int
     platform: str
     seeds: tuple[str, ...]
 
@@ -68,6 +71,7 @@
         self.network = network
         self.platform = platform
         self.membership: Membership | None = None
+        self.zones: tuple[str, ...] = ()
         self.spread = Spread(
             board, network, settings.zone, zone_prefixes=ZONE_PREFIXES, clock=clock
         )
@@ -89,7 +93,13 @@
     @classmethod
     def from_settings(cls, settings: DaemonSettings, role: str, clock: Clock) -> Self:
         """Return the facts of a daemon with a board, a network and a client of its own."""
-        network = PeerNetwork(CLUSTER, settings.name, settings.peer_listen, clock=clock)
+        network = PeerNetwork(
+            settings.cluster,
+            settings.name,
+            settings.peer_listen,
+            advertise=settings.peer_advertise or "",
+            clock=clock,
+        )
         platform = PlatformClient.from_settings(settings, role)
         return cls(settings, NewsBoard(), network, platform, clock)
 
@@ -109,8 +119,18 @@
         address = self.network.start()
         settings = self._settings
         own = Member(settings.name, settings.zone, settings.region, address, caller_address)
+        discovery = Discovery(
+            self.platform, settings.zone, lambda: self.zones, self._find_covered_zones
+        )
         self.membership = Membership(
-            own, self.board, self.network, self.spread, seeds=settings.seeds, clock=self._clock
+            own,
+            self.board,
+            self.network,
+            self.spread,
+            seeds=settings.seeds,
+            discover=discovery.list_addresses,
+            clock=self._clock,
+            times=ProbeTimes.from_period(settings.probe_period_ms),
         )
         self.membership.start()
         spawn("freshness", self.freshness.run)
@@ -122,6 +142,11 @@
         spawn("zone questions", self._run_questions)
         return address
 
+    def leave(self) -> None:
+        """Tell the others that this daemon takes no new work."""
+        if self.membership is not None:
+            self.membership.leave()
+
     def stop(self) -> None:
         """Tell the others that this daemon has gone, and close its peer streams."""
         gevent.killall(list(self._zone_tasks.values()), block=False)
@@ -129,6 +154,17 @@
             self.membership.stop()
         self.network.stop()
 
+    def describe_members(self) -> list[dict[str, str]]:
+        """Return the members as the status page shows them."""
+        members = self.membership.list_members() if self.membership else []
+        return [
+            {"name": one.name, "zone": one.zone, "state": one.state.name.lower()} for one in members
+        ]
+
+    def _find_covered_zones(self) -> set[str]:
+        live = self.membership.list_live() if self.membership else []
+        return {member.zone for member in live if member.name != self._settings.name}
+
     def _run_questions(self) -> None:
         """Keep one asking task for each other zone that this daemon asks."""
         while True:
--- a/hemlockswitch/process/membership.py
+++ b/hemlockswitch/process/membership.py
@@ -25,7 +25,7 @@
 
 FIRST_JOIN_MS = 200
 LONGEST_JOIN_MS = 5_000
-DISCOVERY_MS = 30_000
+DISCOVERY_MS = 10_000
 
 
 class Membership:
--- a/hemlockswitch/process/probes.py
+++ b/hemlockswitch/process/probes.py
@@ -74,6 +74,19 @@
     suspicion_ms: float = 3_000
     retry_dead_ms: float = 5_000
 
+    @classmethod
+    def from_period(cls, period_ms: float) -> "ProbeTimes":
+        """Return times in the proportions of the defaults.
+
+        Examples
+        ========
+
+        >>> ProbeTimes.from_period(2_000) == ProbeTimes()
+        True
+        """
+        shares = (1, 0.25, 0.5, 1.5, 2.5)
+        return cls(*(share * period_ms for share in shares))
+
     @property
     def detection_ms(self) -> float:
         """Longest time from a daemon's end until those that probe it call it dead."""
--- a/hemlockswitch/version/settings.py
+++ b/hemlockswitch/version/settings.py
@@ -33,7 +33,11 @@
     name : the process's name, one of its own in the whole system.
     zone : its availability zone.
     region : groups zones that are near one another; empty when there is one region.
+    cluster : the system's name; processes of another are refused.
     peer_listen : where the system's other processes reach it; port 0 takes any free port.
+    peer_advertise : the address that they use, when it is not the one listened on.
+    probe_period_ms : how often the processes probe one another; the time in which a lost one is
+        found is four times as long.
     platform : the platform's address.
     seeds : peer addresses of processes to join through.
     log_level : ``debug``, ``info`` or ``warning``.
@@ -45,7 +49,10 @@
     zone: Name
     region: str = ""
     control_listen: Address = "127.0.0.1:0"
+    cluster: Name = "hemlockswitch"
     peer_listen: Address = "127.0.0.1:0"
+    peer_advertise: Address | None = None
+    probe_period_ms: int = Field(default=2_000, ge=100, le=60_000)
     platform: Address
     seeds: tuple[Address, ...] = ()
     log_level: Literal["debug", "info", "warning"] = "info"
