--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -19,7 +19,7 @@
     seeds = seeds or [advertised[names[0]]]
     programs = [launch(context, name, advertised[name], seeds) for name in names]
     for program in programs:
-        context.cluster.add_link(program.name, program.addresses["peers_bound"])
+        context.cluster.add_link(program.name, program.addresses["peers"])
 
 
 def launch(context, name, advertised, seeds):
@@ -76,7 +76,7 @@
             program.settings["zone"],
             "hemlock-entry",
             address=program.addresses["callers"],
-            control_address=program.addresses["peers"],
+            control_address=program.settings["peer_advertise"],
         )
     zones = sorted({program.settings["zone"] for program in programs})
     context.cluster.apply(make_operator_file(tuple(zones)))
@@ -119,7 +119,7 @@
 @when('all daemons of zone "{zone}" are killed and {count:d} others start with the old seeds')
 def replace_zone(context, zone, count):
     old = list_running(context, zone)
-    seeds = [item.addresses["peers"] for item in old]
+    seeds = [item.settings["peer_advertise"] for item in old]
     for item in old:
         item.kill()
     launch_daemons(context, [f"{zone}-{number}" for number in range(11, 11 + count)], seeds)
--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -98,7 +98,6 @@
         self.name = name
         self.traffic = Traffic()
         self.address = advertise
-        self.bound_address = ""
         self._cluster = cluster
         self._listen = split_address(listen)
         self._clock = clock or SystemClock()
@@ -119,11 +118,16 @@
         pool = Pool(self._bounds.accepted_streams)
         self._server = StreamServer(self._listen, self._accept, spawn=pool)
         self._server.start()
-        self.bound_address = f"{self._listen[0]}:{self._server.server_port}"
         self.address = self.address or self.bound_address
         self._sweeper = gevent.spawn(self._sweep)
         return self.address
 
+    @property
+    def bound_address(self) -> str:
+        """Where it listens, once started; peers may use another address to get here."""
+        assert self._server is not None
+        return f"{self._listen[0]}:{self._server.server_port}"
+
     def stop(self) -> None:
         """Close every stream and stop listening."""
         self._stopped = True
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -9,19 +9,23 @@
 from hemlockswitch.connection.caller_server import CallerServer
 from hemlockswitch.connection.callers import build_application
 from hemlockswitch.connection.control_api import StatusPage, build_control_application
-from hemlockswitch.core.clock import Clock, SystemClock
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
+from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.claim_members import build_claims
+from hemlockswitch.process.departure import Departure
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.polling import PlatformPoll
 from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
 from hemlockswitch.process.serving import Serving
+from hemlockswitch.process.share_members import CALL_MS as SHARE_CALL_MS
+from hemlockswitch.process.share_members import build_shares
 from hemlockswitch.process.traces import Tracing
+from hemlockswitch.process.usage import UsageReporter
 from hemlockswitch.request.admission import Admission
-from hemlockswitch.request.allowances import FixedAllowances
 from hemlockswitch.request.attempt import AttemptOpener
 from hemlockswitch.request.capacity import CapacityQueue
 from hemlockswitch.request.moving import Mover
@@ -33,7 +37,6 @@
 from hemlockswitch.version.models import Limits, OperatorFile
 from hemlockswitch.version.settings import EntrySettings, split_address
 
-STOP_STEP_MS = 20.0
 CLAIM_FLUSH_MS = 3_000.0
 
 
@@ -75,10 +78,16 @@
         self.facts = Facts.from_settings(self.settings, "entry", self.clock)
         self.board = self.facts.board
         self.directory = self.facts.directory
+        self.usage = UsageReporter(
+            self.settings.name, self.facts.network, self.directory, self._list_peers
+        )
         self.poll = PlatformPoll(
             self.settings.platform, self.settings.name, self.clock, self.use_file
         )
         self.status.add("revision", lambda: self.revision)
+        self.status.add("members", self.facts.describe_members)
+        self.status.add("backend_servers", self.facts.describe_backends)
+        self.status.add("leaving", lambda: sorted(self.directory.list_leaving()))
         self.status.add("zone", lambda: self.settings.zone)
         self.status.add("members", self.facts.describe_members)
         self.status.add("name", lambda: self.settings.name)
@@ -113,10 +122,19 @@
         self.services = ServiceCaller(
             self.router, self.directory, client, self.budget, self.clock, reports, self.claims
         )
-        allowances = FixedAllowances(self._find_file, lambda: 1)
-        self.admission = Admission(allowances, self.clock, CapacityQueue(self.clock))
+        self.shares = build_shares(self.settings, self.facts, self.clock, self._find_file)
+        self.status.add("limits", self.shares.describe)
+        capacity = CapacityQueue(self.clock)
+        self.admission = Admission(self.shares, self.clock, capacity, starts_full=False)
+        self.shares.set_use(self.admission)
         self.records = RequestRecords(self.admission, self.metrics, reports, self.clock)
         self.serving = Serving(self.relay, self.services, self.records, self.clock)
+        self.serving.has_limits = lambda: self.shares.is_ready
+        self.departure = Departure(self.settings, self.facts, self.clock, self.relay, self.opener)
+        self.serving.resumer = self.departure.build_resuming(
+            self.admission, self.records, self.serving
+        )
+        self.status.add("handover", self.departure.handover.describe)
         self.metrics.in_progress.set_function(lambda: self.records.in_progress)
         self.status.add("requests_in_progress", lambda: self.records.in_progress)
 
@@ -143,6 +161,7 @@
         self.directory.set_draining(file.draining)
         self.router.queue_length = file.limits.queue_length
         self.serving.use_configuration(file)
+        self.shares.start()
 
     def start(self) -> dict[str, str]:
         """Open the sockets, spawn the tasks, and return the addresses that are bound."""
@@ -151,13 +170,13 @@
         peer_address = self.facts.start(self.callers.bound_address, self.spawn)
         self.spawn("poll", self.poll.run)
         self.spawn("sweep", self.sweep.run)
+        self.spawn("waiting states", self.departure.store.run)
         if self.tracing.log_export is not None:
             self.spawn("traces", self.tracing.log_export.run)
         return {
             "callers": self.callers.bound_address,
             "control": self.control.bound_address,
             "peers": peer_address,
-            "peers_bound": self.facts.network.bound_address,
         }
 
     def spawn(self, name: str, run: Callable[[], Any]) -> None:
@@ -174,23 +193,29 @@
                 self.clock.sleep_ms(1_000)
 
     def stop(self) -> None:
-        """Refuse new work, let requests in progress end within the grace, then stop."""
+        """Refuse new work, let requests in progress end or hand them over, then stop."""
         self.serving.stop_accepting()
-        self.facts.leave()
-        until_ms = self.clock.now_ms() + self.settings.stop_grace_ms
-        while self.callers.answering and self.clock.now_ms() < until_ms:
-            self.clock.sleep_ms(STOP_STEP_MS)
+        gevent.spawn(self.shares.leave)
+        self.departure.run(lambda: self.callers.answering > 0)
         self.claims.flush(CLAIM_FLUSH_MS)
+        gevent.spawn(self.shares.leave).join(timeout=SHARE_CALL_MS / MS_PER_SECOND)
+        self.shares.stop()
         gevent.killall(self._tasks)
         self.facts.stop()
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
+    def _list_peers(self) -> list[tuple[str, str]]:
+        """Return the names and peer addresses of the other running daemons of all zones."""
+        live = self.facts.membership.list_live() if self.facts.membership else []
+        return [(one.name, one.peer_address) for one in live if one.name != self.settings.name]
+
     def _find_limits(self) -> Limits:
         return self.file.limits if self.file else Limits()
 
     def _find_file(self) -> OperatorFile:
-        assert self.file is not None
+        if self.file is None:
+            raise RequestError(ErrorKind.NOT_READY, "no configuration is in force yet")
         return self.file
 
     def _find_traits(self, target: str) -> TargetTraits:
--- a/hemlockswitch/process/facts.py
+++ b/hemlockswitch/process/facts.py
@@ -108,7 +108,7 @@
         return self.membership.list_names() if self.membership else [self._settings.name]
 
     def start(self, caller_address: str, spawn: Callable[[str, Callable[[], None]], None]) -> str:
-        """Open the peer network, join the others, start the tasks; return the peer address.
+        """Open the peer network, join the others, start the tasks; return where it listens.
 
         Parameters
         ==========
@@ -140,12 +140,27 @@
         spawn("notice checks", self.feed.run_checks)
         spawn("loads", self.loads.run)
         spawn("zone questions", self._run_questions)
-        return address
+        return self.network.bound_address
 
-    def leave(self) -> None:
-        """Tell the others that this daemon takes no new work."""
-        if self.membership is not None:
-            self.membership.leave()
+    def describe_members(self) -> list[dict[str, str]]:
+        """Return the known daemons for the status page."""
+        members = self.membership.list_members() if self.membership else []
+        return [
+            {"name": one.name, "zone": one.zone, "state": one.state.name.lower()} for one in members
+        ]
+
+    def describe_backends(self) -> list[dict[str, object]]:
+        """Return the backend servers in use for the status page."""
+        return [
+            {
+                "name": server.name,
+                "zone": server.zone,
+                "serves": server.serves,
+                "in_flight": self.directory.count_in_flight(server.name),
+                "draining": server.name in self.directory.list_draining(),
+            }
+            for server in self.directory.list_used()
+        ]
 
     def stop(self) -> None:
         """Tell the others that this daemon has gone, and close its peer streams."""
@@ -154,13 +169,6 @@
             self.membership.stop()
         self.network.stop()
 
-    def describe_members(self) -> list[dict[str, str]]:
-        """Return the members as the status page shows them."""
-        members = self.membership.list_members() if self.membership else []
-        return [
-            {"name": one.name, "zone": one.zone, "state": one.state.name.lower()} for one in members
-        ]
-
     def _find_covered_zones(self) -> set[str]:
         live = self.membership.list_live() if self.membership else []
         return {member.zone for member in live if member.name != self._settings.name}
--- a/hemlockswitch/process/share_borrower.py
+++ b/hemlockswitch/process/share_borrower.py
@@ -25,10 +25,11 @@
 ASK_TIMEOUT_MS = 100.0
 LOAN_TIMEOUT_MS = 1_000.0
 SHORTEST_BARREN_MS = 100.0
-LONGEST_BARREN_MS = 800.0
+LONGEST_SLOTS_BARREN_MS = 400.0
+LONGEST_RATES_BARREN_MS = 1_600.0
 SILENT_MS = 1_000.0
 PARALLEL_ASKS = 4
-MOST_ASKS = 16
+MOST_ASKS = 8
 IDLE_TICKS = 4
 
 
@@ -122,7 +123,8 @@
             return
         pause_ms = self._barren_ms.get(key, SHORTEST_BARREN_MS)
         self._barren_until_ms[key] = self._clock.now_ms() + pause_ms
-        longest_ms = SHORTEST_BARREN_MS if Resource.SLOTS in key.resources else LONGEST_BARREN_MS
+        for_slots = Resource.SLOTS in key.resources
+        longest_ms = LONGEST_SLOTS_BARREN_MS if for_slots else LONGEST_RATES_BARREN_MS
         self._barren_ms[key] = min(pause_ms * 2, longest_ms)
 
     def extend_loans(self) -> None:
@@ -180,7 +182,7 @@
         return received
 
     def _order(self, lenders: list[str]) -> list[str]:
-        """Order lenders: who gave last first, then the order given, without the silent ones."""
+        """Order lenders: who gave last first, then by zone, without the silent ones."""
         now_ms = self._clock.now_ms()
         heard = [peer for peer in lenders if now_ms >= self._silent_until_ms.get(peer, 0)]
         return sorted(heard, key=lambda peer: -self._generous.get(peer, 0))
--- a/hemlockswitch/process/share_lender.py
+++ b/hemlockswitch/process/share_lender.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import PeerError
 from hemlockswitch.process.share_book import Loan, ShareBook
 from hemlockswitch.process.share_messages import (
@@ -19,6 +20,7 @@
 from hemlockswitch.request.allowances import Credit
 
 RECALL_TIMEOUT_MS = 60.0
+FRUITLESS_MS = 100.0
 PARALLEL_RECALLS = 4
 
 
@@ -30,6 +32,7 @@
 
     book : the daemon's record.
     network : the peer network.
+    clock : the process's clock.
     count_needed : the units that an account's own demand here needs.
     credits : moves what the buckets hold.
     """
@@ -38,13 +41,16 @@
         self,
         book: ShareBook,
         network: LoanNetwork,
+        clock: Clock,
         count_needed: Callable[[str], Units],
         credits: CreditMover,
     ) -> None:
         self._book = book
         self._network = network
+        self._clock = clock
         self._count_needed = count_needed
         self._credits = credits
+        self._fruitless_until_ms: dict[tuple[str, Resource], float] = {}
         network.handle(BorrowShare, self.lend)
         network.handle(ExtendLoans, self.extend)
 
@@ -87,6 +93,9 @@
         return came
 
     def _recall(self, sender: str, account: str, resource: Resource, units: int) -> bool:
+        key = (account, resource)
+        if self._clock.now_ms() < self._fruitless_until_ms.get(key, 0):
+            return False
         loans = [
             loan
             for loan in self._book.list_given(account, resource)
@@ -95,7 +104,10 @@
         loans.sort(key=lambda loan: -loan.units)
         asks = [gevent.spawn(self._recall_one, loan, units) for loan in loans[:PARALLEL_RECALLS]]
         gevent.joinall(asks)
-        return any(ask.value for ask in asks)
+        came = any(ask.value for ask in asks)
+        if not came:
+            self._fruitless_until_ms[key] = self._clock.now_ms() + FRUITLESS_MS
+        return came
 
     def _recall_one(self, loan: Loan, units: int) -> bool:
         try:
