Let the last word of a stopping daemon go out; show membership in the metrics

Cause: a stopping daemon queued that it is gone and closed its streams before the queue went, so the others found out by probing.

Change: PeerNetwork.stop lets queued frames go for at most 200 ms. Metrics: members by zone and state, messages and bytes between daemons, streams, drops, repairs. membership_isolated is logged.

--- a/hemlockswitch/connection/links.py
+++ b/hemlockswitch/connection/links.py
@@ -226,6 +226,11 @@
             if task is not current:
                 task.kill(block=False)
 
+    @property
+    def has_queued(self) -> bool:
+        """Whether frames wait to be sent."""
+        return bool(self._queue)
+
     def wait_closed(self) -> None:
         """Wait until the stream has ended."""
         self._ended.wait()
--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -34,6 +34,8 @@
 LARGEST_NUMBER = 0xFFFFFFFF
 SWEEP_MS = 1_000
 FORGET_BACKOFF_MS = 60_000
+FLUSH_MS = 200
+FLUSH_STEP_S = 0.005
 
 
 @register_message("hello")
@@ -129,8 +131,9 @@
         return f"{self._listen[0]}:{self._server.server_port}"
 
     def stop(self) -> None:
-        """Close every stream and stop listening."""
+        """Stop listening, let what is queued go for a moment, and close every stream."""
         self._stopped = True
+        self._flush()
         if self._sweeper is not None:
             self._sweeper.kill(block=False)
         if self._server is not None:
@@ -139,6 +142,13 @@
             link.close()
         self._workers.kill(block=False)
 
+    def _flush(self) -> None:
+        until_ms = self._clock.now_ms() + FLUSH_MS
+        while self._clock.now_ms() < until_ms:
+            if not any(link.has_queued for link in self._all_links):
+                return
+            gevent.sleep(FLUSH_STEP_S)
+
     def handle(self, message_type: type, handler: Handler, *, quick: bool = False) -> None:
         """Serve messages of `message_type` with `handler`.
 
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -17,6 +17,7 @@
 from hemlockswitch.process.departure import Departure
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
+from hemlockswitch.process.peer_metrics import PeerCollector
 from hemlockswitch.process.polling import PlatformPoll
 from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
@@ -78,6 +79,7 @@
         self.facts = Facts.from_settings(self.settings, "entry", self.clock)
         self.board = self.facts.board
         self.directory = self.facts.directory
+        PeerCollector.register(self.facts, self.metrics.registry)
         self.usage = UsageReporter(
             self.settings.name, self.facts.network, self.directory, self._list_peers
         )
--- a/hemlockswitch/process/membership.py
+++ b/hemlockswitch/process/membership.py
@@ -76,6 +76,7 @@
         self._links: Links | None = None
         self._suspected_ms: dict[str, float] = {}
         self._active_ms = 0.0
+        self._was_isolated = False
         self._prober = self._make_prober()
         self._tasks: list[gevent.Greenlet] = []
         board.add_listener(MEMBER_PREFIX, self._learn)
@@ -220,9 +221,15 @@
             self._active_ms += min(now_ms - last_ms, 2 * SWEEP_MS)
             last_ms = now_ms
             self._spread.forget_tombstones()
+            self._note_isolation()
             if self._has_heard_since(self.times.suspicion_ms):
                 self._end_suspicions()
 
+    def _note_isolation(self) -> None:
+        if self.is_isolated != self._was_isolated:
+            self._was_isolated = self.is_isolated
+            log_event(Event.MEMBERSHIP_ISOLATED, "warning", isolated=self._was_isolated)
+
     def _end_suspicions(self) -> None:
         probed = {member.name for member in self._find_links().probed}
         for name, since_ms in list(self._suspected_ms.items()):
--- /dev/null
+++ b/hemlockswitch/process/peer_metrics.py
@@ -0,0 +1,72 @@
+"""Metrics of the peer network, the membership and the spreading of news."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from hemlockswitch.connection.links import Traffic
+from hemlockswitch.process.facts import Facts
+
+
+class PeerCollector(Collector):
+    """Reads the counts that the parts keep anyway, when somebody asks.
+
+    Parameters
+    ==========
+
+    facts : the daemon's facts.
+    """
+
+    def __init__(self, facts: Facts) -> None:
+        self._facts = facts
+
+    @classmethod
+    def register(cls, facts: Facts, registry: CollectorRegistry) -> None:
+        """Add the metrics to `registry`."""
+        registry.register(cls(facts))
+
+    def describe(self) -> list[Metric]:
+        """Return nothing: the names are known only once the daemon runs."""
+        return []
+
+    def collect(self) -> Iterator[Metric]:
+        """Return the metrics as they are now."""
+        yield self._collect_members()
+        yield from _collect_traffic(self._facts.network.traffic)
+        streams = len(self._facts.network.list_streams())
+        yield GaugeMetricFamily("hemlock_peer_streams", "Open peer streams.", streams)
+        repairs = self._facts.spread.repairs
+        yield CounterMetricFamily("hemlock_news_repairs", "Comparisons of boards.", repairs)
+
+    def _collect_members(self) -> Metric:
+        family = GaugeMetricFamily(
+            "hemlock_members",
+            "Daemons that this one knows, by zone and state.",
+            labels=("zone", "state"),
+        )
+        membership = self._facts.membership
+        members = membership.list_members() if membership is not None else []
+        counts = Counter((member.zone, member.state.name.lower()) for member in members)
+        for labels, count in sorted(counts.items()):
+            family.add_metric(labels, count)
+        return family
+
+
+def _collect_traffic(traffic: Traffic) -> Iterator[Metric]:
+    messages = CounterMetricFamily(
+        "hemlock_peer_messages", "Messages between daemons.", labels=("direction",)
+    )
+    sizes = CounterMetricFamily(
+        "hemlock_peer_bytes", "Bytes of messages between daemons.", labels=("direction",)
+    )
+    for direction in ("in", "out"):
+        messages.add_metric((direction,), getattr(traffic, f"messages_{direction}"))
+        sizes.add_metric((direction,), getattr(traffic, f"bytes_{direction}"))
+    yield messages
+    yield sizes
+    yield CounterMetricFamily(
+        "hemlock_peer_dropped", "Messages dropped at a full or closed stream.", traffic.dropped
+    )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -200,3 +200,15 @@
         reached |= found
         frontier = list(found)
     assert len(reached) == len(members)
+
+
+def test_a_stopping_daemon_is_dead_to_the_others_before_anyone_suspects_it(start_daemons):
+    daemons = start_daemons("a", "a", "a")
+    wait_all_see(daemons, 3)
+    states = []
+    for daemon in daemons[:2]:
+        daemon.membership.add_listener(lambda member: states.append(member.state))
+    daemons[2].membership.stop()
+    daemons[2].network.stop()
+    wait_all_see(daemons[:2], 2)
+    assert set(states) == {MemberState.DEAD}
