Put revisions in force by watch, news and peers, and prove applying and spreading

Cause: each daemon polled the platform for the pointer twice a second and took what it read. With the platform down or cut off, a new daemon had no configuration; with old reads it took an older one; the calls grew with the fleet.

Weighed: the pointer watch may be answered while the revision object is still served old, so a revision that cannot be read yet keeps the watch's version and is asked for again, instead of being missed until the next change. Whether a zone's word is older than an apply is told by the platform's versions, not by clocks.

--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -123,6 +123,12 @@
         self._sweeper = gevent.spawn(self._sweep)
         return self.address
 
+    @property
+    def bound_address(self) -> str:
+        """Where it listens; differs from `address` when that is advertised."""
+        port = self._listen[1] if self._server is None else self._server.server_port
+        return f"{self._listen[0]}:{port}"
+
     def stop(self) -> None:
         """Close every stream and stop listening."""
         self._stopped = True
--- a/hemlockswitch/process/applying.py
+++ b/hemlockswitch/process/applying.py
@@ -15,7 +15,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hemlockswitch.connection.platform_models import Conflict, Unknown, WriteOutcome, Written
 from hemlockswitch.core.clock import Clock
@@ -48,6 +48,7 @@
     changes : what it changed against the revision that the operator saw.
     written : False when the file was in force already and nothing was written.
     replaced_by : the number of a later revision that is in force by now, if any.
+    version : the pointer's version when it was known to name this revision or a later one.
     """
 
     number: int
@@ -56,6 +57,7 @@
     changes: tuple[Change, ...]
     written: bool = True
     replaced_by: int | None = None
+    version: int = 0
 
 
 class RevisionConflictError(ConfigurationError):
@@ -144,11 +146,12 @@
                 POINTER_KIND, CURRENT_POINTER, revision.to_pointer(), base.version
             )
         )
-        if isinstance(outcome, Written):
-            return Applied(revision.number, revision.digest, revision.apply_id, (), written=False)
-        found = self._store.read_current(outcome.version)
+        found = base
+        if isinstance(outcome, Conflict):
+            found = self._store.read_current(outcome.version)
         if found.number == base.number:
-            return Applied(revision.number, revision.digest, revision.apply_id, (), written=False)
+            number, digest, apply_id = revision.number, revision.digest, revision.apply_id
+            return Applied(number, digest, apply_id, (), written=False, version=base.version)
         raise self._make_conflict(checked, base.number if seen is None else seen, found)
 
     def _write(self, checked: CheckedFile, base: Current) -> Applied:
@@ -163,7 +166,7 @@
         )
         outcome = self._write_until_known(lambda: self._move_pointer(proposal, base), proposal)
         if isinstance(outcome, Written):
-            return self._report(proposal, base, None)
+            return self._report(proposal, base, outcome.version)
         return self._recognise(checked, proposal, base, outcome.version)
 
     def _recognise(
@@ -177,8 +180,12 @@
             raise UnknownOutcomeError(proposal.number, proposal.apply_id) from error
         if not was_in_force:
             raise self._make_conflict(checked, base.number, found)
-        later = None if found.number == proposal.number else found.number
-        return self._report(proposal, base, later)
+        applied = self._report(proposal, base, found.version)
+        return (
+            applied
+            if found.number == proposal.number
+            else replace(applied, replaced_by=found.number)
+        )
 
     def _write_revision(self, proposal: Revision) -> Revision:
         """Create the revision object under the first free number."""
@@ -241,12 +248,11 @@
             raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "the platform serves old reads")
         self._clock.sleep_ms(RETRY_PAUSE_MS)
 
-    def _report(self, proposal: Revision, base: Current, later: int | None) -> Applied:
+    def _report(self, proposal: Revision, base: Current, version: int) -> Applied:
         old_tree = {} if base.revision is None else base.revision.tree
         changes = tuple(compare_trees(old_tree, proposal.tree))
-        return Applied(
-            proposal.number, proposal.digest, proposal.apply_id, changes, replaced_by=later
-        )
+        number, digest, apply_id = proposal.number, proposal.digest, proposal.apply_id
+        return Applied(number, digest, apply_id, changes, version=version)
 
     def _make_conflict(
         self, checked: CheckedFile, seen: int, found: Current
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -14,8 +14,8 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
-from hemlockswitch.process.polling import PlatformPoll
 from hemlockswitch.process.reports import RequestReports
+from hemlockswitch.process.revision_tasks import RevisionTasks
 from hemlockswitch.process.serving import Serving
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.allowances import FixedAllowances
@@ -71,10 +71,16 @@
         self.facts = Facts.from_settings(self.settings, "entry", self.clock)
         self.board = self.facts.board
         self.directory = self.facts.directory
-        self.poll = PlatformPoll(
-            self.settings.platform, self.settings.name, self.clock, self.use_file
+        self.revisions = RevisionTasks(
+            self.facts,
+            self.settings.name,
+            self.settings.zone,
+            "hemlock-entry",
+            self.clock,
+            lambda: self.serving.is_ready(),
         )
         self.status.add("revision", lambda: self.revision)
+        self.status.add("configuration", self.revisions.describe_status)
         self.status.add("zone", lambda: self.settings.zone)
         self.status.add("name", lambda: self.settings.name)
 
@@ -129,12 +135,16 @@
         self.control.start()
         self.callers.start()
         peer_address = self.facts.start(self.callers.bound_address, self.spawn)
-        self.spawn("poll", self.poll.run)
+        self.revisions.configuration.add_listener(
+            lambda revision: self.use_file(revision.file, revision.number)
+        )
+        self.revisions.start(self.spawn)
         self.spawn("sweep", self.sweep.run)
         return {
             "callers": self.callers.bound_address,
             "control": self.control.bound_address,
             "peers": peer_address,
+            "peer_listen": self.facts.network.bound_address,
         }
 
     def spawn(self, name: str, run: Callable[[], Any]) -> None:
--- a/hemlockswitch/process/facts.py
+++ b/hemlockswitch/process/facts.py
@@ -31,6 +31,7 @@
     zone: str
     region: str
     peer_listen: str
+    peer_advertise: str | None
     platform: str
     seeds: tuple[str, ...]
 
@@ -89,7 +90,13 @@
     @classmethod
     def from_settings(cls, settings: DaemonSettings, role: str, clock: Clock) -> Self:
         """Return the facts of a daemon with a board, a network and a client of its own."""
-        network = PeerNetwork(CLUSTER, settings.name, settings.peer_listen, clock=clock)
+        network = PeerNetwork(
+            CLUSTER,
+            settings.name,
+            settings.peer_listen,
+            advertise=settings.peer_advertise or "",
+            clock=clock,
+        )
         platform = PlatformClient.from_settings(settings, role)
         return cls(settings, NewsBoard(), network, platform, clock)
 
--- a/hemlockswitch/process/revision_spread.py
+++ b/hemlockswitch/process/revision_spread.py
@@ -155,21 +155,11 @@
         self._read_platform = read_platform
         self._clock = clock
         self._wake = Signal()
-        self._task: gevent.Greenlet | None = None
         self._platform_after_ms = clock.now_ms() + PLATFORM_AFTER_MS
         network.handle(RevisionQuestion, self._answer)
         board.add_listener(REVISION_KEY, lambda _: self._wake.set())
         configuration.add_listener(self._publish)
 
-    def start(self) -> None:
-        """Start catching up in the background."""
-        self._task = gevent.spawn(self._run)
-
-    def stop(self) -> None:
-        """End the task."""
-        if self._task is not None:
-            self._task.kill(block=False)
-
     @property
     def wanted(self) -> int:
         """The highest number that this daemon has heard of."""
@@ -186,7 +176,8 @@
             self._adopt_from_platform()
         return not self._is_behind()
 
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Catch up for ever: at once when there is news, and again until it succeeds."""
         pause_ms = FIRST_PAUSE_MS
         while True:
             self._wake.clear()
--- /dev/null
+++ b/hemlockswitch/process/revision_tasks.py
@@ -0,0 +1,135 @@
+"""A daemon's configuration and the tasks that keep it current and say so to operators."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from hemlockswitch.connection.platform_models import StoredObject
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.process.configuration import Configuration
+from hemlockswitch.process.facts import Facts
+from hemlockswitch.process.members import Member
+from hemlockswitch.process.revision_spread import RevisionSpread
+from hemlockswitch.process.revision_store import RevisionStore, read_pointer
+from hemlockswitch.process.watchers import Pointer, Watcher
+from hemlockswitch.process.zone_status import DaemonReport, ZoneMember, ZoneStatus
+from hemlockswitch.version.revisions import CURRENT_POINTER, POINTER_KIND
+
+READ_PATIENCE_MS = 0.0
+"""The tasks that read have their own pauses; one call fails at once."""
+
+
+class RevisionTasks:
+    """Wires a daemon's configuration to the platform, its peers and its zone's status.
+
+    Parameters
+    ==========
+
+    facts : the daemon's members, news, network and platform client.
+    name, zone, program : of the daemon.
+    clock : the daemon's clock.
+    is_ready : whether the daemon takes new work.
+    describe : a few numbers more for the zone's status.
+    """
+
+    def __init__(
+        self,
+        facts: Facts,
+        name: str,
+        zone: str,
+        program: str,
+        clock: Clock,
+        is_ready: Callable[[], bool],
+        describe: Callable[[], dict[str, Any]] = dict,
+    ) -> None:
+        self.configuration = Configuration(clock)
+        self._facts = facts
+        self._name = name
+        self._zone = zone
+        self._program = program
+        self._clock = clock
+        self._is_ready = is_ready
+        self._describe = describe
+        self._store = RevisionStore(facts.platform, clock, READ_PATIENCE_MS)
+        self.spread = RevisionSpread(
+            self.configuration,
+            facts.board,
+            facts.network,
+            self.list_peers,
+            lambda: self._store.read_current().revision,
+            clock,
+        )
+        self.zone_status = ZoneStatus(
+            zone, name, self.make_report, self.list_zone, facts.network, facts.platform, clock
+        )
+        self.configuration.add_listener(lambda _: self.zone_status.report_soon())
+
+    def start(self, spawn: Callable[[str, Callable[[], None]], None]) -> None:
+        """Start the tasks; `spawn` runs a named task until the daemon stops."""
+        pointer = Pointer(self._facts.platform, POINTER_KIND, CURRENT_POINTER, self.follow)
+        watcher = Watcher("revision pointer", self._facts.post, pointer.ask, 0, self._clock)
+        spawn("revision pointer", watcher.run)
+        spawn("revision spread", self.spread.run)
+        spawn("zone reports", self.zone_status.run_reports)
+        spawn("zone status", self.zone_status.run_writes)
+
+    def follow(self, item: StoredObject) -> None:
+        """Put the revision that the pointer names in force.
+
+        Raises
+        ======
+
+        PlatformError : the platform does not show the revision yet; the pointer is asked again.
+        """
+        pointer = read_pointer(item.value)
+        if pointer.number <= self.configuration.revision:
+            return
+        revision = self._store.read_revision(pointer.number)
+        if revision is None or revision.digest != pointer.digest:
+            detail = f"revision {pointer.number} cannot be read yet"
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, detail)
+        self.configuration.adopt(revision, "platform")
+
+    def list_peers(self) -> list[str]:
+        """Return the peer addresses of the other live daemons, those of this zone first."""
+        members = [one for one in self._list_live() if one.name != self._name]
+        random.shuffle(members)
+        members.sort(key=lambda member: member.zone != self._zone)
+        return [member.peer_address for member in members]
+
+    def list_zone(self) -> list[ZoneMember]:
+        """Return the zone's live daemons that serve callers."""
+        return [
+            ZoneMember(member.name, member.peer_address)
+            for member in self._list_live()
+            if member.zone == self._zone and member.caller_address
+        ]
+
+    def make_report(self) -> DaemonReport:
+        """Return what this daemon says of itself."""
+        return DaemonReport(
+            self._name,
+            self._program,
+            self.configuration.revision,
+            self.configuration.digest,
+            self._is_ready(),
+            self._describe(),
+        )
+
+    def describe_status(self) -> dict[str, Any]:
+        """Return the part of ``GET /status`` about the configuration."""
+        steps = [
+            {"number": step.number, "wall_ms": step.wall_ms, "source": step.source}
+            for step in self.configuration.adoptions
+        ]
+        return {
+            "number": self.configuration.revision,
+            "digest": self.configuration.digest,
+            "in_force": steps,
+            "received": vars(self.spread.counts),
+        }
+
+    def _list_live(self) -> list[Member]:
+        membership = self._facts.membership
+        return [] if membership is None else membership.list_live()
--- a/hemlockswitch/process/watchers.py
+++ b/hemlockswitch/process/watchers.py
@@ -249,7 +249,9 @@
 class Pointer:
     """Follows the pointer to the configuration's current revision."""
 
-    def __init__(self, platform: Platform, kind: str, name: str, read: Callable[[], None]) -> None:
+    def __init__(
+        self, platform: Platform, kind: str, name: str, read: Callable[[Any], None]
+    ) -> None:
         self._platform = platform
         self._kind = kind
         self._name = name
@@ -257,10 +259,16 @@
         self._version = 0
 
     def ask(self) -> None:
-        """Wait for a change of the pointer, and have the revision read when it comes."""
+        """Wait for a change of the pointer, and have the revision read when it comes.
+
+        Explanation
+        ===========
+
+        Where the reading raises, the version stays, and the same change is asked for again.
+        """
         changes = self._platform.watch(self._kind, self._version, POINTER_WAIT_MS, self._name)
-        if changes.items:
-            self._read()
+        for item in changes.items:
+            self._read(item)
         self._version = changes.version
 
 
--- a/hemlockswitch/process/zone_status.py
+++ b/hemlockswitch/process/zone_status.py
@@ -15,7 +15,6 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-import gevent
 from gevent.event import Event as Signal
 
 from hemlockswitch.connection.messages import register_message
@@ -109,17 +108,8 @@
         self._version = 0
         self._wake_report = Signal()
         self._wake_write = Signal()
-        self._tasks: list[gevent.Greenlet] = []
         network.handle(DaemonReport, self._hear, quick=True)
 
-    def start(self) -> None:
-        """Start reporting and, when it is this daemon's turn, writing."""
-        self._tasks = [gevent.spawn(self._report_forever), gevent.spawn(self._write_forever)]
-
-    def stop(self) -> None:
-        """End the tasks."""
-        gevent.killall(self._tasks, block=False)
-
     def report_soon(self) -> None:
         """Send a report without waiting for the interval; returns at once."""
         self._wake_report.set()
@@ -186,7 +176,8 @@
         if before is None or (before.report.revision, before.report.ready) != known:
             self._wake_write.set()
 
-    def _report_forever(self) -> None:
+    def run_reports(self) -> None:
+        """Report for ever: on a change, to a new reporter, and after each interval."""
         told: ZoneMember | None = None
         due_ms = 0.0
         while True:
@@ -198,7 +189,8 @@
                 due_ms = self._clock.now_ms() + REPORT_INTERVAL_MS * random.uniform(0.8, 1.2)
             self._wake_report.wait(REPORTER_CHECK_MS / MS_PER_SECOND)
 
-    def _write_forever(self) -> None:
+    def run_writes(self) -> None:
+        """Write for ever, whenever it is this daemon's turn."""
         failing = False
         while True:
             self._wake_write.wait(WRITE_INTERVAL_MS / MS_PER_SECOND)
--- a/hemlockswitch/process/zone_view.py
+++ b/hemlockswitch/process/zone_view.py
@@ -9,12 +9,16 @@
 
 from hemlockswitch.connection.platform_models import StoredObject
 
-STALE_AFTER_MS = 25_000
-"""Two and a half writing intervals: a zone whose last word is older does not answer."""
-
 
 class ZoneState(StrEnum):
-    """Whether a revision is in force in a zone."""
+    """Whether a revision is in force in a zone.
+
+    Explanation
+    ===========
+
+    ``waiting``: the zone has given a word since the revision was applied, and not all of its
+    daemons have it. ``silent``: it has not given one; ``never_heard``: it never gave any.
+    """
 
     IN_FORCE = "in_force"
     WAITING = "waiting"
@@ -71,37 +75,52 @@
 
 
 def view_zones(
-    zones: Sequence[str], objects: Iterable[StoredObject], number: int, now_wall_ms: int
+    zones: Sequence[str],
+    objects: Iterable[StoredObject],
+    number: int,
+    version: int,
+    now_wall_ms: int,
 ) -> list[ZoneView]:
-    """Return every zone's view against revision `number`, in the order of `zones`.
+    """Return every zone's view against a revision, in the order of `zones`.
 
     Explanation
     ===========
 
     A zone is in force when its word says that each of its live daemons has the revision or a
-    later one, however old the word is: numbers only rise. A zone that is not there yet and whose
-    word is old is silent; how old is said.
-    """
-    stored = {one.zone: one for one in _read_zones(objects)}
-    return [_view_zone(zone, stored.get(zone), number, now_wall_ms) for zone in zones]
+    later one, however old the word is: numbers only rise. Whether a word is older than the apply
+    is told by the platform's versions and not by clocks.
 
+    Parameters
+    ==========
 
-def _read_zones(objects: Iterable[StoredObject]) -> Iterable[StoredZone]:
-    for item in objects:
-        try:
-            yield StoredZone.model_validate(item.value)
-        except ValidationError:
-            continue
+    objects : the zones' status objects.
+    number : of the revision.
+    version : of the pointer when it was moved to the revision.
+    """
+    stored = {one.name: one for one in objects}
+    return [_view_zone(zone, stored.get(zone), number, version, now_wall_ms) for zone in zones]
 
 
-def _view_zone(zone: str, stored: StoredZone | None, number: int, now_wall_ms: int) -> ZoneView:
-    if stored is None:
+def _view_zone(
+    zone: str, found: StoredObject | None, number: int, version: int, now_wall_ms: int
+) -> ZoneView:
+    stored = _read_zone(found)
+    if found is None or stored is None:
         return ZoneView(zone, ZoneState.NEVER_HEARD)
-    age_ms = max(now_wall_ms - stored.written_wall_ms, 0)
     numbers = [daemon.revision for daemon in stored.daemons]
     behind = tuple(daemon.name for daemon in stored.daemons if daemon.revision < number)
-    state = ZoneState.IN_FORCE if numbers and not behind else ZoneState.WAITING
-    if state is ZoneState.WAITING and age_ms > STALE_AFTER_MS:
-        state = ZoneState.SILENT
+    state = ZoneState.SILENT if found.version < version else ZoneState.WAITING
+    if numbers and not behind:
+        state = ZoneState.IN_FORCE
+    age_ms = max(now_wall_ms - stored.written_wall_ms, 0)
     revisions = (min(numbers, default=0), max(numbers, default=0))
     return ZoneView(zone, state, age_ms, revisions, behind, stored.daemons)
+
+
+def _read_zone(found: StoredObject | None) -> StoredZone | None:
+    if found is None:
+        return None
+    try:
+        return StoredZone.model_validate(found.value)
+    except ValidationError:
+        return None
--- a/hemlockswitch/programs/ctl_apply.py
+++ b/hemlockswitch/programs/ctl_apply.py
@@ -87,7 +87,7 @@
             return ExitCode.DONE
         if not self.option("json"):
             self.write_answer({}, lines)
-        views = self._wait(checked, applied.number, wait_ms)
+        views = self._wait(checked, applied, wait_ms)
         done = all(view.state is ZoneState.IN_FORCE for view in views)
         answer |= {"ok": done, "zones": [describe_view(view) for view in views]}
         self.write_answer(answer, [format_view(view) for view in views])
@@ -103,23 +103,24 @@
             raise InvalidFileError.from_reason("--from is neither a number nor 'latest'")
         return int(seen)
 
-    def _wait(self, checked: CheckedFile, number: int, wait_ms: float) -> list[ZoneView]:
+    def _wait(self, checked: CheckedFile, applied: Applied, wait_ms: float) -> list[ZoneView]:
         deadline_ms = self.clock.now_ms() + wait_ms
         views: list[ZoneView] = []
         while True:
-            views = self._view(checked, number) or views
+            views = self._view(checked, applied) or views
             if views and all(view.state is ZoneState.IN_FORCE for view in views):
                 return views
             if self.clock.now_ms() >= deadline_ms:
-                return views or view_zones(checked.file.zones, (), number, 0)
+                return views or view_zones(checked.file.zones, (), applied.number, 0, 0)
             self.clock.sleep_ms(POLL_MS)
 
-    def _view(self, checked: CheckedFile, number: int) -> list[ZoneView]:
+    def _view(self, checked: CheckedFile, applied: Applied) -> list[ZoneView]:
         try:
             objects = self.client.list(STATUS_KIND).items
         except HemlockError:
             return []
-        return view_zones(checked.file.zones, objects, number, self.clock.wall_ms())
+        zones, now_ms = checked.file.zones, self.clock.wall_ms()
+        return view_zones(zones, objects, applied.number, applied.version, now_ms)
 
     def _describe(self, applied: Applied) -> dict[str, Any]:
         return {
--- a/hemlockswitch/programs/ctl_status.py
+++ b/hemlockswitch/programs/ctl_status.py
@@ -54,7 +54,8 @@
             return []
         objects = self.client.list(STATUS_KIND).items
         zones = current.revision.file.zones
-        return view_zones(zones, objects, current.number, self.clock.wall_ms())
+        now_ms = self.clock.wall_ms()
+        return view_zones(zones, objects, current.number, current.version, now_ms)
 
     def _describe(
         self, current: Current, views: list[ZoneView], vms: tuple[ListedVm, ...] | None
--- a/hemlockswitch/version/settings.py
+++ b/hemlockswitch/version/settings.py
@@ -33,7 +33,8 @@
     name : the process's name, one of its own in the whole system.
     zone : its availability zone.
     region : groups zones that are near one another; empty when there is one region.
-    peer_listen : where the system's other processes reach it; port 0 takes any free port.
+    peer_listen : where it listens for the system's other processes; port 0 takes any free port.
+    peer_advertise : where the others reach it, when that is not where it listens.
     platform : the platform's address.
     seeds : peer addresses of processes to join through.
     log_level : ``debug``, ``info`` or ``warning``.
@@ -46,6 +47,7 @@
     region: str = ""
     control_listen: Address = "127.0.0.1:0"
     peer_listen: Address = "127.0.0.1:0"
+    peer_advertise: Address | None = None
     platform: Address
     seeds: tuple[Address, ...] = ()
     log_level: Literal["debug", "info", "warning"] = "info"
