--- a/features/revision_spread.feature
+++ b/features/revision_spread.feature
@@ -10,18 +10,18 @@
     And revision 2 is in force everywhere within 5 seconds
 
   Scenario: A daemon is frozen during two changes, and thawed when the platform serves old reads
-    When "entry-khalda-hall-1" is frozen
+    When the daemon "entry-khalda-hall-1" freezes
     And an operator applies 2 changes
     And the platform serves reads from 2 versions back
-    And "entry-khalda-hall-1" is thawed
+    And the daemon "entry-khalda-hall-1" thaws
     Then revision 3 is in force everywhere within 10 seconds
     And every daemon's revisions only rose
 
   Scenario: A daemon is killed during a change, and started again while the platform is down
-    When "entry-abdoun-hall-2" is killed
+    When the daemon "entry-abdoun-hall-2" dies
     And an operator applies 1 changes
     And the platform goes down
-    And "entry-abdoun-hall-2" is started again
+    And the daemon "entry-abdoun-hall-2" starts again
     Then revision 2 is in force everywhere within 10 seconds
     And every daemon's revisions only rose
 
@@ -31,31 +31,32 @@
     And the platform goes down
     And a new daemon "entry-khalda-hall-3" starts in "khalda-hall"
     Then revision 2 is in force everywhere within 10 seconds
-    And "entry-khalda-hall-3" got the whole file from a peer
+    And the daemon "entry-khalda-hall-3" got the whole file from a peer
+    And the daemon "entry-khalda-hall-3" takes new work
 
   Scenario: A new daemon that reaches nobody is not ready
-    When "khalda-hall" is cut off from the platform
-    And "khalda-hall" is cut off from the other zone
-    And the daemons of "khalda-hall" are killed
+    When zone "khalda-hall" is cut off from the platform
+    And zone "khalda-hall" is cut off from the other zone
+    And every daemon of "khalda-hall" dies
     And a new daemon "entry-khalda-hall-3" starts in "khalda-hall"
-    Then "entry-khalda-hall-3" refuses work for 1 seconds
-    When "khalda-hall" is joined to the other zone again
+    Then the daemon "entry-khalda-hall-3" refuses work for 1 seconds
+    When zone "khalda-hall" is joined to the other zone again
     Then revision 1 is in force everywhere within 15 seconds
 
   Scenario: A zone is cut off from the platform but not from the other zone
-    When "khalda-hall" is cut off from the platform
+    When zone "khalda-hall" is cut off from the platform
     And an operator applies 2 changes
     Then revision 3 is in force everywhere within 5 seconds
     And no daemon of "khalda-hall" got a whole file or asked the platform for one
 
   Scenario: A zone is cut off from everything during two changes, and healed
-    When "khalda-hall" is cut off from the platform
-    And "khalda-hall" is cut off from the other zone
+    When zone "khalda-hall" is cut off from the platform
+    And zone "khalda-hall" is cut off from the other zone
     And an operator applies 2 changes
     Then revision 3 is in force in "abdoun-hall" within 5 seconds
     And revision 1 is still in force in "khalda-hall"
     And waiting for the change names "khalda-hall" and the age of its last word
-    When "khalda-hall" is joined to the other zone again
+    When zone "khalda-hall" is joined to the other zone again
     Then revision 3 is in force everywhere within 15 seconds
     And every daemon's revisions only rose
 
@@ -63,17 +64,17 @@
     When an operator applies 1 changes
     And revision 2 is in force everywhere within 5 seconds
     And the platform serves reads from 1 versions back
-    And "entry-abdoun-hall-1" is killed
-    And "entry-abdoun-hall-1" is started again
+    And the daemon "entry-abdoun-hall-1" dies
+    And the daemon "entry-abdoun-hall-1" starts again
     Then revision 2 is in force everywhere within 10 seconds
     And every daemon's revisions only rose
 
   Scenario: The platform goes down when only one zone has heard of the change
-    When "khalda-hall" is cut off from the platform
-    And "khalda-hall" is cut off from the other zone
+    When zone "khalda-hall" is cut off from the platform
+    And zone "khalda-hall" is cut off from the other zone
     And an operator applies 1 changes
     And revision 2 is in force in "abdoun-hall" within 5 seconds
     And the platform goes down
-    And "khalda-hall" is joined to the platform again
-    And "khalda-hall" is joined to the other zone again
+    And zone "khalda-hall" is joined to the platform again
+    And zone "khalda-hall" is joined to the other zone again
     Then revision 2 is in force everywhere within 15 seconds
--- a/features/steps/revision_spread_steps.py
+++ b/features/steps/revision_spread_steps.py
@@ -108,30 +108,30 @@
         assert numbers == sorted(numbers), (program.name, numbers)
 
 
-@when('"{name}" is frozen')
+@when('the daemon "{name}" freezes')
 def freeze(context, name):
     context.cluster.get(name).freeze()
 
 
-@when('"{name}" is thawed')
+@when('the daemon "{name}" thaws')
 def thaw(context, name):
     context.cluster.get(name).thaw()
 
 
-@when('"{name}" is killed')
+@when('the daemon "{name}" dies')
 def kill(context, name):
     program = context.cluster.get(name)
     context.before_kill[name] = list_numbers(program)
     program.kill()
 
 
-@when('the daemons of "{zone}" are killed')
+@when('every daemon of "{zone}" dies')
 def kill_zone(context, zone):
     for program in context.cluster.list_daemons(zone=zone):
         program.kill()
 
 
-@when('"{name}" is started again')
+@when('the daemon "{name}" starts again')
 def start_again(context, name):
     zone = context.cluster.get(name).settings["zone"]
     context.links.launch_entry(name, zone)
@@ -152,13 +152,18 @@
     context.cluster.set_platform_faults(objects={"versions_back": count})
 
 
-@then('"{name}" got the whole file from a peer')
+@then('the daemon "{name}" got the whole file from a peer')
 def check_whole(context, name):
     received = read_configuration(context.cluster.get(name))["received"]
     assert (received["by_whole"], received["by_platform"]) == (1, 0), received
 
 
-@then('"{name}" refuses work for {seconds:d} seconds')
+@then('the daemon "{name}" takes new work')
+def check_serving(context, name):
+    context.cluster.wait_until_serving(context.cluster.get(name))
+
+
+@then('the daemon "{name}" refuses work for {seconds:d} seconds')
 def check_refusing(context, name, seconds):
     program = context.cluster.get(name)
     until = time.monotonic() + seconds
@@ -167,22 +172,22 @@
         time.sleep(0.1)
 
 
-@when('"{zone}" is cut off from the platform')
+@when('zone "{zone}" is cut off from the platform')
 def cut_platform(context, zone):
     context.links.cut_platform(zone)
 
 
-@when('"{zone}" is cut off from the other zone')
+@when('zone "{zone}" is cut off from the other zone')
 def cut_zone(context, zone):
     context.links.cut_zone(zone)
 
 
-@when('"{zone}" is joined to the platform again')
+@when('zone "{zone}" is joined to the platform again')
 def heal_platform(context, zone):
     context.links.heal_platform(zone)
 
 
-@when('"{zone}" is joined to the other zone again')
+@when('zone "{zone}" is joined to the other zone again')
 def heal_zone(context, zone):
     context.links.heal_zone(zone)
 
--- a/features/support/zone_links.py
+++ b/features/support/zone_links.py
@@ -31,7 +31,9 @@
 
     def launch_entries(self, count: int) -> None:
         """Start `count` entry daemons in each zone together, ``entry-<zone>-1`` and so on."""
-        wanted = [(f"entry-{zone}-{at}", zone) for at in range(1, 1 + count) for zone in self._zones]
+        wanted = [
+            (f"entry-{zone}-{at}", zone) for at in range(1, 1 + count) for zone in self._zones
+        ]
         seeds = [self._cluster.add_link(f"peers-{name}") for name, _ in wanted[:2]]
         programs = [self._launch(name, zone, seeds=seeds) for name, zone in wanted]
         for program in programs:
--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -125,9 +125,9 @@
 
     @property
     def bound_address(self) -> str:
-        """Where it listens; differs from `address` when that is advertised."""
-        port = self._listen[1] if self._server is None else self._server.server_port
-        return f"{self._listen[0]}:{port}"
+        """Where it listens, once started; peers may use another address to get here."""
+        assert self._server is not None
+        return f"{self._listen[0]}:{self._server.server_port}"
 
     def stop(self) -> None:
         """Close every stream and stop listening."""
--- /dev/null
+++ b/hemlockswitch/process/claim_members.py
@@ -0,0 +1,82 @@
+"""The claims of an entry daemon, and what they know of the other daemons."""
+
+from collections.abc import Callable
+
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.claim_routes import ClaimPeer
+from hemlockswitch.process.claim_store import ClaimStore
+from hemlockswitch.process.facts import DaemonSettings, Facts
+from hemlockswitch.process.members import Member, MemberState
+from hemlockswitch.process.membership import Membership
+from hemlockswitch.version.models import Limits
+
+ROLE = "claims"
+CALL_TIMEOUT_MS = 1_000
+
+
+class ClaimMembers:
+    """The live entry daemons besides this one, and whether a claim's holder has gone.
+
+    Parameters
+    ==========
+
+    name : this daemon.
+    find_membership : returns the membership, or None before it started.
+    """
+
+    def __init__(self, name: str, find_membership: Callable[[], Membership | None]) -> None:
+        self._name = name
+        self._find_membership = find_membership
+
+    def list_peers(self) -> list[ClaimPeer]:
+        """Return the other live daemons that serve callers."""
+        return [
+            ClaimPeer(member.name, member.zone, member.peer_address)
+            for member in self._list_members()
+            if member.is_live and member.caller_address and member.name != self._name
+        ]
+
+    def is_gone(self, holder: str) -> bool:
+        """Return whether the process that made a claim is known to have ended.
+
+        A holder is named ``<daemon>-<random>``; another one of this daemon's name was here
+        before it.
+        """
+        daemon, _, _ = holder.rpartition("-")
+        if daemon == self._name:
+            return True
+        states = [member.state for member in self._list_members() if member.name == daemon]
+        return MemberState.DEAD in states
+
+    def _list_members(self) -> list[Member]:
+        membership = self._find_membership()
+        return membership.list_members() if membership is not None else []
+
+
+def build_claims(
+    settings: DaemonSettings,
+    facts: Facts,
+    clock: Clock,
+    find_limits: Callable[[], Limits],
+    count: Callable[[str], None],
+) -> ClaimStore:
+    """Return the claims of an entry daemon, on a platform client of their own.
+
+    Their calls are short and many; a watch that fails must not make them wait.
+    """
+    members = ClaimMembers(settings.name, lambda: facts.membership)
+    platform = PlatformClient(
+        settings.platform, ROLE, settings.name, timeout_ms=CALL_TIMEOUT_MS, clock=clock
+    )
+    return ClaimStore.from_config(
+        settings.name,
+        settings.zone,
+        platform,
+        clock,
+        lambda: find_limits().claim_retention_ms,
+        peers=facts.network,
+        list_peers=members.list_peers,
+        is_gone=members.is_gone,
+        count=count,
+    )
--- /dev/null
+++ b/hemlockswitch/process/usage.py
@@ -0,0 +1,220 @@
+"""What the entry daemons say of the backend servers they use, asked by the controller.
+
+The controller asks one daemon, which asks all others that it counts as running. A backend server
+is empty when each of them knows that it leaves and has no request in progress there.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from typing import Any, Protocol
+
+import gevent
+
+from hemlockswitch.connection.messages import register_message
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.errors import ErrorKind, PeerError
+
+ASK_MS = 1_000
+
+
+@register_message("usage_question")
+@dataclass(frozen=True)
+class UsageQuestion:
+    """Asks for the use of some backend servers, of one daemon or through it of all."""
+
+    names: list[str]
+    of_all: bool = False
+
+
+@register_message("usage")
+@dataclass(frozen=True)
+class Usage:
+    """The use of the asked backend servers.
+
+    Parameters
+    ==========
+
+    in_flight : requests in progress by server name.
+    closed : names that get no new work from any daemon that answered.
+    holding_ms : mean time that a request holds its slot, by model or service.
+    silent : daemons that count as running and did not answer.
+    answered : daemons that answered.
+    """
+
+    in_flight: dict[str, int]
+    closed: list[str]
+    holding_ms: dict[str, float]
+    silent: list[str]
+    answered: list[str]
+
+    def is_empty(self, name: str) -> bool:
+        """Return whether all daemons confirm that the server has and gets no work."""
+        return not self.silent and name in self.closed and self.in_flight.get(name, 0) == 0
+
+
+@register_message("planned_stop")
+@dataclass(frozen=True)
+class PlannedStop:
+    """Says that backend servers will be stopped, so that no daemon gives them new work."""
+
+    names: list[str]
+    to_all: bool = False
+
+
+@register_message("planned_stop_learned")
+@dataclass(frozen=True)
+class PlannedStopLearned:
+    """The answer to a planned stop."""
+
+
+class UsedBackends(Protocol):
+    """What the answering daemon needs of its directory of backend servers."""
+
+    def count_in_flight(self, name: str) -> int:
+        """Return this daemon's requests in progress at the server."""
+
+    def is_closed(self, name: str) -> bool:
+        """Return whether the server gets no new work from this daemon ever again."""
+
+    def close(self, name: str) -> None:
+        """Give the server no new work ever again, and let what runs there end."""
+
+    def get_service_ms(self) -> dict[str, float]:
+        """Return the mean time of a request in its slot, by model or service."""
+
+
+def combine_usage(answers: Iterable[Usage]) -> Usage:
+    """Return the use over several daemons.
+
+    Examples
+    ========
+
+    >>> one = Usage({"llm-1": 1}, ["llm-1"], {"m": 200.0}, [], ["entry-1"])
+    >>> other = Usage({"llm-1": 0}, [], {"m": 400.0}, [], ["entry-2"])
+    >>> combine_usage([one, other]).in_flight, combine_usage([one, other]).closed
+    ({'llm-1': 1}, [])
+    >>> combine_usage([one, other]).holding_ms
+    {'m': 300.0}
+    """
+    found = list(answers)
+    in_flight: Counter[str] = Counter()
+    holding: dict[str, list[float]] = {}
+    for answer in found:
+        in_flight.update(answer.in_flight)
+        for target, value_ms in answer.holding_ms.items():
+            holding.setdefault(target, []).append(value_ms)
+    closed = set.intersection(*(set(answer.closed) for answer in found))
+    return Usage(
+        dict(in_flight),
+        sorted(closed),
+        {target: sum(values) / len(values) for target, values in holding.items()},
+        [name for answer in found for name in answer.silent],
+        [name for answer in found for name in answer.answered],
+    )
+
+
+class UsageReporter:
+    """The entry daemon's side: answers for itself, and asks the others on behalf of a controller.
+
+    Parameters
+    ==========
+
+    name : this daemon.
+    network : the daemon's peer network; the handlers are registered here.
+    backends : its directory of backend servers.
+    list_peers : names and peer addresses of the other running daemons.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        network: PeerNetwork,
+        backends: UsedBackends,
+        list_peers: Callable[[], list[tuple[str, str]]],
+    ) -> None:
+        self._name = name
+        self._network = network
+        self._backends = backends
+        self._list_peers = list_peers
+        network.handle(UsageQuestion, self._answer)
+        network.handle(PlannedStop, self._learn_stop)
+
+    def _answer(self, _: str, question: UsageQuestion) -> Usage:
+        own = self._report(question.names)
+        if not question.of_all:
+            return own
+        single = replace(question, of_all=False)
+        answers = self._ask_all(single)
+        others = [
+            answer if isinstance(answer, Usage) else _report_silent(name, question.names)
+            for name, answer in answers.items()
+        ]
+        return combine_usage([own, *others])
+
+    def _report(self, names: list[str]) -> Usage:
+        in_flight = {name: self._backends.count_in_flight(name) for name in names}
+        closed = [name for name in names if self._backends.is_closed(name)]
+        return Usage(in_flight, closed, self._backends.get_service_ms(), [], [self._name])
+
+    def _learn_stop(self, _: str, stop: PlannedStop) -> PlannedStopLearned:
+        for name in stop.names:
+            self._backends.close(name)
+        if stop.to_all:
+            self._ask_all(replace(stop, to_all=False))
+        return PlannedStopLearned()
+
+    def _ask_all(self, question: UsageQuestion | PlannedStop) -> dict[str, Any]:
+        """Return every other running daemon's answer, None for one that gave none."""
+        tasks = {
+            name: gevent.spawn(self._ask, address, question) for name, address in self._list_peers()
+        }
+        gevent.joinall(list(tasks.values()))
+        return {name: task.value for name, task in tasks.items()}
+
+    def _ask(self, address: str, question: UsageQuestion | PlannedStop) -> Any:
+        try:
+            return self._network.ask(address, question, ASK_MS)
+        except PeerError:
+            return None
+
+
+def _report_silent(name: str, names: list[str]) -> Usage:
+    return Usage({}, list(names), {}, [name], [])
+
+
+class Daemons:
+    """The controller's side: asks whichever known daemon answers.
+
+    Parameters
+    ==========
+
+    network : the controller's own peer network.
+    addresses : peer addresses of daemons, the nearest first.
+    """
+
+    def __init__(self, network: PeerNetwork, addresses: Callable[[], list[str]]) -> None:
+        self._network = network
+        self._addresses = addresses
+
+    def ask_usage(self, names: Iterable[str]) -> Usage:
+        """Return the use of the named servers over all running daemons.
+
+        Raises
+        ======
+
+        PeerError : no daemon answered.
+        """
+        return self._ask_any(UsageQuestion(sorted(names), of_all=True))
+
+    def announce_stop(self, names: Iterable[str]) -> None:
+        """Have every daemon learn that the named servers will be stopped."""
+        self._ask_any(PlannedStop(sorted(names), to_all=True))
+
+    def _ask_any(self, question: UsageQuestion | PlannedStop):
+        for address in self._addresses():
+            try:
+                return self._network.ask(address, question, ASK_MS * 2)
+            except PeerError:
+                continue
+        raise PeerError(ErrorKind.PEER_UNAVAILABLE, "no daemon answered")
