Keep copies and stop them gracefully, proved with real processes

Cause: the controller had no feature; entry daemons gave no word on the servers they use, so nothing could be confirmed empty.

--- a/features/support/controllers.py
+++ b/features/support/controllers.py
@@ -30,6 +30,13 @@
     return items[0]
 
 
+def read_copies(cluster: Cluster, target: str) -> list[dict[str, Any]]:
+    """Return the records of a target's copies as the platform has them."""
+    address = cluster.platform.addresses["http"]
+    items = get_json(address, f"/standin/objects/copies?prefix={target}")["items"]
+    return list(items[0]["value"]["copies"].values()) if items else []
+
+
 def count_events(cluster: Cluster, name: str, event: str) -> int:
     """Return how often a program logged an event."""
     lines = cluster.get(name).log_file.read_text().splitlines()
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -64,7 +64,7 @@
     COPY_REFUSED = (823, "copy_refused")
     COPY_STOPPING = (824, "copy_stopping")
     COPY_GONE = (825, "copy_gone")
-    COPIES_PLANNED = (826, "copies_planned")
+    COPY_START_UNKNOWN = (826, "copy_start_unknown")
     CONTROL_PASS_FAILED = (827, "control_pass_failed")
     DAEMONS_SILENT = (828, "daemons_silent")
 
--- a/hemlockswitch/process/backends.py
+++ b/hemlockswitch/process/backends.py
@@ -84,6 +84,7 @@
         self._known: dict[str, _Known] = {}
         self._leaving: dict[str, int] = {}
         self._draining: frozenset[str] = frozenset()
+        self._closed: set[str] = set()
         self._subsets: dict[str, Subset] = {}
         self._chosen: dict[str, list[str]] = {}
         self._servers_changed = True
@@ -114,6 +115,19 @@
         """Return the servers that are leaving, with the deadline of each (0: not known)."""
         return dict(self._leaving)
 
+    def close(self, name: str) -> None:
+        """Give the server no new work ever again, and let what runs there end."""
+        self._closed.add(name)
+        self._servers_changed = True
+
+    def is_closed(self, name: str) -> bool:
+        """Return whether the server gets no new work from this daemon ever again."""
+        return name in self._closed or name in self._leaving
+
+    def get_service_ms(self) -> dict[str, float]:
+        """Return the mean time of a request in its slot, by model or service."""
+        return dict(self._service_ms)
+
     def list_draining(self) -> frozenset[str]:
         """Return the names that the configuration in force stops as planned."""
         return self._draining
@@ -262,7 +276,7 @@
         return server.state is BackendState.LIVE and server.name not in self._leaving
 
     def _is_usable(self, server: BackendServer) -> bool:
-        if not self._is_live(server) or server.name in self._draining:
+        if not self._is_live(server) or server.name in self._draining | self._closed:
             return False
         known = self._known.get(server.name)
         report = known.load.report if known else None
--- a/hemlockswitch/process/control.py
+++ b/hemlockswitch/process/control.py
@@ -192,8 +192,10 @@
         running = [copy for copy in own.values() if copy.state == CopyState.RUNNING]
         loading = sum(1 for copy in running if self._view.is_loading(copy))
         wanted = [token for token, copy in own.items() if copy.state == CopyState.WANTED]
-        for token in wanted[: max(0, self._times.parallel_starts - loading)]:
-            self._starter.start(one.name, token, own[token])
+        room = max(0, self._times.parallel_starts - loading)
+        for token in self._starter.sort_by_turn(wanted)[:room]:
+            if not self._starter.start(one.name, token, own[token]):
+                return
 
     def _advance_stops(self, one: WantedTarget, table: CopyTable) -> None:
         stopping = {
--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -17,6 +17,7 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.control import Controller, ControlTimes
 from hemlockswitch.process.copy_records import CopyRecords
+from hemlockswitch.process.facts import CLUSTER
 from hemlockswitch.process.lease import Lease, LeaseTimes
 from hemlockswitch.process.observed_zone import Sources
 from hemlockswitch.process.reclaims import Reclaims
@@ -93,7 +94,7 @@
         self._wake = Signal()
         self._tasks: list[gevent.Greenlet] = []
         self._platform = PlatformClient.from_settings(settings, PLATFORM_ROLE)
-        self._network = PeerNetwork("hemlockswitch", settings.name, settings.peer_listen)
+        self._network = PeerNetwork(CLUSTER, settings.name, settings.peer_listen)
         self._current = CurrentFile(self._platform)
         self._metrics = ControllerMetrics()
         self.lease = Lease(
--- a/hemlockswitch/process/copies.py
+++ b/hemlockswitch/process/copies.py
@@ -16,6 +16,7 @@
 LATE_SHARE_ALLOWED = 0.05
 LATE_SHARE_TO_SHRINK = 0.02
 POOL_EFFICIENCY = 0.9
+LEAST_PRICE = 1e-6
 
 
 @dataclass(frozen=True)
@@ -219,21 +220,18 @@
     def _choose_starts(
         self, places: list[Place], free: Sequence[Place], demand: Demand, licences_used: int
     ) -> list[Place]:
-        """Add the place that buys the most for its price until the target holds."""
+        """Add places until the target holds and the least number is there."""
         starts: list[Place] = []
         room = self._target.licensed - licences_used
         while free and len(starts) < room:
             late = self.compute_late(places + starts, demand)
-            is_few = len(places) + len(starts) < self._target.least
-            if late <= LATE_SHARE_ALLOWED and not is_few:
+            is_late = late > LATE_SHARE_ALLOWED
+            if not is_late and len(places) + len(starts) >= self._target.least:
                 break
             gains = [late - self.compute_late(places + starts + [at], demand) for at in free]
-            if max(gains) <= 0 and not is_few:
+            if is_late and max(gains) <= 0:
                 break
-            best = max(
-                range(len(free)), key=lambda at: (max(gains[at], 1e-9) / free[at].price_per_hour)
-            )
-            starts.append(free[best])
+            starts.append(_choose_place(free, gains, is_late))
         return starts
 
     def _choose_stop(self, staying: Sequence[Copy], peak: Demand) -> str:
@@ -247,6 +245,16 @@
         return ""
 
 
+def _choose_place(free: Sequence[Place], gains: Sequence[float], is_late: bool) -> Place:
+    """Return what buys most for its price while requests are late, else the cheapest place."""
+
+    def rate(at: int) -> tuple[float, float]:
+        price = max(free[at].price_per_hour, LEAST_PRICE)
+        return (gains[at] / price, -price) if is_late else (-price, gains[at])
+
+    return free[max(range(len(free)), key=rate)]
+
+
 def plan_over_licence(copies: Sequence[Copy], target: Target) -> tuple[str, ...]:
     """Return the copies to stop because the licence was lowered, dearest first."""
     over = len(copies) - target.licensed
--- a/hemlockswitch/process/copy_changes.py
+++ b/hemlockswitch/process/copy_changes.py
@@ -1,5 +1,6 @@
 """The steps that start and stop copies: each one recorded before it has an effect."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -88,18 +89,34 @@
         self._records = records
         self._lease = lease
         self._clock = clock
+        self._tried_ms: dict[str, float] = {}
         self.refused = RefusedPlaces(clock)
 
-    def start(self, target: str, token: str, record: CopyRecord) -> None:
-        """Start one wanted copy, or take back its record if the start is refused."""
+    def sort_by_turn(self, tokens: Iterable[str]) -> list[str]:
+        """Return the tokens, the one tried longest ago first, so that none holds up the others."""
+        return sorted(tokens, key=lambda token: self._tried_ms.get(token, 0.0))
+
+    def start(self, target: str, token: str, record: CopyRecord) -> bool:
+        """Start one wanted copy, or take back its record if the start is refused.
+
+        A start without an answer keeps its record; a later pass asks again with its token.
+
+        Returns
+        =======
+
+        bool : whether the cloud API answered, so that asking for more makes sense now.
+        """
         self._lease.get_fencing()
+        self._tried_ms[token] = self._clock.now_ms()
         try:
             vm = self._platform.start_vm(record.zone, target, record.machine_class, token)
         except PlatformError as error:
-            if error.kind != ErrorKind.OVERLOADED:
-                raise
-            self._take_back(target, token, record, error)
-            return
+            if error.kind == ErrorKind.OVERLOADED:
+                self._take_back(target, token, record, error)
+            else:
+                log_event(Event.COPY_START_UNKNOWN, "warning", target=target, detail=error.detail)
+            return error.kind == ErrorKind.OVERLOADED
+        self._tried_ms.pop(token)
         self.refused.clear(record.machine_class)
         wall_ms = self._clock.wall_ms()
         self._records.change(
@@ -107,8 +124,10 @@
             lambda table: table.move(token, CopyState.RUNNING, wall_ms, vm.name, vm.address),
         )
         log_event(Event.COPY_STARTED, target=target, vm=vm.name, zone=record.zone)
+        return True
 
     def _take_back(self, target: str, token: str, record: CopyRecord, error: PlatformError) -> None:
+        self._tried_ms.pop(token)
         self.refused.add(record.machine_class, error.answer.retry_after_ms)
         self._records.change(target, lambda table: table.remove(token))
         log_event(
--- a/hemlockswitch/process/demand.py
+++ b/hemlockswitch/process/demand.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.copies import Demand
 
 GROW_SHARE = 0.5
@@ -16,8 +16,8 @@
 @dataclass
 class _Series:
     busy: float = 0.0
+    holding_ms: float = DEFAULT_HOLDING_MS
     peaks: deque[tuple[float, float]] = field(default_factory=deque)
-    begun: deque[tuple[float, int]] = field(default_factory=deque)
 
 
 class DemandMeter:
@@ -51,17 +51,16 @@
         """Whether a whole window was seen, so that the peak means something."""
         return self._clock.now_ms() - self._since_ms >= self._window_ms
 
-    def add_sample(self, target: str, busy: float, begun: int | None = None) -> None:
-        """Take in what was running and waiting, and the count of requests begun so far."""
+    def add_sample(self, target: str, busy: float, holding_ms: float | None = None) -> None:
+        """Take in what is running and waiting, and how long a request holds its slot."""
         series = self._series.setdefault(target, _Series())
         share = GROW_SHARE if busy > series.busy else FALL_SHARE
         series.busy += share * (busy - series.busy)
+        series.holding_ms = holding_ms or series.holding_ms
         now_ms = self._clock.now_ms()
         series.peaks.append((now_ms, series.busy))
-        if begun is not None:
-            series.begun.append((now_ms, begun))
-        _forget(series.peaks, now_ms - self._window_ms)
-        _forget(series.begun, now_ms - self._window_ms)
+        while series.peaks[0][0] < now_ms - self._window_ms:
+            series.peaks.popleft()
 
     def get_now(self, target: str) -> Demand:
         """Return the demand to grow for."""
@@ -75,21 +74,4 @@
         series = self._series.get(target)
         if series is None:
             return Demand(0.0)
-        return Demand(choose(series), _compute_holding(series), DEFAULT_PREFILL_MS)
-
-
-def _compute_holding(series: _Series) -> float:
-    """Return the time that a request holds its slot, by Little's law over the window."""
-    if len(series.begun) < 2:
-        return DEFAULT_HOLDING_MS
-    (first_ms, first), (last_ms, last) = series.begun[0], series.begun[-1]
-    if last <= first or last_ms <= first_ms:
-        return DEFAULT_HOLDING_MS
-    busy = sum(value for _, value in series.peaks) / len(series.peaks)
-    arrivals_per_s = (last - first) * MS_PER_SECOND / (last_ms - first_ms)
-    return max(busy / arrivals_per_s * MS_PER_SECOND, 1.0)
-
-
-def _forget(samples: deque, before_ms: float) -> None:
-    while len(samples) > 1 and samples[0][0] < before_ms:
-        samples.popleft()
+        return Demand(choose(series), series.holding_ms, DEFAULT_PREFILL_MS)
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -20,6 +20,7 @@
 from hemlockswitch.process.reports import RequestReports
 from hemlockswitch.process.serving import Serving
 from hemlockswitch.process.traces import Tracing
+from hemlockswitch.process.usage import UsageReporter
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.allowances import FixedAllowances
 from hemlockswitch.request.attempt import AttemptOpener
@@ -75,6 +76,9 @@
         self.facts = Facts.from_settings(self.settings, "entry", self.clock)
         self.board = self.facts.board
         self.directory = self.facts.directory
+        self.usage = UsageReporter(
+            self.settings.name, self.facts.network, self.directory, self._list_peers
+        )
         self.poll = PlatformPoll(
             self.settings.platform, self.settings.name, self.clock, self.use_file
         )
@@ -182,6 +186,11 @@
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
+    def _list_peers(self) -> list[tuple[str, str]]:
+        """Return the names and peer addresses of the other running daemons of all zones."""
+        live = self.facts.membership.list_live() if self.facts.membership else []
+        return [(one.name, one.peer_address) for one in live if one.name != self.settings.name]
+
     def _find_limits(self) -> Limits:
         return self.file.limits if self.file else Limits()
 
--- a/hemlockswitch/process/observed_zone.py
+++ b/hemlockswitch/process/observed_zone.py
@@ -164,8 +164,8 @@
         self._sources.summaries.exchange(ZoneSummary(busy=busy, offers=self._list_offers()))
         for name, own in busy.items():
             total = own + self._sources.summaries.sum_others(name)
-            begun = self._usage.begun.get(name, 0) if self._usage else None
-            self.meter.add_sample(name, total, begun)
+            holding_ms = self._usage.holding_ms.get(name) if self._usage else None
+            self.meter.add_sample(name, total, holding_ms)
 
     def _sum_busy(self, one: WantedTarget) -> float:
         names = [vm.name for vm in self.vms.values() if vm.serves == one.name]
--- a/hemlockswitch/process/usage.py
+++ b/hemlockswitch/process/usage.py
@@ -4,18 +4,17 @@
 is empty when each of them knows that it leaves and has no request in progress there.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
-from typing import Protocol
+from typing import Any, Protocol
 
 import gevent
 
 from hemlockswitch.connection.messages import register_message
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.errors import ErrorKind, PeerError
-from hemlockswitch.process.news import NewsBoard, NewsItem
 
-PLANNED_NOTICE_VERSION = 0
 ASK_MS = 1_000
 
 
@@ -38,14 +37,14 @@
 
     in_flight : requests in progress by server name.
     closed : names that get no new work from any daemon that answered.
-    begun : requests begun since the daemons' start, by model or service.
+    holding_ms : mean time that a request holds its slot, by model or service.
     silent : daemons that count as running and did not answer.
     answered : daemons that answered.
     """
 
     in_flight: dict[str, int]
     closed: list[str]
-    begun: dict[str, int]
+    holding_ms: dict[str, float]
     silent: list[str]
     answered: list[str]
 
@@ -60,6 +59,7 @@
     """Says that backend servers will be stopped, so that no daemon gives them new work."""
 
     names: list[str]
+    to_all: bool = False
 
 
 @register_message("planned_stop_learned")
@@ -74,11 +74,14 @@
     def count_in_flight(self, name: str) -> int:
         """Return this daemon's requests in progress at the server."""
 
-    def is_leaving(self, name: str) -> bool:
-        """Return whether the server was ever learned to be leaving."""
+    def is_closed(self, name: str) -> bool:
+        """Return whether the server gets no new work from this daemon ever again."""
 
-    def count_begun(self) -> dict[str, int]:
-        """Return the requests begun since the start, by model or service."""
+    def close(self, name: str) -> None:
+        """Give the server no new work ever again, and let what runs there end."""
+
+    def get_service_ms(self) -> dict[str, float]:
+        """Return the mean time of a request in its slot, by model or service."""
 
 
 def combine_usage(answers: Iterable[Usage]) -> Usage:
@@ -87,30 +90,28 @@
     Examples
     ========
 
-    >>> one = Usage({"llm-1": 1}, ["llm-1"], {"m": 2}, [], ["entry-1"])
-    >>> other = Usage({"llm-1": 0}, [], {"m": 3}, [], ["entry-2"])
-    >>> combine_usage([one, other])
-    Usage(in_flight={'llm-1': 1}, closed=[], begun={'m': 5}, silent=[], answered=['entry-1', 'entry-2'])
+    >>> one = Usage({"llm-1": 1}, ["llm-1"], {"m": 200.0}, [], ["entry-1"])
+    >>> other = Usage({"llm-1": 0}, [], {"m": 400.0}, [], ["entry-2"])
+    >>> combine_usage([one, other]).in_flight, combine_usage([one, other]).closed
+    ({'llm-1': 1}, [])
+    >>> combine_usage([one, other]).holding_ms
+    {'m': 300.0}
     """
-    total = Usage({}, [], {}, [], [])
-    for number, answer in enumerate(answers):
-        closed = answer.closed if number == 0 else _keep(total.closed, answer.closed)
-        total = Usage(
-            _add(total.in_flight, answer.in_flight),
-            closed,
-            _add(total.begun, answer.begun),
-            total.silent + answer.silent,
-            total.answered + answer.answered,
-        )
-    return total
-
-
-def _keep(names: list[str], others: list[str]) -> list[str]:
-    return [name for name in names if name in others]
-
-
-def _add(counts: dict[str, int], others: dict[str, int]) -> dict[str, int]:
-    return {key: counts.get(key, 0) + others.get(key, 0) for key in counts | others}
+    found = list(answers)
+    in_flight: Counter[str] = Counter()
+    holding: dict[str, list[float]] = {}
+    for answer in found:
+        in_flight.update(answer.in_flight)
+        for target, value_ms in answer.holding_ms.items():
+            holding.setdefault(target, []).append(value_ms)
+    closed = set.intersection(*(set(answer.closed) for answer in found))
+    return Usage(
+        dict(in_flight),
+        sorted(closed),
+        {target: sum(values) / len(values) for target, values in holding.items()},
+        [name for answer in found for name in answer.silent],
+        [name for answer in found for name in answer.answered],
+    )
 
 
 class UsageReporter:
@@ -122,7 +123,6 @@
     name : this daemon.
     network : the daemon's peer network; the handlers are registered here.
     backends : its directory of backend servers.
-    board : its news board; a planned stop becomes a notice without a deadline there.
     list_peers : names and peer addresses of the other running daemons.
     """
 
@@ -131,13 +131,11 @@
         name: str,
         network: PeerNetwork,
         backends: UsedBackends,
-        board: NewsBoard,
         list_peers: Callable[[], list[tuple[str, str]]],
     ) -> None:
         self._name = name
         self._network = network
         self._backends = backends
-        self._board = board
         self._list_peers = list_peers
         network.handle(UsageQuestion, self._answer)
         network.handle(PlannedStop, self._learn_stop)
@@ -147,26 +145,42 @@
         if not question.of_all:
             return own
         single = replace(question, of_all=False)
-        tasks = [gevent.spawn(self._ask, *peer, single) for peer in self._list_peers()]
-        gevent.joinall(tasks)
-        return combine_usage([own, *(task.value for task in tasks)])
+        answers = self._ask_all(single)
+        others = [
+            answer if isinstance(answer, Usage) else _report_silent(name, question.names)
+            for name, answer in answers.items()
+        ]
+        return combine_usage([own, *others])
 
     def _report(self, names: list[str]) -> Usage:
         in_flight = {name: self._backends.count_in_flight(name) for name in names}
-        closed = [name for name in names if self._backends.is_leaving(name)]
-        return Usage(in_flight, closed, self._backends.count_begun(), [], [self._name])
+        closed = [name for name in names if self._backends.is_closed(name)]
+        return Usage(in_flight, closed, self._backends.get_service_ms(), [], [self._name])
+
+    def _learn_stop(self, _: str, stop: PlannedStop) -> PlannedStopLearned:
+        for name in stop.names:
+            self._backends.close(name)
+        if stop.to_all:
+            self._ask_all(replace(stop, to_all=False))
+        return PlannedStopLearned()
 
-    def _ask(self, name: str, address: str, question: UsageQuestion) -> Usage:
+    def _ask_all(self, question: UsageQuestion | PlannedStop) -> dict[str, Any]:
+        """Return every other running daemon's answer, None for one that gave none."""
+        tasks = {
+            name: gevent.spawn(self._ask, address, question) for name, address in self._list_peers()
+        }
+        gevent.joinall(list(tasks.values()))
+        return {name: task.value for name, task in tasks.items()}
+
+    def _ask(self, address: str, question: UsageQuestion | PlannedStop) -> Any:
         try:
             return self._network.ask(address, question, ASK_MS)
         except PeerError:
-            return Usage({}, list(question.names), {}, [name], [])
+            return None
 
-    def _learn_stop(self, _: str, stop: PlannedStop) -> PlannedStopLearned:
-        for name in stop.names:
-            value = {"vm": name, "deadline_wall_ms": 0}
-            self._board.learn(NewsItem(f"notice/{name}", PLANNED_NOTICE_VERSION, value))
-        return PlannedStopLearned()
+
+def _report_silent(name: str, names: list[str]) -> Usage:
+    return Usage({}, list(names), {}, [name], [])
 
 
 class Daemons:
@@ -195,7 +209,7 @@
 
     def announce_stop(self, names: Iterable[str]) -> None:
         """Have every daemon learn that the named servers will be stopped."""
-        self._ask_any(PlannedStop(sorted(names)))
+        self._ask_any(PlannedStop(sorted(names), to_all=True))
 
     def _ask_any(self, question: UsageQuestion | PlannedStop):
         for address in self._addresses():
