--- /dev/null
+++ b/hemlockswitch/process/share_members.py
@@ -0,0 +1,54 @@
+"""What the shares know of the other entry daemons."""
+
+from collections.abc import Callable
+
+from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.backends import VM_PREFIX
+from hemlockswitch.process.facts import Facts
+from hemlockswitch.process.membership import Membership
+from hemlockswitch.process.news import NewsBoard
+from hemlockswitch.process.shares import ShareMember, Shares
+from hemlockswitch.version.backend import BackendState
+from hemlockswitch.version.models import OperatorFile
+from hemlockswitch.version.settings import EntrySettings
+
+CALL_MS = 1_000.0
+
+
+def build_shares(
+    settings: EntrySettings, facts: Facts, clock: Clock, find_file: Callable[[], OperatorFile]
+) -> Shares:
+    """Return the daemon's shares of the limits, on a platform client of their own."""
+    store = PlatformClient(settings.platform, "limits", settings.name, timeout_ms=CALL_MS)
+    return Shares(
+        name=settings.name,
+        zone=settings.zone,
+        clock=clock,
+        store=store,
+        network=facts.network,
+        find_file=find_file,
+        list_members=lambda: list_share_members(facts.membership),
+        is_gone=lambda name: is_vm_gone(facts.board, name),
+    )
+
+
+def list_share_members(membership: Membership | None) -> list[ShareMember]:
+    """Return the live daemons that serve callers; none before the membership started."""
+    return [
+        ShareMember(member.name, member.zone, member.peer_address)
+        for member in (membership.list_live() if membership is not None else ())
+        if member.caller_address
+    ]
+
+
+def is_vm_gone(board: NewsBoard, name: str) -> bool:
+    """Return whether the platform's VM list once showed a VM and shows it no more.
+
+    Explanation
+    ===========
+
+    A member that is counted as dead is no proof: it may be cut off and still admit.
+    """
+    item = board.find(f"{VM_PREFIX}{name}")
+    return item is not None and item.value.get("state") == BackendState.GONE.value
