--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -93,7 +93,7 @@
         self._wake = Signal()
         self._tasks: list[gevent.Greenlet] = []
         self._platform = PlatformClient.from_settings(settings, PLATFORM_ROLE)
-        self._network = PeerNetwork("hemlockswitch", settings.name, settings.peer_listen)
+        self._network = PeerNetwork(settings.cluster, settings.name, settings.peer_listen)
         self._current = CurrentFile(self._platform)
         self._metrics = ControllerMetrics()
         self.lease = Lease(
