Repeat the request id in the stand-ins' refusals

Cause: a trial with a service that refuses showed answer_invalid at the callers: the stand-in's refusal did not repeat X-Request-Id as the protocol says, so the daemon rightly took it for another call's answer. The refusals carry it now and reach the caller as the service's own; the load program reads errors of another form by their status.

Run: the trial again, 20 requests a second for 5 s with one of four services refusing, status 503 at the caller, no call run twice; doctests and unit tests of the stand-ins pass.

--- a/hemlockswitch/standin/load_calls.py
+++ b/hemlockswitch/standin/load_calls.py
@@ -225,10 +225,7 @@
     def _take_refusal(self, answer: http.client.HTTPResponse, may_repeat: bool) -> None:
         """Wait as the refusal says, or give up where coming back does not help."""
         content = answer.read()
-        try:
-            error = json.loads(content)["error"]
-        except (ValueError, KeyError, TypeError):
-            error = {"kind": f"status_{answer.status}", "ran": ""}
+        error = read_error(content, answer.status)
         retry_after = answer.getheader("Retry-After")
         repeat = retry_after is not None and (may_repeat or error.get("ran") == "no")
         if not repeat:
@@ -252,6 +249,22 @@
             raise GiveUpError("patience is over")
 
 
+def read_error(content: bytes, status: int) -> dict[str, Any]:
+    """Return the error in a refusal's body; one of another form is named by its status.
+
+    Examples
+    ========
+
+    >>> read_error(b'{"error": "refused"}', 503)
+    {'kind': 'status_503', 'ran': ''}
+    """
+    try:
+        error = json.loads(content)["error"]
+    except (ValueError, KeyError, TypeError):
+        error = None
+    return error if isinstance(error, dict) else {"kind": f"status_{status}", "ran": ""}
+
+
 def iterate_lines(answer: http.client.HTTPResponse) -> Iterator[bytes]:
     """Yield the lines of an answer as they come, several to a read."""
     rest = b""
--- a/hemlockswitch/standin/server.py
+++ b/hemlockswitch/standin/server.py
@@ -73,6 +73,9 @@
 ) -> None:
     response.status = error.status
     response.media = error.body
+    request_id = request.get_header("X-Request-Id")
+    if request_id:
+        response.set_header("X-Request-Id", request_id)
 
 
 def read_body(request: falcon.Request, model: type[Model]) -> Model:
