--- a/hemlockswitch/connection/platform.py
+++ b/hemlockswitch/connection/platform.py
@@ -143,11 +143,11 @@
         return _parse(PageBody, _require(answer)).to_page()
 
     def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
+        """Write an object that must not exist yet; `value` is JSON-ready or bytes of JSON."""
         return self._write("PUT", kind, name, _encode(value), {"If-None-Match": "*"})
 
     def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object whose version must be `version`."""
+        """Write an object whose version must be `version`; `value` as for `create`."""
         return self._write("PUT", kind, name, _encode(value), {"If-Match": str(version)})
 
     def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
@@ -297,6 +297,9 @@
 
 
 def _encode(value: Any) -> bytes:
+    """Return a value's JSON text; bytes are JSON text already."""
+    if isinstance(value, bytes):
+        return value
     return json.dumps(value, separators=(",", ":")).encode()
 
 
--- a/hemlockswitch/process/claim_ledger.py
+++ b/hemlockswitch/process/claim_ledger.py
@@ -120,9 +120,9 @@
     return {digest: Claim.from_value(body) for digest, body in value.items()}
 
 
-def measure_bytes(value: Any) -> int:
-    """Return the size of a value as the object service counts it."""
-    return len(json.dumps(value, separators=(",", ":")))
+def encode_json(value: Any) -> bytes:
+    """Return the JSON text of a value; its length is what the object service counts."""
+    return json.dumps(value, separators=(",", ":")).encode()
 
 
 class Draft:
--- a/hemlockswitch/process/claim_objects.py
+++ b/hemlockswitch/process/claim_objects.py
@@ -18,14 +18,14 @@
     Segment,
     decode_claims,
     encode_claims,
-    measure_bytes,
+    encode_json,
 )
 from hemlockswitch.request.claims import Claim
 
 KIND = "claims"
-HEAD_BYTES = 131_072
-HEAD_BYTES_AT_MOST = 4 * HEAD_BYTES
-MAX_SEGMENTS = 256
+HEAD_BYTES = 65_536
+HEAD_BYTES_AT_MOST = 8 * HEAD_BYTES
+MAX_SEGMENTS = 512
 SEGMENTS_IN_MEMORY = 4
 FRESH_READS = 4
 
@@ -90,6 +90,7 @@
         self._index: dict[str, str] = {}
         self._indexed: set[str] = set()
         self._recent: OrderedDict[str, dict[str, Claim]] = OrderedDict()
+        self._strays: list[str] = []
 
     def forget(self) -> None:
         """Read the head again before the next draft."""
@@ -112,14 +113,15 @@
         """Make a draft true if nobody changed the head since it was read."""
         moved = self._move_finished(draft, now_wall_ms)
         head = draft.to_head()
-        value = head.to_value()
+        value = encode_json(head.to_value())
         if self._version:
             outcome = self._platform.update(KIND, self._name, value, self._version)
         else:
             outcome = self._platform.create(KIND, self._name, value)
         if isinstance(outcome, Written):
-            self._keep(head, outcome.version, measure_bytes(value))
+            self._keep(head, outcome.version, len(value))
             self._remove(draft.dropped)
+            self._remove_strays()
             return outcome
         self.forget()
         if isinstance(outcome, Conflict):
@@ -142,7 +144,7 @@
             if version < self._least_version:
                 continue
             head = Head() if stored is None else Head.from_value(stored.value)
-            self._keep(head, version, 0 if stored is None else measure_bytes(stored.value))
+            self._keep(head, version, 0 if stored is None else len(encode_json(stored.value)))
             return head
         raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "the platform answers with old reads")
 
@@ -191,6 +193,7 @@
         if not isinstance(outcome, Written):
             # The head alone still holds all claims; the next write tries again.
             draft.claims.update(finished)
+            self._strays.append(name)
             return ()
         newest = max(claim.made_wall_ms for claim in finished.values())
         segment = Segment(name, outcome.version, newest)
@@ -206,3 +209,14 @@
                 self._platform.delete(KIND, segment.name, segment.version)
             except HemlockError:
                 return
+
+    def _remove_strays(self) -> None:
+        """Delete segments whose creation was not answered and which no head lists."""
+        for name in self._strays:
+            try:
+                stored = self._platform.read(KIND, name)
+            except HemlockError:
+                return
+            if stored is not None:
+                self._remove((Segment(name, stored.version, 0),))
+        self._strays.clear()
--- a/hemlockswitch/process/claim_routes.py
+++ b/hemlockswitch/process/claim_routes.py
@@ -165,6 +165,11 @@
         self._list_peers = list_peers
         peers.handle(ClaimOperation, self._serve)
 
+    def stop(self) -> None:
+        """End the writers' tasks."""
+        for writer in self._writers:
+            writer.stop()
+
     def count_peers(self) -> int:
         """Return how many other daemons can be asked."""
         return len(self._list_peers())
--- a/hemlockswitch/process/claim_store.py
+++ b/hemlockswitch/process/claim_store.py
@@ -178,6 +178,11 @@
         """Wait until the outcomes are written; return whether all are."""
         return bool(self._outbox.join(timeout=timeout_ms / MS_PER_SECOND))
 
+    def stop(self) -> None:
+        """End the tasks; outcomes that are not written yet stay unknown."""
+        self._outbox.kill(block=False)
+        self._routes.stop()
+
     def _count(self, outcome: str) -> None:
         self.counts[outcome] += 1
         self._count_outside(outcome)
--- a/hemlockswitch/process/claim_writer.py
+++ b/hemlockswitch/process/claim_writer.py
@@ -21,6 +21,7 @@
 MAX_BATCH = 64
 MAX_ATTEMPTS = 8
 CONFLICT_PAUSE_MS = 10.0
+LOG_INTERVAL_MS = 5_000
 
 
 @dataclass(frozen=True)
@@ -30,11 +31,13 @@
     Parameters
     ==========
 
-    interval_ms : least time between two writes of the partition by this daemon.
+    interval_ms : time between two writes of the partition by this daemon, on average.
+    burst : so many writes may follow one another at once after a rest.
     lazy_ms : how long operations that no caller waits for are held back for company.
     """
 
-    interval_ms: float = 50.0
+    interval_ms: float = 64.0
+    burst: int = 4
     lazy_ms: float = 200.0
 
 
@@ -48,12 +51,14 @@
 
 @dataclass
 class WriterCounts:
-    """What the writer did."""
+    """What the writers of a process did, and when they last logged a failure."""
 
     operations: int = 0
     writes: int = 0
     conflicts: int = 0
     unknown: int = 0
+    failures: int = 0
+    logged_ms: float = float("-inf")
 
 
 class PartitionWriter:
@@ -92,7 +97,7 @@
         self._waiting: deque[_Waiting] = deque()
         self._arrived = Signal()
         self._urgent = Signal()
-        self._last_write_ms = float("-inf")
+        self._next_write_ms = float("-inf")
         self._task: gevent.Greenlet | None = None
 
     def perform(self, operation: Operation) -> Result:
@@ -112,15 +117,14 @@
         """End the task; who waits is told that the outcome is uncertain."""
         if self._task is not None:
             self._task.kill(block=False)
-        for waiting in self._waiting:
-            waiting.result.set(Result(Verdict.UNCERTAIN))
+        while self._waiting:
+            self._waiting.popleft().result.set(Result(Verdict.UNCERTAIN))
 
     def _run(self) -> None:
         while True:
             self._arrived.wait()
             self._urgent.wait(self._pace.lazy_ms / MS_PER_SECOND)
-            due_ms = self._last_write_ms + self._pace.interval_ms
-            self._clock.sleep_ms(due_ms - self._clock.now_ms())
+            self._clock.sleep_ms(self._next_write_ms - self._clock.now_ms())
             self._serve(self._take_batch())
 
     def _take_batch(self) -> list[_Waiting]:
@@ -159,9 +163,18 @@
             raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "too many conflicts")
         except HemlockError as error:
             verdict = Verdict.UNCERTAIN if uncertain else Verdict.UNAVAILABLE
-            log_event(Event.CLAIM_WRITE_FAILED, "warning", verdict=verdict, reason=error.detail)
+            self._note_failure(error.detail)
             return [Result(verdict)] * len(operations)
 
+    def _note_failure(self, reason: str) -> None:
+        """Count a failed batch; an outage is logged now and then, not for every call."""
+        self._counts.failures += 1
+        now_ms = self._clock.now_ms()
+        if now_ms - self._counts.logged_ms >= LOG_INTERVAL_MS:
+            self._counts.logged_ms = now_ms
+            failures = self._counts.failures
+            log_event(Event.CLAIM_WRITE_FAILED, "warning", failures=failures, reason=reason)
+
     def _try_once(self, operations: list[Operation]) -> tuple[list[Result], WriteOutcome | None]:
         """Apply a batch and write it; the outcome is None where nothing had to be written."""
         now_wall_ms = self._clock.wall_ms()
@@ -169,10 +182,15 @@
         results = [apply(operation, draft) for operation in operations]
         if not draft.changed:
             return results, None
-        self._last_write_ms = self._clock.now_ms()
-        self._counts.writes += 1
+        self._count_write()
         return results, self._objects.write(draft, now_wall_ms)
 
+    def _count_write(self) -> None:
+        """Count a write and set when the next may go out."""
+        self._counts.writes += 1
+        earliest_ms = self._clock.now_ms() - self._pace.burst * self._pace.interval_ms
+        self._next_write_ms = max(self._next_write_ms, earliest_ms) + self._pace.interval_ms
+
     def _count_failure(self, outcome: WriteOutcome) -> None:
         if isinstance(outcome, Conflict):
             self._counts.conflicts += 1
--- a/hemlockswitch/standin/platform.py
+++ b/hemlockswitch/standin/platform.py
@@ -157,6 +157,7 @@
             json.loads(body)
         except ValueError as error:
             raise falcon.HTTPBadRequest(title="the value is not JSON") from error
+        self._state.counts.written_bytes += len(body)
         expected = _get_expected_version(req)
         self._finish(resp, kind, self._state.objects.write(kind, name, body, expected))
 
--- a/hemlockswitch/standin/platform_faults.py
+++ b/hemlockswitch/standin/platform_faults.py
@@ -101,6 +101,7 @@
     by_daemon: dict[str, Counter[str]] = field(default_factory=dict)
     writes_by_kind: Counter[str] = field(default_factory=Counter)
     conflicts_by_kind: Counter[str] = field(default_factory=Counter)
+    written_bytes: int = 0
     lost_answers: int = 0
     over_rate: int = 0
 
@@ -117,6 +118,7 @@
             "by_daemon": self.by_daemon,
             "writes_by_kind": self.writes_by_kind,
             "conflicts_by_kind": self.conflicts_by_kind,
+            "written_bytes": self.written_bytes,
             "lost_answers": self.lost_answers,
             "over_rate": self.over_rate,
         }
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,5 +1,6 @@
 """Claims against an object service in memory that fails on demand."""
 
+import json
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -59,7 +60,7 @@
             return Conflict(current)
         self.version += 1
         self.writes += 1
-        history.append((self.version, value))
+        history.append((self.version, json.loads(value) if isinstance(value, bytes) else value))
         if self.lose:
             self.lose -= 1
             return Unknown("lost")
@@ -118,7 +119,7 @@
 
 
 def make_store(objects: Objects, name: str = "a", zone: str = "z", **settings: Any) -> ClaimStore:
-    settings = {"pace": Pace(0, 1), **settings}
+    settings = {"pace": Pace(0, 0, 1), **settings}
     retention_ms = settings.pop("retention_ms", 3_600_000)
     return ClaimStore.from_config(
         name, zone, objects, SystemClock(), lambda: retention_ms, **settings
