Try claims under random faults, and keep them longer than a dispatch

Twelve seeds: three daemons, each platform call may fail, be lost before or after it took effect, take effect late, or be answered by an old read; tasks are killed at random. No key ran twice, no key that was only refused with `ran: no` had run, and each such key ran once the faults ended.

A file's `claim_retention_ms` under 5 minutes now counts as 5: a claim that ends before its dispatch does would let a repeat run.

--- a/hemlockswitch/process/claim_members.py
+++ b/hemlockswitch/process/claim_members.py
@@ -13,6 +13,7 @@
 
 ROLE = "claims"
 CALL_TIMEOUT_MS = 1_000
+LEAST_RETENTION_MS = 300_000
 
 
 class ClaimMembers:
@@ -74,7 +75,8 @@
         settings.zone,
         platform,
         clock,
-        lambda: find_limits().claim_retention_ms,
+        # A claim must outlive the longest dispatch, whatever the file says.
+        lambda: max(find_limits().claim_retention_ms, LEAST_RETENTION_MS),
         peers=facts.network,
         list_peers=members.list_peers,
         is_gone=members.is_gone,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,6 +1,7 @@
 """Claims against an object service in memory that fails on demand."""
 
 import json
+import random
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -18,11 +19,12 @@
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError, Ran, RequestError
 from hemlockswitch.process import claim_store
+from hemlockswitch.process.claim_ledger import Draft, GiveBack, Head, Place, Verdict, apply
 from hemlockswitch.process.claim_objects import Bounds
 from hemlockswitch.process.claim_routes import ClaimOperation, ClaimPeer
 from hemlockswitch.process.claim_store import ClaimStore
 from hemlockswitch.process.claim_writer import Pace
-from hemlockswitch.request.claims import KEPT_BODY_BYTES, StoredAnswer
+from hemlockswitch.request.claims import KEPT_BODY_BYTES, Claim, StoredAnswer
 
 
 class Objects:
@@ -213,7 +215,7 @@
 
 
 def test_not_dispatched_gives_the_claim_back() -> None:
-    objects, service, store = Objects(), Service(), None
+    objects, service = Objects(), Service()
     store = make_store(objects)
     service.error = RequestError(ErrorKind.NO_BACKEND, "none")
     assert refuse(store, service).kind is ErrorKind.NO_BACKEND
@@ -248,8 +250,113 @@
     assert service.runs == 1
 
 
+def test_given_back_claim_cannot_be_placed_late() -> None:
+    draft = Draft(Head(), lambda digest: None, oldest_wall_ms=0)
+    late, other = Claim.make("f", "a", 1, 9), Claim.make("f", "b", 1, 9)
+    apply(GiveBack("k", late), draft)
+    assert apply(Place("k", late), draft).verdict is Verdict.UNAVAILABLE
+    assert apply(Place("k", other), draft).verdict is Verdict.PLACED
+    apply(GiveBack("k", late), draft)
+    assert draft.find("k") == other
+
+
+def test_a_claim_slept_on_is_not_dispatched(monkeypatch: pytest.MonkeyPatch) -> None:
+    objects, service = Objects(), Service()
+    store = make_store(objects)
+    monkeypatch.setattr(claim_store, "FRESH_MS", 0)
+    assert refuse(store, service).kind is ErrorKind.CLAIM_UNAVAILABLE
+    store.flush(5_000)
+    monkeypatch.undo()
+    assert run(make_store(objects, "b"), service).status == 201 and service.runs == 1
+
+
+class FaultyObjects(Objects):
+    """Object service whose every call may go wrong, writes also by taking effect late."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__()
+        self.random = random.Random(seed)
+        self.faulty = True
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        self._fail_sometimes()
+        self.old_reads = self.random.choice((0, 0, 0, 1, 3)) if self.faulty else 0
+        return super().read(kind, name)
+
+    def _fail_sometimes(self) -> None:
+        if self.faulty and self.random.random() < 0.1:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+
+    def _write(self, name: str, value: Any, expected: int) -> WriteOutcome:
+        self._fail_sometimes()
+        fate = self.random.random() if self.faulty else 1.0
+        if fate < 0.1:
+            return Unknown("not applied")
+        if fate < 0.2:
+            late_s = self.random.uniform(0, 0.03)
+            gevent.spawn_later(late_s, super()._write, name, value, expected)
+            return Unknown("applied late")
+        outcome = super()._write(name, value, expected)
+        return Unknown("applied") if fate < 0.3 else outcome
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_faults_never_run_a_key_twice(seed: int) -> None:
+    objects, network = FaultyObjects(seed), Network()
+    names = ("d0", "d1", "d2")
+    peers = [ClaimPeer(name, f"z{index}", name) for index, name in enumerate(names)]
+    stores = [
+        make_store(
+            objects,
+            peer.name,
+            peer.zone,
+            peers=network.join(peer.address),
+            list_peers=lambda me=peer: [other for other in peers if other != me],
+            bounds=Bounds(head_bytes=1_500),
+        )
+        for peer in peers
+    ]
+    services = {f"k{number}": Service() for number in range(25)}
+    refused_all: dict[str, bool] = dict.fromkeys(services, True)
+
+    def call(store: ClaimStore, key: str) -> None:
+        try:
+            run(store, services[key], key)
+            refused_all[key] = False
+        except RequestError as error:
+            refused_all[key] &= error.answer.ran is Ran.NO
+
+    tasks = []
+    for key in services:
+        for _ in range(objects.random.randint(1, 4)):
+            tasks.append(gevent.spawn(call, objects.random.choice(stores), key))
+            if objects.random.random() < 0.1:
+                gevent.spawn_later(objects.random.uniform(0, 0.02), tasks[-1].kill)
+                refused_all[key] = False
+        gevent.sleep(0.002)
+    gevent.joinall(tasks)
+    assert all(service.runs <= 1 for service in services.values())
+    assert all(services[key].runs == 0 for key, refused in refused_all.items() if refused)
+    objects.faulty = False
+    for store in stores:
+        assert store.flush(10_000)
+    for key, service in services.items():
+        answered = attempt(stores[0], service, key)
+        assert service.runs <= 1
+        assert answered or not refused_all[key], key
+
+
+def attempt(store: ClaimStore, service: Service, key: str) -> bool:
+    """Repeat a key; return whether it has an answer."""
+    try:
+        return run(store, service, key).status == 201
+    except RequestError as error:
+        assert error.kind in (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.CLAIM_CONFLICT)
+        return False
+
+
 def test_large_answer_is_known_by_digest() -> None:
-    objects, service, store = Objects(), Service(), None
+    objects, service = Objects(), Service()
     store = make_store(objects)
     service.body = b"x" * (KEPT_BODY_BYTES + 1)
     run(store, service)
