--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -20,9 +20,11 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from tools.capacity_entry import measure_entry, print_entry  # noqa: E402
 from tools.capacity_target import find_slopes, print_target, work_out  # noqa: E402
 
 PRODUCT = "rings"
+FLOOD = "flood"
 REPORT = ROOT / "reports" / "capacity.json"
 START_AT_ONCE = 8
 DAEMONS_IN_ZONE = 8
@@ -183,11 +185,13 @@
     """Freeze the second half until the first calls it dead, then let it go on."""
     half = len(daemons) // 2
     frozen = daemons[half:]
+    started = time.monotonic()
     for daemon in frozen:
         daemon.process.send_signal(signal.SIGSTOP)
     try:
         for daemon in frozen:
             wait_until_dead(daemons[:half], daemon.name)
+        dead_s = time.monotonic() - started
     finally:
         for daemon in frozen:
             daemon.process.send_signal(signal.SIGCONT)
@@ -195,7 +199,12 @@
     healed_s = wait_until_joined(daemons)
     after = read_reports(daemons[:half])
     grown = [b["bytes_out"] - a["bytes_out"] for a, b in zip(before, after, strict=True)]
-    return {"frozen": len(frozen), "healed_s": healed_s, "bytes_out": statistics.mean(grown)}
+    return {
+        "frozen": len(frozen),
+        "dead_s": dead_s,
+        "healed_s": healed_s,
+        "bytes_out": statistics.mean(grown),
+    }
 
 
 def wait_until_dead(daemons: list[LightDaemon], name: str) -> float:
@@ -219,7 +228,8 @@
         result["idle"] = measure_rates(daemons, window_s)
         result["news"] = measure_news(daemons)
         result["detection"] = measure_detection(daemons, kills)
-        result["heal"] = measure_heal(daemons)
+        if variant == PRODUCT:
+            result["heal"] = measure_heal(daemons)
         result["held"] = daemons[0].ask(f"hold {HELD_MEMBERS} {HELD_ITEMS}")
         return result
     finally:
@@ -228,7 +238,12 @@
 
 def print_result(result: dict) -> None:
     """Print one row."""
-    idle, news = result["idle"], result["news"]
+    idle, news, heal = result["idle"], result["news"], result.get("heal")
+    healed = (
+        f", {heal['frozen']} frozen at once: dead {heal['dead_s']:.1f} s, back {heal['healed_s']:.1f} s"
+        if heal
+        else ""
+    )
     print(
         f"{result['variant']:7} {result['daemons']:4} daemons: "
         f"{idle['messages_out']['mean']:6.1f} messages/s out, "
@@ -239,8 +254,7 @@
         f"news {news['reach_ms']['median']:5.0f} ms (max {news['reach_ms']['max']:.0f}), "
         f"{news['copies_per_item']:4.1f} copies, {news['missed']} missed, "
         f"detected {result['detection']['median_ms']:.0f} ms "
-        f"(max {result['detection']['max_ms']:.0f}), "
-        f"{result['heal']['frozen']} frozen healed in {result['heal']['healed_s']:.1f} s",
+        f"(max {result['detection']['max_ms']:.0f}){healed}",
         flush=True,
     )
 
@@ -249,11 +263,10 @@
     """Run the chosen sizes and variants and write the report."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="+", default=[8, 16, 32])
-    parser.add_argument(
-        "--variants", nargs="+", default=["rings", "flood", "tree", "mesh", "random"]
-    )
+    parser.add_argument("--variants", nargs="+", default=["rings", "flood"])
     parser.add_argument("--window-s", type=float, default=10)
     parser.add_argument("--kills", type=int, default=3)
+    parser.add_argument("--vms", type=int, nargs="*", default=[0, 32, 128])
     parser.add_argument("--report", type=Path, default=REPORT)
     options = parser.parse_args()
     results = []
@@ -263,10 +276,20 @@
             print_result(result)
             results.append(result)
     slopes = find_slopes([result for result in results if result["variant"] == PRODUCT])
-    target = work_out(slopes) if slopes else {}
+    eager = find_slopes([result for result in results if result["variant"] == FLOOD])
+    target = work_out(slopes, eager or slopes) if slopes else {}
     print_target(slopes, target)
     options.report.parent.mkdir(exist_ok=True)
-    report = {"results": results, "slopes": slopes, "target": target}
+    entry = [measure_entry(vms, options.window_s) for vms in options.vms]
+    for result in entry:
+        print_entry(result)
+    report = {
+        "results": results,
+        "slopes": slopes,
+        "eager_slopes": eager,
+        "target": target,
+        "entry": entry,
+    }
     options.report.write_text(json.dumps(report, indent=1))
     print(f"report: {options.report}")
     return 0
--- /dev/null
+++ b/tools/capacity_entry.py
@@ -0,0 +1,166 @@
+"""Measure what control costs whole, idle entry daemons, by the number of VMs in their zone.
+
+Real `hemlock-entry` processes, one stand-in platform, and one stand-in engine that stands in the VM
+list under many names. Both are reached through the counting proxy, so their bytes are known.
+``tools/capacity.py --parts entry`` runs it.
+"""
+
+import os
+import statistics
+import time
+from dataclasses import dataclass
+
+from features.support.calls import call, get_json, post_json
+from features.support.cluster import Cluster
+from features.support.operator_files import MODEL, make_operator_file
+from features.support.processes import wait_until
+
+ZONE = "zone-1"
+DAEMONS = 8
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True)
+class Reading:
+    """Counts of one moment: of each daemon, and of the two proxied links."""
+
+    taken_s: float
+    processor_s: list[float]
+    peer_bytes: list[float]
+    peer_messages: list[float]
+    platform_bytes: int
+    engine_bytes: int
+    platform_calls: int
+
+
+def read_processor_s(pid: int) -> float:
+    """Return the processor time of a process so far."""
+    with open(f"/proc/{pid}/stat") as status:
+        fields = status.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def read_metric(address: str, name: str) -> float:
+    """Return the sum of a metric's samples."""
+    text = call(address, "GET", "/metrics").body.decode()
+    lines = [line for line in text.splitlines() if line.startswith((name + "{", name + " "))]
+    return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
+
+
+def count_link_bytes(cluster: Cluster, name: str) -> int:
+    """Return the bytes that a proxied link has moved."""
+    return sum(cluster.read_link(name)["bytes_moved"].values())
+
+
+def count_platform_calls(cluster: Cluster) -> int:
+    """Return how many calls the entry daemons made at the platform."""
+    calls = cluster.read_stats("platform")["calls"]
+    return sum_numbers(calls)
+
+
+def sum_numbers(value: object) -> int:
+    """Return the sum of the whole numbers in nested counts."""
+    if isinstance(value, dict):
+        return sum(sum_numbers(one) for one in value.values())
+    if isinstance(value, list):
+        return sum(sum_numbers(one) for one in value)
+    return value if isinstance(value, int) else 0
+
+
+def take_reading(cluster: Cluster) -> Reading:
+    """Read all counts."""
+    daemons = cluster.list_daemons()
+    controls = [daemon.addresses["control"] for daemon in daemons]
+    return Reading(
+        time.monotonic(),
+        [read_processor_s(daemon.pid) for daemon in daemons],
+        [read_metric(address, "hemlock_peer_bytes_total") for address in controls],
+        [read_metric(address, "hemlock_peer_messages_total") for address in controls],
+        count_link_bytes(cluster, "platform"),
+        count_link_bytes(cluster, "engine"),
+        count_platform_calls(cluster),
+    )
+
+
+def start(vms: int) -> Cluster:
+    """Start the processes with this many VMs in the zone."""
+    cluster = Cluster()
+    try:
+        cluster.launch_platform()
+        engine = cluster.launch_engine("engine")
+        platform_link = cluster.add_link("platform", cluster.platform.addresses["http"])
+        engine_link = cluster.add_link("engine", engine.addresses["http"])
+        listed = [make_vm(number, engine_link) for number in range(vms)]
+        post_json(cluster.platform.addresses["http"], "/standin/vms", {"vms": listed})
+        cluster.apply(make_operator_file((ZONE,), services=[]))
+        for number in range(DAEMONS):
+            cluster.launch_entry(f"entry-{number}", ZONE, platform=platform_link)
+        wait_until(lambda: all_see_all(cluster), "the daemons see one another", 60)
+    except BaseException:
+        cluster.close()
+        raise
+    return cluster
+
+
+def make_vm(number: int, address: str) -> dict:
+    """Return one VM of the list."""
+    return {
+        "name": f"runner-{number:04}",
+        "zone": ZONE,
+        "serves": MODEL,
+        "address": address,
+        "control_address": address,
+    }
+
+
+def all_see_all(cluster: Cluster) -> bool:
+    """Return whether every daemon sees every other."""
+    statuses = [get_json(one.addresses["control"], "/status") for one in cluster.list_daemons()]
+    return all(len(status["members"]) == DAEMONS for status in statuses)
+
+
+def measure_entry(vms: int, window_s: float) -> dict:
+    """Return the rates of one idle entry daemon: mean over the daemons."""
+    cluster = start(vms)
+    try:
+        time.sleep(5)
+        before = take_reading(cluster)
+        time.sleep(window_s)
+        after = take_reading(cluster)
+        status = get_json(cluster.list_daemons()[0].addresses["control"], "/status")
+        memory = [daemon.read_memory_mb() for daemon in cluster.list_daemons()]
+    finally:
+        cluster.close()
+    span_s = after.taken_s - before.taken_s
+
+    def rate(name: str) -> float:
+        pairs = zip(getattr(before, name), getattr(after, name), strict=True)
+        return statistics.mean(b - a for a, b in pairs) / span_s
+
+    def share(name: str) -> float:
+        return (getattr(after, name) - getattr(before, name)) / span_s / DAEMONS
+
+    return {
+        "vms": vms,
+        "daemons": DAEMONS,
+        "used": len(status.get("backends", [])),
+        "core_percent": rate("processor_s") * 100,
+        "peer_bytes_s": rate("peer_bytes"),
+        "peer_messages_s": rate("peer_messages"),
+        "platform_bytes_s": share("platform_bytes"),
+        "load_bytes_s": share("engine_bytes"),
+        "platform_calls_s_of_zone": share("platform_calls") * DAEMONS,
+        "resident_mb": statistics.mean(memory),
+    }
+
+
+def print_entry(result: dict) -> None:
+    """Print one row."""
+    print(
+        f"entry    {result['vms']:4} VMs ({result['used']} used): "
+        f"{result['core_percent']:5.2f} % core, peers {result['peer_bytes_s']:6.0f} B/s, "
+        f"platform {result['platform_bytes_s']:7.0f} B/s, load polls "
+        f"{result['load_bytes_s']:7.0f} B/s, {result['platform_calls_s_of_zone']:.1f} platform "
+        f"calls/s of the zone, {result['resident_mb']:.1f} MB",
+        flush=True,
+    )
--- a/tools/capacity_target.py
+++ b/tools/capacity_target.py
@@ -10,6 +10,9 @@
 SEGMENT_HEADER_BYTES = 52
 SECONDS_A_DAY = 86_400
 MEGABYTE = 1e6
+MEMBER_BYTES = 90
+VM_BYTES = 250
+FEED_BYTES = 50
 
 
 @dataclass(frozen=True)
@@ -24,6 +27,7 @@
     change_bytes: int = 400
     member_changes_a_day: int = 2 * 160 + 3 * 1_700
     vm_changes_a_day: int = 4 * (160 + 1_700)
+    feed_items_s: float = 2
     daemon_bytes_s: float = 2_000
     core_percent: float = 3.1
     memory_bytes: float = 32e6
@@ -97,7 +101,7 @@
         quiet = idle[name]["mean"] * news["span_s"]
         return max(news["grown"][name] - quiet, 0) / copies
 
-    return {
+    slopes = {
         "messages_per_probe": (idle["messages_out"]["mean"] + idle["messages_in"]["mean"]) / probes,
         "bytes_per_probe": (idle["bytes_out"]["mean"] + idle["bytes_in"]["mean"]) / probes,
         "segments_per_probe": idle["segments"]["mean"] / probes,
@@ -111,26 +115,35 @@
         "bytes_per_stream": idle["added_bytes"] / idle["streams"],
         "member_bytes": result["held"]["member_bytes"],
         "item_bytes": result["held"]["item_bytes"],
-        "heal_bytes_per_member": result["heal"]["bytes_out"] / result["heal"]["frozen"],
         "detection_ms": result["detection"]["max_ms"],
     }
+    if "heal" in result:
+        heal = result["heal"]
+        slopes["heal_bytes_per_member"] = heal["bytes_out"] / heal["frozen"]
+    return slopes
+
 
+def work_out(slopes: dict, eager_slopes: dict, target: Target | None = None) -> dict:
+    """Return what control costs a daemon at the target size.
 
-def work_out(slopes: dict, target: Target | None = None) -> dict:
-    """Return what control costs a daemon at the target size."""
+    `eager_slopes` are those of items that go whole over every link, as small ones do.
+    """
     target = target or Target()
     overlay = study_overlay(make_members(target))
     slope = {name: value["mean"] for name, value in slopes.items()}
-    copies = overlay["neighbours"]["mean"] * slope["copies_per_neighbour"]
+    eager = {name: value["mean"] for name, value in eager_slopes.items()}
+    eager_copies = overlay["neighbours"]["mean"] * eager["copies_per_neighbour"]
     zone_share = 1 / target.zones
-    flows = {
-        "configuration": (target.changes_a_day / SECONDS_A_DAY, target.change_bytes),
-        "members": (target.member_changes_a_day / SECONDS_A_DAY, 80),
-        "vms": (target.vm_changes_a_day / SECONDS_A_DAY * zone_share, 250),
+    changes_s = target.changes_a_day / SECONDS_A_DAY
+    members_s = target.member_changes_a_day / SECONDS_A_DAY
+    vms_s = target.vm_changes_a_day / SECONDS_A_DAY * zone_share
+    parts = {
+        "heartbeats": work_out_heartbeats(slope, overlay["probes"]["mean"]),
+        "configuration": work_out_flow(slope, changes_s, target.change_bytes),
+        "members": work_out_flow(eager, members_s * eager_copies, MEMBER_BYTES),
+        "vms": work_out_flow(slope, vms_s, VM_BYTES),
+        "feed": work_out_flow(eager, target.feed_items_s * eager_copies, FEED_BYTES),
     }
-    parts = {"heartbeats": work_out_heartbeats(slope, overlay["probes"]["mean"])}
-    for name, (items_s, size_bytes) in flows.items():
-        parts[name] = work_out_flow(slope, items_s * copies, size_bytes)
     held_members = target.daemons + target.member_changes_a_day / 12
     memory_bytes = (
         slope["bytes_per_stream"] * overlay["neighbours"]["mean"]
@@ -139,7 +152,7 @@
     )
     return {
         "overlay": overlay,
-        "copies": copies,
+        "eager_copies": eager_copies,
         "parts": parts,
         "bytes_s": sum(part["bytes_s"] for part in parts.values()),
         "wire_bytes_s": sum(part["wire_bytes_s"] for part in parts.values()),
