--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -18,9 +18,9 @@
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.peer_metrics import PeerCollector
-from hemlockswitch.process.polling import PlatformPoll
 from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
+from hemlockswitch.process.revision_tasks import RevisionTasks
 from hemlockswitch.process.serving import Serving
 from hemlockswitch.process.share_members import CALL_MS as SHARE_CALL_MS
 from hemlockswitch.process.share_members import build_shares
@@ -83,10 +83,16 @@
         self.usage = UsageReporter(
             self.settings.name, self.facts.network, self.directory, self._list_peers
         )
-        self.poll = PlatformPoll(
-            self.settings.platform, self.settings.name, self.clock, self.use_file
+        self.revisions = RevisionTasks(
+            self.facts,
+            self.settings.name,
+            self.settings.zone,
+            "hemlock-entry",
+            self.clock,
+            self._is_ready,
         )
         self.status.add("revision", lambda: self.revision)
+        self.status.add("configuration", self.revisions.describe_status)
         self.status.add("members", self.facts.describe_members)
         self.status.add("backend_servers", self.facts.describe_backends)
         self.status.add("leaving", lambda: sorted(self.directory.list_leaving()))
@@ -170,7 +176,10 @@
         self.control.start()
         self.callers.start()
         peer_address = self.facts.start(self.callers.bound_address, self.spawn)
-        self.spawn("poll", self.poll.run)
+        self.revisions.configuration.add_listener(
+            lambda revision: self.use_file(revision.file, revision.number)
+        )
+        self.revisions.start(self.spawn)
         self.spawn("sweep", self.sweep.run)
         self.spawn("waiting states", self.departure.store.run)
         if self.tracing.log_export is not None:
@@ -179,6 +188,7 @@
             "callers": self.callers.bound_address,
             "control": self.control.bound_address,
             "peers": peer_address,
+            "peer_listen": self.facts.network.bound_address,
         }
 
     def spawn(self, name: str, run: Callable[[], Any]) -> None:
@@ -207,6 +217,13 @@
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
+    def _is_ready(self) -> bool:
+        try:
+            self.serving.check_ready()
+        except RequestError:
+            return False
+        return True
+
     def _list_peers(self) -> list[tuple[str, str]]:
         """Return the names and peer addresses of the other running daemons of all zones."""
         live = self.facts.membership.list_live() if self.facts.membership else []
