Repair one peer at a time and fetch until nothing is lacking

Cause: boards that differed by much were repaired with several peers at once, so the same items came several times, and a reply cut at its bound in bytes left the rest to later heartbeats.

Change: one repair at a time; a fetch goes on while its replies bring something. Unit tests for announcements (one copy over three links), the next holder, boards over every bound, tombstones and items over the bound.

--- a/hemlockswitch/process/retrieval.py
+++ b/hemlockswitch/process/retrieval.py
@@ -94,7 +94,11 @@
 
         PeerError : it did not answer.
         """
-        for start in range(0, len(keys), self._bounds.fetch_keys):
-            message = Fetch(keys[start : start + self._bounds.fetch_keys])
-            news = self._network.ask(holder, message, self._bounds.ask_timeout_ms)
+        pending = keys
+        while pending:
+            asked, rest = pending[: self._bounds.fetch_keys], pending[self._bounds.fetch_keys :]
+            news = self._network.ask(holder, Fetch(asked), self._bounds.ask_timeout_ms)
             self._receive(holder, news)
+            got = {row[0] for row in news.items}
+            # A reply is cut at its bound in bytes; an empty one says that nothing more is held.
+            pending = [key for key in asked if key not in got] + rest if got else rest
--- a/hemlockswitch/process/spread.py
+++ b/hemlockswitch/process/spread.py
@@ -78,7 +78,7 @@
         self._source = ""
         self._wake = Signal()
         self._differed: set[str] = set()
-        self._repairing: set[str] = set()
+        self._repairing = False
         self._tombstones: dict[str, float] = {}
         self._task: gevent.Greenlet | None = None
         self._retrievals = Retrievals(network, self._bounds, self._lacks, self._receive_news)
@@ -112,7 +112,9 @@
             self._differed.discard(address)
         elif address not in self._differed:
             self._differed.add(address)
-        elif address not in self._repairing:
+        elif not self._repairing:
+            # One at a time: several would bring the same items several times.
+            self._repairing = True
             self._differed.discard(address)
             gevent.spawn(self._repair_quietly, address, zone)
 
@@ -148,11 +150,12 @@
             self._board.forget(key)
 
     def _repair_quietly(self, address: str, zone: str) -> None:
-        self._repairing.add(address)
-        # When it fails the next heartbeat shows the difference again.
-        with contextlib.suppress(PeerError):
-            self.repair(address, zone)
-        self._repairing.discard(address)
+        try:
+            # When it fails the next heartbeat shows the difference again.
+            with contextlib.suppress(PeerError):
+                self.repair(address, zone)
+        finally:
+            self._repairing = False
 
     def _pack_buckets(self, zone: str) -> bytes:
         return self._everywhere.pack_buckets([self._in_zone] if zone == self._zone else [])
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,98 @@
+"""Spreading news: what is announced comes once, what is cut by bounds comes in the end."""
+
+from contextlib import ExitStack
+
+import gevent
+import pytest
+
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.process.members import Member
+from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.news_messages import Have, SpreadBounds
+from hemlockswitch.process.spread import Spread
+
+LARGE = "x" * 1_000
+
+
+class Node:
+    def __init__(self, name, bounds=None):
+        self.network = PeerNetwork("test", name)
+        self.address = self.network.start()
+        self.board = NewsBoard()
+        self.spread = Spread(self.board, self.network, "a", bounds=bounds)
+
+    def link(self, *others):
+        members = [Member(one.network.name, "a", "", one.address, "") for one in others]
+        self.spread.start(lambda: members)
+
+
+@pytest.fixture
+def make_node():
+    with ExitStack() as stack:
+
+        def make(name, bounds=None):
+            node = Node(name, bounds)
+            stack.callback(node.network.stop)
+            return node
+
+        yield make
+
+
+def wait_until(condition):
+    with gevent.Timeout(15):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def test_a_large_item_comes_once_over_many_links(make_node):
+    nodes = [make_node(f"n{number}") for number in range(4)]
+    for node in nodes:
+        node.link(*(other for other in nodes if other is not node))
+    nodes[0].board.learn(NewsItem("revision", 1, LARGE))
+    wait_until(lambda: all(node.board.find("revision") for node in nodes))
+    gevent.sleep(0.1)
+    assert [node.spread.items_in for node in nodes[1:]] == [1, 1, 1]
+
+
+def test_the_next_holder_is_asked_when_the_first_is_gone(make_node):
+    gone, holder, late = (make_node(name) for name in ("gone", "holder", "late"))
+    holder.board.learn(NewsItem("revision", 1, LARGE))
+    announcement = Have([["revision", 1]])
+    gone.network.send(late.address, announcement)
+    wait_until(lambda: late.spread._retrievals._under_way or late.network.list_streams())
+    gone.network.stop()
+    holder.network.send(late.address, announcement)
+    wait_until(lambda: late.board.find("revision"))
+
+
+def test_a_board_larger_than_every_bound_is_repaired_whole(make_node):
+    bounds = SpreadBounds(item_bytes=3_000, fetch_keys=7, held_rows=1_000)
+    full, empty = make_node("full", bounds), make_node("empty", bounds)
+    for number in range(100):
+        full.board.learn(NewsItem(f"item/{number}", 1, LARGE))
+    empty.spread.repair(full.address, "a")
+    assert len(empty.board.list_items()) == 100
+    assert full.spread.compute_digest("a") == empty.spread.compute_digest("a")
+
+
+def test_a_repair_brings_both_sides_what_they_lack_and_no_old_tombstones(make_node):
+    left, right = make_node("left"), make_node("right")
+    left.board.learn(NewsItem("only-left", 1, "l"))
+    left.board.learn(NewsItem("gone", 5, None, tombstone=True))
+    right.board.learn(NewsItem("only-right", 1, "r"))
+    right.board.learn(NewsItem("both", 2, "new"))
+    left.board.learn(NewsItem("both", 1, "old"))
+    left.spread.repair(right.address, "a")
+    wait_until(lambda: right.board.find("only-left"))
+    assert left.board.find("only-right") and left.board.find("both").value == "new"
+    assert right.board.find("gone") is None
+    assert left.spread.compute_digest("a") == right.spread.compute_digest("a")
+
+
+def test_an_item_over_the_bound_is_not_passed_on(make_node):
+    left, right = make_node("left", SpreadBounds(item_bytes=500)), make_node("right")
+    left.link(right)
+    left.board.learn(NewsItem("large", 1, LARGE))
+    left.board.learn(NewsItem("small", 1, "s"))
+    wait_until(lambda: right.board.find("small"))
+    assert right.board.find("large") is None
