Have a controller take the newer file of the daemons, and accounts only what they may use

Cause: a controller that starts while the platform serves old reads compared the VMs with a file that had been replaced, and could start copies over a licence that was lowered since.

Weighed: joining the membership (a second daemon on each VM in every probe) against asking an entry daemon for a difference at each pass, one small message (chosen).

Change: CurrentFile holds a Configuration and asks the daemons of its seeds, then the platform. ClientAccount.uses is enforced where the model or service is looked up.

--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -1,5 +1,6 @@
 """The controller daemon: its parts, wired together, started and stopped in order."""
 
+from collections.abc import Callable
 from typing import Self
 
 import gevent
@@ -15,23 +16,21 @@
 from hemlockswitch.core.errors import HemlockError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.configuration import Configuration
 from hemlockswitch.process.control import Controller, ControlTimes
 from hemlockswitch.process.copy_records import CopyRecords
 from hemlockswitch.process.facts import CLUSTER
 from hemlockswitch.process.lease import Lease, LeaseTimes
+from hemlockswitch.process.news import NewsBoard
 from hemlockswitch.process.observed_zone import Sources
 from hemlockswitch.process.reclaims import Reclaims
+from hemlockswitch.process.revision_spread import RevisionSpread
+from hemlockswitch.process.revision_store import RevisionStore
+from hemlockswitch.process.revision_tasks import READ_PATIENCE_MS, follow_pointer
 from hemlockswitch.process.usage import Daemons
 from hemlockswitch.process.zone_load import ZoneSummaries
 from hemlockswitch.version.models import OperatorFile
-from hemlockswitch.version.revisions import (
-    CURRENT_POINTER,
-    NO_REVISION,
-    POINTER_KIND,
-    REVISION_KIND,
-    Revision,
-    StoredPointer,
-)
+from hemlockswitch.version.revisions import CURRENT_POINTER, POINTER_KIND
 from hemlockswitch.version.settings import ControllerSettings, split_address
 
 PLATFORM_ROLE = "controller"
@@ -39,29 +38,49 @@
 
 
 class CurrentFile:
-    """The configuration that the controller compares with; its number only rises."""
+    """The configuration that the controller compares with; its number only rises.
 
-    def __init__(self, platform: PlatformClient) -> None:
+    Explanation
+    ===========
+
+    The platform may serve an old read, and a controller that starts then knows nothing newer; so
+    the entry daemons are asked as well, by difference once the controller has a revision.
+
+    Parameters
+    ==========
+
+    platform : the controller's client.
+    network : its peer network.
+    list_daemons : peer addresses of entry daemons.
+    clock : the process's clock.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        network: PeerNetwork,
+        list_daemons: Callable[[], list[str]],
+        clock: Clock,
+    ) -> None:
         self._platform = platform
-        self.number = NO_REVISION
-        self.file: OperatorFile | None = None
+        self._store = RevisionStore(platform, clock, READ_PATIENCE_MS)
+        self._configuration = Configuration(clock)
+        self._spread = RevisionSpread(
+            self._configuration, NewsBoard(), network, list_daemons, lambda: None, clock
+        )
+
+    @property
+    def number(self) -> int:
+        """The number of the revision in force here; 0 before the first."""
+        return self._configuration.revision
 
     def refresh(self) -> OperatorFile | None:
-        """Return the newest file that the platform names, or the last one known."""
+        """Return the newest file that the daemons or the platform name, or the last one known."""
+        self._spread.check_peers()
         stored = self._platform.read(POINTER_KIND, CURRENT_POINTER)
-        if stored is None:
-            return self.file
-        pointer = StoredPointer.model_validate(stored.value)
-        if pointer.number > self.number:
-            self._adopt(pointer.number)
-        return self.file
-
-    def _adopt(self, number: int) -> None:
-        stored = self._platform.read(REVISION_KIND, str(number))
-        if stored is None:
-            return
-        self.file = Revision.from_value(stored.value).file
-        self.number = number
+        if stored is not None:
+            follow_pointer(self._configuration, self._store, stored)
+        return self._configuration.file if self._configuration.is_ready else None
 
 
 class ControllerMetrics:
@@ -95,7 +114,9 @@
         self._tasks: list[gevent.Greenlet] = []
         self._platform = PlatformClient.from_settings(settings, PLATFORM_ROLE)
         self._network = PeerNetwork(CLUSTER, settings.name, settings.peer_listen)
-        self._current = CurrentFile(self._platform)
+        self._current = CurrentFile(
+            self._platform, self._network, lambda: list(settings.seeds), clock
+        )
         self._metrics = ControllerMetrics()
         self.lease = Lease(
             self._platform,
--- a/hemlockswitch/process/revision_spread.py
+++ b/hemlockswitch/process/revision_spread.py
@@ -176,6 +176,17 @@
             self._adopt_from_platform()
         return not self._is_behind()
 
+    def check_peers(self) -> None:
+        """Take what is newer at a peer without having heard of it: for who hears no news."""
+        if not self._configuration.is_ready:
+            self._adopt_from_peers()
+            return
+        for address in self._choose_peers():
+            answer = self._fetch(address, whole=True)
+            if answer is not None:
+                self._take(answer, address)
+                return
+
     def run(self) -> None:
         """Catch up for ever: at once when there is news, and again until it succeeds."""
         pause_ms = FIRST_PAUSE_MS
@@ -225,12 +236,8 @@
         return sorted(having, key=lambda address: numbers[address], reverse=True)
 
     def _find_number(self, address: str) -> int:
-        question = RevisionQuestion(NO_REVISION, "", whole=False)
-        try:
-            answer = self._network.ask(address, question, ASK_TIMEOUT_MS)
-            return int(answer.head.get("number", NO_REVISION))
-        except HemlockError:
-            return NO_REVISION
+        answer = self._fetch(address, whole=False)
+        return NO_REVISION if answer is None else int(answer.head.get("number", NO_REVISION))
 
     def _choose_peers(self) -> list[str]:
         own = self._network.address
@@ -245,19 +252,26 @@
 
     def _ask(self, address: str, whole: bool) -> bool:
         """Ask one peer and adopt what it gives; return whether this daemon has caught up."""
+        answer = self._fetch(address, whole)
+        if answer is not None:
+            self._take(answer, address)
+        return not self._is_behind()
+
+    def _fetch(self, address: str, whole: bool) -> RevisionAnswer | None:
         have = self._configuration
         question = RevisionQuestion(have.revision, have.digest, whole)
         try:
-            answer = self._network.ask(address, question, ASK_TIMEOUT_MS)
+            return self._network.ask(address, question, ASK_TIMEOUT_MS)
         except HemlockError:
-            return False
+            return None
+
+    def _take(self, answer: RevisionAnswer, address: str) -> None:
         if answer.changes is None and answer.file is None:
-            return False
+            return
         by_difference = answer.changes is not None
         if self._adopt(answer, address):
             self.counts.by_difference += by_difference
             self.counts.by_whole += not by_difference
-        return not self._is_behind()
 
     def _adopt_from_platform(self) -> None:
         now_ms = self._clock.now_ms()
--- a/hemlockswitch/process/revision_tasks.py
+++ b/hemlockswitch/process/revision_tasks.py
@@ -20,6 +20,24 @@
 """The tasks that read have their own pauses; one call fails at once."""
 
 
+def follow_pointer(configuration: Configuration, store: RevisionStore, item: StoredObject) -> None:
+    """Put the revision that the pointer names in force, if it is higher.
+
+    Raises
+    ======
+
+    PlatformError : the platform does not show the revision yet; the pointer is to be asked again.
+    """
+    pointer = read_pointer(item.value)
+    if pointer.number <= configuration.revision:
+        return
+    revision = store.read_revision(pointer.number)
+    if revision is None or revision.digest != pointer.digest:
+        detail = f"revision {pointer.number} cannot be read yet"
+        raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, detail)
+    configuration.adopt(revision, "platform")
+
+
 class RevisionTasks:
     """Wires a daemon's configuration to the platform, its peers and its zone's status.
 
@@ -75,21 +93,8 @@
         spawn("zone status", self.zone_status.run_writes)
 
     def follow(self, item: StoredObject) -> None:
-        """Put the revision that the pointer names in force.
-
-        Raises
-        ======
-
-        PlatformError : the platform does not show the revision yet; the pointer is asked again.
-        """
-        pointer = read_pointer(item.value)
-        if pointer.number <= self.configuration.revision:
-            return
-        revision = self._store.read_revision(pointer.number)
-        if revision is None or revision.digest != pointer.digest:
-            detail = f"revision {pointer.number} cannot be read yet"
-            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, detail)
-        self.configuration.adopt(revision, "platform")
+        """Put the revision that the pointer names in force; raises as `follow_pointer` does."""
+        follow_pointer(self.configuration, self._store, item)
 
     def list_peers(self) -> list[str]:
         """Return the peer addresses of the other live daemons, those of this zone first."""
--- a/hemlockswitch/process/serving.py
+++ b/hemlockswitch/process/serving.py
@@ -89,7 +89,7 @@
         """Serve a model request."""
         account = self._authenticate(request)
         chat = ChatRequest.from_body(request.body)
-        model = self._find_model(chat.model)
+        model = self._find_model(chat.model, account)
         generation = self._build_generation(request, chat, model, account)
         wanted = count_tokens(generation.prompt) + generation.max_tokens
         record = self._records.begin(request, generation.model)
@@ -137,7 +137,7 @@
     def call_service(self, request: CallerRequest, service: str, path: str) -> CallerAnswer:
         """Serve a call of a plain service."""
         account = self._authenticate(request)
-        found = self._find_service(service)
+        found = self._find_service(service, account)
         limit_ms = self._clock.now_ms() + found.timeout_ms
         deadline_ms = min(limit_ms, request.deadline_ms or limit_ms)
         record = self._records.begin(request, service)
@@ -157,17 +157,17 @@
     def _authenticate(self, request: CallerRequest) -> ClientAccount:
         return self._keys.authenticate(request.headers.get("authorization"))
 
-    def _find_model(self, name: str) -> Model:
+    def _find_model(self, name: str, account: ClientAccount) -> Model:
         models = self._file.models if self._file else ()
         for model in models:
-            if model.name == name:
+            if model.name == name and account.may_use(name):
                 return model
         raise RequestError(ErrorKind.UNKNOWN_MODEL, "no such model")
 
-    def _find_service(self, name: str) -> Service:
+    def _find_service(self, name: str, account: ClientAccount) -> Service:
         services = self._file.services if self._file else ()
         for service in services:
-            if service.name == name:
+            if service.name == name and account.may_use(name):
                 return service
         raise RequestError(ErrorKind.UNKNOWN_SERVICE, "no such service")
 
--- a/hemlockswitch/version/models.py
+++ b/hemlockswitch/version/models.py
@@ -40,6 +40,10 @@
     uses: tuple[Name, ...] = ()
     """Names of the models and services that it may call; empty for all."""
 
+    def may_use(self, name: str) -> bool:
+        """Return whether the account may call a model or service."""
+        return not self.uses or name in self.uses
+
 
 class Model(_Checked):
     """A language model that backend servers serve."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,9 +5,11 @@
 import pytest
 
 from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.connection.platform_models import StoredObject
 from hemlockswitch.core.clock import ManualClock, SystemClock
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
 from hemlockswitch.process.configuration import Configuration
+from hemlockswitch.process.controller import CurrentFile
 from hemlockswitch.process.news import NewsBoard
 from hemlockswitch.process.revision_spread import RevisionSpread
 from hemlockswitch.version.checks import parse_file
@@ -148,3 +150,24 @@
     assert second.spread.catch_up()
     assert second.configuration.digest == first.configuration.digest
     assert second.spread.counts.by_whole == 1
+
+
+class StalePlatform:
+    """A platform whose reads are all of revision 1."""
+
+    def read(self, kind, name):
+        revision = make_revision(1)
+        value = revision.to_pointer() if kind == "pointers" else revision.to_value()
+        return StoredObject(kind, name, 1, value)
+
+
+def test_a_controller_started_on_old_reads_takes_the_newer_file_of_the_daemons(start):
+    daemon = start()
+    daemon.configuration.adopt(make_revision(2, copies=5))
+    network = PeerNetwork("c", "controller")
+    network.start()
+    current = CurrentFile(StalePlatform(), network, lambda: [daemon.network.address], SystemClock())
+    assert current.refresh().models[0].licensed_copies == 5
+    daemon.configuration.adopt(make_revision(3, copies=6))
+    assert current.refresh().models[0].licensed_copies == 6
+    network.stop()
