--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -19,7 +19,6 @@
 from hemlockswitch.process.configuration import Configuration
 from hemlockswitch.process.control import Controller, ControlTimes
 from hemlockswitch.process.copy_records import CopyRecords
-from hemlockswitch.process.facts import CLUSTER
 from hemlockswitch.process.lease import Lease, LeaseTimes
 from hemlockswitch.process.news import NewsBoard
 from hemlockswitch.process.observed_zone import Sources
@@ -113,7 +112,7 @@
         self._wake = Signal()
         self._tasks: list[gevent.Greenlet] = []
         self._platform = PlatformClient.from_settings(settings, PLATFORM_ROLE)
-        self._network = PeerNetwork(CLUSTER, settings.name, settings.peer_listen)
+        self._network = PeerNetwork(settings.cluster, settings.name, settings.peer_listen)
         self._current = CurrentFile(
             self._platform, self._network, lambda: list(settings.seeds), clock
         )
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -17,6 +17,7 @@
 from hemlockswitch.process.departure import Departure
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
+from hemlockswitch.process.peer_metrics import PeerCollector
 from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
 from hemlockswitch.process.revision_tasks import RevisionTasks
@@ -78,6 +79,7 @@
         self.facts = Facts.from_settings(self.settings, "entry", self.clock)
         self.board = self.facts.board
         self.directory = self.facts.directory
+        PeerCollector.register(self.facts, self.metrics.registry)
         self.usage = UsageReporter(
             self.settings.name, self.facts.network, self.directory, self._list_peers
         )
@@ -95,6 +97,7 @@
         self.status.add("backend_servers", self.facts.describe_backends)
         self.status.add("leaving", lambda: sorted(self.directory.list_leaving()))
         self.status.add("zone", lambda: self.settings.zone)
+        self.status.add("members", self.facts.describe_members)
         self.status.add("name", lambda: self.settings.name)
 
     def _build_requests(self) -> None:
@@ -160,6 +163,7 @@
     def use_file(self, file: OperatorFile, number: int) -> None:
         """Put a configuration in force in every part."""
         self.file, self.revision = file, number
+        self.facts.zones = file.zones
         self.metrics.revision.set(number)
         self.budget.set_ratio(file.limits.retry_ratio)
         self.directory.set_draining(file.draining)
