Document every event, error, metric, setting and field, compared with the code; ctl events

Cause: a log line or an error kind whose meaning stands nowhere cannot be acted on by who is on call, and a page that is kept by hand falls behind the code.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -44,7 +44,6 @@
     OLDER_REVISION_REFUSED = (602, "older_revision_refused")
     REVISION_DIGEST_DIFFERS = (603, "revision_digest_differs")
     REVISION_UNUSABLE = (604, "revision_unusable")
-    REVISION_WATCH_FAILED = (605, "revision_watch_failed")
     ZONE_STATUS_FAILED = (606, "zone_status_failed")
     SHARES_EXPIRED = (701, "shares_expired")
     SHARES_GRANTED = (702, "shares_granted")
--- a/hemlockswitch/programs/ctl.py
+++ b/hemlockswitch/programs/ctl.py
@@ -10,15 +10,25 @@
 
 import hemlockswitch
 from hemlockswitch.programs.ctl_apply import ApplyCommand, DiffCommand
+from hemlockswitch.programs.ctl_events import EventsCommand
 from hemlockswitch.programs.ctl_files import CheckCommand
 from hemlockswitch.programs.ctl_status import HistoryCommand, StatusCommand
 
+COMMANDS = (
+    CheckCommand,
+    DiffCommand,
+    ApplyCommand,
+    StatusCommand,
+    HistoryCommand,
+    EventsCommand,
+)
+
 
 def make_application() -> Application:
     """Return the command line with all its commands."""
     application = Application("hemlock-ctl", hemlockswitch.__version__)
     application.set_display_name("hemlock-ctl")
-    for command in (CheckCommand, DiffCommand, ApplyCommand, StatusCommand, HistoryCommand):
+    for command in COMMANDS:
         application.add(command())
     return application
 
--- a/hemlockswitch/programs/ctl_files.py
+++ b/hemlockswitch/programs/ctl_files.py
@@ -1,4 +1,4 @@
-"""`hemlock-ctl check`: read an operator file or a settings file and name every mistake."""
+"""`hemlock-ctl check`: name every mistake in an operator file or a settings file."""
 
 import json
 from enum import IntEnum
@@ -6,11 +6,18 @@
 
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
+from pydantic import ValidationError
 
 from hemlockswitch.core.errors import ConfigurationError
 from hemlockswitch.version.checks import CheckedFile, InvalidFileError, parse_file
 from hemlockswitch.version.documents import digest_tree
+from hemlockswitch.version.mistakes import list_model_mistakes
+from hemlockswitch.version.settings import ControllerSettings, EntrySettings, ProgramSettings
 
+SETTINGS: dict[str, type[ProgramSettings]] = {
+    "entry": EntrySettings,
+    "controller": ControllerSettings,
+}
 JSON_OPTION = option("json", None, "Write one JSON object to standard output.")
 
 
@@ -34,37 +41,68 @@
 
     ConfigurationError : the file cannot be read, or has mistakes.
     """
+    return parse_file(read_text(path))
+
+
+def read_text(path: str) -> str:
+    """Return the text of a file.
+
+    Raises
+    ======
+
+    InvalidFileError : the file cannot be read.
+    """
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        return Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise InvalidFileError.from_reason(f"cannot be read: {error}") from error
-    return parse_file(text)
 
 
 class CheckCommand(Command):
     """Name every mistake in a file, without a word to the platform."""
 
     name = "check"
-    description = "Name every mistake in an operator file; nothing is applied."
-    arguments = [argument("file", "The operator file, JSON.")]
-    options = [JSON_OPTION]
+    description = "Name every mistake in an operator file or a settings file; nothing is applied."
+    arguments = [argument("file", "The file, JSON.")]
+    options = [
+        JSON_OPTION,
+        option(
+            "kind",
+            None,
+            "What the file is: operator, entry or controller.",
+            flag=False,
+            default="operator",
+        ),
+    ]
     help = """Reads the whole file and names every mistake at once, each with its path and reason.
 
-Exit codes: 0 the file can be applied, 2 it has mistakes."""
+Exit codes: 0 the file can be used, 2 it has mistakes."""
 
     def handle(self) -> int:
         """Run the command."""
+        path = self.argument("file")
         try:
-            checked = read_file(self.argument("file"))
+            answer = self._check(path)
         except ConfigurationError as error:
             return report_mistakes(self, error)
-        answer = {"ok": True, "digest": digest_tree(checked.tree), "mistakes": []}
         if self.option("json"):
-            self.line(json.dumps(answer))
+            self.line(json.dumps({"ok": True, "mistakes": [], **answer}))
         else:
-            self.line(f"{self.argument('file')}: no mistakes, {answer['digest']}")
+            self.line(" ".join([f"{path}: no mistakes", *answer.values()]))
         return ExitCode.DONE
 
+    def _check(self, path: str) -> dict[str, str]:
+        kind = self.option("kind")
+        if kind == "operator":
+            return {"digest": digest_tree(read_file(path).tree)}
+        if kind not in SETTINGS:
+            raise InvalidFileError.from_reason(f"no kind of file is called {kind!r}")
+        try:
+            SETTINGS[kind].model_validate_json(read_text(path))
+        except ValidationError as error:
+            raise InvalidFileError(list_model_mistakes(error)) from error
+        return {}
+
 
 def report_mistakes(command: Command, error: ConfigurationError) -> int:
     """Write the mistakes of a file and return the exit code for them."""
@@ -75,5 +113,5 @@
     else:
         for mistake in mistakes:
             command.line_error(str(mistake))
-        command.line_error(f"{len(rows)} mistakes; nothing was applied")
+        command.line_error(f"mistakes: {len(rows)}; nothing was changed")
     return ExitCode.MISTAKES
--- /dev/null
+++ b/tests/test_reference.py
@@ -0,0 +1,65 @@
+"""The tables of docs/reference say what the code says."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from hemlockswitch.core.errors import ANSWERS
+from hemlockswitch.core.events import Event
+from hemlockswitch.process.controller import ControllerMetrics
+from hemlockswitch.process.metrics import EntryMetrics
+from hemlockswitch.version import models, settings
+
+REFERENCE = Path(__file__).resolve().parent.parent / "docs" / "reference"
+MODELS = ("OperatorFile", "ClientAccount", "AccountLimits", "Model", "Service", "Operation")
+
+
+def read_rows(page, columns):
+    """Return the first columns of every row of a page's tables, without heads."""
+    text = (REFERENCE / page).read_text()
+    rows = [line.strip("|").split("|") for line in text.splitlines() if line.startswith("|")]
+    cells = [[cell.strip().strip("`") for cell in row[:columns]] for row in rows]
+    return [row for row in cells if not set(row[0]) <= {"-"}]
+
+
+def test_the_event_catalogue_is_the_codes():
+    rows = read_rows("events.md", 2)[1:]
+    assert rows == [[str(event.number), event.label] for event in Event]
+
+
+def test_event_numbers_are_unique():
+    assert len({event.number for event in Event}) == len(Event)
+
+
+def test_the_error_table_is_the_codes():
+    rows = read_rows("errors.md", 4)[1:]
+    wanted = [
+        [kind.value, str(answer.status), answer.ran.value, str(answer.retry_after_ms)]
+        for kind, answer in ANSWERS.items()
+    ]
+    assert sorted(rows) == sorted(wanted)
+
+
+def test_the_metrics_page_names_the_codes_metrics():
+    listed = {row[0] for row in read_rows("metrics.md", 1)}
+    registries = (EntryMetrics().registry, ControllerMetrics().registry)
+    families = {family.name for registry in registries for family in registry.collect()}
+    assert families == listed - {"metric"}
+
+
+@pytest.mark.parametrize("name", [*MODELS, "Limits"])
+def test_every_field_of_an_operator_file_is_on_its_page(name):
+    text = (REFERENCE / "operator-file.md").read_text()
+    section = re.split(r"^## ", text, flags=re.MULTILINE)
+    page = next(part for part in section if part.startswith(name))
+    listed = re.findall(r"^\| `(\w+)` \|", page, flags=re.MULTILINE)
+    assert listed == list(getattr(models, name).model_fields)
+
+
+@pytest.mark.parametrize("name", ["ProgramSettings", "EntrySettings", "ControllerSettings"])
+def test_every_setting_is_on_the_settings_page(name):
+    text = (REFERENCE / "settings.md").read_text()
+    fields = getattr(settings, name).model_fields
+    missing = [field for field in fields if f"| `{field}` |" not in text]
+    assert not missing
--- /dev/null
+++ b/tools/measure_configuration.py
@@ -0,0 +1,164 @@
+"""How soon a change is in force at every daemon, what it costs in bytes, and the platform's calls.
+
+Starts four zones of four entry daemons on this machine, applies changes to a small and to a large
+file, and reads from each daemon when each revision came in force. Run:
+``python -m tools.measure_configuration [--json FILE]``.
+"""
+
+import argparse
+import copy
+import json
+import statistics
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from features.support.calls import get_json, post_json
+from features.support.cluster import Cluster
+from features.support.operator_files import make_account, make_operator_file
+from features.support.processes import wait_until
+from hemlockswitch.connection.messages import encode_message
+from hemlockswitch.process.revision_spread import RevisionAnswer
+from hemlockswitch.version.checks import parse_file
+from hemlockswitch.version.differences import compare_trees, pack_changes
+
+ZONES = ("abdoun-hall", "khalda-hall", "marka-hall", "sweileh-hall")
+DAEMONS_PER_ZONE = 4
+CHANGES = 20
+IDLE_S = 20
+LIMIT_S = 20
+ACCOUNTS = {"small": 5, "large": 3_000}
+
+
+def make_file(accounts: int, changed: int) -> dict[str, Any]:
+    """Return a file with so many accounts, one of which differs by `changed`."""
+    rows = [make_account(f"account-{at}", f"key-{at}") for at in range(accounts)]
+    rows[accounts // 2]["limits"]["requests_per_second"] = 1_000 + changed
+    return make_operator_file(ZONES, client_accounts=rows)
+
+
+def start(cluster: Cluster, file: dict[str, Any]) -> None:
+    """Start the platform and the daemons, and wait until the first file is in force."""
+    cluster.launch_platform()
+    cluster.apply(file)
+    for number in range(1, 1 + DAEMONS_PER_ZONE):
+        for zone in ZONES:
+            cluster.launch_entry(f"entry-{zone}-{number}", zone)
+    wait_for(cluster, cluster.revision)
+    wait_until(lambda: all(sees_all(item) for item in cluster.list_daemons()), "one membership")
+
+
+def sees_all(program: Any) -> bool:
+    """Return whether a daemon knows all the others."""
+    status = get_json(program.addresses["control"], "/status")
+    return len(status["members"]) >= len(ZONES) * DAEMONS_PER_ZONE
+
+
+def read_steps(program: Any) -> dict[int, int]:
+    """Return when each revision came in force at a daemon, by its wall clock."""
+    status = get_json(program.addresses["control"], "/status")["configuration"]
+    return {step["number"]: step["wall_ms"] for step in status["in_force"]}
+
+
+def wait_for(cluster: Cluster, number: int) -> None:
+    """Return when every daemon has the revision."""
+    for program in cluster.list_daemons():
+        wait_until(
+            lambda item=program: number in read_steps(item), f"{number} at {program.name}", LIMIT_S
+        )
+
+
+def measure_spread(cluster: Cluster, accounts: int) -> dict[str, Any]:
+    """Apply changes one after another and return the times until each was in force everywhere."""
+    times = []
+    for at in range(1, 1 + CHANGES):
+        number = cluster.apply(make_file(accounts, at))
+        written_ms = time.time_ns() // 1_000_000
+        wait_for(cluster, number)
+        latest = max(read_steps(program)[number] for program in cluster.list_daemons())
+        times.append(max(latest - written_ms, 0))
+        time.sleep(0.1)
+    return {
+        "changes": CHANGES,
+        "everywhere_p50_ms": statistics.median(times),
+        "everywhere_max_ms": max(times),
+        "received": count_received(cluster),
+    }
+
+
+def count_received(cluster: Cluster) -> dict[str, int]:
+    """Return how the daemons received their revisions, over all of them."""
+    total: dict[str, int] = {}
+    for program in cluster.list_daemons():
+        status = get_json(program.addresses["control"], "/status")["configuration"]
+        for way, count in status["received"].items():
+            total[way] = total.get(way, 0) + count
+    return total
+
+
+def measure_bytes(accounts: int) -> dict[str, int]:
+    """Return the bytes of one changed account as a difference and as the whole file."""
+    old = parse_file(json.dumps(make_file(accounts, 0))).tree
+    new = parse_file(json.dumps(make_file(accounts, 1))).tree
+    changes = pack_changes(compare_trees(old, new))
+    return {
+        "difference_bytes": len(encode_message(RevisionAnswer({}, copy.deepcopy(changes)))),
+        "whole_bytes": len(encode_message(RevisionAnswer({}, None, new))),
+    }
+
+
+def measure_calls(cluster: Cluster) -> dict[str, float]:
+    """Return the idle calls a second that daemons make for configuration and status."""
+    address = cluster.platform.addresses["http"]
+    post_json(address, "/standin/stats/reset")
+    time.sleep(IDLE_S)
+    calls = get_json(address, "/standin/stats")["calls"]
+    by_role = calls["by_role"].get("entry", {})
+    seconds = calls["window_ms"] / 1_000
+    return {
+        "status_writes_per_s": calls["writes_by_kind"].get("status", 0) / seconds,
+        "watches_per_s": by_role.get("watch", 0) / seconds,
+        "all_entry_calls_per_s": sum(by_role.values()) / seconds,
+    }
+
+
+def measure() -> dict[str, Any]:
+    """Measure the small and the large file."""
+    figures: dict[str, Any] = {"daemons": len(ZONES) * DAEMONS_PER_ZONE, "zones": len(ZONES)}
+    for size, accounts in ACCOUNTS.items():
+        cluster = Cluster()
+        try:
+            start(cluster, make_file(accounts, 0))
+            row = measure_spread(cluster, accounts) | measure_bytes(accounts)
+            if size == "small":
+                row["idle"] = measure_calls(cluster)
+            figures[size] = row
+        finally:
+            cluster.close()
+    return figures
+
+
+def main() -> int:
+    """Measure, print and write."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", type=Path)
+    arguments = parser.parse_args()
+    figures = measure()
+    for size in ACCOUNTS:
+        row = figures[size]
+        print(
+            f"{size} file, {figures['daemons']} daemons in {figures['zones']} zones:"
+            f" in force everywhere after {row['everywhere_p50_ms']:.0f} ms (p50),"
+            f" {row['everywhere_max_ms']:.0f} ms (max of {row['changes']});"
+            f" {row['difference_bytes']} bytes as a difference, {row['whole_bytes']} whole;"
+            f" received {row['received']}"
+        )
+    print(f"idle platform calls: {figures['small']['idle']}")
+    if arguments.json:
+        arguments.json.write_text(json.dumps(figures, indent=2))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
