Stop the daemon gracefully before the drain scenarios start it anew

Cause: the step started a second process under the running daemon's name, which killed the first; the new one then waited for the shares of the killed one to end (10 s) and its calls were refused with token_limit, so 'the calls run' never came. Change: the step ends the first daemon with SIGTERM and waits; a graceful stop gives shares back. What the scenario claims and how it judges are unchanged.

--- a/features/steps/graceful_stop_steps.py
+++ b/features/steps/graceful_stop_steps.py
@@ -27,6 +27,8 @@
     cluster = context.cluster
     cluster.launch_service(SECOND_SERVICE)
     cluster.register(SECOND_SERVICE, ZONE, SERVICE)
+    cluster.get(ENTRY).terminate()
+    cluster.get(ENTRY).wait()
     cluster.launch_entry(ENTRY, ZONE)
     cluster.wait_until_serving(cluster.get(ENTRY))
 
