Split what grew large: the platform stand-in, its client, the claims' outbox

The stand-in now uses the stand-ins' common server (its own copy of the handler, ready line and signal handling is gone), so a lost answer is a reset connection as with the other stand-ins. Nothing that a caller sees has changed; unit tests and at_most_once.feature pass as before.

--- /dev/null
+++ b/hemlockswitch/process/claim_outbox.py
@@ -0,0 +1,88 @@
+"""Operations on claims that no caller waits for, kept until they are written."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gevent.pool import Pool
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.claim_ledger import GiveBack, Record, Verdict
+from hemlockswitch.process.claim_routes import ClaimRoutes
+from hemlockswitch.request.claims import Outcome
+
+WAITING_AT_MOST = 1_024
+FIRST_PAUSE_MS = 250
+LONGEST_PAUSE_MS = 5_000
+LIFE_MS = 600_000
+
+
+@dataclass(frozen=True)
+class Unwritten:
+    """An outcome that is not in the platform yet, and the call that it belongs to."""
+
+    fingerprint: str
+    outcome: Outcome
+
+
+class ClaimOutbox:
+    """Delivers outcomes and claims that are given back, each in a task of its own.
+
+    Explanation
+    ===========
+
+    What is dropped, because too many wait or for too long, leaves its claim without an outcome: a
+    repeat is told that it is unknown, and nothing is dispatched again.
+
+    Parameters
+    ==========
+
+    routes : brings operations to the platform.
+    clock : the time.
+    retention_ms : returns how long claims are kept; later, delivering has no use.
+    """
+
+    def __init__(self, routes: ClaimRoutes, clock: Clock, retention_ms: Callable[[], int]) -> None:
+        self._routes = routes
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._tasks = Pool(WAITING_AT_MOST)
+        self._unwritten: dict[str, Unwritten] = {}
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def find(self, digest: str) -> Unwritten | None:
+        """Return a key's outcome that is not written yet."""
+        return self._unwritten.get(digest)
+
+    def deliver(self, operation: Record | GiveBack, fingerprint: str = "") -> None:
+        """Write an operation sooner or later, or drop it."""
+        if self._tasks.full():
+            log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
+            return
+        if isinstance(operation, Record):
+            self._unwritten[operation.digest] = Unwritten(fingerprint, operation.outcome)
+        self._tasks.spawn(self._keep_delivering, operation)
+
+    def flush(self, timeout_ms: float) -> bool:
+        """Wait until everything is written; return whether it is."""
+        return bool(self._tasks.join(timeout=timeout_ms / MS_PER_SECOND))
+
+    def stop(self) -> None:
+        """End the tasks."""
+        self._tasks.kill(block=False)
+
+    def _keep_delivering(self, operation: Record | GiveBack) -> None:
+        until_ms = self._clock.now_ms() + min(LIFE_MS, self._retention_ms())
+        pause_ms = FIRST_PAUSE_MS
+        try:
+            while self._clock.now_ms() < until_ms:
+                if self._routes.perform(operation).verdict is Verdict.DONE:
+                    return
+                self._clock.sleep_ms(pause_ms)
+                pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
+            log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
+        finally:
+            self._unwritten.pop(operation.digest, None)
--- a/hemlockswitch/process/claim_store.py
+++ b/hemlockswitch/process/claim_store.py
@@ -7,7 +7,6 @@
 
 import gevent
 from gevent.event import AsyncResult
-from gevent.pool import Pool
 
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
@@ -16,6 +15,7 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.claim_ledger import GiveBack, Place, Record, Result, Verdict
 from hemlockswitch.process.claim_objects import Bounds, ObjectService, PartitionObjects
+from hemlockswitch.process.claim_outbox import ClaimOutbox
 from hemlockswitch.process.claim_routes import (
     PARTITIONS,
     ClaimPeer,
@@ -32,10 +32,6 @@
 FULL_RETRY_MS = 30_000
 DISPATCH_TERM_MS = 120_000
 FRESH_MS = 10_000
-UNWRITTEN_OUTCOMES = 1_024
-OUTBOX_FIRST_PAUSE_MS = 250
-OUTBOX_LONGEST_PAUSE_MS = 5_000
-OUTBOX_LIFE_MS = 600_000
 
 
 @dataclass
@@ -46,14 +42,6 @@
     result: AsyncResult = field(default_factory=AsyncResult)
 
 
-@dataclass(frozen=True)
-class _Unwritten:
-    """An outcome that is not in the platform yet."""
-
-    fingerprint: str
-    outcome: Outcome
-
-
 class ClaimStore:
     """Runs each key's call at most once in the whole system.
 
@@ -93,8 +81,7 @@
         self._retention_ms = retention_ms
         self._is_gone = is_gone
         self._running: dict[str, _Running] = {}
-        self._unwritten: dict[str, _Unwritten] = {}
-        self._outbox = Pool(UNWRITTEN_OUTCOMES)
+        self._outbox = ClaimOutbox(routes, clock, retention_ms)
 
     @classmethod
     def from_config(
@@ -152,7 +139,7 @@
         running = self._running.get(digest)
         if running is not None:
             return self._join(running, fingerprint)
-        unwritten = self._unwritten.get(digest)
+        unwritten = self._outbox.find(digest)
         if unwritten is not None:
             return self._replay(unwritten.fingerprint, unwritten.outcome, fingerprint)
         running = self._running[digest] = _Running(fingerprint)
@@ -176,11 +163,11 @@
 
     def flush(self, timeout_ms: float) -> bool:
         """Wait until the outcomes are written; return whether all are."""
-        return bool(self._outbox.join(timeout=timeout_ms / MS_PER_SECOND))
+        return self._outbox.flush(timeout_ms)
 
     def stop(self) -> None:
         """End the tasks; outcomes that are not written yet stay unknown."""
-        self._outbox.kill(block=False)
+        self._outbox.stop()
         self._routes.stop()
 
     def _count(self, outcome: str) -> None:
@@ -234,7 +221,7 @@
         """
         if self._clock.now_ms() - began_ms <= min(FRESH_MS, self._retention_ms() / 2):
             return
-        self._deliver(GiveBack(digest, claim))
+        self._outbox.deliver(GiveBack(digest, claim))
         self._count("unavailable")
         raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "the claim took too long")
 
@@ -244,7 +231,7 @@
             answer = dispatch()
         except RequestError as error:
             if error.answer.ran is Ran.NO:
-                self._deliver(GiveBack(digest, claim))
+                self._outbox.deliver(GiveBack(digest, claim))
             else:
                 self._record(digest, claim, Outcome.from_error(error))
             raise
@@ -252,30 +239,7 @@
         return answer
 
     def _record(self, digest: str, claim: Claim, outcome: Outcome) -> None:
-        self._unwritten[digest] = _Unwritten(claim.fingerprint, outcome)
-        self._deliver(Record(digest, claim.claim_id, outcome))
-
-    def _deliver(self, operation: Record | GiveBack) -> None:
-        """Write an operation that nobody waits for, in a task of its own."""
-        if self._outbox.full():
-            # Without its outcome the claim stands: a repeat is told that the outcome is unknown.
-            log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
-            self._unwritten.pop(operation.digest, None)
-            return
-        self._outbox.spawn(self._keep_delivering, operation)
-
-    def _keep_delivering(self, operation: Record | GiveBack) -> None:
-        until_ms = self._clock.now_ms() + min(OUTBOX_LIFE_MS, self._retention_ms())
-        pause_ms = OUTBOX_FIRST_PAUSE_MS
-        try:
-            while self._clock.now_ms() < until_ms:
-                if self._routes.perform(operation).verdict is Verdict.DONE:
-                    return
-                self._clock.sleep_ms(pause_ms)
-                pause_ms = min(pause_ms * 2, OUTBOX_LONGEST_PAUSE_MS)
-            log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
-        finally:
-            self._unwritten.pop(operation.digest, None)
+        self._outbox.deliver(Record(digest, claim.claim_id, outcome), claim.fingerprint)
 
     def _replay(self, kept_for: str, outcome: Outcome, fingerprint: str) -> StoredAnswer:
         self._check_fingerprint(kept_for, fingerprint)
@@ -297,7 +261,7 @@
             detail = "the room for claims is used up"
             return RequestError(ErrorKind.CLAIM_UNAVAILABLE, detail, retry_after_ms=FULL_RETRY_MS)
         if result.verdict is Verdict.UNCERTAIN:
-            self._deliver(GiveBack(digest, claim))
+            self._outbox.deliver(GiveBack(digest, claim))
         return RequestError(ErrorKind.CLAIM_UNAVAILABLE, "the key could not be claimed")
 
     def _make_conflict(self) -> RequestError:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -8,9 +8,11 @@
 from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.connection.platform_models import Conflict, Unknown, Written
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.standin.platform import PlatformSettings, PlatformState, build_app, serve_app
+from hemlockswitch.standin.platform import build_application
 from hemlockswitch.standin.platform_faults import ServiceFaults
+from hemlockswitch.standin.platform_state import PlatformSettings, PlatformState
 from hemlockswitch.standin.platform_vms import StandinVm
+from hemlockswitch.standin.server import listen
 
 
 @dataclass
@@ -22,10 +24,8 @@
 @pytest.fixture
 def bench() -> Iterator[Bench]:
     state = PlatformState(PlatformSettings(start_ms=0))
-    server = serve_app(build_app(state), "127.0.0.1:0")
-    yield Bench(
-        state, PlatformClient(f"127.0.0.1:{server.server_port}", "entry", "a", timeout_ms=200)
-    )
+    server, address = listen(build_application(state), "127.0.0.1:0")
+    yield Bench(state, PlatformClient(address, "entry", "a", timeout_ms=200))
     server.stop()
 
 
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -8,7 +8,9 @@
 from geventhttpclient.response import HTTPConnectionClosed
 
 from hemlockswitch.connection.http import SingleSendClient
-from hemlockswitch.standin.platform import PlatformSettings, PlatformState, build_app, serve_app
+from hemlockswitch.standin.platform import build_application
+from hemlockswitch.standin.platform_state import PlatformSettings, PlatformState
+from hemlockswitch.standin.server import listen
 
 
 class Caller:
@@ -25,9 +27,8 @@
 
 @pytest.fixture
 def caller() -> Iterator[Caller]:
-    server = serve_app(
-        build_app(PlatformState(PlatformSettings(writes_per_s=20, start_ms=0))), "127.0.0.1:0"
-    )
+    state = PlatformState(PlatformSettings(writes_per_s=20, start_ms=0))
+    server, _ = listen(build_application(state), "127.0.0.1:0")
     yield Caller(server.server_port)
     server.stop()
 
