--- a/hemlockswitch/process/serving.py
+++ b/hemlockswitch/process/serving.py
@@ -1,7 +1,7 @@
 """Serves the callers' requests: from the account's key to the last byte of the answer."""
 
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, Protocol
 
 from hemlockswitch.connection.accounts import AccountKeys
@@ -17,6 +17,7 @@
 from hemlockswitch.request.generation import ChatRequest, Generation
 from hemlockswitch.request.prefixes import count_tokens
 from hemlockswitch.request.relay import Relay
+from hemlockswitch.request.running import MovedError
 from hemlockswitch.request.service_call import ServiceCaller
 from hemlockswitch.version.models import ClientAccount, Limits, Model, OperatorFile, Service
 
@@ -52,6 +53,7 @@
         self._file: OperatorFile | None = None
         self._keys = AccountKeys(())
         self._stopping = False
+        self.has_limits: Callable[[], bool] = lambda: True
 
     def use_configuration(self, file: OperatorFile) -> None:
         """Serve by `file` from now on; requests in progress go on as they began."""
@@ -68,12 +70,15 @@
         Raises
         ======
 
-        RequestError : `LEAVING` once the daemon stops, `NOT_READY` before it has a configuration.
+        RequestError : `LEAVING` once the daemon stops, `NOT_READY` before it has a configuration
+            and its shares of the limits.
         """
         if self._stopping:
             raise RequestError(ErrorKind.LEAVING, "this daemon is stopping")
         if self._file is None:
             raise RequestError(ErrorKind.NOT_READY, "no configuration is in force yet")
+        if not self.has_limits():
+            raise RequestError(ErrorKind.NOT_READY, "no limits were granted yet")
 
     def limit_body_bytes(self) -> int:
         """Return the largest body that may be read."""
@@ -84,7 +89,7 @@
         """Serve a model request."""
         account = self._authenticate(request)
         chat = ChatRequest.from_body(request.body)
-        model = self._find_model(chat.model)
+        model = self._find_model(chat.model, account)
         generation = self._build_generation(request, chat, model, account)
         wanted = count_tokens(generation.prompt) + generation.max_tokens
         record = self._records.begin(request, generation.model)
@@ -92,12 +97,19 @@
         return self.answer(generation, request, record)
 
     def answer(
-        self, generation: Generation, request: CallerRequest, record: RequestRecord
+        self,
+        generation: Generation,
+        request: CallerRequest,
+        record: RequestRecord,
+        replay: bytes = b"",
     ) -> CallerAnswer:
-        """Relay an admitted generation: as a stream, or whole when the caller wants that."""
+        """Relay an admitted generation: as a stream, or whole when the caller wants that.
+
+        `replay` are events of a resumed stream that the caller did not get.
+        """
         events = self._relay_recorded(generation, request, record)
         if generation.stream:
-            first = next(events)
+            first = replay or next(events)
             return CallerAnswer(200, _Events(generation, first, events), {}, EVENT_STREAM)
         for _ in events:
             pass
@@ -125,7 +137,7 @@
     def call_service(self, request: CallerRequest, service: str, path: str) -> CallerAnswer:
         """Serve a call of a plain service."""
         account = self._authenticate(request)
-        found = self._find_service(service)
+        found = self._find_service(service, account)
         limit_ms = self._clock.now_ms() + found.timeout_ms
         deadline_ms = min(limit_ms, request.deadline_ms or limit_ms)
         record = self._records.begin(request, service)
@@ -145,17 +157,17 @@
     def _authenticate(self, request: CallerRequest) -> ClientAccount:
         return self._keys.authenticate(request.headers.get("authorization"))
 
-    def _find_model(self, name: str) -> Model:
+    def _find_model(self, name: str, account: ClientAccount) -> Model:
         models = self._file.models if self._file else ()
         for model in models:
-            if model.name == name:
+            if model.name == name and account.may_use(name):
                 return model
         raise RequestError(ErrorKind.UNKNOWN_MODEL, "no such model")
 
-    def _find_service(self, name: str) -> Service:
+    def _find_service(self, name: str, account: ClientAccount) -> Service:
         services = self._file.services if self._file else ()
         for service in services:
-            if service.name == name:
+            if service.name == name and account.may_use(name):
                 return service
         raise RequestError(ErrorKind.UNKNOWN_SERVICE, "no such service")
 
@@ -191,6 +203,12 @@
     return account.priority if asked is None else max(asked, account.priority)
 
 
+def render_moved(moved: MovedError, request_id: str) -> bytes:
+    """Return the event that tells a stream's caller where the rest is."""
+    body = {"request_id": request_id, "retry_after_ms": moved.answer.retry_after_ms}
+    return b"event: moved\ndata: " + json.dumps(body).encode() + b"\n\n"
+
+
 class _Events:
     """A stream's events for the server: an error after the first becomes the last event."""
 
@@ -208,6 +226,8 @@
             return first
         try:
             return next(self._events)
+        except MovedError as moved:
+            return render_moved(moved, self._generation.request_id)
         except HemlockError as error:
             body = describe_error(error, self._generation.request_id)
             return b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
--- a/hemlockswitch/request/admission.py
+++ b/hemlockswitch/request/admission.py
@@ -17,6 +17,8 @@
 LONGEST_RETRY_MS = 30_000.0
 SEEK_WAIT_MS = 150.0
 MOST_SEEKS = 6
+MOST_WAITING = 16
+WAIT_MARGIN_MS = 1.0
 
 
 class Permit:
@@ -75,8 +77,8 @@
     Explanation
     ===========
 
-    A request that lacks allowance may wait `seek_wait_ms` while more is sought from other
-    daemons; every other refusal is at once. Refusals are of the closed list, were never sent
+    A request that lacks allowance may wait up to `seek_wait_ms` while more is sought from other
+    daemons or the buckets fill; every other refusal is at once. Refusals are of the closed list, were never sent
     (``ran: no``), and say when the bucket will have enough, jittered upwards so that callers
     do not return together.
 
@@ -139,6 +141,19 @@
             raise
         return Permit(ledger, self._capacity.leave, tokens_wanted)
 
+    def readmit(self, account: str, tokens_charged: int) -> Permit:
+        """Admit a request that another daemon had admitted, without a refusal.
+
+        Explanation
+        ===========
+
+        It takes a place and may exceed the allowance until it ends, so that new requests wait
+        for it; of its tokens those beyond `tokens_charged` are charged here when it ends.
+        """
+        ledger = self._find_ledger(account)
+        ledger.start()
+        return Permit(ledger, lambda: None, tokens_charged)
+
     def refresh(self, account: str) -> None:
         """Take note that the allowance of `account` changed just now."""
         if self._allowances.find_allowance(account) is not None:
@@ -173,13 +188,27 @@
         seeks = 0
         while (refusal := ledger.charge(tokens, deadline_ms)) is not None:
             seeks += 1
-            if seeks > MOST_SEEKS or not self._seek(account, refusal.shortage, end_ms):
+            sought = seeks <= MOST_SEEKS and self._seek(account, refusal.shortage, end_ms)
+            if not sought and not self._wait(ledger, refusal, end_ms):
                 break
             ledger = self._find_ledger(account)
         if refusal is None:
             return ledger
         raise refusal.build_error(self._jitter(refusal.wait_ms))
 
+    def _wait(self, ledger: "_Ledger", refusal: "_Refusal", end_ms: float) -> bool:
+        """Wait for the buckets when they have enough very soon; return whether that was so."""
+        now_ms = self._clock.now_ms()
+        by_slots = refusal.kind is ErrorKind.CONCURRENCY_LIMIT
+        if by_slots or now_ms + refusal.wait_ms > end_ms or ledger.waiting >= MOST_WAITING:
+            return False
+        ledger.waiting += 1
+        try:
+            self._clock.sleep_ms(refusal.wait_ms + WAIT_MARGIN_MS)
+        finally:
+            ledger.waiting -= 1
+        return True
+
     def _seek(self, account: str, shortage: Shortage, end_ms: float) -> bool:
         wait_ms = end_ms - self._clock.now_ms()
         return wait_ms > 0 and self._allowances.seek_more(account, shortage, wait_ms)
@@ -220,6 +249,7 @@
     def __init__(self, clock: Clock, allowance: Allowance, starts_full: bool) -> None:
         now_ms = clock.now_ms()
         self.running = 0
+        self.waiting = 0
         self._clock = clock
         self._allowance = allowance
         requests_rate = allowance.requests_per_second
@@ -278,10 +308,14 @@
             wait_ms = self._tokens.measure_wait_ms(now_ms, tokens)
             missing = (tokens - self._tokens.level) * MS_PER_SECOND / BURST_MS
             return _Refusal(ErrorKind.TOKEN_LIMIT, wait_ms, Shortage(tokens_per_second=missing))
-        self.running += 1
-        self._started_ms.append(now_ms)
+        self.start()
         return None
 
+    def start(self) -> None:
+        """Count one request as in progress."""
+        self.running += 1
+        self._started_ms.append(self._clock.now_ms())
+
     def settle(self, tokens_unused: int, refund_request: bool) -> None:
         """End one request and give back what it did not use."""
         now_ms = self._clock.now_ms()
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -1,10 +1,11 @@
 """A generation while this daemon relays it, and what the relay needs from other layers."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from hemlockswitch.connection.backends import BackendExchange
-from hemlockswitch.core.errors import Ran
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.prefixes import count_tokens, hash_blocks
 from hemlockswitch.request.routing import Need
@@ -19,6 +20,17 @@
     """Wakes a relay whose generation may switch to another backend server."""
 
 
+class HandoverRequested(Exception):  # noqa: N818
+    """Wakes a relay whose generation another daemon is to go on with."""
+
+
+class MovedError(RequestError):
+    """Another daemon owns the generation; the caller comes back for the rest with its id."""
+
+    def __init__(self) -> None:
+        super().__init__(ErrorKind.MOVED, "another daemon goes on with it")
+
+
 class Chooser(Protocol):
     """Who chooses a backend server; the router."""
 
@@ -78,10 +90,13 @@
     stopped : why the relay must end; raised at its next wait.
     excluded : servers that lost this generation.
     sent : whether any backend server may have begun it.
-    own_token : whether the attempt in progress brought a token.
+    fruitless : attempts that may have run and brought no token.
+    own_token : whether the connection in progress brought a token.
+    brought_token : whether the attempt in progress did, over all its connections.
     base_tokens : tokens that the attempt in progress had to recompute, its prompt aside.
     kv_handle : the KV cache that it began with.
     reads_seen, quiet_since_ms : kept by the sweep that looks for silent streams.
+    hand_over : asked for by `request_handover`; returns whether another daemon owns it now.
     """
 
     generation: Generation
@@ -92,11 +107,25 @@
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
     sent: bool = False
+    fruitless: int = 0
     own_token: bool = False
+    brought_token: bool = False
     base_tokens: int = 0
     kv_handle: str | None = None
     reads_seen: int = -1
     quiet_since_ms: float = 0.0
+    hand_over: Callable[[Generation], bool] | None = None
+
+    def request_handover(self, hand_over: Callable[[Generation], bool]) -> None:
+        """Make the relay call `hand_over` in its own task, between two events."""
+        self.hand_over = hand_over
+        self.interrupt(HandoverRequested())
+
+    def hand_over_if_asked(self) -> None:
+        """Raise `MovedError` when another daemon has taken the generation."""
+        hand_over, self.hand_over = self.hand_over, None
+        if hand_over is not None and hand_over(self.generation):
+            raise MovedError
 
     def stop(self, error: BaseException) -> None:
         """Make the relay raise `error` at its next wait."""
@@ -110,11 +139,14 @@
             self.exchange.interrupt(error)
 
     def watch(self, exchange: BackendExchange | None) -> None:
-        """Keep the exchange that may be interrupted."""
+        """Keep the exchange that may be interrupted; by then the request was sent."""
         self.exchange = exchange
         self.reads_seen = -1
+        self.sent = self.sent or exchange is not None
         if self.stopped is not None:
             self.interrupt(self.stopped)
+        elif self.hand_over is not None:
+            self.interrupt(HandoverRequested())
 
     def state_ran(self) -> Ran:
         """Return what an answer may say of whether the generation ran."""
@@ -122,10 +154,17 @@
             return Ran.YES
         return Ran.UNKNOWN if self.sent else Ran.NO
 
+    def build_overdue(self) -> RequestError:
+        """Return the answer to a request whose deadline has passed."""
+        ran = self.state_ran()
+        if ran is Ran.NO:
+            return RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
+        return RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=ran)
+
     def estimate_recomputed(self) -> int:
         """Return the tokens that the attempt in progress computed again, without its usage."""
         first = self.generation.cause is Cause.FIRST
-        if first or not self.own_token or self.kv_handle is not None:
+        if first or not self.brought_token or self.kv_handle is not None:
             return 0
         return count_tokens(self.generation.prompt) + self.base_tokens
 
