--- a/tools/capacity_entry.py
+++ b/tools/capacity_entry.py
@@ -1,22 +1,25 @@
-"""Measure what control costs whole, idle entry daemons, by the number of VMs in their zone.
+"""Measure what control costs whole, idle daemons, by the number of VMs in their zone.
 
-Real `hemlock-entry` processes, one stand-in platform, and one stand-in engine that stands in the VM
-list under many names. Both are reached through the counting proxy, so their bytes are known.
+Real `hemlock-entry` and `hemlock-controller` processes, one stand-in platform, and one stand-in engine
+that stands in the VM list under many names. The platform and the engine are reached by the entry
+daemons through the counting proxy, so their bytes are known.
 ``tools/capacity.py --parts entry`` runs it.
 """
 
 import os
 import statistics
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from features.support.calls import call, get_json, post_json
-from features.support.cluster import Cluster
+from features.support.cluster import CONTROLLER, Cluster
 from features.support.operator_files import MODEL, make_operator_file
 from features.support.processes import wait_until
 
 ZONE = "zone-1"
 DAEMONS = 8
+CONTROLLERS = 3
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -30,7 +33,8 @@
     peer_messages: list[float]
     platform_bytes: int
     engine_bytes: int
-    platform_calls: int
+    platform_calls: dict[str, int]
+    controller_processor_s: list[float]
 
 
 def read_processor_s(pid: int) -> float:
@@ -52,10 +56,10 @@
     return sum(cluster.read_link(name)["bytes_moved"].values())
 
 
-def count_platform_calls(cluster: Cluster) -> int:
-    """Return how many calls the entry daemons made at the platform."""
-    calls = cluster.read_stats("platform")["calls"]
-    return sum_numbers(calls)
+def count_platform_calls(cluster: Cluster) -> dict[str, int]:
+    """Return how many calls each role made at the platform."""
+    by_role = cluster.read_stats("platform")["calls"]["by_role"]
+    return {role: sum_numbers(calls) for role, calls in by_role.items()}
 
 
 def sum_numbers(value: object) -> int:
@@ -79,6 +83,7 @@
         count_link_bytes(cluster, "platform"),
         count_link_bytes(cluster, "engine"),
         count_platform_calls(cluster),
+        [read_processor_s(one.pid) for one in cluster.list_daemons(CONTROLLER)],
     )
 
 
@@ -92,9 +97,11 @@
         engine_link = cluster.add_link("engine", engine.addresses["http"])
         listed = [make_vm(number, engine_link) for number in range(vms)]
         post_json(cluster.platform.addresses["http"], "/standin/vms", {"vms": listed})
-        cluster.apply(make_operator_file((ZONE,), services=[]))
+        cluster.apply(make_file(vms))
         for number in range(DAEMONS):
             cluster.launch_entry(f"entry-{number}", ZONE, platform=platform_link)
+        for number in range(CONTROLLERS):
+            cluster.launch_controller(f"controller-{number}", ZONE)
         wait_until(lambda: all_see_all(cluster), "the daemons see one another", 60)
     except BaseException:
         cluster.close()
@@ -102,6 +109,12 @@
     return cluster
 
 
+def make_file(vms: int) -> dict:
+    """Return an operator file that wants just the copies that there are."""
+    model = {"name": MODEL, "licensed_copies": max(vms, 1), "min_copies": vms}
+    return make_operator_file((ZONE,), models=[model], services=[])
+
+
 def make_vm(number: int, address: str) -> dict:
     """Return one VM of the list."""
     return {
@@ -133,9 +146,12 @@
         cluster.close()
     span_s = after.taken_s - before.taken_s
 
-    def rate(name: str) -> float:
+    def rates(name: str) -> list[float]:
         pairs = zip(getattr(before, name), getattr(after, name), strict=True)
-        return statistics.mean(b - a for a, b in pairs) / span_s
+        return [(b - a) / span_s for a, b in pairs]
+
+    def rate(name: str) -> float:
+        return statistics.mean(rates(name))
 
     def share(name: str) -> float:
         return (getattr(after, name) - getattr(before, name)) / span_s / DAEMONS
@@ -149,18 +165,28 @@
         "peer_messages_s": rate("peer_messages"),
         "platform_bytes_s": share("platform_bytes"),
         "load_bytes_s": share("engine_bytes"),
-        "platform_calls_s_of_zone": share("platform_calls") * DAEMONS,
+        "platform_calls_s": {
+            role: (count - before.platform_calls.get(role, 0)) / span_s
+            for role, count in after.platform_calls.items()
+        },
+        "controller_core_percent": [value * 100 for value in rates("controller_processor_s")],
         "resident_mb": statistics.mean(memory),
     }
 
 
+def format_numbers(named: Iterable[tuple[str, float]]) -> str:
+    """Return names and numbers in one line."""
+    return ", ".join(f"{name} {number:.1f}" for name, number in sorted(named))
+
+
 def print_entry(result: dict) -> None:
     """Print one row."""
     print(
         f"entry    {result['vms']:4} VMs ({result['used']} used): "
         f"{result['core_percent']:5.2f} % core, peers {result['peer_bytes_s']:6.0f} B/s, "
         f"platform {result['platform_bytes_s']:7.0f} B/s, load polls "
-        f"{result['load_bytes_s']:7.0f} B/s, {result['platform_calls_s_of_zone']:.1f} platform "
-        f"calls/s of the zone, {result['resident_mb']:.1f} MB",
+        f"{result['load_bytes_s']:7.0f} B/s, {result['resident_mb']:.1f} MB; platform calls/s of "
+        f"the zone {format_numbers(result['platform_calls_s'].items())}; controllers "
+        f"{', '.join(f'{value:.2f}' for value in result['controller_core_percent'])} % core",
         flush=True,
     )
