--- a/features/apply_whole.feature
+++ b/features/apply_whole.feature
@@ -48,3 +48,12 @@
     Given the platform goes down
     When "first" applies a change
     Then the command says that nothing was changed
+
+  Scenario Outline: The example of each user is applied
+    When "first" applies the example "<example>"
+    Then it is in the platform, whole, as revision 2
+
+    Examples:
+      | example          |
+      | qafza-bookings   |
+      | driftwood-ledger |
--- a/features/steps/apply_whole_steps.py
+++ b/features/steps/apply_whole_steps.py
@@ -1,11 +1,13 @@
 """Steps of apply_whole.feature."""
 
+import json
+
 from behave import given, step, then, when
 
 from features.support.calls import call, get_json
 from features.support.operator_files import MODEL, make_operator_file
 from features.support.operators import Operator, finish
-from features.support.processes import wait_until
+from features.support.processes import ROOT, wait_until
 
 ZONES = ("abdoun-hall", "khalda-hall")
 OPERATORS = ("first", "second")
@@ -214,3 +216,19 @@
     assert context.outcome.code == 4, context.outcome
     context.cluster.set_platform_faults(objects={})
     assert find_in_force(context) == 1
+
+
+@when('"{name}" applies the example "{example}"')
+def apply_example(context, name, example):
+    text = (ROOT / "docs" / "examples" / f"{example}.json").read_text()
+    context.example = json.loads(text)
+    context.outcome = context.operators[name].run("apply", text, "--from", "1")
+
+
+@then("it is in the platform, whole, as revision {number:d}")
+def check_example(context, number):
+    assert context.outcome.code == 0 and find_in_force(context) == number, context.outcome
+    stored = read_object(context, "revisions", str(number))["file"]
+    for field in ("client_accounts", "models", "services"):
+        wanted = {row["name"] for row in context.example[field]}
+        assert {row["name"] for row in stored[field]} == wanted
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -1,6 +1,7 @@
 """A wrong file is refused with every path and reason at once."""
 
 import json
+from pathlib import Path
 
 import pytest
 
@@ -8,6 +9,7 @@
 from hemlockswitch.version.documents import digest_tree
 
 KEY_HASH = "sha256:" + "a" * 64
+EXAMPLES = sorted((Path(__file__).resolve().parent.parent / "docs" / "examples").glob("*.json"))
 LIMITS = {"requests_per_second": 1, "tokens_per_second": 1, "concurrent_requests": 1}
 
 
@@ -111,3 +113,15 @@
 def test_a_mistake_never_repeats_the_value():
     found = list_mistakes(client_accounts=[make_account(key_hash="the-plain-key")])
     assert "the-plain-key" not in str(found)
+
+
+@pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: path.stem)
+def test_the_examples_have_no_mistakes(path):
+    assert len(parse_file(path.read_text()).file.zones) == 4
+
+
+def test_an_account_may_call_only_what_it_uses():
+    file = parse_file(json.dumps(make_file(client_accounts=[make_account(uses=["booking-app"])])))
+    account = file.file.client_accounts[0]
+    assert account.may_use("booking-app")
+    assert not account.may_use("assistant-llm")
--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from features.support.calls import get_json, post_json
+from features.support.calls import call, get_json, post_json
 from features.support.cluster import Cluster
 from features.support.operator_files import make_account, make_operator_file
 from features.support.processes import wait_until
@@ -28,7 +28,9 @@
 CHANGES = 20
 IDLE_S = 20
 LIMIT_S = 20
+PAUSE_S = 0.5
 ACCOUNTS = {"small": 5, "large": 3_000}
+REVISION_METRIC = "hemlock_revision_number "
 
 
 def make_file(accounts: int, changed: int) -> dict[str, Any]:
@@ -61,28 +63,37 @@
     return {step["number"]: step["wall_ms"] for step in status["in_force"]}
 
 
+def read_number(program: Any) -> int:
+    """Return the revision in force at a daemon; its metrics cost it less than its status."""
+    text = call(program.addresses["control"], "GET", "/metrics").body.decode()
+    line = next(line for line in text.splitlines() if line.startswith(REVISION_METRIC))
+    return int(float(line.removeprefix(REVISION_METRIC)))
+
+
 def wait_for(cluster: Cluster, number: int) -> None:
     """Return when every daemon has the revision."""
     for program in cluster.list_daemons():
         wait_until(
-            lambda item=program: number in read_steps(item), f"{number} at {program.name}", LIMIT_S
+            lambda item=program: read_number(item) >= number, f"{number} at {program.name}", LIMIT_S
         )
 
 
 def measure_spread(cluster: Cluster, accounts: int) -> dict[str, Any]:
     """Apply changes one after another and return the times until each was in force everywhere."""
-    times = []
+    written_ms = {}
     for at in range(1, 1 + CHANGES):
         number = cluster.apply(make_file(accounts, at))
-        written_ms = time.time_ns() // 1_000_000
+        written_ms[number] = time.time_ns() // 1_000_000
+        time.sleep(PAUSE_S)
         wait_for(cluster, number)
-        latest = max(read_steps(program)[number] for program in cluster.list_daemons())
-        times.append(max(latest - written_ms, 0))
-        time.sleep(0.1)
+    steps = [read_steps(program) for program in cluster.list_daemons()]
+    times = sorted(
+        max(max(step[number] for step in steps) - at_ms, 0) for number, at_ms in written_ms.items()
+    )
     return {
         "changes": CHANGES,
         "everywhere_p50_ms": statistics.median(times),
-        "everywhere_max_ms": max(times),
+        "everywhere_max_ms": times[-1],
         "received": count_received(cluster),
     }
 
