Keep the last 200 revisions, and show what refuses requests in each zone

Cause: each apply leaves an object of up to a megabyte for ever; and operators saw copies against the licence, but not which limit refuses requests.

Weighed: a retention time (a clock decides what can still be read) against a count (chosen): each apply deletes the one that falls out. An apply that is still paused over a deleted object cannot move the pointer to it, since the pointer's version has passed.

Change: Applier deletes; daemon reports carry the count of refusals by limit, status sums them.

--- a/hemlockswitch/process/applying.py
+++ b/hemlockswitch/process/applying.py
@@ -14,6 +14,7 @@
 later apply has passed. The next apply takes the next free number; nothing has to be cleaned.
 """
 
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -27,12 +28,15 @@
 from hemlockswitch.version.documents import digest_tree
 from hemlockswitch.version.revisions import (
     CURRENT_POINTER,
+    NO_REVISION,
     POINTER_KIND,
     REVISION_KIND,
     Revision,
 )
 
 RETRY_PAUSE_MS = 200
+KEPT_REVISIONS = 200
+"""Older revision objects are deleted, one for each that is applied."""
 FINAL_REFUSALS = frozenset({ErrorKind.BODY_TOO_LARGE})
 """Refusals that trying again does not change."""
 
@@ -130,6 +134,12 @@
         UnknownOutcomeError : it may or may not have taken effect.
         PlatformError : the service does not answer; nothing was changed.
         """
+        applied = self._apply_once(checked, seen)
+        if applied.written:
+            self._forget(applied.number - KEPT_REVISIONS)
+        return applied
+
+    def _apply_once(self, checked: CheckedFile, seen: int | None) -> Applied:
         base = self._store.read_current()
         if base.revision is not None and base.revision.digest == digest_tree(checked.tree):
             return self._confirm_unchanged(checked, base, base.revision, seen)
@@ -137,6 +147,18 @@
             raise self._make_conflict(checked, seen, base)
         return self._write(checked, base)
 
+    def _forget(self, number: int) -> None:
+        """Delete one old revision; no pointer can come to name it any more.
+
+        Whatever fails here is left to lie: the file is in force already.
+        """
+        if number <= NO_REVISION:
+            return
+        with contextlib.suppress(PlatformError):
+            stored = self._objects.read(REVISION_KIND, str(number))
+            if stored is not None:
+                self._objects.delete(REVISION_KIND, str(number), stored.version)
+
     def _confirm_unchanged(
         self, checked: CheckedFile, base: Current, revision: Revision, seen: int | None
     ) -> Applied:
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -90,6 +90,7 @@
             "hemlock-entry",
             self.clock,
             self._is_ready,
+            self._describe_use,
         )
         self.status.add("revision", lambda: self.revision)
         self.status.add("configuration", self.revisions.describe_status)
@@ -217,6 +218,13 @@
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
+    def _describe_use(self) -> dict[str, Any]:
+        """Return what the zone's status shows of this daemon beside its revision."""
+        return {
+            "requests_in_progress": self.records.in_progress,
+            "refused": self.metrics.count_refusals(),
+        }
+
     def _is_ready(self) -> bool:
         try:
             self.serving.check_ready()
--- a/hemlockswitch/process/metrics.py
+++ b/hemlockswitch/process/metrics.py
@@ -1,13 +1,24 @@
 """The entry daemon's metrics, by prometheus_client, with units in their names."""
 
+from collections import Counter as Tally
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.core.errors import ErrorKind
 
 FIRST_TOKEN_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.83, 1.2, 2.0, 4.0, 8.0)
 TOKEN_GAP_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.1, 0.2, 0.5, 1.0, 3.0)
 CALL_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0)
 
+LIMITING_KINDS = (
+    ErrorKind.REQUEST_LIMIT,
+    ErrorKind.TOKEN_LIMIT,
+    ErrorKind.CONCURRENCY_LIMIT,
+    ErrorKind.OVERLOADED,
+    ErrorKind.NO_BACKEND,
+)
+
 
 class EntryMetrics:
     """What the entry daemon counts.
@@ -103,6 +114,15 @@
             gap_ms = streamed_ms / (tokens - 1)
             self.token_gap.labels(model).observe(gap_ms / MS_PER_SECOND)
 
+    def count_refusals(self) -> dict[str, int]:
+        """Return how often each limit refused a request since the process began."""
+        counts: Tally[str] = Tally()
+        for family in self.requests.collect():
+            for sample in family.samples:
+                if sample.name.endswith("_total") and sample.labels["outcome"] in LIMITING_KINDS:
+                    counts[sample.labels["outcome"]] += int(sample.value)
+        return dict(counts)
+
     def render(self) -> bytes:
         """Return the metrics as Prometheus text."""
         return generate_latest(self.registry)
--- a/hemlockswitch/process/revision_store.py
+++ b/hemlockswitch/process/revision_store.py
@@ -33,6 +33,9 @@
     def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
         """Write an object whose version is `version`."""
 
+    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
+        """Delete an object whose version is `version`."""
+
 
 @dataclass(frozen=True)
 class Current:
--- a/hemlockswitch/process/zone_view.py
+++ b/hemlockswitch/process/zone_view.py
@@ -1,5 +1,6 @@
 """What an operator's command makes of the zones' status objects."""
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -124,3 +125,13 @@
         return StoredZone.model_validate(found.value)
     except ValidationError:
         return None
+
+
+def sum_refusals(daemons: Iterable[StoredDaemon]) -> dict[str, int]:
+    """Return how often each limit refused a request, over these daemons since they started."""
+    total: Counter[str] = Counter()
+    for daemon in daemons:
+        refused = daemon.details.get("refused")
+        if isinstance(refused, dict):
+            total.update({kind: count for kind, count in refused.items() if type(count) is int})
+    return dict(total)
--- a/hemlockswitch/programs/ctl_status.py
+++ b/hemlockswitch/programs/ctl_status.py
@@ -10,7 +10,7 @@
 from hemlockswitch.process.fleet_view import count_copies, describe_copies, format_copies
 from hemlockswitch.process.revision_store import Current, RevisionStore
 from hemlockswitch.process.zone_status import STATUS_KIND
-from hemlockswitch.process.zone_view import ZoneView, view_zones
+from hemlockswitch.process.zone_view import ZoneView, sum_refusals, view_zones
 from hemlockswitch.programs.ctl_apply import describe_view, format_view
 from hemlockswitch.programs.ctl_files import ExitCode
 from hemlockswitch.programs.ctl_platform import PLATFORM_OPTIONS, PlatformCommand
@@ -63,7 +63,9 @@
         file = None if current.revision is None else current.revision.file
         counts = count_copies(file, vms) if file is not None and vms is not None else []
         zones = [
-            describe_view(view) | {"daemons": [one.model_dump() for one in view.daemons]}
+            describe_view(view)
+            | {"daemons": [one.model_dump() for one in view.daemons]}
+            | {"refused": sum_refusals(view.daemons)}
             for view in views
         ]
         return {
@@ -82,7 +84,7 @@
             return ["no revision was ever applied"]
         lines = [f"revision {current.number} ({current.revision.digest})", "", "zones:"]
         for view in views:
-            lines.append(f"  {format_view(view)}")
+            lines.append(f"  {format_view(view)}{format_refusals(sum_refusals(view.daemons))}")
             if self.option("daemons"):
                 lines += [f"    {format_daemon(one.model_dump())}" for one in view.daemons]
         lines += ["", "copies:"]
@@ -185,6 +187,12 @@
     return f"{daemon['name']}: revision {daemon['revision']}, {ready}, {age} {details}".rstrip()
 
 
+def format_refusals(refused: dict[str, int]) -> str:
+    """Return what refused requests in a zone, for people; empty when nothing did."""
+    counts = ", ".join(f"{kind} {count}" for kind, count in sorted(refused.items()))
+    return f"; refused by {counts}" if counts else ""
+
+
 def list_limits(revision: Revision) -> list[str]:
     """Return a line for each account's limits."""
     return [
--- a/tests/test_applying.py
+++ b/tests/test_applying.py
@@ -7,7 +7,12 @@
 from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.process.applying import Applier, RevisionConflictError, UnknownOutcomeError
+from hemlockswitch.process.applying import (
+    KEPT_REVISIONS,
+    Applier,
+    RevisionConflictError,
+    UnknownOutcomeError,
+)
 from hemlockswitch.version.checks import parse_file
 
 LATEST = None
@@ -20,6 +25,7 @@
         self.objects = {}
         self.version = 0
         self.plan = []
+        self.deleted = []
         self.old_reads = 0
         self.before_pointer_write = lambda: None
 
@@ -36,6 +42,10 @@
     def update(self, kind, name, value, version):
         return self._write(kind, name, value, version)
 
+    def delete(self, kind, name, version):
+        self.deleted.append(int(name))
+        return Written(version + 1)
+
     def _write(self, kind, name, value, expected):
         fate = "answer"
         if kind == "pointers":
@@ -170,3 +180,9 @@
     with pytest.raises(RevisionConflictError):
         apply(objects, 4, seen=1)
     assert objects.in_force == 2
+
+
+def test_old_revisions_are_deleted_one_by_one(objects):
+    for copies in range(2, KEPT_REVISIONS + 4):
+        apply(objects, copies)
+    assert objects.deleted == [1, 2, 3]
