Lend within a part that the anchor knows; prove the limits with real processes

Cause: features/graceful_stop.feature starts a killed daemon again under its name, and the new process had no shares: all of the old one's could have been lent, for up to two minutes.

Change: a word to the anchor also says what may be lent from then on: half of what is not lent, or all while another daemon asked within a minute. A second process of a name proves that the first has ended, so at most that part stays bound, and only until its loans are over. The modules are split: parts, terms, renewal.

Weighed: all may be lent at once (a zone that dies at once takes its slots with it for two minutes), or nothing beyond half (an account used at one daemon reaches five eighths).

--- a/hemlockswitch/process/handover.py
+++ b/hemlockswitch/process/handover.py
@@ -9,7 +9,7 @@
 from hemlockswitch.core.errors import ErrorKind, PeerError
 from hemlockswitch.core.identifiers import rank_rendezvous
 from hemlockswitch.process.handover_messages import HandOver, encode_state
-from hemlockswitch.process.share_members import ShareMember as HandoverMember
+from hemlockswitch.process.share_parts import ShareMember as HandoverMember
 from hemlockswitch.process.state_store import StateStore
 from hemlockswitch.request.generation import Generation, GenerationState
 from hemlockswitch.request.running import Running
--- a/hemlockswitch/process/share_anchor.py
+++ b/hemlockswitch/process/share_anchor.py
@@ -11,13 +11,13 @@
 from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome, Written
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
+from hemlockswitch.process.share_parts import ZoneTotals
 from hemlockswitch.process.share_record import (
     EntryWatch,
     RenewShares,
     ShareRecord,
     SharesRenewed,
 )
-from hemlockswitch.process.share_units import Units
 
 KIND = "shares"
 BATCH_MS = 300.0
@@ -37,21 +37,6 @@
         """Write an object that must have `version`."""
 
 
-@dataclass(frozen=True)
-class ZoneTotals:
-    """What a zone divides, and between whom.
-
-    Parameters
-    ==========
-
-    totals : by account, the units that fall to the zone.
-    names : the zone's live daemons.
-    """
-
-    totals: dict[str, Units]
-    names: frozenset[str]
-
-
 @dataclass(frozen=True)
 class _Waiting:
     """A word that waits to be written."""
--- a/hemlockswitch/process/share_book.py
+++ b/hemlockswitch/process/share_book.py
@@ -4,50 +4,26 @@
 import secrets
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.share_terms import (
+    DRIFT,
+    LOAN_MS,
+    REQUEST_MS,
+    SHORTEST_LOAN_MS,
+    SLOT_LOAN_MS,
+    Granted,
+    Loan,
+    sum_loans,
+)
 from hemlockswitch.process.share_units import NOTHING, Resource, Units
 
-TERM_MS = 10_000.0
-LOAN_MS = 5_000.0
-SHORTEST_LOAN_MS = 500.0
-REQUEST_MS = 60_000.0
-SLOT_LOAN_MS = 2 * REQUEST_MS
-DRIFT = 1.1
 NUMBER_BITS = 48
+ASKED_MS = 60_000.0
 FOREVER_MS = float("inf")
 
 
-@dataclass(frozen=True)
-class Loan:
-    """Units that moved from one daemon to another for a while.
-
-    Parameters
-    ==========
-
-    number : given by the lender.
-    peer : address of the other daemon.
-    until_ms : own clock's reading at which the loan ends: late at the lender, early at the
-        borrower.
-    """
-
-    number: int
-    peer: str
-    account: str
-    resource: Resource
-    units: int
-    until_ms: float
-
-    def is_usable(self, now_ms: float) -> bool:
-        """Return whether a request may be admitted on the loan at the borrower.
-
-        A borrowed slot is used only by requests that end before the loan does.
-        """
-        needed_ms = REQUEST_MS if self.resource is Resource.SLOTS else 0
-        return now_ms < self.until_ms - needed_ms
-
-
 class ShareBook:
     """The daemon's own record; it talks to nobody.
 
@@ -55,22 +31,30 @@
     ===========
 
     *Own* is the grant of the anchor while its term lasts, and the floor after it: the part
-    that the anchor keeps for this process until its VM is known to be gone. *Held* is what may be admitted: own, less what was lent, with what was borrowed.
-    Every end is read from the clock at each look, so that a process that was paused finds its
-    grant and its loans ended before it admits.
+    that the anchor keeps for this process until its VM is known to be gone. *Held* is what may be
+    admitted: own, less what was lent, with what was borrowed. Every end is read from the clock
+    at each look, so that a process that was paused finds its grant and its loans ended before it
+    admits.
 
     Parameters
     ==========
 
     clock : the process's clock.
     on_change : called with the account after each change of what is held.
+    on_short : called when the anchor should be told that more is lent.
     """
 
-    def __init__(self, clock: Clock, on_change: Callable[[str], None] = lambda account: None):
+    def __init__(
+        self,
+        clock: Clock,
+        on_change: Callable[[str], None] = lambda account: None,
+        on_short: Callable[[], None] = lambda: None,
+    ) -> None:
         self._clock = clock
         self._on_change = on_change
-        self._grants: dict[str, Units] = {}
-        self._floors: dict[str, Units] = {}
+        self._on_short = on_short
+        self._granted = Granted({}, {}, {})
+        self._asked_ms: dict[str, float] = {}
         self._valid_until_ms = 0.0
         self._given: dict[int, Loan] = {}
         self._taken: dict[tuple[str, int], Loan] = {}
@@ -86,40 +70,54 @@
     def list_accounts(self) -> list[str]:
         """Return the accounts of which something was granted or borrowed."""
         taken = {loan.account for loan in self._taken.values()}
-        return sorted(taken | set(self._grants))
+        return sorted(taken | set(self._granted.grants))
 
-    def set_grants(
-        self, grants: dict[str, Units], floors: dict[str, Units], valid_until_ms: float
-    ) -> None:
+    def set_grants(self, held: Granted, valid_until_ms: float) -> None:
         """Take what the anchor granted."""
         self._valid_until_ms = valid_until_ms
-        self._replace(grants, floors)
+        self._replace(held)
 
-    def lower(self, kept: dict[str, Units]) -> dict[str, Units]:
-        """Fall to `kept` at once and return the floors that go with it; neither ever rises."""
+    def lower(self, kept: dict[str, Units]) -> Granted:
+        """Fall to `kept` at once and return what to say to the anchor.
+
+        The floors and the part that may be lent never rise by this; the anchor raises them.
+        """
         grants = {account: self.find_grant(account).limit(kept[account]) for account in kept}
-        floors = {}
+        floors, lendable, wanted = {}, {}, {}
         for account, units in grants.items():
             # After the term the floor stays: several words without an answer must not halve it.
             most = units.halve() if self.in_term else units
-            floors[account] = self._floors.get(account, NOTHING).limit(most)
-        self._replace(grants, floors)
-        return floors
-
-    def _replace(self, grants: dict[str, Units], floors: dict[str, Units]) -> None:
-        changed = set(self._grants) | set(grants)
-        self._grants = dict(grants)
-        self._floors = dict(floors)
+            floors[account] = self._granted.floors.get(account, NOTHING).limit(most)
+            wanted[account] = self._find_lendable(account, units)
+            before = self._granted.lendable.get(account, NOTHING)
+            lendable[account] = before.limit(wanted[account])
+        self._replace(Granted(grants, floors, lendable))
+        return Granted(grants, floors, wanted)
+
+    def _find_lendable(self, account: str, kept: Units) -> Units:
+        """Return what may be lent: half of what is not, or all while others ask for it."""
+        given = self.count_given(account)
+        asked_ms = self._asked_ms.get(account)
+        if asked_ms is not None and self._clock.now_ms() - asked_ms < ASKED_MS:
+            return kept
+        spare = (kept - given).raise_to(NOTHING)
+        return (given + spare - spare.halve()).limit(kept)
+
+    def _replace(self, held: Granted) -> None:
+        changed = set(self._granted.grants) | set(held.grants)
+        self._granted = held
         for account in changed:
             self._note_change(account)
 
     def find_grant(self, account: str) -> Units:
         """Return what the anchor granted, in its term or not."""
-        return self._grants.get(account, NOTHING)
+        return self._granted.grants.get(account, NOTHING)
 
     def count_own(self, account: str) -> Units:
         """Return the grant, or its floor after the term."""
-        return self.find_grant(account) if self.in_term else self._floors.get(account, NOTHING)
+        if self.in_term:
+            return self.find_grant(account)
+        return self._granted.floors.get(account, NOTHING)
 
     def count_keepable(self, account: str) -> Units:
         """Return what the anchor cannot have given to others yet."""
@@ -130,7 +128,7 @@
 
     def count_given(self, account: str) -> Units:
         """Return what is lent out now."""
-        return _sum_loans(self._list_given(), account)
+        return sum_loans(self._list_given(), account)
 
     def list_given(self, account: str, resource: Resource) -> list[Loan]:
         """Return the loans of one resource that others have now."""
@@ -141,7 +139,7 @@
         """Return what is borrowed and not ended, usable for new requests or not."""
         now_ms = self._clock.now_ms()
         lasting = (loan for loan in self._taken.values() if now_ms < loan.until_ms)
-        return _sum_loans(lasting, account)
+        return sum_loans(lasting, account)
 
     def count_held(self, account: str) -> Units:
         """Return what may be admitted now."""
@@ -158,8 +156,7 @@
         The caller has made sure that the daemon does not need them itself.
         """
         now_ms = self._clock.now_ms()
-        own = self.count_own(account).get(resource)
-        lendable = min(own - self.count_given(account).get(resource), units)
+        lendable = min(self._count_lendable(account, resource), units)
         duration_ms = self._find_duration_ms(resource, first=True)
         if lendable <= 0 or duration_ms < SHORTEST_LOAN_MS:
             return None
@@ -169,6 +166,14 @@
         self._note_change(account)
         return loan
 
+    def _count_lendable(self, account: str, resource: Resource) -> int:
+        own = self.count_own(account)
+        most = own.limit(self._granted.lendable.get(account, NOTHING))
+        self._asked_ms[account] = self._clock.now_ms()
+        if most.get(resource) < own.get(resource):
+            self._on_short()
+        return (most - self.count_given(account)).get(resource)
+
     def extend(self, peer: str, number: int, units: int) -> Loan | None:
         """Let a given loan last longer with at most `units`; None when it has ended."""
         given = self._given.get(number)
@@ -274,11 +279,3 @@
     def _note_change(self, account: str) -> None:
         self._held.pop(account, None)
         self._on_change(account)
-
-
-def _sum_loans(loans, account: str) -> Units:
-    total = NOTHING
-    for loan in loans:
-        if loan.account == account:
-            total += Units.only(loan.resource, loan.units)
-    return total
--- a/hemlockswitch/process/share_borrower.py
+++ b/hemlockswitch/process/share_borrower.py
@@ -9,7 +9,7 @@
 
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import PeerError
-from hemlockswitch.process.share_book import LOAN_MS, REQUEST_MS, Loan, ShareBook
+from hemlockswitch.process.share_book import ShareBook
 from hemlockswitch.process.share_messages import (
     BorrowShare,
     CreditMover,
@@ -19,6 +19,7 @@
     RecallLoan,
     Terms,
 )
+from hemlockswitch.process.share_terms import LOAN_MS, REQUEST_MS, Loan
 from hemlockswitch.process.share_units import NOTHING, Resource, Units
 from hemlockswitch.request.allowances import Credit
 
--- a/hemlockswitch/process/share_lender.py
+++ b/hemlockswitch/process/share_lender.py
@@ -6,7 +6,7 @@
 
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import PeerError
-from hemlockswitch.process.share_book import Loan, ShareBook
+from hemlockswitch.process.share_book import ShareBook
 from hemlockswitch.process.share_messages import (
     BorrowShare,
     CreditMover,
@@ -16,6 +16,7 @@
     RecallLoan,
     ShareLent,
 )
+from hemlockswitch.process.share_terms import Loan
 from hemlockswitch.process.share_units import Resource, Units
 from hemlockswitch.request.allowances import Credit
 
--- a/hemlockswitch/process/share_members.py
+++ b/hemlockswitch/process/share_members.py
@@ -8,7 +8,8 @@
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.membership import Membership
 from hemlockswitch.process.news import NewsBoard
-from hemlockswitch.process.shares import ShareMember, Shares
+from hemlockswitch.process.share_parts import ShareMember
+from hemlockswitch.process.shares import Shares
 from hemlockswitch.version.backend import BackendState
 from hemlockswitch.version.models import OperatorFile
 from hemlockswitch.version.settings import EntrySettings
--- a/hemlockswitch/process/share_record.py
+++ b/hemlockswitch/process/share_record.py
@@ -1,18 +1,19 @@
 """The anchor's record of one zone: which daemon was granted how much, and when it comes back."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from hemlockswitch.connection.messages import register_message
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.share_book import DRIFT, LOAN_MS, SLOT_LOAN_MS, TERM_MS
+from hemlockswitch.process.share_terms import DRIFT, LOAN_MS, SLOT_LOAN_MS, TERM_MS, Granted
 from hemlockswitch.process.share_units import NOTHING, Units, find_part
 
 RETURN_RATES_MS = TERM_MS * DRIFT
 RETURN_SLOTS_MS = (TERM_MS + SLOT_LOAN_MS) * DRIFT
 GONE_RATES_MS = LOAN_MS * DRIFT
 GONE_SLOTS_MS = SLOT_LOAN_MS * DRIFT
+PARTS = ("grants", "floors", "lendable")
 
 Counts = dict[str, list[int]]
 
@@ -28,7 +29,8 @@
     member, incarnation : the daemon's name, and an identifier of its process.
     counter : rises with each word of the process.
     kept : by account, units of requests, tokens and slots.
-    floors : by account, what of it the process goes on with when its term ends without a word.
+    floors : what of it the process goes on with when its term ends without a word.
+    lendable : what of it may be lent to others from now on.
     leaving : the daemon gives everything back and wants nothing.
     """
 
@@ -37,6 +39,7 @@
     counter: int
     kept: Counts
     floors: Counts
+    lendable: Counts
     leaving: bool
 
 
@@ -48,17 +51,24 @@
     counter: int
     grants: Counts
     floors: Counts
+    lendable: Counts
 
 
 @dataclass(frozen=True)
 class Entry:
-    """One process's line in the record."""
+    """One process's line in the record.
+
+    Parameters
+    ==========
+
+    replaced : another process of the same name has begun, so this one has ended.
+    """
 
     name: str
     incarnation: str
     counter: int
-    grants: dict[str, Units]
-    floors: dict[str, Units]
+    held: Granted
+    replaced: bool = False
 
     @property
     def key(self) -> str:
@@ -113,27 +123,34 @@
         ===========
 
         After the term the floor stays with its holder, which may be cut off from the platform
-        and go on with it; slots wait for the requests that still use them. All of it returns once the holder's process is known to be gone.
+        and go on with it; slots wait for the requests that still use them. Of a process that
+        is known to have ended only what it may have lent stays, until such loans are over.
         """
-        units = entry.grants.get(account, NOTHING)
+        units = entry.held.grants.get(account, NOTHING)
+        if self._is_ended(entry):
+            lent = units.limit(entry.held.lendable.get(account, NOTHING))
+            gone_for_ms = self._measure_gone_ms(entry)
+            rates = NOTHING if gone_for_ms >= GONE_RATES_MS else lent
+            return Units(rates.requests, rates.tokens, lent.slots)
         if not self.is_expired(entry):
             return units
-        floor = entry.floors.get(account, NOTHING)
-        rates = NOTHING if self._measure_gone_ms(entry) >= GONE_RATES_MS else floor
+        floor = entry.held.floors.get(account, NOTHING)
         slots = floor if self._measure_age_ms(entry) >= RETURN_SLOTS_MS else units
-        return Units(rates.requests, rates.tokens, slots.slots)
+        return Units(floor.requests, floor.tokens, slots.slots)
 
     def is_over(self, entry: Entry) -> bool:
         """Return whether nothing of the entry is bound any more."""
-        return self.is_expired(entry) and self._measure_gone_ms(entry) >= GONE_SLOTS_MS
+        return self._is_ended(entry) and self._measure_gone_ms(entry) >= GONE_SLOTS_MS
+
+    def _is_ended(self, entry: Entry) -> bool:
+        sighting = self._seen.get(entry.key)
+        return entry.replaced or (sighting is not None and sighting.gone_ms is not None)
 
     def _note_gone(self, entries: dict[str, Entry], now_ms: float) -> None:
-        fresh = {entry.name: entry.key for entry in entries.values() if not self.is_expired(entry)}
         for key, entry in entries.items():
             sighting = self._seen[key]
-            # A name belongs to one VM: another live process of that name has taken its place.
-            replaced = fresh.get(entry.name, key) != key and self.is_expired(entry)
-            if sighting.gone_ms is None and (replaced or self.is_gone(entry.name)):
+            ended = entry.replaced or (self.is_expired(entry) and self.is_gone(entry.name))
+            if sighting.gone_ms is None and ended:
                 sighting.gone_ms = now_ms
 
     def _measure_age_ms(self, entry: Entry) -> float:
@@ -161,8 +178,10 @@
         record = cls()
         for key, stored in value["entries"].items():
             name, incarnation = key.split("/")
-            grants, floors = decode_grants(stored["grants"]), decode_grants(stored["floors"])
-            record.entries[key] = Entry(name, incarnation, stored["counter"], grants, floors)
+            held = Granted(*(decode_grants(stored[part]) for part in PARTS))
+            record.entries[key] = Entry(
+                name, incarnation, stored["counter"], held, stored["replaced"]
+            )
         return record
 
     def to_value(self) -> dict[str, Any]:
@@ -171,8 +190,8 @@
             "entries": {
                 key: {
                     "counter": entry.counter,
-                    "grants": encode_grants(entry.grants),
-                    "floors": encode_grants(entry.floors),
+                    "replaced": entry.replaced,
+                    **{part: encode_grants(getattr(entry.held, part)) for part in PARTS},
                 }
                 for key, entry in self.entries.items()
             }
@@ -208,22 +227,28 @@
         """
         key = f"{ask.member}/{ask.incarnation}"
         known = self.entries.get(key)
-        if known is not None and known.counter > ask.counter:
+        if known is not None and (known.replaced or known.counter > ask.counter):
             return None
         if known is not None and known.counter == ask.counter:
             return _build_reply(known)
-        entry = Entry(ask.member, ask.incarnation, ask.counter, _lower(known, ask), {})
+        if known is None:
+            self._replace_earlier(ask.member)
+        held = Granted(_lower(known, ask), {}, {})
+        entry = Entry(ask.member, ask.incarnation, ask.counter, held)
         self.entries[key] = entry
-        if ask.leaving and not any(units != NOTHING for units in entry.grants.values()):
+        if ask.leaving and not any(units != NOTHING for units in held.grants.values()):
             del self.entries[key]
         if not ask.leaving:
             self._raise_to_part(entry, totals, names, watch)
-        said = decode_grants(ask.floors)
-        for account, units in entry.grants.items():
-            floor = said.get(account, NOTHING)
-            entry.floors[account] = floor if ask.leaving else floor.raise_to(units.halve())
+        _set_rest(held, ask)
         return _build_reply(entry)
 
+    def _replace_earlier(self, name: str) -> None:
+        """Note that the earlier processes of a name have ended, since a name is one VM's."""
+        for key, entry in self.entries.items():
+            if entry.name == name:
+                self.entries[key] = replace(entry, replaced=True)
+
     def count_free(self, account: str, total: Units, watch: EntryWatch) -> Units:
         """Return what of `total` is bound by no entry."""
         bound = NOTHING
@@ -236,9 +261,9 @@
     ) -> None:
         for account, total in totals.items():
             part = find_part(total, account, entry.name, sorted(names))
-            has = entry.grants.get(account, NOTHING)
+            has = entry.held.grants.get(account, NOTHING)
             wanted = (part - has).raise_to(NOTHING)
-            entry.grants[account] = has + wanted.limit(self.count_free(account, total, watch))
+            entry.held.grants[account] = has + wanted.limit(self.count_free(account, total, watch))
 
 
 def _lower(known: Entry | None, ask: RenewShares) -> dict[str, Units]:
@@ -247,13 +272,23 @@
     kept = decode_grants(ask.kept)
     return {
         account: units.limit(kept[account])
-        for account, units in known.grants.items()
+        for account, units in known.held.grants.items()
         if account in kept
     }
 
 
+def _set_rest(held: Granted, ask: RenewShares) -> None:
+    """Set what follows from the grants; a daemon that leaves does not get more."""
+    floors, lendable = decode_grants(ask.floors), decode_grants(ask.lendable)
+    for account, units in held.grants.items():
+        least = NOTHING if ask.leaving else units.halve()
+        held.floors[account] = floors.get(account, NOTHING).raise_to(least)
+        held.lendable[account] = lendable.get(account, NOTHING).limit(units)
+
+
 def _build_reply(entry: Entry) -> SharesRenewed:
-    return SharesRenewed(entry.counter, encode_grants(entry.grants), encode_grants(entry.floors))
+    parts = (encode_grants(getattr(entry.held, part)) for part in PARTS)
+    return SharesRenewed(entry.counter, *parts)
 
 
 def encode_grants(grants: dict[str, Units]) -> Counts:
--- /dev/null
+++ b/hemlockswitch/process/share_renewal.py
@@ -0,0 +1,162 @@
+"""Keeping a daemon's shares alive: its words to the anchor, and the grants that come back."""
+
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event as Wake
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import HemlockError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.share_anchor import ShareAnchor
+from hemlockswitch.process.share_book import ShareBook
+from hemlockswitch.process.share_messages import LoanNetwork
+from hemlockswitch.process.share_parts import ShareParts
+from hemlockswitch.process.share_record import (
+    PARTS,
+    RenewShares,
+    SharesRenewed,
+    decode_grants,
+    encode_grants,
+)
+from hemlockswitch.process.share_terms import TERM_MS, Granted
+from hemlockswitch.process.share_units import Units
+
+RENEW_MS = TERM_MS / 3
+RETRY_MS = 500.0
+SHORTEST_RENEW_MS = 300.0
+RENEW_TIMEOUT_MS = 2_000.0
+FIRST_GRANT_MS = 3_000.0
+HURRY_MS = 3_000.0
+
+
+class ShareRenewal:
+    """Says to the anchor that this daemon lives and what it keeps, again and again.
+
+    Parameters
+    ==========
+
+    parts : what falls to this daemon.
+    book : the daemon's record.
+    anchor : this daemon's own way to the platform.
+    network : the peer network, to daemons that write for all.
+    clock : the process's clock.
+    count_running : an account's requests in progress here.
+    """
+
+    def __init__(
+        self,
+        parts: ShareParts,
+        book: ShareBook,
+        anchor: ShareAnchor,
+        network: LoanNetwork,
+        clock: Clock,
+        count_running: Callable[[str], int],
+    ) -> None:
+        self.incarnation = make_identifier("shares")
+        self._parts = parts
+        self._book = book
+        self._anchor = anchor
+        self._network = network
+        self._clock = clock
+        self._count_running = count_running
+        self._wake = Wake()
+        self._counter = 0
+        self._complete = False
+        self._begun_ms: float | None = None
+        self._names: frozenset[str] = frozenset()
+        self._hurry_until_ms = 0.0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the even part was granted, or there was time enough to grant it.
+
+        What is missing after that time can be borrowed.
+        """
+        if not self._complete and self._begun_ms is not None:
+            waited = self._clock.now_ms() - self._begun_ms > FIRST_GRANT_MS
+            self._complete = waited or self._has_part()
+        return self._complete
+
+    def hurry(self) -> None:
+        """Renew soon: the anchor should know something new."""
+        self._wake.set()
+
+    def renew(self) -> bool:
+        """Send one word; return whether it was written."""
+        self._counter += 1
+        said = self._book.lower(self._find_kept())
+        sent_ms = self._clock.now_ms()
+        ask = RenewShares(
+            member=self._parts.name,
+            incarnation=self.incarnation,
+            counter=self._counter,
+            kept=encode_grants(said.grants),
+            floors=encode_grants(said.floors),
+            lendable=encode_grants(said.lendable),
+            leaving=self._parts.leaving,
+        )
+        reply = self._send(ask)
+        if reply is None or reply.counter != self._counter:
+            return False
+        held = Granted(*(decode_grants(getattr(reply, part)) for part in PARTS))
+        self._book.set_grants(held, sent_ms + TERM_MS)
+        return True
+
+    def run(self) -> None:
+        """Renew for ever."""
+        self._begun_ms = self._clock.now_ms()
+        was_in_term = False
+        while True:
+            self._wake.clear()
+            renewed = self.renew()
+            in_term = self._book.in_term
+            if in_term != was_in_term:
+                event = Event.SHARES_GRANTED if in_term else Event.SHARES_EXPIRED
+                log_event(event, "info" if in_term else "warning", zone=self._parts.zone)
+            was_in_term = in_term
+            self._wait(RENEW_MS if renewed else RETRY_MS)
+
+    def _wait(self, longest_ms: float) -> None:
+        """Wait for the next word; it comes soon while the zone's daemons come and go."""
+        until_ms = self._clock.now_ms() + longest_ms
+        gevent.sleep(SHORTEST_RENEW_MS / MS_PER_SECOND)
+        while self._clock.now_ms() < until_ms:
+            if self._wake.wait(timeout=RETRY_MS / MS_PER_SECOND):
+                return
+            names = self._parts.list_names()
+            if names != self._names:
+                self._names = names
+                self._hurry_until_ms = self._clock.now_ms() + HURRY_MS
+            if self._clock.now_ms() < self._hurry_until_ms:
+                return
+
+    def _send(self, ask: RenewShares) -> SharesRenewed | None:
+        for address in self._parts.list_writers():
+            try:
+                if not address:
+                    return self._anchor.renew(ask)
+                return self._network.ask(address, ask, RENEW_TIMEOUT_MS)
+            except HemlockError:
+                # The next writer may reach the platform; the end of the term is logged.
+                continue
+        return None
+
+    def _find_kept(self) -> dict[str, Units]:
+        """Return what to keep of the grants: the even part, and what is lent or in use."""
+        kept = {}
+        for account, part in self._parts.find_own().items():
+            in_use = Units(slots=self._count_running(account))
+            bound = self._book.count_given(account) + in_use
+            kept[account] = part.raise_to(bound).limit(self._book.count_keepable(account))
+        return kept
+
+    def _has_part(self) -> bool:
+        # A process that replaces another one gets half at once, and the rest a little later.
+        return self._book.in_term and all(
+            self._book.find_grant(account).raise_to(part - part.halve())
+            == self._book.find_grant(account)
+            for account, part in self._parts.find_own().items()
+        )
--- a/hemlockswitch/request/buckets.py
+++ b/hemlockswitch/request/buckets.py
@@ -1,7 +1,5 @@
 """Token buckets whose rate may change at any moment, and a meter of what is asked of them."""
 
-from math import exp
-
 BURST_MS = 1_000.0
 MS_PER_SECOND = 1_000.0
 METER_MS = 1_000.0
@@ -103,26 +101,37 @@
 
 
 class Meter:
-    """A rate over the last few seconds, older amounts weighing less.
+    """A rate over the last second, from the counts of two windows.
 
     Examples
     ========
 
     >>> meter = Meter(now_ms=0)
     >>> meter.add(now_ms=0, amount=10)
-    >>> round(meter.measure(now_ms=0), 1), round(meter.measure(now_ms=1_000), 1)
-    (10.0, 3.7)
+    >>> meter.measure(now_ms=0), meter.measure(now_ms=1_500), meter.measure(now_ms=2_000)
+    (10.0, 5.0, 0.0)
     """
 
     def __init__(self, now_ms: float) -> None:
-        self._rate = 0.0
-        self._updated_ms = now_ms
+        self._begun_ms = now_ms
+        self._amount = 0.0
+        self._before = 0.0
 
     def add(self, now_ms: float, amount: float) -> None:
         """Count `amount`."""
-        self._rate = self.measure(now_ms) + amount / METER_MS * MS_PER_SECOND
-        self._updated_ms = now_ms
+        self._turn(now_ms)
+        self._amount += amount
 
     def measure(self, now_ms: float) -> float:
         """Return the rate a second."""
-        return self._rate * exp(-max(now_ms - self._updated_ms, 0) / METER_MS)
+        self._turn(now_ms)
+        past = min((now_ms - self._begun_ms) / METER_MS, 1.0)
+        return (self._before * (1 - past) + self._amount) / METER_MS * MS_PER_SECOND
+
+    def _turn(self, now_ms: float) -> None:
+        windows = int((now_ms - self._begun_ms) // METER_MS)
+        if windows <= 0:
+            return
+        self._before = self._amount if windows == 1 else 0.0
+        self._amount = 0.0
+        self._begun_ms += windows * METER_MS
--- a/hemlockswitch/standin/service.py
+++ b/hemlockswitch/standin/service.py
@@ -41,6 +41,7 @@
     runs_by_path: Counter = field(default_factory=Counter)
     runs: int = 0
     running: int = 0
+    most_running: int = 0
     refused: int = 0
     begun_after_leaving_ms: list[float] = field(default_factory=list)
 
@@ -116,7 +117,9 @@
         body = request.bounded_stream.read().decode(errors="replace")
         self._service.note_run(request)
         delay_ms = (self._service.settings.delay_ms + faults.delay_ms) * faults.slow_factor
-        self._service.counts.running += 1
+        counts = self._service.counts
+        counts.running += 1
+        counts.most_running = max(counts.most_running, counts.running)
         try:
             self._service.clock.sleep_ms(delay_ms + faults.freeze_ms)
         finally:
--- a/tools/measure_shares.py
+++ b/tools/measure_shares.py
@@ -26,7 +26,8 @@
 from hemlockswitch.connection.platform_models import Written
 from hemlockswitch.core.clock import MS_PER_SECOND, SystemClock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PeerError, PlatformError
-from hemlockswitch.process.shares import ShareMember, Shares
+from hemlockswitch.process.share_parts import ShareMember
+from hemlockswitch.process.shares import Shares
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.allowances import FixedAllowances
 from hemlockswitch.request.capacity import CapacityQueue
