--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -148,11 +148,11 @@
         """Open the sockets, spawn the tasks, and return the addresses that are bound."""
         self._pages.start()
         peer_address = self._network.start()
-        watch = self._reclaims.watch_forever
+        watch, is_leader = self._reclaims.watch_forever, lambda: self.lease.is_held
         self._tasks = [
             gevent.spawn(self._keep_lease),
             gevent.spawn(self._keep_control),
-            gevent.spawn(watch, self._wake),
+            gevent.spawn(watch, is_leader, self._wake),
         ]
         return {"control": self._pages.bound_address, "peers": peer_address}
 
--- a/hemlockswitch/process/demand.py
+++ b/hemlockswitch/process/demand.py
@@ -1,5 +1,6 @@
 """The demand on each model and service, from samples of the zone's reported load."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -7,8 +8,7 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.copies import Demand
 
-GROW_SHARE = 0.5
-FALL_SHARE = 0.1
+FALL_FACTOR = 4
 DEFAULT_HOLDING_MS = 2_000
 DEFAULT_PREFILL_MS = 100
 
@@ -16,12 +16,19 @@
 @dataclass
 class _Series:
     busy: float = 0.0
+    sampled_ms: float | None = None
     holding_ms: float = DEFAULT_HOLDING_MS
     peaks: deque[tuple[float, float]] = field(default_factory=deque)
 
 
 class DemandMeter:
-    """Smooths samples: up at once by half, down slowly, and the highest of a long window.
+    """Smooths samples over about one holding time upwards and some downwards, and keeps the peak.
+
+    Explanation
+    ===========
+
+    Requests in progress change by chance within a holding time; what is left after one is the
+    demand. Falls are believed later than rises.
 
     Parameters
     ==========
@@ -33,11 +40,19 @@
     ========
 
     >>> from hemlockswitch.core.clock import ManualClock
-    >>> meter = DemandMeter(ManualClock(), window_ms=1_000)
-    >>> for busy in (0, 8, 8):
-    ...     meter.add_sample("assistant-llm", busy)
-    >>> meter.get_now("assistant-llm").busy, meter.get_peak("assistant-llm").busy
-    (6.0, 6.0)
+    >>> clock = ManualClock()
+    >>> meter = DemandMeter(clock, window_ms=60_000)
+    >>> meter.add_sample("assistant-llm", 8, holding_ms=1_000)
+    >>> clock.advance(1_000)
+    >>> meter.add_sample("assistant-llm", 16)
+    >>> round(meter.get_now("assistant-llm").busy, 1)
+    13.1
+    >>> clock.advance(1_000)
+    >>> meter.add_sample("assistant-llm", 0)
+    >>> round(meter.get_now("assistant-llm").busy, 1)
+    10.2
+    >>> round(meter.get_peak("assistant-llm").busy, 1)
+    13.1
     """
 
     def __init__(self, clock: Clock, window_ms: float) -> None:
@@ -54,10 +69,10 @@
     def add_sample(self, target: str, busy: float, holding_ms: float | None = None) -> None:
         """Take in what is running and waiting, and how long a request holds its slot."""
         series = self._series.setdefault(target, _Series())
-        share = GROW_SHARE if busy > series.busy else FALL_SHARE
-        series.busy += share * (busy - series.busy)
         series.holding_ms = holding_ms or series.holding_ms
         now_ms = self._clock.now_ms()
+        series.busy += _compute_share(series, busy, now_ms) * (busy - series.busy)
+        series.sampled_ms = now_ms
         series.peaks.append((now_ms, series.busy))
         while series.peaks[0][0] < now_ms - self._window_ms:
             series.peaks.popleft()
@@ -75,3 +90,11 @@
         if series is None:
             return Demand(0.0)
         return Demand(choose(series), series.holding_ms, DEFAULT_PREFILL_MS)
+
+
+def _compute_share(series: _Series, busy: float, now_ms: float) -> float:
+    """Return how far the smoothed value moves to a sample, by the time since the last one."""
+    if series.sampled_ms is None:
+        return 1.0
+    over_ms = series.holding_ms * (1 if busy > series.busy else FALL_FACTOR)
+    return 1 - math.exp(-(now_ms - series.sampled_ms) / over_ms)
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -79,7 +79,11 @@
         self.board = self.facts.board
         self.directory = self.facts.directory
         self.usage = UsageReporter(
-            self.settings.name, self.facts.network, self.directory, self._list_peers
+            self.settings.name,
+            self.facts.network,
+            self.directory,
+            lambda: dict(self.records.refused),
+            self._list_peers,
         )
         self.poll = PlatformPoll(
             self.settings.platform, self.settings.name, self.clock, self.use_file
--- a/hemlockswitch/process/observed_zone.py
+++ b/hemlockswitch/process/observed_zone.py
@@ -46,6 +46,25 @@
     summaries: ZoneSummaries
 
 
+class Refusals:
+    """What refused requests would have kept busy, from the daemons' counts."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._last: dict[str, tuple[float, int]] = {}
+
+    def estimate_busy(self, target: str, usage: Usage | None, holding_ms: float | None) -> float:
+        """Return the slots that the requests refused since the last call would have held."""
+        if usage is None:
+            return 0.0
+        now_ms, count = self._clock.now_ms(), usage.refused.get(target, 0)
+        last_ms, last = self._last.get(target, (now_ms, count))
+        self._last[target] = (now_ms, count)
+        if now_ms <= last_ms or holding_ms is None:
+            return 0.0
+        return max(0, count - last) * holding_ms / (now_ms - last_ms)
+
+
 class ObservedZone:
     """The zone as its leader sees it in this pass.
 
@@ -77,6 +96,7 @@
         self._prices: dict[MachineClass, float] = dict(GUESSED_PRICES)
         self._last_listed_ms: dict[str, float] = {}
         self._usage: Usage | None = None
+        self._refusals = Refusals(sources.clock)
 
     def refresh(self, wanted: list[WantedTarget]) -> None:
         """Take in the VM list, the engines' reports and the other zones' summaries."""
@@ -163,9 +183,10 @@
         busy = {one.name: self._sum_busy(one) for one in wanted}
         self._sources.summaries.exchange(ZoneSummary(busy=busy, offers=self._list_offers()))
         for name, own in busy.items():
-            total = own + self._sources.summaries.sum_others(name)
+            seen = own + self._sources.summaries.sum_others(name)
             holding_ms = self._usage.holding_ms.get(name) if self._usage else None
-            self.meter.add_sample(name, total, holding_ms)
+            hidden = self._refusals.estimate_busy(name, self._usage, holding_ms)
+            self.meter.add_sample(name, seen + min(hidden, max(seen, 1.0)), holding_ms)
 
     def _sum_busy(self, one: WantedTarget) -> float:
         names = [vm.name for vm in self.vms.values() if vm.serves == one.name]
--- a/hemlockswitch/process/reclaims.py
+++ b/hemlockswitch/process/reclaims.py
@@ -1,5 +1,7 @@
 """Reclaim notices of a zone: which VMs leave by when, and how often waves come."""
 
+from collections.abc import Callable
+
 from gevent.event import Event
 
 from hemlockswitch.connection.platform import PlatformClient
@@ -74,9 +76,18 @@
         if not self._waves or deadline_wall_ms - self._waves[-1] > WAVE_MS:
             self._waves.append(deadline_wall_ms)
 
-    def watch_forever(self, wake: Event, pause_ms: float = 1_000) -> None:
-        """Watch until killed, and set `wake` at each notice so that the controller acts at once."""
+    def watch_forever(
+        self, is_leader: Callable[[], bool], wake: Event, pause_ms: float = 1_000
+    ) -> None:
+        """Watch until killed, and set `wake` at each notice so that the controller acts at once.
+
+        A candidate does not watch, which would cost the platform a call for each; a new leader
+        gets all notices that the cloud API still has.
+        """
         while True:
+            if not is_leader():
+                self._clock.sleep_ms(pause_ms)
+                continue
             try:
                 if self.watch_once():
                     wake.set()
--- a/hemlockswitch/process/records.py
+++ b/hemlockswitch/process/records.py
@@ -1,17 +1,19 @@
 """The record of one caller's request: its permit, its spans, and how it counts in the end."""
 
+from collections import Counter
 from types import TracebackType
 from typing import Protocol
 
 from hemlockswitch.connection.callers import CallerRequest
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
-from hemlockswitch.core.errors import HemlockError, Ran
+from hemlockswitch.core.errors import ErrorKind, HemlockError, Ran
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.reports import RequestReports
 
 TRACE_HEADER = "X-Trace-Id"
 OK = "ok"
 CALLER_GONE = "caller_gone"
+WANT_OF_SERVERS = (ErrorKind.OVERLOADED.value, ErrorKind.NO_BACKEND.value)
 
 
 class Permit(Protocol):
@@ -126,6 +128,7 @@
         self.reports = reports
         self.clock = clock
         self.in_progress = 0
+        self.refused: Counter[str] = Counter()
 
     def begin(self, request: CallerRequest, target: str) -> RequestRecord:
         """Begin a request's record and name its trace in the answer."""
@@ -139,6 +142,8 @@
         """Count a request that ended."""
         self.in_progress -= 1
         self.metrics.requests.labels(target, outcome).inc()
+        if outcome in WANT_OF_SERVERS:
+            self.refused[target] += 1
         self.reports.request_ended(request_id, outcome)
 
     def observe_call(self, target: str, begun_ms: float) -> None:
--- a/hemlockswitch/process/usage.py
+++ b/hemlockswitch/process/usage.py
@@ -38,6 +38,8 @@
     in_flight : requests in progress by server name.
     closed : names that get no new work from any daemon that answered.
     holding_ms : mean time that a request holds its slot, by model or service.
+    refused : requests refused for want of a backend server's time since the daemons began, by
+        model or service.
     silent : daemons that count as running and did not answer.
     answered : daemons that answered.
     """
@@ -45,6 +47,7 @@
     in_flight: dict[str, int]
     closed: list[str]
     holding_ms: dict[str, float]
+    refused: dict[str, int]
     silent: list[str]
     answered: list[str]
 
@@ -90,8 +93,8 @@
     Examples
     ========
 
-    >>> one = Usage({"llm-1": 1}, ["llm-1"], {"m": 200.0}, [], ["entry-1"])
-    >>> other = Usage({"llm-1": 0}, [], {"m": 400.0}, [], ["entry-2"])
+    >>> one = Usage({"llm-1": 1}, ["llm-1"], {"m": 200.0}, {}, [], ["entry-1"])
+    >>> other = Usage({"llm-1": 0}, [], {"m": 400.0}, {}, [], ["entry-2"])
     >>> combine_usage([one, other]).in_flight, combine_usage([one, other]).closed
     ({'llm-1': 1}, [])
     >>> combine_usage([one, other]).holding_ms
@@ -99,9 +102,11 @@
     """
     found = list(answers)
     in_flight: Counter[str] = Counter()
+    refused: Counter[str] = Counter()
     holding: dict[str, list[float]] = {}
     for answer in found:
         in_flight.update(answer.in_flight)
+        refused.update(answer.refused)
         for target, value_ms in answer.holding_ms.items():
             holding.setdefault(target, []).append(value_ms)
     closed = set.intersection(*(set(answer.closed) for answer in found))
@@ -109,6 +114,7 @@
         dict(in_flight),
         sorted(closed),
         {target: sum(values) / len(values) for target, values in holding.items()},
+        dict(refused),
         [name for answer in found for name in answer.silent],
         [name for answer in found for name in answer.answered],
     )
@@ -123,6 +129,7 @@
     name : this daemon.
     network : the daemon's peer network; the handlers are registered here.
     backends : its directory of backend servers.
+    count_refused : requests refused for want of a server's time, by model or service.
     list_peers : names and peer addresses of the other running daemons.
     """
 
@@ -131,9 +138,11 @@
         name: str,
         network: PeerNetwork,
         backends: UsedBackends,
+        count_refused: Callable[[], dict[str, int]],
         list_peers: Callable[[], list[tuple[str, str]]],
     ) -> None:
         self._name = name
+        self._count_refused = count_refused
         self._network = network
         self._backends = backends
         self._list_peers = list_peers
@@ -155,7 +164,8 @@
     def _report(self, names: list[str]) -> Usage:
         in_flight = {name: self._backends.count_in_flight(name) for name in names}
         closed = [name for name in names if self._backends.is_closed(name)]
-        return Usage(in_flight, closed, self._backends.get_service_ms(), [], [self._name])
+        holding_ms, refused = self._backends.get_service_ms(), self._count_refused()
+        return Usage(in_flight, closed, holding_ms, refused, [], [self._name])
 
     def _learn_stop(self, _: str, stop: PlannedStop) -> PlannedStopLearned:
         for name in stop.names:
@@ -180,7 +190,7 @@
 
 
 def _report_silent(name: str, names: list[str]) -> Usage:
-    return Usage({}, list(names), {}, [name], [])
+    return Usage({}, list(names), {}, {}, [name], [])
 
 
 class Daemons:
--- a/hemlockswitch/process/zone_load.py
+++ b/hemlockswitch/process/zone_load.py
@@ -48,9 +48,13 @@
         return self._loads.get(name)
 
     def sum_busy(self, names: Iterable[str]) -> int:
-        """Return the requests running and waiting on the named servers."""
+        """Return the requests running and waiting on the named servers.
+
+        A long queue tells how long too few copies were there rather than how many are needed, so
+        it counts as no more than what runs.
+        """
         loads = [self._loads[name] for name in names if name in self._loads]
-        return sum(load.running + load.waiting for load in loads)
+        return sum(load.running + min(load.waiting, load.running) for load in loads)
 
     def _take_turn(self, vms: Sequence[ListedVm]) -> list[ListedVm]:
         if len(vms) <= self._samples:
