Share the daemons' command line, their settings' type and the example files

Cause: 29 lines stood in both daemons' programs, the settings' fields stood again as a protocol in process/facts, and each user's example file stood in two folders with different keys. Weighed: a function taking callbacks against a command class with two methods to fill (chosen, it reads like the other commands). Behaviour is unchanged; examples live in docs/examples alone, under the same checks.

--- a/hemlockswitch/process/claim_members.py
+++ b/hemlockswitch/process/claim_members.py
@@ -6,10 +6,11 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.claim_routes import ClaimPeer
 from hemlockswitch.process.claim_store import ClaimStore
-from hemlockswitch.process.facts import DaemonSettings, Facts
+from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.members import Member, MemberState
 from hemlockswitch.process.membership import Membership
 from hemlockswitch.version.models import Limits
+from hemlockswitch.version.settings import ProgramSettings
 
 ROLE = "claims"
 CALL_TIMEOUT_MS = 1_000
@@ -56,7 +57,7 @@
 
 
 def build_claims(
-    settings: DaemonSettings,
+    settings: ProgramSettings,
     facts: Facts,
     clock: Clock,
     find_limits: Callable[[], Limits],
--- a/hemlockswitch/process/facts.py
+++ b/hemlockswitch/process/facts.py
@@ -1,7 +1,7 @@
 """What a daemon knows of the world beside the configuration, and the tasks that keep it true."""
 
 from collections.abc import Callable
-from typing import Protocol, Self
+from typing import Self
 
 import gevent
 
@@ -17,6 +17,7 @@
 from hemlockswitch.process.spread import Spread
 from hemlockswitch.process.watchers import FEED_PREFIX, NoticeFeed, Post, VmList, Watcher
 from hemlockswitch.process.zones import ZoneDesk, ZoneQuestion, ZoneQuestions
+from hemlockswitch.version.settings import ProgramSettings
 
 ZONE_PREFIXES = (VM_PREFIX, NOTICE_PREFIX, FEED_PREFIX)
 VM_LIST_INTERVAL_MS = 1_000
@@ -24,20 +25,6 @@
 ZONES_CHECK_MS = 500
 
 
-class DaemonSettings(Protocol):
-    """The settings that every daemon has."""
-
-    name: str
-    zone: str
-    region: str
-    cluster: str
-    peer_listen: str
-    peer_advertise: str | None
-    probe_period_ms: int
-    platform: str
-    seeds: tuple[str, ...]
-
-
 class Facts:
     """The board, the members, the backend servers, and how fresh all this is.
 
@@ -59,7 +46,7 @@
 
     def __init__(
         self,
-        settings: DaemonSettings,
+        settings: ProgramSettings,
         board: NewsBoard,
         network: PeerNetwork,
         platform: PlatformClient,
@@ -91,7 +78,7 @@
         network.handle(ZoneQuestion, desk.answer)
 
     @classmethod
-    def from_settings(cls, settings: DaemonSettings, role: str, clock: Clock) -> Self:
+    def from_settings(cls, settings: ProgramSettings, role: str, clock: Clock) -> Self:
         """Return the facts of a daemon with a board, a network and a client of its own."""
         network = PeerNetwork(
             settings.cluster,
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -6,14 +6,14 @@
 
 from hemlockswitch.version.checks import parse_file
 
-EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+EXAMPLES = Path(__file__).resolve().parent.parent / "docs" / "examples"
 ZONES = 4
 MODEL_COPIES = 6
 SERVICE_COPIES = 4
 ACCOUNTS = 5
 
 
-@pytest.mark.parametrize("name", ["qafza", "driftwood"])
+@pytest.mark.parametrize("name", ["qafza-bookings", "driftwood-ledger"])
 def test_example_is_valid_and_of_the_users_size(name):
     file = parse_file((EXAMPLES / f"{name}.json").read_text()).file
     assert len(file.zones) == ZONES
