--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -139,8 +139,9 @@
         body = {"vms": list(names), "notice_ms": notice_ms}
         post_json(self.platform.addresses["http"], "/standin/reclaim", body)
         for name in names:
-            if name in self.vms:
-                post_json(self.get(name).addresses["http"], "/standin/leaving")
+            addresses = self.get(name).addresses if name in self.vms else {}
+            if "http" in addresses:
+                post_json(addresses["http"], "/standin/leaving")
 
     def set_platform_faults(self, **faults: Any) -> None:
         """Replace the platform's faults (``objects``, ``cloud``, ``vm_list_lag_ms``)."""
