--- a/features/steps/storm_steps.py
+++ b/features/steps/storm_steps.py
@@ -9,7 +9,7 @@
 from features.steps.backend_reclaim_steps import reclaim
 from features.steps.entry_reclaim_steps import ENTRY_SERVES
 from features.support.cluster import LOAD
-from features.support.operator_files import ACCOUNT, KEY, MODEL, SERVICE, ZONES
+from features.support.operator_files import ACCOUNT, KEY, MODEL, SERVICE
 
 CHAT = {"kind": "chat", "model": MODEL, "prompt_words": [10, 60], "max_tokens": [60, 300]}
 CALL = {"kind": "call", "service": SERVICE, "path": "/confirmations", "keyed": True}
