Bound the time to place a claim, ride over short refusals, go round a silent home

- A keyed call tried its ways to the platform for as long as they took: 7.2 s until the refusal with a silent platform.
Now 8 s at most, never past the caller's deadline, and a retry of a short refusal (the rate) only within 400 ms.
- A home that does not answer is left alone for 3 s, so that one frozen daemon costs one slow call for each other daemon and not one for each key.
New in the feature: the home is frozen, the key is served by another daemon, and has run once after the thaw.
- The rendezvous order of 1,700 daemons was sorted for every operation; it is kept now and sorted anew when the live daemons change.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -11,6 +11,10 @@
     Then "k1" has run 1 time
     And every answer is the one run's or refuses with claim_conflict
     And a repeat of "k1" at "entry-khalda-hall-2" gets the kept answer
+    When "entry-khalda-hall-1" is frozen, which writes the claims of the next key
+    And that key is sent to "entry-abdoun-hall-1"
+    Then it is served and has run 1 time
+    And when the daemon thaws it has run 1 time
 
   Scenario: A repeat after a lost answer, at another daemon and in another zone
     When the key "k1" is sent to "entry-abdoun-hall-1" and the caller loses the answer
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -375,3 +375,32 @@
     assert not context.background.is_alive()
     time.sleep(0.5)
     assert count_runs(context, context.key) <= 1
+
+
+@when('"{entry}" is frozen, which writes the claims of the next key')
+def freeze_home(context, entry):
+    context.key, _ = choose_key(entry)
+    context.frozen = context.cluster.get(entry)
+    context.frozen.freeze()
+
+
+@when('that key is sent to "{entry}"')
+def send_that_key(context, entry):
+    send(context, context.key, entry)
+
+
+@then("it is served and has run 1 time")
+def check_served_once(context):
+    assert context.reply.status == 200, context.reply.body
+    assert count_runs(context, context.key) == 1
+
+
+@then("when the daemon thaws it has run 1 time")
+def check_thawed_home(context):
+    context.frozen.thaw()
+    first = context.sent[context.key][0]
+    reply = wait_until(
+        lambda: find_good(send(context, context.key, context.frozen.name)), "an answer", LIMIT_S
+    )
+    assert reply.body == first.body
+    assert count_runs(context, context.key) == 1
--- a/hemlockswitch/connection/platform_calls.py
+++ b/hemlockswitch/connection/platform_calls.py
@@ -17,7 +17,6 @@
 MAX_ANSWER_BYTES = 16 * 1_048_576
 CONNECTIONS = 16
 WATCH_CONNECTIONS = 8
-RATE_RETRY_MS = 1_000
 NO_TIMEOUT: Any = None  # each call has one timer of its own instead
 TOO_LARGE_STATUS = 413
 OVER_RATE_STATUS = 429
@@ -87,11 +86,7 @@
     def _judge(self, answer: Answer, backoff: Backoff, began_ms: float) -> Answer:
         if answer.status == OVER_RATE_STATUS:
             backoff.record_failure(began_ms)
-            raise PlatformError(
-                ErrorKind.PLATFORM_UNAVAILABLE,
-                "over the platform's rate",
-                retry_after_ms=RATE_RETRY_MS,
-            )
+            raise make_unavailable("over the platform's rate", backoff)
         if answer.status == TOO_LARGE_STATUS:
             raise PlatformError(ErrorKind.BODY_TOO_LARGE, "the value is too large")
         if answer.status >= FIRST_SERVER_ERROR and find_refusal(answer) is None:
--- a/hemlockswitch/process/claim_routes.py
+++ b/hemlockswitch/process/claim_routes.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from hemlockswitch.connection.messages import register_message
+from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, PeerError
 from hemlockswitch.core.identifiers import hash_stable, rank_rendezvous
 from hemlockswitch.process.claim_ledger import GiveBack, Operation, Place, Record, Result, Verdict
@@ -13,9 +14,12 @@
 from hemlockswitch.request.claims import Claim, Outcome
 
 PARTITIONS = 16
-HOME_TIMEOUT_MS = 2_500
-OTHERS_TIMEOUT_MS = 2_500
+LIMIT_MS = 8_000
+ASK_TIMEOUT_MS = 2_000
+AVOID_MS = 3_000
+LOOK_MS = 500
 OTHERS_TRIED = 2
+RANKED = 32
 
 
 @register_message("claim_operation")
@@ -81,6 +85,9 @@
         return Result(Verdict(self.verdict), claim)
 
 
+Way = Callable[[float], Result]
+
+
 @dataclass(frozen=True)
 class ClaimPeer:
     """Another entry daemon that takes claim operations."""
@@ -148,6 +155,7 @@
     writers : one for each partition.
     peers : how to reach the others.
     list_peers : returns the other live daemons.
+    clock : the time.
     """
 
     def __init__(
@@ -157,12 +165,18 @@
         writers: list[PartitionWriter],
         peers: Peers,
         list_peers: Callable[[], list[ClaimPeer]],
+        clock: Clock,
     ) -> None:
         self._name = name
         self._zone = zone
         self._writers = writers
         self._peers = peers
         self._list_peers = list_peers
+        self._clock = clock
+        self._known: dict[str, ClaimPeer] = {}
+        self._looked_ms = float("-inf")
+        self._orders: dict[int, list[str]] = {}
+        self._avoided: dict[str, float] = {}
         peers.handle(ClaimOperation, self._serve)
 
     def stop(self) -> None:
@@ -174,52 +188,73 @@
         """Return how many other daemons can be asked."""
         return len(self._list_peers())
 
-    def perform(self, operation: Operation) -> Result:
-        """Return what became of an operation, trying each way in turn."""
-        partition = find_partition(operation.digest)
-        peers = {peer.name: peer for peer in self._list_peers()}
-        order = rank_rendezvous(f"claims/{partition}", [*peers, self._name])
+    def perform(self, operation: Operation, limit_ms: float = LIMIT_MS) -> Result:
+        """Return what became of an operation, trying each way in turn for `limit_ms`."""
+        until_ms = self._clock.now_ms() + limit_ms
         uncertain = False
-        if order[0] != self._name:
-            result = self._ask(peers[order[0]], operation, HOME_TIMEOUT_MS)
-            if _is_known(result):
-                return result
-            uncertain = result.verdict is Verdict.UNCERTAIN
-        for way in self._list_other_ways(partition, operation, order, peers):
-            result = way()
-            if _is_known(result):
+        for way in self._list_ways(operation):
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                break
+            result = way(left_ms)
+            if result.verdict not in (Verdict.UNAVAILABLE, Verdict.UNCERTAIN):
                 return result
             uncertain = uncertain or result.verdict is Verdict.UNCERTAIN
         return Result(Verdict.UNCERTAIN if uncertain else Verdict.UNAVAILABLE)
 
-    def _list_other_ways(
-        self,
-        partition: int,
-        operation: Operation,
-        order: list[str],
-        peers: dict[str, ClaimPeer],
-    ) -> list[Callable[[], Result]]:
-        """Return the ways past the home: this daemon, then daemons of other zones."""
-        elsewhere = [peers[name] for name in order[1:] if name in peers]
-        elsewhere = [peer for peer in elsewhere if peer.zone != self._zone]
-        ways: list[Callable[[], Result]] = [partial(self._writers[partition].perform, operation)]
-        for peer in elsewhere[:OTHERS_TRIED]:
-            ways.append(partial(self._ask, peer, operation, OTHERS_TIMEOUT_MS))
-        return ways
-
-    def _ask(self, peer: ClaimPeer, operation: Operation, timeout_ms: float) -> Result:
+    def _list_ways(self, operation: Operation) -> list[Way]:
+        """Return the ways to the platform: the home, this daemon, daemons of other zones."""
+        self._look_at_peers()
+        partition = find_partition(operation.digest)
+        order = self._rank(partition)
+        own: Way = partial(self._writers[partition].perform, operation)
+        if order[0] == self._name:
+            home, others = [], order[1:]
+        else:
+            home, others = [self._make_way(order[0], operation)], order[1:]
+        elsewhere = [
+            self._make_way(name, operation)
+            for name in others
+            if name in self._known and self._known[name].zone != self._zone
+        ]
+        return [*home, own, *elsewhere[:OTHERS_TRIED]]
+
+    def _make_way(self, name: str, operation: Operation) -> Way:
+        return partial(self._ask, self._known[name], operation)
+
+    def _look_at_peers(self) -> None:
+        """Take over who is live; the orders are ranked again only when that has changed."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._looked_ms < LOOK_MS:
+            return
+        self._looked_ms = now_ms
+        peers = {peer.name: peer for peer in self._list_peers()}
+        if peers != self._known:
+            self._known = peers
+            self._orders.clear()
+
+    def _rank(self, partition: int) -> list[str]:
+        """Return the first daemons of a partition's rendezvous order, and this one."""
+        order = self._orders.get(partition)
+        if order is None:
+            full = rank_rendezvous(f"claims/{partition}", [*self._known, self._name])
+            order = self._orders[partition] = full[:RANKED]
+        return order
+
+    def _ask(self, peer: ClaimPeer, operation: Operation, left_ms: float) -> Result:
+        """Ask a peer to write; one that just did not answer is left alone for a moment."""
+        if self._clock.now_ms() < self._avoided.get(peer.name, 0):
+            return Result(Verdict.UNAVAILABLE)
         try:
             message = encode_operation(operation)
+            timeout_ms = min(left_ms, ASK_TIMEOUT_MS)
             return self._peers.ask(peer.address, message, timeout_ms).to_result()
         except PeerError:
+            self._avoided[peer.name] = self._clock.now_ms() + AVOID_MS
             return Result(Verdict.UNCERTAIN)
 
     def _serve(self, sender: str, message: ClaimOperation) -> ClaimResult:
         """Write a peer's operation; it is never passed on again."""
         operation = message.to_operation()
         writer = self._writers[find_partition(operation.digest)]
-        return ClaimResult.from_result(writer.perform(operation))
-
-
-def _is_known(result: Result) -> bool:
-    return result.verdict not in (Verdict.UNAVAILABLE, Verdict.UNCERTAIN)
+        return ClaimResult.from_result(writer.perform(operation, ASK_TIMEOUT_MS))
--- a/hemlockswitch/process/claim_store.py
+++ b/hemlockswitch/process/claim_store.py
@@ -17,6 +17,7 @@
 from hemlockswitch.process.claim_objects import Bounds, ObjectService, PartitionObjects
 from hemlockswitch.process.claim_outbox import ClaimOutbox
 from hemlockswitch.process.claim_routes import (
+    LIMIT_MS,
     PARTITIONS,
     ClaimPeer,
     ClaimRoutes,
@@ -112,12 +113,17 @@
             )
             for number in range(PARTITIONS)
         ]
-        routes = ClaimRoutes(name, zone, writers, peers or NoPeers(), list_peers)
+        routes = ClaimRoutes(name, zone, writers, peers or NoPeers(), list_peers, clock)
         holder = make_identifier(name)
         return cls(holder, routes, clock, retention_ms, is_gone, count)
 
     def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
+        self,
+        account: str,
+        key: str,
+        fingerprint: str,
+        dispatch: Callable[[], StoredAnswer],
+        limit_ms: float = LIMIT_MS,
     ) -> StoredAnswer:
         """Return the key's answer, from `dispatch` or from an earlier call.
 
@@ -127,6 +133,7 @@
         account, key : the key is the account's own.
         fingerprint : hash of what the call asks for.
         dispatch : sends the call; called at most once.
+        limit_ms : how long to try to place the claim.
 
         Raises
         ======
@@ -144,7 +151,7 @@
             return self._replay(unwritten.fingerprint, unwritten.outcome, fingerprint)
         running = self._running[digest] = _Running(fingerprint)
         try:
-            answer = self._claim_and_run(digest, fingerprint, dispatch)
+            answer = self._claim_and_run(digest, fingerprint, dispatch, limit_ms)
             running.result.set(answer)
             return answer
         except RequestError as error:
@@ -184,12 +191,16 @@
             raise self._make_conflict() from None
 
     def _claim_and_run(
-        self, digest: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
+        self,
+        digest: str,
+        fingerprint: str,
+        dispatch: Callable[[], StoredAnswer],
+        limit_ms: float,
     ) -> StoredAnswer:
         began_ms = self._clock.now_ms()
         term_ms = min(DISPATCH_TERM_MS, self._retention_ms())
         claim = Claim.make(fingerprint, self._holder, self._clock.wall_ms(), term_ms)
-        result = self._place(digest, claim, fingerprint)
+        result = self._place(digest, claim, fingerprint, began_ms + min(limit_ms, LIMIT_MS))
         if result.verdict is Verdict.PLACED:
             self._check_fresh(digest, claim, began_ms)
             return self._run(digest, claim, dispatch)
@@ -197,15 +208,17 @@
             return self._replay(result.claim.fingerprint, result.claim.outcome, fingerprint)
         raise self._refuse(digest, claim, result)
 
-    def _place(self, digest: str, claim: Claim, fingerprint: str) -> Result:
+    def _place(self, digest: str, claim: Claim, fingerprint: str, until_ms: float) -> Result:
         """Place a claim, waiting shortly while another's dispatch is under way."""
         for pause_ms in (*REPEAT_PAUSES_MS, 0):
-            result = self._routes.perform(Place(digest, claim))
+            result = self._routes.perform(Place(digest, claim), until_ms - self._clock.now_ms())
             if result.verdict is not Verdict.STANDING or result.claim is None:
                 return result
             self._check_fingerprint(result.claim.fingerprint, fingerprint)
             if result.claim.outcome is not None or self._is_over(result.claim):
                 return result
+            if self._clock.now_ms() + pause_ms >= until_ms:
+                return result
             self._clock.sleep_ms(pause_ms)
         return result
 
--- a/hemlockswitch/process/claim_writer.py
+++ b/hemlockswitch/process/claim_writer.py
@@ -22,6 +22,7 @@
 MAX_ATTEMPTS = 8
 CONFLICT_PAUSE_MS = 10.0
 LOG_INTERVAL_MS = 5_000
+RIDE_OVER_MS = 400
 
 
 @dataclass(frozen=True)
@@ -100,8 +101,8 @@
         self._next_write_ms = float("-inf")
         self._task: gevent.Greenlet | None = None
 
-    def perform(self, operation: Operation) -> Result:
-        """Return what became of an operation once it is in the platform."""
+    def perform(self, operation: Operation, timeout_ms: float) -> Result:
+        """Return what became of an operation once it is in the platform, or that it may be."""
         if len(self._waiting) >= MAX_WAITING:
             return Result(Verdict.UNAVAILABLE)
         waiting = _Waiting(operation)
@@ -111,7 +112,10 @@
             self._urgent.set()
         if self._task is None:
             self._task = gevent.spawn(self._run)
-        return waiting.result.get()
+        try:
+            return waiting.result.get(timeout=max(timeout_ms, 0) / MS_PER_SECOND)
+        except gevent.Timeout:
+            return Result(Verdict.UNCERTAIN)
 
     def stop(self) -> None:
         """End the task; who waits is told that the outcome is uncertain."""
@@ -149,10 +153,15 @@
     def _commit(self, operations: list[Operation]) -> list[Result]:
         """Apply a batch until one write of it took effect, or say what is known."""
         uncertain = False
+        began_ms = self._clock.now_ms()
         try:
             for _ in range(MAX_ATTEMPTS):
                 was_known = self._objects.is_known()
-                results, outcome = self._try_once(operations)
+                try:
+                    results, outcome = self._try_once(operations)
+                except PlatformError as error:
+                    self._ride_over(error, began_ms)
+                    continue
                 if outcome is None and was_known and _depends_on_age(results):
                     self._objects.forget()
                     continue
@@ -166,6 +175,13 @@
             self._note_failure(error.detail)
             return [Result(verdict)] * len(operations)
 
+    def _ride_over(self, error: PlatformError, began_ms: float) -> None:
+        """Wait out a short refusal, such as one over the rate; pass on any other."""
+        spent_ms = self._clock.now_ms() - began_ms + error.answer.retry_after_ms
+        if error.kind is not ErrorKind.PLATFORM_UNAVAILABLE or spent_ms > RIDE_OVER_MS:
+            raise error
+        self._clock.sleep_ms(error.answer.retry_after_ms)
+
     def _note_failure(self, reason: str) -> None:
         """Count a failed batch; an outage is logged now and then, not for every call."""
         self._counts.failures += 1
--- a/hemlockswitch/request/claims.py
+++ b/hemlockswitch/request/claims.py
@@ -197,7 +197,12 @@
     """Who makes sure that a key's call is dispatched once in the whole system."""
 
     def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
+        self,
+        account: str,
+        key: str,
+        fingerprint: str,
+        dispatch: Callable[[], StoredAnswer],
+        limit_ms: float,
     ) -> StoredAnswer:
         """Return the key's answer, from `dispatch` or from an earlier call."""
 
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -128,6 +128,7 @@
                 key,
                 fingerprint_call(request.method, service.name, path, request.query, request.body),
                 lambda: self._dispatch(request, service, operation, path, deadline_ms),
+                deadline_ms - self._clock.now_ms(),
             )
         headers = {name: value for name, value in answer.headers.items() if name != "content-type"}
         content_type = answer.headers.get("content-type", JSON_TYPE)
