--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -81,7 +81,11 @@
         self.directory = self.facts.directory
         PeerCollector.register(self.facts, self.metrics.registry)
         self.usage = UsageReporter(
-            self.settings.name, self.facts.network, self.directory, self._list_peers
+            self.settings.name,
+            self.facts.network,
+            self.directory,
+            lambda: dict(self.records.refused),
+            self._list_peers,
         )
         self.revisions = RevisionTasks(
             self.facts,
@@ -90,6 +94,7 @@
             "hemlock-entry",
             self.clock,
             self._is_ready,
+            self._describe_use,
         )
         self.status.add("revision", lambda: self.revision)
         self.status.add("configuration", self.revisions.describe_status)
@@ -217,6 +222,13 @@
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
+    def _describe_use(self) -> dict[str, Any]:
+        """Return what the zone's status shows of this daemon beside its revision."""
+        return {
+            "requests_in_progress": self.records.in_progress,
+            "refused": self.metrics.count_refusals(),
+        }
+
     def _is_ready(self) -> bool:
         try:
             self.serving.check_ready()
