--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -28,6 +28,10 @@
     Then it is refused with outcome_unknown and ran unknown
     And a repeat of "k2" at "entry-khalda-hall-1" is refused with outcome_unknown and ran unknown
     And "k2" has run 1 time
+    When the service takes 0 ms
+    And the key "k3" is sent to "entry-abdoun-hall-1" and it is stopped gracefully at once
+    Then a repeat of "k3" at "entry-khalda-hall-1" gets the kept answer
+    And "k3" has run 1 time
 
   Scenario: The entry daemon dies after its claim and before the dispatch
     Given "entry-abdoun-hall-1" writes its claims itself and their answers are held back
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -86,7 +86,7 @@
     )
 
 
-@given("the service takes {delay:d} ms")
+@step("the service takes {delay:d} ms")
 def slow_service(context, delay):
     for name in BACKENDS:
         context.cluster.set_faults(name, delay_ms=delay)
@@ -124,6 +124,12 @@
     raise AssertionError("the answer came")
 
 
+@when('the key "{key}" is sent to "{entry}" and it is stopped gracefully at once')
+def send_and_stop(context, key, entry):
+    assert send(context, key, entry).status == 200, context.reply.body
+    assert context.cluster.get(entry).stop() == 0
+
+
 @when('the keys "k1" to "k6" are sent to each daemon in turn')
 def send_many(context):
     for number in range(1, 7):
