--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -11,6 +11,10 @@
     Then "k1" has run 1 time
     And every answer is the one run's or refuses with claim_conflict
     And a repeat of "k1" at "entry-khalda-hall-2" gets the kept answer
+    When "entry-khalda-hall-1" is frozen, which writes the claims of the next key
+    And that key is sent to "entry-abdoun-hall-1"
+    Then it is served and has run 1 time
+    And when the daemon thaws it has run 1 time
 
   Scenario: A repeat after a lost answer, at another daemon and in another zone
     When the key "k1" is sent to "entry-abdoun-hall-1" and the caller loses the answer
@@ -24,6 +28,10 @@
     Then it is refused with outcome_unknown and ran unknown
     And a repeat of "k2" at "entry-khalda-hall-1" is refused with outcome_unknown and ran unknown
     And "k2" has run 1 time
+    When the service takes 0 ms
+    And the key "k3" is sent to "entry-abdoun-hall-1" and it is stopped gracefully at once
+    Then a repeat of "k3" at "entry-khalda-hall-1" gets the kept answer
+    And "k3" has run 1 time
 
   Scenario: The entry daemon dies after its claim and before the dispatch
     Given "entry-abdoun-hall-1" writes its claims itself and their answers are held back
