--- a/features/graceful_stop.feature
+++ b/features/graceful_stop.feature
@@ -10,8 +10,7 @@
     And the daemon ended with exit code 0
 
   Scenario Outline: A backend server is drained by the operators' file
-    Given one zone with one entry daemon and 2 engines
-    And a second plain service
+    Given one zone with one entry daemon, 2 engines and 2 plain services
     And the plain service takes 1500 ms
     When <server> is drained while 10 callers stream 60 tokens and 4 calls run
     Then every caller has its own whole answer
--- a/features/steps/graceful_stop_steps.py
+++ b/features/steps/graceful_stop_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from features.support.calls import call, get_json, post_json
-from features.support.gathering import run_together
+from features.support.gathering import Gathering, run_together
 from features.support.operator_files import KEY, SERVICE, make_operator_file
 from features.support.processes import wait_until
 
@@ -22,13 +22,10 @@
             context.cluster.set_faults(name, delay_ms=delay_ms)
 
 
-@given("a second plain service")
-def add_service(context):
-    cluster = context.cluster
-    cluster.launch_service(SECOND_SERVICE)
-    cluster.register(SECOND_SERVICE, ZONE, SERVICE)
-    cluster.launch_entry(ENTRY, ZONE)
-    cluster.wait_until_serving(cluster.get(ENTRY))
+@given("one zone with one entry daemon, 2 engines and 2 plain services")
+def build_pairs(context):
+    context.cluster.build(zones=(ZONE,), entries=1, engines=2, services=2)
+    context.gathering = Gathering(context.cluster)
 
 
 def begin_work(context, callers, tokens, calls):
--- a/hemlockswitch/connection/backends.py
+++ b/hemlockswitch/connection/backends.py
@@ -23,6 +23,7 @@
 
 READ_EVENT = 1
 READ_BYTES = 65_536
+QUICK_READS = 2
 CONNECT_TIMEOUT_MS = 1_000
 SEND_TIMEOUT_MS = 5_000
 BODILESS_STATUSES = frozenset({204, 304})
@@ -80,10 +81,8 @@
 
     def __init__(self, method: str) -> None:
         super().__init__(method=method)
-        self.pieces: list[bytes] = []
-
-    def _on_body(self, buf: bytearray) -> None:
-        self.pieces.append(bytes(buf))
+        self.pieces: list[bytearray] = []
+        self._on_body = self.pieces.append  # type: ignore[assignment]
 
     @property
     def begun(self) -> bool:
@@ -93,7 +92,7 @@
     def take_body(self) -> bytes:
         """Return and forget the body parsed since the last call."""
         if len(self.pieces) == 1:
-            return self.pieces.pop()
+            return bytes(self.pieces.pop())
         body = b"".join(self.pieces)
         self.pieces.clear()
         return body
@@ -106,15 +105,20 @@
     ===========
 
     Reads wait on one watcher for the life of the exchange and make no time-out each; whoever
-    bounds the exchange calls `interrupt`, which raises in the reading task.
+    bounds the exchange calls `interrupt`, which raises in the reading task. Its first reads go
+    before those of exchanges that are under way, so that a first token does not wait behind
+    other streams' tokens.
     """
 
     def __init__(self, connection: socket.socket, parser: _AnswerParser) -> None:
         self._connection = connection
         self._parser = parser
         self._hub = gevent.get_hub()
-        self._watcher = self._hub.loop.io(connection.fileno(), READ_EVENT)
-        self._waiter: Waiter[None] | None = None
+        self._watcher = self._hub.loop.io(
+            connection.fileno(), READ_EVENT, priority=self._hub.loop.MAXPRI
+        )
+        self._wake: Waiter[None] = Waiter(self._hub)
+        self._waiting = False
         self._interruption: BaseException | None = None
         self.reads = 0
 
@@ -214,13 +218,13 @@
     @property
     def is_waiting(self) -> bool:
         """Whether a task waits for bytes now."""
-        return self._waiter is not None
+        return self._waiting
 
     def interrupt(self, error: BaseException) -> None:
         """Raise `error` in the task that reads now, or at its next read."""
         self._interruption = error
-        if self._waiter is not None:
-            self._hub.loop.run_callback(self._waiter.switch, None)
+        if self._waiting:
+            self._hub.loop.run_callback(self._wake.switch, None)
 
     def close(self) -> None:
         """Give the socket back; safe to call twice."""
@@ -238,6 +242,8 @@
         except OSError as error:
             raise ExchangeError(self._stage, str(error)) from error
         self.reads += 1
+        if self.reads == QUICK_READS:
+            self._watcher.priority = 0
         try:
             self._parser.feed(data)
         except HTTPParseError as error:
@@ -251,13 +257,13 @@
 
     def _wait_readable(self) -> None:
         self._raise_interruption()
-        waiter: Waiter[None] = Waiter(self._hub)
-        self._waiter = waiter
-        self._watcher.start(waiter.switch, None)
+        self._wake.clear()
+        self._waiting = True
+        self._watcher.start(self._wake.switch, None)
         try:
-            waiter.get()
+            self._wake.get()
         finally:
-            self._waiter = None
+            self._waiting = False
             self._watcher.stop()
         self._raise_interruption()
 
--- a/hemlockswitch/connection/caller_server.py
+++ b/hemlockswitch/connection/caller_server.py
@@ -23,6 +23,7 @@
 HEAD_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 75_000
 BACKLOG = 1_024
+SEND_BUFFER_BYTES = 65_536
 DRAIN_BYTES = 262_144
 DRAIN_TIMEOUT_MS = 500
 DRAIN_READ_BYTES = 16_384
@@ -31,6 +32,10 @@
 TARGET_KEY = "hemlockswitch.target"
 
 
+class CallerGoneError(OSError):
+    """The caller closed its connection; nobody waits for the answer."""
+
+
 class HeadTooLargeError(ValueError):
     """The request's head is over the bound; pywsgi answers 400 and closes."""
 
@@ -115,6 +120,7 @@
 
     wsgi_input: Any
     close_connection: bool
+    code: int
 
     def read_requestline(self) -> str:
         """Wait for the next request, at most the idle time."""
@@ -153,6 +159,25 @@
             self.server.answering -= 1
             self.close_connection = self.close_connection or self.wsgi_input.abandoned
 
+    def _write(self, data: bytes) -> None:
+        """Write one piece of an answer, framed in one step."""
+        if data:
+            self._sendall(
+                b"%x\r\n%b\r\n" % (len(data), data) if self.response_use_chunked else data
+            )
+
+    def _sendall(self, data: bytes) -> None:
+        """Send at once what the kernel takes; only a rest goes the longer way that waits."""
+        try:
+            sent = self.socket.send(data)
+            if sent < len(data):
+                self.socket.sendall(memoryview(data)[sent:])
+        except OSError as error:
+            self.status = f"socket error: {error}"
+            self.code = -abs(self.code)
+            raise
+        self.response_length += len(data)
+
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         """Log a failure by its type and close; a caller that is gone is no failure."""
         if not issubclass(t, OSError | gevent.GreenletExit):
@@ -201,6 +226,18 @@
         self.caller_timeout_ms = caller_timeout_ms
         self.answering = 0
 
+    def init_socket(self) -> None:
+        """Bound what the kernel holds for a caller that does not read."""
+        super().init_socket()
+        self.socket.setsockopt(system_socket.SOL_SOCKET, system_socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+    def start_accepting(self) -> None:
+        """Accept new callers before the streams in progress go on."""
+        super().start_accepting()
+        self._watcher.stop()
+        self._watcher.priority = self.loop.MAXPRI
+        self._watcher.start(self._do_read)
+
     @property
     def bound_address(self) -> str:
         """The ``ip:port`` that it listens on."""
--- a/hemlockswitch/connection/callers.py
+++ b/hemlockswitch/connection/callers.py
@@ -2,14 +2,15 @@
 
 import math
 import traceback
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 import falcon
-import gevent
 
-from hemlockswitch.connection.caller_server import CONNECTION_KEY, TARGET_KEY, CallerConnection
+from hemlockswitch.connection.caller_server import (
+    TARGET_KEY,
+    CallerGoneError,
+)
+from hemlockswitch.connection.intake import CallerAnswer, CallerRequest, Intake
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, RequestError
 from hemlockswitch.core.events import Event
@@ -17,61 +18,9 @@
 from hemlockswitch.core.logs import log_event
 
 EVENT_STREAM = "text/event-stream"
-BODY_TIMEOUT_MS = 30_000
-READ_BYTES = 65_536
-MAX_IDEMPOTENCY_KEY_CHARS = 256
-MAX_DEADLINE_MS = 86_400_000
-LOWEST_PRIORITY = 9
 SERVICES_PREFIX = "/services/"
 
 
-@dataclass(frozen=True)
-class CallerRequest:
-    """One request as it came from a caller, its body bounded and read.
-
-    Parameters
-    ==========
-
-    request_id : made by this system; names the request in every answer.
-    headers : with lower-case names.
-    deadline_ms : monotonic time after which the caller has no use for an answer; None when the
-        caller gave none.
-    connection : to learn that the caller went away; None in tests.
-    answer_headers : filled by the service; they go with the answer, also with an error's.
-    """
-
-    request_id: str
-    method: str
-    path: str
-    query: str = ""
-    headers: Mapping[str, str] = field(default_factory=dict)
-    body: bytes = b""
-    deadline_ms: float | None = None
-    connection: CallerConnection | None = None
-    answer_headers: dict[str, str] = field(default_factory=dict)
-
-    @property
-    def idempotency_key(self) -> str | None:
-        """The caller's ``Idempotency-Key``."""
-        return self.headers.get("idempotency-key")
-
-    @property
-    def priority(self) -> int | None:
-        """The caller's ``X-Priority``, 0 first; None when absent."""
-        value = self.headers.get("x-priority")
-        return None if value is None else _read_number("X-Priority", value, LOWEST_PRIORITY)
-
-
-@dataclass(frozen=True)
-class CallerAnswer:
-    """What goes back: a whole body, or pieces that are written as they come."""
-
-    status: int
-    body: bytes | Iterator[bytes]
-    headers: Mapping[str, str] = field(default_factory=dict)
-    content_type: str = "application/json"
-
-
 class CallerService(Protocol):
     """What serves the callers' requests."""
 
@@ -117,8 +66,9 @@
     app: falcon.App = falcon.App()
     app.add_error_handler(HemlockError, _answer_error)
     app.add_error_handler(Exception, _answer_unexpected)
+    app.add_error_handler(CallerGoneError, _let_go)
     app.add_error_handler(falcon.HTTPError, _answer_http_error)
-    intake = _Intake(service, clock)
+    intake = Intake(service.check_ready, service.limit_body_bytes, clock)
     app.add_route("/healthz", _Health(service))
     app.add_route("/v1/chat/completions", _Completions(service, intake))
     app.add_route("/v1/requests/{request_id}", _Requests(service, intake))
@@ -126,90 +76,6 @@
     return app
 
 
-class _Intake:
-    """Turns falcon's request into a `CallerRequest`, within bounds."""
-
-    def __init__(self, service: CallerService, clock: Clock) -> None:
-        self._service = service
-        self._clock = clock
-
-    def read(self, req: falcon.Request) -> CallerRequest:
-        """Read the request's body and headers, bounded in size and time."""
-        req.context.request_id = make_identifier("req")
-        self._service.check_ready()
-        headers = {name.lower(): value for name, value in req.headers.items()}
-        _check_headers(headers)
-        request = CallerRequest(
-            request_id=req.context.request_id,
-            method=req.method,
-            path=req.path,
-            query=req.query_string,
-            headers=headers,
-            body=self._read_body(req),
-            deadline_ms=self._read_deadline(headers),
-            connection=req.env.get(CONNECTION_KEY),
-        )
-        req.context.answer_headers = request.answer_headers
-        return request
-
-    def _read_deadline(self, headers: Mapping[str, str]) -> float | None:
-        value = headers.get("x-deadline-ms")
-        if value is None:
-            return None
-        return self._clock.now_ms() + _read_number("X-Deadline-Ms", value, MAX_DEADLINE_MS)
-
-    def _read_body(self, req: falcon.Request) -> bytes:
-        limit_bytes = self._service.limit_body_bytes()
-        _check_length(req.content_length, limit_bytes)
-        slow = RequestError(ErrorKind.CALLER_TOO_SLOW, "the body did not arrive in time")
-        try:
-            with gevent.Timeout(BODY_TIMEOUT_MS / MS_PER_SECOND, slow):
-                body = _read_bounded(req.env["wsgi.input"], limit_bytes)
-        except TimeoutError as error:
-            raise slow from error
-        except OSError as error:
-            raise RequestError(ErrorKind.BAD_REQUEST, "the body broke off") from error
-        if req.content_length is not None and len(body) < req.content_length:
-            raise RequestError(ErrorKind.BAD_REQUEST, "the body broke off")
-        return body
-
-
-def _check_length(length: int | None, limit_bytes: int) -> None:
-    if length is not None and length > limit_bytes:
-        raise RequestError(ErrorKind.BODY_TOO_LARGE, f"the body is over {limit_bytes} bytes")
-
-
-def _read_bounded(stream: Any, limit_bytes: int) -> bytes:
-    """Read a body whose length may be unknown, never holding more than one byte too many."""
-    pieces: list[bytes] = []
-    size_bytes = 0
-    while size_bytes <= limit_bytes:
-        piece = stream.read(min(READ_BYTES, limit_bytes + 1 - size_bytes))
-        if not piece:
-            return b"".join(pieces)
-        size_bytes += len(piece)
-        pieces.append(piece)
-    raise RequestError(ErrorKind.BODY_TOO_LARGE, f"the body is over {limit_bytes} bytes")
-
-
-def _check_headers(headers: Mapping[str, str]) -> None:
-    key = headers.get("idempotency-key", "")
-    if len(key) > MAX_IDEMPOTENCY_KEY_CHARS or not key.isascii() or not key.isprintable():
-        raise RequestError(
-            ErrorKind.BAD_REQUEST,
-            f"Idempotency-Key: not printable ASCII of at most {MAX_IDEMPOTENCY_KEY_CHARS}",
-        )
-    if "x-priority" in headers:
-        _read_number("X-Priority", headers["x-priority"], LOWEST_PRIORITY)
-
-
-def _read_number(name: str, value: str, highest: int) -> int:
-    """Return the whole number in a header."""
-    if not (value.isascii() and value.isdigit() and len(value) < 12 and int(value) <= highest):
-        raise RequestError(ErrorKind.BAD_REQUEST, f"{name}: not a whole number up to {highest}")
-    return int(value)
-
-
 def _send(resp: falcon.Response, answer: CallerAnswer, request: CallerRequest) -> None:
     resp.status = answer.status
     resp.content_type = answer.content_type
@@ -232,7 +98,7 @@
 
 
 class _Completions:
-    def __init__(self, service: CallerService, intake: _Intake) -> None:
+    def __init__(self, service: CallerService, intake: Intake) -> None:
         self._service = service
         self._intake = intake
 
@@ -242,7 +108,7 @@
 
 
 class _Requests:
-    def __init__(self, service: CallerService, intake: _Intake) -> None:
+    def __init__(self, service: CallerService, intake: Intake) -> None:
         self._service = service
         self._intake = intake
 
@@ -255,7 +121,7 @@
 class _ServiceSink:
     """Takes every method; the path goes on as the caller sent it, undecoded."""
 
-    def __init__(self, service: CallerService, intake: _Intake) -> None:
+    def __init__(self, service: CallerService, intake: Intake) -> None:
         self._service = service
         self._intake = intake
 
@@ -299,6 +165,13 @@
     _answer_error(req, resp, fault, params)
 
 
+def _let_go(
+    req: falcon.Request, resp: falcon.Response, error: CallerGoneError, params: dict[str, Any]
+) -> None:
+    """Leave it to the server to close; there is nobody to answer."""
+    raise error
+
+
 def _answer_http_error(
     req: falcon.Request, resp: falcon.Response, error: falcon.HTTPError, params: dict[str, Any]
 ) -> None:
--- a/hemlockswitch/process/records.py
+++ b/hemlockswitch/process/records.py
@@ -3,7 +3,7 @@
 from types import TracebackType
 from typing import Protocol
 
-from hemlockswitch.connection.callers import CallerRequest
+from hemlockswitch.connection.intake import CallerRequest
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import HemlockError, Ran
 from hemlockswitch.process.metrics import EntryMetrics
--- a/hemlockswitch/process/reports.py
+++ b/hemlockswitch/process/reports.py
@@ -4,7 +4,7 @@
 
 from opentelemetry.trace import Span
 
-from hemlockswitch.connection.callers import CallerRequest
+from hemlockswitch.connection.intake import CallerRequest
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.traces import PARENT_HEADER, Tracing
 from hemlockswitch.request.generation import Generation
--- a/hemlockswitch/process/serving.py
+++ b/hemlockswitch/process/serving.py
@@ -5,12 +5,8 @@
 from typing import Any, Protocol
 
 from hemlockswitch.connection.accounts import AccountKeys
-from hemlockswitch.connection.callers import (
-    EVENT_STREAM,
-    CallerAnswer,
-    CallerRequest,
-    describe_error,
-)
+from hemlockswitch.connection.callers import EVENT_STREAM, describe_error
+from hemlockswitch.connection.intake import CallerAnswer, CallerRequest
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, RequestError
 from hemlockswitch.process.records import RequestRecord, RequestRecords
--- a/hemlockswitch/request/chunks.py
+++ b/hemlockswitch/request/chunks.py
@@ -1,6 +1,7 @@
 """Engine events checked one by one, and rewritten for the caller, without JSON work for most."""
 
 import json
+import re
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
@@ -10,6 +11,7 @@
 DONE_EVENT = DONE + SEPARATOR
 MAX_EVENT_BYTES = 1_048_576
 ABORTED = frozenset({"cancelled", "abort", "error"})
+_PLAIN = re.compile(rb'[^"\\\x00-\x1f]*')
 _ESCAPES = (b"\\", b'"')
 
 
@@ -96,6 +98,8 @@
     stream_id : the id that this attempt gave the engine.
     request_id : the id that the caller sees in its place.
     own_ids : stream ids of earlier attempts; their late chunks are ignored, not an error.
+
+    `before_out` and `after_out` stand around a matched content in the caller's event.
     """
 
     def __init__(
@@ -106,18 +110,25 @@
         self._own_ids = own_ids
         self._id_line = f"id: {stream_id}:".encode()
         self._before = b""
-        self._after = b""
-        self._before_out = b""
+        self.before_out = b""
+        self.after_out = b""
+
+    def match_token(self, event: bytes, position: int) -> bytes | None:
+        """Return the content of an event in the form kept, or None when it must be parsed."""
+        if not self._before:
+            return None
+        start = b"%b%d%b" % (self._id_line, position, self._before)
+        if not (event.startswith(start) and event.endswith(self.after_out)):
+            return None
+        found = _PLAIN.fullmatch(event, len(start), len(event) - len(self.after_out))
+        return found[0] if found else None
 
     def check(self, event: bytes, position: int) -> Checked:
         """Return the verdict on `event` when `position` is the next one wanted."""
-        if self._before:
-            start = b"%b%d%b" % (self._id_line, position, self._before)
-            if event.startswith(start) and event.endswith(self._after):
-                content = event[len(start) : -len(self._after)]
-                if b"\\" not in content and b'"' not in content:
-                    return Checked(Verdict.TOKEN, content, self._before_out + content + self._after)
-        return self._check_slowly(event, position)
+        content = self.match_token(event, position)
+        if content is None:
+            return self._check_slowly(event, position)
+        return Checked(Verdict.TOKEN, content, self.before_out + content + self.after_out)
 
     def _check_slowly(self, event: bytes, position: int) -> Checked:
         if event == DONE:
@@ -169,9 +180,9 @@
         if data.count(stream_id) != 1:
             return
         opening = newline + data + b'"content": "'
+        self.before_out = opening.replace(stream_id, self._request_id.encode())
+        self.after_out = b'"' + after
         self._before = opening
-        self._before_out = opening.replace(stream_id, self._request_id.encode())
-        self._after = b'"' + after
 
 
 def _encode(chunk: dict[str, Any]) -> bytes:
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from hemlockswitch.connection.caller_server import CallerConnection
+from hemlockswitch.connection.caller_server import CallerConnection, CallerGoneError
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.attempt import Attempt, AttemptLostError, AttemptOpener
@@ -11,7 +11,6 @@
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.retries import Pace, RetryBudget
 from hemlockswitch.request.running import (
-    CallerGoneError,
     Chooser,
     Directory,
     HandoverRequested,
@@ -239,7 +238,7 @@
             if pieces:
                 if not running.own_token:
                     self._note_token(running, ticket)
-                yield b"".join(pieces)
+                yield pieces[0] if len(pieces) == 1 else b"".join(pieces)
             if wrong:
                 raise AttemptLostError(f"the backend server's answer was wrong: {wrong}")
             if generation.finish_event:
@@ -252,23 +251,35 @@
     ) -> tuple[list[bytes], str]:
         """Read once; return the caller's events and what was wrong with the rest, if anything."""
         tokens = running.generation.tokens
+        checker = attempt.checker
         pieces: list[bytes] = []
         for event in attempt.read_events():
             position = len(tokens)
-            checked = attempt.checker.check(event, position)
-            if checked.verdict is Verdict.TOKEN:
-                pieces.append(b"%b%d%b%b" % (head, position, checked.event, SEPARATOR))
-                tokens.append(checked.content)
-            elif checked.verdict is Verdict.IGNORED:
+            content = checker.match_token(event, position)
+            if content is not None:
+                tokens.append(content)
+                out = (head, position, checker.before_out, content, checker.after_out, SEPARATOR)
+                pieces.append(b"%b%d%b%b%b%b" % out)
+                continue
+            checked = checker.check(event, position)
+            if checked.verdict is Verdict.IGNORED:
                 self._observer.events_dropped(1)
-            elif checked.verdict is Verdict.FINISH:
-                event_out = self._finish(running, checked)
+            elif checked.verdict in (Verdict.TOKEN, Verdict.FINISH):
+                event_out = self._take_parsed(running, checked)
                 pieces.append(b"%b%d%b%b" % (head, position, event_out, SEPARATOR))
-                return pieces, ""
             else:
                 return pieces, checked.verdict.value
+            if running.generation.finish_event:
+                return pieces, ""
         return pieces, ""
 
+    def _take_parsed(self, running: Running, checked: Checked) -> bytes:
+        """Keep a parsed event and return it as the caller gets it."""
+        if checked.verdict is Verdict.FINISH:
+            return self._finish(running, checked)
+        running.generation.tokens.append(checked.content)
+        return checked.event
+
     def _leave(self, running: Running) -> None:
         """End the old stream before another one goes on from the next position."""
         generation = running.generation
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -12,10 +12,6 @@
 from hemlockswitch.version.backend import BackendServer
 
 
-class CallerGoneError(OSError):
-    """The caller closed its connection; nobody waits for the answer."""
-
-
 class MoveReady(Exception):  # noqa: N818
     """Wakes a relay whose generation may switch to another backend server."""
 
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -10,7 +10,7 @@
     ExchangeError,
     Stage,
 )
-from hemlockswitch.connection.callers import CallerAnswer, CallerRequest
+from hemlockswitch.connection.intake import CallerAnswer, CallerRequest
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.claims import Claims, StoredAnswer, fingerprint_call
