--- a/hemlockswitch/connection/caller_server.py
+++ b/hemlockswitch/connection/caller_server.py
@@ -227,7 +227,14 @@
         self.answering = 0
 
     def init_socket(self) -> None:
-        """Bound what the kernel holds for a caller that does not read."""
+        """Listen with a bound on what the kernel holds of each caller's answer.
+
+        Explanation
+        ===========
+
+        Accepted sockets inherit the bound. Left to itself the kernel takes megabytes, and a
+        caller that never reads is noticed only when its whole answer lies there.
+        """
         super().init_socket()
         self.socket.setsockopt(system_socket.SOL_SOCKET, system_socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -17,9 +17,10 @@
 from hemlockswitch.process.departure import Departure
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
-from hemlockswitch.process.polling import PlatformPoll
+from hemlockswitch.process.peer_metrics import PeerCollector
 from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
+from hemlockswitch.process.revision_tasks import RevisionTasks
 from hemlockswitch.process.serving import Serving
 from hemlockswitch.process.share_members import CALL_MS as SHARE_CALL_MS
 from hemlockswitch.process.share_members import build_shares
@@ -78,17 +79,30 @@
         self.facts = Facts.from_settings(self.settings, "entry", self.clock)
         self.board = self.facts.board
         self.directory = self.facts.directory
+        PeerCollector.register(self.facts, self.metrics.registry)
         self.usage = UsageReporter(
-            self.settings.name, self.facts.network, self.directory, self._list_peers
+            self.settings.name,
+            self.facts.network,
+            self.directory,
+            lambda: dict(self.records.refused),
+            self._list_peers,
         )
-        self.poll = PlatformPoll(
-            self.settings.platform, self.settings.name, self.clock, self.use_file
+        self.revisions = RevisionTasks(
+            self.facts,
+            self.settings.name,
+            self.settings.zone,
+            "hemlock-entry",
+            self.clock,
+            self._is_ready,
+            self._describe_use,
         )
         self.status.add("revision", lambda: self.revision)
+        self.status.add("configuration", self.revisions.describe_status)
         self.status.add("members", self.facts.describe_members)
         self.status.add("backend_servers", self.facts.describe_backends)
         self.status.add("leaving", lambda: sorted(self.directory.list_leaving()))
         self.status.add("zone", lambda: self.settings.zone)
+        self.status.add("members", self.facts.describe_members)
         self.status.add("name", lambda: self.settings.name)
 
     def _build_requests(self) -> None:
@@ -154,6 +168,7 @@
     def use_file(self, file: OperatorFile, number: int) -> None:
         """Put a configuration in force in every part."""
         self.file, self.revision = file, number
+        self.facts.zones = file.zones
         self.metrics.revision.set(number)
         self.budget.set_ratio(file.limits.retry_ratio)
         self.directory.set_draining(file.draining)
@@ -166,7 +181,10 @@
         self.control.start()
         self.callers.start()
         peer_address = self.facts.start(self.callers.bound_address, self.spawn)
-        self.spawn("poll", self.poll.run)
+        self.revisions.configuration.add_listener(
+            lambda revision: self.use_file(revision.file, revision.number)
+        )
+        self.revisions.start(self.spawn)
         self.spawn("sweep", self.sweep.run)
         self.spawn("waiting states", self.departure.store.run)
         if self.tracing.log_export is not None:
@@ -175,6 +193,7 @@
             "callers": self.callers.bound_address,
             "control": self.control.bound_address,
             "peers": peer_address,
+            "peer_listen": self.facts.network.bound_address,
         }
 
     def spawn(self, name: str, run: Callable[[], Any]) -> None:
@@ -203,6 +222,20 @@
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
 
+    def _describe_use(self) -> dict[str, Any]:
+        """Return what the zone's status shows of this daemon beside its revision."""
+        return {
+            "requests_in_progress": self.records.in_progress,
+            "refused": self.metrics.count_refusals(),
+        }
+
+    def _is_ready(self) -> bool:
+        try:
+            self.serving.check_ready()
+        except RequestError:
+            return False
+        return True
+
     def _list_peers(self) -> list[tuple[str, str]]:
         """Return the names and peer addresses of the other running daemons of all zones."""
         live = self.facts.membership.list_live() if self.facts.membership else []
