--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -2,13 +2,17 @@
 
 import re
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
+from prometheus_client import CollectorRegistry
 
+from hemlockswitch.connection.links import Traffic
 from hemlockswitch.core.errors import ANSWERS
 from hemlockswitch.core.events import Event
 from hemlockswitch.process.controller import ControllerMetrics
 from hemlockswitch.process.metrics import EntryMetrics
+from hemlockswitch.process.peer_metrics import PeerCollector
 from hemlockswitch.version import models, settings
 
 REFERENCE = Path(__file__).resolve().parent.parent / "docs" / "reference"
@@ -43,7 +47,11 @@
 
 def test_the_metrics_page_names_the_codes_metrics():
     listed = {row[0] for row in read_rows("metrics.md", 1)}
-    registries = (EntryMetrics().registry, ControllerMetrics().registry)
+    peers = CollectorRegistry()
+    network = SimpleNamespace(traffic=Traffic(), list_streams=list)
+    spread = SimpleNamespace(repairs=0)
+    PeerCollector.register(SimpleNamespace(network=network, spread=spread, membership=None), peers)
+    registries = (EntryMetrics().registry, ControllerMetrics().registry, peers)
     families = {family.name for registry in registries for family in registry.collect()}
     assert families == listed - {"metric"}
 
