--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -81,7 +81,11 @@
         self.directory = self.facts.directory
         PeerCollector.register(self.facts, self.metrics.registry)
         self.usage = UsageReporter(
-            self.settings.name, self.facts.network, self.directory, self._list_peers
+            self.settings.name,
+            self.facts.network,
+            self.directory,
+            lambda: dict(self.records.refused),
+            self._list_peers,
         )
         self.revisions = RevisionTasks(
             self.facts,
