--- a/tools/measure_shares.py
+++ b/tools/measure_shares.py
@@ -31,7 +31,9 @@
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.allowances import FixedAllowances
 from hemlockswitch.request.capacity import CapacityQueue
-from hemlockswitch.standin.platform import PlatformSettings, PlatformState, build_app, serve_app
+from hemlockswitch.standin.platform import build_application
+from hemlockswitch.standin.platform_state import PlatformSettings, PlatformState
+from hemlockswitch.standin.server import listen
 from hemlockswitch.version.models import OperatorFile
 
 ZONES = ("abdoun-hall", "khalda-hall", "marka-hall", "sweileh-hall")
@@ -327,8 +329,8 @@
 def measure(method: str, seconds: float) -> dict[str, Any]:
     """Run every phase under one method."""
     state = PlatformState(PlatformSettings(answer_ms=PLATFORM_ANSWER_MS))
-    server = serve_app(build_app(state), "127.0.0.1:0")
-    fleet = Fleet(method, f"127.0.0.1:{server.server_port}")
+    server, address = listen(build_application(state), "127.0.0.1:0")
+    fleet = Fleet(method, address)
     gevent.sleep(SETTLE_SECONDS)
     result: dict[str, Any] = {}
     calls = count_calls(state)
