Check the key before the body, bound bodies together, and blame no server for its caller

Cause, each found by reading again: a caller without a key could make the daemon hold a body; many bodies at once were bounded only each; a header or path that cannot be sent, or a caller with a very short deadline, counted as the server's failure and could keep others from it; a resumed stream whose caller left during the replay never closed its record; tokens recomputed after a handover counted as a failure's.

Conclusion: no caller can take a backend server from the others by how it asks.

--- a/hemlockswitch/connection/backends.py
+++ b/hemlockswitch/connection/backends.py
@@ -19,7 +19,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from hemlockswitch.core.clock import MS_PER_SECOND
-from hemlockswitch.core.errors import BackendError, ErrorKind, Ran
+from hemlockswitch.core.errors import BackendError, ErrorKind, Ran, RequestError
 
 READ_EVENT = 1
 READ_BYTES = 65_536
@@ -48,6 +48,10 @@
         self.stage = stage
 
 
+class ExchangeTimeoutError(ExchangeError):
+    """An exchange that did not end in the time that it was given."""
+
+
 @dataclass(frozen=True)
 class BackendCall:
     """One request to send to a backend server."""
@@ -132,6 +136,7 @@
         ======
 
         ExchangeError : with the stage `BEFORE_SEND` or `DURING_SEND`.
+        RequestError : the call's headers or path cannot be sent; no server is to blame.
         """
         host, _, port = address.rpartition(":")
         request = cls._build(host, int(port), call)
@@ -152,7 +157,7 @@
         try:
             return _RequestBuilder(host, port).build(call)
         except (ValueError, UnicodeEncodeError) as error:
-            raise ExchangeError(Stage.BEFORE_SEND, str(error)) from error
+            raise RequestError(ErrorKind.BAD_REQUEST, f"cannot be passed on: {error}") from error
 
     @staticmethod
     def _connect(host: str, port: int, timeout_ms: int) -> socket.socket:
@@ -297,7 +302,7 @@
         except gevent.Timeout as expired:
             if expired is not timeout:
                 raise
-            raise ExchangeError(self._correct(stage), "time-out") from expired
+            raise ExchangeTimeoutError(self._correct(stage), "time-out") from expired
         finally:
             timeout.close()
             if exchange is not None:
--- a/hemlockswitch/connection/callers.py
+++ b/hemlockswitch/connection/callers.py
@@ -27,6 +27,9 @@
     def check_ready(self) -> None:
         """Raise a `RequestError` when no new work is taken."""
 
+    def check_caller(self, authorization: str | None) -> None:
+        """Raise a `RequestError` unless the header names an account."""
+
     def limit_body_bytes(self) -> int:
         """Return the largest body that may be read."""
 
@@ -68,7 +71,7 @@
     app.add_error_handler(Exception, _answer_unexpected)
     app.add_error_handler(CallerGoneError, _let_go)
     app.add_error_handler(falcon.HTTPError, _answer_http_error)
-    intake = Intake(service.check_ready, service.limit_body_bytes, clock)
+    intake = Intake(service, clock)
     app.add_route("/healthz", _Health(service))
     app.add_route("/v1/chat/completions", _Completions(service, intake))
     app.add_route("/v1/requests/{request_id}", _Requests(service, intake))
--- a/hemlockswitch/connection/intake.py
+++ b/hemlockswitch/connection/intake.py
@@ -1,8 +1,8 @@
 """Reads callers' requests within bounds on size and time."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 import falcon
 import gevent
@@ -14,6 +14,7 @@
 
 BODY_TIMEOUT_MS = 30_000
 READ_BYTES = 65_536
+MAX_READING_BYTES = 64 * 1024 * 1024
 MAX_IDEMPOTENCY_KEY_CHARS = 256
 MAX_DEADLINE_MS = 86_400_000
 LOWEST_PRIORITY = 9
@@ -61,33 +62,52 @@
     """What goes back: a whole body, or pieces that are written as they come."""
 
     status: int
-    body: bytes | Iterator[bytes]
+    body: bytes | Iterable[bytes]
     headers: Mapping[str, str] = field(default_factory=dict)
     content_type: str = "application/json"
 
 
+class Gate(Protocol):
+    """Who says, before a body is read, whether and how much of it may be."""
+
+    def check_ready(self) -> None:
+        """Raise a `RequestError` when no new work is taken."""
+
+    def check_caller(self, authorization: str | None) -> None:
+        """Raise a `RequestError` unless the header names an account."""
+
+    def limit_body_bytes(self) -> int:
+        """Return the largest body that may be read."""
+
+
 class Intake:
     """Turns falcon's requests into `CallerRequest` objects.
 
+    Explanation
+    ===========
+
+    The bodies that are being read at one time are bounded together, not only each: what a
+    request announces is reserved before its first byte is read, or it is refused.
+
     Parameters
     ==========
 
-    check_ready : raises when no new work is taken.
-    limit_body_bytes : returns the largest body that may be read.
+    gate : says whether and how much may be read.
     clock : the process's clock.
+    most_bytes : bound of all bodies that are being read.
     """
 
-    def __init__(
-        self, check_ready: Callable[[], None], limit_body_bytes: Callable[[], int], clock: Clock
-    ) -> None:
-        self._check_ready = check_ready
-        self._limit_body_bytes = limit_body_bytes
+    def __init__(self, gate: Gate, clock: Clock, most_bytes: int = MAX_READING_BYTES) -> None:
+        self._gate = gate
         self._clock = clock
+        self._most_bytes = most_bytes
+        self._reading_bytes = 0
 
     def read(self, req: falcon.Request) -> CallerRequest:
         """Read the request's body and headers, bounded in size and time."""
         req.context.request_id = make_identifier("req")
-        self._check_ready()
+        self._gate.check_ready()
+        self._gate.check_caller(req.get_header("Authorization"))
         headers = {name.lower(): value for name, value in req.headers.items()}
         _check_headers(headers)
         request = CallerRequest(
@@ -110,8 +130,19 @@
         return self._clock.now_ms() + _read_number("X-Deadline-Ms", value, MAX_DEADLINE_MS)
 
     def _read_body(self, req: falcon.Request) -> bytes:
-        limit_bytes = self._limit_body_bytes()
+        limit_bytes = self._gate.limit_body_bytes()
         _check_length(req.content_length, limit_bytes)
+        expected_bytes = limit_bytes if req.content_length is None else req.content_length
+        if self._reading_bytes + expected_bytes > self._most_bytes:
+            raise RequestError(ErrorKind.OVERLOADED, "too many bodies are being read")
+        self._reading_bytes += expected_bytes
+        try:
+            return self._read_reserved(req, limit_bytes)
+        finally:
+            self._reading_bytes -= expected_bytes
+
+    @staticmethod
+    def _read_reserved(req: falcon.Request, limit_bytes: int) -> bytes:
         slow = RequestError(ErrorKind.CALLER_TOO_SLOW, "the body did not arrive in time")
         try:
             with gevent.Timeout(BODY_TIMEOUT_MS / MS_PER_SECOND, slow):
--- a/hemlockswitch/process/serving.py
+++ b/hemlockswitch/process/serving.py
@@ -1,8 +1,8 @@
 """Serves the callers' requests: from the account's key to the last byte of the answer."""
 
 import json
-from collections.abc import Callable, Iterator
-from typing import Any, Protocol
+from collections.abc import Callable, Generator, Iterator
+from typing import Protocol
 
 from hemlockswitch.connection.accounts import AccountKeys
 from hemlockswitch.connection.callers import EVENT_STREAM, describe_error
@@ -76,6 +76,10 @@
         if not self.has_limits():
             raise RequestError(ErrorKind.NOT_READY, "no limits were granted yet")
 
+    def check_caller(self, authorization: str | None) -> None:
+        """Raise `UNAUTHORIZED` unless the key is known; nothing of the body is read before."""
+        self._keys.authenticate(authorization)
+
     def limit_body_bytes(self) -> int:
         """Return the largest body that may be read."""
         limits = self._file.limits if self._file else DEFAULT_LIMITS
@@ -103,9 +107,9 @@
 
         `replay` are events of a resumed stream that the caller did not get.
         """
-        events = self._relay_recorded(generation, request, record)
+        events = self._relay_recorded(generation, request, record, replay)
         if generation.stream:
-            first = replay or next(events)
+            first = next(events)
             return CallerAnswer(200, _Events(generation, first, events), {}, EVENT_STREAM)
         for _ in events:
             pass
@@ -113,11 +117,17 @@
         return CallerAnswer(200, body)
 
     def _relay_recorded(
-        self, generation: Generation, request: CallerRequest, record: RequestRecord
-    ) -> Iterator[bytes]:
+        self,
+        generation: Generation,
+        request: CallerRequest,
+        record: RequestRecord,
+        replay: bytes,
+    ) -> Generator[bytes, None, None]:
         """Relay; the record ends however the relay does."""
         with record:
             try:
+                if replay:
+                    yield replay
                 yield from self._relay.run(generation, request.connection)
             finally:
                 self._record_tokens(generation, record)
@@ -208,25 +218,20 @@
 class _Events:
     """A stream's events for the server: an error after the first becomes the last event."""
 
-    def __init__(self, generation: Generation, first: bytes, events: Iterator[bytes]) -> None:
+    def __init__(
+        self, generation: Generation, first: bytes, events: Generator[bytes, None, None]
+    ) -> None:
         self._generation = generation
-        self._first: bytes | None = first
-        self._events: Any = events
-
-    def __iter__(self) -> "_Events":
-        return self
+        self._first = first
+        self._events = events
 
-    def __next__(self) -> bytes:
-        if self._first is not None:
-            first, self._first = self._first, None
-            return first
+    def __iter__(self) -> Iterator[bytes]:
         try:
-            return next(self._events)
-        except MovedError as moved:
-            return render_moved(moved, self._generation.request_id)
+            yield self._first
+            yield from self._events
         except HemlockError as error:
             body = describe_error(error, self._generation.request_id)
-            return b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
+            yield b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
 
     def close(self) -> None:
         """End the relay when the server is done with the caller, whole or not."""
--- a/hemlockswitch/request/moving.py
+++ b/hemlockswitch/request/moving.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -11,7 +11,7 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import RequestError
 from hemlockswitch.request.generation import Generation, Move
-from hemlockswitch.request.running import Chooser, Directory, MoveReady, Running, build_need
+from hemlockswitch.request.running import Chooser, Directory, MoveReady, Running
 from hemlockswitch.version.backend import BackendServer
 
 MOVES_AT_ONCE = 16
@@ -138,9 +138,11 @@
         return True
 
     def _choose(self, running: Running, departure: _Departure) -> BackendServer | None:
-        exclude = frozenset(running.excluded | {departure.server.name})
+        need = running.build_need()
         try:
-            return self._chooser.choose(build_need(running.generation, exclude))
+            return self._chooser.choose(
+                replace(need, exclude=need.exclude | {departure.server.name})
+            )
         except RequestError:
             return None
 
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -132,6 +132,9 @@
         if self._directory.is_leaving(server.name):
             self._pace.wait()
             return Cause.RECLAIM
+        if running.attempts == 0:
+            self._pace.wait()
+            return generation.cause
         spent = running.attempts >= MAX_ATTEMPTS or running.fruitless >= MAX_FRUITLESS
         if spent or not self._spend(running):
             raise self._give_up(running, lost.reason)
@@ -210,8 +213,7 @@
         until_ms = min(self._clock.now_ms() + patience_ms, running.generation.deadline_ms)
         while True:
             try:
-                need = build_need(running.generation, frozenset(running.excluded))
-                return self._chooser.choose(need)
+                return self._chooser.choose(running.build_need())
             except RequestError as refusal:
                 if self._clock.now_ms() + CHOOSE_AGAIN_MS > until_ms:
                     raise self._explain(running, refusal) from refusal
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -1,7 +1,7 @@
 """A generation while this daemon relays it, and what the relay needs from other layers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from hemlockswitch.connection.backends import BackendExchange
@@ -150,6 +150,17 @@
             return Ran.YES
         return Ran.UNKNOWN if self.sent else Ran.NO
 
+    def build_need(self) -> Need:
+        """Return what the rest needs now, leaving out the servers that lost the generation."""
+        done = len(self.generation.tokens)
+        return replace(
+            self.need,
+            prompt_tokens=self.need.prompt_tokens + done,
+            max_tokens=max(self.generation.max_tokens - done, 1),
+            priority=0 if done else self.need.priority,
+            exclude=frozenset(self.excluded),
+        )
+
     def build_overdue(self) -> RequestError:
         """Return the answer to a request whose deadline has passed."""
         ran = self.state_ran()
@@ -162,17 +173,15 @@
         first = self.generation.cause is Cause.FIRST
         if first or not self.brought_token or self.kv_handle is not None:
             return 0
-        return count_tokens(self.generation.prompt) + self.base_tokens
+        return self.need.prompt_tokens + self.base_tokens
 
 
-def build_need(generation: Generation, exclude: frozenset[str] = frozenset()) -> Need:
-    """Return what the router must know of a generation."""
-    done = len(generation.tokens)
+def build_need(generation: Generation) -> Need:
+    """Return what the router must know of a generation that has not begun."""
     return Need(
         target=generation.model,
         prefix_blocks=hash_blocks(generation.prompt),
-        prompt_tokens=count_tokens(generation.prompt) + done,
-        max_tokens=max(generation.max_tokens - done, 1),
-        priority=0 if done else generation.priority,
-        exclude=exclude,
+        prompt_tokens=count_tokens(generation.prompt),
+        max_tokens=generation.max_tokens,
+        priority=generation.priority,
     )
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -8,6 +8,7 @@
     BackendCall,
     BackendClient,
     ExchangeError,
+    ExchangeTimeoutError,
     Stage,
 )
 from hemlockswitch.connection.intake import CallerAnswer, CallerRequest
@@ -21,6 +22,7 @@
 from hemlockswitch.version.models import Operation, Service
 
 MAX_DISPATCHES = 4
+PATIENT_SHARE = 0.5
 PASSED_TO_SERVICE = ("content-type", "accept", "accept-language", "idempotency-key")
 PASSED_TO_CALLER = ("content-type", "content-language", "etag", "location")
 OWN_ID = "x-request-id"
@@ -147,7 +149,7 @@
             server = self._choose(service, progress)
             progress.dispatches += 1
             try:
-                answer = self._send(request, server, path, deadline_ms)
+                answer = self._send(request, service, server, path, deadline_ms)
                 if not (operation.idempotent and answer.status >= 500):
                     return _keep(answer)
                 progress.last, progress.ran = answer, Ran.YES
@@ -179,7 +181,12 @@
             raise
 
     def _send(
-        self, request: CallerRequest, server: BackendServer, path: str, deadline_ms: float
+        self,
+        request: CallerRequest,
+        service: Service,
+        server: BackendServer,
+        path: str,
+        deadline_ms: float,
     ) -> BackendAnswer:
         left_ms = max(deadline_ms - self._clock.now_ms(), 1.0)
         headers = {
@@ -191,14 +198,18 @@
         target = f"{path}?{request.query}" if request.query else path
         call = BackendCall(request.method, target, request.body, headers)
         ticket = self._directory.begin(server.name)
+        failed = False
         outcome = "failed"
         try:
             answer = self._client.call(server.address, call, left_ms)
             self._check_own(answer, request.request_id)
             outcome = "answered"
             return answer
+        except ExchangeError as error:
+            failed = _is_servers_fault(error, left_ms, service)
+            raise
         finally:
-            self._directory.end(ticket, failed=outcome == "failed")
+            self._directory.end(ticket, failed)
             self._observer.dispatch_ended(request, outcome)
 
     @staticmethod
@@ -238,6 +249,12 @@
         super().__init__(Stage.DURING_ANSWER, detail)
 
 
+def _is_servers_fault(error: ExchangeError, given_ms: float, service: Service) -> bool:
+    """Return whether to leave the server alone for a while; an impatient caller is no reason."""
+    patient = given_ms >= service.timeout_ms * PATIENT_SHARE
+    return patient or not isinstance(error, ExchangeTimeoutError)
+
+
 def _keep(answer: BackendAnswer) -> StoredAnswer:
     headers = {name: answer.headers[name] for name in PASSED_TO_CALLER if name in answer.headers}
     return StoredAnswer(answer.status, headers, answer.body)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -12,7 +12,7 @@
     ExchangeError,
     Stage,
 )
-from hemlockswitch.core.errors import Ran
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 CALL = BackendCall("POST", "/x", b"body")
@@ -59,9 +59,9 @@
 
 def test_injected_headers_are_never_sent(serve):
     call = BackendCall("GET", "/x", headers={"X-Request-Id": "a\r\nX-Other: b"})
-    with pytest.raises(ExchangeError) as raised:
+    with pytest.raises(RequestError) as raised:
         BackendClient().call(serve(HEAD + b"done"), call, 5_000)
-    assert raised.value.stage is Stage.BEFORE_SEND
+    assert raised.value.kind is ErrorKind.BAD_REQUEST
 
 
 @pytest.mark.parametrize(
