--- a/features/entry_reclaim.feature
+++ b/features/entry_reclaim.feature
@@ -64,3 +64,11 @@
     When "entry-abdoun-hall-1" is killed when the first stream has been told to move
     Then every stream that was told to move is whole
     And every other stream is whole or its caller hears that its fate is unknown
+
+  Scenario: The receiving VM is killed before the callers have come
+    Given two zones with 2 entry VMs and 1 engine each
+    And 3 streams of 170 tokens through "entry-abdoun-hall-1", each read for 10 tokens
+    When "entry-abdoun-hall-1" get a notice of 2500 ms
+    And every stream has been told to move
+    And "entry-abdoun-hall-2" is killed
+    Then every caller hears that the fate of its request is unknown
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -30,6 +30,12 @@
     Then the account ran no more than its limit, and at least 50 % of it
     And the others have back what they had lent
 
+  Scenario: A daemon is frozen past its term and wakes among callers
+    Given two zones with two entry VMs each and an account of 20 requests a second and 20 at a time
+    When "entry-abdoun-hall-1" is frozen until another daemon has a part of its share
+    And it wakes while 60 requests a second go to all entry VMs for 3 seconds
+    Then the account ran no more than its limit, and at least 60 % of it
+
   Scenario: The platform is down for longer than the term
     Given two zones with two entry VMs each and an account of 20 requests a second and 20 at a time
     When the platform answers nobody any more
--- a/features/steps/entry_reclaim_steps.py
+++ b/features/steps/entry_reclaim_steps.py
@@ -139,6 +139,19 @@
         context.told.append(was_moved(stream))
 
 
+@when('"{name}" is killed')
+def kill_receiver(context, name):
+    context.leaving.append(name)
+    context.cluster.get(name).kill()
+
+
+@then("every caller hears that the fate of its request is unknown")
+def check_all_unknown(context):
+    for refusal in finish_all(context, context.streams):
+        error = json.loads(refusal.body)["error"]
+        assert (error["kind"], error["ran"]) == ("unknown_request", "unknown"), error
+
+
 @when('every stream goes on at "{name}" for {tokens:d} tokens')
 def go_on_at(context, name, tokens):
     for stream in context.streams:
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -132,6 +132,29 @@
     timer.join()
 
 
+@when('"{name}" is frozen until another daemon has a part of its share')
+def freeze(context, name):
+    cluster = context.cluster
+    frozen = cluster.get(name)
+    granted = read_limits(frozen)["granted"][0]
+    zone = frozen.settings["zone"]
+    others = [item for item in cluster.list_daemons(zone=zone) if item.name != name]
+    frozen.freeze()
+    context.frozen = frozen
+    wait_until(
+        lambda: sum(read_limits(item)["granted"][0] for item in others) > granted,
+        "a part of the frozen daemon's share is granted to others",
+        30,
+    )
+
+
+@when("it wakes while {rate:d} requests a second go to all entry VMs for {seconds:d} seconds")
+def wake_under_load(context, rate, seconds):
+    timer = threading.Timer(0.2, context.frozen.thaw)
+    timer.start()
+    offer(context, context.cluster.list_daemons(), rate, seconds)
+
+
 @when('"{zone}" is cut off from the other zone and the platform')
 def cut_off(context, zone):
     context.links.cut_zone(zone)
--- a/hemlockswitch/process/departure.py
+++ b/hemlockswitch/process/departure.py
@@ -43,6 +43,7 @@
     clock : the process's clock.
     relay : the generations in progress.
     opener : ends the engine streams of generations that nobody fetched.
+    count : counts what becomes of generations.
     """
 
     def __init__(
@@ -52,12 +53,14 @@
         clock: Clock,
         relay: Relay,
         opener: AttemptOpener,
+        count: Callable[[str], None],
     ) -> None:
         self._settings = settings
         self._facts = facts
         self._clock = clock
         self.told = Signal()
-        self.store = StateStore(clock, opener.cancel)
+        self._count = count
+        self.store = StateStore(clock, opener.cancel, count)
         self.handover = Handover(
             name=settings.name,
             zone=settings.zone,
@@ -66,6 +69,7 @@
             list_members=lambda: list_share_members(facts.membership),
             list_running=lambda: list(relay.running.values()),
             store=self.store,
+            count=count,
         )
         self._serve_peers()
         facts.board.add_listener(f"{NOTICE_PREFIX}{settings.name}", self._hear_notice)
@@ -84,6 +88,7 @@
             admission=admission,
             records=records,
             answer=serving.answer,
+            count=self._count,
         )
 
     def request(self) -> None:
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -143,11 +143,19 @@
         self.records = RequestRecords(self.admission, self.metrics, reports, self.clock)
         self.serving = Serving(self.relay, self.services, self.records, self.clock)
         self.serving.has_limits = lambda: self.shares.is_ready
-        self.departure = Departure(self.settings, self.facts, self.clock, self.relay, self.opener)
+        self.departure = Departure(
+            self.settings,
+            self.facts,
+            self.clock,
+            self.relay,
+            self.opener,
+            self.metrics.count_handover,
+        )
         self.serving.resumer = self.departure.build_resuming(
             self.admission, self.records, self.serving
         )
         self.status.add("handover", self.departure.handover.describe)
+        self.metrics.shares_in_term.set_function(lambda: int(self.shares.book.in_term))
         self.metrics.in_progress.set_function(lambda: self.records.in_progress)
         self.status.add("requests_in_progress", lambda: self.records.in_progress)
 
--- a/hemlockswitch/process/handover.py
+++ b/hemlockswitch/process/handover.py
@@ -71,6 +71,7 @@
     list_members : the live daemons that are not leaving.
     list_running : the generations that this daemon relays.
     store : the generations that wait here.
+    count : counts what becomes of generations.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         list_members: Callable[[], Iterable[HandoverMember]],
         list_running: Callable[[], list[Running]],
         store: StateStore,
+        count: Callable[[str], None] = lambda outcome: None,
     ) -> None:
         self._name = name
         self._zone = zone
@@ -91,6 +93,7 @@
         self._list_members = list_members
         self._list_running = list_running
         self._store = store
+        self._count = count
         self._deadline_ms = float("inf")
         self.moved = 0
         self.failed = 0
@@ -139,6 +142,7 @@
         done = self._send(state, generation.hops + 1)
         self.moved += done
         self.failed += not done
+        self._count("handed_over" if done else "kept")
         return done
 
     def _send(self, state: GenerationState, hops: int) -> bool:
--- a/hemlockswitch/process/metrics.py
+++ b/hemlockswitch/process/metrics.py
@@ -87,6 +87,17 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.handovers = Counter(
+            "hemlock_handovers",
+            "Generations that changed their daemon, by what became of them.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.shares_in_term = Gauge(
+            "hemlock_limit_shares_in_term",
+            "1 while this daemon's shares of the limits are renewed.",
+            registry=self.registry,
+        )
         self.in_progress = Gauge(
             "hemlock_requests_in_progress", "Requests in progress.", registry=self.registry
         )
@@ -98,6 +109,10 @@
         """Count what became of one call's claim."""
         self.claims.labels(outcome).inc()
 
+    def count_handover(self, outcome: str) -> None:
+        """Count what became of one generation that changes its daemon."""
+        self.handovers.labels(outcome).inc()
+
     def count_recomputed(self, cause: str, tokens: int) -> None:
         """Count tokens that were computed again because of `cause`."""
         if tokens:
--- a/hemlockswitch/process/resuming.py
+++ b/hemlockswitch/process/resuming.py
@@ -68,6 +68,7 @@
     admission : gives a permit without a refusal, since the request was admitted before.
     records : begins the request's record.
     answer : relays the rest of a generation after the bytes given.
+    count : counts what becomes of generations.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         admission: Readmitter,
         records: RequestRecords,
         answer: AnswerRest,
+        count: Callable[[str], None] = lambda outcome: None,
     ) -> None:
         self._name = name
         self._clock = clock
@@ -90,6 +92,7 @@
         self._admission = admission
         self._records = records
         self._answer = answer
+        self._count = count
 
     def resume(self, request: CallerRequest, account: str, resumed_id: str) -> CallerAnswer:
         """Return the rest of an earlier request's answer.
@@ -113,6 +116,7 @@
         charged = count_tokens(generation.prompt) + done if done else 0
         record = self._records.begin(request, generation.model)
         record.adopt_permit(self._admission.readmit(account, charged))
+        self._count("resumed")
         log_event(Event.GENERATION_RESUMED, request=resumed_id, position=start)
         return self._answer(generation, request, record, render_events(generation, start))
 
--- a/hemlockswitch/process/state_store.py
+++ b/hemlockswitch/process/state_store.py
@@ -59,16 +59,22 @@
 
     clock : the process's clock.
     end_stream : told of the engine's address and stream of a generation that nobody fetched.
+    count : counts what becomes of generations.
     """
 
-    def __init__(self, clock: Clock, end_stream: Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        end_stream: Callable[[str, str], None],
+        count: Callable[[str], None] = lambda outcome: None,
+    ) -> None:
         self._clock = clock
         self._end_stream = end_stream
+        self._count = count
         self._held: dict[str, Held] = {}
         self._confirmed: dict[str, float] = {}
         self._size_bytes = 0
         self.accepting = True
-        self.ended = 0
 
     def __len__(self) -> int:
         return len(self._held)
@@ -91,6 +97,7 @@
         size_bytes = len(state.body) + sum(map(len, state.tokens))
         if len(self._held) >= MOST_STATES or self._size_bytes + size_bytes > MOST_BYTES:
             raise PeerError(ErrorKind.OVERLOADED, "too many generations wait here")
+        self._count("received")
         self._add(Held(state, message.hops, size_bytes, self._find_end_ms(state)))
         return HandedOver(state.request_id)
 
@@ -155,7 +162,7 @@
         for request_id, held in list(self._held.items()):
             if now_ms >= max(held.until_ms, held.reserved_until_ms):
                 self._remove(request_id)
-                self.ended += 1
+                self._count("ended")
                 if held.state.stream_id:
                     self._end_stream(held.state.server_address, held.state.stream_id)
         for taker, until_ms in list(self._confirmed.items()):
