--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -10,7 +10,7 @@
     ExchangeError,
     Stage,
 )
-from hemlockswitch.connection.callers import CallerAnswer, CallerRequest
+from hemlockswitch.connection.intake import CallerAnswer, CallerRequest
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.claims import Claims, StoredAnswer, fingerprint_call
@@ -128,6 +128,7 @@
                 key,
                 fingerprint_call(request.method, service.name, path, request.query, request.body),
                 lambda: self._dispatch(request, service, operation, path, deadline_ms),
+                deadline_ms - self._clock.now_ms(),
             )
         headers = {name: value for name, value in answer.headers.items() if name != "content-type"}
         content_type = answer.headers.get("content-type", JSON_TYPE)
