--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -17,6 +17,7 @@
 
 from features.support.calls import ChatStream, Reply, call, get_json, make_chat, post_json
 from features.support.operator_files import KEY, MODEL, SERVICE, ZONES, make_operator_file
+from features.support.operators import Operator
 from features.support.processes import Program, wait_until
 from hemlockswitch.core.identifiers import make_identifier
 from hemlockswitch.version.checks import parse_file
@@ -179,8 +180,24 @@
 
     # Configuration
 
+    def apply_as_operator(self, file: dict[str, Any]) -> int:
+        """Apply an operator file with ``hemlock-ctl`` and return its number."""
+        operator = Operator(self.folder, self.platform.addresses["http"])
+        seen = ("--from", str(self.revision)) if self.revision else ()
+        outcome = operator.run("apply", file, *seen)
+        assert outcome.code == 0, f"apply: {outcome}"
+        self.revision = outcome.answer["number"]
+        return self.revision
+
     def apply(self, file: dict[str, Any]) -> int:
-        """Write an operator file as the next revision and move the pointer; return its number."""
+        """Write an operator file as the next revision and move the pointer; return its number.
+
+        Explanation
+        ===========
+
+        The same objects as ``hemlock-ctl apply`` writes, without starting a process for each
+        scenario; what the command itself does is proved in ``apply_whole.feature``.
+        """
         checked = parse_file(json.dumps(file))
         wall_ms = int(time.time() * 1_000)
         apply_id = make_identifier("apply")
@@ -208,6 +225,7 @@
         file: dict[str, Any] | None = None,
         engine_settings: dict[str, Any] | None = None,
         entry_settings: dict[str, Any] | None = None,
+        as_operator: bool = False,
     ) -> "Cluster":
         """Start a whole cluster, apply its file, and return when every entry daemon serves.
 
@@ -216,6 +234,7 @@
 
         entries, engines, services : how many in each zone. Names are ``entry-<zone>-1``,
             ``engine-<zone>-1``, ``service-<zone>-1`` and so on.
+        as_operator : apply the file with ``hemlock-ctl`` instead of writing its objects.
         """
         self.launch_platform()
         names = [
@@ -231,7 +250,8 @@
                 self.register(f"engine-{zone}-{number}", zone, MODEL)
             if number <= services:
                 self.register(f"service-{zone}-{number}", zone, SERVICE)
-        self.apply(file or make_operator_file(zones))
+        apply = self.apply_as_operator if as_operator else self.apply
+        apply(file or make_operator_file(zones))
         self.launch_entries(zones, entries, **(entry_settings or {}))
         return self
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -89,9 +89,11 @@
     """Run the demo and return its exit code."""
     cluster = Cluster()
     try:
-        cluster.build(entry_settings={"traces": "log"})
+        cluster.build(entry_settings={"traces": "log"}, as_operator=True)
         print(f"{len(cluster.programs)} processes in zones {', '.join(ZONES)}")
-        print(f"revision {cluster.revision} applied: model {MODEL}, service {SERVICE}")
+        print(
+            f"revision {cluster.revision} applied by hemlock-ctl: model {MODEL}, service {SERVICE}"
+        )
         problems = show_chat(cluster) + show_service_call(cluster)
     finally:
         cluster.close()
