--- a/hemlockswitch/standin/proxy.py
+++ b/hemlockswitch/standin/proxy.py
@@ -6,7 +6,8 @@
 from pydantic import BaseModel, ConfigDict
 
 from hemlockswitch.core.clock import Clock, SystemClock
-from hemlockswitch.standin.links import Link, LinkFaults
+from hemlockswitch.standin.link_faults import LinkFaults
+from hemlockswitch.standin.links import Link
 from hemlockswitch.standin.server import (
     RefusalError,
     make_application,
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -6,7 +6,8 @@
 from gevent.server import StreamServer
 
 from hemlockswitch.core.clock import SystemClock
-from hemlockswitch.standin.links import Direction, Link, LinkFaults, LostAnswer, Mode
+from hemlockswitch.standin.link_faults import Direction, LinkFaults, LostAnswer, Mode
+from hemlockswitch.standin.links import Link
 from hemlockswitch.standin.server import parse_address
 
 PATIENCE_S = 10
