Judge the watching daemons again in leaving.feature; follow run_once's new argument

Cause: the merged outline let only the daemon that does not watch take requests, so that frozen watchers could be tried; with it the cut watchers' own requests were no longer judged. And a test double of the claims lacked the limit that run_once takes now. Change: the earlier scenario stands again beside the outline.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -25,6 +25,15 @@
       | cut from platform |
       | frozen            |
 
+  Scenario: The daemons that watch the platform are cut from it and serve on
+    Given 3 daemons in "abdoun-hall" that reach the platform each through a link, and 2 engines
+    And steady requests through every daemon
+    When 2 s pass
+    And the daemons that watch for "abdoun-hall" are cut from platform
+    And "engine-abdoun-hall-1" gets a reclaim notice
+    Then nothing began on "engine-abdoun-hall-1" later than 3 s after the notice
+    And every answer is whole
+
   Scenario: A planned stop
     Given 3 daemons and 2 engines in "abdoun-hall" and 1 daemon and 1 engine in "khalda-hall"
     And steady requests through every daemon
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -73,7 +73,7 @@
             raise result
         return result
 
-    def run_once(self, account, key, fingerprint, dispatch):
+    def run_once(self, account, key, fingerprint, dispatch, limit_ms):
         self.claimed.append((account, key))
         raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "no place")
 
