--- a/features/steps/storm_steps.py
+++ b/features/steps/storm_steps.py
@@ -15,6 +15,7 @@
 CALL = {"kind": "call", "service": SERVICE, "path": "/confirmations", "keyed": True}
 MIX = [{**CHAT, "weight": 3}, {**CHAT, "stream": False}, CALL]
 PATIENCE_MS = 30_000
+SLOW = "the store takes "
 DOWN, UP = {"mode": "down"}, {}
 
 
@@ -32,6 +33,9 @@
         context.cluster.set_platform_faults(objects=DOWN)
     elif fault == "the store is up again":
         context.cluster.set_platform_faults(objects=UP)
+    elif fault.startswith(SLOW):
+        delay_ms = int(fault.removeprefix(SLOW).removesuffix(" ms"))
+        context.cluster.set_platform_faults(objects={"delay_ms": delay_ms})
     elif fault == "kill":
         context.cluster.get(names).kill()
     else:
@@ -68,6 +72,8 @@
     assert results["requests"] > 0
     assert results["verdicts"] == {"whole": results["requests"]}, (
         results["verdicts"],
+        results["errors"],
+        results["by_kind"],
         results["problems"][:3],
     )
 
--- a/features/storm.feature
+++ b/features/storm.feature
@@ -18,3 +18,18 @@
       | 9500     | reclaim               | entry-khalda-hall-1, entry-khalda-hall-2         | 2500      |
     Then every request got its own whole answer
     And no call ran twice
+
+  Scenario Outline: The store is slow for long and an entry VM leaves meanwhile
+    Given two zones with 2 entry VMs, 2 engines and 1 services each
+    When 6 mixed requests a second come for 14 seconds, and meanwhile
+      | after_ms | fault                         | names               | notice_ms |
+      | 1000     | the store takes <delay_ms> ms |                     |           |
+      | 6000     | reclaim                       | entry-abdoun-hall-1 | 2500      |
+      | 11000    | the store is up again         |                     |           |
+    Then every request got its own whole answer
+    And no call ran twice
+
+    Examples:
+      | delay_ms |
+      | 400      |
+      | 2500     |
