--- a/hemlockswitch/connection/backends.py
+++ b/hemlockswitch/connection/backends.py
@@ -19,10 +19,11 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from hemlockswitch.core.clock import MS_PER_SECOND
-from hemlockswitch.core.errors import BackendError, ErrorKind, Ran
+from hemlockswitch.core.errors import BackendError, ErrorKind, Ran, RequestError
 
 READ_EVENT = 1
 READ_BYTES = 65_536
+QUICK_READS = 2
 CONNECT_TIMEOUT_MS = 1_000
 SEND_TIMEOUT_MS = 5_000
 BODILESS_STATUSES = frozenset({204, 304})
@@ -47,6 +48,10 @@
         self.stage = stage
 
 
+class ExchangeTimeoutError(ExchangeError):
+    """An exchange that did not end in the time that it was given."""
+
+
 @dataclass(frozen=True)
 class BackendCall:
     """One request to send to a backend server."""
@@ -80,10 +85,8 @@
 
     def __init__(self, method: str) -> None:
         super().__init__(method=method)
-        self.pieces: list[bytes] = []
-
-    def _on_body(self, buf: bytearray) -> None:
-        self.pieces.append(bytes(buf))
+        self.pieces: list[bytearray] = []
+        self._on_body = self.pieces.append  # type: ignore[assignment]
 
     @property
     def begun(self) -> bool:
@@ -93,7 +96,7 @@
     def take_body(self) -> bytes:
         """Return and forget the body parsed since the last call."""
         if len(self.pieces) == 1:
-            return self.pieces.pop()
+            return bytes(self.pieces.pop())
         body = b"".join(self.pieces)
         self.pieces.clear()
         return body
@@ -106,15 +109,20 @@
     ===========
 
     Reads wait on one watcher for the life of the exchange and make no time-out each; whoever
-    bounds the exchange calls `interrupt`, which raises in the reading task.
+    bounds the exchange calls `interrupt`, which raises in the reading task. Its first reads go
+    before those of exchanges that are under way, so that a first token does not wait behind
+    other streams' tokens.
     """
 
     def __init__(self, connection: socket.socket, parser: _AnswerParser) -> None:
         self._connection = connection
         self._parser = parser
         self._hub = gevent.get_hub()
-        self._watcher = self._hub.loop.io(connection.fileno(), READ_EVENT)
-        self._waiter: Waiter[None] | None = None
+        self._watcher = self._hub.loop.io(
+            connection.fileno(), READ_EVENT, priority=self._hub.loop.MAXPRI
+        )
+        self._wake: Waiter[None] = Waiter(self._hub)
+        self._waiting = False
         self._interruption: BaseException | None = None
         self.reads = 0
 
@@ -128,6 +136,7 @@
         ======
 
         ExchangeError : with the stage `BEFORE_SEND` or `DURING_SEND`.
+        RequestError : the call's headers or path cannot be sent; no server is to blame.
         """
         host, _, port = address.rpartition(":")
         request = cls._build(host, int(port), call)
@@ -148,7 +157,7 @@
         try:
             return _RequestBuilder(host, port).build(call)
         except (ValueError, UnicodeEncodeError) as error:
-            raise ExchangeError(Stage.BEFORE_SEND, str(error)) from error
+            raise RequestError(ErrorKind.BAD_REQUEST, f"cannot be passed on: {error}") from error
 
     @staticmethod
     def _connect(host: str, port: int, timeout_ms: int) -> socket.socket:
@@ -214,13 +223,13 @@
     @property
     def is_waiting(self) -> bool:
         """Whether a task waits for bytes now."""
-        return self._waiter is not None
+        return self._waiting
 
     def interrupt(self, error: BaseException) -> None:
         """Raise `error` in the task that reads now, or at its next read."""
         self._interruption = error
-        if self._waiter is not None:
-            self._hub.loop.run_callback(self._waiter.switch, None)
+        if self._waiting:
+            self._hub.loop.run_callback(self._wake.switch, None)
 
     def close(self) -> None:
         """Give the socket back; safe to call twice."""
@@ -238,6 +247,8 @@
         except OSError as error:
             raise ExchangeError(self._stage, str(error)) from error
         self.reads += 1
+        if self.reads == QUICK_READS:
+            self._watcher.priority = 0
         try:
             self._parser.feed(data)
         except HTTPParseError as error:
@@ -251,13 +262,13 @@
 
     def _wait_readable(self) -> None:
         self._raise_interruption()
-        waiter: Waiter[None] = Waiter(self._hub)
-        self._waiter = waiter
-        self._watcher.start(waiter.switch, None)
+        self._wake.clear()
+        self._waiting = True
+        self._watcher.start(self._wake.switch, None)
         try:
-            waiter.get()
+            self._wake.get()
         finally:
-            self._waiter = None
+            self._waiting = False
             self._watcher.stop()
         self._raise_interruption()
 
@@ -291,7 +302,7 @@
         except gevent.Timeout as expired:
             if expired is not timeout:
                 raise
-            raise ExchangeError(self._correct(stage), "time-out") from expired
+            raise ExchangeTimeoutError(self._correct(stage), "time-out") from expired
         finally:
             timeout.close()
             if exchange is not None:
