Prove claims against old reads together with lost answers

The platform loses the answers of three writes of claims and serves reads from one version before: no key runs twice, none that was refused with `ran: no` has run, and each has run once when the platform is well again.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -57,6 +57,13 @@
     Then no key has run more than once
     And every key whose answer was good has run 1 time
     And every key that was refused with ran no has run 0 times
+    When the platform also answers reads from 1 version before
+    And the keys "old1" to "old6" are sent to each daemon in turn
+    Then no key has run more than once
+    And every key whose answer was good has run 1 time
+    And every key that was refused with ran no has run 0 times
+    When the platform is up
+    Then every key is answered in the end and has run 1 time
     When the platform is down
     And the key "k7" is sent to "entry-abdoun-hall-1"
     Then it is refused with claim_unavailable and ran no
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -128,11 +128,12 @@
     assert context.cluster.get(entry).stop() == 0
 
 
-@when('the keys "k1" to "k6" are sent to each daemon in turn')
-def send_many(context):
+@when('the keys "{prefix}1" to "{last}6" are sent to each daemon in turn')
+def send_many(context, prefix, last):
+    assert prefix == last
     for number in range(1, 7):
         for entry in ENTRIES:
-            send(context, f"k{number}", entry)
+            send(context, f"{prefix}{number}", entry)
 
 
 def send_in_background(context, key, entry):
@@ -220,6 +221,21 @@
     context.cluster.set_platform_faults(objects=faults)
 
 
+@when("the platform also answers reads from {count:d} version before")
+def answer_old_reads(context, count):
+    faults = {"lose_answers": 3, "lose_kinds": ["claims"], "versions_back": count}
+    context.cluster.set_platform_faults(objects=faults)
+
+
+@then("every key is answered in the end and has run 1 time")
+def check_all_answered(context):
+    for key in list(context.sent):
+        wait_until(
+            lambda key=key: send(context, key, ENTRIES[1]).status == 200, f"{key} served", LIMIT_S
+        )
+    check_each_ran(context)
+
+
 @step('"{zone}" is cut from the platform')
 def cut_from_platform(context, zone):
     for name in ENTRIES:
