--- a/hemlockswitch/connection/caller_server.py
+++ b/hemlockswitch/connection/caller_server.py
@@ -8,6 +8,7 @@
 gevent starts only when the send buffer is full, so a caller that reads costs no timer.
 """
 
+import contextlib
 import socket as system_socket
 from collections.abc import Callable
 from typing import Any
@@ -194,7 +195,8 @@
 
     def _refuse_head(self) -> None:
         """Answer a wrong head, then read a bounded rest so that the answer is not lost."""
-        with gevent.Timeout(DRAIN_TIMEOUT_MS / MS_PER_SECOND, False):
+        patience = gevent.Timeout(DRAIN_TIMEOUT_MS / MS_PER_SECOND, False)
+        with contextlib.suppress(OSError), patience:
             self.socket.sendall(_MALFORMED)
             self.socket.shutdown(system_socket.SHUT_WR)
             left = DRAIN_BYTES
--- a/hemlockswitch/process/serving.py
+++ b/hemlockswitch/process/serving.py
@@ -229,6 +229,8 @@
         try:
             yield self._first
             yield from self._events
+        except MovedError as moved:
+            yield render_moved(moved, self._generation.request_id)
         except HemlockError as error:
             body = describe_error(error, self._generation.request_id)
             yield b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
