--- a/hemlockswitch/connection/backends.py
+++ b/hemlockswitch/connection/backends.py
@@ -161,10 +161,16 @@
 
     @staticmethod
     def _connect(host: str, port: int, timeout_ms: int) -> socket.socket:
+        """Connect by IP; `create_connection` would ask the resolver's threads even for that."""
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.settimeout(timeout_ms / MS_PER_SECOND)
         try:
-            connection = socket.create_connection((host, port), timeout_ms / MS_PER_SECOND)
-        except OSError as error:
-            raise ExchangeError(Stage.BEFORE_SEND, str(error)) from error
+            connection.connect((host, port))
+        except BaseException as error:
+            connection.close()
+            if isinstance(error, OSError):
+                raise ExchangeError(Stage.BEFORE_SEND, str(error)) from error
+            raise
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
