--- a/hemlockswitch/process/reports.py
+++ b/hemlockswitch/process/reports.py
@@ -1,6 +1,7 @@
 """What the relay and the service calls report, turned into metrics and spans."""
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from opentelemetry.trace import Span
 
@@ -11,6 +12,14 @@
 from hemlockswitch.version.backend import BackendServer
 
 
+class Identified(Protocol):
+    """What has a request's id: a model request's generation or a service's call."""
+
+    @property
+    def request_id(self) -> str:
+        """The id in every answer."""
+
+
 @dataclass
 class _Hops:
     """The open spans of one request."""
@@ -66,13 +75,13 @@
         if span is not None:
             self._tracing.end(span, error)
 
-    def choice_began(self, generation: Generation) -> None:
+    def choice_began(self, request: Identified) -> None:
         """A backend server is being chosen."""
-        self.hop_began(generation.request_id, "routing")
+        self.hop_began(request.request_id, "routing")
 
-    def choice_ended(self, generation: Generation, server_name: str) -> None:
+    def choice_ended(self, request: Identified, server_name: str) -> None:
         """It was chosen, or none was when the name is empty."""
-        self.hop_ended(generation.request_id, "routing", "" if server_name else "no backend server")
+        self.hop_ended(request.request_id, "routing", "" if server_name else "no backend server")
 
     def attempt_began(self, generation: Generation) -> str:
         """Count an attempt by its cause, and begin its hop."""
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -30,7 +30,13 @@
 
 
 class ServiceObserver(Protocol):
-    """Who hears of dispatches."""
+    """Who hears of choices and dispatches."""
+
+    def choice_began(self, request: CallerRequest) -> None:
+        """A server is being chosen."""
+
+    def choice_ended(self, request: CallerRequest, server_name: str) -> None:
+        """It was chosen; the name is empty when none was."""
 
     def dispatch_began(self, request: CallerRequest, server: BackendServer) -> Any:
         """A call is about to be sent; returns headers that carry the trace."""
@@ -147,7 +153,7 @@
         progress = _Progress(excluded=set())
         while True:
             self._check_deadline(progress, deadline_ms)
-            server = self._choose(service, progress)
+            server = self._choose(request, service, progress)
             progress.dispatches += 1
             try:
                 answer = self._send(request, service, server, path, deadline_ms)
@@ -167,10 +173,16 @@
             raise RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
         raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=progress.ran)
 
-    def _choose(self, service: Service, progress: _Progress) -> BackendServer:
+    def _choose(
+        self, request: CallerRequest, service: Service, progress: _Progress
+    ) -> BackendServer:
         need = Need(target=service.name, exclude=frozenset(progress.excluded))
+        chosen = ""
+        self._observer.choice_began(request)
         try:
-            return self._chooser.choose(need)
+            server = self._chooser.choose(need)
+            chosen = server.name
+            return server
         except RequestError as refusal:
             if progress.last is not None or progress.ran is not Ran.NO:
                 raise RequestError(
@@ -180,6 +192,8 @@
                     retry_after_ms=refusal.answer.retry_after_ms,
                 ) from refusal
             raise
+        finally:
+            self._observer.choice_ended(request, chosen)
 
     def _send(
         self,
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -60,6 +60,12 @@
     def end(self, ticket, failed=False):
         self.blamed += [ticket] if failed else []
 
+    def choice_began(self, request):
+        pass
+
+    def choice_ended(self, request, server_name):
+        pass
+
     def dispatch_began(self, request, server):
         return {}
 
