Keep entry VMs out of the backend servers, and let notices of gone VMs be forgotten

Entry VMs stand in the VM list for discovery; the directory took them for servers of a target hemlock-entry, polled their load and kept asking other zones for more of them. Their leaving is still told. A notice of a VM that is gone becomes a tombstone, so boards do not keep it for ever.

--- a/hemlockswitch/process/backends.py
+++ b/hemlockswitch/process/backends.py
@@ -8,6 +8,7 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.discovery import ENTRY_SERVES
 from hemlockswitch.process.dispatches import Dispatches
 from hemlockswitch.process.loads import Ticket
 from hemlockswitch.process.news import NewsBoard, NewsItem
@@ -272,7 +273,7 @@
         if server.state is BackendState.GONE:
             self._servers.pop(server.name, None)
             self._dispatches.forget(server.name)
-        elif server.zone == self.zone:
+        elif server.zone == self.zone and server.serves not in ("", ENTRY_SERVES):
             self._servers[server.name] = server
 
     def _learn_notice(self, item: NewsItem) -> None:
--- a/hemlockswitch/process/watchers.py
+++ b/hemlockswitch/process/watchers.py
@@ -162,8 +162,16 @@
             if now_ms - since_ms >= GONE_AFTER_MS:
                 gone = {**item.value, "state": BackendState.GONE.value}
                 self._board.learn(NewsItem(item.key, item.version + 1, gone, tombstone=True))
+                self._bury_notice(name)
                 del self._missing_since_ms[name]
 
+    def _bury_notice(self, name: str) -> None:
+        """Let the boards forget the notice of a VM that is gone."""
+        notice = self._board.find(NOTICE_PREFIX + name)
+        if notice is not None:
+            last = NewsItem(notice.key, notice.version + 1, notice.value, tombstone=True)
+            self._board.learn(last)
+
 
 class NoticeFeed:
     """Passes the cloud API's reclaim notices of one zone on to the news board.
--- a/hemlockswitch/request/choices.py
+++ b/hemlockswitch/request/choices.py
@@ -106,8 +106,10 @@
     near = [one for one in bounded if costs[one.server.name] <= latest_ms]
     cheapest = min(one.server.price_per_hour for one in near)
     cheap = [one for one in near if one.server.price_per_hour <= cheapest]
-    if not wanted.prefix_blocks:
+    if home is None:
         return min(cheap, key=lambda one: (one.requests, chance.random()))
+    if home in cheap:
+        return home
     return find_home(cheap, wanted, choice.affinity_blocks)
 
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -50,6 +50,15 @@
     assert list_names(directory) == []
 
 
+def test_entry_vms_are_no_backend_servers_but_their_leaving_is_told(board, directory):
+    heard = []
+    directory.add_leaving_listener(lambda name, deadline: heard.append(name))
+    board.learn(make_vm("e", serves="hemlock-entry"))
+    assert directory.list_targets() == set()
+    board.learn(NewsItem("notice/e", 1, {"deadline_wall_ms": 9}))
+    assert heard == ["e"]
+
+
 def test_draining_names_get_no_new_work(board, directory):
     board.learn(make_vm("a"))
     directory.set_draining(["a"])
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -117,9 +117,11 @@
     clock.advance(GONE_AFTER_MS - 1)
     vms.ask()
     assert board.find("vm/a").value["state"] == "live"
+    board.learn(NewsItem("notice/a", 4, {"deadline_wall_ms": 77}))
     clock.advance(1)
     vms.ask()
     assert board.find("vm/a").value["state"] == "gone"
+    assert board.find("vm/a").tombstone and board.find("notice/a").tombstone
     assert board.find("vm/b").value["state"] == "live"
 
 
