Predict the time in a slot from the sizes of the requests there; refuse a burst early

A burst of 60 requests of 25 tokens on one engine with 2 slots was never refused: the time in a slot was the mean of past requests, which a warm-up of one token had made tiny, and the last caller waited 15 s (0 of 60 refused). The fake directory in test_relay takes the new argument.

--- a/hemlockswitch/process/backends.py
+++ b/hemlockswitch/process/backends.py
@@ -176,7 +176,7 @@
         """Return the number of this daemon's requests in progress at the server."""
         return self._dispatches.count_in_flight(name)
 
-    def begin(self, name: str, prompt_tokens: int = 0) -> Ticket:
+    def begin(self, name: str, prompt_tokens: int = 0, max_tokens: int = 0) -> Ticket:
         """Count a request as in progress at the server.
 
         Parameters
@@ -184,9 +184,11 @@
 
         name : the server.
         prompt_tokens : tokens that it has to compute before the first one.
+        max_tokens : most tokens of the answer.
         """
         server = self.find_server(name)
-        return self._dispatches.begin(name, server.serves if server else "", prompt_tokens)
+        serves = server.serves if server else ""
+        return self._dispatches.begin(name, serves, prompt_tokens, max_tokens)
 
     def note_first_token(self, ticket: Ticket) -> None:
         """Note that the request's prompt is computed."""
--- a/hemlockswitch/process/dispatches.py
+++ b/hemlockswitch/process/dispatches.py
@@ -14,10 +14,29 @@
 from hemlockswitch.version.backend import BackendServer
 
 DEFAULT_SERVICE_MS = 1_000.0
+DEFAULT_TOKEN_MS = 20.0
 SERVICE_WEIGHT = 0.05
 DEFAULT_PREFILL_TOKENS_PER_S = 4_000.0
 
 
+@dataclass
+class _Pace:
+    """Time and number of tokens made after first tokens, the older ones counting less."""
+
+    spent_ms: float = 0.0
+    tokens: float = 0.0
+
+    def add(self, spent_ms: float, tokens: int) -> None:
+        """Add one answer."""
+        self.spent_ms = self.spent_ms * (1 - SERVICE_WEIGHT) + spent_ms
+        self.tokens = self.tokens * (1 - SERVICE_WEIGHT) + tokens
+
+    @property
+    def token_ms(self) -> float:
+        """Mean time between two tokens."""
+        return self.spent_ms / self.tokens if self.tokens else DEFAULT_TOKEN_MS
+
+
 @dataclass
 class _Known:
     """What this daemon knows of one backend server's work."""
@@ -32,12 +51,13 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._known: dict[str, _Known] = {}
+        self._paces: dict[str, _Pace] = {}
         self.service_ms: dict[str, float] = {}
 
-    def begin(self, name: str, serves: str, prompt_tokens: int) -> Ticket:
+    def begin(self, name: str, serves: str, prompt_tokens: int, max_tokens: int) -> Ticket:
         """Count a request as in progress at the server."""
         now_ms = self._clock.now_ms()
-        ticket = Ticket(make_identifier("tkt"), name, prompt_tokens, now_ms, serves)
+        ticket = Ticket(make_identifier("tkt"), name, prompt_tokens, now_ms, serves, max_tokens)
         known = self._know(name)
         known.load.begin(ticket)
         known.circuit.note_trial(now_ms)
@@ -53,6 +73,7 @@
         """Count the request as over; ending twice is ending once."""
         now_ms = self._clock.now_ms()
         known = self._know(ticket.server_name)
+        first_token_ms = known.load.first_token_ms.get(ticket.identifier)
         if not known.load.end(ticket, now_ms):
             return
         if failed:
@@ -61,6 +82,9 @@
         else:
             known.circuit.note_success()
             self._note_service(ticket, now_ms)
+            if first_token_ms is not None and ticket.max_tokens > 1:
+                pace = self._paces.setdefault(ticket.serves, _Pace())
+                pace.add(now_ms - first_token_ms, ticket.max_tokens - 1)
 
     def record_load(self, name: str, report: LoadReport, round_trip_ms: float) -> None:
         """Keep the newest load report of a server."""
@@ -112,10 +136,16 @@
             prefill_tokens=load.own_prefill_tokens + others.prefill_tokens,
             slots=report.slots if report else 0,
             prefill_tokens_per_s=speed,
-            service_ms=self.service_ms.get(server.serves, DEFAULT_SERVICE_MS),
+            service_ms=self._estimate_service_ms(server, load),
             distance_ms=load.distance_ms,
         )
 
+    def _estimate_service_ms(self, server: BackendServer, load: ServerLoad) -> float:
+        """Return how long a request holds a slot: by the sizes of those there, where known."""
+        if load.mean_max_tokens:
+            return load.mean_max_tokens * self._paces.get(server.serves, _Pace()).token_ms
+        return self.service_ms.get(server.serves, DEFAULT_SERVICE_MS)
+
     def _know(self, name: str) -> _Known:
         known = self._known.get(name)
         if known is None:
--- a/hemlockswitch/process/loads.py
+++ b/hemlockswitch/process/loads.py
@@ -15,13 +15,22 @@
 
 @dataclass(frozen=True)
 class Ticket:
-    """One request of this daemon in progress at a backend server."""
+    """One request of this daemon in progress at a backend server.
+
+    Parameters
+    ==========
+
+    prompt_tokens : tokens that had to be computed when it began.
+    serves : the model or service.
+    max_tokens : most tokens of its answer; 0 where it has none.
+    """
 
     identifier: str
     server_name: str
     prompt_tokens: int
     begun_ms: float
     serves: str = ""
+    max_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -47,6 +56,7 @@
 
     tickets: dict[str, Ticket] = field(default_factory=dict)
     waiting: dict[str, Ticket] = field(default_factory=dict)
+    first_token_ms: dict[str, float] = field(default_factory=dict)
     _reading: _Reading | None = None
     _history: deque[tuple[float, int, int]] = field(
         default_factory=lambda: deque(maxlen=HISTORY_LENGTH)
@@ -77,13 +87,21 @@
     def note_first_token(self, ticket: Ticket, now_ms: float) -> None:
         """Count a request's prompt as computed."""
         if self.waiting.pop(ticket.identifier, None) is not None:
+            self.first_token_ms[ticket.identifier] = now_ms
             self._note(now_ms)
 
+    @property
+    def mean_max_tokens(self) -> float:
+        """Mean of the most tokens of own requests in progress; 0 without any."""
+        sizes = [ticket.max_tokens for ticket in self.tickets.values()]
+        return sum(sizes) / len(sizes) if sizes else 0.0
+
     def end(self, ticket: Ticket, now_ms: float) -> bool:
         """Count a request as over; return False when it was over already."""
         if self.tickets.pop(ticket.identifier, None) is None:
             return False
         self.waiting.pop(ticket.identifier, None)
+        self.first_token_ms.pop(ticket.identifier, None)
         self._note(now_ms)
         return True
 
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -177,7 +177,7 @@
         server = generation.server
         assert server is not None
         uncached_tokens = self._chooser.note_dispatch(server.name, running.need)
-        ticket = self._directory.begin(server.name, uncached_tokens)
+        ticket = self._directory.begin(server.name, uncached_tokens, running.need.max_tokens)
         failed = False
         sent_before = running.sent
         attempt: Attempt | None = None
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -40,7 +40,7 @@
 class Directory(Protocol):
     """Who counts the requests in progress at each backend server."""
 
-    def begin(self, name: str, prompt_tokens: int = 0) -> Any:
+    def begin(self, name: str, prompt_tokens: int = 0, max_tokens: int = 0) -> Any:
         """Count a request as in progress and return its ticket."""
 
     def note_first_token(self, ticket: Any) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -165,3 +165,16 @@
         Router(directory).choose(Need("m"))
     assert caught.value.kind is ErrorKind.OVERLOADED
     assert caught.value.answer.retry_after_ms > 1_000
+
+
+def test_time_in_a_slot_follows_the_sizes_of_the_requests_there(board, clock, directory):
+    board.learn(make_vm("a"))
+    warm_up = directory.begin("a", max_tokens=11)
+    clock.advance(40)
+    directory.note_first_token(warm_up)
+    clock.advance(300)
+    directory.end(warm_up)
+    for _ in range(3):
+        directory.begin("a", max_tokens=100)
+    (candidate,) = directory.list_candidates("m")
+    assert candidate.service_ms == pytest.approx(3_000)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,7 +20,7 @@
 class Directory:
     leaving = frozenset()
 
-    def begin(self, name, prompt_tokens=0):
+    def begin(self, name, prompt_tokens=0, max_tokens=0):
         return name
 
     def note_first_token(self, ticket):
