--- a/hemlockswitch/request/choices.py
+++ b/hemlockswitch/request/choices.py
@@ -25,6 +25,7 @@
     prompt_tokens : tokens of the whole prompt.
     seen_tokens : leading tokens of the prompt that this daemon sent anywhere before.
     ms_per_token : time to compute one prompt token there.
+    slot_ms : time between two of its slots that become free.
     """
 
     server: BackendServer
@@ -35,6 +36,7 @@
     prompt_tokens: int = 0
     seen_tokens: int = 0
     ms_per_token: float = 0.0
+    slot_ms: float = 1.0
 
 
 class Wanted(Protocol):
--- a/hemlockswitch/request/routing.py
+++ b/hemlockswitch/request/routing.py
@@ -5,15 +5,17 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from hemlockswitch.core.clock import Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.request.choices import Choice, PredictedTime, Scored, pick
 from hemlockswitch.request.prefixes import PrefixMemory
+from hemlockswitch.request.returns import ReturnTimes
 from hemlockswitch.version.backend import BackendServer
 
 DEFAULT_CHOICE: Choice = PredictedTime()
 PATIENCE_BY_PRIORITY = (6.0, 4.0, 2.0)
 OVERFLOW_SHARE = 0.5
-RETRY_SPREAD = 0.25
+RETRY_SPREAD = 0.1
 MS_PER_SECOND = 1_000
 
 
@@ -111,6 +113,7 @@
     choice : the rule that picks one of the scored candidates.
     await_facts : called before each choice; waits, bounded, when the facts are known to be old.
     chance : source of random numbers.
+    clock : for the times to come back.
     """
 
     def __init__(
@@ -122,6 +125,7 @@
         choice: Choice | None = None,
         await_facts: Callable[[], None] = lambda: None,
         chance: random.Random | None = None,
+        clock: Clock | None = None,
     ) -> None:
         self._source = source
         self._find_traits = find_traits
@@ -129,6 +133,7 @@
         self._choice = choice or DEFAULT_CHOICE
         self._await_facts = await_facts
         self._chance = chance or random.Random()
+        self._returns = ReturnTimes(clock or SystemClock())
         self.memory = PrefixMemory()
 
     def choose(self, need: Need) -> BackendServer:
@@ -146,7 +151,7 @@
         best_ms = min(one.first_token_ms for one in scored)
         if best_ms > traits.first_token_ms * OVERFLOW_SHARE:
             self._source.note_overflow()
-        self._refuse_late(need, best_ms, traits)
+        self._refuse_late(need, scored, traits)
         return pick(self._choice, scored, need, self._chance).server
 
     def count_uncached(self, server_name: str, need: Need) -> int:
@@ -185,11 +190,13 @@
             seen_tokens=max(cached.values(), default=0),
             ms_per_token=MS_PER_SECOND / candidate.prefill_tokens_per_s,
             prompt_tokens=need.prompt_tokens,
+            slot_ms=max(candidate.service_ms / (candidate.slots or traits.slots), 1.0),
             uncached_tokens=uncached,
         )
 
-    def _refuse_late(self, need: Need, best_ms: float, traits: TargetTraits) -> None:
+    def _refuse_late(self, need: Need, scored: Sequence[Scored], traits: TargetTraits) -> None:
         """Refuse a request that would begin too late, saying when the queue will have shrunk."""
+        best_ms = min(one.first_token_ms for one in scored)
         step = min(max(need.priority, 0), len(PATIENCE_BY_PRIORITY) - 1)
         allowed_ms = traits.first_token_ms * PATIENCE_BY_PRIORITY[step]
         if need.deadline_ms is not None:
@@ -198,11 +205,13 @@
         if best_ms <= allowed_ms and not full:
             return
         wait_ms = max(best_ms - allowed_ms, best_ms / 2 if full else 0, 1)
+        slot_ms = 1 / sum(1 / one.slot_ms for one in scored)
+        promised_ms = self._returns.promise(need.target, wait_ms, slot_ms)
         spread = 1 + RETRY_SPREAD * self._chance.random()
         raise RequestError(
             ErrorKind.OVERLOADED,
             f"every backend server for {need.target} would begin too late",
-            retry_after_ms=int(wait_ms * spread) + 1,
+            retry_after_ms=int(promised_ms * spread) + 1,
         )
 
 
