--- a/hemlockswitch/process/backends.py
+++ b/hemlockswitch/process/backends.py
@@ -8,6 +8,7 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.discovery import ENTRY_SERVES
 from hemlockswitch.process.dispatches import Dispatches
 from hemlockswitch.process.loads import Ticket
 from hemlockswitch.process.news import NewsBoard, NewsItem
@@ -175,7 +176,7 @@
         """Return the number of this daemon's requests in progress at the server."""
         return self._dispatches.count_in_flight(name)
 
-    def begin(self, name: str, prompt_tokens: int = 0) -> Ticket:
+    def begin(self, name: str, prompt_tokens: int = 0, max_tokens: int = 0) -> Ticket:
         """Count a request as in progress at the server.
 
         Parameters
@@ -183,9 +184,11 @@
 
         name : the server.
         prompt_tokens : tokens that it has to compute before the first one.
+        max_tokens : most tokens of the answer.
         """
         server = self.find_server(name)
-        return self._dispatches.begin(name, server.serves if server else "", prompt_tokens)
+        serves = server.serves if server else ""
+        return self._dispatches.begin(name, serves, prompt_tokens, max_tokens)
 
     def note_first_token(self, ticket: Ticket) -> None:
         """Note that the request's prompt is computed."""
@@ -272,7 +275,7 @@
         if server.state is BackendState.GONE:
             self._servers.pop(server.name, None)
             self._dispatches.forget(server.name)
-        elif server.zone == self.zone:
+        elif server.zone == self.zone and server.serves not in ("", ENTRY_SERVES):
             self._servers[server.name] = server
 
     def _learn_notice(self, item: NewsItem) -> None:
--- a/hemlockswitch/request/choices.py
+++ b/hemlockswitch/request/choices.py
@@ -25,6 +25,7 @@
     prompt_tokens : tokens of the whole prompt.
     seen_tokens : leading tokens of the prompt that this daemon sent anywhere before.
     ms_per_token : time to compute one prompt token there.
+    slot_ms : time between two of its slots that become free.
     """
 
     server: BackendServer
@@ -35,6 +36,7 @@
     prompt_tokens: int = 0
     seen_tokens: int = 0
     ms_per_token: float = 0.0
+    slot_ms: float = 1.0
 
 
 class Wanted(Protocol):
@@ -106,8 +108,10 @@
     near = [one for one in bounded if costs[one.server.name] <= latest_ms]
     cheapest = min(one.server.price_per_hour for one in near)
     cheap = [one for one in near if one.server.price_per_hour <= cheapest]
-    if not wanted.prefix_blocks:
+    if home is None:
         return min(cheap, key=lambda one: (one.requests, chance.random()))
+    if home in cheap:
+        return home
     return find_home(cheap, wanted, choice.affinity_blocks)
 
 
