--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -102,7 +102,6 @@
         self.status.add("backend_servers", self.facts.describe_backends)
         self.status.add("leaving", lambda: sorted(self.directory.list_leaving()))
         self.status.add("zone", lambda: self.settings.zone)
-        self.status.add("members", self.facts.describe_members)
         self.status.add("name", lambda: self.settings.name)
 
     def _build_requests(self) -> None:
--- a/hemlockswitch/process/watchers.py
+++ b/hemlockswitch/process/watchers.py
@@ -208,7 +208,9 @@
             value = {"deadline_wall_ms": notice.deadline_wall_ms}
             self._board.learn(NewsItem(NOTICE_PREFIX + notice.vm, notice.number, value))
         self._number = page.number
-        self._sign()
+        # Two watchers ask: where the other has just signed the same, nobody needs to hear it again.
+        if page.notices or not self._watchers_answered or self.silent_ms >= FEED_INTERVAL_MS / 2:
+            self._sign()
 
     def check(self) -> None:
         """Give a sign of life, or ask in the watchers' place if they do not do their part."""
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -21,6 +21,11 @@
 sys.path.insert(0, str(ROOT))
 
 from tools.capacity_entry import measure_entry, print_entry  # noqa: E402
+from tools.capacity_modules import measure_modules, print_modules  # noqa: E402
+from tools.capacity_records import (  # noqa: E402
+    measure_share_records,
+    print_share_records,
+)
 from tools.capacity_target import find_slopes, print_target, work_out  # noqa: E402
 
 PRODUCT = "rings"
@@ -262,8 +267,8 @@
 def main() -> int:
     """Run the chosen sizes and variants and write the report."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--sizes", type=int, nargs="+", default=[8, 16, 32])
-    parser.add_argument("--variants", nargs="+", default=["rings", "flood"])
+    parser.add_argument("--sizes", type=int, nargs="*", default=[8, 16, 32])
+    parser.add_argument("--variants", nargs="*", default=["rings", "flood"])
     parser.add_argument("--window-s", type=float, default=10)
     parser.add_argument("--kills", type=int, default=3)
     parser.add_argument("--vms", type=int, nargs="*", default=[0, 32, 128])
@@ -283,8 +288,14 @@
     entry = [measure_entry(vms, options.window_s) for vms in options.vms]
     for result in entry:
         print_entry(result)
+    records = measure_share_records()
+    print_share_records(records)
+    modules = measure_modules()
+    print_modules(modules)
     report = {
         "results": results,
+        "share_records": records,
+        "modules": modules,
         "slopes": slopes,
         "eager_slopes": eager,
         "target": target,
--- a/tools/capacity_entry.py
+++ b/tools/capacity_entry.py
@@ -159,7 +159,7 @@
     return {
         "vms": vms,
         "daemons": DAEMONS,
-        "used": len(status.get("backends", [])),
+        "used": len(status["backend_servers"]),
         "core_percent": rate("processor_s") * 100,
         "peer_bytes_s": rate("peer_bytes"),
         "peer_messages_s": rate("peer_messages"),
--- a/tools/capacity_target.py
+++ b/tools/capacity_target.py
@@ -10,9 +10,10 @@
 SEGMENT_HEADER_BYTES = 52
 SECONDS_A_DAY = 86_400
 MEGABYTE = 1e6
-MEMBER_BYTES = 90
+# The slopes count some 46 bytes of key and frame beside the value of an item.
+MEMBER_BYTES = 45
 VM_BYTES = 250
-FEED_BYTES = 50
+FEED_BYTES = 20
 
 
 @dataclass(frozen=True)
@@ -24,10 +25,10 @@
     regions: int = 6
     runners: int = 12_000
     changes_a_day: int = 15_000
-    change_bytes: int = 400
+    change_bytes: int = 332
     member_changes_a_day: int = 2 * 160 + 3 * 1_700
     vm_changes_a_day: int = 4 * (160 + 1_700)
-    feed_items_s: float = 2
+    feed_items_s: float = 1.9
     daemon_bytes_s: float = 2_000
     core_percent: float = 3.1
     memory_bytes: float = 32e6
