--- a/hemlockswitch/process/records.py
+++ b/hemlockswitch/process/records.py
@@ -4,7 +4,7 @@
 from types import TracebackType
 from typing import Protocol
 
-from hemlockswitch.connection.callers import CallerRequest
+from hemlockswitch.connection.intake import CallerRequest
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, Ran
 from hemlockswitch.process.metrics import EntryMetrics
