--- a/hemlockswitch/process/watchers.py
+++ b/hemlockswitch/process/watchers.py
@@ -211,7 +211,7 @@
             self._board.learn(NewsItem(NOTICE_PREFIX + notice.vm, notice.number, value))
         self._number = page.number
         # Two watchers ask: where the other has just signed the same, nobody needs to hear it again.
-        if page.notices or not self._watchers_answered or self.silent_ms >= FEED_INTERVAL_MS / 2:
+        if page.notices or not self._watchers_answered or self.silent_ms >= SIGN_INTERVAL_MS:
             self._sign()
 
     def check(self) -> None:
