Let no daemon answer a probe that was meant for another at its address

Cause: a VM may come up at the address of one that was lost. Its daemon answered the probes of the lost one, which then stayed alive for ever.

Before: with a daemon started at a crashed one's address under another name, the crashed one was still alive after 15 s (the new test failed); after: it is dead, the test passes. A link cut in one direction, a second new test, accused nobody before either.

Change: a probe names its target; the digest that nobody read in it is gone.

--- a/hemlockswitch/process/probes.py
+++ b/hemlockswitch/process/probes.py
@@ -9,7 +9,7 @@
 from hemlockswitch.connection.messages import register_message
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
-from hemlockswitch.core.errors import PeerError
+from hemlockswitch.core.errors import ErrorKind, PeerError
 from hemlockswitch.process.members import Member
 from hemlockswitch.process.spread import Spread
 
@@ -22,11 +22,17 @@
 @register_message("probe")
 @dataclass(frozen=True)
 class Probe:
-    """A heartbeat: the prober's zone and the digest of what it shares with the receiver."""
+    """A heartbeat.
 
+    Parameters
+    ==========
+
+    target : the member that is to answer; another one at its address must not.
+    zone : the prober's zone.
+    """
+
+    target: str
     zone: str
-    target_zone: str
-    digest: int
 
 
 @register_message("ack")
@@ -40,8 +46,9 @@
 @register_message("probe-for")
 @dataclass(frozen=True)
 class ProbeFor:
-    """Asks the receiver to probe the member at `address` in its place."""
+    """Asks the receiver to probe the member `target` at `address` in its place."""
 
+    target: str
     address: str
     zone: str
 
@@ -150,11 +157,10 @@
             if not probed:
                 gevent.sleep(step_ms / MS_PER_SECOND)
 
-    def probe(self, address: str, zone: str, timeout_ms: float) -> bool:
-        """Probe one address and return whether it answered."""
-        digest = self._spread.compute_digest(zone)
+    def probe(self, target: str, address: str, zone: str, timeout_ms: float) -> bool:
+        """Probe one member at its address and return whether it answered."""
         try:
-            ack = self._network.ask(address, Probe(self._own.zone, zone, digest), timeout_ms)
+            ack = self._network.ask(address, Probe(target, self._own.zone), timeout_ms)
         except PeerError:
             return False
         self.last_answer_ms = self._clock.now_ms()
@@ -164,7 +170,8 @@
     def _probe_member(self, member: Member) -> None:
         try:
             started_ms = self._clock.now_ms()
-            if self.probe(member.peer_address, member.zone, self._times.direct_ms):
+            timeout_ms = self._times.direct_ms
+            if self.probe(member.name, member.peer_address, member.zone, timeout_ms):
                 return
             if self._probe_through_others(member):
                 return
@@ -184,7 +191,10 @@
         others = [one for one in self._list_live() if one.zone == member.zone and one != member]
         sample = random.sample(others, min(SAMPLE, len(others)))
         timeout_ms = self._times.direct_ms
-        tasks = [gevent.spawn(self.probe, one.peer_address, one.zone, timeout_ms) for one in sample]
+        tasks = [
+            gevent.spawn(self.probe, one.name, one.peer_address, one.zone, timeout_ms)
+            for one in sample
+        ]
         gevent.joinall(tasks)
         return [member] if any(task.value for task in tasks) else [member, *others]
 
@@ -196,7 +206,7 @@
         return any(task.value for task in tasks)
 
     def _ask_helper(self, helper: Member, member: Member) -> bool:
-        message = ProbeFor(member.peer_address, member.zone)
+        message = ProbeFor(member.name, member.peer_address, member.zone)
         try:
             reply = self._network.ask(helper.peer_address, message, self._times.indirect_ms)
         except PeerError:
@@ -218,7 +228,10 @@
         return list({one.name: one for one in chosen.values()}.values())
 
     def _answer_probe(self, sender: str, probe: Probe) -> Ack:
+        if probe.target != self._own.name:
+            raise PeerError(ErrorKind.BAD_REQUEST, f"this is {self._own.name}")
         return Ack(self._spread.compute_digest(probe.zone))
 
     def _answer_probe_for(self, sender: str, message: ProbeFor) -> ProbedFor:
-        return ProbedFor(self.probe(message.address, message.zone, self._times.direct_ms))
+        timeout_ms = self._times.direct_ms
+        return ProbedFor(self.probe(message.target, message.address, message.zone, timeout_ms))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -30,8 +30,8 @@
 
 
 class Daemon:
-    def __init__(self, name, zone, seeds=()):
-        self.network = CutNetwork("test", name)
+    def __init__(self, name, zone, seeds=(), listen="127.0.0.1:0"):
+        self.network = CutNetwork("test", name, listen)
         self.address = self.network.start()
         self.board = NewsBoard()
         self.spread = Spread(self.board, self.network, zone, zone_prefixes=("vm/",))
@@ -161,6 +161,29 @@
         again.crash()
 
 
+def test_a_daemon_at_the_address_of_a_crashed_one_does_not_answer_for_it(start_daemons):
+    daemons = start_daemons("a", "a", "a")
+    wait_all_see(daemons, 3)
+    daemons[2].crash()
+    other = Daemon("a-9", "a", (daemons[0].address,), listen=daemons[2].address)
+    try:
+        wait_until(lambda: set(daemons[0].see()) == {"a-0", "a-1", "a-9"})
+        wait_all_see([*daemons[:2], other], 3)
+    finally:
+        other.crash()
+
+
+def test_a_link_cut_in_one_direction_accuses_nobody(start_daemons):
+    daemons = start_daemons("a", "a", "b", "b")
+    wait_all_see(daemons, 4)
+    changes = []
+    for daemon in daemons:
+        daemon.membership.add_listener(changes.append)
+    daemons[0].network.cut.add(daemons[1].address)
+    gevent.sleep(1)
+    assert [one for one in changes if one.state is not MemberState.ALIVE] == []
+
+
 def test_an_invalid_member_harms_nobody(start_daemons):
     daemons = start_daemons("a", "a")
     wait_all_see(daemons, 2)
