--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -6,7 +6,6 @@
 """
 
 import argparse
-import copy
 import json
 import statistics
 import sys
@@ -14,14 +13,18 @@
 from pathlib import Path
 from typing import Any
 
+import msgpack
+
 from features.support.calls import call, get_json, post_json
 from features.support.cluster import Cluster
 from features.support.operator_files import make_account, make_operator_file
 from features.support.processes import wait_until
 from hemlockswitch.connection.messages import encode_message
-from hemlockswitch.process.revision_spread import RevisionAnswer
+from hemlockswitch.process.revision_spread import RevisionAnswer, RevisionNews
 from hemlockswitch.version.checks import parse_file
 from hemlockswitch.version.differences import compare_trees, pack_changes
+from hemlockswitch.version.documents import digest_tree
+from hemlockswitch.version.revisions import Revision
 
 ZONES = ("abdoun-hall", "khalda-hall", "marka-hall", "sweileh-hall")
 DAEMONS_PER_ZONE = 4
@@ -114,11 +117,15 @@
 def measure_bytes(draining: int) -> dict[str, int]:
     """Return the bytes of one changed account as a difference and as the whole file."""
     old = parse_file(json.dumps(make_file(draining, 0))).tree
-    new = parse_file(json.dumps(make_file(draining, 1))).tree
-    changes = pack_changes(compare_trees(old, new))
+    new = parse_file(json.dumps(make_file(draining, 1)))
+    changes = pack_changes(compare_trees(old, new.tree))
+    head = Revision.from_checked(new, 2, "apply-" + "0" * 24, 1, 1_800_000_000_000).to_head()
+    news = RevisionNews(head, "127.0.0.1:65535", 1, digest_tree(old), changes).to_item(2)
+    row = [news.key, news.version, news.value, news.tombstone]
     return {
-        "difference_bytes": len(encode_message(RevisionAnswer({}, copy.deepcopy(changes)))),
-        "whole_bytes": len(encode_message(RevisionAnswer({}, None, new))),
+        "news_bytes": len(msgpack.packb(row)),
+        "difference_bytes": len(encode_message(RevisionAnswer(head, changes))),
+        "whole_bytes": len(encode_message(RevisionAnswer(head, None, new.tree))),
     }
 
 
@@ -165,7 +172,8 @@
             f"{size} file, {figures['daemons']} daemons in {figures['zones']} zones:"
             f" in force everywhere after {row['everywhere_p50_ms']:.0f} ms (p50),"
             f" {row['everywhere_max_ms']:.0f} ms (max of {row['changes']});"
-            f" {row['difference_bytes']} bytes as a difference, {row['whole_bytes']} whole;"
+            f" {row['news_bytes']} bytes as news, {row['difference_bytes']} as a difference,"
+            f" {row['whole_bytes']} whole;"
             f" received {row['received']}"
         )
     print(f"idle platform calls: {figures['small']['idle']}")
