--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -8,9 +8,10 @@
     BackendCall,
     BackendClient,
     ExchangeError,
+    ExchangeTimeoutError,
     Stage,
 )
-from hemlockswitch.connection.callers import CallerAnswer, CallerRequest
+from hemlockswitch.connection.intake import CallerAnswer, CallerRequest
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.claims import Claims, StoredAnswer, fingerprint_call
@@ -21,6 +22,7 @@
 from hemlockswitch.version.models import Operation, Service
 
 MAX_DISPATCHES = 4
+PATIENT_SHARE = 0.5
 PASSED_TO_SERVICE = ("content-type", "accept", "accept-language", "idempotency-key")
 PASSED_TO_CALLER = ("content-type", "content-language", "etag", "location")
 OWN_ID = "x-request-id"
@@ -128,6 +130,7 @@
                 key,
                 fingerprint_call(request.method, service.name, path, request.query, request.body),
                 lambda: self._dispatch(request, service, operation, path, deadline_ms),
+                deadline_ms - self._clock.now_ms(),
             )
         headers = {name: value for name, value in answer.headers.items() if name != "content-type"}
         content_type = answer.headers.get("content-type", JSON_TYPE)
@@ -147,7 +150,7 @@
             server = self._choose(service, progress)
             progress.dispatches += 1
             try:
-                answer = self._send(request, server, path, deadline_ms)
+                answer = self._send(request, service, server, path, deadline_ms)
                 if not (operation.idempotent and answer.status >= 500):
                     return _keep(answer)
                 progress.last, progress.ran = answer, Ran.YES
@@ -179,7 +182,12 @@
             raise
 
     def _send(
-        self, request: CallerRequest, server: BackendServer, path: str, deadline_ms: float
+        self,
+        request: CallerRequest,
+        service: Service,
+        server: BackendServer,
+        path: str,
+        deadline_ms: float,
     ) -> BackendAnswer:
         left_ms = max(deadline_ms - self._clock.now_ms(), 1.0)
         headers = {
@@ -191,14 +199,18 @@
         target = f"{path}?{request.query}" if request.query else path
         call = BackendCall(request.method, target, request.body, headers)
         ticket = self._directory.begin(server.name)
+        failed = False
         outcome = "failed"
         try:
             answer = self._client.call(server.address, call, left_ms)
             self._check_own(answer, request.request_id)
             outcome = "answered"
             return answer
+        except ExchangeError as error:
+            failed = _is_servers_fault(error, left_ms, service)
+            raise
         finally:
-            self._directory.end(ticket, failed=outcome == "failed")
+            self._directory.end(ticket, failed)
             self._observer.dispatch_ended(request, outcome)
 
     @staticmethod
@@ -238,6 +250,12 @@
         super().__init__(Stage.DURING_ANSWER, detail)
 
 
+def _is_servers_fault(error: ExchangeError, given_ms: float, service: Service) -> bool:
+    """Return whether to leave the server alone for a while; an impatient caller is no reason."""
+    patient = given_ms >= service.timeout_ms * PATIENT_SHARE
+    return patient or not isinstance(error, ExchangeTimeoutError)
+
+
 def _keep(answer: BackendAnswer) -> StoredAnswer:
     headers = {name: answer.headers[name] for name in PASSED_TO_CALLER if name in answer.headers}
     return StoredAnswer(answer.status, headers, answer.body)
