--- a/hemlockswitch/process/fleet_events.py
+++ b/hemlockswitch/process/fleet_events.py
@@ -94,7 +94,8 @@
                 self._say("platform", kind, f"does not answer: {error.detail}")
                 self._clock.sleep_ms(RETRY_PAUSE_MS)
                 continue
-            self._say("platform", kind, "answers")
+            if ("platform", kind) in self._said:
+                self._say("platform", kind, "answers again")
             since = page.version
             for item in page.items:
                 self._say(what, "" if what == "revision" else item.name, describe(item))
--- a/hemlockswitch/programs/ctl_status.py
+++ b/hemlockswitch/programs/ctl_status.py
@@ -6,11 +6,12 @@
 from cleo.helpers import option
 
 from hemlockswitch.connection.platform_models import ListedVm
+from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import HemlockError
 from hemlockswitch.process.fleet_view import count_copies, describe_copies, format_copies
 from hemlockswitch.process.revision_store import Current, RevisionStore
 from hemlockswitch.process.zone_status import STATUS_KIND
-from hemlockswitch.process.zone_view import ZoneView, sum_refusals, view_zones
+from hemlockswitch.process.zone_view import StoredDaemon, ZoneView, sum_refusals, view_zones
 from hemlockswitch.programs.ctl_apply import describe_view, format_view
 from hemlockswitch.programs.ctl_files import ExitCode
 from hemlockswitch.programs.ctl_platform import PLATFORM_OPTIONS, PlatformCommand
@@ -86,7 +87,7 @@
         for view in views:
             lines.append(f"  {format_view(view)}{format_refusals(sum_refusals(view.daemons))}")
             if self.option("daemons"):
-                lines += [f"    {format_daemon(one.model_dump())}" for one in view.daemons]
+                lines += [f"    {format_daemon(one, view.age_ms or 0)}" for one in view.daemons]
         lines += ["", "copies:"]
         if vms is None:
             return [*lines, "  the VM list does not answer"]
@@ -156,7 +157,9 @@
 
 
 def _format_row(row: dict[str, Any]) -> str:
-    at = datetime.fromtimestamp(row["applied_wall_ms"] / 1_000, UTC).isoformat(timespec="seconds")
+    at = datetime.fromtimestamp(row["applied_wall_ms"] / MS_PER_SECOND, UTC).isoformat(
+        timespec="seconds"
+    )
     line = f"{row['number']}: {row['state']}, {at}, after {row['previous']}, {row['apply_id']}"
     return "\n".join([line, *(f"  {change}" for change in row.get("changes", ()))])
 
@@ -179,12 +182,16 @@
     return f"{vm.name}: {vm.state} in {vm.zone}, serves {vm.serves}, {price}"
 
 
-def format_daemon(daemon: dict[str, Any]) -> str:
-    """Return a daemon for people."""
-    ready = "ready" if daemon["ready"] else "not ready"
-    age = "never heard" if daemon["age_ms"] is None else f"{daemon['age_ms'] / 1_000:.1f} s ago"
-    details = " ".join(f"{key}={value}" for key, value in sorted(daemon["details"].items()))
-    return f"{daemon['name']}: revision {daemon['revision']}, {ready}, {age} {details}".rstrip()
+def format_daemon(daemon: StoredDaemon, zone_age_ms: int) -> str:
+    """Return a daemon for people; its word is as old as the zone's and its own age together."""
+    ready = "ready" if daemon.ready else "not ready"
+    age = "never heard"
+    if daemon.age_ms is not None:
+        age = f"{(daemon.age_ms + zone_age_ms) / MS_PER_SECOND:.1f} s ago"
+    in_progress = daemon.details.get("requests_in_progress", 0)
+    refusals = format_refusals(sum_refusals([daemon]))
+    line = f"{daemon.name}: revision {daemon.revision}, {ready}, {in_progress} requests in progress"
+    return f"{line} ({age}){refusals}"
 
 
 def format_refusals(refused: dict[str, int]) -> str:
