Follow the pointer by its own version, so that an old answer hides no change

Cause: the watch went on from the service's newest version even when the answer showed an older pointer; the change between the two was then not shown again until the next one.

Change: the watch goes on from the version of the pointer that was read.

--- a/hemlockswitch/process/watchers.py
+++ b/hemlockswitch/process/watchers.py
@@ -272,12 +272,14 @@
         Explanation
         ===========
 
-        Where the reading raises, the version stays, and the same change is asked for again.
+        Where the reading raises, the version stays, and the same change is asked for again. It
+        follows the pointer's own version, not the service's: an answer that shows an old pointer
+        is then followed by the newer one.
         """
         changes = self._platform.watch(self._kind, self._version, POINTER_WAIT_MS, self._name)
         for item in changes.items:
             self._read(item)
-        self._version = changes.version
+            self._version = max(self._version, item.version)
 
 
 def describe_vm(vm: Any) -> dict[str, Any]:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,13 +5,14 @@
 import pytest
 
 from hemlockswitch.connection.peers import PeerNetwork
-from hemlockswitch.connection.platform_models import StoredObject
+from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
 from hemlockswitch.core.clock import ManualClock, SystemClock
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
 from hemlockswitch.process.configuration import Configuration
 from hemlockswitch.process.controller import CurrentFile
 from hemlockswitch.process.news import NewsBoard
 from hemlockswitch.process.revision_spread import RevisionSpread
+from hemlockswitch.process.watchers import Pointer
 from hemlockswitch.version.checks import parse_file
 from hemlockswitch.version.revisions import Revision
 
@@ -171,3 +172,26 @@
     daemon.configuration.adopt(make_revision(3, copies=6))
     assert current.refresh().models[0].licensed_copies == 6
     network.stop()
+
+
+class OldWatch:
+    """A platform whose first watch answers an old pointer together with its newest version."""
+
+    def __init__(self):
+        self.asked = 0
+
+    def watch(self, kind, since, wait_ms, prefix=""):
+        self.asked += 1
+        version, number = (5, 1) if self.asked == 1 else (9, 2)
+        if version <= since:
+            return ObjectPage((), 9)
+        value = make_revision(number).to_pointer()
+        return ObjectPage((StoredObject("pointers", "current", version, value),), 9)
+
+
+def test_a_change_is_not_missed_after_a_watch_that_answered_an_old_pointer():
+    seen = []
+    pointer = Pointer(OldWatch(), "pointers", "current", lambda item: seen.append(item.version))
+    for _ in range(3):
+        pointer.ask()
+    assert seen == [5, 9]
