--- a/hemlockswitch/process/applying.py
+++ b/hemlockswitch/process/applying.py
@@ -14,8 +14,9 @@
 later apply has passed. The next apply takes the next free number; nothing has to be cleaned.
 """
 
+import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hemlockswitch.connection.platform_models import Conflict, Unknown, WriteOutcome, Written
 from hemlockswitch.core.clock import Clock
@@ -27,12 +28,15 @@
 from hemlockswitch.version.documents import digest_tree
 from hemlockswitch.version.revisions import (
     CURRENT_POINTER,
+    NO_REVISION,
     POINTER_KIND,
     REVISION_KIND,
     Revision,
 )
 
 RETRY_PAUSE_MS = 200
+KEPT_REVISIONS = 200
+"""Older revision objects are deleted, one for each that is applied."""
 FINAL_REFUSALS = frozenset({ErrorKind.BODY_TOO_LARGE})
 """Refusals that trying again does not change."""
 
@@ -48,6 +52,7 @@
     changes : what it changed against the revision that the operator saw.
     written : False when the file was in force already and nothing was written.
     replaced_by : the number of a later revision that is in force by now, if any.
+    version : the pointer's version when it was known to name this revision or a later one.
     """
 
     number: int
@@ -56,6 +61,7 @@
     changes: tuple[Change, ...]
     written: bool = True
     replaced_by: int | None = None
+    version: int = 0
 
 
 class RevisionConflictError(ConfigurationError):
@@ -128,6 +134,12 @@
         UnknownOutcomeError : it may or may not have taken effect.
         PlatformError : the service does not answer; nothing was changed.
         """
+        applied = self._apply_once(checked, seen)
+        if applied.written:
+            self._forget(applied.number - KEPT_REVISIONS)
+        return applied
+
+    def _apply_once(self, checked: CheckedFile, seen: int | None) -> Applied:
         base = self._store.read_current()
         if base.revision is not None and base.revision.digest == digest_tree(checked.tree):
             return self._confirm_unchanged(checked, base, base.revision, seen)
@@ -135,6 +147,18 @@
             raise self._make_conflict(checked, seen, base)
         return self._write(checked, base)
 
+    def _forget(self, number: int) -> None:
+        """Delete one old revision; no pointer can come to name it any more.
+
+        Whatever fails here is left to lie: the file is in force already.
+        """
+        if number <= NO_REVISION:
+            return
+        with contextlib.suppress(PlatformError):
+            stored = self._objects.read(REVISION_KIND, str(number))
+            if stored is not None:
+                self._objects.delete(REVISION_KIND, str(number), stored.version)
+
     def _confirm_unchanged(
         self, checked: CheckedFile, base: Current, revision: Revision, seen: int | None
     ) -> Applied:
@@ -144,11 +168,12 @@
                 POINTER_KIND, CURRENT_POINTER, revision.to_pointer(), base.version
             )
         )
-        if isinstance(outcome, Written):
-            return Applied(revision.number, revision.digest, revision.apply_id, (), written=False)
-        found = self._store.read_current(outcome.version)
+        found = base
+        if isinstance(outcome, Conflict):
+            found = self._store.read_current(outcome.version)
         if found.number == base.number:
-            return Applied(revision.number, revision.digest, revision.apply_id, (), written=False)
+            number, digest, apply_id = revision.number, revision.digest, revision.apply_id
+            return Applied(number, digest, apply_id, (), written=False, version=base.version)
         raise self._make_conflict(checked, base.number if seen is None else seen, found)
 
     def _write(self, checked: CheckedFile, base: Current) -> Applied:
@@ -163,7 +188,7 @@
         )
         outcome = self._write_until_known(lambda: self._move_pointer(proposal, base), proposal)
         if isinstance(outcome, Written):
-            return self._report(proposal, base, None)
+            return self._report(proposal, base, outcome.version)
         return self._recognise(checked, proposal, base, outcome.version)
 
     def _recognise(
@@ -177,8 +202,12 @@
             raise UnknownOutcomeError(proposal.number, proposal.apply_id) from error
         if not was_in_force:
             raise self._make_conflict(checked, base.number, found)
-        later = None if found.number == proposal.number else found.number
-        return self._report(proposal, base, later)
+        applied = self._report(proposal, base, found.version)
+        return (
+            applied
+            if found.number == proposal.number
+            else replace(applied, replaced_by=found.number)
+        )
 
     def _write_revision(self, proposal: Revision) -> Revision:
         """Create the revision object under the first free number."""
@@ -241,12 +270,11 @@
             raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "the platform serves old reads")
         self._clock.sleep_ms(RETRY_PAUSE_MS)
 
-    def _report(self, proposal: Revision, base: Current, later: int | None) -> Applied:
+    def _report(self, proposal: Revision, base: Current, version: int) -> Applied:
         old_tree = {} if base.revision is None else base.revision.tree
         changes = tuple(compare_trees(old_tree, proposal.tree))
-        return Applied(
-            proposal.number, proposal.digest, proposal.apply_id, changes, replaced_by=later
-        )
+        number, digest, apply_id = proposal.number, proposal.digest, proposal.apply_id
+        return Applied(number, digest, apply_id, changes, version=version)
 
     def _make_conflict(
         self, checked: CheckedFile, seen: int, found: Current
--- a/hemlockswitch/process/claim_members.py
+++ b/hemlockswitch/process/claim_members.py
@@ -6,13 +6,15 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.claim_routes import ClaimPeer
 from hemlockswitch.process.claim_store import ClaimStore
-from hemlockswitch.process.facts import DaemonSettings, Facts
+from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.members import Member, MemberState
 from hemlockswitch.process.membership import Membership
 from hemlockswitch.version.models import Limits
+from hemlockswitch.version.settings import ProgramSettings
 
 ROLE = "claims"
 CALL_TIMEOUT_MS = 1_000
+LEAST_RETENTION_MS = 300_000
 
 
 class ClaimMembers:
@@ -55,7 +57,7 @@
 
 
 def build_claims(
-    settings: DaemonSettings,
+    settings: ProgramSettings,
     facts: Facts,
     clock: Clock,
     find_limits: Callable[[], Limits],
@@ -74,7 +76,8 @@
         settings.zone,
         platform,
         clock,
-        lambda: find_limits().claim_retention_ms,
+        # A claim must outlive the longest dispatch, whatever the file says.
+        lambda: max(find_limits().claim_retention_ms, LEAST_RETENTION_MS),
         peers=facts.network,
         list_peers=members.list_peers,
         is_gone=members.is_gone,
--- a/hemlockswitch/process/claim_store.py
+++ b/hemlockswitch/process/claim_store.py
@@ -7,7 +7,6 @@
 
 import gevent
 from gevent.event import AsyncResult
-from gevent.pool import Pool
 
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
@@ -16,7 +15,9 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.claim_ledger import GiveBack, Place, Record, Result, Verdict
 from hemlockswitch.process.claim_objects import Bounds, ObjectService, PartitionObjects
+from hemlockswitch.process.claim_outbox import ClaimOutbox
 from hemlockswitch.process.claim_routes import (
+    LIMIT_MS,
     PARTITIONS,
     ClaimPeer,
     ClaimRoutes,
@@ -32,10 +33,6 @@
 FULL_RETRY_MS = 30_000
 DISPATCH_TERM_MS = 120_000
 FRESH_MS = 10_000
-UNWRITTEN_OUTCOMES = 1_024
-OUTBOX_FIRST_PAUSE_MS = 250
-OUTBOX_LONGEST_PAUSE_MS = 5_000
-OUTBOX_LIFE_MS = 600_000
 
 
 @dataclass
@@ -46,14 +43,6 @@
     result: AsyncResult = field(default_factory=AsyncResult)
 
 
-@dataclass(frozen=True)
-class _Unwritten:
-    """An outcome that is not in the platform yet."""
-
-    fingerprint: str
-    outcome: Outcome
-
-
 class ClaimStore:
     """Runs each key's call at most once in the whole system.
 
@@ -93,8 +82,7 @@
         self._retention_ms = retention_ms
         self._is_gone = is_gone
         self._running: dict[str, _Running] = {}
-        self._unwritten: dict[str, _Unwritten] = {}
-        self._outbox = Pool(UNWRITTEN_OUTCOMES)
+        self._outbox = ClaimOutbox(routes, clock, retention_ms)
 
     @classmethod
     def from_config(
@@ -125,12 +113,17 @@
             )
             for number in range(PARTITIONS)
         ]
-        routes = ClaimRoutes(name, zone, writers, peers or NoPeers(), list_peers)
+        routes = ClaimRoutes(name, zone, writers, peers or NoPeers(), list_peers, clock)
         holder = make_identifier(name)
         return cls(holder, routes, clock, retention_ms, is_gone, count)
 
     def run_once(
-        self, account: str, key: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
+        self,
+        account: str,
+        key: str,
+        fingerprint: str,
+        dispatch: Callable[[], StoredAnswer],
+        limit_ms: float = LIMIT_MS,
     ) -> StoredAnswer:
         """Return the key's answer, from `dispatch` or from an earlier call.
 
@@ -140,6 +133,7 @@
         account, key : the key is the account's own.
         fingerprint : hash of what the call asks for.
         dispatch : sends the call; called at most once.
+        limit_ms : how long to try to place the claim.
 
         Raises
         ======
@@ -152,12 +146,12 @@
         running = self._running.get(digest)
         if running is not None:
             return self._join(running, fingerprint)
-        unwritten = self._unwritten.get(digest)
+        unwritten = self._outbox.find(digest)
         if unwritten is not None:
             return self._replay(unwritten.fingerprint, unwritten.outcome, fingerprint)
         running = self._running[digest] = _Running(fingerprint)
         try:
-            answer = self._claim_and_run(digest, fingerprint, dispatch)
+            answer = self._claim_and_run(digest, fingerprint, dispatch, limit_ms)
             running.result.set(answer)
             return answer
         except RequestError as error:
@@ -176,7 +170,12 @@
 
     def flush(self, timeout_ms: float) -> bool:
         """Wait until the outcomes are written; return whether all are."""
-        return bool(self._outbox.join(timeout=timeout_ms / MS_PER_SECOND))
+        return self._outbox.flush(timeout_ms)
+
+    def stop(self) -> None:
+        """End the tasks; outcomes that are not written yet stay unknown."""
+        self._outbox.stop()
+        self._routes.stop()
 
     def _count(self, outcome: str) -> None:
         self.counts[outcome] += 1
@@ -192,12 +191,16 @@
             raise self._make_conflict() from None
 
     def _claim_and_run(
-        self, digest: str, fingerprint: str, dispatch: Callable[[], StoredAnswer]
+        self,
+        digest: str,
+        fingerprint: str,
+        dispatch: Callable[[], StoredAnswer],
+        limit_ms: float,
     ) -> StoredAnswer:
         began_ms = self._clock.now_ms()
         term_ms = min(DISPATCH_TERM_MS, self._retention_ms())
         claim = Claim.make(fingerprint, self._holder, self._clock.wall_ms(), term_ms)
-        result = self._place(digest, claim, fingerprint)
+        result = self._place(digest, claim, fingerprint, began_ms + min(limit_ms, LIMIT_MS))
         if result.verdict is Verdict.PLACED:
             self._check_fresh(digest, claim, began_ms)
             return self._run(digest, claim, dispatch)
@@ -205,15 +208,17 @@
             return self._replay(result.claim.fingerprint, result.claim.outcome, fingerprint)
         raise self._refuse(digest, claim, result)
 
-    def _place(self, digest: str, claim: Claim, fingerprint: str) -> Result:
+    def _place(self, digest: str, claim: Claim, fingerprint: str, until_ms: float) -> Result:
         """Place a claim, waiting shortly while another's dispatch is under way."""
         for pause_ms in (*REPEAT_PAUSES_MS, 0):
-            result = self._routes.perform(Place(digest, claim))
+            result = self._routes.perform(Place(digest, claim), until_ms - self._clock.now_ms())
             if result.verdict is not Verdict.STANDING or result.claim is None:
                 return result
             self._check_fingerprint(result.claim.fingerprint, fingerprint)
             if result.claim.outcome is not None or self._is_over(result.claim):
                 return result
+            if self._clock.now_ms() + pause_ms >= until_ms:
+                return result
             self._clock.sleep_ms(pause_ms)
         return result
 
@@ -229,7 +234,7 @@
         """
         if self._clock.now_ms() - began_ms <= min(FRESH_MS, self._retention_ms() / 2):
             return
-        self._deliver(GiveBack(digest, claim))
+        self._outbox.deliver(GiveBack(digest, claim))
         self._count("unavailable")
         raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, "the claim took too long")
 
@@ -239,7 +244,7 @@
             answer = dispatch()
         except RequestError as error:
             if error.answer.ran is Ran.NO:
-                self._deliver(GiveBack(digest, claim))
+                self._outbox.deliver(GiveBack(digest, claim))
             else:
                 self._record(digest, claim, Outcome.from_error(error))
             raise
@@ -247,30 +252,7 @@
         return answer
 
     def _record(self, digest: str, claim: Claim, outcome: Outcome) -> None:
-        self._unwritten[digest] = _Unwritten(claim.fingerprint, outcome)
-        self._deliver(Record(digest, claim.claim_id, outcome))
-
-    def _deliver(self, operation: Record | GiveBack) -> None:
-        """Write an operation that nobody waits for, in a task of its own."""
-        if self._outbox.full():
-            # Without its outcome the claim stands: a repeat is told that the outcome is unknown.
-            log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
-            self._unwritten.pop(operation.digest, None)
-            return
-        self._outbox.spawn(self._keep_delivering, operation)
-
-    def _keep_delivering(self, operation: Record | GiveBack) -> None:
-        until_ms = self._clock.now_ms() + min(OUTBOX_LIFE_MS, self._retention_ms())
-        pause_ms = OUTBOX_FIRST_PAUSE_MS
-        try:
-            while self._clock.now_ms() < until_ms:
-                if self._routes.perform(operation).verdict is Verdict.DONE:
-                    return
-                self._clock.sleep_ms(pause_ms)
-                pause_ms = min(pause_ms * 2, OUTBOX_LONGEST_PAUSE_MS)
-            log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
-        finally:
-            self._unwritten.pop(operation.digest, None)
+        self._outbox.deliver(Record(digest, claim.claim_id, outcome), claim.fingerprint)
 
     def _replay(self, kept_for: str, outcome: Outcome, fingerprint: str) -> StoredAnswer:
         self._check_fingerprint(kept_for, fingerprint)
@@ -292,7 +274,7 @@
             detail = "the room for claims is used up"
             return RequestError(ErrorKind.CLAIM_UNAVAILABLE, detail, retry_after_ms=FULL_RETRY_MS)
         if result.verdict is Verdict.UNCERTAIN:
-            self._deliver(GiveBack(digest, claim))
+            self._outbox.deliver(GiveBack(digest, claim))
         return RequestError(ErrorKind.CLAIM_UNAVAILABLE, "the key could not be claimed")
 
     def _make_conflict(self) -> RequestError:
--- a/hemlockswitch/process/claim_writer.py
+++ b/hemlockswitch/process/claim_writer.py
@@ -21,6 +21,8 @@
 MAX_BATCH = 64
 MAX_ATTEMPTS = 8
 CONFLICT_PAUSE_MS = 10.0
+LOG_INTERVAL_MS = 5_000
+RIDE_OVER_MS = 400
 
 
 @dataclass(frozen=True)
@@ -30,11 +32,13 @@
     Parameters
     ==========
 
-    interval_ms : least time between two writes of the partition by this daemon.
+    interval_ms : time between two writes of the partition by this daemon, on average.
+    burst : so many writes may follow one another at once after a rest.
     lazy_ms : how long operations that no caller waits for are held back for company.
     """
 
-    interval_ms: float = 50.0
+    interval_ms: float = 64.0
+    burst: int = 4
     lazy_ms: float = 200.0
 
 
@@ -48,12 +52,14 @@
 
 @dataclass
 class WriterCounts:
-    """What the writer did."""
+    """What the writers of a process did, and when they last logged a failure."""
 
     operations: int = 0
     writes: int = 0
     conflicts: int = 0
     unknown: int = 0
+    failures: int = 0
+    logged_ms: float = float("-inf")
 
 
 class PartitionWriter:
@@ -92,11 +98,11 @@
         self._waiting: deque[_Waiting] = deque()
         self._arrived = Signal()
         self._urgent = Signal()
-        self._last_write_ms = float("-inf")
+        self._next_write_ms = float("-inf")
         self._task: gevent.Greenlet | None = None
 
-    def perform(self, operation: Operation) -> Result:
-        """Return what became of an operation once it is in the platform."""
+    def perform(self, operation: Operation, timeout_ms: float) -> Result:
+        """Return what became of an operation once it is in the platform, or that it may be."""
         if len(self._waiting) >= MAX_WAITING:
             return Result(Verdict.UNAVAILABLE)
         waiting = _Waiting(operation)
@@ -106,21 +112,23 @@
             self._urgent.set()
         if self._task is None:
             self._task = gevent.spawn(self._run)
-        return waiting.result.get()
+        try:
+            return waiting.result.get(timeout=max(timeout_ms, 0) / MS_PER_SECOND)
+        except gevent.Timeout:
+            return Result(Verdict.UNCERTAIN)
 
     def stop(self) -> None:
         """End the task; who waits is told that the outcome is uncertain."""
         if self._task is not None:
             self._task.kill(block=False)
-        for waiting in self._waiting:
-            waiting.result.set(Result(Verdict.UNCERTAIN))
+        while self._waiting:
+            self._waiting.popleft().result.set(Result(Verdict.UNCERTAIN))
 
     def _run(self) -> None:
         while True:
             self._arrived.wait()
             self._urgent.wait(self._pace.lazy_ms / MS_PER_SECOND)
-            due_ms = self._last_write_ms + self._pace.interval_ms
-            self._clock.sleep_ms(due_ms - self._clock.now_ms())
+            self._clock.sleep_ms(self._next_write_ms - self._clock.now_ms())
             self._serve(self._take_batch())
 
     def _take_batch(self) -> list[_Waiting]:
@@ -145,10 +153,15 @@
     def _commit(self, operations: list[Operation]) -> list[Result]:
         """Apply a batch until one write of it took effect, or say what is known."""
         uncertain = False
+        began_ms = self._clock.now_ms()
         try:
             for _ in range(MAX_ATTEMPTS):
                 was_known = self._objects.is_known()
-                results, outcome = self._try_once(operations)
+                try:
+                    results, outcome = self._try_once(operations)
+                except PlatformError as error:
+                    self._ride_over(error, began_ms)
+                    continue
                 if outcome is None and was_known and _depends_on_age(results):
                     self._objects.forget()
                     continue
@@ -159,9 +172,25 @@
             raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "too many conflicts")
         except HemlockError as error:
             verdict = Verdict.UNCERTAIN if uncertain else Verdict.UNAVAILABLE
-            log_event(Event.CLAIM_WRITE_FAILED, "warning", verdict=verdict, reason=error.detail)
+            self._note_failure(error.detail)
             return [Result(verdict)] * len(operations)
 
+    def _ride_over(self, error: PlatformError, began_ms: float) -> None:
+        """Wait out a short refusal, such as one over the rate; pass on any other."""
+        spent_ms = self._clock.now_ms() - began_ms + error.answer.retry_after_ms
+        if error.kind is not ErrorKind.PLATFORM_UNAVAILABLE or spent_ms > RIDE_OVER_MS:
+            raise error
+        self._clock.sleep_ms(error.answer.retry_after_ms)
+
+    def _note_failure(self, reason: str) -> None:
+        """Count a failed batch; an outage is logged now and then, not for every call."""
+        self._counts.failures += 1
+        now_ms = self._clock.now_ms()
+        if now_ms - self._counts.logged_ms >= LOG_INTERVAL_MS:
+            self._counts.logged_ms = now_ms
+            failures = self._counts.failures
+            log_event(Event.CLAIM_WRITE_FAILED, "warning", failures=failures, reason=reason)
+
     def _try_once(self, operations: list[Operation]) -> tuple[list[Result], WriteOutcome | None]:
         """Apply a batch and write it; the outcome is None where nothing had to be written."""
         now_wall_ms = self._clock.wall_ms()
@@ -169,10 +198,15 @@
         results = [apply(operation, draft) for operation in operations]
         if not draft.changed:
             return results, None
-        self._last_write_ms = self._clock.now_ms()
-        self._counts.writes += 1
+        self._count_write()
         return results, self._objects.write(draft, now_wall_ms)
 
+    def _count_write(self) -> None:
+        """Count a write and set when the next may go out."""
+        self._counts.writes += 1
+        earliest_ms = self._clock.now_ms() - self._pace.burst * self._pace.interval_ms
+        self._next_write_ms = max(self._next_write_ms, earliest_ms) + self._pace.interval_ms
+
     def _count_failure(self, outcome: WriteOutcome) -> None:
         if isinstance(outcome, Conflict):
             self._counts.conflicts += 1
--- a/hemlockswitch/process/metrics.py
+++ b/hemlockswitch/process/metrics.py
@@ -1,13 +1,24 @@
 """The entry daemon's metrics, by prometheus_client, with units in their names."""
 
+from collections import Counter as Tally
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.core.errors import ErrorKind
 
 FIRST_TOKEN_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.83, 1.2, 2.0, 4.0, 8.0)
 TOKEN_GAP_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.1, 0.2, 0.5, 1.0, 3.0)
 CALL_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0)
 
+LIMITING_KINDS = (
+    ErrorKind.REQUEST_LIMIT,
+    ErrorKind.TOKEN_LIMIT,
+    ErrorKind.CONCURRENCY_LIMIT,
+    ErrorKind.OVERLOADED,
+    ErrorKind.NO_BACKEND,
+)
+
 
 class EntryMetrics:
     """What the entry daemon counts.
@@ -76,6 +87,17 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.handovers = Counter(
+            "hemlock_handovers",
+            "Generations that changed their daemon, by what became of them.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.shares_in_term = Gauge(
+            "hemlock_limit_shares_in_term",
+            "1 while this daemon's shares of the limits are renewed.",
+            registry=self.registry,
+        )
         self.in_progress = Gauge(
             "hemlock_requests_in_progress", "Requests in progress.", registry=self.registry
         )
@@ -87,6 +109,10 @@
         """Count what became of one call's claim."""
         self.claims.labels(outcome).inc()
 
+    def count_handover(self, outcome: str) -> None:
+        """Count what became of one generation that changes its daemon."""
+        self.handovers.labels(outcome).inc()
+
     def count_recomputed(self, cause: str, tokens: int) -> None:
         """Count tokens that were computed again because of `cause`."""
         if tokens:
@@ -103,6 +129,15 @@
             gap_ms = streamed_ms / (tokens - 1)
             self.token_gap.labels(model).observe(gap_ms / MS_PER_SECOND)
 
+    def count_refusals(self) -> dict[str, int]:
+        """Return how often each limit refused a request since the process began."""
+        counts: Tally[str] = Tally()
+        for family in self.requests.collect():
+            for sample in family.samples:
+                if sample.name.endswith("_total") and sample.labels["outcome"] in LIMITING_KINDS:
+                    counts[sample.labels["outcome"]] += int(sample.value)
+        return dict(counts)
+
     def render(self) -> bytes:
         """Return the metrics as Prometheus text."""
         return generate_latest(self.registry)
--- a/hemlockswitch/process/serving.py
+++ b/hemlockswitch/process/serving.py
@@ -1,16 +1,12 @@
 """Serves the callers' requests: from the account's key to the last byte of the answer."""
 
 import json
-from collections.abc import Callable, Iterator
-from typing import Any, Protocol
+from collections.abc import Callable, Generator, Iterator
+from typing import Protocol
 
 from hemlockswitch.connection.accounts import AccountKeys
-from hemlockswitch.connection.callers import (
-    EVENT_STREAM,
-    CallerAnswer,
-    CallerRequest,
-    describe_error,
-)
+from hemlockswitch.connection.callers import EVENT_STREAM, describe_error
+from hemlockswitch.connection.intake import CallerAnswer, CallerRequest
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, RequestError
 from hemlockswitch.process.records import RequestRecord, RequestRecords
@@ -80,6 +76,10 @@
         if not self.has_limits():
             raise RequestError(ErrorKind.NOT_READY, "no limits were granted yet")
 
+    def check_caller(self, authorization: str | None) -> None:
+        """Raise `UNAUTHORIZED` unless the key is known; nothing of the body is read before."""
+        self._keys.authenticate(authorization)
+
     def limit_body_bytes(self) -> int:
         """Return the largest body that may be read."""
         limits = self._file.limits if self._file else DEFAULT_LIMITS
@@ -89,7 +89,7 @@
         """Serve a model request."""
         account = self._authenticate(request)
         chat = ChatRequest.from_body(request.body)
-        model = self._find_model(chat.model)
+        model = self._find_model(chat.model, account)
         generation = self._build_generation(request, chat, model, account)
         wanted = count_tokens(generation.prompt) + generation.max_tokens
         record = self._records.begin(request, generation.model)
@@ -107,9 +107,9 @@
 
         `replay` are events of a resumed stream that the caller did not get.
         """
-        events = self._relay_recorded(generation, request, record)
+        events = self._relay_recorded(generation, request, record, replay)
         if generation.stream:
-            first = replay or next(events)
+            first = next(events)
             return CallerAnswer(200, _Events(generation, first, events), {}, EVENT_STREAM)
         for _ in events:
             pass
@@ -117,11 +117,17 @@
         return CallerAnswer(200, body)
 
     def _relay_recorded(
-        self, generation: Generation, request: CallerRequest, record: RequestRecord
-    ) -> Iterator[bytes]:
+        self,
+        generation: Generation,
+        request: CallerRequest,
+        record: RequestRecord,
+        replay: bytes,
+    ) -> Generator[bytes, None, None]:
         """Relay; the record ends however the relay does."""
         with record:
             try:
+                if replay:
+                    yield replay
                 yield from self._relay.run(generation, request.connection)
             finally:
                 self._record_tokens(generation, record)
@@ -137,7 +143,7 @@
     def call_service(self, request: CallerRequest, service: str, path: str) -> CallerAnswer:
         """Serve a call of a plain service."""
         account = self._authenticate(request)
-        found = self._find_service(service)
+        found = self._find_service(service, account)
         limit_ms = self._clock.now_ms() + found.timeout_ms
         deadline_ms = min(limit_ms, request.deadline_ms or limit_ms)
         record = self._records.begin(request, service)
@@ -157,17 +163,17 @@
     def _authenticate(self, request: CallerRequest) -> ClientAccount:
         return self._keys.authenticate(request.headers.get("authorization"))
 
-    def _find_model(self, name: str) -> Model:
+    def _find_model(self, name: str, account: ClientAccount) -> Model:
         models = self._file.models if self._file else ()
         for model in models:
-            if model.name == name:
+            if model.name == name and account.may_use(name):
                 return model
         raise RequestError(ErrorKind.UNKNOWN_MODEL, "no such model")
 
-    def _find_service(self, name: str) -> Service:
+    def _find_service(self, name: str, account: ClientAccount) -> Service:
         services = self._file.services if self._file else ()
         for service in services:
-            if service.name == name:
+            if service.name == name and account.may_use(name):
                 return service
         raise RequestError(ErrorKind.UNKNOWN_SERVICE, "no such service")
 
@@ -212,25 +218,20 @@
 class _Events:
     """A stream's events for the server: an error after the first becomes the last event."""
 
-    def __init__(self, generation: Generation, first: bytes, events: Iterator[bytes]) -> None:
+    def __init__(
+        self, generation: Generation, first: bytes, events: Generator[bytes, None, None]
+    ) -> None:
         self._generation = generation
-        self._first: bytes | None = first
-        self._events: Any = events
-
-    def __iter__(self) -> "_Events":
-        return self
+        self._first = first
+        self._events = events
 
-    def __next__(self) -> bytes:
-        if self._first is not None:
-            first, self._first = self._first, None
-            return first
+    def __iter__(self) -> Iterator[bytes]:
         try:
-            return next(self._events)
-        except MovedError as moved:
-            return render_moved(moved, self._generation.request_id)
+            yield self._first
+            yield from self._events
         except HemlockError as error:
             body = describe_error(error, self._generation.request_id)
-            return b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
+            yield b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
 
     def close(self) -> None:
         """End the relay when the server is done with the caller, whole or not."""
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from hemlockswitch.connection.caller_server import CallerConnection
+from hemlockswitch.connection.caller_server import CallerConnection, CallerGoneError
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.attempt import Attempt, AttemptLostError, AttemptOpener
@@ -11,7 +11,6 @@
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.retries import Pace, RetryBudget
 from hemlockswitch.request.running import (
-    CallerGoneError,
     Chooser,
     Directory,
     HandoverRequested,
@@ -23,6 +22,7 @@
 from hemlockswitch.version.backend import BackendServer
 
 MAX_ATTEMPTS = 16
+MAX_FRUITLESS = 4
 CONTINUE_PATIENCE_MS = 5_000.0
 CHOOSE_AGAIN_MS = 50.0
 RECLAIM_STARTS_PER_S = 200.0
@@ -108,12 +108,8 @@
         """Raise when nobody waits for the answer any more."""
         if running.stopped is not None:
             raise running.stopped
-        if self._clock.now_ms() < running.generation.deadline_ms:
-            return
-        ran = running.state_ran()
-        if ran is Ran.NO:
-            raise RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
-        raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=ran)
+        if self._clock.now_ms() >= running.generation.deadline_ms:
+            raise running.build_overdue()
 
     @staticmethod
     def _may_resume(running: Running, lost: AttemptLostError) -> bool:
@@ -131,12 +127,16 @@
         running.excluded.add(server.name)
         self._observer.attempt_ended(generation, running.estimate_recomputed(), lost.reason)
         if lost.ran is not Ran.NO:
-            running.sent = True
+            running.fruitless += not running.brought_token
             self._opener.cancel(server.address, generation.stream_id)
         if self._directory.is_leaving(server.name):
             self._pace.wait()
             return Cause.RECLAIM
-        if running.attempts >= MAX_ATTEMPTS or not self._spend(running):
+        if running.attempts == 0:
+            self._pace.wait()
+            return generation.cause
+        spent = running.attempts >= MAX_ATTEMPTS or running.fruitless >= MAX_FRUITLESS
+        if spent or not self._spend(running):
             raise self._give_up(running, lost.reason)
         return Cause.FAILURE if generation.tokens else Cause.RETRY
 
@@ -167,6 +167,7 @@
         generation.begin_attempt(server, cause)
         running.attempts += 1
         running.own_token = False
+        running.brought_token = False
         running.base_tokens = len(generation.tokens)
         generation.attempt_parent = self._observer.attempt_began(generation)
 
@@ -178,16 +179,17 @@
         uncached_tokens = self._chooser.note_dispatch(server.name, running.need)
         ticket = self._directory.begin(server.name, uncached_tokens)
         failed = False
+        sent_before = running.sent
         attempt: Attempt | None = None
         try:
             if resume:
                 attempt = self._opener.resume(generation, running.watch)
             else:
                 attempt = self._opener.open(generation, running.kv_handle, running.watch)
-            running.sent = True
             yield from self._follow(running, attempt, ticket)
         except AttemptLostError as lost:
             failed = lost.ran is not Ran.NO
+            running.sent = sent_before or failed
             raise
         except MoveReady:
             self._leave(running)
@@ -211,8 +213,7 @@
         until_ms = min(self._clock.now_ms() + patience_ms, running.generation.deadline_ms)
         while True:
             try:
-                need = build_need(running.generation, frozenset(running.excluded))
-                return self._chooser.choose(need)
+                return self._chooser.choose(running.build_need())
             except RequestError as refusal:
                 if self._clock.now_ms() + CHOOSE_AGAIN_MS > until_ms:
                     raise self._explain(running, refusal) from refusal
@@ -239,7 +240,7 @@
             if pieces:
                 if not running.own_token:
                     self._note_token(running, ticket)
-                yield b"".join(pieces)
+                yield pieces[0] if len(pieces) == 1 else b"".join(pieces)
             if wrong:
                 raise AttemptLostError(f"the backend server's answer was wrong: {wrong}")
             if generation.finish_event:
@@ -252,23 +253,35 @@
     ) -> tuple[list[bytes], str]:
         """Read once; return the caller's events and what was wrong with the rest, if anything."""
         tokens = running.generation.tokens
+        checker = attempt.checker
         pieces: list[bytes] = []
         for event in attempt.read_events():
             position = len(tokens)
-            checked = attempt.checker.check(event, position)
-            if checked.verdict is Verdict.TOKEN:
-                pieces.append(b"%b%d%b%b" % (head, position, checked.event, SEPARATOR))
-                tokens.append(checked.content)
-            elif checked.verdict is Verdict.IGNORED:
+            content = checker.match_token(event, position)
+            if content is not None:
+                tokens.append(content)
+                out = (head, position, checker.before_out, content, checker.after_out, SEPARATOR)
+                pieces.append(b"%b%d%b%b%b%b" % out)
+                continue
+            checked = checker.check(event, position)
+            if checked.verdict is Verdict.IGNORED:
                 self._observer.events_dropped(1)
-            elif checked.verdict is Verdict.FINISH:
-                event_out = self._finish(running, checked)
+            elif checked.verdict in (Verdict.TOKEN, Verdict.FINISH):
+                event_out = self._take_parsed(running, checked)
                 pieces.append(b"%b%d%b%b" % (head, position, event_out, SEPARATOR))
-                return pieces, ""
             else:
                 return pieces, checked.verdict.value
+            if running.generation.finish_event:
+                return pieces, ""
         return pieces, ""
 
+    def _take_parsed(self, running: Running, checked: Checked) -> bytes:
+        """Keep a parsed event and return it as the caller gets it."""
+        if checked.verdict is Verdict.FINISH:
+            return self._finish(running, checked)
+        running.generation.tokens.append(checked.content)
+        return checked.event
+
     def _leave(self, running: Running) -> None:
         """End the old stream before another one goes on from the next position."""
         generation = running.generation
@@ -279,7 +292,7 @@
 
     def _note_token(self, running: Running, ticket: Any) -> None:
         """Note the first token of an attempt, and of the whole answer."""
-        running.own_token = True
+        running.own_token = running.brought_token = True
         self._directory.note_first_token(ticket)
         generation = running.generation
         if generation.first_token_ms is None:
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -1,7 +1,7 @@
 """A generation while this daemon relays it, and what the relay needs from other layers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from hemlockswitch.connection.backends import BackendExchange
@@ -12,10 +12,6 @@
 from hemlockswitch.version.backend import BackendServer
 
 
-class CallerGoneError(OSError):
-    """The caller closed its connection; nobody waits for the answer."""
-
-
 class MoveReady(Exception):  # noqa: N818
     """Wakes a relay whose generation may switch to another backend server."""
 
@@ -90,7 +86,9 @@
     stopped : why the relay must end; raised at its next wait.
     excluded : servers that lost this generation.
     sent : whether any backend server may have begun it.
-    own_token : whether the attempt in progress brought a token.
+    fruitless : attempts that may have run and brought no token.
+    own_token : whether the connection in progress brought a token.
+    brought_token : whether the attempt in progress did, over all its connections.
     base_tokens : tokens that the attempt in progress had to recompute, its prompt aside.
     kv_handle : the KV cache that it began with.
     reads_seen, quiet_since_ms : kept by the sweep that looks for silent streams.
@@ -105,7 +103,9 @@
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
     sent: bool = False
+    fruitless: int = 0
     own_token: bool = False
+    brought_token: bool = False
     base_tokens: int = 0
     kv_handle: str | None = None
     reads_seen: int = -1
@@ -135,9 +135,10 @@
             self.exchange.interrupt(error)
 
     def watch(self, exchange: BackendExchange | None) -> None:
-        """Keep the exchange that may be interrupted."""
+        """Keep the exchange that may be interrupted; by then the request was sent."""
         self.exchange = exchange
         self.reads_seen = -1
+        self.sent = self.sent or exchange is not None
         if self.stopped is not None:
             self.interrupt(self.stopped)
         elif self.hand_over is not None:
@@ -149,22 +150,38 @@
             return Ran.YES
         return Ran.UNKNOWN if self.sent else Ran.NO
 
+    def build_need(self) -> Need:
+        """Return what the rest needs now, leaving out the servers that lost the generation."""
+        done = len(self.generation.tokens)
+        return replace(
+            self.need,
+            prompt_tokens=self.need.prompt_tokens + done,
+            max_tokens=max(self.generation.max_tokens - done, 1),
+            priority=0 if done else self.need.priority,
+            exclude=frozenset(self.excluded),
+        )
+
+    def build_overdue(self) -> RequestError:
+        """Return the answer to a request whose deadline has passed."""
+        ran = self.state_ran()
+        if ran is Ran.NO:
+            return RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
+        return RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=ran)
+
     def estimate_recomputed(self) -> int:
         """Return the tokens that the attempt in progress computed again, without its usage."""
         first = self.generation.cause is Cause.FIRST
-        if first or not self.own_token or self.kv_handle is not None:
+        if first or not self.brought_token or self.kv_handle is not None:
             return 0
-        return count_tokens(self.generation.prompt) + self.base_tokens
+        return self.need.prompt_tokens + self.base_tokens
 
 
-def build_need(generation: Generation, exclude: frozenset[str] = frozenset()) -> Need:
-    """Return what the router must know of a generation."""
-    done = len(generation.tokens)
+def build_need(generation: Generation) -> Need:
+    """Return what the router must know of a generation that has not begun."""
     return Need(
         target=generation.model,
         prefix_blocks=hash_blocks(generation.prompt),
-        prompt_tokens=count_tokens(generation.prompt) + done,
-        max_tokens=max(generation.max_tokens - done, 1),
-        priority=0 if done else generation.priority,
-        exclude=exclude,
+        prompt_tokens=count_tokens(generation.prompt),
+        max_tokens=generation.max_tokens,
+        priority=generation.priority,
     )
