--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -81,7 +81,6 @@
         self.directory = self.facts.directory
         PeerCollector.register(self.facts, self.metrics.registry)
         self.usage = UsageReporter(
-            self.settings.name,
             self.facts.network,
             self.directory,
             lambda: dict(self.records.refused),
