Show what the latency target costs: copies, their time and their price

Weighed: computing it outside from the VM list (does not know what counts as licence) against the leader's own records at each pass (chosen); a gap without leading is not charged, so that the sum over controllers counts nothing twice.

--- a/hemlockswitch/process/control.py
+++ b/hemlockswitch/process/control.py
@@ -14,6 +14,7 @@
 from hemlockswitch.process.copies import Copy, Plan, Planner, plan_over_licence
 from hemlockswitch.process.copy_changes import CopyStarter, CopyStopper, OrderGiver, StoppingCopy
 from hemlockswitch.process.copy_records import CopyRecord, CopyRecords, CopyState, CopyTable
+from hemlockswitch.process.cost import CostMeter, HeldCopy
 from hemlockswitch.process.lease import Lease
 from hemlockswitch.process.observed_zone import LIVE, ObservedZone, Sources
 from hemlockswitch.process.targets import WantedTarget, list_wanted
@@ -51,6 +52,7 @@
     records : which copies there are and should be.
     sources : where the view of the zone comes from.
     times : paces.
+    cost : adds up what the copies cost; None where nobody asks.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         records: CopyRecords,
         sources: Sources,
         times: ControlTimes | None = None,
+        cost: CostMeter | None = None,
     ) -> None:
+        self._cost = cost
         self._zone = zone
         self._lease = lease
         self._records = records
@@ -109,10 +113,22 @@
             return self._apply_plan(one, self._mark_stops(adopted, draining))
 
         table = self._records.change(one.name, revise)
+        self._record_cost(one.name, table)
         self._start_wanted(one, table)
         self._advance_stops(one, table)
         self._repair(one, table)
 
+    def _record_cost(self, target: str, table: CopyTable) -> None:
+        """Charge this zone's copies that have a VM."""
+        if self._cost is None:
+            return
+        held = [
+            HeldCopy(record.machine_class.value, record.price_per_hour)
+            for record in table.copies.values()
+            if record.zone == self._zone and record.state != CopyState.WANTED
+        ]
+        self._cost.record(target, held)
+
     def _adopt(self, table: CopyTable, target: str) -> CopyTable:
         """Record VMs that serve the target and have no record, so that they count as licence.
 
--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -19,6 +19,7 @@
 from hemlockswitch.process.configuration import Configuration
 from hemlockswitch.process.control import Controller, ControlTimes
 from hemlockswitch.process.copy_records import CopyRecords
+from hemlockswitch.process.cost import CostMeter
 from hemlockswitch.process.lease import Lease, LeaseTimes
 from hemlockswitch.process.news import NewsBoard
 from hemlockswitch.process.observed_zone import Sources
@@ -85,8 +86,9 @@
 class ControllerMetrics:
     """What the controller shows of itself."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         self.registry = CollectorRegistry()
+        self.cost = CostMeter(self.registry, clock)
         self.held = Gauge(
             "hemlock_lease_held", "1 while this process may give orders", registry=self.registry
         )
@@ -116,7 +118,7 @@
         self._current = CurrentFile(
             self._platform, self._network, lambda: list(settings.seeds), clock
         )
-        self._metrics = ControllerMetrics()
+        self._metrics = ControllerMetrics(clock)
         self.lease = Lease(
             self._platform,
             clock,
@@ -151,7 +153,7 @@
             copies.replace_ms, copies.shrink_after_ms, copies.gone_after_ms, copies.parallel_starts
         )
         records = CopyRecords(self._platform)
-        return Controller(settings.zone, self.lease, records, sources, times)
+        return Controller(settings.zone, self.lease, records, sources, times, self._metrics.cost)
 
     def _make_pages(self) -> CallerServer:
         status = StatusPage()
--- /dev/null
+++ b/hemlockswitch/process/cost.py
@@ -0,0 +1,70 @@
+"""What the latency target costs: copies held, their hours and their price, summed as they run."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+
+MS_PER_HOUR = 3_600_000
+LONGEST_GAP_MS = 30_000.0
+
+
+@dataclass(frozen=True)
+class HeldCopy:
+    """A copy that counts as licence, with what its VM costs."""
+
+    machine_class: str
+    price_per_hour: float
+
+
+class CostMeter:
+    """Adds up what the copies of a zone cost while this process leads it.
+
+    Explanation
+    ===========
+
+    Every pass of the leader records the copies that are held; the time since the last record is
+    charged at their price. After a longer gap, as when another process led, nothing is charged,
+    so that the sum over all controllers counts no hour twice.
+
+    Parameters
+    ==========
+
+    registry : where the metrics are kept.
+    clock : the process's clock.
+    """
+
+    def __init__(self, registry: CollectorRegistry, clock: Clock) -> None:
+        self._clock = clock
+        self._last_ms: dict[str, float] = {}
+        self._held = Gauge(
+            "hemlock_copies", "copies that count as licence", ["target"], registry=registry
+        )
+        self._seconds = Counter(
+            "hemlock_copy_seconds",
+            "time that copies were held",
+            ["target", "machine_class"],
+            registry=registry,
+        )
+        self._cost = Counter(
+            "hemlock_copy_cost",
+            "price of the copies held, in the units of the VM list's price_per_hour",
+            ["target", "machine_class"],
+            registry=registry,
+        )
+
+    def record(self, target: str, copies: Iterable[HeldCopy]) -> None:
+        """Charge the time since the last record of `target` to the copies held now."""
+        held = list(copies)
+        now_ms = self._clock.now_ms()
+        elapsed_ms = now_ms - self._last_ms.get(target, now_ms)
+        self._last_ms[target] = now_ms
+        self._held.labels(target).set(len(held))
+        if elapsed_ms > LONGEST_GAP_MS:
+            return
+        for copy in held:
+            labels = (target, copy.machine_class)
+            self._seconds.labels(*labels).inc(elapsed_ms / MS_PER_SECOND)
+            self._cost.labels(*labels).inc(copy.price_per_hour * elapsed_ms / MS_PER_HOUR)
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry
 
 from hemlockswitch.connection.links import Traffic
+from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import ANSWERS
 from hemlockswitch.core.events import Event
 from hemlockswitch.process.controller import ControllerMetrics
@@ -51,7 +52,7 @@
     network = SimpleNamespace(traffic=Traffic(), list_streams=list)
     spread = SimpleNamespace(repairs=0)
     PeerCollector.register(SimpleNamespace(network=network, spread=spread, membership=None), peers)
-    registries = (EntryMetrics().registry, ControllerMetrics().registry, peers)
+    registries = (EntryMetrics().registry, ControllerMetrics(SystemClock()).registry, peers)
     families = {family.name for registry in registries for family in registry.collect()}
     assert families == listed - {"metric"}
 
