--- a/hemlockswitch/connection/backends.py
+++ b/hemlockswitch/connection/backends.py
@@ -15,9 +15,9 @@
 import gevent
 from gevent import socket
 from gevent.hub import Waiter
-from geventhttpclient.client import HTTPClient
-from geventhttpclient.response import HTTPParseError, HTTPResponse
+from geventhttpclient.response import HTTPParseError
 
+from hemlockswitch.connection.http_parts import AnswerParser, RequestBuilder
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import BackendError, ErrorKind, Ran, RequestError
 
@@ -71,37 +71,6 @@
     body: bytes
 
 
-class _RequestBuilder(HTTPClient):
-    """Access to the library's request builder, which refuses injected headers."""
-
-    def build(self, call: BackendCall) -> bytes:
-        headers = {**call.headers, "Connection": "close", "Content-Length": str(len(call.body))}
-        head = self._build_request(call.method, call.path, call.body or None, headers)
-        return head.encode("latin-1") + call.body
-
-
-class _AnswerParser(HTTPResponse):
-    """The library's parser, with the body taken out piece by piece."""
-
-    def __init__(self, method: str) -> None:
-        super().__init__(method=method)
-        self.pieces: list[bytearray] = []
-        self._on_body = self.pieces.append  # type: ignore[assignment]
-
-    @property
-    def begun(self) -> bool:
-        """Whether the head of the final answer is complete."""
-        return self.headers_complete and self.get_code() >= 200
-
-    def take_body(self) -> bytes:
-        """Return and forget the body parsed since the last call."""
-        if len(self.pieces) == 1:
-            return bytes(self.pieces.pop())
-        body = b"".join(self.pieces)
-        self.pieces.clear()
-        return body
-
-
 class BackendExchange:
     """One request sent and its answer read on one connection.
 
@@ -114,7 +83,7 @@
     other streams' tokens.
     """
 
-    def __init__(self, connection: socket.socket, parser: _AnswerParser) -> None:
+    def __init__(self, connection: socket.socket, parser: AnswerParser) -> None:
         self._connection = connection
         self._parser = parser
         self._hub = gevent.get_hub()
@@ -150,12 +119,12 @@
                 raise ExchangeError(Stage.DURING_SEND, str(error)) from error
             raise
         connection.settimeout(0.0)
-        return cls(connection, _AnswerParser(call.method))
+        return cls(connection, AnswerParser(call.method))
 
     @staticmethod
     def _build(host: str, port: int, call: BackendCall) -> bytes:
         try:
-            return _RequestBuilder(host, port).build(call)
+            return RequestBuilder(host, port).build(call.method, call.path, call.body, call.headers)
         except (ValueError, UnicodeEncodeError) as error:
             raise RequestError(ErrorKind.BAD_REQUEST, f"cannot be passed on: {error}") from error
 
--- /dev/null
+++ b/hemlockswitch/connection/http_parts.py
@@ -0,0 +1,44 @@
+"""The parts of geventhttpclient that exchanges are made of: its request builder and its parser."""
+
+from collections.abc import Mapping
+
+from geventhttpclient.client import HTTPClient
+from geventhttpclient.response import HTTPResponse
+
+
+class RequestBuilder(HTTPClient):
+    """Access to the library's request builder, which refuses injected headers."""
+
+    def build(self, method: str, path: str, body: bytes, headers: Mapping[str, str]) -> bytes:
+        """Return the bytes of a request that has a connection of its own.
+
+        Raises
+        ======
+
+        ValueError : the method, the path or a header cannot be sent.
+        """
+        framed = {**headers, "Connection": "close", "Content-Length": str(len(body))}
+        head = self._build_request(method, path, body or None, framed)
+        return head.encode("latin-1") + body
+
+
+class AnswerParser(HTTPResponse):
+    """The library's parser, with the body taken out piece by piece."""
+
+    def __init__(self, method: str) -> None:
+        super().__init__(method=method)
+        self.pieces: list[bytearray] = []
+        self._on_body = self.pieces.append  # type: ignore[assignment]
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head of the final answer is complete."""
+        return self.headers_complete and self.get_code() >= 200
+
+    def take_body(self) -> bytes:
+        """Return and forget the body parsed since the last call."""
+        if len(self.pieces) == 1:
+            return bytes(self.pieces.pop())
+        body = b"".join(self.pieces)
+        self.pieces.clear()
+        return body
