--- a/hemlockswitch/process/share_borrower.py
+++ b/hemlockswitch/process/share_borrower.py
@@ -1,20 +1,17 @@
 """The borrower's end of a loan: it adds after the lender deducted, and gives back what is idle."""
 
 from collections import defaultdict, deque
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import gevent
 from gevent.event import Event
 
-from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import PeerError
-from hemlockswitch.process.share_book import ShareBook
+from hemlockswitch.process.share_end import LoanEnd, LoanParts
 from hemlockswitch.process.share_messages import (
     BorrowShare,
-    CreditMover,
     ExtendLoans,
-    LoanNetwork,
     LoanReturned,
     RecallLoan,
     Terms,
@@ -42,32 +39,11 @@
     resources: tuple[Resource, ...]
 
 
-class ShareBorrower:
-    """Borrows what requests lack, keeps what is used and gives the rest back.
+class ShareBorrower(LoanEnd):
+    """Borrows what requests lack, keeps what is used and gives the rest back."""
 
-    Parameters
-    ==========
-
-    book : the daemon's record.
-    network : the peer network.
-    clock : the process's clock.
-    count_needed : the units that an account's own demand here needs.
-    credits : moves what the buckets hold.
-    """
-
-    def __init__(
-        self,
-        book: ShareBook,
-        network: LoanNetwork,
-        clock: Clock,
-        count_needed: Callable[[str], Units],
-        credits: CreditMover,
-    ) -> None:
-        self._book = book
-        self._network = network
-        self._clock = clock
-        self._count_needed = count_needed
-        self._credits = credits
+    def __init__(self, parts: LoanParts) -> None:
+        super().__init__(parts)
         self._running: dict[_BorrowKey, Event] = {}
         self._barren_until_ms: dict[_BorrowKey, float] = {}
         self._silent_until_ms: dict[str, float] = {}
@@ -75,7 +51,7 @@
         self._surplus: dict[str, deque[int]] = defaultdict(lambda: deque(maxlen=IDLE_TICKS))
         self._barren_ms: dict[_BorrowKey, float] = {}
         self._returned: dict[tuple[str, int], Loan] = {}
-        network.handle(RecallLoan, self.return_idle)
+        self._network.handle(RecallLoan, self.return_idle)
 
     def borrow(self, account: str, asked: Units, lenders: list[str], wait_ms: float) -> bool:
         """Ask lenders in turn until `asked` is there or `wait_ms` is over.
--- a/hemlockswitch/process/share_lender.py
+++ b/hemlockswitch/process/share_lender.py
@@ -1,17 +1,12 @@
 """The lender's end of a loan: it deducts first, and recalls what its borrowers do not need."""
 
-from collections.abc import Callable
-
 import gevent
 
-from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import PeerError
-from hemlockswitch.process.share_book import ShareBook
+from hemlockswitch.process.share_end import LoanEnd, LoanParts
 from hemlockswitch.process.share_messages import (
     BorrowShare,
-    CreditMover,
     ExtendLoans,
-    LoanNetwork,
     LoansExtended,
     RecallLoan,
     ShareLent,
@@ -25,35 +20,14 @@
 PARALLEL_RECALLS = 4
 
 
-class Lender:
-    """Lends what this daemon does not need, and recalls idle loans for another borrower.
-
-    Parameters
-    ==========
-
-    book : the daemon's record.
-    network : the peer network.
-    clock : the process's clock.
-    count_needed : the units that an account's own demand here needs.
-    credits : moves what the buckets hold.
-    """
+class Lender(LoanEnd):
+    """Lends what this daemon does not need, and recalls idle loans for another borrower."""
 
-    def __init__(
-        self,
-        book: ShareBook,
-        network: LoanNetwork,
-        clock: Clock,
-        count_needed: Callable[[str], Units],
-        credits: CreditMover,
-    ) -> None:
-        self._book = book
-        self._network = network
-        self._clock = clock
-        self._count_needed = count_needed
-        self._credits = credits
+    def __init__(self, parts: LoanParts) -> None:
+        super().__init__(parts)
         self._fruitless_until_ms: dict[tuple[str, Resource], float] = {}
-        network.handle(BorrowShare, self.lend)
-        network.handle(ExtendLoans, self.extend)
+        self._network.handle(BorrowShare, self.lend)
+        self._network.handle(ExtendLoans, self.extend)
 
     def lend(self, sender: str, ask: BorrowShare) -> ShareLent:
         """Deduct what can be spared and answer with it."""
--- a/hemlockswitch/process/shares.py
+++ b/hemlockswitch/process/shares.py
@@ -11,6 +11,7 @@
 from hemlockswitch.process.share_anchor import BATCH_MS, ObjectStore, ShareAnchor
 from hemlockswitch.process.share_book import ShareBook
 from hemlockswitch.process.share_borrower import ShareBorrower
+from hemlockswitch.process.share_end import LoanParts
 from hemlockswitch.process.share_lender import Lender
 from hemlockswitch.process.share_messages import LoanNetwork
 from hemlockswitch.process.share_parts import ShareMember, ShareParts
@@ -74,9 +75,9 @@
             clock,
             lambda account: self.count_needed(account).slots,
         )
-        credits = _Credits(self)
-        self.lender = Lender(self.book, network, clock, self.count_needed, credits)
-        self.borrower = ShareBorrower(self.book, network, clock, self.count_needed, credits)
+        parts = LoanParts(self.book, network, clock, self.count_needed, _Credits(self))
+        self.lender = Lender(parts)
+        self.borrower = ShareBorrower(parts)
         network.handle(RenewShares, lambda sender, ask: self.anchor.renew(ask))
 
     @property
