Prove claims on a slow platform, and say "come back" while a claim is being given back

New scenario: with 700 ms for each call, six keys sent to all daemons at once run once each; with 3 s, which is over the time-out so that writes take effect after everyone has given up, a key is refused (`ran: no`), has not run, and runs once when the platform is well again.

Found with it: a repeat at the daemon whose own claim was uncertain was told `outcome_unknown` (do not repeat) in the seconds until the claim was given back. It is told `claim_conflict` with a time to come back now.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -76,6 +76,18 @@
     Then it is refused with claim_unavailable and ran no
     And "k8" has run 0 times
 
+  Scenario: The platform is slow
+    Given the platform takes 700 ms for each call
+    When the keys "k1" to "k6" are sent to all daemons at once
+    Then no key has run more than once
+    And every key is answered in the end and has run 1 time
+    When the platform takes 3000 ms for each call
+    And a new key of the partition of "k1" is sent to "entry-abdoun-hall-1"
+    Then it is refused with claim_unavailable and ran no
+    And the key has run 0 times
+    And an idempotent call at "entry-abdoun-hall-1" is served
+    And when the platform is up again the key runs 1 time
+
   Scenario: A zone is cut from the platform, then from the other zones as well
     Given "abdoun-hall" is cut from the platform
     When the keys "k1" to "k6" are sent to each daemon in turn
--- a/hemlockswitch/process/claim_outbox.py
+++ b/hemlockswitch/process/claim_outbox.py
@@ -1,5 +1,6 @@
 """Operations on claims that no caller waits for, kept until they are written."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -49,6 +50,7 @@
         self._retention_ms = retention_ms
         self._tasks = Pool(WAITING_AT_MOST)
         self._unwritten: dict[str, Unwritten] = {}
+        self._delivering: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return len(self._tasks)
@@ -57,6 +59,10 @@
         """Return a key's outcome that is not written yet."""
         return self._unwritten.get(digest)
 
+    def is_delivering(self, digest: str) -> bool:
+        """Return whether an operation on a key's claim waits to be written."""
+        return digest in self._delivering
+
     def deliver(self, operation: Record | GiveBack, fingerprint: str = "") -> None:
         """Write an operation sooner or later, or drop it."""
         if self._tasks.full():
@@ -64,7 +70,8 @@
             return
         if isinstance(operation, Record):
             self._unwritten[operation.digest] = Unwritten(fingerprint, operation.outcome)
-        self._tasks.spawn(self._keep_delivering, operation)
+        self._delivering[operation.digest] += 1
+        self._tasks.spawn(self._deliver_one, operation)
 
     def flush(self, timeout_ms: float) -> bool:
         """Wait until everything is written; return whether it is."""
@@ -74,15 +81,26 @@
         """End the tasks."""
         self._tasks.kill(block=False)
 
-    def _keep_delivering(self, operation: Record | GiveBack) -> None:
-        until_ms = self._clock.now_ms() + min(LIFE_MS, self._retention_ms())
-        pause_ms = FIRST_PAUSE_MS
+    def _deliver_one(self, operation: Record | GiveBack) -> None:
         try:
-            while self._clock.now_ms() < until_ms:
-                if self._routes.perform(operation).verdict is Verdict.DONE:
-                    return
-                self._clock.sleep_ms(pause_ms)
-                pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
-            log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
+            if not self._keep_trying(operation):
+                log_event(Event.CLAIM_OUTCOME_DROPPED, "warning", key=operation.digest)
         finally:
+            self._forget(operation)
+
+    def _keep_trying(self, operation: Record | GiveBack) -> bool:
+        until_ms = self._clock.now_ms() + min(LIFE_MS, self._retention_ms())
+        pause_ms = FIRST_PAUSE_MS
+        while self._clock.now_ms() < until_ms:
+            if self._routes.perform(operation).verdict is Verdict.DONE:
+                return True
+            self._clock.sleep_ms(pause_ms)
+            pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
+        return False
+
+    def _forget(self, operation: Record | GiveBack) -> None:
+        if isinstance(operation, Record):
             self._unwritten.pop(operation.digest, None)
+        self._delivering[operation.digest] -= 1
+        if not self._delivering[operation.digest]:
+            del self._delivering[operation.digest]
--- a/hemlockswitch/process/claim_store.py
+++ b/hemlockswitch/process/claim_store.py
@@ -215,15 +215,18 @@
             if result.verdict is not Verdict.STANDING or result.claim is None:
                 return result
             self._check_fingerprint(result.claim.fingerprint, fingerprint)
-            if result.claim.outcome is not None or self._is_over(result.claim):
+            if result.claim.outcome is not None or self._is_over(digest, result.claim):
                 return result
             if self._clock.now_ms() + pause_ms >= until_ms:
                 return result
             self._clock.sleep_ms(pause_ms)
         return result
 
-    def _is_over(self, claim: Claim) -> bool:
+    def _is_over(self, digest: str, claim: Claim) -> bool:
         """Return whether a claim without an outcome will hardly get one."""
+        if claim.holder == self._holder:
+            # Nobody here works on it but, perhaps, the outbox.
+            return not self._outbox.is_delivering(digest)
         return self._clock.wall_ms() > claim.ends_wall_ms or self._is_gone(claim.holder)
 
     def _check_fresh(self, digest: str, claim: Claim, began_ms: float) -> None:
@@ -262,7 +265,7 @@
     def _refuse(self, digest: str, claim: Claim, result: Result) -> RequestError:
         """Return the refusal of a call whose claim was not placed."""
         if result.verdict is Verdict.STANDING and result.claim is not None:
-            if not self._is_over(result.claim):
+            if not self._is_over(digest, result.claim):
                 return self._make_conflict()
             self._count("unknown")
             log_event(Event.CLAIM_OUTCOME_UNKNOWN, "warning", claim=result.claim.claim_id)
