--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -81,7 +81,6 @@
         self.directory = self.facts.directory
         PeerCollector.register(self.facts, self.metrics.registry)
         self.usage = UsageReporter(
-            self.settings.name,
             self.facts.network,
             self.directory,
             lambda: dict(self.records.refused),
@@ -102,7 +101,6 @@
         self.status.add("backend_servers", self.facts.describe_backends)
         self.status.add("leaving", lambda: sorted(self.directory.list_leaving()))
         self.status.add("zone", lambda: self.settings.zone)
-        self.status.add("members", self.facts.describe_members)
         self.status.add("name", lambda: self.settings.name)
 
     def _build_requests(self) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -50,6 +50,15 @@
     assert list_names(directory) == []
 
 
+def test_entry_vms_are_no_backend_servers_but_their_leaving_is_told(board, directory):
+    heard = []
+    directory.add_leaving_listener(lambda name, deadline: heard.append(name))
+    board.learn(make_vm("e", serves="hemlock-entry"))
+    assert directory.list_targets() == set()
+    board.learn(NewsItem("notice/e", 1, {"deadline_wall_ms": 9}))
+    assert heard == ["e"]
+
+
 def test_draining_names_get_no_new_work(board, directory):
     board.learn(make_vm("a"))
     directory.set_draining(["a"])
@@ -156,3 +165,16 @@
         Router(directory).choose(Need("m"))
     assert caught.value.kind is ErrorKind.OVERLOADED
     assert caught.value.answer.retry_after_ms > 1_000
+
+
+def test_time_in_a_slot_follows_the_sizes_of_the_requests_there(board, clock, directory):
+    board.learn(make_vm("a"))
+    warm_up = directory.begin("a", max_tokens=11)
+    clock.advance(40)
+    directory.note_first_token(warm_up)
+    clock.advance(300)
+    directory.end(warm_up)
+    for _ in range(3):
+        directory.begin("a", max_tokens=100)
+    (candidate,) = directory.list_candidates("m")
+    assert candidate.service_ms == pytest.approx(3_000)
