--- a/hemlockswitch/process/watchers.py
+++ b/hemlockswitch/process/watchers.py
@@ -162,8 +162,16 @@
             if now_ms - since_ms >= GONE_AFTER_MS:
                 gone = {**item.value, "state": BackendState.GONE.value}
                 self._board.learn(NewsItem(item.key, item.version + 1, gone, tombstone=True))
+                self._bury_notice(name)
                 del self._missing_since_ms[name]
 
+    def _bury_notice(self, name: str) -> None:
+        """Let the boards forget the notice of a VM that is gone."""
+        notice = self._board.find(NOTICE_PREFIX + name)
+        if notice is not None:
+            last = NewsItem(notice.key, notice.version + 1, notice.value, tombstone=True)
+            self._board.learn(last)
+
 
 class NoticeFeed:
     """Passes the cloud API's reclaim notices of one zone on to the news board.
@@ -210,7 +218,9 @@
             value = {"deadline_wall_ms": notice.deadline_wall_ms}
             self._board.learn(NewsItem(NOTICE_PREFIX + notice.vm, notice.number, value))
         self._number = page.number
-        self._sign()
+        # Two watchers ask: where the other has just signed the same, nobody needs to hear it again.
+        if page.notices or not self._watchers_answered or self.silent_ms >= SIGN_INTERVAL_MS:
+            self._sign()
 
     def check(self) -> None:
         """Give a sign of life, or ask in the watchers' place if they do not do their part."""
@@ -272,12 +282,14 @@
         Explanation
         ===========
 
-        Where the reading raises, the version stays, and the same change is asked for again.
+        Where the reading raises, the version stays, and the same change is asked for again. It
+        follows the pointer's own version, not the service's: an answer that shows an old pointer
+        is then followed by the newer one.
         """
         changes = self._platform.watch(self._kind, self._version, POINTER_WAIT_MS, self._name)
         for item in changes.items:
             self._read(item)
-        self._version = changes.version
+            self._version = max(self._version, item.version)
 
 
 def describe_vm(vm: Any) -> dict[str, Any]:
