Read a stopped VM's counts before or after its process ends, not while

Cause: planned_stop's drained service ended in a connection reset now and then: the step read the stand-in's counts between the watcher's own reading and its kill. Ruled out: the product, whose last action (the stop of the VM) was over. Change: reading and ending exclude each other.

--- a/features/support/stopped_vms.py
+++ b/features/support/stopped_vms.py
@@ -23,12 +23,14 @@
         self._cluster = cluster
         self._seen: set[str] = set()
         self._stopping = threading.Event()
+        self._ending = threading.Lock()
         self._thread = threading.Thread(target=self._watch, daemon=True)
         self._thread.start()
 
     def read_stats(self, name: str) -> dict[str, Any]:
         """Return what a program counted, also after its end."""
-        return self.stats.get(name) or self._cluster.read_stats(name)
+        with self._ending:
+            return self.stats.get(name) or self._cluster.read_stats(name)
 
     def stop(self) -> None:
         """Watch no more."""
@@ -43,6 +45,7 @@
             except OSError:
                 return  # the scenario is over
             for name in self._seen - listed:
-                self.stats[name] = self._cluster.read_stats(name)
-                self._cluster.get(name).kill()
+                with self._ending:
+                    self.stats[name] = self._cluster.read_stats(name)
+                    self._cluster.get(name).kill()
             self._seen = listed
