Give unit factors one home and drop an unused look-up

Cause: the milliseconds of an hour stood three times, once as a bare number; four places wrote 1_000 for the milliseconds of a second, one stand-in module defined it anew and two others took it from there; CopyTable.find_vm was called nowhere. Ruled out: replacing equal numbers that are settings' defaults or other units. Change: MS_PER_HOUR beside MS_PER_SECOND in core.clock, used in these places; the pause before a failed task starts again has a name; find_vm is gone.

--- a/hemlockswitch/core/clock.py
+++ b/hemlockswitch/core/clock.py
@@ -7,6 +7,7 @@
 
 NANOSECONDS_PER_MS = 1_000_000
 MS_PER_SECOND = 1_000
+MS_PER_HOUR = 3_600_000
 
 
 class Clock(Protocol):
--- a/hemlockswitch/process/copies.py
+++ b/hemlockswitch/process/copies.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from functools import lru_cache
 
+from hemlockswitch.core.clock import MS_PER_HOUR
 from hemlockswitch.version.models import MachineClass
 
 LATE_SHARE_ALLOWED = 0.03
@@ -159,7 +160,7 @@
 
 
 def _compute_missing(reclaims_per_hour: float, replace_ms: float) -> float:
-    expected = reclaims_per_hour * replace_ms / 3_600_000
+    expected = reclaims_per_hour * replace_ms / MS_PER_HOUR
     return expected / (1 + expected)
 
 
--- a/hemlockswitch/process/copy_records.py
+++ b/hemlockswitch/process/copy_records.py
@@ -84,10 +84,6 @@
         rest = {key: record for key, record in self.copies.items() if key != token}
         return CopyTable(copies=rest)
 
-    def find_vm(self, vm: str) -> str:
-        """Return the token of the copy on `vm`, or an empty string."""
-        return next((token for token, record in self.copies.items() if record.vm == vm), "")
-
 
 Change = Callable[[CopyTable], CopyTable]
 
--- a/hemlockswitch/process/cost.py
+++ b/hemlockswitch/process/cost.py
@@ -5,9 +5,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
-from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.clock import MS_PER_HOUR, MS_PER_SECOND, Clock
 
-MS_PER_HOUR = 3_600_000
 LONGEST_GAP_MS = 30_000.0
 
 
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -39,6 +39,7 @@
 from hemlockswitch.version.settings import EntrySettings, split_address
 
 CLAIM_FLUSH_MS = 3_000.0
+TASK_RESTART_MS = 1_000
 
 
 class EntryDaemon:
@@ -213,7 +214,7 @@
                 return
             except Exception as error:
                 log_event(Event.TASK_FAILED, "error", task=name, error=repr(error))
-                self.clock.sleep_ms(1_000)
+                self.clock.sleep_ms(TASK_RESTART_MS)
 
     def stop(self) -> None:
         """Refuse new work, let requests in progress end or hand them over, then stop."""
--- a/hemlockswitch/process/reclaims.py
+++ b/hemlockswitch/process/reclaims.py
@@ -5,11 +5,10 @@
 from gevent.event import Event
 
 from hemlockswitch.connection.platform import PlatformClient
-from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.clock import MS_PER_HOUR, Clock
 from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.version.models import MachineClass
 
-MS_PER_HOUR = 3_600_000
 WAVE_MS = 30_000
 PRIOR_PER_HOUR = {MachineClass.RECLAIMABLE: 0.1, MachineClass.ON_DEMAND: 0.005}
 
--- a/hemlockswitch/programs/ctl_apply.py
+++ b/hemlockswitch/programs/ctl_apply.py
@@ -4,6 +4,7 @@
 
 from cleo.helpers import argument, option
 
+from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import HemlockError
 from hemlockswitch.process.applying import Applied, Applier
 from hemlockswitch.process.revision_store import RevisionStore
@@ -77,7 +78,7 @@
     def run_command(self) -> int:
         """Apply and, if asked, wait."""
         seen = self._read_seen()
-        wait_ms = self.read_seconds("wait") * 1_000 if self.option("wait") else None
+        wait_ms = self.read_seconds("wait") * MS_PER_SECOND if self.option("wait") else None
         checked = read_file(self.argument("file"))
         applied = Applier(self.client, self.clock, self.patience_ms).apply(checked, seen)
         answer = self._describe(applied)
@@ -159,7 +160,7 @@
     """Return a zone's view for people."""
     if view.age_ms is None:
         return f"{view.zone}: does not answer; it never gave a word"
-    age_s = view.age_ms / 1_000
+    age_s = view.age_ms / MS_PER_SECOND
     count = len(view.daemons)
     if view.state is ZoneState.IN_FORCE:
         return f"{view.zone}: in force at {count} of {count} daemons ({age_s:.1f} s ago)"
--- a/hemlockswitch/programs/ctl_platform.py
+++ b/hemlockswitch/programs/ctl_platform.py
@@ -9,7 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from hemlockswitch.connection.platform import PlatformClient
-from hemlockswitch.core.clock import SystemClock
+from hemlockswitch.core.clock import MS_PER_SECOND, SystemClock
 from hemlockswitch.core.errors import ConfigurationError, HemlockError, PlatformError
 from hemlockswitch.process.applying import RevisionConflictError, UnknownOutcomeError
 from hemlockswitch.programs.ctl_files import JSON_OPTION, ExitCode, report_mistakes
@@ -69,7 +69,7 @@
     @property
     def patience_ms(self) -> float:
         """How long to go on trying."""
-        return self.read_seconds("patience") * 1_000
+        return self.read_seconds("patience") * MS_PER_SECOND
 
     def read_seconds(self, name: str) -> float:
         """Return an option that is a number of seconds."""
--- a/hemlockswitch/standin/load_results.py
+++ b/hemlockswitch/standin/load_results.py
@@ -7,6 +7,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from hemlockswitch.core.clock import MS_PER_SECOND
+
 US_PER_MS = 1_000
 LARGEST_US = 600_000_000
 DIGITS = 3
@@ -140,7 +142,7 @@
             "errors": dict(self.errors),
             "refusals_retried": dict(self.refusals_retried),
             "totals": dict(self.totals),
-            "tokens_per_s": self.totals["tokens"] / took_ms * 1_000 if took_ms else 0,
+            "tokens_per_s": self.totals["tokens"] / took_ms * MS_PER_SECOND if took_ms else 0,
             "first_token": self.first_token.describe(),
             "token_gap": self.token_gap.describe(),
             "call": self.call.describe(),
--- a/hemlockswitch/standin/platform_faults.py
+++ b/hemlockswitch/standin/platform_faults.py
@@ -7,7 +7,7 @@
 import gevent
 from pydantic import BaseModel, ConfigDict, Field
 
-from hemlockswitch.standin.platform_objects import MS_PER_SECOND
+from hemlockswitch.core.clock import MS_PER_SECOND
 
 
 class ServiceFaults(BaseModel):
--- a/hemlockswitch/standin/platform_objects.py
+++ b/hemlockswitch/standin/platform_objects.py
@@ -7,9 +7,10 @@
 
 from gevent.event import Event as GeventEvent
 
+from hemlockswitch.core.clock import MS_PER_SECOND
+
 MAX_VALUE_BYTES = 1_048_576
 HISTORY_LENGTH = 16
-MS_PER_SECOND = 1_000
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/standin/platform_vms.py
+++ b/hemlockswitch/standin/platform_vms.py
@@ -7,7 +7,8 @@
 
 import gevent
 
-from hemlockswitch.standin.platform_objects import MS_PER_SECOND, ChangeSignal
+from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.standin.platform_objects import ChangeSignal
 
 GONE = "gone"
 SPARE = "spare"
