Build the entry daemon's request path and its metrics in short steps

Ruled out: a builder class or a table of metric definitions, which hide the attributes' names and types from readers and the type checker. Change: one method for each part (relay, service calls, admission, departure; counters, histograms, outcomes, gauges), called in the order that the parts stood in.

--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -109,6 +109,13 @@
         client = BackendClient()
         self.tracing = Tracing.from_setting(self.settings.traces, self.settings.name)
         reports = RequestReports(self.metrics, self.tracing)
+        self._build_relay(client, reports)
+        self._build_service_calls(client, reports)
+        self._build_admission(reports)
+        self._build_departure()
+
+    def _build_relay(self, client: BackendClient, reports: RequestReports) -> None:
+        """Build what chooses a backend server and relays its stream."""
         self.router = Router(
             self.directory, self._find_traits, await_facts=self.facts.freshness.await_facts
         )
@@ -127,6 +134,9 @@
         )
         self.directory.add_leaving_listener(self.mover.leave)
         self.sweep = OverdueSweep(self.relay, self.clock)
+
+    def _build_service_calls(self, client: BackendClient, reports: RequestReports) -> None:
+        """Build the calls of plain services and the claims that make them run once."""
         self.claims = build_claims(
             self.settings, self.facts, self.clock, self._find_limits, self.metrics.count_claim
         )
@@ -134,6 +144,9 @@
         self.services = ServiceCaller(
             self.router, self.directory, client, self.budget, self.clock, reports, self.claims
         )
+
+    def _build_admission(self, reports: RequestReports) -> None:
+        """Build what admits requests, records them and serves their callers."""
         self.shares = build_shares(self.settings, self.facts, self.clock, self._find_file)
         self.status.add("limits", self.shares.describe)
         capacity = CapacityQueue(self.clock)
@@ -142,6 +155,11 @@
         self.records = RequestRecords(self.admission, self.metrics, reports, self.clock)
         self.serving = Serving(self.relay, self.services, self.records, self.clock)
         self.serving.has_limits = lambda: self.shares.is_ready
+        self.metrics.shares_in_term.set_function(lambda: int(self.shares.book.in_term))
+        self.metrics.in_progress.set_function(lambda: self.records.in_progress)
+
+    def _build_departure(self) -> None:
+        """Build the handover of requests, which needs all the rest of their path."""
         self.departure = Departure(
             self.settings,
             self.facts,
@@ -154,8 +172,6 @@
             self.admission, self.records, self.serving
         )
         self.status.add("handover", self.departure.handover.describe)
-        self.metrics.shares_in_term.set_function(lambda: int(self.shares.book.in_term))
-        self.metrics.in_progress.set_function(lambda: self.records.in_progress)
         self.status.add("requests_in_progress", lambda: self.records.in_progress)
 
     def _build_servers(self) -> None:
--- a/hemlockswitch/process/metrics.py
+++ b/hemlockswitch/process/metrics.py
@@ -34,6 +34,12 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self._build_request_counters()
+        self._build_histograms()
+        self._build_outcome_counters()
+        self._build_gauges()
+
+    def _build_request_counters(self) -> None:
         self.requests = Counter(
             "hemlock_requests",
             "Requests answered, by target and outcome (ok or the error kind).",
@@ -60,6 +66,8 @@
             ["cause"],
             registry=self.registry,
         )
+
+    def _build_histograms(self) -> None:
         self.first_token = Histogram(
             "hemlock_first_token_seconds",
             "Time from the admitted request to its first token.",
@@ -81,6 +89,8 @@
             buckets=CALL_BUCKETS,
             registry=self.registry,
         )
+
+    def _build_outcome_counters(self) -> None:
         self.claims = Counter(
             "hemlock_claims",
             "Calls with an idempotency key, by what became of their claim.",
@@ -93,6 +103,8 @@
             ["outcome"],
             registry=self.registry,
         )
+
+    def _build_gauges(self) -> None:
         self.shares_in_term = Gauge(
             "hemlock_limit_shares_in_term",
             "1 while this daemon's shares of the limits are renewed.",
