Move the reading of the VM list out of the watchers' module

Ruled out: moving NoticeFeed as well, which needs the watchers' order to stand in for them. Change: VmList is VmFeed, beside NoticeFeed by its name, in process/vm_feed.py with its own constant and protocol; the importers, one test's imports among them, name the new place.

--- a/hemlockswitch/process/__init__.py
+++ b/hemlockswitch/process/__init__.py
@@ -14,7 +14,7 @@
     ``news``, ``news_messages``, ``spread``, ``digests``, ``retrieval``.
 Backend servers: which there are, and how loaded
     ``backends``, ``circuits``, ``subsets``, ``dispatches``, ``loads``, ``load_polls``,
-    ``watchers``, ``zones``.
+    ``watchers``, ``vm_feed``, ``zones``.
 Configuration
     ``configuration``, ``applying``, ``revision_messages``, ``revision_spread``,
     ``revision_store``, ``revision_tasks``.
--- a/hemlockswitch/process/facts.py
+++ b/hemlockswitch/process/facts.py
@@ -15,7 +15,8 @@
 from hemlockswitch.process.membership import Member, Membership, ProbeTimes
 from hemlockswitch.process.news import NewsBoard
 from hemlockswitch.process.spread import Spread
-from hemlockswitch.process.watchers import FEED_PREFIX, NoticeFeed, Post, VmList, Watcher
+from hemlockswitch.process.vm_feed import VmFeed
+from hemlockswitch.process.watchers import FEED_PREFIX, NoticeFeed, Post, Watcher
 from hemlockswitch.process.zones import ZoneDesk, ZoneQuestion, ZoneQuestions
 from hemlockswitch.version.settings import ProgramSettings
 
@@ -67,7 +68,7 @@
         )
         self.post = Post(settings.name, settings.zone, self.list_names)
         self.feed = NoticeFeed(platform, self.post, board, clock)
-        self.vms = VmList(platform, settings.zone, board, clock)
+        self.vms = VmFeed(platform, settings.zone, board, clock)
         self.loads = LoadPolls(self.directory, clock)
         self.freshness = Freshness(clock, self._list_sources)
         self.questions = ZoneQuestions(
--- /dev/null
+++ b/hemlockswitch/process/vm_feed.py
@@ -0,0 +1,80 @@
+"""Passes the platform's VM list of a zone on to the news board, and finds which VMs are gone."""
+
+from typing import Any, Protocol
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.backends import NOTICE_PREFIX, VM_PREFIX
+from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.version.backend import BackendState
+
+GONE_AFTER_MS = 30_000
+
+
+class ListingPlatform(Protocol):
+    """What the feed needs of the platform; each call has a time-out of its own."""
+
+    def list_vms(self, zone: str) -> Any:
+        """Return the VM list of a zone."""
+
+
+class VmFeed:
+    """Passes the platform's VM list of one zone on to the news board.
+
+    Explanation
+    ===========
+
+    The list lags, and how far changes. A VM that is not on it may be new or gone, so it counts
+    as gone only after it has been missing for `GONE_AFTER_MS`.
+    """
+
+    def __init__(
+        self, platform: ListingPlatform, zone: str, board: NewsBoard, clock: Clock
+    ) -> None:
+        self._platform = platform
+        self._zone = zone
+        self._board = board
+        self._clock = clock
+        self._missing_since_ms: dict[str, float] = {}
+
+    def ask(self) -> None:
+        """Read the list once."""
+        listed = {vm.name: vm for vm in self._platform.list_vms(self._zone).vms}
+        for name, vm in listed.items():
+            self._missing_since_ms.pop(name, None)
+            self._board.learn(NewsItem(VM_PREFIX + name, vm.version, describe_vm(vm)))
+        self._note_missing(set(listed))
+
+    def _note_missing(self, listed: set[str]) -> None:
+        now_ms = self._clock.now_ms()
+        for item in self._board.list_items(VM_PREFIX):
+            name = item.key.removeprefix(VM_PREFIX)
+            own = item.value.get("zone") == self._zone
+            if not own or name in listed or item.value.get("state") == BackendState.GONE.value:
+                continue
+            since_ms = self._missing_since_ms.setdefault(name, now_ms)
+            if now_ms - since_ms >= GONE_AFTER_MS:
+                gone = {**item.value, "state": BackendState.GONE.value}
+                self._board.learn(NewsItem(item.key, item.version + 1, gone, tombstone=True))
+                self._bury_notice(name)
+                del self._missing_since_ms[name]
+
+    def _bury_notice(self, name: str) -> None:
+        """Let the boards forget the notice of a VM that is gone."""
+        notice = self._board.find(NOTICE_PREFIX + name)
+        if notice is not None:
+            last = NewsItem(notice.key, notice.version + 1, notice.value, tombstone=True)
+            self._board.learn(last)
+
+
+def describe_vm(vm: Any) -> dict[str, Any]:
+    """Return a VM of the platform's list as a news value."""
+    return {
+        "name": vm.name,
+        "zone": vm.zone,
+        "address": vm.address,
+        "control_address": vm.control_address,
+        "serves": vm.serves,
+        "machine_class": str(vm.machine_class),
+        "price_per_hour": vm.price_per_hour,
+        "state": str(vm.state),
+    }
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -6,13 +6,12 @@
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.core.identifiers import rank_rendezvous
 from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.vm_feed import GONE_AFTER_MS, VmFeed
 from hemlockswitch.process.watchers import (
     FEED_SILENCE_MS,
-    GONE_AFTER_MS,
     MAX_RETRY_MS,
     NoticeFeed,
     Post,
-    VmList,
     Watcher,
     is_watcher,
 )
@@ -109,7 +108,7 @@
 
 def test_a_vm_counts_as_gone_only_after_it_was_missing_for_long(clock):
     platform, board = FakePlatform(), NewsBoard()
-    vms = VmList(platform, ZONE, board, clock)
+    vms = VmFeed(platform, ZONE, board, clock)
     platform.vms = [make_vm("a"), make_vm("b")]
     vms.ask()
     platform.vms = [make_vm("b")]
