Give the shares' central-counter baseline a module of its own

Ruled out: moving the fleet of daemons too, which shares the cut and the phases with the rest. Change: CentralCounter and its permit stand in tools/shares_baselines.py; the counter takes the limits as a parameter instead of reading a constant of the measurement.

--- a/tools/measure_shares.py
+++ b/tools/measure_shares.py
@@ -23,7 +23,6 @@
 
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.connection.platform import PlatformClient
-from hemlockswitch.connection.platform_models import Written
 from hemlockswitch.core.clock import MS_PER_SECOND, SystemClock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PeerError, PlatformError
 from hemlockswitch.process.share_parts import ShareMember
@@ -35,6 +34,7 @@
 from hemlockswitch.standin.platform_state import PlatformSettings, PlatformState
 from hemlockswitch.standin.server import listen
 from hemlockswitch.version.models import OperatorFile
+from tools.shares_baselines import BURST_S, CentralCounter
 
 ZONES = ("abdoun-hall", "khalda-hall", "marka-hall", "sweileh-hall")
 DAEMONS_PER_ZONE = 2
@@ -47,7 +47,6 @@
     "few": {"requests_per_second": 500, "tokens_per_second": 1_000_000, "concurrent_requests": 3},
 }
 OFFERED_PER_S = {"rate": 60.0, "few": 25.0}
-BURST_S = 1.0
 CUT_SECONDS = 14.0
 SETTLE_SECONDS = 3.0
 SEED = 20_261_202
@@ -96,62 +95,6 @@
         return getattr(self._client, name)
 
 
-class CentralCounter:
-    """Admission by one object of the platform for each account: a read and a write each time."""
-
-    def __init__(self, store: Any) -> None:
-        self._store = store
-
-    def admit(self, account: str, tokens: int) -> "CentralPermit":
-        """Admit by the counter, or raise."""
-        limits = LIMITS[account]
-
-        def charge(value: dict[str, float], now_s: float) -> dict[str, float]:
-            rate = limits["requests_per_second"]
-            level = min(value["level"] + rate * (now_s - value["at"]), rate * BURST_S)
-            if level < 1 or value["running"] >= limits["concurrent_requests"]:
-                raise PlatformError(ErrorKind.REQUEST_LIMIT, "over the limit")
-            return {"level": level - 1, "at": now_s, "running": value["running"] + 1}
-
-        self._change(account, charge)
-        return CentralPermit(lambda: self._change(account, _release))
-
-    def _change(self, account: str, change: Callable[[dict[str, float], float], Any]) -> None:
-        while True:
-            stored = self._store.read("counters", account)
-            now_s = time.time()
-            empty = {"level": 0.0, "at": now_s - BURST_S, "running": 0}
-            value = empty if stored is None else stored.value
-            changed = change(value, now_s)
-            if stored is None:
-                outcome = self._store.create("counters", account, changed)
-            else:
-                outcome = self._store.update("counters", account, changed, stored.version)
-            if isinstance(outcome, Written):
-                return
-
-
-def _release(value: dict[str, float], now_s: float) -> dict[str, float]:
-    return {**value, "running": value["running"] - 1}
-
-
-@dataclass
-class CentralPermit:
-    """A permit of the central counter."""
-
-    release: Callable[[], None]
-
-    def record_tokens(self, count: int) -> None:
-        """Do nothing: the counter does not settle tokens."""
-
-    def close(self) -> None:
-        """Free the slot; a lost release leaves it taken."""
-        try:
-            self.release()
-        except HemlockError:
-            return
-
-
 @dataclass
 class Phase:
     """What one account did in one phase."""
@@ -197,7 +140,7 @@
         client = PlatformClient(platform, self.method, name)
         store = ReachablePlatform(self, zone, client)
         if self.method == "central":
-            return Daemon(name, zone, network, CentralCounter(store))
+            return Daemon(name, zone, network, CentralCounter(store, LIMITS))
         if self.method == "fixed":
             fixed = FixedAllowances(lambda: self.file, lambda: self.count_reachable(zone))
             return Daemon(
