Give a client account's ledger a module of its own

Cause: request/admission.py had 334 lines and two jobs, deciding admission for the daemon and keeping one account's buckets. MS_PER_SECOND was defined again in buckets and routing, and one docstring line ran over the line length.

Ruled out: moving Permit too; it settles what Admission opened and is read with it.

JITTER_FLOOR_MS, which also bounded a wait that is not jittered, is MIN_WAIT_MS. MS_PER_SECOND comes from core.clock. No value changed.

--- a/hemlockswitch/request/admission.py
+++ b/hemlockswitch/request/admission.py
@@ -7,13 +7,10 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.request.allowances import Allowance, Allowances, Credit, Shortage
-from hemlockswitch.request.buckets import BURST_MS, MS_PER_SECOND, Bucket, Meter
 from hemlockswitch.request.capacity import CapacityQueue
+from hemlockswitch.request.ledger import MIN_WAIT_MS, AccountLedger, LimitRefusal
 
-DEFAULT_DURATION_MS = 1_000.0
-DURATION_WEIGHT = 0.1
 JITTER_RATIO = 0.5
-JITTER_FLOOR_MS = 20.0
 LONGEST_RETRY_MS = 30_000.0
 SEEK_WAIT_MS = 150.0
 MOST_SEEKS = 6
@@ -32,7 +29,9 @@
     gives back everything.
     """
 
-    def __init__(self, ledger: "_Ledger", leave: Callable[[], None], tokens_charged: int) -> None:
+    def __init__(
+        self, ledger: AccountLedger, leave: Callable[[], None], tokens_charged: int
+    ) -> None:
         self._ledger = ledger
         self._leave = leave
         self._tokens_charged = tokens_charged
@@ -78,9 +77,9 @@
     ===========
 
     A request that lacks allowance may wait up to `seek_wait_ms` while more is sought from other
-    daemons or the buckets fill; every other refusal is at once. Refusals are of the closed list, were never sent
-    (``ran: no``), and say when the bucket will have enough, jittered upwards so that callers
-    do not return together.
+    daemons or the buckets fill; every other refusal is at once. A refusal has an error kind of
+    the closed list; the request was not sent (``ran: no``). It says when the bucket will have
+    enough, jittered upwards so that callers do not return together.
 
     Parameters
     ==========
@@ -106,7 +105,7 @@
         self._clock = clock
         self._capacity = capacity
         self._seek_wait_ms = seek_wait_ms
-        self._ledgers: dict[str, _Ledger] = {}
+        self._ledgers: dict[str, AccountLedger] = {}
         self._starts_full = starts_full
         self._random = random.Random()
 
@@ -178,7 +177,7 @@
         ledger = self._ledgers.get(account)
         return 0 if ledger is None else ledger.running
 
-    def _charge(self, account: str, tokens: int, deadline_ms: float | None) -> "_Ledger":
+    def _charge(self, account: str, tokens: int, deadline_ms: float | None) -> AccountLedger:
         ledger = self._find_ledger(account)
         ledger.note_demand(tokens)
         end_ms = self._clock.now_ms() + self._seek_wait_ms
@@ -196,7 +195,7 @@
             return ledger
         raise refusal.build_error(self._jitter(refusal.wait_ms))
 
-    def _wait(self, ledger: "_Ledger", refusal: "_Refusal", end_ms: float) -> bool:
+    def _wait(self, ledger: AccountLedger, refusal: LimitRefusal, end_ms: float) -> bool:
         """Wait for the buckets when they have enough very soon; return whether that was so."""
         now_ms = self._clock.now_ms()
         by_slots = refusal.kind is ErrorKind.CONCURRENCY_LIMIT
@@ -213,122 +212,17 @@
         wait_ms = end_ms - self._clock.now_ms()
         return wait_ms > 0 and self._allowances.seek_more(account, shortage, wait_ms)
 
-    def _find_ledger(self, account: str) -> "_Ledger":
+    def _find_ledger(self, account: str) -> AccountLedger:
         allowance = self._allowances.find_allowance(account)
         if allowance is None:
             raise RequestError(ErrorKind.UNAUTHORIZED, "unknown client account")
         ledger = self._ledgers.get(account)
         if ledger is None:
-            ledger = _Ledger(self._clock, allowance, self._starts_full)
+            ledger = AccountLedger(self._clock, allowance, self._starts_full)
             self._ledgers[account] = ledger
         ledger.set_allowance(allowance)
         return ledger
 
     def _jitter(self, wait_ms: float) -> int:
-        spread_ms = max(wait_ms * JITTER_RATIO, JITTER_FLOOR_MS)
+        spread_ms = max(wait_ms * JITTER_RATIO, MIN_WAIT_MS)
         return int(min(wait_ms, LONGEST_RETRY_MS) + self._random.uniform(1, spread_ms))
-
-
-class _Refusal:
-    """Why a request was not let in, and what would have let it in."""
-
-    def __init__(self, kind: ErrorKind, wait_ms: float | None, shortage: Shortage) -> None:
-        self.kind = kind
-        self.wait_ms = DEFAULT_DURATION_MS if wait_ms is None else wait_ms
-        self.shortage = shortage
-
-    def build_error(self, retry_after_ms: int) -> RequestError:
-        """Return the error that the caller gets."""
-        detail = "the client account's limit is reached"
-        return RequestError(self.kind, detail, retry_after_ms=retry_after_ms)
-
-
-class _Ledger:
-    """One client account's buckets and requests in progress on this daemon."""
-
-    def __init__(self, clock: Clock, allowance: Allowance, starts_full: bool) -> None:
-        now_ms = clock.now_ms()
-        self.running = 0
-        self.waiting = 0
-        self._clock = clock
-        self._allowance = allowance
-        requests_rate = allowance.requests_per_second
-        self._requests = Bucket(now_ms, requests_rate, smallest=1, full=starts_full)
-        self._tokens = Bucket(now_ms, allowance.tokens_per_second, full=starts_full)
-        self._request_demand = Meter(now_ms)
-        self._token_demand = Meter(now_ms)
-        self._started_ms: list[float] = []
-        self._duration_ms = DEFAULT_DURATION_MS
-
-    def set_allowance(self, allowance: Allowance) -> None:
-        """Use `allowance` from now on."""
-        if allowance == self._allowance:
-            return
-        now_ms = self._clock.now_ms()
-        self._allowance = allowance
-        self._requests.set_rate(now_ms, allowance.requests_per_second)
-        self._tokens.set_rate(now_ms, allowance.tokens_per_second)
-
-    def measure_demand(self) -> Allowance:
-        """Return the rates asked for lately and the requests in progress."""
-        now_ms = self._clock.now_ms()
-        return Allowance(
-            self._request_demand.measure(now_ms), self._token_demand.measure(now_ms), self.running
-        )
-
-    def take_credit(self, most: Credit) -> Credit:
-        """Take at most `most` out of the buckets."""
-        now_ms = self._clock.now_ms()
-        requests = self._requests.drain(now_ms, most.requests)
-        return Credit(requests, self._tokens.drain(now_ms, most.tokens))
-
-    def add_credit(self, credit: Credit) -> None:
-        """Put `credit` into the buckets."""
-        now_ms = self._clock.now_ms()
-        self._requests.give_back(now_ms, credit.requests)
-        self._tokens.give_back(now_ms, credit.tokens)
-
-    def note_demand(self, tokens: int) -> None:
-        """Count one request asked for, let in or not."""
-        now_ms = self._clock.now_ms()
-        self._request_demand.add(now_ms, 1)
-        self._token_demand.add(now_ms, tokens)
-
-    def charge(self, tokens: int, deadline_ms: float | None) -> _Refusal | None:
-        """Charge one request with its estimate, or say why not; all or nothing."""
-        now_ms = self._clock.now_ms()
-        if self.running >= self._allowance.concurrent_requests:
-            shortage = Shortage(concurrent_requests=1, deadline_ms=deadline_ms)
-            return _Refusal(ErrorKind.CONCURRENCY_LIMIT, self._estimate_free_ms(now_ms), shortage)
-        if not self._requests.take(now_ms, 1):
-            wait_ms = self._requests.measure_wait_ms(now_ms, 1)
-            return _Refusal(ErrorKind.REQUEST_LIMIT, wait_ms, Shortage(requests_per_second=1))
-        if not self._tokens.take(now_ms, tokens):
-            self._requests.give_back(now_ms, 1)
-            wait_ms = self._tokens.measure_wait_ms(now_ms, tokens)
-            missing = (tokens - self._tokens.level) * MS_PER_SECOND / BURST_MS
-            return _Refusal(ErrorKind.TOKEN_LIMIT, wait_ms, Shortage(tokens_per_second=missing))
-        self.start()
-        return None
-
-    def start(self) -> None:
-        """Count one request as in progress."""
-        self.running += 1
-        self._started_ms.append(self._clock.now_ms())
-
-    def settle(self, tokens_unused: int, refund_request: bool) -> None:
-        """End one request and give back what it did not use."""
-        now_ms = self._clock.now_ms()
-        self.running -= 1
-        started_ms = self._started_ms.pop(0)
-        self._tokens.give_back(now_ms, tokens_unused)
-        if refund_request:
-            self._requests.give_back(now_ms, 1)
-            return
-        taken_ms = now_ms - started_ms
-        self._duration_ms += DURATION_WEIGHT * (taken_ms - self._duration_ms)
-
-    def _estimate_free_ms(self, now_ms: float) -> float:
-        if not self._started_ms:
-            return self._duration_ms
-        return max(self._started_ms[0] + self._duration_ms - now_ms, JITTER_FLOOR_MS)
--- a/hemlockswitch/request/buckets.py
+++ b/hemlockswitch/request/buckets.py
@@ -1,7 +1,8 @@
 """Token buckets whose rate may change at any moment, and a meter of what is asked of them."""
 
+from hemlockswitch.core.clock import MS_PER_SECOND
+
 BURST_MS = 1_000.0
-MS_PER_SECOND = 1_000.0
 METER_MS = 1_000.0
 
 
--- a/hemlockswitch/request/routing.py
+++ b/hemlockswitch/request/routing.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from hemlockswitch.core.clock import Clock, SystemClock
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.request.choices import Choice, PredictedTime, Scored, pick
 from hemlockswitch.request.prefixes import PrefixMemory
@@ -16,7 +16,6 @@
 PATIENCE_BY_PRIORITY = (6.0, 4.0, 2.0)
 OVERFLOW_SHARE = 0.5
 RETRY_SPREAD = 0.1
-MS_PER_SECOND = 1_000
 
 
 @dataclass(frozen=True)
