Build the deadline's error and a restated refusal in one place

Cause: the relay and the service calls each rebuilt a router's refusal with what they know of whether the request ran, each built the error of a passed deadline, and each had the bare 1_000 ms after which a caller of unknown outcome may come back.

Ruled out: a copy of the exception with its answer replaced; the constructor already applies the table, so the new error is made by it.

Change: RequestError.restate(ran), build_deadline_error(ran) and OUTCOME_UNKNOWN_RETRY_MS, used by both. Kinds, details and times are the same.

Features were not run.

--- a/hemlockswitch/core/errors.py
+++ b/hemlockswitch/core/errors.py
@@ -135,6 +135,18 @@
 class RequestError(HemlockError):
     """An error that answers one caller's request."""
 
+    def restate(self, ran: Ran) -> "RequestError":
+        """Return the same error with what is known elsewhere of whether the request ran.
+
+        Examples
+        ========
+
+        >>> RequestError(ErrorKind.NO_BACKEND, "none is left").restate(Ran.UNKNOWN).answer
+        Answer(status=503, ran=<Ran.UNKNOWN: 'unknown'>, retry_after_ms=2000)
+        """
+        retry_after_ms = self.answer.retry_after_ms
+        return RequestError(self.kind, self.detail, ran=ran, retry_after_ms=retry_after_ms)
+
 
 class ConfigurationError(HemlockError):
     """An operator file or a settings file that cannot be used."""
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -11,6 +11,7 @@
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.retries import Pace, RetryBudget
 from hemlockswitch.request.running import (
+    OUTCOME_UNKNOWN_RETRY_MS,
     Chooser,
     Directory,
     HandoverRequested,
@@ -150,7 +151,9 @@
         ran = running.state_ran()
         if ran is Ran.NO:
             return RequestError(ErrorKind.NO_BACKEND, reason)
-        return RequestError(ErrorKind.OUTCOME_UNKNOWN, reason, ran=ran, retry_after_ms=1_000)
+        return RequestError(
+            ErrorKind.OUTCOME_UNKNOWN, reason, ran=ran, retry_after_ms=OUTCOME_UNKNOWN_RETRY_MS
+        )
 
     def _begin_attempt(self, running: Running, cause: Cause) -> None:
         generation = running.generation
@@ -216,21 +219,11 @@
                 return self._chooser.choose(running.build_need())
             except RequestError as refusal:
                 if self._clock.now_ms() + CHOOSE_AGAIN_MS > until_ms:
-                    raise self._explain(running, refusal) from refusal
+                    raise refusal.restate(running.state_ran()) from refusal
             running.excluded.clear()
             self._clock.sleep_ms(CHOOSE_AGAIN_MS)
             self._check_wanted(running)
 
-    @staticmethod
-    def _explain(running: Running, refusal: RequestError) -> RequestError:
-        """Return the router's refusal with what is known of earlier attempts."""
-        return RequestError(
-            refusal.kind,
-            refusal.detail,
-            ran=running.state_ran(),
-            retry_after_ms=refusal.answer.retry_after_ms,
-        )
-
     def _follow(self, running: Running, attempt: Attempt, ticket: Any) -> Iterator[bytes]:
         """Yield the checked events of one attempt, as many at once as were read at once."""
         generation = running.generation
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -11,6 +11,8 @@
 from hemlockswitch.request.routing import Need
 from hemlockswitch.version.backend import BackendServer
 
+OUTCOME_UNKNOWN_RETRY_MS = 1_000
+
 
 class MoveReady(Exception):  # noqa: N818
     """Wakes a relay whose generation may switch to another backend server."""
@@ -163,10 +165,7 @@
 
     def build_overdue(self) -> RequestError:
         """Return the answer to a request whose deadline has passed."""
-        ran = self.state_ran()
-        if ran is Ran.NO:
-            return RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
-        return RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=ran)
+        return build_deadline_error(self.state_ran())
 
     def estimate_recomputed(self) -> int:
         """Return the tokens that the attempt in progress computed again, without its usage."""
@@ -185,3 +184,10 @@
         max_tokens=generation.max_tokens,
         priority=generation.priority,
     )
+
+
+def build_deadline_error(ran: Ran) -> RequestError:
+    """Return the error of a request whose deadline has passed, by whether it may have run."""
+    if ran is Ran.NO:
+        return RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
+    return RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=ran)
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -17,7 +17,12 @@
 from hemlockswitch.request.claims import Claims, StoredAnswer, fingerprint_call
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Need
-from hemlockswitch.request.running import Chooser, Directory
+from hemlockswitch.request.running import (
+    OUTCOME_UNKNOWN_RETRY_MS,
+    Chooser,
+    Directory,
+    build_deadline_error,
+)
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.models import Operation, Service
 
@@ -167,11 +172,8 @@
                 return self._give_up(progress)
 
     def _check_deadline(self, progress: _Progress, deadline_ms: float) -> None:
-        if self._clock.now_ms() < deadline_ms:
-            return
-        if progress.ran is Ran.NO:
-            raise RequestError(ErrorKind.DEADLINE_BEFORE_DISPATCH, "the deadline passed")
-        raise RequestError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed", ran=progress.ran)
+        if self._clock.now_ms() >= deadline_ms:
+            raise build_deadline_error(progress.ran)
 
     def _choose(
         self, request: CallerRequest, service: Service, progress: _Progress
@@ -185,12 +187,7 @@
             return server
         except RequestError as refusal:
             if progress.last is not None or progress.ran is not Ran.NO:
-                raise RequestError(
-                    refusal.kind,
-                    refusal.detail,
-                    ran=progress.ran,
-                    retry_after_ms=refusal.answer.retry_after_ms,
-                ) from refusal
+                raise refusal.restate(progress.ran) from refusal
             raise
         finally:
             self._observer.choice_ended(request, chosen)
@@ -253,7 +250,9 @@
         if progress.ran is Ran.NO:
             raise RequestError(ErrorKind.NO_BACKEND, "no backend server could be reached")
         raise RequestError(
-            ErrorKind.OUTCOME_UNKNOWN, "no backend server answered", retry_after_ms=1_000
+            ErrorKind.OUTCOME_UNKNOWN,
+            "no backend server answered",
+            retry_after_ms=OUTCOME_UNKNOWN_RETRY_MS,
         )
 
 
