Keep the peer streams' frames in a module of their own

Ruled out: moving Link's queue too; it shares the link's traffic counts and wake-up with the writing task.

Change: FrameKind, Frame and FrameDecoder are in connection/frames.py; _QueuedFrame and _Registration take the tuples' place; PeerBounds' parameters are described. The import in tests/test_peers.py follows; no assertion changed.

--- a/hemlockswitch/connection/links.py
+++ b/hemlockswitch/connection/links.py
@@ -1,60 +1,38 @@
-"""One TCP stream between two processes of the system: frames, a bounded queue, its two tasks."""
+"""One TCP stream between two processes of the system: a bounded queue and its two tasks."""
 
-import struct
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
-from enum import IntEnum
 
 import gevent
 from gevent import socket
 from gevent.event import Event as Signal
 
+from hemlockswitch.connection.frames import Frame, FrameDecoder, FrameKind
 from hemlockswitch.connection.messages import MAX_FRAME_BYTES
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, PeerError
 
-HEADER = struct.Struct(">IBI")
 READ_BYTES = 65_536
 WRITE_BYTES = 65_536
 
 
-class FrameKind(IntEnum):
-    """What a frame is for."""
-
-    ONE_WAY = 0
-    ASK = 1
-    REPLY = 2
-
-
-FRAME_KINDS = frozenset(int(kind) for kind in FrameKind)
-
-
 @dataclass(frozen=True)
-class Frame:
-    """One message on a stream.
+class PeerBounds:
+    """Bounds of the peer network.
 
     Parameters
     ==========
 
-    kind : one-way, a question, or the reply to a question.
-    number : pairs a reply with its question; 0 for a one-way message.
-    body : the msgpack form of the message.
+    queue_frames, queue_bytes : what may wait to be sent on one stream.
+    handler_tasks : messages handled at once, over all streams.
+    accepted_streams : streams that other processes may open to this one.
+    connect_timeout_ms, write_timeout_ms : how long a connect or a write may take.
+    hello_timeout_ms : how long an accepted stream may go without its hello.
+    idle_ms : a stream unused for longer is closed.
+    first_backoff_ms, longest_backoff_ms : first and longest pause after a failed connection.
     """
 
-    kind: FrameKind
-    number: int
-    body: bytes
-
-    def encode(self) -> bytes:
-        """Return the frame as it goes on the stream."""
-        return HEADER.pack(len(self.body), self.kind, self.number) + self.body
-
-
-@dataclass(frozen=True)
-class PeerBounds:
-    """Bounds of the peer network, in bytes, frames and milliseconds."""
-
     queue_frames: int = 1_024
     queue_bytes: int = 2 * MAX_FRAME_BYTES
     handler_tasks: int = 256
@@ -79,38 +57,6 @@
     connections: int = 0
 
 
-class FrameDecoder:
-    """Cut a byte stream into frames; a frame over the bound is an error before it is read.
-
-    Examples
-    ========
-
-    >>> decoder = FrameDecoder()
-    >>> wire = Frame(FrameKind.ASK, 7, b"abc").encode()
-    >>> [frame.number for frame in decoder.feed(wire[:5])]
-    []
-    >>> [frame.number for frame in decoder.feed(wire[5:])]
-    [7]
-    """
-
-    def __init__(self) -> None:
-        self._buffer = bytearray()
-
-    def feed(self, received: bytes) -> Iterator[Frame]:
-        """Add bytes and yield each frame that is now whole."""
-        self._buffer += received
-        while len(self._buffer) >= HEADER.size:
-            length, kind, number = HEADER.unpack_from(self._buffer)
-            if length > MAX_FRAME_BYTES or kind not in FRAME_KINDS:
-                raise PeerError(ErrorKind.BODY_TOO_LARGE, f"a frame of {length} bytes")
-            end = HEADER.size + length
-            if len(self._buffer) < end:
-                return
-            body = bytes(self._buffer[HEADER.size : end])
-            del self._buffer[:end]
-            yield Frame(FrameKind(kind), number, body)
-
-
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP and the port of an ``ip:port`` address.
 
@@ -126,6 +72,14 @@
     return host, int(port)
 
 
+@dataclass(frozen=True)
+class _QueuedFrame:
+    """An encoded frame that waits to be sent; its kind says whether it may be dropped."""
+
+    kind: FrameKind
+    wire: bytes
+
+
 class Link:
     """A stream to one peer. It owns its socket; two tasks read and write it.
 
@@ -171,7 +125,7 @@
         self._clock = clock
         self._bounds = bounds
         self._traffic = traffic
-        self._queue: deque[tuple[FrameKind, bytes]] = deque()
+        self._queue: deque[_QueuedFrame] = deque()
         self._queued_bytes = 0
         self._wake = Signal()
         self._heard = False
@@ -194,7 +148,7 @@
             raise PeerError(ErrorKind.PEER_UNAVAILABLE, f"no stream to {self.address}")
         wire = frame.encode()
         self._make_room(len(wire), frame.kind)
-        self._queue.append((frame.kind, wire))
+        self._queue.append(_QueuedFrame(frame.kind, wire))
         self._queued_bytes += len(wire)
         self._wake.set()
 
@@ -204,12 +158,12 @@
             len(self._queue) >= bounds.queue_frames
             or self._queued_bytes + size_bytes > bounds.queue_bytes
         ):
-            oldest = next((entry for entry in self._queue if entry[0] is FrameKind.ONE_WAY), None)
+            oldest = next((one for one in self._queue if one.kind is FrameKind.ONE_WAY), None)
             if oldest is None:
                 self._traffic.dropped += 1
                 raise PeerError(ErrorKind.OVERLOADED, f"the queue to {self.address} is full")
             self._queue.remove(oldest)
-            self._queued_bytes -= len(oldest[1])
+            self._queued_bytes -= len(oldest.wire)
             self._traffic.dropped += 1
 
     def close(self, failed: bool = False) -> None:
@@ -284,7 +238,7 @@
     def _take_batch(self) -> bytes:
         batch = bytearray()
         while self._queue and len(batch) < WRITE_BYTES:
-            _, wire = self._queue.popleft()
+            wire = self._queue.popleft().wire
             self._queued_bytes -= len(wire)
             batch += wire
             self._traffic.messages_out += 1
--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -10,14 +10,8 @@
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
-from hemlockswitch.connection.links import (
-    Frame,
-    FrameKind,
-    Link,
-    PeerBounds,
-    Traffic,
-    split_address,
-)
+from hemlockswitch.connection.frames import Frame, FrameKind
+from hemlockswitch.connection.links import Link, PeerBounds, Traffic, split_address
 from hemlockswitch.connection.messages import (
     Refusal,
     decode_message,
@@ -48,6 +42,14 @@
     address: str
 
 
+@dataclass(frozen=True)
+class _Registration:
+    """The handler of a message type, and whether it runs in the stream's own task."""
+
+    handler: Handler
+    quick: bool
+
+
 @dataclass
 class _Question:
     """A question that waits for its reply, and the link on which it went."""
@@ -104,7 +106,7 @@
         self._listen = split_address(listen)
         self._clock = clock or SystemClock()
         self._bounds = bounds or PeerBounds()
-        self._handlers: dict[type, tuple[Handler, bool]] = {}
+        self._handlers: dict[type, _Registration] = {}
         self._links: dict[str, Link] = {}
         self._all_links: set[Link] = set()
         self._questions: dict[int, _Question] = {}
@@ -157,7 +159,7 @@
 
         quick : the handler never waits; it runs in the stream's own task, in order of arrival.
         """
-        self._handlers[message_type] = (handler, quick)
+        self._handlers[message_type] = _Registration(handler, quick)
 
     def send(self, address: str, message: Any) -> bool:
         """Queue a one-way message; return whether there was a stream to queue it on."""
@@ -284,8 +286,9 @@
         self._links.setdefault(hello.address, link)
 
     def _dispatch(self, link: Link, frame: Frame, message: Any) -> None:
-        handler, quick = self._handlers.get(type(message), (_refuse, True))
-        if quick:
+        registration = self._handlers.get(type(message), _UNHANDLED)
+        handler = registration.handler
+        if registration.quick:
             self._answer(link, frame, message, handler)
         elif self._workers.full():
             self._reply(link, frame, Refusal(ErrorKind.OVERLOADED, "too many messages at once"))
@@ -326,3 +329,6 @@
 
 def _refuse(_: str, message: Any) -> Refusal:
     return Refusal(ErrorKind.BAD_REQUEST, f"no handler for {message.tag!r}")
+
+
+_UNHANDLED = _Registration(_refuse, quick=True)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,7 +7,8 @@
 import pytest
 from gevent import socket
 
-from hemlockswitch.connection.links import Frame, FrameDecoder, FrameKind, PeerBounds
+from hemlockswitch.connection.frames import Frame, FrameDecoder, FrameKind
+from hemlockswitch.connection.links import PeerBounds
 from hemlockswitch.connection.messages import MAX_FRAME_BYTES, register_message
 from hemlockswitch.connection.peers import PeerNetwork, split_address
 from hemlockswitch.core.errors import ErrorKind, PeerError
