Use the standard library's HTTP statuses and name bare numbers

Cause: nine modules compared HTTP statuses with bare numbers or with constants of their own (OK, HTTP_OK, NOT_FOUND, CONFLICT_STATUS, ...); the default prefill speed stood twice, and three bounds had no name.

Ruled out: one shared module of statuses; http.HTTPStatus has them already.

Change: HTTPStatus in their place; DEFAULT_PREFILL_TOKENS_PER_S, MAX_DOUBLINGS, MAX_REASON_CHARACTERS and ORDER_TIMEOUT_MS name the rest. All values are the same.

--- a/hemlockswitch/connection/backends.py
+++ b/hemlockswitch/connection/backends.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from http import HTTPStatus
 
 import gevent
 from gevent import socket
@@ -26,7 +27,7 @@
 QUICK_READS = 2
 CONNECT_TIMEOUT_MS = 1_000
 SEND_TIMEOUT_MS = 5_000
-BODILESS_STATUSES = frozenset({204, 304})
+BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
--- a/hemlockswitch/connection/backoff.py
+++ b/hemlockswitch/connection/backoff.py
@@ -6,6 +6,7 @@
 
 FIRST_PAUSE_MS = 100
 LONGEST_PAUSE_MS = 3_000
+MAX_DOUBLINGS = 16
 
 
 class Backoff:
@@ -61,5 +62,5 @@
             return
         self._paused_at_ms = self._clock.now_ms()
         pause_ms = min(FIRST_PAUSE_MS * 2**self._failures, self._longest_ms)
-        self._failures = min(self._failures + 1, 16)
+        self._failures = min(self._failures + 1, MAX_DOUBLINGS)
         self._resume_at_ms = self._paused_at_ms + pause_ms * random.uniform(0.5, 1)
--- a/hemlockswitch/connection/http_parts.py
+++ b/hemlockswitch/connection/http_parts.py
@@ -1,6 +1,7 @@
 """The parts of geventhttpclient that exchanges are made of: its request builder and its parser."""
 
 from collections.abc import Mapping
+from http import HTTPStatus
 
 from geventhttpclient.client import HTTPClient
 from geventhttpclient.response import HTTPResponse
@@ -33,7 +34,7 @@
     @property
     def begun(self) -> bool:
         """Whether the head of the final answer is complete."""
-        return self.headers_complete and self.get_code() >= 200
+        return self.headers_complete and self.get_code() >= HTTPStatus.OK
 
     def take_body(self) -> bytes:
         """Return and forget the body parsed since the last call."""
--- a/hemlockswitch/connection/loads.py
+++ b/hemlockswitch/connection/loads.py
@@ -1,6 +1,7 @@
 """Reading the load that a backend server reports."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
@@ -12,7 +13,7 @@
 LOAD_PATH = "/v1/load"
 LOAD_TIMEOUT_MS = 1_000
 MAX_LOAD_BYTES = 65_536
-NOT_FOUND = 404
+DEFAULT_PREFILL_TOKENS_PER_S = 4_000.0
 
 
 @dataclass(frozen=True)
@@ -24,7 +25,7 @@
 
     running, waiting : requests with and without a slot, of all daemons.
     slots : requests that it works on at once.
-    prefill_tokens_per_s : speed of computing prompt tokens.
+    prefill_tokens_per_s : speed of computing prompt tokens; a default where it does not say.
     prefill_backlog : prompt tokens still to be computed; 0 where it does not say.
     age_ms : how long before the answer it was measured.
     draining : the server was ordered to finish and take nothing new.
@@ -33,7 +34,7 @@
     running: int
     waiting: int
     slots: int
-    prefill_tokens_per_s: float = 4_000.0
+    prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S
     prefill_backlog: float = 0.0
     age_ms: float = 0.0
     draining: bool = False
@@ -47,7 +48,7 @@
     running: int = Field(ge=0)
     waiting: int = Field(ge=0)
     slots: int = Field(gt=0)
-    prefill_tokens_per_s: float = Field(default=4_000.0, gt=0)
+    prefill_tokens_per_s: float = Field(default=DEFAULT_PREFILL_TOKENS_PER_S, gt=0)
     prefill_backlog: float = Field(default=0.0, ge=0)
     age_ms: float = Field(default=0.0, ge=0)
     draining: bool = False
@@ -94,7 +95,7 @@
             response.release()
         except (OSError, HTTPParseError, EOFError) as error:
             raise BackendError(ErrorKind.NO_BACKEND, f"load: {error}") from error
-        if response.status_code == NOT_FOUND:
+        if response.status_code == HTTPStatus.NOT_FOUND:
             return None
         return parse_load(body)
 
--- a/hemlockswitch/connection/orders.py
+++ b/hemlockswitch/connection/orders.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from enum import StrEnum
+from http import HTTPStatus
 from socket import IPPROTO_TCP, TCP_NODELAY, TCP_USER_TIMEOUT
 from typing import Any
 
@@ -22,8 +23,7 @@
 from hemlockswitch.core.errors import BackendError, ErrorKind
 
 ANSWER_MAX_BYTES = 65_536
-HTTP_OK = 200
-HTTP_CONFLICT = 409
+ORDER_TIMEOUT_MS = 1_000
 
 
 class EngineState(StrEnum):
@@ -129,7 +129,7 @@
     timeout_ms : the whole time that one call may take; an order that took longer is unknown.
     """
 
-    def __init__(self, timeout_ms: int = 1_000) -> None:
+    def __init__(self, timeout_ms: int = ORDER_TIMEOUT_MS) -> None:
         self._timeout_ms = timeout_ms
 
     def read_load(self, address: str) -> ReportedLoad:
@@ -141,7 +141,7 @@
         BackendError : it did not answer in time, or not with a load report.
         """
         status, body = self._call(address, "GET", "/v1/load", b"")
-        if status != HTTP_OK:
+        if status != HTTPStatus.OK:
             raise BackendError(ErrorKind.NO_BACKEND, f"{address} answered {status} to a load call")
         try:
             return ReportedLoad.model_validate_json(body)
@@ -179,9 +179,9 @@
         content = _OrderBody(fencing=fencing, wanted=asdict(wanted)).model_dump_json().encode()
         body = _PermittedBody(content, _convert_refusal(permit))
         status, answer = self._call(address, "POST", "/v1/orders", body)
-        if status == HTTP_OK:
+        if status == HTTPStatus.OK:
             return OrderDone()
-        if status == HTTP_CONFLICT:
+        if status == HTTPStatus.CONFLICT:
             return OrderStale(_read_highest(answer))
         raise BackendError(ErrorKind.NO_BACKEND, f"{address} answered {status} to an order")
 
--- a/hemlockswitch/connection/platform.py
+++ b/hemlockswitch/connection/platform.py
@@ -1,6 +1,7 @@
 """The client of the platform: object service, VM list and cloud API."""
 
 import json
+from http import HTTPStatus
 from typing import Any, Protocol, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -8,7 +9,6 @@
 
 from hemlockswitch.connection.backoff import Backoff
 from hemlockswitch.connection.platform_calls import (
-    FIRST_SERVER_ERROR,
     Answer,
     AnswerLostError,
     PlatformCalls,
@@ -37,7 +37,6 @@
 
 TIMEOUT_MS = 2_000
 MAX_VALUE_BYTES = 1_048_576
-CONFLICT_STATUS = 412
 
 Body = TypeVar("Body", bound=BaseModel)
 
@@ -153,11 +152,11 @@
     def stop_vm(self, name: str) -> bool:
         """Stop a VM; returns whether the platform knew it. Stopping twice is one stop."""
         answer = self._call_cloud("DELETE", f"/cloud/vms/{quote(name)}", b"")
-        return answer.status != 404
+        return answer.status != HTTPStatus.NOT_FOUND
 
     def _read(self, path: str, wait_ms: float = 0) -> Answer | None:
         answer = self._call_safely(self._object_backoff, "GET", path, b"", wait_ms)
-        return None if answer.status == 404 else answer
+        return None if answer.status == HTTPStatus.NOT_FOUND else answer
 
     def _read_cloud(self, path: str, wait_ms: float = 0) -> Answer:
         return self._call_safely(self._cloud_backoff, "GET", path, b"", wait_ms)
@@ -184,11 +183,11 @@
             answer = self._calls.call(self._object_backoff, method, path, body, condition)
         except AnswerLostError as error:
             return Unknown(str(error))
-        if answer.status == 404:
+        if answer.status == HTTPStatus.NOT_FOUND:
             return Conflict(0)
-        if answer.status == CONFLICT_STATUS:
+        if answer.status == HTTPStatus.PRECONDITION_FAILED:
             return Conflict(_parse(VersionBody, answer).version)
-        if answer.status >= FIRST_SERVER_ERROR:
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             return Unknown(f"status {answer.status}")
         return _parse_written(answer)
 
@@ -202,7 +201,7 @@
 
 def _parse(body_type: type[Body], answer: Answer) -> Body:
     """Return the validated body of a good answer."""
-    if answer.status >= 400 and answer.status != CONFLICT_STATUS:
+    if answer.status >= HTTPStatus.BAD_REQUEST and answer.status != HTTPStatus.PRECONDITION_FAILED:
         raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, f"status {answer.status}")
     try:
         return body_type.model_validate_json(answer.body)
@@ -212,7 +211,7 @@
 
 
 def _parse_written(answer: Answer) -> WriteOutcome:
-    if answer.status >= 400:
+    if answer.status >= HTTPStatus.BAD_REQUEST:
         raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, f"status {answer.status}")
     try:
         return Written(VersionBody.model_validate_json(answer.body).version)
--- a/hemlockswitch/connection/platform_calls.py
+++ b/hemlockswitch/connection/platform_calls.py
@@ -1,6 +1,7 @@
 """One call of the platform: bounded in time and size, sent once, and left alone while it fails."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import gevent
@@ -18,9 +19,6 @@
 CONNECTIONS = 16
 WATCH_CONNECTIONS = 8
 NO_TIMEOUT: Any = None  # each call has one timer of its own instead
-TOO_LARGE_STATUS = 413
-OVER_RATE_STATUS = 429
-FIRST_SERVER_ERROR = 500
 
 
 @dataclass(frozen=True)
@@ -84,12 +82,12 @@
         return self._judge(answer, backoff, began_ms)
 
     def _judge(self, answer: Answer, backoff: Backoff, began_ms: float) -> Answer:
-        if answer.status == OVER_RATE_STATUS:
+        if answer.status == HTTPStatus.TOO_MANY_REQUESTS:
             backoff.record_failure(began_ms)
             raise make_unavailable("over the platform's rate", backoff)
-        if answer.status == TOO_LARGE_STATUS:
+        if answer.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
             raise PlatformError(ErrorKind.BODY_TOO_LARGE, "the value is too large")
-        if answer.status >= FIRST_SERVER_ERROR and find_refusal(answer) is None:
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR and find_refusal(answer) is None:
             backoff.record_failure(began_ms)
         else:
             backoff.record_success()
@@ -153,7 +151,7 @@
 
 def find_refusal(answer: Answer) -> RefusalBody | None:
     """Return the cloud API's refusal of a start, if the answer is one."""
-    if answer.status != 503:
+    if answer.status != HTTPStatus.SERVICE_UNAVAILABLE:
         return None
     try:
         refusal = RefusalBody.model_validate_json(answer.body)
--- a/hemlockswitch/request/attempt.py
+++ b/hemlockswitch/request/attempt.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from http import HTTPStatus
 
 import gevent
 
@@ -21,8 +22,15 @@
 CANCEL_TIMEOUT_MS = 2_000
 HEAD_TIMEOUT_MS = 15_000
 RESUME_HEAD_TIMEOUT_MS = 1_000
-OK = 200
-REFUSED_STATUSES = frozenset({404, 409, 429, 503})
+MAX_REASON_CHARACTERS = 200
+REFUSED_STATUSES = frozenset(
+    {
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.CONFLICT,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 
 
 class AttemptLostError(Exception):
@@ -177,7 +185,7 @@
         try:
             with gevent.Timeout(timeout_ms / MS_PER_SECOND, lost):
                 status = exchange.read_head()
-                if status != OK:
+                if status != HTTPStatus.OK:
                     _raise_refusal(status, exchange.read_whole().body)
         except ExchangeError as failure:
             resumable = failure.stage is not Stage.BEFORE_SEND
@@ -188,13 +196,13 @@
     """Raise what a status other than 200 means."""
     if status in REFUSED_STATUSES:
         raise AttemptLostError(f"the backend server refused with {status}", Ran.NO)
-    if status >= 500:
+    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         raise AttemptLostError(f"the backend server answered {status}")
     raise RequestError(ErrorKind.BAD_REQUEST, f"the engine refused it: {_read_reason(body)}")
 
 
 def _read_reason(body: bytes) -> str:
     try:
-        return str(json.loads(body)["error"])[:200]
+        return str(json.loads(body)["error"])[:MAX_REASON_CHARACTERS]
     except (ValueError, KeyError, TypeError):
         return "no reason given"
--- a/hemlockswitch/request/moving.py
+++ b/hemlockswitch/request/moving.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from http import HTTPStatus
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -23,7 +24,6 @@
 MIN_STEP_MS = 50.0
 SLACK = 1.25
 START_GAP_MS = 50.0
-OK = 200
 
 
 @dataclass(frozen=True)
@@ -166,7 +166,7 @@
         headers = {"Content-Type": "application/json"}
         call = BackendCall("POST", path, json.dumps(body).encode(), headers)
         answer = self._client.call(address, call, timeout_ms)
-        if answer.status != OK:
+        if answer.status != HTTPStatus.OK:
             raise ValueError(f"{path} answered {answer.status}")
         return json.loads(answer.body)
 
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -1,6 +1,7 @@
 """Calls of plain services: repeated only where that is safe, and stated honestly where not."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any, Protocol
 
 from hemlockswitch.connection.backends import (
@@ -162,7 +163,7 @@
             progress.dispatches += 1
             try:
                 answer = self._send(request, service, server, path, deadline_ms)
-                if not (operation.idempotent and answer.status >= 500):
+                if not (operation.idempotent and answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR):
                     return _keep(answer)
                 progress.last, progress.ran = answer, Ran.YES
             except ExchangeError as failure:
