Keep the peer addresses' back-offs in a class of their own

Ruled out: connection/backoff.py's Backoff, which draws its pause at random and ignores failures of calls begun earlier; using it would change behaviour.

Change: AddressBackoffs in connection/address_backoffs.py, with the same pauses and the same time after which an address is forgotten, and a doctest.

--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -10,6 +10,7 @@
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
+from hemlockswitch.connection.address_backoffs import AddressBackoffs
 from hemlockswitch.connection.frames import Frame, FrameKind
 from hemlockswitch.connection.links import Link, PeerBounds, Traffic, split_address
 from hemlockswitch.connection.messages import (
@@ -27,7 +28,6 @@
 
 LARGEST_NUMBER = 0xFFFFFFFF
 SWEEP_MS = 1_000
-FORGET_BACKOFF_MS = 60_000
 FLUSH_MS = 200
 FLUSH_STEP_S = 0.005
 
@@ -58,14 +58,6 @@
     link: Link
 
 
-@dataclass
-class _Backoff:
-    """When an address that failed may be tried again."""
-
-    until_ms: float
-    step_ms: float
-
-
 class PeerNetwork:
     """Send typed messages to other processes by address, and serve theirs.
 
@@ -110,7 +102,7 @@
         self._links: dict[str, Link] = {}
         self._all_links: set[Link] = set()
         self._questions: dict[int, _Question] = {}
-        self._backoffs: dict[str, _Backoff] = {}
+        self._backoffs = AddressBackoffs.from_bounds(self._bounds, self._clock)
         self._last_number = 0
         self._workers = Pool(self._bounds.handler_tasks)
         self._server: StreamServer | None = None
@@ -211,9 +203,7 @@
         link = self._links.get(address)
         if link is not None:
             return link
-        backoff = self._backoffs.get(address)
-        waiting = backoff is not None and self._clock.now_ms() < backoff.until_ms
-        if self._stopped or waiting:
+        if self._stopped or self._backoffs.is_paused(address):
             raise PeerError(ErrorKind.PEER_UNAVAILABLE, f"{address} failed a moment ago")
         return self._add_link(address, None)
 
@@ -241,18 +231,12 @@
         if self._links.get(link.address) is link:
             del self._links[link.address]
         if failed:
-            self._back_off(link.address)
+            self._backoffs.record_failure(link.address)
         for question in list(self._questions.values()):
             if question.link is link:
                 detail = f"the stream to {link.address} ended"
                 question.result.set_exception(PeerError(ErrorKind.PEER_UNAVAILABLE, detail))
 
-    def _back_off(self, address: str) -> None:
-        known = self._backoffs.get(address)
-        step_ms = min(known.step_ms * 2, self._bounds.longest_backoff_ms) if known else 0
-        step_ms = max(step_ms, self._bounds.first_backoff_ms)
-        self._backoffs[address] = _Backoff(self._clock.now_ms() + step_ms, step_ms)
-
     def _accept(self, connection: socket.socket, _: Any) -> None:
         link = self._add_link("", connection)
         link.wait_closed()
@@ -261,7 +245,7 @@
         if not link.address:
             self._greet(link, frame)
             return
-        self._backoffs.pop(link.address, None)
+        self._backoffs.record_success(link.address)
         try:
             message = decode_message(frame.body)
         except PeerError as error:
@@ -282,7 +266,7 @@
             log_event(Event.PEER_REFUSED, "warning", hello=repr(hello))
             raise PeerError(ErrorKind.UNAUTHORIZED, "not a hello of this cluster")
         link.address = hello.address
-        self._backoffs.pop(hello.address, None)
+        self._backoffs.record_success(hello.address)
         self._links.setdefault(hello.address, link)
 
     def _dispatch(self, link: Link, frame: Frame, message: Any) -> None:
@@ -322,9 +306,7 @@
             for link in list(self._all_links):
                 if link not in asked and link.is_idle(now_ms):
                     link.close()
-            for address, backoff in list(self._backoffs.items()):
-                if now_ms - backoff.until_ms > FORGET_BACKOFF_MS:
-                    del self._backoffs[address]
+            self._backoffs.forget_old()
 
 
 def _refuse(_: str, message: Any) -> Refusal:
