Say the name and version of every program alike

Cause: hemlock-standin had no version, and the names were shown in two ways; the load program had its own copy of the start of a program with one command.

--- a/hemlockswitch/programs/daemon.py
+++ b/hemlockswitch/programs/daemon.py
@@ -89,9 +89,10 @@
         log_event(Event.PROCESS_STOPPED)
 
 
-def run_program(program: str, command: DaemonCommand) -> int:
+def run_program(program: str, command: Command) -> int:
     """Run a program that has this one command and return its exit code."""
     application = Application(program, hemlockswitch.__version__)
+    application.set_display_name(program)
     application.add(command)
     # cleo has no public way to make a command the only one.
     application._default_command = command.name or program
--- a/hemlockswitch/programs/load.py
+++ b/hemlockswitch/programs/load.py
@@ -8,13 +8,12 @@
 import sys
 from pathlib import Path
 
-from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 from pydantic import ValidationError
 
-import hemlockswitch
 from hemlockswitch.core.clock import SystemClock
+from hemlockswitch.programs.daemon import run_program
 from hemlockswitch.standin.load import Load
 from hemlockswitch.standin.load_plan import LoadSettings
 
@@ -56,12 +55,7 @@
 
 def main() -> int:
     """Run the program and return its exit code."""
-    application = Application("hemlock-load", hemlockswitch.__version__)
-    command = LoadCommand()
-    application.add(command)
-    application._default_command = command.name
-    application._single_command = True
-    return application.run()
+    return run_program("hemlock-load", LoadCommand())
 
 
 if __name__ == "__main__":
--- a/hemlockswitch/programs/standin.py
+++ b/hemlockswitch/programs/standin.py
@@ -12,6 +12,8 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+import hemlockswitch
+
 
 class StandinCommand(Command):
     """One stand-in; reads a JSON settings file and serves until it is stopped."""
@@ -82,7 +84,8 @@
 
 def main() -> int:
     """Run the command line."""
-    application = Application("hemlock-standin")
+    application = Application("hemlock-standin", hemlockswitch.__version__)
+    application.set_display_name("hemlock-standin")
     for command in (EngineCommand, ServiceCommand, PlatformCommand, ProxyCommand):
         application.add(command())
     return application.run()
