--- a/hemlockswitch/connection/control_api.py
+++ b/hemlockswitch/connection/control_api.py
@@ -50,6 +50,24 @@
         resp.data = self._render()
 
 
+class ReadyPage:
+    """Whether the daemon takes new callers."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer 200 or 503."""
+        resp.status = falcon.HTTP_200 if self._is_ready() else falcon.HTTP_503
+
+
+def build_ready_application(path: str, is_ready: Callable[[], bool]) -> Any:
+    """Return the WSGI application that a balancer asks."""
+    app: falcon.App = falcon.App()
+    app.add_route(path, ReadyPage(is_ready))
+    return app
+
+
 def build_control_application(status: StatusPage, render_metrics: Callable[[], bytes]) -> Any:
     """Return the WSGI application of the control address."""
     app: falcon.App = falcon.App()
--- a/hemlockswitch/connection/platform.py
+++ b/hemlockswitch/connection/platform.py
@@ -111,11 +111,11 @@
 
     def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
         """Write an object that must not exist yet; `value` is JSON-ready or bytes of JSON."""
-        return self._write("PUT", kind, name, _encode(value), {"If-None-Match": "*"})
+        return self._write("PUT", kind, name, encode_value(value), {"If-None-Match": "*"})
 
     def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
         """Write an object whose version must be `version`; `value` as for `create`."""
-        return self._write("PUT", kind, name, _encode(value), {"If-Match": str(version)})
+        return self._write("PUT", kind, name, encode_value(value), {"If-Match": str(version)})
 
     def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
         """Delete an object whose version must be `version`; deleting an absent one conflicts."""
@@ -142,7 +142,7 @@
             back), or no usable answer (``platform_unavailable``): ask again with the same token.
         """
         wanted = {"zone": zone, "serves": serves, "machine_class": machine_class, "token": token}
-        answer = self._call_cloud("POST", "/cloud/vms", _encode(wanted))
+        answer = self._call_cloud("POST", "/cloud/vms", encode_value(wanted))
         refusal = find_refusal(answer)
         if refusal is not None:
             detail = f"no capacity for {machine_class} in {zone}"
@@ -192,7 +192,7 @@
         return _parse_written(answer)
 
 
-def _encode(value: Any) -> bytes:
+def encode_value(value: Any) -> bytes:
     """Return a value's JSON text; bytes are JSON text already."""
     if isinstance(value, bytes):
         return value
--- a/hemlockswitch/core/errors.py
+++ b/hemlockswitch/core/errors.py
@@ -21,7 +21,9 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_OPERATION = "unknown_operation"
     UNKNOWN_REQUEST = "unknown_request"
+    UNKNOWN_ROUTE = "unknown_route"
     BODY_TOO_LARGE = "body_too_large"
+    HEAD_TOO_LARGE = "head_too_large"
     CALLER_TOO_SLOW = "caller_too_slow"
     REQUEST_LIMIT = "request_limit"
     TOKEN_LIMIT = "token_limit"
@@ -69,7 +71,9 @@
     ErrorKind.UNKNOWN_SERVICE: Answer(404, Ran.NO),
     ErrorKind.UNKNOWN_OPERATION: Answer(404, Ran.NO),
     ErrorKind.UNKNOWN_REQUEST: Answer(404, Ran.UNKNOWN),
+    ErrorKind.UNKNOWN_ROUTE: Answer(404, Ran.NO),
     ErrorKind.BODY_TOO_LARGE: Answer(413, Ran.NO),
+    ErrorKind.HEAD_TOO_LARGE: Answer(431, Ran.NO),
     ErrorKind.CALLER_TOO_SLOW: Answer(408, Ran.NO),
     ErrorKind.REQUEST_LIMIT: Answer(429, Ran.NO, 1_000),
     ErrorKind.TOKEN_LIMIT: Answer(429, Ran.NO, 1_000),
@@ -156,6 +160,13 @@
     """The platform's service refused, failed or did not answer."""
 
 
+class HistoryGoneError(PlatformError):
+    """A watch asked for changes that the platform no longer keeps; the objects are to be listed."""
+
+    def __init__(self, since: int) -> None:
+        super().__init__(ErrorKind.PLATFORM_UNAVAILABLE, f"no history since version {since}")
+
+
 class BackendError(HemlockError):
     """A backend server refused, failed or did not answer."""
 
--- a/hemlockswitch/core/logs.py
+++ b/hemlockswitch/core/logs.py
@@ -1,7 +1,8 @@
-"""Logs: one JSON object a line on standard error, each with an event number."""
+"""Logs: one JSON object a line, each with an event number."""
 
 import logging
 import sys
+from typing import Any
 
 import structlog
 
@@ -10,14 +11,15 @@
 _LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
 
 
-def configure_logs(process_name: str, level: str = "info") -> None:
-    """Send the process's log lines to standard error as JSON.
+def configure_logs(process_name: str, level: str = "info", output: Any = None) -> None:
+    """Send the process's log lines to standard error, or to `output`, as JSON.
 
     Parameters
     ==========
 
     process_name : the ``process`` field of each line.
     level : ``debug``, ``info`` or ``warning``.
+    output : a text file; a `BoundedOutput` where logging must never block.
     """
     structlog.configure(
         processors=[
@@ -26,7 +28,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=output or sys.stderr),
     )
     _process.name = process_name
 
--- /dev/null
+++ b/hemlockswitch/process/gateway/accounts.py
@@ -0,0 +1,120 @@
+"""The limits of client accounts over all daemons, from what each daemon says it has spent.
+
+Each daemon keeps a bucket for each account and takes from it both its own requests and those that
+the other daemons report, several times a second. Daemons that are not heard count as a part of
+the limit that is theirs: in a cut each side admits only its part, so the sum stays in the limit.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.version.serving_table import ForwardedAccount
+
+START_MS = 300.0
+"""A new process may admit this much of the rate at once; a full burst would be a second one for
+every account whenever all daemons restart."""
+SHORTEST_WAIT_MS = 100.0
+LONGEST_WAIT_MS = 4_000.0
+"""Bounds of the time to come back that a refused caller is told."""
+
+
+class AccountBucket:
+    """What one account may spend, as one daemon believes.
+
+    Examples
+    ========
+
+    >>> bucket = AccountBucket(now_ms=0, rate_per_s=100, burst=50)
+    >>> bucket.take(0, 20, share=1.0), bucket.take(0, 20, share=1.0)
+    (None, 100.0)
+    """
+
+    def __init__(self, now_ms: float, rate_per_s: float, burst: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._level = rate_per_s * START_MS / MS_PER_SECOND
+        self._updated_ms = now_ms
+
+    def set_limit(self, now_ms: float, rate_per_s: float, burst: float, share: float) -> None:
+        """Use another limit from now on."""
+        self._refill(now_ms, share)
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+
+    def take(self, now_ms: float, amount: float, share: float) -> float | None:
+        """Spend `amount`; return None, or the ms to wait when there is not enough.
+
+        Parameters
+        ==========
+
+        share : part of the limit that the daemons in touch with this one have together.
+        """
+        self._refill(now_ms, share)
+        needed = min(amount, self._capacity(share))
+        if self._level >= needed:
+            self._level -= amount
+            return None
+        rate = max(self._rate_per_s * share, 1.0)
+        wait_ms = (needed - self._level) / rate * MS_PER_SECOND
+        return min(max(wait_ms, SHORTEST_WAIT_MS), LONGEST_WAIT_MS)
+
+    def spend(self, now_ms: float, amount: float, share: float) -> None:
+        """Take what another daemon has spent, whatever the level."""
+        self._refill(now_ms, share)
+        self._level -= amount
+
+    def _capacity(self, share: float) -> float:
+        return max(self._burst, self._rate_per_s) * share
+
+    def _refill(self, now_ms: float, share: float) -> None:
+        earned = self._rate_per_s * share * (now_ms - self._updated_ms) / MS_PER_SECOND
+        self._updated_ms = now_ms
+        self._level = min(self._level + earned, self._capacity(share))
+
+
+class SharedLimits:
+    """All accounts' limits at this daemon.
+
+    Parameters
+    ==========
+
+    clock : the time.
+    get_share : returns the part of the limits that the daemons in touch have together.
+    """
+
+    def __init__(self, clock: Clock, get_share: Callable[[], float]) -> None:
+        self.spent: dict[str, float] = defaultdict(float)
+        self._clock = clock
+        self._get_share = get_share
+        self._buckets: dict[str, AccountBucket] = {}
+        self._limits: dict[str, tuple[float, float]] = {}
+        self._seen: dict[tuple[str, str], float] = {}
+
+    def take(self, account: ForwardedAccount, amount: float) -> float | None:
+        """Spend `amount` of an account; return None, or how long to wait in ms."""
+        bucket = self._find_bucket(account)
+        wait_ms = bucket.take(self._clock.now_ms(), amount, self._get_share())
+        if wait_ms is None:
+            self.spent[account.name] += amount
+        return wait_ms
+
+    def take_report(self, daemon: str, spent: Mapping[str, float]) -> None:
+        """Take another daemon's sums; `daemon` differs for each start of a process."""
+        for account, total in spent.items():
+            before = self._seen.get((daemon, account))
+            self._seen[daemon, account] = total
+            bucket = self._buckets.get(account)
+            if before is not None and bucket is not None and total > before:
+                bucket.spend(self._clock.now_ms(), total - before, self._get_share())
+
+    def _find_bucket(self, account: ForwardedAccount) -> AccountBucket:
+        limit = (account.rate_per_s, account.burst)
+        now_ms = self._clock.now_ms()
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            bucket = self._buckets[account.name] = AccountBucket(now_ms, *limit)
+        elif self._limits[account.name] != limit:
+            bucket.set_limit(now_ms, *limit, self._get_share())
+        self._limits[account.name] = limit
+        return bucket
--- /dev/null
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -0,0 +1,335 @@
+"""The gateway daemon: its parts, wired together, started and stopped in order."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import gevent
+
+from hemlockswitch.connection.backend_pool import BackendPool
+from hemlockswitch.connection.caller_server import CallerServer
+from hemlockswitch.connection.control_api import (
+    StatusPage,
+    build_control_application,
+    build_ready_application,
+)
+from hemlockswitch.connection.forward_server import ForwardServer
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.accounts import SharedLimits
+from hemlockswitch.process.gateway.configuration import TableHolder
+from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
+from hemlockswitch.process.gateway.fleet import (
+    GATEWAY_KIND,
+    Fleet,
+    GatewayReport,
+    ReportSource,
+)
+from hemlockswitch.process.gateway.follower import ObjectFollower, WatchedStore
+from hemlockswitch.process.gateway.loads import ServerLoad, ServerLoads
+from hemlockswitch.process.gateway.observation import GatewayObserver
+from hemlockswitch.process.gateway.registry import ServerRegistry
+from hemlockswitch.process.gateway.scaling import ScalingApi, ScalingDuty
+from hemlockswitch.process.gateway.true_time import TrueTime
+from hemlockswitch.process.gateway.usage import UsageApi, UsageCounts, UsageDuty
+from hemlockswitch.process.gateway.view import GatewayView
+from hemlockswitch.process.lease import Lease
+from hemlockswitch.request.dialect import Dialect
+from hemlockswitch.request.forwarding import Forwarder
+from hemlockswitch.request.repeat_budget import RepeatBudget
+from hemlockswitch.version.backend import BackendServer
+from hemlockswitch.version.serving_table import ServingTable
+from hemlockswitch.version.settings import GatewaySettings, split_address
+
+SWEEP_MS = 1_000.0
+REGISTER_RETRY_MS = 500.0
+TASK_RESTART_MS = 500.0
+LISTEN_ON_STOP_MS = 3_000.0
+"""How long to accept connections after a stop signal: balancers ask for readiness once a second
+and take a daemon out after two answers, so new connections come for up to two seconds."""
+FORCE_MARGIN_MS = 500.0
+"""The process ends by itself this long before the platform ends it by force."""
+STOP_STEP_MS = 50.0
+CALLER_TIMEOUT_MS = 5_000
+
+
+class GatewayStore(WatchedStore, Protocol):
+    """The object service; `PlatformClient` and the adapter's store both are one."""
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or None."""
+
+    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
+        """Write an object that must not exist yet."""
+
+    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
+        """Write an object whose version must be `version`."""
+
+    def close(self) -> None:
+        """Close the kept connections."""
+
+
+class DutyApi(UsageApi, ScalingApi, Protocol):
+    """Takes what the holder of the duties sends."""
+
+
+@dataclass(frozen=True)
+class Adapter:
+    """The outside systems of a gateway, behind the product's own interfaces.
+
+    Parameters
+    ==========
+
+    dialect : messages of callers and backend servers.
+    store : the object service.
+    duty_api : the cloud API; None where no duties are taken.
+    config_kind, config_name : the object that holds the newest configuration.
+    server_kind : the kind of the backend servers' entries.
+    decode_table, decode_server : read these objects.
+    """
+
+    dialect: Dialect
+    store: GatewayStore
+    duty_api: DutyApi | None
+    config_kind: str
+    config_name: str
+    server_kind: str
+    decode_table: Callable[[StoredObject], ServingTable]
+    decode_server: Callable[[StoredObject], BackendServer]
+
+
+class GatewayDaemon:
+    """One `hemlock-gateway` process.
+
+    Parameters
+    ==========
+
+    settings : the checked settings file.
+    adapter : the outside systems.
+    clock : the process's clock.
+    """
+
+    def __init__(self, settings: GatewaySettings, adapter: Adapter, clock: Clock) -> None:
+        self.settings = settings
+        self._adapter = adapter
+        self._clock = clock
+        self._incarnation = time.time_ns()
+        self._is_stopping = False
+        self._was_ready = False
+        self._tasks: list[gevent.Greenlet] = []
+        self._build_knowledge()
+        self._build_forwarding()
+        self._build_duties()
+        self._build_servers()
+
+    def _build_knowledge(self) -> None:
+        """Build what the daemon knows: configuration, backend servers, other gateways."""
+        adapter, clock = self._adapter, self._clock
+        self.true_time = TrueTime()
+        self.usage = UsageCounts(self.settings.usage_window_s)
+        self.tables = TableHolder(adapter.config_name, adapter.decode_table)
+        self.loads = ServerLoads(clock)
+        self.pool = BackendPool(clock, self._count_connection)
+        self.registry = ServerRegistry(adapter.decode_server, clock, self._forget_server)
+        self.network = PeerNetwork(
+            self.settings.cluster, self.settings.name, self.settings.peer_listen, clock=clock
+        )
+        source = ReportSource(self._build_report, self._take_report)
+        self.fleet = Fleet(self.settings.name, self.network, source, clock)
+        self.config_follower = ObjectFollower(
+            adapter.store, adapter.config_kind, self.tables, clock
+        )
+        self.server_follower = ObjectFollower(
+            adapter.store, adapter.server_kind, self.registry, clock
+        )
+        self.fleet_follower = ObjectFollower(adapter.store, GATEWAY_KIND, self.fleet, clock)
+        self.registry.get_recovered_ms = lambda: self.server_follower.recovered_ms
+
+    def _build_forwarding(self) -> None:
+        """Build the path of a request."""
+        settings, clock = self.settings, self._clock
+        self.limits = SharedLimits(clock, self.fleet.get_share)
+        self.observer = GatewayObserver(self.usage, self.true_time, clock)
+        budget = RepeatBudget(
+            settings.repeat_ratio,
+            settings.repeat_extra,
+            settings.repeat_window_s * MS_PER_SECOND,
+            clock,
+        )
+        view = GatewayView(self.tables, self.registry, self.loads, self.fleet, settings.zone)
+        self.forwarder = Forwarder(
+            self._adapter.dialect, view, self.limits, self.pool, budget, self.observer, clock
+        )
+
+    def _build_duties(self) -> None:
+        """Build the duties, if there is an API that takes them."""
+        self.duties: DutyRunner | None = None
+        api = self._adapter.duty_api
+        if api is None:
+            return
+        store, clock = self._adapter.store, self._clock
+        lease = Lease(
+            store,
+            clock,
+            LEASE_NAME,
+            self.settings.name,
+            make_lease_times(self.settings.lease_term_ms),
+            self.fleet.count_daemons,
+        )
+        scaling = ScalingDuty(
+            api,
+            self.settings.zones,
+            lambda: self.tables.current,
+            self.registry.list_all,
+            clock,
+        )
+        usage = UsageDuty(self.usage, store, api)
+        self.duties = DutyRunner(lease, usage, scaling, self.fleet, self.true_time, clock)
+
+    def _build_servers(self) -> None:
+        """Build the servers for callers, the balancer and operators."""
+        self.status = StatusPage()
+        self.status.add("name", lambda: self.settings.name)
+        self.status.add("ready", self.is_ready)
+        self.status.add("configuration", self._describe_table)
+        self.status.add("gateways", self.fleet.describe)
+        self.status.add("backend_servers", lambda: len(self.registry.list_all()))
+        self.callers = ForwardServer(
+            split_address(self.settings.listen),
+            self.forwarder.handle,
+            lambda: self.tables.bounds,
+            self._clock,
+        )
+        self.ready_server = CallerServer(
+            split_address(self.settings.ready_listen),
+            build_ready_application(self.settings.ready_path, self.is_ready),
+            CALLER_TIMEOUT_MS,
+        )
+        self.control_server = CallerServer(
+            split_address(self.settings.control_listen),
+            build_control_application(self.status, self.observer.render),
+            CALLER_TIMEOUT_MS,
+        )
+
+    def start(self) -> dict[str, str]:
+        """Open the sockets, spawn the tasks, and return the addresses that are bound."""
+        peer_address = self.network.start()
+        listen_address = self.callers.start()
+        self.ready_server.start()
+        self.control_server.start()
+        for follower in (self.config_follower, self.server_follower, self.fleet_follower):
+            self._spawn(follower.run)
+        for task in (self._register, self._report, self._sweep):
+            self._spawn(task)
+        if self.duties is not None:
+            self._spawn(self.duties.keep_lease)
+            self._spawn(self.duties.act)
+        return {
+            "listen": listen_address,
+            "ready": self.ready_server.bound_address,
+            "control": self.control_server.bound_address,
+            "peer": peer_address,
+        }
+
+    def is_ready(self) -> bool:
+        """Return whether new callers can be served."""
+        knows = self.tables.current is not None and self.server_follower.is_synced
+        ready = (knows or self._was_ready) and not self._is_stopping
+        if ready != self._was_ready:
+            log_event(Event.READINESS_CHANGED, ready=ready, stopping=self._is_stopping)
+        self._was_ready = ready
+        return ready
+
+    def stop(self) -> None:
+        """Leave the balancer, finish the requests in progress, and close."""
+        began_ms = self._clock.now_ms()
+        self._is_stopping = True
+        self.callers.begin_closing()
+        end_ms = began_ms + self.settings.stop_grace_s * MS_PER_SECOND - FORCE_MARGIN_MS
+        listen_until_ms = min(began_ms + LISTEN_ON_STOP_MS, end_ms)
+        if self.duties is not None:
+            self.duties.release()
+        while self._clock.now_ms() < listen_until_ms:
+            self._clock.sleep_ms(STOP_STEP_MS)
+        self.callers.stop_accepting()
+        while self.callers.active and self._clock.now_ms() < end_ms:
+            self._clock.sleep_ms(STOP_STEP_MS)
+            self.callers.close_idle()
+        self._close()
+
+    def _close(self) -> None:
+        gevent.killall(self._tasks, block=False)
+        self.network.stop()
+        self.ready_server.stop(timeout=0)
+        self.control_server.stop(timeout=0)
+        self._adapter.store.close()
+
+    def _spawn(self, run: Callable[[], None]) -> None:
+        self._tasks.append(gevent.spawn(self._keep_running, run))
+
+    def _keep_running(self, run: Callable[[], None]) -> None:
+        """Run a task, and start it again after an error that nothing handles."""
+        while True:
+            try:
+                run()
+            except Exception as error:  # noqa: BLE001 - one task's fault must not end the daemon
+                log_event(Event.TASK_FAILED, "error", task=repr(run), error=repr(error))
+            self._clock.sleep_ms(TASK_RESTART_MS)
+
+    def _register(self) -> None:
+        """Write the own address once, and again when it is gone."""
+        while True:
+            if self.fleet_follower.is_synced and not self.fleet.is_registered:
+                self.fleet.register(self._adapter.store)
+            self._clock.sleep_ms(REGISTER_RETRY_MS)
+
+    def _report(self) -> None:
+        while True:
+            self._clock.sleep_ms(self.fleet.get_period_ms())
+            self.fleet.send_reports()
+
+    def _sweep(self) -> None:
+        while True:
+            self._clock.sleep_ms(SWEEP_MS)
+            self.pool.sweep()
+            self.true_time.hear(self.fleet.list_opinions())
+
+    def _build_report(self) -> GatewayReport:
+        loads = self.loads.describe_own()
+        return GatewayReport(
+            name=self.settings.name,
+            incarnation=self._incarnation,
+            believed_ms=self.true_time.now_ms(),
+            loads={name: (load.running, load.waiting_tokens) for name, load in loads.items()},
+            spent=dict(self.limits.spent),
+            usage=self.usage.describe_own(),
+            leads=self.duties is not None and self.duties.leads,
+        )
+
+    def _take_report(self, report: GatewayReport) -> None:
+        loads = {name: ServerLoad(int(one[0]), float(one[1])) for name, one in report.loads.items()}
+        self.loads.take_report(report.name, loads)
+        process = f"{report.name}/{report.incarnation}"
+        self.limits.take_report(process, report.spent)
+        self.usage.take_report(process, report.usage)
+
+    def _forget_server(self, server: BackendServer) -> None:
+        self.pool.forget(server.address)
+        self.loads.forget(server.name)
+
+    def _count_connection(self, _address: str) -> None:
+        self.observer.connections.inc()
+
+    def _describe_table(self) -> dict[str, Any]:
+        table = self.tables.current
+        if table is None:
+            return {"revision": None}
+        return {
+            "revision": table.revision,
+            "routes": len(table.routes),
+            "watch_lost": self.config_follower.is_lost,
+        }
--- /dev/null
+++ b/hemlockswitch/process/gateway/duties.py
@@ -0,0 +1,122 @@
+"""The duties of one gateway at a time, under the lease: usage reports and orders of copies."""
+
+from typing import Protocol
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import PlatformError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.scaling import ScalingDuty
+from hemlockswitch.process.gateway.true_time import TrueTime
+from hemlockswitch.process.gateway.usage import UsageDuty
+from hemlockswitch.process.lease import Lease, LeaseError, LeaseTimes
+
+LEASE_NAME = "duties"
+TURN_MS = 250.0
+"""Time between two looks at what is due; a reclaimed copy is replaced that much later."""
+RENEWALS_IN_TERM = 4
+STOP_SHARE = 0.35
+"""Part of the term, at its end, in which a holder no longer acts; above the time-out of a call."""
+MARGIN_SHARE = 0.15
+"""What a successor waits beyond the term, for clocks that run at different rates."""
+
+
+def make_lease_times(term_ms: float) -> LeaseTimes:
+    """Return the lease's durations for a term.
+
+    Examples
+    ========
+
+    >>> make_lease_times(4_000).renew_ms
+    1000
+    """
+    return LeaseTimes(
+        term_ms=round(term_ms),
+        renew_ms=round(term_ms / RENEWALS_IN_TERM),
+        stop_before_ms=round(term_ms * STOP_SHARE),
+        margin_ms=round(term_ms * MARGIN_SHARE),
+        look_ms=round(term_ms / RENEWALS_IN_TERM),
+    )
+
+
+class OtherLeaders(Protocol):
+    """Tells whether another gateway is known to hold the duties."""
+
+    def has_other_leader(self) -> bool:
+        """Return whether another gateway says so."""
+
+
+class DutyRunner:
+    """Keeps or seeks the lease and does what is due while it is held.
+
+    Explanation
+    ===========
+
+    A gateway that hears from the holder does not look at the lease at all, which saves calls of
+    the object service. Every act reads the clock for the lease first, so that a process that was
+    suspended does not act on a lease that lapsed meanwhile.
+    """
+
+    def __init__(
+        self,
+        lease: Lease,
+        usage: UsageDuty,
+        scaling: ScalingDuty,
+        others: OtherLeaders,
+        true_time: TrueTime,
+        clock: Clock,
+    ) -> None:
+        self._lease = lease
+        self._usage = usage
+        self._scaling = scaling
+        self._others = others
+        self._true_time = true_time
+        self._clock = clock
+        self._was_held = False
+
+    @property
+    def leads(self) -> bool:
+        """Whether this gateway may act now."""
+        return self._lease.is_held
+
+    def keep_lease(self) -> None:
+        """Renew or seek the lease until the task is ended."""
+        while True:
+            if not self._lease.is_held and self._others.has_other_leader():
+                self._clock.sleep_ms(TURN_MS)
+                continue
+            self._clock.sleep_ms(self._lease.take_turn())
+
+    def act(self) -> None:
+        """Do what is due until the task is ended."""
+        while True:
+            self._clock.sleep_ms(TURN_MS)
+            self.take_turn()
+
+    def take_turn(self) -> None:
+        """Do what is due now, if the lease is held."""
+        if not self._lease.is_held:
+            self._was_held = False
+            return
+        if not self._was_held:
+            self._was_held = True
+            self._scaling.forget_orders()
+        for duty in (self._order_copies, self._report_usage):
+            try:
+                duty()
+            except LeaseError as error:
+                log_event(Event.DUTY_FAILED, "warning", detail=error.detail)
+                return
+            except PlatformError as error:
+                log_event(Event.DUTY_FAILED, "warning", detail=error.detail)
+
+    def release(self) -> None:
+        """Give the lease back, so that a successor need not wait."""
+        self._lease.release()
+
+    def _order_copies(self) -> None:
+        self._scaling.take_turn(self._lease.get_fencing)
+
+    def _report_usage(self) -> None:
+        for window in self._usage.list_due(self._true_time.now_ms()):
+            self._usage.report(window, self._lease.get_fencing)
--- /dev/null
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -0,0 +1,210 @@
+"""The other gateways: who they are, from the object service, and what they last reported.
+
+Each gateway registers its address once and then tells every other one, several times a second,
+the load that it puts on backend servers, what its accounts have spent and the usage it counted.
+At the size of a site this full mesh is cheap; docs/CAPACITY.md says where it ends.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from hemlockswitch.connection.messages import register_message
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.connection.platform_models import (
+    ObjectPage,
+    StoredObject,
+    Unknown,
+    WriteOutcome,
+    Written,
+)
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import PlatformError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+
+GATEWAY_KIND = "gateways"
+REPORT_MS = 200.0
+"""Time between two reports at a small fleet. What accounts overspend and what runners get too
+much grows with it; a fifth of a second of the largest account's traffic is far below the bounds."""
+REPORTS_PER_S = 100.0
+"""Reports that a daemon may send in a second, over all peers: beyond twenty daemons the period
+grows with their number, so that control stays a small part of a core."""
+SILENT_MS = 1_500.0
+"""A gateway that was not heard for this long counts as out of touch; several reports are missing."""
+
+
+@register_message("gateway_report")
+@dataclass(frozen=True)
+class GatewayReport:
+    """What a gateway tells the others.
+
+    Parameters
+    ==========
+
+    name : the gateway.
+    incarnation : differs for each start of its process.
+    believed_ms : its time of day.
+    loads : server name to (requests in progress, prompt tokens that wait).
+    spent : account to what it has spent since the process began.
+    usage : window number to account to count.
+    leads : whether it holds the duties.
+    """
+
+    name: str
+    incarnation: int
+    believed_ms: float
+    loads: dict[str, tuple[int, float]]
+    spent: dict[str, float]
+    usage: dict[str, dict[str, int]]
+    leads: bool = False
+
+
+@dataclass
+class Peer:
+    """Another gateway."""
+
+    name: str
+    address: str
+    heard_ms: float = float("-inf")
+    report: GatewayReport | None = None
+
+
+class RegistrationStore(Protocol):
+    """What the fleet needs of the object service; see `PlatformClient`."""
+
+    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
+        """Write an object that must not exist yet."""
+
+    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
+        """Write an object whose version must be `version`."""
+
+
+@dataclass(frozen=True)
+class ReportSource:
+    """Where the parts of the own report come from."""
+
+    build: Callable[[], GatewayReport]
+    take: Callable[[GatewayReport], None]
+
+
+class Fleet:
+    """Consumes the followed registrations, sends reports and takes those of others.
+
+    Parameters
+    ==========
+
+    name : this gateway.
+    network : the streams to other processes.
+    source : builds the own report and takes those of others.
+    clock : the time.
+    """
+
+    def __init__(self, name: str, network: PeerNetwork, source: ReportSource, clock: Clock) -> None:
+        self.own_version: int | None = None
+        self.is_registered = False
+        self._name = name
+        self._network = network
+        self._source = source
+        self._clock = clock
+        self._peers: dict[str, Peer] = {}
+        network.handle(GatewayReport, self._take_report, quick=True)
+
+    def replace_all(self, page: ObjectPage) -> None:
+        """Take the whole list of registrations."""
+        listed = {item.name for item in page.items}
+        self.apply_changes(page)
+        for name in [name for name in self._peers if name not in listed]:
+            del self._peers[name]
+
+    def apply_changes(self, page: ObjectPage) -> None:
+        """Take changed registrations."""
+        for item in page.items:
+            if item.name == self._name:
+                self._take_own(item)
+            elif item.deleted:
+                self._peers.pop(item.name, None)
+            else:
+                self._put(item.name, str(item.value.get("address", "")))
+
+    def register(self, store: RegistrationStore) -> bool:
+        """Write the own address; return whether it is known to be written."""
+        value = {"address": self._network.address}
+        try:
+            if self.own_version is None:
+                outcome = store.create(GATEWAY_KIND, self._name, value)
+            else:
+                outcome = store.update(GATEWAY_KIND, self._name, value, self.own_version)
+        except PlatformError as error:
+            log_event(Event.REGISTRATION_FAILED, "warning", detail=error.detail)
+            return False
+        if isinstance(outcome, Written):
+            self.own_version = outcome.version
+            self.is_registered = True
+            return True
+        if not isinstance(outcome, Unknown):
+            self.own_version = outcome.version or None
+        return False
+
+    def send_reports(self) -> None:
+        """Tell every other gateway."""
+        report = self._source.build()
+        for peer in self._peers.values():
+            self._network.send(peer.address, report)
+
+    def get_period_ms(self) -> float:
+        """Return the time between two reports."""
+        return max(REPORT_MS, len(self._peers) * 1_000.0 / REPORTS_PER_S)
+
+    def list_heard(self) -> list[Peer]:
+        """Return the gateways that were heard lately."""
+        oldest_ms = self._clock.now_ms() - max(SILENT_MS, 4 * self.get_period_ms())
+        return [peer for peer in self._peers.values() if peer.heard_ms >= oldest_ms]
+
+    def get_share(self) -> float:
+        """Return the part of the fleet that is in touch with this gateway, with itself."""
+        return (len(self.list_heard()) + 1) / (len(self._peers) + 1)
+
+    def count_daemons(self) -> int:
+        """Return how many gateways are registered, with this one."""
+        return len(self._peers) + 1
+
+    def has_other_leader(self) -> bool:
+        """Return whether another gateway says that it holds the duties."""
+        return any(peer.report is not None and peer.report.leads for peer in self.list_heard())
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state for the status page."""
+        now_ms = self._clock.now_ms()
+        return {
+            peer.name: {"address": peer.address, "heard_ms_ago": round(now_ms - peer.heard_ms)}
+            for peer in self._peers.values()
+            if peer.report is not None
+        }
+
+    def list_opinions(self) -> dict[str, float]:
+        """Return what the gateways that were heard lately believe the time of day is now."""
+        now_ms = self._clock.now_ms()
+        return {
+            peer.name: peer.report.believed_ms + now_ms - peer.heard_ms
+            for peer in self.list_heard()
+            if peer.report is not None
+        }
+
+    def _take_own(self, item: StoredObject) -> None:
+        """Note what the own registration says; an earlier process may have had another address."""
+        self.own_version = None if item.deleted else item.version
+        self.is_registered = not item.deleted and item.value.get("address") == self._network.address
+
+    def _put(self, name: str, address: str) -> None:
+        peer = self._peers.get(name)
+        if peer is None or peer.address != address:
+            self._peers[name] = Peer(name, address)
+
+    def _take_report(self, address: str, report: GatewayReport) -> None:
+        peer = self._peers.get(report.name)
+        if peer is None:
+            peer = self._peers[report.name] = Peer(report.name, address)
+        peer.heard_ms = self._clock.now_ms()
+        peer.report = report
+        self._source.take(report)
--- /dev/null
+++ b/hemlockswitch/process/gateway/follower.py
@@ -0,0 +1,105 @@
+"""Following the objects of one kind: listed once, then watched, and listed again when needed."""
+
+from typing import Protocol
+
+from hemlockswitch.connection.platform_models import ObjectPage
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import HistoryGoneError, PlatformError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+
+WATCH_WAIT_MS = 25_000
+"""How long a watch waits: near the longest that platforms allow, since each call costs; a dead
+connection is found by the kernel's keep-alive probes long before."""
+RETRY_MS = 250.0
+"""Pause after a failed call. A change must be known within two seconds of the platform's return,
+so the pause stays well below; the client's own back-off adds to it."""
+
+
+class WatchedStore(Protocol):
+    """The reading side of an object service."""
+
+    def list(self, kind: str, prefix: str = "") -> ObjectPage:
+        """Return all objects of a kind."""
+
+    def watch(self, kind: str, since: int, wait_ms: int, prefix: str = "") -> ObjectPage:
+        """Return what changed after version `since`."""
+
+
+class ObjectConsumer(Protocol):
+    """Takes what a follower learns."""
+
+    def replace_all(self, page: ObjectPage) -> None:
+        """These are all objects; others are gone."""
+
+    def apply_changes(self, page: ObjectPage) -> None:
+        """These objects changed or were deleted."""
+
+
+class ObjectFollower:
+    """Keeps a consumer up to date with the objects of one kind.
+
+    Parameters
+    ==========
+
+    store : the object service.
+    kind : the kind of objects.
+    consumer : takes what is learned.
+    clock : the time.
+    """
+
+    def __init__(
+        self, store: WatchedStore, kind: str, consumer: ObjectConsumer, clock: Clock
+    ) -> None:
+        self.recovered_ms = float("-inf")
+        self.is_synced = False
+        self.is_lost = False
+        self._store = store
+        self._kind = kind
+        self._consumer = consumer
+        self._clock = clock
+        self._since = 0
+
+    def run(self) -> None:
+        """Follow until the task is ended."""
+        while True:
+            self.take_step()
+
+    def take_step(self) -> None:
+        """Make one call, or rest after a failed one."""
+        try:
+            if self.is_synced:
+                self._watch()
+            else:
+                self._list()
+        except HistoryGoneError:
+            log_event(Event.WATCH_HISTORY_GONE, "warning", kind=self._kind, since=self._since)
+            self.is_synced = False
+        except PlatformError as error:
+            self._note_lost(error)
+            self._clock.sleep_ms(RETRY_MS)
+
+    def _list(self) -> None:
+        page = self._store.list(self._kind)
+        self._note_heard()
+        self._consumer.replace_all(page)
+        self._since = page.version
+        self.is_synced = True
+
+    def _watch(self) -> None:
+        page = self._store.watch(self._kind, self._since, WATCH_WAIT_MS)
+        self._note_heard()
+        if page.items:
+            self._consumer.apply_changes(page)
+        self._since = max(self._since, page.version)
+
+    def _note_lost(self, error: PlatformError) -> None:
+        if not self.is_lost:
+            log_event(Event.WATCH_FAILED, "warning", watch=self._kind, detail=error.detail)
+        self.is_lost = True
+
+    def _note_heard(self) -> None:
+        if self.is_lost:
+            self.recovered_ms = self._clock.now_ms()
+            log_event(Event.WATCH_RECOVERED, watch=self._kind)
+        self.is_lost = False
--- /dev/null
+++ b/hemlockswitch/process/gateway/loads.py
@@ -0,0 +1,223 @@
+"""The load of the backend servers: own sends, what other daemons report, and recent failures."""
+
+import math
+from collections import OrderedDict, defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.request.dialect import Prompt
+from hemlockswitch.request.placement import Candidate, rank_homes
+from hemlockswitch.version.backend import BackendServer
+
+REPORT_LIFE_MS = 1_500.0
+"""How long another daemon's report counts; it sends several in this time."""
+FAILURE_HALF_LIFE_MS = 2_000.0
+"""After this time a failure weighs half: long enough to steer work away from a failing server,
+short enough to try it again within seconds."""
+FAILURE_WEIGHT = 0.5
+"""How far one failure moves the rate towards 1, and one success towards 0."""
+REMEMBERED_CHAINS = 4_096
+"""Prompt beginnings remembered for each server; about three times what one holds."""
+
+
+@dataclass(frozen=True)
+class ServerLoad:
+    """Requests in progress on a server, and prompt tokens that wait to be read there."""
+
+    running: int = 0
+    waiting_tokens: float = 0.0
+
+
+class FailureRate:
+    """A rate of failures that decays with time.
+
+    Examples
+    ========
+
+    >>> rate = FailureRate()
+    >>> rate.note(0, failed=True)
+    >>> rate.get(0), rate.get(2_000)
+    (0.5, 0.25)
+    """
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._noted_ms = 0.0
+
+    def note(self, now_ms: float, *, failed: bool) -> None:
+        """Count one send."""
+        rate = self.get(now_ms)
+        self._rate = rate + FAILURE_WEIGHT * ((1.0 if failed else 0.0) - rate)
+        self._noted_ms = now_ms
+
+    def get(self, now_ms: float) -> float:
+        """Return the rate now."""
+        return self._rate * math.pow(0.5, (now_ms - self._noted_ms) / FAILURE_HALF_LIFE_MS)
+
+
+class PromptMemory:
+    """Which prompt beginnings were sent to a server, the least recently used forgotten first.
+
+    Parameters
+    ==========
+
+    capacity_tokens : how much the server is expected to keep.
+    """
+
+    def __init__(self, capacity_tokens: float) -> None:
+        self._capacity_tokens = capacity_tokens
+        self._tokens = 0.0
+        self._chains: OrderedDict[tuple[str, ...], int] = OrderedDict()
+
+    def note(self, prompt: Prompt) -> None:
+        """Remember the shared beginning of a prompt."""
+        chain: tuple[str, ...] = ()
+        for part in prompt.shared_parts:
+            chain = (*chain, part.identifier)
+            if chain not in self._chains:
+                self._tokens += part.tokens
+                self._chains[chain] = part.tokens
+            self._chains.move_to_end(chain)
+        while self._chains and self._is_full():
+            _, tokens = self._chains.popitem(last=False)
+            self._tokens -= tokens
+
+    def count_cached(self, prompt: Prompt) -> float | None:
+        """Return the tokens known at the prompt's beginning, or None where none are."""
+        cached = 0.0
+        chain: tuple[str, ...] = ()
+        for part in prompt.shared_parts:
+            chain = (*chain, part.identifier)
+            if chain not in self._chains:
+                break
+            cached += part.tokens
+        return cached or None
+
+    def _is_full(self) -> bool:
+        return self._tokens > self._capacity_tokens or len(self._chains) > REMEMBERED_CHAINS
+
+
+class Ticket:
+    """One send in progress."""
+
+    def __init__(self, loads: "ServerLoads", name: str, waiting_tokens: float) -> None:
+        self._loads = loads
+        self._name = name
+        self._waiting_tokens = waiting_tokens
+
+    def note_first_event(self) -> None:
+        """The prompt is read."""
+        self._loads.add(self._name, 0, -self._waiting_tokens)
+        self._waiting_tokens = 0.0
+
+    def end(self, failed: bool) -> None:
+        """The send is over."""
+        self._loads.add(self._name, -1, -self._waiting_tokens)
+        self._loads.note_result(self._name, failed)
+
+
+class ServerLoads:
+    """What this daemon knows of the load of every backend server.
+
+    Parameters
+    ==========
+
+    clock : the time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._running: dict[str, int] = defaultdict(int)
+        self._waiting: dict[str, float] = defaultdict(float)
+        self._failures: dict[str, FailureRate] = {}
+        self._memories: dict[str, PromptMemory] = {}
+        self._reports: dict[str, tuple[float, Mapping[str, ServerLoad]]] = {}
+
+    def begin(
+        self,
+        server: BackendServer,
+        prompt: Prompt | None,
+        uncached_tokens: float,
+        capacity_tokens: float,
+    ) -> Ticket:
+        """Count one send."""
+        self.add(server.name, 1, uncached_tokens)
+        if prompt is not None:
+            memory = self._memories.setdefault(server.name, PromptMemory(capacity_tokens))
+            memory.note(prompt)
+        return Ticket(self, server.name, uncached_tokens)
+
+    def add(self, name: str, running: int, waiting_tokens: float) -> None:
+        """Change the own load on a server."""
+        self._running[name] += running
+        self._waiting[name] += waiting_tokens
+
+    def note_result(self, name: str, failed: bool) -> None:
+        """Count the end of a send."""
+        self._failures.setdefault(name, FailureRate()).note(self._clock.now_ms(), failed=failed)
+
+    def forget(self, name: str) -> None:
+        """Forget a server that is gone, but for the sends in progress."""
+        self._failures.pop(name, None)
+        self._memories.pop(name, None)
+        if not self._running.get(name):
+            self._running.pop(name, None)
+            self._waiting.pop(name, None)
+
+    def describe_own(self) -> dict[str, ServerLoad]:
+        """Return the own load, for other daemons."""
+        return {
+            name: ServerLoad(running, round(self._waiting[name]))
+            for name, running in self._running.items()
+            if running
+        }
+
+    def take_report(self, daemon: str, report: Mapping[str, ServerLoad]) -> None:
+        """Take another daemon's load."""
+        self._reports[daemon] = (self._clock.now_ms(), report)
+
+    def build_candidates(
+        self, servers: list[BackendServer], prompt: Prompt | None
+    ) -> list[Candidate]:
+        """Return the servers with their load."""
+        key = prompt.shared_parts[-1].identifier if prompt and prompt.shared_parts else ""
+        ranks = rank_homes(key, [server.name for server in servers]) if key else {}
+        others = self._sum_reports()
+        return [
+            self._build_candidate(server, prompt, ranks.get(server.name, 0), others)
+            for server in servers
+        ]
+
+    def _build_candidate(
+        self,
+        server: BackendServer,
+        prompt: Prompt | None,
+        home_rank: int,
+        others: Mapping[str, ServerLoad],
+    ) -> Candidate:
+        name = server.name
+        other = others.get(name, ServerLoad())
+        memory = self._memories.get(name)
+        failures = self._failures.get(name)
+        return Candidate(
+            server=server,
+            running=self._running.get(name, 0) + other.running,
+            waiting_tokens=self._waiting.get(name, 0.0) + other.waiting_tokens,
+            cached_tokens=memory.count_cached(prompt) if memory and prompt else None,
+            home_rank=home_rank,
+            failure_rate=failures.get(self._clock.now_ms()) if failures else 0.0,
+        )
+
+    def _sum_reports(self) -> dict[str, ServerLoad]:
+        oldest_ms = self._clock.now_ms() - REPORT_LIFE_MS
+        sums: dict[str, ServerLoad] = {}
+        for received_ms, report in self._reports.values():
+            if received_ms < oldest_ms:
+                continue
+            for name, load in report.items():
+                before = sums.get(name, ServerLoad())
+                sums[name] = ServerLoad(
+                    before.running + load.running, before.waiting_tokens + load.waiting_tokens
+                )
+        return sums
--- /dev/null
+++ b/hemlockswitch/process/gateway/observation.py
@@ -0,0 +1,137 @@
+"""What the gateway tells operators: one log line for each request, counters and histograms."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.true_time import TrueTime
+from hemlockswitch.process.gateway.usage import UsageCounts
+from hemlockswitch.request.forwarding import Progress
+from hemlockswitch.request.send_states import SendFailure
+
+LINES_PER_SECOND = 100
+"""Request lines in a second at the most; a gateway of the first sites has under ten requests a
+second, and a line costs some 50 microseconds."""
+FIRST_EVENT_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.83, 1.2, 2.0, 4.0, 8.0)
+
+
+class LinePace:
+    """Bounds how many lines are written in a second, and counts those left out."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._second = 0
+        self._written = 0
+        self._left_out = 0
+
+    def allow(self) -> bool:
+        """Return whether a line may be written now."""
+        second = int(self._clock.now_ms() // MS_PER_SECOND)
+        if second != self._second:
+            self._report()
+            self._second = second
+            self._written = 0
+        self._written += 1
+        if self._written > LINES_PER_SECOND:
+            self._left_out += 1
+            return False
+        return True
+
+    def _report(self) -> None:
+        if self._left_out:
+            log_event(Event.LINES_SUPPRESSED, "warning", lines=self._left_out)
+            self._left_out = 0
+
+
+class GatewayObserver:
+    """Hears what becomes of requests.
+
+    Parameters
+    ==========
+
+    usage : counts what began to run.
+    true_time : the time of day by which usage is counted.
+    clock : the time.
+    """
+
+    def __init__(self, usage: UsageCounts, true_time: TrueTime, clock: Clock) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "hemlock_forwarded_requests",
+            "Forwarded requests that are over, by route and outcome.",
+            ["route", "outcome"],
+            registry=self.registry,
+        )
+        self.failures = Counter(
+            "hemlock_forward_failures",
+            "Sends without a complete answer, by kind of failure.",
+            ["failure"],
+            registry=self.registry,
+        )
+        self.begun = Histogram(
+            "hemlock_forward_begun_seconds",
+            "Time from a request's head to the beginning of its answer.",
+            ["route"],
+            buckets=FIRST_EVENT_BUCKETS,
+            registry=self.registry,
+        )
+        self.connections = Counter(
+            "hemlock_backend_connections", "Connections made.", registry=self.registry
+        )
+        self._usage = usage
+        self._true_time = true_time
+        self._clock = clock
+        self._pace = LinePace(clock)
+
+    def render(self) -> bytes:
+        """Return the metrics as Prometheus text."""
+        return generate_latest(self.registry)
+
+    def attempt_failed(self, progress: Progress, failure: SendFailure, detail: str) -> None:
+        """Count and log one send that failed."""
+        self.failures.labels(failure.value).inc()
+        if self._pace.allow():
+            log_event(
+                Event.ATTEMPT_FAILED,
+                request_id=progress.facts.request_id if progress.facts else "",
+                server=progress.sends[-1] if progress.sends else "",
+                failure=failure.value,
+                detail=detail,
+            )
+
+    def request_began(self, progress: Progress) -> None:
+        """Count a request that a backend server has begun to answer."""
+        admitted = progress.admitted
+        if admitted is None or progress.began_ms is None:
+            return
+        waited_ms = progress.began_ms - progress.request.received_ms
+        self.begun.labels(admitted.route.name).observe(waited_ms / MS_PER_SECOND)
+        if admitted.account is not None:
+            self._usage.count(self._true_time.now_ms(), admitted.account.name)
+
+    def request_ended(self, progress: Progress) -> None:
+        """Count and log a request that is over."""
+        admitted = progress.admitted
+        route = admitted.route.name if admitted else ""
+        self.requests.labels(route, progress.outcome).inc()
+        if not self._pace.allow():
+            return
+        now_ms = self._clock.now_ms()
+        received_ms = progress.request.received_ms
+        began_ms = progress.began_ms
+        log_event(
+            Event.REQUEST_ENDED if progress.outcome == "answered" else Event.REQUEST_REFUSED,
+            request_id=progress.facts.request_id if progress.facts else "",
+            route=route,
+            account=admitted.account.name if admitted and admitted.account else "",
+            revision=admitted.revision if admitted else 0,
+            sends=progress.sends,
+            expected_ms=round(progress.expected_ms),
+            began_ms=round(began_ms - received_ms) if began_ms is not None else None,
+            took_ms=round(now_ms - received_ms),
+            outcome=progress.outcome,
+            status=progress.status,
+            ran=progress.state.value,
+            detail=progress.detail,
+        )
--- /dev/null
+++ b/hemlockswitch/process/gateway/registry.py
@@ -0,0 +1,143 @@
+"""The backend servers that the registry lists, by service."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ConfigurationError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.version.backend import BackendServer, BackendState
+
+Decoder = Callable[[StoredObject], BackendServer]
+
+RETURN_WINDOW_MS = 2_000.0
+"""Entries that lapsed while the registry was away are back within two seconds of its return."""
+HOLD_MS = 1_500.0
+"""How long such an entry is kept at the most; a server that is gone must get no work later than
+two seconds after its removal was learned."""
+MISDIRECTED_MS = 3_000.0
+"""How long to leave out a server whose address answered as another one; by then its entry is
+corrected or removed."""
+
+
+class ServerRegistry:
+    """Consumes the followed entries of backend servers.
+
+    Explanation
+    ===========
+
+    A removed entry is dropped at once, with one exception: right after the registry returns from
+    an outage, entries that lapsed meanwhile are kept for a moment, since live servers register
+    again.
+
+    Parameters
+    ==========
+
+    decode : turns an entry into a backend server; raises `ConfigurationError`.
+    clock : the time.
+    on_gone : called with a server that gets no new work any more.
+    """
+
+    def __init__(
+        self, decode: Decoder, clock: Clock, on_gone: Callable[[BackendServer], None]
+    ) -> None:
+        self.get_recovered_ms: Callable[[], float] = lambda: float("-inf")
+        self._decode = decode
+        self._clock = clock
+        self._on_gone = on_gone
+        self._servers: dict[str, BackendServer] = {}
+        self._by_service: dict[str, dict[str, BackendServer]] = defaultdict(dict)
+        self._held_until_ms: dict[str, float] = {}
+        self._misdirected_until_ms: dict[str, float] = {}
+
+    def replace_all(self, page: ObjectPage) -> None:
+        """Take a whole list."""
+        listed = {item.name for item in page.items if not item.deleted}
+        self.apply_changes(page)
+        for name in [name for name in self._servers if name not in listed]:
+            self._remove(name)
+
+    def apply_changes(self, page: ObjectPage) -> None:
+        """Take changed and removed entries."""
+        for item in page.items:
+            if item.deleted:
+                self._remove(item.name)
+            else:
+                self._put(item)
+
+    def list_ready(self, service: str) -> list[BackendServer]:
+        """Return the servers of a service that may get new work."""
+        self._drop_held()
+        now_ms = self._clock.now_ms()
+        return [
+            server
+            for name, server in self._by_service[service].items()
+            if server.state is BackendState.LIVE
+            and self._misdirected_until_ms.get(name, 0.0) <= now_ms
+        ]
+
+    def list_all(self) -> list[BackendServer]:
+        """Return every server that is listed, also those that are leaving."""
+        self._drop_held()
+        return list(self._servers.values())
+
+    def note_misdirected(self, name: str) -> None:
+        """Leave out a server whose address belongs to another one by now."""
+        self._misdirected_until_ms[name] = self._clock.now_ms() + MISDIRECTED_MS
+
+    def _put(self, item: StoredObject) -> None:
+        try:
+            server = self._decode(item)
+        except ConfigurationError as error:
+            log_event(Event.BACKEND_RECORD_INVALID, "warning", name=item.name, detail=error.detail)
+            return
+        before = self._servers.get(server.name)
+        if before is not None:
+            self._by_service[before.serves].pop(before.name, None)
+        self._servers[server.name] = server
+        self._by_service[server.serves][server.name] = server
+        self._held_until_ms.pop(server.name, None)
+        self._log_change(before, server, item.version)
+        if server.state is BackendState.LEAVING:
+            self._on_gone(server)
+
+    def _log_change(
+        self, before: BackendServer | None, server: BackendServer, version: int
+    ) -> None:
+        if before is None or before.state is not server.state:
+            log_event(
+                Event.BACKEND_LISTED,
+                server=server.name,
+                address=server.address,
+                zone=server.zone,
+                state=server.state.value,
+                machine_class=server.machine_class,
+                version=version,
+            )
+
+    def _remove(self, name: str) -> None:
+        server = self._servers.get(name)
+        if server is None:
+            return
+        now_ms = self._clock.now_ms()
+        away_until_ms = self.get_recovered_ms() + RETURN_WINDOW_MS
+        if now_ms < away_until_ms and server.state is BackendState.LIVE:
+            self._held_until_ms.setdefault(name, min(away_until_ms, now_ms + HOLD_MS))
+            log_event(Event.BACKEND_HELD, server=name, hold_ms=round(away_until_ms - now_ms))
+            return
+        self._drop(name)
+
+    def _drop_held(self) -> None:
+        now_ms = self._clock.now_ms()
+        for name in [name for name, until in self._held_until_ms.items() if until <= now_ms]:
+            self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        self._held_until_ms.pop(name, None)
+        self._misdirected_until_ms.pop(name, None)
+        server = self._servers.pop(name)
+        self._by_service[server.serves].pop(name, None)
+        log_event(Event.BACKEND_GONE, server=name, address=server.address)
+        self._on_gone(server)
--- /dev/null
+++ b/hemlockswitch/process/gateway/true_time.py
@@ -0,0 +1,60 @@
+"""The time of day that the daemons agree on, though some clocks step.
+
+A window of the usage report begins at a moment of true time. A single daemon's clock may be
+seconds off; the median of all daemons' clocks is not, as long as most are right.
+"""
+
+import statistics
+import time
+from collections.abc import Callable
+
+from hemlockswitch.core.clock import NANOSECONDS_PER_MS
+
+WORST_SKEW_MS = 500.0
+"""Clocks differ by some tens of milliseconds when none has stepped; beyond this the median of the
+others is believed."""
+FEWEST_OPINIONS = 2
+
+
+def read_boot_ms() -> float:
+    """Return milliseconds since the machine's start, counting the time it was suspended."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / NANOSECONDS_PER_MS
+
+
+def read_wall_ms() -> float:
+    """Return the machine's time of day in milliseconds since 1970."""
+    return time.time_ns() / NANOSECONDS_PER_MS
+
+
+class TrueTime:
+    """The believed time of day: read once, carried by a clock that never steps, and compared.
+
+    Examples
+    ========
+
+    >>> moments = {"boot": 0.0}
+    >>> believed = TrueTime(lambda: moments["boot"], lambda: 1_000_000.0)
+    >>> believed.hear({"b": 5_000.0, "c": 5_010.0, "d": 5_020.0})
+    >>> believed.now_ms()
+    5010.0
+    """
+
+    def __init__(
+        self,
+        read_boot: Callable[[], float] = read_boot_ms,
+        read_wall: Callable[[], float] = read_wall_ms,
+    ) -> None:
+        self._read_boot = read_boot
+        self._offset_ms = read_wall() - read_boot()
+
+    def now_ms(self) -> float:
+        """Return the believed time of day."""
+        return self._read_boot() + self._offset_ms
+
+    def hear(self, opinions: dict[str, float]) -> None:
+        """Compare with what other daemons believe now, and follow them when far off."""
+        if len(opinions) < FEWEST_OPINIONS:
+            return
+        median_ms = statistics.median(opinions.values())
+        if abs(median_ms - self.now_ms()) > WORST_SKEW_MS:
+            self._offset_ms = median_ms - self._read_boot()
--- /dev/null
+++ b/hemlockswitch/process/gateway/usage.py
@@ -0,0 +1,153 @@
+"""Usage counts: what ran in each window of time, and the one report of each window."""
+
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome, Written
+from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+
+USAGE_KIND = "usage-windows"
+KEPT_WINDOWS = 6
+"""Windows that are counted and told to others: a window is due two windows after its end, and a
+new holder may need the ones before."""
+SETTLE_MS = 2_000.0
+"""How long after its end a window is reported: several reports of every gateway have come."""
+
+Counts = dict[int, dict[str, int]]
+"""Window number to account to count."""
+ReportedCounts = dict[str, dict[str, int]]
+"""The same as it is sent to other gateways, where keys are texts."""
+
+
+class UsageCounts:
+    """What this process counted, and what others report, for the latest windows.
+
+    Parameters
+    ==========
+
+    window_s : length of a window.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_ms = window_s * MS_PER_SECOND
+        self._own: Counts = {}
+        self._others: dict[str, Counts] = {}
+
+    def find_window(self, believed_ms: float) -> int:
+        """Return the number of the window at a moment."""
+        return int(believed_ms // self._window_ms)
+
+    def get_end_ms(self, window: int) -> float:
+        """Return when a window ends."""
+        return (window + 1) * self._window_ms
+
+    def count(self, believed_ms: float, account: str) -> None:
+        """Count one request that began to run."""
+        window = self.find_window(believed_ms)
+        counts = self._own.setdefault(window, defaultdict(int))
+        counts[account] += 1
+        _forget_before(self._own, window - KEPT_WINDOWS)
+
+    def describe_own(self) -> ReportedCounts:
+        """Return the own counts, for other gateways."""
+        return {str(window): dict(counts) for window, counts in self._own.items()}
+
+    def take_report(self, daemon: str, counts: ReportedCounts) -> None:
+        """Take another gateway's counts; `daemon` differs for each start of a process."""
+        kept = self._others.setdefault(daemon, {})
+        for window, accounts in counts.items():
+            kept[int(window)] = accounts
+        if kept:
+            _forget_before(kept, max(kept) - KEPT_WINDOWS)
+
+    def sum_window(self, window: int) -> dict[str, int]:
+        """Return the counts of a window over all gateways."""
+        sums: dict[str, int] = defaultdict(int)
+        for counts in (self._own, *self._others.values()):
+            for account, count in counts.get(window, {}).items():
+                sums[account] += count
+        return dict(sums)
+
+
+def _forget_before(counts: Counts, oldest: int) -> None:
+    for window in [window for window in counts if window < oldest]:
+        del counts[window]
+
+
+class UsageStore(Protocol):
+    """Where the decided counts are kept; see `PlatformClient`."""
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or None."""
+
+    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
+        """Write an object that must not exist yet."""
+
+
+class UsageApi(Protocol):
+    """Takes usage reports."""
+
+    def report_usage(self, window: int, counts: Mapping[str, int], fencing: int) -> bool:
+        """Report one window; return whether it was taken."""
+
+
+class UsageDuty:
+    """Reports each window once, with counts that never differ.
+
+    Explanation
+    ===========
+
+    The counts are written to the object service before they are reported. A holder that takes
+    over in between finds them there and reports exactly the same.
+
+    Parameters
+    ==========
+
+    counts : what was counted.
+    store : keeps the decided counts.
+    api : takes the reports.
+    """
+
+    def __init__(self, counts: UsageCounts, store: UsageStore, api: UsageApi) -> None:
+        self._counts = counts
+        self._store = store
+        self._api = api
+        self._done: set[int] = set()
+        self._begun_window: int | None = None
+
+    def list_due(self, believed_ms: float) -> list[int]:
+        """Return the windows that are over and not reported by this process."""
+        last = self._counts.find_window(believed_ms - SETTLE_MS) - 1
+        if self._begun_window is None:
+            self._begun_window = last
+        first = max(self._begun_window, last - KEPT_WINDOWS // 2)
+        return [window for window in range(first, last + 1) if window not in self._done]
+
+    def report(self, window: int, get_fencing: Callable[[], int]) -> None:
+        """Decide the counts of a window and report them.
+
+        Raises
+        ======
+
+        PlatformError : the object service or the API did not answer; it is to be tried again.
+        LeaseError : the duty is not held any more.
+        """
+        counts = self._decide(window)
+        if counts is None:
+            return
+        fencing = get_fencing()
+        if self._api.report_usage(window, counts, fencing):
+            log_event(Event.USAGE_REPORTED, window=window, counts=counts, fencing=fencing)
+            self._done.add(window)
+
+    def _decide(self, window: int) -> dict[str, int] | None:
+        """Return the counts in the object service, written by this process or another."""
+        counts = self._counts.sum_window(window)
+        outcome = self._store.create(USAGE_KIND, str(window), {"counts": counts})
+        if isinstance(outcome, Written):
+            return counts
+        found = self._store.read(USAGE_KIND, str(window))
+        return dict(found.value["counts"]) if found is not None else None
--- a/hemlockswitch/programs/daemon.py
+++ b/hemlockswitch/programs/daemon.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import sys
 from collections.abc import Callable
 from typing import Any, ClassVar, Protocol
 
@@ -14,6 +15,7 @@
 import hemlockswitch
 from hemlockswitch.core.errors import ConfigurationError
 from hemlockswitch.core.events import Event
+from hemlockswitch.core.log_output import BoundedOutput
 from hemlockswitch.core.logs import configure_logs, log_event
 from hemlockswitch.version.settings import ProgramSettings
 
@@ -42,6 +44,7 @@
     """
 
     settings_model: ClassVar[type[ProgramSettings]]
+    logs_to_stdout: ClassVar[bool] = False
 
     options = [
         option("settings", None, "JSON settings file", flag=False),
@@ -75,13 +78,15 @@
         return EXIT_OK
 
     def _run(self, settings: ProgramSettings) -> None:
-        configure_logs(settings.name, settings.log_level)
+        output = BoundedOutput(sys.stdout.fileno()) if self.logs_to_stdout else None
+        configure_logs(settings.name, settings.log_level, output)
         daemon = self.build_daemon(settings)
         ask_to_stop, told = self.find_stop(daemon)
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, ask_to_stop)
         addresses = daemon.start()
-        print(json.dumps({"ready": True, "addresses": addresses}), flush=True)
+        if output is None:
+            print(json.dumps({"ready": True, "addresses": addresses}), flush=True)
         log_event(Event.PROCESS_READY, addresses=addresses)
         told.wait()
         log_event(Event.PROCESS_STOPPING)
--- /dev/null
+++ b/hemlockswitch/request/forward_admission.py
@@ -0,0 +1,112 @@
+"""Admission of forwarded requests: route, client account, limit and time left, before any send."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from hemlockswitch.connection.heads import ReceivedRequest
+from hemlockswitch.core.errors import ErrorKind, RequestError
+from hemlockswitch.request.dialect import RequestFacts
+from hemlockswitch.version.serving_table import ForwardedAccount, Route, ServingTable
+
+
+class AccountLimiter(Protocol):
+    """The limits of client accounts, over all daemons."""
+
+    def take(self, account: ForwardedAccount, amount: float) -> float | None:
+        """Spend `amount`; return None, or how long to wait (in ms) when it is over the limit."""
+
+
+@dataclass(frozen=True)
+class AdmittedRequest:
+    """A request with what the configuration in force says of it.
+
+    Parameters
+    ==========
+
+    revision : the configuration revision that decided.
+    deadline_ms : clock reading at which its answer is of no use any more.
+    """
+
+    request: ReceivedRequest
+    facts: RequestFacts
+    route: Route
+    service: str
+    account: ForwardedAccount | None
+    revision: int
+    deadline_ms: float
+
+    @property
+    def urgency(self) -> int:
+        """The request's rank: the account's where it has one, else the route's; 0 is first."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+
+def admit_request(
+    table: ServingTable | None,
+    request: ReceivedRequest,
+    facts: RequestFacts,
+    limiter: AccountLimiter,
+) -> AdmittedRequest:
+    """Return the admitted request.
+
+    Raises
+    ======
+
+    RequestError : it is refused; nothing of it was sent.
+    """
+    if table is None:
+        raise RequestError(ErrorKind.NOT_READY, "no configuration is known here yet")
+    route = table.find_route(facts.host, request.path)
+    if route is None:
+        raise RequestError(ErrorKind.UNKNOWN_ROUTE, "no route has this host and path")
+    account = _find_account(table, route, facts)
+    _check_limit(limiter, account, facts)
+    return AdmittedRequest(
+        request=request,
+        facts=facts,
+        route=route,
+        service=route.choose_service(facts.request_id),
+        account=account,
+        revision=table.revision,
+        deadline_ms=request.received_ms + _find_allowed_ms(route, facts),
+    )
+
+
+def measure_cost(account: ForwardedAccount, facts: RequestFacts) -> float:
+    """Return what a request counts against its account's limit."""
+    if not account.counts_tokens:
+        return 1.0
+    if facts.prompt is None:
+        return float(account.plain_tokens)
+    return float(facts.prompt.input_tokens + facts.prompt.most_output_tokens)
+
+
+def _find_account(
+    table: ServingTable, route: Route, facts: RequestFacts
+) -> ForwardedAccount | None:
+    if not table.has_accounts:
+        return None
+    account = table.accounts_by_key.get(facts.key) if facts.key is not None else None
+    if account is None and not route.is_public:
+        raise RequestError(ErrorKind.UNAUTHORIZED, "no account has this key")
+    return None if route.is_public else account
+
+
+def _check_limit(
+    limiter: AccountLimiter, account: ForwardedAccount | None, facts: RequestFacts
+) -> None:
+    if account is None or account.rate_per_s <= 0:
+        return
+    wait_ms = limiter.take(account, measure_cost(account, facts))
+    if wait_ms is not None:
+        kind = ErrorKind.TOKEN_LIMIT if account.counts_tokens else ErrorKind.REQUEST_LIMIT
+        detail = f"account {account.name} is over its limit"
+        raise RequestError(kind, detail, retry_after_ms=round(wait_ms))
+
+
+def _find_allowed_ms(route: Route, facts: RequestFacts) -> float:
+    if facts.time_left_ms is None:
+        return route.timeout_ms
+    return min(facts.time_left_ms, route.timeout_ms)
--- /dev/null
+++ b/hemlockswitch/request/placement.py
@@ -0,0 +1,145 @@
+"""Where a forwarded request goes: pure functions of what is known of the backend servers.
+
+A model request waits for the prompts before it, then for the part of its own prompt that is not
+cached. Both are estimated in tokens, over all daemons, and turned into time by the engine's rate.
+A shared prompt part has a home among the servers of a service, by rendezvous hashing, so that all
+daemons send it to the same one without a word; a busy home gives way to the next.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from hemlockswitch.request.dialect import Prompt
+from hemlockswitch.version.backend import BackendServer
+
+PREFILL_TOKENS_PER_MS = 50.0
+"""Prompt tokens that an engine reads in a millisecond; the sheets of the first two sites say 56,
+and requests that run at the same time take their part."""
+STEP_MS_PER_RUNNING = 0.4
+"""How much later a first event comes for each request in the batch: measured per-slot cost of a
+step (0.1 ms) over the few steps that a first event takes."""
+HOME_HIT_SHARES = (0.85, 0.3, 0.1)
+"""How much of a shared part to expect in the cache of its first, second and third home when this
+daemon has not sent it there itself."""
+OTHER_ZONE_MS = 3.0
+"""What a server of another zone costs: two crossings of about a millisecond and the price of the
+bytes, which is small against a prompt read again."""
+FAILURE_PENALTY_MS = 3_000.0
+"""Added in proportion to the recent failures of a server; a sure failure weighs as much as the
+longest wait that callers accept."""
+QUEUED_CALL_MS = 60.0
+"""How long a plain service takes for a call, for the order of servers only: 20 to 90 ms on the
+sheets."""
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A backend server with what is known of its load, over all daemons.
+
+    Parameters
+    ==========
+
+    running : requests in progress.
+    waiting_tokens : prompt tokens of requests whose first event has not come.
+    cached_tokens : tokens at the beginning of this request's prompt that this daemon knows to be
+        cached there; None if it knows nothing.
+    home_rank : place of the server among the homes of the prompt's shared part; 0 is the first.
+    failure_rate : part of the recent sends that failed, 0 to 1.
+    """
+
+    server: BackendServer
+    running: int = 0
+    waiting_tokens: float = 0.0
+    cached_tokens: float | None = None
+    home_rank: int = 0
+    failure_rate: float = 0.0
+
+
+@dataclass(frozen=True)
+class Placement:
+    """The chosen server and what was expected of it."""
+
+    candidate: Candidate
+    expected_ms: float
+    uncached_tokens: float
+
+
+def rank_homes(key: str, names: Sequence[str]) -> dict[str, int]:
+    """Return the rank of each server as a home of `key`: rendezvous hashing.
+
+    Examples
+    ========
+
+    >>> ranks = rank_homes("part", ["a", "b", "c"])
+    >>> sorted(ranks.values())
+    [0, 1, 2]
+    >>> less = rank_homes("part", [name for name in "abc" if ranks[name] != 0])
+    >>> all(less[name] == ranks[name] - 1 for name in less)
+    True
+    """
+    order = sorted(
+        names, key=lambda name: xxhash.xxh64_intdigest(f"{name}\0{key}".encode()), reverse=True
+    )
+    return {name: rank for rank, name in enumerate(order)}
+
+
+def estimate_uncached_tokens(prompt: Prompt, candidate: Candidate) -> float:
+    """Return how much of a prompt the server must read."""
+    if candidate.cached_tokens is not None:
+        return max(prompt.input_tokens - candidate.cached_tokens, 0.0)
+    shared = sum(part.tokens for part in prompt.shared_parts)
+    rank = candidate.home_rank
+    hit_share = HOME_HIT_SHARES[rank] if rank < len(HOME_HIT_SHARES) else 0.0
+    return max(prompt.input_tokens - shared * hit_share, 0.0)
+
+
+def predict_first_event_ms(prompt: Prompt, candidate: Candidate) -> float:
+    """Return the expected time to the first event on a server, without failures."""
+    tokens = candidate.waiting_tokens + estimate_uncached_tokens(prompt, candidate)
+    return tokens / PREFILL_TOKENS_PER_MS + candidate.running * STEP_MS_PER_RUNNING
+
+
+def predict_call_ms(candidate: Candidate) -> float:
+    """Return the expected time of a plain service's call on a server, without failures."""
+    slots = max(candidate.server.slots, 1)
+    return QUEUED_CALL_MS * (1 + max(candidate.running + 1 - slots, 0) / slots)
+
+
+def choose_server(
+    prompt: Prompt | None, candidates: Sequence[Candidate], zone: str
+) -> Placement | None:
+    """Return the server with the lowest expected cost, or None when there is none.
+
+    Parameters
+    ==========
+
+    prompt : None for plain services.
+    zone : this daemon's availability zone.
+
+    Examples
+    ========
+
+    >>> near = BackendServer("a", "z1", "127.0.0.1:1", "s", slots=6)
+    >>> far = BackendServer("b", "z2", "127.0.0.1:2", "s", slots=6)
+    >>> choose_server(None, [Candidate(far), Candidate(near)], "z1").candidate.server.name
+    'a'
+    """
+    placements = [_evaluate(prompt, candidate) for candidate in candidates]
+    return min(placements, key=lambda one: _weigh(one, zone), default=None)
+
+
+def _evaluate(prompt: Prompt | None, candidate: Candidate) -> Placement:
+    if prompt is None:
+        return Placement(candidate, predict_call_ms(candidate), 0.0)
+    uncached_tokens = estimate_uncached_tokens(prompt, candidate)
+    return Placement(candidate, predict_first_event_ms(prompt, candidate), uncached_tokens)
+
+
+def _weigh(placement: Placement, zone: str) -> tuple[float, int, str]:
+    candidate = placement.candidate
+    cost_ms = placement.expected_ms + candidate.failure_rate * FAILURE_PENALTY_MS
+    if candidate.server.zone != zone:
+        cost_ms += OTHER_ZONE_MS
+    return cost_ms, candidate.running, candidate.server.name
--- a/hemlockswitch/version/backend.py
+++ b/hemlockswitch/version/backend.py
@@ -29,6 +29,7 @@
     machine_class : ``reclaimable`` or ``on_demand``.
     price_per_hour : price of the VM.
     state : the newest state heard from the platform.
+    slots : requests that it serves at once; 0 where the platform does not say.
 
     Examples
     ========
@@ -45,6 +46,7 @@
     machine_class: str = "reclaimable"
     price_per_hour: float = 0.0
     state: BackendState = BackendState.LIVE
+    slots: int = 0
 
     @classmethod
     def from_record(cls, record: Mapping[str, Any]) -> "BackendServer":
--- a/hemlockswitch/version/settings.py
+++ b/hemlockswitch/version/settings.py
@@ -112,6 +112,36 @@
     caller_timeout_ms: int = Field(default=10_000, gt=0)
 
 
+class GatewaySettings(ProgramSettings):
+    """Settings of `hemlock-gateway`.
+
+    Parameters
+    ==========
+
+    listen : where callers reach it.
+    ready_listen, ready_path : where the balancer asks whether it is ready.
+    cloud : the cloud API's address; no duties are taken when it is absent.
+    zones : the availability zones of the site.
+    stop_grace_s : how long after a stop signal the process is ended by force.
+    repeat_ratio, repeat_extra, repeat_window_s : the fleet's budget of repeated sends, for each
+        service: in a window, `repeat_ratio` for each request and `repeat_extra` more.
+    lease_term_ms : how long one renewal of the duties' lease lasts.
+    usage_window_s : length of a window of the usage reports.
+    """
+
+    listen: Address
+    ready_listen: Address
+    ready_path: str = "/readyz"
+    cloud: Address | None = None
+    zones: tuple[Name, ...] = ()
+    stop_grace_s: float = Field(default=8.0, ge=0)
+    repeat_ratio: float = Field(default=0.2, ge=0)
+    repeat_extra: float = Field(default=50.0, ge=0)
+    repeat_window_s: float = Field(default=10.0, gt=0)
+    lease_term_ms: int = Field(default=4_000, ge=2_000)
+    usage_window_s: float = Field(default=5.0, gt=0)
+
+
 class LeaseSettings(BaseModel):
     """The durations that all controllers of a zone share.
 
