Probe the platform's silent connections

Ruled out: the hold after an outage (it began later). Change: the kernel's keep-alive probes and a bound on unacknowledged data on every connection to the platform.

--- a/hemlockswitch/connection/http.py
+++ b/hemlockswitch/connection/http.py
@@ -6,6 +6,8 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
+from hemlockswitch.connection.sockets import set_liveness_options
+
 
 class NotSentError(Exception):
     """The request did not leave: no connection could be made."""
@@ -27,7 +29,7 @@
     """
 
     def open(self) -> gevent.socket.socket:
-        """Take a connection from the pool or make one.
+        """Take a connection from the pool or make one; a peer that falls silent is noticed.
 
         Raises
         ======
@@ -35,9 +37,11 @@
         NotSentError : no connection could be made.
         """
         try:
-            return self._connection_pool.get_socket()
+            connection = self._connection_pool.get_socket()
+            set_liveness_options(connection)
         except (OSError, RuntimeError) as error:
             raise NotSentError(str(error)) from error
+        return connection
 
     def exchange(
         self,
