Plan copies by measured demand, and fill account buckets from the process's start

Change: needed copies from prompt tokens sent and requests in progress over all gateways; on-demand copies stand in for missing reclaimable ones; a bucket fills from the process's start.

--- a/hemlockswitch/process/gateway/accounts.py
+++ b/hemlockswitch/process/gateway/accounts.py
@@ -89,6 +89,7 @@
         self._get_share = get_share
         self._buckets: dict[str, AccountBucket] = {}
         self._limits: dict[str, tuple[float, float]] = {}
+        self._begun_ms = clock.now_ms()
         self._seen: dict[tuple[str, str], float] = {}
 
     def take(self, account: ForwardedAccount, amount: float) -> float | None:
@@ -109,11 +110,12 @@
                 bucket.spend(self._clock.now_ms(), total - before, self._get_share())
 
     def _find_bucket(self, account: ForwardedAccount) -> AccountBucket:
+        """Return the account's bucket; a new one has filled since the process began."""
         limit = (account.rate_per_s, account.burst)
         now_ms = self._clock.now_ms()
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            bucket = self._buckets[account.name] = AccountBucket(now_ms, *limit)
+            bucket = self._buckets[account.name] = AccountBucket(self._begun_ms, *limit)
         elif self._limits[account.name] != limit:
             bucket.set_limit(now_ms, *limit, self._get_share())
         self._limits[account.name] = limit
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -33,7 +33,7 @@
 from hemlockswitch.process.gateway.loads import ServerLoad, ServerLoads
 from hemlockswitch.process.gateway.observation import GatewayObserver
 from hemlockswitch.process.gateway.registry import ServerRegistry
-from hemlockswitch.process.gateway.scaling import ScalingApi, ScalingDuty
+from hemlockswitch.process.gateway.scaling import Demand, ScalingApi, ScalingDuty
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageApi, UsageCounts, UsageDuty
 from hemlockswitch.process.gateway.view import GatewayView
@@ -185,6 +185,7 @@
             self.settings.zones,
             lambda: self.tables.current,
             self.registry.list_all,
+            self._measure_demand,
             clock,
         )
         usage = UsageDuty(self.usage, store, api)
@@ -305,6 +306,7 @@
             incarnation=self._incarnation,
             believed_ms=self.true_time.now_ms(),
             loads={name: (load.running, load.waiting_tokens) for name, load in loads.items()},
+            demand=self.loads.measure_own_demand(),
             spent=dict(self.limits.spent),
             usage=self.usage.describe_own(),
             leads=self.duties is not None and self.duties.leads,
@@ -317,6 +319,12 @@
         self.limits.take_report(process, report.spent)
         self.usage.take_report(process, report.usage)
 
+    def _measure_demand(self, service: str) -> Demand:
+        own = self.loads.measure_own_demand().get(service, 0.0)
+        servers = [one.name for one in self.registry.list_all() if one.serves == service]
+        running = self.loads.count_running(servers)
+        return Demand(own + self.fleet.sum_demand(service), running)
+
     def _forget_server(self, server: BackendServer) -> None:
         self.pool.forget(server.address)
         self.loads.forget(server.name)
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -46,6 +46,7 @@
     incarnation : differs for each start of its process.
     believed_ms : its time of day.
     loads : server name to (requests in progress, prompt tokens that wait).
+    demand : service to the prompt tokens in a millisecond that it sends.
     spent : account to what it has spent since the process began.
     usage : window number to account to count.
     leads : whether it holds the duties.
@@ -55,6 +56,7 @@
     incarnation: int
     believed_ms: float
     loads: dict[str, tuple[int, float]]
+    demand: dict[str, float]
     spent: dict[str, float]
     usage: dict[str, dict[str, int]]
     leads: bool = False
@@ -182,6 +184,11 @@
             if peer.report is not None
         }
 
+    def sum_demand(self, service: str) -> float:
+        """Return the demand of a service that the gateways heard lately report."""
+        reports = [peer.report for peer in self.list_heard() if peer.report is not None]
+        return sum(report.demand.get(service, 0.0) for report in reports)
+
     def list_opinions(self) -> dict[str, float]:
         """Return what the gateways that were heard lately believe the time of day is now."""
         now_ms = self._clock.now_ms()
--- a/hemlockswitch/process/gateway/loads.py
+++ b/hemlockswitch/process/gateway/loads.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import OrderedDict, defaultdict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from hemlockswitch.core.clock import Clock
@@ -17,6 +17,9 @@
 short enough to try it again within seconds."""
 FAILURE_WEIGHT = 0.5
 """How far one failure moves the rate towards 1, and one success towards 0."""
+DEMAND_MS = 4_000.0
+"""Time constant of the measured demand: as long as a copy boots, so that an order that follows it
+is neither stale nor led by single prompts."""
 REMEMBERED_CHAINS = 4_096
 """Prompt beginnings remembered for each server; about three times what one holds."""
 
@@ -98,6 +101,32 @@
         return self._tokens > self._capacity_tokens or len(self._chains) > REMEMBERED_CHAINS
 
 
+class DemandMeter:
+    """A rate of work that follows the demand within seconds and smooths single requests.
+
+    Examples
+    ========
+
+    >>> meter = DemandMeter()
+    >>> meter.add(0, 4_000)
+    >>> meter.get(0)
+    1.0
+    """
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._updated_ms = 0.0
+
+    def add(self, now_ms: float, amount: float) -> None:
+        """Count `amount` of work."""
+        self._rate = self.get(now_ms) + amount / DEMAND_MS
+        self._updated_ms = now_ms
+
+    def get(self, now_ms: float) -> float:
+        """Return the work in a millisecond."""
+        return self._rate * math.exp(-(now_ms - self._updated_ms) / DEMAND_MS)
+
+
 class Ticket:
     """One send in progress."""
 
@@ -132,6 +161,7 @@
         self._waiting: dict[str, float] = defaultdict(float)
         self._failures: dict[str, FailureRate] = {}
         self._memories: dict[str, PromptMemory] = {}
+        self._demand: dict[str, DemandMeter] = {}
         self._reports: dict[str, tuple[float, Mapping[str, ServerLoad]]] = {}
 
     def begin(
@@ -143,6 +173,8 @@
     ) -> Ticket:
         """Count one send."""
         self.add(server.name, 1, uncached_tokens)
+        meter = self._demand.setdefault(server.serves, DemandMeter())
+        meter.add(self._clock.now_ms(), uncached_tokens)
         if prompt is not None:
             memory = self._memories.setdefault(server.name, PromptMemory(capacity_tokens))
             memory.note(prompt)
@@ -165,6 +197,18 @@
             self._running.pop(name, None)
             self._waiting.pop(name, None)
 
+    def measure_own_demand(self) -> dict[str, float]:
+        """Return the prompt tokens in a millisecond that this daemon sends, by service."""
+        now_ms = self._clock.now_ms()
+        return {service: meter.get(now_ms) for service, meter in self._demand.items()}
+
+    def count_running(self, names: Collection[str]) -> int:
+        """Return the requests in progress on some servers, over all daemons."""
+        others = self._sum_reports()
+        return sum(
+            self._running.get(name, 0) + others.get(name, ServerLoad()).running for name in names
+        )
+
     def describe_own(self) -> dict[str, ServerLoad]:
         """Return the own load, for other daemons."""
         return {
--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -4,6 +4,7 @@
 orders and sends the difference.
 """
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
@@ -19,6 +20,9 @@
 DRY_MS = 3_000.0
 """How long not to ask again for a class in a zone that had none; reclaims leave a zone without
 for some ten seconds, and each call costs."""
+SHRINK_AFTER_MS = 4_000.0
+"""How long fewer copies must be enough before some are given back: a started copy boots for some
+four seconds, so giving one back for less time only costs."""
 REPEAT_MS = 20_000.0
 """An order is sent again after this time even if nothing changed: a lost one must not stay lost."""
 
@@ -31,6 +35,21 @@
     machine_class: MachineClass
 
 
+@dataclass(frozen=True)
+class Demand:
+    """The work that callers ask of a service now, over all gateways.
+
+    Parameters
+    ==========
+
+    prefill_tokens_per_ms : prompt tokens that were not expected in a cache.
+    running : requests in progress.
+    """
+
+    prefill_tokens_per_ms: float = 0.0
+    running: int = 0
+
+
 @dataclass(frozen=True)
 class CopiesSituation:
     """What a plan is made from.
@@ -38,38 +57,79 @@
     Parameters
     ==========
 
-    live : copies by pool that serve or start.
-    dry : pools where none are to be had now.
+    zones : the availability zones of the site.
+    live : copies by pool that serve and are not leaving.
     """
 
     service: ForwardedService
     zones: tuple[str, ...]
     live: Mapping[Pool, int]
-    dry: frozenset[Pool] = frozenset()
+    demand: Demand = Demand()
+
+
+PREFILL_TOKENS_PER_MS = 50.0
+"""What an engine reads between the steps of its batch; see `request.placement`."""
+TARGET_PREFILL_SHARE = 0.45
+"""Part of the engines' reading time that is planned for. Prompts of some 10,000 tokens arrive at
+random; at half of the capacity the mean wait is about one prompt's reading, which the objectives
+allow, and a burst of 1.7 times still fits."""
+TARGET_SLOT_SHARE = 0.6
+"""Part of the batches' slots that is planned for: token steps slow down as batches fill."""
+FEWEST_COPIES = 2
+"""With a single copy every prompt would be lost and read again when it goes."""
+FEWEST_ON_DEMAND = 1
+"""Copies that no reclaim takes, whatever the demand: all reclaimable ones may go in a minute."""
 
 
-STEADY_ON_DEMAND = 2
-"""Copies that are never reclaimed, in the cheapest zones: what serves while a wave of reclaims is
-replaced."""
-RECLAIMABLE_PER_ZONE = 1
+def count_needed(situation: CopiesSituation) -> int:
+    """Return how many copies the demand needs, without reserve for a loss."""
+    engine = situation.service.engine
+    slots = engine.slots if engine is not None else 1
+    demand = situation.demand
+    by_prefill = demand.prefill_tokens_per_ms / (PREFILL_TOKENS_PER_MS * TARGET_PREFILL_SHARE)
+    by_slots = demand.running / (slots * TARGET_SLOT_SHARE)
+    return max(math.ceil(by_prefill), math.ceil(by_slots), FEWEST_COPIES)
 
 
 def plan_copies(situation: CopiesSituation) -> dict[Pool, int]:
-    """Return how many copies to have in every pool."""
+    """Return how many copies to have in every pool.
+
+    Explanation
+    ===========
+
+    Reclaimable copies carry the demand, spread so that what is needed is left when one zone's
+    are reclaimed at once. Copies that are not reclaimable stand in for those that are missing,
+    in the cheapest zones: while a wave of reclaims goes round, nothing else is to be had.
+    """
     scaling = situation.service.scaling
     assert scaling is not None
-    by_price = sorted(situation.zones, key=lambda zone: scaling.zone_prices.get(zone, 1.0))
-    wanted: dict[Pool, int] = {}
-    for rank, zone in enumerate(by_price):
-        reclaimable = Pool(zone, MachineClass.RECLAIMABLE)
-        on_demand = Pool(zone, MachineClass.ON_DEMAND)
-        steady = 1 if rank < STEADY_ON_DEMAND else 0
-        lost = reclaimable in situation.dry and not situation.live.get(reclaimable)
-        wanted[reclaimable] = RECLAIMABLE_PER_ZONE
-        wanted[on_demand] = min(max(steady, 1 if lost else 0), scaling.max_copies)
+    needed = count_needed(situation)
+    per_zone = math.ceil(needed / max(len(situation.zones) - 1, 1))
+    reclaimable = min(per_zone, scaling.max_copies)
+    present = sum(
+        min(situation.live.get(Pool(zone, MachineClass.RECLAIMABLE), 0), reclaimable)
+        for zone in situation.zones
+    )
+    missing = max(needed - present, FEWEST_ON_DEMAND)
+    wanted = {Pool(zone, MachineClass.RECLAIMABLE): reclaimable for zone in situation.zones}
+    wanted.update(_spread_on_demand(situation, missing, scaling.max_copies - reclaimable))
     return wanted
 
 
+def _spread_on_demand(
+    situation: CopiesSituation, count: int, most_per_zone: int
+) -> dict[Pool, int]:
+    """Return `count` copies over the zones, the cheapest first, as evenly as the bounds allow."""
+    scaling = situation.service.scaling
+    assert scaling is not None
+    by_price = sorted(situation.zones, key=lambda zone: scaling.zone_prices.get(zone, 1.0))
+    counts = dict.fromkeys(by_price, 0)
+    for turn in range(count):
+        zone = by_price[turn % len(by_price)]
+        counts[zone] = min(counts[zone] + 1, max(most_per_zone, 0))
+    return {Pool(zone, MachineClass.ON_DEMAND): number for zone, number in counts.items()}
+
+
 class OrderOutcome(StrEnum):
     """What became of an order."""
 
@@ -101,6 +161,7 @@
     zones : the availability zones of the site.
     get_table : returns the configuration in force.
     list_servers : returns the backend servers that are registered.
+    measure_demand : returns the demand of a service over all gateways.
     clock : the time.
     """
 
@@ -110,15 +171,18 @@
         zones: Sequence[str],
         get_table: Callable[[], ServingTable | None],
         list_servers: Callable[[], list[BackendServer]],
+        measure_demand: Callable[[str], Demand],
         clock: Clock,
     ) -> None:
         self._api = api
         self._zones = tuple(zones)
         self._get_table = get_table
         self._list_servers = list_servers
+        self._measure_demand = measure_demand
         self._clock = clock
         self._orders: dict[tuple[str, Pool], _Order] = {}
         self._dry_until_ms: dict[tuple[str, Pool], float] = {}
+        self._enough_since_ms: dict[tuple[str, Pool], float] = {}
 
     def forget_orders(self) -> None:
         """Send every order anew: another gateway may have ordered in between."""
@@ -152,20 +216,21 @@
             if server.serves == service.name and server.state is BackendState.LIVE:
                 pool = Pool(server.zone, MachineClass(server.machine_class))
                 live[pool] = live.get(pool, 0) + 1
-        now_ms = self._clock.now_ms()
-        dry = frozenset(
-            pool
-            for (name, pool), until_ms in self._dry_until_ms.items()
-            if name == service.name and until_ms > now_ms
-        )
-        return CopiesSituation(service, self._zones, live, dry)
+        demand = self._measure_demand(service.name)
+        return CopiesSituation(service, self._zones, live, demand)
 
     def _is_due(self, service: str, pool: Pool, count: int) -> bool:
         now_ms = self._clock.now_ms()
         if self._dry_until_ms.get((service, pool), 0.0) > now_ms:
             return False
         last = self._orders.get((service, pool))
-        return last is None or last.count != count or now_ms - last.sent_ms > REPEAT_MS
+        if last is None or now_ms - last.sent_ms > REPEAT_MS:
+            return True
+        if count >= last.count:
+            self._enough_since_ms.pop((service, pool), None)
+            return count > last.count
+        since_ms = self._enough_since_ms.setdefault((service, pool), now_ms)
+        return now_ms - since_ms >= SHRINK_AFTER_MS
 
     def _send(self, service: str, pool: Pool, count: int, fencing: int) -> None:
         outcome = self._api.order_copies(service, pool, count, fencing)
@@ -181,6 +246,7 @@
         now_ms = self._clock.now_ms()
         if outcome is OrderOutcome.TAKEN:
             self._orders[service, pool] = _Order(count, now_ms)
+            self._enough_since_ms.pop((service, pool), None)
             return
         self._dry_until_ms[service, pool] = now_ms + DRY_MS
         self._orders.pop((service, pool), None)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -18,9 +18,9 @@
 
 def read_options(connection):
     names = ("TCP_KEEPIDLE", "TCP_KEEPINTVL", "TCP_KEEPCNT", "TCP_USER_TIMEOUT")
-    return [
-        connection.getsockopt(socket.IPPROTO_TCP, getattr(socket, name)) for name in names
-    ] + [connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)]
+    return [connection.getsockopt(socket.IPPROTO_TCP, getattr(socket, name)) for name in names] + [
+        connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    ]
 
 
 EXPECTED = [KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_PROBES, UNACKNOWLEDGED_MS, 1]
