--- a/hemlockswitch/connection/backend_pool.py
+++ b/hemlockswitch/connection/backend_pool.py
@@ -10,7 +10,7 @@
 from hemlockswitch.connection.backends import ExchangeError, Stage
 from hemlockswitch.connection.heads import find_header
 from hemlockswitch.connection.message_parsers import AnswerParser, ParsedAnswer
-from hemlockswitch.connection.sockets import connect
+from hemlockswitch.connection.sockets import abort, connect
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 
 READ_BYTES = 65_536
@@ -159,8 +159,14 @@
         return UNSTATED_IDLE_MS
 
     def close(self) -> None:
-        """Close the connection; a server that still works on the request notices it."""
-        self._connection.close()
+        """Close the connection; a server that still works on the request notices it.
+
+        A request whose answer is not complete is reset, so that it does not arrive later.
+        """
+        if self._answer is not None and self._answer.done:
+            self._connection.close()
+        else:
+            abort(self._connection)
 
     def detach(self) -> socket.socket:
         """Give the connection to whoever keeps it for the next exchange."""
--- a/hemlockswitch/connection/http.py
+++ b/hemlockswitch/connection/http.py
@@ -6,7 +6,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
-from hemlockswitch.connection.sockets import set_liveness_options
+from hemlockswitch.connection.sockets import abort, set_liveness_options
 
 
 class NotSentError(Exception):
@@ -57,6 +57,7 @@
             head = self._build_request(method, request_uri, body=body, headers=headers)
             connection.sendall(head.encode("latin-1") + body)
         except BaseException:
+            abort(connection)
             pool.release_socket(connection)
             raise
         return HTTPSocketPoolResponse(
--- a/hemlockswitch/connection/sockets.py
+++ b/hemlockswitch/connection/sockets.py
@@ -4,6 +4,9 @@
 show it. Without them a waiting watch or a stream would hang until its own time-out.
 """
 
+import contextlib
+import struct
+
 from gevent import socket
 
 from hemlockswitch.core.clock import MS_PER_SECOND
@@ -46,3 +49,15 @@
         raise
     connection.settimeout(None)
     return connection
+
+
+def abort(connection: socket.socket) -> None:
+    """Close with a reset, so that bytes which were not delivered yet never arrive.
+
+    A plain close lets the kernel go on sending: a request that a partition held up would arrive
+    seconds later, when its sender no longer stands by it.
+    """
+    # An error means that it is closed already: nothing is left to hold back.
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
--- a/hemlockswitch/process/gateway/duties.py
+++ b/hemlockswitch/process/gateway/duties.py
@@ -100,7 +100,7 @@
             return
         if not self._was_held:
             self._was_held = True
-            self._scaling.forget_orders()
+            self._scaling.take_over()
         for duty in (self._order_copies, self._report_usage):
             try:
                 duty()
--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -23,6 +23,8 @@
 SHRINK_AFTER_MS = 4_000.0
 """How long fewer copies must be enough before some are given back: a started copy boots for some
 four seconds, so giving one back for less time only costs."""
+REORDER_MS = 8_000.0
+"""When to order again copies that have not come: twice the time in which they boot."""
 REPEAT_MS = 20_000.0
 """An order is sent again after this time even if nothing changed: a lost one must not stay lost."""
 
@@ -59,12 +61,14 @@
 
     zones : the availability zones of the site.
     live : copies by pool that serve and are not leaving.
+    dry : pools where none were to be had a moment ago.
     """
 
     service: ForwardedService
     zones: tuple[str, ...]
     live: Mapping[Pool, int]
     demand: Demand = Demand()
+    dry: frozenset[Pool] = frozenset()
 
 
 PREFILL_TOKENS_PER_MS = 50.0
@@ -101,32 +105,45 @@
     are reclaimed at once. Copies that are not reclaimable stand in for those that are missing,
     in the cheapest zones: while a wave of reclaims goes round, nothing else is to be had.
     """
+    needed = count_needed(situation)
+    wanted = _plan_reclaimable(situation, needed)
+    present = sum(min(situation.live.get(pool, 0), count) for pool, count in wanted.items())
+    missing = max(needed - present, FEWEST_ON_DEMAND)
+    return wanted | _plan_on_demand(situation, missing, wanted)
+
+
+def _plan_reclaimable(situation: CopiesSituation, needed: int) -> dict[Pool, int]:
+    """Return the reclaimable copies by zone; none beyond the present ones where it is dry."""
     scaling = situation.service.scaling
     assert scaling is not None
-    needed = count_needed(situation)
     per_zone = math.ceil(needed / max(len(situation.zones) - 1, 1))
-    reclaimable = min(per_zone, scaling.max_copies)
-    present = sum(
-        min(situation.live.get(Pool(zone, MachineClass.RECLAIMABLE), 0), reclaimable)
-        for zone in situation.zones
-    )
-    missing = max(needed - present, FEWEST_ON_DEMAND)
-    wanted = {Pool(zone, MachineClass.RECLAIMABLE): reclaimable for zone in situation.zones}
-    wanted.update(_spread_on_demand(situation, missing, scaling.max_copies - reclaimable))
+    # One place in each zone stays free for a copy that is not reclaimable.
+    per_zone = min(per_zone, max(scaling.max_copies - 1, 1))
+    wanted: dict[Pool, int] = {}
+    for zone in situation.zones:
+        pool = Pool(zone, MachineClass.RECLAIMABLE)
+        present = situation.live.get(pool, 0)
+        wanted[pool] = min(per_zone, present) if pool in situation.dry else per_zone
     return wanted
 
 
-def _spread_on_demand(
-    situation: CopiesSituation, count: int, most_per_zone: int
+def _plan_on_demand(
+    situation: CopiesSituation, count: int, reclaimable: Mapping[Pool, int]
 ) -> dict[Pool, int]:
     """Return `count` copies over the zones, the cheapest first, as evenly as the bounds allow."""
     scaling = situation.service.scaling
     assert scaling is not None
     by_price = sorted(situation.zones, key=lambda zone: scaling.zone_prices.get(zone, 1.0))
+    rooms = {
+        zone: max(scaling.max_copies - reclaimable[Pool(zone, MachineClass.RECLAIMABLE)], 0)
+        for zone in by_price
+    }
     counts = dict.fromkeys(by_price, 0)
-    for turn in range(count):
-        zone = by_price[turn % len(by_price)]
-        counts[zone] = min(counts[zone] + 1, max(most_per_zone, 0))
+    while count > 0 and any(counts[zone] < rooms[zone] for zone in by_price):
+        for zone in by_price:
+            if count > 0 and counts[zone] < rooms[zone]:
+                counts[zone] += 1
+                count -= 1
     return {Pool(zone, MachineClass.ON_DEMAND): number for zone, number in counts.items()}
 
 
@@ -184,9 +201,14 @@
         self._dry_until_ms: dict[tuple[str, Pool], float] = {}
         self._enough_since_ms: dict[tuple[str, Pool], float] = {}
 
-    def forget_orders(self) -> None:
-        """Send every order anew: another gateway may have ordered in between."""
+    def take_over(self) -> None:
+        """Forget the own orders: another gateway may have ordered in between.
+
+        The copies that are registered then stand for its last orders, so that a new holder whose
+        picture is incomplete does not give copies back at once.
+        """
         self._orders.clear()
+        self._enough_since_ms.clear()
 
     def take_turn(self, get_fencing: Callable[[], int]) -> None:
         """Send the orders that are due.
@@ -205,34 +227,48 @@
                 self._order_service(service, get_fencing)
 
     def _order_service(self, service: ForwardedService, get_fencing: Callable[[], int]) -> None:
-        wanted = plan_copies(self._describe(service))
+        situation = self._describe(service)
+        wanted = plan_copies(situation)
         for pool, count in sorted(wanted.items()):
-            if self._is_due(service.name, pool, count):
-                self._send(service.name, pool, count, get_fencing())
+            key = (service.name, pool)
+            self._orders.setdefault(key, _Order(situation.live.get(pool, 0), float("-inf")))
+            if self._is_due(service.name, pool, count, situation.live.get(pool, 0)):
+                self._send(situation, pool, count, get_fencing())
 
     def _describe(self, service: ForwardedService) -> CopiesSituation:
         live: dict[Pool, int] = {}
+        now_ms = self._clock.now_ms()
         for server in self._list_servers():
-            if server.serves == service.name and server.state is BackendState.LIVE:
-                pool = Pool(server.zone, MachineClass(server.machine_class))
+            if server.serves != service.name:
+                continue
+            pool = Pool(server.zone, MachineClass(server.machine_class))
+            if server.state is BackendState.LIVE:
                 live[pool] = live.get(pool, 0) + 1
+            elif pool.machine_class is MachineClass.RECLAIMABLE:
+                # A zone whose copies are being reclaimed has no others for a while.
+                self._dry_until_ms[service.name, pool] = now_ms + DRY_MS
+        dry = frozenset(
+            pool
+            for (name, pool), until_ms in self._dry_until_ms.items()
+            if name == service.name and until_ms > now_ms
+        )
         demand = self._measure_demand(service.name)
-        return CopiesSituation(service, self._zones, live, demand)
+        return CopiesSituation(service, self._zones, live, demand, dry)
 
-    def _is_due(self, service: str, pool: Pool, count: int) -> bool:
+    def _is_due(self, service: str, pool: Pool, count: int, live: int) -> bool:
         now_ms = self._clock.now_ms()
         if self._dry_until_ms.get((service, pool), 0.0) > now_ms:
             return False
-        last = self._orders.get((service, pool))
-        if last is None or now_ms - last.sent_ms > REPEAT_MS:
-            return True
+        last = self._orders[service, pool]
         if count >= last.count:
             self._enough_since_ms.pop((service, pool), None)
-            return count > last.count
+            period_ms = REORDER_MS if count > live else REPEAT_MS
+            return count > last.count or now_ms - last.sent_ms > period_ms
         since_ms = self._enough_since_ms.setdefault((service, pool), now_ms)
         return now_ms - since_ms >= SHRINK_AFTER_MS
 
-    def _send(self, service: str, pool: Pool, count: int, fencing: int) -> None:
+    def _send(self, situation: CopiesSituation, pool: Pool, count: int, fencing: int) -> None:
+        service = situation.service.name
         outcome = self._api.order_copies(service, pool, count, fencing)
         log_event(
             Event.COPIES_ORDERED,
@@ -240,6 +276,10 @@
             zone=pool.zone,
             machine_class=pool.machine_class.value,
             count=count,
+            live=situation.live.get(pool, 0),
+            needed=count_needed(situation),
+            prefill_tokens_per_ms=round(situation.demand.prefill_tokens_per_ms, 1),
+            running=situation.demand.running,
             outcome=outcome.value,
             fencing=fencing,
         )
@@ -249,4 +289,3 @@
             self._enough_since_ms.pop((service, pool), None)
             return
         self._dry_until_ms[service, pool] = now_ms + DRY_MS
-        self._orders.pop((service, pool), None)
