--- a/hemlockswitch/programs/daemon.py
+++ b/hemlockswitch/programs/daemon.py
@@ -85,8 +85,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, ask_to_stop)
         addresses = daemon.start()
-        if output is None:
-            print(json.dumps({"ready": True, "addresses": addresses}), flush=True)
+        ready_line = json.dumps({"ready": True, "addresses": addresses})
+        print(ready_line, file=output or sys.stdout, flush=True)
         log_event(Event.PROCESS_READY, addresses=addresses)
         told.wait()
         log_event(Event.PROCESS_STOPPING)
--- a/hemlockswitch/programs/standin.py
+++ b/hemlockswitch/programs/standin.py
@@ -82,11 +82,45 @@
         serve_proxy(ProxySettings.model_validate(settings))
 
 
+class GatewayStoreCommand(StandinCommand):
+    """Serve the users' platform for gateways."""
+
+    name = "gateway-store"
+    description = "serve a stand-in of the users' object store and cloud API"
+
+    def serve(self, settings: dict[str, Any]) -> None:
+        """Serve the store."""
+        from hemlockswitch.standin.gateway_store import GatewayStoreSettings, serve_gateway_store
+
+        serve_gateway_store(GatewayStoreSettings.model_validate(settings))
+
+
+class RunnerCommand(StandinCommand):
+    """Serve a backend server of the users' platform."""
+
+    name = "runner"
+    description = "serve a stand-in backend server of the users' platform"
+
+    def serve(self, settings: dict[str, Any]) -> None:
+        """Serve a runner."""
+        from hemlockswitch.standin.runner import RunnerSettings, serve_runner
+
+        serve_runner(RunnerSettings.model_validate(settings))
+
+
 def main() -> int:
     """Run the command line."""
     application = Application("hemlock-standin", hemlockswitch.__version__)
     application.set_display_name("hemlock-standin")
-    for command in (EngineCommand, ServiceCommand, PlatformCommand, ProxyCommand):
+    commands = (
+        EngineCommand,
+        ServiceCommand,
+        PlatformCommand,
+        ProxyCommand,
+        GatewayStoreCommand,
+        RunnerCommand,
+    )
+    for command in commands:
         application.add(command())
     return application.run()
 
--- /dev/null
+++ b/hemlockswitch/standin/gateway_store.py
@@ -0,0 +1,293 @@
+"""A stand-in of the users' platform for gateways: object store, cloud API, harness calls."""
+
+from dataclasses import dataclass, field
+from typing import Any, Literal
+
+import falcon
+import gevent
+from gevent.event import Event as Signal
+from pydantic import BaseModel, ConfigDict
+
+from hemlockswitch.standin.server import (
+    SOCKET_KEY,
+    cut_connection,
+    make_application,
+    read_body,
+    serve_until_stopped,
+)
+
+ROOT = "/hemlockswitch/objects"
+LONGEST_WAIT_MS = 30_000
+
+
+class GatewayStoreSettings(BaseModel):
+    """What the settings file holds."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    listen: str = "127.0.0.1:0"
+
+
+class StoreFaults(BaseModel):
+    """What goes wrong with the object store.
+
+    Parameters
+    ==========
+
+    mode : ``busy`` answers 503, ``silent`` holds every call, ``many`` answers 429.
+    lose_answers : the next so many writes are done and their connection is reset.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    mode: Literal["none", "busy", "silent", "many"] = "none"
+    lose_answers: int = 0
+
+
+@dataclass
+class Entry:
+    """One object."""
+
+    name: str
+    revision: int
+    spec: Any
+
+    def render(self) -> dict[str, Any]:
+        """Return it as the store answers it."""
+        metadata = {
+            "name": self.name,
+            "revision": self.revision,
+            "created_rev": 0,
+            "finalizers": [],
+            "deleting": False,
+        }
+        return {"metadata": metadata, "spec": self.spec, "status": None}
+
+
+@dataclass
+class Change:
+    """One change that watches are told."""
+
+    kind: str
+    revision: int
+    tombstone: bool
+    rendered: dict[str, Any]
+
+
+@dataclass
+class GatewayStore:
+    """The state of the stand-in."""
+
+    revision: int = 1
+    objects: dict[str, dict[str, Entry]] = field(default_factory=dict)
+    history: list[Change] = field(default_factory=list)
+    oldest_revision: int = 0
+    faults: StoreFaults = StoreFaults()
+    lost_answers: int = 0
+    cloud_calls: list[dict[str, Any]] = field(default_factory=list)
+    changed: Signal = field(default_factory=Signal)
+
+    def list_kind(self, kind: str) -> dict[str, Entry]:
+        """Return the objects of a kind by name."""
+        return self.objects.setdefault(kind, {})
+
+    def put(self, kind: str, name: str, spec: Any) -> Entry:
+        """Write an object; one that stays the same gets no new revision."""
+        known = self.list_kind(kind).get(name)
+        if known is not None and known.spec == spec:
+            return known
+        self.revision += 1
+        entry = Entry(name, self.revision, spec)
+        self.list_kind(kind)[name] = entry
+        self._tell(Change(kind, self.revision, False, entry.render()))
+        return entry
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        entry = self.list_kind(kind).pop(name, None)
+        if entry is not None:
+            self.revision += 1
+            rendered = entry.render()
+            rendered["metadata"]["revision"] = self.revision
+            self._tell(Change(kind, self.revision, True, rendered))
+
+    def forget_history(self) -> None:
+        """Drop all changes, as a compaction does."""
+        self.history.clear()
+        self.oldest_revision = self.revision
+
+    def find_changes(self, kind: str, since: int) -> list[Change]:
+        """Return the changes of a kind after a revision."""
+        return [one for one in self.history if one.kind == kind and one.revision > since]
+
+    def wait_changes(self, kind: str, since: int, wait_ms: float) -> list[Change]:
+        """Return the changes, waiting for the first."""
+        with gevent.Timeout(min(wait_ms, LONGEST_WAIT_MS) / 1_000, False):
+            while not self.find_changes(kind, since) and since >= self.oldest_revision:
+                self.changed.wait()
+        return self.find_changes(kind, since)
+
+    def _tell(self, change: Change) -> None:
+        self.history.append(change)
+        self.changed.set()
+        self.changed.clear()
+
+
+class ObjectCalls:
+    """The calls of the object store."""
+
+    def __init__(self, store: GatewayStore) -> None:
+        self._store = store
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response, kind: str, name: str = "") -> None:
+        """Answer one object, a list, or a watch."""
+        self._apply_faults(resp)
+        if name:
+            entry = self._store.list_kind(kind).get(name)
+            if entry is None:
+                raise falcon.HTTPNotFound
+            resp.media = entry.render()
+        elif req.has_param("watch"):
+            self._watch(req, resp, kind)
+        else:
+            self._list(req, resp, kind)
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response, kind: str) -> None:
+        """Create an object."""
+        self._apply_faults(resp)
+        body = req.get_media()
+        name = body["metadata"]["name"]
+        known = self._store.list_kind(kind).get(name)
+        if known is not None:
+            resp.status, resp.media = 409, known.render()
+            return
+        resp.media = self._store.put(kind, name, body.get("spec")).render()
+        self._lose_answer(req)
+
+    def on_put(self, req: falcon.Request, resp: falcon.Response, kind: str, name: str) -> None:
+        """Replace an object, under its condition if the call has one."""
+        self._apply_faults(resp)
+        body = req.get_media()
+        known = self._store.list_kind(kind).get(name)
+        if known is None:
+            raise falcon.HTTPNotFound
+        expected = body["metadata"].get("revision")
+        if expected is not None and expected != known.revision:
+            resp.status, resp.media = 409, known.render()
+            return
+        resp.media = self._store.put(kind, name, body.get("spec")).render()
+        self._lose_answer(req)
+
+    def on_delete(self, req: falcon.Request, resp: falcon.Response, kind: str, name: str) -> None:
+        """Remove an object."""
+        self._apply_faults(resp)
+        self._store.remove(kind, name)
+        resp.media = {}
+
+    def _list(self, req: falcon.Request, resp: falcon.Response, kind: str) -> None:
+        after = req.get_param("after", default="")
+        entries = sorted(self._store.list_kind(kind).values(), key=lambda one: one.name)
+        items = [one.render() for one in entries if one.name > after]
+        resp.media = {
+            "items": items,
+            "has_more": False,
+            "store_revision": self._store.revision,
+        }
+
+    def _watch(self, req: falcon.Request, resp: falcon.Response, kind: str) -> None:
+        since = req.get_param_as_int("watch", default=0)
+        wait_ms = req.get_param_as_int("wait_ms", default=0)
+        changes = self._store.wait_changes(kind, since, wait_ms)
+        if since < self._store.oldest_revision:
+            raise falcon.HTTPGone
+        self._apply_faults(resp)
+        events = [{"tombstone": one.tombstone, "object": one.rendered} for one in changes]
+        resp.media = {"events": events, "store_revision": self._store.revision}
+
+    def _apply_faults(self, resp: falcon.Response) -> None:
+        mode = self._store.faults.mode
+        if mode == "busy":
+            raise falcon.HTTPServiceUnavailable
+        if mode == "many":
+            raise falcon.HTTPTooManyRequests
+        while self._store.faults.mode == "silent":
+            gevent.sleep(0.05)
+
+    def _lose_answer(self, req: falcon.Request) -> None:
+        if self._store.lost_answers < self._store.faults.lose_answers:
+            self._store.lost_answers += 1
+            cut_connection(req.env[SOCKET_KEY])
+
+
+class CloudCalls:
+    """``POST /usage`` and ``POST /scale``: accepted and kept for the test."""
+
+    def __init__(self, store: GatewayStore) -> None:
+        self._store = store
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Keep one call."""
+        call = {
+            "path": req.path,
+            "holder": req.get_header("Hemlockswitch-Duty-Holder"),
+            "fence": int(req.get_header("Hemlockswitch-Fence-Token") or 0),
+            "body": req.get_media(),
+        }
+        self._store.cloud_calls.append(call)
+        resp.media = {}
+
+
+class Harness:
+    """What tests set and read."""
+
+    def __init__(self, store: GatewayStore) -> None:
+        self._store = store
+
+    def on_put_object(
+        self, req: falcon.Request, resp: falcon.Response, kind: str, name: str
+    ) -> None:
+        """Write an object whatever the faults."""
+        resp.media = self._store.put(kind, name, req.get_media()).render()
+
+    def on_delete_object(
+        self, req: falcon.Request, resp: falcon.Response, kind: str, name: str
+    ) -> None:
+        """Remove an object whatever the faults."""
+        self._store.remove(kind, name)
+        resp.media = {}
+
+    def on_post_faults(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Replace the faults in force."""
+        self._store.faults = read_body(req, StoreFaults)
+        self._store.lost_answers = 0
+        resp.media = {}
+
+    def on_post_compact(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Forget the history."""
+        self._store.forget_history()
+        resp.media = {}
+
+    def on_get_cloud(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Give the calls of the cloud API."""
+        resp.media = self._store.cloud_calls
+
+
+def build_application(store: GatewayStore) -> falcon.App:
+    """Return the stand-in's WSGI application."""
+    application = make_application()
+    calls = ObjectCalls(store)
+    application.add_route(f"{ROOT}/{{kind}}", calls)
+    application.add_route(f"{ROOT}/{{kind}}/{{name}}", calls)
+    application.add_route("/usage", CloudCalls(store))
+    application.add_route("/scale", CloudCalls(store))
+    harness = Harness(store)
+    application.add_route("/standin/objects/{kind}/{name}", harness, suffix="object")
+    application.add_route("/standin/faults", harness, suffix="faults")
+    application.add_route("/standin/compact", harness, suffix="compact")
+    application.add_route("/standin/cloud", harness, suffix="cloud")
+    return application
+
+
+def serve_gateway_store(settings: GatewayStoreSettings) -> None:
+    """Serve until the process is asked to stop."""
+    serve_until_stopped(build_application(GatewayStore()), settings.listen)
--- /dev/null
+++ b/hemlockswitch/standin/runner.py
@@ -0,0 +1,199 @@
+"""A stand-in of a backend server on the users' platform: plain answers and event streams."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import falcon
+import gevent
+import xxhash
+from pydantic import BaseModel, ConfigDict
+
+from hemlockswitch.standin.server import (
+    SOCKET_KEY,
+    cut_connection,
+    make_application,
+    read_body,
+    serve_until_stopped,
+)
+
+MS_PER_SECOND = 1_000
+
+
+class RunnerSettings(BaseModel):
+    """What the settings file holds.
+
+    Parameters
+    ==========
+
+    name : the runner's incarnation.
+    work_ms : time of a plain call, and to the first event of a stream.
+    event_ms : time between two events.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    name: str
+    listen: str = "127.0.0.1:0"
+    work_ms: float = 5
+    event_ms: float = 5
+
+
+class RunnerFaults(BaseModel):
+    """What goes wrong; `count` bounds it to the next requests, 0 means all.
+
+    Parameters
+    ==========
+
+    decline : answer 503 and state that the request was not run.
+    fail : run and answer 500.
+    lose_answer : run and reset the connection.
+    foreign_answer : answer with another request's identifier.
+    without_seal : answer without the mark of a genuine answer.
+    cut_after_events : break a stream off inside the event after these.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    count: int = 0
+    decline: bool = False
+    fail: bool = False
+    lose_answer: bool = False
+    foreign_answer: bool = False
+    without_seal: bool = False
+    cut_after_events: int | None = None
+
+
+@dataclass
+class RunnerState:
+    """What the tests judge by."""
+
+    settings: RunnerSettings
+    faults: RunnerFaults = RunnerFaults()
+    left: int = 0
+    runs: Counter = field(default_factory=Counter)
+    seen: list[dict[str, Any]] = field(default_factory=list)
+    abandoned: list[str] = field(default_factory=list)
+
+    def take_faults(self) -> RunnerFaults:
+        """Return the faults for one request."""
+        if self.faults.count == 0:
+            return self.faults
+        if self.left == 0:
+            return RunnerFaults()
+        self.left -= 1
+        return self.faults
+
+
+class Requests:
+    """Every path that is not the stand-in's own."""
+
+    def __init__(self, state: RunnerState) -> None:
+        self._state = state
+
+    def __call__(self, req: falcon.Request, resp: falcon.Response, **parts: str) -> None:
+        """Run one request."""
+        state = self._state
+        request_id = req.get_header("Hemlockswitch-Request-Id") or ""
+        faults = state.take_faults()
+        if self._declines(req, resp, faults):
+            return
+        body = req.bounded_stream.read()
+        state.runs[request_id] += 1
+        state.seen.append(_describe(req, body))
+        gevent.sleep(state.settings.work_ms / MS_PER_SECOND)
+        if faults.lose_answer:
+            cut_connection(req.env[SOCKET_KEY])
+        answered_id = "another" if faults.foreign_answer else request_id
+        resp.set_header("Hemlockswitch-Request-Id", answered_id)
+        if not faults.without_seal:
+            resp.set_header("Hemlockswitch-Response-Seal", make_seal(request_id))
+        if faults.fail:
+            resp.status, resp.data = 500, b"failed"
+        elif req.get_header("Hemlockswitch-Token-Counts"):
+            resp.content_type = "text/event-stream"
+            resp.stream = self._stream(req, faults, request_id)
+        else:
+            resp.data = b"answer of " + request_id.encode()
+
+    def _declines(self, req: falcon.Request, resp: falcon.Response, faults: RunnerFaults) -> bool:
+        expected = req.get_header("Hemlockswitch-Expect-Instance")
+        if expected and expected != self._state.settings.name:
+            resp.status = 421
+            resp.set_header("Hemlockswitch-Instance-Id", self._state.settings.name)
+            return True
+        if faults.decline:
+            resp.status = 503
+            resp.set_header("Hemlockswitch-Not-Executed", "1")
+        return faults.decline
+
+    def _stream(
+        self, req: falcon.Request, faults: RunnerFaults, request_id: str
+    ) -> Iterator[bytes]:
+        last = int((req.get_header("Hemlockswitch-Token-Counts") or "0,0").split(",")[1])
+        first = int(req.get_header("Last-Event-Id") or 0) + 1
+        finished = False
+        try:
+            for number in range(first, last + 1):
+                event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+                if faults.cut_after_events is not None and number > faults.cut_after_events:
+                    yield event[:5]
+                    cut_connection(req.env[SOCKET_KEY])
+                yield event
+                gevent.sleep(self._state.settings.event_ms / MS_PER_SECOND)
+            finished = True
+        finally:
+            if not finished:
+                self._state.abandoned.append(request_id)
+
+
+class Harness:
+    """What tests set and read."""
+
+    def __init__(self, state: RunnerState) -> None:
+        self._state = state
+
+    def on_post_faults(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Replace the faults in force."""
+        self._state.faults = read_body(req, RunnerFaults)
+        self._state.left = self._state.faults.count
+        resp.media = {}
+
+    def on_get_stats(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Give what was run."""
+        resp.media = {
+            "runs": dict(self._state.runs),
+            "seen": self._state.seen,
+            "abandoned": self._state.abandoned,
+        }
+
+
+def make_seal(request_id: str) -> str:
+    """Return the mark of a genuine answer."""
+    return xxhash.xxh64_hexdigest(request_id.encode())
+
+
+def _describe(req: falcon.Request, body: bytes) -> dict[str, Any]:
+    headers = {name.lower(): value for name, value in req.headers.items()}
+    return {
+        "method": req.method,
+        "target": req.relative_uri,
+        "headers": headers,
+        "body": body.decode("latin-1"),
+    }
+
+
+def build_application(state: RunnerState) -> falcon.App:
+    """Return the stand-in's WSGI application."""
+    application = make_application()
+    harness = Harness(state)
+    application.add_route("/standin/faults", harness, suffix="faults")
+    application.add_route("/standin/stats", harness, suffix="stats")
+    application.add_sink(Requests(state), prefix=r"/(?P<path>.*)")
+    return application
+
+
+def serve_runner(settings: RunnerSettings) -> None:
+    """Serve until the process is asked to stop."""
+    serve_until_stopped(build_application(RunnerState(settings)), settings.listen)
--- /dev/null
+++ b/tests/test_message_parsers.py
@@ -0,0 +1,126 @@
+"""Parsing of requests and answers: what is refused, and what a faulty server may send."""
+
+import pytest
+
+from hemlockswitch.connection.heads import select_end_to_end
+from hemlockswitch.connection.message_parsers import AnswerParser, RequestParser
+from hemlockswitch.core.errors import ErrorKind, RequestError
+
+HEAD = b"POST /a/b?c=1 HTTP/1.1\r\nHost: x.example\r\n"
+
+
+def make_parser(head_bytes=1_000, body_bytes=100):
+    return RequestParser(lambda: (head_bytes, body_bytes), lambda: 7.0)
+
+
+def test_a_request_arrives_whole_however_it_is_cut():
+    data = HEAD + b"X-A: 1\r\nContent-Length: 5\r\n\r\nhello"
+    parser = make_parser()
+    for number in range(len(data)):
+        parser.feed(data[number : number + 1])
+    (request,) = parser.complete
+    assert (request.method, request.target, request.body) == ("POST", "/a/b?c=1", b"hello")
+    assert request.path == "/a/b"
+    assert request.get("x-a") == "1"
+    assert request.received_ms == 7.0
+    assert request.keep_alive
+
+
+def test_chunks_are_joined_and_trailers_dropped():
+    parser = make_parser()
+    parser.feed(
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nX-T: 1\r\n\r\n"
+    )
+    (request,) = parser.complete
+    assert request.body == b"abcde"
+    assert request.get("x-t") == ""
+
+
+def test_two_requests_in_one_piece_are_both_kept():
+    parser = make_parser()
+    parser.feed(HEAD + b"\r\n" + HEAD + b"\r\n")
+    assert len(parser.complete) == 2
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b"Content-Length: 3\r\nContent-Length: 3\r\n",
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length : 3\r\n",
+        b"Content-Length: +3\r\n",
+        b"Transfer-Encoding: xchunked\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n",
+        b"X-A: 1\r\n folded\r\n",
+        b"X-A: 1\n\n",
+        b"Upgrade: other\r\nConnection: upgrade\r\n",
+    ],
+)
+def test_what_two_parsers_could_read_differently_is_refused(fields):
+    with pytest.raises(RequestError) as caught:
+        make_parser().feed(HEAD + fields + b"\r\nabc")
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+def test_a_head_over_the_bound_is_refused():
+    with pytest.raises(RequestError) as caught:
+        make_parser(head_bytes=100).feed(HEAD + b"X-A: " + b"a" * 200 + b"\r\n\r\n")
+    assert caught.value.kind is ErrorKind.HEAD_TOO_LARGE
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 101\r\n\r\n", None])
+def test_a_body_over_the_bound_is_refused(framing):
+    chunked = b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"a" * 101 + b"\r\n"
+    with pytest.raises(RequestError) as caught:
+        make_parser().feed(HEAD + (framing or chunked))
+    assert caught.value.kind is ErrorKind.BODY_TOO_LARGE
+
+
+def feed_answer(data, method="GET"):
+    parser = AnswerParser(method)
+    parser.feed(data)
+    return parser
+
+
+def test_an_interim_answer_is_passed_over():
+    parser = feed_answer(
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    )
+    (answer,) = parser.answers
+    assert (answer.status, answer.take_body(), answer.done) == (200, b"ok", True)
+
+
+def test_a_second_answer_is_kept_apart():
+    one = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+    parser = feed_answer(one + b"a" + one + b"b")
+    assert [answer.take_body() for answer in parser.answers] == [b"a", b"b"]
+
+
+def test_garbage_behind_a_whole_answer_spoils_only_the_connection():
+    parser = feed_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na#garbage")
+    assert parser.is_spoiled
+    assert parser.answers[0].done
+
+
+def test_garbage_in_place_of_an_answer_is_an_error():
+    with pytest.raises(ValueError, match="not an HTTP answer"):
+        feed_answer(b"#garbage")
+
+
+def test_an_answer_without_length_is_whole_only_at_a_clean_end():
+    parser = feed_answer(b"HTTP/1.1 200 OK\r\n\r\nabc")
+    (answer,) = parser.answers
+    assert answer.ends_with_connection and not answer.done
+    parser.end()
+    assert answer.done
+
+
+def test_a_clean_end_does_not_complete_an_answer_with_length():
+    parser = feed_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+    parser.end()
+    assert not parser.answers[0].done
+
+
+def test_headers_of_one_connection_do_not_go_on():
+    headers = [("Host", "x"), ("Connection", "X-Own"), ("X-Own", "1"), ("TE", "trailers")]
+    assert select_end_to_end(headers) == [("Host", "x")]
--- /dev/null
+++ b/tests/test_scaling.py
@@ -0,0 +1,218 @@
+"""How many copies to order: waves of reclaims, zones without any, and holders that change.
+
+The load patterns are those of the sites' days: four zones, one of which loses all its reclaimable
+copies every 3 to 6 seconds with none to be had anywhere for 12 to 15 s; a copy boots for 4 s.
+"""
+
+from dataclasses import dataclass, field
+
+import pytest
+
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.process.gateway.scaling import (
+    FEWEST_COPIES,
+    CopiesSituation,
+    Demand,
+    OrderOutcome,
+    Pool,
+    ScalingDuty,
+    count_needed,
+    plan_copies,
+)
+from hemlockswitch.version.backend import BackendServer, BackendState
+from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.serving_table import (
+    CallerBounds,
+    EngineTraits,
+    ForwardedService,
+    ScalingBounds,
+    ServingTable,
+)
+
+ZONES = ("z1", "z2", "z3", "z4")
+PRICES = {"z1": 1.0, "z2": 0.8, "z3": 1.25, "z4": 0.9}
+BOOT_MS = 4_000
+SERVICE = ForwardedService(
+    "llm", 600, EngineTraits(128, 600_000), ScalingBounds(1, 3, BOOT_MS, 0.15, PRICES)
+)
+RECLAIMABLE, ON_DEMAND = MachineClass.RECLAIMABLE, MachineClass.ON_DEMAND
+
+
+def situation(live=None, tokens=0.0, running=0, dry=()):
+    return CopiesSituation(SERVICE, ZONES, live or {}, Demand(tokens, running), frozenset(dry))
+
+
+def count(plan, machine_class):
+    return sum(number for pool, number in plan.items() if pool.machine_class is machine_class)
+
+
+@pytest.mark.parametrize(
+    ("tokens", "running", "needed"),
+    [(0, 0, FEWEST_COPIES), (22.5, 0, FEWEST_COPIES), (90, 0, 4), (0, 400, 6)],
+)
+def test_what_is_needed_follows_prompts_and_slots(tokens, running, needed):
+    assert count_needed(situation(tokens=tokens, running=running)) == needed
+
+
+def test_a_calm_day_is_carried_by_reclaimable_copies():
+    live = {Pool(zone, RECLAIMABLE): 1 for zone in ZONES}
+    plan = plan_copies(situation(live, tokens=60))
+    assert [plan[Pool(zone, RECLAIMABLE)] for zone in ZONES] == [1, 1, 1, 1]
+    assert count(plan, ON_DEMAND) == 1
+    assert plan[Pool("z2", ON_DEMAND)] == 1, "the cheapest zone"
+
+
+@pytest.mark.parametrize("lost", ZONES)
+def test_enough_is_left_when_a_zone_is_reclaimed(lost):
+    plan = plan_copies(situation(tokens=110))
+    left = sum(number for pool, number in plan.items() if pool.zone != lost)
+    assert left >= count_needed(situation(tokens=110))
+
+
+def test_copies_that_are_not_reclaimable_stand_in_where_it_is_dry():
+    dry = [Pool(zone, RECLAIMABLE) for zone in ZONES]
+    plan = plan_copies(situation({}, tokens=150, dry=dry))
+    assert count(plan, RECLAIMABLE) == 0
+    assert count(plan, ON_DEMAND) == count_needed(situation(tokens=150))
+
+
+@pytest.mark.parametrize("tokens", [0, 50, 100, 200, 400, 1_000])
+def test_no_zone_gets_more_than_its_bound(tokens):
+    plan = plan_copies(situation(tokens=tokens))
+    for zone in ZONES:
+        assert plan[Pool(zone, RECLAIMABLE)] + plan[Pool(zone, ON_DEMAND)] <= 3
+
+
+def test_a_high_demand_leaves_room_for_copies_that_stay():
+    plan = plan_copies(situation(tokens=1_000))
+    assert all(plan[Pool(zone, ON_DEMAND)] >= 1 for zone in ZONES)
+
+
+@dataclass
+class Market:
+    """A cloud API whose copies boot, are reclaimed by zone, and are not to be had for a while."""
+
+    clock: ManualClock
+    dry_until_ms: float = 0.0
+    booting: list = field(default_factory=list)
+    servers: dict = field(default_factory=dict)
+    calls: int = 0
+    made: int = 0
+
+    def order_copies(self, service, pool, wanted, fencing):
+        self.calls += 1
+        held = [one for one in self.servers.values() if self.pool_of(one) == pool]
+        coming = [entry for entry in self.booting if entry[1] == pool]
+        missing = wanted - len(held) - len(coming)
+        dry = self.clock.now_ms() < self.dry_until_ms
+        if missing > 0 and dry and pool.machine_class is RECLAIMABLE:
+            return OrderOutcome.NONE_AVAILABLE
+        for _ in range(max(missing, 0)):
+            self.booting.append((self.clock.now_ms() + BOOT_MS, pool))
+        for server in held[: max(-missing, 0)]:
+            del self.servers[server.name]
+        return OrderOutcome.TAKEN
+
+    @staticmethod
+    def pool_of(server):
+        return Pool(server.zone, MachineClass(server.machine_class))
+
+    def advance(self, duration_ms):
+        self.clock.advance(duration_ms)
+        for entry in [one for one in self.booting if one[0] <= self.clock.now_ms()]:
+            self.booting.remove(entry)
+            self.add(entry[1])
+
+    def add(self, pool):
+        self.made += 1
+        name = f"copy-{self.made}"
+        machine_class = pool.machine_class.value
+        self.servers[name] = BackendServer(
+            name, pool.zone, "127.0.0.1:1", "llm", machine_class, slots=128
+        )
+
+    def reclaim(self, zone, dry_ms):
+        self.dry_until_ms = max(self.dry_until_ms, self.clock.now_ms() + dry_ms)
+        pool = Pool(zone, RECLAIMABLE)
+        for server in [one for one in self.servers.values() if self.pool_of(one) == pool]:
+            del self.servers[server.name]
+
+    def list(self):
+        return list(self.servers.values())
+
+
+def make_duty(market, tokens):
+    table = ServingTable(1, (), {"llm": SERVICE}, CallerBounds(), {})
+    return ScalingDuty(
+        market, ZONES, lambda: table, market.list, lambda name: Demand(tokens, 0), market.clock
+    )
+
+
+def play(market, duty, duration_ms, lowest=None):
+    for _ in range(int(duration_ms / 250)):
+        duty.take_turn(lambda: 7)
+        market.advance(250)
+        if lowest is not None:
+            lowest.append(len(market.servers))
+
+
+def test_waves_of_reclaims_leave_what_is_needed_but_for_a_boot():
+    market = Market(ManualClock())
+    duty = make_duty(market, tokens=100)
+    play(market, duty, 10_000)
+    sizes = []
+    for zone in ZONES:
+        market.reclaim(zone, dry_ms=14_000)
+        play(market, duty, 5_000, sizes)
+    needed = count_needed(situation(tokens=100))
+    assert min(sizes) >= needed - 2, "while the stand-ins boot"
+    assert sum(size >= needed for size in sizes) >= 0.6 * len(sizes)
+
+
+def test_after_the_waves_the_cheap_copies_carry_the_demand_again():
+    market = Market(ManualClock())
+    duty = make_duty(market, tokens=60)
+    for zone in ZONES:
+        market.reclaim(zone, dry_ms=14_000)
+        play(market, duty, 4_000)
+    play(market, duty, 30_000)
+    classes = [one.machine_class for one in market.list()]
+    assert classes.count("reclaimable") == 4
+    assert classes.count("on_demand") == 1
+
+
+def test_a_steady_fleet_costs_few_calls():
+    market = Market(ManualClock())
+    duty = make_duty(market, tokens=60)
+    play(market, duty, 12_000)
+    before = market.calls
+    play(market, duty, 30_000)
+    assert market.calls - before <= 8 * 2, "each pool again after 20 s, no more"
+
+
+def test_a_new_holder_without_a_whole_picture_gives_nothing_back_at_once():
+    market = Market(ManualClock())
+    for zone in ZONES:
+        market.add(Pool(zone, ON_DEMAND))
+    duty = make_duty(market, tokens=0)
+    duty.take_over()
+    play(market, duty, 3_500)
+    assert sum(one.machine_class == "on_demand" for one in market.list()) == 4
+
+
+def test_leaving_copies_do_not_count():
+    market = Market(ManualClock())
+    for zone in ZONES:
+        market.add(Pool(zone, RECLAIMABLE))
+    leaving = [
+        BackendServer(
+            one.name, one.zone, one.address, "llm", one.machine_class, state=BackendState.LEAVING
+        )
+        for one in market.list()
+    ]
+    market.list = lambda: leaving
+    market.dry_until_ms = 60_000
+    duty = make_duty(market, tokens=60)
+    play(market, duty, 1_000)
+    ordered = [pool for _, pool in market.booting if pool.machine_class is ON_DEMAND]
+    assert len(ordered) == count_needed(situation(tokens=60))
