--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -194,6 +194,8 @@
         self, progress: Progress, admitted: AdmittedRequest, reply: Reply
     ) -> None:
         while True:
+            if admitted.deadline_ms <= self._clock.now_ms():
+                raise OverdueError
             placement = self._choose(progress, admitted, reply)
             try:
                 self._send_once(progress, admitted, placement, reply)
--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -12,6 +12,7 @@
 
 from hemlockswitch.standin.server import (
     SOCKET_KEY,
+    TARGET_KEY,
     cut_connection,
     make_application,
     read_body,
@@ -178,7 +179,7 @@
     headers = {name.lower(): value for name, value in req.headers.items()}
     return {
         "method": req.method,
-        "target": req.relative_uri,
+        "target": req.env[TARGET_KEY],
         "headers": headers,
         "body": body.decode("latin-1"),
     }
--- a/hemlockswitch/standin/server.py
+++ b/hemlockswitch/standin/server.py
@@ -16,6 +16,7 @@
 
 Model = TypeVar("Model", bound=BaseModel)
 SOCKET_KEY = "standin.socket"
+TARGET_KEY = "standin.target"
 _RESET = struct.pack("ii", 1, 0)
 
 
@@ -28,9 +29,10 @@
         super().handle()
 
     def get_environ(self) -> dict[str, Any]:
-        """Return the request's environment with its connection."""
+        """Return the request's environment with its connection and its undecoded target."""
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        environ[TARGET_KEY] = self.path
         return environ
 
     def handle_error(self, kind: Any, value: Any, trace: Any) -> None:
--- /dev/null
+++ b/tests/gateway_site.py
@@ -0,0 +1,285 @@
+"""A site in one process: the stand-in store, stand-in runners and real gateway daemons."""
+
+import json
+import time
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket
+
+from hemlockswitch.core.clock import SystemClock
+from hemlockswitch.process.gateway.daemon import GatewayDaemon
+from hemlockswitch.programs.gateway import build_adapter
+from hemlockswitch.standin.gateway_store import GatewayStore
+from hemlockswitch.standin.gateway_store import build_application as build_store
+from hemlockswitch.standin.runner import RunnerFaults, RunnerSettings, RunnerState, make_seal
+from hemlockswitch.standin.runner import build_application as build_runner
+from hemlockswitch.standin.server import listen
+from hemlockswitch.version.settings import GatewaySettings
+
+HOST = "site.example"
+KEY = "key-of-hall"
+LIMIT_S = 15.0
+
+ROUTES = {
+    "hold": {"kind": "non_idempotent", "service": "app", "max_attempts": 3},
+    "check": {"kind": "idempotent", "service": "app", "max_attempts": 3},
+    "draft": {"kind": "stream", "service": "llm", "max_attempts": 1},
+    "reply": {"kind": "stream", "service": "llm", "max_attempts": 3, "resumable": True},
+    "open": {"kind": "idempotent", "service": "app", "max_attempts": 1, "public": True},
+}
+
+
+def make_manifest(version=1, timeout_ms=5_000, tenants=None, **routes):
+    """Return a manifest with the routes of the tests."""
+    every = {**ROUTES, **routes}
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": name,
+                "host": HOST,
+                "path_prefix": f"/{name}/",
+                "timeout_ms": timeout_ms,
+                "goal_ms": 500,
+                "priority": 1,
+                **fields,
+            }
+            for name, fields in every.items()
+            if fields is not None
+        ],
+        "services": [
+            {"name": "app", "health_path": "/healthz", "max_conns": 100},
+            {
+                "name": "llm",
+                "health_path": "/healthz",
+                "max_conns": 100,
+                "engine": {"slots": 8, "kv_capacity_tokens": 100_000},
+                "scaling": {
+                    "min": 1,
+                    "max": 3,
+                    "boot_s": 4.0,
+                    "spot_price": 0.15,
+                    "zone_prices": {"z1": 1.0},
+                },
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 1_000,
+            "idle_timeout_ms": 5_000,
+        },
+        "tenants": tenants or [{"name": "hall", "api_keys": [KEY], "unit": "token_stream"}],
+    }
+
+
+@dataclass
+class Reply:
+    """An answer as a caller sees it."""
+
+    status: int
+    headers: dict
+    body: bytes
+    is_whole: bool
+
+
+class Runner:
+    """A stand-in runner that is served in this process."""
+
+    def __init__(self, name, service, store, **settings):
+        self.name = name
+        self.service = service
+        self.state = RunnerState(RunnerSettings(name=name, **settings))
+        self.server, self.address = listen(build_runner(self.state), "127.0.0.1:0")
+        self._store = store
+        self.write("ready")
+
+    def write(self, state):
+        """Write the registry entry."""
+        entry = {"service": self.service, "address": self.address, "zone": "z1", "slots": 8}
+        self._store.put("servers", self.name, {**entry, "state": state, "sequence": 1})
+
+    def fail(self, **faults):
+        """Set faults."""
+        self.state.faults = RunnerFaults(**faults)
+        self.state.left = self.state.faults.count
+
+    def count_runs(self, request_id):
+        """Return how often a request ran here."""
+        return self.state.runs[request_id]
+
+
+class Site:
+    """The whole of a site; `close` ends it."""
+
+    def __init__(self, gateways=1, manifest=None, is_configured=True):
+        self.store = GatewayStore()
+        self.store_server, self.store_address = listen(build_store(self.store), "127.0.0.1:0")
+        if is_configured:
+            self.store.put("config", "main", manifest or make_manifest())
+        self.runners = []
+        self.gateways = []
+        self._last = 0
+        for number in range(gateways):
+            self.add_gateway(f"gateway-{number + 1}")
+
+    def add_gateway(self, name):
+        """Start a gateway."""
+        clock = SystemClock()
+        settings = GatewaySettings(
+            name=name,
+            zone="z1",
+            zones=("z1",),
+            listen="127.0.0.1:0",
+            ready_listen="127.0.0.1:0",
+            platform=self.store_address,
+            cloud=self.store_address,
+            stop_grace_s=4.0,
+        )
+        daemon = GatewayDaemon(settings, build_adapter(settings, clock), clock)
+        daemon.addresses = daemon.start()
+        self.gateways.append(daemon)
+        return daemon
+
+    def add_runner(self, service, **settings):
+        """Start a runner and wait until the gateways know it."""
+        runner = Runner(f"runner-{len(self.runners) + 1}", service, self.store, **settings)
+        self.runners.append(runner)
+        self.wait(lambda: all(self._knows(one, runner) for one in self.gateways))
+        return runner
+
+    @staticmethod
+    def _knows(gateway, runner):
+        ready = gateway.registry.list_ready(runner.service)
+        return gateway.is_ready() and any(one.name == runner.name for one in ready)
+
+    @staticmethod
+    def wait(condition):
+        """Wait until a condition holds."""
+        deadline = time.monotonic() + LIMIT_S
+        while not condition():
+            assert time.monotonic() < deadline, "the condition did not come"
+            gevent.sleep(0.01)
+
+    def make_id(self):
+        """Return a new request identifier."""
+        self._last += 1
+        return f"request-{self._last}"
+
+    def connect(self, gateway=0):
+        """Return a caller's connection."""
+        host, port = self.gateways[gateway].addresses["listen"].split(":")
+        return socket.create_connection((host, int(port)), timeout=LIMIT_S)
+
+    def ask(self, path, request_id=None, method="POST", key=KEY, body=b"{}", gateway=0, **headers):
+        """Send one request on a new connection and return its reply."""
+        request_id = request_id or self.make_id()
+        with self.connect(gateway) as connection:
+            connection.sendall(make_request(path, request_id, method, key, body, **headers))
+            return read_reply(connection)
+
+    def close(self):
+        """End everything."""
+        for gateway in self.gateways:
+            gateway.callers.stop_accepting()
+            gateway._close()
+        for runner in self.runners:
+            runner.server.stop(timeout=0)
+        self.store_server.stop(timeout=0)
+
+
+def make_request(path, request_id, method="POST", key=KEY, body=b"{}", **headers):
+    """Return the bytes of a request."""
+    fields = {
+        "Host": HOST,
+        "Hemlockswitch-Request-Id": request_id,
+        "Hemlockswitch-Deadline-Ms": "4000",
+        "Content-Length": str(len(body)),
+    }
+    if key is not None:
+        fields["X-Api-Key"] = key
+    fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+    lines = [f"{method} {path} HTTP/1.1", *(f"{name}: {value}" for name, value in fields.items())]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def read_reply(connection):
+    """Read one reply; whether it is whole follows from its framing."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = connection.recv(65_536)
+        if not piece:
+            return Reply(0, {}, data, False)
+        data += piece
+    head, _, rest = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+    status = int(lines[0].split()[1])
+    if "content-length" in headers:
+        body, is_whole = _read_length(connection, rest, int(headers["content-length"]))
+    else:
+        body, is_whole = _read_chunks(connection, rest)
+    return Reply(status, headers, body, is_whole)
+
+
+def _read_length(connection, rest, length):
+    while len(rest) < length:
+        piece = connection.recv(65_536)
+        if not piece:
+            return rest, False
+        rest += piece
+    return rest, True
+
+
+def _read_chunks(connection, rest):
+    body = b""
+    while True:
+        while b"\r\n" not in rest:
+            piece = _receive(connection)
+            if not piece:
+                return body, False
+            rest += piece
+        size, _, rest = rest.partition(b"\r\n")
+        length = int(size, 16)
+        while len(rest) < length + 2:
+            piece = _receive(connection)
+            if not piece:
+                return body, False
+            rest += piece
+        body, rest = body + rest[:length], rest[length + 2 :]
+        if length == 0:
+            return body, True
+
+
+def _receive(connection):
+    try:
+        return connection.recv(65_536)
+    except ConnectionResetError:
+        return b""
+
+
+def make_events(request_id, last, first=1):
+    """Return the events of a whole stream."""
+    return "".join(
+        f"id: {number}\ndata: {request_id} {number}\n\n" for number in range(first, last + 1)
+    ).encode()
+
+
+def tokens(output, parts="aa:100,bb:20"):
+    """Return the headers of a model request."""
+    return {
+        "Hemlockswitch_Token_Counts": f"120,{output}",
+        "Hemlockswitch_Prompt_Prefix": parts,
+        "Hemlockswitch_Model": "m",
+    }
+
+
+def is_genuine(reply, request_id):
+    """Return whether a reply bears the runner's mark for this request."""
+    return reply.headers.get("hemlockswitch-response-seal") == make_seal(request_id)
+
+
+def read_json(reply):
+    """Return the JSON body of a reply."""
+    return json.loads(reply.body)
--- /dev/null
+++ b/tests/test_gateway_requests.py
@@ -0,0 +1,302 @@
+"""Requests through a gateway, over real sockets: what runs, how often, and what callers are told."""
+
+import time
+
+import gevent
+import pytest
+
+from tests.gateway_site import (
+    HOST,
+    KEY,
+    ROUTES,
+    Site,
+    is_genuine,
+    make_events,
+    make_manifest,
+    make_request,
+    read_reply,
+    tokens,
+)
+
+
+@pytest.fixture
+def site():
+    one = Site()
+    yield one
+    one.close()
+
+
+@pytest.fixture
+def app(site):
+    return [site.add_runner("app"), site.add_runner("app")]
+
+
+@pytest.fixture
+def engines(site):
+    return [site.add_runner("llm"), site.add_runner("llm")]
+
+
+def count_runs(runners, request_id):
+    return sum(runner.count_runs(request_id) for runner in runners)
+
+
+def find_seen(runners):
+    (seen,) = [one for runner in runners for one in runner.state.seen]
+    return seen
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back(site, app):
+    reply = site.ask("/hold/x%2Fy?a=1&b", "id-1", body=b'{"slot": 3}', X_Own="kept")
+    assert (reply.status, reply.body, reply.is_whole) == (200, b"answer of id-1", True)
+    assert is_genuine(reply, "id-1")
+    seen = find_seen(app)
+    assert (seen["method"], seen["target"]) == ("POST", "/hold/x%2Fy?a=1&b")
+    assert seen["body"] == '{"slot": 3}'
+    assert seen["headers"]["x-own"] == "kept"
+
+
+def test_the_system_sets_its_headers_whatever_the_caller_sent(site, app):
+    forged = {
+        "Hemlockswitch_Tenant": "other",
+        "Hemlockswitch_Hold": "h",
+        "Hemlockswitch_Pin_Ms": "9",
+        "Kv_From": "1.2.3.4:1/x",
+        "Hemlockswitch_Kv_Backup": "1.2.3.4:1",
+        "Hemlockswitch_Expect_Instance": "forged",
+    }
+    assert site.ask("/hold/x", **forged).status == 200
+    headers = find_seen(app)["headers"]
+    assert headers["hemlockswitch-tenant"] == "hall"
+    assert headers["hemlockswitch-expect-instance"].startswith("runner-")
+    assert 0 < int(headers["hemlockswitch-deadline-ms"]) <= 4_000
+    absent = ("x-api-key", "hemlockswitch-hold", "hemlockswitch-pin-ms", "kv-from")
+    assert not [name for name in absent if name in headers]
+    assert "hemlockswitch-kv-backup" not in headers
+
+
+def test_chunked_bodies_go_on_whole(site, app):
+    with site.connect() as connection:
+        head = make_request("/hold/x", "id-1", body=b"").replace(
+            b"Content-Length: 0", b"Transfer-Encoding: chunked"
+        )
+        connection.sendall(head + b"3\r\nabc\r\n")
+        gevent.sleep(0.05)
+        connection.sendall(b"2\r\nde\r\n0\r\n\r\n")
+        assert read_reply(connection).status == 200
+    assert find_seen(app)["body"] == "abcde"
+
+
+def test_a_connection_serves_one_request_after_the_other(site, app):
+    with site.connect() as connection:
+        for number in range(5):
+            connection.sendall(make_request("/check/x", f"id-{number}"))
+            assert read_reply(connection).body == f"answer of id-{number}".encode()
+
+
+def test_pipelined_requests_are_answered_in_order(site, app):
+    with site.connect() as connection:
+        connection.sendall(
+            make_request("/check/x", "id-1", body=b"") + make_request("/check/x", "id-2", body=b"")
+        )
+        gevent.sleep(0.3)
+        data = connection.recv(65_536)
+    assert data.index(b"answer of id-1") < data.index(b"answer of id-2")
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/nowhere/x", KEY, 404),
+        ("/hold/x", "wrong", 401),
+        ("/hold/x", None, 401),
+        ("/open/x", None, 200),
+    ],
+)
+def test_routes_and_keys(site, app, path, key, status):
+    assert site.ask(path, key=key).status == status
+
+
+def test_a_gateway_without_a_configuration_says_not_yet():
+    site = Site(is_configured=False)
+    reply = site.ask("/nowhere/x", key="wrong")
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+    site.close()
+
+
+def test_no_server_is_said_at_once(site):
+    began = time.monotonic()
+    reply = site.ask("/hold/x")
+    assert (reply.status, "retry-after" in reply.headers) == (503, True)
+    assert time.monotonic() - began < 2
+
+
+@pytest.mark.parametrize("path", ["/hold/x", "/check/x"])
+def test_a_declined_request_goes_to_another_server(site, app, path):
+    for runner in app:
+        runner.fail(decline=True, count=1)
+    app[1].fail()
+    reply = site.ask(path, "id-1")
+    assert reply.status == 200
+    assert count_runs(app, "id-1") == 1
+
+
+def test_a_request_that_all_decline_was_not_run(site, app):
+    for runner in app:
+        runner.fail(decline=True)
+    reply = site.ask("/hold/x", "id-1")
+    assert (reply.status, "retry-after" in reply.headers) == (503, True)
+    assert count_runs(app, "id-1") == 0
+
+
+@pytest.mark.parametrize("faults", [{"lose_answer": True}, {"without_seal": True}])
+def test_a_request_that_may_have_run_is_not_sent_again(site, app, faults):
+    for runner in app:
+        runner.fail(**faults)
+    reply = site.ask("/hold/x", "id-1")
+    assert reply.status == 502
+    assert count_runs(app, "id-1") == 1
+
+
+def test_an_answer_of_another_request_is_never_passed_on(site, app):
+    for runner in app:
+        runner.fail(foreign_answer=True)
+    reply = site.ask("/hold/x", "id-1", Hemlockswitch_Deadline_Ms="600")
+    assert reply.status in (502, 504)
+    assert b"answer of" not in reply.body
+
+
+@pytest.mark.parametrize("faults", [{"lose_answer": True}, {"without_seal": True}, {"fail": True}])
+def test_a_repeatable_request_is_sent_again(site, app, faults):
+    for runner in app:
+        runner.fail(count=1, **faults)
+    app[1].fail()
+    assert site.ask("/check/x", "id-1").status == 200
+
+
+def test_a_servers_own_failure_goes_on_as_it_is(site, app):
+    for runner in app:
+        runner.fail(fail=True)
+    reply = site.ask("/hold/x", "id-1")
+    assert (reply.status, reply.body) == (500, b"failed")
+    assert is_genuine(reply, "id-1")
+
+
+def test_a_stream_comes_whole(site, engines):
+    reply = site.ask("/draft/x", "id-1", **tokens(12))
+    assert (reply.status, reply.is_whole) == (200, True)
+    assert reply.body == make_events("id-1", 12)
+
+
+def test_a_stream_that_cannot_go_on_does_not_look_whole(site, engines):
+    for engine in engines:
+        engine.fail(cut_after_events=5)
+    reply = site.ask("/draft/x", "id-1", **tokens(12))
+    assert not reply.is_whole
+    assert count_runs(engines, "id-1") == 1
+
+
+def test_a_resumable_stream_goes_on_elsewhere_in_one_answer(site, engines):
+    for engine in engines:
+        engine.fail(cut_after_events=5, count=1)
+    engines[1].fail()
+    engines[0].fail(cut_after_events=5)
+    reply = site.ask("/reply/x", "id-1", **tokens(12))
+    assert reply.is_whole
+    assert reply.body == make_events("id-1", 12)
+
+
+def test_a_caller_may_resume(site, engines):
+    reply = site.ask("/reply/x", "id-1", Last_Event_Id="7", **tokens(12))
+    assert reply.body == make_events("id-1", 12, first=8)
+
+
+def test_a_caller_that_leaves_stops_its_runner(site):
+    engine = site.add_runner("llm", event_ms=30)
+    with site.connect() as connection:
+        connection.sendall(make_request("/draft/x", "id-1", **tokens(200)))
+        assert connection.recv(100)
+    site.wait(lambda: engine.state.abandoned == ["id-1"])
+
+
+def test_a_moved_address_is_not_used_for_another_server(site, app):
+    stale, sound = app
+    stale.state.settings = stale.state.settings.model_copy(update={"name": "somebody-else"})
+    for number in range(6):
+        assert site.ask("/hold/x", f"id-{number}").status == 200
+    assert sum(stale.state.runs.values()) == 0
+    assert sum(sound.state.runs.values()) == 6
+
+
+def test_a_leaving_server_gets_nothing_new(site, app):
+    app[0].write("draining")
+    site.wait(lambda: len(site.gateways[0].registry.list_ready("app")) == 1)
+    for number in range(6):
+        assert site.ask("/check/x", f"id-{number}").status == 200
+    assert sum(app[0].state.runs.values()) == 0
+
+
+def test_the_routes_timeout_ends_the_wait(site):
+    site.store.put("config", "main", make_manifest(2, timeout_ms=300))
+    runner = site.add_runner("app", work_ms=3_000)
+    site.wait(lambda: site.gateways[0].tables.current.revision == 2)
+    began = time.monotonic()
+    assert site.ask("/hold/x", "id-1").status == 504
+    assert time.monotonic() - began < 2
+    assert runner.count_runs("id-1") == 1
+
+
+def test_a_time_that_is_up_before_the_send_is_not_run(site, app):
+    reply = site.ask("/hold/x", "id-1", Hemlockswitch_Deadline_Ms="0")
+    assert reply.status == 503
+    assert count_runs(app, "id-1") == 0
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GARBAGE\r\n\r\n", 400),
+        (make_request("/hold/x", "id", Content_Length="abc"), 400),
+        (make_request("/hold/x", "id", X_Large="a" * 20_000), 431),
+        (make_request("/hold/x", "id", body=b"a" * 100_001), 413),
+        (make_request("/hold/x", ""), 400),
+        (make_request("/hold/x", "id", Hemlockswitch_Deadline_Ms="soon"), 400),
+        (make_request("/draft/x", "id", Hemlockswitch_Token_Counts="many"), 400),
+        (b"POST /hold/x HTTP/1.1\r\nHost: " + HOST.encode() + b"\r\nX-A", 408),
+    ],
+)
+def test_bad_input_is_answered_and_reaches_no_server(site, app, data, status):
+    with site.connect() as connection:
+        connection.sendall(data)
+        assert read_reply(connection).status == status
+    assert site.ask("/check/x").status == 200, "the gateway stands"
+    assert sum(sum(runner.state.runs.values()) for runner in app) == 1
+
+
+def test_a_smuggled_request_is_never_run(site, app):
+    inner = make_request("/hold/x", "smuggled", body=b"")
+    outer = make_request("/check/x", "id-1", body=b"").replace(
+        b"Content-Length: 0", b"Content-Length: 4\r\nTransfer-Encoding: chunked"
+    )
+    with site.connect() as connection:
+        connection.sendall(outer + b"0\r\n\r\n" + inner)
+        assert read_reply(connection).status == 400
+    assert count_runs(app, "smuggled") == 0
+
+
+def test_an_account_over_its_limit_is_told_when_to_come_back():
+    limited = [{"name": "hall", "api_keys": [KEY], "rate_per_s": 5, "burst": 5}]
+    site = Site(manifest=make_manifest(tenants=limited))
+    runner = site.add_runner("app")
+    replies = [site.ask("/check/x", f"id-{number}") for number in range(20)]
+    refused = [reply for reply in replies if reply.status == 429]
+    assert refused
+    assert all(float(reply.headers["retry-after"]) > 0 for reply in refused)
+    assert sum(runner.state.runs.values()) == 20 - len(refused)
+    site.close()
+
+
+def test_every_route_of_the_tests_is_served(site, app, engines):
+    for name in ROUTES:
+        extra = tokens(3) if ROUTES[name]["kind"] == "stream" else {}
+        assert site.ask(f"/{name}/x", **extra).status == 200
--- /dev/null
+++ b/tests/test_gateway_site.py
@@ -0,0 +1,102 @@
+"""Gateways beside a store that fails, changes and stops: what they know, and the duties."""
+
+import pytest
+
+from hemlockswitch.standin.gateway_store import StoreFaults
+from tests.gateway_site import KEY, Site, make_manifest
+
+
+@pytest.fixture
+def site():
+    one = Site(gateways=2)
+    one.add_runner("app")
+    yield one
+    one.close()
+
+
+def ask_all(site, path, **other):
+    return [site.ask(path, gateway=number, **other).status for number in (0, 1)]
+
+
+def test_a_new_revision_comes_into_force_everywhere(site):
+    site.store.put("config", "main", make_manifest(2, check=None))
+    site.wait(lambda: ask_all(site, "/check/x") == [404, 404])
+    assert ask_all(site, "/hold/x") == [200, 200]
+
+
+def test_a_key_that_is_taken_away_is_refused(site):
+    other = [{"name": "hall", "api_keys": ["other"]}]
+    site.store.put("config", "main", make_manifest(2, tenants=other))
+    site.wait(lambda: ask_all(site, "/check/x") == [401, 401])
+
+
+def test_an_older_revision_never_comes_back(site):
+    site.store.put("config", "main", make_manifest(5))
+    site.wait(lambda: all(one.tables.current.revision == 5 for one in site.gateways))
+    site.store.put("config", "main", make_manifest(4, check=None))
+    site.store.put("config", "main", make_manifest(6, hold=None))
+    site.wait(lambda: ask_all(site, "/hold/x") == [404, 404])
+    assert ask_all(site, "/check/x") == [200, 200]
+
+
+@pytest.mark.parametrize("mode", ["busy", "silent", "many"])
+def test_serving_goes_on_without_the_store_and_what_changed_comes_after(site, mode):
+    site.store.faults = StoreFaults(mode=mode)
+    site.store.put("config", "main", make_manifest(2, hold=None))
+    assert ask_all(site, "/check/x") == [200, 200]
+    site.store.faults = StoreFaults()
+    site.wait(lambda: ask_all(site, "/hold/x") == [404, 404])
+
+
+def test_a_forgotten_history_is_listed_again(site):
+    site.store.faults = StoreFaults(mode="busy")
+    site.store.put("config", "main", make_manifest(2, hold=None))
+    site.store.forget_history()
+    site.store.faults = StoreFaults()
+    site.wait(lambda: ask_all(site, "/hold/x") == [404, 404])
+
+
+def test_a_gateway_that_starts_without_the_store_says_not_yet(site):
+    site.store.faults = StoreFaults(mode="busy")
+    late = site.add_gateway("gateway-3")
+    assert not late.is_ready()
+    assert site.ask("/check/x", gateway=2).status == 503
+    site.store.faults = StoreFaults()
+    site.wait(late.is_ready)
+    site.wait(lambda: site.ask("/check/x", gateway=2).status == 200)
+
+
+def test_the_gateways_find_one_another(site):
+    site.wait(lambda: [one.fleet.count_in_touch() for one in site.gateways] == [2, 2])
+    assert [one.fleet.get_share() for one in site.gateways] == [1.0, 1.0]
+
+
+def test_one_gateway_holds_the_duties_and_orders_copies(site):
+    site.wait(lambda: any(call["path"] == "/scale" for call in site.store.cloud_calls))
+    holders = {call["holder"] for call in site.store.cloud_calls}
+    assert len(holders) == 1
+    assert all(call["fence"] > 0 for call in site.store.cloud_calls)
+
+
+def test_lost_answers_of_the_store_leave_one_holder(site):
+    site.wait(lambda: any(one.duties.leads for one in site.gateways))
+    site.store.faults = StoreFaults(lose_answers=4)
+    site.wait(lambda: site.store.lost_answers == 4)
+    site.wait(lambda: any(one.duties.leads for one in site.gateways))
+    assert sum(one.duties.leads for one in site.gateways) == 1
+
+
+def test_a_stopping_gateway_finishes_what_it_has(site):
+    import gevent
+
+    runner = site.add_runner("llm", event_ms=40)
+    gateway = site.gateways[0]
+    headers = {"Hemlockswitch_Token_Counts": "10,30", "Hemlockswitch_Prompt_Prefix": "a:10"}
+    request = gevent.spawn(site.ask, "/draft/x", "id-1", key=KEY, **headers)
+    site.wait(lambda: runner.count_runs("id-1") == 1)
+    stopping = gevent.spawn(gateway.stop)
+    site.wait(lambda: not gateway.is_ready())
+    assert site.ask("/check/x").headers["connection"] == "close", "it still takes new callers"
+    assert request.get(timeout=10).is_whole
+    stopping.join(timeout=10)
+    assert stopping.successful()
