--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -154,7 +154,7 @@
         settings, clock = self.settings, self._clock
         self.limits = SharedLimits(clock, self.fleet.get_share, self.fleet.count_in_touch)
         self.observer = GatewayObserver(self.usage, self.true_time, clock)
-        budget = RepeatBudget(
+        self.budget = RepeatBudget(
             settings.repeat_ratio,
             settings.repeat_extra,
             settings.repeat_window_s * MS_PER_SECOND,
@@ -162,7 +162,7 @@
         )
         view = GatewayView(self.tables, self.registry, self.loads, self.fleet, settings.zone)
         self.forwarder = Forwarder(
-            self._adapter.dialect, view, self.limits, self.pool, budget, self.observer, clock
+            self._adapter.dialect, view, self.limits, self.pool, self.budget, self.observer, clock
         )
 
     def _build_duties(self) -> None:
@@ -262,6 +262,21 @@
             self.callers.close_idle()
         self._close()
 
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Use changed settings; addresses and names stay until the next start."""
+        changed = sorted(
+            name
+            for name in type(settings).model_fields
+            if getattr(settings, name) != getattr(self.settings, name)
+        )
+        log_event(Event.SETTINGS_CHANGED, fields=changed)
+        self.settings = settings
+        self.budget.set_limits(
+            settings.repeat_ratio,
+            settings.repeat_extra,
+            settings.repeat_window_s * MS_PER_SECOND,
+        )
+
     def _close(self) -> None:
         gevent.killall(self._tasks, block=False)
         self.network.stop()
--- a/hemlockswitch/programs/daemon.py
+++ b/hemlockswitch/programs/daemon.py
@@ -13,6 +13,7 @@
 from gevent.event import Event as Signal
 
 import hemlockswitch
+from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import ConfigurationError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.log_output import BoundedOutput
@@ -21,6 +22,8 @@
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
+SETTINGS_LOOK_MS = 2_000
+"""Time between two looks at the settings file: a few reads of a small file a second at most."""
 
 
 class Daemon(Protocol):
@@ -45,6 +48,8 @@
 
     settings_model: ClassVar[type[ProgramSettings]]
     logs_to_stdout: ClassVar[bool] = False
+    reloads: ClassVar[bool] = False
+    """Whether the daemon has `apply_settings`, for a file that changes while it runs."""
 
     options = [
         option("settings", None, "JSON settings file", flag=False),
@@ -74,10 +79,10 @@
         if self.option("check"):
             self.line("settings: ok")
             return EXIT_OK
-        self._run(settings)
+        self._run(settings, path)
         return EXIT_OK
 
-    def _run(self, settings: ProgramSettings) -> None:
+    def _run(self, settings: ProgramSettings, path: str) -> None:
         output = BoundedOutput(sys.stdout.fileno()) if self.logs_to_stdout else None
         configure_logs(settings.name, settings.log_level, output)
         daemon = self.build_daemon(settings)
@@ -88,12 +93,59 @@
         ready_line = json.dumps({"ready": True, "addresses": addresses})
         print(ready_line, file=output or sys.stdout, flush=True)
         log_event(Event.PROCESS_READY, addresses=addresses)
+        if self.reloads:
+            watcher = SettingsWatcher(path, settings, daemon.apply_settings)  # type: ignore[attr-defined]
+            gevent.signal_handler(signal.SIGHUP, watcher.look)
+            gevent.spawn(watcher.run)
         told.wait()
         log_event(Event.PROCESS_STOPPING)
         daemon.stop()
         log_event(Event.PROCESS_STOPPED)
 
 
+class SettingsWatcher:
+    """Reads the settings file again when it may have changed.
+
+    Explanation
+    ===========
+
+    A file that has mistakes changes nothing; the settings in force stay until it is mended.
+
+    Parameters
+    ==========
+
+    path : the settings file.
+    settings : the settings in force.
+    apply : called with new settings.
+    """
+
+    def __init__(self, path: str, settings: ProgramSettings, apply: Callable[[Any], None]) -> None:
+        self._path = path
+        self._settings = settings
+        self._apply = apply
+        self._refused = ""
+
+    def run(self) -> None:
+        """Look from time to time, for files that change without a signal."""
+        while True:
+            gevent.sleep(SETTINGS_LOOK_MS / MS_PER_SECOND)
+            self.look()
+
+    def look(self) -> None:
+        """Take the file's settings if they differ."""
+        try:
+            settings = type(self._settings).from_file(self._path)
+        except ConfigurationError as error:
+            if error.detail != self._refused:
+                log_event(Event.SETTINGS_UNUSABLE, "error", detail=error.detail)
+            self._refused = error.detail
+            return
+        self._refused = ""
+        if settings != self._settings:
+            self._settings = settings
+            self._apply(settings)
+
+
 def run_program(program: str, command: Command) -> int:
     """Run a program that has this one command and return its exit code."""
     application = Application(program, hemlockswitch.__version__)
--- a/hemlockswitch/programs/gateway.py
+++ b/hemlockswitch/programs/gateway.py
@@ -44,6 +44,7 @@
     )
     settings_model = GatewaySettings
     logs_to_stdout = True
+    reloads = True
 
     def build_daemon(self, settings: GatewaySettings) -> GatewayDaemon:
         """Return the gateway daemon."""
--- a/hemlockswitch/request/repeat_budget.py
+++ b/hemlockswitch/request/repeat_budget.py
@@ -43,6 +43,12 @@
         self._requests: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
 
+    def set_limits(self, ratio: float, extra: float, window_ms: float) -> None:
+        """Use other limits from now on."""
+        self._ratio = ratio
+        self._extra = extra
+        self._window_ms = window_ms
+
     def earn(self, service: str) -> None:
         """Count one request of a caller."""
         self._requests.setdefault(service, deque()).append(self._clock.now_ms())
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -12,6 +12,9 @@
 from hemlockswitch.core.errors import ANSWERS
 from hemlockswitch.core.events import Event
 from hemlockswitch.process.controller import ControllerMetrics
+from hemlockswitch.process.gateway.observation import GatewayObserver
+from hemlockswitch.process.gateway.true_time import TrueTime
+from hemlockswitch.process.gateway.usage import UsageCounts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.peer_metrics import PeerCollector
 from hemlockswitch.version import models, settings
@@ -52,7 +55,9 @@
     network = SimpleNamespace(traffic=Traffic(), list_streams=list)
     spread = SimpleNamespace(repairs=0)
     PeerCollector.register(SimpleNamespace(network=network, spread=spread, membership=None), peers)
-    registries = (EntryMetrics().registry, ControllerMetrics(SystemClock()).registry, peers)
+    clock = SystemClock()
+    gateway = GatewayObserver(UsageCounts(5.0), TrueTime(), clock).registry
+    registries = (EntryMetrics().registry, ControllerMetrics(clock).registry, peers, gateway)
     families = {family.name for registry in registries for family in registry.collect()}
     assert families == listed - {"metric"}
 
@@ -66,7 +71,9 @@
     assert listed == list(getattr(models, name).model_fields)
 
 
-@pytest.mark.parametrize("name", ["ProgramSettings", "EntrySettings", "ControllerSettings"])
+@pytest.mark.parametrize(
+    "name", ["ProgramSettings", "EntrySettings", "ControllerSettings", "GatewaySettings"]
+)
 def test_every_setting_is_on_the_settings_page(name):
     text = (REFERENCE / "settings.md").read_text()
     fields = getattr(settings, name).model_fields
