--- a/hemlockswitch/platform/store.py
+++ b/hemlockswitch/platform/store.py
@@ -98,11 +98,19 @@
 
     def list(self, kind: str, prefix: str = "") -> ObjectPage:
         """Return the objects of a kind whose names start with `prefix`, over all pages."""
+        return self._list(kind, prefix, {})
+
+    def list_stale(self, kind: str) -> ObjectPage:
+        """Return the objects of a kind as they were some seconds ago; it costs a tenth."""
+        return self._list(kind, "", {"serializable": "1"})
+
+    def _list(self, kind: str, prefix: str, options: dict[str, str]) -> ObjectPage:
         items: list[StoredObject] = []
         version: int | None = None
         after = ""
         for _ in range(MOST_PAGES):
-            page = _parse(_ListBody, self._get(f"{_path(kind)}?{urlencode({'after': after})}"))
+            query = urlencode({"after": after, **options})
+            page = _parse(_ListBody, self._get(f"{_path(kind)}?{query}"))
             items += [one.to_object(kind) for one in page.items]
             # A watch from the first page's revision also shows what changed during the listing.
             version = page.store_revision if version is None else version
--- a/hemlockswitch/process/gateway/accounts.py
+++ b/hemlockswitch/process/gateway/accounts.py
@@ -22,6 +22,9 @@
 """How many times its even part of a contended bucket a gateway may use between two reports:
 callers are spread unevenly, and one and a half even parts serve an account that uses two gateways in
 three."""
+TOLD_MS = 3_000.0
+"""How long after its last request an account's sum is told to the other daemons; several reports
+carry each sum, so that a lost one changes nothing."""
 SHORTEST_WAIT_MS = 100.0
 LONGEST_WAIT_MS = 4_000.0
 """Bounds of the time to come back that a refused caller is told."""
@@ -123,6 +126,7 @@
         self._count_in_touch = count_in_touch
         self._buckets: dict[str, AccountBucket] = {}
         self._limits: dict[str, tuple[float, float]] = {}
+        self._spent_ms: dict[str, float] = {}
         self._begun_ms = clock.now_ms()
         self._seen: dict[tuple[str, str], float] = {}
 
@@ -134,13 +138,19 @@
         )
         if wait_ms is None:
             self.spent[account.name] += amount
+            self._spent_ms[account.name] = self._clock.now_ms()
         return wait_ms
 
     def describe_spent(self) -> dict[str, float]:
-        """Return what every account has spent here, to be sent to the other daemons now."""
+        """Return what the accounts in use have spent here, to be sent to the other daemons now."""
         for bucket in self._buckets.values():
             bucket.note_reported()
-        return dict(self.spent)
+        oldest_ms = self._clock.now_ms() - TOLD_MS
+        return {
+            account: self.spent[account]
+            for account, spent_ms in self._spent_ms.items()
+            if spent_ms >= oldest_ms
+        }
 
     def take_report(self, daemon: str, spent: Mapping[str, float]) -> None:
         """Take another daemon's sums; `daemon` differs for each start of a process."""
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -16,7 +16,7 @@
 )
 from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.peers import PeerNetwork
-from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome
+from hemlockswitch.connection.platform_models import ObjectPage, StoredObject, WriteOutcome
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
@@ -24,10 +24,11 @@
 from hemlockswitch.process.gateway.configuration import TableHolder
 from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
 from hemlockswitch.process.gateway.fleet import (
-    GATEWAY_KIND,
+    USAGE_MS,
     Fleet,
     GatewayReport,
     ReportSource,
+    UsageReport,
 )
 from hemlockswitch.process.gateway.follower import ObjectFollower, WatchedStore
 from hemlockswitch.process.gateway.loads import ServerLoad, ServerLoads
@@ -46,7 +47,11 @@
 from hemlockswitch.version.settings import GatewaySettings, split_address
 
 SWEEP_MS = 1_000.0
-REGISTER_RETRY_MS = 500.0
+SETTLE_MS_PER_GATEWAY = 8.0
+"""Each change wakes every gateway's watch and each watch is a call, so the more gateways there
+are, the longer changes gather before the next watch."""
+LONGEST_SETTLE_MS = 400.0
+"""A leaving server must get nothing new two seconds after it said so; this leaves most of it."""
 TASK_RESTART_MS = 500.0
 LISTEN_ON_STOP_MS = 3_000.0
 """How long to accept connections after a stop signal: balancers ask for readiness once a second
@@ -69,6 +74,9 @@
     def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
         """Write an object whose version must be `version`."""
 
+    def list_stale(self, kind: str) -> ObjectPage:
+        """Return the objects of a kind as they were at most some seconds ago."""
+
     def close(self) -> None:
         """Close the kept connections."""
 
@@ -138,15 +146,16 @@
         self.network = PeerNetwork(
             self.settings.cluster, self.settings.name, self.settings.peer_listen, clock=clock
         )
-        source = ReportSource(self._build_report, self._take_report)
+        source = ReportSource(
+            self._build_report, self._take_report, self._build_usage, self._take_usage
+        )
         self.fleet = Fleet(self.settings.name, self.network, source, clock)
         self.config_follower = ObjectFollower(
             adapter.store, adapter.config_kind, self.tables, clock
         )
         self.server_follower = ObjectFollower(
-            adapter.store, adapter.server_kind, self.registry, clock
+            adapter.store, adapter.server_kind, self.registry, clock, self._get_settle_ms
         )
-        self.fleet_follower = ObjectFollower(adapter.store, GATEWAY_KIND, self.fleet, clock)
         self.registry.get_recovered_ms = lambda: self.server_follower.recovered_ms
 
     def _build_forwarding(self) -> None:
@@ -222,9 +231,9 @@
         listen_address = self.callers.start()
         self.ready_server.start()
         self.control_server.start()
-        for follower in (self.config_follower, self.server_follower, self.fleet_follower):
+        for follower in (self.config_follower, self.server_follower):
             self._spawn(follower.run)
-        for task in (self._register, self._report, self._sweep):
+        for task in (self._refresh_fleet, self._report, self._report_usage, self._sweep):
             self._spawn(task)
         if self.duties is not None:
             self._spawn(self.duties.keep_lease)
@@ -296,12 +305,15 @@
                 log_event(Event.TASK_FAILED, "error", task=repr(run), error=repr(error))
             self._clock.sleep_ms(TASK_RESTART_MS)
 
-    def _register(self) -> None:
-        """Write the own address once, and again when it is gone."""
+    def _refresh_fleet(self) -> None:
+        while True:
+            self.fleet.refresh(self._adapter.store)
+            self._clock.sleep_ms(self.fleet.get_list_period_ms())
+
+    def _report_usage(self) -> None:
         while True:
-            if self.fleet_follower.is_synced and not self.fleet.is_registered:
-                self.fleet.register(self._adapter.store)
-            self._clock.sleep_ms(REGISTER_RETRY_MS)
+            self._clock.sleep_ms(USAGE_MS)
+            self.fleet.send_usage()
 
     def _report(self) -> None:
         while True:
@@ -323,16 +335,23 @@
             loads={name: (load.running, load.waiting_tokens) for name, load in loads.items()},
             demand=self.loads.measure_own_demand(),
             spent=self.limits.describe_spent(),
-            usage=self.usage.describe_own(),
             leads=self.duties is not None and self.duties.leads,
         )
 
+    def _build_usage(self) -> UsageReport:
+        return UsageReport(self.settings.name, self._incarnation, self.usage.describe_own())
+
+    def _take_usage(self, report: UsageReport) -> None:
+        self.usage.take_report(f"{report.name}/{report.incarnation}", report.usage)
+
     def _take_report(self, report: GatewayReport) -> None:
         loads = {name: ServerLoad(int(one[0]), float(one[1])) for name, one in report.loads.items()}
         self.loads.take_report(report.name, loads)
-        process = f"{report.name}/{report.incarnation}"
-        self.limits.take_report(process, report.spent)
-        self.usage.take_report(process, report.usage)
+        self.limits.take_report(f"{report.name}/{report.incarnation}", report.spent)
+
+    def _get_settle_ms(self) -> float:
+        """Return how long changes of the registry may gather: longer with more gateways."""
+        return min(SETTLE_MS_PER_GATEWAY * self.fleet.count_daemons(), LONGEST_SETTLE_MS)
 
     def _measure_demand(self, service: str) -> Demand:
         own = self.loads.measure_own_demand().get(service, 0.0)
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -1,8 +1,10 @@
 """The other gateways: who they are, from the object service, and what they last reported.
 
-Each gateway registers its address once and then tells every other one, several times a second,
-the load that it puts on backend servers, what its accounts have spent and the usage it counted.
-At the size of a site this full mesh is cheap; docs/CAPACITY.md says where it ends.
+Each gateway registers its address once, lists the others from time to time, and tells every other
+one, several times a second, the load that it puts on backend servers and what its accounts have
+spent. A gateway that was not listed yet makes itself known by its first report. The usage that it
+counted goes to the holder of the duties alone. At the size of a site this full mesh is cheap;
+docs/CAPACITY.md says where it ends.
 """
 
 from collections.abc import Callable
@@ -24,6 +26,12 @@
 from hemlockswitch.core.logs import log_event
 
 GATEWAY_KIND = "gateways"
+LIST_MS = 10_000.0
+"""Time between two lists of the registrations; gateways that come later report by themselves."""
+FIRST_LIST_MS = 1_000.0
+"""The same while this gateway is not registered or knows no other one."""
+USAGE_MS = 500.0
+"""Time between two reports of usage; what a killed gateway counted since is lost."""
 REPORT_MS = 200.0
 """Time between two reports at a small fleet. What accounts overspend and what runners get too
 much grows with it; a fifth of a second of the largest account's traffic is far below the bounds."""
@@ -48,7 +56,6 @@
     loads : server name to (requests in progress, prompt tokens that wait).
     demand : service to the prompt tokens in a millisecond that it sends.
     spent : account to what it has spent since the process began.
-    usage : window number to account to count.
     leads : whether it holds the duties.
     """
 
@@ -58,10 +65,25 @@
     loads: dict[str, tuple[int, float]]
     demand: dict[str, float]
     spent: dict[str, float]
-    usage: dict[str, dict[str, int]]
     leads: bool = False
 
 
+@register_message("usage_counts")
+@dataclass(frozen=True)
+class UsageReport:
+    """What a gateway counted in the latest windows, for the holder of the duties.
+
+    Parameters
+    ==========
+
+    usage : window number, as text, to account to count.
+    """
+
+    name: str
+    incarnation: int
+    usage: dict[str, dict[str, int]]
+
+
 @dataclass
 class Peer:
     """Another gateway."""
@@ -75,6 +97,9 @@
 class RegistrationStore(Protocol):
     """What the fleet needs of the object service; see `PlatformClient`."""
 
+    def list_stale(self, kind: str) -> ObjectPage:
+        """Return the objects of a kind as they were at most some seconds ago."""
+
     def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
         """Write an object that must not exist yet."""
 
@@ -88,10 +113,12 @@
 
     build: Callable[[], GatewayReport]
     take: Callable[[GatewayReport], None]
+    build_usage: Callable[[], UsageReport]
+    take_usage: Callable[[UsageReport], None]
 
 
 class Fleet:
-    """Consumes the followed registrations, sends reports and takes those of others.
+    """Lists the registrations, sends reports and takes those of others.
 
     Parameters
     ==========
@@ -111,23 +138,33 @@
         self._clock = clock
         self._peers: dict[str, Peer] = {}
         network.handle(GatewayReport, self._take_report, quick=True)
+        network.handle(UsageReport, lambda _, report: source.take_usage(report), quick=True)
 
     def replace_all(self, page: ObjectPage) -> None:
-        """Take the whole list of registrations."""
+        """Take the whole list of registrations; who reports without being listed stays."""
         listed = {item.name for item in page.items}
-        self.apply_changes(page)
-        for name in [name for name in self._peers if name not in listed]:
-            del self._peers[name]
-
-    def apply_changes(self, page: ObjectPage) -> None:
-        """Take changed registrations."""
+        heard = {peer.name for peer in self.list_heard()}
         for item in page.items:
             if item.name == self._name:
                 self._take_own(item)
-            elif item.deleted:
-                self._peers.pop(item.name, None)
             else:
                 self._put(item.name, str(item.value.get("address", "")))
+        for name in [name for name in self._peers if name not in listed | heard]:
+            del self._peers[name]
+
+    def refresh(self, store: RegistrationStore) -> None:
+        """List the registrations, and write the own one if it is not among them."""
+        try:
+            self.replace_all(store.list_stale(GATEWAY_KIND))
+        except PlatformError as error:
+            log_event(Event.REGISTRATION_FAILED, "warning", detail=error.detail)
+            return
+        if not self.is_registered:
+            self.register(store)
+
+    def get_list_period_ms(self) -> float:
+        """Return the time until the next list."""
+        return LIST_MS if self.is_registered and self._peers else FIRST_LIST_MS
 
     def register(self, store: RegistrationStore) -> bool:
         """Write the own address; return whether it is known to be written."""
@@ -154,6 +191,15 @@
         for peer in self._peers.values():
             self._network.send(peer.address, report)
 
+    def send_usage(self) -> None:
+        """Tell the holder of the duties what was counted."""
+        leaders = [peer for peer in self.list_heard() if peer.report and peer.report.leads]
+        if not leaders:
+            return
+        report = self._source.build_usage()
+        for peer in leaders:
+            self._network.send(peer.address, report)
+
     def get_period_ms(self) -> float:
         """Return the time between two reports."""
         return max(REPORT_MS, len(self._peers) * 1_000.0 / REPORTS_PER_S)
--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -1,5 +1,6 @@
 """Following the objects of one kind: listed once, then watched, and listed again when needed."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from hemlockswitch.connection.platform_models import ObjectPage
@@ -46,10 +47,17 @@
     kind : the kind of objects.
     consumer : takes what is learned.
     clock : the time.
+    get_settle_ms : returns how long to wait after a change before the next watch, so that changes
+        that come together cost one call.
     """
 
     def __init__(
-        self, store: WatchedStore, kind: str, consumer: ObjectConsumer, clock: Clock
+        self,
+        store: WatchedStore,
+        kind: str,
+        consumer: ObjectConsumer,
+        clock: Clock,
+        get_settle_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.recovered_ms = float("-inf")
         self.is_synced = False
@@ -58,6 +66,7 @@
         self._kind = kind
         self._consumer = consumer
         self._clock = clock
+        self._get_settle_ms = get_settle_ms
         self._since = 0
 
     def run(self) -> None:
@@ -89,9 +98,10 @@
     def _watch(self) -> None:
         page = self._store.watch(self._kind, self._since, WATCH_WAIT_MS)
         self._note_heard()
+        self._since = max(self._since, page.version)
         if page.items:
             self._consumer.apply_changes(page)
-        self._since = max(self._since, page.version)
+            self._clock.sleep_ms(self._get_settle_ms())
 
     def _note_lost(self, error: PlatformError) -> None:
         if not self.is_lost:
--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -62,6 +62,7 @@
     zones : the availability zones of the site.
     live : copies by pool that serve and are not leaving.
     dry : pools where none were to be had a moment ago.
+    fewest : copies that are needed whatever the demand seems to be.
     """
 
     service: ForwardedService
@@ -69,6 +70,7 @@
     live: Mapping[Pool, int]
     demand: Demand = Demand()
     dry: frozenset[Pool] = frozenset()
+    fewest: int = 0
 
 
 PREFILL_TOKENS_PER_MS = 50.0
@@ -85,6 +87,14 @@
 """Copies that no reclaim takes, whatever the demand: all reclaimable ones may go in a minute."""
 
 
+PRIOR_SHARE = 0.4
+"""Part of the copies found at a takeover that is kept until the demand is measured: operators size
+their fleets for the peak, and a quiet day of the first sites needs less than half of it."""
+PRIOR_MS = 8_000.0
+"""How long after the first requests the measured demand is not trusted alone: twice the time
+constant with which it is measured."""
+
+
 def count_needed(situation: CopiesSituation) -> int:
     """Return how many copies the demand needs, without reserve for a loss."""
     engine = situation.service.engine
@@ -92,7 +102,8 @@
     demand = situation.demand
     by_prefill = demand.prefill_tokens_per_ms / (PREFILL_TOKENS_PER_MS * TARGET_PREFILL_SHARE)
     by_slots = demand.running / (slots * TARGET_SLOT_SHARE)
-    return max(math.ceil(by_prefill), math.ceil(by_slots), FEWEST_COPIES)
+    needed = max(math.ceil(by_prefill), math.ceil(by_slots))
+    return max(needed, situation.fewest, FEWEST_COPIES)
 
 
 def plan_copies(situation: CopiesSituation) -> dict[Pool, int]:
@@ -200,6 +211,8 @@
         self._orders: dict[tuple[str, Pool], _Order] = {}
         self._dry_until_ms: dict[tuple[str, Pool], float] = {}
         self._enough_since_ms: dict[tuple[str, Pool], float] = {}
+        self._priors: dict[str, int] = {}
+        self._demand_since_ms: dict[str, float] = {}
 
     def take_over(self) -> None:
         """Forget the own orders: another gateway may have ordered in between.
@@ -209,6 +222,8 @@
         """
         self._orders.clear()
         self._enough_since_ms.clear()
+        self._priors.clear()
+        self._demand_since_ms.clear()
 
     def take_turn(self, get_fencing: Callable[[], int]) -> None:
         """Send the orders that are due.
@@ -253,7 +268,18 @@
             if name == service.name and until_ms > now_ms
         )
         demand = self._measure_demand(service.name)
-        return CopiesSituation(service, self._zones, live, demand, dry)
+        fewest = self._find_prior(service.name, sum(live.values()), demand)
+        return CopiesSituation(service, self._zones, live, demand, dry, fewest)
+
+    def _find_prior(self, service: str, live: int, demand: Demand) -> int:
+        """Return what to keep of the copies found, until the demand has been measured."""
+        now_ms = self._clock.now_ms()
+        prior = self._priors.get(service, 0)
+        prior = self._priors[service] = max(prior, math.ceil(live * PRIOR_SHARE))
+        if demand.running or demand.prefill_tokens_per_ms > 0:
+            self._demand_since_ms.setdefault(service, now_ms)
+        since_ms = self._demand_since_ms.get(service)
+        return prior if since_ms is None or now_ms - since_ms < PRIOR_MS else 0
 
     def _is_due(self, service: str, pool: Pool, count: int, live: int) -> bool:
         now_ms = self._clock.now_ms()
