--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -60,6 +60,8 @@
 """The process ends by itself this long before the platform ends it by force."""
 STOP_STEP_MS = 50.0
 CALLER_TIMEOUT_MS = 5_000
+REGISTRY_FILLS_MS = 5_000.0
+"""When all processes start together, servers register within a few of their heartbeats of 1.2 s."""
 
 
 class GatewayStore(WatchedStore, Protocol):
@@ -195,6 +197,7 @@
             lambda: self.tables.current,
             self.registry.list_all,
             self._measure_demand,
+            self._knows_all_servers,
             clock,
         )
         usage = UsageDuty(self.usage, store, api)
@@ -359,6 +362,11 @@
         running = self.loads.count_running(servers)
         return Demand(own + self.fleet.sum_demand(service), running)
 
+    def _knows_all_servers(self) -> bool:
+        """Return whether the registry was followed long enough for every server to be in it."""
+        synced_ms = self.server_follower.first_synced_ms
+        return synced_ms is not None and self._clock.now_ms() - synced_ms >= REGISTRY_FILLS_MS
+
     def _forget_server(self, server: BackendServer) -> None:
         self.pool.forget(server.address)
         self.loads.forget(server.name)
--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -60,6 +60,7 @@
         get_settle_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.recovered_ms = float("-inf")
+        self.first_synced_ms: float | None = None
         self.is_synced = False
         self.is_lost = False
         self._store = store
@@ -94,6 +95,8 @@
         self._consumer.replace_all(page)
         self._since = page.version
         self.is_synced = True
+        if self.first_synced_ms is None:
+            self.first_synced_ms = self._clock.now_ms()
 
     def _watch(self) -> None:
         page = self._store.watch(self._kind, self._since, WATCH_WAIT_MS)
--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -190,6 +190,8 @@
     get_table : returns the configuration in force.
     list_servers : returns the backend servers that are registered.
     measure_demand : returns the demand of a service over all gateways.
+    knows_all : returns whether the list of servers is complete; nothing is ordered before, as an
+        order also says how many copies are too many.
     clock : the time.
     """
 
@@ -200,6 +202,7 @@
         get_table: Callable[[], ServingTable | None],
         list_servers: Callable[[], list[BackendServer]],
         measure_demand: Callable[[str], Demand],
+        knows_all: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._api = api
@@ -207,6 +210,7 @@
         self._get_table = get_table
         self._list_servers = list_servers
         self._measure_demand = measure_demand
+        self._knows_all = knows_all
         self._clock = clock
         self._orders: dict[tuple[str, Pool], _Order] = {}
         self._dry_until_ms: dict[tuple[str, Pool], float] = {}
@@ -235,7 +239,7 @@
         PlatformError : the API did not answer.
         """
         table = self._get_table()
-        if table is None:
+        if table is None or not self._knows_all():
             return
         for service in table.services.values():
             if service.scaling is not None:
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -4,7 +4,7 @@
 copies every 3 to 6 seconds with none to be had anywhere for 12 to 15 s; a copy boots for 4 s.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
@@ -97,6 +97,7 @@
     booting: list = field(default_factory=list)
     servers: dict = field(default_factory=dict)
     calls: int = 0
+    is_listed: bool = True
     made: int = 0
 
     def order_copies(self, service, pool, wanted, fencing):
@@ -144,7 +145,13 @@
 def make_duty(market, tokens):
     table = ServingTable(1, (), {"llm": SERVICE}, CallerBounds(), {})
     return ScalingDuty(
-        market, ZONES, lambda: table, market.list, lambda name: Demand(tokens, 0), market.clock
+        market,
+        ZONES,
+        lambda: table,
+        market.list,
+        lambda name: Demand(tokens, 0),
+        lambda: market.is_listed,
+        market.clock,
     )
 
 
@@ -216,3 +223,32 @@
     play(market, duty, 1_000)
     ordered = [pool for _, pool in market.booting if pool.machine_class is ON_DEMAND]
     assert len(ordered) == count_needed(situation(tokens=60))
+
+
+def test_nothing_is_ordered_before_the_registry_is_complete():
+    market = Market(ManualClock(), is_listed=False)
+    duty = make_duty(market, tokens=0)
+    play(market, duty, 2_000)
+    assert market.calls == 0
+
+
+def test_a_large_fleet_is_kept_in_part_until_its_demand_is_known():
+    """The start of a day at the grown sites: 30 copies, no request yet, then 250 a second."""
+    large = replace(SERVICE, scaling=replace(SERVICE.scaling, max_copies=15))
+    live = {Pool(zone, ON_DEMAND): 8 for zone in ZONES}
+    market = Market(ManualClock())
+    for pool, number in live.items():
+        for _ in range(number):
+            market.add(pool)
+    table = ServingTable(1, (), {"llm": large}, CallerBounds(), {})
+    duty = ScalingDuty(
+        market,
+        ZONES,
+        lambda: table,
+        market.list,
+        lambda name: Demand(),
+        lambda: True,
+        market.clock,
+    )
+    play(market, duty, 20_000)
+    assert len(market.servers) >= 0.4 * 32
