Tell a caller that left from a backend server that failed

Cause: the error thrown into a request's task when its caller closed was an OSError, so a task that just read from a backend server took it for that server's failure: a repeatable request was sent once more, and the server counted as failing. Ruled out: resets by runners. Change: an exception of its own. The new test failed for all three kinds of request and passes.

--- a/hemlockswitch/connection/forward_server.py
+++ b/hemlockswitch/connection/forward_server.py
@@ -12,7 +12,6 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from hemlockswitch.connection.caller_server import CallerGoneError
 from hemlockswitch.connection.heads import Header, ReceivedRequest, encode_head
 from hemlockswitch.connection.message_parsers import RequestParser
 from hemlockswitch.connection.sockets import set_liveness_options
@@ -35,6 +34,14 @@
 Handler = Callable[[ReceivedRequest, "Reply"], None]
 
 
+class CallerLeftError(Exception):
+    """The caller closed its connection, or the answer cannot be continued on it.
+
+    It is no `OSError`: it is raised in a task that may just wait for a backend server, and must
+    not look like that server's failure.
+    """
+
+
 class Reply:
     """The answer to one request, written to the caller's connection.
 
@@ -90,7 +97,7 @@
         try:
             self._connection.sendall(data)
         except OSError as error:
-            raise CallerGoneError(str(error)) from error
+            raise CallerLeftError(str(error)) from error
 
 
 class CallerSession:
@@ -114,7 +121,7 @@
             self._connection.settimeout(WRITE_TIMEOUT_MS / MS_PER_SECOND)
             while self._serve_next():
                 pass
-        except (OSError, CallerGoneError):
+        except (OSError, CallerLeftError):
             pass  # The caller left; the request that it had in progress was logged where it ended.
         finally:
             self._server.sessions.discard(self)
@@ -123,7 +130,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
         if self.is_waiting and self._parser.is_idle and not self._early and self._task is not None:
-            self._task.kill(CallerGoneError("stopping"), block=False)
+            self._task.kill(CallerLeftError("stopping"), block=False)
 
     def _serve_next(self) -> bool:
         """Serve one request; return whether the connection stays open."""
@@ -142,7 +149,7 @@
         self._server.active += 1
         try:
             self._server.handler(request, reply)
-        except CallerGoneError:
+        except CallerLeftError:
             return False
         finally:
             self._server.active -= 1
@@ -223,7 +230,7 @@
             return
         self._watcher.stop()
         if self._task is not None:
-            self._task.kill(CallerGoneError("the caller left"), block=False)
+            self._task.kill(CallerLeftError("the caller left"), block=False)
 
     def _refuse(self, error: RequestError) -> None:
         """Answer a request that cannot be read and close."""
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -13,8 +13,7 @@
 
 from hemlockswitch.connection.backend_pool import BackendPool, PooledExchange
 from hemlockswitch.connection.backends import ExchangeError, Stage
-from hemlockswitch.connection.caller_server import CallerGoneError
-from hemlockswitch.connection.forward_server import Reply
+from hemlockswitch.connection.forward_server import CallerLeftError, Reply
 from hemlockswitch.connection.heads import ReceivedRequest
 from hemlockswitch.connection.message_parsers import ParsedAnswer
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
@@ -166,7 +165,7 @@
             self._serve(progress, reply)
         except RequestError as error:
             self._answer_error(progress, reply, error)
-        except CallerGoneError:
+        except CallerLeftError:
             progress.outcome = progress.outcome or "caller_gone"
             raise
         finally:
@@ -211,7 +210,7 @@
             progress.expected_ms = placement.expected_ms
             return placement
         if reply.begun:
-            raise CallerGoneError("no server is left for the rest of the answer")
+            raise CallerLeftError("no server is left for the rest of the answer")
         if progress.state is SendState.NOT_RUN:
             detail = f"no server of {admitted.service} is known"
             raise RequestError(ErrorKind.NO_BACKEND, detail, retry_after_ms=COME_BACK_MS)
@@ -256,7 +255,7 @@
         if verdict.answer is None:
             progress.outcome = "broken_off"
             progress.detail = detail
-            raise CallerGoneError(detail)
+            raise CallerLeftError(detail)
         if verdict.state is SendState.NOT_RUN:
             raise RequestError(verdict.answer, detail, retry_after_ms=COME_BACK_MS)
         raise RequestError(verdict.answer, detail)
@@ -264,7 +263,7 @@
     def _give_up_overdue(self, progress: Progress, reply: Reply) -> None:
         if reply.begun:
             progress.outcome = "overdue_midway"
-            raise CallerGoneError("the time is up inside the answer")
+            raise CallerLeftError("the time is up inside the answer")
         verdict = judge_failure(
             progress.state,
             SendFailure.OVERDUE,
@@ -272,6 +271,7 @@
             was_sent=progress.in_flight,
         )
         assert verdict.answer is not None
+        progress.state = verdict.state
         raise RequestError(verdict.answer, "the time is up")
 
     def _send_once(
@@ -302,7 +302,7 @@
             failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         except ExchangeError as error:
             raise SendFailedError(SendFailure.BROKEN, error.detail, True) from error
-        except (CallerGoneError, OverdueError):
+        except (CallerLeftError, OverdueError):
             failed = False
             raise
         except SendFailedError as error:
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -219,6 +219,24 @@
     site.wait(lambda: engine.state.abandoned == ["id-1"])
 
 
+@pytest.mark.parametrize("path", ["/check/x", "/reply/x", "/hold/x"])
+def test_a_caller_that_leaves_before_its_answer_is_not_served_elsewhere(site, path):
+    runners = [site.add_runner(service, work_ms=300) for service in ("app", "app", "llm", "llm")]
+    with site.connect() as connection:
+        connection.sendall(make_request(path, "id-1", **tokens(20)))
+        site.wait(lambda: count_runs(runners, "id-1") == 1)
+    gevent.sleep(0.6)
+    assert count_runs(runners, "id-1") == 1
+    rates = [
+        candidate.failure_rate
+        for service in ("app", "llm")
+        for candidate in site.gateways[0].loads.build_candidates(
+            site.gateways[0].registry.list_ready(service), None
+        )
+    ]
+    assert rates == [0.0] * 4, "the servers are not to blame"
+
+
 def test_a_moved_address_is_not_used_for_another_server(site, app):
     stale, sound = app
     stale.state.settings = stale.state.settings.model_copy(update={"name": "somebody-else"})
