--- a/hemlockswitch/process/gateway/duties.py
+++ b/hemlockswitch/process/gateway/duties.py
@@ -101,6 +101,7 @@
         if not self._was_held:
             self._was_held = True
             self._scaling.take_over()
+            self._usage.take_over(self._true_time.now_ms())
         for duty in (self._order_copies, self._report_usage):
             try:
                 duty()
--- a/hemlockswitch/process/gateway/usage.py
+++ b/hemlockswitch/process/gateway/usage.py
@@ -13,6 +13,12 @@
 KEPT_WINDOWS = 6
 """Windows that are counted and told to others: a window is due two windows after its end, and a
 new holder may need the ones before."""
+TAKEOVER_MS = 1_500.0
+"""How long a new holder waits before its first report: the other gateways learn of it within a
+report's period, and send it their counts after that."""
+WINDOWS_BEFORE = 1
+"""Windows before the last one that a new holder reports as well; the holder before it may not have
+come to it, and a repeat with the same counts does no harm."""
 SETTLE_MS = 2_000.0
 """How long after its end a window is reported: several reports of every gateway have come."""
 
@@ -117,12 +123,20 @@
         self._api = api
         self._done: set[int] = set()
         self._begun_window: int | None = None
+        self._silent_until_ms = float("-inf")
+
+    def take_over(self, believed_ms: float) -> None:
+        """Begin as a new holder: the other gateways' counts are still to come."""
+        self._begun_window = None
+        self._silent_until_ms = believed_ms + TAKEOVER_MS
 
     def list_due(self, believed_ms: float) -> list[int]:
         """Return the windows that are over and not reported by this process."""
+        if believed_ms < self._silent_until_ms:
+            return []
         last = self._counts.find_window(believed_ms - SETTLE_MS) - 1
         if self._begun_window is None:
-            self._begun_window = last
+            self._begun_window = last - WINDOWS_BEFORE
         first = max(self._begun_window, last - KEPT_WINDOWS // 2)
         return [window for window in range(first, last + 1) if window not in self._done]
 
--- a/tests/test_gateway_usage.py
+++ b/tests/test_gateway_usage.py
@@ -2,7 +2,12 @@
 
 from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.process.gateway.true_time import TrueTime
-from hemlockswitch.process.gateway.usage import SETTLE_MS, UsageCounts, UsageDuty
+from hemlockswitch.process.gateway.usage import (
+    SETTLE_MS,
+    TAKEOVER_MS,
+    UsageCounts,
+    UsageDuty,
+)
 
 WINDOW_S = 5.0
 WINDOW_MS = WINDOW_S * 1_000
@@ -49,6 +54,15 @@
     assert 1_000 in duty.list_due(NOW_MS + WINDOW_MS + SETTLE_MS)
 
 
+def test_a_new_holder_waits_for_the_others_counts_and_reports_the_window_before_too():
+    counts, duty = make_duty()
+    now_ms = NOW_MS + WINDOW_MS + SETTLE_MS
+    duty.take_over(now_ms)
+    assert duty.list_due(now_ms) == []
+    counts.take_report("g2/1", {"1000": {"a": 3}})
+    assert duty.list_due(now_ms + TAKEOVER_MS) == [999, 1_000]
+
+
 def test_the_counts_of_all_gateways_and_of_earlier_processes_are_added():
     counts, _ = make_duty()
     counts.count(NOW_MS, "a")
