--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -9,7 +9,7 @@
 from features.support.operator_files import ACCOUNT, KEY, SERVICE, ZONES, make_operator_file
 from features.support.processes import wait_until
 from hemlockswitch.core.identifiers import rank_rendezvous
-from hemlockswitch.process.claim_routes import find_partition
+from hemlockswitch.process.claims.routes import find_partition
 from hemlockswitch.request.claims import digest_key
 
 ENTRIES = tuple(f"entry-{zone}-{number}" for number in (1, 2) for zone in ZONES)
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -9,7 +9,7 @@
 from features.support.processes import wait_until
 from features.support.traffic import Traffic
 from hemlockswitch.core.identifiers import rank_rendezvous
-from hemlockswitch.process.watchers import WATCHERS
+from hemlockswitch.process.servers.watchers import WATCHERS
 
 LIMIT_MS = 3_000
 WATCHED_MS = 4_500
--- a/hemlockswitch/process/claim_members.py
+++ b/hemlockswitch/process/claims/members.py
@@ -4,11 +4,11 @@
 
 from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.claim_routes import ClaimPeer
-from hemlockswitch.process.claim_store import ClaimStore
+from hemlockswitch.process.claims.routes import ClaimPeer
+from hemlockswitch.process.claims.store import ClaimStore
 from hemlockswitch.process.facts import Facts
-from hemlockswitch.process.members import Member, MemberState
-from hemlockswitch.process.membership import Membership
+from hemlockswitch.process.membership.members import Member, MemberState
+from hemlockswitch.process.membership.membership import Membership
 from hemlockswitch.version.models import Limits
 from hemlockswitch.version.settings import ProgramSettings
 
--- a/hemlockswitch/process/claim_objects.py
+++ b/hemlockswitch/process/claims/objects.py
@@ -12,7 +12,7 @@
 )
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.core.identifiers import make_identifier
-from hemlockswitch.process.claim_ledger import (
+from hemlockswitch.process.claims.ledger import (
     Draft,
     Head,
     Segment,
--- a/hemlockswitch/process/claim_outbox.py
+++ b/hemlockswitch/process/claims/outbox.py
@@ -9,8 +9,8 @@
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.claim_ledger import GiveBack, Record, Verdict
-from hemlockswitch.process.claim_routes import ClaimRoutes
+from hemlockswitch.process.claims.ledger import GiveBack, Record, Verdict
+from hemlockswitch.process.claims.routes import ClaimRoutes
 from hemlockswitch.request.claims import Outcome
 
 WAITING_AT_MOST = 1_024
--- a/hemlockswitch/process/claim_routes.py
+++ b/hemlockswitch/process/claims/routes.py
@@ -9,8 +9,8 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, PeerError
 from hemlockswitch.core.identifiers import hash_stable, rank_rendezvous
-from hemlockswitch.process.claim_ledger import GiveBack, Operation, Place, Record, Result, Verdict
-from hemlockswitch.process.claim_writer import PartitionWriter
+from hemlockswitch.process.claims.ledger import GiveBack, Operation, Place, Record, Result, Verdict
+from hemlockswitch.process.claims.writer import PartitionWriter
 from hemlockswitch.request.claims import Claim, Outcome
 
 PARTITIONS = 16
--- a/hemlockswitch/process/claim_store.py
+++ b/hemlockswitch/process/claims/store.py
@@ -13,10 +13,10 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import make_identifier
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.claim_ledger import GiveBack, Place, Record, Result, Verdict
-from hemlockswitch.process.claim_objects import Bounds, ObjectService, PartitionObjects
-from hemlockswitch.process.claim_outbox import ClaimOutbox
-from hemlockswitch.process.claim_routes import (
+from hemlockswitch.process.claims.ledger import GiveBack, Place, Record, Result, Verdict
+from hemlockswitch.process.claims.objects import Bounds, ObjectService, PartitionObjects
+from hemlockswitch.process.claims.outbox import ClaimOutbox
+from hemlockswitch.process.claims.routes import (
     LIMIT_MS,
     PARTITIONS,
     ClaimPeer,
@@ -25,7 +25,7 @@
     Peers,
     list_no_peers,
 )
-from hemlockswitch.process.claim_writer import Pace, PartitionWriter, WriterCounts
+from hemlockswitch.process.claims.writer import Pace, PartitionWriter, WriterCounts
 from hemlockswitch.request.claims import Claim, Outcome, StoredAnswer, digest_key
 
 REPEAT_PAUSES_MS = (100, 200, 400, 800)
--- a/hemlockswitch/process/claim_writer.py
+++ b/hemlockswitch/process/claims/writer.py
@@ -14,8 +14,8 @@
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.claim_ledger import Operation, Result, Verdict, apply
-from hemlockswitch.process.claim_objects import PartitionObjects
+from hemlockswitch.process.claims.ledger import Operation, Result, Verdict, apply
+from hemlockswitch.process.claims.objects import PartitionObjects
 
 MAX_WAITING = 4_096
 MAX_BATCH = 64
--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -16,19 +16,19 @@
 from hemlockswitch.core.errors import HemlockError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.configuration import Configuration
-from hemlockswitch.process.control import Controller, ControlTimes
-from hemlockswitch.process.copy_records import CopyRecords
-from hemlockswitch.process.cost import CostMeter
+from hemlockswitch.process.copies.control import Controller, ControlTimes
+from hemlockswitch.process.copies.cost import CostMeter
+from hemlockswitch.process.copies.observed_zone import Sources
+from hemlockswitch.process.copies.reclaims import Reclaims
+from hemlockswitch.process.copies.records import CopyRecords
+from hemlockswitch.process.copies.usage import Daemons
+from hemlockswitch.process.copies.zone_load import ZoneSummaries
 from hemlockswitch.process.lease import Lease, LeaseTimes
-from hemlockswitch.process.news import NewsBoard
-from hemlockswitch.process.observed_zone import Sources
-from hemlockswitch.process.reclaims import Reclaims
-from hemlockswitch.process.revision_spread import RevisionSpread
-from hemlockswitch.process.revision_store import RevisionStore
-from hemlockswitch.process.revision_tasks import READ_PATIENCE_MS, follow_pointer
-from hemlockswitch.process.usage import Daemons
-from hemlockswitch.process.zone_load import ZoneSummaries
+from hemlockswitch.process.news.board import NewsBoard
+from hemlockswitch.process.revisions.configuration import Configuration
+from hemlockswitch.process.revisions.spread import RevisionSpread
+from hemlockswitch.process.revisions.store import RevisionStore
+from hemlockswitch.process.revisions.tasks import READ_PATIENCE_MS, follow_pointer
 from hemlockswitch.version.models import OperatorFile
 from hemlockswitch.version.revisions import CURRENT_POINTER, POINTER_KIND
 from hemlockswitch.version.settings import ControllerSettings, split_address
--- a/hemlockswitch/process/copy_changes.py
+++ b/hemlockswitch/process/copies/changes.py
@@ -18,9 +18,9 @@
 from hemlockswitch.core.errors import BackendError, ErrorKind, PeerError, PlatformError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.copy_records import CopyRecord, CopyRecords, CopyState
+from hemlockswitch.process.copies.records import CopyRecord, CopyRecords, CopyState
+from hemlockswitch.process.copies.usage import Daemons, Usage
 from hemlockswitch.process.lease import Lease
-from hemlockswitch.process.usage import Daemons, Usage
 from hemlockswitch.version.models import MachineClass
 
 FIRST_PAUSE_MS = 1_000
--- a/hemlockswitch/process/control.py
+++ b/hemlockswitch/process/copies/control.py
@@ -11,13 +11,13 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import make_identifier
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.copies import Copy, Plan, Planner, plan_over_licence
-from hemlockswitch.process.copy_changes import CopyStarter, CopyStopper, OrderGiver, StoppingCopy
-from hemlockswitch.process.copy_records import CopyRecord, CopyRecords, CopyState, CopyTable
-from hemlockswitch.process.cost import CostMeter, HeldCopy
+from hemlockswitch.process.copies.changes import CopyStarter, CopyStopper, OrderGiver, StoppingCopy
+from hemlockswitch.process.copies.copies import Copy, Plan, Planner, plan_over_licence
+from hemlockswitch.process.copies.cost import CostMeter, HeldCopy
+from hemlockswitch.process.copies.observed_zone import LIVE, ObservedZone, Sources
+from hemlockswitch.process.copies.records import CopyRecord, CopyRecords, CopyState, CopyTable
+from hemlockswitch.process.copies.targets import WantedTarget, list_wanted
 from hemlockswitch.process.lease import Lease
-from hemlockswitch.process.observed_zone import LIVE, ObservedZone, Sources
-from hemlockswitch.process.targets import WantedTarget, list_wanted
 from hemlockswitch.version.models import MachineClass, OperatorFile
 
 
--- a/hemlockswitch/process/observed_zone.py
+++ b/hemlockswitch/process/copies/observed_zone.py
@@ -10,13 +10,18 @@
 from hemlockswitch.core.errors import PeerError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.copies import Place
-from hemlockswitch.process.copy_records import CopyRecord
-from hemlockswitch.process.demand import DemandMeter
-from hemlockswitch.process.reclaims import Reclaims
-from hemlockswitch.process.targets import WantedTarget
-from hemlockswitch.process.usage import Daemons, Usage
-from hemlockswitch.process.zone_load import OfferedPlace, ZoneLoads, ZoneSummaries, ZoneSummary
+from hemlockswitch.process.copies.copies import Place
+from hemlockswitch.process.copies.demand import DemandMeter
+from hemlockswitch.process.copies.reclaims import Reclaims
+from hemlockswitch.process.copies.records import CopyRecord
+from hemlockswitch.process.copies.targets import WantedTarget
+from hemlockswitch.process.copies.usage import Daemons, Usage
+from hemlockswitch.process.copies.zone_load import (
+    OfferedPlace,
+    ZoneLoads,
+    ZoneSummaries,
+    ZoneSummary,
+)
 from hemlockswitch.version.models import MachineClass
 
 GUESSED_PRICES = {MachineClass.RECLAIMABLE: 1.0, MachineClass.ON_DEMAND: 3.0}
--- a/hemlockswitch/process/targets.py
+++ b/hemlockswitch/process/copies/targets.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
-from hemlockswitch.process.copies import Target
+from hemlockswitch.process.copies.copies import Target
 from hemlockswitch.version.models import MachineClass, Model, OperatorFile, Service
 
 SERVICE_WAIT_MS = 250
--- a/hemlockswitch/process/zone_load.py
+++ b/hemlockswitch/process/copies/zone_load.py
@@ -11,7 +11,7 @@
 from hemlockswitch.connection.platform_models import ListedVm, StoredObject, Written
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import BackendError
-from hemlockswitch.process.copies import Place
+from hemlockswitch.process.copies.copies import Place
 from hemlockswitch.version.models import MachineClass
 
 STATUS_KIND = "status"
--- a/hemlockswitch/process/departure.py
+++ b/hemlockswitch/process/departure.py
@@ -7,23 +7,23 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.backends import NOTICE_PREFIX
 from hemlockswitch.process.facts import Facts
-from hemlockswitch.process.handover import Handover, HandoverMember
-from hemlockswitch.process.handover_messages import (
+from hemlockswitch.process.handover.handover import Handover, HandoverMember
+from hemlockswitch.process.handover.messages import (
     ConfirmTake,
     DropState,
     FindState,
     HandOver,
     TakeState,
 )
-from hemlockswitch.process.members import MemberState
-from hemlockswitch.process.news import NewsItem
+from hemlockswitch.process.handover.resuming import Resuming
+from hemlockswitch.process.handover.state_store import StateStore
+from hemlockswitch.process.membership.members import MemberState
+from hemlockswitch.process.news.board import NewsItem
 from hemlockswitch.process.records import RequestRecords
-from hemlockswitch.process.resuming import Resuming
+from hemlockswitch.process.servers.backends import NOTICE_PREFIX
 from hemlockswitch.process.serving import Serving
-from hemlockswitch.process.share_members import list_share_members
-from hemlockswitch.process.state_store import StateStore
+from hemlockswitch.process.shares.members import list_share_members
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.attempt import AttemptOpener
 from hemlockswitch.request.relay import Relay
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -13,19 +13,19 @@
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.claim_members import build_claims
+from hemlockswitch.process.claims.members import build_claims
+from hemlockswitch.process.copies.usage import UsageReporter
 from hemlockswitch.process.departure import Departure
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.peer_metrics import PeerCollector
 from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
-from hemlockswitch.process.revision_tasks import RevisionTasks
+from hemlockswitch.process.revisions.tasks import RevisionTasks
 from hemlockswitch.process.serving import Serving
-from hemlockswitch.process.share_members import CALL_MS as SHARE_CALL_MS
-from hemlockswitch.process.share_members import build_shares
+from hemlockswitch.process.shares.members import CALL_MS as SHARE_CALL_MS
+from hemlockswitch.process.shares.members import build_shares
 from hemlockswitch.process.traces import Tracing
-from hemlockswitch.process.usage import UsageReporter
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.attempt import AttemptOpener
 from hemlockswitch.request.capacity import CapacityQueue
--- a/hemlockswitch/process/facts.py
+++ b/hemlockswitch/process/facts.py
@@ -8,16 +8,16 @@
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.backends import NOTICE_PREFIX, VM_PREFIX, BackendDirectory
-from hemlockswitch.process.discovery import Discovery
 from hemlockswitch.process.freshness import Freshness, Refresh, choose_some
-from hemlockswitch.process.load_polls import LoadPolls
-from hemlockswitch.process.membership import Member, Membership, ProbeTimes
-from hemlockswitch.process.news import NewsBoard
-from hemlockswitch.process.spread import Spread
-from hemlockswitch.process.vm_feed import VmFeed
-from hemlockswitch.process.watchers import FEED_PREFIX, NoticeFeed, Post, Watcher
-from hemlockswitch.process.zones import ZoneDesk, ZoneQuestion, ZoneQuestions
+from hemlockswitch.process.membership.discovery import Discovery
+from hemlockswitch.process.membership.membership import Member, Membership, ProbeTimes
+from hemlockswitch.process.news.board import NewsBoard
+from hemlockswitch.process.news.spread import Spread
+from hemlockswitch.process.servers.backends import NOTICE_PREFIX, VM_PREFIX, BackendDirectory
+from hemlockswitch.process.servers.load_polls import LoadPolls
+from hemlockswitch.process.servers.vm_feed import VmFeed
+from hemlockswitch.process.servers.watchers import FEED_PREFIX, NoticeFeed, Post, Watcher
+from hemlockswitch.process.servers.zones import ZoneDesk, ZoneQuestion, ZoneQuestions
 from hemlockswitch.version.settings import ProgramSettings
 
 ZONE_PREFIXES = (VM_PREFIX, NOTICE_PREFIX, FEED_PREFIX)
--- a/hemlockswitch/process/handover.py
+++ b/hemlockswitch/process/handover/handover.py
@@ -8,9 +8,9 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, PeerError
 from hemlockswitch.core.identifiers import rank_rendezvous
-from hemlockswitch.process.handover_messages import HandOver, encode_state
-from hemlockswitch.process.share_parts import ShareMember as HandoverMember
-from hemlockswitch.process.state_store import StateStore
+from hemlockswitch.process.handover.messages import HandOver, encode_state
+from hemlockswitch.process.handover.state_store import StateStore
+from hemlockswitch.process.shares.parts import ShareMember as HandoverMember
 from hemlockswitch.request.generation import Generation, GenerationState
 from hemlockswitch.request.running import Running
 
--- a/hemlockswitch/process/resuming.py
+++ b/hemlockswitch/process/handover/resuming.py
@@ -12,8 +12,8 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import make_identifier
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.handover import HandoverMember, HandoverNetwork, rank_receivers
-from hemlockswitch.process.handover_messages import (
+from hemlockswitch.process.handover.handover import HandoverMember, HandoverNetwork, rank_receivers
+from hemlockswitch.process.handover.messages import (
     ConfirmTake,
     DropState,
     FindState,
@@ -22,8 +22,8 @@
     TakeState,
     decode_state,
 )
+from hemlockswitch.process.handover.state_store import StateStore
 from hemlockswitch.process.records import RequestRecord, RequestRecords
-from hemlockswitch.process.state_store import StateStore
 from hemlockswitch.request.chunks import SEPARATOR
 from hemlockswitch.request.generation import Generation
 from hemlockswitch.request.prefixes import count_tokens
--- a/hemlockswitch/process/state_store.py
+++ b/hemlockswitch/process/handover/state_store.py
@@ -5,7 +5,7 @@
 
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, PeerError
-from hemlockswitch.process.handover_messages import (
+from hemlockswitch.process.handover.messages import (
     ConfirmTake,
     DropState,
     FindState,
--- a/hemlockswitch/process/overlay.py
+++ b/hemlockswitch/process/membership/overlay.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from hemlockswitch.core.identifiers import hash_stable, rank_rendezvous
-from hemlockswitch.process.members import Member
+from hemlockswitch.process.membership.members import Member
 
 RINGS = 3
 ZONE_LINKS = 2
--- a/hemlockswitch/process/probes.py
+++ b/hemlockswitch/process/membership/probes.py
@@ -10,8 +10,8 @@
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, PeerError
-from hemlockswitch.process.members import Member
-from hemlockswitch.process.spread import Spread
+from hemlockswitch.process.membership.members import Member
+from hemlockswitch.process.news.spread import Spread
 
 SWEEP_MS = 500
 HELPERS = 3
--- a/hemlockswitch/process/digests.py
+++ b/hemlockswitch/process/news/digests.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from hemlockswitch.core.identifiers import hash_stable
-from hemlockswitch.process.news import NewsItem
+from hemlockswitch.process.news.board import NewsItem
 
 BUCKETS = 64
 _PACKED = struct.Struct(f">{BUCKETS}Q")
--- a/hemlockswitch/process/news_messages.py
+++ b/hemlockswitch/process/news/messages.py
@@ -6,7 +6,7 @@
 import msgpack
 
 from hemlockswitch.connection.messages import register_message
-from hemlockswitch.process.news import NewsItem
+from hemlockswitch.process.news.board import NewsItem
 
 
 @register_message("news")
--- a/hemlockswitch/process/retrieval.py
+++ b/hemlockswitch/process/news/retrieval.py
@@ -8,7 +8,7 @@
 
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.errors import PeerError
-from hemlockswitch.process.news_messages import Fetch, Have, News, SpreadBounds
+from hemlockswitch.process.news.messages import Fetch, Have, News, SpreadBounds
 
 
 @dataclass
--- a/hemlockswitch/process/spread.py
+++ b/hemlockswitch/process/news/spread.py
@@ -13,10 +13,10 @@
 from hemlockswitch.core.errors import ErrorKind, PeerError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.digests import Digest, choose_bucket, list_different
-from hemlockswitch.process.members import Member
-from hemlockswitch.process.news import NewsBoard, NewsItem
-from hemlockswitch.process.news_messages import (
+from hemlockswitch.process.membership.members import Member
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.news.digests import Digest, choose_bucket, list_different
+from hemlockswitch.process.news.messages import (
     Compare,
     Difference,
     Fetch,
@@ -26,7 +26,7 @@
     SpreadBounds,
     cut_rows,
 )
-from hemlockswitch.process.retrieval import Retrievals
+from hemlockswitch.process.news.retrieval import Retrievals
 
 __all__ = ["Spread", "SpreadBounds"]
 
--- a/hemlockswitch/process/applying.py
+++ b/hemlockswitch/process/revisions/applying.py
@@ -22,7 +22,7 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
 from hemlockswitch.core.identifiers import make_identifier
-from hemlockswitch.process.revision_store import Current, ObjectStore, RevisionStore
+from hemlockswitch.process.revisions.store import Current, ObjectStore, RevisionStore
 from hemlockswitch.version.checks import CheckedFile
 from hemlockswitch.version.differences import Change, compare_trees
 from hemlockswitch.version.documents import digest_tree
--- a/hemlockswitch/process/revision_messages.py
+++ b/hemlockswitch/process/revisions/messages.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from hemlockswitch.connection.messages import register_message
-from hemlockswitch.process.news import NewsItem
+from hemlockswitch.process.news.board import NewsItem
 
 REVISION_KEY = "revision"
 
--- a/hemlockswitch/process/revision_spread.py
+++ b/hemlockswitch/process/revisions/spread.py
@@ -23,9 +23,9 @@
 from hemlockswitch.core.errors import HemlockError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.configuration import Configuration
-from hemlockswitch.process.news import NewsBoard
-from hemlockswitch.process.revision_messages import (
+from hemlockswitch.process.news.board import NewsBoard
+from hemlockswitch.process.revisions.configuration import Configuration
+from hemlockswitch.process.revisions.messages import (
     REVISION_KEY,
     RevisionAnswer,
     RevisionNews,
--- a/hemlockswitch/process/revision_tasks.py
+++ b/hemlockswitch/process/revisions/tasks.py
@@ -7,13 +7,13 @@
 from hemlockswitch.connection.platform_models import StoredObject
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.process.configuration import Configuration
 from hemlockswitch.process.facts import Facts
-from hemlockswitch.process.members import Member
-from hemlockswitch.process.revision_spread import RevisionSpread
-from hemlockswitch.process.revision_store import RevisionStore, read_pointer
-from hemlockswitch.process.watchers import Pointer, Watcher
-from hemlockswitch.process.zone_status import DaemonReport, ZoneMember, ZoneStatus
+from hemlockswitch.process.membership.members import Member
+from hemlockswitch.process.revisions.configuration import Configuration
+from hemlockswitch.process.revisions.spread import RevisionSpread
+from hemlockswitch.process.revisions.store import RevisionStore, read_pointer
+from hemlockswitch.process.servers.watchers import Pointer, Watcher
+from hemlockswitch.process.status.zone_status import DaemonReport, ZoneMember, ZoneStatus
 from hemlockswitch.version.revisions import CURRENT_POINTER, POINTER_KIND
 
 READ_PATIENCE_MS = 0.0
--- a/hemlockswitch/process/backends.py
+++ b/hemlockswitch/process/servers/backends.py
@@ -8,11 +8,11 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.discovery import ENTRY_SERVES
-from hemlockswitch.process.dispatches import Dispatches
-from hemlockswitch.process.loads import Ticket
-from hemlockswitch.process.news import NewsBoard, NewsItem
-from hemlockswitch.process.subsets import SUBSET_SIZE, Subset
+from hemlockswitch.process.membership.discovery import ENTRY_SERVES
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.servers.dispatches import Dispatches
+from hemlockswitch.process.servers.loads import Ticket
+from hemlockswitch.process.servers.subsets import SUBSET_SIZE, Subset
 from hemlockswitch.request.routing import Candidate
 from hemlockswitch.version.backend import BackendServer, BackendState
 
--- a/hemlockswitch/process/dispatches.py
+++ b/hemlockswitch/process/servers/dispatches.py
@@ -8,8 +8,8 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import make_identifier
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.circuits import Circuit
-from hemlockswitch.process.loads import Others, ServerLoad, Ticket, average_others
+from hemlockswitch.process.servers.circuits import Circuit
+from hemlockswitch.process.servers.loads import Others, ServerLoad, Ticket, average_others
 from hemlockswitch.request.routing import Candidate
 from hemlockswitch.version.backend import BackendServer
 
--- a/hemlockswitch/process/load_polls.py
+++ b/hemlockswitch/process/servers/load_polls.py
@@ -7,7 +7,7 @@
 from hemlockswitch.connection.loads import LoadClient
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import BackendError
-from hemlockswitch.process.backends import BackendDirectory
+from hemlockswitch.process.servers.backends import BackendDirectory
 
 POLL_INTERVAL_MS = 500
 FAILED_POLL_MS = 2_000
--- a/hemlockswitch/process/vm_feed.py
+++ b/hemlockswitch/process/servers/vm_feed.py
@@ -3,8 +3,8 @@
 from typing import Any, Protocol
 
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.backends import NOTICE_PREFIX, VM_PREFIX
-from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.servers.backends import NOTICE_PREFIX, VM_PREFIX
 from hemlockswitch.version.backend import BackendState
 
 GONE_AFTER_MS = 30_000
--- a/hemlockswitch/process/watchers.py
+++ b/hemlockswitch/process/servers/watchers.py
@@ -20,8 +20,8 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import rank_rendezvous
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.backends import NOTICE_PREFIX
-from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.servers.backends import NOTICE_PREFIX
 
 FEED_PREFIX = "feed/"
 WATCHERS = 2
--- a/hemlockswitch/process/zones.py
+++ b/hemlockswitch/process/servers/zones.py
@@ -19,7 +19,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import hash_stable, rank_rendezvous
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.backends import ZONE_SILENCE_MS, BackendDirectory
+from hemlockswitch.process.servers.backends import ZONE_SILENCE_MS, BackendDirectory
 from hemlockswitch.version.backend import BackendServer
 
 ASK_INTERVAL_MS = 500
--- a/hemlockswitch/process/share_anchor.py
+++ b/hemlockswitch/process/shares/anchor.py
@@ -13,8 +13,8 @@
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.share_parts import ZoneTotals
-from hemlockswitch.process.share_record import (
+from hemlockswitch.process.shares.parts import ZoneTotals
+from hemlockswitch.process.shares.record import (
     EntryWatch,
     RenewShares,
     ShareRecord,
--- a/hemlockswitch/process/share_book.py
+++ b/hemlockswitch/process/shares/book.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.share_terms import (
+from hemlockswitch.process.shares.terms import (
     DRIFT,
     LOAN_MS,
     REQUEST_MS,
@@ -17,7 +17,7 @@
     Loan,
     sum_loans,
 )
-from hemlockswitch.process.share_units import NOTHING, Resource, Units
+from hemlockswitch.process.shares.units import NOTHING, Resource, Units
 
 NUMBER_BITS = 48
 ASKED_MS = 60_000.0
--- a/hemlockswitch/process/share_borrower.py
+++ b/hemlockswitch/process/shares/borrower.py
@@ -8,16 +8,16 @@
 
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import PeerError
-from hemlockswitch.process.share_end import LoanEnd, LoanParts
-from hemlockswitch.process.share_messages import (
+from hemlockswitch.process.shares.end import LoanEnd, LoanParts
+from hemlockswitch.process.shares.messages import (
     BorrowShare,
     ExtendLoans,
     LoanReturned,
     RecallLoan,
     Terms,
 )
-from hemlockswitch.process.share_terms import LOAN_MS, REQUEST_MS, Loan
-from hemlockswitch.process.share_units import NOTHING, Resource, Units
+from hemlockswitch.process.shares.terms import LOAN_MS, REQUEST_MS, Loan
+from hemlockswitch.process.shares.units import NOTHING, Resource, Units
 from hemlockswitch.request.allowances import Credit
 
 ASK_TIMEOUT_MS = 100.0
--- a/hemlockswitch/process/share_end.py
+++ b/hemlockswitch/process/shares/end.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.share_book import ShareBook
-from hemlockswitch.process.share_messages import CreditMover, LoanNetwork
-from hemlockswitch.process.share_units import Units
+from hemlockswitch.process.shares.book import ShareBook
+from hemlockswitch.process.shares.messages import CreditMover, LoanNetwork
+from hemlockswitch.process.shares.units import Units
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/process/share_lender.py
+++ b/hemlockswitch/process/shares/lender.py
@@ -3,16 +3,16 @@
 import gevent
 
 from hemlockswitch.core.errors import PeerError
-from hemlockswitch.process.share_end import LoanEnd, LoanParts
-from hemlockswitch.process.share_messages import (
+from hemlockswitch.process.shares.end import LoanEnd, LoanParts
+from hemlockswitch.process.shares.messages import (
     BorrowShare,
     ExtendLoans,
     LoansExtended,
     RecallLoan,
     ShareLent,
 )
-from hemlockswitch.process.share_terms import Loan
-from hemlockswitch.process.share_units import Resource, Units
+from hemlockswitch.process.shares.terms import Loan
+from hemlockswitch.process.shares.units import Resource, Units
 from hemlockswitch.request.allowances import Credit
 
 RECALL_TIMEOUT_MS = 60.0
--- a/hemlockswitch/process/share_members.py
+++ b/hemlockswitch/process/shares/members.py
@@ -4,12 +4,12 @@
 
 from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.backends import VM_PREFIX
 from hemlockswitch.process.facts import Facts
-from hemlockswitch.process.membership import Membership
-from hemlockswitch.process.news import NewsBoard
-from hemlockswitch.process.share_parts import ShareMember
-from hemlockswitch.process.shares import Shares
+from hemlockswitch.process.membership.membership import Membership
+from hemlockswitch.process.news.board import NewsBoard
+from hemlockswitch.process.servers.backends import VM_PREFIX
+from hemlockswitch.process.shares.parts import ShareMember
+from hemlockswitch.process.shares.shares import Shares
 from hemlockswitch.version.backend import BackendState
 from hemlockswitch.version.models import OperatorFile
 from hemlockswitch.version.settings import EntrySettings
--- a/hemlockswitch/process/share_messages.py
+++ b/hemlockswitch/process/shares/messages.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from hemlockswitch.connection.messages import register_message
-from hemlockswitch.process.share_units import Units
+from hemlockswitch.process.shares.units import Units
 from hemlockswitch.request.allowances import Credit
 
 Terms = list[list[int]]
--- a/hemlockswitch/process/share_parts.py
+++ b/hemlockswitch/process/shares/parts.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from hemlockswitch.core.identifiers import rank_rendezvous
-from hemlockswitch.process.share_units import NOTHING, Units, UnitSizes, find_part
+from hemlockswitch.process.shares.units import NOTHING, Units, UnitSizes, find_part
 from hemlockswitch.version.models import OperatorFile
 
 WRITERS = 2
--- a/hemlockswitch/process/share_record.py
+++ b/hemlockswitch/process/shares/record.py
@@ -6,8 +6,8 @@
 
 from hemlockswitch.connection.messages import register_message
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.share_terms import DRIFT, LOAN_MS, SLOT_LOAN_MS, TERM_MS, Granted
-from hemlockswitch.process.share_units import NOTHING, Units, find_part
+from hemlockswitch.process.shares.terms import DRIFT, LOAN_MS, SLOT_LOAN_MS, TERM_MS, Granted
+from hemlockswitch.process.shares.units import NOTHING, Units, find_part
 
 RETURN_RATES_MS = TERM_MS * DRIFT
 RETURN_SLOTS_MS = (TERM_MS + SLOT_LOAN_MS) * DRIFT
--- a/hemlockswitch/process/share_renewal.py
+++ b/hemlockswitch/process/shares/renewal.py
@@ -10,19 +10,19 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import make_identifier
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.share_anchor import ShareAnchor
-from hemlockswitch.process.share_book import ShareBook
-from hemlockswitch.process.share_messages import LoanNetwork
-from hemlockswitch.process.share_parts import ShareParts
-from hemlockswitch.process.share_record import (
+from hemlockswitch.process.shares.anchor import ShareAnchor
+from hemlockswitch.process.shares.book import ShareBook
+from hemlockswitch.process.shares.messages import LoanNetwork
+from hemlockswitch.process.shares.parts import ShareParts
+from hemlockswitch.process.shares.record import (
     PARTS,
     RenewShares,
     SharesRenewed,
     decode_grants,
     encode_grants,
 )
-from hemlockswitch.process.share_terms import TERM_MS, Granted
-from hemlockswitch.process.share_units import Units
+from hemlockswitch.process.shares.terms import TERM_MS, Granted
+from hemlockswitch.process.shares.units import Units
 
 RENEW_MS = TERM_MS / 3
 RETRY_MS = 500.0
--- a/hemlockswitch/process/shares.py
+++ b/hemlockswitch/process/shares/shares.py
@@ -8,16 +8,16 @@
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.share_anchor import BATCH_MS, ObjectStore, ShareAnchor
-from hemlockswitch.process.share_book import ShareBook
-from hemlockswitch.process.share_borrower import ShareBorrower
-from hemlockswitch.process.share_end import LoanParts
-from hemlockswitch.process.share_lender import Lender
-from hemlockswitch.process.share_messages import LoanNetwork
-from hemlockswitch.process.share_parts import ShareMember, ShareParts
-from hemlockswitch.process.share_record import EntryWatch, RenewShares
-from hemlockswitch.process.share_renewal import ShareRenewal
-from hemlockswitch.process.share_units import NOTHING, Units
+from hemlockswitch.process.shares.anchor import BATCH_MS, ObjectStore, ShareAnchor
+from hemlockswitch.process.shares.book import ShareBook
+from hemlockswitch.process.shares.borrower import ShareBorrower
+from hemlockswitch.process.shares.end import LoanParts
+from hemlockswitch.process.shares.lender import Lender
+from hemlockswitch.process.shares.messages import LoanNetwork
+from hemlockswitch.process.shares.parts import ShareMember, ShareParts
+from hemlockswitch.process.shares.record import EntryWatch, RenewShares
+from hemlockswitch.process.shares.renewal import ShareRenewal
+from hemlockswitch.process.shares.units import NOTHING, Units
 from hemlockswitch.request.allowances import AccountUse, Allowance, Credit, Shortage
 from hemlockswitch.version.models import OperatorFile
 
--- a/hemlockswitch/process/share_terms.py
+++ b/hemlockswitch/process/shares/terms.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from hemlockswitch.process.share_units import NOTHING, Resource, Units
+from hemlockswitch.process.shares.units import NOTHING, Resource, Units
 
 TERM_MS = 10_000.0
 LOAN_MS = 3_000.0
--- a/hemlockswitch/process/fleet_events.py
+++ b/hemlockswitch/process/status/fleet_events.py
@@ -10,7 +10,7 @@
 from hemlockswitch.connection.platform_models import ListedVm, ObjectPage, StoredObject, VmList
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import HemlockError
-from hemlockswitch.process.zone_status import STATUS_KIND
+from hemlockswitch.process.status.zone_status import STATUS_KIND
 from hemlockswitch.version.revisions import POINTER_KIND
 
 LEASE_KIND = "leases"
--- a/hemlockswitch/process/zone_status.py
+++ b/hemlockswitch/process/status/zone_status.py
@@ -25,7 +25,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import rank_rendezvous
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.revision_store import ObjectStore
+from hemlockswitch.process.revisions.store import ObjectStore
 
 STATUS_KIND = "status"
 REPORT_INTERVAL_MS = 10_000
--- a/hemlockswitch/programs/ctl_apply.py
+++ b/hemlockswitch/programs/ctl_apply.py
@@ -6,10 +6,10 @@
 
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import HemlockError
-from hemlockswitch.process.applying import Applied, Applier
-from hemlockswitch.process.revision_store import RevisionStore
-from hemlockswitch.process.zone_status import STATUS_KIND
-from hemlockswitch.process.zone_view import ZoneState, ZoneView, view_zones
+from hemlockswitch.process.revisions.applying import Applied, Applier
+from hemlockswitch.process.revisions.store import RevisionStore
+from hemlockswitch.process.status.zone_status import STATUS_KIND
+from hemlockswitch.process.status.zone_view import ZoneState, ZoneView, view_zones
 from hemlockswitch.programs.ctl_files import ExitCode, read_file
 from hemlockswitch.programs.ctl_platform import PLATFORM_OPTIONS, PlatformCommand, describe_changes
 from hemlockswitch.version.checks import CheckedFile, InvalidFileError
--- a/hemlockswitch/programs/ctl_events.py
+++ b/hemlockswitch/programs/ctl_events.py
@@ -6,7 +6,7 @@
 from cleo.helpers import option
 
 from hemlockswitch.core.clock import MS_PER_SECOND
-from hemlockswitch.process.fleet_events import FleetEvents
+from hemlockswitch.process.status.fleet_events import FleetEvents
 from hemlockswitch.programs.ctl_files import ExitCode
 from hemlockswitch.programs.ctl_platform import PLATFORM_OPTIONS, PlatformCommand
 
--- a/hemlockswitch/programs/ctl_platform.py
+++ b/hemlockswitch/programs/ctl_platform.py
@@ -11,7 +11,7 @@
 from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import MS_PER_SECOND, SystemClock
 from hemlockswitch.core.errors import ConfigurationError, HemlockError, PlatformError
-from hemlockswitch.process.applying import RevisionConflictError, UnknownOutcomeError
+from hemlockswitch.process.revisions.applying import RevisionConflictError, UnknownOutcomeError
 from hemlockswitch.programs.ctl_files import JSON_OPTION, ExitCode, report_mistakes
 from hemlockswitch.version.checks import InvalidFileError
 from hemlockswitch.version.differences import Change, describe_change
--- a/hemlockswitch/programs/ctl_status.py
+++ b/hemlockswitch/programs/ctl_status.py
@@ -8,10 +8,10 @@
 from hemlockswitch.connection.platform_models import ListedVm
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import HemlockError
-from hemlockswitch.process.fleet_view import count_copies, describe_copies, format_copies
-from hemlockswitch.process.revision_store import Current, RevisionStore
-from hemlockswitch.process.zone_status import STATUS_KIND
-from hemlockswitch.process.zone_view import StoredDaemon, ZoneView, sum_refusals, view_zones
+from hemlockswitch.process.revisions.store import Current, RevisionStore
+from hemlockswitch.process.status.fleet_view import count_copies, describe_copies, format_copies
+from hemlockswitch.process.status.zone_status import STATUS_KIND
+from hemlockswitch.process.status.zone_view import StoredDaemon, ZoneView, sum_refusals, view_zones
 from hemlockswitch.programs.ctl_apply import describe_view, format_view
 from hemlockswitch.programs.ctl_files import ExitCode
 from hemlockswitch.programs.ctl_platform import PLATFORM_OPTIONS, PlatformCommand
--- a/hemlockswitch/request/allowances.py
+++ b/hemlockswitch/request/allowances.py
@@ -67,7 +67,7 @@
 
 
 class Allowances(Protocol):
-    """A source of allowances; `hemlockswitch.process.shares` is the one that moves them."""
+    """A source of allowances; `hemlockswitch.process.shares.shares` is the one that moves them."""
 
     def find_allowance(self, account: str) -> Allowance | None:
         """Return what may be admitted now, or None for an unknown account."""
--- a/tests/share_fleet.py
+++ b/tests/share_fleet.py
@@ -3,9 +3,9 @@
 from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PeerError, PlatformError
-from hemlockswitch.process.share_parts import ShareMember
-from hemlockswitch.process.share_units import NOTHING, Units
-from hemlockswitch.process.shares import Shares
+from hemlockswitch.process.shares.parts import ShareMember
+from hemlockswitch.process.shares.shares import Shares
+from hemlockswitch.process.shares.units import NOTHING, Units
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.capacity import CapacityQueue
 from hemlockswitch.version.models import OperatorFile
--- a/tests/test_applying.py
+++ b/tests/test_applying.py
@@ -7,7 +7,7 @@
 from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.process.applying import (
+from hemlockswitch.process.revisions.applying import (
     KEPT_REVISIONS,
     Applier,
     RevisionConflictError,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -3,8 +3,8 @@
 from hemlockswitch.connection.loads import LoadReport
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
-from hemlockswitch.process.backends import ZONE_SILENCE_MS, BackendDirectory
-from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.servers.backends import ZONE_SILENCE_MS, BackendDirectory
 from hemlockswitch.request.routing import Need, Router
 from hemlockswitch.version.backend import BackendServer
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -18,12 +18,12 @@
 )
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError, Ran, RequestError
-from hemlockswitch.process import claim_store
-from hemlockswitch.process.claim_ledger import Draft, GiveBack, Head, Place, Verdict, apply
-from hemlockswitch.process.claim_objects import Bounds
-from hemlockswitch.process.claim_routes import ClaimOperation, ClaimPeer
-from hemlockswitch.process.claim_store import ClaimStore
-from hemlockswitch.process.claim_writer import Pace
+from hemlockswitch.process.claims import store as claim_store
+from hemlockswitch.process.claims.ledger import Draft, GiveBack, Head, Place, Verdict, apply
+from hemlockswitch.process.claims.objects import Bounds
+from hemlockswitch.process.claims.routes import ClaimOperation, ClaimPeer
+from hemlockswitch.process.claims.store import ClaimStore
+from hemlockswitch.process.claims.writer import Pace
 from hemlockswitch.request.claims import KEPT_BODY_BYTES, Claim, StoredAnswer
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,11 +8,11 @@
 from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
 from hemlockswitch.core.clock import ManualClock, SystemClock
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
-from hemlockswitch.process.configuration import Configuration
 from hemlockswitch.process.controller import CurrentFile
-from hemlockswitch.process.news import NewsBoard
-from hemlockswitch.process.revision_spread import RevisionSpread
-from hemlockswitch.process.watchers import Pointer
+from hemlockswitch.process.news.board import NewsBoard
+from hemlockswitch.process.revisions.configuration import Configuration
+from hemlockswitch.process.revisions.spread import RevisionSpread
+from hemlockswitch.process.servers.watchers import Pointer
 from hemlockswitch.version.checks import parse_file
 from hemlockswitch.version.revisions import Revision
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hemlockswitch.process.copies import (
+from hemlockswitch.process.copies.copies import (
     Copy,
     Demand,
     Place,
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -3,7 +3,7 @@
 from prometheus_client import CollectorRegistry
 
 from hemlockswitch.core.clock import ManualClock
-from hemlockswitch.process.cost import LONGEST_GAP_MS, CostMeter, HeldCopy
+from hemlockswitch.process.copies.cost import LONGEST_GAP_MS, CostMeter, HeldCopy
 
 LABELS = {"target": "assistant-llm", "machine_class": "reclaimable"}
 COPIES = [HeldCopy("reclaimable", 2.0), HeldCopy("reclaimable", 4.0)]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,8 +9,8 @@
 from hemlockswitch.connection.callers import CallerRequest
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PeerError, RequestError
-from hemlockswitch.process.handover import Handover, HandoverMember, rank_receivers
-from hemlockswitch.process.handover_messages import (
+from hemlockswitch.process.handover.handover import Handover, HandoverMember, rank_receivers
+from hemlockswitch.process.handover.messages import (
     ConfirmTake,
     FindState,
     HandOver,
@@ -18,8 +18,8 @@
     decode_state,
     encode_state,
 )
-from hemlockswitch.process.resuming import Resuming, render_events, serve_state_message
-from hemlockswitch.process.state_store import LINGER_MS, RESERVED_MS, StateStore
+from hemlockswitch.process.handover.resuming import Resuming, render_events, serve_state_message
+from hemlockswitch.process.handover.state_store import LINGER_MS, RESERVED_MS, StateStore
 from hemlockswitch.request.generation import Generation, GenerationState
 
 BODY = b'{"model": "m", "messages": [{"role": "user", "content": "a"}], "stream": true}'
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,11 +7,11 @@
 
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.errors import ErrorKind, PeerError
-from hemlockswitch.process.members import Member, MemberState
-from hemlockswitch.process.membership import Membership, ProbeTimes
-from hemlockswitch.process.news import NewsBoard, NewsItem
-from hemlockswitch.process.overlay import choose_links
-from hemlockswitch.process.spread import Spread
+from hemlockswitch.process.membership.members import Member, MemberState
+from hemlockswitch.process.membership.membership import Membership, ProbeTimes
+from hemlockswitch.process.membership.overlay import choose_links
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.news.spread import Spread
 
 TIMES = ProbeTimes(100, 80, 150, 300, 200)
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hemlockswitch.core.errors import RequestError
-from hemlockswitch.process.share_units import Units
+from hemlockswitch.process.shares.units import Units
 from tests.share_fleet import DriftingClock, Fleet, make_file
 
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -6,10 +6,10 @@
 import pytest
 
 from hemlockswitch.connection.peers import PeerNetwork
-from hemlockswitch.process.members import Member
-from hemlockswitch.process.news import NewsBoard, NewsItem
-from hemlockswitch.process.news_messages import Have, SpreadBounds
-from hemlockswitch.process.spread import Spread
+from hemlockswitch.process.membership.members import Member
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.news.messages import Have, SpreadBounds
+from hemlockswitch.process.news.spread import Spread
 
 LARGE = "x" * 1_000
 
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -1,6 +1,6 @@
 from collections import Counter
 
-from hemlockswitch.process.subsets import Subset
+from hemlockswitch.process.servers.subsets import Subset
 
 DAEMONS = [f"entry-{number}" for number in range(30)]
 SERVERS = [f"llm-{number}" for number in range(200)]
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -5,9 +5,9 @@
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.core.identifiers import rank_rendezvous
-from hemlockswitch.process.news import NewsBoard, NewsItem
-from hemlockswitch.process.vm_feed import GONE_AFTER_MS, VmFeed
-from hemlockswitch.process.watchers import (
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.servers.vm_feed import GONE_AFTER_MS, VmFeed
+from hemlockswitch.process.servers.watchers import (
     FEED_SILENCE_MS,
     MAX_RETRY_MS,
     NoticeFeed,
--- a/tests/test_zone_status.py
+++ b/tests/test_zone_status.py
@@ -5,8 +5,8 @@
 from hemlockswitch.connection.platform_models import Conflict, StoredObject, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.process.metrics import EntryMetrics
-from hemlockswitch.process.zone_status import DaemonReport, ZoneMember, ZoneStatus
-from hemlockswitch.process.zone_view import StoredDaemon, ZoneState, sum_refusals, view_zones
+from hemlockswitch.process.status.zone_status import DaemonReport, ZoneMember, ZoneStatus
+from hemlockswitch.process.status.zone_view import StoredDaemon, ZoneState, sum_refusals, view_zones
 
 ZONE = "marka-hall"
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -2,9 +2,9 @@
 
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PeerError
-from hemlockswitch.process.backends import ZONE_SILENCE_MS, BackendDirectory
-from hemlockswitch.process.news import NewsBoard, NewsItem
-from hemlockswitch.process.zones import ZoneDesk, ZoneQuestions
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.servers.backends import ZONE_SILENCE_MS, BackendDirectory
+from hemlockswitch.process.servers.zones import ZoneDesk, ZoneQuestions
 
 
 class FakeNetwork:
--- a/tools/capacity_daemon.py
+++ b/tools/capacity_daemon.py
@@ -16,8 +16,8 @@
 
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.logs import configure_logs
-from hemlockswitch.process.members import MEMBER_PREFIX, Member
-from hemlockswitch.process.news import NewsBoard, NewsItem
+from hemlockswitch.process.membership.members import MEMBER_PREFIX, Member
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
 from tools.capacity_variants import VARIANTS
 
 PAGE_BYTES = resource.getpagesize()
--- a/tools/capacity_records.py
+++ b/tools/capacity_records.py
@@ -3,8 +3,8 @@
 import json
 import time
 
-from hemlockswitch.process.share_record import Entry, Granted, ShareRecord
-from hemlockswitch.process.share_units import Units
+from hemlockswitch.process.shares.record import Entry, Granted, ShareRecord
+from hemlockswitch.process.shares.units import Units
 
 DAEMONS_AND_ACCOUNTS = ((8, 5), (106, 5), (106, 50))
 UNITS = Units(10, 2_000, 8)
--- a/tools/capacity_target.py
+++ b/tools/capacity_target.py
@@ -4,8 +4,8 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from hemlockswitch.process.members import Member
-from hemlockswitch.process.overlay import choose_links
+from hemlockswitch.process.membership.members import Member
+from hemlockswitch.process.membership.overlay import choose_links
 
 SEGMENT_HEADER_BYTES = 52
 SECONDS_A_DAY = 86_400
--- a/tools/capacity_variants.py
+++ b/tools/capacity_variants.py
@@ -11,10 +11,10 @@
 
 from hemlockswitch.connection.messages import register_message
 from hemlockswitch.core.errors import PeerError
-from hemlockswitch.process.membership import Membership
-from hemlockswitch.process.news_messages import Fetch, News, Row, SpreadBounds
-from hemlockswitch.process.overlay import Links
-from hemlockswitch.process.spread import Spread
+from hemlockswitch.process.membership.membership import Membership
+from hemlockswitch.process.membership.overlay import Links
+from hemlockswitch.process.news.messages import Fetch, News, Row, SpreadBounds
+from hemlockswitch.process.news.spread import Spread
 
 FANOUT = 6
 GRAFT_WAIT_S = 0.1
--- a/tools/copies_controller.py
+++ b/tools/copies_controller.py
@@ -6,7 +6,7 @@
 
 import sys
 
-from hemlockswitch.process import control
+from hemlockswitch.process.copies import control
 from hemlockswitch.programs.controller import main
 from tools.copies_baselines import find_rule
 
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -32,10 +32,10 @@
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.core.logs import configure_logs
-from hemlockswitch.process import claim_writer
-from hemlockswitch.process.claim_routes import ClaimPeer
-from hemlockswitch.process.claim_store import ClaimStore
-from hemlockswitch.process.claim_writer import Pace
+from hemlockswitch.process.claims import writer as claim_writer
+from hemlockswitch.process.claims.routes import ClaimPeer
+from hemlockswitch.process.claims.store import ClaimStore
+from hemlockswitch.process.claims.writer import Pace
 from hemlockswitch.request.claims import Claim, Outcome, StoredAnswer, digest_key
 
 DAEMONS = 8
--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -20,7 +20,7 @@
 from features.support.operator_files import make_account, make_operator_file
 from features.support.processes import wait_until
 from hemlockswitch.connection.messages import encode_message
-from hemlockswitch.process.revision_messages import RevisionAnswer, RevisionNews
+from hemlockswitch.process.revisions.messages import RevisionAnswer, RevisionNews
 from hemlockswitch.version.checks import parse_file
 from hemlockswitch.version.differences import compare_trees, pack_changes
 from hemlockswitch.version.documents import digest_tree
--- a/tools/measure_shares.py
+++ b/tools/measure_shares.py
@@ -25,8 +25,8 @@
 from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import MS_PER_SECOND, SystemClock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PeerError, PlatformError
-from hemlockswitch.process.share_parts import ShareMember
-from hemlockswitch.process.shares import Shares
+from hemlockswitch.process.shares.parts import ShareMember
+from hemlockswitch.process.shares.shares import Shares
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.allowances import FixedAllowances
 from hemlockswitch.request.capacity import CapacityQueue
--- a/tools/measure_subsets.py
+++ b/tools/measure_subsets.py
@@ -14,9 +14,9 @@
 from statistics import median
 
 from hemlockswitch.core.clock import SystemClock
-from hemlockswitch.process.backends import BackendDirectory
-from hemlockswitch.process.news import NewsBoard, NewsItem
-from hemlockswitch.process.subsets import Subset
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.servers.backends import BackendDirectory
+from hemlockswitch.process.servers.subsets import Subset
 from hemlockswitch.request.prefixes import hash_blocks
 from hemlockswitch.request.routing import Need, Router
 
