--- a/hemlockswitch/connection/platform.py
+++ b/hemlockswitch/connection/platform.py
@@ -103,6 +103,10 @@
         answer = self._read(f"/objects/{quote(kind)}?{urlencode({'prefix': prefix})}")
         return _parse(PageBody, _require(answer)).to_page()
 
+    def list_stale(self, kind: str) -> ObjectPage:
+        """Return the objects of a kind; this service has no cheaper, older answer to give."""
+        return self.list(kind)
+
     def watch(self, kind: str, since: int, wait_ms: int, prefix: str = "") -> ObjectPage:
         """Return what changed after version `since`, waiting up to `wait_ms` for the first."""
         query = urlencode({"since": since, "wait_ms": wait_ms, "prefix": prefix})
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,99 @@
+"""The deploy files fit the programs: the template makes settings that the gateway takes."""
+
+import json
+import re
+import tomllib
+from pathlib import Path
+
+from hemlockswitch.version.settings import GatewaySettings
+
+DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
+
+GIVEN = {
+    "node": "front-abdoun-hall-1",
+    "zone": "abdoun-hall",
+    "region": "amman",
+    "ip": "10.1.0.14",
+    "zones": {"abdoun-hall": "amman", "khalda-hall": "amman"},
+    "listen": {"front": "10.1.0.14:8221", "ready": "10.1.0.14:8224"},
+    "internal_ports": [7600, 7615],
+    "bounds": {
+        "grace_s": 8.5,
+        "retry_budget_ratio": 0.2,
+        "budget_extra": 56,
+        "budget_window_s": 10,
+        "usage_window_s": 5,
+    },
+    "platform": {"address": "10.200.1.7:8225"},
+    "cloud": {"address": "10.200.0.35:8225"},
+}
+"""The fields of the users' example that the template uses."""
+
+
+def find_value(name):
+    value = GIVEN
+    for step in name.split("."):
+        value = value[int(step)] if isinstance(value, list) else value[step]
+    return str(value)
+
+
+def render(text):
+    """Fill the template in, as far as it uses the placeholders' language."""
+
+    def repeat(match):
+        entries = list(GIVEN[match[1]])
+        return "".join(
+            match[2].replace("{{@}}", entry).replace("{{,}}", "," * (entry != entries[-1]))
+            for entry in entries
+        )
+
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", repeat, text)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: find_value(match[1]), text)
+
+
+def read_role():
+    return tomllib.loads((DEPLOY / "system.toml").read_text())["roles"]["gateway"]
+
+
+def test_the_template_makes_settings_that_the_gateway_takes():
+    template = (DEPLOY.parent / read_role()["template"]).read_text()
+    settings = GatewaySettings.from_json(render(template))
+    assert settings.name == "front-abdoun-hall-1"
+    assert settings.zones == ("abdoun-hall", "khalda-hall")
+    assert settings.peer_listen == "10.1.0.14:7600"
+    assert settings.stop_grace_s == 8.5
+    assert settings.repeat_extra == 56
+
+
+def test_the_role_runs_a_module_that_exists():
+    words = read_role()["run"].split()
+    module = words[words.index("-m") + 1].replace(".", "/")
+    assert (DEPLOY.parent / f"{module}.py").exists()
+
+
+def read_pins(path):
+    return set(re.findall(r"^([a-z0-9_.-]+==\S+)", path.read_text(), flags=re.MULTILINE))
+
+
+def test_what_is_deployed_is_what_is_tested():
+    deployed = read_pins(DEPLOY / "requirements.lock")
+    assert deployed
+    assert deployed <= read_pins(DEPLOY.parent / "requirements.lock")
+
+
+def test_only_the_adapter_and_the_stand_ins_know_the_platforms_headers():
+    package = DEPLOY.parent / "hemlockswitch"
+    knowing = {
+        path.relative_to(package).as_posix()
+        for path in package.rglob("*.py")
+        if re.search(r"hemlockswitch-[a-z]+-|api[-_]keys|X-Api-Key", path.read_text(), re.I)
+    }
+    assert json.dumps(sorted(knowing)) == json.dumps(
+        [
+            "platform/cloud.py",
+            "platform/headers.py",
+            "platform/manifest.py",
+            "standin/gateway_store.py",
+            "standin/runner.py",
+        ]
+    )
