--- a/hemlockswitch/connection/http.py
+++ b/hemlockswitch/connection/http.py
@@ -6,7 +6,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
-from hemlockswitch.connection.sockets import abort, set_liveness_options
+from hemlockswitch.connection.sockets import reset_on_close, set_liveness_options
 
 
 class NotSentError(Exception):
@@ -39,6 +39,8 @@
         try:
             connection = self._connection_pool.get_socket()
             set_liveness_options(connection)
+            # The library closes a connection by itself when an answer does not come.
+            reset_on_close(connection)
         except (OSError, RuntimeError) as error:
             raise NotSentError(str(error)) from error
         return connection
@@ -57,7 +59,6 @@
             head = self._build_request(method, request_uri, body=body, headers=headers)
             connection.sendall(head.encode("latin-1") + body)
         except BaseException:
-            abort(connection)
             pool.release_socket(connection)
             raise
         return HTTPSocketPoolResponse(
--- a/hemlockswitch/connection/platform_calls.py
+++ b/hemlockswitch/connection/platform_calls.py
@@ -11,7 +11,6 @@
 from hemlockswitch.connection.backoff import Backoff
 from hemlockswitch.connection.http import NotSentError, SingleSendClient
 from hemlockswitch.connection.platform_models import RefusalBody
-from hemlockswitch.connection.sockets import abort
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 
@@ -108,10 +107,8 @@
         except gevent.Timeout as error:
             if error is not timer:
                 raise
-            abort(connection)
             raise AnswerLostError(f"no answer in {limit_ms:.0f} ms") from error
         except (OSError, HTTPParseError) as error:
-            abort(connection)
             raise AnswerLostError(f"the connection broke: {error}") from error
         finally:
             timer.close()
--- a/hemlockswitch/connection/sockets.py
+++ b/hemlockswitch/connection/sockets.py
@@ -51,13 +51,18 @@
     return connection
 
 
-def abort(connection: socket.socket) -> None:
-    """Close with a reset, so that bytes which were not delivered yet never arrive.
+def reset_on_close(connection: socket.socket) -> None:
+    """Make every close of the connection a reset, whoever closes it.
 
     A plain close lets the kernel go on sending: a request that a partition held up would arrive
     seconds later, when its sender no longer stands by it.
     """
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def abort(connection: socket.socket) -> None:
+    """Close with a reset, so that bytes which were not delivered yet never arrive."""
     # An error means that it is closed already: nothing is left to hold back.
     with contextlib.suppress(OSError):
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset_on_close(connection)
     connection.close()
