Count only the copies that were found for the prior

Cause: the prior rose with the copies that were ordered meanwhile, so on the small sites the second copy of each zone was given back at 12 s, with what it had cached, as the waves of reclaims began.

--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -280,8 +280,7 @@
     def _find_prior(self, service: str, live: int, demand: Demand) -> int:
         """Return what to keep of the copies found, until the demand has been measured."""
         now_ms = self._clock.now_ms()
-        prior = self._priors.get(service, 0)
-        prior = self._priors[service] = max(prior, math.ceil(live * PRIOR_SHARE))
+        prior = self._priors.setdefault(service, math.ceil(live * PRIOR_SHARE))
         if demand.running or demand.prefill_tokens_per_ms > 0:
             self._demand_since_ms.setdefault(service, now_ms)
         since_ms = self._demand_since_ms.get(service)
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -252,3 +252,15 @@
     )
     play(market, duty, 20_000)
     assert len(market.servers) >= 0.4 * 32
+
+
+def test_copies_that_were_ordered_do_not_count_as_found():
+    """On quiet-1 of the small sites the prior rose from 3 to 4 with the ordered copies, and the
+    second copy of each zone was given back just as a wave of reclaims began."""
+    market = Market(ManualClock())
+    for zone in ("z1", "z2", "z3", "z4", "z1", "z3"):
+        market.add(Pool(zone, ON_DEMAND))
+    duty = make_duty(market, tokens=0)
+    play(market, duty, 12_000)
+    classes = [one.machine_class for one in market.list()]
+    assert classes.count("reclaimable") == 4
