--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -53,9 +53,10 @@
 LONGEST_SETTLE_MS = 400.0
 """A leaving server must get nothing new two seconds after it said so; this leaves most of it."""
 TASK_RESTART_MS = 500.0
-LISTEN_ON_STOP_MS = 3_000.0
+LISTEN_ON_STOP_MS = 2_500.0
 """How long to accept connections after a stop signal: balancers ask for readiness once a second
-and take a daemon out after two answers, so new connections come for up to two seconds."""
+and take a daemon out after two answers, so new connections come for up to two seconds. What comes
+later than three seconds could not count on being finished in the time that is left."""
 FORCE_MARGIN_MS = 500.0
 """The process ends by itself this long before the platform ends it by force."""
 STOP_STEP_MS = 50.0
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hemlockswitch.process.gateway.daemon import LISTEN_ON_STOP_MS
 from hemlockswitch.standin.gateway_store import StoreFaults
 from tests.gateway_site import KEY, Site, make_manifest
 
@@ -100,3 +101,8 @@
     assert request.get(timeout=10).is_whole
     stopping.join(timeout=10)
     assert stopping.successful()
+
+
+def test_a_stopping_gateway_listens_until_the_balancer_has_left_and_no_longer():
+    """The balancer leaves after two asks, a second apart; three seconds after the signal is late."""
+    assert 2_000 < LISTEN_ON_STOP_MS < 2_900
