Remove what nothing uses of the gateway's exchanges and usage counts

Read once more as a whole: a count, a flag and a method had no reader. Behaviour is the same. A fault seen in reading (a slow head gets its time anew with each piece) is listed as open, not mended.

--- a/hemlockswitch/connection/backend_pool.py
+++ b/hemlockswitch/connection/backend_pool.py
@@ -45,20 +45,15 @@
     Parameters
     ==========
 
-    is_fresh : whether the connection was made for this exchange.
     is_own : tells this request's answer from one of another request.
     """
 
-    def __init__(
-        self, connection: socket.socket, address: str, method: str, is_fresh: bool, is_own: IsOwn
-    ) -> None:
+    def __init__(self, connection: socket.socket, address: str, method: str, is_own: IsOwn) -> None:
         self.address = address
-        self.is_fresh = is_fresh
         self._connection = connection
         self._is_own = is_own
         self._parser = AnswerParser(method)
         self._answer: ParsedAnswer | None = None
-        self.mismatched = 0
 
     @property
     def answer(self) -> ParsedAnswer:
@@ -115,7 +110,6 @@
             if not first.done:
                 return
             self._parser.answers.popleft()
-            self.mismatched += 1
 
     def read_piece(self) -> bytes:
         """Return the next piece of the body, or ``b""`` when it is complete.
@@ -223,13 +217,13 @@
         """
         kept = self._take_idle(address, most_idle_ms)
         if kept is not None:
-            return PooledExchange(kept, address, method, False, is_own)
+            return PooledExchange(kept, address, method, is_own)
         try:
             connection = connect(address, min(timeout_ms, CONNECT_TIMEOUT_MS))
         except OSError as error:
             raise ExchangeError(Stage.BEFORE_SEND, str(error)) from error
         self._on_connect(address)
-        return PooledExchange(connection, address, method, True, is_own)
+        return PooledExchange(connection, address, method, is_own)
 
     def finish(self, exchange: PooledExchange) -> None:
         """Keep the connection of an exchange if it can be used again, or close it."""
--- a/hemlockswitch/process/gateway/usage.py
+++ b/hemlockswitch/process/gateway/usage.py
@@ -46,10 +46,6 @@
         """Return the number of the window at a moment."""
         return int(believed_ms // self._window_ms)
 
-    def get_end_ms(self, window: int) -> float:
-        """Return when a window ends."""
-        return (window + 1) * self._window_ms
-
     def count(self, believed_ms: float, account: str) -> None:
         """Count one request that began to run."""
         window = self.find_window(believed_ms)
