Drain the lease feature's engines without an order of the test's own

Run 30 times beside a busy bench it failed 6 times, always alike: the test itself put the engines out of the wanted state by an order with the highest number that it had read a moment before; when the successor gave its first order in between, the test's own order was the stale one (log of the engine: 15 serving, then 3 drained, which only the test sends). Ruled out: an order of the paused controller (its last one is 3 serving, before the pause). Change: the stand-in drains on POST /standin/drain, without an order. No check is changed.

--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -67,12 +67,13 @@
 
 
 def ask_for_orders(context):
-    """Bring both engines out of the wanted state, as their restart would."""
+    """Bring both engines out of the wanted state, as their restart would.
+
+    No order is sent for it: an order with a number that was read a moment ago would itself be
+    stale once a successor has given its first one.
+    """
     for name in ENGINES:
-        highest = context.cluster.read_stats(name)["highest_fencing"]
-        wanted = {"models": [MODEL], "role": "mixed", "state": "drained"}
-        order = {"fencing": highest, "wanted": wanted}
-        post_json(context.cluster.get(name).addresses["http"], "/v1/orders", order)
+        post_json(context.cluster.get(name).addresses["http"], "/standin/drain", {})
 
 
 def count_orders(context, name):
--- a/hemlockswitch/standin/engine_api.py
+++ b/hemlockswitch/standin/engine_api.py
@@ -180,7 +180,7 @@
 
 
 class Judge:
-    """``/standin/stats``, ``/standin/faults`` and ``/standin/leaving``."""
+    """``/standin/stats``, ``/standin/faults``, ``/standin/leaving`` and ``/standin/drain``."""
 
     def __init__(self, engine: Engine) -> None:
         self._engine = engine
@@ -200,6 +200,11 @@
         self._engine.leaving_since_ms = self._engine.clock.now_ms()
         response.media = {}
 
+    def on_post_drain(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Drain the engine without an order, as an engine that lost its state would be."""
+        self._engine.draining = True
+        response.media = {}
+
 
 def build_application(engine: Engine) -> Any:
     """Return the WSGI application of an engine."""
@@ -218,6 +223,7 @@
     application.add_route("/standin/stats", judge, suffix="stats")
     application.add_route("/standin/faults", judge, suffix="faults")
     application.add_route("/standin/leaving", judge, suffix="leaving")
+    application.add_route("/standin/drain", judge, suffix="drain")
     return application
 
 
