Time each phase of reading a request as a whole

Cause: _read_request restarted the head's timer after each piece, so that a caller which sent a byte now and then kept its connection until the bound on the head's size. Change: one timer for each phase (idle, head, body), started when the phase begins. Test: a byte each 0.4 s against a head's time of 1 s; it failed before (20 bytes taken), and is ended with 408 after three now.

--- a/hemlockswitch/connection/forward_server.py
+++ b/hemlockswitch/connection/forward_server.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from enum import Enum, auto
 from http import HTTPStatus
 from typing import Any
 
@@ -34,6 +35,22 @@
 Handler = Callable[[ReceivedRequest, "Reply"], None]
 
 
+class ReadPhase(Enum):
+    """How far the next request of a connection has come in."""
+
+    IDLE = auto()
+    HEAD = auto()
+    BODY = auto()
+
+
+def _start_timer(phase: ReadPhase, bounds: CallerBounds) -> gevent.Timeout:
+    """Return a running timer that ends the phase."""
+    limit_ms = bounds.head_timeout_ms if phase is ReadPhase.HEAD else bounds.idle_timeout_ms
+    timer = gevent.Timeout(limit_ms / MS_PER_SECOND)
+    timer.start()
+    return timer
+
+
 class CallerLeftError(Exception):
     """The caller closed its connection, or the answer cannot be continued on it.
 
@@ -157,22 +174,24 @@
         return reply.ended and not reply.closes
 
     def _read_request(self) -> ReceivedRequest | None:
-        """Return the next whole request, or None when the connection ended between requests."""
+        """Return the next whole request, or None when the connection ended between requests.
+
+        Each phase of the reading has its time as a whole: a caller that sends a byte now and then
+        gets no more of it.
+        """
         bounds = self._server.get_bounds()
-        timer = gevent.Timeout(bounds.idle_timeout_ms / MS_PER_SECOND)
-        timer.start()
-        deadline_set = False
+        phase = self._find_phase()
+        timer = _start_timer(phase, bounds)
         try:
             while not self._parser.complete:
                 data = self._receive()
                 if not data:
                     return None
                 self._parser.feed(data)
-                if not self._parser.is_idle and not deadline_set:
+                if self._find_phase() is not phase:
+                    phase = self._find_phase()
                     timer.close()
-                    timer = gevent.Timeout(self._find_read_ms(bounds) / MS_PER_SECOND)
-                    timer.start()
-                    deadline_set = self._parser.in_body
+                    timer = _start_timer(phase, bounds)
                 self._invite_body()
         except gevent.Timeout as expired:
             if expired is not timer:
@@ -184,8 +203,10 @@
             timer.close()
         return self._parser.complete.popleft()
 
-    def _find_read_ms(self, bounds: CallerBounds) -> float:
-        return bounds.idle_timeout_ms if self._parser.in_body else bounds.head_timeout_ms
+    def _find_phase(self) -> ReadPhase:
+        if self._parser.in_body:
+            return ReadPhase.BODY
+        return ReadPhase.IDLE if self._parser.is_idle else ReadPhase.HEAD
 
     def _invite_body(self) -> None:
         """Answer ``Expect: 100-continue``."""
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -291,6 +291,23 @@
     assert sum(sum(runner.state.runs.values()) for runner in app) == 1
 
 
+def test_a_head_that_comes_a_byte_at_a_time_has_the_heads_time_as_a_whole(site, app):
+    """The head's timeout is 1 s in this configuration; a byte comes each 0.4 s."""
+    head = make_request("/check/x", "drip", body=b"")
+    with site.connect() as connection:
+        sent = 0
+        while sent < 20:
+            try:
+                connection.sendall(head[sent : sent + 1])
+            except OSError:
+                break
+            sent += 1
+            gevent.sleep(0.4)
+        assert sent < 20, "the connection was not ended"
+        assert read_reply(connection).status == 408
+    assert count_runs(app, "drip") == 0
+
+
 def test_a_smuggled_request_is_never_run(site, app):
     inner = make_request("/hold/x", "smuggled", body=b"")
     outer = make_request("/check/x", "id-1", body=b"").replace(
