Take no further request on a connection whose answer began before a stop

The stop's loop closes idle connections, but between the stream's end and the next look (or after the last look) the connection took a request. Ruled out: a connection in the listen queue (closed at 2.5 s), an idle connection (closed each 50 ms). Change: an answer that did not announce a close is followed by one while the process stops; and what is read later than the time of accepting is refused as not run, with 503 and a time to come back.

--- a/hemlockswitch/connection/forward_server.py
+++ b/hemlockswitch/connection/forward_server.py
@@ -171,7 +171,12 @@
         finally:
             self._server.active -= 1
             self._unwatch()
-        return reply.ended and not reply.closes
+        return reply.ended and not reply.closes and not self._closes_now()
+
+    def _closes_now(self) -> bool:
+        """Return whether to close after an answer that did not announce it: its head went out
+        before the process was asked to stop, and the caller's next request would be cut off."""
+        return self._server.is_closing and not self._early
 
     def _read_request(self) -> ReceivedRequest | None:
         """Return the next whole request, or None when the connection ended between requests.
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -269,6 +269,7 @@
             self.duties.release()
         while self._clock.now_ms() < listen_until_ms:
             self._clock.sleep_ms(STOP_STEP_MS)
+        self.forwarder.stop_admitting()
         self.callers.stop_accepting()
         while self.callers.active and self._clock.now_ms() < end_ms:
             self._clock.sleep_ms(STOP_STEP_MS)
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -157,6 +157,11 @@
         self._budget = budget
         self._observer = observer
         self._clock = clock
+        self._is_leaving = False
+
+    def stop_admitting(self) -> None:
+        """Refuse every request from now on; those in progress are finished."""
+        self._is_leaving = True
 
     def handle(self, request: ReceivedRequest, reply: Reply) -> None:
         """Serve one request and write its reply."""
@@ -175,6 +180,8 @@
     def _serve(self, progress: Progress, reply: Reply) -> None:
         request = progress.request
         progress.facts = self._dialect.decode_request(request)
+        if self._is_leaving:
+            raise RequestError(ErrorKind.LEAVING, "this process ends before it could answer")
         admitted = admit_request(self._view.get_table(), request, progress.facts, self._limiter)
         progress.admitted = admitted
         progress.last_event_id = progress.facts.last_event_id
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -1,10 +1,13 @@
 """Gateways beside a store that fails, changes and stops: what they know, and the duties."""
 
+import contextlib
+
+import gevent
 import pytest
 
 from hemlockswitch.process.gateway.daemon import LISTEN_ON_STOP_MS
 from hemlockswitch.standin.gateway_store import StoreFaults
-from tests.gateway_site import KEY, Site, make_manifest
+from tests.gateway_site import KEY, Site, make_manifest, make_request, read_reply
 
 
 @pytest.fixture
@@ -88,8 +91,6 @@
 
 
 def test_a_stopping_gateway_finishes_what_it_has(site):
-    import gevent
-
     runner = site.add_runner("llm", event_ms=40)
     gateway = site.gateways[0]
     headers = {"Hemlockswitch_Token_Counts": "10,30", "Hemlockswitch_Prompt_Prefix": "a:10"}
@@ -103,6 +104,41 @@
     assert stopping.successful()
 
 
+def test_a_connection_whose_answer_began_before_the_stop_takes_no_further_request(site):
+    """Incident inc-1b0f: the next request came 7.7 s after SIGTERM and was cut off."""
+    engine = site.add_runner("llm", event_ms=40)
+    gateway = site.gateways[0]
+    headers = {"Hemlockswitch_Token_Counts": "10,15", "Hemlockswitch_Prompt_Prefix": "a:10"}
+    with site.connect() as connection:
+        connection.sendall(make_request("/draft/x", "id-1", **headers))
+        site.wait(lambda: engine.state.seen)
+        gevent.sleep(0.1)
+        stopping = gevent.spawn(gateway.stop)
+        assert read_reply(connection).is_whole
+        with contextlib.suppress(OSError):
+            connection.sendall(make_request("/draft/x", "id-2", **headers))
+            assert read_reply(connection).status == 0, "the connection is closed"
+    stopping.join(timeout=10)
+    assert engine.count_runs("id-2") == 0
+
+
+def test_a_request_that_comes_too_late_for_a_stopping_gateway_is_refused_as_not_run(site):
+    app = site.add_runner("app")
+    gateway = site.gateways[0]
+    late = make_request("/hold/x", "late")
+    with site.connect() as connection:
+        connection.sendall(late[:-1])
+        stopping = gevent.spawn(gateway.stop)
+        gevent.sleep((LISTEN_ON_STOP_MS + 200) / 1_000)
+        connection.sendall(late[-1:])
+        reply = read_reply(connection)
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+    assert reply.headers["connection"] == "close"
+    stopping.join(timeout=10)
+    assert app.count_runs("late") == 0
+
+
 def test_a_stopping_gateway_listens_until_the_balancer_has_left_and_no_longer():
     """The balancer leaves after two asks, a second apart; three seconds after the signal is late."""
     assert 2_000 < LISTEN_ON_STOP_MS < 2_900
