Tell contended spending at once, begin within the tolerated excess, and succeed oneself

Ruled out: a bucket per request path, slow reports (each 0.2 s), the hot account itself (refused rightly). Change: spending of a bucket under three quarters is sent at once (at most each 50 ms); buckets begin with a sixth of the tolerated excess (new setting limit_slack); a process that finds its own address in the lease takes it at once under a higher number. Broadcasts are encoded once. The tests' group now tells contended spending; bounds as before.

--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -1,6 +1,6 @@
 """The network between the system's processes: typed messages over TCP streams."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -155,7 +155,9 @@
 
     def send(self, address: str, message: Any) -> bool:
         """Queue a one-way message; return whether there was a stream to queue it on."""
-        frame = Frame(FrameKind.ONE_WAY, 0, encode_message(message))
+        return self._send_frame(address, Frame(FrameKind.ONE_WAY, 0, encode_message(message)))
+
+    def _send_frame(self, address: str, frame: Frame) -> bool:
         try:
             self._find_link(address).put(frame)
         except PeerError:
@@ -163,6 +165,12 @@
             return False
         return True
 
+    def send_all(self, addresses: Iterable[str], message: Any) -> None:
+        """Queue a one-way message to each of `addresses`; it is encoded once."""
+        frame = Frame(FrameKind.ONE_WAY, 0, encode_message(message))
+        for address in addresses:
+            self._send_frame(address, frame)
+
     def ask(self, address: str, message: Any, timeout_ms: float) -> Any:
         """Send a question and return its reply.
 
--- a/hemlockswitch/process/gateway/accounts.py
+++ b/hemlockswitch/process/gateway/accounts.py
@@ -1,27 +1,24 @@
 """The limits of client accounts over all daemons, from what each daemon says it has spent.
 
 Each daemon keeps a bucket for each account and takes from it both its own requests and those that
-the other daemons report, several times a second. Daemons that are not heard count as a part of
+the other daemons report, several times a second, and at once when little is left. Daemons that are not heard count as a part of
 the limit that is theirs: in a cut each side admits only its part, so the sum stays in the limit.
 """
 
-import random
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.version.serving_table import ForwardedAccount
 
-START_MS = 0.0
-"""A new process may admit this much of the rate at once; a full burst would be a second one for
-every account whenever all daemons restart."""
+START_SLACK_SHARE = 1 / 6
+"""Part of the tolerated excess that a new process's bucket begins with, at most the burst. When all
+daemons restart, each account gets this much anew, and once more before the daemons hear of one
+another. With a sixth, a hot account stays in its bound over two restarts in one window; with a
+third it does not (tests/test_gateway_accounts.py)."""
 CONTENDED_SHARE = 0.75
-"""Below this part of its capacity a bucket counts as contended: gateways that have not heard of
-one another's spending yet may each use only a part of what is left."""
-CONTENDED_PARTS = 1.5
-"""How many times its even part of a contended bucket a gateway may use between two reports:
-callers are spread unevenly, and one and a half even parts serve an account that uses two gateways in
-three."""
+"""Below this part of its capacity a bucket counts as contended: what is spent of it is told to the
+other daemons at once, not with the next report, since each of them could spend the rest again."""
 TOLD_MS = 3_000.0
 """How long after its last request an account's sum is told to the other daemons; several reports
 carry each sum, so that a lost one changes nothing."""
@@ -33,6 +30,11 @@
 class AccountBucket:
     """What one account may spend, as one daemon believes.
 
+    Parameters
+    ==========
+
+    start : what it holds at `now_ms`.
+
     Examples
     ========
 
@@ -46,14 +48,12 @@
         now_ms: float,
         rate_per_s: float,
         burst: float,
-        draw: Callable[[], float] = random.random,
+        start: float = 0.0,
     ) -> None:
         self._rate_per_s = rate_per_s
         self._burst = burst
-        self._level = rate_per_s * START_MS / MS_PER_SECOND
+        self._level = min(start, burst)
         self._updated_ms = now_ms
-        self._unreported = 0.0
-        self._draw = draw
 
     def set_limit(self, now_ms: float, rate_per_s: float, burst: float, share: float) -> None:
         """Use another limit from now on."""
@@ -61,24 +61,18 @@
         self._rate_per_s = rate_per_s
         self._burst = burst
 
-    def note_reported(self) -> None:
-        """The other daemons have been told what was spent so far."""
-        self._unreported = 0.0
-
-    def take(self, now_ms: float, amount: float, share: float, daemons: int = 1) -> float | None:
+    def take(self, now_ms: float, amount: float, share: float) -> float | None:
         """Spend `amount`; return None, or the ms to wait when there is not enough.
 
         Parameters
         ==========
 
         share : part of the limit that the daemons in touch with this one have together.
-        daemons : how many these are.
         """
         self._refill(now_ms, share)
         needed = min(amount, self._capacity(share))
-        if self._level >= needed and self._may_use(amount, share, daemons):
+        if self._level >= needed:
             self._level -= amount
-            self._unreported += amount
             return None
         rate = max(self._rate_per_s * share, 1.0)
         wait_ms = (needed - self._level) / rate * MS_PER_SECOND
@@ -89,13 +83,9 @@
         self._refill(now_ms, share)
         self._level -= amount
 
-    def _may_use(self, amount: float, share: float, daemons: int) -> bool:
-        """Return whether this daemon's part of a contended bucket allows `amount`."""
-        if daemons <= 1 or self._level >= CONTENDED_SHARE * self._capacity(share):
-            return True
-        part = CONTENDED_PARTS * self._level / daemons
-        # A part may be smaller than a single request: chance lets in as many as it is worth.
-        return self._draw() * (self._unreported + amount) <= part
+    def is_contended(self, share: float) -> bool:
+        """Return whether little is left of what the bucket may hold."""
+        return self._level < CONTENDED_SHARE * self._capacity(share)
 
     def _capacity(self, share: float) -> float:
         return max(self._burst, self._rate_per_s) * share
@@ -114,16 +104,22 @@
 
     clock : the time.
     get_share : returns the part of the limits that the daemons in touch have together.
-    count_in_touch : returns how many these are, with this one.
+    on_contended : called when some of a contended bucket was spent, to tell the others.
+    slack : by how much the use of an account may exceed its limit over all daemons.
     """
 
     def __init__(
-        self, clock: Clock, get_share: Callable[[], float], count_in_touch: Callable[[], int]
+        self,
+        clock: Clock,
+        get_share: Callable[[], float],
+        on_contended: Callable[[], None] = lambda: None,
+        slack: float = 0.0,
     ) -> None:
         self.spent: dict[str, float] = defaultdict(float)
         self._clock = clock
         self._get_share = get_share
-        self._count_in_touch = count_in_touch
+        self._on_contended = on_contended
+        self._start = slack * START_SLACK_SHARE
         self._buckets: dict[str, AccountBucket] = {}
         self._limits: dict[str, tuple[float, float]] = {}
         self._spent_ms: dict[str, float] = {}
@@ -133,18 +129,18 @@
     def take(self, account: ForwardedAccount, amount: float) -> float | None:
         """Spend `amount` of an account; return None, or how long to wait in ms."""
         bucket = self._find_bucket(account)
-        wait_ms = bucket.take(
-            self._clock.now_ms(), amount, self._get_share(), self._count_in_touch()
-        )
-        if wait_ms is None:
-            self.spent[account.name] += amount
-            self._spent_ms[account.name] = self._clock.now_ms()
-        return wait_ms
+        share = self._get_share()
+        wait_ms = bucket.take(self._clock.now_ms(), amount, share)
+        if wait_ms is not None:
+            return wait_ms
+        self.spent[account.name] += amount
+        self._spent_ms[account.name] = self._clock.now_ms()
+        if bucket.is_contended(share):
+            self._on_contended()
+        return None
 
     def describe_spent(self) -> dict[str, float]:
-        """Return what the accounts in use have spent here, to be sent to the other daemons now."""
-        for bucket in self._buckets.values():
-            bucket.note_reported()
+        """Return what the accounts in use have spent here, for the other daemons."""
         oldest_ms = self._clock.now_ms() - TOLD_MS
         return {
             account: self.spent[account]
@@ -167,7 +163,9 @@
         now_ms = self._clock.now_ms()
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            bucket = self._buckets[account.name] = AccountBucket(self._begun_ms, *limit)
+            bucket = self._buckets[account.name] = AccountBucket(
+                self._begun_ms, *limit, self._start
+            )
         elif self._limits[account.name] != limit:
             bucket.set_limit(now_ms, *limit, self._get_share())
         self._limits[account.name] = limit
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 import gevent
+from gevent.event import Event as Signal
 
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.caller_server import CallerServer
@@ -28,6 +29,7 @@
     Fleet,
     GatewayReport,
     ReportSource,
+    SpendingReport,
     UsageReport,
 )
 from hemlockswitch.process.gateway.follower import ObjectFollower, WatchedStore
@@ -61,6 +63,9 @@
 """The process ends by itself this long before the platform ends it by force."""
 STOP_STEP_MS = 50.0
 CALLER_TIMEOUT_MS = 5_000
+SPENDING_PAUSE_MS = 50.0
+"""Least time between two reports of a contended account: with sixty gateways and forty requests a
+second of the account, a gateway gets about as many of these as ordinary reports."""
 REGISTRY_FILLS_MS = 5_000.0
 """When all processes start together, servers register within a few of their heartbeats of 1.2 s."""
 
@@ -132,6 +137,7 @@
         self._is_stopping = False
         self._was_ready = False
         self._tasks: list[gevent.Greenlet] = []
+        self._contended = Signal()
         self._build_knowledge()
         self._build_forwarding()
         self._build_duties()
@@ -150,7 +156,12 @@
             self.settings.cluster, self.settings.name, self.settings.peer_listen, clock=clock
         )
         source = ReportSource(
-            self._build_report, self._take_report, self._build_usage, self._take_usage
+            self._build_report,
+            self._take_report,
+            self._build_spending,
+            self._take_spending,
+            self._build_usage,
+            self._take_usage,
         )
         self.fleet = Fleet(self.settings.name, self.network, source, clock)
         self.config_follower = ObjectFollower(
@@ -164,7 +175,9 @@
     def _build_forwarding(self) -> None:
         """Build the path of a request."""
         settings, clock = self.settings, self._clock
-        self.limits = SharedLimits(clock, self.fleet.get_share, self.fleet.count_in_touch)
+        self.limits = SharedLimits(
+            clock, self.fleet.get_share, self._contended.set, settings.limit_slack
+        )
         self.observer = GatewayObserver(self.usage, self.true_time, clock)
         self.budget = RepeatBudget(
             settings.repeat_ratio,
@@ -191,6 +204,7 @@
             self.settings.name,
             make_lease_times(self.settings.lease_term_ms),
             self.fleet.count_daemons,
+            lambda: self.network.address,
         )
         scaling = ScalingDuty(
             api,
@@ -237,7 +251,13 @@
         self.control_server.start()
         for follower in (self.config_follower, self.server_follower):
             self._spawn(follower.run)
-        for task in (self._refresh_fleet, self._report, self._report_usage, self._sweep):
+        for task in (
+            self._refresh_fleet,
+            self._report,
+            self._report_spending,
+            self._report_usage,
+            self._sweep,
+        ):
             self._spawn(task)
         if self.duties is not None:
             self._spawn(self.duties.keep_lease)
@@ -325,6 +345,13 @@
             self._clock.sleep_ms(self.fleet.get_period_ms())
             self.fleet.send_reports()
 
+    def _report_spending(self) -> None:
+        while True:
+            self._contended.wait()
+            self._contended.clear()
+            self.fleet.send_spending()
+            self._clock.sleep_ms(SPENDING_PAUSE_MS)
+
     def _sweep(self) -> None:
         while True:
             self._clock.sleep_ms(SWEEP_MS)
@@ -343,6 +370,12 @@
             leads=self.duties is not None and self.duties.leads,
         )
 
+    def _build_spending(self) -> SpendingReport:
+        return SpendingReport(self.settings.name, self._incarnation, self.limits.describe_spent())
+
+    def _take_spending(self, report: SpendingReport) -> None:
+        self.limits.take_report(f"{report.name}/{report.incarnation}", report.spent)
+
     def _build_usage(self) -> UsageReport:
         return UsageReport(self.settings.name, self._incarnation, self.usage.describe_own())
 
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -7,7 +7,7 @@
 docs/CAPACITY.md says where it ends.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -68,6 +68,22 @@
     leads: bool = False
 
 
+@register_message("account_spending")
+@dataclass(frozen=True)
+class SpendingReport:
+    """What a gateway's accounts have spent, sent at once while a limit is contended.
+
+    Parameters
+    ==========
+
+    spent : account to what it has spent since the process began, as in `GatewayReport`.
+    """
+
+    name: str
+    incarnation: int
+    spent: dict[str, float]
+
+
 @register_message("usage_counts")
 @dataclass(frozen=True)
 class UsageReport:
@@ -113,6 +129,8 @@
 
     build: Callable[[], GatewayReport]
     take: Callable[[GatewayReport], None]
+    build_spending: Callable[[], SpendingReport]
+    take_spending: Callable[[SpendingReport], None]
     build_usage: Callable[[], UsageReport]
     take_usage: Callable[[UsageReport], None]
 
@@ -138,6 +156,7 @@
         self._clock = clock
         self._peers: dict[str, Peer] = {}
         network.handle(GatewayReport, self._take_report, quick=True)
+        network.handle(SpendingReport, lambda _, report: source.take_spending(report), quick=True)
         network.handle(UsageReport, lambda _, report: source.take_usage(report), quick=True)
 
     def replace_all(self, page: ObjectPage) -> None:
@@ -187,18 +206,20 @@
 
     def send_reports(self) -> None:
         """Tell every other gateway."""
-        report = self._source.build()
-        for peer in self._peers.values():
-            self._network.send(peer.address, report)
+        self._send_to(self._peers.values(), self._source.build())
+
+    def send_spending(self) -> None:
+        """Tell every gateway that is in touch what the accounts have spent."""
+        self._send_to(self.list_heard(), self._source.build_spending())
 
     def send_usage(self) -> None:
         """Tell the holder of the duties what was counted."""
         leaders = [peer for peer in self.list_heard() if peer.report and peer.report.leads]
-        if not leaders:
-            return
-        report = self._source.build_usage()
-        for peer in leaders:
-            self._network.send(peer.address, report)
+        if leaders:
+            self._send_to(leaders, self._source.build_usage())
+
+    def _send_to(self, peers: Iterable[Peer], message: Any) -> None:
+        self._network.send_all([peer.address for peer in peers], message)
 
     def get_period_ms(self) -> float:
         """Return the time between two reports."""
--- a/hemlockswitch/process/lease.py
+++ b/hemlockswitch/process/lease.py
@@ -93,6 +93,9 @@
     holder : this process's name; only people read it.
     times : the agreed durations.
     count_candidates : how many controllers the zone has; spreads their looks.
+    get_address : returns the address that this process has bound, or nothing. A candidate that
+        finds its own address in the lease succeeds the process before it at once: the address
+        would not be free if that process still ran.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         holder: str,
         times: LeaseTimes | None = None,
         count_candidates: Callable[[], int] = lambda: 2,
+        get_address: Callable[[], str] = lambda: "",
     ) -> None:
         self._platform = platform
         self._clock = clock
@@ -110,6 +114,7 @@
         self._holder = holder
         self._times = times or LeaseTimes()
         self._count_candidates = count_candidates
+        self._get_address = get_address
         self._held: _Held | None = None
         self._seen: _Seen | None = None
         self._sent_ms: dict[str, float] = {}
@@ -186,6 +191,8 @@
         if found is None:
             self._write(lambda value: self._platform.create(LEASE_KIND, self._zone, value))
             return self._times.renew_ms
+        if self._is_predecessor(found):
+            return self._take(found.version)
         now_ms = self._clock.now_ms()
         seen = self._seen
         if seen is None or seen.version != found.version:
@@ -196,6 +203,11 @@
             return min(left_ms, self._times.renew_ms)
         return self._take(found.version)
 
+    def _is_predecessor(self, found: StoredObject) -> bool:
+        """Return whether an earlier process on this process's address holds the lease."""
+        address = self._get_address()
+        return bool(address) and found.value.get("address") == address
+
     def _plan_next_look(self, found: StoredObject, before: _Seen | None) -> float:
         """Look twice in a row; after a change between the two the holder lives: rest long."""
         if found.value["term_ms"] == 0:
@@ -216,9 +228,10 @@
         identifier = make_identifier("lease")
         sent_ms = self._clock.now_ms()
         self._remember(identifier, sent_ms)
-        outcome = send(
-            {"holder": self._holder, "write": identifier, "term_ms": self._times.term_ms}
-        )
+        value = {"holder": self._holder, "write": identifier, "term_ms": self._times.term_ms}
+        if address := self._get_address():
+            value["address"] = address
+        outcome = send(value)
         if isinstance(outcome, Written):
             self._hold(outcome.version, sent_ms)
         else:
--- a/hemlockswitch/version/settings.py
+++ b/hemlockswitch/version/settings.py
@@ -125,6 +125,8 @@
     stop_grace_s : how long after a stop signal the process is ended by force.
     repeat_ratio, repeat_extra, repeat_window_s : the fleet's budget of repeated sends, for each
         service: in a window, `repeat_ratio` for each request and `repeat_extra` more.
+    limit_slack : by how much the use of an account may exceed its limit over all gateways, in the
+        limit's unit; bounds what accounts get anew when all gateways restart.
     lease_term_ms : how long one renewal of the duties' lease lasts.
     usage_window_s : length of a window of the usage reports.
     """
@@ -138,6 +140,7 @@
     repeat_ratio: float = Field(default=0.2, ge=0)
     repeat_extra: float = Field(default=50.0, ge=0)
     repeat_window_s: float = Field(default=10.0, gt=0)
+    limit_slack: float = Field(default=0.0, ge=0)
     lease_term_ms: int = Field(default=4_000, ge=2_000)
     usage_window_s: float = Field(default=5.0, gt=0)
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -23,6 +23,7 @@
         "budget_extra": 56,
         "budget_window_s": 10,
         "usage_window_s": 5,
+        "quota_slack": 190_000,
     },
     "platform": {"address": "10.200.1.7:8225"},
     "cloud": {"address": "10.200.0.35:8225"},
@@ -63,6 +64,7 @@
     assert settings.peer_listen == "10.1.0.14:7600"
     assert settings.stop_grace_s == 8.5
     assert settings.repeat_extra == 56
+    assert settings.limit_slack == 190_000
 
 
 def test_the_role_runs_a_module_that_exists():
--- a/tests/test_gateway_accounts.py
+++ b/tests/test_gateway_accounts.py
@@ -1,7 +1,8 @@
 """Limits of client accounts over all gateways: steady load, cuts, restarts, hot accounts.
 
 The patterns are the sites' days: an account asks for up to eight times its usual amount, all
-gateways are killed and come back within a second, a zone is cut off.
+gateways are killed and come back within a second, a zone is cut off; on the grown sites sixty
+gateways report only each 0.6 s, and one large request is a sixth of an account's burst.
 """
 
 import random
@@ -18,6 +19,10 @@
 )
 REQUEST_TOKENS = 18_000.0
 REPORT_MS = 200
+TELL_MS = 50
+"""How late a spending of a contended account is told: the pause between two such reports."""
+SLACK = 190_000.0
+"""The excess that both sites tolerate in a window of eight seconds, in tokens."""
 
 
 @pytest.fixture(autouse=True)
@@ -28,48 +33,60 @@
 class Group:
     """Gateways that hear one another, with a part of the fleet."""
 
-    def __init__(self, clock, names, share=1.0):
+    def __init__(self, clock, names, share=1.0, slack=0.0):
         self.clock = clock
         self.share = share
+        self.contended = set()
         self.limits = {
-            name: SharedLimits(clock, lambda: self.share, lambda: len(names)) for name in names
+            name: SharedLimits(
+                clock, lambda: self.share, lambda name=name: self.contended.add(name), slack
+            )
+            for name in names
         }
         self.turn = 0
 
-    def exchange(self):
-        reports = {name: limits.describe_spent() for name, limits in self.limits.items()}
+    def exchange(self, names=None):
+        told = self.limits if names is None else names
+        reports = {name: self.limits[name].describe_spent() for name in told}
         for name, limits in self.limits.items():
             for other, spent in reports.items():
                 if other != name:
                     limits.take_report(other, spent)
 
-    def ask(self, tokens):
+    def pass_time(self, now_ms, report_ms):
+        """Exchange what is due at a moment."""
+        if now_ms % report_ms == 0:
+            self.exchange()
+        elif now_ms % TELL_MS == 0:
+            self.exchange(self.contended)
+            self.contended.clear()
+
+    def ask(self, tokens, account=ACCOUNT):
         """Ask at one gateway after the other; return what was admitted."""
         names = list(self.limits)
         name = names[self.turn % len(names)]
         self.turn += 1
-        return tokens if self.limits[name].take(ACCOUNT, tokens) is None else 0.0
+        return tokens if self.limits[name].take(account, tokens) is None else 0.0
 
 
-def press(groups, clock, duration_ms, tokens=REQUEST_TOKENS, step_ms=25):
-    """Ask for seven times the limit, at all gateways by turns; return what was admitted.
+def press(groups, clock, duration_ms, account=ACCOUNT, step_ms=25, report_ms=REPORT_MS):
+    """Ask for a large request at each step, at all gateways by turns; return what was admitted.
 
-    The hottest accounts of the sheets ask for eight times their usual, which is about five
-    times their limit.
+    With the steps of 25 ms that is seven times the limit; the hottest accounts of the sheets ask
+    for eight times their usual, which is about five times their limit.
     """
     admitted = 0.0
     for now_ms in range(0, duration_ms, step_ms):
-        if now_ms % REPORT_MS == 0:
-            for group in groups:
-                group.exchange()
-        admitted += sum(group.ask(tokens) for group in groups)
+        for group in groups:
+            group.pass_time(now_ms, report_ms)
+        admitted += sum(group.ask(REQUEST_TOKENS, account) for group in groups)
         clock.advance(step_ms)
     return admitted
 
 
 def find_bound(duration_ms):
     """What may be used in a window: the limit, a tenth more, and the fixed slack."""
-    return (RATE * duration_ms / 1_000 + BURST) * 1.1 + 190_000
+    return (RATE * duration_ms / 1_000 + BURST) * 1.1 + SLACK
 
 
 def test_a_hot_account_is_held_to_its_limit_over_all_gateways():
@@ -92,6 +109,36 @@
     assert refused == 0, "90,000 tokens a second, at changing gateways"
 
 
+def test_a_hot_account_is_held_to_its_limit_over_sixty_gateways():
+    """The largest account of the grown sites: 462,000 tokens a second, asked for 3.9 times it."""
+    clock = ManualClock(now_ms=0)
+    group = Group(clock, [f"g{number}" for number in range(60)])
+    large = ForwardedAccount("large", counts_tokens=True, rate_per_s=462_000, burst=462_000)
+    clock.advance(12_000)
+    admitted = press([group], clock, 8_000, large, step_ms=10, report_ms=600)
+    assert admitted <= (462_000 * 8 + 462_000) * 1.1 + SLACK
+
+
+def test_large_requests_of_an_account_within_its_limit_are_served_at_sixty_gateways():
+    """Four fifths of the limit in requests of a sixth of the burst, at random gateways and moments.
+
+    With each gateway kept to its part of a contended bucket, 9 in 100 of these were refused.
+    """
+    clock = ManualClock(now_ms=0)
+    group = Group(clock, [f"g{number}" for number in range(60)])
+    clock.advance(12_000)
+    draws = random.Random(3)
+    asked = refused = 0
+    for now_ms in range(0, 30_000, 10):
+        group.pass_time(now_ms, 600)
+        if draws.random() < 0.8 * RATE / REQUEST_TOKENS / 100:
+            asked += 1
+            group.turn = draws.randrange(60)
+            refused += not group.ask(REQUEST_TOKENS)
+        clock.advance(10)
+    assert refused / asked < 0.03, (refused, asked)
+
+
 def test_a_cut_does_not_raise_the_limit():
     clock = ManualClock()
     sides = [Group(clock, ["a1", "a2", "a3"], 3 / 8), Group(clock, list("bcdef"), 5 / 8)]
@@ -110,6 +157,37 @@
     assert admitted <= find_bound(8_000)
 
 
+@pytest.mark.parametrize("restarts", [1, 2])
+def test_restarts_of_all_gateways_stay_in_the_tolerated_excess(restarts):
+    """All processes are killed while a hot account presses, once or twice within a window."""
+    clock = ManualClock()
+    names = [f"g{number}" for number in range(8)]
+    group = Group(clock, names, slack=SLACK)
+    clock.advance(12_000)
+    admitted = press([group], clock, 2_000)
+    for _ in range(restarts):
+        clock.advance(1_000)
+        group = Group(clock, names, slack=SLACK)
+        admitted += press([group], clock, (6_000 - restarts * 1_000) // restarts)
+    assert admitted <= find_bound(8_000)
+
+
+def test_an_account_is_served_at_once_after_a_restart_of_all_gateways():
+    """The first seconds after a restart refused 71 of 116 requests of incident inc-1b0f."""
+    clock = ManualClock()
+    names = [f"g{number}" for number in range(8)]
+    refused = {}
+    for slack in (0.0, SLACK):
+        group = Group(clock, names, slack=slack)
+        refused[slack] = 0
+        for now_ms in range(0, 1_000, 50):
+            group.pass_time(now_ms, REPORT_MS)
+            if now_ms % 250 == 0:
+                refused[slack] += not group.ask(REQUEST_TOKENS)
+            clock.advance(50)
+    assert refused[SLACK] == 0 < refused[0.0], refused
+
+
 def test_a_process_that_started_long_ago_has_the_whole_burst_for_a_new_account():
     clock = ManualClock()
     limits = SharedLimits(clock, lambda: 1.0, lambda: 1)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -164,3 +164,24 @@
     first.release()
     second.take_turn()
     assert second.is_held and not first.is_held
+
+
+def test_a_restarted_holder_succeeds_itself_at_once_under_a_higher_number(objects, clock):
+    def make(address):
+        return Lease(objects, clock, ZONE, "gateway-1", TIMES, get_address=lambda: address)
+
+    make("10.0.0.1:7").take_turn()
+    number = objects.stored.version
+    restarted = make("10.0.0.1:7")
+    restarted.take_turn()
+    assert restarted.get_fencing() > number
+
+
+def test_another_process_of_the_same_name_waits_the_term(objects, clock):
+    """A replaced VM may still run: only the bound address shows that its process has ended."""
+    first = Lease(objects, clock, ZONE, "gateway-1", TIMES, get_address=lambda: "10.0.0.1:7")
+    first.take_turn()
+    replaced = Lease(objects, clock, ZONE, "gateway-1", TIMES, get_address=lambda: "10.0.0.2:7")
+    replaced.take_turn()
+    assert first.is_held
+    assert not replaced.is_held
