Split the gateway's reports, messages and adapter interfaces off its daemon and fleet

Now messages.py holds what gateways tell one another, reports.py exchanges it, adapter.py names the outside systems, fleet.py is membership alone. No behaviour changes; the unit tests are as before.

--- /dev/null
+++ b/hemlockswitch/process/gateway/adapter.py
@@ -0,0 +1,61 @@
+"""The outside systems as the gateway sees them: the interfaces that an adapter implements."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from hemlockswitch.connection.platform_models import ObjectPage, StoredObject, WriteOutcome
+from hemlockswitch.process.gateway.follower import WatchedStore
+from hemlockswitch.process.gateway.scaling import ScalingApi
+from hemlockswitch.process.gateway.usage import UsageApi
+from hemlockswitch.request.dialect import Dialect
+from hemlockswitch.version.backend import BackendServer
+from hemlockswitch.version.serving_table import ServingTable
+
+
+class GatewayStore(WatchedStore, Protocol):
+    """The object service; `PlatformClient` and the adapter's store both are one."""
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or None."""
+
+    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
+        """Write an object that must not exist yet."""
+
+    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
+        """Write an object whose version must be `version`."""
+
+    def list_stale(self, kind: str) -> ObjectPage:
+        """Return the objects of a kind as they were at most some seconds ago."""
+
+    def close(self) -> None:
+        """Close the kept connections."""
+
+
+class DutyApi(UsageApi, ScalingApi, Protocol):
+    """Takes what the holder of the duties sends."""
+
+
+@dataclass(frozen=True)
+class Adapter:
+    """The outside systems of a gateway, behind the product's own interfaces.
+
+    Parameters
+    ==========
+
+    dialect : messages of callers and backend servers.
+    store : the object service.
+    duty_api : the cloud API; None where no duties are taken.
+    config_kind, config_name : the object that holds the newest configuration.
+    server_kind : the kind of the backend servers' entries.
+    decode_table, decode_server : read these objects.
+    """
+
+    dialect: Dialect
+    store: GatewayStore
+    duty_api: DutyApi | None
+    config_kind: str
+    config_name: str
+    server_kind: str
+    decode_table: Callable[[StoredObject], ServingTable]
+    decode_server: Callable[[StoredObject], BackendServer]
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -2,8 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 import gevent
 from gevent.event import Event as Signal
@@ -17,35 +16,27 @@
 )
 from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.peers import PeerNetwork
-from hemlockswitch.connection.platform_models import ObjectPage, StoredObject, WriteOutcome
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.gateway.accounts import SharedLimits
+from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.configuration import TableHolder
 from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
-from hemlockswitch.process.gateway.fleet import (
-    USAGE_MS,
-    Fleet,
-    GatewayReport,
-    ReportSource,
-    SpendingReport,
-    UsageReport,
-)
-from hemlockswitch.process.gateway.follower import ObjectFollower, WatchedStore
-from hemlockswitch.process.gateway.loads import ServerLoad, ServerLoads
+from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.follower import ObjectFollower
+from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.observation import GatewayObserver
 from hemlockswitch.process.gateway.registry import ServerRegistry
-from hemlockswitch.process.gateway.scaling import Demand, ScalingApi, ScalingDuty
+from hemlockswitch.process.gateway.reports import ReportExchange
+from hemlockswitch.process.gateway.scaling import Demand, ScalingDuty
 from hemlockswitch.process.gateway.true_time import TrueTime
-from hemlockswitch.process.gateway.usage import UsageApi, UsageCounts, UsageDuty
+from hemlockswitch.process.gateway.usage import UsageCounts, UsageDuty
 from hemlockswitch.process.gateway.view import GatewayView
 from hemlockswitch.process.lease import Lease
-from hemlockswitch.request.dialect import Dialect
 from hemlockswitch.request.forwarding import Forwarder
 from hemlockswitch.request.repeat_budget import RepeatBudget
 from hemlockswitch.version.backend import BackendServer
-from hemlockswitch.version.serving_table import ServingTable
 from hemlockswitch.version.settings import GatewaySettings, split_address
 
 SWEEP_MS = 1_000.0
@@ -63,6 +54,8 @@
 """The process ends by itself this long before the platform ends it by force."""
 STOP_STEP_MS = 50.0
 CALLER_TIMEOUT_MS = 5_000
+USAGE_MS = 500.0
+"""Time between two reports of usage; what a killed gateway counted since is lost."""
 SPENDING_PAUSE_MS = 50.0
 """Least time between two reports of a contended account: with sixty gateways and forty requests a
 second of the account, a gateway gets about as many of these as ordinary reports."""
@@ -70,54 +63,6 @@
 """When all processes start together, servers register within a few of their heartbeats of 1.2 s."""
 
 
-class GatewayStore(WatchedStore, Protocol):
-    """The object service; `PlatformClient` and the adapter's store both are one."""
-
-    def read(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
-
-    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object whose version must be `version`."""
-
-    def list_stale(self, kind: str) -> ObjectPage:
-        """Return the objects of a kind as they were at most some seconds ago."""
-
-    def close(self) -> None:
-        """Close the kept connections."""
-
-
-class DutyApi(UsageApi, ScalingApi, Protocol):
-    """Takes what the holder of the duties sends."""
-
-
-@dataclass(frozen=True)
-class Adapter:
-    """The outside systems of a gateway, behind the product's own interfaces.
-
-    Parameters
-    ==========
-
-    dialect : messages of callers and backend servers.
-    store : the object service.
-    duty_api : the cloud API; None where no duties are taken.
-    config_kind, config_name : the object that holds the newest configuration.
-    server_kind : the kind of the backend servers' entries.
-    decode_table, decode_server : read these objects.
-    """
-
-    dialect: Dialect
-    store: GatewayStore
-    duty_api: DutyApi | None
-    config_kind: str
-    config_name: str
-    server_kind: str
-    decode_table: Callable[[StoredObject], ServingTable]
-    decode_server: Callable[[StoredObject], BackendServer]
-
-
 class GatewayDaemon:
     """One `hemlock-gateway` process.
 
@@ -133,7 +78,6 @@
         self.settings = settings
         self._adapter = adapter
         self._clock = clock
-        self._incarnation = time.time_ns()
         self._is_stopping = False
         self._was_ready = False
         self._tasks: list[gevent.Greenlet] = []
@@ -155,15 +99,7 @@
         self.network = PeerNetwork(
             self.settings.cluster, self.settings.name, self.settings.peer_listen, clock=clock
         )
-        source = ReportSource(
-            self._build_report,
-            self._take_report,
-            self._build_spending,
-            self._take_spending,
-            self._build_usage,
-            self._take_usage,
-        )
-        self.fleet = Fleet(self.settings.name, self.network, source, clock)
+        self.fleet = Fleet(self.settings.name, lambda: self.network.address, clock)
         self.config_follower = ObjectFollower(
             adapter.store, adapter.config_kind, self.tables, clock
         )
@@ -178,6 +114,17 @@
         self.limits = SharedLimits(
             clock, self.fleet.get_share, self._contended.set, settings.limit_slack
         )
+        self.reports = ReportExchange(
+            settings.name,
+            time.time_ns(),
+            self.network,
+            self.fleet,
+            self.loads,
+            self.limits,
+            self.usage,
+            self.true_time,
+            lambda: self.duties is not None and self.duties.leads,
+        )
         self.observer = GatewayObserver(self.usage, self.true_time, clock)
         self.budget = RepeatBudget(
             settings.repeat_ratio,
@@ -338,18 +285,18 @@
     def _report_usage(self) -> None:
         while True:
             self._clock.sleep_ms(USAGE_MS)
-            self.fleet.send_usage()
+            self.reports.send_usage()
 
     def _report(self) -> None:
         while True:
             self._clock.sleep_ms(self.fleet.get_period_ms())
-            self.fleet.send_reports()
+            self.reports.send_reports()
 
     def _report_spending(self) -> None:
         while True:
             self._contended.wait()
             self._contended.clear()
-            self.fleet.send_spending()
+            self.reports.send_spending()
             self._clock.sleep_ms(SPENDING_PAUSE_MS)
 
     def _sweep(self) -> None:
@@ -358,35 +305,6 @@
             self.pool.sweep()
             self.true_time.hear(self.fleet.list_opinions())
 
-    def _build_report(self) -> GatewayReport:
-        loads = self.loads.describe_own()
-        return GatewayReport(
-            name=self.settings.name,
-            incarnation=self._incarnation,
-            believed_ms=self.true_time.now_ms(),
-            loads={name: (load.running, load.waiting_tokens) for name, load in loads.items()},
-            demand=self.loads.measure_own_demand(),
-            spent=self.limits.describe_spent(),
-            leads=self.duties is not None and self.duties.leads,
-        )
-
-    def _build_spending(self) -> SpendingReport:
-        return SpendingReport(self.settings.name, self._incarnation, self.limits.describe_spent())
-
-    def _take_spending(self, report: SpendingReport) -> None:
-        self.limits.take_report(f"{report.name}/{report.incarnation}", report.spent)
-
-    def _build_usage(self) -> UsageReport:
-        return UsageReport(self.settings.name, self._incarnation, self.usage.describe_own())
-
-    def _take_usage(self, report: UsageReport) -> None:
-        self.usage.take_report(f"{report.name}/{report.incarnation}", report.usage)
-
-    def _take_report(self, report: GatewayReport) -> None:
-        loads = {name: ServerLoad(int(one[0]), float(one[1])) for name, one in report.loads.items()}
-        self.loads.take_report(report.name, loads)
-        self.limits.take_report(f"{report.name}/{report.incarnation}", report.spent)
-
     def _get_settle_ms(self) -> float:
         """Return how long changes of the registry may gather: longer with more gateways."""
         return min(SETTLE_MS_PER_GATEWAY * self.fleet.count_daemons(), LONGEST_SETTLE_MS)
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -1,18 +1,13 @@
 """The other gateways: who they are, from the object service, and what they last reported.
 
-Each gateway registers its address once, lists the others from time to time, and tells every other
-one, several times a second, the load that it puts on backend servers and what its accounts have
-spent. A gateway that was not listed yet makes itself known by its first report. The usage that it
-counted goes to the holder of the duties alone. At the size of a site this full mesh is cheap;
-docs/CAPACITY.md says where it ends.
+Each gateway registers its address once and lists the others from time to time. A gateway that was
+not listed yet makes itself known by its first report (`process.gateway.reports`).
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from hemlockswitch.connection.messages import register_message
-from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.connection.platform_models import (
     ObjectPage,
     StoredObject,
@@ -24,14 +19,13 @@
 from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.messages import GatewayReport
 
 GATEWAY_KIND = "gateways"
 LIST_MS = 10_000.0
 """Time between two lists of the registrations; gateways that come later report by themselves."""
 FIRST_LIST_MS = 1_000.0
 """The same while this gateway is not registered or knows no other one."""
-USAGE_MS = 500.0
-"""Time between two reports of usage; what a killed gateway counted since is lost."""
 REPORT_MS = 200.0
 """Time between two reports at a small fleet. What accounts overspend and what runners get too
 much grows with it; a fifth of a second of the largest account's traffic is far below the bounds."""
@@ -42,64 +36,6 @@
 """A gateway that was not heard for this long counts as out of touch; several reports are missing."""
 
 
-@register_message("gateway_report")
-@dataclass(frozen=True)
-class GatewayReport:
-    """What a gateway tells the others.
-
-    Parameters
-    ==========
-
-    name : the gateway.
-    incarnation : differs for each start of its process.
-    believed_ms : its time of day.
-    loads : server name to (requests in progress, prompt tokens that wait).
-    demand : service to the prompt tokens in a millisecond that it sends.
-    spent : account to what it has spent since the process began.
-    leads : whether it holds the duties.
-    """
-
-    name: str
-    incarnation: int
-    believed_ms: float
-    loads: dict[str, tuple[int, float]]
-    demand: dict[str, float]
-    spent: dict[str, float]
-    leads: bool = False
-
-
-@register_message("account_spending")
-@dataclass(frozen=True)
-class SpendingReport:
-    """What a gateway's accounts have spent, sent at once while a limit is contended.
-
-    Parameters
-    ==========
-
-    spent : account to what it has spent since the process began, as in `GatewayReport`.
-    """
-
-    name: str
-    incarnation: int
-    spent: dict[str, float]
-
-
-@register_message("usage_counts")
-@dataclass(frozen=True)
-class UsageReport:
-    """What a gateway counted in the latest windows, for the holder of the duties.
-
-    Parameters
-    ==========
-
-    usage : window number, as text, to account to count.
-    """
-
-    name: str
-    incarnation: int
-    usage: dict[str, dict[str, int]]
-
-
 @dataclass
 class Peer:
     """Another gateway."""
@@ -123,41 +59,24 @@
         """Write an object whose version must be `version`."""
 
 
-@dataclass(frozen=True)
-class ReportSource:
-    """Where the parts of the own report come from."""
-
-    build: Callable[[], GatewayReport]
-    take: Callable[[GatewayReport], None]
-    build_spending: Callable[[], SpendingReport]
-    take_spending: Callable[[SpendingReport], None]
-    build_usage: Callable[[], UsageReport]
-    take_usage: Callable[[UsageReport], None]
-
-
 class Fleet:
-    """Lists the registrations, sends reports and takes those of others.
+    """The registered gateways, and what each of them last reported.
 
     Parameters
     ==========
 
     name : this gateway.
-    network : the streams to other processes.
-    source : builds the own report and takes those of others.
+    get_address : returns where other gateways reach it; known once its socket is bound.
     clock : the time.
     """
 
-    def __init__(self, name: str, network: PeerNetwork, source: ReportSource, clock: Clock) -> None:
+    def __init__(self, name: str, get_address: Callable[[], str], clock: Clock) -> None:
         self.own_version: int | None = None
         self.is_registered = False
         self._name = name
-        self._network = network
-        self._source = source
+        self._get_address = get_address
         self._clock = clock
         self._peers: dict[str, Peer] = {}
-        network.handle(GatewayReport, self._take_report, quick=True)
-        network.handle(SpendingReport, lambda _, report: source.take_spending(report), quick=True)
-        network.handle(UsageReport, lambda _, report: source.take_usage(report), quick=True)
 
     def replace_all(self, page: ObjectPage) -> None:
         """Take the whole list of registrations; who reports without being listed stays."""
@@ -187,7 +106,7 @@
 
     def register(self, store: RegistrationStore) -> bool:
         """Write the own address; return whether it is known to be written."""
-        value = {"address": self._network.address}
+        value = {"address": self._get_address()}
         try:
             if self.own_version is None:
                 outcome = store.create(GATEWAY_KIND, self._name, value)
@@ -204,22 +123,17 @@
             self.own_version = outcome.version or None
         return False
 
-    def send_reports(self) -> None:
-        """Tell every other gateway."""
-        self._send_to(self._peers.values(), self._source.build())
-
-    def send_spending(self) -> None:
-        """Tell every gateway that is in touch what the accounts have spent."""
-        self._send_to(self.list_heard(), self._source.build_spending())
-
-    def send_usage(self) -> None:
-        """Tell the holder of the duties what was counted."""
-        leaders = [peer for peer in self.list_heard() if peer.report and peer.report.leads]
-        if leaders:
-            self._send_to(leaders, self._source.build_usage())
+    def note_report(self, address: str, report: GatewayReport) -> None:
+        """Take another gateway's report; one that was not listed yet is known from now on."""
+        peer = self._peers.get(report.name)
+        if peer is None:
+            peer = self._peers[report.name] = Peer(report.name, address)
+        peer.heard_ms = self._clock.now_ms()
+        peer.report = report
 
-    def _send_to(self, peers: Iterable[Peer], message: Any) -> None:
-        self._network.send_all([peer.address for peer in peers], message)
+    def list_peers(self) -> list[Peer]:
+        """Return the other gateways."""
+        return list(self._peers.values())
 
     def get_period_ms(self) -> float:
         """Return the time between two reports."""
@@ -272,17 +186,9 @@
     def _take_own(self, item: StoredObject) -> None:
         """Note what the own registration says; an earlier process may have had another address."""
         self.own_version = None if item.deleted else item.version
-        self.is_registered = not item.deleted and item.value.get("address") == self._network.address
+        self.is_registered = not item.deleted and item.value.get("address") == self._get_address()
 
     def _put(self, name: str, address: str) -> None:
         peer = self._peers.get(name)
         if peer is None or peer.address != address:
             self._peers[name] = Peer(name, address)
-
-    def _take_report(self, address: str, report: GatewayReport) -> None:
-        peer = self._peers.get(report.name)
-        if peer is None:
-            peer = self._peers[report.name] = Peer(report.name, address)
-        peer.heard_ms = self._clock.now_ms()
-        peer.report = report
-        self._source.take(report)
--- /dev/null
+++ b/hemlockswitch/process/gateway/reports.py
@@ -0,0 +1,104 @@
+"""The exchange of reports: built from what this gateway's parts know, and handed on to them.
+
+Every gateway tells every other one, several times a second, the load that it puts on backend
+servers and what its accounts have spent; what is spent of a contended limit is told at once, and
+what was counted for the usage reports goes to the holder of the duties alone. At the size of a site
+this full mesh is cheap; docs/CAPACITY.md says where it ends.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.process.gateway.accounts import SharedLimits
+from hemlockswitch.process.gateway.fleet import Fleet, Peer
+from hemlockswitch.process.gateway.loads import ServerLoad, ServerLoads
+from hemlockswitch.process.gateway.messages import GatewayReport, SpendingReport, UsageReport
+from hemlockswitch.process.gateway.true_time import TrueTime
+from hemlockswitch.process.gateway.usage import UsageCounts
+
+
+class ReportExchange:
+    """Sends this gateway's reports and takes those of others.
+
+    Parameters
+    ==========
+
+    name : this gateway.
+    network, fleet : the streams to the other gateways, and who these are.
+    incarnation : differs for each start of its process.
+    leads : returns whether this gateway holds the duties.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        network: PeerNetwork,
+        fleet: Fleet,
+        loads: ServerLoads,
+        limits: SharedLimits,
+        usage: UsageCounts,
+        true_time: TrueTime,
+        leads: Callable[[], bool],
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._network = network
+        self._fleet = fleet
+        self._loads = loads
+        self._limits = limits
+        self._usage = usage
+        self._true_time = true_time
+        self._leads = leads
+        network.handle(GatewayReport, self._take_report, quick=True)
+        network.handle(SpendingReport, self._take_spending, quick=True)
+        network.handle(UsageReport, self._take_usage, quick=True)
+
+    def send_reports(self) -> None:
+        """Tell every other gateway."""
+        self._send(self._fleet.list_peers(), self._build_report())
+
+    def send_spending(self) -> None:
+        """Tell every gateway that is in touch what the accounts have spent."""
+        spent = self._limits.describe_spent()
+        self._send(self._fleet.list_heard(), SpendingReport(self._name, self._incarnation, spent))
+
+    def send_usage(self) -> None:
+        """Tell the holder of the duties what was counted."""
+        holders = [one for one in self._fleet.list_heard() if one.report and one.report.leads]
+        if holders:
+            usage = self._usage.describe_own()
+            self._send(holders, UsageReport(self._name, self._incarnation, usage))
+
+    def _send(self, peers: Iterable[Peer], message: Any) -> None:
+        self._network.send_all([peer.address for peer in peers], message)
+
+    def _build_report(self) -> GatewayReport:
+        loads = self._loads.describe_own()
+        return GatewayReport(
+            name=self._name,
+            incarnation=self._incarnation,
+            believed_ms=self._true_time.now_ms(),
+            loads={name: (load.running, load.waiting_tokens) for name, load in loads.items()},
+            demand=self._loads.measure_own_demand(),
+            spent=self._limits.describe_spent(),
+            leads=self._leads(),
+        )
+
+    def _take_report(self, address: str, report: GatewayReport) -> None:
+        self._fleet.note_report(address, report)
+        loads = {name: ServerLoad(int(one[0]), float(one[1])) for name, one in report.loads.items()}
+        self._loads.take_report(report.name, loads)
+        self._limits.take_report(_name_process(report), report.spent)
+
+    def _take_spending(self, _address: str, report: SpendingReport) -> None:
+        self._limits.take_report(_name_process(report), report.spent)
+
+    def _take_usage(self, _address: str, report: UsageReport) -> None:
+        self._usage.take_report(_name_process(report), report.usage)
+
+
+def _name_process(report: GatewayReport | SpendingReport | UsageReport) -> str:
+    """Return a name that differs for each start of a gateway: sums begin anew with it."""
+    return f"{report.name}/{report.incarnation}"
--- a/hemlockswitch/programs/gateway.py
+++ b/hemlockswitch/programs/gateway.py
@@ -12,7 +12,8 @@
 from hemlockswitch.platform.manifest import CONFIG_KIND, CONFIG_NAME, decode_manifest
 from hemlockswitch.platform.servers import SERVER_KIND, decode_server
 from hemlockswitch.platform.store import ObjectStore
-from hemlockswitch.process.gateway.daemon import Adapter, GatewayDaemon
+from hemlockswitch.process.gateway.adapter import Adapter
+from hemlockswitch.process.gateway.daemon import GatewayDaemon
 from hemlockswitch.programs.daemon import DaemonCommand, run_program
 from hemlockswitch.version.settings import GatewaySettings
 
