Let a holder of a moment ago wait a term before it takes a released lease

Change: a write of the lease names the holders before it; a candidate among them, the last excepted, waits a term from when it saw the release. Others take it at once.

--- a/hemlockswitch/process/lease.py
+++ b/hemlockswitch/process/lease.py
@@ -19,6 +19,8 @@
 
 LEASE_KIND = "leases"
 RENEWALS_REMEMBERED = 8
+RECENT_HOLDERS = 3
+"""Earlier holders that the lease names: more than can hold it one after the other in a term."""
 
 
 @dataclass(frozen=True)
@@ -81,7 +83,9 @@
 
     The term of a holder begins at its clock reading from before the write was sent; a successor
     counts from a reading after it saw the version. So on any two clocks of about equal rate the
-    successor's wait ends later than the holder's term. A write whose answer was lost is looked
+    successor's wait ends later than the holder's term. One that held the lease a moment ago, before
+    another one, also waits a term, whether the lease was released or not: its orders before and
+    after the other's would look like those of two holders at a time. A write whose answer was lost is looked
     for by the identifier in its value; found, the term counts from when it was first sent.
 
     Parameters
@@ -118,6 +122,7 @@
         self._held: _Held | None = None
         self._seen: _Seen | None = None
         self._sent_ms: dict[str, float] = {}
+        self._recent: list[str] = []
         self._lapse_logged = False
 
     @property
@@ -168,7 +173,8 @@
         held, self._held = self._held, None
         if held is None:
             return
-        value = {"holder": "", "write": "", "term_ms": 0}
+        recent = [self._holder, *self._recent][:RECENT_HOLDERS]
+        value = {"holder": "", "write": "", "term_ms": 0, "recent": recent}
         try:
             outcome = self._platform.update(LEASE_KIND, self._zone, value, held.version)
         except PlatformError as error:
@@ -192,16 +198,23 @@
             self._write(lambda value: self._platform.create(LEASE_KIND, self._zone, value))
             return self._times.renew_ms
         if self._is_predecessor(found):
-            return self._take(found.version)
+            return self._take(found)
         now_ms = self._clock.now_ms()
         seen = self._seen
         if seen is None or seen.version != found.version:
-            self._seen = _Seen(found.version, now_ms, float(found.value["term_ms"]))
+            self._seen = _Seen(found.version, now_ms, self._find_term_ms(found))
             return self._plan_next_look(found, seen)
         left_ms = seen.since_ms + seen.term_ms + self._times.margin_ms - now_ms
         if left_ms > 0:
             return min(left_ms, self._times.renew_ms)
-        return self._take(found.version)
+        return self._take(found)
+
+    def _find_term_ms(self, found: StoredObject) -> float:
+        """Return how long this process must wait for the lease from when it saw this version."""
+        _, *before = _list_holders(found)
+        if self._holder in before:
+            return max(float(found.value["term_ms"]), self._times.term_ms)
+        return float(found.value["term_ms"])
 
     def _is_predecessor(self, found: StoredObject) -> bool:
         """Return whether an earlier process on this process's address holds the lease."""
@@ -210,8 +223,8 @@
 
     def _plan_next_look(self, found: StoredObject, before: _Seen | None) -> float:
         """Look twice in a row; after a change between the two the holder lives: rest long."""
-        if found.value["term_ms"] == 0:
-            return self._take(found.version)
+        if self._find_term_ms(found) == 0:
+            return self._take(found)
         two_renewals_ms = self._times.renew_ms * 2
         now_ms = self._clock.now_ms()
         if before is None or now_ms - before.since_ms > two_renewals_ms:
@@ -219,8 +232,11 @@
         rest_ms = self._times.look_ms * max(1, self._count_candidates())
         return rest_ms * random.uniform(0.5, 1.5)
 
-    def _take(self, version: int) -> float:
-        self._write(lambda value: self._platform.update(LEASE_KIND, self._zone, value, version))
+    def _take(self, found: StoredObject) -> float:
+        self._recent = [name for name in _list_holders(found) if name and name != self._holder]
+        self._write(
+            lambda value: self._platform.update(LEASE_KIND, self._zone, value, found.version)
+        )
         return self._times.renew_ms
 
     def _write(self, send: Callable[[dict[str, Any]], WriteOutcome]) -> None:
@@ -228,7 +244,12 @@
         identifier = make_identifier("lease")
         sent_ms = self._clock.now_ms()
         self._remember(identifier, sent_ms)
-        value = {"holder": self._holder, "write": identifier, "term_ms": self._times.term_ms}
+        value: dict[str, Any] = {
+            "holder": self._holder,
+            "write": identifier,
+            "term_ms": self._times.term_ms,
+            "recent": self._recent[:RECENT_HOLDERS],
+        }
         if address := self._get_address():
             value["address"] = address
         outcome = send(value)
@@ -276,3 +297,10 @@
         if not self._lapse_logged:
             log_event(Event.LEASE_LAPSED, "warning", zone=self._zone, fencing=held.version)
             self._lapse_logged = True
+
+
+def _list_holders(found: StoredObject) -> list[str]:
+    """Return the last holder and those before it, the latest first."""
+    recent = [str(name) for name in found.value.get("recent", ())]
+    holder = str(found.value["holder"])
+    return [holder, *recent] if holder else recent or [""]
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -185,3 +185,42 @@
     replaced.take_turn()
     assert first.is_held
     assert not replaced.is_held
+
+
+def test_a_holder_of_a_moment_ago_does_not_take_a_released_lease_at_once(objects, clock):
+    """A rolling restart: calls of A, B and A again within the term look like two holders."""
+    first, second, third = (make_lease(objects, clock, name) for name in ("a", "b", "c"))
+    first.take_turn()
+    first.release()
+    second.take_turn()
+    second.release()
+    restarted = make_lease(objects, clock, "a")
+    restarted.take_turn()
+    assert not restarted.is_held
+    third.take_turn()
+    assert third.is_held
+
+
+def test_a_holder_of_a_moment_ago_takes_the_lease_once_the_term_is_over(objects, clock):
+    first, second = make_lease(objects, clock, "a"), make_lease(objects, clock, "b")
+    first.take_turn()
+    first.release()
+    second.take_turn()
+    second.release()
+    restarted = make_lease(objects, clock, "a")
+    waited_ms = 0.0
+    while not restarted.is_held:
+        rest_ms = restarted.take_turn()
+        if not restarted.is_held:
+            clock.advance(rest_ms)
+            waited_ms += rest_ms
+    assert TIMES.term_ms <= waited_ms <= 2 * TIMES.term_ms
+
+
+def test_a_holder_that_released_and_was_not_succeeded_takes_the_lease_at_once(objects, clock):
+    first = make_lease(objects, clock, "a")
+    first.take_turn()
+    first.release()
+    restarted = make_lease(objects, clock, "a")
+    restarted.take_turn()
+    assert restarted.is_held
