Tell the other gateways which prompts were sent where

Change: a report carries the shared beginnings (32-bit hashes and tokens) of the prompts sent since the last one; every gateway keeps the same memory of each server. A process that has listened for ten seconds takes a part that nobody sent as not cached; homes are preferred for such parts.

--- a/hemlockswitch/process/gateway/loads.py
+++ b/hemlockswitch/process/gateway/loads.py
@@ -1,12 +1,12 @@
 """The load of the backend servers: own sends, what other daemons report, and recent failures."""
 
 import math
-from collections import OrderedDict, defaultdict
-from collections.abc import Collection, Mapping
+from collections import OrderedDict, defaultdict, deque
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.request.dialect import Prompt
+from hemlockswitch.request.dialect import Chain, Prompt
 from hemlockswitch.request.placement import Candidate, rank_homes
 from hemlockswitch.version.backend import BackendServer
 
@@ -20,8 +20,18 @@
 DEMAND_MS = 4_000.0
 """Time constant of the measured demand: as long as a copy boots, so that an order that follows it
 is neither stale nor led by single prompts."""
-REMEMBERED_CHAINS = 4_096
+REMEMBERED_BEGINNINGS = 4_096
 """Prompt beginnings remembered for each server; about three times what one holds."""
+ASSUMED_CAPACITY_TOKENS = 400_000.0
+"""What a server is expected to keep before this daemon has sent anything there itself."""
+LEARNING_MS = 10_000.0
+"""How long a new process expects prompts in the caches of their homes: it has not heard yet what
+was sent before its start. Traffic repeats most shared parts in this time."""
+MOST_TOLD = 200
+"""Sends told in one report; more is dropped, as a report must stay small."""
+
+SentPrompt = tuple[str, Chain]
+"""A server's name, and the shared beginnings of a prompt that was sent to it."""
 
 
 @dataclass(frozen=True)
@@ -69,36 +79,33 @@
     """
 
     def __init__(self, capacity_tokens: float) -> None:
-        self._capacity_tokens = capacity_tokens
+        self.capacity_tokens = capacity_tokens
         self._tokens = 0.0
-        self._chains: OrderedDict[tuple[str, ...], int] = OrderedDict()
-
-    def note(self, prompt: Prompt) -> None:
-        """Remember the shared beginning of a prompt."""
-        chain: tuple[str, ...] = ()
-        for part in prompt.shared_parts:
-            chain = (*chain, part.identifier)
-            if chain not in self._chains:
-                self._tokens += part.tokens
-                self._chains[chain] = part.tokens
-            self._chains.move_to_end(chain)
-        while self._chains and self._is_full():
-            _, tokens = self._chains.popitem(last=False)
+        self._beginnings: OrderedDict[int, int] = OrderedDict()
+
+    def note(self, chain: Chain) -> None:
+        """Remember the shared beginnings of a prompt."""
+        for digest, tokens in chain:
+            if digest not in self._beginnings:
+                self._tokens += tokens
+                self._beginnings[digest] = tokens
+            self._beginnings.move_to_end(digest)
+        while self._beginnings and self._is_full():
+            _, tokens = self._beginnings.popitem(last=False)
             self._tokens -= tokens
 
-    def count_cached(self, prompt: Prompt) -> float | None:
-        """Return the tokens known at the prompt's beginning, or None where none are."""
+    def count_cached(self, chain: Chain) -> float:
+        """Return the tokens known at the prompt's beginning."""
         cached = 0.0
-        chain: tuple[str, ...] = ()
-        for part in prompt.shared_parts:
-            chain = (*chain, part.identifier)
-            if chain not in self._chains:
+        for digest, tokens in chain:
+            if digest not in self._beginnings:
                 break
-            cached += part.tokens
-        return cached or None
+            cached += tokens
+        return cached
 
     def _is_full(self) -> bool:
-        return self._tokens > self._capacity_tokens or len(self._chains) > REMEMBERED_CHAINS
+        is_over = self._tokens > self.capacity_tokens
+        return is_over or len(self._beginnings) > REMEMBERED_BEGINNINGS
 
 
 class DemandMeter:
@@ -163,6 +170,8 @@
         self._memories: dict[str, PromptMemory] = {}
         self._demand: dict[str, DemandMeter] = {}
         self._reports: dict[str, tuple[float, Mapping[str, ServerLoad]]] = {}
+        self._begun_ms = clock.now_ms()
+        self._untold: deque[SentPrompt] = deque(maxlen=MOST_TOLD)
 
     def begin(
         self,
@@ -175,9 +184,9 @@
         self.add(server.name, 1, uncached_tokens)
         meter = self._demand.setdefault(server.serves, DemandMeter())
         meter.add(self._clock.now_ms(), uncached_tokens)
-        if prompt is not None:
-            memory = self._memories.setdefault(server.name, PromptMemory(capacity_tokens))
-            memory.note(prompt)
+        if prompt is not None and prompt.shared_chain:
+            self._note_prompt(server.name, prompt.shared_chain).capacity_tokens = capacity_tokens
+            self._untold.append((server.name, prompt.shared_chain))
         return Ticket(self, server.name, uncached_tokens)
 
     def add(self, name: str, running: int, waiting_tokens: float) -> None:
@@ -217,9 +226,24 @@
             if running
         }
 
-    def take_report(self, daemon: str, report: Mapping[str, ServerLoad]) -> None:
-        """Take another daemon's load."""
+    def pop_sent(self) -> list[SentPrompt]:
+        """Return the prompts sent since the last call, for other daemons."""
+        sent = list(self._untold)
+        self._untold.clear()
+        return sent
+
+    def take_report(
+        self, daemon: str, report: Mapping[str, ServerLoad], sent: Sequence[SentPrompt] = ()
+    ) -> None:
+        """Take another daemon's load, and the prompts that it has sent."""
         self._reports[daemon] = (self._clock.now_ms(), report)
+        for name, chain in sent:
+            self._note_prompt(name, chain)
+
+    def _note_prompt(self, name: str, chain: Chain) -> PromptMemory:
+        memory = self._memories.setdefault(name, PromptMemory(ASSUMED_CAPACITY_TOKENS))
+        memory.note(chain)
+        return memory
 
     def build_candidates(
         self, servers: list[BackendServer], prompt: Prompt | None
@@ -242,17 +266,23 @@
     ) -> Candidate:
         name = server.name
         other = others.get(name, ServerLoad())
-        memory = self._memories.get(name)
         failures = self._failures.get(name)
         return Candidate(
             server=server,
             running=self._running.get(name, 0) + other.running,
             waiting_tokens=self._waiting.get(name, 0.0) + other.waiting_tokens,
-            cached_tokens=memory.count_cached(prompt) if memory and prompt else None,
+            cached_tokens=self._count_cached(name, prompt) if prompt else None,
             home_rank=home_rank,
             failure_rate=failures.get(self._clock.now_ms()) if failures else 0.0,
         )
 
+    def _count_cached(self, name: str, prompt: Prompt) -> float | None:
+        """Return the cached tokens; None while this process may just not have heard of them."""
+        memory = self._memories.get(name)
+        cached = memory.count_cached(prompt.shared_chain) if memory is not None else 0.0
+        is_learning = self._clock.now_ms() - self._begun_ms < LEARNING_MS
+        return None if is_learning and not cached else cached
+
     def _sum_reports(self) -> dict[str, ServerLoad]:
         oldest_ms = self._clock.now_ms() - REPORT_LIFE_MS
         sums: dict[str, ServerLoad] = {}
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -1,6 +1,6 @@
 """What gateways tell one another."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hemlockswitch.connection.messages import register_message
 
@@ -20,6 +20,7 @@
     demand : service to the prompt tokens in a millisecond that it sends.
     spent : account to what it has spent since the process began.
     leads : whether it holds the duties.
+    sent : (server name, shared beginnings) of each prompt sent since the last report.
     """
 
     name: str
@@ -29,6 +30,7 @@
     demand: dict[str, float]
     spent: dict[str, float]
     leads: bool = False
+    sent: list[tuple[str, list[tuple[int, int]]]] = field(default_factory=list)
 
 
 @register_message("account_spending")
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -84,12 +84,14 @@
             demand=self._loads.measure_own_demand(),
             spent=self._limits.describe_spent(),
             leads=self._leads(),
+            sent=[(name, list(chain)) for name, chain in self._loads.pop_sent()],
         )
 
     def _take_report(self, address: str, report: GatewayReport) -> None:
         self._fleet.note_report(address, report)
         loads = {name: ServerLoad(int(one[0]), float(one[1])) for name, one in report.loads.items()}
-        self._loads.take_report(report.name, loads)
+        sent = [(name, tuple((one[0], one[1]) for one in chain)) for name, chain in report.sent]
+        self._loads.take_report(report.name, loads, sent)
         self._limits.take_report(_name_process(report), report.spent)
 
     def _take_spending(self, _address: str, report: SpendingReport) -> None:
--- a/hemlockswitch/request/dialect.py
+++ b/hemlockswitch/request/dialect.py
@@ -4,12 +4,18 @@
 """
 
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Protocol
 
+import xxhash
+
 from hemlockswitch.connection.heads import Header, ReceivedRequest
 from hemlockswitch.connection.message_parsers import ParsedAnswer
 from hemlockswitch.core.errors import RequestError
 
+Chain = tuple[tuple[int, int], ...]
+"""Beginnings of a prompt: (hash, tokens of the last part) each, the shortest first."""
+
 
 @dataclass(frozen=True)
 class PromptPart:
@@ -35,6 +41,19 @@
     input_tokens: int = 0
     most_output_tokens: int = 0
 
+    @cached_property
+    def shared_chain(self) -> Chain:
+        """The beginnings of the prompt that others may share, each longer than the one before.
+
+        Each is a hash of all parts up to its end, and the tokens that its last part adds.
+        """
+        digest = xxhash.xxh32()
+        chain = []
+        for part in self.shared_parts:
+            digest.update(f"{part.identifier}\0".encode())
+            chain.append((digest.intdigest(), part.tokens))
+        return tuple(chain)
+
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """The parts that other requests may have as well."""
--- a/hemlockswitch/request/placement.py
+++ b/hemlockswitch/request/placement.py
@@ -21,8 +21,11 @@
 """How much later a first event comes for each request in the batch: measured per-slot cost of a
 step (0.1 ms) over the few steps that a first event takes."""
 HOME_HIT_SHARES = (0.95, 0.5, 0.1)
-"""How much of a shared part to expect in the cache of its first, second and third home when this
-daemon has not sent it there itself."""
+"""How much of a shared part to expect in the cache of its first, second and third home while this
+daemon has not heard yet what others sent there."""
+HOME_PREFERENCE = 0.3
+"""Part of the same that a home counts for while no server has the shared part: daemons that get it
+at the same moment then send it to one server, before they hear of one another."""
 READ_COST_FACTOR = 3.0
 """How much a token that must be read weighs beside a token that waits: reading it delays all that
 come after it on that engine, and takes memory. In the replay of tests/test_placement.py (seeds 1
@@ -48,8 +51,8 @@
 
     running : requests in progress.
     waiting_tokens : prompt tokens of requests whose first event has not come.
-    cached_tokens : tokens at the beginning of this request's prompt that this daemon knows to be
-        cached there; None if it knows nothing.
+    cached_tokens : tokens at the beginning of this request's prompt that are known to be cached
+        there; None while this daemon may not have heard of them.
     home_rank : place of the server among the homes of the prompt's shared part; 0 is the first.
     failure_rate : part of the recent sends that failed, 0 to 1.
     """
@@ -94,10 +97,14 @@
     """Return how much of a prompt the server must read."""
     if candidate.cached_tokens is not None:
         return max(prompt.input_tokens - candidate.cached_tokens, 0.0)
+    return max(prompt.input_tokens - _count_home_tokens(prompt, candidate), 0.0)
+
+
+def _count_home_tokens(prompt: Prompt, candidate: Candidate) -> float:
+    """Return the shared tokens to expect on the server for being one of their homes."""
     shared = sum(part.tokens for part in prompt.shared_parts)
     rank = candidate.home_rank
-    hit_share = HOME_HIT_SHARES[rank] if rank < len(HOME_HIT_SHARES) else 0.0
-    return max(prompt.input_tokens - shared * hit_share, 0.0)
+    return shared * HOME_HIT_SHARES[rank] if rank < len(HOME_HIT_SHARES) else 0.0
 
 
 def predict_first_event_ms(prompt: Prompt, candidate: Candidate) -> float:
@@ -132,7 +139,7 @@
     'a'
     """
     placements = [_evaluate(prompt, candidate) for candidate in candidates]
-    return min(placements, key=lambda one: _weigh(one, zone), default=None)
+    return min(placements, key=lambda one: _weigh(prompt, one, zone), default=None)
 
 
 def _evaluate(prompt: Prompt | None, candidate: Candidate) -> Placement:
@@ -142,10 +149,13 @@
     return Placement(candidate, predict_first_event_ms(prompt, candidate), uncached_tokens)
 
 
-def _weigh(placement: Placement, zone: str) -> tuple[float, int, str]:
+def _weigh(prompt: Prompt | None, placement: Placement, zone: str) -> tuple[float, int, str]:
     candidate = placement.candidate
     cost_ms = placement.expected_ms + candidate.failure_rate * FAILURE_PENALTY_MS
     cost_ms += READ_COST_FACTOR * placement.uncached_tokens / PREFILL_TOKENS_PER_MS
+    if prompt is not None and candidate.cached_tokens == 0:
+        preferred_tokens = HOME_PREFERENCE * _count_home_tokens(prompt, candidate)
+        cost_ms -= READ_COST_FACTOR * preferred_tokens / PREFILL_TOKENS_PER_MS
     if candidate.server.zone != zone:
         cost_ms += OTHER_ZONE_MS
     return cost_ms, candidate.running, candidate.server.name
--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -98,11 +98,11 @@
             self.tickets.remove(entry)
 
     def _report(self):
-        reports = [loads.describe_own() for loads in self.loads]
+        reports = [(loads.describe_own(), loads.pop_sent()) for loads in self.loads]
         for number, loads in enumerate(self.loads):
-            for other, report in enumerate(reports):
+            for other, (report, sent) in enumerate(reports):
                 if other != number:
-                    loads.take_report(f"g{other}", report)
+                    loads.take_report(f"g{other}", report, sent)
 
 
 def choose_ours(_, candidates, prompt):
