Renew watches that have gone deaf, and keep servers whose entries lapse all at once

The store was down and silent from 31 to 36.4 s; a watch sent meanwhile is swallowed and waits out its 25 s, deaf, while the kernel's probes are answered. Ruled out: settle times (at most 0.42 s in the log), rates of the store (no 429), lost connections (probes find these in 3 s). Change: reports carry the configuration's revision, a digest of the registry and the last outage; a gateway renews watches that were sent during an outage which another one saw end, or when others know more for longer than changes take. Most entries that go at once are held for 1.5 s.

--- a/hemlockswitch/connection/backoff.py
+++ b/hemlockswitch/connection/backoff.py
@@ -1,12 +1,23 @@
 """Back-off with jitter towards a service that fails."""
 
 import random
+from dataclasses import dataclass
 
 from hemlockswitch.core.clock import Clock
 
 FIRST_PAUSE_MS = 100
 LONGEST_PAUSE_MS = 3_000
 MAX_DOUBLINGS = 16
+SHORTEST_OUTAGE_MS = 1_000
+"""Failures over less time than this, such as single refusals for the rate, are no outage."""
+
+
+@dataclass(frozen=True)
+class Outage:
+    """A time in which every call failed, by the readings of the process's clock."""
+
+    began_ms: float
+    ended_ms: float
 
 
 class Backoff:
@@ -46,6 +57,8 @@
         self._failures = 0
         self._paused_at_ms = float("-inf")
         self._resume_at_ms = float("-inf")
+        self._failing_since_ms: float | None = None
+        self.last_outage: Outage | None = None
 
     def get_pause_ms(self) -> float:
         """Return how long still to wait before the next call; 0 when it may go now."""
@@ -53,11 +66,17 @@
 
     def record_success(self) -> None:
         """End the back-off."""
+        since_ms, self._failing_since_ms = self._failing_since_ms, None
+        now_ms = self._clock.now_ms()
+        if since_ms is not None and now_ms - since_ms >= SHORTEST_OUTAGE_MS:
+            self.last_outage = Outage(since_ms, now_ms)
         self._failures = 0
         self._resume_at_ms = float("-inf")
 
     def record_failure(self, began_ms: float) -> None:
         """Begin or lengthen the pause after a call that began at `began_ms` failed."""
+        if self._failing_since_ms is None:
+            self._failing_since_ms = began_ms
         if began_ms < self._paused_at_ms:
             return
         self._paused_at_ms = self._clock.now_ms()
--- a/hemlockswitch/connection/platform.py
+++ b/hemlockswitch/connection/platform.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ValidationError
 
-from hemlockswitch.connection.backoff import Backoff
+from hemlockswitch.connection.backoff import Backoff, Outage
 from hemlockswitch.connection.platform_calls import (
     Answer,
     AnswerLostError,
@@ -89,6 +89,11 @@
         """Return the client of a process with these settings."""
         return cls(settings.platform, role, settings.name)
 
+    @property
+    def last_outage(self) -> Outage | None:
+        """The last time in which every call failed, once it was over."""
+        return self._object_backoff.last_outage
+
     def close(self) -> None:
         """Close the kept connections."""
         self._calls.close()
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -37,6 +37,7 @@
     BACKEND_LISTED = (311, "backend_listed")
     BACKEND_GONE = (312, "backend_gone")
     BACKEND_HELD = (313, "backend_held")
+    WATCH_RENEWED = (314, "watch_renewed")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/platform/store.py
+++ b/hemlockswitch/platform/store.py
@@ -6,7 +6,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from hemlockswitch.connection.backoff import Backoff
+from hemlockswitch.connection.backoff import Backoff, Outage
 from hemlockswitch.connection.platform import encode_value
 from hemlockswitch.connection.platform_calls import (
     Answer,
@@ -85,6 +85,11 @@
         self._calls = PlatformCalls(address, {}, timeout_ms, clock)
         self._backoff = Backoff(clock, LONGEST_PAUSE_MS)
 
+    @property
+    def last_outage(self) -> Outage | None:
+        """The last time in which every call failed, once it was over."""
+        return self._backoff.last_outage
+
     def close(self) -> None:
         """Close the kept connections."""
         self._calls.close()
--- a/hemlockswitch/process/gateway/adapter.py
+++ b/hemlockswitch/process/gateway/adapter.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from hemlockswitch.connection.backoff import Outage
 from hemlockswitch.connection.platform_models import ObjectPage, StoredObject, WriteOutcome
 from hemlockswitch.process.gateway.follower import WatchedStore
 from hemlockswitch.process.gateway.scaling import ScalingApi
@@ -16,6 +17,10 @@
 class GatewayStore(WatchedStore, Protocol):
     """The object service; `PlatformClient` and the adapter's store both are one."""
 
+    @property
+    def last_outage(self) -> Outage | None:
+        """The last time in which every call failed, once it was over."""
+
     def read(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None."""
 
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -33,6 +33,7 @@
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts, UsageDuty
 from hemlockswitch.process.gateway.view import GatewayView
+from hemlockswitch.process.gateway.watch_guard import StoreView, WatchGuard
 from hemlockswitch.process.lease import Lease
 from hemlockswitch.request.forwarding import Forwarder
 from hemlockswitch.request.repeat_budget import RepeatBudget
@@ -106,6 +107,13 @@
         self.server_follower = ObjectFollower(
             adapter.store, adapter.server_kind, self.registry, clock, self._get_settle_ms
         )
+        self.watch_guard = WatchGuard(
+            self.config_follower,
+            self.server_follower,
+            self._view_store,
+            self.fleet.get_period_ms,
+            clock,
+        )
         self.registry.get_recovered_ms = lambda: self.server_follower.recovered_ms
 
     def _build_forwarding(self) -> None:
@@ -124,6 +132,8 @@
             self.usage,
             self.true_time,
             lambda: self.duties is not None and self.duties.leads,
+            self._view_store,
+            clock,
         )
         self.observer = GatewayObserver(self.usage, self.true_time, clock)
         self.budget = RepeatBudget(
@@ -291,6 +301,7 @@
         while True:
             self._clock.sleep_ms(self.fleet.get_period_ms())
             self.reports.send_reports()
+            self.watch_guard.compare([peer.view for peer in self.fleet.list_heard()])
 
     def _report_spending(self) -> None:
         while True:
@@ -305,6 +316,14 @@
             self.pool.sweep()
             self.true_time.hear(self.fleet.list_opinions())
 
+    def _view_store(self) -> StoreView:
+        table = self.tables.current
+        return StoreView(
+            table.revision if table is not None else 0,
+            self.registry.hash_servers(),
+            self._adapter.store.last_outage,
+        )
+
     def _get_settle_ms(self) -> float:
         """Return how long changes of the registry may gather: longer with more gateways."""
         return min(SETTLE_MS_PER_GATEWAY * self.fleet.count_daemons(), LONGEST_SETTLE_MS)
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -20,6 +20,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.gateway.messages import GatewayReport
+from hemlockswitch.process.gateway.watch_guard import StoreView
 
 GATEWAY_KIND = "gateways"
 LIST_MS = 10_000.0
@@ -44,6 +45,7 @@
     address: str
     heard_ms: float = float("-inf")
     report: GatewayReport | None = None
+    view: StoreView = StoreView()
 
 
 class RegistrationStore(Protocol):
@@ -123,13 +125,14 @@
             self.own_version = outcome.version or None
         return False
 
-    def note_report(self, address: str, report: GatewayReport) -> None:
+    def note_report(self, address: str, report: GatewayReport, view: StoreView) -> None:
         """Take another gateway's report; one that was not listed yet is known from now on."""
         peer = self._peers.get(report.name)
         if peer is None:
             peer = self._peers[report.name] = Peer(report.name, address)
         peer.heard_ms = self._clock.now_ms()
         peer.report = report
+        peer.view = view
 
     def list_peers(self) -> list[Peer]:
         """Return the other gateways."""
--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -1,8 +1,11 @@
 """Following the objects of one kind: listed once, then watched, and listed again when needed."""
 
+import contextlib
 from collections.abc import Callable
 from typing import Protocol
 
+import gevent
+
 from hemlockswitch.connection.platform_models import ObjectPage
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import HistoryGoneError, PlatformError
@@ -17,6 +20,10 @@
 so the pause stays well below; the client's own back-off adds to it."""
 
 
+class WatchRenewedError(Exception):
+    """The watch is given up for a new one; nothing failed."""
+
+
 class WatchedStore(Protocol):
     """The reading side of an object service."""
 
@@ -64,7 +71,9 @@
         self.is_synced = False
         self.is_lost = False
         self._store = store
-        self._kind = kind
+        self.kind = kind
+        self.watch_sent_ms: float | None = None
+        self._task: gevent.Greenlet | None = None
         self._consumer = consumer
         self._clock = clock
         self._get_settle_ms = get_settle_ms
@@ -73,7 +82,14 @@
     def run(self) -> None:
         """Follow until the task is ended."""
         while True:
-            self.take_step()
+            # A renewal may also come between two calls; then there is nothing to give up.
+            with contextlib.suppress(WatchRenewedError):
+                self.take_step()
+
+    def renew_watch(self) -> None:
+        """Give up the watch that waits now and send another one."""
+        if self._task is not None:
+            self._task.kill(WatchRenewedError(), block=False)
 
     def take_step(self) -> None:
         """Make one call, or rest after a failed one."""
@@ -83,14 +99,14 @@
             else:
                 self._list()
         except HistoryGoneError:
-            log_event(Event.WATCH_HISTORY_GONE, "warning", kind=self._kind, since=self._since)
+            log_event(Event.WATCH_HISTORY_GONE, "warning", kind=self.kind, since=self._since)
             self.is_synced = False
         except PlatformError as error:
             self._note_lost(error)
             self._clock.sleep_ms(RETRY_MS)
 
     def _list(self) -> None:
-        page = self._store.list(self._kind)
+        page = self._store.list(self.kind)
         self._note_heard()
         self._consumer.replace_all(page)
         self._since = page.version
@@ -99,7 +115,12 @@
             self.first_synced_ms = self._clock.now_ms()
 
     def _watch(self) -> None:
-        page = self._store.watch(self._kind, self._since, WATCH_WAIT_MS)
+        self.watch_sent_ms = self._clock.now_ms()
+        self._task = gevent.getcurrent()
+        try:
+            page = self._store.watch(self.kind, self._since, WATCH_WAIT_MS)
+        finally:
+            self.watch_sent_ms = self._task = None
         self._note_heard()
         self._since = max(self._since, page.version)
         if page.items:
@@ -108,11 +129,11 @@
 
     def _note_lost(self, error: PlatformError) -> None:
         if not self.is_lost:
-            log_event(Event.WATCH_FAILED, "warning", watch=self._kind, detail=error.detail)
+            log_event(Event.WATCH_FAILED, "warning", watch=self.kind, detail=error.detail)
         self.is_lost = True
 
     def _note_heard(self) -> None:
         if self.is_lost:
             self.recovered_ms = self._clock.now_ms()
-            log_event(Event.WATCH_RECOVERED, watch=self._kind)
+            log_event(Event.WATCH_RECOVERED, watch=self.kind)
         self.is_lost = False
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -20,6 +20,8 @@
     demand : service to the prompt tokens in a millisecond that it sends.
     spent : account to what it has spent since the process began.
     leads : whether it holds the duties.
+    revision, servers_digest : see `process.gateway.watch_guard.StoreView`.
+    outage_ms_ago : when the last outage of the object service began and ended; empty if none.
     sent : (server name, shared beginnings) of each prompt sent since the last report.
     """
 
@@ -30,6 +32,9 @@
     demand: dict[str, float]
     spent: dict[str, float]
     leads: bool = False
+    revision: int = 0
+    servers_digest: int = 0
+    outage_ms_ago: tuple[float, ...] = ()
     sent: list[tuple[str, list[tuple[int, int]]]] = field(default_factory=list)
 
 
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -3,6 +3,8 @@
 from collections import defaultdict
 from collections.abc import Callable
 
+import xxhash
+
 from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ConfigurationError
@@ -17,6 +19,10 @@
 HOLD_MS = 1_500.0
 """How long such an entry is kept at the most; a server that is gone must get no work later than
 two seconds after its removal was learned."""
+LAPSE_SHARE = 0.5
+FEWEST_LAPSED = 4
+"""More than half of all live servers do not leave at one moment without a word; a reclaim takes a
+zone, with notice. This also shows an outage of the registry that no call of this process met."""
 MISDIRECTED_MS = 3_000.0
 """How long to leave out a server whose address answered as another one; by then its entry is
 corrected or removed."""
@@ -29,8 +35,8 @@
     ===========
 
     A removed entry is dropped at once, with one exception: right after the registry returns from
-    an outage, entries that lapsed meanwhile are kept for a moment, since live servers register
-    again.
+    an outage, or when most entries go at once, those that lapsed are kept for a moment, since live
+    servers register again.
 
     Parameters
     ==========
@@ -56,17 +62,27 @@
         """Take a whole list."""
         listed = {item.name for item in page.items if not item.deleted}
         self.apply_changes(page)
-        for name in [name for name in self._servers if name not in listed]:
-            self._remove(name)
+        missing = [name for name in self._servers if name not in listed]
+        is_lapse = self._looks_like_lapse(missing)
+        for name in missing:
+            self._remove(name, is_lapse=is_lapse)
 
     def apply_changes(self, page: ObjectPage) -> None:
         """Take changed and removed entries."""
+        removed = [item.name for item in page.items if item.deleted]
+        is_lapse = self._looks_like_lapse(removed)
         for item in page.items:
             if item.deleted:
-                self._remove(item.name)
+                self._remove(item.name, is_lapse=is_lapse)
             else:
                 self._put(item)
 
+    def _looks_like_lapse(self, removed: list[str]) -> bool:
+        """Return whether entries were removed because their heartbeats could not be written."""
+        live = {name for name, one in self._servers.items() if one.state is BackendState.LIVE}
+        lapsed = live.intersection(removed)
+        return len(lapsed) >= FEWEST_LAPSED and len(lapsed) > LAPSE_SHARE * len(live)
+
     def list_ready(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that may get new work."""
         self._drop_held()
@@ -83,6 +99,11 @@
         self._drop_held()
         return list(self._servers.values())
 
+    def hash_servers(self) -> int:
+        """Return a hash of the servers and their states, to compare with other gateways."""
+        states = sorted(f"{one.name} {one.state.value}" for one in self._servers.values())
+        return xxhash.xxh32_intdigest("\n".join(states).encode())
+
     def note_misdirected(self, name: str) -> None:
         """Leave out a server whose address belongs to another one by now."""
         self._misdirected_until_ms[name] = self._clock.now_ms() + MISDIRECTED_MS
@@ -117,17 +138,18 @@
                 version=version,
             )
 
-    def _remove(self, name: str) -> None:
+    def _remove(self, name: str, *, is_lapse: bool) -> None:
         server = self._servers.get(name)
         if server is None:
             return
         now_ms = self._clock.now_ms()
-        away_until_ms = self.get_recovered_ms() + RETURN_WINDOW_MS
-        if now_ms < away_until_ms and server.state is BackendState.LIVE:
-            self._held_until_ms.setdefault(name, min(away_until_ms, now_ms + HOLD_MS))
-            log_event(Event.BACKEND_HELD, server=name, hold_ms=round(away_until_ms - now_ms))
+        hold_ms = HOLD_MS if is_lapse else self.get_recovered_ms() + RETURN_WINDOW_MS - now_ms
+        if hold_ms <= 0 or server.state is not BackendState.LIVE:
+            self._drop(name)
             return
-        self._drop(name)
+        hold_ms = min(hold_ms, HOLD_MS)
+        self._held_until_ms.setdefault(name, now_ms + hold_ms)
+        log_event(Event.BACKEND_HELD, server=name, hold_ms=round(hold_ms))
 
     def _drop_held(self) -> None:
         now_ms = self._clock.now_ms()
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -9,13 +9,16 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from hemlockswitch.connection.backoff import Outage
 from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.accounts import SharedLimits
 from hemlockswitch.process.gateway.fleet import Fleet, Peer
 from hemlockswitch.process.gateway.loads import ServerLoad, ServerLoads
 from hemlockswitch.process.gateway.messages import GatewayReport, SpendingReport, UsageReport
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts
+from hemlockswitch.process.gateway.watch_guard import StoreView
 
 
 class ReportExchange:
@@ -28,6 +31,8 @@
     network, fleet : the streams to the other gateways, and who these are.
     incarnation : differs for each start of its process.
     leads : returns whether this gateway holds the duties.
+    get_view : returns what this gateway knows of the object service.
+    clock : the time.
     """
 
     def __init__(
@@ -41,6 +46,8 @@
         usage: UsageCounts,
         true_time: TrueTime,
         leads: Callable[[], bool],
+        get_view: Callable[[], StoreView],
+        clock: Clock,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -51,6 +58,8 @@
         self._usage = usage
         self._true_time = true_time
         self._leads = leads
+        self._get_view = get_view
+        self._clock = clock
         network.handle(GatewayReport, self._take_report, quick=True)
         network.handle(SpendingReport, self._take_spending, quick=True)
         network.handle(UsageReport, self._take_usage, quick=True)
@@ -76,6 +85,7 @@
 
     def _build_report(self) -> GatewayReport:
         loads = self._loads.describe_own()
+        view = self._get_view()
         return GatewayReport(
             name=self._name,
             incarnation=self._incarnation,
@@ -84,16 +94,34 @@
             demand=self._loads.measure_own_demand(),
             spent=self._limits.describe_spent(),
             leads=self._leads(),
+            revision=view.revision,
+            servers_digest=view.servers_digest,
+            outage_ms_ago=self._tell_outage(view),
             sent=[(name, list(chain)) for name, chain in self._loads.pop_sent()],
         )
 
     def _take_report(self, address: str, report: GatewayReport) -> None:
-        self._fleet.note_report(address, report)
+        self._fleet.note_report(address, report, self._read_view(report))
         loads = {name: ServerLoad(int(one[0]), float(one[1])) for name, one in report.loads.items()}
         sent = [(name, tuple((one[0], one[1]) for one in chain)) for name, chain in report.sent]
         self._loads.take_report(report.name, loads, sent)
         self._limits.take_report(_name_process(report), report.spent)
 
+    def _tell_outage(self, view: StoreView) -> tuple[float, ...]:
+        if view.outage is None:
+            return ()
+        now_ms = self._clock.now_ms()
+        return (round(now_ms - view.outage.began_ms), round(now_ms - view.outage.ended_ms))
+
+    def _read_view(self, report: GatewayReport) -> StoreView:
+        """Return the other gateway's view with moments of the own clock."""
+        outage = None
+        if report.outage_ms_ago:
+            now_ms = self._clock.now_ms()
+            began_ms_ago, ended_ms_ago = report.outage_ms_ago
+            outage = Outage(now_ms - began_ms_ago, now_ms - ended_ms_ago)
+        return StoreView(report.revision, report.servers_digest, outage)
+
     def _take_spending(self, _address: str, report: SpendingReport) -> None:
         self._limits.take_report(_name_process(report), report.spent)
 
--- /dev/null
+++ b/hemlockswitch/process/gateway/watch_guard.py
@@ -0,0 +1,131 @@
+"""Finds out that a watch has gone deaf, from what the other gateways report.
+
+A store that is down may swallow a watch that is sent to it, and a connection may fall silent while
+the peer's kernel still answers its probes. Such a watch brings nothing until its own time-out of
+some 25 s, while the store already tells the others what changed. Three signs show it: another
+gateway saw an outage end after this watch was sent, another one has a newer configuration, or most
+others agree on another list of backend servers. Each sign renews the watch, which costs one call.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from hemlockswitch.connection.backoff import Outage
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.follower import ObjectFollower
+
+OUTAGE_START_MARGIN_MS = 1_500.0
+"""How much earlier than it was noticed an outage may have begun: the holder of the duties calls
+the store each second."""
+DIFFERENCE_PERIODS = 2.5
+"""How many periods of the reports a difference must last: changes reach all gateways within less."""
+LEAST_DIFFERENCE_MS = 600.0
+"""The same at a small site, where changes are gathered for longer than reports take."""
+RENEWAL_PAUSE_MS = 1_000.0
+"""A watch that was sent a shorter time ago is not renewed for a difference: what it brings may
+still be on its way, and a difference that stays must cost few calls."""
+FEWEST_AGREEING = 2
+
+
+class RenewalReason(StrEnum):
+    """Why a watch is renewed."""
+
+    OUTAGE_ENDED = "outage_ended"
+    OTHERS_KNOW_MORE = "others_know_more"
+
+
+@dataclass(frozen=True)
+class StoreView:
+    """What a gateway knows of the object service.
+
+    Parameters
+    ==========
+
+    revision : the configuration in force; 0 if there is none.
+    servers_digest : a hash of the backend servers that it believes in, with their states.
+    outage : the last one that it noticed, by this process's clock; None if there was none.
+    """
+
+    revision: int = 0
+    servers_digest: int = 0
+    outage: Outage | None = None
+
+
+class WatchGuard:
+    """Compares the own view with those of the other gateways, and renews watches.
+
+    Parameters
+    ==========
+
+    configuration, servers : the followers whose watches are guarded.
+    get_own_view : returns the own view.
+    get_period_ms : returns the time between two reports.
+    clock : the time.
+    """
+
+    def __init__(
+        self,
+        configuration: ObjectFollower,
+        servers: ObjectFollower,
+        get_own_view: Callable[[], StoreView],
+        get_period_ms: Callable[[], float],
+        clock: Clock,
+    ) -> None:
+        self._configuration = configuration
+        self._servers = servers
+        self._get_own_view = get_own_view
+        self._get_period_ms = get_period_ms
+        self._clock = clock
+        self._differs_since_ms: dict[ObjectFollower, float] = {}
+
+    def compare(self, others: list[StoreView]) -> None:
+        """Look for the signs in the latest reports of the gateways in touch."""
+        for view in others:
+            self._check_outage(view)
+        own = self._get_own_view()
+        is_behind = any(view.revision > own.revision for view in others)
+        self._note_difference(self._configuration, is_behind)
+        self._note_difference(self._servers, _differs_from_most(own, others))
+
+    def _check_outage(self, view: StoreView) -> None:
+        """Renew the watches that were sent while the store was away."""
+        if view.outage is None:
+            return
+        began_ms = view.outage.began_ms - OUTAGE_START_MARGIN_MS
+        for follower in (self._configuration, self._servers):
+            sent_ms = follower.watch_sent_ms
+            if sent_ms is not None and began_ms <= sent_ms <= view.outage.ended_ms:
+                self._renew(follower, sent_ms, RenewalReason.OUTAGE_ENDED)
+
+    def _note_difference(self, follower: ObjectFollower, differs: bool) -> None:
+        now_ms = self._clock.now_ms()
+        if not differs:
+            self._differs_since_ms.pop(follower, None)
+            return
+        since_ms = self._differs_since_ms.setdefault(follower, now_ms)
+        sent_ms = follower.watch_sent_ms
+        has_lasted = now_ms - since_ms >= self._find_longest_ms()
+        if has_lasted and sent_ms is not None and now_ms - sent_ms >= RENEWAL_PAUSE_MS:
+            self._renew(follower, sent_ms, RenewalReason.OTHERS_KNOW_MORE)
+
+    def _find_longest_ms(self) -> float:
+        return max(DIFFERENCE_PERIODS * self._get_period_ms(), LEAST_DIFFERENCE_MS)
+
+    def _renew(self, follower: ObjectFollower, sent_ms: float, reason: RenewalReason) -> None:
+        waited_ms = round(self._clock.now_ms() - sent_ms)
+        log_event(
+            Event.WATCH_RENEWED, watch=follower.kind, reason=reason.value, waited_ms=waited_ms
+        )
+        follower.renew_watch()
+
+
+def _differs_from_most(own: StoreView, others: list[StoreView]) -> bool:
+    """Return whether more than half of the others agree on another list of servers."""
+    if len(others) < FEWEST_AGREEING:
+        return False
+    digest, count = Counter(view.servers_digest for view in others).most_common(1)[0]
+    return digest != own.servers_digest and count > len(others) / 2
--- a/hemlockswitch/standin/gateway_store.py
+++ b/hemlockswitch/standin/gateway_store.py
@@ -18,6 +18,7 @@
 
 ROOT = "/hemlockswitch/objects"
 LONGEST_WAIT_MS = 30_000
+SWALLOWED_S = 60
 
 
 class GatewayStoreSettings(BaseModel):
@@ -34,13 +35,14 @@
     Parameters
     ==========
 
-    mode : ``busy`` answers 503, ``silent`` holds every call, ``many`` answers 429.
+    mode : ``busy`` answers 503, ``silent`` holds every call, ``swallow`` never answers the calls
+        that come meanwhile, ``many`` answers 429.
     lose_answers : the next so many writes are done and their connection is reset.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
-    mode: Literal["none", "busy", "silent", "many"] = "none"
+    mode: Literal["none", "busy", "silent", "swallow", "many"] = "none"
     lose_answers: int = 0
 
 
@@ -212,6 +214,8 @@
             raise falcon.HTTPTooManyRequests
         while self._store.faults.mode == "silent":
             gevent.sleep(0.05)
+        if mode == "swallow":
+            gevent.sleep(SWALLOWED_S)
 
     def _lose_answer(self, req: falcon.Request) -> None:
         if self._store.lost_answers < self._store.faults.lose_answers:
--- a/tests/test_gateway_registry.py
+++ b/tests/test_gateway_registry.py
@@ -66,6 +66,27 @@
     assert fixture.names() == ["a"], "b did not come back"
 
 
+def test_most_entries_that_go_at_once_are_kept_for_a_moment():
+    """scale-1 of the grown Qafza site: the store came back after 5.4 s with every entry lapsed, and
+    gateways whose watch had outlived the outage refused 133 requests in the next two seconds."""
+    fixture = Fixture()
+    names = [f"s{number}" for number in range(8)]
+    fixture.registry.replace_all(page(*map(entry, names)))
+    fixture.registry.apply_changes(page(*(entry(name, deleted=True) for name in names)))
+    assert fixture.names() == names
+    fixture.registry.apply_changes(page(*map(entry, names[:5])))
+    fixture.clock.advance(HOLD_MS + 1)
+    assert fixture.names() == names[:5], "who is still missing is gone"
+
+
+def test_a_zone_that_goes_is_gone_at_once():
+    fixture = Fixture()
+    names = [f"s{number}" for number in range(8)]
+    fixture.registry.replace_all(page(*map(entry, names)))
+    fixture.registry.apply_changes(page(*(entry(name, deleted=True) for name in names[:3])))
+    assert fixture.names() == names[3:]
+
+
 def test_a_leaving_server_is_not_kept_after_an_outage():
     fixture = Fixture()
     fixture.registry.replace_all(page(entry("a", "leaving")))
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -52,6 +52,19 @@
     site.wait(lambda: ask_all(site, "/hold/x") == [404, 404])
 
 
+def test_a_watch_that_the_store_swallowed_is_renewed_when_the_store_is_back(site):
+    """Without that it would wait for 25 s; the gateways hear of the outage from the lease's holder."""
+    site.wait(lambda: any(one.duties.leads for one in site.gateways))
+    site.store.faults = StoreFaults(mode="swallow")
+    for gateway in site.gateways:
+        gateway.config_follower.renew_watch()
+        gateway.server_follower.renew_watch()
+    gevent.sleep(2.5)
+    site.store.faults = StoreFaults()
+    site.store.put("config", "main", make_manifest(2, check=None))
+    site.wait(lambda: all(one.tables.current.revision == 2 for one in site.gateways))
+
+
 def test_a_forgotten_history_is_listed_again(site):
     site.store.faults = StoreFaults(mode="busy")
     site.store.put("config", "main", make_manifest(2, hold=None))
--- /dev/null
+++ b/tests/test_watch_guard.py
@@ -0,0 +1,108 @@
+"""Watches that have gone deaf, as the other gateways' reports show them.
+
+The pattern: the store is down and silent for 5.4 s and swallows the watches that are sent to it;
+gateways that then waited out the watch's 25 s sent requests to servers that had left (DRAIN on
+scale-1 of the grown Qafza site).
+"""
+
+import pytest
+
+from hemlockswitch.connection.backoff import Backoff, Outage
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.process.gateway.watch_guard import StoreView, WatchGuard
+
+PERIOD_MS = 200
+SAME = StoreView(3, 7)
+
+
+class Follower:
+    """What the guard needs of an `ObjectFollower`."""
+
+    def __init__(self, kind, sent_ms):
+        self.kind = kind
+        self.watch_sent_ms = sent_ms
+        self.renewed = 0
+
+    def renew_watch(self):
+        self.renewed += 1
+
+
+class Fixture:
+    def __init__(self, sent_ms=10_000):
+        self.clock = ManualClock(now_ms=20_000)
+        self.configuration = Follower("config", sent_ms)
+        self.servers = Follower("servers", sent_ms)
+        self.own = SAME
+        self.guard = WatchGuard(
+            self.configuration, self.servers, lambda: self.own, lambda: PERIOD_MS, self.clock
+        )
+
+    def compare(self, *views, for_ms=0):
+        for _ in range(0, for_ms + 1, PERIOD_MS):
+            self.guard.compare(list(views))
+            self.clock.advance(PERIOD_MS)
+
+    @property
+    def renewed(self):
+        return self.configuration.renewed, self.servers.renewed
+
+
+def test_nothing_is_renewed_while_all_agree():
+    fixture = Fixture()
+    fixture.compare(SAME, SAME, SAME, for_ms=10_000)
+    assert fixture.renewed == (0, 0)
+
+
+@pytest.mark.parametrize(("sent_ms", "renewed"), [(12_000, 1), (16_500, 0), (5_000, 0)])
+def test_only_watches_sent_during_an_outage_are_renewed(sent_ms, renewed):
+    fixture = Fixture(sent_ms=sent_ms)
+    fixture.compare(SAME, StoreView(3, 7, Outage(11_000, 16_000)))
+    assert fixture.renewed == (renewed, renewed)
+
+
+def test_a_newer_configuration_elsewhere_renews_the_watch_of_it():
+    fixture = Fixture()
+    newer = StoreView(4, 7)
+    fixture.compare(SAME, newer, for_ms=200)
+    assert fixture.renewed == (0, 0), "it may be on its way"
+    fixture.compare(SAME, newer, for_ms=600)
+    assert fixture.configuration.renewed >= 1
+    assert fixture.servers.renewed == 0
+
+
+def test_another_list_at_most_gateways_renews_the_watch_of_servers():
+    fixture = Fixture()
+    other = StoreView(3, 8)
+    fixture.compare(other, other, SAME, for_ms=1_000)
+    assert fixture.renewed[0] == 0
+    assert fixture.renewed[1] >= 1
+
+
+def test_a_few_gateways_that_are_cut_off_do_not_make_the_others_call():
+    fixture = Fixture()
+    fixture.compare(StoreView(3, 8), SAME, SAME, SAME, for_ms=10_000)
+    assert fixture.renewed == (0, 0)
+
+
+def test_a_difference_that_comes_and_goes_is_a_change_on_its_way():
+    fixture = Fixture()
+    other = StoreView(3, 8)
+    for _ in range(20):
+        fixture.compare(other, other)
+        fixture.compare(SAME, SAME)
+    assert fixture.renewed == (0, 0)
+
+
+def test_an_outage_is_told_once_it_is_over_and_single_refusals_are_none():
+    clock = ManualClock(now_ms=1_000)
+    backoff = Backoff(clock)
+    backoff.record_failure(began_ms=1_000)
+    clock.advance(300)
+    backoff.record_success()
+    assert backoff.last_outage is None
+    backoff.record_failure(began_ms=1_300)
+    clock.advance(4_000)
+    backoff.record_failure(began_ms=3_000)
+    clock.advance(700)
+    backoff.record_success()
+    assert backoff.last_outage == Outage(1_300, 6_000)
