--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -7,7 +7,7 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts
-from hemlockswitch.request.forwarding import Progress
+from hemlockswitch.request.progress import Progress
 from hemlockswitch.request.send_states import SendFailure
 
 LINES_PER_SECOND = 100
@@ -95,7 +95,7 @@
             log_event(
                 Event.ATTEMPT_FAILED,
                 request_id=progress.facts.request_id if progress.facts else "",
-                server=progress.sends[-1] if progress.sends else "",
+                server=progress.target,
                 failure=failure.value,
                 detail=detail,
             )
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -1,4 +1,4 @@
-"""What the gateway knows, as forwarding needs it: see `request.forwarding.ForwardingView`."""
+"""What the gateway knows, as forwarding needs it: see `request.sending.ForwardingView`."""
 
 from collections.abc import Sequence
 
--- /dev/null
+++ b/hemlockswitch/request/progress.py
@@ -0,0 +1,50 @@
+"""What happened to one forwarded request so far, and who hears of it."""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from hemlockswitch.connection.heads import ReceivedRequest
+from hemlockswitch.request.dialect import RequestFacts
+from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.request.send_states import SendFailure, SendState
+
+
+@dataclass
+class Progress:
+    """What happened to one request so far; kept for its log line.
+
+    Parameters
+    ==========
+
+    sends : the servers that it was sent to.
+    target : the server that was chosen last, also if no connection to it could be made.
+    """
+
+    request: ReceivedRequest
+    facts: RequestFacts | None = None
+    admitted: AdmittedRequest | None = None
+    state: SendState = SendState.NOT_RUN
+    sends: list[str] = field(default_factory=list)
+    excluded: list[str] = field(default_factory=list)
+    unreachable: int = 0
+    in_flight: bool = False
+    target: str = ""
+    expected_ms: float = 0.0
+    began_ms: float | None = None
+    last_event_id: str = ""
+    outcome: str = ""
+    status: int = 0
+    detail: str = ""
+
+
+class ForwardObserver(Protocol):
+    """Hears what became of requests, for logs, metrics and usage counts."""
+
+    def attempt_failed(self, progress: Progress, failure: SendFailure, detail: str) -> None:
+        """One send failed."""
+
+    def request_began(self, progress: Progress) -> None:
+        """A backend server has begun to answer."""
+
+    def request_ended(self, progress: Progress) -> None:
+        """The request is over."""
--- /dev/null
+++ b/hemlockswitch/request/sending.py
@@ -0,0 +1,248 @@
+"""One send of a forwarded request to one backend server, and the relay of its answer.
+
+Whether another send may follow is not decided here; see `request.forwarding`.
+"""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import Protocol
+
+from hemlockswitch.connection.backend_pool import BackendPool, PooledExchange
+from hemlockswitch.connection.backends import ExchangeError, Stage
+from hemlockswitch.connection.forward_server import CallerLeftError, Reply
+from hemlockswitch.connection.message_parsers import ParsedAnswer
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.request.dialect import Dialect, SendFields
+from hemlockswitch.request.event_stream import EventSplitter
+from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.request.placement import Placement
+from hemlockswitch.request.progress import ForwardObserver, Progress
+from hemlockswitch.request.send_states import SendFailure
+from hemlockswitch.version.serving_table import RequestKind, ServingTable
+
+MOST_ANSWER_BYTES = 16 * 1024 * 1024
+REUSE_IDLE_MS = 60_000.0
+"""Requests that may be repeated use any kept connection; the pool bounds its age."""
+REUSE_IDLE_AT_MOST_ONCE_MS = 1_000.0
+"""Requests that may run only once avoid connections that were idle for longer: a server that
+closes one at the same moment leaves it unknown whether the request ran."""
+
+
+class SendTicket(Protocol):
+    """One send that is in progress, in the load that this daemon knows of."""
+
+    def note_first_event(self) -> None:
+        """The answer has begun: the prompt is read."""
+
+    def end(self, failed: bool) -> None:
+        """The send is over; `failed` counts against the server."""
+
+
+class ForwardingView(Protocol):
+    """What the process knows, as forwarding needs it."""
+
+    def get_table(self) -> ServingTable | None:
+        """Return the configuration in force."""
+
+    def place(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
+        """Return the server for the next send, or None when there is none."""
+
+    def begin_send(self, admitted: AdmittedRequest, placement: Placement) -> SendTicket:
+        """Count a send."""
+
+    def note_misdirected(self, server_name: str) -> None:
+        """The address belongs to another server by now."""
+
+    def count_daemons(self) -> int:
+        """Return how many daemons share the budgets."""
+
+
+class SendFailedError(Exception):
+    """One send failed; nothing or only whole events of it went to the caller."""
+
+    def __init__(self, failure: SendFailure, detail: str, was_sent: bool) -> None:
+        super().__init__(detail)
+        self.failure = failure
+        self.detail = detail
+        self.was_sent = was_sent
+
+
+class OverdueError(Exception):
+    """The request's time is up."""
+
+
+class Sender:
+    """Sends requests, each call once.
+
+    Parameters
+    ==========
+
+    dialect : the wire format of callers and backend servers.
+    view : what the process knows.
+    pool : connections to backend servers.
+    observer : hears what happens.
+    clock : the time.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        view: ForwardingView,
+        pool: BackendPool,
+        observer: ForwardObserver,
+        clock: Clock,
+    ) -> None:
+        self._dialect = dialect
+        self._view = view
+        self._pool = pool
+        self._observer = observer
+        self._clock = clock
+
+    def send(
+        self,
+        progress: Progress,
+        admitted: AdmittedRequest,
+        placement: Placement,
+        reply: Reply,
+    ) -> None:
+        """Send to one server and relay its answer.
+
+        Raises
+        ======
+
+        SendFailedError : there is no complete answer.
+        """
+        exchange = self._open(admitted, placement)
+        ticket = self._view.begin_send(admitted, placement)
+        progress.sends.append(placement.candidate.server.name)
+        progress.in_flight = True
+        failed = True
+        try:
+            exchange.send(self._encode(progress, admitted, placement))
+            answer = exchange.read_head()
+            self._check_run(answer, placement)
+            ticket.note_first_event()
+            self._relay(progress, admitted, exchange, reply)
+            failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        except ExchangeError as error:
+            raise SendFailedError(SendFailure.BROKEN, error.detail, True) from error
+        except (CallerLeftError, OverdueError):
+            failed = False
+            raise
+        except SendFailedError as error:
+            failed = error.failure is not SendFailure.DECLINED
+            raise
+        finally:
+            ticket.end(failed)
+            self._pool.finish(exchange)
+
+    def _open(self, admitted: AdmittedRequest, placement: Placement) -> PooledExchange:
+        request_id = admitted.facts.request_id
+        is_once = not admitted.route.is_repeatable
+        try:
+            return self._pool.open(
+                placement.candidate.server.address,
+                admitted.request.method,
+                lambda answer: self._dialect.is_answer_to(answer, request_id),
+                most_idle_ms=REUSE_IDLE_AT_MOST_ONCE_MS if is_once else REUSE_IDLE_MS,
+                timeout_ms=max(admitted.deadline_ms - self._clock.now_ms(), 1.0),
+            )
+        except ExchangeError as error:
+            assert error.stage is Stage.BEFORE_SEND
+            raise SendFailedError(SendFailure.UNREACHABLE, error.detail, False) from error
+
+    def _encode(self, progress: Progress, admitted: AdmittedRequest, placement: Placement) -> bytes:
+        fields = SendFields(
+            server_name=placement.candidate.server.name,
+            time_left_ms=max(admitted.deadline_ms - self._clock.now_ms(), 1.0),
+            account=admitted.account.name if admitted.account else "",
+            urgency=admitted.urgency,
+            last_event_id=progress.last_event_id,
+        )
+        return self._dialect.encode_request(admitted.request, admitted.facts, fields)
+
+    def _check_run(self, answer: ParsedAnswer, placement: Placement) -> None:
+        """Raise unless the server ran the request and the answer is its own."""
+        if self._dialect.states_not_run(answer):
+            if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+                self._view.note_misdirected(placement.candidate.server.name)
+            detail = f"declined with {answer.status}"
+            raise SendFailedError(SendFailure.DECLINED, detail, True)
+        if not self._dialect.is_genuine(answer):
+            detail = f"a {answer.status} that is not the server's own"
+            raise SendFailedError(SendFailure.BROKEN, detail, True)
+
+    def _relay(
+        self,
+        progress: Progress,
+        admitted: AdmittedRequest,
+        exchange: PooledExchange,
+        reply: Reply,
+    ) -> None:
+        answer = exchange.answer
+        is_success = answer.status < HTTPStatus.BAD_REQUEST
+        if admitted.route.kind is RequestKind.STREAM and is_success:
+            self._relay_stream(progress, admitted, exchange, reply)
+        else:
+            self._relay_whole(progress, admitted, exchange, reply)
+        progress.outcome = "answered"
+
+    def _relay_whole(
+        self,
+        progress: Progress,
+        admitted: AdmittedRequest,
+        exchange: PooledExchange,
+        reply: Reply,
+    ) -> None:
+        """Read the whole answer before any of it goes to the caller."""
+        answer = exchange.answer
+        body = exchange.read_body(MOST_ANSWER_BYTES)
+        is_failure = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if is_failure and admitted.route.is_repeatable and self._has_another_try(progress):
+            raise SendFailedError(SendFailure.BROKEN, f"the server failed: {answer.status}", True)
+        if reply.begun:
+            raise SendFailedError(SendFailure.BROKEN, f"no stream but {answer.status}", True)
+        self._note_begun(progress)
+        headers = self._dialect.select_answer_headers(answer)
+        reply.send(answer.status, answer.reason, headers, body)
+
+    def _has_another_try(self, progress: Progress) -> bool:
+        admitted = progress.admitted
+        assert admitted is not None
+        if len(progress.sends) >= admitted.route.max_attempts:
+            return False
+        return self._view.place(admitted, [*progress.excluded, *progress.sends]) is not None
+
+    def _relay_stream(
+        self,
+        progress: Progress,
+        admitted: AdmittedRequest,
+        exchange: PooledExchange,
+        reply: Reply,
+    ) -> None:
+        """Relay the events as they come; of a stream that can go on elsewhere whole ones only."""
+        splitter = EventSplitter() if admitted.route.is_resumable else None
+        while piece := exchange.read_piece():
+            if splitter is not None:
+                whole = splitter.feed(piece)
+                piece = whole.data
+                progress.last_event_id = whole.last_id or progress.last_event_id
+            if piece:
+                self._begin_reply(progress, exchange.answer, reply)
+                reply.write(piece)
+        self._begin_reply(progress, exchange.answer, reply)
+        if splitter is not None:
+            reply.write(splitter.rest)
+        reply.end()
+
+    def _begin_reply(self, progress: Progress, answer: ParsedAnswer, reply: Reply) -> None:
+        """Send the head of the first server's answer before its first event."""
+        if reply.begun:
+            return
+        self._note_begun(progress)
+        headers = self._dialect.select_answer_headers(answer)
+        reply.begin(answer.status, answer.reason, headers)
+
+    def _note_begun(self, progress: Progress) -> None:
+        progress.began_ms = self._clock.now_ms()
+        self._observer.request_began(progress)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+import structlog
 
 from tests.gateway_site import (
     HOST,
@@ -237,6 +238,17 @@
     assert rates == [0.0] * 4, "the servers are not to blame"
 
 
+def test_a_server_without_a_connection_is_named_in_the_log(site):
+    """Incident inc-ac0b: 64 of 66 such lines did not say which server it was."""
+    runner = site.add_runner("app")
+    runner.server.stop(timeout=0)
+    with structlog.testing.capture_logs() as lines:
+        assert site.ask("/check/x", "id-1").status == 503
+    failed = [line for line in lines if line["event"] == "attempt_failed"]
+    assert failed
+    assert {line["server"] for line in failed} == {runner.name}
+
+
 def test_a_moved_address_is_not_used_for_another_server(site, app):
     stale, sound = app
     stale.state.settings = stale.state.settings.model_copy(update={"name": "somebody-else"})
