--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,7 +8,7 @@
 
 from features.support.cluster import Cluster
 from features.support.gateways import GATEWAY, STANDIN, ZONE, call_json
-from features.support.processes import Program
+from features.support.processes import HarnessError, Program
 from tests.gateway_site import make_manifest
 
 GATEWAYS = ("one", "two", "three")
@@ -78,8 +78,16 @@
                 "stop_grace_s": STOP_GRACE_S,
             }
             self._keep_output(name)
-            self.cluster.launch(name, [GATEWAY], settings)
+            program = self.cluster.launch(name, [GATEWAY], settings)
+        self._point_front_when_ready(name, program)
+
+    def _point_front_when_ready(self, name: str, program: Program) -> None:
+        """Point the callers' link to a new process, unless another fault ends it before."""
+        try:
             self.point_front(name)
+        except HarnessError:
+            if program.is_running:
+                raise
 
     def find_incarnation(self, name: str) -> str:
         """Return a name of the running process that differs for each start."""
