Let hemlock-ctl ask gateways what they believe, and check their settings files

'gateways ADDRESS...' asks control addresses for their status pages at the same time and shows readiness, revision, gateways heard and servers known; one that does not answer is named and the others are shown.

--- a/hemlockswitch/programs/ctl.py
+++ b/hemlockswitch/programs/ctl.py
@@ -12,6 +12,7 @@
 from hemlockswitch.programs.ctl_apply import ApplyCommand, DiffCommand
 from hemlockswitch.programs.ctl_events import EventsCommand
 from hemlockswitch.programs.ctl_files import CheckCommand
+from hemlockswitch.programs.ctl_gateways import GatewaysCommand
 from hemlockswitch.programs.ctl_status import HistoryCommand, StatusCommand
 
 COMMANDS = (
@@ -21,6 +22,7 @@
     StatusCommand,
     HistoryCommand,
     EventsCommand,
+    GatewaysCommand,
 )
 
 
--- a/hemlockswitch/programs/ctl_files.py
+++ b/hemlockswitch/programs/ctl_files.py
@@ -12,11 +12,17 @@
 from hemlockswitch.version.checks import CheckedFile, InvalidFileError, parse_file
 from hemlockswitch.version.documents import digest_tree
 from hemlockswitch.version.mistakes import list_model_mistakes
-from hemlockswitch.version.settings import ControllerSettings, EntrySettings, ProgramSettings
+from hemlockswitch.version.settings import (
+    ControllerSettings,
+    EntrySettings,
+    GatewaySettings,
+    ProgramSettings,
+)
 
 SETTINGS: dict[str, type[ProgramSettings]] = {
     "entry": EntrySettings,
     "controller": ControllerSettings,
+    "gateway": GatewaySettings,
 }
 JSON_OPTION = option("json", None, "Write one JSON object to standard output.")
 
@@ -69,7 +75,7 @@
         option(
             "kind",
             None,
-            "What the file is: operator, entry or controller.",
+            "What the file is: operator, entry, controller or gateway.",
             flag=False,
             default="operator",
         ),
--- /dev/null
+++ b/hemlockswitch/programs/ctl_gateways.py
@@ -0,0 +1,138 @@
+"""`hemlock-ctl gateways`: what gateways on the users' platform believe, from their status pages."""
+
+import json
+from dataclasses import asdict, dataclass
+
+import gevent
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from geventhttpclient.response import HTTPParseError
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from hemlockswitch.connection.http import NotSentError, SingleSendClient
+from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.programs.ctl_files import JSON_OPTION, ExitCode
+from hemlockswitch.version.settings import describe_mistakes, split_address
+
+TIMEOUT_MS = 2_000.0
+"""A status page answers in milliseconds; a gateway that takes longer is of interest as such."""
+
+
+class _ConfigurationBody(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    revision: int | None = None
+    watch_lost: bool = False
+
+
+class _StatusBody(BaseModel):
+    """A gateway's status page; what is not read here is passed over."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    name: str
+    ready: bool
+    configuration: _ConfigurationBody
+    gateways: dict[str, dict[str, object]]
+    backend_servers: int
+
+
+@dataclass(frozen=True)
+class GatewayStatus:
+    """What one gateway believes, or why it could not be asked.
+
+    Parameters
+    ==========
+
+    revision : the configuration in force there; None before the first.
+    hears : how many other gateways it hears.
+    servers : how many backend servers it knows.
+    error : empty if it answered.
+    """
+
+    address: str
+    name: str = ""
+    ready: bool = False
+    revision: int | None = None
+    watch_lost: bool = False
+    hears: int = 0
+    servers: int = 0
+    error: str = ""
+
+
+class GatewaysCommand(Command):
+    """Ask gateways what they believe."""
+
+    name = "gateways"
+    description = "Show what gateways believe: readiness, revision, other gateways, servers."
+    arguments = [argument("addresses", "Control addresses, ip:port.", multiple=True)]
+    options = [
+        JSON_OPTION,
+        option("timeout", None, "Milliseconds for each.", flag=False, default=str(int(TIMEOUT_MS))),
+    ]
+    help = """Asks each address for its status page, all at the same time, and shows a line for each.
+Gateways that differ in revision or in the number of servers for longer than a few seconds are cut
+off from the store or from one another.
+
+Exit codes: 0 every gateway answered, 2 an address or the time-out is wrong, 4 one did not answer."""
+
+    def handle(self) -> int:
+        """Ask and show."""
+        try:
+            timeout_ms = float(self.option("timeout"))
+            addresses = [split_address(text) for text in self.argument("addresses")]
+        except ValueError:
+            self.line_error("an address is ip:port, and --timeout a number of milliseconds")
+            return ExitCode.MISTAKES
+        tasks = [gevent.spawn(ask_gateway, host, port, timeout_ms) for host, port in addresses]
+        statuses = [task.get() for task in tasks]
+        if self.option("json"):
+            self.line(json.dumps({"gateways": [asdict(status) for status in statuses]}))
+        else:
+            for status in statuses:
+                self.line(format_status(status))
+        return ExitCode.PLATFORM if any(status.error for status in statuses) else ExitCode.DONE
+
+
+def ask_gateway(host: str, port: int, timeout_ms: float = TIMEOUT_MS) -> GatewayStatus:
+    """Return what the gateway at a control address believes."""
+    address = f"{host}:{port}"
+    timeout_s = timeout_ms / MS_PER_SECOND
+    client = SingleSendClient(host, port, connection_timeout=timeout_s, network_timeout=timeout_s)
+    try:
+        body = _StatusBody.model_validate_json(client.request("GET", "/status").read())
+    except (OSError, NotSentError, HTTPParseError) as error:
+        return GatewayStatus(address, error=f"no answer: {error}")
+    except ValidationError as error:
+        return GatewayStatus(address, error=f"not a status page: {describe_mistakes(error)}")
+    finally:
+        client.close()
+    return GatewayStatus(
+        address,
+        body.name,
+        body.ready,
+        body.configuration.revision,
+        body.configuration.watch_lost,
+        len(body.gateways),
+        body.backend_servers,
+    )
+
+
+def format_status(status: GatewayStatus) -> str:
+    """Return one line.
+
+    Examples
+    ========
+
+    >>> format_status(GatewayStatus("10.0.0.1:7615", "front-1", True, 7, False, 8, 16))
+    '10.0.0.1:7615 front-1: ready, revision 7, hears 8 gateways, knows 16 servers'
+    >>> format_status(GatewayStatus("10.0.0.1:7615", error="no answer: refused"))
+    '10.0.0.1:7615: no answer: refused'
+    """
+    if status.error:
+        return f"{status.address}: {status.error}"
+    ready = "ready" if status.ready else "not ready"
+    revision = "no revision" if status.revision is None else f"revision {status.revision}"
+    lost = " (store not in touch)" if status.watch_lost else ""
+    heard = f"hears {status.hears} gateways, knows {status.servers} servers"
+    return f"{status.address} {status.name}: {ready}, {revision}{lost}, {heard}"
