--- a/hemlockswitch/process/gateway/accounts.py
+++ b/hemlockswitch/process/gateway/accounts.py
@@ -1,8 +1,9 @@
 """The limits of client accounts over all daemons, from what each daemon says it has spent.
 
 Each daemon keeps a bucket for each account and takes from it both its own requests and those that
-the other daemons report, several times a second, and at once when little is left. Daemons that are not heard count as a part of
-the limit that is theirs: in a cut each side admits only its part, so the sum stays in the limit.
+the other daemons report, several times a second, and at once when little is left. Daemons that are
+not heard count as a part of the limit that is theirs: in a cut each side admits only its part, so the
+sum stays in the limit.
 """
 
 from collections import defaultdict
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -46,8 +46,8 @@
 are, the longer changes gather before the next watch."""
 LONGEST_SETTLE_MS = 600.0
 """A leaving server must get nothing new two seconds after it said so; this leaves most of it. While
-the registry fills after a start, changes gather for as long: on quiet-1 of the grown Qafza site 26 of
-82 watches of a gateway fell into these four seconds."""
+the registry fills after a start, changes gather for as long: on quiet-1 of the grown Qafza site 26
+of 82 watches of a gateway fell into these four seconds."""
 TASK_RESTART_MS = 500.0
 LISTEN_ON_STOP_MS = 2_500.0
 """How long to accept connections after a stop signal: balancers ask for readiness once a second
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -37,8 +37,9 @@
 """The list may be some seconds old and lack a registration that was just written."""
 GONE_MS = 30_000.0
 """A gateway that the holder of the duties has not heard for this long is taken as gone for good: its
-part of the limits goes to the others. Partitions of the sites last some five seconds; in a longer one a
-gateway that is cut off keeps its part, so that limits may be exceeded by the parts of those cut off."""
+part of the limits goes to the others. Partitions of the sites last some five seconds; in a longer
+one a gateway that is cut off keeps its part, so that limits may be exceeded by the parts of those
+that are cut off."""
 SILENT_MS = 1_500.0
 """A gateway that was not heard for this long counts as out of touch; several reports are missing."""
 
--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -90,13 +90,13 @@
 
 
 FOUND_SHARE = 0.85
-"""Part of the copies at the full price found at a takeover that is needed until the demand is measured:
-operators size their fleets for the peak, and cold caches need more reading than the demand shows.
+"""Part of the copies at the full price found at a takeover that is needed until the demand is
+measured: operators size their fleets for the peak, and cold caches need more reading than the demand shows.
 Trials of quiet-1 of the grown Qafza site: worth 0.346 with 0.4, 0.508 with 0.6, 0.577 with 0.85."""
 KEPT_SHARE = 0.4
 """The same part of all copies. Reclaimable ones were ordered by an earlier holder and are twice what
-is needed; with 0.85 of them too each takeover raised the orders, and trouble-1 of the small Qafza site
-fell from 0.522 to 0.469."""
+is needed; with 0.85 of them too each takeover raised the orders, and trouble-1 of the small Qafza
+site fell from 0.522 to 0.469."""
 PRIOR_MS = 12_000.0
 """How long after the first requests the measured demand is not trusted alone: three times the time
 constant with which it is measured, in which the shared parts have been read once."""
@@ -127,8 +127,9 @@
 
     Reclaimable copies carry the demand, spread so that what is needed is left when one zone's
     are reclaimed at once; two zones' where they are cheap, since waves of reclaims go from zone to
-    zone before the first one has any again. Copies that are not reclaimable stand in for those that are missing,
-    in the cheapest zones: while a wave of reclaims goes round, nothing else is to be had.
+    zone before the first one has any again. Copies that are not reclaimable stand in for those that
+    are missing, in the cheapest zones: while a wave of reclaims goes round, nothing else is to be
+    had.
     """
     needed = count_needed(situation)
     wanted = _plan_reclaimable(situation, needed)
