Test what a gateway learns of prompts that another one sent

Two unit tests of it by itself; no source changed, no test changed. Run: tests/test_placement.py and make check.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,6 +13,7 @@
     rank_homes,
 )
 from tests.placement_replay import (
+    CAPACITY_TOKENS,
     SERVERS,
     SHARED_TOKENS,
     Replay,
@@ -116,6 +117,27 @@
     assert ours.read_tokens < 0.75 * least.read_tokens
 
 
+def test_a_prompt_that_another_gateway_sent_is_known_to_be_cached_there():
+    clock = ManualClock()
+    own, other = ServerLoads(clock), ServerLoads(clock)
+    clock.advance(20_000)
+    prompt = make_prompt(1)
+    other.begin(SERVERS[2], prompt, prompt.input_tokens, CAPACITY_TOKENS)
+    own.take_report("g2", other.describe_own(), other.pop_sent())
+    cached = {
+        one.server.name: one.cached_tokens for one in own.build_candidates(SERVERS, make_prompt(1))
+    }
+    assert cached.pop("e2") == SHARED_TOKENS
+    assert set(cached.values()) == {0}, "what nobody sent is not cached"
+    assert other.pop_sent() == [], "each send is told once"
+
+
+def test_a_new_process_does_not_take_for_cold_what_it_has_not_heard_of():
+    loads = ServerLoads(ManualClock())
+    candidates = loads.build_candidates(SERVERS, make_prompt(1))
+    assert {one.cached_tokens for one in candidates} == {None}
+
+
 def test_the_prediction_counts_what_waits_and_what_is_not_cached():
     prompt = make_prompt(1)
     cold = predict_first_event_ms(prompt, Candidate(SERVERS[0], home_rank=5))
