Notice a silent watcher sooner, and hash the registry only when it changed

Cause: with sixty gateways a peer counts as heard for 2.4 s; a gateway that hears of the registry from a watcher that died would take that long to watch by itself, of the three seconds in which a leaving server must get nothing new. The registry was hashed twice for each report.

Change: who watches is decided from those heard in the last 0.7 s or two and a half reports; the hash is kept until an entry changes.

--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -46,6 +46,11 @@
 WATCHERS_PER_ZONE = 2
 """Gateways of each zone that watch the registry for the others. One that is killed or frozen leaves
 another, so that nothing waits for its silence to be noticed."""
+COVERED_MS = 700.0
+COVERED_PERIODS = 2.5
+"""How lately a gateway must have been heard to count in who watches, the longer of the two: 1.5 s
+with sixty gateways. A leaving server must get nothing new two or three seconds after it said so, and a
+gateway that watches by itself for nothing costs one call."""
 
 
 @dataclass
@@ -231,9 +236,11 @@
         return sum(min(count, WATCHERS_PER_ZONE) for count in zones.values())
 
     def _list_zone(self) -> list[Peer]:
-        """Return the other gateways of this zone that were heard lately."""
-        heard = (peer for peer in self.list_heard() if peer.report is not None)
-        return [peer for peer in heard if peer.report.zone == self.zone]
+        """Return the other gateways of this zone that were heard a moment ago."""
+        covered_ms = max(COVERED_MS, COVERED_PERIODS * self.get_period_ms())
+        oldest_ms = self._clock.now_ms() - covered_ms
+        heard = (peer for peer in self._peers.values() if peer.heard_ms >= oldest_ms)
+        return [peer for peer in heard if peer.report and peer.report.zone == self.zone]
 
     def _list_watcher_names(self) -> list[str]:
         names = sorted([self._name, *(peer.name for peer in self._list_zone())])
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -57,6 +57,7 @@
         self._by_service: dict[str, dict[str, BackendServer]] = defaultdict(dict)
         self._held_until_ms: dict[str, float] = {}
         self._misdirected_until_ms: dict[str, float] = {}
+        self._digest: int | None = None  # None after a change
 
     def replace_all(self, page: ObjectPage) -> None:
         """Take a whole list."""
@@ -101,8 +102,10 @@
 
     def hash_servers(self) -> int:
         """Return a hash of the servers and their states, to compare with other gateways."""
-        states = sorted(f"{one.name} {one.state.value}" for one in self._servers.values())
-        return xxhash.xxh32_intdigest("\n".join(states).encode())
+        if self._digest is None:
+            states = sorted(f"{one.name} {one.state.value}" for one in self._servers.values())
+            self._digest = xxhash.xxh32_intdigest("\n".join(states).encode())
+        return self._digest
 
     def note_misdirected(self, name: str) -> None:
         """Leave out a server whose address belongs to another one by now."""
@@ -118,6 +121,7 @@
         if before is not None:
             self._by_service[before.serves].pop(before.name, None)
         self._servers[server.name] = server
+        self._digest = None
         self._by_service[server.serves][server.name] = server
         self._held_until_ms.pop(server.name, None)
         self._log_change(before, server, item.version)
@@ -160,6 +164,7 @@
         self._held_until_ms.pop(name, None)
         self._misdirected_until_ms.pop(name, None)
         server = self._servers.pop(name)
+        self._digest = None
         self._by_service[server.serves].pop(name, None)
         log_event(Event.BACKEND_GONE, server=name, address=server.address)
         self._on_gone(server)
