Hand one send on as one value

Cause: the request, its admission, the server and the reply stood in the parameter lists of five methods, and what was admitted also beside the progress that holds it. Change: `Send` holds the four; nothing else. Ruled out: reading the admission from the progress, where it may be missing.

--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -27,7 +27,13 @@
     SendVerdict,
     judge_failure,
 )
-from hemlockswitch.request.sending import ForwardingView, OverdueError, Sender, SendFailedError
+from hemlockswitch.request.sending import (
+    ForwardingView,
+    OverdueError,
+    Send,
+    Sender,
+    SendFailedError,
+)
 
 MOST_UNREACHABLE = 4
 """Servers that are tried without a connection before the request is given up; none of these
@@ -116,7 +122,7 @@
                 raise OverdueError
             placement = self._choose(progress, admitted, reply)
             try:
-                self._sender.send(progress, admitted, placement, reply)
+                self._sender.send(Send(progress, admitted, placement, reply))
                 return
             except SendFailedError as failed:
                 self._prepare_again(progress, admitted, placement, failed, reply)
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Protocol
 
@@ -71,6 +72,16 @@
     """The request's time is up."""
 
 
+@dataclass(frozen=True)
+class Send:
+    """One send of a request to one server, and where its answer goes."""
+
+    progress: Progress
+    admitted: AdmittedRequest
+    placement: Placement
+    reply: Reply
+
+
 class Sender:
     """Sends requests, each call once.
 
@@ -98,13 +109,7 @@
         self._observer = observer
         self._clock = clock
 
-    def send(
-        self,
-        progress: Progress,
-        admitted: AdmittedRequest,
-        placement: Placement,
-        reply: Reply,
-    ) -> None:
+    def send(self, send: Send) -> None:
         """Send to one server and relay its answer.
 
         Raises
@@ -112,17 +117,17 @@
 
         SendFailedError : there is no complete answer.
         """
-        exchange = self._open(admitted, placement)
-        ticket = self._view.begin_send(admitted, placement)
-        progress.sends.append(placement.candidate.server.name)
-        progress.in_flight = True
+        exchange = self._open(send)
+        ticket = self._view.begin_send(send.admitted, send.placement)
+        send.progress.sends.append(send.placement.candidate.server.name)
+        send.progress.in_flight = True
         failed = True
         try:
-            exchange.send(self._encode(progress, admitted, placement))
+            exchange.send(self._encode(send))
             answer = exchange.read_head()
-            self._check_run(answer, placement)
+            self._check_run(answer, send.placement)
             ticket.note_first_event()
-            self._relay(progress, admitted, exchange, reply)
+            self._relay(send, exchange)
             failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         except ExchangeError as error:
             raise SendFailedError(SendFailure.BROKEN, error.detail, True) from error
@@ -136,12 +141,13 @@
             ticket.end(failed)
             self._pool.finish(exchange)
 
-    def _open(self, admitted: AdmittedRequest, placement: Placement) -> PooledExchange:
+    def _open(self, send: Send) -> PooledExchange:
+        admitted = send.admitted
         request_id = admitted.facts.request_id
         is_once = not admitted.route.is_repeatable
         try:
             return self._pool.open(
-                placement.candidate.server.address,
+                send.placement.candidate.server.address,
                 admitted.request.method,
                 lambda answer: self._dialect.is_answer_to(answer, request_id),
                 most_idle_ms=REUSE_IDLE_AT_MOST_ONCE_MS if is_once else REUSE_IDLE_MS,
@@ -151,13 +157,14 @@
             assert error.stage is Stage.BEFORE_SEND
             raise SendFailedError(SendFailure.UNREACHABLE, error.detail, False) from error
 
-    def _encode(self, progress: Progress, admitted: AdmittedRequest, placement: Placement) -> bytes:
+    def _encode(self, send: Send) -> bytes:
+        admitted = send.admitted
         fields = SendFields(
-            server_name=placement.candidate.server.name,
+            server_name=send.placement.candidate.server.name,
             time_left_ms=max(admitted.deadline_ms - self._clock.now_ms(), 1.0),
             account=admitted.account.name if admitted.account else "",
             urgency=admitted.urgency,
-            last_event_id=progress.last_event_id,
+            last_event_id=send.progress.last_event_id,
         )
         return self._dialect.encode_request(admitted.request, admitted.facts, fields)
 
@@ -172,56 +179,37 @@
             detail = f"a {answer.status} that is not the server's own"
             raise SendFailedError(SendFailure.BROKEN, detail, True)
 
-    def _relay(
-        self,
-        progress: Progress,
-        admitted: AdmittedRequest,
-        exchange: PooledExchange,
-        reply: Reply,
-    ) -> None:
-        answer = exchange.answer
-        is_success = answer.status < HTTPStatus.BAD_REQUEST
-        if admitted.route.kind is RequestKind.STREAM and is_success:
-            self._relay_stream(progress, admitted, exchange, reply)
+    def _relay(self, send: Send, exchange: PooledExchange) -> None:
+        is_success = exchange.answer.status < HTTPStatus.BAD_REQUEST
+        if send.admitted.route.kind is RequestKind.STREAM and is_success:
+            self._relay_stream(send, exchange)
         else:
-            self._relay_whole(progress, admitted, exchange, reply)
-        progress.outcome = "answered"
+            self._relay_whole(send, exchange)
+        send.progress.outcome = "answered"
 
-    def _relay_whole(
-        self,
-        progress: Progress,
-        admitted: AdmittedRequest,
-        exchange: PooledExchange,
-        reply: Reply,
-    ) -> None:
+    def _relay_whole(self, send: Send, exchange: PooledExchange) -> None:
         """Read the whole answer before any of it goes to the caller."""
-        answer = exchange.answer
+        answer, reply = exchange.answer, send.reply
         body = exchange.read_body(MOST_ANSWER_BYTES)
         is_failure = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        if is_failure and admitted.route.is_repeatable and self._has_another_try(progress):
+        if is_failure and send.admitted.route.is_repeatable and self._has_another_try(send):
             raise SendFailedError(SendFailure.BROKEN, f"the server failed: {answer.status}", True)
         if reply.begun:
             raise SendFailedError(SendFailure.BROKEN, f"no stream but {answer.status}", True)
-        self._note_begun(progress)
+        self._note_begun(send.progress)
         headers = self._dialect.select_answer_headers(answer)
         reply.send(answer.status, answer.reason, headers, body)
 
-    def _has_another_try(self, progress: Progress) -> bool:
-        admitted = progress.admitted
-        assert admitted is not None
+    def _has_another_try(self, send: Send) -> bool:
+        progress, admitted = send.progress, send.admitted
         if len(progress.sends) >= admitted.route.max_attempts:
             return False
         return self._view.place(admitted, [*progress.excluded, *progress.sends]) is not None
 
-    def _relay_stream(
-        self,
-        progress: Progress,
-        admitted: AdmittedRequest,
-        exchange: PooledExchange,
-        reply: Reply,
-    ) -> None:
+    def _relay_stream(self, send: Send, exchange: PooledExchange) -> None:
         """Relay the events as they come; of a stream that can go on elsewhere whole ones only."""
-        splitter = EventSplitter() if admitted.route.is_resumable else None
+        progress, reply = send.progress, send.reply
+        splitter = EventSplitter() if send.admitted.route.is_resumable else None
         while piece := exchange.read_piece():
             if splitter is not None:
                 whole = splitter.feed(piece)
