Let the soak name the seed whose processes did not start

Cause: a seed whose gateways did not serve within 20 s at the start ended the whole run with a traceback, without its number or logs. Change: it is a broken promise like no recovery, and its logs are kept.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from features.support.processes import HarnessError, wait_until
@@ -46,26 +46,34 @@
     world = SoakWorld()
     try:
         world.build()
-        _wait_for_service(world, "start")
-        plan = draw_plan(seed, length_s)
-        callers = Callers(world, seed)
-        callers.start()
-        try:
-            _inject_all(world, plan)
-            world.heal()
-            broken = _check_recovery(world)
-        finally:
-            calls = callers.stop()
-        broken += list_broken(
-            [*calls, *world.probes], world.list_runs(), world.call_store("GET", "/standin/cloud")
+        broken = _check_service(world, "start")
+        result = (
+            SoakResult(seed, 0, 0, 0, tuple(broken)) if broken else _play(world, seed, length_s)
         )
-        answered = sum(call.is_right for call in calls)
-        logs = _keep_logs(world, seed, keep) if broken else None
-        return SoakResult(seed, len(calls), answered, len(plan), tuple(broken), logs)
+        logs = _keep_logs(world, seed, keep) if result.broken else None
+        return replace(result, logs=logs)
     finally:
         world.close()
 
 
+def _play(world: SoakWorld, seed: int, length_s: float) -> SoakResult:
+    """Inject the faults of a seed while callers call, and check the promises."""
+    plan = draw_plan(seed, length_s)
+    callers = Callers(world, seed)
+    callers.start()
+    try:
+        _inject_all(world, plan)
+        world.heal()
+        broken = _check_service(world, "recovery")
+    finally:
+        calls = callers.stop()
+    broken += list_broken(
+        [*calls, *world.probes], world.list_runs(), world.call_store("GET", "/standin/cloud")
+    )
+    answered = sum(call.is_right for call in calls)
+    return SoakResult(seed, len(calls), answered, len(plan), tuple(broken))
+
+
 def _inject_all(world: SoakWorld, plan: tuple) -> None:
     began_s = time.monotonic()
     threads = []
@@ -77,11 +85,12 @@
         thread.join()
 
 
-def _check_recovery(world: SoakWorld) -> list[str]:
+def _check_service(world: SoakWorld, phase: str) -> list[str]:
+    """Return what does not serve at the start, or after the faults."""
     try:
-        _wait_for_service(world, "recovery")
+        _wait_for_service(world, phase)
     except HarnessError as error:
-        return [f"no recovery: {error}"]
+        return [f"no {phase}: {error}"]
     return []
 
 
