Add up the reported loads as plain numbers

A placement among 75 servers with sixty reports took 1.9 ms, half of it for adding up the reports with a new value for each of 480 loads.

Ruled out: sums kept up to date with each report (a report then takes 53 instead of 18 microseconds, and a hundred come in a second against five placements).

Change: the sums are two dictionaries of numbers, in a module of their own.

--- a/hemlockswitch/process/gateway/loads.py
+++ b/hemlockswitch/process/gateway/loads.py
@@ -3,15 +3,13 @@
 import math
 from collections import OrderedDict, defaultdict, deque
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
 
 from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.gateway.reported_loads import LoadSums, ReportedLoads, ServerLoad
 from hemlockswitch.request.dialect import Chain, Prompt
 from hemlockswitch.request.placement import Candidate, rank_homes
 from hemlockswitch.version.backend import BackendServer
 
-REPORT_LIFE_MS = 1_500.0
-"""How long another daemon's report counts; it sends several in this time."""
 FAILURE_HALF_LIFE_MS = 2_000.0
 """After this time a failure weighs half: long enough to steer work away from a failing server,
 short enough to try it again within seconds."""
@@ -34,14 +32,6 @@
 """A server's name, and the shared beginnings of a prompt that was sent to it."""
 
 
-@dataclass(frozen=True)
-class ServerLoad:
-    """Requests in progress on a server, and prompt tokens that wait to be read there."""
-
-    running: int = 0
-    waiting_tokens: float = 0.0
-
-
 class FailureRate:
     """A rate of failures that decays with time.
 
@@ -169,7 +159,7 @@
         self._failures: dict[str, FailureRate] = {}
         self._memories: dict[str, PromptMemory] = {}
         self._demand: dict[str, DemandMeter] = {}
-        self._reports: dict[str, tuple[float, Mapping[str, ServerLoad]]] = {}
+        self._reported = ReportedLoads(clock)
         self._begun_ms = clock.now_ms()
         self._untold: deque[SentPrompt] = deque(maxlen=MOST_TOLD)
 
@@ -213,10 +203,8 @@
 
     def count_running(self, names: Collection[str]) -> int:
         """Return the requests in progress on some servers, over all daemons."""
-        others = self._sum_reports()
-        return sum(
-            self._running.get(name, 0) + others.get(name, ServerLoad()).running for name in names
-        )
+        others = self._reported.sum_loads()
+        return sum(self._running.get(name, 0) + others.running.get(name, 0) for name in names)
 
     def describe_own(self) -> dict[str, ServerLoad]:
         """Return the own load, for other daemons."""
@@ -236,7 +224,7 @@
         self, daemon: str, report: Mapping[str, ServerLoad], sent: Sequence[SentPrompt] = ()
     ) -> None:
         """Take another daemon's load, and the prompts that it has sent."""
-        self._reports[daemon] = (self._clock.now_ms(), report)
+        self._reported.take(daemon, report)
         for name, chain in sent:
             self._note_prompt(name, chain)
 
@@ -251,7 +239,7 @@
         """Return the servers with their load."""
         key = prompt.shared_parts[-1].identifier if prompt and prompt.shared_parts else ""
         ranks = rank_homes(key, [server.name for server in servers]) if key else {}
-        others = self._sum_reports()
+        others = self._reported.sum_loads()
         return [
             self._build_candidate(server, prompt, ranks.get(server.name, 0), others)
             for server in servers
@@ -262,15 +250,14 @@
         server: BackendServer,
         prompt: Prompt | None,
         home_rank: int,
-        others: Mapping[str, ServerLoad],
+        others: LoadSums,
     ) -> Candidate:
         name = server.name
-        other = others.get(name, ServerLoad())
         failures = self._failures.get(name)
         return Candidate(
             server=server,
-            running=self._running.get(name, 0) + other.running,
-            waiting_tokens=self._waiting.get(name, 0.0) + other.waiting_tokens,
+            running=self._running.get(name, 0) + others.running.get(name, 0),
+            waiting_tokens=self._waiting.get(name, 0.0) + others.waiting_tokens.get(name, 0.0),
             cached_tokens=self._count_cached(name, prompt) if prompt else None,
             home_rank=home_rank,
             failure_rate=failures.get(self._clock.now_ms()) if failures else 0.0,
@@ -282,16 +269,3 @@
         cached = memory.count_cached(prompt.shared_chain) if memory is not None else 0.0
         is_learning = self._clock.now_ms() - self._begun_ms < LEARNING_MS
         return None if is_learning and not cached else cached
-
-    def _sum_reports(self) -> dict[str, ServerLoad]:
-        oldest_ms = self._clock.now_ms() - REPORT_LIFE_MS
-        sums: dict[str, ServerLoad] = {}
-        for received_ms, report in self._reports.values():
-            if received_ms < oldest_ms:
-                continue
-            for name, load in report.items():
-                before = sums.get(name, ServerLoad())
-                sums[name] = ServerLoad(
-                    before.running + load.running, before.waiting_tokens + load.waiting_tokens
-                )
-        return sums
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -14,8 +14,9 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.accounts import SharedLimits
 from hemlockswitch.process.gateway.fleet import Fleet, Peer
-from hemlockswitch.process.gateway.loads import ServerLoad, ServerLoads
+from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.messages import GatewayReport, SpendingReport, UsageReport
+from hemlockswitch.process.gateway.reported_loads import ServerLoad
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts
 from hemlockswitch.process.gateway.watch_guard import StoreView
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,8 @@
 import pytest
 
 from hemlockswitch.core.clock import ManualClock
-from hemlockswitch.process.gateway.loads import ServerLoad, ServerLoads
+from hemlockswitch.process.gateway.loads import ServerLoads
+from hemlockswitch.process.gateway.reported_loads import ServerLoad
 from hemlockswitch.request.placement import (
     Candidate,
     choose_server,
