--- a/hemlockswitch/request/placement.py
+++ b/hemlockswitch/request/placement.py
@@ -161,7 +161,8 @@
     prompt: Prompt, candidates: Sequence[Candidate], rng: random.Random
 ) -> list[Candidate]:
     """Return the servers that have or should have the prompt's shared parts, and a few others."""
-    considered, others = [], []
+    considered: list[Candidate] = []
+    others: list[Candidate] = []
     for candidate in candidates:
         is_home = bool(prompt.shared_parts) and candidate.home_rank < HOMES_CONSIDERED
         (considered if is_home or candidate.cached_tokens else others).append(candidate)
