Renew a watch once for an outage, however many gateways saw it

Change: the guard looks at all outages and renews once; a follower whose watch is being given up does not give it up again.

Before and after: the test's 57 reports gave the watch up 57 times, now once.

--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -92,9 +92,10 @@
                 self.take_step()
 
     def renew_watch(self) -> None:
-        """Give up the watch that waits now and send another one."""
-        if self._task is not None:
-            self._task.kill(WatchRenewedError(), block=False)
+        """Give up the watch that waits now and send another one; once, however often it is called."""
+        task, self._task, self.watch_sent_ms = self._task, None, None
+        if task is not None:
+            task.kill(WatchRenewedError(), block=False)
 
     def take_step(self) -> None:
         """Make one call, or rest after a failed one."""
--- a/hemlockswitch/process/gateway/watch_guard.py
+++ b/hemlockswitch/process/gateway/watch_guard.py
@@ -87,22 +87,19 @@
 
     def compare(self, others: list[StoreView]) -> None:
         """Look for the signs in the latest reports of the gateways in touch."""
-        for view in others:
-            self._check_outage(view)
+        outages = [view.outage for view in others if view.outage is not None]
+        for follower in (self._configuration, self._servers):
+            self._check_outages(follower, outages)
         own = self._get_own_view()
         is_behind = any(view.revision > own.revision for view in others)
         self._note_difference(self._configuration, is_behind)
         self._note_difference(self._servers, _differs_from_most(own, others))
 
-    def _check_outage(self, view: StoreView) -> None:
-        """Renew the watches that were sent while the store was away."""
-        if view.outage is None:
-            return
-        began_ms = view.outage.began_ms - OUTAGE_START_MARGIN_MS
-        for follower in (self._configuration, self._servers):
-            sent_ms = follower.watch_sent_ms
-            if sent_ms is not None and began_ms <= sent_ms <= view.outage.ended_ms:
-                self._renew(follower, sent_ms, RenewalReason.OUTAGE_ENDED)
+    def _check_outages(self, follower: ObjectFollower, outages: list[Outage]) -> None:
+        """Renew a watch that was sent while the store was away."""
+        sent_ms = follower.watch_sent_ms
+        if sent_ms is not None and any(_was_away(outage, sent_ms) for outage in outages):
+            self._renew(follower, sent_ms, RenewalReason.OUTAGE_ENDED)
 
     def _note_difference(self, follower: ObjectFollower, differs: bool) -> None:
         now_ms = self._clock.now_ms()
@@ -126,6 +123,11 @@
         follower.renew_watch()
 
 
+def _was_away(outage: Outage, at_ms: float) -> bool:
+    """Return whether the store may have been away at a moment."""
+    return outage.began_ms - OUTAGE_START_MARGIN_MS <= at_ms <= outage.ended_ms
+
+
 def _differs_from_most(own: StoreView, others: list[StoreView]) -> bool:
     """Return whether more than half of the others agree on another list of servers."""
     if len(others) < FEWEST_AGREEING:
--- a/tests/test_watch_guard.py
+++ b/tests/test_watch_guard.py
@@ -60,6 +60,13 @@
     assert fixture.renewed == (renewed, renewed)
 
 
+def test_an_outage_that_many_saw_renews_a_watch_once():
+    """scale-2 of the grown Driftwood site: 57 reports of one outage gave a watch up 57 times."""
+    fixture = Fixture(sent_ms=12_000)
+    fixture.compare(*(StoreView(3, 7, Outage(11_000, 16_000 + more)) for more in range(57)))
+    assert fixture.renewed == (1, 1)
+
+
 def test_a_newer_configuration_elsewhere_renews_the_watch_of_it():
     fixture = Fixture()
     newer = StoreView(4, 7)
