Count the gateways in touch once for each report

Cause: the part of the limits that is in touch was counted anew, over sixty gateways, for each account of each of a hundred reports a second. Change: once a report. The tests of the limits pass unchanged.

--- a/hemlockswitch/process/gateway/accounts.py
+++ b/hemlockswitch/process/gateway/accounts.py
@@ -151,12 +151,13 @@
 
     def take_report(self, daemon: str, spent: Mapping[str, float]) -> None:
         """Take another daemon's sums; `daemon` differs for each start of a process."""
+        share = self._get_share()
         for account, total in spent.items():
             before = self._seen.get((daemon, account))
             self._seen[daemon, account] = total
             bucket = self._buckets.get(account)
             if before is not None and bucket is not None and total > before:
-                bucket.spend(self._clock.now_ms(), total - before, self._get_share())
+                bucket.spend(self._clock.now_ms(), total - before, share)
 
     def _find_bucket(self, account: ForwardedAccount) -> AccountBucket:
         """Return the account's bucket; a new one has filled since the process began."""
