List again after a watch that failed or was given up

Other gateways' reports (a newer configuration; outages that ended later elsewhere) gave each watch up after 1.1 s at the most, so it never ended: front-thunder-bay-12 had its configuration 5.6 s after the store's return.

Ruled out: longer pauses between renewals (a watch that the store swallowed must be renewed within the bounds of leaving servers); relaying the configuration between gateways (300 KB to ten others over the same links).

Change: after a watch that failed or was given up everything is listed, which brings each object once and is not given up; after a list that failed comes a watch, which other gateways may answer. An outage of another gateway in which the store answered this one renews nothing.

Before and after: in the test a watch that never gets through kept every change away, now none.

--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -47,6 +47,15 @@
 class ObjectFollower:
     """Keeps a consumer up to date with the objects of one kind.
 
+    Explanation
+    ===========
+
+    After a watch that failed or was given up everything is listed again: a list has each object
+    once, a watch has each change of it since. After an outage with three changes of a large
+    configuration (scale-2 of the grown Driftwood site, 300 KB each, links of 5 Mbit/s) a watch took
+    over two seconds and was given up again before it had ended. After a list that failed the next
+    step is a watch, which other gateways may answer.
+
     Parameters
     ==========
 
@@ -67,6 +76,7 @@
         get_settle_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.recovered_ms = float("-inf")
+        self.heard_ms = float("-inf")
         self.first_synced_ms: float | None = None
         self.is_synced = False
         self.is_lost = False
@@ -78,6 +88,7 @@
         self._clock = clock
         self._get_settle_ms = get_settle_ms
         self._since = 0
+        self._must_list = True
 
     @property
     def live_version(self) -> int:
@@ -94,20 +105,22 @@
     def renew_watch(self) -> None:
         """Give up the watch that waits now and send another one; once, however often it is called."""
         task, self._task, self.watch_sent_ms = self._task, None, None
+        self._must_list = True
         if task is not None:
             task.kill(WatchRenewedError(), block=False)
 
     def take_step(self) -> None:
         """Make one call, or rest after a failed one."""
         try:
-            if self.is_synced:
-                self._watch()
-            else:
+            if self._must_list or not self.is_synced:
                 self._list()
+            else:
+                self._watch()
         except HistoryGoneError:
             log_event(Event.WATCH_HISTORY_GONE, "warning", kind=self.kind, since=self._since)
             self.is_synced = False
         except PlatformError as error:
+            self._must_list = not self._must_list
             self._note_lost(error)
             self._clock.sleep_ms(RETRY_MS)
 
@@ -117,6 +130,7 @@
         self._consumer.replace_all(page)
         self._since = page.version
         self.is_synced = True
+        self._must_list = False
         if self.first_synced_ms is None:
             self.first_synced_ms = self._clock.now_ms()
 
@@ -139,6 +153,7 @@
         self.is_lost = True
 
     def _note_heard(self) -> None:
+        self.heard_ms = self._clock.now_ms()
         if self.is_lost:
             self.recovered_ms = self._clock.now_ms()
             log_event(Event.WATCH_RECOVERED, watch=self.kind)
--- a/hemlockswitch/process/gateway/relayed_watch.py
+++ b/hemlockswitch/process/gateway/relayed_watch.py
@@ -18,7 +18,7 @@
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.gateway.follower import WatchedStore, WatchRenewedError
+from hemlockswitch.process.gateway.follower import WatchedStore
 from hemlockswitch.process.gateway.messages import RegistryPage
 
 LOOK_MS = 200.0
@@ -133,11 +133,5 @@
         log_event(Event.WATCH_PAGE_MISSED, "warning", since=since, relayed=relayed)
 
     def _wait(self) -> None:
-        if self._must_ask:
-            return
-        try:
+        if not self._must_ask:
             self._arrived.wait(LOOK_MS / MS_PER_SECOND)
-        except WatchRenewedError:
-            # Other gateways know of something that no page told: the next watch asks at once.
-            self._must_ask = True
-            raise
--- a/hemlockswitch/process/gateway/watch_guard.py
+++ b/hemlockswitch/process/gateway/watch_guard.py
@@ -18,9 +18,9 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.gateway.follower import ObjectFollower
 
-OUTAGE_START_MARGIN_MS = 1_500.0
+OUTAGE_MARGIN_MS = 1_500.0
 """How much earlier than it was noticed an outage may have begun: the holder of the duties calls
-the store each second."""
+the store each second; and how much later it may have reached another gateway."""
 DIFFERENCE_PERIODS = 2.5
 """How many periods of the reports a difference must last: changes reach all gateways within less."""
 LEAST_DIFFERENCE_MS = 600.0
@@ -98,7 +98,9 @@
     def _check_outages(self, follower: ObjectFollower, outages: list[Outage]) -> None:
         """Renew a watch that was sent while the store was away."""
         sent_ms = follower.watch_sent_ms
-        if sent_ms is not None and any(_was_away(outage, sent_ms) for outage in outages):
+        if sent_ms is None:
+            return
+        if any(_may_be_swallowed(outage, sent_ms, follower.heard_ms) for outage in outages):
             self._renew(follower, sent_ms, RenewalReason.OUTAGE_ENDED)
 
     def _note_difference(self, follower: ObjectFollower, differs: bool) -> None:
@@ -123,9 +125,14 @@
         follower.renew_watch()
 
 
-def _was_away(outage: Outage, at_ms: float) -> bool:
-    """Return whether the store may have been away at a moment."""
-    return outage.began_ms - OUTAGE_START_MARGIN_MS <= at_ms <= outage.ended_ms
+def _may_be_swallowed(outage: Outage, sent_ms: float, heard_ms: float) -> bool:
+    """Return whether a watch may have been sent to a store that was away.
+
+    A store that answered this gateway well inside the outage was away for the other one only.
+    """
+    was_sent_inside = outage.began_ms - OUTAGE_MARGIN_MS <= sent_ms <= outage.ended_ms
+    was_answered_inside = outage.began_ms + OUTAGE_MARGIN_MS <= heard_ms <= sent_ms
+    return was_sent_inside and not was_answered_inside
 
 
 def _differs_from_most(own: StoreView, others: list[StoreView]) -> bool:
--- a/tests/test_gateway_registry.py
+++ b/tests/test_gateway_registry.py
@@ -1,7 +1,9 @@
 """What a gateway believes of backend servers and of the configuration, over outages."""
 
+import gevent
+
 from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
-from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.clock import ManualClock, SystemClock
 from hemlockswitch.core.errors import (
     ConfigurationError,
     ErrorKind,
@@ -264,6 +266,42 @@
     assert not follower.is_lost
 
 
+def test_a_failed_watch_is_followed_by_a_list_and_a_failed_list_by_a_watch():
+    store, consumer, _ = follow(
+        page(version=5), AWAY, page(entry("a"), version=9), AWAY, AWAY, page(version=9)
+    )
+    assert store.calls == ["list", ("watch", 5), "list", ("watch", 9), "list", ("watch", 9)]
+    assert consumer.heard == [("all", 0), ("all", 1)]
+
+
+class SlowStore:
+    """Lists at once; a watch never gets through, as on a narrow link with much history to send."""
+
+    def __init__(self):
+        self.version = 5
+
+    def list(self, kind, prefix=""):
+        return page(entry("a"), version=self.version)
+
+    def watch(self, kind, since, wait_ms, prefix=""):
+        gevent.sleep(60)
+
+
+def test_a_watch_that_is_given_up_again_and_again_does_not_keep_the_newest_away():
+    """scale-2 of the grown Driftwood site: after an outage three changes of 300 KB took over two
+    seconds on a link of 5 Mbit/s, and the watch was renewed each 1.1 s (CONFIG broken)."""
+    store, consumer = SlowStore(), Consumer()
+    follower = ObjectFollower(store, "config", consumer, SystemClock())
+    task = gevent.spawn(follower.run)
+    for version in (9, 12, 20):
+        store.version = version
+        gevent.sleep(0.05)
+        follower.renew_watch()
+        gevent.sleep(0.05)
+        assert follower.live_version == version
+    task.kill()
+
+
 def test_a_forgotten_history_is_followed_by_a_new_list():
     store, consumer, _ = follow(page(version=5), HistoryGoneError(5), page(entry("a"), version=9))
     assert store.calls == ["list", ("watch", 5), "list"]
--- a/tests/test_watch_guard.py
+++ b/tests/test_watch_guard.py
@@ -21,6 +21,7 @@
     def __init__(self, kind, sent_ms):
         self.kind = kind
         self.watch_sent_ms = sent_ms
+        self.heard_ms = 0.0
         self.renewed = 0
 
     def renew_watch(self):
@@ -67,6 +68,15 @@
     assert fixture.renewed == (1, 1)
 
 
+@pytest.mark.parametrize(("heard_ms", "renewed"), [(11_900, 1), (13_000, 0)])
+def test_an_outage_in_which_the_store_answered_here_was_not_ours(heard_ms, renewed):
+    """scale-2 of the grown Driftwood site: the store was away for some gateways, at different times."""
+    fixture = Fixture(sent_ms=13_100)
+    fixture.servers.heard_ms = heard_ms
+    fixture.compare(SAME, StoreView(3, 7, Outage(11_000, 16_000)))
+    assert fixture.servers.renewed == renewed
+
+
 def test_a_newer_configuration_elsewhere_renews_the_watch_of_it():
     fixture = Fixture()
     newer = StoreView(4, 7)
