--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -49,8 +49,8 @@
 COVERED_MS = 700.0
 COVERED_PERIODS = 2.5
 """How lately a gateway must have been heard to count in who watches, the longer of the two: 1.5 s
-with sixty gateways. A leaving server must get nothing new two or three seconds after it said so, and a
-gateway that watches by itself for nothing costs one call."""
+with sixty gateways. A leaving server must get nothing new two or three seconds after it said so,
+and a gateway that watches by itself for nothing costs one call."""
 
 
 @dataclass
--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -103,7 +103,7 @@
                 self.take_step()
 
     def renew_watch(self) -> None:
-        """Give up the watch that waits now and send another one; once, however often it is called."""
+        """Give up the watch that waits now, once, and list everything again."""
         task, self._task, self.watch_sent_ms = self._task, None, None
         self._must_list = True
         if task is not None:
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -27,11 +27,11 @@
 """How long to leave out a server whose address answered as another one; by then its entry is
 corrected or removed."""
 FILLS_MS = 3_000.0
-"""When all processes start together, most servers register within two of their heartbeats of 1.2 s."""
+"""When all processes start together, most servers register within two heartbeats of 1.2 s."""
 QUIET_MS = 1_200.0
-"""A heartbeat without a new server shows that the last ones are there as well: on scale-1 of the grown
-Qafza site the 30 servers came over 3.8 s, and orders after 3 s knew nine of them and took the rest
-away."""
+"""A heartbeat without a new server shows that the last ones are there as well: on scale-1 of the
+grown Qafza site the 30 servers came over 3.8 s, and orders after 3 s knew nine of them and took 13
+of the rest away."""
 LONGEST_FILL_MS = 8_000.0
 """Servers that come and go all the time must not hold the orders up."""
 
--- a/hemlockswitch/process/gateway/relayed_watch.py
+++ b/hemlockswitch/process/gateway/relayed_watch.py
@@ -2,10 +2,10 @@
 
 A watch of every gateway makes each change of the registry cost as many calls as there are gateways:
 5,000 of the 5,600 calls in a quiet minute of the grown Qafza site with its 61 gateways. Instead,
-the first gateways of a zone, in the order of their names (`fleet.WATCHERS_PER_ZONE`), hold a
-watch, and send every page that it brings to the rest of their zone. Every gateway knows who these are from the
-reports, so nothing is elected. A gateway watches by itself whenever no watcher of its zone says that
-its watch is alive, and asks once when the reports show that a page did not arrive.
+the first gateways of a zone, in the order of their names (`fleet.WATCHERS_PER_ZONE`), hold a watch,
+and send every page that it brings to the rest of their zone. Every gateway knows from the reports
+who these are, so nothing is elected. A gateway watches by itself whenever no watcher of its zone
+says that its watch is alive, and asks once when the reports show that a page did not arrive.
 """
 
 from collections import deque
@@ -26,7 +26,7 @@
 CATCH_UP_WAIT_MS = 100
 """How long a call may wait that asks for changes which are known to exist."""
 MOST_PAGES_KEPT = 64
-"""Pages that may come while a call is under way; what is dropped shows as a gap, and is asked for."""
+"""Pages that may come while a call is under way; what is dropped is a gap, and is asked for."""
 
 
 class WatcherDirectory(Protocol):
