--- a/features/support/gateways.py
+++ b/features/support/gateways.py
@@ -9,7 +9,7 @@
 
 from features.support.cluster import Cluster
 from features.support.processes import Program, wait_until
-from tests.gateway_site import Reply, make_manifest, make_request, read_reply, tokens
+from tests.gateway_site import Reply, make_entry, make_manifest, make_request, read_reply, tokens
 
 STANDIN = "hemlockswitch.programs.standin"
 GATEWAY = "hemlockswitch.programs.gateway"
@@ -46,8 +46,7 @@
     def launch_runner(self, name: str, service: str, **settings: Any) -> Program:
         """Start a runner and register it."""
         runner = self.cluster.launch(name, [STANDIN, "runner"], {"name": name, **settings})
-        entry = {"service": service, "zone": ZONE, "slots": 8, "state": "ready", "sequence": 1}
-        self.put("servers", name, {**entry, "address": runner.addresses["http"]})
+        self.put("servers", name, make_entry(service, runner.addresses["http"]))
         return runner
 
     def launch_gateway(self, name: str) -> Program:
--- a/hemlockswitch/connection/backend_pool.py
+++ b/hemlockswitch/connection/backend_pool.py
@@ -7,7 +7,7 @@
 
 from gevent import socket
 
-from hemlockswitch.connection.backends import ExchangeError, Stage
+from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.connection.heads import find_header
 from hemlockswitch.connection.message_parsers import AnswerParser, ParsedAnswer
 from hemlockswitch.connection.sockets import abort, connect
--- a/hemlockswitch/connection/backends.py
+++ b/hemlockswitch/connection/backends.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from enum import StrEnum
 from http import HTTPStatus
 
 import gevent
@@ -18,9 +17,11 @@
 from gevent.hub import Waiter
 from geventhttpclient.response import HTTPParseError
 
+from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.connection.http_parts import AnswerParser, RequestBuilder
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND
-from hemlockswitch.core.errors import BackendError, ErrorKind, Ran, RequestError
+from hemlockswitch.core.errors import ErrorKind, RequestError
 
 READ_EVENT = 1
 READ_BYTES = 65_536
@@ -31,24 +32,6 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
-class Stage(StrEnum):
-    """How far an exchange had come when it failed."""
-
-    BEFORE_SEND = "before_send"
-    DURING_SEND = "during_send"
-    AFTER_SEND = "after_send"
-    DURING_ANSWER = "during_answer"
-
-
-class ExchangeError(BackendError):
-    """An exchange with a backend server that failed, with the stage it had reached."""
-
-    def __init__(self, stage: Stage, detail: str) -> None:
-        ran = Ran.NO if stage is Stage.BEFORE_SEND else Ran.UNKNOWN
-        super().__init__(ErrorKind.OUTCOME_UNKNOWN, f"{stage}: {detail}", ran=ran)
-        self.stage = stage
-
-
 class ExchangeTimeoutError(ExchangeError):
     """An exchange that did not end in the time that it was given."""
 
@@ -108,9 +91,9 @@
         ExchangeError : with the stage `BEFORE_SEND` or `DURING_SEND`.
         RequestError : the call's headers or path cannot be sent; no server is to blame.
         """
-        host, _, port = address.rpartition(":")
-        request = cls._build(host, int(port), call)
-        connection = cls._connect(host, int(port), connect_timeout_ms)
+        host, port = split_address(address)
+        request = cls._build(host, port, call)
+        connection = cls._connect(host, port, connect_timeout_ms)
         try:
             connection.settimeout(SEND_TIMEOUT_MS / MS_PER_SECOND)
             connection.sendall(request)
--- a/hemlockswitch/connection/links.py
+++ b/hemlockswitch/connection/links.py
@@ -10,6 +10,7 @@
 
 from hemlockswitch.connection.frames import Frame, FrameDecoder, FrameKind
 from hemlockswitch.connection.messages import MAX_FRAME_BYTES
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, PeerError
 
@@ -57,21 +58,6 @@
     connections: int = 0
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the IP and the port of an ``ip:port`` address.
-
-    Examples
-    ========
-
-    >>> split_address("127.0.0.1:80")
-    ('127.0.0.1', 80)
-    """
-    host, separator, port = address.rpartition(":")
-    if not separator or not port.isdigit():
-        raise PeerError(ErrorKind.BAD_REQUEST, f"not an address: {address!r}")
-    return host, int(port)
-
-
 @dataclass(frozen=True)
 class _QueuedFrame:
     """An encoded frame that waits to be sent; its kind says whether it may be dropped."""
--- a/hemlockswitch/connection/loads.py
+++ b/hemlockswitch/connection/loads.py
@@ -7,6 +7,7 @@
 from geventhttpclient.response import HTTPParseError
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import BackendError, ErrorKind
 
@@ -69,12 +70,12 @@
     @classmethod
     def from_address(cls, address: str, timeout_ms: float = LOAD_TIMEOUT_MS) -> "LoadClient":
         """Return a client of the backend server at ``ip:port``."""
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         timeout_s = timeout_ms / MS_PER_SECOND
         return cls(
             HTTPClient(
                 host,
-                int(port),
+                port,
                 concurrency=1,
                 connection_timeout=timeout_s,
                 network_timeout=timeout_s,
--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -12,13 +12,14 @@
 
 from hemlockswitch.connection.address_backoffs import AddressBackoffs
 from hemlockswitch.connection.frames import Frame, FrameKind
-from hemlockswitch.connection.links import Link, PeerBounds, Traffic, split_address
+from hemlockswitch.connection.links import Link, PeerBounds, Traffic
 from hemlockswitch.connection.messages import (
     Refusal,
     decode_message,
     encode_message,
     register_message,
 )
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PeerError
 from hemlockswitch.core.events import Event
--- a/hemlockswitch/connection/platform.py
+++ b/hemlockswitch/connection/platform.py
@@ -1,6 +1,5 @@
 """The client of the platform: object service, VM list and cloud API."""
 
-import json
 from http import HTTPStatus
 from typing import Any, Protocol, TypeVar
 from urllib.parse import quote, urlencode
@@ -12,25 +11,28 @@
     Answer,
     AnswerLostError,
     PlatformCalls,
-    find_refusal,
     make_unavailable,
 )
 from hemlockswitch.connection.platform_models import (
-    Conflict,
     ListedVm,
     NoticePage,
     NoticePageBody,
     ObjectBody,
-    ObjectPage,
     PageBody,
-    StoredObject,
-    Unknown,
+    RefusalBody,
     VersionBody,
     VmBody,
     VmList,
     VmListBody,
+)
+from hemlockswitch.connection.stored_objects import (
+    Conflict,
+    ObjectPage,
+    StoredObject,
+    Unknown,
     WriteOutcome,
     Written,
+    encode_value,
 )
 from hemlockswitch.core.clock import Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
@@ -80,7 +82,13 @@
     ) -> None:
         self._clock = clock or SystemClock()
         headers = {"X-Role": role, "X-Daemon": daemon}
-        self._calls = PlatformCalls(address, headers, timeout_ms, self._clock)
+        self._calls = PlatformCalls(
+            address,
+            headers,
+            timeout_ms,
+            self._clock,
+            lambda answer: _find_refusal(answer) is not None,
+        )
         self._object_backoff = Backoff(self._clock)
         self._cloud_backoff = Backoff(self._clock)
 
@@ -152,7 +160,7 @@
         """
         wanted = {"zone": zone, "serves": serves, "machine_class": machine_class, "token": token}
         answer = self._call_cloud("POST", "/cloud/vms", encode_value(wanted))
-        refusal = find_refusal(answer)
+        refusal = _find_refusal(answer)
         if refusal is not None:
             detail = f"no capacity for {machine_class} in {zone}"
             raise PlatformError(ErrorKind.OVERLOADED, detail, retry_after_ms=refusal.retry_after_ms)
@@ -201,13 +209,6 @@
         return _parse_written(answer)
 
 
-def encode_value(value: Any) -> bytes:
-    """Return a value's JSON text; bytes are JSON text already."""
-    if isinstance(value, bytes):
-        return value
-    return json.dumps(value, separators=(",", ":")).encode()
-
-
 def _parse(body_type: type[Body], answer: Answer) -> Body:
     """Return the validated body of a good answer."""
     if answer.status >= HTTPStatus.BAD_REQUEST and answer.status != HTTPStatus.PRECONDITION_FAILED:
@@ -219,6 +220,17 @@
         raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, detail) from error
 
 
+def _find_refusal(answer: Answer) -> RefusalBody | None:
+    """Return the cloud API's refusal of a start, if the answer is one."""
+    if answer.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    try:
+        refusal = RefusalBody.model_validate_json(answer.body)
+    except ValidationError:
+        return None
+    return refusal if refusal.error == "no_capacity" else None
+
+
 def _parse_written(answer: Answer) -> WriteOutcome:
     if answer.status >= HTTPStatus.BAD_REQUEST:
         raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, f"status {answer.status}")
--- a/hemlockswitch/connection/platform_calls.py
+++ b/hemlockswitch/connection/platform_calls.py
@@ -1,24 +1,22 @@
 """One call of the platform: bounded in time and size, sent once, and left alone while it fails."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any
 
 import gevent
-from geventhttpclient.response import HTTPParseError
-from pydantic import ValidationError
 
+from hemlockswitch.connection.backend_pool import BackendPool, PooledExchange
 from hemlockswitch.connection.backoff import Backoff
-from hemlockswitch.connection.http import NotSentError, SingleSendClient
-from hemlockswitch.connection.platform_models import RefusalBody
+from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
+from hemlockswitch.connection.heads import encode_head
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 
 WATCH_MARGIN_MS = 2_000
 MAX_ANSWER_BYTES = 16 * 1_048_576
-CONNECTIONS = 16
-WATCH_CONNECTIONS = 8
-NO_TIMEOUT: Any = None  # each call has one timer of its own instead
+MOST_IDLE_MS = 60_000.0
+"""Any kept connection will do; the pool bounds its age."""
 
 
 @dataclass(frozen=True)
@@ -29,6 +27,10 @@
     body: bytes
 
 
+class NotSentError(Exception):
+    """A call did not leave: no connection could be made."""
+
+
 class AnswerLostError(Exception):
     """A call was sent and no whole answer came."""
 
@@ -43,20 +45,27 @@
     headers : sent with every call.
     timeout_ms : bound of one call; a watch gets its waiting time on top.
     clock : the time.
+    is_refusal : tells an answer in the 500s that shows a service which works, and only refuses.
     """
 
     def __init__(
-        self, address: str, headers: dict[str, str], timeout_ms: float, clock: Clock
+        self,
+        address: str,
+        headers: dict[str, str],
+        timeout_ms: float,
+        clock: Clock,
+        is_refusal: Callable[[Answer], bool] = lambda _: False,
     ) -> None:
+        self._address = address
+        self._headers = headers
         self._clock = clock
         self._timeout_ms = timeout_ms
-        self._calls = _make_client(address, headers, CONNECTIONS)
-        self._watches = _make_client(address, headers, WATCH_CONNECTIONS)
+        self._is_refusal = is_refusal
+        self._pool = BackendPool(clock)
 
     def close(self) -> None:
         """Close the kept connections."""
-        self._calls.close()
-        self._watches.close()
+        self._pool.forget(self._address)
 
     def call(
         self,
@@ -67,7 +76,14 @@
         headers: dict[str, str],
         wait_ms: float = 0,
     ) -> Answer:
-        """Send one call unless the service is being left alone, and judge its health."""
+        """Send one call unless the service is being left alone, and judge its health.
+
+        Raises
+        ======
+
+        PlatformError : the service cannot be used now, or refused the call; it was not carried out.
+        AnswerLostError : the call was sent and may have been carried out.
+        """
         if backoff.get_pause_ms() > 0:
             raise make_unavailable("the platform failed shortly before", backoff)
         began_ms = self._clock.now_ms()
@@ -87,7 +103,7 @@
             raise make_unavailable("over the platform's rate", backoff)
         if answer.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
             raise PlatformError(ErrorKind.BODY_TOO_LARGE, "the value is too large")
-        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR and find_refusal(answer) is None:
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR and not self._is_refusal(answer):
             backoff.record_failure(began_ms)
         else:
             backoff.record_success()
@@ -96,68 +112,42 @@
     def _exchange(
         self, method: str, path: str, body: bytes, headers: dict[str, str], wait_ms: float
     ) -> Answer:
-        client = self._watches if wait_ms > 0 else self._calls
-        connection = self._open(client)
+        exchange = self._open(method)
         limit_ms = self._timeout_ms + wait_ms + (WATCH_MARGIN_MS if wait_ms > 0 else 0)
         timer = gevent.Timeout(limit_ms / MS_PER_SECOND)
         timer.start()
         try:
-            response = client.exchange(connection, method, path, body, headers)
-            return Answer(response.status_code, _read_bounded(response))
+            exchange.send(self._encode(method, path, body, headers))
+            status = exchange.read_head().status
+            return Answer(status, exchange.read_body(MAX_ANSWER_BYTES))
         except gevent.Timeout as error:
             if error is not timer:
                 raise
             raise AnswerLostError(f"no answer in {limit_ms:.0f} ms") from error
-        except (OSError, HTTPParseError) as error:
-            raise AnswerLostError(f"the connection broke: {error}") from error
+        except ExchangeError as error:
+            raise AnswerLostError(f"the connection broke: {error.detail}") from error
         finally:
             timer.close()
+            self._pool.finish(exchange)
 
-    def _open(self, client: SingleSendClient) -> Any:
-        timer = gevent.Timeout(self._timeout_ms / MS_PER_SECOND)
-        timer.start()
+    def _open(self, method: str) -> PooledExchange:
         try:
-            return client.open()
-        except gevent.Timeout as error:
-            if error is not timer:
-                raise
-            raise NotSentError(f"no connection in {self._timeout_ms:.0f} ms") from error
-        finally:
-            timer.close()
-
-
-def _make_client(address: str, headers: dict[str, str], size: int) -> SingleSendClient:
-    host, _, port = address.rpartition(":")
-    return SingleSendClient(
-        host,
-        int(port),
-        headers=headers,
-        concurrency=size,
-        connection_timeout=NO_TIMEOUT,
-        network_timeout=NO_TIMEOUT,
-    )
-
-
-def _read_bounded(response: Any) -> bytes:
-    """Return the body of an answer, closing the connection of one that is too long."""
-    body = response.read(MAX_ANSWER_BYTES + 1) if response.content_length is None else None
-    if body is None and response.content_length <= MAX_ANSWER_BYTES:
-        body = response.read()
-    if body is None or len(body) > MAX_ANSWER_BYTES:
-        response.release()
-        raise AnswerLostError("an answer over the bound")
-    return body
-
-
-def find_refusal(answer: Answer) -> RefusalBody | None:
-    """Return the cloud API's refusal of a start, if the answer is one."""
-    if answer.status != HTTPStatus.SERVICE_UNAVAILABLE:
-        return None
-    try:
-        refusal = RefusalBody.model_validate_json(answer.body)
-    except ValidationError:
-        return None
-    return refusal if refusal.error == "no_capacity" else None
+            return self._pool.open(
+                self._address,
+                method,
+                lambda _: True,
+                most_idle_ms=MOST_IDLE_MS,
+                timeout_ms=self._timeout_ms,
+            )
+        except ExchangeError as error:
+            assert error.stage is Stage.BEFORE_SEND
+            raise NotSentError(error.detail) from error
+
+    def _encode(self, method: str, path: str, body: bytes, headers: dict[str, str]) -> bytes:
+        fields = {"Host": self._address, **self._headers, **headers}
+        if body or method != "GET":
+            fields["Content-Length"] = str(len(body))
+        return encode_head(f"{method} {path} HTTP/1.1", fields.items()) + body
 
 
 def make_unavailable(detail: str, backoff: Backoff) -> PlatformError:
--- a/hemlockswitch/connection/platform_models.py
+++ b/hemlockswitch/connection/platform_models.py
@@ -5,48 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-
-@dataclass(frozen=True)
-class StoredObject:
-    """One object of the object service at one version; a watch also shows deleted ones."""
-
-    kind: str
-    name: str
-    version: int
-    value: Any
-    deleted: bool = False
-
-
-@dataclass(frozen=True)
-class ObjectPage:
-    """Objects that a list or a watch answered, and the service's version then."""
-
-    items: tuple[StoredObject, ...]
-    version: int
-
-
-@dataclass(frozen=True)
-class Written:
-    """A write took effect."""
-
-    version: int
-
-
-@dataclass(frozen=True)
-class Conflict:
-    """A write's condition did not hold; `version` is the object's current one, 0 if absent."""
-
-    version: int
-
-
-@dataclass(frozen=True)
-class Unknown:
-    """A write was sent and its answer did not come: it may have taken effect, or still may."""
-
-    detail: str
-
-
-WriteOutcome = Written | Conflict | Unknown
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/connection/sockets.py
+++ b/hemlockswitch/connection/sockets.py
@@ -9,6 +9,7 @@
 
 from gevent import socket
 
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND
 
 KEEPALIVE_IDLE_S = 1
@@ -38,11 +39,10 @@
 
     OSError : no connection in `timeout_ms`.
     """
-    host, _, port = address.rpartition(":")
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     connection.settimeout(timeout_ms / MS_PER_SECOND)
     try:
-        connection.connect((host, int(port)))
+        connection.connect(split_address(address))
         set_liveness_options(connection)
     except BaseException:
         connection.close()
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -40,6 +40,8 @@
     WATCH_RENEWED = (314, "watch_renewed")
     WATCH_RELIANCE_CHANGED = (315, "watch_reliance_changed")
     WATCH_PAGE_MISSED = (316, "watch_page_missed")
+    OBJECT_UNREADABLE = (317, "object_unreadable")
+    BACKEND_RESTARTED = (318, "backend_restarted")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/platform/cloud.py
+++ b/hemlockswitch/platform/cloud.py
@@ -5,17 +5,17 @@
 from typing import Any
 
 from hemlockswitch.connection.backoff import Backoff
-from hemlockswitch.connection.platform import encode_value
 from hemlockswitch.connection.platform_calls import (
     Answer,
     AnswerLostError,
     PlatformCalls,
     make_unavailable,
 )
+from hemlockswitch.connection.stored_objects import encode_value
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.process.gateway.scaling import OrderOutcome, Pool
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 
 TIMEOUT_MS = 800.0
 """Shorter than the last part of a lease in which its holder no longer acts."""
--- a/hemlockswitch/platform/manifest.py
+++ b/hemlockswitch/platform/manifest.py
@@ -1,10 +1,9 @@
 """The manifest, which the platform keeps as one object: decoded into a `ServingTable`."""
 
-from pydantic import BaseModel, ConfigDict, ValidationError
-
-from hemlockswitch.connection.platform_models import StoredObject
+from hemlockswitch.connection.stored_objects import StoredObject
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind
+from hemlockswitch.platform.bodies import Body, read_value
 from hemlockswitch.version.serving_table import (
     CallerBounds,
     EngineTraits,
@@ -16,7 +15,6 @@
     ServiceWeight,
     ServingTable,
 )
-from hemlockswitch.version.settings import describe_mistakes
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
@@ -28,18 +26,12 @@
 }
 
 
-class _Body(BaseModel):
-    """Base of the wire's models; what is not read here is passed over."""
-
-    model_config = ConfigDict(extra="ignore", frozen=True)
-
-
-class _SplitBody(_Body):
+class _SplitBody(Body, frozen=True):
     service: str
     weight: int
 
 
-class _RouteBody(_Body):
+class _RouteBody(Body, frozen=True):
     name: str
     host: str
     path_prefix: str
@@ -54,12 +46,12 @@
     resumable: bool = False
 
 
-class _EngineBody(_Body):
+class _EngineBody(Body, frozen=True):
     slots: int
     kv_capacity_tokens: int
 
 
-class _ScalingBody(_Body):
+class _ScalingBody(Body, frozen=True):
     min: int
     max: int
     boot_s: float
@@ -67,14 +59,14 @@
     zone_prices: dict[str, float] = {}
 
 
-class _ServiceBody(_Body):
+class _ServiceBody(Body, frozen=True):
     name: str
     max_conns: int = 0
     engine: _EngineBody | None = None
     scaling: _ScalingBody | None = None
 
 
-class _LimitsBody(_Body):
+class _LimitsBody(Body, frozen=True):
     """What a caller may send; account limits stand elsewhere, in `tenants`."""
 
     max_header_bytes: int
@@ -83,7 +75,7 @@
     idle_timeout_ms: float
 
 
-class _TenantBody(_Body):
+class _TenantBody(Body, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
@@ -93,7 +85,7 @@
     burst: float = 0.0
 
 
-class _ManifestBody(_Body):
+class _ManifestBody(Body, frozen=True):
     version: int
     routes: tuple[_RouteBody, ...]
     services: tuple[_ServiceBody, ...]
@@ -107,14 +99,9 @@
     Raises
     ======
 
-    ConfigurationError : the manifest cannot be read; the detail names each mistake.
+    ConfigurationError : the manifest cannot be read; the detail names the place of the first mistake.
     """
-    try:
-        body = _ManifestBody.model_validate(item.value)
-    except ValidationError as error:
-        raise ConfigurationError(
-            ErrorKind.INVALID_CONFIGURATION, describe_mistakes(error)
-        ) from error
+    body = read_value(_ManifestBody, item.value, strict=False)
     return ServingTable(
         revision=body.version,
         routes=tuple(_build_route(route) for route in body.routes),
--- a/hemlockswitch/platform/servers.py
+++ b/hemlockswitch/platform/servers.py
@@ -1,28 +1,36 @@
 """Entries of backend servers in the platform's registry, decoded into `BackendServer`."""
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from typing import Annotated, Literal
 
-from hemlockswitch.connection.platform_models import StoredObject
+import msgspec
+
+from hemlockswitch.connection.stored_objects import StoredObject
+from hemlockswitch.core.addresses import is_address
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind
+from hemlockswitch.platform.bodies import Body, read_value
 from hemlockswitch.version.backend import BackendServer, BackendState
-from hemlockswitch.version.models import MachineClass
-from hemlockswitch.version.settings import describe_mistakes
+from hemlockswitch.version.machine_class import MachineClass
 
 SERVER_KIND = "servers"
 
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
 
-class _EntryBody(BaseModel):
-    """What a runner writes about itself."""
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+class _EntryBody(Body, frozen=True):
+    """What a runner writes about itself; the platform's page lists these fields for every entry."""
 
-    service: str
+    service: _Text
     address: str
-    zone: str
-    slots: int = 0
-    state: str = "ready"
+    zone: _Text
+    version: str  # of the runner's software, not of the entry
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]  # how much longer it is slow after its start
+    sequence: _Count  # number of its heartbeats; starts anew with the process
     spot: bool = False  # may be reclaimed
     leaves_ms: float | None = None  # time left when it wrote this, if it is being reclaimed
+    born: _Count = 0  # Unix ms of the process's start; a restart may keep the entry's name
 
 
 def decode_server(item: StoredObject) -> BackendServer:
@@ -31,14 +39,12 @@
     Raises
     ======
 
-    ConfigurationError : the entry cannot be read.
+    ConfigurationError : the entry cannot be read, or another program wrote it; it names no server.
     """
-    try:
-        body = _EntryBody.model_validate(item.value)
-    except ValidationError as error:
-        raise ConfigurationError(
-            ErrorKind.INVALID_CONFIGURATION, describe_mistakes(error)
-        ) from error
+    body = read_value(_EntryBody, item.value)
+    if not is_address(body.address):
+        detail = f"not an address - at `$.address`: {body.address[:40]!r}"
+        raise ConfigurationError(ErrorKind.INVALID_CONFIGURATION, detail)
     machine_class = MachineClass.RECLAIMABLE if body.spot else MachineClass.ON_DEMAND
     return BackendServer(
         name=item.name,
@@ -48,4 +54,5 @@
         machine_class=machine_class.value,
         state=BackendState.LIVE if body.state == "ready" else BackendState.LEAVING,
         slots=body.slots,
+        started_unix_ms=body.born,
     )
--- a/hemlockswitch/platform/store.py
+++ b/hemlockswitch/platform/store.py
@@ -1,30 +1,32 @@
 """The platform's object store, with the interface of the project's own `PlatformClient`."""
 
 from http import HTTPStatus
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 from urllib.parse import quote, urlencode
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
 
 from hemlockswitch.connection.backoff import Backoff, Outage
-from hemlockswitch.connection.platform import encode_value
 from hemlockswitch.connection.platform_calls import (
     Answer,
     AnswerLostError,
     PlatformCalls,
     make_unavailable,
 )
-from hemlockswitch.connection.platform_models import (
+from hemlockswitch.connection.stored_objects import (
     Conflict,
     ObjectPage,
     StoredObject,
     Unknown,
     WriteOutcome,
     Written,
+    encode_value,
 )
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, HistoryGoneError, PlatformError
-from hemlockswitch.version.settings import describe_mistakes
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.platform.bodies import Body
 
 ROOT = "/hemlockswitch/objects"
 TIMEOUT_MS = 1_500.0
@@ -34,41 +36,46 @@
 seconds of its end."""
 MOST_PAGES = 1_000
 
-Body = TypeVar("Body", bound=BaseModel)
+_Revision = Annotated[int, msgspec.Meta(ge=0)]
 
 
-class _Body(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True)
+class _MetadataBody(Body, frozen=True):
+    name: Annotated[str, msgspec.Meta(min_length=1)]
+    revision: _Revision  # of the object's last change, not of the store
 
 
-class _MetadataBody(_Body):
-    name: str
-    revision: int = Field(ge=0)  # of the object's last change, not of the store
-
-
-class _ObjectBody(_Body):
+class _ObjectBody(Body, frozen=True):
     metadata: _MetadataBody
-    spec: Any = None
+    spec: msgspec.Raw = msgspec.Raw(b"null")
 
     def to_object(self, kind: str, deleted: bool = False) -> StoredObject:
-        """Return the inner form."""
-        return StoredObject(kind, self.metadata.name, self.metadata.revision, self.spec, deleted)
+        """Return the inner form; a spec that cannot be read is no value."""
+        metadata = self.metadata
+        try:
+            value = msgspec.json.decode(self.spec)
+        except (msgspec.DecodeError, RecursionError) as error:
+            _log_unreadable(kind, metadata.name, error)
+            value = None
+        return StoredObject(kind, metadata.name, metadata.revision, value, deleted)
 
 
-class _ListBody(_Body):
-    items: tuple[_ObjectBody, ...] = ()
+class _ListBody(Body, frozen=True):
+    store_revision: _Revision
+    items: tuple[msgspec.Raw, ...] = ()
     has_more: bool = False
-    store_revision: int = Field(ge=0)
 
 
-class _EventBody(_Body):
+class _EventBody(Body, frozen=True):
+    object: msgspec.Raw
     tombstone: bool = False  # the object was removed
-    object: _ObjectBody
 
 
-class _WatchBody(_Body):
-    events: tuple[_EventBody, ...] = ()
-    store_revision: int = Field(ge=0)
+class _WatchBody(Body, frozen=True):
+    store_revision: _Revision
+    events: tuple[msgspec.Raw, ...] = ()
+
+
+_Model = TypeVar("_Model", bound=Body)
 
 
 class ObjectStore:
@@ -116,12 +123,15 @@
         for _ in range(MOST_PAGES):
             query = urlencode({"after": after, **options})
             page = _parse(_ListBody, self._get(f"{_path(kind)}?{query}"))
-            items += [one.to_object(kind) for one in page.items]
+            readable = _read_items(kind, page.items)
+            items += readable
             # A watch from the first page's revision also shows what changed during the listing.
             version = page.store_revision if version is None else version
             if not page.has_more or not page.items:
                 break
-            after = page.items[-1].metadata.name
+            if not readable:
+                raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "a page without a single name")
+            after = readable[-1].name
         kept = tuple(item for item in items if item.name.startswith(prefix))
         return ObjectPage(kept, version or 0)
 
@@ -138,7 +148,7 @@
         if answer.status == HTTPStatus.GONE:
             raise HistoryGoneError(since)
         page = _parse(_WatchBody, answer)
-        items = (one.object.to_object(kind, one.tombstone) for one in page.events)
+        items = _read_events(kind, page.events)
         kept = tuple(item for item in items if item.name.startswith(prefix))
         return ObjectPage(kept, page.store_revision)
 
@@ -184,19 +194,53 @@
     return f"{path}/{quote(name, safe='')}" if name else path
 
 
-def _parse(body_type: type[Body], answer: Answer) -> Body:
-    """Return the validated body of a good answer or of a conflict."""
+def _read_items(kind: str, raw_items: tuple[msgspec.Raw, ...]) -> list[StoredObject]:
+    """Return the objects of a list; one that has no name is passed over, and costs no other."""
+    items: list[StoredObject] = []
+    for raw in raw_items:
+        try:
+            items.append(_decode(_ObjectBody, raw).to_object(kind))
+        except msgspec.DecodeError as error:
+            _log_unreadable(kind, "", error)
+    return items
+
+
+def _read_events(kind: str, raw_events: tuple[msgspec.Raw, ...]) -> list[StoredObject]:
+    """Return the changed objects of a watch, likewise."""
+    items: list[StoredObject] = []
+    for raw in raw_events:
+        try:
+            event = _decode(_EventBody, raw)
+            items.append(_decode(_ObjectBody, event.object).to_object(kind, event.tombstone))
+        except msgspec.DecodeError as error:
+            _log_unreadable(kind, "", error)
+    return items
+
+
+def _log_unreadable(kind: str, name: str, error: Exception) -> None:
+    log_event(Event.OBJECT_UNREADABLE, "warning", kind=kind, name=name, detail=str(error))
+
+
+def _decode(model: type[_Model], text: bytes | msgspec.Raw) -> _Model:
+    try:
+        return msgspec.json.decode(text, type=model)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
+
+
+def _parse(model: type[_Model], answer: Answer) -> _Model:
+    """Return the checked body of a good answer or of a conflict."""
     if answer.status >= HTTPStatus.BAD_REQUEST and answer.status != HTTPStatus.CONFLICT:
         raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, f"status {answer.status}")
     try:
-        return body_type.model_validate_json(answer.body)
-    except ValidationError as error:
-        detail = f"an answer that does not fit: {describe_mistakes(error)}"
+        return _decode(model, answer.body)
+    except msgspec.DecodeError as error:
+        detail = f"an answer that does not fit: {error}"
         raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, detail) from error
 
 
 def _parse_written(answer: Answer) -> WriteOutcome:
     try:
-        return Written(_ObjectBody.model_validate_json(answer.body).metadata.revision)
-    except ValidationError:
+        return Written(_decode(_ObjectBody, answer.body).metadata.revision)
+    except msgspec.DecodeError:
         return Unknown("an answer that does not fit")
--- a/hemlockswitch/process/claims/objects.py
+++ b/hemlockswitch/process/claims/objects.py
@@ -4,12 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from hemlockswitch.connection.platform_models import (
-    Conflict,
-    StoredObject,
-    WriteOutcome,
-    Written,
-)
+from hemlockswitch.connection.stored_objects import Conflict, StoredObject, WriteOutcome, Written
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.core.identifiers import make_identifier
 from hemlockswitch.process.claims.ledger import (
--- a/hemlockswitch/process/claims/writer.py
+++ b/hemlockswitch/process/claims/writer.py
@@ -9,7 +9,7 @@
 from gevent.event import AsyncResult
 from gevent.event import Event as Signal
 
-from hemlockswitch.connection.platform_models import Conflict, Unknown, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import Conflict, Unknown, WriteOutcome, Written
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.core.events import Event
--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -12,6 +12,7 @@
 from hemlockswitch.connection.orders import OrderClient
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import HemlockError
 from hemlockswitch.core.events import Event
@@ -31,7 +32,7 @@
 from hemlockswitch.process.revisions.tasks import READ_PATIENCE_MS, follow_pointer
 from hemlockswitch.version.models import OperatorFile
 from hemlockswitch.version.revisions import CURRENT_POINTER, POINTER_KIND
-from hemlockswitch.version.settings import ControllerSettings, split_address
+from hemlockswitch.version.settings import ControllerSettings
 
 PLATFORM_ROLE = "controller"
 PAGE_TIMEOUT_MS = 10_000
--- a/hemlockswitch/process/copies/changes.py
+++ b/hemlockswitch/process/copies/changes.py
@@ -21,7 +21,7 @@
 from hemlockswitch.process.copies.records import CopyRecord, CopyRecords, CopyState
 from hemlockswitch.process.copies.usage import Daemons, Usage
 from hemlockswitch.process.lease import Lease
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 
 FIRST_PAUSE_MS = 1_000
 LONGEST_PAUSE_MS = 60_000
--- a/hemlockswitch/process/copies/control.py
+++ b/hemlockswitch/process/copies/control.py
@@ -18,7 +18,8 @@
 from hemlockswitch.process.copies.records import CopyRecord, CopyRecords, CopyState, CopyTable
 from hemlockswitch.process.copies.targets import WantedTarget, list_wanted
 from hemlockswitch.process.lease import Lease
-from hemlockswitch.version.models import MachineClass, OperatorFile
+from hemlockswitch.version.machine_class import MachineClass
+from hemlockswitch.version.models import OperatorFile
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/process/copies/copies.py
+++ b/hemlockswitch/process/copies/copies.py
@@ -12,7 +12,7 @@
 from functools import lru_cache
 
 from hemlockswitch.core.clock import MS_PER_HOUR
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 
 LATE_SHARE_ALLOWED = 0.03
 """Below the 5 % of a p95 target, for what the model does not see."""
--- a/hemlockswitch/process/copies/observed_zone.py
+++ b/hemlockswitch/process/copies/observed_zone.py
@@ -22,7 +22,7 @@
     ZoneSummaries,
     ZoneSummary,
 )
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 
 GUESSED_PRICES = {MachineClass.RECLAIMABLE: 1.0, MachineClass.ON_DEMAND: 3.0}
 STARTING, LIVE, LEAVING = "starting", "live", "leaving"
--- a/hemlockswitch/process/copies/reclaims.py
+++ b/hemlockswitch/process/copies/reclaims.py
@@ -7,7 +7,7 @@
 from hemlockswitch.connection.platform import PlatformClient
 from hemlockswitch.core.clock import MS_PER_HOUR, Clock
 from hemlockswitch.core.errors import PlatformError
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 
 WAVE_MS = 30_000
 PRIOR_PER_HOUR = {MachineClass.RECLAIMABLE: 0.1, MachineClass.ON_DEMAND: 0.005}
--- a/hemlockswitch/process/copies/records.py
+++ b/hemlockswitch/process/copies/records.py
@@ -11,9 +11,9 @@
 from pydantic import BaseModel, ConfigDict
 
 from hemlockswitch.connection.platform import PlatformClient
-from hemlockswitch.connection.platform_models import Conflict, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import Conflict, WriteOutcome, Written
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 
 COPIES_KIND = "copies"
 NO_VERSION = 0
--- a/hemlockswitch/process/copies/targets.py
+++ b/hemlockswitch/process/copies/targets.py
@@ -4,7 +4,8 @@
 from functools import singledispatch
 
 from hemlockswitch.process.copies.copies import Target
-from hemlockswitch.version.models import MachineClass, Model, OperatorFile, Service
+from hemlockswitch.version.machine_class import MachineClass
+from hemlockswitch.version.models import Model, OperatorFile, Service
 
 SERVICE_WAIT_MS = 250
 
--- a/hemlockswitch/process/copies/zone_load.py
+++ b/hemlockswitch/process/copies/zone_load.py
@@ -8,11 +8,12 @@
 
 from hemlockswitch.connection.orders import OrderClient, ReportedLoad
 from hemlockswitch.connection.platform import PlatformClient
-from hemlockswitch.connection.platform_models import ListedVm, StoredObject, Written
+from hemlockswitch.connection.platform_models import ListedVm
+from hemlockswitch.connection.stored_objects import StoredObject, Written
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import BackendError
 from hemlockswitch.process.copies.copies import Place
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 
 STATUS_KIND = "status"
 ZONE_PREFIX = "zone-"
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -9,6 +9,7 @@
 from hemlockswitch.connection.caller_server import CallerServer
 from hemlockswitch.connection.callers import build_application
 from hemlockswitch.connection.control_api import StatusPage, build_control_application
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.core.events import Event
@@ -36,7 +37,7 @@
 from hemlockswitch.request.routing import Router, TargetTraits
 from hemlockswitch.request.service_call import ServiceCaller
 from hemlockswitch.version.models import Limits, OperatorFile
-from hemlockswitch.version.settings import EntrySettings, split_address
+from hemlockswitch.version.settings import EntrySettings
 
 CLAIM_FLUSH_MS = 3_000.0
 TASK_RESTART_MS = 1_000
--- a/hemlockswitch/process/gateway/adapter.py
+++ b/hemlockswitch/process/gateway/adapter.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from hemlockswitch.connection.backoff import Outage
-from hemlockswitch.connection.platform_models import ObjectPage, StoredObject, WriteOutcome
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject, WriteOutcome
 from hemlockswitch.process.gateway.follower import WatchedStore
 from hemlockswitch.process.gateway.scaling import ScalingApi
 from hemlockswitch.process.gateway.usage import UsageApi
--- a/hemlockswitch/process/gateway/configuration.py
+++ b/hemlockswitch/process/gateway/configuration.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 from hemlockswitch.core.errors import ConfigurationError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -16,6 +16,7 @@
 )
 from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
@@ -40,7 +41,7 @@
 from hemlockswitch.request.forwarding import Forwarder
 from hemlockswitch.request.repeat_budget import RepeatBudget
 from hemlockswitch.version.backend import BackendServer
-from hemlockswitch.version.settings import GatewaySettings, split_address
+from hemlockswitch.version.gateway_settings import GatewaySettings
 
 SWEEP_MS = 1_000.0
 SETTLE_MS_PER_WATCHER = 10.0
@@ -263,7 +264,7 @@
         """Use changed settings; addresses and names stay until the next start."""
         changed = sorted(
             name
-            for name in type(settings).model_fields
+            for name in type(settings).__struct_fields__
             if getattr(settings, name) != getattr(self.settings, name)
         )
         log_event(Event.SETTINGS_CHANGED, fields=changed)
@@ -346,7 +347,7 @@
 
     def _measure_demand(self, service: str) -> Demand:
         own = self.loads.measure_own_demand().get(service, 0.0)
-        servers = [one.name for one in self.registry.list_all() if one.serves == service]
+        servers = [one.incarnation for one in self.registry.list_all() if one.serves == service]
         running = self.loads.count_running(servers)
         return Demand(own + self.fleet.sum_demand(service), running)
 
@@ -356,7 +357,7 @@
 
     def _forget_server(self, server: BackendServer) -> None:
         self.pool.forget(server.address)
-        self.loads.forget(server.name)
+        self.loads.forget(server.incarnation)
 
     def _count_connection(self, _address: str) -> None:
         self.observer.connections.inc()
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -9,13 +9,14 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from hemlockswitch.connection.platform_models import (
+from hemlockswitch.connection.stored_objects import (
     ObjectPage,
     StoredObject,
     Unknown,
     WriteOutcome,
     Written,
 )
+from hemlockswitch.core.addresses import is_address
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.core.events import Event
@@ -272,11 +273,20 @@
     def _take_own(self, item: StoredObject) -> None:
         """Note what the own registration says; an earlier process may have had another address."""
         self.own_version = None if item.deleted else item.version
-        self.is_registered = not item.deleted and item.value.get("address") == self._get_address()
+        self.is_registered = not item.deleted and _read_address(item) == self._get_address()
 
     def _put(self, item: StoredObject) -> None:
-        address = str(item.value.get("address", ""))
+        address = _read_address(item)
+        if not address:
+            log_event(Event.OBJECT_UNREADABLE, "warning", kind=item.kind, name=item.name)
+            return
         peer = self._peers.get(item.name)
         if peer is None or peer.address != address:
             peer = self._peers[item.name] = Peer(item.name, address, self._clock.now_ms())
         peer.version = item.version
+
+
+def _read_address(item: StoredObject) -> str:
+    """Return the address in a registration; empty if there is none that can be connected to."""
+    address = item.value.get("address") if isinstance(item.value, dict) else None
+    return address if isinstance(address, str) and is_address(address) else ""
--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from hemlockswitch.connection.platform_models import ObjectPage
+from hemlockswitch.connection.stored_objects import ObjectPage
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import HistoryGoneError, PlatformError
 from hemlockswitch.core.events import Event
--- a/hemlockswitch/process/gateway/loads.py
+++ b/hemlockswitch/process/gateway/loads.py
@@ -29,7 +29,7 @@
 """Sends told in one report; more is dropped, as a report must stay small."""
 
 SentPrompt = tuple[str, Chain]
-"""A server's name, and the shared beginnings of a prompt that was sent to it."""
+"""A server's incarnation, and the shared beginnings of a prompt that was sent to it."""
 
 
 class FailureRate:
@@ -146,6 +146,9 @@
 class ServerLoads:
     """What this daemon knows of the load of every backend server.
 
+    Everything is kept by incarnation: a server that started again under its name has nothing in its
+    cache and nothing in progress.
+
     Parameters
     ==========
 
@@ -171,13 +174,15 @@
         capacity_tokens: float,
     ) -> Ticket:
         """Count one send."""
-        self.add(server.name, 1, uncached_tokens)
+        self.add(server.incarnation, 1, uncached_tokens)
         meter = self._demand.setdefault(server.serves, DemandMeter())
         meter.add(self._clock.now_ms(), uncached_tokens)
         if prompt is not None and prompt.shared_chain:
-            self._note_prompt(server.name, prompt.shared_chain).capacity_tokens = capacity_tokens
-            self._untold.append((server.name, prompt.shared_chain))
-        return Ticket(self, server.name, uncached_tokens)
+            self._note_prompt(server.incarnation, prompt.shared_chain).capacity_tokens = (
+                capacity_tokens
+            )
+            self._untold.append((server.incarnation, prompt.shared_chain))
+        return Ticket(self, server.incarnation, uncached_tokens)
 
     def add(self, name: str, running: int, waiting_tokens: float) -> None:
         """Change the own load on a server."""
@@ -252,7 +257,7 @@
         home_rank: int,
         others: LoadSums,
     ) -> Candidate:
-        name = server.name
+        name = server.incarnation
         failures = self._failures.get(name)
         return Candidate(
             server=server,
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from hemlockswitch.connection.messages import register_message
-from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 
 
 @register_message("gateway_report")
@@ -18,13 +18,13 @@
     name : the gateway.
     incarnation : differs for each start of its process.
     believed_ms : its time of day.
-    loads : server name to (requests in progress, prompt tokens that wait).
+    loads : server incarnation to (requests in progress, prompt tokens that wait).
     demand : service to the prompt tokens in a millisecond that it sends.
     spent : account to what it has spent since the process began.
     leads : whether it holds the duties.
     revision, servers_digest, relayed_version : see `process.gateway.watch_guard.StoreView`.
     outage_ms_ago : when the last outage of the object service began and ended; empty if none.
-    sent : (server name, shared beginnings) of each prompt sent since the last report.
+    sent : (server incarnation, shared beginnings) of each prompt sent since the last report.
     zone : its availability zone.
     """
 
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ConfigurationError
 from hemlockswitch.core.events import Event
@@ -128,7 +128,9 @@
     def hash_servers(self) -> int:
         """Return a hash of the servers and their states, to compare with other gateways."""
         if self._digest is None:
-            states = sorted(f"{one.name} {one.state.value}" for one in self._servers.values())
+            states = sorted(
+                f"{one.incarnation} {one.state.value}" for one in self._servers.values()
+            )
             self._digest = xxhash.xxh32_intdigest("\n".join(states).encode())
         return self._digest
 
@@ -141,8 +143,12 @@
             server = self._decode(item)
         except ConfigurationError as error:
             log_event(Event.BACKEND_RECORD_INVALID, "warning", name=item.name, detail=error.detail)
+            if item.name in self._servers:
+                self._drop(item.name)
             return
         before = self._servers.get(server.name)
+        if before is not None and before.incarnation != server.incarnation:
+            self._note_restart(before, server)
         if before is None:
             self._last_new_ms = self._clock.now_ms()
         else:
@@ -155,6 +161,18 @@
         if server.state is BackendState.LEAVING:
             self._on_gone(server)
 
+    def _note_restart(self, before: BackendServer, server: BackendServer) -> None:
+        """Forget the process that had this name before."""
+        self._misdirected_until_ms.pop(before.name, None)
+        self._on_gone(before)
+        log_event(
+            Event.BACKEND_RESTARTED,
+            server=server.name,
+            address=server.address,
+            started_unix_ms=server.started_unix_ms,
+            before_unix_ms=before.started_unix_ms,
+        )
+
     def _log_change(
         self, before: BackendServer | None, server: BackendServer, version: int
     ) -> None:
--- a/hemlockswitch/process/gateway/relayed_watch.py
+++ b/hemlockswitch/process/gateway/relayed_watch.py
@@ -14,7 +14,7 @@
 
 from gevent.event import Event as Signal
 
-from hemlockswitch.connection.platform_models import ObjectPage
+from hemlockswitch.connection.stored_objects import ObjectPage
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -14,7 +14,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.version.backend import BackendServer, BackendState
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 from hemlockswitch.version.serving_table import ForwardedService, ServingTable
 
 DRY_MS = 3_000.0
--- a/hemlockswitch/process/gateway/usage.py
+++ b/hemlockswitch/process/gateway/usage.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import StoredObject, WriteOutcome, Written
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -48,7 +48,7 @@
     def place(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
         """Return the server for the next send, or None when there is none."""
         ready = self._registry.list_ready(admitted.service)
-        servers = [server for server in ready if server.name not in excluded]
+        servers = [server for server in ready if server.incarnation not in excluded]
         prompt = admitted.facts.prompt
         candidates = self._loads.build_candidates(servers, prompt)
         return choose_server(prompt, candidates, self._zone, self._random)
--- a/hemlockswitch/process/lease.py
+++ b/hemlockswitch/process/lease.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import StoredObject, WriteOutcome, Written
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.core.events import Event
--- a/hemlockswitch/process/revisions/applying.py
+++ b/hemlockswitch/process/revisions/applying.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from hemlockswitch.connection.platform_models import Conflict, Unknown, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import Conflict, Unknown, WriteOutcome, Written
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
 from hemlockswitch.core.identifiers import make_identifier
--- a/hemlockswitch/process/revisions/store.py
+++ b/hemlockswitch/process/revisions/store.py
@@ -5,7 +5,7 @@
 
 from pydantic import ValidationError
 
-from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome
+from hemlockswitch.connection.stored_objects import StoredObject, WriteOutcome
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
 from hemlockswitch.version.revisions import (
--- a/hemlockswitch/process/revisions/tasks.py
+++ b/hemlockswitch/process/revisions/tasks.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from hemlockswitch.connection.platform_models import StoredObject
+from hemlockswitch.connection.stored_objects import StoredObject
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.process.facts import Facts
--- a/hemlockswitch/process/shares/anchor.py
+++ b/hemlockswitch/process/shares/anchor.py
@@ -8,7 +8,7 @@
 from gevent.event import AsyncResult
 from gevent.queue import Empty, Queue
 
-from hemlockswitch.connection.platform_models import StoredObject, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import StoredObject, WriteOutcome, Written
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.core.events import Event
--- a/hemlockswitch/process/status/fleet_events.py
+++ b/hemlockswitch/process/status/fleet_events.py
@@ -7,7 +7,8 @@
 import gevent
 from gevent.queue import Queue
 
-from hemlockswitch.connection.platform_models import ListedVm, ObjectPage, StoredObject, VmList
+from hemlockswitch.connection.platform_models import ListedVm, VmList
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import HemlockError
 from hemlockswitch.process.status.zone_status import STATUS_KIND
--- a/hemlockswitch/process/status/zone_status.py
+++ b/hemlockswitch/process/status/zone_status.py
@@ -19,7 +19,7 @@
 
 from hemlockswitch.connection.messages import register_message
 from hemlockswitch.connection.peers import PeerNetwork
-from hemlockswitch.connection.platform_models import Conflict, Unknown
+from hemlockswitch.connection.stored_objects import Conflict, Unknown
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.core.events import Event
--- a/hemlockswitch/process/status/zone_view.py
+++ b/hemlockswitch/process/status/zone_view.py
@@ -8,7 +8,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from hemlockswitch.connection.platform_models import StoredObject
+from hemlockswitch.connection.stored_objects import StoredObject
 
 
 class ZoneState(StrEnum):
--- a/hemlockswitch/programs/ctl_files.py
+++ b/hemlockswitch/programs/ctl_files.py
@@ -11,18 +11,13 @@
 from hemlockswitch.core.errors import ConfigurationError
 from hemlockswitch.version.checks import CheckedFile, InvalidFileError, parse_file
 from hemlockswitch.version.documents import digest_tree
+from hemlockswitch.version.gateway_settings import GatewaySettings
 from hemlockswitch.version.mistakes import list_model_mistakes
-from hemlockswitch.version.settings import (
-    ControllerSettings,
-    EntrySettings,
-    GatewaySettings,
-    ProgramSettings,
-)
+from hemlockswitch.version.settings import ControllerSettings, EntrySettings, ProgramSettings
 
 SETTINGS: dict[str, type[ProgramSettings]] = {
     "entry": EntrySettings,
     "controller": ControllerSettings,
-    "gateway": GatewaySettings,
 }
 JSON_OPTION = option("json", None, "Write one JSON object to standard output.")
 
@@ -80,7 +75,8 @@
             default="operator",
         ),
     ]
-    help = """Reads the whole file and names every mistake at once, each with its path and reason.
+    help = """Reads the whole file and names every mistake at once, each with its path and reason;
+of a gateway's settings it names the first one.
 
 Exit codes: 0 the file can be used, 2 it has mistakes."""
 
@@ -101,6 +97,8 @@
         kind = self.option("kind")
         if kind == "operator":
             return {"digest": digest_tree(read_file(path).tree)}
+        if kind == "gateway":
+            return self._check_gateway(path)
         if kind not in SETTINGS:
             raise InvalidFileError.from_reason(f"no kind of file is called {kind!r}")
         try:
@@ -109,6 +107,14 @@
             raise InvalidFileError(list_model_mistakes(error)) from error
         return {}
 
+    @staticmethod
+    def _check_gateway(path: str) -> dict[str, str]:
+        try:
+            GatewaySettings.from_json(read_text(path))
+        except ConfigurationError as error:
+            raise InvalidFileError.from_reason(error.detail) from error
+        return {}
+
 
 def report_mistakes(command: Command, error: ConfigurationError) -> int:
     """Write the mistakes of a file and return the exit code for them."""
--- a/hemlockswitch/programs/ctl_gateways.py
+++ b/hemlockswitch/programs/ctl_gateways.py
@@ -10,9 +10,10 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from hemlockswitch.connection.http import NotSentError, SingleSendClient
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.programs.ctl_files import JSON_OPTION, ExitCode
-from hemlockswitch.version.settings import describe_mistakes, split_address
+from hemlockswitch.version.settings import describe_mistakes
 
 TIMEOUT_MS = 2_000.0
 """A status page answers in milliseconds; a gateway that takes longer is of interest as such."""
--- a/hemlockswitch/programs/daemon.py
+++ b/hemlockswitch/programs/daemon.py
@@ -18,7 +18,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.log_output import BoundedOutput
 from hemlockswitch.core.logs import configure_logs, log_event
-from hemlockswitch.version.settings import ProgramSettings
+from hemlockswitch.version.settings_file import FileSettings
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -46,7 +46,7 @@
     the command line itself stays the same for every daemon.
     """
 
-    settings_model: ClassVar[type[ProgramSettings]]
+    settings_model: ClassVar[type[FileSettings]]
     logs_to_stdout: ClassVar[bool] = False
     reloads: ClassVar[bool] = False
     """Whether the daemon has `apply_settings`, for a file that changes while it runs."""
@@ -82,7 +82,7 @@
         self._run(settings, path)
         return EXIT_OK
 
-    def _run(self, settings: ProgramSettings, path: str) -> None:
+    def _run(self, settings: FileSettings, path: str) -> None:
         output = BoundedOutput(sys.stdout.fileno()) if self.logs_to_stdout else None
         configure_logs(settings.name, settings.log_level, output)
         daemon = self.build_daemon(settings)
@@ -119,7 +119,7 @@
     apply : called with new settings.
     """
 
-    def __init__(self, path: str, settings: ProgramSettings, apply: Callable[[Any], None]) -> None:
+    def __init__(self, path: str, settings: FileSettings, apply: Callable[[Any], None]) -> None:
         self._path = path
         self._settings = settings
         self._apply = apply
--- a/hemlockswitch/programs/gateway.py
+++ b/hemlockswitch/programs/gateway.py
@@ -15,7 +15,7 @@
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.daemon import GatewayDaemon
 from hemlockswitch.programs.daemon import DaemonCommand, run_program
-from hemlockswitch.version.settings import GatewaySettings
+from hemlockswitch.version.gateway_settings import GatewaySettings
 
 
 def build_adapter(settings: GatewaySettings, clock: SystemClock) -> Adapter:
--- a/hemlockswitch/request/attempt.py
+++ b/hemlockswitch/request/attempt.py
@@ -6,13 +6,8 @@
 
 import gevent
 
-from hemlockswitch.connection.backends import (
-    BackendCall,
-    BackendClient,
-    BackendExchange,
-    ExchangeError,
-    Stage,
-)
+from hemlockswitch.connection.backends import BackendCall, BackendClient, BackendExchange
+from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.chunks import ChunkChecker, EventSplitter
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -175,7 +175,7 @@
             was_sent=failed.was_sent,
         )
         progress.state = verdict.state
-        progress.excluded.append(placement.candidate.server.name)
+        progress.excluded.append(placement.candidate.server.incarnation)
         if verdict.may_send_again and self._may_spend(progress, admitted, failed):
             return
         self._give_up(progress, verdict, failed.detail)
--- a/hemlockswitch/request/moving.py
+++ b/hemlockswitch/request/moving.py
@@ -8,7 +8,8 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from hemlockswitch.connection.backends import BackendCall, BackendClient, ExchangeError
+from hemlockswitch.connection.backends import BackendCall, BackendClient
+from hemlockswitch.connection.exchange_errors import ExchangeError
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import RequestError
 from hemlockswitch.request.generation import Generation, Move
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from hemlockswitch.connection.backend_pool import BackendPool, PooledExchange
-from hemlockswitch.connection.backends import ExchangeError, Stage
+from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.connection.forward_server import CallerLeftError, Reply
 from hemlockswitch.connection.message_parsers import ParsedAnswer
 from hemlockswitch.core.clock import Clock
@@ -119,7 +119,7 @@
         """
         exchange = self._open(send)
         ticket = self._view.begin_send(send.admitted, send.placement)
-        send.progress.sends.append(send.placement.candidate.server.name)
+        send.progress.sends.append(send.placement.candidate.server.incarnation)
         send.progress.in_flight = True
         failed = True
         try:
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -8,10 +8,9 @@
     BackendAnswer,
     BackendCall,
     BackendClient,
-    ExchangeError,
     ExchangeTimeoutError,
-    Stage,
 )
+from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.connection.intake import CallerAnswer, CallerRequest
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
--- a/hemlockswitch/version/backend.py
+++ b/hemlockswitch/version/backend.py
@@ -22,7 +22,7 @@
     Parameters
     ==========
 
-    name : the VM's name, never used twice.
+    name : its own name; a restart may keep it.
     zone : the availability zone.
     address : ``ip:port`` for requests.
     serves : name of the model or service.
@@ -30,6 +30,7 @@
     price_per_hour : price of the VM.
     state : the newest state heard from the platform.
     slots : requests that it serves at once; 0 where the platform does not say.
+    started_unix_ms : when its process started; 0 where the platform does not say.
 
     Examples
     ========
@@ -47,6 +48,12 @@
     price_per_hour: float = 0.0
     state: BackendState = BackendState.LIVE
     slots: int = 0
+    started_unix_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """The name of this one process: what is known of it does not hold for its next start."""
+        return f"{self.name}@{self.started_unix_ms}" if self.started_unix_ms else self.name
 
     @classmethod
     def from_record(cls, record: Mapping[str, Any]) -> "BackendServer":
--- a/hemlockswitch/version/models.py
+++ b/hemlockswitch/version/models.py
@@ -1,10 +1,11 @@
 """The operators' file: pydantic models that check one whole configuration."""
 
-from enum import StrEnum
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from hemlockswitch.version.machine_class import MachineClass
+
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 KeyHash = Annotated[str, Field(pattern=r"^sha256:[0-9a-f]{64}$")]
 
@@ -15,13 +16,6 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
-class MachineClass(StrEnum):
-    """How the cloud API offers a VM."""
-
-    RECLAIMABLE = "reclaimable"
-    ON_DEMAND = "on_demand"
-
-
 class AccountLimits(_Checked):
     """What one client account may use over the whole system."""
 
--- a/hemlockswitch/version/settings.py
+++ b/hemlockswitch/version/settings.py
@@ -5,23 +5,12 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from hemlockswitch.core.addresses import ADDRESS_PATTERN
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind
 from hemlockswitch.version.models import Name
+from hemlockswitch.version.settings_file import read_settings_file
 
-Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of an ``ip:port`` address.
-
-    Examples
-    ========
-
-    >>> split_address("127.0.0.1:8080")
-    ('127.0.0.1', 8080)
-    """
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
 
 
 class ProgramSettings(BaseModel):
@@ -67,11 +56,7 @@
         ConfigurationError : the file cannot be read or has mistakes; the detail names the path
             of each.
         """
-        try:
-            content = Path(path).read_bytes()
-        except OSError as error:
-            raise ConfigurationError(ErrorKind.INVALID_CONFIGURATION, str(error)) from error
-        return cls.from_json(content)
+        return cls.from_json(read_settings_file(path))
 
     @classmethod
     def from_json(cls, content: bytes | str) -> Self:
@@ -112,39 +97,6 @@
     caller_timeout_ms: int = Field(default=10_000, gt=0)
 
 
-class GatewaySettings(ProgramSettings):
-    """Settings of `hemlock-gateway`.
-
-    Parameters
-    ==========
-
-    listen : where callers reach it.
-    ready_listen, ready_path : where the balancer asks whether it is ready.
-    cloud : the cloud API's address; no duties are taken when it is absent.
-    zones : the availability zones of the site.
-    stop_grace_s : how long after a stop signal the process is ended by force.
-    repeat_ratio, repeat_extra, repeat_window_s : the fleet's budget of repeated sends, for each
-        service: in a window, `repeat_ratio` for each request and `repeat_extra` more.
-    limit_slack : by how much the use of an account may exceed its limit over all gateways, in the
-        limit's unit; bounds what accounts get anew when all gateways restart.
-    lease_term_ms : how long one renewal of the duties' lease lasts.
-    usage_window_s : length of a window of the usage reports.
-    """
-
-    listen: Address
-    ready_listen: Address
-    ready_path: str = "/readyz"
-    cloud: Address | None = None
-    zones: tuple[Name, ...] = ()
-    stop_grace_s: float = Field(default=8.0, ge=0)
-    repeat_ratio: float = Field(default=0.2, ge=0)
-    repeat_extra: float = Field(default=50.0, ge=0)
-    repeat_window_s: float = Field(default=10.0, gt=0)
-    limit_slack: float = Field(default=0.0, ge=0)
-    lease_term_ms: int = Field(default=4_000, ge=2_000)
-    usage_window_s: float = Field(default=5.0, gt=0)
-
-
 class LeaseSettings(BaseModel):
     """The durations that all controllers of a zone share.
 
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -15,7 +15,7 @@
 from hemlockswitch.standin.runner import RunnerFaults, RunnerSettings, RunnerState, make_seal
 from hemlockswitch.standin.runner import build_application as build_runner
 from hemlockswitch.standin.server import listen
-from hemlockswitch.version.settings import GatewaySettings
+from hemlockswitch.version.gateway_settings import GatewaySettings
 
 HOST = "site.example"
 KEY = "key-of-hall"
@@ -74,6 +74,12 @@
     }
 
 
+def make_entry(service, address, state="ready", **fields):
+    """Return a runner's entry of the registry, with every field that the platform lists."""
+    entry = {"service": service, "address": address, "zone": "z1", "version": "v1", "slots": 8}
+    return {**entry, "state": state, "cold_left_ms": 0, "sequence": 1, **fields}
+
+
 @dataclass
 class Reply:
     """An answer as a caller sees it."""
@@ -95,10 +101,10 @@
         self._store = store
         self.write("ready")
 
-    def write(self, state):
+    def write(self, state, **fields):
         """Write the registry entry."""
-        entry = {"service": self.service, "address": self.address, "zone": "z1", "slots": 8}
-        self._store.put("servers", self.name, {**entry, "state": state, "sequence": 1})
+        entry = make_entry(self.service, self.address, state, **fields)
+        self._store.put("servers", self.name, entry)
 
     def fail(self, **faults):
         """Set faults."""
--- a/tests/share_fleet.py
+++ b/tests/share_fleet.py
@@ -1,6 +1,6 @@
 """A few daemons that share limits in one process: a fake network, a fake object service."""
 
-from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
+from hemlockswitch.connection.stored_objects import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PeerError, PlatformError
 from hemlockswitch.process.shares.parts import ShareMember
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,7 +9,7 @@
 from features.support.cluster import Cluster
 from features.support.gateways import GATEWAY, STANDIN, ZONE, call_json
 from features.support.processes import HarnessError, Program
-from tests.gateway_site import make_manifest
+from tests.gateway_site import make_entry, make_manifest
 
 GATEWAYS = ("one", "two", "three")
 PLAIN_RUNNERS, ENGINES = 2, 2
@@ -124,8 +124,7 @@
     def register(self, runner: SoakRunner, state: str) -> None:
         """Write a runner's entry of the registry."""
         address = self.cluster.add_link(f"runner-{runner.name}", runner.program.addresses["http"])
-        entry = {"service": runner.service, "zone": ZONE, "slots": 8, "sequence": 1}
-        self.put("servers", runner.name, {**entry, "state": state, "address": address})
+        self.put("servers", runner.name, make_entry(runner.service, address, state))
 
     def unregister(self, runner: SoakRunner) -> None:
         """Remove a runner's entry."""
--- a/tests/test_applying.py
+++ b/tests/test_applying.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
+from hemlockswitch.connection.stored_objects import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.process.revisions.applying import (
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,7 +9,7 @@
 import gevent
 import pytest
 
-from hemlockswitch.connection.platform_models import (
+from hemlockswitch.connection.stored_objects import (
     Conflict,
     StoredObject,
     Unknown,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hemlockswitch.connection.peers import PeerNetwork
-from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 from hemlockswitch.core.clock import ManualClock, SystemClock
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
 from hemlockswitch.process.controller import CurrentFile
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -11,7 +11,7 @@
     compute_late_share,
     plan_over_licence,
 )
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 
 RECLAIMABLE = MachineClass.RECLAIMABLE
 TARGET = Target("assistant-llm", latency_ms=830, slots=8, least=1, licensed=6)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -5,7 +5,7 @@
 import tomllib
 from pathlib import Path
 
-from hemlockswitch.version.settings import GatewaySettings
+from hemlockswitch.version.gateway_settings import GatewaySettings
 
 DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -5,13 +5,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from hemlockswitch.connection.backends import (
-    BackendCall,
-    BackendClient,
-    BackendExchange,
-    ExchangeError,
-    Stage,
-)
+from hemlockswitch.connection.backends import BackendCall, BackendClient, BackendExchange
+from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hemlockswitch.connection.platform_models import Conflict, ObjectPage, StoredObject, Written
+from hemlockswitch.connection.stored_objects import Conflict, ObjectPage, StoredObject, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.process.gateway.fleet import COVERED_MS, GATEWAY_KIND, GONE_MS, Fleet
@@ -22,7 +22,7 @@
             raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
         items = (
             StoredObject(kind, name, version, {"address": f"10.0.0.1:{number}"})
-            for number, (name, version) in enumerate(sorted(self.versions.items()))
+            for number, (name, version) in enumerate(sorted(self.versions.items()), start=1)
         )
         return ObjectPage(tuple(items), 9)
 
--- a/tests/test_gateway_registry.py
+++ b/tests/test_gateway_registry.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 from hemlockswitch.core.clock import ManualClock, SystemClock
 from hemlockswitch.core.errors import (
     ConfigurationError,
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -13,6 +13,7 @@
     ROUTES,
     Site,
     is_genuine,
+    make_entry,
     make_events,
     make_manifest,
     make_request,
@@ -245,8 +246,7 @@
         unused.bind(("127.0.0.1", 0))
         address = f"127.0.0.1:{unused.getsockname()[1]}"
     for number in range(9):
-        entry = {"service": "app", "address": address, "zone": "z1", "slots": 8, "state": "ready"}
-        site.store.put("servers", f"crashed-{number}", {**entry, "sequence": 1})
+        site.store.put("servers", f"crashed-{number}", make_entry("app", address))
     runner = site.add_runner("app")
     site.wait(lambda: len(site.gateways[0].registry.list_ready("app")) == 10)
     replies = [site.ask("/hold/x") for _ in range(5)]
--- a/tests/test_gateway_usage.py
+++ b/tests/test_gateway_usage.py
@@ -1,6 +1,6 @@
 """Usage reports: each window once, with the same counts whoever reports, and in true time."""
 
-from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
+from hemlockswitch.connection.stored_objects import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import (
     SETTLE_MS,
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
+from hemlockswitch.connection.stored_objects import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.process.lease import Lease, LeaseError, LeaseTimes
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,7 +10,8 @@
 from hemlockswitch.connection.frames import Frame, FrameDecoder, FrameKind
 from hemlockswitch.connection.links import PeerBounds
 from hemlockswitch.connection.messages import MAX_FRAME_BYTES, register_message
-from hemlockswitch.connection.peers import PeerNetwork, split_address
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.errors import ErrorKind, PeerError
 
 TIMEOUT_MS = 10_000
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,7 +4,7 @@
 
 from hemlockswitch.connection.heads import ReceivedRequest
 from hemlockswitch.connection.message_parsers import ParsedAnswer
-from hemlockswitch.connection.platform_models import Conflict, StoredObject, Unknown, Written
+from hemlockswitch.connection.stored_objects import Conflict, StoredObject, Unknown, Written
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import (
     ANSWERS,
@@ -24,7 +24,7 @@
 from hemlockswitch.standin.server import listen
 from hemlockswitch.version.backend import BackendState
 from hemlockswitch.version.serving_table import RequestKind
-from tests.gateway_site import make_manifest
+from tests.gateway_site import make_entry, make_manifest
 
 HEADERS = Headers()
 
@@ -78,7 +78,7 @@
 
 
 def decode_entry(**fields):
-    entry = {"service": "llm", "address": "10.0.0.1:80", "zone": "z1", "slots": 128, **fields}
+    entry = make_entry("llm", "10.0.0.1:80", slots=128) | fields
     return decode_server(StoredObject("servers", "i-1", 3, entry))
 
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hemlockswitch.connection.platform import PlatformClient
-from hemlockswitch.connection.platform_models import Conflict, Unknown, Written
+from hemlockswitch.connection.stored_objects import Conflict, Unknown, Written
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.standin.platform import build_application
 from hemlockswitch.standin.platform_faults import ServiceFaults
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -18,6 +18,7 @@
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.peer_metrics import PeerCollector
 from hemlockswitch.version import models, settings
+from hemlockswitch.version.gateway_settings import GatewaySettings
 
 REFERENCE = Path(__file__).resolve().parent.parent / "docs" / "reference"
 MODELS = ("OperatorFile", "ClientAccount", "AccountLimits", "Model", "Service", "Operation")
@@ -71,11 +72,18 @@
     assert listed == list(getattr(models, name).model_fields)
 
 
+def list_fields(name):
+    """Return the settings' names, of a model of either library."""
+    if name == "GatewaySettings":
+        return GatewaySettings.__struct_fields__
+    return getattr(settings, name).model_fields
+
+
 @pytest.mark.parametrize(
     "name", ["ProgramSettings", "EntrySettings", "ControllerSettings", "GatewaySettings"]
 )
 def test_every_setting_is_on_the_settings_page(name):
     text = (REFERENCE / "settings.md").read_text()
-    fields = getattr(settings, name).model_fields
+    fields = list_fields(name)
     missing = [field for field in fields if f"| `{field}` |" not in text]
     assert not missing
--- a/tests/test_relayed_watch.py
+++ b/tests/test_relayed_watch.py
@@ -8,7 +8,7 @@
 import gevent
 import pytest
 
-from hemlockswitch.connection.platform_models import ObjectPage, StoredObject
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.process.gateway.messages import RegistryPage
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -20,7 +20,7 @@
     plan_copies,
 )
 from hemlockswitch.version.backend import BackendServer, BackendState
-from hemlockswitch.version.models import MachineClass
+from hemlockswitch.version.machine_class import MachineClass
 from hemlockswitch.version.serving_table import (
     CallerBounds,
     EngineTraits,
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -2,12 +2,8 @@
 
 import pytest
 
-from hemlockswitch.connection.backends import (
-    BackendAnswer,
-    ExchangeError,
-    ExchangeTimeoutError,
-    Stage,
-)
+from hemlockswitch.connection.backends import BackendAnswer, ExchangeTimeoutError
+from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.connection.intake import CallerRequest
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
--- a/tests/test_zone_status.py
+++ b/tests/test_zone_status.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hemlockswitch.connection.platform_models import Conflict, StoredObject, Written
+from hemlockswitch.connection.stored_objects import Conflict, StoredObject, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.status.zone_status import DaemonReport, ZoneMember, ZoneStatus
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -28,7 +28,7 @@
 from features.support.processes import Program
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.connection.platform import PlatformClient
-from hemlockswitch.connection.platform_models import Written
+from hemlockswitch.connection.stored_objects import Written
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.core.logs import configure_logs
--- a/tools/shares_baselines.py
+++ b/tools/shares_baselines.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hemlockswitch.connection.platform_models import Written
+from hemlockswitch.connection.stored_objects import Written
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 
 BURST_S = 1.0
