--- /dev/null
+++ b/hemlockswitch/connection/page_server.py
@@ -0,0 +1,69 @@
+"""A few small pages over HTTP, for a balancer or for operators' monitoring.
+
+They are served by the server of forwarded requests, so that a gateway loads no second HTTP server
+for a page that may never be asked for.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from hemlockswitch.connection.forward_server import ForwardServer, Reply
+from hemlockswitch.connection.heads import ReceivedRequest
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.version.serving_table import CallerBounds
+
+READING_METHODS = frozenset({"GET", "HEAD"})
+JSON_TYPE = "application/json"
+
+
+@dataclass(frozen=True)
+class Page:
+    """What a page shows now."""
+
+    body: bytes = b""
+    content_type: str = JSON_TYPE
+    status: HTTPStatus = HTTPStatus.OK
+
+
+PageBuilder = Callable[[], Page]
+
+
+class PageServer:
+    """Listens on one address and serves pages by their path.
+
+    Parameters
+    ==========
+
+    address : host and port; port 0 takes any free one.
+    pages : path to what builds the page.
+    clock : the time.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], pages: Mapping[str, PageBuilder], clock: Clock
+    ) -> None:
+        self._pages = pages
+        bounds = CallerBounds()
+        self._server = ForwardServer(address, self._answer, lambda: bounds, clock)
+
+    def start(self) -> str:
+        """Listen, and return the address that is bound."""
+        return self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening, and close the connections that are idle."""
+        self._server.stop_accepting()
+
+    def _answer(self, request: ReceivedRequest, reply: Reply) -> None:
+        page = self._find(request)
+        headers = [("Content-Type", page.content_type)]
+        reply.send(page.status, page.status.phrase, headers, page.body)
+
+    def _find(self, request: ReceivedRequest) -> Page:
+        build = self._pages.get(request.path)
+        if build is None:
+            return Page(status=HTTPStatus.NOT_FOUND)
+        if request.method not in READING_METHODS:
+            return Page(status=HTTPStatus.METHOD_NOT_ALLOWED)
+        return build()
--- /dev/null
+++ b/hemlockswitch/core/log_lines.py
@@ -0,0 +1,66 @@
+"""Log lines without a logging library: for a process whose start callers wait for.
+
+The lines are those that `configure_logs` makes, with the same fields. Loading structlog takes about
+as long as loading all of the gateway's own modules; docs/explanation/start.md has the figures.
+"""
+
+from collections.abc import Mapping
+from datetime import UTC, datetime
+from typing import Protocol
+
+import msgspec
+
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import LEVELS
+
+
+class TextOutput(Protocol):
+    """Where lines go."""
+
+    def write(self, text: str) -> int:
+        """Write a text."""
+
+
+class LineWriter:
+    """Writes each event as one line of JSON; a `LogWriter`.
+
+    Parameters
+    ==========
+
+    process_name : the ``process`` field of each line.
+    level : the least level that is written: ``debug``, ``info`` or ``warning``.
+    output : a text file; a `BoundedOutput` where logging must never block.
+
+    Examples
+    ========
+
+    >>> import io
+    >>> output = io.StringIO()
+    >>> write = LineWriter("gateway-1", "info", output)
+    >>> write(Event.PROCESS_READY, "debug", {})
+    >>> write(Event.PROCESS_READY, "info", {"addresses": ["127.0.0.1:80"]})
+    >>> line = msgspec.json.decode(output.getvalue())
+    >>> line["event"], line["process"], line["addresses"]
+    ('process_ready', 'gateway-1', ['127.0.0.1:80'])
+    """
+
+    def __init__(self, process_name: str, level: str, output: TextOutput) -> None:
+        self._process_name = process_name
+        self._least = LEVELS[level]
+        self._output = output
+        # A value that is not JSON-ready must not cost the line.
+        self._encoder = msgspec.json.Encoder(enc_hook=repr)
+
+    def __call__(self, event: Event, level: str, fields: Mapping[str, object]) -> None:
+        """Write one event."""
+        if LEVELS[level] < self._least:
+            return
+        line = {
+            "number": event.number,
+            "process": self._process_name,
+            **fields,
+            "event": event.label,
+            "level": level,
+            "timestamp": datetime.now(UTC).isoformat().replace("+00:00", "Z"),
+        }
+        self._output.write(self._encoder.encode(line).decode() + "\n")
--- a/hemlockswitch/core/logs.py
+++ b/hemlockswitch/core/logs.py
@@ -2,13 +2,20 @@
 
 import logging
 import sys
+from collections.abc import Callable, Mapping
 from typing import Any
 
-import structlog
-
 from hemlockswitch.core.events import Event
 
-_LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
+LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+LogWriter = Callable[[Event, str, Mapping[str, object]], None]
+"""Writes one event with its level and its fields."""
 
 
 def configure_logs(process_name: str, level: str = "info", output: Any = None) -> None:
@@ -21,22 +28,39 @@
     level : ``debug``, ``info`` or ``warning``.
     output : a text file; a `BoundedOutput` where logging must never block.
     """
+    import structlog
+
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.JSONRenderer(),
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
         logger_factory=structlog.WriteLoggerFactory(file=output or sys.stderr),
     )
     _process.name = process_name
+    set_log_writer(_write_by_structlog)
+
+
+def set_log_writer(writer: LogWriter) -> None:
+    """Hand all events to `writer` from now on."""
+    _process.write = writer
+
+
+def _write_by_structlog(event: Event, level: str, fields: Mapping[str, object]) -> None:
+    # Loading it takes longer than all else that a gateway needs before its first request.
+    import structlog
+
+    logger = structlog.get_logger()
+    getattr(logger, level)(event.label, number=event.number, process=_process.name, **fields)
 
 
 class _Process:
-    """The name under which this process logs."""
+    """How this process logs, and under which name."""
 
     name = ""
+    write: LogWriter = staticmethod(_write_by_structlog)
 
 
 _process = _Process()
@@ -52,5 +76,4 @@
     level : ``debug``, ``info``, ``warning`` or ``error``.
     fields : JSON-ready values; never a secret.
     """
-    logger = structlog.get_logger()
-    getattr(logger, level)(event.label, number=event.number, process=_process.name, **fields)
+    _process.write(event, level, fields)
--- a/hemlockswitch/process/controller.py
+++ b/hemlockswitch/process/controller.py
@@ -8,10 +8,11 @@
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
 from hemlockswitch.connection.caller_server import CallerServer
-from hemlockswitch.connection.control_api import StatusPage, build_control_application
+from hemlockswitch.connection.control_api import build_control_application
 from hemlockswitch.connection.orders import OrderClient
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.connection.platform import PlatformClient
+from hemlockswitch.connection.status_page import StatusPage
 from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import HemlockError
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -8,7 +8,8 @@
 from hemlockswitch.connection.backends import BackendClient
 from hemlockswitch.connection.caller_server import CallerServer
 from hemlockswitch.connection.callers import build_application
-from hemlockswitch.connection.control_api import StatusPage, build_control_application
+from hemlockswitch.connection.control_api import build_control_application
+from hemlockswitch.connection.status_page import StatusPage
 from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -2,20 +2,18 @@
 
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import gevent
 from gevent.event import Event as Signal
 
 from hemlockswitch.connection.backend_pool import BackendPool
-from hemlockswitch.connection.caller_server import CallerServer
-from hemlockswitch.connection.control_api import (
-    StatusPage,
-    build_control_application,
-    build_ready_application,
-)
 from hemlockswitch.connection.forward_server import ForwardServer
+from hemlockswitch.connection.page_server import Page, PageServer
 from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.connection.status_page import METRICS_TYPE, StatusPage
+from hemlockswitch.connection.stored_objects import encode_value
 from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
@@ -59,7 +57,6 @@
 FORCE_MARGIN_MS = 500.0
 """The process ends by itself this long before the platform ends it by force."""
 STOP_STEP_MS = 50.0
-CALLER_TIMEOUT_MS = 5_000
 USAGE_MS = 500.0
 """Time between two reports of usage; what a killed gateway counted since is lost."""
 SPENDING_PAUSE_MS = 50.0
@@ -196,23 +193,33 @@
             lambda: self.tables.bounds,
             self._clock,
         )
-        self.ready_server = CallerServer(
+        self.ready_server = PageServer(
             split_address(self.settings.ready_listen),
-            build_ready_application(self.settings.ready_path, self.is_ready),
-            CALLER_TIMEOUT_MS,
+            {self.settings.ready_path: self._build_ready_page},
+            self._clock,
         )
-        self.control_server = CallerServer(
+        self.control_server = PageServer(
             split_address(self.settings.control_listen),
-            build_control_application(self.status, self.observer.render),
-            CALLER_TIMEOUT_MS,
+            {"/status": self._build_status_page, "/metrics": self._build_metrics_page},
+            self._clock,
         )
 
+    def _build_ready_page(self) -> Page:
+        status = HTTPStatus.OK if self.is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        return Page(status=status)
+
+    def _build_status_page(self) -> Page:
+        return Page(encode_value(self.status.describe()))
+
+    def _build_metrics_page(self) -> Page:
+        return Page(self.observer.metrics.render(), METRICS_TYPE)
+
     def start(self) -> dict[str, str]:
         """Open the sockets, spawn the tasks, and return the addresses that are bound."""
         peer_address = self.network.start()
         listen_address = self.callers.start()
-        self.ready_server.start()
-        self.control_server.start()
+        ready_address = self.ready_server.start()
+        control_address = self.control_server.start()
         for follower in (self.config_follower, self.server_follower):
             self._spawn(follower.run)
         for task in (
@@ -228,8 +235,8 @@
             self._spawn(self.duties.act)
         return {
             "listen": listen_address,
-            "ready": self.ready_server.bound_address,
-            "control": self.control_server.bound_address,
+            "ready": ready_address,
+            "control": control_address,
             "peer": peer_address,
         }
 
@@ -278,8 +285,8 @@
     def _close(self) -> None:
         gevent.killall(self._tasks, block=False)
         self.network.stop()
-        self.ready_server.stop(timeout=0)
-        self.control_server.stop(timeout=0)
+        self.ready_server.stop()
+        self.control_server.stop()
         self._adapter.store.close()
 
     def _spawn(self, run: Callable[[], None]) -> None:
@@ -360,7 +367,7 @@
         self.loads.forget(server.incarnation)
 
     def _count_connection(self, _address: str) -> None:
-        self.observer.connections.inc()
+        self.observer.metrics.connections += 1
 
     def _describe_table(self) -> dict[str, Any]:
         table = self.tables.current
--- /dev/null
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -0,0 +1,127 @@
+"""The gateway's counters and histograms; prometheus_client is loaded when they are first asked for.
+
+A gateway that starts again keeps callers waiting, and most starts end without a look at the metrics.
+So the figures are plain numbers here, and a collector gives them to the library in its own types.
+"""
+
+from bisect import bisect_left
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from hemlockswitch.core.clock import MS_PER_SECOND
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+    from prometheus_client.core import Metric
+
+FIRST_EVENT_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.83, 1.2, 2.0, 4.0, 8.0)
+
+
+class Timings:
+    """A histogram of durations.
+
+    Examples
+    ========
+
+    >>> timings = Timings()
+    >>> timings.observe(30.0)
+    >>> timings.observe(90_000.0)
+    >>> timings.list_buckets()[1], timings.list_buckets()[-1]
+    (('0.05', 1.0), ('+Inf', 2.0))
+    >>> timings.sum_s
+    90.03
+    """
+
+    def __init__(self) -> None:
+        self.sum_s = 0.0
+        self._counts = [0] * (len(FIRST_EVENT_BUCKETS_S) + 1)
+
+    def observe(self, duration_ms: float) -> None:
+        """Count one duration."""
+        duration_s = duration_ms / MS_PER_SECOND
+        self.sum_s += duration_s
+        self._counts[bisect_left(FIRST_EVENT_BUCKETS_S, duration_s)] += 1
+
+    def list_buckets(self) -> list[tuple[str, float]]:
+        """Return (upper bound in seconds, durations up to it) of each bucket."""
+        bounds = [*map(str, FIRST_EVENT_BUCKETS_S), "+Inf"]
+        total = 0
+        buckets: list[tuple[str, float]] = []
+        for bound, count in zip(bounds, self._counts, strict=True):
+            total += count
+            buckets.append((bound, float(total)))
+        return buckets
+
+
+class GatewayMetrics:
+    """What the gateway counts.
+
+    Parameters
+    ==========
+
+    requests : (route, outcome) to requests that are over.
+    failures : kind of failure to sends without a complete answer.
+    connections : connections made to backend servers.
+    begun : route to the times from a request's head to the beginning of its answer.
+
+    Examples
+    ========
+
+    >>> metrics = GatewayMetrics()
+    >>> metrics.requests["draft", "answered"] += 1
+    >>> b'hemlock_forwarded_requests_total{outcome="answered",route="draft"} 1.0' in metrics.render()
+    True
+    """
+
+    def __init__(self) -> None:
+        self.requests: Counter[tuple[str, str]] = Counter()
+        self.failures: Counter[str] = Counter()
+        self.connections = 0
+        self.begun: dict[str, Timings] = defaultdict(Timings)
+
+    def render(self) -> bytes:
+        """Return the metrics as Prometheus text."""
+        from prometheus_client import generate_latest
+
+        return generate_latest(self.build_registry())
+
+    def build_registry(self) -> "CollectorRegistry":
+        """Return a registry of the library that collects these figures."""
+        from prometheus_client import CollectorRegistry
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return registry
+
+    def collect(self) -> "Iterator[Metric]":
+        """Yield the figures as the library's types (called by it)."""
+        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+
+        requests = CounterMetricFamily(
+            "hemlock_forwarded_requests",
+            "Forwarded requests that are over, by route and outcome.",
+            labels=["route", "outcome"],
+        )
+        for (route, outcome), count in self.requests.items():
+            requests.add_metric([route, outcome], count)
+        yield requests
+        failures = CounterMetricFamily(
+            "hemlock_forward_failures",
+            "Sends without a complete answer, by kind of failure.",
+            labels=["failure"],
+        )
+        for failure, count in self.failures.items():
+            failures.add_metric([failure], count)
+        yield failures
+        begun = HistogramMetricFamily(
+            "hemlock_forward_begun_seconds",
+            "Time from a request's head to the beginning of its answer.",
+            labels=["route"],
+        )
+        for route, timings in self.begun.items():
+            begun.add_metric([route], timings.list_buckets(), timings.sum_s)
+        yield begun
+        yield CounterMetricFamily(
+            "hemlock_backend_connections", "Connections made.", value=self.connections
+        )
--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -1,10 +1,9 @@
 """What the gateway tells operators: one log line for each request, counters and histograms."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
-
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.metrics import GatewayMetrics
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts
 from hemlockswitch.request.progress import Progress
@@ -13,7 +12,6 @@
 LINES_PER_SECOND = 100
 """Request lines in a second at the most; a gateway of the first sites has under ten requests a
 second, and a line costs some 50 microseconds."""
-FIRST_EVENT_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.83, 1.2, 2.0, 4.0, 8.0)
 
 
 class LinePace:
@@ -56,41 +54,15 @@
     """
 
     def __init__(self, usage: UsageCounts, true_time: TrueTime, clock: Clock) -> None:
-        self.registry = CollectorRegistry()
-        self.requests = Counter(
-            "hemlock_forwarded_requests",
-            "Forwarded requests that are over, by route and outcome.",
-            ["route", "outcome"],
-            registry=self.registry,
-        )
-        self.failures = Counter(
-            "hemlock_forward_failures",
-            "Sends without a complete answer, by kind of failure.",
-            ["failure"],
-            registry=self.registry,
-        )
-        self.begun = Histogram(
-            "hemlock_forward_begun_seconds",
-            "Time from a request's head to the beginning of its answer.",
-            ["route"],
-            buckets=FIRST_EVENT_BUCKETS,
-            registry=self.registry,
-        )
-        self.connections = Counter(
-            "hemlock_backend_connections", "Connections made.", registry=self.registry
-        )
+        self.metrics = GatewayMetrics()
         self._usage = usage
         self._true_time = true_time
         self._clock = clock
         self._pace = LinePace(clock)
 
-    def render(self) -> bytes:
-        """Return the metrics as Prometheus text."""
-        return generate_latest(self.registry)
-
     def attempt_failed(self, progress: Progress, failure: SendFailure, detail: str) -> None:
         """Count and log one send that failed."""
-        self.failures.labels(failure.value).inc()
+        self.metrics.failures[failure.value] += 1
         if self._pace.allow():
             log_event(
                 Event.ATTEMPT_FAILED,
@@ -106,7 +78,7 @@
         if admitted is None or progress.began_ms is None:
             return
         waited_ms = progress.began_ms - progress.request.received_ms
-        self.begun.labels(admitted.route.name).observe(waited_ms / MS_PER_SECOND)
+        self.metrics.begun[admitted.route.name].observe(waited_ms)
         if admitted.account is not None:
             self._usage.count(self._true_time.now_ms(), admitted.account.name)
 
@@ -114,7 +86,7 @@
         """Count and log a request that is over."""
         admitted = progress.admitted
         route = admitted.route.name if admitted else ""
-        self.requests.labels(route, progress.outcome).inc()
+        self.metrics.requests[route, progress.outcome] += 1
         if not self._pace.allow():
             return
         now_ms = self._clock.now_ms()
--- a/hemlockswitch/programs/daemon.py
+++ b/hemlockswitch/programs/daemon.py
@@ -1,39 +1,21 @@
-"""What the command lines of the daemons share: settings, ready line, graceful stop."""
+"""What the command lines of the daemons share: options, checked settings, exit codes."""
 
-import json
-import signal
-import sys
 from collections.abc import Callable
-from typing import Any, ClassVar, Protocol
+from typing import Any, ClassVar
 
-import gevent
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 from gevent.event import Event as Signal
 
 import hemlockswitch
-from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import ConfigurationError
-from hemlockswitch.core.events import Event
-from hemlockswitch.core.log_output import BoundedOutput
-from hemlockswitch.core.logs import configure_logs, log_event
+from hemlockswitch.core.logs import configure_logs
+from hemlockswitch.programs.service import Daemon, serve_until_stopped
 from hemlockswitch.version.settings_file import FileSettings
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
-SETTINGS_LOOK_MS = 2_000
-"""Time between two looks at the settings file: a few reads of a small file a second at most."""
-
-
-class Daemon(Protocol):
-    """A long-running part of the system, as its program sees it."""
-
-    def start(self) -> dict[str, str]:
-        """Open the sockets, spawn the tasks, and return the addresses that are bound."""
-
-    def stop(self) -> None:
-        """End gracefully."""
 
 
 class DaemonCommand(Command):
@@ -47,9 +29,6 @@
     """
 
     settings_model: ClassVar[type[FileSettings]]
-    logs_to_stdout: ClassVar[bool] = False
-    reloads: ClassVar[bool] = False
-    """Whether the daemon has `apply_settings`, for a file that changes while it runs."""
 
     options = [
         option("settings", None, "JSON settings file", flag=False),
@@ -79,71 +58,14 @@
         if self.option("check"):
             self.line("settings: ok")
             return EXIT_OK
-        self._run(settings, path)
+        self.serve(settings, path)
         return EXIT_OK
 
-    def _run(self, settings: FileSettings, path: str) -> None:
-        output = BoundedOutput(sys.stdout.fileno()) if self.logs_to_stdout else None
-        configure_logs(settings.name, settings.log_level, output)
+    def serve(self, settings: Any, path: str) -> None:
+        """Run the daemon until it is told to stop."""
+        configure_logs(settings.name, settings.log_level)
         daemon = self.build_daemon(settings)
-        ask_to_stop, told = self.find_stop(daemon)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, ask_to_stop)
-        addresses = daemon.start()
-        ready_line = json.dumps({"ready": True, "addresses": addresses})
-        print(ready_line, file=output or sys.stdout, flush=True)
-        log_event(Event.PROCESS_READY, addresses=addresses)
-        if self.reloads:
-            watcher = SettingsWatcher(path, settings, daemon.apply_settings)  # type: ignore[attr-defined]
-            gevent.signal_handler(signal.SIGHUP, watcher.look)
-            gevent.spawn(watcher.run)
-        told.wait()
-        log_event(Event.PROCESS_STOPPING)
-        daemon.stop()
-        log_event(Event.PROCESS_STOPPED)
-
-
-class SettingsWatcher:
-    """Reads the settings file again when it may have changed.
-
-    Explanation
-    ===========
-
-    A file that has mistakes changes nothing; the settings in force stay until it is mended.
-
-    Parameters
-    ==========
-
-    path : the settings file.
-    settings : the settings in force.
-    apply : called with new settings.
-    """
-
-    def __init__(self, path: str, settings: FileSettings, apply: Callable[[Any], None]) -> None:
-        self._path = path
-        self._settings = settings
-        self._apply = apply
-        self._refused = ""
-
-    def run(self) -> None:
-        """Look from time to time, for files that change without a signal."""
-        while True:
-            gevent.sleep(SETTINGS_LOOK_MS / MS_PER_SECOND)
-            self.look()
-
-    def look(self) -> None:
-        """Take the file's settings if they differ."""
-        try:
-            settings = type(self._settings).from_file(self._path)
-        except ConfigurationError as error:
-            if error.detail != self._refused:
-                log_event(Event.SETTINGS_UNUSABLE, "error", detail=error.detail)
-            self._refused = error.detail
-            return
-        self._refused = ""
-        if settings != self._settings:
-            self._settings = settings
-            self._apply(settings)
+        serve_until_stopped(daemon, *self.find_stop(daemon))
 
 
 def run_program(program: str, command: Command) -> int:
--- a/hemlockswitch/programs/gateway.py
+++ b/hemlockswitch/programs/gateway.py
@@ -1,12 +1,18 @@
-"""``hemlock-gateway``: forwards requests by routes on the users' platform, and takes the duties."""
+"""``hemlock-gateway``: forwards requests by routes on the users' platform, and takes the duties.
 
-from gevent import monkey
-
-monkey.patch_all()
+Nothing is imported here that a start does not need: callers wait for it after every restart. All
+sockets are gevent's own, so the standard library is not patched.
+"""
 
 import sys
 
+from gevent.event import Event as Signal
+
 from hemlockswitch.core.clock import SystemClock
+from hemlockswitch.core.errors import ConfigurationError
+from hemlockswitch.core.log_lines import LineWriter
+from hemlockswitch.core.log_output import BoundedOutput
+from hemlockswitch.core.logs import set_log_writer
 from hemlockswitch.platform.cloud import CloudApi
 from hemlockswitch.platform.headers import Headers
 from hemlockswitch.platform.manifest import CONFIG_KIND, CONFIG_NAME, decode_manifest
@@ -14,9 +20,12 @@
 from hemlockswitch.platform.store import ObjectStore
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.daemon import GatewayDaemon
-from hemlockswitch.programs.daemon import DaemonCommand, run_program
+from hemlockswitch.programs.service import SettingsWatcher, serve_until_stopped
 from hemlockswitch.version.gateway_settings import GatewaySettings
 
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
 
 def build_adapter(settings: GatewaySettings, clock: SystemClock) -> Adapter:
     """Return the users' platform behind the gateway's own interfaces."""
@@ -33,29 +42,38 @@
     )
 
 
-class GatewayCommand(DaemonCommand):
-    """Serves callers on the users' platform."""
+def serve(settings: GatewaySettings, path: str) -> None:
+    """Run the gateway of a settings file until it is told to stop."""
+    output = BoundedOutput(sys.stdout.fileno())
+    set_log_writer(LineWriter(settings.name, settings.log_level, output))
+    clock = SystemClock()
+    daemon = GatewayDaemon(settings, build_adapter(settings, clock), clock)
+    watcher = SettingsWatcher(path, settings, daemon.apply_settings)
+    watcher.start()
+    stopping = Signal()
+    serve_until_stopped(daemon, stopping.set, stopping, output)
 
-    name = "gateway"
-    description = "forward requests by routes, and take the duties when it is this daemon's turn"
-    help = (
-        "Reads a JSON settings file and serves until SIGTERM or SIGINT; requests in progress are\n"
-        "finished within stop_grace_s. Exit codes: 0 stopped gracefully, 2 the settings have\n"
-        "mistakes."
-    )
-    settings_model = GatewaySettings
-    logs_to_stdout = True
-    reloads = True
 
-    def build_daemon(self, settings: GatewaySettings) -> GatewayDaemon:
-        """Return the gateway daemon."""
-        clock = SystemClock()
-        return GatewayDaemon(settings, build_adapter(settings, clock), clock)
+def start(path: str) -> int:
+    """Serve by a settings file and return the exit code."""
+    try:
+        settings = GatewaySettings.from_file(path)
+    except ConfigurationError as error:
+        print(f"{path}: {error.detail}", file=sys.stderr)
+        return EXIT_SETTINGS
+    serve(settings, path)
+    return EXIT_OK
 
 
 def main() -> int:
     """Run the program and return its exit code."""
-    return run_program("hemlock-gateway", GatewayCommand())
+    match sys.argv[1:]:
+        case ["--settings", path]:
+            return start(path)
+    # Help and checks are for operators: only they load the command line framework.
+    from hemlockswitch.programs.gateway_command import run_command
+
+    return run_command()
 
 
 if __name__ == "__main__":
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -12,9 +12,7 @@
 from hemlockswitch.core.errors import ANSWERS
 from hemlockswitch.core.events import Event
 from hemlockswitch.process.controller import ControllerMetrics
-from hemlockswitch.process.gateway.observation import GatewayObserver
-from hemlockswitch.process.gateway.true_time import TrueTime
-from hemlockswitch.process.gateway.usage import UsageCounts
+from hemlockswitch.process.gateway.metrics import GatewayMetrics
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.peer_metrics import PeerCollector
 from hemlockswitch.version import models, settings
@@ -57,7 +55,7 @@
     spread = SimpleNamespace(repairs=0)
     PeerCollector.register(SimpleNamespace(network=network, spread=spread, membership=None), peers)
     clock = SystemClock()
-    gateway = GatewayObserver(UsageCounts(5.0), TrueTime(), clock).registry
+    gateway = GatewayMetrics().build_registry()
     registries = (EntryMetrics().registry, ControllerMetrics(clock).registry, peers, gateway)
     families = {family.name for registry in registries for family in registry.collect()}
     assert families == listed - {"metric"}
