Send nothing across a partition: suspect servers and zones that cannot be reached

Ruled out: a failure count for each server alone (an earlier trial, nothing sure). Change: a zone from which nothing was heard for 500 ms, or two silent servers of it, gets nothing while others can be reached; neighbours of the own zone are believed; suspects are asked for a connection, which risks no request; connections may take ten times the usual; what may be repeated leaves the zone.

--- a/hemlockswitch/connection/backend_pool.py
+++ b/hemlockswitch/connection/backend_pool.py
@@ -14,9 +14,6 @@
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 
 READ_BYTES = 65_536
-CONNECT_TIMEOUT_MS = 500.0
-"""Backend servers are a few milliseconds away; a dropped opening packet is sent again after 1 s,
-so waiting longer only helps a server that is overloaded."""
 KEEPALIVE_MARGIN_MS = 1_000.0
 """A connection is left unused this long before the server would close it, so that a request does
 not cross the close; servers state whole seconds."""
@@ -46,10 +43,19 @@
     ==========
 
     is_own : tells this request's answer from one of another request.
+    is_new : whether the connection was made for this exchange.
     """
 
-    def __init__(self, connection: socket.socket, address: str, method: str, is_own: IsOwn) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        address: str,
+        method: str,
+        is_own: IsOwn,
+        is_new: bool = True,
+    ) -> None:
         self.address = address
+        self.is_new = is_new
         self._connection = connection
         self._is_own = is_own
         self._parser = AnswerParser(method)
@@ -206,7 +212,7 @@
         is_own: IsOwn,
         *,
         most_idle_ms: float,
-        timeout_ms: float = CONNECT_TIMEOUT_MS,
+        timeout_ms: float,
     ) -> PooledExchange:
         """Return an exchange on a connection that was idle for at most `most_idle_ms`, or new.
 
@@ -217,13 +223,29 @@
         """
         kept = self._take_idle(address, most_idle_ms)
         if kept is not None:
-            return PooledExchange(kept, address, method, is_own)
+            return PooledExchange(kept, address, method, is_own, is_new=False)
+        connection = self._connect(address, timeout_ms)
+        return PooledExchange(connection, address, method, is_own)
+
+    def warm(self, address: str, timeout_ms: float) -> None:
+        """Make a connection and keep it for a later exchange.
+
+        Raises
+        ======
+
+        ExchangeError : no connection could be made.
+        """
+        connection = self._connect(address, timeout_ms)
+        now_ms = self._clock.now_ms()
+        self._idle[address].append(_IdleConnection(connection, now_ms, now_ms + UNSTATED_IDLE_MS))
+
+    def _connect(self, address: str, timeout_ms: float) -> socket.socket:
         try:
-            connection = connect(address, min(timeout_ms, CONNECT_TIMEOUT_MS))
+            connection = connect(address, timeout_ms)
         except OSError as error:
             raise ExchangeError(Stage.BEFORE_SEND, str(error)) from error
         self._on_connect(address)
-        return PooledExchange(connection, address, method, is_own)
+        return connection
 
     def finish(self, exchange: PooledExchange) -> None:
         """Keep the connection of an exchange if it can be used again, or close it."""
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -9,6 +9,7 @@
 from gevent.event import Event as Signal
 
 from hemlockswitch.connection.backend_pool import BackendPool
+from hemlockswitch.connection.exchange_errors import ExchangeError
 from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.page_server import Page, PageServer
 from hemlockswitch.connection.peers import PeerNetwork
@@ -27,6 +28,7 @@
 from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.messages import RegistryPage
 from hemlockswitch.process.gateway.observation import GatewayObserver
+from hemlockswitch.process.gateway.reachability import LOOK_MS, Reachability
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
 from hemlockswitch.process.gateway.reports import ReportExchange
@@ -103,6 +105,12 @@
         self.fleet = Fleet(
             self.settings.name, lambda: self.network.address, clock, self.settings.zone
         )
+        self.reachability = Reachability(
+            self.settings.zone,
+            self.fleet.get_period_ms,
+            clock,
+            lambda zone: self.forwarder.abandon_zone(zone),
+        )
         self.config_follower = ObjectFollower(
             adapter.store, adapter.config_kind, self.tables, clock
         )
@@ -136,6 +144,8 @@
             self.usage,
             self.true_time,
             lambda: self.duties is not None and self.duties.leads,
+            self.reachability,
+            self.registry.list_all,
             self._view_store,
             clock,
         )
@@ -146,7 +156,14 @@
             settings.repeat_window_s * MS_PER_SECOND,
             clock,
         )
-        view = GatewayView(self.tables, self.registry, self.loads, self.fleet, settings.zone)
+        view = GatewayView(
+            self.tables,
+            self.registry,
+            self.loads,
+            self.fleet,
+            self.reachability,
+            settings.zone,
+        )
         self.forwarder = Forwarder(
             self._adapter.dialect, view, self.limits, self.pool, self.budget, self.observer, clock
         )
@@ -228,6 +245,7 @@
             self._report_spending,
             self._report_usage,
             self._sweep,
+            self._watch_reachability,
         ):
             self._spawn(task)
         if self.duties is not None:
@@ -332,6 +350,22 @@
             self.pool.sweep()
             self.true_time.hear(self.fleet.list_opinions())
 
+    def _watch_reachability(self) -> None:
+        while True:
+            self._clock.sleep_ms(LOOK_MS)
+            self.reachability.look()
+            for server in self.reachability.list_probes(self.registry.list_all()):
+                gevent.spawn(self._probe, server)
+
+    def _probe(self, server: BackendServer) -> None:
+        """Try to connect to a suspected server; the connection is kept for a request."""
+        began_ms = self._clock.now_ms()
+        try:
+            self.pool.warm(server.address, self.reachability.find_connect_timeout_ms())
+        except ExchangeError:
+            return  # It stays a suspect, which is logged where it became one.
+        self.reachability.note_connected(server, self._clock.now_ms() - began_ms)
+
     def _view_store(self) -> StoreView:
         table = self.tables.current
         return StoreView(
@@ -364,6 +398,7 @@
 
     def _forget_server(self, server: BackendServer) -> None:
         self.pool.forget(server.address)
+        self.reachability.forget(server)
         self.loads.forget(server.incarnation)
 
     def _count_connection(self, _address: str) -> None:
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -26,6 +26,7 @@
     outage_ms_ago : when the last outage of the object service began and ended; empty if none.
     sent : (server incarnation, shared beginnings) of each prompt sent since the last report.
     zone : its availability zone.
+    unreachable : incarnations of the backend servers that it cannot connect to.
     """
 
     name: str
@@ -41,6 +42,7 @@
     sent: list[tuple[str, list[tuple[int, int]]]] = field(default_factory=list)
     zone: str = ""
     relayed_version: int = 0
+    unreachable: list[str] = field(default_factory=list)
 
 
 @register_message("account_spending")
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -16,10 +16,12 @@
 from hemlockswitch.process.gateway.fleet import Fleet, Peer
 from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.messages import GatewayReport, SpendingReport, UsageReport
+from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.reported_loads import ServerLoad
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts
 from hemlockswitch.process.gateway.watch_guard import StoreView
+from hemlockswitch.version.backend import BackendServer
 
 
 class ReportExchange:
@@ -32,6 +34,8 @@
     network, fleet : the streams to the other gateways, and who these are.
     incarnation : differs for each start of its process.
     leads : returns whether this gateway holds the duties.
+    reachability : learns what other gateways cannot reach.
+    list_servers : returns the backend servers that are registered.
     get_view : returns what this gateway knows of the object service.
     clock : the time.
     """
@@ -47,6 +51,8 @@
         usage: UsageCounts,
         true_time: TrueTime,
         leads: Callable[[], bool],
+        reachability: Reachability,
+        list_servers: Callable[[], list[BackendServer]],
         get_view: Callable[[], StoreView],
         clock: Clock,
     ) -> None:
@@ -59,6 +65,8 @@
         self._usage = usage
         self._true_time = true_time
         self._leads = leads
+        self._reachability = reachability
+        self._list_servers = list_servers
         self._get_view = get_view
         self._clock = clock
         network.handle(GatewayReport, self._take_report, quick=True)
@@ -101,6 +109,7 @@
             sent=[(name, list(chain)) for name, chain in self._loads.pop_sent()],
             zone=self._fleet.zone,
             relayed_version=view.relayed_version,
+            unreachable=self._reachability.describe_unreachable(),
         )
 
     def _take_report(self, address: str, report: GatewayReport) -> None:
@@ -109,6 +118,7 @@
         sent = [(name, tuple((one[0], one[1]) for one in chain)) for name, chain in report.sent]
         self._loads.take_report(report.name, loads, sent)
         self._limits.take_report(_name_process(report), report.spent)
+        self._reachability.take_report(report.zone, report.unreachable, self._list_servers())
 
     def _tell_outage(self, view: StoreView) -> tuple[float, ...]:
         if view.outage is None:
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -6,9 +6,11 @@
 from hemlockswitch.process.gateway.configuration import TableHolder
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.loads import ServerLoads, Ticket
+from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.request.forward_admission import AdmittedRequest
 from hemlockswitch.request.placement import Placement, choose_server
+from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.serving_table import ServingTable
 
 CACHED_SHARE = 0.6
@@ -32,12 +34,14 @@
         registry: ServerRegistry,
         loads: ServerLoads,
         fleet: Fleet,
+        reachability: Reachability,
         zone: str,
     ) -> None:
         self._tables = tables
         self._registry = registry
         self._loads = loads
         self._fleet = fleet
+        self._reachability = reachability
         self._zone = zone
         self._random = random.Random()
 
@@ -49,6 +53,7 @@
         """Return the server for the next send, or None when there is none."""
         ready = self._registry.list_ready(admitted.service)
         servers = [server for server in ready if server.incarnation not in excluded]
+        servers = self._reachability.select_reachable(servers)
         prompt = admitted.facts.prompt
         candidates = self._loads.build_candidates(servers, prompt)
         return choose_server(prompt, candidates, self._zone, self._random)
@@ -62,6 +67,22 @@
             self._find_capacity(admitted.service),
         )
 
+    def find_connect_timeout_ms(self) -> float:
+        """Return how long to wait for a connection to a server."""
+        return self._reachability.find_connect_timeout_ms()
+
+    def note_connected(self, server: BackendServer, took_ms: float) -> None:
+        """A new connection to a server was made."""
+        self._reachability.note_connected(server, took_ms)
+
+    def note_unreachable(self, server: BackendServer, *, is_silent: bool) -> None:
+        """No connection could be made; `is_silent` if the server did not even refuse it."""
+        self._reachability.note_unreachable(server, is_silent=is_silent)
+
+    def note_answer(self, server: BackendServer) -> None:
+        """Bytes of an answer came from a server."""
+        self._reachability.note_answer(server)
+
     def note_misdirected(self, server_name: str) -> None:
         """Leave out a server whose address belongs to another one by now."""
         self._registry.note_misdirected(server_name)
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -85,6 +85,10 @@
         """Refuse every request from now on; those in progress are finished."""
         self._is_leaving = True
 
+    def abandon_zone(self, zone: str) -> None:
+        """End the sends to a zone that cannot be reached, of requests that may be sent again."""
+        self._sender.abandon_zone(zone)
+
     def handle(self, request: ReceivedRequest, reply: Reply) -> None:
         """Serve one request and write its reply."""
         progress = Progress(request)
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -19,6 +19,7 @@
 from hemlockswitch.request.placement import Placement
 from hemlockswitch.request.progress import ForwardObserver, Progress
 from hemlockswitch.request.send_states import SendFailure
+from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.serving_table import RequestKind, ServingTable
 
 MOST_ANSWER_BYTES = 16 * 1024 * 1024
@@ -51,6 +52,18 @@
     def begin_send(self, admitted: AdmittedRequest, placement: Placement) -> SendTicket:
         """Count a send."""
 
+    def find_connect_timeout_ms(self) -> float:
+        """Return how long to wait for a connection to a server."""
+
+    def note_connected(self, server: BackendServer, took_ms: float) -> None:
+        """A new connection to a server was made."""
+
+    def note_unreachable(self, server: BackendServer, *, is_silent: bool) -> None:
+        """No connection could be made; `is_silent` if the server did not even refuse it."""
+
+    def note_answer(self, server: BackendServer) -> None:
+        """Bytes of an answer came from a server."""
+
     def note_misdirected(self, server_name: str) -> None:
         """The address belongs to another server by now."""
 
@@ -81,6 +94,12 @@
     placement: Placement
     reply: Reply
 
+    @property
+    def may_follow(self) -> bool:
+        """Whether another send may follow when this one fails."""
+        route = self.admitted.route
+        return route.is_repeatable and len(self.progress.sends) < route.max_attempts
+
 
 class Sender:
     """Sends requests, each call once.
@@ -108,6 +127,17 @@
         self._pool = pool
         self._observer = observer
         self._clock = clock
+        self._in_flight: dict[PooledExchange, Send] = {}
+
+    def abandon_zone(self, zone: str) -> None:
+        """End the sends to a zone that cannot be reached, of requests that may be sent again.
+
+        The others wait on: their answers may still come when the zone is back.
+        """
+        for exchange, send in list(self._in_flight.items()):
+            is_there = send.placement.candidate.server.zone == zone
+            if is_there and send.may_follow:
+                exchange.close()
 
     def send(self, send: Send) -> None:
         """Send to one server and relay its answer.
@@ -122,9 +152,11 @@
         send.progress.sends.append(send.placement.candidate.server.incarnation)
         send.progress.in_flight = True
         failed = True
+        self._in_flight[exchange] = send
         try:
             exchange.send(self._encode(send))
             answer = exchange.read_head()
+            self._view.note_answer(send.placement.candidate.server)
             self._check_run(answer, send.placement)
             ticket.note_first_event()
             self._relay(send, exchange)
@@ -138,24 +170,35 @@
             failed = error.failure is not SendFailure.DECLINED
             raise
         finally:
+            del self._in_flight[exchange]
             ticket.end(failed)
             self._pool.finish(exchange)
 
     def _open(self, send: Send) -> PooledExchange:
         admitted = send.admitted
+        server = send.placement.candidate.server
         request_id = admitted.facts.request_id
         is_once = not admitted.route.is_repeatable
+        began_ms = self._clock.now_ms()
+        usual_ms = self._view.find_connect_timeout_ms()
+        timeout_ms = max(min(admitted.deadline_ms - began_ms, usual_ms), 1.0)
         try:
-            return self._pool.open(
-                send.placement.candidate.server.address,
+            exchange = self._pool.open(
+                server.address,
                 admitted.request.method,
                 lambda answer: self._dialect.is_answer_to(answer, request_id),
                 most_idle_ms=REUSE_IDLE_AT_MOST_ONCE_MS if is_once else REUSE_IDLE_MS,
-                timeout_ms=max(admitted.deadline_ms - self._clock.now_ms(), 1.0),
+                timeout_ms=timeout_ms,
             )
         except ExchangeError as error:
             assert error.stage is Stage.BEFORE_SEND
+            took_ms = self._clock.now_ms() - began_ms
+            if timeout_ms == usual_ms or took_ms < timeout_ms:
+                self._view.note_unreachable(server, is_silent=took_ms >= timeout_ms)
             raise SendFailedError(SendFailure.UNREACHABLE, error.detail, False) from error
+        if exchange.is_new:
+            self._view.note_connected(server, self._clock.now_ms() - began_ms)
+        return exchange
 
     def _encode(self, send: Send) -> bytes:
         admitted = send.admitted
@@ -211,6 +254,7 @@
         progress, reply = send.progress, send.reply
         splitter = EventSplitter() if send.admitted.route.is_resumable else None
         while piece := exchange.read_piece():
+            self._view.note_answer(send.placement.candidate.server)
             if splitter is not None:
                 whole = splitter.feed(piece)
                 piece = whole.data
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -363,3 +363,22 @@
     for name in ROUTES:
         extra = tokens(3) if ROUTES[name]["kind"] == "stream" else {}
         assert site.ask(f"/{name}/x", **extra).status == 200
+
+
+def test_a_request_that_may_be_repeated_leaves_a_zone_that_is_cut_off(site):
+    """A partition: the server of the other zone has the request and nothing more is heard."""
+    far = site.add_runner("llm", work_ms=1_500)
+    far.write("ready", zone="z2")
+    site.wait(lambda: site.gateways[0].registry.list_ready("llm")[0].zone == "z2")
+    asked = [
+        gevent.spawn(site.ask, path, request_id, **tokens(20))
+        for path, request_id in (("/reply/x", "id-1"), ("/draft/x", "id-2"))
+    ]
+    site.wait(lambda: far.count_runs("id-1") == far.count_runs("id-2") == 1)
+    near = site.add_runner("llm")
+    for gateway in site.gateways:
+        gateway.forwarder.abandon_zone("z2")
+    replies = [task.get(timeout=10) for task in asked]
+    assert [reply.status for reply in replies] == [200, 200]
+    assert near.count_runs("id-1") == 1
+    assert (far.count_runs("id-2"), near.count_runs("id-2")) == (1, 0), "it may run once only"
