Keep the usage counts of open windows in the object service

Change: the holder writes the counts by process every half second, the next holder merges them, gateways tell them every 250 ms and once more before they end; a new holder looks two windows back.

--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -31,10 +31,11 @@
 from hemlockswitch.process.gateway.reachability import LOOK_MS, Reachability
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
-from hemlockswitch.process.gateway.reports import ReportExchange
+from hemlockswitch.process.gateway.reports import ReportExchange, name_process
 from hemlockswitch.process.gateway.scaling import Demand, ScalingDuty
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts, UsageDuty
+from hemlockswitch.process.gateway.usage_keeper import UsageKeeper
 from hemlockswitch.process.gateway.view import GatewayView
 from hemlockswitch.process.gateway.watch_guard import StoreView, WatchGuard
 from hemlockswitch.process.lease import Lease
@@ -59,8 +60,8 @@
 FORCE_MARGIN_MS = 500.0
 """The process ends by itself this long before the platform ends it by force."""
 STOP_STEP_MS = 50.0
-USAGE_MS = 500.0
-"""Time between two reports of usage; what a killed gateway counted since is lost."""
+USAGE_MS = 250.0
+"""Least time between two reports of usage; what a killed gateway counted since is lost."""
 SPENDING_PAUSE_MS = 50.0
 """Least time between two reports of a contended account: with sixty gateways and forty requests a
 second of the account, a gateway gets about as many of these as ordinary reports."""
@@ -94,7 +95,9 @@
         """Build what the daemon knows: configuration, backend servers, other gateways."""
         adapter, clock = self._adapter, self._clock
         self.true_time = TrueTime()
-        self.usage = UsageCounts(self.settings.usage_window_s)
+        self._incarnation = time.time_ns()
+        process = name_process(self.settings.name, self._incarnation)
+        self.usage = UsageCounts(self.settings.usage_window_s, process)
         self.tables = TableHolder(adapter.config_name, adapter.decode_table)
         self.loads = ServerLoads(clock)
         self.pool = BackendPool(clock, self._count_connection)
@@ -136,7 +139,7 @@
         )
         self.reports = ReportExchange(
             settings.name,
-            time.time_ns(),
+            self._incarnation,
             self.network,
             self.fleet,
             self.loads,
@@ -193,8 +196,9 @@
             self._knows_all_servers,
             clock,
         )
-        usage = UsageDuty(self.usage, store, api)
-        self.duties = DutyRunner(lease, usage, scaling, self.fleet, self.true_time, clock)
+        keeper = UsageKeeper(self.usage, store, clock)
+        usage = UsageDuty(self.usage, store, api, keeper.load)
+        self.duties = DutyRunner(lease, usage, scaling, keeper, self.fleet, self.true_time, clock)
 
     def _build_servers(self) -> None:
         """Build the servers for callers, the balancer and operators."""
@@ -251,6 +255,7 @@
         if self.duties is not None:
             self._spawn(self.duties.keep_lease)
             self._spawn(self.duties.act)
+            self._spawn(self.duties.keep_usage)
         return {
             "listen": listen_address,
             "ready": ready_address,
@@ -283,6 +288,8 @@
         while self.callers.active and self._clock.now_ms() < end_ms:
             self._clock.sleep_ms(STOP_STEP_MS)
             self.callers.close_idle()
+        self.reports.send_usage()
+        self._clock.sleep_ms(STOP_STEP_MS)
         self._close()
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -328,7 +335,7 @@
 
     def _report_usage(self) -> None:
         while True:
-            self._clock.sleep_ms(USAGE_MS)
+            self._clock.sleep_ms(max(USAGE_MS, self.fleet.get_period_ms()))
             self.reports.send_usage()
 
     def _report(self) -> None:
--- a/hemlockswitch/process/gateway/duties.py
+++ b/hemlockswitch/process/gateway/duties.py
@@ -9,6 +9,7 @@
 from hemlockswitch.process.gateway.scaling import ScalingDuty
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageDuty
+from hemlockswitch.process.gateway.usage_keeper import KEEP_MS, UsageKeeper, save_while_held
 from hemlockswitch.process.lease import Lease, LeaseError, LeaseTimes
 
 LEASE_NAME = "duties"
@@ -62,6 +63,7 @@
         lease: Lease,
         usage: UsageDuty,
         scaling: ScalingDuty,
+        keeper: UsageKeeper,
         others: OtherLeaders,
         true_time: TrueTime,
         clock: Clock,
@@ -69,6 +71,7 @@
         self._lease = lease
         self._usage = usage
         self._scaling = scaling
+        self._keeper = keeper
         self._others = others
         self._true_time = true_time
         self._clock = clock
@@ -107,6 +110,7 @@
         if not self._was_held:
             self._was_held = True
             self._scaling.take_over()
+            self._keeper.take_over()
             self._usage.take_over(self._true_time.now_ms())
         for duty in (self._order_copies, self._report_usage):
             try:
@@ -117,6 +121,13 @@
             except PlatformError as error:
                 log_event(Event.DUTY_FAILED, "warning", detail=error.detail)
 
+    def keep_usage(self) -> None:
+        """Keep the counts that are not reported yet until the task is ended."""
+        while True:
+            self._clock.sleep_ms(KEEP_MS)
+            if self._was_held and self._lease.is_held:
+                save_while_held(self._keeper)
+
     def release(self) -> None:
         """Give the lease back, so that a successor need not wait, and do not seek it again.
 
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -117,7 +117,7 @@
         loads = {name: ServerLoad(int(one[0]), float(one[1])) for name, one in report.loads.items()}
         sent = [(name, tuple((one[0], one[1]) for one in chain)) for name, chain in report.sent]
         self._loads.take_report(report.name, loads, sent)
-        self._limits.take_report(_name_process(report), report.spent)
+        self._limits.take_report(name_process(report.name, report.incarnation), report.spent)
         self._reachability.take_report(report.zone, report.unreachable, self._list_servers())
 
     def _tell_outage(self, view: StoreView) -> tuple[float, ...]:
@@ -136,12 +136,12 @@
         return StoreView(report.revision, report.servers_digest, outage, report.relayed_version)
 
     def _take_spending(self, _address: str, report: SpendingReport) -> None:
-        self._limits.take_report(_name_process(report), report.spent)
+        self._limits.take_report(name_process(report.name, report.incarnation), report.spent)
 
     def _take_usage(self, _address: str, report: UsageReport) -> None:
-        self._usage.take_report(_name_process(report), report.usage)
+        self._usage.take_report(name_process(report.name, report.incarnation), report.usage)
 
 
-def _name_process(report: GatewayReport | SpendingReport | UsageReport) -> str:
+def name_process(name: str, incarnation: int) -> str:
     """Return a name that differs for each start of a gateway: sums begin anew with it."""
-    return f"{report.name}/{report.incarnation}"
+    return f"{name}/{incarnation}"
--- a/hemlockswitch/process/gateway/usage.py
+++ b/hemlockswitch/process/gateway/usage.py
@@ -16,9 +16,10 @@
 TAKEOVER_MS = 1_500.0
 """How long a new holder waits before its first report: the other gateways learn of it within a
 report's period, and send it their counts after that."""
-WINDOWS_BEFORE = 1
+WINDOWS_BEFORE = 2
 """Windows before the last one that a new holder reports as well; the holder before it may not have
-come to it, and a repeat with the same counts does no harm."""
+come to them: a frozen holder's lease is taken over some five seconds later, which is a window. A
+repeat with the same counts does no harm."""
 SETTLE_MS = 2_000.0
 """How long after its end a window is reported: several reports of every gateway have come."""
 
@@ -35,9 +36,11 @@
     ==========
 
     window_s : length of a window.
+    process : this process, as the others name it.
     """
 
-    def __init__(self, window_s: float) -> None:
+    def __init__(self, window_s: float, process: str = "") -> None:
+        self._process = process
         self._window_ms = window_s * MS_PER_SECOND
         self._own: Counts = {}
         self._others: dict[str, Counts] = {}
@@ -65,6 +68,32 @@
         if kept:
             _forget_before(kept, max(kept) - KEPT_WINDOWS)
 
+    def describe_processes(self) -> dict[str, ReportedCounts]:
+        """Return the counts of this process and of those that have reported, by process."""
+        own = {self._process: self.describe_own()}
+        others = {
+            process: {str(window): dict(accounts) for window, accounts in counts.items()}
+            for process, counts in self._others.items()
+        }
+        return {process: counts for process, counts in (own | others).items() if counts}
+
+    def take_kept(self, process: str, counts: ReportedCounts) -> None:
+        """Take counts of a process that were kept; what it says itself is never less."""
+        if process == self._process:
+            return
+        known = self._others.setdefault(process, {})
+        for window, accounts in counts.items():
+            kept = known.setdefault(int(window), {})
+            for account, count in accounts.items():
+                kept[account] = max(kept.get(account, 0), int(count))
+
+    def forget_before(self, oldest: int) -> None:
+        """Forget the windows before `oldest`, and processes that counted nothing since."""
+        for counts in (self._own, *self._others.values()):
+            _forget_before(counts, oldest)
+        for process in [process for process, counts in self._others.items() if not counts]:
+            del self._others[process]
+
     def sum_window(self, window: int) -> dict[str, int]:
         """Return the counts of a window over all gateways."""
         sums: dict[str, int] = defaultdict(int)
@@ -111,9 +140,17 @@
     counts : what was counted.
     store : keeps the decided counts.
     api : takes the reports.
+    load_kept : reads what an earlier holder has kept of the windows that are not reported yet.
     """
 
-    def __init__(self, counts: UsageCounts, store: UsageStore, api: UsageApi) -> None:
+    def __init__(
+        self,
+        counts: UsageCounts,
+        store: UsageStore,
+        api: UsageApi,
+        load_kept: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._load_kept = load_kept
         self._counts = counts
         self._store = store
         self._api = api
@@ -145,6 +182,7 @@
         PlatformError : the object service or the API did not answer; it is to be tried again.
         LeaseError : the duty is not held any more.
         """
+        self._load_kept()
         counts = self._decide(window)
         if counts is None:
             return
@@ -152,6 +190,7 @@
         if self._api.report_usage(window, counts, fencing):
             log_event(Event.USAGE_REPORTED, window=window, counts=counts, fencing=fencing)
             self._done.add(window)
+            self._counts.forget_before(window - KEPT_WINDOWS)
 
     def _decide(self, window: int) -> dict[str, int] | None:
         """Return the counts in the object service, written by this process or another."""
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -63,6 +63,11 @@
         self.turns.append(get_fencing())
 
 
+class StubKeeper:
+    def take_over(self):
+        pass
+
+
 class StubOthers:
     def has_other_leader(self):
         return False
@@ -76,7 +81,7 @@
 def make_runner(parts):
     lease, usage, scaling = parts
     clock = ManualClock()
-    return DutyRunner(lease, usage, scaling, StubOthers(), TrueTime(), clock)
+    return DutyRunner(lease, usage, scaling, StubKeeper(), StubOthers(), TrueTime(), clock)
 
 
 def test_the_holder_does_both_duties_under_its_number(parts):
--- a/tests/test_gateway_usage.py
+++ b/tests/test_gateway_usage.py
@@ -54,13 +54,13 @@
     assert 1_000 in duty.list_due(NOW_MS + WINDOW_MS + SETTLE_MS)
 
 
-def test_a_new_holder_waits_for_the_others_counts_and_reports_the_window_before_too():
+def test_a_new_holder_waits_for_the_others_counts_and_reports_the_two_windows_before_too():
     counts, duty = make_duty()
     now_ms = NOW_MS + WINDOW_MS + SETTLE_MS
     duty.take_over(now_ms)
     assert duty.list_due(now_ms) == []
     counts.take_report("g2/1", {"1000": {"a": 3}})
-    assert duty.list_due(now_ms + TAKEOVER_MS) == [999, 1_000]
+    assert duty.list_due(now_ms + TAKEOVER_MS) == [998, 999, 1_000]
 
 
 def test_the_counts_of_all_gateways_and_of_earlier_processes_are_added():
--- /dev/null
+++ b/tests/test_usage_keeper.py
@@ -0,0 +1,169 @@
+"""Usage counts that outlive the processes that counted them.
+
+The pattern: the holder of the duties stands still for six seconds while the other gateways are
+restarted one after another; the next holder heard none of the processes that have ended, and a window
+of 258 requests was reported with 182 of them missing. When all are killed at once nobody is left to
+tell.
+"""
+
+import pytest
+
+from hemlockswitch.connection.stored_objects import Conflict, StoredObject, Unknown, Written
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.process.gateway.usage import UsageCounts
+from hemlockswitch.process.gateway.usage_keeper import (
+    KEEP_MS,
+    KEPT_KIND,
+    KEPT_NAME,
+    UsageKeeper,
+    save_while_held,
+)
+
+WINDOW_S = 5.0
+NOW_MS = 5_000_000.0
+WINDOW = 1_000
+
+
+class Store:
+    def __init__(self):
+        self.value = None
+        self.version = 0
+        self.writes = 0
+        self.is_down = False
+        self.loses_answer = False
+
+    def read(self, kind, name):
+        assert (kind, name) == (KEPT_KIND, KEPT_NAME)
+        self._check()
+        return StoredObject(kind, name, self.version, self.value) if self.version else None
+
+    def create(self, kind, name, value):
+        self._check()
+        return self._write(value) if not self.version else Conflict(self.version)
+
+    def update(self, kind, name, value, version):
+        self._check()
+        return self._write(value) if version == self.version else Conflict(self.version)
+
+    def _write(self, value):
+        self.value, self.version, self.writes = value, self.version + 1, self.writes + 1
+        return Unknown("lost") if self.loses_answer else Written(self.version)
+
+    def _check(self):
+        if self.is_down:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+
+
+class Holder:
+    def __init__(self, store, process):
+        self.counts = UsageCounts(WINDOW_S, process)
+        self.clock = ManualClock(now_ms=1_000)
+        self.keeper = UsageKeeper(self.counts, store, self.clock)
+
+    def count(self, times, account="hall"):
+        for _ in range(times):
+            self.counts.count(NOW_MS, account)
+
+    def save(self):
+        self.clock.advance(int(KEEP_MS))
+        self.keeper.save()
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+def test_the_next_holder_has_the_counts_of_processes_that_ended(store):
+    first = Holder(store, "g1/1")
+    first.count(4)
+    first.counts.take_report("g2/1", {str(WINDOW): {"hall": 7}})
+    first.save()
+    second = Holder(store, "g3/1")
+    second.count(2)
+    second.keeper.load()
+    assert second.counts.sum_window(WINDOW) == {"hall": 13}
+
+
+def test_a_process_that_still_runs_says_more_than_was_kept(store):
+    first = Holder(store, "g1/1")
+    first.counts.take_report("g2/1", {str(WINDOW): {"hall": 7}})
+    first.save()
+    second = Holder(store, "g2/1")
+    second.count(9)
+    second.counts.take_report("g1/1", {str(WINDOW): {"hall": 1}})
+    second.keeper.load()
+    assert second.counts.sum_window(WINDOW) == {"hall": 10}, "its own counts are not added twice"
+
+
+def test_a_report_after_the_kept_counts_replaces_them(store):
+    first = Holder(store, "g1/1")
+    first.counts.take_report("g2/1", {str(WINDOW): {"hall": 7}})
+    first.save()
+    second = Holder(store, "g3/1")
+    second.keeper.load()
+    second.counts.take_report("g2/1", {str(WINDOW): {"hall": 9}})
+    assert second.counts.sum_window(WINDOW) == {"hall": 9}
+
+
+def test_what_has_not_changed_is_not_written_again(store):
+    holder = Holder(store, "g1/1")
+    holder.count(1)
+    for _ in range(5):
+        holder.save()
+    assert store.writes == 1
+    holder.count(1)
+    holder.save()
+    holder.count(1)
+    holder.keeper.save()
+    assert store.writes == 2, "not due yet"
+    holder.save()
+    assert store.writes == 3
+
+
+@pytest.mark.parametrize("loses_answer", [False, True])
+def test_another_holders_counts_are_taken_in_before_the_next_write(store, loses_answer):
+    first, second = Holder(store, "g1/1"), Holder(store, "g2/1")
+    store.loses_answer = loses_answer
+    first.count(3)
+    first.save()
+    second.count(5)
+    second.save()
+    first.count(1)
+    for _ in range(3):
+        first.save()
+        second.save()
+    kept = store.value["processes"]
+    assert kept["g1/1"] == {str(WINDOW): {"hall": 4}}
+    assert kept["g2/1"] == {str(WINDOW): {"hall": 5}}
+
+
+def test_an_outage_of_the_store_is_left_for_the_next_time(store):
+    holder = Holder(store, "g1/1")
+    holder.count(3)
+    store.is_down = True
+    holder.clock.advance(int(KEEP_MS))
+    save_while_held(holder.keeper)
+    store.is_down = False
+    save_while_held(holder.keeper)
+    assert store.value["processes"] == {"g1/1": {str(WINDOW): {"hall": 3}}}
+
+
+@pytest.mark.parametrize(
+    "value", [None, 7, {}, {"processes": []}, {"processes": {"g9/1": {"x": {"hall": 1}}}}]
+)
+def test_an_object_of_another_writer_costs_nothing(store, value):
+    store.value, store.version = value, 5
+    holder = Holder(store, "g1/1")
+    holder.count(3)
+    holder.save()
+    assert store.value["processes"]["g1/1"] == {str(WINDOW): {"hall": 3}}
+
+
+def test_reported_windows_and_processes_without_counts_are_forgotten():
+    counts = UsageCounts(WINDOW_S, "g1/1")
+    counts.take_report("g2/1", {str(WINDOW): {"hall": 7}})
+    counts.count(NOW_MS, "hall")
+    counts.forget_before(WINDOW + 1)
+    assert counts.describe_processes() == {}
