Keep no copy at the full price in calm times, and stand in for the next zone while one is dry

Hypothesis: one copy at the full price costs as much as four reclaimable ones, and protects only while a wave of reclaims goes round. Change: none in calm times; while a zone is dry, also for what the next zone would take.

--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -86,8 +86,6 @@
 """Whatever the measured demand: what a lost copy had cached must be read again by the others, which
 the demand shows only afterwards. With two, quiet-1 of qafza-book waited 650 ms for first events in a
 wave of reclaims, and its worst windows fell from 0.87 to 0.66."""
-FEWEST_ON_DEMAND = 1
-"""Copies that no reclaim takes, whatever the demand: all reclaimable ones may go in a minute."""
 
 
 FOUND_SHARE = 0.85
@@ -130,14 +128,26 @@
     are reclaimed at once; two zones' where they are cheap, since waves of reclaims go from zone to
     zone before the first one has any again. Copies that are not reclaimable stand in for those that
     are missing, in the cheapest zones: while a wave of reclaims goes round, nothing else is to be
-    had.
+    had. As soon as one zone has none to give, they also stand in for what the next zone would take,
+    since they boot as long as a wave takes to the next zone. In calm times none is kept: the reserve
+    is reclaimable, and one copy at the full price costs as much as a zone's worth of it.
     """
     needed = count_needed(situation)
     wanted = _plan_reclaimable(situation, needed)
-    missing = max(needed - _count_present(situation, wanted), FEWEST_ON_DEMAND)
+    present = _count_present(situation, wanted)
+    if situation.dry:
+        present -= _count_largest_zone(situation, wanted)
+    missing = max(needed - present, 0)
     return wanted | _plan_on_demand(situation, missing, wanted)
 
 
+def _count_largest_zone(situation: CopiesSituation, wanted: Mapping[Pool, int]) -> int:
+    """Return how many of the wanted reclaimable copies the next wave may take."""
+    return max(
+        (min(situation.live.get(pool, 0), count) for pool, count in wanted.items()), default=0
+    )
+
+
 def has_reserve(situation: CopiesSituation, wanted: Mapping[Pool, int]) -> bool:
     """Return whether the reclaimable copies of a plan that serve now are well above the need."""
     reclaimable = {
