--- a/hemlockswitch/platform/cloud.py
+++ b/hemlockswitch/platform/cloud.py
@@ -14,7 +14,8 @@
 from hemlockswitch.connection.stored_objects import encode_value
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.process.gateway.scaling import OrderOutcome, Pool
+from hemlockswitch.process.gateway.copies_plan import Pool
+from hemlockswitch.process.gateway.scaling import OrderOutcome
 from hemlockswitch.version.machine_class import MachineClass
 
 TIMEOUT_MS = 800.0
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -2,19 +2,15 @@
 
 import time
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Any
 
 import gevent
 from gevent.event import Event as Signal
 
 from hemlockswitch.connection.backend_pool import BackendPool
-from hemlockswitch.connection.exchange_errors import ExchangeError
 from hemlockswitch.connection.forward_server import ForwardServer
-from hemlockswitch.connection.page_server import Page, PageServer
 from hemlockswitch.connection.peers import PeerNetwork
-from hemlockswitch.connection.status_page import METRICS_TYPE, StatusPage
-from hemlockswitch.connection.stored_objects import encode_value
+from hemlockswitch.connection.status_page import StatusPage
 from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
@@ -22,17 +18,20 @@
 from hemlockswitch.process.gateway.accounts import SharedLimits
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.configuration import TableHolder
+from hemlockswitch.process.gateway.copies_plan import Demand
 from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.follower import ObjectFollower
 from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.messages import RegistryPage
 from hemlockswitch.process.gateway.observation import GatewayObserver
-from hemlockswitch.process.gateway.reachability import LOOK_MS, Reachability
+from hemlockswitch.process.gateway.pages import GatewayPages
+from hemlockswitch.process.gateway.prober import Prober
+from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
 from hemlockswitch.process.gateway.reports import ReportExchange, name_process
-from hemlockswitch.process.gateway.scaling import Demand, ScalingDuty
+from hemlockswitch.process.gateway.scaling import ScalingDuty
 from hemlockswitch.process.gateway.service_models import FIT_MS, ServiceModels
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts, UsageDuty
@@ -51,8 +50,8 @@
 are, the longer changes gather before the next one: 80 ms at four zones with two each."""
 LONGEST_SETTLE_MS = 600.0
 """A leaving server must get nothing new two seconds after it said so; this leaves most of it. While
-the registry fills after a start, changes gather for as long: on quiet-1 of the grown Qafza site 26
-of 82 watches of a gateway fell into these four seconds."""
+the registry fills after a start, changes gather for as long: of the 82 watches of a
+gateway in a minute 26 fell into these four seconds."""
 TASK_RESTART_MS = 500.0
 LISTEN_ON_STOP_MS = 2_500.0
 """How long to accept connections after a stop signal: balancers ask for readiness once a second
@@ -220,33 +219,15 @@
             lambda: self.tables.bounds,
             self._clock,
         )
-        self.ready_server = PageServer(
-            split_address(self.settings.ready_listen),
-            {self.settings.ready_path: self._build_ready_page},
-            self._clock,
-        )
-        self.control_server = PageServer(
-            split_address(self.settings.control_listen),
-            {"/status": self._build_status_page, "/metrics": self._build_metrics_page},
-            self._clock,
+        self.pages = GatewayPages(
+            self.settings, self.is_ready, self.status, self.observer.metrics.render, self._clock
         )
 
-    def _build_ready_page(self) -> Page:
-        status = HTTPStatus.OK if self.is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
-        return Page(status=status)
-
-    def _build_status_page(self) -> Page:
-        return Page(encode_value(self.status.describe()))
-
-    def _build_metrics_page(self) -> Page:
-        return Page(self.observer.metrics.render(), METRICS_TYPE)
-
     def start(self) -> dict[str, str]:
         """Open the sockets, spawn the tasks, and return the addresses that are bound."""
         peer_address = self.network.start()
         listen_address = self.callers.start()
-        ready_address = self.ready_server.start()
-        control_address = self.control_server.start()
+        page_addresses = self.pages.start()
         for follower in (self.config_follower, self.server_follower):
             self._spawn(follower.run)
         for task in (
@@ -255,7 +236,7 @@
             self._report_spending,
             self._report_usage,
             self._sweep,
-            self._watch_reachability,
+            Prober(self.reachability, self.pool, self.registry.list_all, self._clock).run,
             self._fit_models,
         ):
             self._spawn(task)
@@ -263,12 +244,7 @@
             self._spawn(self.duties.keep_lease)
             self._spawn(self.duties.act)
             self._spawn(self.duties.keep_usage)
-        return {
-            "listen": listen_address,
-            "ready": ready_address,
-            "control": control_address,
-            "peer": peer_address,
-        }
+        return {"listen": listen_address, "peer": peer_address, **page_addresses}
 
     def is_ready(self) -> bool:
         """Return whether new callers can be served."""
@@ -317,8 +293,7 @@
     def _close(self) -> None:
         gevent.killall(self._tasks, block=False)
         self.network.stop()
-        self.ready_server.stop()
-        self.control_server.stop()
+        self.pages.stop()
         self._adapter.store.close()
 
     def _spawn(self, run: Callable[[], None]) -> None:
@@ -369,22 +344,6 @@
             self._clock.sleep_ms(FIT_MS)
             self.models.fit()
 
-    def _watch_reachability(self) -> None:
-        while True:
-            self._clock.sleep_ms(LOOK_MS)
-            self.reachability.look()
-            for server in self.reachability.list_probes(self.registry.list_all()):
-                gevent.spawn(self._probe, server)
-
-    def _probe(self, server: BackendServer) -> None:
-        """Try to connect to a suspected server; the connection is kept for a request."""
-        began_ms = self._clock.now_ms()
-        try:
-            self.pool.warm(server.address, self.reachability.find_connect_timeout_ms())
-        except ExchangeError:
-            return  # It stays a suspect, which is logged where it became one.
-        self.reachability.note_connected(server, self._clock.now_ms() - began_ms)
-
     def _view_store(self) -> StoreView:
         table = self.tables.current
         return StoreView(
--- /dev/null
+++ b/hemlockswitch/process/gateway/prober.py
@@ -0,0 +1,52 @@
+"""The task that looks for silent zones and asks suspected backend servers for a connection."""
+
+from collections.abc import Callable
+
+import gevent
+
+from hemlockswitch.connection.backend_pool import BackendPool
+from hemlockswitch.connection.exchange_errors import ExchangeError
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.gateway.reachability import LOOK_MS, Reachability
+from hemlockswitch.version.backend import BackendServer
+
+
+class Prober:
+    """Tries to reach the suspects; a connection that opens is kept for a request.
+
+    Parameters
+    ==========
+
+    reachability : who is suspected, and learns who answers.
+    pool : makes the connections.
+    list_servers : returns the backend servers that are registered.
+    clock : the time.
+    """
+
+    def __init__(
+        self,
+        reachability: Reachability,
+        pool: BackendPool,
+        list_servers: Callable[[], list[BackendServer]],
+        clock: Clock,
+    ) -> None:
+        self._reachability = reachability
+        self._pool = pool
+        self._list_servers = list_servers
+        self._clock = clock
+
+    def run(self) -> None:
+        """Look and probe until the task is ended."""
+        while True:
+            self._clock.sleep_ms(LOOK_MS)
+            self._reachability.look()
+            for server in self._reachability.list_probes(self._list_servers()):
+                gevent.spawn(self._probe, server)
+
+    def _probe(self, server: BackendServer) -> None:
+        began_ms = self._clock.now_ms()
+        try:
+            self._pool.warm(server.address, self._reachability.find_connect_timeout_ms())
+        except ExchangeError:
+            return  # It stays a suspect, which is logged where it became one.
+        self._reachability.note_connected(server, self._clock.now_ms() - began_ms)
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -29,9 +29,8 @@
 FILLS_MS = 3_000.0
 """When all processes start together, most servers register within two heartbeats of 1.2 s."""
 QUIET_MS = 1_200.0
-"""A heartbeat without a new server shows that the last ones are there as well: on scale-1 of the
-grown Qafza site the 30 servers came over 3.8 s, and orders after 3 s knew nine of them and took 13
-of the rest away."""
+"""A heartbeat without a new server shows that the last ones are there as well: 30 servers came
+over 3.8 s, and orders after 3 s knew nine of them and took 13 of the rest away."""
 LONGEST_FILL_MS = 8_000.0
 """Servers that come and go all the time must not hold the orders up."""
 
--- a/hemlockswitch/request/overload.py
+++ b/hemlockswitch/request/overload.py
@@ -2,8 +2,8 @@
 
 After a reclaim the copies that are left get more prompts than they can read. Engines read prompts
 about in the order of their arrival, so without a bound every caller waits until all are late: in
-the incident inc-1b0f (21 requests a second, most copies gone) first events came after 3.6 s and
-more for ten seconds, against objectives of 0.8 to 1.2 s. With the queue bounded, those who are
+a load of 21 requests a second with most copies gone first events came after 3.6 s and more for ten
+seconds, against objectives of 0.8 to 1.2 s. With the queue bounded, those who are
 admitted are served in time and the others learn at once when to come back.
 """
 
@@ -13,9 +13,8 @@
 from hemlockswitch.request.placement import Placement
 
 QUEUE_SHARE = 0.7
-"""Part of the objective that the predicted time may take: of the requests of the same incident that
-were predicted to begin within 400 to 800 ms half took over 1,070 ms, about 1.3 times as long and
-100 ms for the first step and the way."""
+"""Part of the objective that the predicted time may take: what other gateways send in the
+same moment is not in the prediction, and one in ten takes over twice as long."""
 URGENCY_STEP = 0.1
 """How much less of it each lower rank may take, so that the less urgent are refused first."""
 LOWEST_RANK = 4
--- a/hemlockswitch/request/placement.py
+++ b/hemlockswitch/request/placement.py
@@ -33,7 +33,7 @@
 """How many servers to compare that are no home of the prompt and are not known to have it in their
 cache, drawn at random. What is known of the others' sends is up to 0.6 s old: when all gateways
 compare all servers, the one that looks idle gets a hundred milliseconds' work from each of them at
-once (27 prompts in 0.3 s on scale-1 of the grown Qafza site). In the replay of
+once (27 prompts in 0.3 s with 61 gateways and 30 engines). In the replay of
 tests/herd_replay.py, seeds 1 to 3, the worth of what is in time rises from some 0.78 to 0.92, after
 a reclaim from 0.65 to 0.86. Two and three others serve about as many in time and refuse more, six
 serve fewer."""
--- a/tests/herd_replay.py
+++ b/tests/herd_replay.py
@@ -1,7 +1,7 @@
 """A seeded load of a grown site: many gateways that know of one another's sends half a second late.
 
 The pattern: 61 gateways, reports every 600 ms at moments of their own, 147 model requests a second of
-three kinds with the shares, sizes and objectives of the grown Qafza site's sheet; half of them do not
+three kinds with the shares, sizes and objectives of a booking assistant; half of them do not
 say what their prompts share. Engines read 50 tokens in a millisecond, one prompt after another.
 """
 
--- a/tests/test_gateway_accounts.py
+++ b/tests/test_gateway_accounts.py
@@ -173,7 +173,7 @@
 
 
 def test_an_account_is_served_at_once_after_a_restart_of_all_gateways():
-    """The first seconds after a restart refused 71 of 116 requests of incident inc-1b0f."""
+    """The first seconds after a restart refused 71 of 116 requests."""
     clock = ManualClock()
     names = [f"g{number}" for number in range(8)]
     refused = {}
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -129,7 +129,7 @@
 
 
 def test_a_stopping_gateway_does_not_seek_the_lease_again(parts):
-    """scale-1 of the grown Qafza site: a rolling restart while the store was away; the stopping
+    """A rolling restart while the store was away; the stopping
     holder took the lease once more, and two usage reports came too late."""
     lease = parts[0]
     runner = make_runner(parts)
--- a/tests/test_gateway_registry.py
+++ b/tests/test_gateway_registry.py
@@ -75,7 +75,7 @@
 
 
 NEW_SERVERS = {600: 1, 1_200: 6, 1_800: 4, 2_400: 3, 3_000: 11, 3_600: 3, 4_100: 1, 4_500: 1}
-"""New servers by the ms since the first list, on scale-1 of the grown Qafza site."""
+"""New servers by the ms since the first list: thirty that started together."""
 
 
 def test_a_registry_that_still_fills_is_not_complete():
@@ -128,7 +128,7 @@
 
 
 def test_most_entries_that_go_at_once_are_kept_for_a_moment():
-    """scale-1 of the grown Qafza site: the store came back after 5.4 s with every entry lapsed, and
+    """The store came back after 5.4 s with every entry lapsed, and
     gateways whose watch had outlived the outage refused 133 requests in the next two seconds."""
     fixture = Fixture()
     names = [f"s{number}" for number in range(8)]
@@ -288,8 +288,8 @@
 
 
 def test_a_watch_that_is_given_up_again_and_again_does_not_keep_the_newest_away():
-    """scale-2 of the grown Driftwood site: after an outage three changes of 300 KB took over two
-    seconds on a link of 5 Mbit/s, and the watch was renewed each 1.1 s (CONFIG broken)."""
+    """After an outage three changes of 300 KB took over two
+    seconds on a link of 5 Mbit/s, and the watch was renewed each 1.1 s."""
     store, consumer = SlowStore(), Consumer()
     follower = ObjectFollower(store, "config", consumer, SystemClock())
     task = gevent.spawn(follower.run)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -241,7 +241,7 @@
 
 
 def test_a_request_is_served_though_many_servers_have_crashed(site):
-    """scale-1 of the grown Qafza site: eleven of thirty servers crashed, and their entries stayed."""
+    """Eleven of thirty servers crashed, and their entries stayed."""
     with socket.socket() as unused:
         unused.bind(("127.0.0.1", 0))
         address = f"127.0.0.1:{unused.getsockname()[1]}"
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -118,7 +118,7 @@
 
 
 def test_a_connection_whose_answer_began_before_the_stop_takes_no_further_request(site):
-    """Incident inc-1b0f: the next request came 7.7 s after SIGTERM and was cut off."""
+    """The next request came 7.7 s after SIGTERM and was cut off."""
     engine = site.add_runner("llm", event_ms=40)
     gateway = site.gateways[0]
     headers = {"Hemlockswitch_Token_Counts": "10,15", "Hemlockswitch_Prompt_Prefix": "a:10"}
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,4 +1,4 @@
-"""Who is refused when engines are lost: the pattern of incident inc-1b0f and of reclaim waves."""
+"""Who is refused when engines are lost: most copies gone, and waves of reclaims."""
 
 import pytest
 
@@ -80,7 +80,7 @@
 
 
 def test_a_patient_kind_does_not_queue_before_an_urgent_one():
-    """Driftwood's sheet: treatment histories within 1.2 s, quick questions within 2.5 s."""
+    """Full reports within 1.2 s, quick questions within 2.5 s."""
     routes = (make_route("history", 0, 1_200), make_route("question", 2, 2_500))
     table = ServingTable(1, routes, {}, CallerBounds(), {})
     assert table.find_strictest_objective_ms("llm", 0) == 1_200
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -154,7 +154,7 @@
 
 
 def test_many_gateways_do_not_crowd_the_server_that_looks_idle():
-    """On scale-1 of the grown Qafza site 27 prompts reached one engine within 0.3 s, and of 120 late
+    """27 prompts reached one engine within 0.3 s, and of 120 late
     first events in two seconds 112 were predicted within half a second."""
     drawn = HerdReplay(1, engines=30, draws=True).run(6_000)
     every = HerdReplay(1, engines=30, draws=False).run(6_000)
--- a/tests/test_relayed_watch.py
+++ b/tests/test_relayed_watch.py
@@ -1,7 +1,7 @@
 """Gateways that hear of the registry from the watchers of their zone.
 
-The pattern: 61 gateways and 82 changes a minute cost 5,000 calls when every gateway watches (quiet-1
-of the grown Qafza site); with two watchers in each of its four zones, they cost 656. What may go
+The pattern: 61 gateways and 82 changes a minute cost 5,000 calls when every gateway watches;
+with two watchers in each of four zones, they cost 656. What may go
 wrong on the way: a page is lost, the watchers die, are frozen, or hear nothing any more.
 """
 
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -9,16 +9,15 @@
 import pytest
 
 from hemlockswitch.core.clock import ManualClock
-from hemlockswitch.process.gateway.scaling import (
+from hemlockswitch.process.gateway.copies_plan import (
     FEWEST_COPIES,
     CopiesSituation,
     Demand,
-    OrderOutcome,
     Pool,
-    ScalingDuty,
     count_needed,
     plan_copies,
 )
+from hemlockswitch.process.gateway.scaling import OrderOutcome, ScalingDuty
 from hemlockswitch.version.backend import BackendServer, BackendState
 from hemlockswitch.version.machine_class import MachineClass
 from hemlockswitch.version.serving_table import (
@@ -83,7 +82,7 @@
 @pytest.mark.parametrize("lost", ZONES)
 @pytest.mark.parametrize("second", ZONES)
 def test_enough_is_left_of_cheap_copies_when_two_zones_are_reclaimed(lost, second):
-    """quiet-1 of the grown Qafza site: a second zone goes while the first has none yet."""
+    """A second zone goes while the first has none yet."""
     roomy = replace(SERVICE, scaling=replace(SERVICE.scaling, max_copies=15))
     plan = plan_copies(replace(situation(tokens=400), service=roomy))
     left = sum(number for pool, number in plan.items() if pool.zone not in (lost, second))
@@ -301,7 +300,7 @@
 
 
 def test_copies_that_were_ordered_do_not_count_as_found():
-    """On quiet-1 of the small sites the prior rose from 3 to 4 with the ordered copies, and the
+    """At a small site the prior rose from 3 to 4 with the ordered copies, and the
     second copy of each zone was given back just as a wave of reclaims began."""
     market = Market(ManualClock())
     for zone in ("z1", "z2", "z3", "z4", "z1", "z3"):
--- a/tests/test_watch_guard.py
+++ b/tests/test_watch_guard.py
@@ -1,8 +1,7 @@
 """Watches that have gone deaf, as the other gateways' reports show them.
 
 The pattern: the store is down and silent for 5.4 s and swallows the watches that are sent to it;
-gateways that then waited out the watch's 25 s sent requests to servers that had left (DRAIN on
-scale-1 of the grown Qafza site).
+gateways that then waited out the watch's 25 s sent requests to servers that had left.
 """
 
 import pytest
@@ -62,7 +61,7 @@
 
 
 def test_an_outage_that_many_saw_renews_a_watch_once():
-    """scale-2 of the grown Driftwood site: 57 reports of one outage gave a watch up 57 times."""
+    """With 58 gateways 57 reports of one outage gave a watch up 57 times."""
     fixture = Fixture(sent_ms=12_000)
     fixture.compare(*(StoreView(3, 7, Outage(11_000, 16_000 + more)) for more in range(57)))
     assert fixture.renewed == (1, 1)
@@ -70,7 +69,7 @@
 
 @pytest.mark.parametrize(("heard_ms", "renewed"), [(11_900, 1), (13_000, 0)])
 def test_an_outage_in_which_the_store_answered_here_was_not_ours(heard_ms, renewed):
-    """scale-2 of the grown Driftwood site: the store was away for some gateways, at different times."""
+    """The store was away for some gateways, at different times."""
     fixture = Fixture(sent_ms=13_100)
     fixture.servers.heard_ms = heard_ms
     fixture.compare(SAME, StoreView(3, 7, Outage(11_000, 16_000)))
