--- a/hemlockswitch/programs/ctl.py
+++ b/hemlockswitch/programs/ctl.py
@@ -13,6 +13,7 @@
 from hemlockswitch.programs.ctl_events import EventsCommand
 from hemlockswitch.programs.ctl_files import CheckCommand
 from hemlockswitch.programs.ctl_gateways import GatewaysCommand
+from hemlockswitch.programs.ctl_requests import RequestsCommand
 from hemlockswitch.programs.ctl_status import HistoryCommand, StatusCommand
 
 COMMANDS = (
@@ -23,6 +24,7 @@
     HistoryCommand,
     EventsCommand,
     GatewaysCommand,
+    RequestsCommand,
 )
 
 
--- /dev/null
+++ b/hemlockswitch/programs/ctl_requests.py
@@ -0,0 +1,113 @@
+"""`hemlock-ctl requests`: what gateways' logs say of the requests, by time, route and gateway."""
+
+import json
+import sys
+from collections.abc import Iterable
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from hemlockswitch.programs.ctl_files import JSON_OPTION, ExitCode
+from hemlockswitch.programs.request_lines import RequestSummary, Sums, read_lines
+
+STEP_S = 2.0
+"""A window of this length still has some hundred requests of a small site."""
+
+
+class RequestsCommand(Command):
+    """Add up the requests in gateways' logs."""
+
+    name = "requests"
+    description = "Show from gateways' logs when, where and why requests were lost or late."
+    arguments = [argument("files", "Log files; - for standard input.", multiple=True)]
+    options = [
+        JSON_OPTION,
+        option("step", None, "Seconds of a window.", flag=False, default=str(STEP_S)),
+    ]
+    help = """Reads the gateways' log lines of requests and shows, for each window of time, each route
+and each gateway: the outcomes, requests sent more than once, and the median and the slowest tenth of
+the time to the beginning of the answer and of what it differs from the prediction. Lines that are
+not of requests are passed over.
+
+Exit codes: 0 requests were found, 2 a file cannot be read, an option is wrong, or none was found."""
+
+    def handle(self) -> int:
+        """Read and show."""
+        try:
+            summary = RequestSummary(_read_step(self.option("step")))
+            for file in self.argument("files"):
+                self._add(summary, file)
+        except (OSError, ValueError) as error:
+            self.line_error(str(error))
+            return ExitCode.MISTAKES
+        if not summary.by_time:
+            self.line_error("no line of a request")
+            return ExitCode.MISTAKES
+        if self.option("json"):
+            self.line(json.dumps(_describe(summary)))
+        else:
+            self._show(summary)
+        return ExitCode.DONE
+
+    @staticmethod
+    def _add(summary: RequestSummary, file: str) -> None:
+        if file == "-":
+            _add_lines(summary, sys.stdin)
+            return
+        with open(file, encoding="utf-8", errors="replace") as lines:
+            _add_lines(summary, lines)
+
+    def _show(self, summary: RequestSummary) -> None:
+        self.line(
+            "second: time to the beginning and its difference from the prediction, ms p50/p90"
+        )
+        for at_s, sums in summary.list_windows():
+            self.line(format_sums(f"{at_s:g}", sums))
+        for title, groups in (("route", summary.by_route), ("gateway", summary.by_gateway)):
+            self.line("")
+            self.line(title)
+            for name in sorted(groups):
+                self.line(format_sums(name or "(none)", groups[name]))
+
+
+def _add_lines(summary: RequestSummary, lines: Iterable[str]) -> None:
+    for line in read_lines(lines):
+        summary.add(line)
+
+
+def _read_step(text: str) -> float:
+    step_s = float(text)
+    if not 0 < step_s < float("inf"):
+        raise ValueError("--step is a number of seconds above 0")
+    return step_s
+
+
+def _describe(summary: RequestSummary) -> dict[str, object]:
+    return {
+        "windows": [{"at_s": at_s, **sums.describe()} for at_s, sums in summary.list_windows()],
+        "routes": {name: sums.describe() for name, sums in summary.by_route.items()},
+        "gateways": {name: sums.describe() for name, sums in summary.by_gateway.items()},
+    }
+
+
+def format_sums(name: str, sums: Sums) -> str:
+    """Return one line of a group of requests.
+
+    Examples
+    ========
+
+    >>> from hemlockswitch.programs.request_lines import RequestLine
+    >>> sums = Sums()
+    >>> sums.add(RequestLine(0.0, "g1", "draft", "answered", 2, 40.0, 50.0))
+    >>> format_sums("draft", sums)
+    'draft: began 50/50, off 10/10, answered 1, sent again 1'
+    """
+    described = sums.describe()
+    began = "/".join(f"{value:g}" for value in described["began_ms"])  # type: ignore[attr-defined]
+    off = "/".join(
+        f"{value:g}" for value in described["began_ms_less_expected"]  # type: ignore[attr-defined]
+    )
+    outcomes = [f"{outcome} {count}" for outcome, count in sums.outcomes.most_common()]
+    if sums.sent_again:
+        outcomes.append(f"sent again {sums.sent_again}")
+    return f"{name}: " + ", ".join([f"began {began or '-'}", f"off {off or '-'}", *outcomes])
