--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import gevent
-from gevent.event import Event as Signal
 
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.forward_server import ForwardServer
@@ -30,6 +29,7 @@
 from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
+from hemlockswitch.process.gateway.reporting import ReportSchedule
 from hemlockswitch.process.gateway.reports import ReportExchange, name_process
 from hemlockswitch.process.gateway.scaling import ScalingDuty
 from hemlockswitch.process.gateway.service_models import FIT_MS, ServiceModels
@@ -60,11 +60,6 @@
 FORCE_MARGIN_MS = 500.0
 """The process ends by itself this long before the platform ends it by force."""
 STOP_STEP_MS = 50.0
-USAGE_MS = 250.0
-"""Least time between two reports of usage; what a killed gateway counted since is lost."""
-SPENDING_PAUSE_MS = 50.0
-"""Least time between two reports of a contended account: with sixty gateways and forty requests a
-second of the account, a gateway gets about as many of these as ordinary reports."""
 
 
 class GatewayDaemon:
@@ -85,8 +80,6 @@
         self._is_stopping = False
         self._was_ready = False
         self._tasks: list[gevent.Greenlet] = []
-        self._contended = Signal()
-        self._large_prompt = Signal()
         self._build_knowledge()
         self._build_forwarding()
         self._build_duties()
@@ -137,7 +130,7 @@
         """Build the path of a request."""
         settings, clock = self.settings, self._clock
         self.limits = SharedLimits(
-            clock, self.fleet.get_share, self._contended.set, settings.limit_slack
+            clock, self.fleet.get_share, lambda: self.schedule.contended.set(), settings.limit_slack
         )
         self.reports = ReportExchange(
             settings.name,
@@ -155,6 +148,7 @@
             self._view_store,
             clock,
         )
+        self.schedule = ReportSchedule(self.reports, self.fleet, self.watch_guard, clock)
         self.observer = GatewayObserver(self.usage, self.true_time, clock)
         self.budget = RepeatBudget(
             settings.repeat_ratio,
@@ -169,7 +163,7 @@
             self.fleet,
             self.reachability,
             self.models,
-            self._large_prompt.set,
+            self.schedule.large_prompt.set,
             clock,
         )
         self.forwarder = Forwarder(
@@ -234,9 +228,9 @@
             self._spawn(follower.run)
         for task in (
             self._refresh_fleet,
-            self._report,
-            self._report_spending,
-            self._report_usage,
+            self.schedule.send_reports,
+            self.schedule.send_spending,
+            self.schedule.send_usage,
             self._sweep,
             Prober(self.reachability, self.pool, self.registry.list_all, self._clock).run,
             self._fit_models,
@@ -317,27 +311,6 @@
                 self.fleet.remove_gone(self._adapter.store)
             self._clock.sleep_ms(self.fleet.get_list_period_ms())
 
-    def _report_usage(self) -> None:
-        while True:
-            self._clock.sleep_ms(max(USAGE_MS, self.fleet.get_period_ms()))
-            self.reports.send_usage()
-
-    def _report(self) -> None:
-        while True:
-            gap_ms = self.fleet.get_early_gap_ms()
-            self._clock.sleep_ms(gap_ms)
-            self._large_prompt.wait((self.fleet.get_period_ms() - gap_ms) / MS_PER_SECOND)
-            self._large_prompt.clear()
-            self.reports.send_reports()
-            self.watch_guard.compare([peer.view for peer in self.fleet.list_heard()])
-
-    def _report_spending(self) -> None:
-        while True:
-            self._contended.wait()
-            self._contended.clear()
-            self.reports.send_spending()
-            self._clock.sleep_ms(SPENDING_PAUSE_MS)
-
     def _sweep(self) -> None:
         while True:
             self._clock.sleep_ms(SWEEP_MS)
