Let the predicted time take nine tenths of the objective

Cause: the bound was set when half of the predictions were 1.3 times too short; now they are accurate, and 0.7 refused requests that would have been in time.

--- a/hemlockswitch/request/overload.py
+++ b/hemlockswitch/request/overload.py
@@ -12,9 +12,10 @@
 
 from hemlockswitch.request.placement import Placement
 
-QUEUE_SHARE = 0.7
-"""Part of the objective that the predicted time may take: what other gateways send in the
-same moment is not in the prediction, and one in ten takes over twice as long."""
+QUEUE_SHARE = 0.9
+"""Part of the objective that the predicted time may take. Half of the predictions are within a
+hundredth of it, and a request that is refused has less of a chance than one that may be late: with
+0.7 fewer are in time, by a hundredth at the most."""
 URGENCY_STEP = 0.1
 """How much less of it each lower rank may take, so that the less urgent are refused first."""
 LOWEST_RANK = 4
@@ -51,7 +52,7 @@
         ========
 
         >>> QueueBound(1_000, rank=0).find_longest_queue_ms(reading_ms=100)
-        600.0
+        800.0
         >>> QueueBound(1_000, rank=0).find_longest_queue_ms(reading_ms=5_000)
         250.0
         """
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -45,7 +45,7 @@
 
 
 def test_the_less_urgent_are_refused_first():
-    placement = place(queue_ms=550)
+    placement = place(queue_ms=750)
     assert find_return_ms(placement, QueueBound(1_000, rank=0)) is None
     assert find_return_ms(placement, QueueBound(1_000, rank=1)) is not None
     assert find_return_ms(placement, QueueBound(1_000, rank=2)) is not None
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -207,8 +207,8 @@
 
 
 def test_large_prompts_that_are_told_at_once_keep_the_others_off_their_engines():
-    """A small site: seven gateways that report every 200 ms, eight engines, 34 prompts a second."""
-    site = {"engines": 8, "draws": True, "gateways": 7, "report_ms": 200, "load": 0.23}
+    """A small site: seven gateways that report every 200 ms, eight engines, 48 prompts a second."""
+    site = {"engines": 8, "draws": True, "gateways": 7, "report_ms": 200, "load": 0.33}
     late, told = (
         sum(
             HerdReplay(seed, large_ms=large_ms, **site).run(20_000).find_worth()
@@ -216,4 +216,4 @@
         )
         for large_ms in (math.inf, LARGE_READING_MS)
     )
-    assert told / 3 >= late / 3 + 0.015
+    assert told / 3 >= late / 3 + 0.03
