--- a/hemlockswitch/process/gateway/copies_plan.py
+++ b/hemlockswitch/process/gateway/copies_plan.py
@@ -93,13 +93,17 @@
 
 def count_needed(situation: CopiesSituation) -> int:
     """Return how many copies the demand needs, without reserve for a loss."""
+    return max(_count_by_demand(situation), situation.fewest)
+
+
+def _count_by_demand(situation: CopiesSituation) -> int:
+    """Return how many copies the measured demand needs, whatever was found at a takeover."""
     engine = situation.service.engine
     slots = engine.slots if engine is not None else 1
     demand = situation.demand
     by_prefill = demand.prefill_tokens_per_ms / (situation.tokens_per_ms * TARGET_PREFILL_SHARE)
     by_slots = demand.running / (slots * TARGET_SLOT_SHARE)
-    needed = max(math.ceil(by_prefill), math.ceil(by_slots))
-    return max(needed, situation.fewest, FEWEST_COPIES)
+    return max(math.ceil(by_prefill), math.ceil(by_slots), FEWEST_COPIES)
 
 
 def plan_copies(situation: CopiesSituation) -> dict[Pool, int]:
@@ -108,21 +112,22 @@
     Explanation
     ===========
 
-    Reclaimable copies carry the demand, spread so that what is needed is left when one zone's
-    are reclaimed at once; two zones' where they are cheap, since waves of reclaims go from zone to
-    zone before the first one has any again. Copies that are not reclaimable stand in for those that
-    are missing, in the cheapest zones: while a wave of reclaims goes round, nothing else is to be
-    had. As soon as one zone has none to give, they also stand in for what the next zone would take,
-    since they boot as long as a wave takes to the next zone. In calm times none is kept: the
-    reserve
-    is reclaimable, and one copy at the full price costs as much as a zone's worth of it.
+    Reclaimable copies carry the demand, spread so that what is needed is left when one zone's are
+    reclaimed at once; two zones' where they are cheap, since waves of reclaims go from zone to zone
+    before the first one has any again. Copies that are not reclaimable stand in for those that are
+    missing, in the cheapest zones: while a wave of reclaims goes round, nothing else is to be had.
+    As soon as one zone has none to give, they also stand in for what the next zone would take,
+    since they boot as long as a wave takes to the next zone; for that the measured demand counts
+    alone. In calm times none is kept: the reserve is reclaimable, and one copy at the full price
+    costs as much as a zone's worth of it.
     """
     needed = count_needed(situation)
     wanted = _plan_reclaimable(situation, needed)
     present = _count_present(situation, wanted)
-    if situation.dry:
-        present -= _count_largest_zone(situation, wanted)
     missing = max(needed - present, 0)
+    if situation.dry:
+        left = present - _count_largest_zone(situation, wanted)
+        missing = max(missing, _count_by_demand(situation) - left)
     return wanted | _plan_on_demand(situation, missing, wanted)
 
 
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -72,6 +72,15 @@
     assert plan[Pool("z2", ON_DEMAND)] == 1, "the cheapest zone"
 
 
+def test_what_was_found_at_the_start_asks_for_no_stand_ins_in_a_wave():
+    """The first wave of a day: six copies count as needed until the demand is known, which asks for
+    three; standing in for the next zone of six would cost four copies at the full price."""
+    live = {Pool(zone, RECLAIMABLE): 2 for zone in ZONES[1:]}
+    found = situation(live, tokens=40, dry=[Pool("z1", RECLAIMABLE)])
+    assert count(plan_copies(replace(found, fewest=6)), ON_DEMAND) == 0
+    assert count(plan_copies(replace(found, fewest=7)), ON_DEMAND) == 1, "missing now"
+
+
 @pytest.mark.parametrize("lost", ZONES)
 def test_enough_is_left_when_a_zone_is_reclaimed(lost):
     plan = plan_copies(situation(tokens=110))
