--- a/features/environment.py
+++ b/features/environment.py
@@ -3,6 +3,11 @@
 A feature with the tag ``one_cluster`` has one cluster for all its scenarios.
 """
 
+from gevent import monkey
+
+# Threads must be of one kernel thread: the processes that a step starts end with the one that did.
+monkey.patch_all()
+
 from behave.model_core import Status
 
 from features.support.cluster import Cluster
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,5 +1,10 @@
 """Play soaks by hand: `python -m tests.soak.run --first 1 --seeds 50 --jobs 3`."""
 
+from gevent import monkey
+
+# Threads must be of one kernel thread: the processes that a fault starts end with the one that did.
+monkey.patch_all()
+
 import argparse
 import shutil
 import sys
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak's own parts, a short seeded run of it, and each seed that ever broke a promise."""
 
 import dataclasses
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -10,8 +11,13 @@
 from tests.soak.run import play
 
 CI_SEED, CI_LENGTH_S = 101, 8.0
-REGRESSION_SEEDS: dict[int, str] = {}
-"""Seed to the cause of what it broke; none has broken a promise yet."""
+REGRESSION_SEEDS: dict[int, str] = {
+    72: "played by hand without patched threads, runners ended with the thread of the fault that had "
+    "started them, and none was left for plain calls",
+    74: "the same, and none was left for streams",
+    75: "the same as 74",
+}
+"""Seed to the cause of what it broke."""
 
 CALL = Call("id-1", "/hold/x", "one", "one/1", 1.0, 2.0, 200, True, True)
 USAGE = {"path": "/usage", "holder": "one", "fence": 7, "body": {"window": 1, "counts": {"a": 1}}}
@@ -80,5 +86,6 @@
 
 
 def test_seeds_that_once_broke_a_promise_break_none():
-    for seed in REGRESSION_SEEDS:
-        assert play(seed).broken == (), seed
+    with ThreadPoolExecutor(len(REGRESSION_SEEDS)) as pool:
+        results = list(pool.map(play, REGRESSION_SEEDS))
+    assert {result.seed: result.broken for result in results if result.broken} == {}
