Keep one copy of the exit codes and of a call's assumed time, and list servers only for a report that names some

Each report of another gateway listed all backend servers, also when it named none as unreachable; now only such a report does. The exit codes stood in two programs, the assumed time of a call in two modules. Behaviour is unchanged.

--- a/hemlockswitch/process/gateway/copies_plan.py
+++ b/hemlockswitch/process/gateway/copies_plan.py
@@ -75,20 +75,17 @@
 0.508 and 0.85 earned 0.577."""
 KEPT_SHARE = 0.4
 """The same part of all copies. Reclaimable ones were ordered by an earlier holder and are twice
-what
-is needed; with 0.85 of them too each takeover raised the orders, and 0.469 was earned
-in place of 0.522."""
+what is needed; with 0.85 of them too each takeover raised the orders, and 0.469 was earned in place
+of 0.522."""
 PRIOR_MS = 12_000.0
 """How long after the first requests the measured demand is not trusted alone: three times the time
 constant with which it is measured, in which the shared parts have been read once."""
 RESERVE_FACTOR = 1.25
 """With this many times what is needed in reclaimable copies that serve, copies at the full price
-are
-given back at once: at the start of a day they are most of what is paid until the first request."""
+are given back at once: after a first start they are most of what is paid until the first request."""
 CHEAP_PRICE = 0.35
 """Up to this part of the full price, copies for the loss of a second zone cost less than the
-stand-ins
-that are ordered in a wave, and boot too late, at the full price."""
+stand-ins that are ordered in a wave, and boot too late, at the full price."""
 
 
 def count_needed(situation: CopiesSituation) -> int:
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -124,7 +124,8 @@
         self._loads.take_report(report.name, loads, sent)
         self._limits.take_report(name_process(report.name, report.incarnation), report.spent)
         self._models.take_report(report.name, report.models)
-        self._reachability.take_report(report.zone, report.unreachable, self._list_servers())
+        known = self._list_servers() if report.unreachable else ()
+        self._reachability.take_report(report.zone, report.unreachable, known)
 
     def _tell_outage(self, view: StoreView) -> tuple[float, ...]:
         if view.outage is None:
--- a/hemlockswitch/process/gateway/service_models.py
+++ b/hemlockswitch/process/gateway/service_models.py
@@ -19,13 +19,12 @@
     EngineWork,
     ModelFitter,
 )
+from hemlockswitch.request.placement import PRIOR_CALL_MS
 
 FIT_MS = 2_000.0
 """Time between two fits; one takes some 2 ms of processor time for each service with engines."""
 TOLD_LIFE_MS = 10_000.0
 """How long another gateway's model counts."""
-PRIOR_CALL_MS = 50.0
-"""How long a plain service's call is assumed to take before one was seen."""
 CALL_STEP = 0.05
 """By which part the usual time of a call follows each call: it settles at the median."""
 
--- a/hemlockswitch/programs/daemon.py
+++ b/hemlockswitch/programs/daemon.py
@@ -11,12 +11,14 @@
 import hemlockswitch
 from hemlockswitch.core.errors import ConfigurationError
 from hemlockswitch.core.logs import configure_logs
-from hemlockswitch.programs.service import Daemon, serve_until_stopped
+from hemlockswitch.programs.service import (
+    EXIT_OK,
+    EXIT_SETTINGS,
+    Daemon,
+    serve_until_stopped,
+)
 from hemlockswitch.version.settings_file import FileSettings
 
-EXIT_OK = 0
-EXIT_SETTINGS = 2
-
 
 class DaemonCommand(Command):
     """The one command of a daemon's program.
--- a/hemlockswitch/programs/gateway.py
+++ b/hemlockswitch/programs/gateway.py
@@ -20,12 +20,14 @@
 from hemlockswitch.platform.store import ObjectStore
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.daemon import GatewayDaemon
-from hemlockswitch.programs.service import SettingsWatcher, serve_until_stopped
+from hemlockswitch.programs.service import (
+    EXIT_OK,
+    EXIT_SETTINGS,
+    SettingsWatcher,
+    serve_until_stopped,
+)
 from hemlockswitch.version.gateway_settings import GatewaySettings
 
-EXIT_OK = 0
-EXIT_SETTINGS = 2
-
 
 def build_adapter(settings: GatewaySettings, clock: SystemClock) -> Adapter:
     """Return the users' platform behind the gateway's own interfaces."""
--- a/hemlockswitch/programs/service.py
+++ b/hemlockswitch/programs/service.py
@@ -16,6 +16,8 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.version.settings_file import FileSettings
 
+EXIT_OK = 0
+EXIT_SETTINGS = 2
 SETTINGS_LOOK_MS = 2_000
 """Time between two looks at the settings file: a few reads of a small file a second at most."""
 
--- a/hemlockswitch/request/placement.py
+++ b/hemlockswitch/request/placement.py
@@ -37,6 +37,8 @@
 tests/herd_replay.py, seeds 1 to 3, the worth of what is in time rises from some 0.78 to 0.92, after
 a reclaim from 0.65 to 0.86. Two and three others serve about as many in time and refuse more, six
 serve fewer."""
+PRIOR_CALL_MS = 50.0
+"""How long a plain service's call is assumed to take before one was seen."""
 FAILURE_PENALTY_MS = 3_000.0
 """Added in proportion to the recent failures of a server; a sure failure weighs as much as the
 longest wait that callers accept."""
@@ -96,7 +98,7 @@
     """
 
     engine: EngineModel = PRIOR
-    call_ms: float = 50.0
+    call_ms: float = PRIOR_CALL_MS
 
 
 def rank_homes(key: str, names: Sequence[str]) -> dict[str, int]:
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -14,7 +14,6 @@
 
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.process.gateway.service_models import (
-    PRIOR_CALL_MS,
     TOLD_LIFE_MS,
     ServiceModels,
 )
@@ -26,6 +25,7 @@
     EngineWork,
     ModelFitter,
 )
+from hemlockswitch.request.placement import PRIOR_CALL_MS
 
 ENGINES = [
     EngineModel(base_ms, 1_000 / rate, running_ms, 0.2)
