Spread the first reports to far gateways, and log a page of many changes in one line

Cause: in a play of the whole fleet every gateway suspected every other zone two or three times before traffic. All gateways list the registrations at the same moment, so all reported in step, each two or three seconds; and with moments drawn anew, five usual gaps of silence come once in three seconds by chance.

A registry page of more than four changes is one log line with all names: such lines were 41,500 of the first seventeen seconds of the fleet's logs.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -47,6 +47,7 @@
     ZONE_UNREACHABLE = (321, "zone_unreachable")
     ZONE_REACHED = (322, "zone_reached")
     MODEL_REFUSED = (323, "model_refused")
+    BACKENDS_CHANGED = (324, "backends_changed")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import xxhash
 
@@ -31,10 +32,37 @@
 QUIET_MS = 1_200.0
 """A heartbeat without a new server shows that the last ones are there as well: 30 servers came
 over 3.8 s, and orders after 3 s knew nine of them and took 13 of the rest away."""
+MOST_LINES = 4
+"""Changes of one page that are logged a line each; a page with more is one line with all names. While
+a registry of eighty servers fills and is replaced, a line for each came to half of a gateway's log."""
 LONGEST_FILL_MS = 8_000.0
 """Servers that come and go all the time must not hold the orders up."""
 
 
+@dataclass(frozen=True)
+class _Change:
+    """What became of a server; `version` is that of its entry."""
+
+    server: BackendServer
+    state: BackendState
+    version: int = 0
+
+    def log(self) -> None:
+        """Write a line for this server alone."""
+        if self.state is BackendState.GONE:
+            log_event(Event.BACKEND_GONE, server=self.server.name, address=self.server.address)
+            return
+        log_event(
+            Event.BACKEND_LISTED,
+            server=self.server.name,
+            address=self.server.address,
+            zone=self.server.zone,
+            state=self.state.value,
+            machine_class=self.server.machine_class,
+            version=self.version,
+        )
+
+
 class ServerRegistry:
     """Consumes the followed entries of backend servers.
 
@@ -67,18 +95,24 @@
         self._digest: int | None = None  # None after a change
         self._last_new_ms = float("-inf")
         self._is_complete = False
+        self._changes: list[_Change] = []
 
     def replace_all(self, page: ObjectPage) -> None:
         """Take a whole list."""
         listed = {item.name for item in page.items if not item.deleted}
-        self.apply_changes(page)
+        self._apply(page)
         missing = [name for name in self._servers if name not in listed]
         is_lapse = self._looks_like_lapse(missing)
         for name in missing:
             self._remove(name, is_lapse=is_lapse)
+        self._log_changes()
 
     def apply_changes(self, page: ObjectPage) -> None:
         """Take changed and removed entries."""
+        self._apply(page)
+        self._log_changes()
+
+    def _apply(self, page: ObjectPage) -> None:
         removed = [item.name for item in page.items if item.deleted]
         is_lapse = self._looks_like_lapse(removed)
         for item in page.items:
@@ -166,7 +200,8 @@
         self._digest = None
         self._by_service[server.serves][server.name] = server
         self._held_until_ms.pop(server.name, None)
-        self._log_change(before, server, item.version)
+        if before is None or before.state is not server.state:
+            self._changes.append(_Change(server, server.state, item.version))
         if server.state is BackendState.LEAVING:
             self._on_gone(server)
 
@@ -182,19 +217,22 @@
             before_unix_ms=before.started_unix_ms,
         )
 
-    def _log_change(
-        self, before: BackendServer | None, server: BackendServer, version: int
-    ) -> None:
-        if before is None or before.state is not server.state:
-            log_event(
-                Event.BACKEND_LISTED,
-                server=server.name,
-                address=server.address,
-                zone=server.zone,
-                state=server.state.value,
-                machine_class=server.machine_class,
-                version=version,
-            )
+    def _log_changes(self) -> None:
+        """Log what the last page changed."""
+        changes, self._changes = self._changes, []
+        if len(changes) <= MOST_LINES:
+            for change in changes:
+                change.log()
+            return
+        names: dict[BackendState, list[str]] = defaultdict(list)
+        for change in changes:
+            names[change.state].append(change.server.name)
+        log_event(
+            Event.BACKENDS_CHANGED,
+            live=names[BackendState.LIVE],
+            leaving=names[BackendState.LEAVING],
+            gone=names[BackendState.GONE],
+        )
 
     def _remove(self, name: str, *, is_lapse: bool) -> None:
         server = self._servers.get(name)
@@ -211,8 +249,11 @@
 
     def _drop_held(self) -> None:
         now_ms = self._clock.now_ms()
-        for name in [name for name, until in self._held_until_ms.items() if until <= now_ms]:
+        expired = [name for name, until in self._held_until_ms.items() if until <= now_ms]
+        for name in expired:
             self._drop(name)
+        if expired:
+            self._log_changes()
 
     def _drop(self, name: str) -> None:
         self._held_until_ms.pop(name, None)
@@ -220,5 +261,5 @@
         server = self._servers.pop(name)
         self._digest = None
         self._by_service[server.serves].pop(name, None)
-        log_event(Event.BACKEND_GONE, server=name, address=server.address)
+        self._changes.append(_Change(server, BackendState.GONE))
         self._on_gone(server)
--- a/hemlockswitch/process/gateway/reporting.py
+++ b/hemlockswitch/process/gateway/reporting.py
@@ -15,9 +15,10 @@
 CHANGE_GAP_MS = 100.0
 """Least time between two changes that are told: a gateway of a large fleet begins and ends some four
 requests in a second, so most are told at once."""
+FIRST_SPREAD = (0.0, 1.0)
 FAR_SPREAD = (0.75, 1.25)
-"""Between which parts of the period the time between two reports to far gateways varies, so that
-gateways that started together do not stay in step."""
+"""Between which parts of the period the time before the first report to far gateways lies, and that
+between two of them: gateways that started together must not report in step."""
 
 
 class ReportSchedule:
@@ -67,12 +68,13 @@
         Gateways that start together hear of one another together; their first reports are spread
         over a period, so that each zone is heard all the time.
         """
-        spread = (0.0, 1.0)
+        spread = FIRST_SPREAD
         while True:
-            period_ms = self._fleet.get_far_period().ms
-            self._clock.sleep_ms(random.uniform(*spread) * period_ms)
-            self._reports.send_far()
-            spread = FAR_SPREAD if self._fleet.reports_by_zone else (0.0, 1.0)
+            by_zone = self._fleet.reports_by_zone
+            self._clock.sleep_ms(random.uniform(*spread) * self._fleet.get_far_period().ms)
+            if by_zone:
+                self._reports.send_far()
+            spread = FAR_SPREAD if by_zone else FIRST_SPREAD
 
     def send_changes(self) -> None:
         """Tell what has changed until the task is ended; at a small fleet the reports do."""
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -97,9 +97,7 @@
 
     def send_far(self) -> None:
         """Tell the gateways that are not near this one the same, less often."""
-        far = self._fleet.list_far()
-        if far:
-            self._send(far, self._build_report(self._fleet.get_far_period(), []))
+        self._send(self._fleet.list_far(), self._build_report(self._fleet.get_far_period(), []))
 
     def send_changes(self) -> None:
         """Tell one gateway of each zone what has changed; it passes that on."""
--- a/tests/test_gateway_registry.py
+++ b/tests/test_gateway_registry.py
@@ -10,6 +10,8 @@
     HistoryGoneError,
     PlatformError,
 )
+from hemlockswitch.core.events import Event
+from hemlockswitch.process.gateway import registry as registry_module
 from hemlockswitch.process.gateway.configuration import TableHolder
 from hemlockswitch.process.gateway.follower import ObjectFollower
 from hemlockswitch.process.gateway.registry import (
@@ -311,3 +313,17 @@
 def test_an_answer_of_an_older_state_does_not_move_the_watch_back():
     store, _, _ = follow(page(version=9), page(version=4), page(version=9))
     assert store.calls[-1] == ("watch", 9)
+
+
+def test_a_page_with_many_changes_is_one_line_with_all_names(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        registry_module, "log_event", lambda event, **fields: lines.append((event, fields))
+    )
+    fixture = Fixture()
+    fixture.registry.replace_all(page(*(entry(f"s{number}") for number in range(80))))
+    fixture.registry.apply_changes(page(entry("s1", "leaving"), entry("s2", deleted=True)))
+    (event, fields), *rest = lines
+    assert event is Event.BACKENDS_CHANGED
+    assert sorted(fields["live"]) == sorted(f"s{number}" for number in range(80))
+    assert [one for one, _ in rest] == [Event.BACKEND_LISTED, Event.BACKEND_GONE]
