Relay the configuration and whole lists in each zone, and give up a silent zone's part of the limits

Ruled out: relaying pages of any size (300 KB to thirty neighbours take four seconds on their links).

Change: the two watchers of a zone send the configuration's pages and whole lists too; a page over 32 KB is announced, and each gateway asks for it. A zone is out of touch as a whole after ten usual gaps between its gateways' reports, at least 1.5 s, which is what a small site waits.

Figures: in the tests twelve changes of the configuration cost at most 28 watches with six gateways of one zone, and every gateway learns one after both watchers are gone; a fleet of 192 gives up a silent zone's sixth after two seconds.

--- a/hemlockswitch/connection/stored_objects.py
+++ b/hemlockswitch/connection/stored_objects.py
@@ -18,10 +18,17 @@
 
 @dataclass(frozen=True)
 class ObjectPage:
-    """Objects that a list or a watch answered, and the service's version then."""
+    """Objects that a list or a watch answered, and the service's version then.
+
+    Parameters
+    ==========
+
+    is_whole : whether these are all objects of the kind, and not changes.
+    """
 
     items: tuple[StoredObject, ...]
     version: int
+    is_whole: bool = False
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -23,7 +23,7 @@
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.follower import ObjectFollower
 from hemlockswitch.process.gateway.loads import ServerLoads
-from hemlockswitch.process.gateway.messages import RegistryPage
+from hemlockswitch.process.gateway.messages import WatchedPage
 from hemlockswitch.process.gateway.observation import GatewayObserver
 from hemlockswitch.process.gateway.pages import GatewayPages
 from hemlockswitch.process.gateway.prober import Prober
@@ -113,13 +113,22 @@
         self.loads = ServerLoads(
             clock, self.fleet.get_far_period, lambda: self.schedule.changed.set()
         )
+        relayed = {
+            kind: RelayedWatch(adapter.store, self.fleet, self._relay_page, clock)
+            for kind in (adapter.config_kind, adapter.server_kind)
+        }
+        self.network.handle(
+            WatchedPage, lambda _, page: relayed[page.kind].take_page(page), quick=True
+        )
         self.config_follower = ObjectFollower(
-            adapter.store, adapter.config_kind, self.tables, clock
+            relayed[adapter.config_kind], adapter.config_kind, self.tables, clock
         )
-        relayed = RelayedWatch(adapter.store, self.fleet, self._relay_page, clock)
-        self.network.handle(RegistryPage, lambda _, page: relayed.take_page(page), quick=True)
         self.server_follower = ObjectFollower(
-            relayed, adapter.server_kind, self.registry, clock, self._get_settle_ms
+            relayed[adapter.server_kind],
+            adapter.server_kind,
+            self.registry,
+            clock,
+            self._get_settle_ms,
         )
         self.watch_guard = WatchGuard(
             self.config_follower,
@@ -342,10 +351,17 @@
             table.revision if table is not None else 0,
             self.registry.hash_servers(),
             self._adapter.store.last_outage,
-            self.server_follower.live_version if self.fleet.is_watcher() else 0,
+            self._describe_relayed(),
         )
 
-    def _relay_page(self, page: RegistryPage) -> None:
+    def _describe_relayed(self) -> dict[str, int]:
+        """Return the versions that this gateway's watches have told its zone; none if it is not to."""
+        if not self.fleet.is_watcher():
+            return {}
+        followers = (self.config_follower, self.server_follower)
+        return {one.kind: one.live_version for one in followers}
+
+    def _relay_page(self, page: WatchedPage) -> None:
         self.network.send_all(self.fleet.list_relay_addresses(), page)
 
     def _get_settle_ms(self) -> float:
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -4,6 +4,7 @@
 not listed yet makes itself known by its first report (`process.gateway.reports`).
 """
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -224,11 +225,33 @@
         """Return the gateways that were heard lately."""
         now_ms = self._clock.now_ms()
         if self._heard is None or now_ms - self._heard_listed_ms > HEARD_MS:
-            oldest_ms = now_ms - self.get_far_period().out_of_touch_ms
-            self._heard = [peer for peer in self._peers.values() if peer.heard_ms >= oldest_ms]
+            self._heard = self._find_heard(now_ms)
             self._heard_listed_ms = now_ms
         return list(self._heard)
 
+    def _find_heard(self, now_ms: float) -> list[Peer]:
+        """Return the gateways that were heard lately, without those of a zone that is silent.
+
+        In a cut each side uses its part of the limits only, so the loss of a zone must not wait for
+        each of its gateways to be missed.
+        """
+        period = self.get_far_period()
+        heard = [
+            peer
+            for peer in self._peers.values()
+            if peer.heard_ms >= now_ms - period.out_of_touch_ms
+        ]
+        latest_ms: dict[str, float] = {}
+        for peer in heard:
+            latest_ms[peer.zone] = max(latest_ms.get(peer.zone, 0.0), peer.heard_ms)
+        counts = Counter(peer.zone for peer in heard)
+        silent = {
+            zone
+            for zone, heard_ms in latest_ms.items()
+            if now_ms - heard_ms > period.find_zone_out_of_touch_ms(counts[zone])
+        }
+        return [peer for peer in heard if peer.zone not in silent]
+
     def get_share(self) -> float:
         """Return the part of the fleet that is in touch with this gateway, with itself."""
         return self.count_in_touch() / self.count_daemons()
@@ -249,10 +272,11 @@
         """Return whether this gateway is to watch the registry for others of its zone."""
         return self.name in self._list_watcher_names()
 
-    def find_relayed_version(self) -> int:
+    def find_relayed_version(self, kind: str) -> int:
         """Return the newest registry version that a watcher of this zone in touch has sent."""
         names = self._list_watcher_names()
-        relayed = (one.view.relayed_version for one in self._list_zone() if one.name in names)
+        watchers = (one for one in self._list_zone() if one.name in names)
+        relayed = (one.view.relayed.get(kind, 0) for one in watchers)
         return max(relayed, default=0)
 
     def list_relay_addresses(self) -> list[str]:
--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -143,8 +143,11 @@
             self.watch_sent_ms = self._task = None
         self._note_heard()
         self._since = max(self._since, page.version)
-        if page.items:
+        if page.is_whole:
+            self._consumer.replace_all(page)
+        elif page.items:
             self._consumer.apply_changes(page)
+        if page.items:
             self._clock.sleep_ms(self._get_settle_ms())
 
     def _note_lost(self, error: PlatformError) -> None:
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -34,7 +34,7 @@
     demand : service to the prompt tokens in a millisecond that it sends.
     spent : account to what it has spent since the process began.
     leads : whether it holds the duties.
-    revision, servers_digest, relayed_version : see `process.gateway.watch_guard.StoreView`.
+    revision, servers_digest, relayed : see `process.gateway.watch_guard.StoreView`.
     outage_ms_ago : when the last outage of the object service began and ended; empty if none.
     sent : (server incarnation, shared beginnings) of each prompt sent since the last report.
     zone : its availability zone.
@@ -54,7 +54,7 @@
     outage_ms_ago: tuple[float, ...] = ()
     sent: list[SentPrompt] = field(default_factory=list)
     zone: str = ""
-    relayed_version: int = 0
+    relayed: dict[str, int] = field(default_factory=dict)
     unreachable: list[str] = field(default_factory=list)
     models: dict[str, tuple[float, float, float, float]] = field(default_factory=dict)
     number: int = 0
@@ -158,35 +158,45 @@
     usage: dict[str, dict[str, int]]
 
 
-@register_message("registry_page")
+@register_message("watched_page")
 @dataclass(frozen=True)
-class RegistryPage:
-    """What a watch of the registry brought, for gateways that do not watch it themselves.
+class WatchedPage:
+    """What a watch or a list brought, for gateways that do not watch themselves.
 
     Parameters
     ==========
 
+    kind : the kind of the objects.
     since, version : the page has all changes after version `since`, up to `version`.
-    items : (name, version, value, whether it was deleted) of each changed entry, in order.
+    items : (name, version, value, whether it was deleted) of each changed object, in order.
+    is_whole : whether these are all objects of the kind; what is not among them is gone.
 
     Examples
     ========
 
     >>> page = ObjectPage((StoredObject("servers", "r1", 7, {"zone": "z1"}),), 8)
-    >>> RegistryPage.from_object_page(5, page).to_object_page("servers") == page
+    >>> WatchedPage.from_object_page("servers", 5, page).to_object_page() == page
     True
     """
 
+    kind: str
     since: int
     version: int
     items: list[tuple[str, int, Any, bool]]
+    is_whole: bool = False
 
     @classmethod
-    def from_object_page(cls, since: int, page: ObjectPage) -> "RegistryPage":
-        """Return the message for the answer of a watch since a version."""
+    def from_object_page(cls, kind: str, since: int, page: ObjectPage) -> "WatchedPage":
+        """Return the message for the answer of a watch since a version, or of a list."""
         items = [(item.name, item.version, item.value, item.deleted) for item in page.items]
-        return cls(since, page.version, items)
+        return cls(kind, since, page.version, items, page.is_whole)
 
-    def to_object_page(self, kind: str) -> ObjectPage:
-        """Return the page as the watch brought it."""
-        return ObjectPage(tuple(StoredObject(kind, *item) for item in self.items), self.version)
+    @classmethod
+    def make_notice(cls, kind: str, version: int) -> "WatchedPage":
+        """Return the message that there is something newer, to be asked for."""
+        return cls(kind, version, version, [])
+
+    def to_object_page(self) -> ObjectPage:
+        """Return the page as the object service answered it."""
+        items = tuple(StoredObject(self.kind, *item) for item in self.items)
+        return ObjectPage(items, self.version, self.is_whole)
--- a/hemlockswitch/process/gateway/reachability.py
+++ b/hemlockswitch/process/gateway/reachability.py
@@ -22,15 +22,11 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.gateway.report_period import MISSED_REPORTS, ReportPeriod
+from hemlockswitch.process.gateway.report_period import MISSED_REPORTS, SILENT_GAPS, ReportPeriod
 from hemlockswitch.version.backend import BackendServer
 
 SILENT_MS = 500.0
-SILENT_GAPS = 10.0
-"""How long nothing may be heard from a zone, the longer of the two: as long as any of its gateways
-would have needed to be missed, or ten times the usual gap between two words of any of them, if
-that is shorter. Thirty gateways that report every three seconds, each at its own moments, leave
-gaps of 100 ms, and in a minute one of some 650; one of a second comes by chance once in hours."""
+"""How long nothing may be heard from a zone at the least; its gateways' own periods may ask for more."""
 LEAST_CONNECT_MS = 150.0
 MOST_CONNECT_MS = 500.0
 """Bounds of the time to wait for a connection: above a pause of the own process for a large
--- a/hemlockswitch/process/gateway/relayed_watch.py
+++ b/hemlockswitch/process/gateway/relayed_watch.py
@@ -1,7 +1,7 @@
-"""A few gateways of each availability zone watch the backend servers; the others hear from them.
+"""A few gateways of each availability zone watch the object service; the others hear from them.
 
-A watch of every gateway makes each change of the registry cost as many calls as there are gateways:
-5,000 of the 5,600 calls in a quiet minute with 61 gateways. Instead,
+A watch of every gateway makes each change, and each loss of the service's history, cost as many calls as
+there are gateways: 5,000 of the 5,600 calls in a quiet minute with 61 gateways. Instead,
 the first gateways of a zone, in the order of their names (`fleet.WATCHERS_PER_ZONE`), hold a watch,
 and send every page that it brings to the rest of their zone. Every gateway knows from the reports
 who these are, so nothing is elected. A gateway watches by itself whenever no watcher of its zone
@@ -10,21 +10,27 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from gevent.event import Event as Signal
 
+from hemlockswitch.connection.messages import encode_message
 from hemlockswitch.connection.stored_objects import ObjectPage
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.gateway.follower import WatchedStore
-from hemlockswitch.process.gateway.messages import RegistryPage
+from hemlockswitch.process.gateway.messages import WatchedPage
 
 LOOK_MS = 200.0
 """Time between two looks at who watches while no page comes."""
 CATCH_UP_WAIT_MS = 100
 """How long a call may wait that asks for changes which are known to exist."""
+MOST_RELAYED_BYTES = 32 * 1024
+"""A larger page is not sent, only that there is one: to thirty neighbours over a link of 20 Mbit/s
+this much takes 0.4 s, and a configuration of 300 KB would take four seconds, where each of them reads
+it from the object service in 0.1 s."""
 MOST_PAGES_KEPT = 64
 """Pages that may come while a call is under way; what is dropped is a gap, and is asked for."""
 
@@ -35,8 +41,8 @@
     def is_watcher(self) -> bool:
         """Return whether this gateway is to watch for others."""
 
-    def find_relayed_version(self) -> int:
-        """Return the newest version that a watcher in touch has relayed; 0 if there is none."""
+    def find_relayed_version(self, kind: str) -> int:
+        """Return the newest version of a kind that a watcher has relayed; 0 if there is none."""
 
 
 class RelayedWatch:
@@ -55,21 +61,26 @@
         self,
         store: WatchedStore,
         directory: WatcherDirectory,
-        send_page: Callable[[RegistryPage], None],
+        send_page: Callable[[WatchedPage], None],
         clock: Clock,
     ) -> None:
         self._store = store
         self._directory = directory
         self._send_page = send_page
         self._clock = clock
-        self._pages: deque[RegistryPage] = deque(maxlen=MOST_PAGES_KEPT)
+        self._pages: deque[WatchedPage] = deque(maxlen=MOST_PAGES_KEPT)
         self._arrived = Signal()
         self._must_ask = False
         self._relies = False
 
     def list(self, kind: str, prefix: str = "") -> ObjectPage:
-        """Return all objects of a kind, from the object service itself."""
-        return self._store.list(kind, prefix)
+        """Return all objects of a kind, from the object service itself.
+
+        After the service has lost its history a watcher lists, and the others need not.
+        """
+        page = replace(self._store.list(kind, prefix), is_whole=True)
+        self._share(kind, 0, page)
+        return page
 
     def watch(self, kind: str, since: int, wait_ms: int, prefix: str = "") -> ObjectPage:
         """Return what changed after version `since`, from a watcher or from the object service.
@@ -79,41 +90,56 @@
 
         HistoryGoneError, PlatformError : as from the object service.
         """
-        page = self._wait_for_page(since)
+        page = self._wait_for_page(kind, since)
         if page is not None:
-            return page.to_object_page(kind)
+            return page.to_object_page()
         if self._must_ask:
             wait_ms = CATCH_UP_WAIT_MS
         self._must_ask = False
         answer = self._store.watch(kind, since, wait_ms, prefix)
-        if self._directory.is_watcher():
-            self._send_page(RegistryPage.from_object_page(since, answer))
+        self._share(kind, since, answer)
         return answer
 
-    def take_page(self, page: RegistryPage) -> None:
+    def _share(self, kind: str, since: int, page: ObjectPage) -> None:
+        """Send what came to the rest of the zone, if this gateway watches for it."""
+        if not self._directory.is_watcher():
+            return
+        message = WatchedPage.from_object_page(kind, since, page)
+        if len(encode_message(message)) > MOST_RELAYED_BYTES:
+            message = WatchedPage.make_notice(kind, page.version)
+        self._send_page(message)
+
+    def take_page(self, page: WatchedPage) -> None:
         """Take a page that a watcher has sent."""
         self._pages.append(page)
         self._arrived.set()
 
-    def _wait_for_page(self, since: int) -> RegistryPage | None:
+    def _wait_for_page(self, kind: str, since: int) -> WatchedPage | None:
         """Return the page that follows version `since`; None if the service is to be asked."""
-        while not self._must_ask and (relayed := self._find_relayed(since)):
+        while not self._must_ask and (relayed := self._find_relayed(kind, since)):
             page = self._find_page(since, relayed)
             if page is not None:
                 return page
             self._wait()
         return None
 
-    def _find_relayed(self, since: int) -> int:
+    def _find_relayed(self, kind: str, since: int) -> int:
         """Return what the watchers in touch have sent; 0 if this gateway is to watch itself."""
-        relayed = 0 if self._directory.is_watcher() else self._directory.find_relayed_version()
+        watches = self._directory.is_watcher()
+        relayed = 0 if watches else self._directory.find_relayed_version(kind)
         relies = relayed > 0
         if relies != self._relies:
-            log_event(Event.WATCH_RELIANCE_CHANGED, relies=relies, relayed=relayed, since=since)
+            log_event(
+                Event.WATCH_RELIANCE_CHANGED,
+                watch=kind,
+                relies=relies,
+                relayed=relayed,
+                since=since,
+            )
         self._relies = relies
         return relayed
 
-    def _find_page(self, since: int, relayed: int) -> RegistryPage | None:
+    def _find_page(self, since: int, relayed: int) -> WatchedPage | None:
         """Return the next page, or note that one is missing."""
         self._arrived.clear()
         while self._pages:
--- a/hemlockswitch/process/gateway/report_period.py
+++ b/hemlockswitch/process/gateway/report_period.py
@@ -29,6 +29,11 @@
 MISSED_REPORTS = 2.5
 """So many periods pass before a report counts as missing: two in a row may be lost on a bad link or
 wait for a busy processor, three seldom are."""
+SILENT_GAPS = 10.0
+"""So many usual gaps between two words of any gateway of a zone pass before the zone counts as silent, if
+that is less than one of its gateways needs to be missed. Thirty gateways that report every three
+seconds, each at its own moments, leave gaps of 100 ms, and in a minute one of some 650; one of a
+second comes by chance once in hours."""
 OUT_OF_TOUCH_REPORTS = 4.0
 LEAST_OUT_OF_TOUCH_MS = 1_500.0
 """A gateway that was not heard for this long counts as out of touch, and its part of the limits is
@@ -103,6 +108,11 @@
         """After this time without a report a gateway is out of touch."""
         return max(LEAST_OUT_OF_TOUCH_MS, OUT_OF_TOUCH_REPORTS * self.ms)
 
+    def find_zone_out_of_touch_ms(self, gateways: int) -> float:
+        """Return after which silence a zone with so many gateways is out of touch as a whole."""
+        gap_ms = self.ms / max(gateways, 1)
+        return max(LEAST_OUT_OF_TOUCH_MS, min(self.out_of_touch_ms, SILENT_GAPS * gap_ms))
+
     @property
     def covered_ms(self) -> float:
         """How lately a gateway must have been heard to be relied on for what it watches."""
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -155,7 +155,7 @@
             outage_ms_ago=self._tell_outage(view),
             sent=sent,
             zone=self._fleet.zone,
-            relayed_version=view.relayed_version,
+            relayed=dict(view.relayed),
             unreachable=self._reachability.describe_unreachable(),
             models=self._models.describe_own(),
             number=self._take_number(),
@@ -184,7 +184,7 @@
             now_ms = self._clock.now_ms()
             began_ms_ago, ended_ms_ago = report.outage_ms_ago
             outage = Outage(now_ms - began_ms_ago, now_ms - ended_ms_ago)
-        return StoreView(report.revision, report.servers_digest, outage, report.relayed_version)
+        return StoreView(report.revision, report.servers_digest, outage, report.relayed)
 
     def _take_spending(self, _address: str, report: SpendingReport) -> None:
         self._limits.take_report(name_process(report.name, report.incarnation), report.spent)
--- a/hemlockswitch/process/gateway/watch_guard.py
+++ b/hemlockswitch/process/gateway/watch_guard.py
@@ -8,8 +8,8 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from hemlockswitch.connection.backoff import Outage
@@ -45,14 +45,14 @@
     revision : the configuration in force; 0 if there is none.
     servers_digest : a hash of the backend servers that it believes in, with their states.
     outage : the last one that it noticed, by this process's clock; None if there was none.
-    relayed_version : the version of the registry up to which it told the other gateways of its
-        zone; 0 while it does not watch for others (`process.gateway.relayed_watch`).
+    relayed : by kind of object, the version up to which it told the other gateways of its zone;
+        empty while it does not watch for others (`process.gateway.relayed_watch`).
     """
 
     revision: int = 0
     servers_digest: int = 0
     outage: Outage | None = None
-    relayed_version: int = 0
+    relayed: Mapping[str, int] = field(default_factory=dict)
 
 
 class WatchGuard:
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -128,7 +128,7 @@
 
 
 def hear(fleet, name, zone, relayed_version=0):
-    view = StoreView(relayed_version=relayed_version)
+    view = StoreView(relayed={"servers": relayed_version})
     fleet.note_report(f"10.0.0.1:{name}", make_zoned_report(name, zone), view)
 
 
@@ -157,8 +157,8 @@
 def test_only_watchers_of_the_own_zone_relay(zoned):
     hear(zoned, "g0", "z2", relayed_version=20)
     hear(zoned, "g1", "z1", relayed_version=0)
-    assert zoned.find_relayed_version() == 0, "its watch does not answer"
+    assert zoned.find_relayed_version("servers") == 0, "its watch does not answer"
     hear(zoned, "g2", "z1", relayed_version=7)
-    assert zoned.find_relayed_version() == 7
+    assert zoned.find_relayed_version("servers") == 7
     hear(zoned, "g4", "z1")
     assert zoned.list_relay_addresses() == ["10.0.0.1:g4"]
--- a/tests/test_relayed_watch.py
+++ b/tests/test_relayed_watch.py
@@ -11,9 +11,13 @@
 from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.process.gateway.messages import RegistryPage
-from hemlockswitch.process.gateway.relayed_watch import CATCH_UP_WAIT_MS, RelayedWatch
-from tests.gateway_site import Site
+from hemlockswitch.process.gateway.messages import WatchedPage
+from hemlockswitch.process.gateway.relayed_watch import (
+    CATCH_UP_WAIT_MS,
+    MOST_RELAYED_BYTES,
+    RelayedWatch,
+)
+from tests.gateway_site import Site, make_manifest
 
 KIND = "servers"
 WAIT_MS = 25_000
@@ -27,6 +31,9 @@
         self.asked = []
         self.error = None
 
+    def list(self, kind, prefix=""):
+        return ObjectPage((StoredObject(kind, "listed", 9, {}),), 9)
+
     def watch(self, kind, since, wait_ms, prefix=""):
         self.asked.append((since, wait_ms))
         if self.error is not None:
@@ -44,7 +51,7 @@
     def is_watcher(self):
         return self.watches
 
-    def find_relayed_version(self):
+    def find_relayed_version(self, kind):
         return self.relayed
 
 
@@ -67,14 +74,14 @@
 
 
 def make_page(since, version, name="from-watcher"):
-    return RegistryPage(since, version, [(name, version, {}, False)])
+    return WatchedPage(KIND, since, version, [(name, version, {}, False)])
 
 
 def test_a_watcher_sends_what_its_watch_brings(fixture):
     fixture.directory.watches = True
     assert fixture.take(5) == ["from-store"]
     assert fixture.store.asked == [(5, WAIT_MS)]
-    assert fixture.sent == [RegistryPage(5, 6, [("from-store", 6, {}, False)])]
+    assert fixture.sent == [WatchedPage(KIND, 5, 6, [("from-store", 6, {}, False)])]
 
 
 def test_the_others_take_the_page_and_make_no_call(fixture):
@@ -134,6 +141,35 @@
     assert len(fixture.store.asked) == 2
 
 
+def test_a_watcher_that_lists_anew_spares_the_others_the_list(fixture):
+    """After a loss of history each gateway would make two calls: a watch in vain, and a list."""
+    fixture.directory.watches = True
+    assert fixture.watch.list(KIND).is_whole
+    (message,) = fixture.sent
+    other = Fixture()
+    other.directory.relayed = 9
+    other.watch.take_page(message)
+    page = other.watch.watch(KIND, 5, WAIT_MS)
+    assert page.is_whole and page.version == 9
+    assert other.store.asked == []
+
+
+def test_a_page_that_is_too_large_for_the_links_is_only_announced(fixture):
+    fixture.directory.watches = True
+    value = {"routes": "x" * MOST_RELAYED_BYTES}
+    fixture.store.watch = lambda kind, since, wait_ms, prefix: ObjectPage(
+        (StoredObject(kind, "main", since + 1, value),), since + 1
+    )
+    fixture.watch.watch(KIND, 5, WAIT_MS)
+    (message,) = fixture.sent
+    assert message.items == []
+    other = Fixture()
+    other.directory.relayed = 5
+    other.watch.take_page(message)
+    assert other.take(5) == ["from-store"]
+    assert other.store.asked == [(5, CATCH_UP_WAIT_MS)]
+
+
 GATEWAYS = 6
 CHANGES = 12
 
@@ -194,3 +230,40 @@
         watcher.fleet.list_relay_addresses = list
     change_runner(site, 2)
     site.wait(lambda: all(knows(gateway, 2) for gateway in site.gateways))
+
+
+def change_configuration(site, version, routes=0):
+    manifest = make_manifest(version=version)
+    manifest["routes"] += [
+        manifest["routes"][0] | {"name": f"r{number}", "path_prefix": f"/r{number}/"}
+        for number in range(routes)
+    ]
+    site.store.put("config", "main", manifest)
+    site.wait(
+        lambda: all(
+            gateway.tables.current is not None and gateway.tables.current.revision == version
+            for gateway in site.gateways
+        )
+    )
+
+
+def test_changes_of_the_configuration_cost_the_watchers_calls_alone(site):
+    change_configuration(site, 2)
+    before = site.store.watch_calls["config"]
+    for version in range(3, 3 + CHANGES):
+        change_configuration(site, version)
+    calls = site.store.watch_calls["config"] - before
+    assert calls <= 2 * (CHANGES + 2), f"{calls} calls, {GATEWAYS * CHANGES} when each one watches"
+
+
+def test_a_large_configuration_reaches_all(site):
+    change_configuration(site, 2, routes=400)
+
+
+def test_a_configuration_is_learned_after_both_watchers_are_gone(site):
+    change_configuration(site, 2)
+    for watcher in find_watchers(site):
+        site.gateways.remove(watcher)
+        watcher.callers.stop_accepting()
+        watcher._close()
+    change_configuration(site, 3)
--- a/tests/test_report_period.py
+++ b/tests/test_report_period.py
@@ -13,10 +13,11 @@
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.messages import GatewayReport
-from hemlockswitch.process.gateway.reachability import LOOK_MS, SILENT_GAPS, Reachability
+from hemlockswitch.process.gateway.reachability import LOOK_MS, Reachability
 from hemlockswitch.process.gateway.report_period import (
     MESH_GATEWAYS,
     REPORTS_PER_S,
+    SILENT_GAPS,
     USAGE_REPORTS_PER_S,
     ReportPeriod,
     UsagePeriod,
@@ -56,8 +57,8 @@
     assert usage.takeover_ms > news.ms + usage.ms
 
 
-def make_fleet(gateways, zones):
-    clock = ManualClock(now_ms=1_000_000)
+def make_fleet(gateways, zones, clock=None):
+    clock = clock or ManualClock(now_ms=1_000_000)
     fleet = Fleet("g0", lambda: "10.0.0.0:1", clock, "z0")
     for number in range(1, gateways):
         report = GatewayReport(f"g{number}", 1, 0.0, {}, {}, {}, zone=f"z{number % zones}")
@@ -82,6 +83,26 @@
     assert len(fleet.draw_relays()) == zones
 
 
+def hear_again(fleet, gateways, zones, silent):
+    for number in range(1, gateways):
+        if f"z{number % zones}" != silent:
+            report = GatewayReport(f"g{number}", 1, 0.0, {}, {}, {}, zone=f"z{number % zones}")
+            fleet.note_report(f"10.0.0.0:{number}", report, StoreView())
+
+
+def test_the_limits_part_of_a_zone_that_is_cut_off_is_given_up_within_seconds():
+    """192 gateways in six zones; each of the lost zone would be missed after 13 s."""
+    clock = ManualClock(now_ms=1_000_000)
+    fleet = make_fleet(192, zones=6, clock=clock)
+    assert fleet.get_share() == 1.0
+    clock.advance(2_000)
+    hear_again(fleet, 192, 6, silent="z1")
+    assert fleet.get_share() == pytest.approx(5 / 6)
+    hear_again(fleet, 192, 6, silent="")
+    clock.advance(200)
+    assert fleet.get_share() == 1.0
+
+
 def test_a_gateway_whose_zone_is_not_known_yet_is_told_like_one_of_another_zone():
     fleet = make_fleet(30, zones=4)
     fleet.note_report("10.0.0.9:1", GatewayReport("new", 1, 0.0, {}, {}, {}), StoreView())
