--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -21,15 +21,13 @@
 from hemlockswitch.process.gateway.copies_plan import Demand
 from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
 from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.follower import ObjectFollower
+from hemlockswitch.process.gateway.followed_objects import FollowedObjects
 from hemlockswitch.process.gateway.loads import ServerLoads
-from hemlockswitch.process.gateway.messages import WatchedPage
 from hemlockswitch.process.gateway.observation import GatewayObserver
 from hemlockswitch.process.gateway.pages import GatewayPages
 from hemlockswitch.process.gateway.prober import Prober
 from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.registry import ServerRegistry
-from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
 from hemlockswitch.process.gateway.reporting import ReportSchedule
 from hemlockswitch.process.gateway.reports import ReportExchange
 from hemlockswitch.process.gateway.scaling import ScalingDuty
@@ -38,7 +36,6 @@
 from hemlockswitch.process.gateway.usage import UsageCounts, UsageDuty
 from hemlockswitch.process.gateway.usage_keeper import UsageKeeper
 from hemlockswitch.process.gateway.view import GatewayView
-from hemlockswitch.process.gateway.watch_guard import StoreView, WatchGuard
 from hemlockswitch.process.lease import Lease
 from hemlockswitch.request.forwarding import Forwarder
 from hemlockswitch.request.repeat_budget import RepeatBudget
@@ -46,14 +43,6 @@
 from hemlockswitch.version.gateway_settings import GatewaySettings
 
 SWEEP_MS = 1_000.0
-SETTLE_MS = 400.0
-"""How long changes gather before the next watch: each change wakes the watch of every watcher, and
-each watch is a call. Servers come and go by zones, over half a second; of 55 watches of a gateway
-in a day with waves of reclaims 40 are left. The first change after a pause is learned at once."""
-LONGEST_SETTLE_MS = 600.0
-"""A leaving server must get nothing new two seconds after it said so; this leaves most of it. While
-the registry fills after a start, changes gather for as long: of the 82 watches of a
-gateway in a minute 26 fell into these four seconds."""
 TASK_RESTART_MS = 500.0
 LISTEN_ON_STOP_MS = 2_500.0
 """How long to accept connections after a stop signal: balancers ask for readiness once a second
@@ -113,32 +102,9 @@
         self.loads = ServerLoads(
             clock, self.fleet.get_far_period, lambda: self.schedule.changed.set()
         )
-        relayed = {
-            kind: RelayedWatch(adapter.store, self.fleet, self._relay_page, clock)
-            for kind in (adapter.config_kind, adapter.server_kind)
-        }
-        self.network.handle(
-            WatchedPage, lambda _, page: relayed[page.kind].take_page(page), quick=True
-        )
-        self.config_follower = ObjectFollower(
-            relayed[adapter.config_kind], adapter.config_kind, self.tables, clock
-        )
-        self.server_follower = ObjectFollower(
-            relayed[adapter.server_kind],
-            adapter.server_kind,
-            self.registry,
-            clock,
-            self._get_settle_ms,
-        )
-        self.watch_guard = WatchGuard(
-            self.config_follower,
-            self.server_follower,
-            self._view_store,
-            self.fleet.get_near_period,
-            self.fleet.get_far_period,
-            clock,
+        self.followed = FollowedObjects(
+            adapter, self.tables, self.registry, self.network, self.fleet, clock
         )
-        self.registry.get_recovered_ms = lambda: self.server_follower.recovered_ms
 
     def _build_forwarding(self) -> None:
         """Build the path of a request."""
@@ -164,10 +130,10 @@
             self.reachability,
             self.models,
             self.registry.list_all,
-            self._view_store,
+            self.followed.view,
             clock,
         )
-        self.schedule = ReportSchedule(self.reports, self.fleet, self.watch_guard, clock)
+        self.schedule = ReportSchedule(self.reports, self.fleet, self.followed.guard, clock)
         self.observer = GatewayObserver(self.usage, self.true_time, clock)
         self.budget = RepeatBudget(
             settings.repeat_ratio,
@@ -212,8 +178,8 @@
             self.registry.list_all,
             self._measure_demand,
             lambda service: self.models.get(service).tokens_per_ms,
-            self._knows_all_servers,
-            lambda: self.registry.is_mostly_filled(self.server_follower.first_synced_ms),
+            self.followed.knows_all_servers,
+            self.followed.knows_most_servers,
             clock,
         )
         keeper = UsageKeeper(self.usage, store, clock)
@@ -244,7 +210,7 @@
         peer_address = self.network.start()
         listen_address = self.callers.start()
         page_addresses = self.pages.start()
-        for follower in (self.config_follower, self.server_follower):
+        for follower in (self.followed.configuration, self.followed.servers):
             self._spawn(follower.run)
         for task in (
             self._refresh_fleet,
@@ -267,8 +233,7 @@
 
     def is_ready(self) -> bool:
         """Return whether new callers can be served."""
-        knows = self.tables.current is not None and self.server_follower.is_synced
-        ready = (knows or self._was_ready) and not self._is_stopping
+        ready = (self.followed.is_synced or self._was_ready) and not self._is_stopping
         if ready != self._was_ready:
             log_event(Event.READINESS_CHANGED, ready=ready, stopping=self._is_stopping)
         self._was_ready = ready
@@ -345,41 +310,12 @@
             self._clock.sleep_ms(FIT_MS)
             self.models.fit()
 
-    def _view_store(self) -> StoreView:
-        table = self.tables.current
-        return StoreView(
-            table.revision if table is not None else 0,
-            self.registry.hash_servers(),
-            self._adapter.store.last_outage,
-            self._describe_relayed(),
-        )
-
-    def _describe_relayed(self) -> dict[str, int]:
-        """Return the versions that this gateway's watches have told its zone; none if it is not to."""
-        if not self.fleet.is_watcher():
-            return {}
-        followers = (self.config_follower, self.server_follower)
-        return {one.kind: one.live_version for one in followers}
-
-    def _relay_page(self, page: WatchedPage) -> None:
-        self.network.send_all(self.fleet.list_relay_addresses(), page)
-
-    def _get_settle_ms(self) -> float:
-        """Return how long changes of the registry may gather: longer with more watchers."""
-        if not self._knows_all_servers():
-            return LONGEST_SETTLE_MS
-        return SETTLE_MS if self.fleet.is_watcher() else 0.0
-
     def _measure_demand(self, service: str) -> Demand:
         own = self.loads.measure_own_demand().get(service, 0.0)
         servers = [one.incarnation for one in self.registry.list_all() if one.serves == service]
         running = self.loads.count_running(servers)
         return Demand(own + self.fleet.sum_demand(service), running)
 
-    def _knows_all_servers(self) -> bool:
-        """Return whether the registry was followed long enough for every server to be in it."""
-        return self.registry.is_complete(self.server_follower.first_synced_ms)
-
     def _forget_server(self, server: BackendServer) -> None:
         self.pool.forget(server.address)
         self.reachability.forget(server)
@@ -395,5 +331,5 @@
         return {
             "revision": table.revision,
             "routes": len(table.routes),
-            "watch_lost": self.config_follower.is_lost,
+            "watch_lost": self.followed.configuration.is_lost,
         }
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -38,7 +38,7 @@
 one a gateway that is cut off keeps its part, so that limits may be exceeded by the parts of those
 that are cut off."""
 WATCHERS_PER_ZONE = 2
-"""Gateways of each zone that watch the registry for the others. One that is killed or frozen leaves
+"""Gateways of each zone that watch the object service for the others. One that is killed or frozen leaves
 another, so that nothing waits for its silence to be noticed."""
 HEARD_MS = 100.0
 """How long a list of the gateways in touch serves: it is asked for at each spending that is told, some
@@ -269,18 +269,18 @@
         return any(peer.report is not None and peer.report.leads for peer in self.list_heard())
 
     def is_watcher(self) -> bool:
-        """Return whether this gateway is to watch the registry for others of its zone."""
+        """Return whether this gateway is to watch the object service for others of its zone."""
         return self.name in self._list_watcher_names()
 
     def find_relayed_version(self, kind: str) -> int:
-        """Return the newest registry version that a watcher of this zone in touch has sent."""
+        """Return the newest version of a kind that a watcher of this zone in touch has sent."""
         names = self._list_watcher_names()
         watchers = (one for one in self._list_zone() if one.name in names)
         relayed = (one.view.relayed.get(kind, 0) for one in watchers)
         return max(relayed, default=0)
 
     def list_relay_addresses(self) -> list[str]:
-        """Return the gateways of this zone that hear of the registry from its watchers."""
+        """Return the gateways of this zone that hear of changes from its watchers."""
         names = self._list_watcher_names()
         return [peer.address for peer in self._list_zone() if peer.name not in names]
 
--- /dev/null
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -0,0 +1,119 @@
+"""What a gateway follows in the object service: the configuration and the registry of servers.
+
+Each kind is followed by an `ObjectFollower` over a `RelayedWatch`, so that a zone's watchers watch for
+all; a `WatchGuard` finds watches that have gone deaf.
+"""
+
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.gateway.adapter import Adapter
+from hemlockswitch.process.gateway.configuration import TableHolder
+from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.follower import ObjectFollower
+from hemlockswitch.process.gateway.messages import WatchedPage
+from hemlockswitch.process.gateway.registry import ServerRegistry
+from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
+from hemlockswitch.process.gateway.watch_guard import StoreView, WatchGuard
+
+SETTLE_MS = 400.0
+"""How long changes gather before the next watch: each change wakes the watch of every watcher, and
+each watch is a call. Servers come and go by zones, over half a second; of 55 watches of a gateway
+in a day with waves of reclaims 40 are left. The first change after a pause is learned at once."""
+LONGEST_SETTLE_MS = 600.0
+"""A leaving server must get nothing new two seconds after it said so; this leaves most of it. While
+the registry fills after a start, changes gather for as long: of the 82 watches of a
+gateway in a minute 26 fell into these four seconds."""
+
+
+class FollowedObjects:
+    """The followers of a gateway, and what they have learned.
+
+    Parameters
+    ==========
+
+    adapter : the object service, its kinds, and their decoders.
+    tables : holds the configuration in force.
+    registry : holds the backend servers.
+    network, fleet : the other gateways, which the zone's watchers send their pages to.
+    clock : the time.
+    """
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        tables: TableHolder,
+        registry: ServerRegistry,
+        network: PeerNetwork,
+        fleet: Fleet,
+        clock: Clock,
+    ) -> None:
+        self._store = adapter.store
+        self._tables = tables
+        self._registry = registry
+        self._network = network
+        self._fleet = fleet
+        self._watches = {
+            kind: RelayedWatch(adapter.store, fleet, self._relay_page, clock)
+            for kind in (adapter.config_kind, adapter.server_kind)
+        }
+        network.handle(WatchedPage, self._take_page, quick=True)
+        self.configuration = ObjectFollower(
+            self._watches[adapter.config_kind], adapter.config_kind, tables, clock
+        )
+        self.servers = ObjectFollower(
+            self._watches[adapter.server_kind],
+            adapter.server_kind,
+            registry,
+            clock,
+            self._get_settle_ms,
+        )
+        self.guard = WatchGuard(
+            self.configuration,
+            self.servers,
+            self.view,
+            fleet.get_near_period,
+            fleet.get_far_period,
+            clock,
+        )
+        registry.get_recovered_ms = lambda: self.servers.recovered_ms
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether a configuration and the list of servers are known."""
+        return self._tables.current is not None and self.servers.is_synced
+
+    def knows_all_servers(self) -> bool:
+        """Return whether the registry was followed long enough for every server to be in it."""
+        return self._registry.is_complete(self.servers.first_synced_ms)
+
+    def knows_most_servers(self) -> bool:
+        """Return whether the registry was followed for as long as a heartbeat takes."""
+        return self._registry.is_mostly_filled(self.servers.first_synced_ms)
+
+    def view(self) -> StoreView:
+        """Return what this gateway knows of the object service, for the others."""
+        table = self._tables.current
+        return StoreView(
+            table.revision if table is not None else 0,
+            self._registry.hash_servers(),
+            self._store.last_outage,
+            self._describe_relayed(),
+        )
+
+    def _describe_relayed(self) -> dict[str, int]:
+        """Return the versions that this gateway's watches have told its zone; none if it is not to."""
+        if not self._fleet.is_watcher():
+            return {}
+        return {one.kind: one.live_version for one in (self.configuration, self.servers)}
+
+    def _relay_page(self, page: WatchedPage) -> None:
+        self._network.send_all(self._fleet.list_relay_addresses(), page)
+
+    def _take_page(self, _address: str, page: WatchedPage) -> None:
+        self._watches[page.kind].take_page(page)
+
+    def _get_settle_ms(self) -> float:
+        """Return how long changes of the registry may gather."""
+        if not self.knows_all_servers():
+            return LONGEST_SETTLE_MS
+        return SETTLE_MS if self._fleet.is_watcher() else 0.0
--- a/tests/test_gateway_site.py
+++ b/tests/test_gateway_site.py
@@ -57,8 +57,8 @@
     site.wait(lambda: any(one.duties.leads for one in site.gateways))
     site.store.faults = StoreFaults(mode="swallow")
     for gateway in site.gateways:
-        gateway.config_follower.renew_watch()
-        gateway.server_follower.renew_watch()
+        gateway.followed.configuration.renew_watch()
+        gateway.followed.servers.renew_watch()
     gevent.sleep(2.5)
     site.store.faults = StoreFaults()
     site.store.put("config", "main", make_manifest(2, check=None))
--- a/tests/test_relayed_watch.py
+++ b/tests/test_relayed_watch.py
@@ -179,7 +179,7 @@
     one = Site(gateways=GATEWAYS)
     one.add_runner("app")
     one.wait(lambda: all(gateway.fleet.count_in_touch() == GATEWAYS for gateway in one.gateways))
-    one.wait(lambda: all(gateway._knows_all_servers() for gateway in one.gateways))
+    one.wait(lambda: all(gateway.followed.knows_all_servers() for gateway in one.gateways))
     yield one
     one.close()
 
