--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -111,8 +111,13 @@
             self._loads.failures.pop_untold(),
         )
         for relays in self._fleet.draw_relays():
-            # A gateway that was killed refuses connections: the next one of its zone gets the word.
-            any(self._network.send(address, change) for address in relays)
+            self._tell_first(relays, change)
+
+    def _tell_first(self, relays: Iterable[str], change: ChangeReport) -> None:
+        """Tell the first relay that has a stream; one that was killed refuses connections."""
+        for address in relays:
+            if self._network.send(address, change):
+                return
 
     def send_spending(self) -> None:
         """Tell every gateway that is in touch what the accounts have spent."""
--- a/tests/test_change_relay.py
+++ b/tests/test_change_relay.py
@@ -7,9 +7,11 @@
 
 import statistics
 
+import gevent
 import pytest
 
 from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.process.gateway import neighbours
 from hemlockswitch.process.gateway.accounts import SharedLimits
 from hemlockswitch.process.gateway.change_relay import MOST_GATHERED, ChangeRelay
 from hemlockswitch.process.gateway.fleet import Fleet
@@ -21,6 +23,7 @@
 from hemlockswitch.request.dialect import Prompt, PromptPart
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.serving_table import ForwardedAccount
+from tests.gateway_site import Site
 from tests.herd_replay import HerdReplay
 
 ZONES = 4
@@ -212,3 +215,38 @@
     periodic = [HerdReplay(seed, **fleet).run(5_000).find_worth(2_000) for seed in seeds]
     relayed = [HerdReplay(seed, **fleet, **told).run(5_000).find_worth(2_000) for seed in seeds]
     assert statistics.fmean(relayed) >= statistics.fmean(periodic) + 0.08
+
+
+GATEWAYS = 6
+
+
+@pytest.fixture
+def site(monkeypatch):
+    """Six gateways that report as a larger fleet does."""
+    monkeypatch.setattr(neighbours, "MESH_GATEWAYS", 2)
+    one = Site(gateways=GATEWAYS)
+    one.wait(lambda: all(gateway.fleet.count_in_touch() == GATEWAYS for gateway in one.gateways))
+    yield one
+    one.close()
+
+
+def test_a_send_is_known_to_all_gateways_over_their_streams(site):
+    site.add_runner("app", work_ms=1_500)
+    (server,) = site.gateways[0].registry.list_all()
+    call = gevent.spawn(site.ask, "/check/x")
+    others = site.gateways[1:]
+    site.wait(lambda: all(one.loads.count_running([server.incarnation]) == 1 for one in others))
+    assert call.get(timeout=10).status == 200
+    site.wait(lambda: all(one.loads.count_running([server.incarnation]) == 0 for one in others))
+
+
+def test_a_failure_is_known_to_all_gateways_over_their_streams(site):
+    runner = site.add_runner("app")
+    runner.fail(fail=True)
+    (server,) = site.gateways[0].registry.list_all()
+    assert site.ask("/hold/x").status == 500
+    site.wait(
+        lambda: all(
+            one.loads.failures.get_rate(server.incarnation) > 0 for one in site.gateways[1:]
+        )
+    )
