Tell a change by the servers that it concerns

A change named all servers on which its gateway had something in progress, six on average: 359 bytes, and 660 of them a second are 1.9 Mbit/s at each gateway.

Change: a change has the servers on which the load has changed; the others' loads stay, and the next whole report repairs what a lost one left. Each server has its own number, as two changes may overtake one another.

--- a/hemlockswitch/process/gateway/change_relay.py
+++ b/hemlockswitch/process/gateway/change_relay.py
@@ -9,6 +9,8 @@
 another zone once, in place of once for each of its gateways.
 """
 
+from collections.abc import Mapping
+
 from gevent.event import Event as Signal
 
 from hemlockswitch.connection.peers import PeerNetwork
@@ -16,8 +18,9 @@
 from hemlockswitch.process.gateway.accounts import SharedLimits
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.loads import ServerLoads
-from hemlockswitch.process.gateway.messages import ChangeReport, GatewayReport, RelayedChanges
+from hemlockswitch.process.gateway.messages import ChangeReport, Loads, RelayedChanges, SentPrompt
 from hemlockswitch.process.gateway.reported_loads import ServerLoad
+from hemlockswitch.request.dialect import Chain
 
 RELAY_MS = 100.0
 """How long changes gather before they are passed on: half of what a server needs for a prompt of ten
@@ -26,17 +29,22 @@
 """Changes that wait to be passed on; more is dropped, and repaired by the reports that follow."""
 
 
-def take_load(loads: ServerLoads, report: GatewayReport | ChangeReport) -> None:
-    """Take the load that another gateway has told, directly or over a relay."""
-    by_server = {
+def write_loads(loads: Mapping[str, ServerLoad]) -> Loads:
+    """Return loads as messages have them."""
+    return {server: (load.running, load.waiting_tokens) for server, load in loads.items()}
+
+
+def read_loads(loads: Loads) -> dict[str, ServerLoad]:
+    """Return the loads of a message."""
+    return {
         server: ServerLoad(int(running), float(waiting_tokens))
-        for server, (running, waiting_tokens) in report.loads.items()
+        for server, (running, waiting_tokens) in loads.items()
     }
-    sent = [
-        (server, tuple((digest, tokens) for digest, tokens in chain))
-        for server, chain in report.sent
-    ]
-    loads.take_report(report.name, by_server, sent, (report.incarnation, report.number))
+
+
+def read_sent(sent: list[SentPrompt]) -> list[tuple[str, Chain]]:
+    """Return the prompts sent that a message tells."""
+    return [(server, tuple((digest, tokens) for digest, tokens in chain)) for server, chain in sent]
 
 
 def name_process(name: str, incarnation: int) -> str:
@@ -108,6 +116,8 @@
         if report.name == self._fleet.name:
             return
         self._fleet.note_alive(report.name)
-        take_load(self._loads, report)
+        order = (report.incarnation, report.number)
+        changes, sent = read_loads(report.loads), read_sent(report.sent)
+        self._loads.take_changes(report.name, changes, sent, order)
         self._loads.failures.take_told(report.name, report.results)
         self._limits.take_report(name_process(report.name, report.incarnation), report.spent)
--- a/hemlockswitch/process/gateway/loads.py
+++ b/hemlockswitch/process/gateway/loads.py
@@ -141,6 +141,7 @@
         self._on_change = on_change
         self._running: dict[str, int] = defaultdict(int)
         self._waiting: dict[str, float] = defaultdict(float)
+        self._untold_loads: set[str] = set()
         self.failures = ServerFailures(clock)
         self._memories: dict[str, PromptMemory] = {}
         self._demand: dict[str, DemandMeter] = {}
@@ -171,6 +172,7 @@
         """Change the own load on a server."""
         self._running[name] += running
         self._waiting[name] += waiting_tokens
+        self._untold_loads.add(name)
         self._on_change()
 
     def note_result(self, name: str, failed: bool) -> None:
@@ -180,6 +182,7 @@
     def forget(self, name: str) -> None:
         """Forget a server that is gone, but for the sends in progress."""
         self.failures.forget(name)
+        self._untold_loads.discard(name)
         self._memories.pop(name, None)
         if not self._running.get(name):
             self._running.pop(name, None)
@@ -203,6 +206,26 @@
             if running
         }
 
+    def pop_changed(self) -> dict[str, ServerLoad]:
+        """Return the own load on the servers on which it has changed since the last call."""
+        changed = {
+            name: ServerLoad(self._running.get(name, 0), round(self._waiting.get(name, 0.0)))
+            for name in self._untold_loads
+        }
+        self._untold_loads.clear()
+        return changed
+
+    def take_changes(
+        self,
+        daemon: str,
+        changes: Mapping[str, ServerLoad],
+        sent: Sequence[SentPrompt],
+        order: Order,
+    ) -> None:
+        """Take what has changed of another daemon's load; the rest of it stays."""
+        self._reported.take_changes(daemon, changes, order)
+        self._note_sent(sent)
+
     def pop_sent(self) -> list[SentPrompt]:
         """Return the prompts sent since the last call, for other daemons."""
         sent = list(self._untold)
@@ -224,6 +247,9 @@
         order : see `ReportedLoads.take`.
         """
         self._reported.take(daemon, report, order)
+        self._note_sent(sent)
+
+    def _note_sent(self, sent: Sequence[SentPrompt]) -> None:
         for name, chain in sent:
             self._note_prompt(name, chain)
 
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -71,7 +71,8 @@
     Parameters
     ==========
 
-    name, incarnation, number, loads, sent : as in `GatewayReport`.
+    name, incarnation, number, sent : as in `GatewayReport`.
+    loads : the same, of the servers on which the load has changed since the last change that was told.
     spent : account to what it has spent since the process began, of those that have spent since the
         last change that was told.
     results : server incarnation to how many sends (succeeded, failed) since then.
--- a/hemlockswitch/process/gateway/reported_loads.py
+++ b/hemlockswitch/process/gateway/reported_loads.py
@@ -62,9 +62,21 @@
 
 @dataclass(frozen=True)
 class _Report:
+    """A daemon's load.
+
+    Parameters
+    ==========
+
+    order : of the newest word that it rests on.
+    whole_order : of the last report of the whole load.
+    changed : by server, the order of the newest change since then.
+    """
+
     received_ms: float
     order: Order
     loads: Mapping[str, ServerLoad]
+    whole_order: Order
+    changed: Mapping[str, Order] = field(default_factory=dict)
 
 
 class ReportedLoads:
@@ -113,7 +125,31 @@
         if order is None:
             order = last.order if last is not None else (0, 0)
         if last is None or order >= last.order:
-            self._reports[daemon] = _Report(self._clock.now_ms(), order, loads)
+            self._reports[daemon] = _Report(self._clock.now_ms(), order, loads, order)
+
+    def take_changes(self, daemon: str, changes: Mapping[str, ServerLoad], order: Order) -> None:
+        """Take the servers on which a daemon's load has changed; what it put on others stays.
+
+        One that is lost leaves the load of before, until the next whole report or change.
+        """
+        last = self._reports.get(daemon)
+        if last is None or last.order[0] < order[0]:
+            began = (order[0], 0)
+            last = _Report(self._clock.now_ms(), began, {}, began)
+        if order < last.whole_order:
+            return
+        # Two changes may overtake one another on their ways, so each server has its own number.
+        newer = {
+            name: load for name, load in changes.items() if order >= last.changed.get(name, order)
+        }
+        loads = {**last.loads, **newer}
+        self._reports[daemon] = _Report(
+            self._clock.now_ms(),
+            max(order, last.order),
+            {name: load for name, load in loads.items() if load.running},
+            last.whole_order,
+            {**last.changed, **dict.fromkeys(newer, order)},
+        )
 
     def sum_loads(self) -> LoadSums:
         """Return the sums over the daemons that reported lately."""
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -15,13 +15,17 @@
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.accounts import SharedLimits
-from hemlockswitch.process.gateway.change_relay import name_process, take_load
+from hemlockswitch.process.gateway.change_relay import (
+    name_process,
+    read_loads,
+    read_sent,
+    write_loads,
+)
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.messages import (
     ChangeReport,
     GatewayReport,
-    Loads,
     SentPrompt,
     SpendingReport,
     UsageReport,
@@ -105,7 +109,7 @@
             self._name,
             self._incarnation,
             self._take_number(),
-            self._describe_loads(),
+            write_loads(self._loads.pop_changed()),
             self._pop_sent(),
             self._limits.pop_changed(),
             self._loads.failures.pop_untold(),
@@ -138,10 +142,6 @@
         self._last_number += 1
         return self._last_number
 
-    def _describe_loads(self) -> Loads:
-        loads = self._loads.describe_own()
-        return {name: (load.running, load.waiting_tokens) for name, load in loads.items()}
-
     def _pop_sent(self) -> list[SentPrompt]:
         return [(name, list(chain)) for name, chain in self._loads.pop_sent()]
 
@@ -151,7 +151,7 @@
             name=self._name,
             incarnation=self._incarnation,
             believed_ms=self._true_time.now_ms(),
-            loads=self._describe_loads(),
+            loads=write_loads(self._loads.describe_own()),
             demand=self._loads.measure_own_demand(),
             spent=self._limits.describe_spent(),
             leads=self._leads(),
@@ -170,7 +170,10 @@
 
     def _take_report(self, address: str, report: GatewayReport) -> None:
         self._fleet.note_report(address, report, self._read_view(report))
-        take_load(self._loads, report)
+        order = (report.incarnation, report.number)
+        self._loads.take_report(
+            report.name, read_loads(report.loads), read_sent(report.sent), order
+        )
         self._limits.take_report(name_process(report.name, report.incarnation), report.spent)
         self._models.take_report(report.name, report.models)
         self._reachability.note_report(report.zone, report.name, report.period_ms)
--- a/tests/test_change_relay.py
+++ b/tests/test_change_relay.py
@@ -19,6 +19,7 @@
 from hemlockswitch.process.gateway.messages import ChangeReport, GatewayReport, RelayedChanges
 from hemlockswitch.process.gateway.neighbours import RELAYS_PER_ZONE
 from hemlockswitch.process.gateway.report_period import ReportPeriod
+from hemlockswitch.process.gateway.reported_loads import ServerLoad
 from hemlockswitch.process.gateway.watch_guard import StoreView
 from hemlockswitch.request.dialect import Prompt, PromptPart
 from hemlockswitch.version.backend import BackendServer
@@ -155,6 +156,37 @@
     assert listener.count_running() == 2
 
 
+def test_a_change_tells_the_servers_that_it_concerns_and_leaves_the_rest(gateways):
+    """A gateway with six requests in progress tells one of them, not all, at each change."""
+    listener = gateways[1]
+    clients = {f"e{number}": (1, 0.0) for number in range(2, 8)}
+    gateways[0].tell(clients | {"e1": (1, 0.0)}, number=1)
+    gateways[0].tell({"e1": (2, 0.0)}, number=2)
+    gateways[0].tell({"e3": (0, 0.0)}, number=3)
+    pass_on_all(gateways)
+    assert listener.count_running() == 2
+    assert listener.loads.count_running(["e2", "e4"]) == 2
+    assert listener.loads.count_running(["e3"]) == 0
+
+
+def test_a_whole_report_repairs_what_a_lost_change_left(gateways):
+    listener = gateways[1]
+    gateways[0].tell({"e1": (2, 0.0)}, number=1)
+    pass_on_all(gateways)
+    listener.loads.take_report("g00", {}, order=(1, 3))
+    assert listener.count_running() == 0
+
+
+def test_a_gateway_tells_each_change_of_its_load_once():
+    clock = ManualClock()
+    loads = ServerLoads(clock)
+    ticket = loads.begin(SERVER, None, 0.0, 0.0)
+    assert loads.pop_changed() == {"e1": ServerLoad(1, 0)}
+    assert loads.pop_changed() == {}
+    ticket.end(failed=False)
+    assert loads.pop_changed() == {"e1": ServerLoad(0, 0)}
+
+
 def test_a_restarted_gateway_counts_anew(gateways):
     listener = gateways[1]
     listener.loads.take_report("g00", {}, order=(1, 900))
