--- a/hemlockswitch/process/gateway/change_relay.py
+++ b/hemlockswitch/process/gateway/change_relay.py
@@ -18,7 +18,7 @@
 from hemlockswitch.process.gateway.accounts import SharedLimits
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.loads import ServerLoads
-from hemlockswitch.process.gateway.messages import ChangeReport, Loads, RelayedChanges, SentPrompt
+from hemlockswitch.process.gateway.messages import ChangeReport, Loads, PromptFields, RelayedChanges
 from hemlockswitch.process.gateway.reported_loads import ServerLoad
 from hemlockswitch.request.dialect import Chain
 
@@ -42,7 +42,7 @@
     }
 
 
-def read_sent(sent: list[SentPrompt]) -> list[tuple[str, Chain]]:
+def read_sent(sent: list[PromptFields]) -> list[tuple[str, Chain]]:
     """Return the prompts sent that a message tells."""
     return [(server, tuple((digest, tokens) for digest, tokens in chain)) for server, chain in sent]
 
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -9,11 +9,11 @@
 
 Loads = dict[str, tuple[int, float]]
 """Server incarnation to (requests in progress, prompt tokens that wait)."""
-SentPrompt = tuple[str, list[tuple[int, int]]]
-"""A server incarnation, and the (digest, tokens) of the shared beginnings of a prompt sent there."""
+PromptFields = tuple[str, list[tuple[int, int]]]
+"""A server incarnation, and the (digest, tokens) of each shared beginning of a prompt sent there."""
 Results = dict[str, tuple[int, int]]
 """Server incarnation to how many sends (succeeded, failed)."""
-ChangeFields = tuple[str, int, int, Loads, list[SentPrompt], dict[str, float], Results]
+ChangeFields = tuple[str, int, int, Loads, list[PromptFields], dict[str, float], Results]
 """The fields of a `ChangeReport`."""
 
 
@@ -53,7 +53,7 @@
     revision: int = 0
     servers_digest: int = 0
     outage_ms_ago: tuple[float, ...] = ()
-    sent: list[SentPrompt] = field(default_factory=list)
+    sent: list[PromptFields] = field(default_factory=list)
     zone: str = ""
     relayed: dict[str, int] = field(default_factory=dict)
     unreachable: list[str] = field(default_factory=list)
@@ -82,7 +82,7 @@
     incarnation: int
     number: int
     loads: Loads
-    sent: list[SentPrompt]
+    sent: list[PromptFields]
     spent: dict[str, float]
     results: Results
 
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -26,7 +26,7 @@
 from hemlockswitch.process.gateway.messages import (
     ChangeReport,
     GatewayReport,
-    SentPrompt,
+    PromptFields,
     SpendingReport,
     UsageReport,
 )
@@ -142,10 +142,10 @@
         self._last_number += 1
         return self._last_number
 
-    def _pop_sent(self) -> list[SentPrompt]:
+    def _pop_sent(self) -> list[PromptFields]:
         return [(name, list(chain)) for name, chain in self._loads.pop_sent()]
 
-    def _build_report(self, period: ReportPeriod, sent: list[SentPrompt]) -> GatewayReport:
+    def _build_report(self, period: ReportPeriod, sent: list[PromptFields]) -> GatewayReport:
         view = self._get_view()
         return GatewayReport(
             name=self._name,
--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -142,10 +142,10 @@
             return
         situation = self._describe(service)
         wanted = plan_copies(situation)
-        is_first = not any(
+        has_reclaimable = any(
             pool.machine_class is MachineClass.RECLAIMABLE for pool in situation.live
         )
-        if not situation.live or not is_first:
+        if not situation.live or has_reclaimable:
             return
         for pool, count in sorted(wanted.items()):
             last = self._orders.get((service.name, pool))
