Carry a gateway's time of day on from its report, not from its last change

Cause: a change over a relay set the moment at which its gateway was last heard, and the opinion on the time of day was carried on from that moment, though it was of the last report. Every gateway took the others for up to a period late and followed them back. Change: the moment of the report is kept beside the moment at which a gateway was last heard. Figures: the test failed first, with an opinion late by 1,200 ms.

--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -188,7 +188,7 @@
             peer = self._peers[report.name] = Peer(report.name, address, self._clock.now_ms())
         if peer.zone != report.zone or peer.report is None:
             self._note_change()
-        peer.heard_ms = self._clock.now_ms()
+        peer.heard_ms = peer.reported_ms = self._clock.now_ms()
         peer.zone = report.zone
         peer.link_mbps = report.link_mbps
         peer.report = report
@@ -350,7 +350,7 @@
         """Return what the gateways that were heard lately believe the time of day is now."""
         now_ms = self._clock.now_ms()
         return {
-            peer.name: peer.report.believed_ms + now_ms - peer.heard_ms
+            peer.name: peer.report.believed_ms + now_ms - peer.reported_ms
             for peer in self.list_heard()
             if peer.report is not None
         }
--- a/hemlockswitch/process/gateway/neighbours.py
+++ b/hemlockswitch/process/gateway/neighbours.py
@@ -29,8 +29,9 @@
     zone: str = ""  # empty while neither its registration nor a report has told it
     link_mbps: float = 0.0  # likewise
     version: int = 0  # of its registration; 0 while only its reports are known
-    heard_ms: float = float("-inf")
+    heard_ms: float = float("-inf")  # directly, or over a relay
     report: GatewayReport | None = None
+    reported_ms: float = float("-inf")  # when `report` came
     view: StoreView = StoreView()
 
 
--- a/tests/test_change_relay.py
+++ b/tests/test_change_relay.py
@@ -218,6 +218,16 @@
     assert listener.fleet.get_share() == 1.0
 
 
+def test_a_change_does_not_move_what_its_gateway_said_of_the_time(gateways):
+    """Opinions are carried on from the report that has them: else all clocks follow one another back."""
+    listener = gateways[1]
+    before = listener.fleet.list_opinions()["g00"]
+    listener.clock.advance(1_200)
+    gateways[0].tell({}, number=1)
+    pass_on_all(gateways)
+    assert listener.fleet.list_opinions()["g00"] == before + 1_200
+
+
 def test_prompts_that_were_sent_are_passed_on(gateways):
     prompt = Prompt((PromptPart("shared", 13_000), PromptPart("own", 500)), 13_500, 50)
     sent = [("e1", list(prompt.shared_chain))]
