Announce a new holder by the reports there are, and wrap two comments

The announcement built a report of its own, with the choice of what it tells written again; it is the report to the near gateways and the one to the far ones.

--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -43,8 +43,8 @@
 one a gateway that is cut off keeps its part, so that limits may be exceeded by the parts of those
 that are cut off."""
 WATCHERS_PER_ZONE = 2
-"""Gateways of each zone that watch the object service for the others. One that is killed or frozen leaves
-another, so that nothing waits for its silence to be noticed."""
+"""Gateways of each zone that watch the object service for the others. One that is killed or frozen
+leaves another, so that nothing waits for its silence to be noticed."""
 HEARD_MS = 100.0
 """How long a list of the gateways in touch serves: it is asked for at each spending that is told, some
 hundred times in a second, and a gateway falls out of touch after seconds."""
@@ -197,8 +197,8 @@
     def note_alive(self, name: str) -> None:
         """A gateway has told a change a moment ago, over a relay: it lives, and its word comes here.
 
-        After a restart of all this brings back the limits' parts within about a second, where the
-        first reports of far gateways take a period of four at 195 of them.
+        After a restart of all the limits' parts are back within about a second; the first reports of
+        far gateways take a whole period, four seconds at 195 gateways.
         """
         peer = self._peers.get(name)
         if peer is not None:
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -105,8 +105,8 @@
 
     def announce(self) -> None:
         """Tell every other gateway at once, as when this one has taken the duties over."""
-        sent = [] if self._fleet.reports_by_zone else self._pop_sent()
-        self._send(self._fleet.list_peers(), self._build_report(self._fleet.get_far_period(), sent))
+        self.send_near()
+        self.send_far()
 
     def send_changes(self) -> None:
         """Tell one gateway of each zone what has changed; it passes that on."""
