Name a request by its content in the lines of failed sends

The lines of the incident name a request by the identifier of the caller's attempt, so that two attempts with the same content cannot be recognised, and the hypotheses of the timeline cannot be told apart. A line 205 now has the hash of account, method, host, target and body. No decision changes.

--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -67,6 +67,7 @@
             log_event(
                 Event.ATTEMPT_FAILED,
                 request_id=progress.facts.request_id if progress.facts else "",
+                fingerprint=progress.admitted.fingerprint if progress.admitted else "",
                 server=progress.target,
                 failure=failure.value,
                 detail=detail,
--- a/hemlockswitch/request/claims.py
+++ b/hemlockswitch/request/claims.py
@@ -8,6 +8,7 @@
 
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.request.fingerprint import hash_call
 
 MAX_KEY_CHARACTERS = 255
 KEPT_BODY_BYTES = 4_096
@@ -230,9 +231,4 @@
 
 def fingerprint_call(method: str, service: str, path: str, query: str, body: bytes) -> str:
     """Return a hash of what a call asks for; the same key with another one is refused."""
-    digest = hashlib.sha256()
-    for part in (method, service, path, query):
-        encoded = part.encode("utf-8", "surrogateescape")
-        digest.update(len(encoded).to_bytes(4, "big") + encoded)
-    digest.update(body)
-    return digest.hexdigest()[:DIGEST_CHARACTERS]
+    return hash_call((method, service, path, query), body)[:DIGEST_CHARACTERS]
--- a/hemlockswitch/request/forward_admission.py
+++ b/hemlockswitch/request/forward_admission.py
@@ -1,14 +1,19 @@
 """Admission of forwarded requests: route, client account, limit and time left, before any send."""
 
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Protocol
 
 from hemlockswitch.connection.heads import ReceivedRequest
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.request.dialect import RequestFacts
+from hemlockswitch.request.fingerprint import hash_call
 from hemlockswitch.request.overload import QueueBound
 from hemlockswitch.version.serving_table import ForwardedAccount, Route, ServingTable
 
+FINGERPRINT_CHARACTERS = 32
+"""128 bits of the hash: nobody finds a second content with the same name."""
+
 
 class AccountLimiter(Protocol):
     """The limits of client accounts, over all daemons."""
@@ -45,6 +50,14 @@
             return self.account.priority
         return self.route.priority
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """The name of what is asked for: the same for each attempt, at any daemon."""
+        account = self.account.name if self.account is not None else ""
+        request = self.request
+        parts = (account, request.method, self.facts.host, request.target)
+        return hash_call(parts, request.body)[:FINGERPRINT_CHARACTERS]
+
 
 def admit_request(
     table: ServingTable | None,
