Hold back a content under which three servers have ended, over all gateways

What callers saw: in bursts one server of a service after another ended, up to 24, and a third of the requests failed. Cause: every bound on repeats was kept for one attempt of a caller (max_attempts, the servers to leave out) or in one process (the budget of repeats); a request that comes again has a new identifier and another gateway, and began with nothing. Ruled out: load (servers ended with two sends in progress, and all failed sends of the reproduction bear one content), unbounded repeats (205 of 1,766 requests were sent twice, none three times).

Ends are counted by content over all gateways, held back after three, kept in the object service, and tried by one gateway at a time after 2, 20 and 200 s; a complete answer clears a content. The mend holds because the count and the trials are facts of the fleet: a conditional write grants a trial.

--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -22,6 +22,7 @@
 from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.followed_objects import FollowedObjects
+from hemlockswitch.process.gateway.held_requests import HeldRequests
 from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.observation import GatewayObserver
 from hemlockswitch.process.gateway.pages import GatewayPages
@@ -30,14 +31,18 @@
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.reporting import ReportSchedule
 from hemlockswitch.process.gateway.reports import ReportExchange
+from hemlockswitch.process.gateway.request_guard import GatewayGuard
 from hemlockswitch.process.gateway.scaling import ScalingDuty
+from hemlockswitch.process.gateway.server_ends import ServerEnds
 from hemlockswitch.process.gateway.service_models import FIT_MS, ServiceModels
+from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts, UsageDuty
 from hemlockswitch.process.gateway.usage_keeper import UsageKeeper
 from hemlockswitch.process.gateway.view import GatewayView
 from hemlockswitch.process.lease import Lease
 from hemlockswitch.request.forwarding import Forwarder
+from hemlockswitch.request.quarantine import Quarantine
 from hemlockswitch.request.repeat_budget import RepeatBudget
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.gateway_settings import GatewaySettings
@@ -106,8 +111,15 @@
         self.loads = ServerLoads(
             clock, self.fleet.get_far_period, lambda: self.schedule.changed.set()
         )
+        self.quarantine = Quarantine(clock)
         self.followed = FollowedObjects(
-            adapter, self.tables, self.registry, self.network, self.fleet, clock
+            adapter,
+            self.tables,
+            self.registry,
+            self.network,
+            self.fleet,
+            self.quarantine.hash_held,
+            clock,
         )
 
     def _build_forwarding(self) -> None:
@@ -155,8 +167,32 @@
             self.schedule.note_large_prompt,
             clock,
         )
+        self._build_guard()
         self.forwarder = Forwarder(
-            self._adapter.dialect, view, self.limits, self.pool, self.budget, self.observer, clock
+            self._adapter.dialect,
+            view,
+            self.limits,
+            self.pool,
+            self.guard,
+            self.budget,
+            self.observer,
+            clock,
+        )
+
+    def _build_guard(self) -> None:
+        """Build what holds back requests under which backend servers end."""
+        clock, quarantine = self._clock, self.quarantine
+        process = name_process(self.settings.name, self._incarnation)
+        self.suspects = SuspectExchange(self.network, self.fleet, quarantine, clock)
+        self.guard = GatewayGuard(
+            quarantine,
+            ServerEnds(self.pool, self.registry, self.reachability, clock),
+            HeldRequests(process, quarantine, self._adapter.store, clock),
+            self.suspects,
+            self.fleet,
+            self.observer.metrics,
+            lambda: self.duties is not None and self.duties.leads,
+            clock,
         )
 
     def _build_duties(self) -> None:
@@ -208,6 +244,7 @@
         self.status.add("gateways", self.fleet.describe)
         self.status.add("models", self.models.describe)
         self.status.add("backend_servers", lambda: len(self.registry.list_all()))
+        self.status.add("quarantine", self.quarantine.describe)
         self.callers = ForwardServer(
             split_address(self.settings.listen),
             self.forwarder.handle,
@@ -233,6 +270,8 @@
             self.relay.run,
             self.schedule.send_spending,
             self.schedule.send_usage,
+            self.suspects.run,
+            self.guard.run,
             self._sweep,
             Prober(self.reachability, self.pool, self.registry.list_all, self._clock).run,
             self._fit_models,
@@ -246,7 +285,8 @@
 
     def is_ready(self) -> bool:
         """Return whether new callers can be served."""
-        ready = (self.followed.is_synced or self._was_ready) and not self._is_stopping
+        is_synced = self.followed.is_synced and self.guard.is_ready
+        ready = (is_synced or self._was_ready) and not self._is_stopping
         if ready != self._was_ready:
             log_event(Event.READINESS_CHANGED, ready=ready, stopping=self._is_stopping)
         self._was_ready = ready
--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -4,6 +4,8 @@
 all; a `WatchGuard` finds watches that have gone deaf.
 """
 
+from collections.abc import Callable
+
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.adapter import Adapter
@@ -35,6 +37,7 @@
     tables : holds the configuration in force.
     registry : holds the backend servers.
     network, fleet : the other gateways, which the zone's watchers send their pages to.
+    hash_held : returns a digest of the requests that are held back.
     clock : the time.
     """
 
@@ -45,6 +48,7 @@
         registry: ServerRegistry,
         network: PeerNetwork,
         fleet: Fleet,
+        hash_held: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._store = adapter.store
@@ -52,6 +56,7 @@
         self._registry = registry
         self._network = network
         self._fleet = fleet
+        self._hash_held = hash_held
         self._watches = {
             kind: RelayedWatch(adapter.store, fleet, self._relay_page, clock)
             for kind in (adapter.config_kind, adapter.server_kind)
@@ -98,6 +103,7 @@
             self._registry.hash_servers(),
             self._store.last_outage,
             self._describe_relayed(),
+            self._hash_held(),
         )
 
     def _describe_relayed(self) -> dict[str, int]:
--- /dev/null
+++ b/hemlockswitch/process/gateway/held_requests.py
@@ -0,0 +1,215 @@
+"""The requests that are held back, kept in the object service: what outlasts all gateways.
+
+A gateway that starts must not begin to count anew, and neither must all of them after a restart of the
+whole fleet. A trial takes a conditional write, so that of all gateways one tries at a time, whatever has
+become of their messages; without the object service nothing is tried.
+"""
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from hemlockswitch.connection.stored_objects import (
+    ObjectPage,
+    StoredObject,
+    Unknown,
+    WriteOutcome,
+    Written,
+)
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import PlatformError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.request.quarantine import Quarantine, SuspectRecord
+
+HELD_KIND = "held-requests"
+STALE_MS = 5_000.0
+"""A list may lack what was written in this time."""
+
+
+class HeldStore(Protocol):
+    """What is needed of the object service; see `PlatformClient`."""
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or None."""
+
+    def list_stale(self, kind: str) -> ObjectPage:
+        """Return the objects of a kind as they were at most some seconds ago."""
+
+    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
+        """Write an object that must not exist yet."""
+
+    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
+        """Write an object whose version must be `version`."""
+
+    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
+        """Delete an object whose version must be `version`."""
+
+
+@dataclass(frozen=True)
+class TrialOutcome:
+    """Whether a content may be tried now, and why not."""
+
+    is_granted: bool
+    detail: str = ""
+
+
+class HeldRequests:
+    """Keeps what `quarantine` holds back, and grants trials.
+
+    Parameters
+    ==========
+
+    process : names this start of the gateway.
+    quarantine : what this gateway knows.
+    store : the object service.
+    clock : the time.
+    """
+
+    def __init__(
+        self, process: str, quarantine: Quarantine, store: HeldStore, clock: Clock
+    ) -> None:
+        self.is_loaded = False
+        self._process = process
+        self._quarantine = quarantine
+        self._store = store
+        self._clock = clock
+        self._stored_ms: dict[str, float] = {}  # fingerprint to when it was known to be stored
+        self._to_remove: set[str] = set()
+
+    def load(self) -> None:
+        """Take what is kept; what is not kept any more was released.
+
+        Raises
+        ======
+
+        PlatformError : the object service did not answer.
+        """
+        page = self._store.list_stale(HELD_KIND)
+        listed = set()
+        for item in page.items:
+            record = _read_record(item)
+            if record is not None:
+                listed.add(record.fingerprint)
+                self._quarantine.take(record)
+                self._stored_ms[record.fingerprint] = self._clock.now_ms()
+        oldest_ms = self._clock.now_ms() - STALE_MS
+        for fingerprint, stored_ms in list(self._stored_ms.items()):
+            if fingerprint not in listed and stored_ms < oldest_ms:
+                del self._stored_ms[fingerprint]
+                self._quarantine.note_answer(fingerprint)
+        self.is_loaded = True
+
+    def note_released(self, fingerprint: str) -> None:
+        """A content was answered here: it need not be kept any more."""
+        self._to_remove.add(fingerprint)
+
+    def save(self, *, is_keeper: bool) -> None:
+        """Write what is held back and not kept yet, and remove what was released.
+
+        Parameters
+        ==========
+
+        is_keeper : whether to do so also for what other gateways saw; one of them may have ended
+            before it wrote.
+
+        Raises
+        ======
+
+        PlatformError : the object service did not answer.
+        """
+        held = self._quarantine.list_held()
+        for fingerprint in held:
+            if fingerprint in self._stored_ms:
+                continue
+            if is_keeper or self._quarantine.was_seen_here(fingerprint):
+                self._create(fingerprint)
+        released = set(self._stored_ms) - set(held)
+        for fingerprint in (released | self._to_remove) if is_keeper else set(self._to_remove):
+            self._remove(fingerprint)
+        for fingerprint in released:
+            self._stored_ms.pop(fingerprint, None)
+
+    def take_trial(self, fingerprint: str) -> TrialOutcome:
+        """Return whether this gateway may try a content now; one gateway may at a time.
+
+        Raises
+        ======
+
+        PlatformError : the object service did not answer.
+        """
+        found = self._store.read(HELD_KIND, fingerprint)
+        known = self._quarantine.get_record(fingerprint)
+        if found is None:
+            if fingerprint in self._stored_ms:
+                del self._stored_ms[fingerprint]
+                self._quarantine.note_answer(fingerprint)
+                return TrialOutcome(True, "released elsewhere")
+            return self._write_trial(fingerprint, known.trials + 1, None)
+        self._stored_ms[fingerprint] = self._clock.now_ms()
+        self._quarantine.take(_read_record(found) or known)
+        # What was read may show a trial elsewhere, and another request may have got one meanwhile.
+        if self._quarantine.find_standing(fingerprint).trial_in_ms != 0:
+            return TrialOutcome(False, "tried elsewhere")
+        return self._write_trial(fingerprint, known.trials + 1, found.version)
+
+    def _write_trial(self, fingerprint: str, trials: int, version: int | None) -> TrialOutcome:
+        value = self._build_value(fingerprint, trials)
+        if version is None:
+            outcome = self._store.create(HELD_KIND, fingerprint, value)
+        else:
+            outcome = self._store.update(HELD_KIND, fingerprint, value, version)
+        if not isinstance(outcome, Written) and not self._was_written(outcome, fingerprint, value):
+            return TrialOutcome(False, "another gateway was first")
+        self._stored_ms[fingerprint] = self._clock.now_ms()
+        self._quarantine.note_trial(fingerprint, trials)
+        return TrialOutcome(True)
+
+    def _was_written(self, outcome: WriteOutcome, fingerprint: str, value: Any) -> bool:
+        """Return whether a write whose answer was lost took effect."""
+        if not isinstance(outcome, Unknown):
+            return False
+        found = self._store.read(HELD_KIND, fingerprint)
+        return found is not None and found.value == value
+
+    def _create(self, fingerprint: str) -> None:
+        trials = self._quarantine.get_record(fingerprint).trials
+        value = self._build_value(fingerprint, trials)
+        outcome = self._store.create(HELD_KIND, fingerprint, value)
+        if not isinstance(outcome, Unknown):
+            self._stored_ms[fingerprint] = self._clock.now_ms()
+
+    def _remove(self, fingerprint: str) -> None:
+        found = self._store.read(HELD_KIND, fingerprint)
+        if found is not None:
+            self._store.delete(HELD_KIND, fingerprint, found.version)
+        self._stored_ms.pop(fingerprint, None)
+        self._to_remove.discard(fingerprint)
+
+    def _build_value(self, fingerprint: str, trials: int) -> dict[str, Any]:
+        record = self._quarantine.get_record(fingerprint)
+        counted = [one for one in record.ends if one not in record.excused]
+        return {"ends": counted, "trials": trials, "by": self._process}
+
+
+def _read_record(item: StoredObject) -> SuspectRecord | None:
+    """Return what an object says; None if another program wrote it."""
+    try:
+        ends = [str(one) for one in item.value["ends"]]
+        return SuspectRecord(item.name, tuple(ends), (), int(item.value["trials"]))
+    except (TypeError, KeyError, ValueError) as error:
+        log_event(
+            Event.OBJECT_UNREADABLE,
+            "warning",
+            kind=item.kind,
+            name=item.name,
+            detail=repr(error),
+        )
+        return None
+
+
+def save_if_possible(held: HeldRequests, *, is_keeper: bool) -> None:
+    """Save, and leave it for the next time if the object service is away."""
+    try:
+        held.save(is_keeper=is_keeper)
+    except PlatformError as error:
+        log_event(Event.DUTY_FAILED, "warning", detail=error.detail)
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -35,7 +35,7 @@
     demand : service to the prompt tokens in a millisecond that it sends.
     spent : account to what it has spent since the process began.
     leads : whether it holds the duties.
-    revision, servers_digest, relayed : see `process.gateway.watch_guard.StoreView`.
+    revision, servers_digest, relayed, held_digest : see `process.gateway.watch_guard.StoreView`.
     outage_ms_ago : when the last outage of the object service began and ended; empty if none.
     sent : (server incarnation, shared beginnings) of each prompt sent since the last report.
     zone : its availability zone.
@@ -61,6 +61,7 @@
     number: int = 0
     period_ms: float = 0.0
     link_mbps: float = 0.0
+    held_digest: int = 0
 
 
 @register_message("change_report")
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -64,6 +64,9 @@
     failures : kind of failure to sends without a complete answer.
     connections : connections made to backend servers.
     begun : route to the times from a request's head to the beginning of its answer.
+    ends : requests that were in progress on a backend server when it ended without notice.
+    trials : requests that were held back for such ends, and sent as a trial.
+    held : contents that are held back for them now.
 
     Examples
     ========
@@ -79,6 +82,9 @@
         self.failures: Counter[str] = Counter()
         self.connections = 0
         self.begun: dict[str, Timings] = defaultdict(Timings)
+        self.ends = 0
+        self.trials = 0
+        self.held = 0
 
     def render(self) -> bytes:
         """Return the metrics as Prometheus text."""
@@ -96,7 +102,11 @@
 
     def collect(self) -> "Iterator[Metric]":
         """Yield the figures as the library's types (called by it)."""
-        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
 
         requests = CounterMetricFamily(
             "hemlock_forwarded_requests",
@@ -125,3 +135,14 @@
         yield CounterMetricFamily(
             "hemlock_backend_connections", "Connections made.", value=self.connections
         )
+        yield CounterMetricFamily(
+            "hemlock_requests_on_ended_servers",
+            "Requests in progress on a backend server that ended.",
+            value=self.ends,
+        )
+        yield CounterMetricFamily(
+            "hemlock_quarantine_trials", "Held-back requests sent as a trial.", value=self.trials
+        )
+        yield GaugeMetricFamily(
+            "hemlock_quarantined_contents", "Contents that are held back.", value=self.held
+        )
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -138,6 +138,13 @@
             and self._misdirected_until_ms.get(name, 0.0) <= now_ms
         ]
 
+    def is_live(self, server: BackendServer) -> bool:
+        """Return whether this process of a server is registered and does not leave."""
+        known = self._servers.get(server.name)
+        if known is None or known.incarnation != server.incarnation:
+            return False
+        return known.state is BackendState.LIVE
+
     def list_all(self) -> list[BackendServer]:
         """Return every server that is listed, also those that are leaving."""
         self._drop_held()
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -171,6 +171,7 @@
             number=self._take_number(),
             period_ms=period.ms,
             link_mbps=self._fleet.link_mbps,
+            held_digest=view.held_digest,
         )
 
     def _take_report(self, address: str, report: GatewayReport) -> None:
@@ -198,7 +199,9 @@
             now_ms = self._clock.now_ms()
             began_ms_ago, ended_ms_ago = report.outage_ms_ago
             outage = Outage(now_ms - began_ms_ago, now_ms - ended_ms_ago)
-        return StoreView(report.revision, report.servers_digest, outage, report.relayed)
+        return StoreView(
+            report.revision, report.servers_digest, outage, report.relayed, report.held_digest
+        )
 
     def _take_spending(self, _address: str, report: SpendingReport) -> None:
         self._limits.take_report(name_process(report.name, report.incarnation), report.spent)
--- /dev/null
+++ b/hemlockswitch/process/gateway/request_guard.py
@@ -0,0 +1,209 @@
+"""Holds back forwarded requests under which backend servers end; see `request.quarantine`.
+
+`RequestGuard` is asked before each send and told what became of it. Its task writes what is to outlast
+this gateway, and compares what it holds back with what others do.
+"""
+
+from collections.abc import Callable
+
+import gevent
+
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import ErrorKind, PlatformError, RequestError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.held_requests import (
+    STALE_MS,
+    HeldRequests,
+    TrialOutcome,
+    save_if_possible,
+)
+from hemlockswitch.process.gateway.metrics import GatewayMetrics
+from hemlockswitch.process.gateway.server_ends import ServerEnds
+from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
+from hemlockswitch.request.clearance import Clearance
+from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.request.quarantine import Quarantine, Standing
+from hemlockswitch.version.backend import BackendServer
+
+LOOK_MS = 250.0
+"""Time between two looks of the task; what is held back is written within it."""
+TRIAL_LIMIT_MS = 500.0
+"""How long a request may wait for the word that it may be tried; then it is refused."""
+LOAD_PAUSE_MS = 3_000.0
+"""Least time between two lists for a difference, which may last until a message has come."""
+ALONE_PAUSE_MS = 5_000.0
+"""Time between two lists while gateways are missed: their messages are, too."""
+
+
+class GatewayGuard:
+    """The guard of a gateway's requests; see `request.clearance.RequestGuard`.
+
+    Parameters
+    ==========
+
+    quarantine : what is known of the contents under which servers end.
+    ends : finds out which servers have ended.
+    held : keeps what is held back, and grants trials.
+    exchange : tells the other gateways.
+    fleet : the other gateways, and what they hold back.
+    metrics : counts ends and trials.
+    leads : returns whether this gateway holds the duties.
+    clock : the time.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        ends: ServerEnds,
+        held: HeldRequests,
+        exchange: SuspectExchange,
+        fleet: Fleet,
+        metrics: GatewayMetrics,
+        leads: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._quarantine = quarantine
+        self._ends = ends
+        self._held = held
+        self._exchange = exchange
+        self._fleet = fleet
+        self._metrics = metrics
+        self._leads = leads
+        self._clock = clock
+        self._known_held: set[str] = set()
+        self._loaded_ms: float | None = None
+        self._first_loaded_ms: float | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether what earlier gateways held back is known."""
+        return self._held.is_loaded
+
+    def clear(self, admitted: AdmittedRequest, *, may_try: bool) -> Clearance:
+        """Return how a request may be sent now, or raise if it is held back."""
+        if self._quarantine.is_empty:
+            return Clearance.FREE
+        standing = self._quarantine.find_standing(admitted.fingerprint)
+        if standing.is_held:
+            return self._clear_held(admitted.fingerprint, standing, may_try)
+        return Clearance.CAREFUL if standing.is_careful else Clearance.FREE
+
+    def _clear_held(self, fingerprint: str, standing: Standing, may_try: bool) -> Clearance:
+        if may_try and standing.trial_in_ms == 0:
+            outcome = self._ask_for_trial(fingerprint)
+            trials = self._quarantine.get_record(fingerprint).trials
+            log_event(
+                Event.QUARANTINE_TRIAL,
+                fingerprint=fingerprint,
+                trial=trials,
+                granted=outcome.is_granted,
+                detail=outcome.detail,
+            )
+            if outcome.is_granted:
+                self._metrics.trials += 1
+                self._exchange.changed.set()
+                return Clearance.TRIAL
+            standing = self._quarantine.find_standing(fingerprint)
+        detail = f"{standing.ends} servers have ended under this content {fingerprint}"
+        raise RequestError(ErrorKind.QUARANTINED, detail, retry_after_ms=_find_return_ms(standing))
+
+    def _ask_for_trial(self, fingerprint: str) -> TrialOutcome:
+        refused = TrialOutcome(False, "the object service did not answer in time")
+        try:
+            with gevent.Timeout(TRIAL_LIMIT_MS / MS_PER_SECOND, False):
+                return self._held.take_trial(fingerprint)
+        except PlatformError as error:
+            return TrialOutcome(False, error.detail)
+        return refused
+
+    def note_broken(self, admitted: AdmittedRequest, server: BackendServer) -> None:
+        """A server cut a connection; if it has ended, that counts against what ran there."""
+        if not self._ends.has_ended(server):
+            return
+        self._metrics.ends += 1
+        self._quarantine.note_end(admitted.fingerprint, server.incarnation)
+        self._note_change("own")
+
+    def note_answered(
+        self, admitted: AdmittedRequest, server: BackendServer, sent_ms: float
+    ) -> None:
+        """A server has answered completely: neither it nor the content is suspect."""
+        if self._quarantine.is_empty:
+            return
+        self._quarantine.note_alive(server.incarnation, sent_ms)
+        if self._quarantine.find_standing(admitted.fingerprint).is_held:
+            self._held.note_released(admitted.fingerprint)
+        self._quarantine.note_answer(admitted.fingerprint)
+        self._note_change("own")
+
+    def run(self) -> None:
+        """Keep what is held back, and what other gateways hold back, until the task is ended."""
+        while True:
+            self.look()
+            self._clock.sleep_ms(LOOK_MS)
+
+    def look(self) -> None:
+        """Load, compare, write and forget what is due."""
+        self._load_if_due()
+        self._note_change("stored")
+        save_if_possible(self._held, is_keeper=self._leads())
+        self._quarantine.forget_old()
+        self._note_change("told")
+
+    def _load_if_due(self) -> None:
+        if not self._is_load_due():
+            return
+        self._loaded_ms = self._clock.now_ms()
+        try:
+            self._held.load()
+        except PlatformError as error:
+            self._loaded_ms = None if not self._held.is_loaded else self._loaded_ms
+            log_event(Event.WATCH_FAILED, "warning", watch="held", detail=error.detail)
+            return
+        if self._first_loaded_ms is None:
+            self._first_loaded_ms = self._clock.now_ms()
+
+    def _is_load_due(self) -> bool:
+        if self._loaded_ms is None or self._first_loaded_ms is None:
+            return True
+        since_ms = self._clock.now_ms() - self._loaded_ms
+        if self._loaded_ms - self._first_loaded_ms < STALE_MS <= since_ms:
+            return True  # The first list may have lacked the newest.
+        if self._differs() and since_ms >= LOAD_PAUSE_MS:
+            return True
+        is_alone = self._fleet.count_in_touch() < self._fleet.count_daemons()
+        return is_alone and since_ms >= ALONE_PAUSE_MS
+
+    def _differs(self) -> bool:
+        digest = self._quarantine.hash_held()
+        return any(peer.view.held_digest != digest for peer in self._fleet.list_heard())
+
+    def _note_change(self, source: str) -> None:
+        """Tell what has changed, and log what is held back or released now."""
+        if self._quarantine.has_untold:
+            self._exchange.changed.set()
+        held = set(self._quarantine.list_held())
+        for fingerprint in sorted(held - self._known_held):
+            record = self._quarantine.get_record(fingerprint)
+            log_event(
+                Event.REQUEST_QUARANTINED,
+                "warning",
+                fingerprint=fingerprint,
+                ends=list(record.ends),
+                trials=record.trials,
+                source=source,
+            )
+        for fingerprint in sorted(self._known_held - held):
+            is_known = bool(self._quarantine.get_record(fingerprint).ends)
+            reason = "answered" if is_known else "forgotten"
+            log_event(Event.REQUEST_RELEASED, fingerprint=fingerprint, reason=reason)
+        self._known_held = held
+        self._metrics.held = len(held)
+
+
+def _find_return_ms(standing: Standing) -> int:
+    """Return after which time a request that is held back may be tried or is forgotten."""
+    wait_ms = standing.trial_in_ms
+    return round(standing.forgotten_in_ms if wait_ms is None else max(wait_ms, LOOK_MS))
--- /dev/null
+++ b/hemlockswitch/process/gateway/suspect_exchange.py
@@ -0,0 +1,96 @@
+"""What gateways tell one another of the requests under which backend servers end.
+
+Each change goes to every gateway at once: directly to those near this one, and to two gateways of each
+other zone, which pass it on there. It is rare and small, and each moment of delay may cost a server. A
+message that is lost is made up for by the digest in the reports: gateways that hold back other contents
+list those that the object service keeps (`process.gateway.held_requests`).
+"""
+
+from dataclasses import dataclass
+
+from gevent.event import Event as Signal
+
+from hemlockswitch.connection.messages import register_message
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.request.quarantine import Quarantine, SuspectFields, SuspectRecord
+
+GATHER_MS = 20.0
+"""Least time between two messages: what was in progress on one server ends within milliseconds."""
+MOST_TOLD = 200
+"""Contents in one message, some 20 KB; more than that is in progress on few servers."""
+
+
+@register_message("suspect_report")
+@dataclass(frozen=True)
+class SuspectReport:
+    """Contents under which servers have ended.
+
+    Parameters
+    ==========
+
+    name : the gateway that tells it.
+    suspects : the fields of each `SuspectRecord`.
+    is_relayed : whether it was passed on already.
+    """
+
+    name: str
+    suspects: list[SuspectFields]
+    is_relayed: bool = False
+
+
+class SuspectExchange:
+    """Tells and takes what gateways know of these contents.
+
+    Parameters
+    ==========
+
+    network, fleet : the streams to the other gateways, and who these are.
+    quarantine : what this gateway knows.
+    clock : the time.
+
+    `changed` is set whenever something is to be told.
+    """
+
+    def __init__(
+        self, network: PeerNetwork, fleet: Fleet, quarantine: Quarantine, clock: Clock
+    ) -> None:
+        self.changed = Signal()
+        self._network = network
+        self._fleet = fleet
+        self._quarantine = quarantine
+        self._clock = clock
+        network.handle(SuspectReport, self.take, quick=True)
+
+    def run(self) -> None:
+        """Tell what changes until the task is ended."""
+        while True:
+            self.changed.wait()
+            self.changed.clear()
+            self.tell()
+            self._clock.sleep_ms(GATHER_MS)
+
+    def tell(self) -> None:
+        """Tell every other gateway what has changed here."""
+        records = self._quarantine.pop_untold()
+        for first in range(0, len(records), MOST_TOLD):
+            fields = [one.list_fields() for one in records[first : first + MOST_TOLD]]
+            report = SuspectReport(self._fleet.name, fields)
+            self._network.send_all(self._list_addresses(), report)
+
+    def take(self, _address: str, report: SuspectReport) -> None:
+        """Take what another gateway knows, and pass it on to those near this one if need be."""
+        for fields in report.suspects[:MOST_TOLD]:
+            self._quarantine.take(SuspectRecord.from_fields(fields))
+        if self._fleet.reports_by_zone and not report.is_relayed:
+            relayed = SuspectReport(report.name, report.suspects, is_relayed=True)
+            self._network.send_all([peer.address for peer in self._fleet.list_near()], relayed)
+
+    def _list_addresses(self) -> list[str]:
+        """Return those near this gateway, and the relays of the zones that are not."""
+        addresses = [peer.address for peer in self._fleet.list_near()]
+        if self._fleet.reports_by_zone:
+            relays = [address for zone in self._fleet.draw_relays() for address in zone]
+            addresses += [address for address in relays if address not in addresses]
+        return addresses
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -16,6 +16,7 @@
     ServiceSpeed,
     choose_server,
     describe_work,
+    keep_least_running,
 )
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.serving_table import ServingTable
@@ -62,8 +63,16 @@
         """Return the configuration in force."""
         return self._tables.current
 
-    def place(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
-        """Return the server for the next send, or None when there is none."""
+    def place(
+        self, admitted: AdmittedRequest, excluded: Sequence[str], *, is_careful: bool = False
+    ) -> Placement | None:
+        """Return the server for the next send, or None when there is none.
+
+        Parameters
+        ==========
+
+        is_careful : take the server on which least is in progress, as it may end.
+        """
         ready = self._registry.list_ready(admitted.service)
         servers = [server for server in ready if server.incarnation not in excluded]
         servers = self._reachability.select_reachable(servers)
@@ -73,6 +82,8 @@
         candidates = self._loads.build_candidates(
             servers, prompt, speed.engine.tokens_per_ms, self._reachability.find_distance_ms
         )
+        if is_careful:
+            candidates = keep_least_running(candidates)
         return choose_server(prompt, candidates, self._random, speed)
 
     def begin_send(self, admitted: AdmittedRequest, placement: Placement) -> Ticket:
--- a/hemlockswitch/process/gateway/watch_guard.py
+++ b/hemlockswitch/process/gateway/watch_guard.py
@@ -47,12 +47,14 @@
     outage : the last one that it noticed, by this process's clock; None if there was none.
     relayed : by kind of object, the version up to which it told the other gateways of its zone;
         empty while it does not watch for others (`process.gateway.relayed_watch`).
+    held_digest : a hash of the requests that it holds back (`request.quarantine`); 0 if none.
     """
 
     revision: int = 0
     servers_digest: int = 0
     outage: Outage | None = None
     relayed: Mapping[str, int] = field(default_factory=dict)
+    held_digest: int = 0
 
 
 class WatchGuard:
--- /dev/null
+++ b/hemlockswitch/request/clearance.py
@@ -0,0 +1,51 @@
+"""Whether and how a forwarded request may be sent, as forwarding asks it before each send."""
+
+from enum import StrEnum
+from typing import Protocol
+
+from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.version.backend import BackendServer
+
+
+class Clearance(StrEnum):
+    """How a request may be sent."""
+
+    FREE = "free"
+    CAREFUL = "careful"
+    TRIAL = "trial"
+
+    @property
+    def is_trial(self) -> bool:
+        """Whether it was held back and is sent once to see what becomes of it."""
+        return self is Clearance.TRIAL
+
+    @property
+    def is_careful(self) -> bool:
+        """Whether it goes to the server on which least is in progress."""
+        return self is not Clearance.FREE
+
+
+class RequestGuard(Protocol):
+    """Holds back the requests under which backend servers end (`request.quarantine`)."""
+
+    def clear(self, admitted: AdmittedRequest, *, may_try: bool) -> Clearance:
+        """Return how a request may be sent now.
+
+        Parameters
+        ==========
+
+        may_try : whether a request that is held back may be sent as a trial, once.
+
+        Raises
+        ======
+
+        RequestError : it is held back; the error says when it may be tried.
+        """
+
+    def note_broken(self, admitted: AdmittedRequest, server: BackendServer) -> None:
+        """A server's connection ended before the answer did; the server itself may have ended."""
+
+    def note_answered(
+        self, admitted: AdmittedRequest, server: BackendServer, sent_ms: float
+    ) -> None:
+        """A server has answered completely what was sent to it at `sent_ms`."""
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -11,6 +11,7 @@
 from hemlockswitch.connection.heads import ReceivedRequest
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, RequestError
+from hemlockswitch.request.clearance import RequestGuard
 from hemlockswitch.request.dialect import Dialect
 from hemlockswitch.request.forward_admission import (
     AccountLimiter,
@@ -56,6 +57,7 @@
     view : what the process knows.
     limiter : the limits of client accounts.
     pool : connections to backend servers.
+    guard : holds back requests under which servers end.
     budget : bounds repeated sends.
     observer : hears what happens.
     clock : the time.
@@ -67,6 +69,7 @@
         view: ForwardingView,
         limiter: AccountLimiter,
         pool: BackendPool,
+        guard: RequestGuard,
         budget: RepeatBudget,
         observer: ForwardObserver,
         clock: Clock,
@@ -75,6 +78,7 @@
         self._view = view
         self._limiter = limiter
         self._sender = Sender(dialect, view, pool, observer, clock)
+        self._guard = guard
         self._budget = budget
         self._observer = observer
         self._clock = clock
@@ -127,17 +131,34 @@
         while True:
             if admitted.deadline_ms <= self._clock.now_ms():
                 raise OverdueError
+            self._clear(progress, admitted, reply)
             placement = self._choose(progress, admitted, reply)
+            sent_ms = self._clock.now_ms()
             try:
                 self._sender.send(Send(progress, admitted, placement, reply))
+                self._guard.note_answered(admitted, placement.candidate.server, sent_ms)
                 return
             except SendFailedError as failed:
                 self._prepare_again(progress, admitted, placement, failed, reply)
 
+    def _clear(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> None:
+        """Raise if the request is held back; what is answered depends on what became of it so far."""
+        try:
+            if progress.sends or not progress.clearance.is_trial:
+                may_try = not progress.sends
+                progress.clearance = self._guard.clear(admitted, may_try=may_try)
+        except RequestError as held:
+            if reply.begun:
+                raise CallerLeftError(held.detail) from held
+            if progress.state is SendState.NOT_RUN:
+                raise
+            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, held.detail) from held
+
     def _choose(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> Placement:
-        placement = self._view.place(admitted, progress.excluded)
+        is_careful = progress.clearance.is_careful
+        placement = self._view.place(admitted, progress.excluded, is_careful=is_careful)
         if placement is None and progress.excluded:
-            placement = self._view.place(admitted, ())
+            placement = self._view.place(admitted, (), is_careful=is_careful)
         if placement is not None:
             progress.target = placement.candidate.server.name
             progress.expected_ms = placement.expected_ms
@@ -171,6 +192,8 @@
         """Note a failed send; raise when the request must not or cannot be sent again."""
         self._observer.attempt_failed(progress, failed.failure, failed.detail)
         progress.in_flight = False
+        if failed.was_cut:
+            self._guard.note_broken(admitted, placement.candidate.server)
         verdict = judge_failure(
             SendState.RELAYING if reply.begun else progress.state,
             failed.failure,
--- a/hemlockswitch/request/placement.py
+++ b/hemlockswitch/request/placement.py
@@ -157,6 +157,20 @@
     return call_ms * (1 + max(candidate.running + 1 - slots, 0) / slots)
 
 
+def keep_least_running(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the servers on which least is in progress.
+
+    Examples
+    ========
+
+    >>> server = BackendServer("a", "z1", "127.0.0.1:1", "s")
+    >>> [one.running for one in keep_least_running([Candidate(server, 4), Candidate(server, 1)])]
+    [1]
+    """
+    least = min((candidate.running for candidate in candidates), default=0)
+    return [candidate for candidate in candidates if candidate.running == least]
+
+
 def choose_server(
     prompt: Prompt | None,
     candidates: Sequence[Candidate],
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from hemlockswitch.connection.heads import ReceivedRequest
+from hemlockswitch.request.clearance import Clearance
 from hemlockswitch.request.dialect import RequestFacts
 from hemlockswitch.request.forward_admission import AdmittedRequest
 from hemlockswitch.request.send_states import SendFailure, SendState
@@ -18,6 +19,7 @@
 
     sends : the servers that it was sent to.
     target : the server that was chosen last, also if no connection to it could be made.
+    clearance : how it may be sent, as decided before the last send.
     unreachable, unreachable_since_ms : servers that refused a connection or did not answer one, and
         when the first of them had failed.
     """
@@ -32,6 +34,7 @@
     unreachable_since_ms: float | None = None
     in_flight: bool = False
     target: str = ""
+    clearance: Clearance = Clearance.FREE
     expected_ms: float = 0.0
     began_ms: float | None = None
     last_event_id: str = ""
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -46,8 +46,16 @@
     def get_table(self) -> ServingTable | None:
         """Return the configuration in force."""
 
-    def place(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
-        """Return the server for the next send, or None when there is none."""
+    def place(
+        self, admitted: AdmittedRequest, excluded: Sequence[str], *, is_careful: bool = False
+    ) -> Placement | None:
+        """Return the server for the next send, or None when there is none.
+
+        Parameters
+        ==========
+
+        is_careful : take the server on which least is in progress, as it may end.
+        """
 
     def begin_send(self, admitted: AdmittedRequest, placement: Placement) -> SendTicket:
         """Count a send."""
@@ -72,13 +80,23 @@
 
 
 class SendFailedError(Exception):
-    """One send failed; nothing or only whole events of it went to the caller."""
+    """One send failed; nothing or only whole events of it went to the caller.
+
+    Parameters
+    ==========
+
+    was_sent : whether any byte of the request may have reached the server.
+    was_cut : whether the connection ended before the answer did.
+    """
 
-    def __init__(self, failure: SendFailure, detail: str, was_sent: bool) -> None:
+    def __init__(
+        self, failure: SendFailure, detail: str, was_sent: bool, was_cut: bool = False
+    ) -> None:
         super().__init__(detail)
         self.failure = failure
         self.detail = detail
         self.was_sent = was_sent
+        self.was_cut = was_cut
 
 
 class OverdueError(Exception):
@@ -162,7 +180,7 @@
             self._relay(send, exchange)
             failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         except ExchangeError as error:
-            raise SendFailedError(SendFailure.BROKEN, error.detail, True) from error
+            raise SendFailedError(SendFailure.BROKEN, error.detail, True, True) from error
         except (CallerLeftError, OverdueError):
             failed = False
             raise
@@ -249,7 +267,7 @@
         Where it would not, the failure that is here is worth more than a timeout later.
         """
         progress, admitted = send.progress, send.admitted
-        if len(progress.sends) >= admitted.route.max_attempts:
+        if len(progress.sends) >= admitted.route.max_attempts or progress.clearance.is_trial:
             return False
         placement = self._view.place(admitted, [*progress.excluded, *progress.sends])
         left_ms = admitted.deadline_ms - self._clock.now_ms()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -40,7 +40,7 @@
     return [one.value for one in replies]
 
 
-@pytest.mark.parametrize("path", ["/check/x", "/hold/x", "/reply/x"])
+@pytest.mark.parametrize("path", ["/check/x", "/hold/x", "/reply/x", "/draft/x"])
 def test_a_request_under_which_servers_end_is_sent_a_few_times_only(site, path):
     come_again(site, path, DEADLY, for_s=5)
     assert len(site.ends) >= MOST_ENDS, "it did end servers"
