--- /dev/null
+++ b/tests/crash_replay.py
@@ -0,0 +1,490 @@
+"""A replay, without a network, of a fleet of gateways while a content ends the servers that run it.
+
+The pattern: one content comes again some five times a second, at any gateway, among harmless requests;
+it ends each server that runs it some 100 ms after it began, and all that is in progress there. Servers
+are back after three seconds. Meanwhile messages between gateways are lost, late and doubled, gateways are
+killed, all at once too, or cut off from the others and the object service, the service is away for a
+while, and servers end that had nothing to do with it. `python -m tests.crash_replay` plays seeds by hand.
+"""
+
+import argparse
+import heapq
+import itertools
+import random
+import sys
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import structlog
+
+from hemlockswitch.connection.stored_objects import Conflict, ObjectPage, StoredObject, Written
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, PlatformError, RequestError
+from hemlockswitch.process.gateway.held_requests import HeldRequests
+from hemlockswitch.process.gateway.metrics import GatewayMetrics
+from hemlockswitch.process.gateway.request_guard import LOOK_MS, GatewayGuard
+from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
+from hemlockswitch.process.gateway.watch_guard import StoreView
+from hemlockswitch.request.clearance import Clearance
+from hemlockswitch.request.quarantine import MOST_ENDS, Quarantine
+
+DEADLY = "deadly"
+POPULAR = "popular"
+MOST_RETRIES = 3
+"""Sends of a deadly content that may follow once its third server has ended and that is settled."""
+SETTLED_MS = 5_000.0
+"""After this time in touch a gateway must know."""
+LENGTH_MS = 90_000.0
+QUIET_MS = 30_000.0
+"""Time after the deadly content's last arrival in which every harmless one must be served."""
+BACK_MS = 3_000.0
+MOST_SENDS = 2
+MESH_GATEWAYS = 20
+REPORT_MS = 600.0
+
+
+@dataclass(frozen=True)
+class Setting:
+    """How much there is of everything in a replay.
+
+    Parameters
+    ==========
+
+    has_memory : whether gateways remember contents at all; without, it is the code of before.
+    """
+
+    gateways: int = 8
+    zones: int = 3
+    servers: int = 8
+    deadly_per_s: float = 5.0
+    harmless_per_s: float = 20.0
+    popular_per_s: float = 2.0
+    has_faults: bool = True
+    has_memory: bool = True
+
+
+@dataclass
+class Server:
+    """A backend server; each start is another incarnation."""
+
+    number: int
+    start: int = 0
+    is_running: bool = True
+    running: dict = field(default_factory=dict)  # attempt to its content
+
+    @property
+    def incarnation(self):
+        """The name of this start."""
+        return f"s{self.number}.{self.start}"
+
+
+class Store:
+    """The object service; its lists are two seconds old, and it may be away."""
+
+    def __init__(self, world):
+        self.world = world
+        self.is_away = False
+        self.objects = {}
+        self.version = 0
+        self.history = [(0.0, {})]
+
+    def read(self, kind, name):
+        self._check()
+        return self.objects.get(name)
+
+    def list_stale(self, kind):
+        self._check()
+        oldest_ms = self.world.clock.now_ms() - 2_000
+        known = [objects for at_ms, objects in self.history if at_ms <= oldest_ms]
+        return ObjectPage(tuple((known or [{}])[-1].values()), self.version)
+
+    def create(self, kind, name, value):
+        self._check()
+        return Conflict(1) if name in self.objects else self._put(kind, name, value)
+
+    def update(self, kind, name, value, version):
+        self._check()
+        known = self.objects.get(name)
+        if known is None or known.version != version:
+            return Conflict(known.version if known else 0)
+        return self._put(kind, name, value)
+
+    def delete(self, kind, name, version):
+        self._check()
+        self.objects.pop(name, None)
+        self._note()
+        return Written(self.version)
+
+    def _put(self, kind, name, value):
+        self.version += 1
+        self.objects[name] = StoredObject(kind, name, self.version, value)
+        self._note()
+        return Written(self.version)
+
+    def _note(self):
+        self.history.append((self.world.clock.now_ms(), dict(self.objects)))
+
+    def _check(self):
+        if self.is_away or self.world.caller.is_cut:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+
+
+class Gateway:
+    """One gateway: the real guard on replayed messages and a replayed object service."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.name = f"g{number}"
+        self.zone = number % world.setting.zones
+        self.is_cut = False
+        self.troubled_ms = float("-inf")
+        self.start()
+
+    def start(self):
+        """Begin anew, knowing nothing."""
+        clock = self.world.clock
+        self.troubled_ms = clock.now_ms()
+        self.quarantine = Quarantine(clock)
+        self.reports = {}
+        held = HeldRequests(
+            f"{self.name}/{clock.now_ms()}", self.quarantine, self.world.store, clock
+        )
+        self.exchange = SuspectExchange(self, self, self.quarantine, clock)
+        self.guard = GatewayGuard(
+            self.quarantine,
+            SimpleNamespace(has_ended=lambda server: True),
+            held,
+            self.exchange,
+            self,
+            GatewayMetrics(),
+            lambda: self.name == "g0",
+            clock,
+        )
+
+    # The network and the fleet, as the guard sees them.
+
+    @property
+    def reports_by_zone(self):
+        return len(self.world.gateways) > MESH_GATEWAYS
+
+    def handle(self, message_type, handler, quick):
+        self.take = handler
+
+    def send_all(self, addresses, message):
+        for address in addresses:
+            self.world.deliver(self, address, message)
+
+    def list_near(self):
+        others = (one for one in self.world.gateways if one is not self)
+        is_near = (one for one in others if not self.reports_by_zone or one.zone == self.zone)
+        return [SimpleNamespace(address=one.name) for one in is_near]
+
+    def draw_relays(self):
+        zones = defaultdict(list)
+        for one in self.world.gateways:
+            if one is not self:
+                zones[one.zone].append(one.name)
+        return [self.world.draws.sample(names, min(2, len(names))) for names in zones.values()]
+
+    def list_heard(self):
+        oldest_ms = self.world.clock.now_ms() - 3 * REPORT_MS
+        return [peer for peer, heard_ms in self.reports.values() if heard_ms > oldest_ms]
+
+    def count_in_touch(self):
+        return len(self.list_heard()) + 1
+
+    def count_daemons(self):
+        return len(self.world.gateways)
+
+    def is_in_touch(self):
+        """Whether it was undisturbed for long enough to be held to what all know."""
+        return self.world.clock.now_ms() - self.troubled_ms > SETTLED_MS and not self.is_cut
+
+
+class Replay:
+    """One seed."""
+
+    def __init__(self, setting, seed):
+        self.setting = setting
+        self.draws = random.Random(seed)
+        self.clock = ManualClock(now_ms=1_000.0)
+        self.caller = SimpleNamespace(is_cut=False)
+        self.store = Store(self)
+        self.gateways = []
+        self.gateways += [Gateway(self, number) for number in range(setting.gateways)]
+        self.servers = [Server(number) for number in range(setting.servers)]
+        self.ends = 0
+        self.deadly_ends_ms = []
+        self.late_sends = 0
+        self.outcomes = defaultdict(Counter)  # by kind of request and phase
+        self.left_out = set()
+        self._queue = []
+        self._numbers = itertools.count()
+        self._attempts = itertools.count()
+        self._loss = self.draws.uniform(0, 0.3) if setting.has_faults else 0.0
+        self._most_delay_ms = self.draws.choice([5, 50, 500]) if setting.has_faults else 5
+
+    # Events
+
+    def at(self, delay_ms, action, *arguments):
+        """Do something later."""
+        due_ms = self.clock.now_ms() + delay_ms
+        heapq.heappush(self._queue, (due_ms, next(self._numbers), action, arguments))
+
+    def play(self):
+        """Play to the end."""
+        self._arrive_again(DEADLY, self.setting.deadly_per_s, LENGTH_MS)
+        self._arrive_again("harmless", self.setting.harmless_per_s, LENGTH_MS + QUIET_MS)
+        self._arrive_again(POPULAR, self.setting.popular_per_s, LENGTH_MS + QUIET_MS)
+        for gateway in self.gateways:
+            self.at(self.draws.uniform(0, LOOK_MS), self._look, gateway)
+            self.at(self.draws.uniform(0, REPORT_MS), self._report, gateway)
+        if self.setting.has_faults:
+            self._plan_faults()
+        while self._queue:
+            due_ms, _, action, arguments = heapq.heappop(self._queue)
+            if due_ms > LENGTH_MS + QUIET_MS:
+                break
+            self.clock.advance(due_ms - self.clock.now_ms())
+            action(*arguments)
+        return self
+
+    def _plan_faults(self):
+        for _ in range(self.draws.randrange(4, 12)):
+            at_ms = self.draws.uniform(1_000, LENGTH_MS)
+            gateway = self.draws.choice(self.gateways)
+            action = self.draws.choice([self._restart, self._cut, self._cut_store, self._end_any])
+            self.at(at_ms, action, gateway)
+        if self.draws.random() < 0.5:
+            at_ms = self.draws.uniform(1_000, LENGTH_MS)
+            for gateway in self.gateways:
+                self.at(at_ms, self._restart, gateway)
+
+    def _restart(self, gateway):
+        gateway.start()
+
+    def _cut(self, gateway):
+        gateway.is_cut = True
+        self.at(self.draws.uniform(500, 8_000), self._heal, gateway)
+
+    def _heal(self, gateway):
+        gateway.is_cut = False
+        gateway.troubled_ms = self.clock.now_ms()
+
+    def _cut_store(self, _gateway):
+        self.store.is_away = True
+        self.at(self.draws.uniform(500, 6_000), self._heal_store)
+
+    def _heal_store(self):
+        self.store.is_away = False
+        for gateway in self.gateways:
+            gateway.troubled_ms = self.clock.now_ms()
+
+    def _end_any(self, _gateway):
+        self._end_server(self.draws.choice(self.servers))
+
+    # Messages
+
+    def deliver(self, sender, name, message):
+        """Bring a message to a gateway; or lose it, or bring it twice."""
+        (receiver,) = [one for one in self.gateways if one.name == name]
+        if sender.is_cut or receiver.is_cut or self.draws.random() < self._loss:
+            return
+        for _ in range(1 + (self.draws.random() < self._loss)):
+            delay_ms = self.draws.uniform(1, self._most_delay_ms)
+            self.at(delay_ms, self._bring, receiver, message)
+
+    def _bring(self, receiver, message):
+        if not receiver.is_cut:
+            receiver.take("", message)
+            self._tell_if_changed(receiver)
+
+    def _report(self, gateway):
+        view = StoreView(held_digest=gateway.quarantine.hash_held())
+        peer = SimpleNamespace(view=view)
+        for other in self.gateways:
+            if other is not gateway and not other.is_cut and not gateway.is_cut:
+                other.reports[gateway.name] = (peer, self.clock.now_ms())
+        self.at(REPORT_MS, self._report, gateway)
+
+    def _look(self, gateway):
+        self.caller = gateway
+        if self.setting.has_memory:
+            gateway.guard.look()
+            self._tell_if_changed(gateway)
+        self.at(LOOK_MS, self._look, gateway)
+
+    @staticmethod
+    def _tell_if_changed(gateway):
+        if gateway.exchange.changed.is_set():
+            gateway.exchange.changed.clear()
+            gateway.exchange.tell()
+
+    # Requests
+
+    def _arrive_again(self, kind, per_s, until_ms):
+        if per_s and self.clock.now_ms() < until_ms:
+            content = f"harmless-{next(self._attempts)}" if kind == "harmless" else kind
+            self._arrive(kind, content)
+            self.at(
+                self.draws.expovariate(per_s) * 1_000, self._arrive_again, kind, per_s, until_ms
+            )
+
+    def _arrive(self, kind, content, is_second=False):
+        gateway = self.draws.choice(self.gateways)
+        request = SimpleNamespace(
+            kind=kind,
+            content=content,
+            gateway=gateway,
+            sends=0,
+            is_second=is_second,
+            excluded=set(),
+        )
+        self._send(request)
+
+    def _send(self, request):
+        gateway = request.gateway
+        self.caller = gateway
+        admitted = SimpleNamespace(fingerprint=request.content)
+        clearance = Clearance.FREE
+        try:
+            if self.setting.has_memory:
+                clearance = gateway.guard.clear(admitted, may_try=request.sends == 0)
+                self._tell_if_changed(gateway)
+        except RequestError as error:
+            self._end_request(request, "held" if request.sends == 0 else "failed", error)
+            return
+        server = self._choose(request, clearance)
+        if server is None:
+            self._end_request(request, "failed")
+            return
+        self._note_send(request)
+        request.sends += 1
+        request.excluded.add(server.incarnation)
+        attempt = next(self._attempts)
+        server.running[attempt] = request
+        sent_ms = self.clock.now_ms()
+        queue_ms = 20.0 * len(server.running)
+        if request.kind == DEADLY:
+            action, run_ms = self._crash, 100.0
+        else:
+            action, run_ms = self._answer, self.draws.uniform(200, 1_500)
+        self.at(queue_ms + run_ms, action, server, server.incarnation, attempt, sent_ms)
+
+    def _choose(self, request, clearance):
+        ready = [one for one in self.servers if one.is_running]
+        ready = [one for one in ready if one.incarnation not in request.excluded] or ready
+        if clearance.is_careful and ready:
+            return min(ready, key=lambda one: len(one.running))
+        return self.draws.choice(ready) if ready else None
+
+    def _note_send(self, request):
+        ends = self.deadly_ends_ms
+        if request.kind != DEADLY or len(ends) < MOST_ENDS:
+            return
+        is_settled = self.clock.now_ms() > ends[MOST_ENDS - 1] + SETTLED_MS
+        if is_settled and request.gateway.is_in_touch():
+            self.late_sends += 1
+
+    def _crash(self, server, incarnation, attempt, _sent_ms):
+        if server.incarnation == incarnation and attempt in server.running:
+            self.deadly_ends_ms.append(self.clock.now_ms())
+            self._end_server(server)
+
+    def _end_server(self, server):
+        if not server.is_running:
+            return
+        self.ends += 1
+        server.is_running = False
+        ended, server.running = server.running, {}
+        gone = SimpleNamespace(incarnation=server.incarnation)
+        self.at(BACK_MS, self._start_server, server)
+        for request in ended.values():
+            self.at(self.draws.uniform(0, 10), self._note_broken, request, gone)
+
+    @staticmethod
+    def _start_server(server):
+        server.start += 1
+        server.is_running = True
+
+    def _note_broken(self, request, gone):
+        gateway = request.gateway
+        self.caller = gateway
+        if self.setting.has_memory:
+            admitted = SimpleNamespace(fingerprint=request.content)
+            gateway.guard.note_broken(admitted, gone)
+            self._tell_if_changed(gateway)
+        if request.sends < MOST_SENDS:
+            self._send(request)
+        else:
+            self._end_request(request, "failed")
+
+    def _answer(self, server, incarnation, attempt, sent_ms):
+        if server.incarnation != incarnation or attempt not in server.running:
+            return
+        request = server.running.pop(attempt)
+        self.caller = request.gateway
+        if self.setting.has_memory:
+            admitted = SimpleNamespace(fingerprint=request.content)
+            request.gateway.guard.note_answered(admitted, server, sent_ms)
+            self._tell_if_changed(request.gateway)
+        self._end_request(request, "answered")
+
+    def _end_request(self, request, outcome, error=None):
+        phase = "during" if self.clock.now_ms() < LENGTH_MS else "after"
+        self.outcomes[request.kind, phase][outcome] += 1
+        if outcome == "answered":
+            self.left_out.discard(request.content)
+            return
+        if request.kind == "harmless":
+            self.left_out.add(request.content)
+            # Its caller comes back when it is told to, and once more on its own.
+            wait_ms = error.answer.retry_after_ms if error is not None else 500
+            self.at(wait_ms, self._arrive, request.kind, request.content, True)
+
+    @property
+    def served_share(self):
+        """The part of the harmless requests' arrivals that were answered while the content came."""
+        counts = self.outcomes["harmless", "during"] + self.outcomes[POPULAR, "during"]
+        return counts["answered"] / max(sum(counts.values()), 1)
+
+
+def play(seed, **fields):
+    """Return a played replay, without its log lines."""
+    structlog.configure(processors=[_drop_line])
+    try:
+        return Replay(Setting(**fields), seed).play()
+    finally:
+        structlog.reset_defaults()
+
+
+def _drop_line(_logger, _name, _event):
+    raise structlog.DropEvent
+
+
+def main():
+    """Play seeds; return 1 if one broke the bound."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--gateways", type=int, default=8)
+    parser.add_argument("--without-memory", action="store_true")
+    options = parser.parse_args()
+    broken = 0
+    for seed in range(options.first, options.first + options.seeds):
+        one = play(seed, gateways=options.gateways, has_memory=not options.without_memory)
+        is_broken = one.late_sends > MOST_RETRIES or bool(one.left_out)
+        broken += is_broken
+        print(
+            f"seed {seed}: {one.ends} ends, {one.late_sends} late sends, "
+            f"harmless served {one.served_share:.3f}, left out {len(one.left_out)}"
+            f"{' BROKEN' if is_broken else ''}",
+            flush=True,
+        )
+    print(f"{options.seeds} seeds, {broken} broken")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
