Test what a held-back content costs others, restarts, and what must not count as an end

Harmless contents, another path, reset connections, failures of servers that live, reclaims that were announced, gateways that start later or all at once; fuzzed merges and trials over kills and outages.

--- a/tests/crashing_runners.py
+++ b/tests/crashing_runners.py
@@ -107,6 +107,16 @@
         body = content.encode()
         return self.ask(path, body=body, gateway=gateway % len(self.gateways), **headers)
 
+    def restart_gateways(self):
+        """End all gateways at once, and start as many anew."""
+        ended, self.gateways = self.gateways, []
+        for gateway in ended:
+            gateway.callers.stop_accepting()
+            gateway._close()
+        for number in range(len(ended)):
+            self.add_gateway(f"gateway-{number + 1}")
+        self.wait_until_served()
+
     def count_late_retries(self, most_ends, settled_s):
         """Return how many servers ended later than `settled_s` after the first `most_ends`."""
         crashes = [one.at_s for one in self.ends if one.is_crash]
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -9,9 +9,14 @@
 brings the same about with one content, whose failed sends all bear one fingerprint.
 """
 
+import time
+
 import gevent
 import pytest
 
+from hemlockswitch.process.gateway.held_requests import HELD_KIND
+from hemlockswitch.request.quarantine import TRIAL_PAUSES_MS
+from hemlockswitch.standin.runner import RunnerFaults
 from tests.crashing_runners import DEADLY, CrashingSite
 
 MOST_ENDS = 3
@@ -45,3 +50,102 @@
     come_again(site, path, DEADLY, for_s=5)
     assert len(site.ends) >= MOST_ENDS, "it did end servers"
     assert site.count_late_retries(MOST_ENDS, SETTLED_S) <= MOST_RETRIES
+
+
+def hold_back(site, path="/check/x"):
+    """Let a content end servers until every gateway holds it back and its first trial is over."""
+    come_again(site, path, DEADLY, for_s=0.6)
+    site.wait(lambda: all(one.quarantine.list_held() for one in site.gateways))
+    site.wait(lambda: site.store.list_kind(HELD_KIND))
+    site.wait_until_served()
+    site.wait(lambda: site.ask_for(path, DEADLY, 0).status == 502)
+    site.wait(lambda: all(one.quarantine.describe()[0]["trials"] == 1 for one in site.gateways))
+    site.wait_until_served()
+
+
+def test_its_callers_hear_at_once_that_it_has_not_run_and_when_to_come_back(site):
+    hold_back(site)
+    ends = len(site.ends)
+    began_s = time.monotonic()
+    replies = [site.ask_for("/check/x", DEADLY, gateway) for gateway in (0, 1)]
+    assert time.monotonic() - began_s < 1
+    assert [reply.status for reply in replies] == [503, 503]
+    assert all(0 < float(reply.headers["retry-after"]) <= 20 for reply in replies)
+    assert all(reply.body.startswith(b"quarantined: ") for reply in replies)
+    assert len(site.ends) == ends
+
+
+def test_a_content_of_another_account_or_path_is_not_held_back(site):
+    hold_back(site)
+    assert site.ask_for("/check/x", "harmless", 0).status == 200
+    assert site.ask_for("/check/other", "also harmless", 1).status == 200
+
+
+def test_a_gateway_that_starts_later_knows_of_it(site):
+    hold_back(site)
+    ends = len(site.ends)
+    site.add_gateway("gateway-3")
+    site.wait_until_served()
+    assert site.ask_for("/check/x", DEADLY, 2).status == 503
+    assert len(site.ends) == ends
+
+
+def test_a_restart_of_all_gateways_does_not_begin_to_count_anew(site):
+    hold_back(site)
+    site.restart_gateways()
+    come_again(site, "/check/x", DEADLY, for_s=4)
+    assert site.count_late_retries(MOST_ENDS, SETTLED_S) <= MOST_RETRIES
+
+
+def test_harmless_requests_are_served_while_it_comes_again(site):
+    deadly = gevent.spawn(come_again, site, "/check/x", DEADLY, for_s=4)
+    gevent.sleep(1)
+    harmless = [site.ask_for("/check/x", f"harmless {turn}", turn).status for turn in range(100)]
+    deadly.join()
+    assert harmless.count(200) >= 98
+
+
+def test_a_harmless_content_that_was_on_three_servers_that_ended_is_tried_and_cleared(site):
+    slow = [runner for runner in site.crashing if runner.service == "llm"]
+    asked = []
+    for runner in slow[:MOST_ENDS]:
+        asked.append(gevent.spawn(site.ask_for, "/draft/x", "harmless", 0))
+        site.wait(lambda one=runner: any(other.state.seen for other in slow if other.is_running))
+        (busy,) = [other for other in slow if other.is_running and other.state.seen]
+        busy.end()
+        site.wait(lambda one=busy: one.is_running)
+        site.wait_until_served()
+    gevent.joinall(asked)
+    assert site.ask_for("/draft/x", "harmless", 1).status == 503
+    gevent.sleep(TRIAL_PAUSES_MS[0] / 1_000)
+    assert site.ask_for("/draft/x", "harmless", 1).status == 200, "the trial clears it"
+    site.wait(lambda: not any(one.quarantine.list_held() for one in site.gateways))
+    site.wait(lambda: not site.store.list_kind(HELD_KIND))
+    assert site.ask_for("/draft/x", "harmless", 0).status == 200
+
+
+@pytest.mark.parametrize("faults", [{"lose_answer": True}, {"fail": True}])
+def test_lost_answers_and_failures_of_servers_that_live_hold_nobody_back(site, faults):
+    for runner in site.crashing:
+        runner.state.faults = RunnerFaults(**faults)
+    for turn in range(6):
+        assert site.ask_for("/check/x", "harmless", turn).status >= 500
+    for runner in site.crashing:
+        runner.state.faults = RunnerFaults()
+    assert site.ask_for("/check/x", "harmless", 0).status == 200
+    assert all(one.quarantine.is_empty for one in site.gateways)
+
+
+def test_a_wave_of_reclaims_holds_nobody_back(site):
+    leaving = site.crashing
+    for runner in leaving:
+        runner.state.settings = runner.state.settings.model_copy(update={"work_ms": 2_000})
+    asked = [gevent.spawn(site.ask_for, "/check/x", "harmless", turn) for turn in range(8)]
+    site.wait(lambda: sum(len(runner.state.seen) for runner in leaving) >= len(asked))
+    for runner in leaving:
+        runner.register("draining")
+    site.wait(lambda: not any(one.registry.list_ready("app") for one in site.gateways))
+    for runner in leaving:
+        runner.end()
+    gevent.joinall(asked)
+    assert all(one.quarantine.is_empty for one in site.gateways)
--- /dev/null
+++ b/tests/test_held_requests.py
@@ -0,0 +1,247 @@
+"""What is held back is kept in the object service, and one gateway tries at a time."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from hemlockswitch.connection.stored_objects import (
+    Conflict,
+    ObjectPage,
+    StoredObject,
+    Unknown,
+    Written,
+)
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.process.gateway.held_requests import HELD_KIND, STALE_MS, HeldRequests
+from hemlockswitch.request.quarantine import LIFE_MS, TRIAL_PAUSES_MS, Quarantine, SuspectRecord
+
+CONTENT = "content"
+MOST_TRIALS = len(TRIAL_PAUSES_MS)
+
+
+class Store:
+    """An object service; `loses` answers of writes, `is_away`."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 0
+        self.loses = 0
+        self.is_away = False
+
+    def read(self, kind, name):
+        self._check()
+        return self.objects.get(name)
+
+    def list_stale(self, kind):
+        self._check()
+        return ObjectPage(tuple(self.objects.values()), self.version)
+
+    def create(self, kind, name, value):
+        self._check()
+        return Conflict(1) if name in self.objects else self._put(kind, name, value)
+
+    def update(self, kind, name, value, version):
+        self._check()
+        known = self.objects.get(name)
+        if known is None or known.version != version:
+            return Conflict(known.version if known else 0)
+        return self._put(kind, name, value)
+
+    def delete(self, kind, name, version):
+        self._check()
+        self.objects.pop(name, None)
+        return Written(self.version)
+
+    def _put(self, kind, name, value):
+        self.version += 1
+        self.objects[name] = StoredObject(kind, name, self.version, value)
+        if self.loses:
+            self.loses -= 1
+            return Unknown("lost")
+        return Written(self.version)
+
+    def _check(self):
+        if self.is_away:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+
+
+class Gateway:
+    def __init__(self, name, store, clock):
+        self.clock = clock
+        self.quarantine = Quarantine(clock)
+        self.held = HeldRequests(f"{name}/{clock.now_ms()}", self.quarantine, store, clock)
+
+    def end_servers(self, count=3):
+        for number in range(count):
+            self.quarantine.note_end(CONTENT, f"s{number}")
+
+    def may_try(self):
+        standing = self.quarantine.find_standing(CONTENT)
+        if not standing.is_held or standing.trial_in_ms != 0:
+            return False
+        try:
+            return self.held.take_trial(CONTENT).is_granted
+        except PlatformError:
+            return False
+
+    def is_held(self):
+        return self.quarantine.find_standing(CONTENT).is_held
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(now_ms=1_000_000)
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+@pytest.fixture
+def gateways(store, clock):
+    return [Gateway(f"g{number}", store, clock) for number in range(3)]
+
+
+def test_a_gateway_that_starts_knows_what_was_held_back(gateways, store, clock):
+    gateways[0].end_servers()
+    gateways[0].held.save(is_keeper=False)
+    started = Gateway("g0", store, clock)
+    assert not started.held.is_loaded
+    started.held.load()
+    assert started.held.is_loaded
+    assert started.is_held()
+
+
+def test_one_gateway_writes_and_the_keeper_for_one_that_ended(gateways, store):
+    gateways[0].end_servers()
+    for record in gateways[0].quarantine.pop_untold():
+        gateways[1].quarantine.take(record)
+    gateways[1].held.save(is_keeper=False)
+    assert store.objects == {}, "the gateway that saw the ends does it"
+    gateways[1].held.save(is_keeper=True)
+    assert list(store.objects) == [CONTENT]
+
+
+def test_of_several_gateways_one_tries(gateways, clock):
+    for gateway in gateways:
+        gateway.end_servers()
+        gateway.held.save(is_keeper=False)
+    clock.advance(TRIAL_PAUSES_MS[0])
+    assert [gateway.may_try() for gateway in gateways] == [True, False, False]
+
+
+def test_a_trial_whose_answer_was_lost_is_granted_to_the_gateway_that_wrote_it(
+    gateways, store, clock
+):
+    gateways[0].end_servers()
+    gateways[0].held.save(is_keeper=False)
+    clock.advance(TRIAL_PAUSES_MS[0])
+    store.loses = 1
+    assert gateways[0].may_try()
+
+
+def test_nothing_is_tried_without_the_object_service(gateways, store, clock):
+    gateways[0].end_servers()
+    clock.advance(TRIAL_PAUSES_MS[0])
+    store.is_away = True
+    assert not gateways[0].may_try()
+    store.is_away = False
+    assert gateways[0].may_try()
+
+
+def test_what_was_answered_is_removed_and_released_by_who_missed_the_word(gateways, store, clock):
+    for gateway in gateways:
+        gateway.end_servers()
+        gateway.held.save(is_keeper=False)
+    gateways[0].quarantine.note_answer(CONTENT)
+    gateways[0].held.note_released(CONTENT)
+    gateways[0].held.save(is_keeper=False)
+    assert store.objects == {}
+    clock.advance(STALE_MS + 1)
+    gateways[1].held.load()
+    assert not gateways[1].is_held()
+    assert gateways[2].may_try(), "it finds nothing kept any more"
+    assert not gateways[2].is_held()
+
+
+@pytest.mark.parametrize(
+    "value", [None, 7, {}, {"ends": 3, "trials": 0}, {"ends": [], "trials": "x"}, [1]]
+)
+def test_an_object_of_another_program_is_passed_over(gateways, store, value):
+    store.objects["other"] = StoredObject(HELD_KIND, "other", 1, value)
+    gateways[0].held.load()
+    assert gateways[0].held.is_loaded
+    assert gateways[0].quarantine.is_empty
+
+
+class DeadlyContent(RuleBasedStateMachine):
+    """Any gateway, any message late or twice, kills and outages: three trials in an hour."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock(now_ms=1_000_000)
+        self.store = Store()
+        self.gateways = [Gateway(f"g{number}", self.store, self.clock) for number in range(3)]
+        self.messages = []
+        self.granted = 0
+        self.ends = 0
+        self.gateways[0].end_servers()
+        self.gateways[0].held.save(is_keeper=False)
+        self._gather(self.gateways[0])
+        for record in self.messages:
+            for gateway in self.gateways:
+                gateway.quarantine.take(record)
+
+    def _gather(self, gateway):
+        self.messages += gateway.quarantine.pop_untold()
+
+    @rule(number=st.integers(0, 2))
+    def ask(self, number):
+        gateway = self.gateways[number]
+        if gateway.may_try():
+            self.granted += 1
+            self.ends += 1
+            gateway.quarantine.note_end(CONTENT, f"tried-{self.ends}")
+        self._gather(gateway)
+
+    @rule(number=st.integers(0, 2), which=st.integers(0, 50))
+    def bring(self, number, which):
+        if self.messages:
+            message = self.messages[which % len(self.messages)]
+            fields = SuspectRecord.from_fields(message.list_fields())
+            self.gateways[number].quarantine.take(fields)
+
+    @rule(wait_ms=st.sampled_from([100.0, *TRIAL_PAUSES_MS]))
+    def wait(self, wait_ms):
+        if self.clock.now_ms() + wait_ms < 1_000_000 + LIFE_MS:
+            self.clock.advance(wait_ms)
+
+    @rule(number=st.integers(0, 2))
+    def restart(self, number):
+        self.gateways[number] = Gateway(f"g{number}", self.store, self.clock)
+        if not self.store.is_away:
+            self.gateways[number].held.load()
+
+    @rule(is_away=st.booleans(), loses=st.integers(0, 2))
+    def disturb(self, is_away, loses):
+        self.store.is_away = is_away
+        self.store.loses = loses
+
+    @rule(number=st.integers(0, 2), is_keeper=st.booleans())
+    def look(self, number, is_keeper):
+        gateway = self.gateways[number]
+        gateway.quarantine.forget_old()
+        if not self.store.is_away:
+            gateway.held.load()
+            gateway.held.save(is_keeper=is_keeper)
+
+    @invariant()
+    def few_trials(self):
+        assert self.granted <= MOST_TRIALS
+
+
+TestDeadlyContent = DeadlyContent.TestCase
+TestDeadlyContent.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
