Spend little of the fleet's fixed repeats in a process's first window

Eight gateways killed in the middle of a window could send 40 repeats before and 40 after with 56 allowed, and 336 while they had not listed one another. Ruled out: giving the part out over the window (40 + 24 of unlisted gateways is still too many, and a request that a server declined right after a start found no other).

--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -90,6 +90,7 @@
         self.link_mbps = link_mbps
         self.own_version: int | None = None
         self.is_registered = False
+        self.is_listed = False
         self._registered_ms = float("-inf")
         self.name = name
         self.zone = zone
@@ -102,6 +103,7 @@
 
     def replace_all(self, page: ObjectPage) -> None:
         """Take the whole list of registrations; who reports without being listed stays."""
+        self.is_listed = True
         listed = {item.name for item in page.items}
         heard = {peer.name for peer in self.list_heard()}
         for item in page.items:
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -128,9 +128,9 @@
         """Leave out a server whose address belongs to another one by now."""
         self._registry.note_misdirected(server_name)
 
-    def count_daemons(self) -> int:
-        """Return how many daemons share the budgets."""
-        return self._fleet.count_daemons()
+    def count_daemons(self) -> int | None:
+        """Return how many daemons share the budgets; None before they were listed."""
+        return self._fleet.count_daemons() if self._fleet.is_listed else None
 
     def _find_capacity(self, service: str) -> float:
         table = self._tables.current
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -75,8 +75,8 @@
     def note_misdirected(self, server_name: str) -> None:
         """The address belongs to another server by now."""
 
-    def count_daemons(self) -> int:
-        """Return how many daemons share the budgets."""
+    def count_daemons(self) -> int | None:
+        """Return how many daemons share the budgets; None while that is not known."""
 
 
 class SendFailedError(Exception):
