--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -22,7 +22,6 @@
 from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.followed_objects import FollowedObjects
-from hemlockswitch.process.gateway.held_requests import HeldRequests
 from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.observation import GatewayObserver
 from hemlockswitch.process.gateway.pages import GatewayPages
@@ -31,7 +30,6 @@
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.reporting import ReportSchedule
 from hemlockswitch.process.gateway.reports import ReportExchange
-from hemlockswitch.process.gateway.request_guard import GatewayGuard
 from hemlockswitch.process.gateway.scaling import ScalingDuty
 from hemlockswitch.process.gateway.server_ends import ServerEnds
 from hemlockswitch.process.gateway.service_models import FIT_MS, ServiceModels
@@ -41,6 +39,8 @@
 from hemlockswitch.process.gateway.usage_keeper import UsageKeeper
 from hemlockswitch.process.gateway.view import GatewayView
 from hemlockswitch.process.lease import Lease
+from hemlockswitch.process.quarantine.guard import Guard
+from hemlockswitch.process.quarantine.held_requests import HeldRequests
 from hemlockswitch.request.forwarding import Forwarder
 from hemlockswitch.request.quarantine import Quarantine
 from hemlockswitch.request.repeat_budget import RepeatBudget
@@ -184,16 +184,15 @@
         clock, quarantine = self._clock, self.quarantine
         process = name_process(self.settings.name, self._incarnation)
         self.suspects = SuspectExchange(self.network, self.fleet, quarantine, clock)
-        self.guard = GatewayGuard(
+        self.guard = Guard(
             quarantine,
             ServerEnds(self.pool, self.registry, self.reachability, clock),
             HeldRequests(process, quarantine, self._adapter.store, clock),
             self.suspects,
-            self.fleet,
-            self.observer.metrics,
             lambda: self.duties is not None and self.duties.leads,
             clock,
         )
+        self.observer.metrics.guard = self.guard.counts
 
     def _build_duties(self) -> None:
         """Build the duties, if there is an API that takes them."""
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.process.quarantine.guard import GuardCounts
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
@@ -64,9 +65,7 @@
     failures : kind of failure to sends without a complete answer.
     connections : connections made to backend servers.
     begun : route to the times from a request's head to the beginning of its answer.
-    ends : requests that were in progress on a backend server when it ended without notice.
-    trials : requests that were held back for such ends, and sent as a trial.
-    held : contents that are held back for them now.
+    guard : what the guard of requests under which servers end has counted.
 
     Examples
     ========
@@ -82,9 +81,7 @@
         self.failures: Counter[str] = Counter()
         self.connections = 0
         self.begun: dict[str, Timings] = defaultdict(Timings)
-        self.ends = 0
-        self.trials = 0
-        self.held = 0
+        self.guard = GuardCounts()
 
     def render(self) -> bytes:
         """Return the metrics as Prometheus text."""
@@ -138,11 +135,13 @@
         yield CounterMetricFamily(
             "hemlock_requests_on_ended_servers",
             "Requests in progress on a backend server that ended.",
-            value=self.ends,
+            value=self.guard.ends,
         )
         yield CounterMetricFamily(
-            "hemlock_quarantine_trials", "Held-back requests sent as a trial.", value=self.trials
+            "hemlock_quarantine_trials",
+            "Held-back requests sent as a trial.",
+            value=self.guard.trials,
         )
         yield GaugeMetricFamily(
-            "hemlock_quarantined_contents", "Contents that are held back.", value=self.held
+            "hemlock_quarantined_contents", "Contents that are held back.", value=self.guard.held
         )
--- a/hemlockswitch/process/gateway/suspect_exchange.py
+++ b/hemlockswitch/process/gateway/suspect_exchange.py
@@ -3,7 +3,7 @@
 Each change goes to every gateway at once: directly to those near this one, and to two gateways of each
 other zone, which pass it on there. It is rare and small, and each moment of delay may cost a server. A
 message that is lost is made up for by the digest in the reports: gateways that hold back other contents
-list those that the object service keeps (`process.gateway.held_requests`).
+list those that the object service keeps (`process.quarantine.held_requests`).
 """
 
 from dataclasses import dataclass
@@ -49,14 +49,12 @@
     network, fleet : the streams to the other gateways, and who these are.
     quarantine : what this gateway knows.
     clock : the time.
-
-    `changed` is set whenever something is to be told.
     """
 
     def __init__(
         self, network: PeerNetwork, fleet: Fleet, quarantine: Quarantine, clock: Clock
     ) -> None:
-        self.changed = Signal()
+        self._changed = Signal()
         self._network = network
         self._fleet = fleet
         self._quarantine = quarantine
@@ -66,11 +64,24 @@
     def run(self) -> None:
         """Tell what changes until the task is ended."""
         while True:
-            self.changed.wait()
-            self.changed.clear()
+            self._changed.wait()
+            self._changed.clear()
             self.tell()
             self._clock.sleep_ms(GATHER_MS)
 
+    def note_change(self) -> None:
+        """Something has changed here that is to be told."""
+        self._changed.set()
+
+    def differ(self) -> bool:
+        """Return whether another gateway holds back something else, by its last report."""
+        digest = self._quarantine.hash_held()
+        return any(peer.view.held_digest != digest for peer in self._fleet.list_heard())
+
+    def are_missed(self) -> bool:
+        """Return whether some gateways are not in touch."""
+        return self._fleet.count_in_touch() < self._fleet.count_daemons()
+
     def tell(self) -> None:
         """Tell every other gateway what has changed here."""
         records = self._quarantine.pop_untold()
--- a/hemlockswitch/process/gateway/request_guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -1,10 +1,12 @@
-"""Holds back forwarded requests under which backend servers end; see `request.quarantine`.
+"""Holds back requests under which backend servers end; see `request.quarantine`.
 
-`RequestGuard` is asked before each send and told what became of it. Its task writes what is to outlast
-this gateway, and compares what it holds back with what others do.
+`Guard` is asked before each send and told what became of it. Its task writes what is to outlast this
+daemon, and lists it again when other daemons hold back something else.
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
 
 import gevent
 
@@ -12,18 +14,13 @@
 from hemlockswitch.core.errors import ErrorKind, PlatformError, RequestError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.held_requests import (
+from hemlockswitch.process.quarantine.held_requests import (
     STALE_MS,
     HeldRequests,
     TrialOutcome,
     save_if_possible,
 )
-from hemlockswitch.process.gateway.metrics import GatewayMetrics
-from hemlockswitch.process.gateway.server_ends import ServerEnds
-from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
-from hemlockswitch.request.clearance import Clearance
-from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.request.clearance import Clearance, Content
 from hemlockswitch.request.quarantine import Quarantine, Standing
 from hemlockswitch.version.backend import BackendServer
 
@@ -34,11 +31,48 @@
 LOAD_PAUSE_MS = 3_000.0
 """Least time between two lists for a difference, which may last until a message has come."""
 ALONE_PAUSE_MS = 5_000.0
-"""Time between two lists while gateways are missed: their messages are, too."""
+"""Time between two lists while other daemons are missed: their messages are, too."""
 
 
-class GatewayGuard:
-    """The guard of a gateway's requests; see `request.clearance.RequestGuard`.
+class ServerEnds(Protocol):
+    """Finds out which backend servers have ended."""
+
+    def has_ended(self, server: BackendServer) -> bool:
+        """Return whether a server that cut a connection has ended without notice."""
+
+
+class Others(Protocol):
+    """The other daemons, as far as they count servers that end."""
+
+    def note_change(self) -> None:
+        """Something has changed here that they are to be told."""
+
+    def differ(self) -> bool:
+        """Return whether one of them holds back something else."""
+
+    def are_missed(self) -> bool:
+        """Return whether some of them are not in touch."""
+
+
+@dataclass
+class GuardCounts:
+    """What a guard counts, for metrics.
+
+    Parameters
+    ==========
+
+    ends : requests that were in progress on a backend server when it ended without notice.
+    trials : requests that were held back for such ends, and sent as a trial.
+    held : contents that are held back now.
+    """
+
+    ends: int = 0
+    trials: int = 0
+    held: int = 0
+
+
+class Guard:
+    """The guard of a daemon's requests; see `request.clearance.RequestGuard`.
 
     Parameters
     ==========
@@ -46,10 +80,8 @@
     quarantine : what is known of the contents under which servers end.
     ends : finds out which servers have ended.
     held : keeps what is held back, and grants trials.
-    exchange : tells the other gateways.
-    fleet : the other gateways, and what they hold back.
-    metrics : counts ends and trials.
-    leads : returns whether this gateway holds the duties.
+    others : the other daemons.
+    is_keeper : returns whether this daemon writes also what others saw.
     clock : the time.
     """
 
@@ -58,19 +90,16 @@
         quarantine: Quarantine,
         ends: ServerEnds,
         held: HeldRequests,
-        exchange: SuspectExchange,
-        fleet: Fleet,
-        metrics: GatewayMetrics,
-        leads: Callable[[], bool],
+        others: Others,
+        is_keeper: Callable[[], bool],
         clock: Clock,
     ) -> None:
+        self.counts = GuardCounts()
         self._quarantine = quarantine
         self._ends = ends
         self._held = held
-        self._exchange = exchange
-        self._fleet = fleet
-        self._metrics = metrics
-        self._leads = leads
+        self._others = others
+        self._is_keeper = is_keeper
         self._clock = clock
         self._known_held: set[str] = set()
         self._loaded_ms: float | None = None
@@ -78,16 +107,16 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether what earlier gateways held back is known."""
+        """Whether what earlier daemons held back is known."""
         return self._held.is_loaded
 
-    def clear(self, admitted: AdmittedRequest, *, may_try: bool) -> Clearance:
+    def clear(self, content: Content, *, may_try: bool) -> Clearance:
         """Return how a request may be sent now, or raise if it is held back."""
         if self._quarantine.is_empty:
             return Clearance.FREE
-        standing = self._quarantine.find_standing(admitted.fingerprint)
+        standing = self._quarantine.find_standing(content.fingerprint)
         if standing.is_held:
-            return self._clear_held(admitted.fingerprint, standing, may_try)
+            return self._clear_held(content.fingerprint, standing, may_try)
         return Clearance.CAREFUL if standing.is_careful else Clearance.FREE
 
     def _clear_held(self, fingerprint: str, standing: Standing, may_try: bool) -> Clearance:
@@ -102,8 +131,8 @@
                 detail=outcome.detail,
             )
             if outcome.is_granted:
-                self._metrics.trials += 1
-                self._exchange.changed.set()
+                self.counts.trials += 1
+                self._others.note_change()
                 return Clearance.TRIAL
             standing = self._quarantine.find_standing(fingerprint)
         detail = f"{standing.ends} servers have ended under this content {fingerprint}"
@@ -118,28 +147,26 @@
             return TrialOutcome(False, error.detail)
         return refused
 
-    def note_broken(self, admitted: AdmittedRequest, server: BackendServer) -> None:
+    def note_broken(self, content: Content, server: BackendServer) -> None:
         """A server cut a connection; if it has ended, that counts against what ran there."""
         if not self._ends.has_ended(server):
             return
-        self._metrics.ends += 1
-        self._quarantine.note_end(admitted.fingerprint, server.incarnation)
+        self.counts.ends += 1
+        self._quarantine.note_end(content.fingerprint, server.incarnation)
         self._note_change("own")
 
-    def note_answered(
-        self, admitted: AdmittedRequest, server: BackendServer, sent_ms: float
-    ) -> None:
+    def note_answered(self, content: Content, server: BackendServer, sent_ms: float) -> None:
         """A server has answered completely: neither it nor the content is suspect."""
         if self._quarantine.is_empty:
             return
         self._quarantine.note_alive(server.incarnation, sent_ms)
-        if self._quarantine.find_standing(admitted.fingerprint).is_held:
-            self._held.note_released(admitted.fingerprint)
-        self._quarantine.note_answer(admitted.fingerprint)
+        if self._quarantine.find_standing(content.fingerprint).is_held:
+            self._held.note_released(content.fingerprint)
+        self._quarantine.note_answer(content.fingerprint)
         self._note_change("own")
 
     def run(self) -> None:
-        """Keep what is held back, and what other gateways hold back, until the task is ended."""
+        """Keep what is held back, and what other daemons hold back, until the task is ended."""
         while True:
             self.look()
             self._clock.sleep_ms(LOOK_MS)
@@ -148,7 +175,7 @@
         """Load, compare, write and forget what is due."""
         self._load_if_due()
         self._note_change("stored")
-        save_if_possible(self._held, is_keeper=self._leads())
+        save_if_possible(self._held, is_keeper=self._is_keeper())
         self._quarantine.forget_old()
         self._note_change("told")
 
@@ -171,19 +198,14 @@
         since_ms = self._clock.now_ms() - self._loaded_ms
         if self._loaded_ms - self._first_loaded_ms < STALE_MS <= since_ms:
             return True  # The first list may have lacked the newest.
-        if self._differs() and since_ms >= LOAD_PAUSE_MS:
+        if since_ms >= LOAD_PAUSE_MS and self._others.differ():
             return True
-        is_alone = self._fleet.count_in_touch() < self._fleet.count_daemons()
-        return is_alone and since_ms >= ALONE_PAUSE_MS
-
-    def _differs(self) -> bool:
-        digest = self._quarantine.hash_held()
-        return any(peer.view.held_digest != digest for peer in self._fleet.list_heard())
+        return since_ms >= ALONE_PAUSE_MS and self._others.are_missed()
 
     def _note_change(self, source: str) -> None:
         """Tell what has changed, and log what is held back or released now."""
         if self._quarantine.has_untold:
-            self._exchange.changed.set()
+            self._others.note_change()
         held = set(self._quarantine.list_held())
         for fingerprint in sorted(held - self._known_held):
             record = self._quarantine.get_record(fingerprint)
@@ -200,7 +222,7 @@
             reason = "answered" if is_known else "forgotten"
             log_event(Event.REQUEST_RELEASED, fingerprint=fingerprint, reason=reason)
         self._known_held = held
-        self._metrics.held = len(held)
+        self.counts.held = len(held)
 
 
 def _find_return_ms(standing: Standing) -> int:
--- a/hemlockswitch/process/gateway/held_requests.py
+++ b/hemlockswitch/process/quarantine/held_requests.py
@@ -1,7 +1,7 @@
-"""The requests that are held back, kept in the object service: what outlasts all gateways.
+"""The requests that are held back, kept in the object service: what outlasts all daemons.
 
-A gateway that starts must not begin to count anew, and neither must all of them after a restart of the
-whole fleet. A trial takes a conditional write, so that of all gateways one tries at a time, whatever has
+A daemon that starts must not begin to count anew, and neither must all of them after a restart of the
+whole fleet. A trial takes a conditional write, so that of all daemons one tries at a time, whatever has
 become of their messages; without the object service nothing is tried.
 """
 
@@ -59,8 +59,8 @@
     Parameters
     ==========
 
-    process : names this start of the gateway.
-    quarantine : what this gateway knows.
+    process : names this start of the daemon.
+    quarantine : what this daemon knows.
     store : the object service.
     clock : the time.
     """
@@ -109,7 +109,7 @@
         Parameters
         ==========
 
-        is_keeper : whether to do so also for what other gateways saw; one of them may have ended
+        is_keeper : whether to do so also for what other daemons saw; one of them may have ended
             before it wrote.
 
         Raises
@@ -130,7 +130,7 @@
             self._stored_ms.pop(fingerprint, None)
 
     def take_trial(self, fingerprint: str) -> TrialOutcome:
-        """Return whether this gateway may try a content now; one gateway may at a time.
+        """Return whether this daemon may try a content now; one daemon may at a time.
 
         Raises
         ======
@@ -159,7 +159,7 @@
         else:
             outcome = self._store.update(HELD_KIND, fingerprint, value, version)
         if not isinstance(outcome, Written) and not self._was_written(outcome, fingerprint, value):
-            return TrialOutcome(False, "another gateway was first")
+            return TrialOutcome(False, "another daemon was first")
         self._stored_ms[fingerprint] = self._clock.now_ms()
         self._quarantine.note_trial(fingerprint, trials)
         return TrialOutcome(True)
--- a/hemlockswitch/request/clearance.py
+++ b/hemlockswitch/request/clearance.py
@@ -1,9 +1,8 @@
-"""Whether and how a forwarded request may be sent, as forwarding asks it before each send."""
+"""Whether and how a request may be sent, as whoever sends it asks before each send."""
 
 from enum import StrEnum
 from typing import Protocol
 
-from hemlockswitch.request.forward_admission import AdmittedRequest
 from hemlockswitch.version.backend import BackendServer
 
 
@@ -25,10 +24,18 @@
         return self is not Clearance.FREE
 
 
+class Content(Protocol):
+    """A request, by what it asks for."""
+
+    @property
+    def fingerprint(self) -> str:
+        """The name of it, the same for each attempt at any daemon (`request.fingerprint`)."""
+
+
 class RequestGuard(Protocol):
     """Holds back the requests under which backend servers end (`request.quarantine`)."""
 
-    def clear(self, admitted: AdmittedRequest, *, may_try: bool) -> Clearance:
+    def clear(self, content: Content, *, may_try: bool) -> Clearance:
         """Return how a request may be sent now.
 
         Parameters
@@ -42,10 +49,8 @@
         RequestError : it is held back; the error says when it may be tried.
         """
 
-    def note_broken(self, admitted: AdmittedRequest, server: BackendServer) -> None:
+    def note_broken(self, content: Content, server: BackendServer) -> None:
         """A server's connection ended before the answer did; the server itself may have ended."""
 
-    def note_answered(
-        self, admitted: AdmittedRequest, server: BackendServer, sent_ms: float
-    ) -> None:
+    def note_answered(self, content: Content, server: BackendServer, sent_ms: float) -> None:
         """A server has answered completely what was sent to it at `sent_ms`."""
--- a/tests/crash_replay.py
+++ b/tests/crash_replay.py
@@ -21,11 +21,10 @@
 from hemlockswitch.connection.stored_objects import Conflict, ObjectPage, StoredObject, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError, RequestError
-from hemlockswitch.process.gateway.held_requests import HeldRequests
-from hemlockswitch.process.gateway.metrics import GatewayMetrics
-from hemlockswitch.process.gateway.request_guard import LOOK_MS, GatewayGuard
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
 from hemlockswitch.process.gateway.watch_guard import StoreView
+from hemlockswitch.process.quarantine.guard import LOOK_MS, Guard
+from hemlockswitch.process.quarantine.held_requests import HeldRequests
 from hemlockswitch.request.clearance import Clearance
 from hemlockswitch.request.quarantine import MOST_ENDS, Quarantine
 
@@ -151,13 +150,11 @@
             f"{self.name}/{clock.now_ms()}", self.quarantine, self.world.store, clock
         )
         self.exchange = SuspectExchange(self, self, self.quarantine, clock)
-        self.guard = GatewayGuard(
+        self.guard = Guard(
             self.quarantine,
             SimpleNamespace(has_ended=lambda server: True),
             held,
             self.exchange,
-            self,
-            GatewayMetrics(),
             lambda: self.name == "g0",
             clock,
         )
@@ -317,8 +314,7 @@
 
     @staticmethod
     def _tell_if_changed(gateway):
-        if gateway.exchange.changed.is_set():
-            gateway.exchange.changed.clear()
+        if gateway.quarantine.has_untold:
             gateway.exchange.tell()
 
     # Requests
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,7 +14,7 @@
 import gevent
 import pytest
 
-from hemlockswitch.process.gateway.held_requests import HELD_KIND
+from hemlockswitch.process.quarantine.held_requests import HELD_KIND
 from hemlockswitch.request.quarantine import TRIAL_PAUSES_MS
 from hemlockswitch.standin.runner import RunnerFaults
 from tests.crashing_runners import DEADLY, CrashingSite
--- a/tests/test_held_requests.py
+++ b/tests/test_held_requests.py
@@ -14,7 +14,7 @@
 )
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.process.gateway.held_requests import HELD_KIND, STALE_MS, HeldRequests
+from hemlockswitch.process.quarantine.held_requests import HELD_KIND, STALE_MS, HeldRequests
 from hemlockswitch.request.quarantine import LIFE_MS, TRIAL_PAUSES_MS, Quarantine, SuspectRecord
 
 CONTENT = "content"
