Hold back contents under which servers end at the entry daemons, too

One generation could take four engines that brought no token and sixteen that brought some, a call four servers, and its caller's next request began anew at any daemon, with a budget of repeats of its own. The relay and the caller of services now ask the same guard; daemons tell one another by news, which spread at once and are repaired by digests, and what is held back is kept in the object service. Unit tests only; no feature with real processes brings a deadly content about at the entry daemons.

--- a/hemlockswitch/connection/sockets.py
+++ b/hemlockswitch/connection/sockets.py
@@ -51,6 +51,17 @@
     return connection
 
 
+def refuses_connection(address: str, timeout_ms: float) -> bool:
+    """Return whether nothing listens at ``ip:port``; an address that does not answer may listen."""
+    try:
+        connect(address, timeout_ms).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def reset_on_close(connection: socket.socket) -> None:
     """Make every close of the connection a reset, whoever closes it.
 
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -69,6 +69,7 @@
     MEMBER_NAME_TAKEN = (511, "member_name_taken")
     REGISTRATION_FAILED = (512, "registration_failed")
     GATEWAY_GONE = (513, "gateway_gone")
+    NEWS_UNREADABLE = (514, "news_unreadable")
     REVISION_IN_FORCE = (601, "revision_in_force")
     OLDER_REVISION_REFUSED = (602, "older_revision_refused")
     REVISION_DIGEST_DIFFERS = (603, "revision_digest_differs")
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -9,6 +9,7 @@
 from hemlockswitch.connection.caller_server import CallerServer
 from hemlockswitch.connection.callers import build_application
 from hemlockswitch.connection.control_api import build_control_application
+from hemlockswitch.connection.sockets import refuses_connection
 from hemlockswitch.connection.status_page import StatusPage
 from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
@@ -21,6 +22,11 @@
 from hemlockswitch.process.facts import Facts
 from hemlockswitch.process.metrics import EntryMetrics
 from hemlockswitch.process.peer_metrics import PeerCollector
+from hemlockswitch.process.quarantine.guard import Guard
+from hemlockswitch.process.quarantine.held_requests import HeldRequests
+from hemlockswitch.process.quarantine.metrics import GuardCollector
+from hemlockswitch.process.quarantine.server_ends import ServerEnds
+from hemlockswitch.process.quarantine.suspect_news import SuspectNews
 from hemlockswitch.process.records import RequestRecords
 from hemlockswitch.process.reports import RequestReports
 from hemlockswitch.process.revisions.tasks import RevisionTasks
@@ -33,6 +39,7 @@
 from hemlockswitch.request.capacity import CapacityQueue
 from hemlockswitch.request.moving import Mover
 from hemlockswitch.request.overdue import OverdueSweep
+from hemlockswitch.request.quarantine import Quarantine
 from hemlockswitch.request.relay import Relay
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Router, TargetTraits
@@ -41,6 +48,8 @@
 from hemlockswitch.version.settings import EntrySettings
 
 CLAIM_FLUSH_MS = 3_000.0
+ENDED_CONNECT_MS = 500.0
+"""How long a server that cut a connection is asked for another one; a refusal comes at once."""
 TASK_RESTART_MS = 1_000
 
 
@@ -111,11 +120,37 @@
         client = BackendClient()
         self.tracing = Tracing.from_setting(self.settings.traces, self.settings.name)
         reports = RequestReports(self.metrics, self.tracing)
+        self._build_guard()
         self._build_relay(client, reports)
         self._build_service_calls(client, reports)
         self._build_admission(reports)
         self._build_departure()
 
+    def _build_guard(self) -> None:
+        """Build what holds back requests under which backend servers end."""
+        self.quarantine = Quarantine(self.clock)
+        process = f"{self.settings.name}/{self.clock.wall_ms()}"
+        news = SuspectNews(
+            self.settings.name, self.board, self.quarantine, self._is_isolated, self.clock
+        )
+        self.guard = Guard(
+            self.quarantine,
+            ServerEnds(
+                lambda server: not self.directory.is_leaving(server.name),
+                lambda server: refuses_connection(server.address, ENDED_CONNECT_MS),
+            ),
+            HeldRequests(process, self.quarantine, self.facts.platform, self.clock),
+            news,
+            lambda: False,
+            self.clock,
+        )
+        self.metrics.registry.register(GuardCollector(self.guard.counts))
+        self.status.add("quarantine", self.quarantine.describe)
+
+    def _is_isolated(self) -> bool:
+        membership = self.facts.membership
+        return membership is not None and membership.is_isolated
+
     def _build_relay(self, client: BackendClient, reports: RequestReports) -> None:
         """Build what chooses a backend server and relays its stream."""
         self.router = Router(
@@ -125,7 +160,13 @@
         self.budget = RetryBudget(Limits().retry_ratio, self.clock)
         self.opener = AttemptOpener(client, self.clock)
         self.relay = Relay(
-            self.router, self.directory, self.opener, self.budget, self.clock, reports
+            self.router,
+            self.directory,
+            self.opener,
+            self.budget,
+            self.guard,
+            self.clock,
+            reports,
         )
         self.mover = Mover(
             lambda: list(self.relay.running.values()),
@@ -144,7 +185,14 @@
         )
         self.status.add("claims", self.claims.describe)
         self.services = ServiceCaller(
-            self.router, self.directory, client, self.budget, self.clock, reports, self.claims
+            self.router,
+            self.directory,
+            client,
+            self.budget,
+            self.clock,
+            reports,
+            self.claims,
+            self.guard,
         )
 
     def _build_admission(self, reports: RequestReports) -> None:
@@ -211,6 +259,7 @@
         )
         self.revisions.start(self.spawn)
         self.spawn("sweep", self.sweep.run)
+        self.spawn("quarantine", self.guard.run)
         self.spawn("waiting states", self.departure.store.run)
         if self.tracing.log_export is not None:
             self.spawn("traces", self.tracing.log_export.run)
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -31,7 +31,6 @@
 from hemlockswitch.process.gateway.reporting import ReportSchedule
 from hemlockswitch.process.gateway.reports import ReportExchange
 from hemlockswitch.process.gateway.scaling import ScalingDuty
-from hemlockswitch.process.gateway.server_ends import ServerEnds
 from hemlockswitch.process.gateway.service_models import FIT_MS, ServiceModels
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
 from hemlockswitch.process.gateway.true_time import TrueTime
@@ -41,6 +40,7 @@
 from hemlockswitch.process.lease import Lease
 from hemlockswitch.process.quarantine.guard import Guard
 from hemlockswitch.process.quarantine.held_requests import HeldRequests
+from hemlockswitch.process.quarantine.server_ends import ServerEnds
 from hemlockswitch.request.forwarding import Forwarder
 from hemlockswitch.request.quarantine import Quarantine
 from hemlockswitch.request.repeat_budget import RepeatBudget
@@ -183,10 +183,11 @@
         """Build what holds back requests under which backend servers end."""
         clock, quarantine = self._clock, self.quarantine
         process = name_process(self.settings.name, self._incarnation)
+        self.prober = Prober(self.reachability, self.pool, self.registry.list_all, clock)
         self.suspects = SuspectExchange(self.network, self.fleet, quarantine, clock)
         self.guard = Guard(
             quarantine,
-            ServerEnds(self.pool, self.registry, self.reachability, clock),
+            ServerEnds(self.registry.is_live, self.prober.refuses),
             HeldRequests(process, quarantine, self._adapter.store, clock),
             self.suspects,
             lambda: self.duties is not None and self.duties.leads,
@@ -272,7 +273,7 @@
             self.suspects.run,
             self.guard.run,
             self._sweep,
-            Prober(self.reachability, self.pool, self.registry.list_all, self._clock).run,
+            self.prober.run,
             self._fit_models,
         ):
             self._spawn(task)
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -11,6 +11,7 @@
 
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.process.quarantine.guard import GuardCounts
+from hemlockswitch.process.quarantine.metrics import GuardCollector
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
@@ -99,11 +100,7 @@
 
     def collect(self) -> "Iterator[Metric]":
         """Yield the figures as the library's types (called by it)."""
-        from prometheus_client.core import (
-            CounterMetricFamily,
-            GaugeMetricFamily,
-            HistogramMetricFamily,
-        )
+        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
 
         requests = CounterMetricFamily(
             "hemlock_forwarded_requests",
@@ -132,16 +129,4 @@
         yield CounterMetricFamily(
             "hemlock_backend_connections", "Connections made.", value=self.connections
         )
-        yield CounterMetricFamily(
-            "hemlock_requests_on_ended_servers",
-            "Requests in progress on a backend server that ended.",
-            value=self.guard.ends,
-        )
-        yield CounterMetricFamily(
-            "hemlock_quarantine_trials",
-            "Held-back requests sent as a trial.",
-            value=self.guard.trials,
-        )
-        yield GaugeMetricFamily(
-            "hemlock_quarantined_contents", "Contents that are held back.", value=self.guard.held
-        )
+        yield from GuardCollector(self.guard).collect()
--- a/hemlockswitch/process/gateway/prober.py
+++ b/hemlockswitch/process/gateway/prober.py
@@ -43,6 +43,19 @@
             for server in self._reachability.list_probes(self._list_servers()):
                 gevent.spawn(self._probe, server)
 
+    def refuses(self, server: BackendServer) -> bool:
+        """Ask a server for a connection, and return whether it refused it; silence is no refusal."""
+        began_ms = self._clock.now_ms()
+        timeout_ms = self._reachability.find_connect_timeout_ms()
+        try:
+            self._pool.warm(server.address, timeout_ms)
+        except ExchangeError:
+            is_silent = self._clock.now_ms() - began_ms >= timeout_ms
+            self._reachability.note_unreachable(server, is_silent=is_silent)
+            return not is_silent
+        self._reachability.note_connected(server, self._clock.now_ms() - began_ms)
+        return False
+
     def _probe(self, server: BackendServer) -> None:
         began_ms = self._clock.now_ms()
         try:
--- a/hemlockswitch/process/gateway/server_ends.py
+++ b/hemlockswitch/process/quarantine/server_ends.py
@@ -5,15 +5,12 @@
 listens at its address a moment later. One that does not answer at all has not shown that it ended.
 """
 
+from collections.abc import Callable
+
 from gevent.event import AsyncResult
 
-from hemlockswitch.connection.backend_pool import BackendPool
-from hemlockswitch.connection.exchange_errors import ExchangeError
-from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.gateway.reachability import Reachability
-from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.version.backend import BackendServer
 
 MOST_REMEMBERED = 1_024
@@ -26,29 +23,23 @@
     Parameters
     ==========
 
-    pool : makes the connections; one that opens is kept for a request.
-    registry : says which servers leave as announced.
-    reachability : learns which servers refuse connections.
-    clock : the time.
+    is_live : returns whether a server is registered and does not leave.
+    refuses : asks a server for a connection; returns whether it refused it.
     """
 
     def __init__(
         self,
-        pool: BackendPool,
-        registry: ServerRegistry,
-        reachability: Reachability,
-        clock: Clock,
+        is_live: Callable[[BackendServer], bool],
+        refuses: Callable[[BackendServer], bool],
     ) -> None:
-        self._pool = pool
-        self._registry = registry
-        self._reachability = reachability
-        self._clock = clock
+        self._is_live = is_live
+        self._refuses = refuses
         self._asking: dict[str, AsyncResult] = {}
         self._ended: dict[str, None] = {}
 
     def has_ended(self, server: BackendServer) -> bool:
         """Return whether a server that cut a connection has ended without notice; asks it once."""
-        if not self._registry.is_live(server):
+        if not self._is_live(server):
             return False
         if server.incarnation in self._ended:
             return True
@@ -67,17 +58,6 @@
             self._remember(server)
         return is_ended
 
-    def _refuses(self, server: BackendServer) -> bool:
-        began_ms = self._clock.now_ms()
-        timeout_ms = self._reachability.find_connect_timeout_ms()
-        try:
-            self._pool.warm(server.address, timeout_ms)
-        except ExchangeError:
-            is_silent = self._clock.now_ms() - began_ms >= timeout_ms
-            self._reachability.note_unreachable(server, is_silent=is_silent)
-            return not is_silent
-        return False
-
     def _remember(self, server: BackendServer) -> None:
         self._ended[server.incarnation] = None
         if len(self._ended) > MOST_REMEMBERED:
--- a/hemlockswitch/request/generation.py
+++ b/hemlockswitch/request/generation.py
@@ -3,6 +3,7 @@
 import json
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
 from typing import Any, Self
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -10,6 +11,7 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.core.identifiers import make_identifier
+from hemlockswitch.request.fingerprint import hash_call
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.settings import describe_mistakes
 
@@ -125,6 +127,11 @@
     first_token_ms: float | None = None
     hops: int = 0
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """The name of what is asked for, the same for each attempt at any daemon."""
+        return hash_call((self.account, self.model), self.body)
+
     def begin_attempt(self, server: BackendServer, cause: Cause) -> str:
         """Take a new stream id for an attempt on `server` and return it."""
         if self.stream_id:
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -8,6 +8,7 @@
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.attempt import Attempt, AttemptLostError, AttemptOpener
 from hemlockswitch.request.chunks import DONE_EVENT, SEPARATOR, Checked, Verdict, rewrite_usage
+from hemlockswitch.request.clearance import RequestGuard
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.retries import Pace, RetryBudget
 from hemlockswitch.request.running import (
@@ -38,6 +39,7 @@
     chooser, directory : where to send, and who is in progress where.
     opener : opens streams on backend servers.
     budget : bounds how often work is repeated.
+    guard : holds back requests under which servers end.
     clock : the process's clock.
     observer : hears what happens.
     """
@@ -48,6 +50,7 @@
         directory: Directory,
         opener: AttemptOpener,
         budget: RetryBudget,
+        guard: RequestGuard,
         clock: Clock,
         observer: RelayObserver,
     ) -> None:
@@ -55,6 +58,7 @@
         self._directory = directory
         self._opener = opener
         self._budget = budget
+        self._guard = guard
         self._clock = clock
         self._observer = observer
         self._pace = Pace(RECLAIM_STARTS_PER_S, clock)
@@ -94,6 +98,7 @@
             running.hand_over_if_asked()
             try:
                 if not resume:
+                    self._clear(running)
                     self._begin_attempt(running, cause)
                 yield from self._run_attempt(running, resume)
                 cause, resume = Cause.RECLAIM, False
@@ -105,6 +110,16 @@
                 if not resume:
                     cause = self._prepare_again(running, lost)
 
+    def _clear(self, running: Running) -> None:
+        """Raise if the request is held back, with what is known of whether it ran."""
+        try:
+            self._guard.clear(running.generation, may_try=not running.sent)
+        except RequestError as held:
+            ran = running.state_ran()
+            if ran is Ran.NO:
+                raise
+            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, held.detail, ran=ran) from held
+
     def _check_wanted(self, running: Running) -> None:
         """Raise when nobody waits for the answer any more."""
         if running.stopped is not None:
@@ -127,6 +142,8 @@
         assert server is not None
         running.excluded.add(server.name)
         self._observer.attempt_ended(generation, running.estimate_recomputed(), lost.reason)
+        if lost.ran is not Ran.NO or running.brought_token:
+            self._guard.note_broken(generation, server)
         if lost.ran is not Ran.NO:
             running.fruitless += not running.brought_token
             self._opener.cancel(server.address, generation.stream_id)
@@ -169,6 +186,7 @@
         running.kv_handle = move.kv_handle if move is not None and prepared else None
         generation.begin_attempt(server, cause)
         running.attempts += 1
+        running.sent_ms = self._clock.now_ms()
         running.own_token = False
         running.brought_token = False
         running.base_tokens = len(generation.tokens)
@@ -298,6 +316,8 @@
         if checked.content:
             generation.tokens.append(checked.content)
         generation.finish_event = rewrite_usage(checked.event, len(generation.tokens))
+        if generation.server is not None:
+            self._guard.note_answered(generation, generation.server, running.sent_ms)
         usage = checked.usage or {}
         recomputed_tokens = int(usage.get("recomputed_tokens") or 0)
         self._observer.attempt_ended(generation, recomputed_tokens, "finished")
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -87,6 +87,7 @@
     exchange : what the relay reads now; None between attempts.
     stopped : why the relay must end; raised at its next wait.
     excluded : servers that lost this generation.
+    sent_ms : when the attempt in progress began.
     sent : whether any backend server may have begun it.
     fruitless : attempts that may have run and brought no token.
     own_token : whether the connection in progress brought a token.
@@ -104,6 +105,7 @@
     stopped: BaseException | None = None
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
+    sent_ms: float = 0.0
     sent: bool = False
     fruitless: int = 0
     own_token: bool = False
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -1,6 +1,7 @@
 """Calls of plain services: repeated only where that is safe, and stated honestly where not."""
 
 from dataclasses import dataclass
+from functools import cached_property
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -15,6 +16,8 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.claims import Claims, StoredAnswer, fingerprint_call
+from hemlockswitch.request.clearance import RequestGuard
+from hemlockswitch.request.fingerprint import hash_call
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Need
 from hemlockswitch.request.running import (
@@ -50,6 +53,23 @@
         """It is over."""
 
 
+@dataclass(frozen=True)
+class CallContent:
+    """A call by what it asks for; see `request.clearance.Content`."""
+
+    account: str
+    service: Service
+    path: str
+    request: CallerRequest
+
+    @cached_property
+    def fingerprint(self) -> str:
+        """The name of it, the same for each attempt at any daemon."""
+        request = self.request
+        parts = (self.account, request.method, self.service.name, self.path, request.query)
+        return hash_call(parts, request.body)
+
+
 @dataclass
 class _Progress:
     """What happened to a call so far."""
@@ -111,6 +131,7 @@
         clock: Clock,
         observer: ServiceObserver,
         claims: Claims,
+        guard: RequestGuard,
     ) -> None:
         self._chooser = chooser
         self._directory = directory
@@ -119,6 +140,7 @@
         self._clock = clock
         self._observer = observer
         self._claims = claims
+        self._guard = guard
 
     def call(
         self, request: CallerRequest, account: str, service: Service, path: str, deadline_ms: float
@@ -131,16 +153,17 @@
         RequestError : with `ran` as far as it is known.
         """
         operation = find_operation(service, request.method, path)
+        content = CallContent(account, service, path, request)
         self._budget.earn()
         key = request.idempotency_key
         if operation.idempotent or key is None:
-            answer = self._dispatch(request, service, operation, path, deadline_ms)
+            answer = self._dispatch(request, content, operation, deadline_ms)
         else:
             answer = self._claims.run_once(
                 account,
                 key,
                 fingerprint_call(request.method, service.name, path, request.query, request.body),
-                lambda: self._dispatch(request, service, operation, path, deadline_ms),
+                lambda: self._dispatch(request, content, operation, deadline_ms),
                 deadline_ms - self._clock.now_ms(),
             )
         headers = {name: value for name, value in answer.headers.items() if name != "content-type"}
@@ -150,27 +173,41 @@
     def _dispatch(
         self,
         request: CallerRequest,
-        service: Service,
+        content: CallContent,
         operation: Operation,
-        path: str,
         deadline_ms: float,
     ) -> StoredAnswer:
         progress = _Progress(excluded=set())
         while True:
             self._check_deadline(progress, deadline_ms)
-            server = self._choose(request, service, progress)
+            self._clear(content, progress)
+            server = self._choose(request, content.service, progress)
             progress.dispatches += 1
+            sent_ms = self._clock.now_ms()
             try:
-                answer = self._send(request, service, server, path, deadline_ms)
+                answer = self._send(request, content.service, server, content.path, deadline_ms)
+                self._guard.note_answered(content, server, sent_ms)
                 if not (operation.idempotent and answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR):
                     return _keep(answer)
                 progress.last, progress.ran = answer, Ran.YES
             except ExchangeError as failure:
+                if failure.stage is not Stage.BEFORE_SEND:
+                    self._guard.note_broken(content, server)
                 self._note_failure(progress, failure, operation)
             progress.excluded.add(server.name)
             if progress.dispatches >= MAX_DISPATCHES or not self._budget.take():
                 return self._give_up(progress)
 
+    def _clear(self, content: CallContent, progress: _Progress) -> None:
+        """Raise if the call is held back, with what is known of whether it ran."""
+        try:
+            self._guard.clear(content, may_try=progress.dispatches == 0)
+        except RequestError as held:
+            if progress.ran is Ran.NO:
+                raise
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            raise RequestError(kind, held.detail, ran=progress.ran) from held
+
     def _check_deadline(self, progress: _Progress, deadline_ms: float) -> None:
         if self._clock.now_ms() >= deadline_ms:
             raise build_deadline_error(progress.ran)
--- /dev/null
+++ b/tests/test_quarantine_at_entry.py
@@ -0,0 +1,134 @@
+"""Contents under which engines and services end, at the entry daemons.
+
+The same class of fault as at the gateways: attempts were counted for one request in one daemon. One
+generation could take four engines that brought no token, and sixteen that brought some, and its caller's
+next request began anew at any daemon.
+"""
+
+import pytest
+
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.quarantine.suspect_news import SUSPECT_PREFIX, SuspectNews
+from hemlockswitch.request.quarantine import LIFE_MS, MOST_ENDS, TRIAL_PAUSES_MS, Quarantine
+from tests import test_relay, test_service_calls
+from tests.guards import make_guard
+from tests.test_relay import LOST
+from tests.test_service_calls import AFTER, OK, SERVERS
+
+CONTENT = "content"
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(now_ms=1_000_000)
+
+
+def make_relay_bench(guard, *scripts):
+    return test_relay.Bench(*scripts, burst=100.0, guard=guard)
+
+
+def test_a_generation_under_which_three_engines_end_goes_to_no_fourth(clock):
+    guard = make_guard(clock, ended={"llm-1", "llm-2", "llm-3", "llm-4"})
+    bench = make_relay_bench(guard, *[{1: LOST}] * 20)
+    with pytest.raises(RequestError) as raised:
+        bench.run()
+    assert raised.value.answer.ran is Ran.YES, "it had brought a token"
+    assert len(set(bench.opener.opened)) == len(bench.opener.opened) == MOST_ENDS
+
+
+def test_the_next_request_with_this_content_is_refused_as_not_run(clock):
+    guard = make_guard(clock, ended={"llm-1", "llm-2", "llm-3", "llm-4"})
+    with pytest.raises(RequestError):
+        make_relay_bench(guard, *[{0: LOST}] * 20).run()
+    again = make_relay_bench(guard)
+    with pytest.raises(RequestError) as raised:
+        again.run()
+    assert raised.value.kind is ErrorKind.QUARANTINED
+    assert raised.value.answer.ran is Ran.NO
+    assert 0 < raised.value.answer.retry_after_ms <= TRIAL_PAUSES_MS[0]
+    assert again.opener.opened == []
+
+
+def test_a_trial_that_is_answered_clears_the_generation(clock):
+    guard = make_guard(clock, ended={"llm-1", "llm-2", "llm-3", "llm-4"})
+    with pytest.raises(RequestError):
+        make_relay_bench(guard, *[{0: LOST}] * 20).run()
+    clock.advance(TRIAL_PAUSES_MS[0])
+    make_relay_bench(guard).run()
+    make_relay_bench(guard).run()
+
+
+def test_lost_connections_to_engines_that_live_hold_nothing_back(clock):
+    guard = make_guard(clock)
+    with pytest.raises(RequestError):
+        make_relay_bench(guard, *[{0: LOST}] * 20).run()
+    make_relay_bench(guard).run()
+
+
+def test_a_call_under_which_three_servers_end_is_not_sent_again(clock):
+    guard = make_guard(clock, ended={server.name for server in SERVERS})
+    bench = test_service_calls.Bench(AFTER, AFTER, AFTER, OK, guard=guard)
+    with pytest.raises(RequestError) as raised:
+        bench.send("/slots")
+    assert raised.value.answer.ran is Ran.UNKNOWN
+    again = test_service_calls.Bench(OK, guard=guard)
+    with pytest.raises(RequestError) as raised:
+        again.send("/slots")
+    assert (raised.value.kind, raised.value.answer.ran) == (ErrorKind.QUARANTINED, Ran.NO)
+    assert again.asked == []
+
+
+def test_a_call_that_may_run_once_counts_over_the_attempts_of_its_caller(clock):
+    guard = make_guard(clock, ended={server.name for server in SERVERS})
+    for _ in range(2):
+        with pytest.raises(RequestError) as raised:
+            test_service_calls.Bench(AFTER, guard=guard).send("/confirmations")
+        assert raised.value.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert guard.counts.ends == 2
+
+
+def make_news(name, clock):
+    board, quarantine = NewsBoard(), Quarantine(clock)
+    return SuspectNews(name, board, quarantine, lambda: False, clock), board, quarantine
+
+
+def spread(source, *targets):
+    for item in source.list_items():
+        for target in targets:
+            target.learn(item)
+
+
+def test_daemons_learn_of_one_another_by_news(clock):
+    news, board, quarantine = make_news("e1", clock)
+    _, other_board, other = make_news("e2", clock)
+    for server in ("s1", "s2", "s3"):
+        quarantine.note_end(CONTENT, server)
+    news.note_change()
+    spread(board, other_board)
+    assert other.list_held() == [CONTENT]
+    quarantine.note_answer(CONTENT)
+    news.note_change()
+    spread(board, other_board)
+    assert other.list_held() == [], "within the same millisecond of the time of day, too"
+
+
+def test_old_news_is_withdrawn_also_that_of_daemons_that_are_gone(clock):
+    news, board, quarantine = make_news("e1", clock)
+    gone, gone_board, gone_quarantine = make_news("e2", clock)
+    gone_quarantine.note_end(CONTENT, "s1")
+    gone.note_change()
+    spread(gone_board, board)
+    clock.advance(LIFE_MS + 1)
+    quarantine.note_end("another", "s2")
+    news.note_change()
+    left = [item.key for item in board.list_items(SUSPECT_PREFIX) if not item.tombstone]
+    assert left == [f"{SUSPECT_PREFIX}another/e1"]
+
+
+@pytest.mark.parametrize("value", [None, 5, [], ["x", 1, 2, 3], {"a": 1}])
+def test_news_that_cannot_be_read_is_passed_over(clock, value):
+    _, board, quarantine = make_news("e1", clock)
+    board.learn(NewsItem(f"{SUSPECT_PREFIX}x/e9", 1, value))
+    assert quarantine.is_empty
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,6 +12,7 @@
 from hemlockswitch.request.relay import Relay
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.version.backend import BackendServer
+from tests.guards import make_guard
 
 TOTAL = 6
 SERVERS = [BackendServer(f"llm-{n}", "z", f"127.0.0.1:{n}", "m") for n in (1, 2, 3)]
@@ -143,13 +144,20 @@
 
 
 class Bench:
-    def __init__(self, *scripts, burst=10.0):
+    def __init__(self, *scripts, burst=10.0, guard=None):
         self.clock = ManualClock()
         self.opener = Opener(*scripts)
         self.chooser, self.directory, self.observer = Chooser(), Directory(), Observer()
         budget = RetryBudget(0.1, self.clock, burst=burst)
+        self.guard = guard or make_guard(self.clock)
         self.relay = Relay(
-            self.chooser, self.directory, self.opener, budget, self.clock, self.observer
+            self.chooser,
+            self.directory,
+            self.opener,
+            budget,
+            self.guard,
+            self.clock,
+            self.observer,
         )
         body = json.dumps({"model": "m", "messages": [{"role": "user", "content": "a b"}]})
         self.generation = Generation(
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -11,6 +11,7 @@
 from hemlockswitch.request.service_call import ServiceCaller, find_operation
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.models import Operation, Service
+from tests.guards import make_guard
 
 REQUEST_ID = "req-1"
 SERVERS = [BackendServer(f"app-{n}", "z", f"127.0.0.1:{n}", "app") for n in (1, 2, 3)]
@@ -32,14 +33,16 @@
 class Bench:
     """Stands for everything around the caller of services; `results` come one a dispatch."""
 
-    def __init__(self, *results, burst=10.0):
+    def __init__(self, *results, burst=10.0, guard=None):
         self.results = list(results)
         self.asked = []
         self.blamed = []
         self.claimed = []
         clock = ManualClock()
         budget = RetryBudget(0.1, clock, burst=burst)
-        self.caller = ServiceCaller(self, self, self, budget, clock, self, self)
+        self.caller = ServiceCaller(
+            self, self, self, budget, clock, self, self, guard or make_guard(clock)
+        )
 
     def choose(self, need):
         for server in SERVERS:
