--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -1,6 +1,5 @@
 """The entry daemon: its parts, wired together, started and stopped in order."""
 
-from collections.abc import Callable
 from typing import Any, Self
 
 import gevent
@@ -14,8 +13,6 @@
 from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
-from hemlockswitch.core.events import Event
-from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.claims.members import build_claims
 from hemlockswitch.process.copies.usage import UsageReporter
 from hemlockswitch.process.departure import Departure
@@ -33,6 +30,7 @@
 from hemlockswitch.process.serving import Serving
 from hemlockswitch.process.shares.members import CALL_MS as SHARE_CALL_MS
 from hemlockswitch.process.shares.members import build_shares
+from hemlockswitch.process.tasks import Tasks
 from hemlockswitch.process.traces import Tracing
 from hemlockswitch.request.admission import Admission
 from hemlockswitch.request.attempt import AttemptOpener
@@ -50,7 +48,6 @@
 CLAIM_FLUSH_MS = 3_000.0
 ENDED_CONNECT_MS = 500.0
 """How long a server that cut a connection is asked for another one; a refusal comes at once."""
-TASK_RESTART_MS = 1_000
 
 
 class EntryDaemon:
@@ -76,7 +73,7 @@
         self.status = StatusPage()
         self.file: OperatorFile | None = None
         self.revision = 0
-        self._tasks: list[gevent.Greenlet] = []
+        self._tasks = Tasks(clock)
         self._build_facts()
         self._build_requests()
         self._build_servers()
@@ -253,16 +250,16 @@
         """Open the sockets, spawn the tasks, and return the addresses that are bound."""
         self.control.start()
         self.callers.start()
-        peer_address = self.facts.start(self.callers.bound_address, self.spawn)
+        peer_address = self.facts.start(self.callers.bound_address, self._tasks.spawn)
         self.revisions.configuration.add_listener(
             lambda revision: self.use_file(revision.file, revision.number)
         )
-        self.revisions.start(self.spawn)
-        self.spawn("sweep", self.sweep.run)
-        self.spawn("quarantine", self.guard.run)
-        self.spawn("waiting states", self.departure.store.run)
+        self.revisions.start(self._tasks.spawn)
+        self._tasks.spawn("sweep", self.sweep.run)
+        self._tasks.spawn("quarantine", self.guard.run)
+        self._tasks.spawn("waiting states", self.departure.store.run)
         if self.tracing.log_export is not None:
-            self.spawn("traces", self.tracing.log_export.run)
+            self._tasks.spawn("traces", self.tracing.log_export.run)
         return {
             "callers": self.callers.bound_address,
             "control": self.control.bound_address,
@@ -270,19 +267,6 @@
             "peer_listen": self.facts.network.bound_address,
         }
 
-    def spawn(self, name: str, run: Callable[[], Any]) -> None:
-        """Run a task until the daemon stops; a task that fails is logged and started again."""
-        self._tasks.append(gevent.spawn(self._keep_running, name, run))
-
-    def _keep_running(self, name: str, run: Callable[[], Any]) -> None:
-        while True:
-            try:
-                run()
-                return
-            except Exception as error:
-                log_event(Event.TASK_FAILED, "error", task=name, error=repr(error))
-                self.clock.sleep_ms(TASK_RESTART_MS)
-
     def stop(self) -> None:
         """Refuse new work, let requests in progress end or hand them over, then stop."""
         self.serving.stop_accepting()
@@ -291,7 +275,7 @@
         self.claims.flush(CLAIM_FLUSH_MS)
         gevent.spawn(self.shares.leave).join(timeout=SHARE_CALL_MS / MS_PER_SECOND)
         self.shares.stop()
-        gevent.killall(self._tasks)
+        self._tasks.kill()
         self.facts.stop()
         self.callers.stop(timeout=1)
         self.control.stop(timeout=1)
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import gevent
-
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.peers import PeerNetwork
@@ -27,6 +25,7 @@
 from hemlockswitch.process.gateway.pages import GatewayPages
 from hemlockswitch.process.gateway.prober import Prober
 from hemlockswitch.process.gateway.reachability import Reachability
+from hemlockswitch.process.gateway.readiness import Readiness
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.reporting import ReportSchedule
 from hemlockswitch.process.gateway.reports import ReportExchange
@@ -41,6 +40,7 @@
 from hemlockswitch.process.quarantine.guard import Guard
 from hemlockswitch.process.quarantine.held_requests import HeldRequests
 from hemlockswitch.process.quarantine.server_ends import ServerEnds
+from hemlockswitch.process.tasks import Tasks
 from hemlockswitch.request.forwarding import Forwarder
 from hemlockswitch.request.quarantine import Quarantine
 from hemlockswitch.request.repeat_budget import RepeatBudget
@@ -48,7 +48,6 @@
 from hemlockswitch.version.gateway_settings import GatewaySettings
 
 SWEEP_MS = 1_000.0
-TASK_RESTART_MS = 500.0
 LISTEN_ON_STOP_MS = 2_500.0
 """How long to accept connections after a stop signal: balancers ask for readiness once a second
 and take a daemon out after two answers, so new connections come for up to two seconds. What comes
@@ -73,9 +72,8 @@
         self.settings = settings
         self._adapter = adapter
         self._clock = clock
-        self._is_stopping = False
-        self._was_ready = False
-        self._tasks: list[gevent.Greenlet] = []
+        self._tasks = Tasks(clock)
+        self._readiness = Readiness(lambda: self.followed.is_synced and self.guard.is_ready)
         self._build_knowledge()
         self._build_forwarding()
         self._build_duties()
@@ -261,41 +259,41 @@
         listen_address = self.callers.start()
         page_addresses = self.pages.start()
         for follower in (self.followed.configuration, self.followed.servers):
-            self._spawn(follower.run)
-        for task in (
-            self._refresh_fleet,
-            self.schedule.send_near,
-            self.schedule.send_far,
-            self.schedule.send_changes,
-            self.relay.run,
-            self.schedule.send_spending,
-            self.schedule.send_usage,
-            self.suspects.run,
-            self.guard.run,
-            self._sweep,
-            self.prober.run,
-            self._fit_models,
-        ):
-            self._spawn(task)
-        if self.duties is not None:
-            self._spawn(self.duties.keep_lease)
-            self._spawn(self.duties.act)
-            self._spawn(self.duties.keep_usage)
+            self._tasks.spawn(follower.kind, follower.run)
+        for name, run in self._list_tasks().items():
+            self._tasks.spawn(name, run)
         return {"listen": listen_address, "peer": peer_address, **page_addresses}
 
+    def _list_tasks(self) -> dict[str, Callable[[], None]]:
+        """Return what runs until the process ends, by name."""
+        tasks: dict[str, Callable[[], None]] = {
+            "registrations": self._refresh_fleet,
+            "near reports": self.schedule.send_near,
+            "far reports": self.schedule.send_far,
+            "changes": self.schedule.send_changes,
+            "relayed changes": self.relay.run,
+            "spending": self.schedule.send_spending,
+            "usage": self.schedule.send_usage,
+            "suspects": self.suspects.run,
+            "quarantine": self.guard.run,
+            "sweep": self._sweep,
+            "probes": self.prober.run,
+            "models": self._fit_models,
+        }
+        if self.duties is not None:
+            tasks["lease"] = self.duties.keep_lease
+            tasks["duties"] = self.duties.act
+            tasks["kept usage"] = self.duties.keep_usage
+        return tasks
+
     def is_ready(self) -> bool:
         """Return whether new callers can be served."""
-        is_synced = self.followed.is_synced and self.guard.is_ready
-        ready = (is_synced or self._was_ready) and not self._is_stopping
-        if ready != self._was_ready:
-            log_event(Event.READINESS_CHANGED, ready=ready, stopping=self._is_stopping)
-        self._was_ready = ready
-        return ready
+        return self._readiness.is_ready()
 
     def stop(self) -> None:
         """Leave the balancer, finish the requests in progress, and close."""
         began_ms = self._clock.now_ms()
-        self._is_stopping = True
+        self._readiness.stop()
         self.callers.begin_closing()
         end_ms = began_ms + self.settings.stop_grace_s * MS_PER_SECOND - FORCE_MARGIN_MS
         listen_until_ms = min(began_ms + LISTEN_ON_STOP_MS, end_ms)
@@ -328,23 +326,11 @@
         )
 
     def _close(self) -> None:
-        gevent.killall(self._tasks, block=False)
+        self._tasks.kill(block=False)
         self.network.stop()
         self.pages.stop()
         self._adapter.store.close()
 
-    def _spawn(self, run: Callable[[], None]) -> None:
-        self._tasks.append(gevent.spawn(self._keep_running, run))
-
-    def _keep_running(self, run: Callable[[], None]) -> None:
-        """Run a task, and start it again after an error that nothing handles."""
-        while True:
-            try:
-                run()
-            except Exception as error:  # noqa: BLE001 - one task's fault must not end the daemon
-                log_event(Event.TASK_FAILED, "error", task=repr(run), error=repr(error))
-            self._clock.sleep_ms(TASK_RESTART_MS)
-
     def _refresh_fleet(self) -> None:
         while True:
             self.fleet.refresh(self._adapter.store)
