Let neighbours repair what a gateway holds back, and play a deadly content in the soak

A gateway that starts while the object service is away gets configuration and servers from its zone's watchers, but nothing told it what is held back. Gateways near one another that hold back something else, by the digests of their reports, now tell all they know.

--- a/hemlockswitch/process/gateway/suspect_exchange.py
+++ b/hemlockswitch/process/gateway/suspect_exchange.py
@@ -2,8 +2,8 @@
 
 Each change goes to every gateway at once: directly to those near this one, and to two gateways of each
 other zone, which pass it on there. It is rare and small, and each moment of delay may cost a server. A
-message that is lost is made up for by the digest in the reports: gateways that hold back other contents
-list those that the object service keeps (`process.quarantine.held_requests`).
+message that is lost is made up for by the digest in the reports: gateways near one another that hold
+back other contents tell all they know, and list those that the object service keeps.
 """
 
 from dataclasses import dataclass
@@ -18,6 +18,8 @@
 
 GATHER_MS = 20.0
 """Least time between two messages: what was in progress on one server ends within milliseconds."""
+REPAIR_MS = 1_000.0
+"""Least time between two repairs of one gateway; its reports show after a period whether it has helped."""
 MOST_TOLD = 200
 """Contents in one message, some 20 KB; more than that is in progress on few servers."""
 
@@ -55,6 +57,7 @@
         self, network: PeerNetwork, fleet: Fleet, quarantine: Quarantine, clock: Clock
     ) -> None:
         self._changed = Signal()
+        self._repaired_ms: dict[str, float] = {}
         self._network = network
         self._fleet = fleet
         self._quarantine = quarantine
@@ -90,6 +93,32 @@
             report = SuspectReport(self._fleet.name, fields)
             self._network.send_all(self._list_addresses(), report)
 
+    def repair(self) -> None:
+        """Tell the gateways near this one that hold back something else all that is known here.
+
+        So one that started or was cut off learns it from its neighbours, without the object service.
+        """
+        addresses = self._list_differing()
+        if not addresses:
+            return
+        now_ms = self._clock.now_ms()
+        self._repaired_ms.update((address, now_ms) for address in addresses)
+        fields = [one.list_fields() for one in self._quarantine.list_records()[:MOST_TOLD]]
+        report = SuspectReport(self._fleet.name, fields, is_relayed=True)
+        self._network.send_all(addresses, report)
+
+    def _list_differing(self) -> list[str]:
+        digest = self._quarantine.hash_held()
+        near = {peer.address for peer in self._fleet.list_near()}
+        oldest_ms = self._clock.now_ms() - REPAIR_MS
+        return [
+            peer.address
+            for peer in self._fleet.list_heard()
+            if peer.view.held_digest != digest
+            and peer.address in near
+            and self._repaired_ms.get(peer.address, 0.0) <= oldest_ms
+        ]
+
     def take(self, _address: str, report: SuspectReport) -> None:
         """Take what another gateway knows, and pass it on to those near this one if need be."""
         for fields in report.suspects[:MOST_TOLD]:
--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -47,6 +47,9 @@
     def note_change(self) -> None:
         """Something has changed here that they are to be told."""
 
+    def repair(self) -> None:
+        """Tell those that hold back something else what is known here."""
+
     def differ(self) -> bool:
         """Return whether one of them holds back something else."""
 
@@ -177,6 +180,7 @@
         self._note_change("stored")
         save_if_possible(self._held, is_keeper=self._is_keeper())
         self._quarantine.forget_old()
+        self._others.repair()
         self._note_change("told")
 
     def _load_if_due(self) -> None:
--- a/hemlockswitch/process/quarantine/suspect_news.py
+++ b/hemlockswitch/process/quarantine/suspect_news.py
@@ -59,8 +59,11 @@
         version = max(self._clock.wall_ms(), known.version + 1 if known is not None else 0)
         self._board.learn(NewsItem(key, version, fields, tombstone=fields is None))
 
+    def repair(self) -> None:
+        """Do nothing: news that differ between daemons are repaired where they are spread."""
+
     def differ(self) -> bool:
-        """Return False: news that differ between daemons are repaired where they are spread."""
+        """Return False, for the same reason."""
         return False
 
     def are_missed(self) -> bool:
--- a/hemlockswitch/request/quarantine.py
+++ b/hemlockswitch/request/quarantine.py
@@ -237,6 +237,11 @@
         untold, self._untold = self._untold, set()
         return [self.get_record(one) for one in sorted(untold) if one in self._suspects]
 
+    def list_records(self) -> list[SuspectRecord]:
+        """Return what is known of all contents, those with the most ends first."""
+        ranked = sorted(self._suspects, key=self._rank, reverse=True)
+        return [self.get_record(fingerprint) for fingerprint in ranked]
+
     def list_held(self) -> list[str]:
         """Return the contents that are held back."""
         return [name for name, one in self._suspects.items() if one.counted >= MOST_ENDS]
--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -34,6 +34,8 @@
     work_ms : time of a plain call, and to the first event of a stream.
     event_ms : time between two events.
     prints_runs : print a line for each run, which outlives the process.
+    ends_on : end the process on a request whose body holds this, once it has run for its time;
+        empty for none.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -43,6 +45,7 @@
     work_ms: float = 5
     event_ms: float = 5
     prints_runs: bool = False
+    ends_on: str = ""
 
 
 class RunnerFaults(BaseModel):
@@ -57,8 +60,6 @@
     foreign_answer : answer with another request's identifier.
     without_seal : answer without the mark of a genuine answer.
     cut_after_events : break a stream off inside the event after these.
-    ends_on : end the process on a request whose body holds this, once it has run for its time;
-        empty for none.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -70,7 +71,6 @@
     foreign_answer: bool = False
     without_seal: bool = False
     cut_after_events: int | None = None
-    ends_on: str = ""
 
 
 def end_process() -> None:
@@ -119,7 +119,8 @@
             print(json.dumps({"ran": request_id}), flush=True)
         state.seen.append(_describe(req, body))
         gevent.sleep(state.settings.work_ms / MS_PER_SECOND)
-        if faults.ends_on and faults.ends_on.encode() in body:
+        ends_on = state.settings.ends_on
+        if ends_on and ends_on.encode() in body:
             state.end()
         if faults.lose_answer:
             cut_connection(req.env[SOCKET_KEY])
--- a/tests/crash_replay.py
+++ b/tests/crash_replay.py
@@ -299,7 +299,7 @@
 
     def _report(self, gateway):
         view = StoreView(held_digest=gateway.quarantine.hash_held())
-        peer = SimpleNamespace(view=view)
+        peer = SimpleNamespace(view=view, address=gateway.name)
         for other in self.gateways:
             if other is not gateway and not other.is_cut and not gateway.is_cut:
                 other.reports[gateway.name] = (peer, self.clock.now_ms())
--- a/tests/crashing_runners.py
+++ b/tests/crashing_runners.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from hemlockswitch.standin.runner import RunnerFaults, RunnerSettings, RunnerState
+from hemlockswitch.standin.runner import RunnerSettings, RunnerState
 from hemlockswitch.standin.runner import build_application as build_runner
 from hemlockswitch.standin.server import listen
 from tests.gateway_site import Site, make_entry, tokens
@@ -47,9 +47,8 @@
     def start(self):
         """Begin to serve, at the address of before, and register."""
         self.starts += 1
-        faults = RunnerFaults(ends_on=DEADLY)
-        settings = RunnerSettings(name=self.name, work_ms=self.work_ms)
-        self.state = RunnerState(settings, faults, end=lambda: self.end(is_crash=True))
+        settings = RunnerSettings(name=self.name, work_ms=self.work_ms, ends_on=DEADLY)
+        self.state = RunnerState(settings, end=lambda: self.end(is_crash=True))
         application = build_runner(self.state)
         self.server, self.address = listen(application, self.address, MOST_CONNECTIONS)
         self.is_running = True
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -30,7 +30,7 @@
 }
 
 
-def make_manifest(version=1, timeout_ms=5_000, tenants=None, **routes):
+def make_manifest(version=1, timeout_ms=5_000, tenants=None, services=(), **routes):
     """Return a manifest with the routes of the tests."""
     every = {**ROUTES, **routes}
     return {
@@ -63,6 +63,7 @@
                     "zone_prices": {"z1": 1.0},
                 },
             },
+            *({"name": name, "health_path": "/healthz", "max_conns": 100} for name in services),
         ],
         "limits": {
             "max_header_bytes": 16_384,
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -7,7 +7,12 @@
 from hemlockswitch.process.quarantine.held_requests import HeldRequests
 from hemlockswitch.request.quarantine import Quarantine
 
-ALONE = SimpleNamespace(note_change=lambda: None, differ=lambda: False, are_missed=lambda: False)
+ALONE = SimpleNamespace(
+    note_change=lambda: None,
+    repair=lambda: None,
+    differ=lambda: False,
+    are_missed=lambda: False,
+)
 EMPTY_STORE = SimpleNamespace(
     read=lambda kind, name: None,
     list_stale=lambda kind: ObjectPage((), 0),
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,13 +15,15 @@
     read_reply,
     tokens,
 )
-from tests.soak.world import GATEWAYS, MARKER, SoakWorld
+from tests.soak.world import DEADLY, GATEWAYS, MARKER, SoakWorld
 
 CALLERS = 6
 PAUSE_S = (0.0, 0.25)
 CALL_LIMIT_S = 10.0
 STREAM_EVENTS = 30
-PATHS = ("/hold/x", "/check/x", "/draft/x", "/reply/x", "/open/x")
+PATHS = ("/hold/x", "/check/x", "/draft/x", "/reply/x", "/open/x", "/frail/x")
+DEADLY_PATH = "/frail/deadly"
+DEADLY_PAUSE_S = 0.2
 AT_MOST_ONCE = ("/hold/x", "/draft/x")
 STREAMS = ("/draft/x", "/reply/x")
 MARKER_SHARE = 0.15
@@ -63,6 +65,9 @@
             threading.Thread(target=self._run, args=(number, random.Random(f"{seed}/{number}")))
             for number in range(CALLERS)
         ]
+        draws = random.Random(f"{seed}/deadly")
+        self._threads.append(threading.Thread(target=self._send_deadly, args=(draws,)))
+        self._threads.append(threading.Thread(target=world.keep_frail_runners, args=(self._stop,)))
 
     def start(self) -> None:
         """Begin to call."""
@@ -94,6 +99,14 @@
         for connection in connections.values():
             connection.close()
 
+    def _send_deadly(self, draws: random.Random) -> None:
+        """Send a content under which runners end, again and again, to any gateway."""
+        turn = 0
+        while not self._stop.wait(DEADLY_PAUSE_S):
+            turn += 1
+            gateway = draws.choice(GATEWAYS)
+            self.calls.append(make_call(self._world, {}, gateway, DEADLY_PATH, f"deadly-{turn}"))
+
     def _choose_path(self, draws: random.Random) -> str:
         if draws.random() < MARKER_SHARE:
             back = draws.randrange(2)
@@ -135,9 +148,10 @@
 ) -> Reply | None:
     """Return the answer; None where the connection ended first."""
     headers = tokens(STREAM_EVENTS) if path in STREAMS else {}
+    body = DEADLY.encode() if path == DEADLY_PATH else b"{}"
     try:
         connection = connections.pop(gateway, None) or _connect(world, gateway)
-        connection.sendall(make_request(path, request_id, key=KEY, **headers))
+        connection.sendall(make_request(path, request_id, key=KEY, body=body, **headers))
         reply = read_reply(connection)
     except (OSError, ValueError):
         return None
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,10 +4,13 @@
 from collections.abc import Iterator
 from typing import Any
 
-from tests.soak.callers import AT_MOST_ONCE, Call
+from tests.soak.callers import AT_MOST_ONCE, DEADLY_PATH, Call
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 SUCCESS = 200
+MOST_ENDS, MOST_RETRIES = 3, 3
+SETTLED_S = 5.0
+"""How long after the third server has ended under a content every gateway knows it."""
 
 
 def list_broken(
@@ -20,6 +23,7 @@
         *_check_runs(calls, counts),
         *_check_revisions(calls),
         *_check_duties(cloud_calls),
+        *_check_deadly(calls, counts),
     ]
 
 
@@ -73,3 +77,16 @@
             window, counts = call["body"]["window"], call["body"]["counts"]
             if windows.setdefault(window, counts) != counts:
                 yield f"a window with two counts: {call}, before {windows[window]}"
+
+
+def _check_deadly(calls: list[Call], counts: Counter) -> Iterator[str]:
+    """A content under which three servers have ended is sent three more times at most."""
+    deadly = [call for call in calls if call.path == DEADLY_PATH]
+    runs = [call for call in deadly for _ in range(counts[call.request_id])]
+    runs.sort(key=lambda one: one.ended_s)
+    if len(runs) < MOST_ENDS:
+        return
+    settled_s = runs[MOST_ENDS - 1].ended_s + SETTLED_S
+    late = [call for call in runs if call.began_s > settled_s]
+    if len(late) > MOST_RETRIES:
+        yield f"sent {len(late)} times more after {len(runs)} ends: {late}"
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,6 +15,12 @@
 PLAIN_RUNNERS, ENGINES = 2, 2
 STOP_GRACE_S = 5
 EVENT_MS = 20
+FRAIL, FRAIL_RUNNERS = "frail", 3
+FRAIL_ROUTE = {"kind": "idempotent", "service": FRAIL, "max_attempts": 2}
+DEADLY = "this content ends its server"
+"""Ends each runner of the frail service that runs it; these have no links, as a link would accept the
+connection that tells an ended server from a lost answer."""
+FRAIL_LOOK_S = 0.05
 MARKER = "marker-{number}"
 """A route that exists in one revision only: it shows which revision a gateway goes by."""
 
@@ -48,6 +54,8 @@
             self.start_runner("app")
         for _ in range(ENGINES):
             self.start_runner("llm")
+        for _ in range(FRAIL_RUNNERS):
+            self.start_runner(FRAIL)
         for name in GATEWAYS:
             self.cluster.add_link(f"store-{name}", self.store.addresses["http"])
             self.start_gateway(name)
@@ -115,6 +123,8 @@
         with self._lock:
             name = f"{service}-{len(self.runners) + 1}"
             settings = {"name": name, "event_ms": EVENT_MS, "prints_runs": True}
+            if service == FRAIL:
+                settings["ends_on"] = DEADLY
             program = self.cluster.launch(name, [STANDIN, "runner"], settings)
             runner = SoakRunner(name, service, program)
             self.runners.append(runner)
@@ -123,9 +133,22 @@
 
     def register(self, runner: SoakRunner, state: str) -> None:
         """Write a runner's entry of the registry."""
-        address = self.cluster.add_link(f"runner-{runner.name}", runner.program.addresses["http"])
+        address = runner.program.addresses["http"]
+        if runner.service != FRAIL:
+            address = self.cluster.add_link(f"runner-{runner.name}", address)
         self.put("servers", runner.name, make_entry(runner.service, address, state))
 
+    def keep_frail_runners(self, stop: threading.Event) -> None:
+        """Start a new runner of the frail service for each that has ended, until told to stop."""
+        gone: set[str] = set()
+        while not stop.wait(FRAIL_LOOK_S):
+            frail = [one for one in self.runners if one.service == FRAIL and one.name not in gone]
+            for runner in frail:
+                if not runner.program.is_running:
+                    gone.add(runner.name)
+                    self.unregister(runner)
+                    self.start_runner(FRAIL)
+
     def unregister(self, runner: SoakRunner) -> None:
         """Remove a runner's entry."""
         self.call_store("DELETE", f"/standin/objects/servers/{runner.name}")
@@ -147,7 +170,8 @@
             number = self.revision + 1
             marker = {"kind": "idempotent", "service": "app", "max_attempts": 3, "public": True}
             routes = {MARKER.format(number=number): marker}
-            self.put("config", "main", make_manifest(number, **routes))
+            routes[FRAIL] = FRAIL_ROUTE
+            self.put("config", "main", make_manifest(number, services=(FRAIL,), **routes))
             self.revision = number
             return number
 
@@ -171,7 +195,8 @@
                 self.start_gateway(name)
             self.point_front(name)
         for runner in self.runners:
-            self.cluster.set_link(f"runner-{runner.name}")
+            if runner.service != FRAIL:
+                self.cluster.set_link(f"runner-{runner.name}")
             if runner.program.is_running:
                 runner.program.thaw()
                 call_json(runner.program.addresses["http"], "POST", "/standin/faults", {})
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,6 +41,21 @@
         ([CALL], ["id-1", "smuggled"]),
         ([change(CALL, status=503, is_right=False)], ["id-1"]),
         ([change(CALL, status=429, path="/check/x", is_right=False)], ["id-1"]),
+        (
+            [
+                change(
+                    CALL,
+                    path="/frail/deadly",
+                    request_id=f"d{number}",
+                    status=502,
+                    is_right=False,
+                    began_s=10.0 * number,
+                    ended_s=10.0 * number + 1,
+                )
+                for number in range(7)
+            ],
+            [f"d{number}" for number in range(7)],
+        ),
         (
             [
                 change(CALL, path="/marker-4/x", request_id="a"),
