--- a/hemlockswitch/programs/ctl_gateways.py
+++ b/hemlockswitch/programs/ctl_gateways.py
@@ -26,6 +26,17 @@
     watch_lost: bool = False
 
 
+class _SuspectBody(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    fingerprint: str
+    held: bool
+    ends: list[str]
+    trials: int
+    trial_in_ms: float | None
+    changed_ms_ago: float
+
+
 class _StatusBody(BaseModel):
     """A gateway's status page; what is not read here is passed over."""
 
@@ -36,6 +47,27 @@
     configuration: _ConfigurationBody
     gateways: dict[str, dict[str, object]]
     backend_servers: int
+    quarantine: list[_SuspectBody] = []
+
+
+@dataclass(frozen=True)
+class HeldContent:
+    """A content that a gateway holds back since servers ended under it.
+
+    Parameters
+    ==========
+
+    ends : how many servers.
+    trials : how often it was tried since.
+    trial_in_ms : how long until it may be tried again; None if it was tried often enough.
+    changed_ms_ago : when the gateway learned of its last end or trial.
+    """
+
+    fingerprint: str
+    ends: int
+    trials: int
+    trial_in_ms: float | None
+    changed_ms_ago: float
 
 
 @dataclass(frozen=True)
@@ -48,6 +80,7 @@
     revision : the configuration in force there; None before the first.
     hears : how many other gateways it hears.
     servers : how many backend servers it knows.
+    held : the contents that it holds back.
     error : empty if it answered.
     """
 
@@ -58,6 +91,7 @@
     watch_lost: bool = False
     hears: int = 0
     servers: int = 0
+    held: tuple[HeldContent, ...] = ()
     error: str = ""
 
 
@@ -65,13 +99,14 @@
     """Ask gateways what they believe."""
 
     name = "gateways"
-    description = "Show what gateways believe: readiness, revision, other gateways, servers."
+    description = "Show what gateways believe: readiness, revision, gateways, servers, quarantine."
     arguments = [argument("addresses", "Control addresses, ip:port.", multiple=True)]
     options = [
         JSON_OPTION,
         option("timeout", None, "Milliseconds for each.", flag=False, default=str(int(TIMEOUT_MS))),
     ]
-    help = """Asks each address for its status page, all at the same time, and shows a line for each.
+    help = """Asks each address for its status page, all at the same time, and shows a line for each,
+and below it one for each content that it holds back since backend servers ended under it.
 Gateways that differ in revision or in the number of servers for longer than a few seconds are cut
 off from the store or from one another.
 
@@ -116,11 +151,20 @@
         body.configuration.watch_lost,
         len(body.gateways),
         body.backend_servers,
+        _read_held(body.quarantine),
+    )
+
+
+def _read_held(suspects: list[_SuspectBody]) -> tuple[HeldContent, ...]:
+    return tuple(
+        HeldContent(one.fingerprint, len(one.ends), one.trials, one.trial_in_ms, one.changed_ms_ago)
+        for one in suspects
+        if one.held
     )
 
 
 def format_status(status: GatewayStatus) -> str:
-    """Return one line.
+    """Return one line, and one for each content that is held back.
 
     Examples
     ========
@@ -136,4 +180,23 @@
     revision = "no revision" if status.revision is None else f"revision {status.revision}"
     lost = " (store not in touch)" if status.watch_lost else ""
     heard = f"hears {status.hears} gateways, knows {status.servers} servers"
-    return f"{status.address} {status.name}: {ready}, {revision}{lost}, {heard}"
+    first = f"{status.address} {status.name}: {ready}, {revision}{lost}, {heard}"
+    return "\n".join([first, *(f"  {format_held(one)}" for one in status.held)])
+
+
+def format_held(held: HeldContent) -> str:
+    """Return one line on a content that is held back.
+
+    Examples
+    ========
+
+    >>> format_held(HeldContent("7f3a", 4, 1, 12_000.0, 8_000.0))
+    'holds back 7f3a: 4 servers ended, 1 trials, changed 8.0 s ago, next trial in 12.0 s'
+    """
+    changed_s = held.changed_ms_ago / MS_PER_SECOND
+    if held.trial_in_ms is None:
+        then = "no further trial"
+    else:
+        then = f"next trial in {held.trial_in_ms / MS_PER_SECOND:.1f} s"
+    counts = f"{held.ends} servers ended, {held.trials} trials"
+    return f"holds back {held.fingerprint}: {counts}, changed {changed_s:.1f} s ago, {then}"
--- a/tests/test_ctl_gateways.py
+++ b/tests/test_ctl_gateways.py
@@ -45,6 +45,18 @@
     assert "gateway-1: ready, revision 1" in there
 
 
+def test_what_is_held_back_is_shown_with_its_age(site):
+    for server in ("s1", "s2", "s3"):
+        site.gateways[0].quarantine.note_end("content", server)
+    code, output, _ = run("gateways", list_control(site)[0])
+    assert code == ExitCode.DONE
+    _, held = output.splitlines()
+    assert held.startswith("  holds back content: 3 servers ended, 0 trials, changed 0.")
+    code, output, _ = run("gateways", f"{list_control(site)[0]} --json")
+    (shown,) = json.loads(output)["gateways"][0]["held"]
+    assert (shown["fingerprint"], shown["ends"], shown["trials"]) == ("content", 3, 0)
+
+
 def test_what_is_no_status_page_is_said_to_be_none(site):
     code, output, _ = run("gateways", site.runners[0].address)
     assert code == ExitCode.PLATFORM
