Take an answer without a length for an answer only if its server lives

Only the end of the connection ends such an answer, so the end of the server looks like one, and would have cleared the content that brought it about. The server is asked for a connection first.

--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -150,13 +150,14 @@
             return TrialOutcome(False, error.detail)
         return refused
 
-    def note_broken(self, content: Content, server: BackendServer) -> None:
+    def note_broken(self, content: Content, server: BackendServer) -> bool:
         """A server cut a connection; if it has ended, that counts against what ran there."""
         if not self._ends.has_ended(server):
-            return
+            return False
         self.counts.ends += 1
         self._quarantine.note_end(content.fingerprint, server.incarnation)
         self._note_change("own")
+        return True
 
     def note_answered(self, content: Content, server: BackendServer, sent_ms: float) -> None:
         """A server has answered completely: neither it nor the content is suspect."""
--- a/hemlockswitch/request/clearance.py
+++ b/hemlockswitch/request/clearance.py
@@ -49,8 +49,8 @@
         RequestError : it is held back; the error says when it may be tried.
         """
 
-    def note_broken(self, content: Content, server: BackendServer) -> None:
-        """A server's connection ended before the answer did; the server itself may have ended."""
+    def note_broken(self, content: Content, server: BackendServer) -> bool:
+        """A server's connection ended before the answer did; return whether the server has ended."""
 
     def note_answered(self, content: Content, server: BackendServer, sent_ms: float) -> None:
         """A server has answered completely what was sent to it at `sent_ms`."""
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -136,7 +136,7 @@
             sent_ms = self._clock.now_ms()
             try:
                 self._sender.send(Send(progress, admitted, placement, reply))
-                self._guard.note_answered(admitted, placement.candidate.server, sent_ms)
+                self._note_answered(progress, admitted, placement, sent_ms)
                 return
             except SendFailedError as failed:
                 self._prepare_again(progress, admitted, placement, failed, reply)
@@ -154,6 +154,15 @@
                 raise
             raise RequestError(ErrorKind.OUTCOME_UNKNOWN, held.detail) from held
 
+    def _note_answered(
+        self, progress: Progress, admitted: AdmittedRequest, placement: Placement, sent_ms: float
+    ) -> None:
+        """Tell the guard of an answer; one without a length also seems whole when its server ended."""
+        server = placement.candidate.server
+        if progress.ended_with_connection and self._guard.note_broken(admitted, server):
+            return
+        self._guard.note_answered(admitted, server, sent_ms)
+
     def _choose(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> Placement:
         is_careful = progress.clearance.is_careful
         placement = self._view.place(admitted, progress.excluded, is_careful=is_careful)
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -19,6 +19,7 @@
 
     sends : the servers that it was sent to.
     target : the server that was chosen last, also if no connection to it could be made.
+    ended_with_connection : whether the end of the connection was the only sign of the answer's end.
     clearance : how it may be sent, as decided before the last send.
     unreachable, unreachable_since_ms : servers that refused a connection or did not answer one, and
         when the first of them had failed.
@@ -35,6 +36,7 @@
     in_flight: bool = False
     target: str = ""
     clearance: Clearance = Clearance.FREE
+    ended_with_connection: bool = False
     expected_ms: float = 0.0
     began_ms: float | None = None
     last_event_id: str = ""
--- a/hemlockswitch/request/quarantine.py
+++ b/hemlockswitch/request/quarantine.py
@@ -36,7 +36,7 @@
 CLEARED_LIFE_MS = 60_000.0
 """How long a cleared content is remembered, so that late word of its ends does not count again."""
 MOST_SUSPECTS = 4_096
-"""Contents remembered at a time, some 500 bytes each; those with the fewest and oldest ends go first."""
+"""Contents remembered at a time, about a kilobyte each; those with the fewest and oldest ends go first."""
 MOST_NAMES = 16
 """Servers remembered for one content; those that do not count are forgotten first."""
 
@@ -146,6 +146,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._suspects: dict[str, _Suspect] = {}
+        self._held: set[str] = set()
         self._by_server: dict[str, set[str]] = defaultdict(set)
         self._ended_ms: dict[str, float] = {}  # when the end of a server was learned
         self._untold: set[str] = set()
@@ -191,6 +192,7 @@
         suspect.excused |= suspect.ends
         suspect.trials = 0
         self._untold.add(fingerprint)
+        self._note_counted(fingerprint)
 
     def note_alive(self, server: str, sent_ms: float) -> None:
         """A server has answered what was sent at `sent_ms`; if its end was told before, that was wrong."""
@@ -202,6 +204,7 @@
             if server not in suspect.excused:
                 suspect.excused.add(server)
                 self._untold.add(fingerprint)
+                self._note_counted(fingerprint)
 
     def note_trial(self, fingerprint: str, trials: int) -> None:
         """A content is tried, or was elsewhere, for the `trials`-th time."""
@@ -225,6 +228,7 @@
             suspect.changed_ms = self._clock.now_ms()
         if not suspect.counted:
             suspect.trials = 0
+        self._note_counted(record.fingerprint)
 
     def get_record(self, fingerprint: str) -> SuspectRecord:
         """Return what is known of a content."""
@@ -244,12 +248,12 @@
 
     def list_held(self) -> list[str]:
         """Return the contents that are held back."""
-        return [name for name, one in self._suspects.items() if one.counted >= MOST_ENDS]
+        return sorted(self._held)
 
     def hash_held(self) -> int:
         """Return a digest of the contents that are held back; 0 if there are none."""
         digest = 0
-        for fingerprint in self.list_held():
+        for fingerprint in self._held:
             digest ^= xxhash.xxh32_intdigest(fingerprint.encode())
         return digest
 
@@ -257,7 +261,7 @@
         """Forget what is over, and return the contents that were held back."""
         now_ms = self._clock.now_ms()
         old = [name for name, one in self._suspects.items() if now_ms >= one.ends_ms]
-        held = [name for name in old if self._suspects[name].counted >= MOST_ENDS]
+        held = [name for name in old if name in self._held]
         for fingerprint in old:
             self._drop(fingerprint)
         return held
@@ -297,8 +301,16 @@
             suspect.ends.add(server)
             self._by_server[server].add(fingerprint)
             self._ended_ms.setdefault(server, now_ms)
+        self._note_counted(fingerprint)
         return True
 
+    def _note_counted(self, fingerprint: str) -> None:
+        """Hold a content back or release it, by how many ends count against it now."""
+        if self._suspects[fingerprint].counted >= MOST_ENDS:
+            self._held.add(fingerprint)
+        else:
+            self._held.discard(fingerprint)
+
     def _make_room(self) -> None:
         while len(self._suspects) >= MOST_SUSPECTS:
             self._drop(min(self._suspects, key=self._rank))
@@ -314,6 +326,7 @@
 
     def _drop(self, fingerprint: str) -> None:
         suspect = self._suspects.pop(fingerprint)
+        self._held.discard(fingerprint)
         self._untold.discard(fingerprint)
         self._unlink(fingerprint, suspect.ends)
 
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -247,6 +247,7 @@
         else:
             self._relay_whole(send, exchange)
         send.progress.outcome = "answered"
+        send.progress.ended_with_connection = exchange.answer.ends_with_connection
 
     def _relay_whole(self, send: Send, exchange: PooledExchange) -> None:
         """Read the whole answer before any of it goes to the caller."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -9,15 +9,18 @@
 brings the same about with one content, whose failed sends all bear one fingerprint.
 """
 
+import re
 import time
 
 import gevent
+import gevent.socket
 import pytest
 
 from hemlockswitch.process.quarantine.held_requests import HELD_KIND
 from hemlockswitch.request.quarantine import TRIAL_PAUSES_MS
-from hemlockswitch.standin.runner import RunnerFaults
+from hemlockswitch.standin.runner import RunnerFaults, make_seal
 from tests.crashing_runners import DEADLY, CrashingSite
+from tests.gateway_site import make_entry, make_manifest
 
 MOST_ENDS = 3
 MOST_RETRIES = 3
@@ -149,3 +152,48 @@
         runner.end()
     gevent.joinall(asked)
     assert all(one.quarantine.is_empty for one in site.gateways)
+
+
+class UnmeasuredRunner:
+    """Answers without a length, so that only the end of the connection ends the answer."""
+
+    def __init__(self, site, ends):
+        self.listener = gevent.socket.create_server(("127.0.0.1", 0))
+        self._ends = ends
+        address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        site.store.put("servers", "unmeasured", make_entry("bare", address))
+        gevent.spawn(self._serve)
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            gevent.spawn(self._answer, connection)
+
+    def _answer(self, connection):
+        head = connection.recv(65_536).decode()
+        if not head:
+            return
+        request_id = re.search("Hemlockswitch-Request-Id: (.*)\r", head)[1]
+        lines = ["HTTP/1.1 200 OK", f"Hemlockswitch-Request-Id: {request_id}"]
+        lines += [f"Hemlockswitch-Response-Seal: {make_seal(request_id)}", "", "part"]
+        connection.sendall("\r\n".join(lines).encode())
+        if self._ends:
+            self.listener.close()
+        connection.close()
+
+
+@pytest.mark.parametrize("ends", [True, False])
+def test_an_answer_without_a_length_clears_only_if_its_server_lives(site, ends):
+    route = {"kind": "idempotent", "service": "bare", "max_attempts": 1}
+    site.store.put("config", "main", make_manifest(2, services=("bare",), bare=route))
+    runner = UnmeasuredRunner(site, ends)
+    gateway = site.gateways[0]
+    site.wait(lambda: gateway.registry.list_ready("bare"))
+    site.wait(lambda: gateway.tables.current.revision == 2)
+    assert site.ask_for("/bare/x", "some content", 0).status == 200
+    counted = [len(one["ends"]) for one in gateway.quarantine.describe()]
+    assert counted == ([1] if ends else [])
+    runner.listener.close()
