Log an outage once, keep a content that is held back again, and read registrations in one place

Found by reading: a guard without the object service wrote four lines a second, and a content that was cleared, removed by another gateway and then held back again was taken as kept: its trial would have been granted as released. Registrations of gateways are one type in a module of their own.

--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Callable
-from typing import Any
 
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.forward_server import ForwardServer
@@ -238,7 +237,7 @@
         self.status = StatusPage()
         self.status.add("name", lambda: self.settings.name)
         self.status.add("ready", self.is_ready)
-        self.status.add("configuration", self._describe_table)
+        self.status.add("configuration", self.followed.describe_configuration)
         self.status.add("gateways", self.fleet.describe)
         self.status.add("models", self.models.describe)
         self.status.add("backend_servers", lambda: len(self.registry.list_all()))
@@ -362,13 +361,3 @@
 
     def _count_connection(self, _address: str) -> None:
         self.observer.metrics.connections += 1
-
-    def _describe_table(self) -> dict[str, Any]:
-        table = self.tables.current
-        if table is None:
-            return {"revision": None}
-        return {
-            "revision": table.revision,
-            "routes": len(table.routes),
-            "watch_lost": self.followed.configuration.is_lost,
-        }
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -6,16 +6,14 @@
 
 from collections import Counter
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from hemlockswitch.connection.stored_objects import (
     ObjectPage,
     StoredObject,
     Unknown,
-    WriteOutcome,
     Written,
 )
-from hemlockswitch.core.addresses import is_address
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.core.events import Event
@@ -27,10 +25,14 @@
     draw_relays,
     rank_gateway,
 )
+from hemlockswitch.process.gateway.registrations import (
+    GATEWAY_KIND,
+    Registration,
+    RegistrationStore,
+)
 from hemlockswitch.process.gateway.report_period import ReportPeriod, UsagePeriod
 from hemlockswitch.process.gateway.watch_guard import StoreView
 
-GATEWAY_KIND = "gateways"
 LIST_MS = 10_000.0
 """Time between two lists of the registrations; gateways that come later report by themselves."""
 FIRST_LIST_MS = 1_000.0
@@ -50,22 +52,6 @@
 hundred times in a second, and a gateway falls out of touch after seconds."""
 
 
-class RegistrationStore(Protocol):
-    """What the fleet needs of the object service; see `PlatformClient`."""
-
-    def list_stale(self, kind: str) -> ObjectPage:
-        """Return the objects of a kind as they were at most some seconds ago."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
-
-    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object whose version must be `version`."""
-
-    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
-        """Delete an object whose version must be `version`."""
-
-
 class Fleet:
     """The registered gateways, and what each of them last reported.
 
@@ -133,11 +119,7 @@
 
     def register(self, store: RegistrationStore) -> bool:
         """Write the own address; return whether it is known to be written."""
-        value = {
-            "address": self._get_address(),
-            "zone": self.zone,
-            "link_mbps": self.link_mbps,
-        }
+        value = Registration(self._get_address(), self.zone, self.link_mbps).to_value()
         try:
             if self.own_version is None:
                 outcome = store.create(GATEWAY_KIND, self.name, value)
@@ -360,34 +342,17 @@
     def _take_own(self, item: StoredObject) -> None:
         """Note what the own registration says; an earlier process may have had another address."""
         self.own_version = None if item.deleted else item.version
-        self.is_registered = not item.deleted and _read_address(item) == self._get_address()
+        written = Registration.from_object(item)
+        self.is_registered = not item.deleted and written.address == self._get_address()
 
     def _put(self, item: StoredObject) -> None:
-        address = _read_address(item)
-        if not address:
+        written = Registration.from_object(item)
+        if not written.address:
             log_event(Event.OBJECT_UNREADABLE, "warning", kind=item.kind, name=item.name)
             return
         peer = self._peers.get(item.name)
-        if peer is None or peer.address != address:
-            peer = Peer(item.name, address, self._clock.now_ms(), _read_zone(item))
-            peer.link_mbps = _read_link_mbps(item)
+        if peer is None or peer.address != written.address:
+            peer = Peer(item.name, written.address, self._clock.now_ms(), written.zone)
+            peer.link_mbps = written.link_mbps
             self._peers[item.name] = peer
         peer.version = item.version
-
-
-def _read_address(item: StoredObject) -> str:
-    """Return the address in a registration; empty if there is none that can be connected to."""
-    address = item.value.get("address") if isinstance(item.value, dict) else None
-    return address if isinstance(address, str) and is_address(address) else ""
-
-
-def _read_zone(item: StoredObject) -> str:
-    """Return the zone in a registration; empty if it names none."""
-    zone = item.value.get("zone") if isinstance(item.value, dict) else None
-    return zone if isinstance(zone, str) else ""
-
-
-def _read_link_mbps(item: StoredObject) -> float:
-    """Return the speed of a VM's link in a registration; 0 if it names none."""
-    speed = item.value.get("link_mbps") if isinstance(item.value, dict) else None
-    return float(speed) if isinstance(speed, int | float) else 0.0
--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.clock import Clock
@@ -95,6 +96,17 @@
         """Return whether the registry was followed for as long as a heartbeat takes."""
         return self._registry.is_mostly_filled(self.servers.first_synced_ms)
 
+    def describe_configuration(self) -> dict[str, Any]:
+        """Return what is known of the configuration, for the status page."""
+        table = self._tables.current
+        if table is None:
+            return {"revision": None}
+        return {
+            "revision": table.revision,
+            "routes": len(table.routes),
+            "watch_lost": self.configuration.is_lost,
+        }
+
     def view(self) -> StoreView:
         """Return what this gateway knows of the object service, for the others."""
         table = self._tables.current
--- /dev/null
+++ b/hemlockswitch/process/gateway/registrations.py
@@ -0,0 +1,64 @@
+"""How a gateway is registered in the object service, and what that needs of it."""
+
+from dataclasses import asdict, dataclass
+from typing import Any, Protocol, Self
+
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject, WriteOutcome
+from hemlockswitch.core.addresses import is_address
+
+GATEWAY_KIND = "gateways"
+
+
+class RegistrationStore(Protocol):
+    """What the fleet needs of the object service; see `PlatformClient`."""
+
+    def list_stale(self, kind: str) -> ObjectPage:
+        """Return the objects of a kind as they were at most some seconds ago."""
+
+    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
+        """Write an object that must not exist yet."""
+
+    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
+        """Write an object whose version must be `version`."""
+
+    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
+        """Delete an object whose version must be `version`."""
+
+
+@dataclass(frozen=True)
+class Registration:
+    """What a gateway writes of itself.
+
+    Parameters
+    ==========
+
+    address : where other gateways reach it; empty if there is none that can be connected to.
+    zone : its availability zone; empty if it is not said.
+    link_mbps : speed of its VM's link; 0 if it is not said.
+    """
+
+    address: str = ""
+    zone: str = ""
+    link_mbps: float = 0.0
+
+    @classmethod
+    def from_object(cls, item: StoredObject) -> Self:
+        """Read an object; what another program wrote in a field counts as not said.
+
+        Examples
+        ========
+
+        >>> Registration.from_object(StoredObject("gateways", "g1", 3, {"address": 7, "zone": "z1"}))
+        Registration(address='', zone='z1', link_mbps=0.0)
+        """
+        value = item.value if isinstance(item.value, dict) else {}
+        address, zone, speed = (value.get(name) for name in ("address", "zone", "link_mbps"))
+        return cls(
+            address if isinstance(address, str) and is_address(address) else "",
+            zone if isinstance(zone, str) else "",
+            float(speed) if isinstance(speed, int | float) else 0.0,
+        )
+
+    def to_value(self) -> dict[str, Any]:
+        """Return the value of the object."""
+        return asdict(self)
--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -15,10 +15,10 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.quarantine.held_requests import (
+    HELD_KIND,
     STALE_MS,
     HeldRequests,
     TrialOutcome,
-    save_if_possible,
 )
 from hemlockswitch.request.clearance import Clearance, Content
 from hemlockswitch.request.quarantine import Quarantine, Standing
@@ -105,6 +105,7 @@
         self._is_keeper = is_keeper
         self._clock = clock
         self._known_held: set[str] = set()
+        self._is_store_lost = False
         self._loaded_ms: float | None = None
         self._first_loaded_ms: float | None = None
 
@@ -177,25 +178,35 @@
 
     def look(self) -> None:
         """Load, compare, write and forget what is due."""
-        self._load_if_due()
-        self._note_change("stored")
-        save_if_possible(self._held, is_keeper=self._is_keeper())
+        if self._is_load_due():
+            self._load()
+            self._note_change("stored")
+        is_keeper = self._is_keeper()
+        self._held.drop_released(is_keeper=is_keeper)
+        if self._held.must_save(is_keeper=is_keeper):
+            self._try_store(lambda: self._held.save(is_keeper=is_keeper))
         self._quarantine.forget_old()
         self._others.repair()
         self._note_change("told")
 
-    def _load_if_due(self) -> None:
-        if not self._is_load_due():
-            return
+    def _load(self) -> None:
         self._loaded_ms = self._clock.now_ms()
+        if self._try_store(self._held.load) and self._first_loaded_ms is None:
+            self._first_loaded_ms = self._loaded_ms
+
+    def _try_store(self, act: Callable[[], None]) -> bool:
+        """Return whether the object service answered; what was not done is tried at the next look."""
         try:
-            self._held.load()
+            act()
         except PlatformError as error:
-            self._loaded_ms = None if not self._held.is_loaded else self._loaded_ms
-            log_event(Event.WATCH_FAILED, "warning", watch="held", detail=error.detail)
-            return
-        if self._first_loaded_ms is None:
-            self._first_loaded_ms = self._clock.now_ms()
+            if not self._is_store_lost:
+                log_event(Event.WATCH_FAILED, "warning", watch=HELD_KIND, detail=error.detail)
+            self._is_store_lost = True
+            return False
+        if self._is_store_lost:
+            log_event(Event.WATCH_RECOVERED, watch=HELD_KIND)
+        self._is_store_lost = False
+        return True
 
     def _is_load_due(self) -> bool:
         if self._loaded_ms is None or self._first_loaded_ms is None:
--- a/hemlockswitch/process/quarantine/held_requests.py
+++ b/hemlockswitch/process/quarantine/held_requests.py
@@ -16,7 +16,6 @@
     Written,
 )
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.request.quarantine import Quarantine, SuspectRecord
@@ -103,31 +102,50 @@
         """A content was answered here: it need not be kept any more."""
         self._to_remove.add(fingerprint)
 
+    def drop_released(self, *, is_keeper: bool) -> None:
+        """Forget that it was kept what is not held back any more.
+
+        Parameters
+        ==========
+
+        is_keeper : whether to remove also what was answered at other daemons.
+        """
+        for fingerprint in set(self._stored_ms) - set(self._quarantine.list_held()):
+            del self._stored_ms[fingerprint]
+            if is_keeper:
+                self._to_remove.add(fingerprint)
+
+    def must_save(self, *, is_keeper: bool) -> bool:
+        """Return whether there is something to write or to remove; see `save`."""
+        return bool(self._to_remove or self._list_unwritten(is_keeper))
+
     def save(self, *, is_keeper: bool) -> None:
         """Write what is held back and not kept yet, and remove what was released.
 
         Parameters
         ==========
 
-        is_keeper : whether to do so also for what other daemons saw; one of them may have ended
-            before it wrote.
+        is_keeper : whether to write also what other daemons saw; one of them may have ended before
+            it wrote.
 
         Raises
         ======
 
         PlatformError : the object service did not answer.
         """
-        held = self._quarantine.list_held()
-        for fingerprint in held:
-            if fingerprint in self._stored_ms:
-                continue
-            if is_keeper or self._quarantine.was_seen_here(fingerprint):
-                self._create(fingerprint)
-        released = set(self._stored_ms) - set(held)
-        for fingerprint in (released | self._to_remove) if is_keeper else set(self._to_remove):
+        for fingerprint in self._list_unwritten(is_keeper):
+            self._create(fingerprint)
+        self._to_remove -= set(self._quarantine.list_held())
+        for fingerprint in sorted(self._to_remove):
             self._remove(fingerprint)
-        for fingerprint in released:
-            self._stored_ms.pop(fingerprint, None)
+
+    def _list_unwritten(self, is_keeper: bool) -> list[str]:
+        return [
+            fingerprint
+            for fingerprint in self._quarantine.list_held()
+            if fingerprint not in self._stored_ms
+            and (is_keeper or self._quarantine.was_seen_here(fingerprint))
+        ]
 
     def take_trial(self, fingerprint: str) -> TrialOutcome:
         """Return whether this daemon may try a content now; one daemon may at a time.
@@ -205,11 +223,3 @@
             detail=repr(error),
         )
         return None
-
-
-def save_if_possible(held: HeldRequests, *, is_keeper: bool) -> None:
-    """Save, and leave it for the next time if the object service is away."""
-    try:
-        held.save(is_keeper=is_keeper)
-    except PlatformError as error:
-        log_event(Event.DUTY_FAILED, "warning", detail=error.detail)
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -7,8 +7,9 @@
 from hemlockswitch.connection.stored_objects import Conflict, ObjectPage, StoredObject, Written
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.process.gateway.fleet import GATEWAY_KIND, GONE_MS, Fleet
+from hemlockswitch.process.gateway.fleet import GONE_MS, Fleet
 from hemlockswitch.process.gateway.messages import GatewayReport
+from hemlockswitch.process.gateway.registrations import GATEWAY_KIND
 from hemlockswitch.process.gateway.report_period import LEAST_COVERED_MS
 from hemlockswitch.process.gateway.watch_guard import StoreView
 
--- a/tests/test_held_requests.py
+++ b/tests/test_held_requests.py
@@ -167,6 +167,32 @@
     assert not gateways[2].is_held()
 
 
+def test_a_content_that_is_held_back_again_is_kept_and_tried_again(gateways, store, clock):
+    gateways[0].end_servers()
+    gateways[0].held.save(is_keeper=False)
+    gateways[0].quarantine.note_answer(CONTENT)
+    gateways[0].held.drop_released(is_keeper=False)
+    del store.objects[CONTENT]
+    for number in range(3):
+        gateways[0].quarantine.note_end(CONTENT, f"later-{number}")
+    assert gateways[0].held.must_save(is_keeper=False)
+    gateways[0].held.save(is_keeper=False)
+    assert list(store.objects) == [CONTENT]
+    clock.advance(TRIAL_PAUSES_MS[0])
+    assert gateways[0].may_try()
+    assert gateways[0].is_held(), "it was not released elsewhere"
+
+
+def test_the_keeper_removes_what_was_answered_at_a_gateway_that_ended(gateways, store):
+    for gateway in gateways:
+        gateway.end_servers()
+        gateway.held.save(is_keeper=False)
+    gateways[1].quarantine.note_answer(CONTENT)
+    gateways[1].held.drop_released(is_keeper=True)
+    gateways[1].held.save(is_keeper=True)
+    assert store.objects == {}
+
+
 @pytest.mark.parametrize(
     "value", [None, 7, {}, {"ends": 3, "trials": 0}, {"ends": [], "trials": "x"}, [1]]
 )
@@ -236,6 +262,7 @@
         gateway.quarantine.forget_old()
         if not self.store.is_away:
             gateway.held.load()
+            gateway.held.drop_released(is_keeper=is_keeper)
             gateway.held.save(is_keeper=is_keeper)
 
     @invariant()
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -16,7 +16,8 @@
 from hemlockswitch.platform.manifest import decode_manifest
 from hemlockswitch.platform.servers import decode_server
 from hemlockswitch.platform.store import ObjectStore
-from hemlockswitch.process.gateway.fleet import GATEWAY_KIND, Fleet
+from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.registrations import GATEWAY_KIND
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.version.backend import BackendServer, BackendState
 from tests.gateway_site import make_entry, make_manifest
--- a/tests/test_quarantine_at_entry.py
+++ b/tests/test_quarantine_at_entry.py
@@ -5,15 +5,22 @@
 next request began anew at any daemon.
 """
 
+from types import SimpleNamespace
+
 import pytest
 
+from hemlockswitch.connection.stored_objects import ObjectPage
 from hemlockswitch.core.clock import ManualClock
-from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.core.errors import ErrorKind, PlatformError, Ran, RequestError
+from hemlockswitch.core.events import Event
 from hemlockswitch.process.news.board import NewsBoard, NewsItem
+from hemlockswitch.process.quarantine import guard as guard_module
+from hemlockswitch.process.quarantine.guard import Guard
+from hemlockswitch.process.quarantine.held_requests import HeldRequests
 from hemlockswitch.process.quarantine.suspect_news import SUSPECT_PREFIX, SuspectNews
 from hemlockswitch.request.quarantine import LIFE_MS, MOST_ENDS, TRIAL_PAUSES_MS, Quarantine
 from tests import test_relay, test_service_calls
-from tests.guards import make_guard
+from tests.guards import ALONE, make_guard
 from tests.test_relay import LOST
 from tests.test_service_calls import AFTER, OK, SERVERS
 
@@ -132,3 +139,27 @@
     _, board, quarantine = make_news("e1", clock)
     board.learn(NewsItem(f"{SUSPECT_PREFIX}x/e9", 1, value))
     assert quarantine.is_empty
+
+
+def test_an_outage_of_the_object_service_is_logged_once(clock, monkeypatch):
+    lines = []
+    monkeypatch.setattr(guard_module, "log_event", lambda event, *_, **fields: lines.append(event))
+    store = SimpleNamespace(is_away=True)
+
+    def list_stale(kind):
+        if store.is_away:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+        return ObjectPage((), 0)
+
+    store.list_stale = list_stale
+    quarantine = Quarantine(clock)
+    held = HeldRequests("daemon/1", quarantine, store, clock)
+    guard = Guard(quarantine, None, held, ALONE, lambda: True, clock)
+    for _ in range(5):
+        guard.look()
+    assert not guard.is_ready
+    store.is_away = False
+    for _ in range(5):
+        guard.look()
+    assert guard.is_ready
+    assert lines == [Event.WATCH_FAILED, Event.WATCH_RECOVERED]
--- /dev/null
+++ b/tests/test_suspect_exchange.py
@@ -0,0 +1,126 @@
+"""Word of servers that end, over a fleet in which no gateway tells all others directly."""
+
+import pytest
+
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.process.gateway import neighbours
+from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.messages import GatewayReport
+from hemlockswitch.process.gateway.suspect_exchange import (
+    MOST_TOLD,
+    REPAIR_MS,
+    SuspectExchange,
+    SuspectReport,
+)
+from hemlockswitch.process.gateway.watch_guard import StoreView
+from hemlockswitch.request.quarantine import MOST_ENDS, Quarantine
+from tests.test_change_relay import Network
+
+CONTENT = "content"
+ZONES, IN_ZONE = 4, 8
+
+
+class Gateway:
+    def __init__(self, network, clock, name, zone):
+        self.name, self.zone, self.address = name, zone, f"10.0.0.1:{name}"
+        self.clock = clock
+        self.fleet = Fleet(name, lambda: self.address, clock, zone)
+        self.quarantine = Quarantine(clock)
+        port = network.connect(self.address)
+        self.exchange = SuspectExchange(port, self.fleet, self.quarantine, clock)
+
+    def hear(self, other):
+        """Take another gateway's report."""
+        view = StoreView(held_digest=other.quarantine.hash_held())
+        report = GatewayReport(other.name, 1, 0.0, {}, {}, {}, zone=other.zone)
+        self.fleet.note_report(other.address, report, view)
+
+    def end_servers(self, content=CONTENT):
+        for number in range(MOST_ENDS):
+            self.quarantine.note_end(content, f"s{number}")
+
+
+@pytest.fixture
+def network():
+    return Network()
+
+
+@pytest.fixture
+def gateways(network, monkeypatch):
+    monkeypatch.setattr(neighbours, "MESH_GATEWAYS", 10)
+    clock = ManualClock(now_ms=1_000_000)
+    names = [(str(100 + number), f"z{number % ZONES}") for number in range(ZONES * IN_ZONE)]
+    made = [Gateway(network, clock, name, zone) for name, zone in names]
+    exchange_reports(made)
+    return made
+
+
+def exchange_reports(gateways):
+    for one in gateways:
+        for other in gateways:
+            if other is not one:
+                one.hear(other)
+
+
+def list_unaware(gateways):
+    return [one.name for one in gateways if not one.quarantine.list_held()]
+
+
+def test_every_gateway_of_every_zone_hears_of_it_at_once(gateways):
+    gateways[0].end_servers()
+    gateways[0].exchange.tell()
+    assert list_unaware(gateways) == []
+
+
+def test_a_zone_hears_of_it_while_one_of_its_gateways_does_not(network, gateways):
+    network.down = {gateways[1].address}
+    gateways[0].end_servers()
+    gateways[0].exchange.tell()
+    assert list_unaware(gateways) == [gateways[1].name]
+
+
+def test_neighbours_repair_a_gateway_that_was_cut_off(network, gateways):
+    network.down = {gateways[4].address}
+    gateways[0].end_servers()
+    gateways[0].exchange.tell()
+    network.down = set()
+    assert list_unaware(gateways) == [gateways[4].name]
+    exchange_reports(gateways)
+    network.sent.clear()
+    gateways[0].exchange.repair()
+    assert list_unaware(gateways) == []
+    assert len(network.sent) == 1, "the others know, and other zones are not told"
+
+
+def test_a_gateway_that_stays_different_is_repaired_once_a_second(network, gateways):
+    gateways[0].end_servers()
+    network.down = {one.address for one in gateways}
+    exchange_reports(gateways)
+    for _ in range(3):
+        gateways[0].exchange.repair()
+    assert len(network.sent) == IN_ZONE - 1
+    gateways[0].clock.advance(REPAIR_MS)
+    gateways[0].exchange.repair()
+    assert len(network.sent) == 2 * (IN_ZONE - 1)
+
+
+def test_nothing_is_sent_while_nothing_is_suspected(network, gateways):
+    for gateway in gateways:
+        gateway.exchange.tell()
+        gateway.exchange.repair()
+    assert network.sent == []
+
+
+def test_many_contents_are_told_in_messages_of_bounded_size(network, gateways):
+    for number in range(MOST_TOLD + 1):
+        gateways[0].quarantine.note_end(f"content-{number}", "s1")
+    gateways[0].exchange.tell()
+    sizes = {len(message.suspects) for _, _, message in network.sent}
+    assert max(sizes) == MOST_TOLD
+    assert len(gateways[5].quarantine.describe()) == MOST_TOLD + 1
+
+
+def test_of_too_long_a_message_the_first_part_is_taken(gateways):
+    fields = [(f"content-{number}", ["s1"], [], 0) for number in range(MOST_TOLD + 50)]
+    gateways[0].exchange.take("", SuspectReport("other", fields, is_relayed=True))
+    assert len(gateways[0].quarantine.describe()) == MOST_TOLD
