--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -1,7 +1,6 @@
 """A stand-in of a backend server on the users' platform: plain answers and event streams."""
 
 import json
-import os
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -16,6 +15,7 @@
     SOCKET_KEY,
     TARGET_KEY,
     cut_connection,
+    end_process,
     make_application,
     read_body,
     serve_until_stopped,
@@ -73,11 +73,6 @@
     cut_after_events: int | None = None
 
 
-def end_process() -> None:
-    """End this process at once, as a crash does."""
-    os._exit(1)
-
-
 @dataclass
 class RunnerState:
     """What the tests judge by; `end` is how a runner inside a test's process ends."""
--- a/hemlockswitch/standin/server.py
+++ b/hemlockswitch/standin/server.py
@@ -1,6 +1,7 @@
 """What the HTTP stand-ins share: the server, the ready line, and cutting a connection."""
 
 import json
+import os
 import socket
 import struct
 import sys
@@ -120,6 +121,11 @@
     raise CutError
 
 
+def end_process() -> None:
+    """End this process at once, as a crash does."""
+    os._exit(1)
+
+
 def listen(
     application: Callable[..., Any], address: str, most_connections: int | None = None
 ) -> tuple[WSGIServer, str]:
--- a/hemlockswitch/standin/service.py
+++ b/hemlockswitch/standin/service.py
@@ -14,6 +14,7 @@
     SOCKET_KEY,
     RefusalError,
     cut_connection,
+    end_process,
     make_application,
     read_body,
     serve_until_stopped,
@@ -21,7 +22,13 @@
 
 
 class ServiceSettings(BaseModel):
-    """What the settings file of a stand-in service holds."""
+    """What the settings file of a stand-in service holds.
+
+    Parameters
+    ==========
+
+    ends_on : end the process on a call whose body holds this, once it has run; empty for none.
+    """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -30,6 +37,7 @@
     delay_ms: float = 0
     slots: int = 32
     load_lag_ms: float = 500
+    ends_on: str = ""
 
 
 @dataclass
@@ -124,6 +132,9 @@
             self._service.clock.sleep_ms(delay_ms + faults.freeze_ms)
         finally:
             self._service.counts.running -= 1
+        ends_on = self._service.settings.ends_on
+        if ends_on and ends_on in body:
+            end_process()
         if faults.cut_stage == "before_answer":
             cut_connection(connection)
         self._answer(request, response, body, faults)
