--- /dev/null
+++ b/tests/crash_gateways.py
@@ -0,0 +1,153 @@
+"""Gateways and servers of a replayed fleet: the real guard, on replayed messages and a replayed object service."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+from hemlockswitch.connection.stored_objects import Conflict, ObjectPage, StoredObject, Written
+from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
+from hemlockswitch.process.quarantine.guard import Guard
+from hemlockswitch.process.quarantine.held_requests import HeldRequests
+from hemlockswitch.request.quarantine import Quarantine
+
+SETTLED_MS = 5_000.0
+"""After this time in touch a gateway must know."""
+MESH_GATEWAYS = 20
+REPORT_MS = 600.0
+
+
+@dataclass
+class Server:
+    """A backend server; each start is another incarnation."""
+
+    number: int
+    start: int = 0
+    is_running: bool = True
+    running: dict = field(default_factory=dict)  # attempt to its content
+
+    @property
+    def incarnation(self):
+        """The name of this start."""
+        return f"s{self.number}.{self.start}"
+
+
+class Store:
+    """The object service; its lists are two seconds old, and it may be away."""
+
+    def __init__(self, world):
+        self.world = world
+        self.is_away = False
+        self.objects = {}
+        self.version = 0
+        self.history = [(0.0, {})]
+
+    def read(self, kind, name):
+        self._check()
+        return self.objects.get(name)
+
+    def list_stale(self, kind):
+        self._check()
+        oldest_ms = self.world.clock.now_ms() - 2_000
+        known = [objects for at_ms, objects in self.history if at_ms <= oldest_ms]
+        return ObjectPage(tuple((known or [{}])[-1].values()), self.version)
+
+    def create(self, kind, name, value):
+        self._check()
+        return Conflict(1) if name in self.objects else self._put(kind, name, value)
+
+    def update(self, kind, name, value, version):
+        self._check()
+        known = self.objects.get(name)
+        if known is None or known.version != version:
+            return Conflict(known.version if known else 0)
+        return self._put(kind, name, value)
+
+    def delete(self, kind, name, version):
+        self._check()
+        self.objects.pop(name, None)
+        self._note()
+        return Written(self.version)
+
+    def _put(self, kind, name, value):
+        self.version += 1
+        self.objects[name] = StoredObject(kind, name, self.version, value)
+        self._note()
+        return Written(self.version)
+
+    def _note(self):
+        self.history.append((self.world.clock.now_ms(), dict(self.objects)))
+
+    def _check(self):
+        if self.is_away or self.world.caller.is_cut:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+
+
+class Gateway:
+    """One gateway: the real guard on replayed messages and a replayed object service."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.name = f"g{number}"
+        self.zone = number % world.setting.zones
+        self.is_cut = False
+        self.troubled_ms = float("-inf")
+        self.start()
+
+    def start(self):
+        """Begin anew, knowing nothing."""
+        clock = self.world.clock
+        self.troubled_ms = clock.now_ms()
+        self.quarantine = Quarantine(clock)
+        self.reports = {}
+        held = HeldRequests(
+            f"{self.name}/{clock.now_ms()}", self.quarantine, self.world.store, clock
+        )
+        self.exchange = SuspectExchange(self, self, self.quarantine, clock)
+        self.guard = Guard(
+            self.quarantine,
+            SimpleNamespace(has_ended=lambda server: True),
+            held,
+            self.exchange,
+            lambda: self.name == "g0",
+            clock,
+        )
+
+    # The network and the fleet, as the guard sees them.
+
+    @property
+    def reports_by_zone(self):
+        return len(self.world.gateways) > MESH_GATEWAYS
+
+    def handle(self, message_type, handler, quick):
+        self.take = handler
+
+    def send_all(self, addresses, message):
+        for address in addresses:
+            self.world.deliver(self, address, message)
+
+    def list_near(self):
+        others = (one for one in self.world.gateways if one is not self)
+        is_near = (one for one in others if not self.reports_by_zone or one.zone == self.zone)
+        return [SimpleNamespace(address=one.name) for one in is_near]
+
+    def draw_relays(self):
+        zones = defaultdict(list)
+        for one in self.world.gateways:
+            if one is not self:
+                zones[one.zone].append(one.name)
+        return [self.world.draws.sample(names, min(2, len(names))) for names in zones.values()]
+
+    def list_heard(self):
+        oldest_ms = self.world.clock.now_ms() - 3 * REPORT_MS
+        return [peer for peer, heard_ms in self.reports.values() if heard_ms > oldest_ms]
+
+    def count_in_touch(self):
+        return len(self.list_heard()) + 1
+
+    def count_daemons(self):
+        return len(self.world.gateways)
+
+    def is_in_touch(self):
+        """Whether it was undisturbed for long enough to be held to what all know."""
+        return self.world.clock.now_ms() - self.troubled_ms > SETTLED_MS and not self.is_cut
