--- a/tests/crash_replay.py
+++ b/tests/crash_replay.py
@@ -44,6 +44,7 @@
     Parameters
     ==========
 
+    contents : how many different deadly contents come.
     has_memory : whether gateways remember contents at all; without, it is the code of before.
     """
 
@@ -51,6 +52,7 @@
     zones: int = 3
     servers: int = 8
     deadly_per_s: float = 5.0
+    contents: int = 1
     harmless_per_s: float = 20.0
     popular_per_s: float = 2.0
     has_faults: bool = True
@@ -70,8 +72,8 @@
         self.gateways += [Gateway(self, number) for number in range(setting.gateways)]
         self.servers = [Server(number) for number in range(setting.servers)]
         self.ends = 0
-        self.deadly_ends_ms = []
-        self.late_sends = 0
+        self.deadly_ends_ms = defaultdict(list)  # by content
+        self.late = Counter()  # sends of a content that came late
         self.outcomes = defaultdict(Counter)  # by kind of request and phase
         self.left_out = set()
         self._queue = []
@@ -179,12 +181,16 @@
 
     def _arrive_again(self, kind, per_s, until_ms):
         if per_s and self.clock.now_ms() < until_ms:
-            content = f"harmless-{next(self._attempts)}" if kind == "harmless" else kind
-            self._arrive(kind, content)
+            self._arrive(kind, self._draw_content(kind))
             self.at(
                 self.draws.expovariate(per_s) * 1_000, self._arrive_again, kind, per_s, until_ms
             )
 
+    def _draw_content(self, kind):
+        if kind == "harmless":
+            return f"harmless-{next(self._attempts)}"
+        return f"{kind}-{self.draws.randrange(self.setting.contents)}" if kind == DEADLY else kind
+
     def _arrive(self, kind, content, is_second=False):
         gateway = self.draws.choice(self.gateways)
         request = SimpleNamespace(
@@ -234,16 +240,16 @@
         return self.draws.choice(ready) if ready else None
 
     def _note_send(self, request):
-        ends = self.deadly_ends_ms
+        ends = self.deadly_ends_ms[request.content]
         if request.kind != DEADLY or len(ends) < MOST_ENDS:
             return
         is_settled = self.clock.now_ms() > ends[MOST_ENDS - 1] + SETTLED_MS
         if is_settled and request.gateway.is_in_touch():
-            self.late_sends += 1
+            self.late[request.content] += 1
 
     def _crash(self, server, incarnation, attempt, _sent_ms):
         if server.incarnation == incarnation and attempt in server.running:
-            self.deadly_ends_ms.append(self.clock.now_ms())
+            self.deadly_ends_ms[server.running[attempt].content].append(self.clock.now_ms())
             self._end_server(server)
 
     def _end_server(self, server):
@@ -297,6 +303,11 @@
             wait_ms = error.answer.retry_after_ms if error is not None else 500
             self.at(wait_ms, self._arrive, request.kind, request.content, True)
 
+    @property
+    def late_sends(self):
+        """The most late sends of one deadly content."""
+        return max(self.late.values(), default=0)
+
     @property
     def served_share(self):
         """The part of the harmless requests' arrivals that were answered while the content came."""
--- a/tests/test_crash_replay.py
+++ b/tests/test_crash_replay.py
@@ -28,6 +28,13 @@
     assert not one.left_out
 
 
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_many_deadly_contents_cost_a_few_servers_each_and_hold_no_harmless_one_for_good(seed):
+    one = play(seed, gateways=8, servers=20, contents=10)
+    assert one.late_sends <= MOST_RETRIES
+    assert not one.left_out
+
+
 def test_without_a_memory_of_contents_servers_end_on_and_on():
     one = play(1, gateways=8, has_memory=False)
     assert one.late_sends > 10 * MOST_RETRIES
