Declare the object service once for all that write to it

Seven protocols said the same in seven modules (lease, usage, kept counts, registrations, held requests, revisions, shares). Types only; nothing behaves differently.

--- a/hemlockswitch/connection/stored_objects.py
+++ b/hemlockswitch/connection/stored_objects.py
@@ -2,7 +2,7 @@
 
 import json
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 
 @dataclass(frozen=True)
@@ -55,6 +55,32 @@
 WriteOutcome = Written | Conflict | Unknown
 
 
+class ConditionalStore(Protocol):
+    """An object service whose writes have a condition; `PlatformClient` says what they promise.
+
+    Each call may raise `PlatformError` when the service does not answer.
+    """
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or None where there is none."""
+
+    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
+        """Write an object that must not exist yet."""
+
+    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
+        """Write an object whose version must be `version`."""
+
+    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
+        """Delete an object whose version must be `version`."""
+
+
+class ListedStore(ConditionalStore, Protocol):
+    """An object service that also lists, at less cost, what it held some seconds ago."""
+
+    def list_stale(self, kind: str) -> ObjectPage:
+        """Return the objects of a kind as they were at most some seconds ago."""
+
+
 def encode_value(value: Any) -> bytes:
     """Return a value's JSON text; bytes are JSON text already."""
     if isinstance(value, bytes):
--- a/hemlockswitch/process/gateway/adapter.py
+++ b/hemlockswitch/process/gateway/adapter.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Protocol
 
 from hemlockswitch.connection.backoff import Outage
-from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject, WriteOutcome
+from hemlockswitch.connection.stored_objects import ListedStore, StoredObject
 from hemlockswitch.process.gateway.follower import WatchedStore
 from hemlockswitch.process.gateway.scaling import ScalingApi
 from hemlockswitch.process.gateway.usage import UsageApi
@@ -14,28 +14,13 @@
 from hemlockswitch.version.serving_table import ServingTable
 
 
-class GatewayStore(WatchedStore, Protocol):
+class GatewayStore(WatchedStore, ListedStore, Protocol):
     """The object service; `PlatformClient` and the adapter's store both are one."""
 
     @property
     def last_outage(self) -> Outage | None:
         """The last time in which every call failed, once it was over."""
 
-    def read(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
-
-    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object whose version must be `version`."""
-
-    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
-        """Delete an object whose version must be `version`."""
-
-    def list_stale(self, kind: str) -> ObjectPage:
-        """Return the objects of a kind as they were at most some seconds ago."""
-
     def close(self) -> None:
         """Close the kept connections."""
 
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from hemlockswitch.connection.stored_objects import (
+    ListedStore,
     ObjectPage,
     StoredObject,
     Unknown,
@@ -25,11 +26,7 @@
     draw_relays,
     rank_gateway,
 )
-from hemlockswitch.process.gateway.registrations import (
-    GATEWAY_KIND,
-    Registration,
-    RegistrationStore,
-)
+from hemlockswitch.process.gateway.registrations import GATEWAY_KIND, Registration
 from hemlockswitch.process.gateway.report_period import ReportPeriod, UsagePeriod
 from hemlockswitch.process.gateway.watch_guard import StoreView
 
@@ -103,7 +100,7 @@
             del self._peers[name]
         self._note_change()
 
-    def refresh(self, store: RegistrationStore) -> None:
+    def refresh(self, store: ListedStore) -> None:
         """List the registrations, and write the own one if it is not among them."""
         try:
             self.replace_all(store.list_stale(GATEWAY_KIND))
@@ -117,7 +114,7 @@
         """Return the time until the next list."""
         return LIST_MS if self.is_registered and self._peers else FIRST_LIST_MS
 
-    def register(self, store: RegistrationStore) -> bool:
+    def register(self, store: ListedStore) -> bool:
         """Write the own address; return whether it is known to be written."""
         value = Registration(self._get_address(), self.zone, self.link_mbps).to_value()
         try:
@@ -137,7 +134,7 @@
             self.own_version = outcome.version or None
         return False
 
-    def remove_gone(self, store: RegistrationStore) -> None:
+    def remove_gone(self, store: ListedStore) -> None:
         """Remove the registrations of gateways that nobody will hear again.
 
         The holder of the duties does so. A gateway that was only cut off for this long finds its
@@ -149,7 +146,7 @@
             if peer.version and silent_ms > GONE_MS:
                 self._remove(store, peer, silent_ms)
 
-    def _remove(self, store: RegistrationStore, peer: Peer, silent_ms: float) -> None:
+    def _remove(self, store: ListedStore, peer: Peer, silent_ms: float) -> None:
         try:
             outcome = store.delete(GATEWAY_KIND, peer.name, peer.version)
         except PlatformError as error:
--- a/hemlockswitch/process/gateway/registrations.py
+++ b/hemlockswitch/process/gateway/registrations.py
@@ -1,30 +1,14 @@
-"""How a gateway is registered in the object service, and what that needs of it."""
+"""How a gateway is registered in the object service."""
 
 from dataclasses import asdict, dataclass
-from typing import Any, Protocol, Self
+from typing import Any, Self
 
-from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject, WriteOutcome
+from hemlockswitch.connection.stored_objects import StoredObject
 from hemlockswitch.core.addresses import is_address
 
 GATEWAY_KIND = "gateways"
 
 
-class RegistrationStore(Protocol):
-    """What the fleet needs of the object service; see `PlatformClient`."""
-
-    def list_stale(self, kind: str) -> ObjectPage:
-        """Return the objects of a kind as they were at most some seconds ago."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
-
-    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object whose version must be `version`."""
-
-    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
-        """Delete an object whose version must be `version`."""
-
-
 @dataclass(frozen=True)
 class Registration:
     """What a gateway writes of itself.
--- a/hemlockswitch/process/gateway/usage.py
+++ b/hemlockswitch/process/gateway/usage.py
@@ -2,9 +2,9 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from typing import Protocol
 
-from hemlockswitch.connection.stored_objects import StoredObject, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import ConditionalStore, Written
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
@@ -104,16 +104,6 @@
         del counts[window]
 
 
-class UsageStore(Protocol):
-    """Where the decided counts are kept; see `PlatformClient`."""
-
-    def read(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
-
-
 class UsageApi(Protocol):
     """Takes usage reports."""
 
@@ -143,7 +133,7 @@
     def __init__(
         self,
         counts: UsageCounts,
-        store: UsageStore,
+        store: ConditionalStore,
         api: UsageApi,
         load_kept: Callable[[], None] = lambda: None,
         get_period: Callable[[], UsagePeriod] = lambda: UsagePeriod(),
--- a/hemlockswitch/process/gateway/usage_keeper.py
+++ b/hemlockswitch/process/gateway/usage_keeper.py
@@ -6,9 +6,7 @@
 the gateways that still run tell it the rest.
 """
 
-from typing import Any, Protocol
-
-from hemlockswitch.connection.stored_objects import StoredObject, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import ConditionalStore, StoredObject, Written
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.core.events import Event
@@ -22,19 +20,6 @@
 Two of some hundred writes a second that the object service takes."""
 
 
-class KeptStore(Protocol):
-    """Where the counts are kept; see `PlatformClient`."""
-
-    def read(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
-
-    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object whose version must be `version`."""
-
-
 class UsageKeeper:
     """Keeps the open windows of `counts` while this gateway holds the duties.
 
@@ -46,7 +31,7 @@
     clock : the time.
     """
 
-    def __init__(self, counts: UsageCounts, store: KeptStore, clock: Clock) -> None:
+    def __init__(self, counts: UsageCounts, store: ConditionalStore, clock: Clock) -> None:
         self._counts = counts
         self._store = store
         self._clock = clock
--- a/hemlockswitch/process/lease.py
+++ b/hemlockswitch/process/lease.py
@@ -8,9 +8,14 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
-
-from hemlockswitch.connection.stored_objects import StoredObject, WriteOutcome, Written
+from typing import Any
+
+from hemlockswitch.connection.stored_objects import (
+    ConditionalStore,
+    StoredObject,
+    WriteOutcome,
+    Written,
+)
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.core.events import Event
@@ -45,19 +50,6 @@
     look_ms: int = 2_500
 
 
-class LeaseStore(Protocol):
-    """The object service as the lease needs it; see `PlatformClient`."""
-
-    def read(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
-
-    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object whose version must be `version`."""
-
-
 class LeaseError(HemlockError):
     """An order was wanted by a process that may not give it now."""
 
@@ -104,7 +96,7 @@
 
     def __init__(
         self,
-        platform: LeaseStore,
+        platform: ConditionalStore,
         clock: Clock,
         zone: str,
         holder: str,
--- a/hemlockswitch/process/quarantine/held_requests.py
+++ b/hemlockswitch/process/quarantine/held_requests.py
@@ -6,10 +6,10 @@
 """
 
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from hemlockswitch.connection.stored_objects import (
-    ObjectPage,
+    ListedStore,
     StoredObject,
     Unknown,
     WriteOutcome,
@@ -25,25 +25,6 @@
 """A list may lack what was written in this time."""
 
 
-class HeldStore(Protocol):
-    """What is needed of the object service; see `PlatformClient`."""
-
-    def read(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None."""
-
-    def list_stale(self, kind: str) -> ObjectPage:
-        """Return the objects of a kind as they were at most some seconds ago."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
-
-    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object whose version must be `version`."""
-
-    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
-        """Delete an object whose version must be `version`."""
-
-
 @dataclass(frozen=True)
 class TrialOutcome:
     """Whether a content may be tried now, and why not."""
@@ -65,7 +46,7 @@
     """
 
     def __init__(
-        self, process: str, quarantine: Quarantine, store: HeldStore, clock: Clock
+        self, process: str, quarantine: Quarantine, store: ListedStore, clock: Clock
     ) -> None:
         self.is_loaded = False
         self._process = process
--- a/hemlockswitch/process/revisions/applying.py
+++ b/hemlockswitch/process/revisions/applying.py
@@ -18,11 +18,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from hemlockswitch.connection.stored_objects import Conflict, Unknown, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import (
+    ConditionalStore,
+    Conflict,
+    Unknown,
+    WriteOutcome,
+    Written,
+)
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
 from hemlockswitch.core.identifiers import make_identifier
-from hemlockswitch.process.revisions.store import Current, ObjectStore, RevisionStore
+from hemlockswitch.process.revisions.store import Current, RevisionStore
 from hemlockswitch.version.checks import CheckedFile
 from hemlockswitch.version.differences import Change, compare_trees
 from hemlockswitch.version.documents import digest_tree
@@ -112,7 +118,9 @@
     patience_ms : how long to try before giving up.
     """
 
-    def __init__(self, objects: ObjectStore, clock: Clock, patience_ms: float = 10_000) -> None:
+    def __init__(
+        self, objects: ConditionalStore, clock: Clock, patience_ms: float = 10_000
+    ) -> None:
         self._objects = objects
         self._store = RevisionStore(objects, clock, patience_ms)
         self._clock = clock
--- a/hemlockswitch/process/revisions/store.py
+++ b/hemlockswitch/process/revisions/store.py
@@ -1,11 +1,11 @@
 """Reads the revisions and the pointer that the platform's object service holds."""
 
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from pydantic import ValidationError
 
-from hemlockswitch.connection.stored_objects import StoredObject, WriteOutcome
+from hemlockswitch.connection.stored_objects import ConditionalStore, StoredObject
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ConfigurationError, ErrorKind, PlatformError
 from hemlockswitch.version.revisions import (
@@ -21,22 +21,6 @@
 NO_VERSION = 0
 
 
-class ObjectStore(Protocol):
-    """What an apply needs of the platform's object service."""
-
-    def read(self, kind: str, name: str) -> StoredObject | None:
-        """Return an object, or None where there is none."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that is not there yet."""
-
-    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object whose version is `version`."""
-
-    def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
-        """Delete an object whose version is `version`."""
-
-
 @dataclass(frozen=True)
 class Current:
     """What the platform says is in force.
@@ -68,7 +52,9 @@
     patience_ms : how long one operation tries before it gives up.
     """
 
-    def __init__(self, objects: ObjectStore, clock: Clock, patience_ms: float = 10_000) -> None:
+    def __init__(
+        self, objects: ConditionalStore, clock: Clock, patience_ms: float = 10_000
+    ) -> None:
         self._objects = objects
         self._clock = clock
         self._patience_ms = patience_ms
--- a/hemlockswitch/process/shares/anchor.py
+++ b/hemlockswitch/process/shares/anchor.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
 
 import gevent
 from gevent.event import AsyncResult
 from gevent.queue import Empty, Queue
 
-from hemlockswitch.connection.stored_objects import StoredObject, WriteOutcome, Written
+from hemlockswitch.connection.stored_objects import ConditionalStore, Written
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import ErrorKind, HemlockError, PlatformError
 from hemlockswitch.core.events import Event
@@ -26,19 +25,6 @@
 MOST_ATTEMPTS = 4
 
 
-class ObjectStore(Protocol):
-    """The part of the platform client that the anchor uses."""
-
-    def read(self, kind: str, name: str) -> StoredObject | None:
-        """Return the object, or None."""
-
-    def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
-        """Write an object that must not exist yet."""
-
-    def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
-        """Write an object that must have `version`."""
-
-
 @dataclass(frozen=True)
 class _Waiting:
     """A word that waits to be written."""
@@ -70,7 +56,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: ConditionalStore,
         zone: str,
         find_totals: Callable[[], ZoneTotals],
         watch: EntryWatch,
--- a/hemlockswitch/process/shares/shares.py
+++ b/hemlockswitch/process/shares/shares.py
@@ -5,10 +5,11 @@
 
 import gevent
 
+from hemlockswitch.connection.stored_objects import ConditionalStore
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.shares.anchor import BATCH_MS, ObjectStore, ShareAnchor
+from hemlockswitch.process.shares.anchor import BATCH_MS, ShareAnchor
 from hemlockswitch.process.shares.book import ShareBook
 from hemlockswitch.process.shares.borrower import ShareBorrower
 from hemlockswitch.process.shares.end import LoanParts
@@ -54,7 +55,7 @@
         name: str,
         zone: str,
         clock: Clock,
-        store: ObjectStore,
+        store: ConditionalStore,
         network: LoanNetwork,
         find_file: Callable[[], OperatorFile],
         list_members: Callable[[], Iterable[ShareMember]],
--- a/hemlockswitch/process/status/zone_status.py
+++ b/hemlockswitch/process/status/zone_status.py
@@ -19,13 +19,12 @@
 
 from hemlockswitch.connection.messages import register_message
 from hemlockswitch.connection.peers import PeerNetwork
-from hemlockswitch.connection.stored_objects import Conflict, Unknown
+from hemlockswitch.connection.stored_objects import ConditionalStore, Conflict, Unknown
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import rank_rendezvous
 from hemlockswitch.core.logs import log_event
-from hemlockswitch.process.revisions.store import ObjectStore
 
 STATUS_KIND = "status"
 REPORT_INTERVAL_MS = 10_000
@@ -94,7 +93,7 @@
         describe: Callable[[], DaemonReport],
         list_members: Callable[[], Sequence[ZoneMember]],
         network: PeerNetwork,
-        objects: ObjectStore,
+        objects: ConditionalStore,
         clock: Clock,
     ) -> None:
         self._zone = zone
--- a/tests/crash_gateways.py
+++ b/tests/crash_gateways.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
-from hemlockswitch.connection.stored_objects import Conflict, ObjectPage, StoredObject, Written
+from hemlockswitch.connection.stored_objects import ObjectPage
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
 from hemlockswitch.process.quarantine.guard import Guard
 from hemlockswitch.process.quarantine.held_requests import HeldRequests
 from hemlockswitch.request.quarantine import Quarantine
+from tests.memory_store import MemoryStore
 
 SETTLED_MS = 5_000.0
 """After this time in touch a gateway must know."""
@@ -32,55 +33,27 @@
         return f"s{self.number}.{self.start}"
 
 
-class Store:
-    """The object service; its lists are two seconds old, and it may be away."""
+class Store(MemoryStore):
+    """The object service; its lists are two seconds old, and a gateway may be cut off from it."""
 
     def __init__(self, world):
+        super().__init__()
         self.world = world
-        self.is_away = False
-        self.objects = {}
-        self.version = 0
         self.history = [(0.0, {})]
 
-    def read(self, kind, name):
-        self._check()
-        return self.objects.get(name)
-
     def list_stale(self, kind):
-        self._check()
+        self.check()
         oldest_ms = self.world.clock.now_ms() - 2_000
         known = [objects for at_ms, objects in self.history if at_ms <= oldest_ms]
         return ObjectPage(tuple((known or [{}])[-1].values()), self.version)
 
-    def create(self, kind, name, value):
-        self._check()
-        return Conflict(1) if name in self.objects else self._put(kind, name, value)
-
-    def update(self, kind, name, value, version):
-        self._check()
-        known = self.objects.get(name)
-        if known is None or known.version != version:
-            return Conflict(known.version if known else 0)
-        return self._put(kind, name, value)
-
-    def delete(self, kind, name, version):
-        self._check()
-        self.objects.pop(name, None)
-        self._note()
-        return Written(self.version)
-
-    def _put(self, kind, name, value):
-        self.version += 1
-        self.objects[name] = StoredObject(kind, name, self.version, value)
-        self._note()
-        return Written(self.version)
-
-    def _note(self):
-        self.history.append((self.world.clock.now_ms(), dict(self.objects)))
+    def check(self):
+        super().check()
+        if self.world.caller.is_cut:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "cut off")
 
-    def _check(self):
-        if self.is_away or self.world.caller.is_cut:
-            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+    def note_change(self):
+        self.history.append((self.world.clock.now_ms(), dict(self.objects)))
 
 
 class Gateway:
--- /dev/null
+++ b/tests/memory_store.py
@@ -0,0 +1,67 @@
+"""An object service in memory, for tests of what is kept there."""
+
+from hemlockswitch.connection.stored_objects import (
+    Conflict,
+    ObjectPage,
+    StoredObject,
+    Unknown,
+    Written,
+)
+from hemlockswitch.core.errors import ErrorKind, PlatformError
+
+
+class MemoryStore:
+    """Objects by name; `is_away` fails every call, `loses` counts the answers of writes to lose."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 0
+        self.loses = 0
+        self.is_away = False
+
+    def read(self, kind, name):
+        """Return an object, or None."""
+        self.check()
+        return self.objects.get(name)
+
+    def list_stale(self, kind):
+        """Return all objects."""
+        self.check()
+        return ObjectPage(tuple(self.objects.values()), self.version)
+
+    def create(self, kind, name, value):
+        """Write an object that must not exist yet."""
+        self.check()
+        return Conflict(1) if name in self.objects else self._put(kind, name, value)
+
+    def update(self, kind, name, value, version):
+        """Write an object whose version must be `version`."""
+        self.check()
+        known = self.objects.get(name)
+        if known is None or known.version != version:
+            return Conflict(known.version if known else 0)
+        return self._put(kind, name, value)
+
+    def delete(self, kind, name, version):
+        """Delete an object."""
+        self.check()
+        self.objects.pop(name, None)
+        self.note_change()
+        return Written(self.version)
+
+    def check(self):
+        """Raise if the service does not answer."""
+        if self.is_away:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+
+    def note_change(self):
+        """Something was written."""
+
+    def _put(self, kind, name, value):
+        self.version += 1
+        self.objects[name] = StoredObject(kind, name, self.version, value)
+        self.note_change()
+        if self.loses:
+            self.loses -= 1
+            return Unknown("lost")
+        return Written(self.version)
--- a/tests/test_held_requests.py
+++ b/tests/test_held_requests.py
@@ -6,67 +6,18 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hemlockswitch.connection.stored_objects import (
-    Conflict,
-    ObjectPage,
     StoredObject,
-    Unknown,
-    Written,
 )
 from hemlockswitch.core.clock import ManualClock
-from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.process.quarantine.held_requests import HELD_KIND, STALE_MS, HeldRequests
 from hemlockswitch.request.quarantine import LIFE_MS, TRIAL_PAUSES_MS, Quarantine, SuspectRecord
+from tests.memory_store import MemoryStore
 
 CONTENT = "content"
 MOST_TRIALS = len(TRIAL_PAUSES_MS)
 
 
-class Store:
-    """An object service; `loses` answers of writes, `is_away`."""
-
-    def __init__(self):
-        self.objects = {}
-        self.version = 0
-        self.loses = 0
-        self.is_away = False
-
-    def read(self, kind, name):
-        self._check()
-        return self.objects.get(name)
-
-    def list_stale(self, kind):
-        self._check()
-        return ObjectPage(tuple(self.objects.values()), self.version)
-
-    def create(self, kind, name, value):
-        self._check()
-        return Conflict(1) if name in self.objects else self._put(kind, name, value)
-
-    def update(self, kind, name, value, version):
-        self._check()
-        known = self.objects.get(name)
-        if known is None or known.version != version:
-            return Conflict(known.version if known else 0)
-        return self._put(kind, name, value)
-
-    def delete(self, kind, name, version):
-        self._check()
-        self.objects.pop(name, None)
-        return Written(self.version)
-
-    def _put(self, kind, name, value):
-        self.version += 1
-        self.objects[name] = StoredObject(kind, name, self.version, value)
-        if self.loses:
-            self.loses -= 1
-            return Unknown("lost")
-        return Written(self.version)
-
-    def _check(self):
-        if self.is_away:
-            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
-
-
 class Gateway:
     def __init__(self, name, store, clock):
         self.clock = clock
@@ -97,7 +48,7 @@
 
 @pytest.fixture
 def store():
-    return Store()
+    return MemoryStore()
 
 
 @pytest.fixture
@@ -209,7 +160,7 @@
     def __init__(self):
         super().__init__()
         self.clock = ManualClock(now_ms=1_000_000)
-        self.store = Store()
+        self.store = MemoryStore()
         self.gateways = [Gateway(f"g{number}", self.store, self.clock) for number in range(3)]
         self.messages = []
         self.granted = 0
