--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -33,6 +33,9 @@
 ALONE_PAUSE_MS = 5_000.0
 """Time between two lists while other daemons are missed: their messages are, too."""
 
+HOLDING_PAUSE_MS = 30_000.0
+"""Time between two lists while something is held back: an operator may have released it by hand."""
+
 
 class ServerEnds(Protocol):
     """Finds out which backend servers have ended."""
@@ -216,6 +219,8 @@
             return True  # The first list may have lacked the newest.
         if since_ms >= LOAD_PAUSE_MS and self._others.differ():
             return True
+        if since_ms >= HOLDING_PAUSE_MS and self._known_held:
+            return True
         return since_ms >= ALONE_PAUSE_MS and self._others.are_missed()
 
     def _note_change(self, source: str) -> None:
--- a/tests/test_quarantine_at_entry.py
+++ b/tests/test_quarantine_at_entry.py
@@ -15,12 +15,13 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.process.news.board import NewsBoard, NewsItem
 from hemlockswitch.process.quarantine import guard as guard_module
-from hemlockswitch.process.quarantine.guard import Guard
+from hemlockswitch.process.quarantine.guard import HOLDING_PAUSE_MS, Guard
 from hemlockswitch.process.quarantine.held_requests import HeldRequests
 from hemlockswitch.process.quarantine.suspect_news import SUSPECT_PREFIX, SuspectNews
 from hemlockswitch.request.quarantine import LIFE_MS, MOST_ENDS, TRIAL_PAUSES_MS, Quarantine
 from tests import test_relay, test_service_calls
 from tests.guards import ALONE, make_guard
+from tests.memory_store import MemoryStore
 from tests.test_relay import LOST
 from tests.test_service_calls import AFTER, OK, SERVERS
 
@@ -163,3 +164,23 @@
         guard.look()
     assert guard.is_ready
     assert lines == [Event.WATCH_FAILED, Event.WATCH_RECOVERED]
+
+
+def test_what_an_operator_removes_is_released(clock):
+    store = MemoryStore()
+    quarantine = Quarantine(clock)
+    held = HeldRequests("daemon/1", quarantine, store, clock)
+    guard = Guard(quarantine, None, held, ALONE, lambda: True, clock)
+    guard.look()
+    for server in ("s1", "s2", "s3"):
+        quarantine.note_end(CONTENT, server)
+    guard.look()
+    assert list(store.objects) == [CONTENT]
+    clock.advance(HOLDING_PAUSE_MS)
+    guard.look()
+    assert quarantine.list_held() == [CONTENT]
+    store.objects.clear()
+    clock.advance(HOLDING_PAUSE_MS)
+    guard.look()
+    assert quarantine.list_held() == []
+    assert store.objects == {}
