Write down what is known of a failed send before its server is asked whether it lives

Cause: the quarantine asks a server that cut a connection for another one, which takes up to 150 ms in a cut; the request's time was up meanwhile, and its state still said that nothing had been sent. Now the state is written first, a connection that timed out (which the other side did not close) asks nothing, and an answer is reported after the request's timer has ended. The test fails on the code before for a repeatable call, one that may run once and a stream.

--- a/hemlockswitch/connection/backend_pool.py
+++ b/hemlockswitch/connection/backend_pool.py
@@ -91,7 +91,7 @@
         try:
             self._connection.sendall(data)
         except OSError as error:
-            raise ExchangeError(Stage.DURING_SEND, str(error)) from error
+            raise _describe_failure(Stage.DURING_SEND, error) from error
 
     def read_head(self) -> ParsedAnswer:
         """Wait for the head of this request's answer, dropping answers of other requests.
@@ -176,20 +176,25 @@
         try:
             data = self._connection.recv(READ_BYTES)
         except OSError as error:
-            raise ExchangeError(stage, str(error)) from error
+            raise _describe_failure(stage, error) from error
         if not data:
             self._parser.end()
             if self._answer is not None and self._answer.done:
                 return
             if self._answer is None and any(one.done for one in self._parser.answers):
                 return
-            raise ExchangeError(stage, "closed before the end of the answer")
+            raise ExchangeError(stage, "closed before the end of the answer", was_closed=True)
         try:
             self._parser.feed(data)
         except ValueError as error:
             raise ExchangeError(stage, str(error)) from error
 
 
+def _describe_failure(stage: Stage, error: OSError) -> ExchangeError:
+    """Return the failure of a connection; one that timed out was not closed by the other side."""
+    return ExchangeError(stage, str(error), was_closed=isinstance(error, ConnectionError))
+
+
 class BackendPool:
     """The idle connections of a process to all backend servers.
 
--- a/hemlockswitch/connection/exchange_errors.py
+++ b/hemlockswitch/connection/exchange_errors.py
@@ -15,9 +15,17 @@
 
 
 class ExchangeError(BackendError):
-    """An exchange with a server that failed, with the stage it had reached."""
+    """An exchange with a server that failed, with the stage it had reached.
 
-    def __init__(self, stage: Stage, detail: str) -> None:
+    Parameters
+    ==========
+
+    was_closed : whether the other side closed or reset the connection; it did not fall silent, and
+        what it had sent could be read.
+    """
+
+    def __init__(self, stage: Stage, detail: str, *, was_closed: bool = False) -> None:
         ran = Ran.NO if stage is Stage.BEFORE_SEND else Ran.UNKNOWN
         super().__init__(ErrorKind.OUTCOME_UNKNOWN, f"{stage}: {detail}", ran=ran)
         self.stage = stage
+        self.was_closed = was_closed
--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -46,8 +46,9 @@
 from hemlockswitch.version.settings import EntrySettings
 
 CLAIM_FLUSH_MS = 3_000.0
-ENDED_CONNECT_MS = 500.0
-"""How long a server that cut a connection is asked for another one; a refusal comes at once."""
+ENDED_CONNECT_MS = 100.0
+"""How long a server that cut a connection is asked for another one; a refusal takes a crossing, and the
+request waits for it."""
 
 
 class EntryDaemon:
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -4,6 +4,8 @@
 be answered with, is decided by `request/send_states.py`; where it goes by the view's placement.
 """
 
+from dataclasses import dataclass
+
 import gevent
 
 from hemlockswitch.connection.backend_pool import BackendPool
@@ -35,6 +37,7 @@
     Sender,
     SendFailedError,
 )
+from hemlockswitch.version.backend import BackendServer
 
 MOST_UNREACHABLE = 12
 MOST_UNREACHABLE_MS = 1_500.0
@@ -47,6 +50,14 @@
 or a repaired list of servers shows up."""
 
 
+@dataclass(frozen=True)
+class _Answered:
+    """The server that has answered a request completely, and when it was sent there."""
+
+    server: BackendServer
+    sent_ms: float
+
+
 class Forwarder:
     """Serves forwarded requests.
 
@@ -119,15 +130,18 @@
         timer = gevent.Timeout(max(left_ms, 0) / MS_PER_SECOND, OverdueError())
         timer.start()
         try:
-            self._send_until_answered(progress, admitted, reply)
+            answered = self._send_until_answered(progress, admitted, reply)
         except OverdueError:
             self._give_up_overdue(progress, reply)
+            return
         finally:
             timer.close()
+        self._note_answered(progress, admitted, answered)
 
     def _send_until_answered(
         self, progress: Progress, admitted: AdmittedRequest, reply: Reply
-    ) -> None:
+    ) -> _Answered:
+        """Return which server has answered completely."""
         while True:
             if admitted.deadline_ms <= self._clock.now_ms():
                 raise OverdueError
@@ -136,8 +150,7 @@
             sent_ms = self._clock.now_ms()
             try:
                 self._sender.send(Send(progress, admitted, placement, reply))
-                self._note_answered(progress, admitted, placement, sent_ms)
-                return
+                return _Answered(placement.candidate.server, sent_ms)
             except SendFailedError as failed:
                 self._prepare_again(progress, admitted, placement, failed, reply)
 
@@ -155,13 +168,12 @@
             raise RequestError(ErrorKind.OUTCOME_UNKNOWN, held.detail) from held
 
     def _note_answered(
-        self, progress: Progress, admitted: AdmittedRequest, placement: Placement, sent_ms: float
+        self, progress: Progress, admitted: AdmittedRequest, answered: _Answered
     ) -> None:
         """Tell the guard of an answer; one without a length also seems whole when its server ended."""
-        server = placement.candidate.server
-        if progress.ended_with_connection and self._guard.note_broken(admitted, server):
+        if progress.ended_with_connection and self._guard.note_broken(admitted, answered.server):
             return
-        self._guard.note_answered(admitted, server, sent_ms)
+        self._guard.note_answered(admitted, answered.server, answered.sent_ms)
 
     def _choose(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> Placement:
         is_careful = progress.clearance.is_careful
@@ -201,8 +213,6 @@
         """Note a failed send; raise when the request must not or cannot be sent again."""
         self._observer.attempt_failed(progress, failed.failure, failed.detail)
         progress.in_flight = False
-        if failed.was_cut:
-            self._guard.note_broken(admitted, placement.candidate.server)
         verdict = judge_failure(
             SendState.RELAYING if reply.begun else progress.state,
             failed.failure,
@@ -211,6 +221,10 @@
         )
         progress.state = verdict.state
         progress.excluded.append(placement.candidate.server.incarnation)
+        if failed.was_cut:
+            # The server is asked for a connection, and meanwhile the request's time may be up: what
+            # is known of its execution must stand by then.
+            self._guard.note_broken(admitted, placement.candidate.server)
         if verdict.may_send_again and self._may_spend(progress, admitted, failed):
             return
         self._give_up(progress, verdict, failed.detail)
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -86,7 +86,7 @@
     ==========
 
     was_sent : whether any byte of the request may have reached the server.
-    was_cut : whether the connection ended before the answer did.
+    was_cut : whether the server closed or reset the connection before the end of the answer.
     """
 
     def __init__(
@@ -180,7 +180,8 @@
             self._relay(send, exchange)
             failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         except ExchangeError as error:
-            raise SendFailedError(SendFailure.BROKEN, error.detail, True, True) from error
+            broken = SendFailure.BROKEN
+            raise SendFailedError(broken, error.detail, True, error.was_closed) from error
         except (CallerLeftError, OverdueError):
             failed = False
             raise
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -192,6 +192,7 @@
                 progress.last, progress.ran = answer, Ran.YES
             except ExchangeError as failure:
                 if failure.stage is not Stage.BEFORE_SEND:
+                    progress.ran = Ran.UNKNOWN
                     self._guard.note_broken(content, server)
                 self._note_failure(progress, failure, operation)
             progress.excluded.add(server.name)
@@ -273,7 +274,6 @@
         """Keep what the failure tells; raise where the call must not be sent again."""
         if failure.stage is Stage.BEFORE_SEND:
             return
-        progress.ran = Ran.UNKNOWN
         if not operation.idempotent:
             mixed = isinstance(failure, AnswerMixedError)
             kind = ErrorKind.ANSWER_INVALID if mixed else ErrorKind.OUTCOME_UNKNOWN
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -20,7 +20,7 @@
 from hemlockswitch.request.quarantine import TRIAL_PAUSES_MS
 from hemlockswitch.standin.runner import RunnerFaults, make_seal
 from tests.crashing_runners import DEADLY, CrashingSite
-from tests.gateway_site import make_entry, make_manifest
+from tests.gateway_site import make_entry, make_manifest, tokens
 
 MOST_ENDS = 3
 MOST_RETRIES = 3
@@ -197,3 +197,23 @@
     counted = [len(one["ends"]) for one in gateway.quarantine.describe()]
     assert counted == ([1] if ends else [])
     runner.listener.close()
+
+
+@pytest.mark.parametrize("path", ["/check/x", "/hold/x", "/draft/x"])
+def test_a_time_that_is_up_while_a_server_is_asked_does_not_make_the_request_not_run(
+    site, monkeypatch, path
+):
+    """A partition held a request up, its caller was told that it had not run, and then it ran.
+
+    The connection had timed out, the server was asked for another one, and the caller's time was up
+    before the answer: what was known of the failed send was written down only after that.
+    """
+    gateway = site.gateways[0]
+    monkeypatch.setattr(gateway.prober, "refuses", lambda server: gevent.sleep(1) or False)
+    gateway.guard._ends._refuses = gateway.prober.refuses
+    for runner in site.crashing:
+        runner.state.faults = RunnerFaults(lose_answer=True)
+    headers = {"Hemlockswitch_Deadline_Ms": "400", **(tokens(3) if path == "/draft/x" else {})}
+    reply = site.ask(path, **headers)
+    assert sum(len(runner.state.seen) for runner in site.crashing) >= 1, "it ran"
+    assert reply.status in (502, 504)
