Say once what the change said twice: names of contents, held requests at the entry, probes, ranks

The rule that a held request is answered by whether it may have run stood in the relay and in the caller of services; a probe's connection stood twice; the length of a content's name was cut in two places and not in two others, so that entry daemons named contents with 64 characters. Neighbours are listed only when a digest differs.

--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -83,8 +83,8 @@
         adapter, clock = self._adapter, self._clock
         self.true_time = TrueTime()
         self._incarnation = time.time_ns()
-        process = name_process(self.settings.name, self._incarnation)
-        self.usage = UsageCounts(self.settings.usage_window_s, process)
+        self._process = name_process(self.settings.name, self._incarnation)
+        self.usage = UsageCounts(self.settings.usage_window_s, self._process)
         self.tables = TableHolder(adapter.config_name, adapter.decode_table)
         self.models = ServiceModels(clock)
         self.pool = BackendPool(clock, self._count_connection)
@@ -179,13 +179,12 @@
     def _build_guard(self) -> None:
         """Build what holds back requests under which backend servers end."""
         clock, quarantine = self._clock, self.quarantine
-        process = name_process(self.settings.name, self._incarnation)
         self.prober = Prober(self.reachability, self.pool, self.registry.list_all, clock)
         self.suspects = SuspectExchange(self.network, self.fleet, quarantine, clock)
         self.guard = Guard(
             quarantine,
             ServerEnds(self.registry.is_live, self.prober.refuses),
-            HeldRequests(process, quarantine, self._adapter.store, clock),
+            HeldRequests(self._process, quarantine, self._adapter.store, clock),
             self.suspects,
             lambda: self.duties is not None and self.duties.leads,
             clock,
--- a/hemlockswitch/process/gateway/prober.py
+++ b/hemlockswitch/process/gateway/prober.py
@@ -47,19 +47,22 @@
         """Ask a server for a connection, and return whether it refused it; silence is no refusal."""
         began_ms = self._clock.now_ms()
         timeout_ms = self._reachability.find_connect_timeout_ms()
-        try:
-            self._pool.warm(server.address, timeout_ms)
-        except ExchangeError:
-            is_silent = self._clock.now_ms() - began_ms >= timeout_ms
-            self._reachability.note_unreachable(server, is_silent=is_silent)
-            return not is_silent
-        self._reachability.note_connected(server, self._clock.now_ms() - began_ms)
-        return False
+        if self._connect(server, timeout_ms):
+            return False
+        is_silent = self._clock.now_ms() - began_ms >= timeout_ms
+        self._reachability.note_unreachable(server, is_silent=is_silent)
+        return not is_silent
 
     def _probe(self, server: BackendServer) -> None:
+        # One that cannot be reached stays a suspect, which is logged where it became one.
+        self._connect(server, self._reachability.find_connect_timeout_ms())
+
+    def _connect(self, server: BackendServer, timeout_ms: float) -> bool:
+        """Return whether a connection to a server opened; it is kept for a request."""
         began_ms = self._clock.now_ms()
         try:
-            self._pool.warm(server.address, self._reachability.find_connect_timeout_ms())
+            self._pool.warm(server.address, timeout_ms)
         except ExchangeError:
-            return  # It stays a suspect, which is logged where it became one.
+            return False
         self._reachability.note_connected(server, self._clock.now_ms() - began_ms)
+        return True
--- a/hemlockswitch/process/gateway/suspect_exchange.py
+++ b/hemlockswitch/process/gateway/suspect_exchange.py
@@ -14,6 +14,7 @@
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.neighbours import Peer
 from hemlockswitch.request.quarantine import Quarantine, SuspectFields, SuspectRecord
 
 GATHER_MS = 20.0
@@ -77,9 +78,8 @@
         self._changed.set()
 
     def differ(self) -> bool:
-        """Return whether another gateway holds back something else, by its last report."""
-        digest = self._quarantine.hash_held()
-        return any(peer.view.held_digest != digest for peer in self._fleet.list_heard())
+        """Return whether another gateway holds back something else."""
+        return bool(self._list_peers_that_differ())
 
     def are_missed(self) -> bool:
         """Return whether some gateways are not in touch."""
@@ -108,17 +108,22 @@
         self._network.send_all(addresses, report)
 
     def _list_differing(self) -> list[str]:
-        digest = self._quarantine.hash_held()
+        differing = self._list_peers_that_differ()
+        if not differing:
+            return []
         near = {peer.address for peer in self._fleet.list_near()}
         oldest_ms = self._clock.now_ms() - REPAIR_MS
         return [
             peer.address
-            for peer in self._fleet.list_heard()
-            if peer.view.held_digest != digest
-            and peer.address in near
-            and self._repaired_ms.get(peer.address, 0.0) <= oldest_ms
+            for peer in differing
+            if peer.address in near and self._repaired_ms.get(peer.address, 0.0) <= oldest_ms
         ]
 
+    def _list_peers_that_differ(self) -> list[Peer]:
+        """Return the gateways that hold back something else, by their last reports."""
+        digest = self._quarantine.hash_held()
+        return [peer for peer in self._fleet.list_heard() if peer.view.held_digest != digest]
+
     def take(self, _address: str, report: SuspectReport) -> None:
         """Take what another gateway knows, and pass it on to those near this one if need be."""
         for fields in report.suspects[:MOST_TOLD]:
--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -32,7 +32,6 @@
 """Least time between two lists for a difference, which may last until a message has come."""
 ALONE_PAUSE_MS = 5_000.0
 """Time between two lists while other daemons are missed: their messages are, too."""
-
 HOLDING_PAUSE_MS = 30_000.0
 """Time between two lists while something is held back: an operator may have released it by hand."""
 
--- a/hemlockswitch/request/claims.py
+++ b/hemlockswitch/request/claims.py
@@ -231,4 +231,4 @@
 
 def fingerprint_call(method: str, service: str, path: str, query: str, body: bytes) -> str:
     """Return a hash of what a call asks for; the same key with another one is refused."""
-    return hash_call((method, service, path, query), body)[:DIGEST_CHARACTERS]
+    return hash_call((method, service, path, query), body)
--- a/hemlockswitch/request/fingerprint.py
+++ b/hemlockswitch/request/fingerprint.py
@@ -8,6 +8,8 @@
 import hashlib
 from collections.abc import Iterable
 
+HASH_CHARACTERS = 32
+"""128 bits: nobody finds a second content with the same name."""
 LENGTH_BYTES = 4
 """Each part is hashed behind its length, so that no two lists of parts give the same bytes."""
 
@@ -26,4 +28,4 @@
         encoded = part.encode("utf-8", "surrogateescape")
         digest.update(len(encoded).to_bytes(LENGTH_BYTES, "big") + encoded)
     digest.update(body)
-    return digest.hexdigest()
+    return digest.hexdigest()[:HASH_CHARACTERS]
--- a/hemlockswitch/request/forward_admission.py
+++ b/hemlockswitch/request/forward_admission.py
@@ -11,9 +11,6 @@
 from hemlockswitch.request.overload import QueueBound
 from hemlockswitch.version.serving_table import ForwardedAccount, Route, ServingTable
 
-FINGERPRINT_CHARACTERS = 32
-"""128 bits of the hash: nobody finds a second content with the same name."""
-
 
 class AccountLimiter(Protocol):
     """The limits of client accounts, over all daemons."""
@@ -56,7 +53,7 @@
         account = self.account.name if self.account is not None else ""
         request = self.request
         parts = (account, request.method, self.facts.host, request.target)
-        return hash_call(parts, request.body)[:FINGERPRINT_CHARACTERS]
+        return hash_call(parts, request.body)
 
 
 def admit_request(
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -156,10 +156,11 @@
 
     def _clear(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> None:
         """Raise if the request is held back; what is answered depends on what became of it so far."""
+        is_first = not progress.sends
+        if is_first and progress.clearance.is_trial:
+            return  # The trial that was granted has reached no server yet.
         try:
-            if progress.sends or not progress.clearance.is_trial:
-                may_try = not progress.sends
-                progress.clearance = self._guard.clear(admitted, may_try=may_try)
+            progress.clearance = self._guard.clear(admitted, may_try=is_first)
         except RequestError as held:
             if reply.begun:
                 raise CallerLeftError(held.detail) from held
--- a/hemlockswitch/request/quarantine.py
+++ b/hemlockswitch/request/quarantine.py
@@ -89,7 +89,7 @@
         return len(self.ends - self.excused)
 
     @property
-    def ends_ms(self) -> float:
+    def forgotten_ms(self) -> float:
         """When it is forgotten."""
         return self.changed_ms + (LIFE_MS if self.counted else CLEARED_LIFE_MS)
 
@@ -166,12 +166,13 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return UNSUSPECTED
-        age_ms = self._clock.now_ms() - suspect.changed_ms
+        now_ms = self._clock.now_ms()
         ends = suspect.counted
         trial_in_ms = None
         if suspect.trials < len(TRIAL_PAUSES_MS):
-            trial_in_ms = max(TRIAL_PAUSES_MS[suspect.trials] - age_ms, 0.0)
-        return Standing(ends, ends >= MOST_ENDS, trial_in_ms, max(LIFE_MS - age_ms, 0.0))
+            trial_in_ms = max(suspect.changed_ms + TRIAL_PAUSES_MS[suspect.trials] - now_ms, 0.0)
+        forgotten_in_ms = max(suspect.forgotten_ms - now_ms, 0.0)
+        return Standing(ends, ends >= MOST_ENDS, trial_in_ms, forgotten_in_ms)
 
     def note_end(self, fingerprint: str, server: str) -> None:
         """A server ended while the content was in progress there, seen here."""
@@ -243,8 +244,7 @@
 
     def list_records(self) -> list[SuspectRecord]:
         """Return what is known of all contents, those with the most ends first."""
-        ranked = sorted(self._suspects, key=self._rank, reverse=True)
-        return [self.get_record(fingerprint) for fingerprint in ranked]
+        return [self.get_record(fingerprint) for fingerprint in self._list_ranked()]
 
     def list_held(self) -> list[str]:
         """Return the contents that are held back."""
@@ -260,7 +260,7 @@
     def forget_old(self) -> list[str]:
         """Forget what is over, and return the contents that were held back."""
         now_ms = self._clock.now_ms()
-        old = [name for name, one in self._suspects.items() if now_ms >= one.ends_ms]
+        old = [name for name, one in self._suspects.items() if now_ms >= one.forgotten_ms]
         held = [name for name in old if name in self._held]
         for fingerprint in old:
             self._drop(fingerprint)
@@ -268,8 +268,7 @@
 
     def describe(self) -> list[dict[str, Any]]:
         """Return the suspects for the status page, those held back first."""
-        ranked = sorted(self._suspects, key=lambda name: -self._suspects[name].counted)
-        return [self._describe(fingerprint) for fingerprint in ranked]
+        return [self._describe(fingerprint) for fingerprint in self._list_ranked()]
 
     def _describe(self, fingerprint: str) -> dict[str, Any]:
         suspect = self._suspects[fingerprint]
@@ -315,6 +314,9 @@
         while len(self._suspects) >= MOST_SUSPECTS:
             self._drop(min(self._suspects, key=self._rank))
 
+    def _list_ranked(self) -> list[str]:
+        return sorted(self._suspects, key=self._rank, reverse=True)
+
     def _rank(self, fingerprint: str) -> tuple[int, float]:
         suspect = self._suspects[fingerprint]
         return suspect.counted, suspect.changed_ms
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -20,6 +20,7 @@
     RelayObserver,
     Running,
     build_need,
+    clear_request,
 )
 from hemlockswitch.version.backend import BackendServer
 
@@ -98,7 +99,8 @@
             running.hand_over_if_asked()
             try:
                 if not resume:
-                    self._clear(running)
+                    ran = running.state_ran()
+                    clear_request(self._guard, generation, is_first=not running.sent, ran=ran)
                     self._begin_attempt(running, cause)
                 yield from self._run_attempt(running, resume)
                 cause, resume = Cause.RECLAIM, False
@@ -110,16 +112,6 @@
                 if not resume:
                     cause = self._prepare_again(running, lost)
 
-    def _clear(self, running: Running) -> None:
-        """Raise if the request is held back, with what is known of whether it ran."""
-        try:
-            self._guard.clear(running.generation, may_try=not running.sent)
-        except RequestError as held:
-            ran = running.state_ran()
-            if ran is Ran.NO:
-                raise
-            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, held.detail, ran=ran) from held
-
     def _check_wanted(self, running: Running) -> None:
         """Raise when nobody waits for the answer any more."""
         if running.stopped is not None:
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -6,6 +6,7 @@
 
 from hemlockswitch.connection.backends import BackendExchange
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.request.clearance import Content, RequestGuard
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.prefixes import count_tokens, hash_blocks
 from hemlockswitch.request.routing import Need
@@ -177,6 +178,22 @@
         return self.need.prompt_tokens + self.base_tokens
 
 
+def clear_request(guard: RequestGuard, content: Content, *, is_first: bool, ran: Ran) -> None:
+    """Raise if a request is held back, with what is known of whether it ran.
+
+    Parameters
+    ==========
+
+    is_first : whether nothing of it was sent yet, so that it may be sent as a trial.
+    """
+    try:
+        guard.clear(content, may_try=is_first)
+    except RequestError as held:
+        if ran is Ran.NO:
+            raise
+        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, held.detail, ran=ran) from held
+
+
 def build_need(generation: Generation) -> Need:
     """Return what the router must know of a generation that has not begun."""
     return Need(
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -180,8 +180,9 @@
             self._relay(send, exchange)
             failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         except ExchangeError as error:
-            broken = SendFailure.BROKEN
-            raise SendFailedError(broken, error.detail, True, error.was_closed) from error
+            raise SendFailedError(
+                SendFailure.BROKEN, error.detail, was_sent=True, was_cut=error.was_closed
+            ) from error
         except (CallerLeftError, OverdueError):
             failed = False
             raise
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -25,6 +25,7 @@
     Chooser,
     Directory,
     build_deadline_error,
+    clear_request,
 )
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.models import Operation, Service
@@ -180,7 +181,8 @@
         progress = _Progress(excluded=set())
         while True:
             self._check_deadline(progress, deadline_ms)
-            self._clear(content, progress)
+            is_first = progress.dispatches == 0
+            clear_request(self._guard, content, is_first=is_first, ran=progress.ran)
             server = self._choose(request, content.service, progress)
             progress.dispatches += 1
             sent_ms = self._clock.now_ms()
@@ -199,16 +201,6 @@
             if progress.dispatches >= MAX_DISPATCHES or not self._budget.take():
                 return self._give_up(progress)
 
-    def _clear(self, content: CallContent, progress: _Progress) -> None:
-        """Raise if the call is held back, with what is known of whether it ran."""
-        try:
-            self._guard.clear(content, may_try=progress.dispatches == 0)
-        except RequestError as held:
-            if progress.ran is Ran.NO:
-                raise
-            kind = ErrorKind.OUTCOME_UNKNOWN
-            raise RequestError(kind, held.detail, ran=progress.ran) from held
-
     def _check_deadline(self, progress: _Progress, deadline_ms: float) -> None:
         if self._clock.now_ms() >= deadline_ms:
             raise build_deadline_error(progress.ran)
--- a/tests/crash_replay.py
+++ b/tests/crash_replay.py
@@ -191,14 +191,13 @@
             return f"harmless-{next(self._attempts)}"
         return f"{kind}-{self.draws.randrange(self.setting.contents)}" if kind == DEADLY else kind
 
-    def _arrive(self, kind, content, is_second=False):
+    def _arrive(self, kind, content):
         gateway = self.draws.choice(self.gateways)
         request = SimpleNamespace(
             kind=kind,
             content=content,
             gateway=gateway,
             sends=0,
-            is_second=is_second,
             excluded=set(),
         )
         self._send(request)
@@ -301,7 +300,7 @@
             self.left_out.add(request.content)
             # Its caller comes back when it is told to, and once more on its own.
             wait_ms = error.answer.retry_after_ms if error is not None else 500
-            self.at(wait_ms, self._arrive, request.kind, request.content, True)
+            self.at(wait_ms, self._arrive, request.kind, request.content)
 
     @property
     def late_sends(self):
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -2,10 +2,10 @@
 
 from types import SimpleNamespace
 
-from hemlockswitch.connection.stored_objects import ObjectPage, Written
 from hemlockswitch.process.quarantine.guard import Guard
 from hemlockswitch.process.quarantine.held_requests import HeldRequests
 from hemlockswitch.request.quarantine import Quarantine
+from tests.memory_store import MemoryStore
 
 ALONE = SimpleNamespace(
     note_change=lambda: None,
@@ -13,17 +13,11 @@
     differ=lambda: False,
     are_missed=lambda: False,
 )
-EMPTY_STORE = SimpleNamespace(
-    read=lambda kind, name: None,
-    list_stale=lambda kind: ObjectPage((), 0),
-    create=lambda kind, name, value: Written(1),
-    delete=lambda kind, name, version: Written(2),
-)
 
 
 def make_guard(clock, ended=()):
     """Return a guard of one daemon; `ended` has the names of the servers that have ended."""
     quarantine = Quarantine(clock)
-    held = HeldRequests("daemon/1", quarantine, EMPTY_STORE, clock)
+    held = HeldRequests("daemon/1", quarantine, MemoryStore(), clock)
     ends = SimpleNamespace(has_ended=lambda server: server.name in ended)
     return Guard(quarantine, ends, held, ALONE, lambda: True, clock)
