--- a/hemlockswitch/connection/stored_objects.py
+++ b/hemlockswitch/connection/stored_objects.py
@@ -7,13 +7,22 @@
 
 @dataclass(frozen=True)
 class StoredObject:
-    """One object of the object service at one version; a watch also shows deleted ones."""
+    """One object of the object service at one version; a watch also shows deleted ones.
+
+    Parameters
+    ==========
+
+    status : what was written beside the value, by whom the object is for; None if nothing was.
+    created : the service's version at the object's creation; 0 where it is not told.
+    """
 
     kind: str
     name: str
     version: int
     value: Any
     deleted: bool = False
+    status: Any = None
+    created: int = 0
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -102,6 +102,14 @@
     COPIES_ORDERED = (831, "copies_ordered")
     USAGE_REPORTED = (832, "usage_reported")
     DUTY_FAILED = (833, "duty_failed")
+    ROLLOUT_KNOWN = (841, "rollout_known")
+    ROLLOUT_UNREADABLE = (842, "rollout_unreadable")
+    ROLLOUT_STATE_WRITTEN = (843, "rollout_state_written")
+    ROLLOUT_STOPPED = (844, "rollout_stopped")
+    ROLLOUT_MOVING = (845, "rollout_moving")
+    ROLLOUT_CLOSED = (846, "rollout_closed")
+    ROLLOUT_WITHDRAWN = (847, "rollout_withdrawn")
+    ROLLOUT_VERSION_UNKNOWN = (848, "rollout_version_unknown")
 
     def __init__(self, number: int, label: str) -> None:
         self.number = number
--- a/hemlockswitch/platform/servers.py
+++ b/hemlockswitch/platform/servers.py
@@ -55,4 +55,6 @@
         state=BackendState.LIVE if body.state == "ready" else BackendState.LEAVING,
         slots=body.slots,
         started_unix_ms=body.born,
+        version=body.version,
+        cold_left_ms=body.cold_left_ms,
     )
--- a/hemlockswitch/platform/store.py
+++ b/hemlockswitch/platform/store.py
@@ -42,21 +42,34 @@
 class _MetadataBody(Body, frozen=True):
     name: Annotated[str, msgspec.Meta(min_length=1)]
     revision: _Revision  # of the object's last change, not of the store
+    created_rev: _Revision = 0
 
 
 class _ObjectBody(Body, frozen=True):
     metadata: _MetadataBody
     spec: msgspec.Raw = msgspec.Raw(b"null")
+    status: msgspec.Raw = msgspec.Raw(b"null")
 
     def to_object(self, kind: str, deleted: bool = False) -> StoredObject:
-        """Return the inner form; a spec that cannot be read is no value."""
+        """Return the inner form; a spec or a status that cannot be read is none."""
         metadata = self.metadata
-        try:
-            value = msgspec.json.decode(self.spec)
-        except (msgspec.DecodeError, RecursionError) as error:
-            _log_unreadable(kind, metadata.name, error)
-            value = None
-        return StoredObject(kind, metadata.name, metadata.revision, value, deleted)
+        return StoredObject(
+            kind,
+            metadata.name,
+            metadata.revision,
+            _read_part(kind, metadata.name, self.spec),
+            deleted,
+            _read_part(kind, metadata.name, self.status),
+            metadata.created_rev,
+        )
+
+
+def _read_part(kind: str, name: str, part: msgspec.Raw) -> Any:
+    try:
+        return msgspec.json.decode(part)
+    except (msgspec.DecodeError, RecursionError) as error:
+        _log_unreadable(kind, name, error)
+        return None
 
 
 class _ListBody(Body, frozen=True):
@@ -162,6 +175,11 @@
         body = {"metadata": {"name": name, "revision": version}, "spec": value}
         return self._write("PUT", _path(kind, name), body)
 
+    def update_status(self, kind: str, name: str, status: Any, version: int) -> WriteOutcome:
+        """Write the status of an object whose revision must be `version`."""
+        body = {"metadata": {"name": name, "revision": version}, "status": status}
+        return self._write("PUT", f"{_path(kind, name)}/status", body)
+
     def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
         """Delete an object whose revision must be `version`."""
         return self._write("DELETE", f"{_path(kind, name)}?revision={version}", None)
--- a/hemlockswitch/process/gateway/adapter.py
+++ b/hemlockswitch/process/gateway/adapter.py
@@ -2,19 +2,21 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from hemlockswitch.connection.backoff import Outage
 from hemlockswitch.connection.stored_objects import ListedStore, StoredObject
 from hemlockswitch.process.gateway.follower import WatchedStore
+from hemlockswitch.process.gateway.rollout_duty import StatusStore
 from hemlockswitch.process.gateway.scaling import ScalingApi
 from hemlockswitch.process.gateway.usage import UsageApi
 from hemlockswitch.request.dialect import Dialect
 from hemlockswitch.version.backend import BackendServer
+from hemlockswitch.version.rollout import RolloutOrder, RolloutState
 from hemlockswitch.version.serving_table import ServingTable
 
 
-class GatewayStore(WatchedStore, ListedStore, Protocol):
+class GatewayStore(WatchedStore, ListedStore, StatusStore, Protocol):
     """The object service; `PlatformClient` and the adapter's store both are one."""
 
     @property
@@ -41,7 +43,9 @@
     duty_api : the cloud API; None where no duties are taken.
     config_kind, config_name : the object that holds the newest configuration.
     server_kind : the kind of the backend servers' entries.
-    decode_table, decode_server : read these objects.
+    rollout_kind : the kind of the orders of roll-outs.
+    decode_table, decode_server, decode_rollout : read these objects.
+    encode_rollout_status : returns what to write of an order's state.
     """
 
     dialect: Dialect
@@ -52,3 +56,6 @@
     server_kind: str
     decode_table: Callable[[StoredObject], ServingTable]
     decode_server: Callable[[StoredObject], BackendServer]
+    rollout_kind: str
+    decode_rollout: Callable[[StoredObject], RolloutOrder]
+    encode_rollout_status: Callable[[RolloutOrder, RolloutState], dict[str, Any]]
--- a/hemlockswitch/process/gateway/change_relay.py
+++ b/hemlockswitch/process/gateway/change_relay.py
@@ -20,6 +20,7 @@
 from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.messages import ChangeReport, Loads, PromptFields, RelayedChanges
 from hemlockswitch.process.gateway.reported_loads import ServerLoad
+from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.request.dialect import Chain
 
 RELAY_MS = 100.0
@@ -59,7 +60,8 @@
     ==========
 
     network, fleet : the streams to the other gateways, and who these are.
-    loads, limits : what this gateway knows of the load and of the accounts.
+    loads, limits, rollouts : what this gateway knows of the load, of the accounts, and of services that
+        move to another version.
     clock : the time.
     """
 
@@ -69,12 +71,14 @@
         fleet: Fleet,
         loads: ServerLoads,
         limits: SharedLimits,
+        rollouts: Rollouts,
         clock: Clock,
     ) -> None:
         self._network = network
         self._fleet = fleet
         self._loads = loads
         self._limits = limits
+        self._rollouts = rollouts
         self._clock = clock
         self._gathered: list[ChangeReport] = []
         self._arrived = Signal()
@@ -120,4 +124,6 @@
         changes, sent = read_loads(report.loads), read_sent(report.sent)
         self._loads.take_changes(report.name, changes, sent, order)
         self._loads.failures.take_told(report.name, report.results)
-        self._limits.take_report(name_process(report.name, report.incarnation), report.spent)
+        process = name_process(report.name, report.incarnation)
+        self._limits.take_report(process, report.spent)
+        self._rollouts.take_told(process, report.rollouts)
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -28,6 +28,8 @@
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.reporting import ReportSchedule
 from hemlockswitch.process.gateway.reports import ReportExchange
+from hemlockswitch.process.gateway.rollout_duty import RolloutDuty
+from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.scaling import ScalingDuty
 from hemlockswitch.process.gateway.service_models import FIT_MS, ServiceModels
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
@@ -43,6 +45,7 @@
 from hemlockswitch.request.forwarding import Forwarder
 from hemlockswitch.request.quarantine import Quarantine
 from hemlockswitch.request.repeat_budget import RepeatBudget
+from hemlockswitch.request.rollout_credit import ExposureBound
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.gateway_settings import GatewaySettings
 
@@ -109,16 +112,26 @@
             clock, self.fleet.get_far_period, lambda: self.schedule.changed.set()
         )
         self.quarantine = Quarantine(clock)
+        self.rollouts = self._build_rollouts()
         self.followed = FollowedObjects(
             adapter,
             self.tables,
             self.registry,
+            self.rollouts if self.settings.rollout_share is not None else None,
             self.network,
             self.fleet,
             self.quarantine.hash_held,
             clock,
         )
 
+    def _build_rollouts(self) -> Rollouts:
+        """Build what follows the orders that move services to new versions."""
+        settings = self.settings
+        bound = None
+        if settings.rollout_share is not None:
+            bound = ExposureBound(settings.rollout_share, settings.rollout_slack)
+        return Rollouts(self._adapter.decode_rollout, bound, self.fleet.count_listed, self._clock)
+
     def _build_forwarding(self) -> None:
         """Build the path of a request."""
         settings, clock = self.settings, self._clock
@@ -129,7 +142,9 @@
             settings.limit_slack,
             self.fleet.get_far_period,
         )
-        self.relay = ChangeRelay(self.network, self.fleet, self.loads, self.limits, clock)
+        self.relay = ChangeRelay(
+            self.network, self.fleet, self.loads, self.limits, self.rollouts, clock
+        )
         self.reports = ReportExchange(
             settings.name,
             self._incarnation,
@@ -142,6 +157,7 @@
             lambda: self.duties is not None and self.duties.leads,
             self.reachability,
             self.models,
+            self.rollouts,
             self.registry.list_all,
             self.followed.view,
             clock,
@@ -161,6 +177,7 @@
             self.fleet,
             self.reachability,
             self.models,
+            self.rollouts,
             self.schedule.note_large_prompt,
             clock,
         )
@@ -190,6 +207,7 @@
             clock,
         )
         self.observer.metrics.guard = self.guard.counts
+        self.observer.metrics.describe_rollouts = self.rollouts.count_answers
 
     def _build_duties(self) -> None:
         """Build the duties, if there is an API that takes them."""
@@ -211,12 +229,23 @@
             api,
             self.settings.zones,
             lambda: self.tables.current,
-            self.registry.list_all,
+            self._list_planned_servers,
             self._measure_demand,
             lambda service: self.models.get(service).tokens_per_ms,
             self.followed.knows_all_servers,
             self.followed.knows_most_servers,
             clock,
+            self.rollouts.is_moving,
+        )
+        rollouts = RolloutDuty(
+            self.rollouts,
+            store,
+            self._adapter.rollout_kind,
+            self._adapter.encode_rollout_status,
+            self.registry.list_all,
+            self.loads.count_running,
+            self.true_time,
+            clock,
         )
         keeper = UsageKeeper(self.usage, store, clock)
         usage = UsageDuty(self.usage, store, api, keeper.load, self.fleet.get_usage_period)
@@ -225,6 +254,7 @@
             usage,
             scaling,
             keeper,
+            rollouts,
             self.fleet,
             self.true_time,
             clock,
@@ -241,6 +271,8 @@
         self.status.add("models", self.models.describe)
         self.status.add("backend_servers", lambda: len(self.registry.list_all()))
         self.status.add("quarantine", self.quarantine.describe)
+        self.status.add("leads", lambda: self.duties is not None and self.duties.leads)
+        self.status.add("rollouts", self.rollouts.describe)
         self.callers = ForwardServer(
             split_address(self.settings.listen),
             self.forwarder.handle,
@@ -256,7 +288,7 @@
         peer_address = self.network.start()
         listen_address = self.callers.start()
         page_addresses = self.pages.start()
-        for follower in (self.followed.configuration, self.followed.servers):
+        for follower in self.followed.followers:
             self._tasks.spawn(follower.kind, follower.run)
         for name, run in self._list_tasks().items():
             self._tasks.spawn(name, run)
@@ -278,6 +310,8 @@
             "probes": self.prober.run,
             "models": self._fit_models,
         }
+        if self.settings.rollout_share is not None:
+            tasks["rollouts"] = self.rollouts.run
         if self.duties is not None:
             tasks["lease"] = self.duties.keep_lease
             tasks["duties"] = self.duties.act
@@ -353,6 +387,10 @@
         running = self.loads.count_running(servers)
         return Demand(own + self.fleet.sum_demand(service), running)
 
+    def _list_planned_servers(self) -> list[BackendServer]:
+        """Return the servers that serve the demand: those of a version on trial come beside them."""
+        return [one for one in self.registry.list_all() if not self.rollouts.is_on_trial(one)]
+
     def _forget_server(self, server: BackendServer) -> None:
         self.pool.forget(server.address)
         self.reachability.forget(server)
--- a/hemlockswitch/process/gateway/duties.py
+++ b/hemlockswitch/process/gateway/duties.py
@@ -1,4 +1,4 @@
-"""The duties of one gateway at a time, under the lease: usage reports and orders of copies."""
+"""The duties of one gateway at a time, under the lease: usage reports, copies, and roll-outs."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -7,6 +7,7 @@
 from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.rollout_duty import RolloutDuty
 from hemlockswitch.process.gateway.scaling import ScalingDuty
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageDuty
@@ -66,6 +67,7 @@
         usage: UsageDuty,
         scaling: ScalingDuty,
         keeper: UsageKeeper,
+        rollouts: RolloutDuty,
         others: OtherLeaders,
         true_time: TrueTime,
         clock: Clock,
@@ -76,6 +78,7 @@
         self._usage = usage
         self._scaling = scaling
         self._keeper = keeper
+        self._rollouts = rollouts
         self._others = others
         self._true_time = true_time
         self._clock = clock
@@ -116,8 +119,9 @@
             self._announce()
             self._scaling.take_over()
             self._keeper.take_over()
+            self._rollouts.take_over()
             self._usage.take_over(self._true_time.now_ms())
-        for duty in (self._order_copies, self._report_usage):
+        for duty in (self._close_rollouts, self._order_copies, self._report_usage):
             try:
                 duty()
             except LeaseError as error:
@@ -142,6 +146,9 @@
         self._is_released = True
         self._lease.release()
 
+    def _close_rollouts(self) -> None:
+        self._rollouts.take_turn(self._lease.get_fencing)
+
     def _order_copies(self) -> None:
         self._scaling.take_turn(self._lease.get_fencing)
 
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -272,6 +272,10 @@
         """Return how many gateways are registered, with this one."""
         return len(self._peers) + 1
 
+    def count_listed(self) -> int | None:
+        """Return the same; None while the registrations were not listed."""
+        return self.count_daemons() if self.is_listed else None
+
     def has_other_leader(self) -> bool:
         """Return whether another gateway says that it holds the duties, and lives.
 
--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -1,6 +1,6 @@
 """What a gateway follows in the object service: the configuration and the registry of servers.
 
-Each kind is followed by an `ObjectFollower` over a `RelayedWatch`, so that a zone's watchers watch for
+So are the orders of roll-outs, where the platform has them. Each kind is followed by an `ObjectFollower` over a `RelayedWatch`, so that a zone's watchers watch for
 all; a `WatchGuard` finds watches that have gone deaf.
 """
 
@@ -12,10 +12,11 @@
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.configuration import TableHolder
 from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.follower import ObjectFollower
+from hemlockswitch.process.gateway.follower import ObjectConsumer, ObjectFollower
 from hemlockswitch.process.gateway.messages import WatchedPage
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
+from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.watch_guard import StoreView, WatchGuard
 
 SETTLE_MS = 400.0
@@ -37,6 +38,7 @@
     adapter : the object service, its kinds, and their decoders.
     tables : holds the configuration in force.
     registry : holds the backend servers.
+    rollouts : holds the orders of roll-outs; None where none are taken.
     network, fleet : the other gateways, which the zone's watchers send their pages to.
     hash_held : returns a digest of the requests that are held back.
     clock : the time.
@@ -47,6 +49,7 @@
         adapter: Adapter,
         tables: TableHolder,
         registry: ServerRegistry,
+        rollouts: Rollouts | None,
         network: PeerNetwork,
         fleet: Fleet,
         hash_held: Callable[[], int],
@@ -58,21 +61,16 @@
         self._network = network
         self._fleet = fleet
         self._hash_held = hash_held
-        self._watches = {
-            kind: RelayedWatch(adapter.store, fleet, self._relay_page, clock)
-            for kind in (adapter.config_kind, adapter.server_kind)
-        }
+        self._watches: dict[str, RelayedWatch] = {}
+        self._clock = clock
         network.handle(WatchedPage, self._take_page, quick=True)
-        self.configuration = ObjectFollower(
-            self._watches[adapter.config_kind], adapter.config_kind, tables, clock
-        )
-        self.servers = ObjectFollower(
-            self._watches[adapter.server_kind],
-            adapter.server_kind,
-            registry,
-            clock,
-            self._get_settle_ms,
-        )
+        self.configuration = self._follow(adapter.config_kind, tables)
+        self.servers = self._follow(adapter.server_kind, registry, self._get_settle_ms)
+        self.followers = [self.configuration, self.servers]
+        if rollouts is not None:
+            orders = self._follow(adapter.rollout_kind, rollouts)
+            rollouts.request_refresh = orders.renew_watch
+            self.followers.append(orders)
         self.guard = WatchGuard(
             self.configuration,
             self.servers,
@@ -83,10 +81,20 @@
         )
         registry.get_recovered_ms = lambda: self.servers.recovered_ms
 
+    def _follow(
+        self,
+        kind: str,
+        consumer: ObjectConsumer,
+        get_settle_ms: Callable[[], float] = lambda: 0.0,
+    ) -> ObjectFollower:
+        watch = RelayedWatch(self._store, self._fleet, self._relay_page, self._clock)
+        self._watches[kind] = watch
+        return ObjectFollower(watch, kind, consumer, self._clock, get_settle_ms)
+
     @property
     def is_synced(self) -> bool:
-        """Whether a configuration and the list of servers are known."""
-        return self._tables.current is not None and self.servers.is_synced
+        """Whether a configuration, the servers and the orders of roll-outs are known."""
+        return self._tables.current is not None and all(one.is_synced for one in self.followers)
 
     def knows_all_servers(self) -> bool:
         """Return whether the registry was followed long enough for every server to be in it."""
@@ -122,13 +130,14 @@
         """Return the versions that this gateway's watches have told its zone; none if it is not to."""
         if not self._fleet.is_watcher():
             return {}
-        return {one.kind: one.live_version for one in (self.configuration, self.servers)}
+        return {one.kind: one.live_version for one in self.followers}
 
     def _relay_page(self, page: WatchedPage) -> None:
         self._network.send_all(self._fleet.list_relay_addresses(), page)
 
     def _take_page(self, _address: str, page: WatchedPage) -> None:
-        self._watches[page.kind].take_page(page)
+        if page.kind in self._watches:
+            self._watches[page.kind].take_page(page)
 
     def _get_settle_ms(self) -> float:
         """Return how long changes of the registry may gather."""
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -13,7 +13,13 @@
 """A server incarnation, and the (digest, tokens) of each shared beginning of a prompt sent there."""
 Results = dict[str, tuple[int, int]]
 """Server incarnation to how many sends (succeeded, failed)."""
-ChangeFields = tuple[str, int, int, Loads, list[PromptFields], dict[str, float], Results]
+RolloutFields = tuple[str, str, int, float, bool, float, dict[str, list[int]]]
+"""A roll-out's service, target and creation, its age in ms, whether it was stopped, the time in ms until
+the old version ends (negative unless the holder of the duties says so), and by route the numbers of
+answers, failures and slow answers of the new version, and of the others."""
+ChangeFields = tuple[
+    str, int, int, Loads, list[PromptFields], dict[str, float], Results, list[RolloutFields]
+]
 """The fields of a `ChangeReport`."""
 
 
@@ -41,6 +47,7 @@
     zone : its availability zone.
     unreachable : incarnations of the backend servers that it cannot connect to.
     models : service to the model of its engines (`process.gateway.service_models`).
+    rollouts : what became of the sends of this process, for each order that is not closed.
     """
 
     name: str
@@ -62,6 +69,7 @@
     period_ms: float = 0.0
     link_mbps: float = 0.0
     held_digest: int = 0
+    rollouts: list[RolloutFields] = field(default_factory=list)
 
 
 @register_message("change_report")
@@ -77,6 +85,7 @@
     spent : account to what it has spent since the process began, of those that have spent since the
         last change that was told.
     results : server incarnation to how many sends (succeeded, failed) since then.
+    rollouts : as in `GatewayReport`, of the orders whose counts have changed since then.
     """
 
     name: str
@@ -86,6 +95,7 @@
     sent: list[PromptFields]
     spent: dict[str, float]
     results: Results
+    rollouts: list[RolloutFields] = field(default_factory=list)
 
     def list_fields(self) -> ChangeFields:
         """Return the fields, as they stand in `RelayedChanges`."""
@@ -97,6 +107,7 @@
             self.sent,
             self.spent,
             self.results,
+            self.rollouts,
         )
 
 
@@ -172,7 +183,8 @@
 
     kind : the kind of the objects.
     since, version : the page has all changes after version `since`, up to `version`.
-    items : (name, version, value, whether it was deleted) of each changed object, in order.
+    items : (name, version, value, whether it was deleted, status, version at its creation) of each
+        changed object, in order.
     is_whole : whether these are all objects of the kind; what is not among them is gone.
 
     Examples
@@ -186,13 +198,16 @@
     kind: str
     since: int
     version: int
-    items: list[tuple[str, int, Any, bool]]
+    items: list[tuple[str, int, Any, bool, Any, int]]
     is_whole: bool = False
 
     @classmethod
     def from_object_page(cls, kind: str, since: int, page: ObjectPage) -> "WatchedPage":
         """Return the message for the answer of a watch since a version, or of a list."""
-        items = [(item.name, item.version, item.value, item.deleted) for item in page.items]
+        items = [
+            (item.name, item.version, item.value, item.deleted, item.status, item.created)
+            for item in page.items
+        ]
         return cls(kind, since, page.version, items, page.is_whole)
 
     @classmethod
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -6,7 +6,7 @@
 
 from bisect import bisect_left
 from collections import Counter, defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
 from hemlockswitch.core.clock import MS_PER_SECOND
@@ -67,6 +67,7 @@
     connections : connections made to backend servers.
     begun : route to the times from a request's head to the beginning of its answer.
     guard : what the guard of requests under which servers end has counted.
+    describe_rollouts : returns answers by service, version and result while services move.
 
     Examples
     ========
@@ -83,6 +84,7 @@
         self.connections = 0
         self.begun: dict[str, Timings] = defaultdict(Timings)
         self.guard = GuardCounts()
+        self.describe_rollouts: Callable[[], Mapping[tuple[str, str, str], int]] = dict
 
     def render(self) -> bytes:
         """Return the metrics as Prometheus text."""
@@ -100,7 +102,11 @@
 
     def collect(self) -> "Iterator[Metric]":
         """Yield the figures as the library's types (called by it)."""
-        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
 
         requests = CounterMetricFamily(
             "hemlock_forwarded_requests",
@@ -129,4 +135,12 @@
         yield CounterMetricFamily(
             "hemlock_backend_connections", "Connections made.", value=self.connections
         )
+        rollouts = GaugeMetricFamily(
+            "hemlock_rollout_answers",
+            "Answers under the newest roll-out of a service, by version and result.",
+            labels=["service", "version", "result"],
+        )
+        for labels, count in self.describe_rollouts().items():
+            rollouts.add_metric(list(labels), count)
+        yield rollouts
         yield from GuardCollector(self.guard).collect()
--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -100,6 +100,7 @@
             account=admitted.account.name if admitted and admitted.account else "",
             revision=admitted.revision if admitted else 0,
             sends=progress.sends,
+            server_version=progress.begun_version,
             expected_ms=round(progress.expected_ms),
             began_ms=round(began_ms - received_ms) if began_ms is not None else None,
             took_ms=round(now_ms - received_ms),
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -33,6 +33,7 @@
 from hemlockswitch.process.gateway.neighbours import Peer
 from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.report_period import ReportPeriod
+from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.service_models import ServiceModels
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.process.gateway.usage import UsageCounts
@@ -52,6 +53,7 @@
     leads : returns whether this gateway holds the duties.
     reachability : learns what other gateways cannot reach.
     models : learns what other gateways have learned of the services.
+    rollouts : learns what came of their sends to services that move to another version.
     list_servers : returns the backend servers that are registered.
     get_view : returns what this gateway knows of the object service.
     clock : the time.
@@ -70,6 +72,7 @@
         leads: Callable[[], bool],
         reachability: Reachability,
         models: ServiceModels,
+        rollouts: Rollouts,
         list_servers: Callable[[], list[BackendServer]],
         get_view: Callable[[], StoreView],
         clock: Clock,
@@ -85,6 +88,7 @@
         self._leads = leads
         self._reachability = reachability
         self._models = models
+        self._rollouts = rollouts
         self._list_servers = list_servers
         self._get_view = get_view
         self._clock = clock
@@ -118,6 +122,7 @@
             self._pop_sent(),
             self._limits.pop_changed(),
             self._loads.failures.pop_untold(),
+            self._rollouts.pop_changed(leads=self._leads()),
         )
         for relays in self._fleet.draw_relays():
             self._tell_first(relays, change)
@@ -172,6 +177,7 @@
             period_ms=period.ms,
             link_mbps=self._fleet.link_mbps,
             held_digest=view.held_digest,
+            rollouts=self._rollouts.write_all(leads=self._leads()),
         )
 
     def _take_report(self, address: str, report: GatewayReport) -> None:
@@ -180,7 +186,9 @@
         self._loads.take_report(
             report.name, read_loads(report.loads), read_sent(report.sent), order
         )
-        self._limits.take_report(name_process(report.name, report.incarnation), report.spent)
+        process = name_process(report.name, report.incarnation)
+        self._limits.take_report(process, report.spent)
+        self._rollouts.take_told(process, report.rollouts)
         self._models.take_report(report.name, report.models)
         self._reachability.note_report(report.zone, report.name, report.period_ms)
         known = self._list_servers() if report.unreachable else ()
--- /dev/null
+++ b/hemlockswitch/process/gateway/rollout_duty.py
@@ -0,0 +1,196 @@
+"""The duty that decides on orders of roll-outs, and writes what became of them."""
+
+from collections.abc import Callable, Collection
+from typing import Any, Protocol
+
+from hemlockswitch.connection.stored_objects import ConditionalStore, WriteOutcome, Written
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.rollout_progress import (
+    LEAST_MOVE_MS,
+    RolloutProgress,
+)
+from hemlockswitch.process.gateway.true_time import TrueTime
+from hemlockswitch.request.rollout_verdict import Verdict
+from hemlockswitch.version.backend import BackendServer
+from hemlockswitch.version.rollout import RolloutOrder, RolloutState
+
+BEGIN_KIND = "rollout-begins"
+"""When each order was taken up: kept, since no gateway may outlast the order."""
+DRAIN_GRACE_MS = 500.0
+"""How long to wait for what still runs on the old version once the move should be over."""
+
+
+class StatusStore(ConditionalStore, Protocol):
+    """An object service in which the state of an order can be written."""
+
+    def update_status(self, kind: str, name: str, status: Any, version: int) -> WriteOutcome:
+        """Write the status of an object whose version must be `version`."""
+
+
+class OpenRollouts(Protocol):
+    """The orders that are not closed; see `process.gateway.rollouts`."""
+
+    def list_open(self) -> list[RolloutProgress]:
+        """Return them."""
+
+
+class RolloutDuty:
+    """Takes orders up, moves services, and closes orders, while the duties are held.
+
+    Parameters
+    ==========
+
+    rollouts : what is known of the orders here.
+    store : where they lie.
+    kind : the kind of the orders there.
+    encode_status : returns the status to write for a state.
+    list_servers : returns the backend servers that are registered.
+    count_running : returns the requests in progress on some servers, over all gateways.
+    true_time : the time of day.
+    clock : the time.
+    """
+
+    def __init__(
+        self,
+        rollouts: OpenRollouts,
+        store: StatusStore,
+        kind: str,
+        encode_status: Callable[[RolloutOrder, RolloutState], dict[str, Any]],
+        list_servers: Callable[[], list[BackendServer]],
+        count_running: Callable[[Collection[str]], int],
+        true_time: TrueTime,
+        clock: Clock,
+    ) -> None:
+        self._rollouts = rollouts
+        self._store = store
+        self._kind = kind
+        self._encode_status = encode_status
+        self._list_servers = list_servers
+        self._count_running = count_running
+        self._true_time = true_time
+        self._clock = clock
+        self._begun: set[tuple[str, str, int]] = set()
+
+    def take_over(self) -> None:
+        """Begin as a new holder: what an earlier one has kept is still to be read."""
+        self._begun.clear()
+
+    def take_turn(self, get_fencing: Callable[[], int]) -> None:
+        """Do what is due for each order.
+
+        Raises
+        ======
+
+        LeaseError : the duties are not held any more.
+        PlatformError : the object service did not answer; it is to be tried again.
+        """
+        for progress in self._rollouts.list_open():
+            if progress.order.identity not in self._begun:
+                self._keep_begin(progress)
+            state = self._decide(progress)
+            if state is not None and state is not progress.order.state:
+                self._write(progress, state, get_fencing)
+
+    def _keep_begin(self, progress: RolloutProgress) -> None:
+        """Write when the order was taken up, or learn when an earlier holder did so."""
+        order = progress.order
+        now_ms = self._clock.now_ms()
+        began_unix_ms = self._true_time.now_ms() - progress.get_age_ms(now_ms)
+        value = {
+            "target": order.target,
+            "created": order.created,
+            "began_unix_ms": round(began_unix_ms),
+        }
+        found = self._store.read(BEGIN_KIND, order.service)
+        if found is None:
+            outcome = self._store.create(BEGIN_KIND, order.service, value)
+        elif _is_of_order(found.value, order):
+            progress.note_age(self._true_time.now_ms() - found.value["began_unix_ms"], now_ms)
+            self._begun.add(order.identity)
+            return
+        else:
+            outcome = self._store.update(BEGIN_KIND, order.service, value, found.version)
+        if isinstance(outcome, Written):
+            self._begun.add(order.identity)
+
+    def _decide(self, progress: RolloutProgress) -> RolloutState | None:
+        """Return the state that an order should have now; None if nothing is to be written."""
+        now_ms = self._clock.now_ms()
+        age_ms = progress.get_age_ms(now_ms)
+        if progress.stopped_for:
+            return RolloutState.ROLLED_BACK
+        if progress.order.state is None:
+            return RolloutState.RUNNING
+        if self._names_version_in_force(progress.order):
+            return RolloutState.COMPLETED
+        if age_ms < progress.times.move_ms:
+            return None
+        if progress.close_ms is None:
+            return self._begin_move(progress, now_ms)
+        return RolloutState.COMPLETED if self._is_moved(progress, now_ms) else None
+
+    def _begin_move(self, progress: RolloutProgress, now_ms: float) -> RolloutState | None:
+        """Begin the move once the new version is good; end the order when it is too late for that."""
+        planned_ms = progress.began_ms + progress.times.close_ms
+        close_ms = max(planned_ms, now_ms + LEAST_MOVE_MS)
+        if close_ms <= progress.began_ms + progress.times.latest_close_ms:
+            if progress.judge() is Verdict.GOOD:
+                progress.begin_move(close_ms)
+            return None
+        reason = "no server of it came" if not progress.has_seen_target else "not judged in time"
+        progress.stop(reason)
+        return RolloutState.ROLLED_BACK
+
+    def _is_moved(self, progress: RolloutProgress, now_ms: float) -> bool:
+        """Return whether the old servers may stop: nothing runs there, or there is no more time."""
+        assert progress.close_ms is not None
+        if now_ms < progress.close_ms:
+            return False
+        old = [one.incarnation for one in self._list_old(progress.order)]
+        return now_ms >= progress.close_ms + DRAIN_GRACE_MS or self._count_running(old) == 0
+
+    def _list_old(self, order: RolloutOrder) -> list[BackendServer]:
+        servers = [one for one in self._list_servers() if one.serves == order.service]
+        return [one for one in servers if one.version != order.target]
+
+    def _names_version_in_force(self, order: RolloutOrder) -> bool:
+        """Return whether all servers of the service have the version that the order names."""
+        servers = [one for one in self._list_servers() if one.serves == order.service]
+        return bool(servers) and not self._list_old(order)
+
+    def _write(
+        self, progress: RolloutProgress, state: RolloutState, get_fencing: Callable[[], int]
+    ) -> None:
+        order = progress.order
+        fencing = get_fencing()
+        outcome = self._store.update_status(
+            self._kind, order.service, self._encode_status(order, state), order.version
+        )
+        log_event(
+            Event.ROLLOUT_STATE_WRITTEN,
+            **progress.describe_order(),
+            state=state.value,
+            outcome=type(outcome).__name__,
+            fencing=fencing,
+            age_ms=round(progress.get_age_ms(self._clock.now_ms())),
+            sent=progress.sent_to_target,
+            **progress.describe_sums(),
+        )
+
+
+def _is_of_order(value: Any, order: RolloutOrder) -> bool:
+    """Return whether a stored beginning is that of this order."""
+    try:
+        is_same = (value["target"], value["created"]) == (order.target, order.created)
+        return is_same and float(value["began_unix_ms"]) >= 0
+    except (TypeError, KeyError, ValueError) as error:
+        log_event(
+            Event.OBJECT_UNREADABLE,
+            "warning",
+            kind=BEGIN_KIND,
+            name=order.service,
+            detail=repr(error),
+        )
+        return False
--- /dev/null
+++ b/hemlockswitch/process/gateway/rollout_progress.py
@@ -0,0 +1,293 @@
+"""One order of a roll-out at one gateway: what was sent, what came of it, and where the order stands.
+
+Every gateway counts the answers of both versions and tells its counts to the others with its reports.
+Each of them judges the sums by itself, so the traffic to a bad version ends without a word from the
+holder of the duties; that one alone decides on the move, and writes how the order ended.
+"""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.messages import RolloutFields
+from hemlockswitch.request.rollout_credit import ExposureBound, ExposureCredit
+from hemlockswitch.request.rollout_verdict import RouteTallies, Tally, Verdict, judge
+from hemlockswitch.version.rollout import RolloutOrder
+
+CLOSE_MARGIN_MS = 1_500.0
+CLOSE_MARGIN_SHARE = 0.15
+"""How long before its time limit an order is closed: a write of a slow object service takes as long."""
+MOVE_MS = 2_500.0
+MOVE_SHARE = 0.2
+"""How long before that the move begins: most streams that began on the old version end within it."""
+LEAST_MOVE_MS = 500.0
+"""Time of a move that begins late: the other gateways hear of it and plain calls end within it."""
+ABANDON_MS = 2_000.0
+ABANDON_MOVE_MS = 8_000.0
+"""How long after its time limit a gateway gives up an order that nobody has closed; one whose version
+was found good is left for the next holder of the duties."""
+USUAL_DURATION_MS = 1_000.0
+"""How long an answer is taken to last on a route before one was seen."""
+DURATION_WEIGHT = 0.1
+DURATION_MARGIN = 1.5
+"""Answers that last this many times the mean are nearly all; those of a route differ in length."""
+BREAK_MS = 1_000.0
+"""Connections that one server breaks within this time have one cause, and count once."""
+TRIAL_GAP_MS = 25.0
+"""Least time between two trials of a gateway."""
+NO_MOVE = -1.0
+MOST_LIMIT_MS = 86_400_000.0
+
+
+@dataclass(frozen=True)
+class RolloutTimes:
+    """When an order's steps are due, in ms after the order.
+
+    Parameters
+    ==========
+
+    move_ms : when the move may begin.
+    close_ms, latest_close_ms : when the order is closed, and when at the latest for a move that began
+        late.
+    limit_ms : its time limit.
+
+    Examples
+    ========
+
+    >>> RolloutTimes.from_limit(12_000.0)
+    RolloutTimes(move_ms=8100.0, close_ms=10500.0, latest_close_ms=11250.0, limit_ms=12000.0)
+    """
+
+    move_ms: float
+    close_ms: float
+    latest_close_ms: float
+    limit_ms: float
+
+    @classmethod
+    def from_limit(cls, limit_ms: float) -> "RolloutTimes":
+        """Return the times of an order with a time limit."""
+        close_ms = limit_ms - min(CLOSE_MARGIN_MS, CLOSE_MARGIN_SHARE * limit_ms)
+        latest_close_ms = (close_ms + limit_ms) / 2
+        move_ms = close_ms - min(MOVE_MS, MOVE_SHARE * limit_ms)
+        return cls(move_ms, close_ms, latest_close_ms, limit_ms)
+
+
+class RolloutProgress:
+    """The state of an order at one gateway.
+
+    Parameters
+    ==========
+
+    order : the order as it was last read.
+    bound : how many requests the new version may get before the order is closed.
+    daemons : how many gateways share that bound; None while that is not known.
+    now_ms : the time.
+    chance : source of random numbers.
+    """
+
+    def __init__(
+        self,
+        order: RolloutOrder,
+        bound: ExposureBound,
+        daemons: int | None,
+        now_ms: float,
+        chance: random.Random,
+    ) -> None:
+        self.order = order
+        self.began_ms = now_ms
+        self.times = RolloutTimes.from_limit(order.time_limit_ms)
+        self.close_ms: float | None = None  # None until the move has begun
+        self.stopped_for = ""
+        self.has_changed = False
+        self.sent_to_target = 0
+        self.waiting_trials = 0  # sends to the new version of which nothing is known yet
+        self.has_seen_target = False
+        self.has_seen_others = False
+        # What an earlier process has spent of the slack is not known.
+        sharing = daemons if order.state is None else None
+        self._credit = ExposureCredit(bound, sharing, chance)
+        self._own: dict[str, RouteTallies] = {}
+        self._told: dict[str, dict[str, RouteTallies]] = {}
+        self._sums: dict[str, RouteTallies] = {}
+        self._paid_ms = float("-inf")
+        self._durations_ms: dict[str, float] = {}
+        self._broke_ms: dict[str, float] = {}
+
+    @property
+    def is_open(self) -> bool:
+        """Whether requests may still try the new version."""
+        return not self.order.is_final and not self.stopped_for
+
+    @property
+    def is_in_force(self) -> bool:
+        """Whether the order names the only version that this gateway has seen."""
+        return self.has_seen_target and not self.has_seen_others
+
+    def get_age_ms(self, now_ms: float) -> float:
+        """Return how long ago the order was given, as far as is known."""
+        return now_ms - self.began_ms
+
+    def note_age(self, age_ms: float, now_ms: float) -> None:
+        """Take another gateway's word, or the stored one, of how old the order is."""
+        if 0 <= age_ms <= MOST_LIMIT_MS:
+            self.began_ms = min(self.began_ms, now_ms - age_ms)
+
+    def count_send(self, route: str) -> None:
+        """Count a send to a server of the service."""
+        self._credit.earn(route)
+
+    def find_bound(self) -> float:
+        """Return how many requests this gateway may have sent to the new version by now."""
+        return self._credit.find_bound()
+
+    def may_try(self, route: str, now_ms: float) -> bool:
+        """Return whether a new request may try the new version.
+
+        One that is not judged yet gets few requests at a time: their answers may end its trial.
+        """
+        is_busy = self.waiting_trials > 0 or now_ms - self._paid_ms < TRIAL_GAP_MS
+        return self._credit.may_try(route) and not is_busy
+
+    def pay(self, route: str, now_ms: float) -> None:
+        """Count a request that is about to go to the new version."""
+        self._credit.pay(route)
+        self._paid_ms = now_ms
+        self.sent_to_target += 1
+
+    def must_move(self, route: str, now_ms: float) -> bool:
+        """Return whether a new request would outlast the old version, and may go to the new one."""
+        if self.close_ms is None or not self._credit.may_move():
+            return False
+        usual_ms = self._durations_ms.get(route, USUAL_DURATION_MS)
+        return now_ms + DURATION_MARGIN * usual_ms > self.close_ms
+
+    def note_duration(self, route: str, took_ms: float) -> None:
+        """Learn how long answers of a route last."""
+        known_ms = self._durations_ms.setdefault(route, took_ms)
+        self._durations_ms[route] = known_ms + DURATION_WEIGHT * (took_ms - known_ms)
+
+    def get_duration_ms(self, route: str) -> float | None:
+        """Return how long answers of a route last; None before one was seen."""
+        return self._durations_ms.get(route)
+
+    def count_answer(self, route: str, tally: Tally, *, is_target: bool) -> None:
+        """Count what came of a send."""
+        change = RouteTallies(target=tally) if is_target else RouteTallies(others=tally)
+        self._own[route] = self._own.get(route, RouteTallies()) + change
+        self._sums[route] = self._sums.get(route, RouteTallies()) + change
+        self.has_changed = True
+        if is_target and tally.bad:
+            self._check_answers()
+
+    def note_break(self, server: str, now_ms: float) -> bool:
+        """Return whether a connection that a server broke counts, and was not the end of others."""
+        counts = now_ms - self._broke_ms.get(server, float("-inf")) > BREAK_MS
+        if counts:
+            self._broke_ms[server] = now_ms
+        return counts
+
+    def get_sums(self) -> Mapping[str, RouteTallies]:
+        """Return the answers over all gateways, by route."""
+        return self._sums
+
+    def get_own(self) -> RouteTallies:
+        """Return the answers to this gateway's own sends, over all routes."""
+        return sum(self._own.values(), RouteTallies())
+
+    def judge(self) -> Verdict:
+        """Return what the answers over all gateways say."""
+        return judge(self._sums)
+
+    def begin_move(self, close_ms: float) -> None:
+        """Move to the new version what would outlast the old one, which ends at `close_ms`."""
+        if self.close_ms is None:
+            log_event(Event.ROLLOUT_MOVING, **self.describe_order(), **self.describe_sums())
+        self.close_ms = close_ms
+        self.has_changed = True
+
+    def stop(self, reason: str) -> None:
+        """Send nothing more to the new version."""
+        if self.stopped_for:
+            return
+        self.stopped_for = reason
+        self.has_changed = True
+        log_event(
+            Event.ROLLOUT_STOPPED,
+            "warning",
+            **self.describe_order(),
+            reason=reason,
+            **self.describe_sums(),
+        )
+
+    def describe_order(self) -> dict[str, Any]:
+        """Return the fields by which log lines name the order."""
+        return {"service": self.order.service, "target": self.order.target}
+
+    def describe_sums(self) -> dict[str, Any]:
+        """Return the counts that decide, for log lines and the status page."""
+        routes = {
+            route: {
+                "target": [one.target.answers, one.target.failures, one.target.slow],
+                "others": [one.others.answers, one.others.failures, one.others.slow],
+            }
+            for route, one in self._sums.items()
+        }
+        return {"verdict": self.judge().value, "routes": routes}
+
+    def write_fields(self, now_ms: float, *, leads: bool) -> RolloutFields:
+        """Return what this gateway tells the others."""
+        close_in_ms = NO_MOVE
+        if leads and self.close_ms is not None:
+            close_in_ms = max(self.close_ms - now_ms, 0.0)
+        service, target, created = self.order.identity
+        routes = {route: _write_tallies(one) for route, one in self._own.items()}
+        age_ms = self.get_age_ms(now_ms)
+        return service, target, created, age_ms, bool(self.stopped_for), close_in_ms, routes
+
+    def take_fields(self, process: str, fields: RolloutFields, now_ms: float) -> None:
+        """Take what another gateway tells; its counts only ever grow."""
+        _, _, _, age_ms, is_stopped, close_in_ms, routes = fields
+        self.note_age(age_ms, now_ms)
+        told = self._told.setdefault(process, {})
+        for route, numbers in routes.items():
+            new, known = _read_tallies(numbers), told.get(route, RouteTallies())
+            if sum(numbers) < sum(_write_tallies(known)):
+                continue  # An older message.
+            told[route] = new
+            self._sums[route] = self._sums.get(route, RouteTallies()) + (new - known)
+            if new.target.bad > known.target.bad:
+                self._check_answers()
+        if is_stopped and self.is_open:
+            self.stop("told by another gateway")
+        if close_in_ms >= 0 and self.is_open:
+            self.begin_move(now_ms + close_in_ms)
+
+    def check(self, now_ms: float) -> None:
+        """Stop by what the counts say, or if nobody has closed the order in time."""
+        self._check_answers()
+        patience_ms = ABANDON_MS if self.close_ms is None else ABANDON_MOVE_MS
+        if self.is_open and self.get_age_ms(now_ms) > self.times.limit_ms + patience_ms:
+            self.stop("nobody has closed it in time")
+
+    def _check_answers(self) -> None:
+        if self.is_open and self.judge() is Verdict.BAD:
+            self.stop("its answers are worse")
+
+
+def _write_tallies(one: RouteTallies) -> list[int]:
+    target, others = one.target, one.others
+    return [
+        target.answers,
+        target.failures,
+        target.slow,
+        others.answers,
+        others.failures,
+        others.slow,
+    ]
+
+
+def _read_tallies(numbers: list[int]) -> RouteTallies:
+    return RouteTallies(Tally(*numbers[:3]), Tally(*numbers[3:6]))
--- /dev/null
+++ b/hemlockswitch/process/gateway/rollouts.py
@@ -0,0 +1,366 @@
+"""The orders that move services to new versions, and which servers a request may go to meanwhile.
+
+While an order is open, a request goes to the version in force; few, as `request.rollout_credit` allows,
+try the new one. Once it is judged good, what would outlast the old version goes to the new one. A closed
+order leaves one version. A version that is listed without an order known here waits until the orders
+have been listed anew.
+"""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ConfigurationError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.identifiers import hash_stable, rank_rendezvous
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.messages import RolloutFields
+from hemlockswitch.process.gateway.rollout_progress import RolloutProgress
+from hemlockswitch.process.gateway.rollout_sends import RolloutSend, SendLimits
+from hemlockswitch.request.rollout_credit import ExposureBound
+from hemlockswitch.version.backend import BackendServer
+from hemlockswitch.version.rollout import RolloutOrder, RolloutState
+
+Decoder = Callable[[StoredObject], RolloutOrder]
+
+LOOK_MS = 200.0
+"""Time between two looks at the counts."""
+IDLE_LOOK_MS = 1_000.0
+REFRESH_MS = 1_000.0
+"""Least time between two lists of the orders for a version that none of them names."""
+CANARY_SHARE = 0.05
+"""Part of the new servers that get half of the trials: each of them is then about as busy as all will
+be after the move."""
+
+
+@dataclass(frozen=True)
+class SendWish:
+    """What of a request decides to which version it may go.
+
+    Parameters
+    ==========
+
+    is_first : whether nothing of it was sent, and the caller begins it.
+    begun_version : the version that has begun to answer it; empty if none has.
+    draws_canary : whether it is one of those that try few servers, not all.
+    """
+
+    service: str
+    route: str
+    is_first: bool
+    begun_version: str = ""
+    draws_canary: bool = False
+
+
+def draw_canary(request_id: str) -> bool:
+    """Return whether a request that tries a new version is one of the half that tries few servers."""
+    return bool(hash_stable(request_id) % 2)
+
+
+class Rollouts:
+    """Follows the orders, and holds what this gateway knows of each.
+
+    Parameters
+    ==========
+
+    decode : turns a stored object into an order; raises `ConfigurationError`.
+    bound : how many requests a version may get before it is judged; None where no orders are taken.
+    count_daemons : returns how many gateways share that bound; None while that is not known.
+    clock : the time.
+    chance : source of random numbers.
+    """
+
+    def __init__(
+        self,
+        decode: Decoder,
+        bound: ExposureBound | None,
+        count_daemons: Callable[[], int | None],
+        clock: Clock,
+        chance: random.Random | None = None,
+    ) -> None:
+        self.request_refresh: Callable[[], None] = lambda: None
+        self._decode = decode
+        self._bound = bound
+        self._count_daemons = count_daemons
+        self._clock = clock
+        self._chance = chance or random.Random()
+        self._progress: dict[str, RolloutProgress] = {}
+        self._sends: list[RolloutSend] = []
+        self._known_versions: dict[str, set[str]] = {}
+        self._withheld: dict[str, set[str]] = defaultdict(set)
+        self._unknown_since_ms: dict[tuple[str, str], float] = {}
+        self._listed_ms = float("-inf")
+        self._refreshed_ms = float("-inf")
+        self._warm_at_ms: dict[str, float] = {}
+
+    def replace_all(self, page: ObjectPage) -> None:
+        """Take the whole list of orders."""
+        self._listed_ms = self._clock.now_ms()
+        listed = {item.name for item in page.items if not item.deleted}
+        for service in [name for name in self._progress if name not in listed]:
+            self._withdraw(service)
+        self.apply_changes(page)
+
+    def apply_changes(self, page: ObjectPage) -> None:
+        """Take changed and removed orders."""
+        for item in page.items:
+            if item.deleted:
+                self._withdraw(item.name)
+            else:
+                self._put(item)
+
+    def _put(self, item: StoredObject) -> None:
+        try:
+            order = self._decode(item)
+        except ConfigurationError as error:
+            log_event(Event.ROLLOUT_UNREADABLE, "warning", name=item.name, detail=error.detail)
+            return
+        known = self._progress.get(order.service)
+        if known is not None and known.order.identity == order.identity:
+            self._take_state(known, order)
+            return
+        if known is not None:
+            self._withdraw(order.service)
+        self._withheld[order.service].discard(order.target)
+        assert self._bound is not None
+        now_ms = self._clock.now_ms()
+        progress = RolloutProgress(order, self._bound, self._count_daemons(), now_ms, self._chance)
+        self._progress[order.service] = progress
+        log_event(
+            Event.ROLLOUT_KNOWN,
+            **progress.describe_order(),
+            time_limit_ms=round(order.time_limit_ms),
+            state=order.state.value if order.state else "",
+        )
+
+    def _take_state(self, progress: RolloutProgress, order: RolloutOrder) -> None:
+        """Take what became of an order; a final state stays, whatever is read later."""
+        if progress.order.is_final:
+            return
+        has_closed = order.is_final
+        progress.order = order
+        if has_closed:
+            assert order.state is not None
+            log_event(
+                Event.ROLLOUT_CLOSED,
+                **progress.describe_order(),
+                state=order.state.value,
+                sent=progress.sent_to_target,
+                **progress.describe_sums(),
+            )
+
+    def _withdraw(self, service: str) -> None:
+        """An order is gone: only a version to which the service has moved may get more."""
+        progress = self._progress.pop(service, None)
+        if progress is None:
+            return
+        if progress.order.state is RolloutState.COMPLETED:
+            self._known_versions.setdefault(service, set()).add(progress.order.target)
+            return
+        self._withheld[service].add(progress.order.target)
+        log_event(Event.ROLLOUT_WITHDRAWN, "warning", **progress.describe_order())
+
+    def list_open(self) -> list[RolloutProgress]:
+        """Return the orders that are not closed."""
+        return [one for one in self._progress.values() if not one.order.is_final]
+
+    def is_moving(self, service: str) -> bool:
+        """Return whether servers of two versions run side by side for a service."""
+        progress = self._progress.get(service)
+        return progress is not None and not progress.order.is_final
+
+    def is_on_trial(self, server: BackendServer) -> bool:
+        """Return whether a server has a version that is not in force."""
+        progress = self._progress.get(server.serves)
+        if progress is not None and server.version == progress.order.target:
+            is_in_force = progress.order.state is RolloutState.COMPLETED or progress.is_in_force
+            return not is_in_force
+        return server.version in self._withheld.get(server.serves, ())
+
+    def select(self, wish: SendWish, servers: list[BackendServer]) -> list[BackendServer]:
+        """Return those of a service's servers that a request may go to."""
+        if self._bound is None:
+            return servers
+        progress = self._progress.get(wish.service)
+        if progress is None:
+            return self._select_known(wish.service, servers)
+        withheld = self._withheld[wish.service]
+        target, others = [], []
+        for server in servers:
+            if server.version == progress.order.target:
+                target.append(server)
+            elif server.version not in withheld:
+                others.append(server)
+        self._note_seen(progress, target, others)
+        return self._select_by_order(progress, wish, target, others)
+
+    def _note_seen(
+        self,
+        progress: RolloutProgress,
+        target: Sequence[BackendServer],
+        others: Sequence[BackendServer],
+    ) -> None:
+        progress.has_seen_target = progress.has_seen_target or bool(target)
+        progress.has_seen_others = progress.has_seen_others or bool(others)
+        now_ms = self._clock.now_ms()
+        for server in target:
+            self._warm_at_ms.setdefault(server.incarnation, now_ms + server.cold_left_ms)
+
+    def _select_by_order(
+        self,
+        progress: RolloutProgress,
+        wish: SendWish,
+        target: list[BackendServer],
+        others: list[BackendServer],
+    ) -> list[BackendServer]:
+        if progress.order.state is RolloutState.COMPLETED:
+            return target or others
+        if progress.is_in_force:
+            return target
+        if not progress.is_open or not target:
+            return others
+        chosen = self._select_open(progress, wish, target, others)
+        if chosen and chosen[0].version == progress.order.target:
+            progress.pay(wish.route, self._clock.now_ms())
+        return chosen
+
+    def _select_open(
+        self,
+        progress: RolloutProgress,
+        wish: SendWish,
+        target: list[BackendServer],
+        others: list[BackendServer],
+    ) -> list[BackendServer]:
+        """Return where a request goes while both versions are tried."""
+        now_ms = self._clock.now_ms()
+        if wish.begun_version:
+            goes_on = target if wish.begun_version == progress.order.target else others
+            return goes_on or others
+        if progress.must_move(wish.route, now_ms):
+            return target
+        if progress.may_try(wish.route, now_ms) and (wish.is_first or not others):
+            return self._select_trial(progress, wish, target)
+        return others
+
+    def _select_trial(
+        self, progress: RolloutProgress, wish: SendWish, target: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Return the servers among which a trial goes: few, or all so that their caches fill."""
+        now_ms = self._clock.now_ms()
+        warm = [one for one in target if self._warm_at_ms[one.incarnation] <= now_ms] or target
+        if not wish.draws_canary:
+            return warm
+        by_name = {one.incarnation: one for one in warm}
+        ranked = rank_rendezvous(f"{wish.service}:{progress.order.target}", by_name)
+        count = max(1, round(len(target) * CANARY_SHARE))
+        return [by_name[name] for name in ranked[:count]]
+
+    def _select_known(self, service: str, servers: list[BackendServer]) -> list[BackendServer]:
+        """Return the servers of versions that are in force as far as is known."""
+        versions = {server.version for server in servers}
+        known = self._known_versions.setdefault(service, versions)
+        withheld = self._withheld.get(service, ())
+        if versions <= known and not withheld:
+            return servers
+        for version in versions - known - set(withheld):
+            self._look_up(service, version)
+        in_force = [one for one in servers if one.version in known and one.version not in withheld]
+        return in_force or [one for one in servers if one.version not in withheld]
+
+    def _look_up(self, service: str, version: str) -> None:
+        """Take a version as in force once the orders were listed since it was first seen."""
+        now_ms = self._clock.now_ms()
+        since_ms = self._unknown_since_ms.get((service, version))
+        if since_ms is None:
+            self._unknown_since_ms[service, version] = now_ms
+            log_event(Event.ROLLOUT_VERSION_UNKNOWN, service=service, version=version)
+        elif self._listed_ms > since_ms:
+            self._known_versions[service].add(version)
+            return
+        if now_ms - self._refreshed_ms >= REFRESH_MS:
+            self._refreshed_ms = now_ms
+            self.request_refresh()
+
+    def begin_send(
+        self, route: str, server: BackendServer, expected_ms: float
+    ) -> RolloutSend | None:
+        """Count a send while its service moves; None otherwise."""
+        progress = self._progress.get(server.serves)
+        if progress is None or not progress.is_open:
+            return None
+        is_target = server.version == progress.order.target
+        progress.count_send(route)
+        now_ms = self._clock.now_ms()
+        is_cold = is_target and self._warm_at_ms.get(server.incarnation, 0.0) > now_ms
+        limits = SendLimits.from_expected(expected_ms, progress.get_duration_ms(route), is_cold)
+        send = RolloutSend(progress, route, is_target, server.incarnation, limits, self._clock)
+        self._sends.append(send)
+        return send
+
+    def run(self) -> None:
+        """Look at the counts until the task is ended."""
+        while True:
+            self._clock.sleep_ms(LOOK_MS if self.list_open() else IDLE_LOOK_MS)
+            self.look()
+
+    def look(self) -> None:
+        """Count the answers that are overdue, and stop what the counts speak against."""
+        for send in self._sends:
+            send.note_waiting()
+        self._sends = [send for send in self._sends if not send.is_over]
+        for progress in self.list_open():
+            progress.check(self._clock.now_ms())
+
+    def write_all(self, *, leads: bool) -> list[RolloutFields]:
+        """Return what this gateway knows of each open order, for the others."""
+        now_ms = self._clock.now_ms()
+        return [one.write_fields(now_ms, leads=leads) for one in self.list_open()]
+
+    def pop_changed(self, *, leads: bool) -> list[RolloutFields]:
+        """Return the same of the orders whose counts have changed since the last call."""
+        now_ms = self._clock.now_ms()
+        changed = [one for one in self.list_open() if one.has_changed]
+        for one in changed:
+            one.has_changed = False
+        return [one.write_fields(now_ms, leads=leads) for one in changed]
+
+    def take_told(self, process: str, told: Sequence[RolloutFields]) -> None:
+        """Take what another gateway knows; what is of another order than the one here is passed over."""
+        for fields in told:
+            progress = self._progress.get(fields[0])
+            if progress is not None and progress.order.identity == tuple(fields[:3]):
+                progress.take_fields(process, fields, self._clock.now_ms())
+
+    def count_answers(self) -> dict[tuple[str, str, str], int]:
+        """Return this gateway's answers by service, version (`target` or `others`) and result."""
+        counts: dict[tuple[str, str, str], int] = {}
+        for one in self._progress.values():
+            own = one.get_own()
+            for version, tally in (("target", own.target), ("others", own.others)):
+                service = one.order.service
+                counts[service, version, "failed"] = tally.failures
+                counts[service, version, "slow"] = tally.slow
+                counts[service, version, "all"] = tally.answers
+        return counts
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the orders for the status page."""
+        now_ms = self._clock.now_ms()
+        return [
+            {
+                **one.describe_order(),
+                "state": one.order.state.value if one.order.state else "",
+                "age_ms": round(one.get_age_ms(now_ms)),
+                "time_limit_ms": round(one.order.time_limit_ms),
+                "sent": one.sent_to_target,
+                "bound": round(one.find_bound(), 1),
+                "stopped_for": one.stopped_for,
+                "moves": one.close_ms is not None,
+                **one.describe_sums(),
+            }
+            for one in self._progress.values()
+        ]
--- a/hemlockswitch/process/gateway/scaling.py
+++ b/hemlockswitch/process/gateway/scaling.py
@@ -72,6 +72,8 @@
         order also says how many copies are too many.
     knows_most : returns whether servers that live have had the time to register.
     clock : the time.
+    is_moving : returns whether a service moves to another version: no copy is given back meanwhile, as
+        an order does not say of which version.
     """
 
     def __init__(
@@ -85,7 +87,9 @@
         knows_all: Callable[[], bool],
         knows_most: Callable[[], bool],
         clock: Clock,
+        is_moving: Callable[[str], bool] = lambda _: False,
     ) -> None:
+        self._is_moving = is_moving
         self._api = api
         self._zones = tuple(zones)
         self._get_table = get_table
@@ -217,6 +221,8 @@
             self._enough_since_ms.pop((service, pool), None)
             period_ms = REORDER_MS if count > live else REPEAT_MS
             return count > last.count or now_ms - last.sent_ms > period_ms
+        if self._is_moving(service):
+            return False
         since_ms = self._enough_since_ms.setdefault((service, pool), now_ms)
         return now_ms - since_ms >= shrink_after_ms
 
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -6,9 +6,11 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.configuration import TableHolder
 from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.loads import ServerLoads, Ticket
+from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.registry import ServerRegistry
+from hemlockswitch.process.gateway.rollout_sends import ObservedTicket
+from hemlockswitch.process.gateway.rollouts import Rollouts, SendWish, draw_canary
 from hemlockswitch.process.gateway.service_models import ServiceModels
 from hemlockswitch.request.forward_admission import AdmittedRequest
 from hemlockswitch.request.placement import (
@@ -18,6 +20,7 @@
     describe_work,
     keep_least_running,
 )
+from hemlockswitch.request.sending import SendTicket
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.serving_table import ServingTable
 
@@ -46,6 +49,7 @@
         fleet: Fleet,
         reachability: Reachability,
         models: ServiceModels,
+        rollouts: Rollouts,
         on_large_prompt: Callable[[], None],
         clock: Clock,
     ) -> None:
@@ -55,6 +59,7 @@
         self._fleet = fleet
         self._reachability = reachability
         self._models = models
+        self._rollouts = rollouts
         self._on_large_prompt = on_large_prompt
         self._clock = clock
         self._random = random.Random()
@@ -64,7 +69,12 @@
         return self._tables.current
 
     def place(
-        self, admitted: AdmittedRequest, excluded: Sequence[str], *, is_careful: bool = False
+        self,
+        admitted: AdmittedRequest,
+        excluded: Sequence[str],
+        *,
+        is_careful: bool = False,
+        begun_version: str = "",
     ) -> Placement | None:
         """Return the server for the next send, or None when there is none.
 
@@ -72,10 +82,20 @@
         ==========
 
         is_careful : take the server on which least is in progress, as it may end.
+        begun_version : the version that has begun to answer it; empty if none has.
         """
         ready = self._registry.list_ready(admitted.service)
         servers = [server for server in ready if server.incarnation not in excluded]
         servers = self._reachability.select_reachable(servers)
+        is_first = not (excluded or is_careful or admitted.facts.last_event_id)
+        wish = SendWish(
+            service=admitted.service,
+            route=admitted.route.name,
+            is_first=is_first,
+            begun_version=begun_version,
+            draws_canary=draw_canary(admitted.facts.request_id),
+        )
+        servers = self._rollouts.select(wish, servers)
         prompt = admitted.facts.prompt
         service = admitted.service
         speed = ServiceSpeed(self._models.get(service), self._models.get_call_ms(service))
@@ -86,21 +106,26 @@
             candidates = keep_least_running(candidates)
         return choose_server(prompt, candidates, self._random, speed)
 
-    def begin_send(self, admitted: AdmittedRequest, placement: Placement) -> Ticket:
+    def begin_send(self, admitted: AdmittedRequest, placement: Placement) -> SendTicket:
         """Count a send, and learn from the time in which its answer begins."""
         began_ms = self._clock.now_ms()
         engine = self._models.get(admitted.service)
         if engine.estimate_reading_ms(placement.uncached_tokens) >= LARGE_READING_MS:
             self._on_large_prompt()
-        return self._loads.begin(
-            placement.candidate.server,
+        server = placement.candidate.server
+        ticket = self._loads.begin(
+            server,
             admitted.facts.prompt,
             placement.uncached_tokens,
             self._find_capacity(admitted.service),
             lambda: self._learn(admitted, placement, self._clock.now_ms() - began_ms),
         )
+        trial = self._rollouts.begin_send(admitted.route.name, server, placement.expected_ms)
+        return ticket if trial is None else ObservedTicket(ticket, trial)
 
     def _learn(self, admitted: AdmittedRequest, placement: Placement, took_ms: float) -> None:
+        if self._rollouts.is_on_trial(placement.candidate.server):
+            return  # Its speed is to be judged by that of the version in force.
         prompt = admitted.facts.prompt
         if prompt is None:
             self._models.note_call(admitted.service, took_ms)
@@ -130,7 +155,7 @@
 
     def count_daemons(self) -> int | None:
         """Return how many daemons share the budgets; None before they were listed."""
-        return self._fleet.count_daemons() if self._fleet.is_listed else None
+        return self._fleet.count_listed()
 
     def _find_capacity(self, service: str) -> float:
         table = self._tables.current
--- a/hemlockswitch/programs/ctl.py
+++ b/hemlockswitch/programs/ctl.py
@@ -14,6 +14,7 @@
 from hemlockswitch.programs.ctl_files import CheckCommand
 from hemlockswitch.programs.ctl_gateways import GatewaysCommand
 from hemlockswitch.programs.ctl_requests import RequestsCommand
+from hemlockswitch.programs.ctl_rollouts import RolloutsCommand
 from hemlockswitch.programs.ctl_status import HistoryCommand, StatusCommand
 
 COMMANDS = (
@@ -24,6 +25,7 @@
     HistoryCommand,
     EventsCommand,
     GatewaysCommand,
+    RolloutsCommand,
     RequestsCommand,
 )
 
--- a/hemlockswitch/programs/ctl_gateways.py
+++ b/hemlockswitch/programs/ctl_gateways.py
@@ -3,20 +3,16 @@
 import json
 from dataclasses import asdict, dataclass
 
-import gevent
-from cleo.commands.command import Command
-from cleo.helpers import argument, option
-from geventhttpclient.response import HTTPParseError
-from pydantic import BaseModel, ConfigDict, ValidationError
-
-from hemlockswitch.connection.http import NotSentError, SingleSendClient
-from hemlockswitch.core.addresses import split_address
-from hemlockswitch.core.clock import MS_PER_SECOND
-from hemlockswitch.programs.ctl_files import JSON_OPTION, ExitCode
-from hemlockswitch.version.settings import describe_mistakes
+from pydantic import BaseModel, ConfigDict
 
-TIMEOUT_MS = 2_000.0
-"""A status page answers in milliseconds; a gateway that takes longer is of interest as such."""
+from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.programs.ctl_files import ExitCode
+from hemlockswitch.programs.status_pages import (
+    TIMEOUT_MS,
+    StatusPageError,
+    StatusPagesCommand,
+    read_status_page,
+)
 
 
 class _ConfigurationBody(BaseModel):
@@ -95,16 +91,11 @@
     error: str = ""
 
 
-class GatewaysCommand(Command):
+class GatewaysCommand(StatusPagesCommand):
     """Ask gateways what they believe."""
 
     name = "gateways"
     description = "Show what gateways believe: readiness, revision, gateways, servers, quarantine."
-    arguments = [argument("addresses", "Control addresses, ip:port.", multiple=True)]
-    options = [
-        JSON_OPTION,
-        option("timeout", None, "Milliseconds for each.", flag=False, default=str(int(TIMEOUT_MS))),
-    ]
     help = """Asks each address for its status page, all at the same time, and shows a line for each,
 and below it one for each content that it holds back since backend servers ended under it.
 Gateways that differ in revision or in the number of servers for longer than a few seconds are cut
@@ -114,14 +105,9 @@
 
     def handle(self) -> int:
         """Ask and show."""
-        try:
-            timeout_ms = float(self.option("timeout"))
-            addresses = [split_address(text) for text in self.argument("addresses")]
-        except ValueError:
-            self.line_error("an address is ip:port, and --timeout a number of milliseconds")
+        statuses = self.ask_all(ask_gateway)
+        if statuses is None:
             return ExitCode.MISTAKES
-        tasks = [gevent.spawn(ask_gateway, host, port, timeout_ms) for host, port in addresses]
-        statuses = [task.get() for task in tasks]
         if self.option("json"):
             self.line(json.dumps({"gateways": [asdict(status) for status in statuses]}))
         else:
@@ -133,16 +119,10 @@
 def ask_gateway(host: str, port: int, timeout_ms: float = TIMEOUT_MS) -> GatewayStatus:
     """Return what the gateway at a control address believes."""
     address = f"{host}:{port}"
-    timeout_s = timeout_ms / MS_PER_SECOND
-    client = SingleSendClient(host, port, connection_timeout=timeout_s, network_timeout=timeout_s)
     try:
-        body = _StatusBody.model_validate_json(client.request("GET", "/status").read())
-    except (OSError, NotSentError, HTTPParseError) as error:
-        return GatewayStatus(address, error=f"no answer: {error}")
-    except ValidationError as error:
-        return GatewayStatus(address, error=f"not a status page: {describe_mistakes(error)}")
-    finally:
-        client.close()
+        body = read_status_page(_StatusBody, host, port, timeout_ms)
+    except StatusPageError as error:
+        return GatewayStatus(address, error=str(error))
     return GatewayStatus(
         address,
         body.name,
--- /dev/null
+++ b/hemlockswitch/programs/ctl_rollouts.py
@@ -0,0 +1,168 @@
+"""`hemlock-ctl rollouts`: how the moves of services to new versions stand, from gateways' status pages."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+
+from pydantic import BaseModel, ConfigDict
+
+from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.programs.ctl_files import ExitCode
+from hemlockswitch.programs.status_pages import (
+    TIMEOUT_MS,
+    StatusPageError,
+    StatusPagesCommand,
+    read_status_page,
+)
+
+
+class _RouteBody(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    target: tuple[int, int, int]
+    others: tuple[int, int, int]
+
+
+class _RolloutBody(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    service: str
+    target: str
+    state: str
+    age_ms: float
+    time_limit_ms: float
+    sent: int
+    bound: float
+    stopped_for: str
+    moves: bool
+    verdict: str
+    routes: dict[str, _RouteBody]
+
+
+class _StatusBody(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    name: str
+    leads: bool = False
+    rollouts: list[_RolloutBody] = []
+
+
+@dataclass(frozen=True)
+class RolloutView:
+    """How one gateway sees an order.
+
+    Parameters
+    ==========
+
+    gateway : its name.
+    holds_duties : whether it decides on the order.
+    sent, bound : requests that this gateway has sent to the new version, and may have sent by now.
+    verdict : what the answers over all gateways say.
+    routes : by route, answers, failures and slow answers of the new version, and of the others.
+    """
+
+    gateway: str
+    holds_duties: bool
+    service: str
+    target: str
+    state: str
+    age_ms: float
+    time_limit_ms: float
+    sent: int
+    bound: float
+    stopped_for: str
+    moves: bool
+    verdict: str
+    routes: dict[str, dict[str, tuple[int, int, int]]]
+
+
+class RolloutsCommand(StatusPagesCommand):
+    """Ask gateways how the moves of services to new versions stand."""
+
+    name = "rollouts"
+    description = "Show roll-outs as gateways see them: state, requests sent, verdict by route."
+    help = """Asks each address for its status page, all at the same time, and shows for each order a
+line for each gateway, and below the first one a line for each route.
+
+Exit codes: 0 every gateway answered, 2 an address or the time-out is wrong, 4 one did not answer."""
+
+    def handle(self) -> int:
+        """Ask and show."""
+        answers = self.ask_all(ask_rollouts)
+        if answers is None:
+            return ExitCode.MISTAKES
+        views = [view for answer in answers if isinstance(answer, list) for view in answer]
+        errors = [answer for answer in answers if isinstance(answer, str)]
+        if self.option("json"):
+            self.line(json.dumps({"rollouts": [asdict(view) for view in views], "errors": errors}))
+        else:
+            for line in [*format_views(views), *errors]:
+                self.line(line)
+        return ExitCode.PLATFORM if errors else ExitCode.DONE
+
+
+def ask_rollouts(host: str, port: int, timeout_ms: float = TIMEOUT_MS) -> list[RolloutView] | str:
+    """Return the orders that a gateway knows, or why it could not be asked."""
+    try:
+        body = read_status_page(_StatusBody, host, port, timeout_ms)
+    except StatusPageError as error:
+        return f"{host}:{port}: {error}"
+    return [
+        RolloutView(
+            gateway=body.name,
+            holds_duties=body.leads,
+            routes={route: one.model_dump() for route, one in order.routes.items()},
+            **order.model_dump(exclude={"routes"}),
+        )
+        for order in body.rollouts
+    ]
+
+
+def format_views(views: Iterable[RolloutView]) -> list[str]:
+    """Return the lines of all orders, by service."""
+    lines: list[str] = []
+    known: set[tuple[str, str]] = set()
+    for view in sorted(views, key=lambda one: (one.service, one.target, not one.holds_duties)):
+        lines.append(format_view(view))
+        if (view.service, view.target) not in known:
+            lines += [f"  {format_route(route, one)}" for route, one in view.routes.items()]
+        known.add((view.service, view.target))
+    return lines
+
+
+def format_view(view: RolloutView) -> str:
+    """Return one line.
+
+    Examples
+    ========
+
+    >>> view = RolloutView("front-1", True, "llm", "v2", "running", 4_000.0, 12_000.0, 7, 11.5, "",
+    ...     False, "undecided", {})
+    >>> format_view(view)
+    'llm to v2 at front-1 (holds the duties): running for 4.0 of 12.0 s, sent 7 of 11.5, undecided'
+    """
+    holder = " (holds the duties)" if view.holds_duties else ""
+    age_s, limit_s = view.age_ms / MS_PER_SECOND, view.time_limit_ms / MS_PER_SECOND
+    state = f"{view.state or 'not taken up'} for {age_s:.1f} of {limit_s:.1f} s"
+    step = f"stopped: {view.stopped_for}" if view.stopped_for else view.verdict
+    move = ", moves" if view.moves else ""
+    sent = f"sent {view.sent} of {view.bound:.1f}"
+    return (
+        f"{view.service} to {view.target} at {view.gateway}{holder}: {state}, {sent}, {step}{move}"
+    )
+
+
+def format_route(route: str, tallies: dict[str, tuple[int, int, int]]) -> str:
+    """Return one line on the answers of a route.
+
+    Examples
+    ========
+
+    >>> format_route("draft", {"target": (20, 3, 1), "others": (200, 2, 9)})
+    'draft: new version 20 answers, 3 failed, 1 slow; others 200 answers, 2 failed, 9 slow'
+    """
+    new, others = (
+        f"{answers} answers, {failed} failed, {slow} slow"
+        for answers, failed, slow in (tallies["target"], tallies["others"])
+    )
+    return f"{route}: new version {new}; others {others}"
--- a/hemlockswitch/programs/gateway.py
+++ b/hemlockswitch/programs/gateway.py
@@ -16,6 +16,11 @@
 from hemlockswitch.platform.cloud import CloudApi
 from hemlockswitch.platform.headers import Headers
 from hemlockswitch.platform.manifest import CONFIG_KIND, CONFIG_NAME, decode_manifest
+from hemlockswitch.platform.rollouts import (
+    ROLLOUT_KIND,
+    decode_rollout,
+    encode_rollout_status,
+)
 from hemlockswitch.platform.servers import SERVER_KIND, decode_server
 from hemlockswitch.platform.store import ObjectStore
 from hemlockswitch.process.gateway.adapter import Adapter
@@ -41,6 +46,9 @@
         server_kind=SERVER_KIND,
         decode_table=decode_manifest,
         decode_server=decode_server,
+        rollout_kind=ROLLOUT_KIND,
+        decode_rollout=decode_rollout,
+        encode_rollout_status=encode_rollout_status,
     )
 
 
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -178,9 +178,14 @@
 
     def _choose(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> Placement:
         is_careful = progress.clearance.is_careful
-        placement = self._view.place(admitted, progress.excluded, is_careful=is_careful)
+        begun_version = progress.begun_version
+        placement = self._view.place(
+            admitted, progress.excluded, is_careful=is_careful, begun_version=begun_version
+        )
         if placement is None and progress.excluded:
-            placement = self._view.place(admitted, (), is_careful=is_careful)
+            placement = self._view.place(
+                admitted, (), is_careful=is_careful, begun_version=begun_version
+            )
         if placement is not None:
             progress.target = placement.candidate.server.name
             progress.expected_ms = placement.expected_ms
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -19,6 +19,7 @@
 
     sends : the servers that it was sent to.
     target : the server that was chosen last, also if no connection to it could be made.
+    begun_version : the version of the server that began to answer; empty before.
     ended_with_connection : whether the end of the connection was the only sign of the answer's end.
     clearance : how it may be sent, as decided before the last send.
     unreachable, unreachable_since_ms : servers that refused a connection or did not answer one, and
@@ -40,6 +41,7 @@
     expected_ms: float = 0.0
     began_ms: float | None = None
     last_event_id: str = ""
+    begun_version: str = ""
     outcome: str = ""
     status: int = 0
     detail: str = ""
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -47,7 +47,12 @@
         """Return the configuration in force."""
 
     def place(
-        self, admitted: AdmittedRequest, excluded: Sequence[str], *, is_careful: bool = False
+        self,
+        admitted: AdmittedRequest,
+        excluded: Sequence[str],
+        *,
+        is_careful: bool = False,
+        begun_version: str = "",
     ) -> Placement | None:
         """Return the server for the next send, or None when there is none.
 
@@ -55,6 +60,7 @@
         ==========
 
         is_careful : take the server on which least is in progress, as it may end.
+        begun_version : the version that has begun to answer it; empty if none has.
         """
 
     def begin_send(self, admitted: AdmittedRequest, placement: Placement) -> SendTicket:
@@ -260,7 +266,7 @@
             raise SendFailedError(SendFailure.BROKEN, f"the server failed: {answer.status}", True)
         if reply.begun:
             raise SendFailedError(SendFailure.BROKEN, f"no stream but {answer.status}", True)
-        self._note_begun(send.progress)
+        self._note_begun(send)
         headers = self._dialect.select_answer_headers(answer)
         reply.send(answer.status, answer.reason, headers, body)
 
@@ -287,21 +293,22 @@
                 piece = whole.data
                 progress.last_event_id = whole.last_id or progress.last_event_id
             if piece:
-                self._begin_reply(progress, exchange.answer, reply)
+                self._begin_reply(send, exchange.answer)
                 reply.write(piece)
-        self._begin_reply(progress, exchange.answer, reply)
+        self._begin_reply(send, exchange.answer)
         if splitter is not None:
             reply.write(splitter.rest)
         reply.end()
 
-    def _begin_reply(self, progress: Progress, answer: ParsedAnswer, reply: Reply) -> None:
+    def _begin_reply(self, send: Send, answer: ParsedAnswer) -> None:
         """Send the head of the first server's answer before its first event."""
-        if reply.begun:
+        if send.reply.begun:
             return
-        self._note_begun(progress)
+        self._note_begun(send)
         headers = self._dialect.select_answer_headers(answer)
-        reply.begin(answer.status, answer.reason, headers)
+        send.reply.begin(answer.status, answer.reason, headers)
 
-    def _note_begun(self, progress: Progress) -> None:
-        progress.began_ms = self._clock.now_ms()
-        self._observer.request_began(progress)
+    def _note_begun(self, send: Send) -> None:
+        send.progress.began_ms = self._clock.now_ms()
+        send.progress.begun_version = send.placement.candidate.server.version
+        self._observer.request_began(send.progress)
--- a/hemlockswitch/standin/gateway_store.py
+++ b/hemlockswitch/standin/gateway_store.py
@@ -1,7 +1,8 @@
 """A stand-in of the users' platform for gateways: object store, cloud API, harness calls."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 from typing import Any, Literal
 
 import falcon
@@ -54,17 +55,19 @@
     name: str
     revision: int
     spec: Any
+    created: int = 0
+    status: Any = None
 
     def render(self) -> dict[str, Any]:
         """Return it as the store answers it."""
         metadata = {
             "name": self.name,
             "revision": self.revision,
-            "created_rev": 0,
+            "created_rev": self.created,
             "finalizers": [],
             "deleting": False,
         }
-        return {"metadata": metadata, "spec": self.spec, "status": None}
+        return {"metadata": metadata, "spec": self.spec, "status": self.status}
 
 
 @dataclass
@@ -101,8 +104,19 @@
         if known is not None and known.spec == spec:
             return known
         self.revision += 1
-        entry = Entry(name, self.revision, spec)
-        self.list_kind(kind)[name] = entry
+        created, status = (known.created, known.status) if known else (self.revision, None)
+        return self._keep(kind, Entry(name, self.revision, spec, created, status))
+
+    def put_status(self, kind: str, name: str, status: Any) -> Entry:
+        """Replace the status of an object that exists."""
+        known = self.list_kind(kind)[name]
+        if known.status == status:
+            return known
+        self.revision += 1
+        return self._keep(kind, replace(known, revision=self.revision, status=status))
+
+    def _keep(self, kind: str, entry: Entry) -> Entry:
+        self.list_kind(kind)[entry.name] = entry
         self._tell(Change(kind, self.revision, False, entry.render()))
         return entry
 
@@ -170,6 +184,24 @@
 
     def on_put(self, req: falcon.Request, resp: falcon.Response, kind: str, name: str) -> None:
         """Replace an object, under its condition if the call has one."""
+        self._replace(req, resp, kind, name, lambda body: self._store.put(kind, name, body["spec"]))
+
+    def on_put_status(
+        self, req: falcon.Request, resp: falcon.Response, kind: str, name: str
+    ) -> None:
+        """Replace an object's status likewise."""
+        self._replace(
+            req, resp, kind, name, lambda body: self._store.put_status(kind, name, body["status"])
+        )
+
+    def _replace(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        kind: str,
+        name: str,
+        write: Callable[[Any], Entry],
+    ) -> None:
         self._apply_faults(resp)
         body = req.get_media()
         known = self._store.list_kind(kind).get(name)
@@ -179,7 +211,7 @@
         if expected is not None and expected != known.revision:
             resp.status, resp.media = 409, known.render()
             return
-        resp.media = self._store.put(kind, name, body.get("spec")).render()
+        resp.media = write(body).render()
         self._lose_answer(req)
 
     def on_delete(self, req: falcon.Request, resp: falcon.Response, kind: str, name: str) -> None:
@@ -285,6 +317,7 @@
     calls = ObjectCalls(store)
     application.add_route(f"{ROOT}/{{kind}}", calls)
     application.add_route(f"{ROOT}/{{kind}}/{{name}}", calls)
+    application.add_route(f"{ROOT}/{{kind}}/{{name}}/status", calls, suffix="status")
     application.add_route("/usage", CloudCalls(store))
     application.add_route("/scale", CloudCalls(store))
     harness = Harness(store)
--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -60,6 +60,8 @@
     foreign_answer : answer with another request's identifier.
     without_seal : answer without the mark of a genuine answer.
     cut_after_events : break a stream off inside the event after these.
+    slow_factor : take so many times as long.
+    every : only each so many-th request meets what goes wrong.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -71,6 +73,8 @@
     foreign_answer: bool = False
     without_seal: bool = False
     cut_after_events: int | None = None
+    slow_factor: float = 1.0
+    every: int = 1
 
 
 @dataclass
@@ -80,6 +84,7 @@
     settings: RunnerSettings
     faults: RunnerFaults = RunnerFaults()
     left: int = 0
+    asked: int = 0
     runs: Counter = field(default_factory=Counter)
     seen: list[dict[str, Any]] = field(default_factory=list)
     abandoned: list[str] = field(default_factory=list)
@@ -87,6 +92,9 @@
 
     def take_faults(self) -> RunnerFaults:
         """Return the faults for one request."""
+        self.asked += 1
+        if self.asked % self.faults.every:
+            return RunnerFaults()
         if self.faults.count == 0:
             return self.faults
         if self.left == 0:
@@ -113,7 +121,7 @@
         if state.settings.prints_runs:
             print(json.dumps({"ran": request_id}), flush=True)
         state.seen.append(_describe(req, body))
-        gevent.sleep(state.settings.work_ms / MS_PER_SECOND)
+        gevent.sleep(state.settings.work_ms * faults.slow_factor / MS_PER_SECOND)
         ends_on = state.settings.ends_on
         if ends_on and ends_on.encode() in body:
             state.end()
--- a/hemlockswitch/version/backend.py
+++ b/hemlockswitch/version/backend.py
@@ -31,6 +31,8 @@
     state : the newest state heard from the platform.
     slots : requests that it serves at once; 0 where the platform does not say.
     started_unix_ms : when its process started; 0 where the platform does not say.
+    version : of its software; empty where the platform does not say.
+    cold_left_ms : how much longer it is slow after its start, when this was written.
 
     Examples
     ========
@@ -49,6 +51,8 @@
     state: BackendState = BackendState.LIVE
     slots: int = 0
     started_unix_ms: int = 0
+    version: str = ""
+    cold_left_ms: float = 0.0
 
     @property
     def incarnation(self) -> str:
--- a/hemlockswitch/version/gateway_settings.py
+++ b/hemlockswitch/version/gateway_settings.py
@@ -36,6 +36,9 @@
         limit's unit; bounds what accounts get anew when all gateways restart.
     lease_term_ms : how long one renewal of the duties' lease lasts.
     usage_window_s : length of a window of the usage reports.
+    rollout_share, rollout_slack : bound of the requests that a version gets before it is judged: this
+        part of a service's requests and this many more, over all gateways. Orders of roll-outs are
+        followed only where the share is given.
     link_mbps : speed of this VM's network link; the gateways of a zone with the fastest ones watch and
         pass changes on for the others. 0 where it is not known.
 
@@ -71,6 +74,8 @@
     limit_slack: _NotNegative = 0.0
     lease_term_ms: Annotated[int, msgspec.Meta(ge=2_000)] = 4_000
     usage_window_s: _Positive = 5.0
+    rollout_share: Annotated[float, msgspec.Meta(gt=0, lt=1)] | None = None
+    rollout_slack: _NotNegative = 0.0
     link_mbps: _NotNegative = 0.0
 
     @classmethod
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -94,17 +94,19 @@
 class Runner:
     """A stand-in runner that is served in this process."""
 
-    def __init__(self, name, service, store, **settings):
+    def __init__(self, name, service, store, version="v1", faults=None, **settings):
         self.name = name
         self.service = service
+        self.version = version
         self.state = RunnerState(RunnerSettings(name=name, **settings))
+        self.fail(**(faults or {}))
         self.server, self.address = listen(build_runner(self.state), "127.0.0.1:0")
         self._store = store
         self.write("ready")
 
     def write(self, state, **fields):
         """Write the registry entry."""
-        entry = make_entry(self.service, self.address, state, **fields)
+        entry = make_entry(self.service, self.address, state, version=self.version, **fields)
         self._store.put("servers", self.name, entry)
 
     def fail(self, **faults):
@@ -120,7 +122,8 @@
 class Site:
     """The whole of a site; `close` ends it."""
 
-    def __init__(self, gateways=1, manifest=None, is_configured=True):
+    def __init__(self, gateways=1, manifest=None, is_configured=True, **settings):
+        self.settings = settings
         self.store = GatewayStore()
         self.store_server, self.store_address = listen(build_store(self.store), "127.0.0.1:0")
         if is_configured:
@@ -143,6 +146,7 @@
             platform=self.store_address,
             cloud=self.store_address,
             stop_grace_s=4.0,
+            **self.settings,
         )
         daemon = GatewayDaemon(settings, build_adapter(settings, clock), clock)
         daemon.addresses = daemon.start()
--- a/tests/test_change_relay.py
+++ b/tests/test_change_relay.py
@@ -11,6 +11,7 @@
 import pytest
 
 from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.platform.rollouts import decode_rollout
 from hemlockswitch.process.gateway import neighbours
 from hemlockswitch.process.gateway.accounts import SharedLimits
 from hemlockswitch.process.gateway.change_relay import MOST_GATHERED, ChangeRelay
@@ -20,6 +21,7 @@
 from hemlockswitch.process.gateway.neighbours import RELAYS_PER_ZONE
 from hemlockswitch.process.gateway.report_period import ReportPeriod
 from hemlockswitch.process.gateway.reported_loads import ServerLoad
+from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.watch_guard import StoreView
 from hemlockswitch.request.dialect import Prompt, PromptPart
 from hemlockswitch.version.backend import BackendServer
@@ -69,7 +71,10 @@
         self.fleet = Fleet(name, lambda: self.address, clock, zone)
         self.loads = ServerLoads(clock)
         self.limits = SharedLimits(clock, lambda: 1.0)
-        self.relay = ChangeRelay(self.port, self.fleet, self.loads, self.limits, clock)
+        self.rollouts = Rollouts(decode_rollout, None, self.fleet.count_daemons, clock)
+        self.relay = ChangeRelay(
+            self.port, self.fleet, self.loads, self.limits, self.rollouts, clock
+        )
 
     def tell(self, load, number, spent=None):
         report = ChangeReport(self.name, 1, number, load, [], spent or {}, {})
--- /dev/null
+++ b/tests/test_ctl_rollouts.py
@@ -0,0 +1,61 @@
+"""`hemlock-ctl rollouts`."""
+
+import json
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from hemlockswitch.programs.ctl import make_application
+from hemlockswitch.programs.ctl_files import ExitCode
+from tests.gateway_site import Site
+
+
+@pytest.fixture
+def site():
+    one = Site(gateways=2, rollout_share=0.1, rollout_slack=50)
+    one.add_runner("app")
+    yield one
+    one.close()
+
+
+def run(arguments):
+    tester = CommandTester(make_application().find("rollouts"))
+    return tester.execute(arguments), tester.io.fetch_output(), tester.io.fetch_error()
+
+
+def list_control(site):
+    return " ".join(gateway.addresses["control"] for gateway in site.gateways)
+
+
+def test_nothing_is_shown_without_an_order(site):
+    code, output, _ = run(f"{list_control(site)} --json")
+    assert code == ExitCode.DONE
+    assert json.loads(output) == {"rollouts": [], "errors": []}
+
+
+def test_each_gateway_shows_how_it_sees_an_order(site):
+    site.store.put("rollouts", "app", {"service": "app", "to": "v2", "duration_s": 20})
+    site.wait(lambda: all(one.rollouts.describe() for one in site.gateways))
+    for _ in range(4):
+        assert site.ask("/check/x", method="GET").status == 200
+    code, output, _ = run(f"{list_control(site)} --json")
+    assert code == ExitCode.DONE
+    shown = json.loads(output)["rollouts"]
+    assert {one["gateway"] for one in shown} == {"gateway-1", "gateway-2"}
+    assert {(one["service"], one["target"], one["sent"]) for one in shown} == {("app", "v2", 0)}
+    code, output, _ = run(list_control(site))
+    assert "app to v2 at gateway-1" in output
+    assert "check: new version 0 answers, 0 failed, 0 slow; others" in output
+
+
+def test_a_gateway_that_does_not_answer_is_named(site):
+    code, output, _ = run(f"127.0.0.1:1 {list_control(site)}")
+    assert code == ExitCode.PLATFORM
+    assert "127.0.0.1:1: no answer" in output
+
+
+@pytest.mark.parametrize("arguments", ["nowhere", "127.0.0.1:1 --timeout soon"])
+def test_mistakes_are_named(arguments):
+    code, _, error = run(arguments)
+    assert code == ExitCode.MISTAKES
+    assert "ip:port" in error
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -25,6 +25,8 @@
         "budget_window_s": 10,
         "usage_window_s": 5,
         "quota_slack": 190_000,
+        "exposure_share": 0.1,
+        "exposure_slack": 50,
     },
     "platform": {"address": "10.200.1.7:8225"},
     "cloud": {"address": "10.200.0.35:8225"},
@@ -39,7 +41,16 @@
     return str(value)
 
 
-def render(text):
+def is_given(name, given):
+    value = given
+    for step in name.split("."):
+        if step not in value:
+            return False
+        value = value[step]
+    return True
+
+
+def render(text, given=GIVEN):
     """Fill the template in, as far as it uses the placeholders' language."""
 
     def repeat(match):
@@ -49,7 +60,11 @@
             for entry in entries
         )
 
+    def choose(match):
+        return match[2] if is_given(match[1], given) else ""
+
     text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", repeat, text)
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", choose, text)
     return re.sub(r"\{\{([\w.]+)\}\}", lambda match: find_value(match[1]), text)
 
 
@@ -67,6 +82,13 @@
     assert settings.link_mbps == 200.0
     assert settings.repeat_extra == 56
     assert settings.limit_slack == 190_000
+    assert (settings.rollout_share, settings.rollout_slack) == (0.1, 50)
+
+
+def test_a_platform_without_roll_outs_leaves_their_bound_out():
+    template = (DEPLOY.parent / read_role()["template"]).read_text()
+    settings = GatewaySettings.from_json(render(template, {**GIVEN, "bounds": {}}))
+    assert settings.rollout_share is None
 
 
 def test_the_role_runs_a_module_that_exists():
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -68,6 +68,14 @@
         pass
 
 
+class StubRollouts:
+    def take_over(self):
+        pass
+
+    def take_turn(self, get_fencing):
+        pass
+
+
 class StubOthers:
     def has_other_leader(self):
         return False
@@ -81,7 +89,9 @@
 def make_runner(parts):
     lease, usage, scaling = parts
     clock = ManualClock()
-    return DutyRunner(lease, usage, scaling, StubKeeper(), StubOthers(), TrueTime(), clock)
+    return DutyRunner(
+        lease, usage, scaling, StubKeeper(), StubRollouts(), StubOthers(), TrueTime(), clock
+    )
 
 
 def test_the_holder_does_both_duties_under_its_number(parts):
--- a/tests/test_relayed_watch.py
+++ b/tests/test_relayed_watch.py
@@ -81,7 +81,7 @@
     fixture.directory.watches = True
     assert fixture.take(5) == ["from-store"]
     assert fixture.store.asked == [(5, WAIT_MS)]
-    assert fixture.sent == [WatchedPage(KIND, 5, 6, [("from-store", 6, {}, False)])]
+    assert fixture.sent == [WatchedPage(KIND, 5, 6, [("from-store", 6, {}, False, None, 0)])]
 
 
 def test_the_others_take_the_page_and_make_no_call(fixture):
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,322 @@
+"""Which servers a request may go to while its service moves to another version."""
+
+import random
+
+import pytest
+
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.platform.rollouts import decode_rollout
+from hemlockswitch.process.gateway.rollout_progress import ABANDON_MS, RolloutTimes
+from hemlockswitch.process.gateway.rollouts import Rollouts, SendWish
+from hemlockswitch.request.rollout_credit import ExposureBound
+from hemlockswitch.version.backend import BackendServer
+from hemlockswitch.version.rollout import RolloutState
+
+SERVICE = "llm"
+ROUTE = "draft"
+LIMIT_S = 20
+OLD = [
+    BackendServer(f"old-{one}", "z1", f"127.0.0.1:{one}", SERVICE, version="v1") for one in "123"
+]
+NEW = [
+    BackendServer(f"new-{one}", "z1", f"127.0.0.2:{one}", SERVICE, version="v2") for one in "123"
+]
+BOUND = ExposureBound(0.1, 50)
+FIRST = SendWish(SERVICE, ROUTE, is_first=True)
+
+
+def make_order(version=5, target="v2", status=None, created=5, **fields):
+    value = {"service": SERVICE, "to": target, "duration_s": LIMIT_S, **fields}
+    return StoredObject("rollouts", SERVICE, version, value, status=status, created=created)
+
+
+def make_gone(version=9):
+    return StoredObject("rollouts", SERVICE, version, None, deleted=True)
+
+
+class Gateway:
+    """The orders of one gateway, and its clock."""
+
+    def __init__(self, gateways=8, seed=1):
+        self.clock = ManualClock()
+        self.refreshed = 0
+        self.rollouts = Rollouts(
+            decode_rollout, BOUND, lambda: gateways, self.clock, random.Random(seed)
+        )
+        self.rollouts.request_refresh = self.refresh
+        self.rollouts.replace_all(ObjectPage((), 1))
+
+    def refresh(self):
+        self.refreshed += 1
+
+    def read(self, *items):
+        self.rollouts.apply_changes(ObjectPage(items, 9))
+
+    def ask(self, wish=FIRST, servers=(*OLD, *NEW), took_ms=10, failing="", expected_ms=10.0):
+        """Send one request to the first server that it may go to, and return that."""
+        selected = self.rollouts.select(wish, list(servers))
+        if not selected:
+            return None
+        server = selected[0]
+        send = self.rollouts.begin_send(wish.route, server, expected_ms)
+        self.clock.advance(took_ms)
+        failed = server.version == failing
+        if send is not None:
+            send.note_answer(succeeds=not failed)
+            send.end(failed)
+        return server
+
+    def ask_many(self, count, **options):
+        """Return the versions that some requests went to."""
+        versions = []
+        for _ in range(count):
+            versions.append(self.ask(**options).version)
+            self.clock.advance(40)
+        return versions
+
+    @property
+    def progress(self):
+        (one,) = self.rollouts.list_open()
+        return one
+
+
+@pytest.fixture
+def gateway():
+    return Gateway()
+
+
+def test_without_an_order_every_server_serves(gateway):
+    assert gateway.rollouts.select(FIRST, OLD) == OLD
+
+
+def test_a_new_version_gets_its_share_and_the_old_one_the_rest(gateway):
+    gateway.read(make_order())
+    versions = gateway.ask_many(300)
+    assert 10 <= versions.count("v2") <= 0.1 * 300 + 50 / 8
+
+
+def test_a_version_that_fails_gets_nothing_more(gateway):
+    gateway.read(make_order())
+    gateway.ask_many(400, failing="v2")
+    assert gateway.progress.stopped_for == "its answers are worse"
+    assert gateway.ask_many(50).count("v2") == 0
+    assert gateway.ask(servers=NEW) is None, "it is not the way out if the old servers are gone"
+
+
+@pytest.mark.parametrize(
+    ("state", "expected"),
+    [("completed", {"v2"}), ("rolled_back", {"v1"}), ("running", {"v1", "v2"})],
+)
+def test_the_stored_state_decides(gateway, state, expected):
+    gateway.read(make_order(status={"state": state, "to": "v2"}))
+    assert set(gateway.ask_many(100)) == expected
+
+
+def test_a_final_state_stays_whatever_is_read_later(gateway):
+    gateway.read(make_order(status={"state": "rolled_back", "to": "v2"}))
+    gateway.read(make_order(status={"state": "running", "to": "v2"}))
+    gateway.read(make_order(status={"state": "completed", "to": "v2"}))
+    assert gateway.ask_many(50).count("v2") == 0
+
+
+def test_after_the_move_the_old_servers_help_out_if_no_new_one_is_listed(gateway):
+    gateway.read(make_order(status={"state": "completed", "to": "v2"}))
+    assert gateway.ask(servers=OLD).version == "v1"
+
+
+def test_the_state_of_an_earlier_order_is_not_that_of_the_next(gateway):
+    gateway.read(make_order(status={"state": "completed", "to": "v1"}))
+    assert gateway.progress.order.state is None
+    assert "v1" in gateway.ask_many(20)
+
+
+def test_an_order_for_a_third_version_withholds_the_one_that_was_not_judged(gateway):
+    gateway.read(make_order())
+    gateway.read(make_order(7, target="v3"))
+    assert set(gateway.ask_many(50)) == {"v1"}
+
+
+def test_a_withdrawn_order_withholds_its_version(gateway):
+    gateway.read(make_order())
+    gateway.ask_many(5)
+    gateway.read(make_gone())
+    assert set(gateway.ask_many(100)) == {"v1"}
+
+
+def test_a_withdrawn_order_that_was_completed_leaves_its_version_in_force(gateway):
+    gateway.read(make_order(status={"state": "completed", "to": "v2"}))
+    gateway.read(make_gone())
+    assert gateway.ask(servers=NEW).version == "v2"
+
+
+def test_a_list_without_the_order_withdraws_it(gateway):
+    gateway.read(make_order())
+    gateway.rollouts.replace_all(ObjectPage((), 9))
+    assert set(gateway.ask_many(100)) == {"v1"}
+
+
+@pytest.mark.parametrize("fields", [{"duration_s": 0}, {"to": ""}, {"to": 3}, {"service": "other"}])
+def test_an_order_that_cannot_be_read_changes_nothing(gateway, fields):
+    gateway.read(make_order(), make_order(6, **fields))
+    assert gateway.progress.order.target == "v2"
+
+
+def test_a_stream_goes_on_with_the_version_that_began_it(gateway):
+    gateway.read(make_order())
+    gateway.ask_many(30)
+    began_old = SendWish(SERVICE, ROUTE, is_first=False, begun_version="v1")
+    began_new = SendWish(SERVICE, ROUTE, is_first=False, begun_version="v2")
+    assert {one.version for one in gateway.rollouts.select(began_old, [*OLD, *NEW])} == {"v1"}
+    assert {one.version for one in gateway.rollouts.select(began_new, [*OLD, *NEW])} == {"v2"}
+    gateway.progress.stop("told by another gateway")
+    assert {one.version for one in gateway.rollouts.select(began_new, [*OLD, *NEW])} == {"v1"}
+
+
+def test_a_repeat_does_not_try_the_new_version(gateway):
+    gateway.read(make_order())
+    repeat = SendWish(SERVICE, ROUTE, is_first=False)
+    assert set(gateway.ask_many(100, wish=repeat)) == {"v1"}
+
+
+def test_an_unknown_version_waits_until_the_orders_were_listed_again(gateway):
+    assert gateway.ask(servers=OLD).version == "v1"
+    assert set(gateway.ask_many(10)) == {"v1"}
+    assert gateway.refreshed == 1
+    gateway.rollouts.replace_all(ObjectPage((), 9))
+    assert gateway.rollouts.select(FIRST, [*OLD, *NEW]) == [*OLD, *NEW]
+
+
+def test_the_version_of_an_order_that_is_read_late_got_nothing_before(gateway):
+    gateway.ask(servers=OLD)
+    assert set(gateway.ask_many(5)) == {"v1"}
+    gateway.rollouts.replace_all(ObjectPage((make_order(),), 9))
+    assert gateway.progress.order.target == "v2"
+    assert gateway.ask_many(40).count("v2") <= 0.1 * 40 + 50 / 8
+
+
+def test_another_gateway_s_bad_answers_stop_it_here():
+    one, other = Gateway(seed=1), Gateway(seed=2)
+    for gateway in (one, other):
+        gateway.read(make_order())
+    for _ in range(300):
+        one.ask_many(1, failing="v2")
+        other.rollouts.take_told("one/1", one.rollouts.pop_changed(leads=False))
+    assert other.progress.stopped_for
+    assert other.ask_many(50).count("v2") == 0
+
+
+def test_told_counts_are_not_counted_twice_or_taken_back():
+    one, other = Gateway(seed=1), Gateway(seed=2)
+    for gateway in (one, other):
+        gateway.read(make_order())
+    one.ask_many(20)
+    early = one.rollouts.write_all(leads=False)
+    one.ask_many(20)
+    late = one.rollouts.write_all(leads=False)
+    for told in (late, early, late):
+        other.rollouts.take_told("one/1", told)
+    assert other.progress.get_sums() == one.progress.get_sums()
+
+
+def test_only_the_holder_s_word_begins_the_move():
+    one, other = Gateway(seed=1), Gateway(seed=2)
+    for gateway in (one, other):
+        gateway.read(make_order())
+    one.progress.begin_move(one.clock.now_ms() + 300)
+    other.rollouts.take_told("one/1", one.rollouts.write_all(leads=False))
+    assert other.progress.close_ms is None
+    other.rollouts.take_told("one/1", one.rollouts.write_all(leads=True))
+    assert other.progress.close_ms == other.clock.now_ms() + 300
+
+
+def test_what_would_outlast_the_old_version_moves(gateway):
+    gateway.read(make_order())
+    for route, took_ms in (("long", 2_000), ("short", 20)):
+        for _ in range(5):
+            gateway.ask(SendWish(SERVICE, route, is_first=False), took_ms=took_ms)
+    gateway.progress.begin_move(gateway.clock.now_ms() + 1_500)
+    sent = {
+        route: gateway.ask(SendWish(SERVICE, route, is_first=False), took_ms=1).version
+        for route in ("long", "short")
+    }
+    assert sent == {"long": "v2", "short": "v1"}
+
+
+def test_the_move_keeps_to_the_bound(gateway):
+    gateway.read(make_order())
+    gateway.progress.begin_move(gateway.clock.now_ms())
+    versions = [gateway.ask(took_ms=1).version for _ in range(400)]
+    assert versions.count("v2") <= 0.1 * 400 + 50 / 8
+
+
+def test_an_order_that_nobody_closes_ends_here(gateway):
+    gateway.read(make_order())
+    gateway.clock.advance(LIMIT_S * 1_000 + ABANDON_MS + 1)
+    gateway.rollouts.look()
+    assert gateway.progress.stopped_for == "nobody has closed it in time"
+
+
+def test_a_silent_answer_counts_as_slow_before_it_ends(gateway):
+    gateway.read(make_order())
+    gateway.ask_many(40)
+    server = next(one for one in NEW)
+    send = gateway.rollouts.begin_send(ROUTE, server, 10.0)
+    gateway.clock.advance(60)
+    gateway.rollouts.look()
+    assert gateway.progress.get_sums()[ROUTE].target.slow == 1
+    send.end(True)
+    target = gateway.progress.get_sums()[ROUTE].target
+    assert (target.slow, target.failures) == (1, 1)
+
+
+def test_connections_that_one_server_breaks_together_count_once(gateway):
+    gateway.read(make_order())
+    sends = [gateway.rollouts.begin_send(ROUTE, NEW[0], 10.0) for _ in range(6)]
+    for send in sends:
+        send.end(True)
+    assert gateway.progress.get_sums()[ROUTE].target.failures == 1
+
+
+def test_a_server_that_has_just_started_is_not_blamed_for_its_pace(gateway):
+    gateway.read(make_order())
+    cold = BackendServer("new-9", "z1", "127.0.0.2:9", SERVICE, version="v2", cold_left_ms=5_000)
+    gateway.rollouts.select(FIRST, [*OLD, cold])
+    send = gateway.rollouts.begin_send(ROUTE, cold, 10.0)
+    gateway.clock.advance(400)
+    send.note_answer(succeeds=True)
+    send.end(False)
+    assert gateway.progress.get_sums()[ROUTE].target.slow == 0
+
+
+def test_two_services_move_side_by_side():
+    gateway = Gateway()
+    gateway.read(make_order())
+    other = {"service": "app", "to": "v7", "duration_s": 9}
+    gateway.rollouts.apply_changes(
+        ObjectPage((StoredObject("rollouts", "app", 6, other, created=6),), 9)
+    )
+    assert {one.order.service for one in gateway.rollouts.list_open()} == {SERVICE, "app"}
+
+
+def test_nothing_is_told_while_there_is_no_order(gateway):
+    assert gateway.rollouts.write_all(leads=True) == []
+    gateway.read(make_order(status={"state": "completed", "to": "v2"}))
+    assert gateway.rollouts.write_all(leads=True) == []
+
+
+@pytest.mark.parametrize("limit_s", [1, 5, 12, 60, 600])
+def test_the_steps_of_an_order_are_in_its_time(limit_s):
+    times = RolloutTimes.from_limit(limit_s * 1_000)
+    assert 0.5 * times.limit_ms < times.move_ms < times.close_ms < times.limit_ms
+
+
+def test_a_status_that_cannot_be_read_changes_nothing(gateway):
+    gateway.read(make_order(), make_order(6, status={"state": "perhaps", "to": "v2"}))
+    assert gateway.progress.order.state is None
+
+
+def test_a_completed_state_is_read_from_the_status():
+    order = decode_rollout(make_order(status={"state": "completed", "to": "v2"}))
+    assert order.state is RolloutState.COMPLETED
+    assert order.is_final
