Move to a good version with what the bound leaves, and late rather than not at all

Cause: the bound's share for the move was spent on requests that would have ended in time, and on streams that may be resumed.

Bound, stop and end are checked by tests/test_rollout_replay.py, which catches two broken variants.

--- a/hemlockswitch/process/gateway/rollout_duty.py
+++ b/hemlockswitch/process/gateway/rollout_duty.py
@@ -135,9 +135,11 @@
         """Begin the move once the new version is good; end the order when it is too late for that."""
         planned_ms = progress.began_ms + progress.times.close_ms
         close_ms = max(planned_ms, now_ms + LEAST_MOVE_MS)
+        if progress.judge() is Verdict.GOOD:
+            # Also late: the answers have decided, only the duties were not held in time.
+            progress.begin_move(close_ms)
+            return None
         if close_ms <= progress.began_ms + progress.times.latest_close_ms:
-            if progress.judge() is Verdict.GOOD:
-                progress.begin_move(close_ms)
             return None
         reason = "no server of it came" if not progress.has_seen_target else "not judged in time"
         progress.stop(reason)
--- a/hemlockswitch/process/gateway/rollout_progress.py
+++ b/hemlockswitch/process/gateway/rollout_progress.py
@@ -32,8 +32,9 @@
 USUAL_DURATION_MS = 1_000.0
 """How long an answer is taken to last on a route before one was seen."""
 DURATION_WEIGHT = 0.1
-DURATION_MARGIN = 1.5
-"""Answers that last this many times the mean are nearly all; those of a route differ in length."""
+MOVED_DURATION_SHARE = 0.6
+"""A request moves that begins later than this part of its usual duration before the old version ends:
+there are fewer that may move than are still being answered then, and later ones surely are."""
 BREAK_MS = 1_000.0
 """Connections that one server breaks within this time have one cause, and count once."""
 TRIAL_GAP_MS = 25.0
@@ -162,7 +163,7 @@
         if self.close_ms is None or not self._credit.may_move():
             return False
         usual_ms = self._durations_ms.get(route, USUAL_DURATION_MS)
-        return now_ms + DURATION_MARGIN * usual_ms > self.close_ms
+        return now_ms + MOVED_DURATION_SHARE * usual_ms > self.close_ms
 
     def note_duration(self, route: str, took_ms: float) -> None:
         """Learn how long answers of a route last."""
--- a/hemlockswitch/process/gateway/rollouts.py
+++ b/hemlockswitch/process/gateway/rollouts.py
@@ -45,6 +45,7 @@
     ==========
 
     is_first : whether nothing of it was sent, and the caller begins it.
+    is_repeatable : whether it may go on elsewhere if its server stops.
     begun_version : the version that has begun to answer it; empty if none has.
     draws_canary : whether it is one of those that try few servers, not all.
     """
@@ -52,6 +53,7 @@
     service: str
     route: str
     is_first: bool
+    is_repeatable: bool = False
     begun_version: str = ""
     draws_canary: bool = False
 
@@ -240,7 +242,7 @@
         if wish.begun_version:
             goes_on = target if wish.begun_version == progress.order.target else others
             return goes_on or others
-        if progress.must_move(wish.route, now_ms):
+        if not wish.is_repeatable and progress.must_move(wish.route, now_ms):
             return target
         if progress.may_try(wish.route, now_ms) and (wish.is_first or not others):
             return self._select_trial(progress, wish, target)
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -92,6 +92,7 @@
             service=admitted.service,
             route=admitted.route.name,
             is_first=is_first,
+            is_repeatable=admitted.route.is_repeatable,
             begun_version=begun_version,
             draws_canary=draw_canary(admitted.facts.request_id),
         )
--- a/hemlockswitch/request/rollout_credit.py
+++ b/hemlockswitch/request/rollout_credit.py
@@ -25,7 +25,7 @@
     slack: float
 
 
-TRIAL_SHARE = 0.75
+TRIAL_SHARE = 0.5
 """Part of the bound's share that is spent on trying the new version; the rest is for the move."""
 TRIAL_SLACK = 0.2
 MOVE_SLACK = 0.5
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -264,3 +264,12 @@
     holder.store.create(BEGIN_KIND, "llm", {"began": "?"})
     holder.turn()
     assert holder.store.objects["llm"].value["target"] == "v2"
+
+
+def test_a_good_version_is_moved_to_late_rather_than_given_up(holder):
+    holder.turn()
+    holder.count(60)
+    holder.clock.advance(LIMIT_MS)
+    holder.turn()
+    holder.play(LIMIT_MS + 1_500)
+    assert holder.store.states == ["running", "completed"]
--- /dev/null
+++ b/tests/test_rollout_replay.py
@@ -0,0 +1,67 @@
+"""A fleet that moves a service, under faults: the bound, the stop, and the end of each order.
+
+The pattern: gateways and the holder of the duties are killed and frozen, the store is away and messages
+are lost while a version is tried; none of it may let a bad version get more, or for longer.
+"""
+
+import pytest
+
+from hemlockswitch.core.logs import _write_by_structlog, set_log_writer
+from hemlockswitch.process.gateway.rollout_progress import RolloutProgress
+from hemlockswitch.request.rollout_credit import ExposureCredit
+from tests.rollout_replay import VERSIONS, Replay
+
+SEEDS = range(1, 4)
+BAD = [name for name, version in VERSIONS.items() if version.is_bad]
+
+
+@pytest.fixture(autouse=True)
+def _no_lines():
+    set_log_writer(lambda event, level, fields: None)
+    yield
+    set_log_writer(_write_by_structlog)
+
+
+def play(name, gateways=8, **options):
+    return [Replay(gateways, seed, VERSIONS[name], **options).play() for seed in SEEDS]
+
+
+def check(outcomes):
+    for one in outcomes:
+        assert one.most_over <= 0, "the bound"
+        assert one.late_sends == 0, "sends after the stop"
+        assert one.final_changes == 0, "a final state that changed"
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_bad_version_is_rolled_back_under_faults(name):
+    outcomes = play(name)
+    check(outcomes)
+    assert {one.state for one in outcomes} == {"rolled_back"}
+
+
+def test_a_good_version_is_moved_to_in_time():
+    outcomes = play("good", faults=False)
+    check(outcomes)
+    assert {one.state for one in outcomes} == {"completed"}
+    assert all(one.closed_ms < 12_000 for one in outcomes)
+
+
+def test_a_good_version_keeps_to_the_bound_under_faults():
+    check(play("good"))
+
+
+@pytest.mark.parametrize("gateways", [30])
+def test_a_larger_fleet_keeps_the_same_promises(gateways):
+    check([Replay(gateways, 1, VERSIONS[name]).play() for name in ("good", "fails 0.5")])
+
+
+def test_the_replay_catches_gateways_that_do_not_keep_to_their_share(monkeypatch):
+    monkeypatch.setattr(ExposureCredit, "may_try", lambda self, route: True)
+    assert any(one.most_over > 0 for one in play("good", faults=False))
+
+
+def test_the_replay_catches_gateways_that_do_not_stop(monkeypatch):
+    monkeypatch.setattr(RolloutProgress, "is_open", True)
+    monkeypatch.setattr(ExposureCredit, "may_try", lambda self, route: True)
+    assert any(one.late_sends > 0 for one in play("fails 0.5", faults=False))
