Give found copies back once all reclaimable ones that fit beside them serve

What it cost: at a first start of the shifted site 45 copies at the full price hold half of the places; the 47 reclaimable ones that fit beside them serve 7.8 s before the first request, but the reserve of 1.25 times the need (49 of 39) was never reached, so the others were paid for four seconds longer.

Ruled out: late orders (all were sent 11.6 s before the first request); a registry that is not yet taken as complete (it is 8 s after the start, when the last reclaimable copy has booted).

While a zone has none to give the reserve is asked for as before.

--- a/hemlockswitch/process/gateway/copies_plan.py
+++ b/hemlockswitch/process/gateway/copies_plan.py
@@ -136,13 +136,19 @@
 
 
 def has_reserve(situation: CopiesSituation, wanted: Mapping[Pool, int]) -> bool:
-    """Return whether the reclaimable copies of a plan that serve now are well above the need."""
+    """Return whether the reclaimable copies of a plan that serve now are well above the need.
+
+    Copies at the full price may leave no room for that many: then it is enough that all which fit
+    beside them serve, as long as there are more to be had in every zone.
+    """
     reclaimable = {
         pool: count
         for pool, count in wanted.items()
         if pool.machine_class is MachineClass.RECLAIMABLE
     }
-    return _count_present(situation, reclaimable) >= RESERVE_FACTOR * count_needed(situation)
+    present, needed = _count_present(situation, reclaimable), count_needed(situation)
+    fills_room = present == sum(reclaimable.values()) and not situation.dry
+    return present >= (needed if fills_room else RESERVE_FACTOR * needed)
 
 
 def _count_present(situation: CopiesSituation, wanted: Mapping[Pool, int]) -> int:
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -411,3 +411,41 @@
     classes = [one.machine_class for one in market.list()]
     assert classes.count("reclaimable") == 8
     assert classes.count("on_demand") == 0
+
+
+def test_found_copies_are_given_back_as_soon_as_all_that_fits_beside_them_serves():
+    """A first start finds half of the places taken by copies at the full price.
+
+    What may run beside them is less than the reserve that lets the found ones go at once, so each of
+    them was paid for four seconds longer.
+    """
+    market = Market(ManualClock())
+    for zone, found in zip(ZONES, (12, 11, 11, 11), strict=True):
+        for _ in range(found):
+            market.add(Pool(zone, ON_DEMAND))
+    scaling = replace(SERVICE.scaling, max_copies=23)
+    service = replace(SERVICE, engine=EngineTraits(32, 600_000), scaling=scaling)
+    duty = make_duty(market, tokens=0, service=service)
+    market.is_listed, market.is_mostly_listed = False, True
+    play(market, duty, 2 * BOOT_MS)
+    market.is_listed = True
+    play(market, duty, 500)
+    classes = [one.machine_class for one in market.list()]
+    assert classes.count("on_demand") == 0
+    assert classes.count("reclaimable") >= 39
+    play(market, duty, BOOT_MS + 1_000)
+    assert len(market.servers) == 80, "the places of the others are used by reclaimable ones"
+
+
+def test_found_copies_stay_while_a_zone_has_none_to_give():
+    market = Market(ManualClock())
+    for zone in ZONES:
+        for _ in range(11):
+            market.add(Pool(zone, ON_DEMAND))
+    scaling = replace(SERVICE.scaling, max_copies=23)
+    service = replace(SERVICE, engine=EngineTraits(32, 600_000), scaling=scaling)
+    duty = make_duty(market, tokens=0, service=service)
+    market.reclaim(ZONES[0], dry_ms=math.inf)
+    play(market, duty, BOOT_MS + 1_000)
+    classes = [one.machine_class for one in market.list()]
+    assert len(classes) >= 38
