--- a/hemlockswitch/standin/gateway_store.py
+++ b/hemlockswitch/standin/gateway_store.py
@@ -288,6 +288,12 @@
         """Write an object whatever the faults."""
         resp.media = self._store.put(kind, name, req.get_media()).render()
 
+    def on_get_object(
+        self, req: falcon.Request, resp: falcon.Response, kind: str, name: str
+    ) -> None:
+        """Give an object whatever the faults."""
+        resp.media = self._store.list_kind(kind)[name].render()
+
     def on_delete_object(
         self, req: falcon.Request, resp: falcon.Response, kind: str, name: str
     ) -> None:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,6 +15,7 @@
     read_reply,
     tokens,
 )
+from tests.soak.moving import Mover
 from tests.soak.world import DEADLY, GATEWAYS, MARKER, SoakWorld
 
 CALLERS = 6
@@ -24,6 +25,8 @@
 PATHS = ("/hold/x", "/check/x", "/draft/x", "/reply/x", "/open/x", "/frail/x")
 DEADLY_PATH = "/frail/deadly"
 DEADLY_PAUSE_S = 0.2
+MOVED_PATH = "/moved/x"
+MOVED_PAUSE_S = 0.02
 AT_MOST_ONCE = ("/hold/x", "/draft/x")
 STREAMS = ("/draft/x", "/reply/x")
 MARKER_SHARE = 0.15
@@ -65,6 +68,10 @@
             threading.Thread(target=self._run, args=(number, random.Random(f"{seed}/{number}")))
             for number in range(CALLERS)
         ]
+        self.mover = Mover(world, seed)
+        self._threads.append(threading.Thread(target=self.mover.run, args=(self._stop,)))
+        draws = random.Random(f"{seed}/moved")
+        self._threads.append(threading.Thread(target=self._ask_moved, args=(draws,)))
         draws = random.Random(f"{seed}/deadly")
         self._threads.append(threading.Thread(target=self._send_deadly, args=(draws,)))
         self._threads.append(threading.Thread(target=world.keep_frail_runners, args=(self._stop,)))
@@ -107,6 +114,16 @@
             gateway = draws.choice(GATEWAYS)
             self.calls.append(make_call(self._world, {}, gateway, DEADLY_PATH, f"deadly-{turn}"))
 
+    def _ask_moved(self, draws: random.Random) -> None:
+        """Ask the service that moves, at any gateway."""
+        turn = 0
+        connections: dict[str, socket.socket] = {}
+        while not self._stop.wait(MOVED_PAUSE_S):
+            turn += 1
+            gateway = draws.choice(GATEWAYS)
+            call = make_call(self._world, connections, gateway, MOVED_PATH, f"moved-{turn}")
+            self.calls.append(call)
+
     def _choose_path(self, draws: random.Random) -> str:
         if draws.random() < MARKER_SHARE:
             back = draws.randrange(2)
--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -6,7 +6,7 @@
 from features.support.gateways import call_json
 from features.support.processes import HarnessError
 from tests.soak.plan import Fault, FaultKind
-from tests.soak.world import FRAIL, GATEWAYS, SoakRunner, SoakWorld
+from tests.soak.world import APART, GATEWAYS, SoakRunner, SoakWorld
 
 DRAINING_S = 2.0
 """How long a runner that drains goes on serving; longer than gateways may take to notice."""
@@ -24,7 +24,7 @@
 
 
 def _find_runner(world: SoakWorld, fault: Fault) -> SoakRunner:
-    linked = [runner for runner in world.runners if runner.service != FRAIL]
+    linked = [runner for runner in world.runners if runner.service not in APART]
     running = [runner for runner in linked if runner.program.is_running]
     return running[fault.target % len(running)]
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 from tests.soak.callers import AT_MOST_ONCE, DEADLY_PATH, Call
+from tests.soak.moving import SETTLED_S as MOVE_SETTLED_S
+from tests.soak.moving import SHARE, SLACK, Move
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 SUCCESS = 200
@@ -14,7 +16,10 @@
 
 
 def list_broken(
-    calls: list[Call], runs: list[tuple[str, str]], cloud_calls: list[dict[str, Any]]
+    calls: list[Call],
+    runs: list[tuple[str, str]],
+    cloud_calls: list[dict[str, Any]],
+    move: Move | None = None,
 ) -> list[str]:
     """Return a line for each promise that was broken."""
     counts = Counter(request_id for _, request_id in runs)
@@ -24,6 +29,7 @@
         *_check_revisions(calls),
         *_check_duties(cloud_calls),
         *_check_deadly(calls, counts),
+        *(_check_move(calls, runs, move) if move is not None else ()),
     ]
 
 
@@ -90,3 +96,21 @@
     late = [call for call in runs if call.began_s > settled_s]
     if len(late) > MOST_RETRIES:
         yield f"sent {len(late)} times more after {len(runs)} ends: {late}"
+
+
+def _check_move(calls: list[Call], runs: list[tuple[str, str]], move: Move) -> Iterator[str]:
+    """A bad version gets few requests, is not moved to, and gets nothing once it is rolled back."""
+    if not move.is_bad:
+        return
+    if move.state == "completed":
+        yield "moved to a bad version"
+    began_s = {call.request_id: call.began_s for call in calls}
+    names = {runner.name for runner in move.new}
+    since = [run for run in runs if began_s.get(run[1], 0.0) >= move.ordered_s]
+    moved = [run for run in since if run[1].startswith("moved-")]
+    sent = [request_id for name, request_id in moved if name in names]
+    if len(sent) > SHARE * len(moved) + SLACK:
+        yield f"a bad version got {len(sent)} of {len(moved)} requests"
+    late = [one for one in sent if began_s[one] > move.closed_s + MOVE_SETTLED_S]
+    if late:
+        yield f"a version got requests after it was rolled back: {late}"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -35,6 +35,7 @@
     ==========
 
     broken : a line for each broken promise.
+    move : how the move to a new version ended, and whether that was bad.
     logs : where the output of all processes was kept, if a promise was broken.
     """
 
@@ -44,6 +45,7 @@
     faults: int
     broken: tuple[str, ...]
     logs: Path | None = None
+    move: str = ""
 
 
 def play(seed: int, length_s: float = LENGTH_S, keep: Path | None = None) -> SoakResult:
@@ -73,10 +75,15 @@
     finally:
         calls = callers.stop()
     broken += list_broken(
-        [*calls, *world.probes], world.list_runs(), world.call_store("GET", "/standin/cloud")
+        [*calls, *world.probes],
+        world.list_runs(),
+        world.call_store("GET", "/standin/cloud"),
+        callers.mover.move,
     )
     answered = sum(call.is_right for call in calls)
-    return SoakResult(seed, len(calls), answered, len(plan), tuple(broken))
+    move = callers.mover.move
+    ended = f"{'bad' if move.is_bad else 'good'} {move.state or 'open'}"
+    return SoakResult(seed, len(calls), answered, len(plan), tuple(broken), move=ended)
 
 
 def _inject_all(world: SoakWorld, plan: tuple) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,6 +16,10 @@
 STOP_GRACE_S = 5
 EVENT_MS = 20
 FRAIL, FRAIL_RUNNERS = "frail", 3
+MOVED = "moved"
+MOVED_ROUTE = {"kind": "idempotent", "service": MOVED, "max_attempts": 1}
+APART = (FRAIL, MOVED)
+"""Services whose runners meet no faults but their own."""
 FRAIL_ROUTE = {"kind": "idempotent", "service": FRAIL, "max_attempts": 2}
 DEADLY = "this content ends its server"
 """Ends each runner of the frail service that runs it; these have no links, as a link would accept the
@@ -84,6 +88,8 @@
                 "platform": self.cluster.add_link(f"store-{name}", self.store.addresses["http"]),
                 "cloud": self.store.addresses["http"],
                 "stop_grace_s": STOP_GRACE_S,
+                "rollout_share": 0.1,
+                "rollout_slack": 20,
             }
             self._keep_output(name)
             program = self.cluster.launch(name, [GATEWAY], settings)
@@ -120,6 +126,13 @@
 
     def start_runner(self, service: str) -> SoakRunner:
         """Start a runner behind a link of its own and register it."""
+        with self._lock:
+            runner = self.launch_runner(service)
+            self.register(runner, "ready")
+            return runner
+
+    def launch_runner(self, service: str) -> SoakRunner:
+        """Start a runner that is not registered yet."""
         with self._lock:
             name = f"{service}-{len(self.runners) + 1}"
             settings = {"name": name, "event_ms": EVENT_MS, "prints_runs": True}
@@ -128,13 +141,12 @@
             program = self.cluster.launch(name, [STANDIN, "runner"], settings)
             runner = SoakRunner(name, service, program)
             self.runners.append(runner)
-            self.register(runner, "ready")
             return runner
 
     def register(self, runner: SoakRunner, state: str) -> None:
         """Write a runner's entry of the registry."""
         address = runner.program.addresses["http"]
-        if runner.service != FRAIL:
+        if runner.service not in APART:
             address = self.cluster.add_link(f"runner-{runner.name}", address)
         self.put("servers", runner.name, make_entry(runner.service, address, state))
 
@@ -170,8 +182,8 @@
             number = self.revision + 1
             marker = {"kind": "idempotent", "service": "app", "max_attempts": 3, "public": True}
             routes = {MARKER.format(number=number): marker}
-            routes[FRAIL] = FRAIL_ROUTE
-            self.put("config", "main", make_manifest(number, services=(FRAIL,), **routes))
+            routes |= {FRAIL: FRAIL_ROUTE, MOVED: MOVED_ROUTE}
+            self.put("config", "main", make_manifest(number, services=APART, **routes))
             self.revision = number
             return number
 
@@ -195,8 +207,9 @@
                 self.start_gateway(name)
             self.point_front(name)
         for runner in self.runners:
-            if runner.service != FRAIL:
+            if runner.service not in APART:
                 self.cluster.set_link(f"runner-{runner.name}")
             if runner.program.is_running:
                 runner.program.thaw()
+            if runner.program.is_running and runner.service != MOVED:
                 call_json(runner.program.addresses["http"], "POST", "/standin/faults", {})
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,9 +6,11 @@
 import pytest
 
 from tests.soak.callers import Call
+from tests.soak.moving import Move
 from tests.soak.plan import FaultKind, draw_plan
 from tests.soak.promises import list_broken
 from tests.soak.run import play
+from tests.soak.world import SoakRunner
 
 CI_SEED, CI_LENGTH_S = 101, 8.0
 REGRESSION_SEEDS: dict[int, str] = {
@@ -89,6 +91,28 @@
     assert list_broken(calls, [("r1", "a"), ("r1", "b")], []) == []
 
 
+MOVE = Move(is_bad=True, ordered_s=0.5, state="rolled_back", closed_s=3.0)
+
+
+def make_moved(count, began_s=1.0):
+    return [
+        change(CALL, path="/moved/x", request_id=f"moved-{began_s}-{number}", began_s=began_s)
+        for number in range(count)
+    ]
+
+
+def test_each_broken_promise_of_a_move_is_seen():
+    move = dataclasses.replace(MOVE, new=[SoakRunner("new", "moved", None)])
+    calls = make_moved(100)
+    few = [("new" if number < 20 else "old", one.request_id) for number, one in enumerate(calls)]
+    assert list_broken(calls, few, [], move) == []
+    many = [("new", one.request_id) for one in calls]
+    assert len(list_broken(calls, many, [], move)) == 1
+    late = make_moved(1, began_s=60.0)
+    assert len(list_broken(late, [("new", late[0].request_id)], [], move)) == 1
+    assert len(list_broken(calls, few, [], dataclasses.replace(move, state="completed"))) == 1
+
+
 def test_every_kind_of_fault_is_drawn():
     drawn = {fault.kind for seed in range(40) for fault in draw_plan(seed, 15)}
     assert drawn == set(FaultKind)
