Take a version for the one in force only when its order has just been given

What callers would have seen: after the loss of all old servers during a move the holder wrote completed, and gateways sent everything to a version that nobody had judged.

Cause: an order counted as one for the version in force whenever only its servers were listed. Ruled out: by what a gateway has seen, since one that has just started has seen nothing.

--- a/hemlockswitch/process/gateway/rollout_duty.py
+++ b/hemlockswitch/process/gateway/rollout_duty.py
@@ -122,9 +122,8 @@
         if progress.stopped_for:
             return RolloutState.ROLLED_BACK
         if progress.order.state is None:
-            return RolloutState.RUNNING
-        if self._names_version_in_force(progress.order):
-            return RolloutState.COMPLETED
+            is_in_force = self._names_version_in_force(progress.order)
+            return RolloutState.COMPLETED if is_in_force else RolloutState.RUNNING
         if age_ms < progress.times.move_ms:
             return None
         if progress.close_ms is None:
@@ -162,7 +161,10 @@
         return [one for one in servers if one.version != order.target]
 
     def _names_version_in_force(self, order: RolloutOrder) -> bool:
-        """Return whether all servers of the service have the version that the order names."""
+        """Return whether all servers of the service have the version that the order names.
+
+        This says something only of an order that was just given: later the old servers may be lost.
+        """
         servers = [one for one in self._list_servers() if one.serves == order.service]
         return bool(servers) and not self._list_old(order)
 
--- a/hemlockswitch/process/gateway/rollout_progress.py
+++ b/hemlockswitch/process/gateway/rollout_progress.py
@@ -124,8 +124,9 @@
 
     @property
     def is_in_force(self) -> bool:
-        """Whether the order names the only version that this gateway has seen."""
-        return self.has_seen_target and not self.has_seen_others
+        """Whether the order was just given, and names the only version that this gateway has seen."""
+        is_new = self.order.state is None
+        return is_new and self.has_seen_target and not self.has_seen_others
 
     def get_age_ms(self, now_ms: float) -> float:
         """Return how long ago the order was given, as far as is known."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -113,6 +113,12 @@
     assert set(gateway.ask_many(100)) == expected
 
 
+def test_a_gateway_that_sees_only_new_servers_keeps_to_the_bound(gateway):
+    gateway.read(make_order(status={"state": "running", "to": "v2"}))
+    asked = [gateway.ask(servers=NEW) for _ in range(100)]
+    assert sum(one is not None for one in asked) <= 0.1 * 100 + 1
+
+
 def test_a_final_state_stays_whatever_is_read_later(gateway):
     gateway.read(make_order(status={"state": "rolled_back", "to": "v2"}))
     gateway.read(make_order(status={"state": "running", "to": "v2"}))
