--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -15,13 +15,13 @@
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.change_relay import ChangeRelay, name_process
 from hemlockswitch.process.gateway.configuration import TableHolder
-from hemlockswitch.process.gateway.copies_plan import Demand
 from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.followed_objects import FollowedObjects
 from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.observation import GatewayObserver
 from hemlockswitch.process.gateway.pages import GatewayPages
+from hemlockswitch.process.gateway.planned_copies import PlannedCopies
 from hemlockswitch.process.gateway.prober import Prober
 from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.readiness import Readiness
@@ -225,12 +225,13 @@
             self.fleet.count_daemons,
             lambda: self.network.address,
         )
+        planned = PlannedCopies(self.registry, self.rollouts, self.loads, self.fleet)
         scaling = ScalingDuty(
             api,
             self.settings.zones,
             lambda: self.tables.current,
-            self._list_planned_servers,
-            self._measure_demand,
+            planned.list_servers,
+            planned.measure_demand,
             lambda service: self.models.get(service).tokens_per_ms,
             self.followed.knows_all_servers,
             self.followed.knows_most_servers,
@@ -381,16 +382,6 @@
             self._clock.sleep_ms(FIT_MS)
             self.models.fit()
 
-    def _measure_demand(self, service: str) -> Demand:
-        own = self.loads.measure_own_demand().get(service, 0.0)
-        servers = [one.incarnation for one in self.registry.list_all() if one.serves == service]
-        running = self.loads.count_running(servers)
-        return Demand(own + self.fleet.sum_demand(service), running)
-
-    def _list_planned_servers(self) -> list[BackendServer]:
-        """Return the servers that serve the demand: those of a version on trial come beside them."""
-        return [one for one in self.registry.list_all() if not self.rollouts.is_on_trial(one)]
-
     def _forget_server(self, server: BackendServer) -> None:
         self.pool.forget(server.address)
         self.reachability.forget(server)
--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -68,7 +68,7 @@
         self.followers = [self.configuration, self.servers]
         if rollouts is not None:
             orders = self._follow(adapter.rollout_kind, rollouts)
-            rollouts.request_refresh = orders.renew_watch
+            rollouts.versions.request_refresh = orders.renew_watch
             self.followers.append(orders)
         self.guard = WatchGuard(
             self.configuration,
--- a/hemlockswitch/process/gateway/rollouts.py
+++ b/hemlockswitch/process/gateway/rollouts.py
@@ -7,7 +7,6 @@
 """
 
 import random
-from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -18,6 +17,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import hash_stable, rank_rendezvous
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.known_versions import KnownVersions
 from hemlockswitch.process.gateway.messages import RolloutFields
 from hemlockswitch.process.gateway.rollout_progress import RolloutProgress
 from hemlockswitch.process.gateway.rollout_sends import RolloutSend, SendLimits
@@ -30,8 +30,6 @@
 LOOK_MS = 200.0
 """Time between two looks at the counts."""
 IDLE_LOOK_MS = 1_000.0
-REFRESH_MS = 1_000.0
-"""Least time between two lists of the orders for a version that none of them names."""
 CANARY_SHARE = 0.05
 """Part of the new servers that get half of the trials: each of them is then about as busy as all will
 be after the move."""
@@ -84,7 +82,7 @@
         clock: Clock,
         chance: random.Random | None = None,
     ) -> None:
-        self.request_refresh: Callable[[], None] = lambda: None
+        self.versions = KnownVersions(clock)
         self._decode = decode
         self._bound = bound
         self._count_daemons = count_daemons
@@ -92,16 +90,11 @@
         self._chance = chance or random.Random()
         self._progress: dict[str, RolloutProgress] = {}
         self._sends: list[RolloutSend] = []
-        self._known_versions: dict[str, set[str]] = {}
-        self._withheld: dict[str, set[str]] = defaultdict(set)
-        self._unknown_since_ms: dict[tuple[str, str], float] = {}
-        self._listed_ms = float("-inf")
-        self._refreshed_ms = float("-inf")
         self._warm_at_ms: dict[str, float] = {}
 
     def replace_all(self, page: ObjectPage) -> None:
         """Take the whole list of orders."""
-        self._listed_ms = self._clock.now_ms()
+        self.versions.note_listed()
         listed = {item.name for item in page.items if not item.deleted}
         for service in [name for name in self._progress if name not in listed]:
             self._withdraw(service)
@@ -127,7 +120,7 @@
             return
         if known is not None:
             self._withdraw(order.service)
-        self._withheld[order.service].discard(order.target)
+        self.versions.release(order.service, order.target)
         assert self._bound is not None
         now_ms = self._clock.now_ms()
         progress = RolloutProgress(order, self._bound, self._count_daemons(), now_ms, self._chance)
@@ -161,9 +154,9 @@
         if progress is None:
             return
         if progress.order.state is RolloutState.COMPLETED:
-            self._known_versions.setdefault(service, set()).add(progress.order.target)
+            self.versions.put_in_force(service, progress.order.target)
             return
-        self._withheld[service].add(progress.order.target)
+        self.versions.withhold(service, progress.order.target)
         log_event(Event.ROLLOUT_WITHDRAWN, "warning", **progress.describe_order())
 
     def list_open(self) -> list[RolloutProgress]:
@@ -181,7 +174,7 @@
         if progress is not None and server.version == progress.order.target:
             is_in_force = progress.order.state is RolloutState.COMPLETED or progress.is_in_force
             return not is_in_force
-        return server.version in self._withheld.get(server.serves, ())
+        return self.versions.is_withheld(server)
 
     def select(self, wish: SendWish, servers: list[BackendServer]) -> list[BackendServer]:
         """Return those of a service's servers that a request may go to."""
@@ -189,13 +182,12 @@
             return servers
         progress = self._progress.get(wish.service)
         if progress is None:
-            return self._select_known(wish.service, servers)
-        withheld = self._withheld[wish.service]
+            return self.versions.select(wish.service, servers)
         target, others = [], []
         for server in servers:
             if server.version == progress.order.target:
                 target.append(server)
-            elif server.version not in withheld:
+            elif not self.versions.is_withheld(server):
                 others.append(server)
         self._note_seen(progress, target, others)
         return self._select_by_order(progress, wish, target, others)
@@ -261,32 +253,6 @@
         count = max(1, round(len(target) * CANARY_SHARE))
         return [by_name[name] for name in ranked[:count]]
 
-    def _select_known(self, service: str, servers: list[BackendServer]) -> list[BackendServer]:
-        """Return the servers of versions that are in force as far as is known."""
-        versions = {server.version for server in servers}
-        known = self._known_versions.setdefault(service, versions)
-        withheld = self._withheld.get(service, ())
-        if versions <= known and not withheld:
-            return servers
-        for version in versions - known - set(withheld):
-            self._look_up(service, version)
-        in_force = [one for one in servers if one.version in known and one.version not in withheld]
-        return in_force or [one for one in servers if one.version not in withheld]
-
-    def _look_up(self, service: str, version: str) -> None:
-        """Take a version as in force once the orders were listed since it was first seen."""
-        now_ms = self._clock.now_ms()
-        since_ms = self._unknown_since_ms.get((service, version))
-        if since_ms is None:
-            self._unknown_since_ms[service, version] = now_ms
-            log_event(Event.ROLLOUT_VERSION_UNKNOWN, service=service, version=version)
-        elif self._listed_ms > since_ms:
-            self._known_versions[service].add(version)
-            return
-        if now_ms - self._refreshed_ms >= REFRESH_MS:
-            self._refreshed_ms = now_ms
-            self.request_refresh()
-
     def begin_send(
         self, route: str, server: BackendServer, expected_ms: float
     ) -> RolloutSend | None:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -44,7 +44,7 @@
         self.rollouts = Rollouts(
             decode_rollout, BOUND, lambda: gateways, self.clock, random.Random(seed)
         )
-        self.rollouts.request_refresh = self.refresh
+        self.rollouts.versions.request_refresh = self.refresh
         self.rollouts.replace_all(ObjectPage((), 1))
 
     def refresh(self):
