Watch the orders of roll-outs by a zone's watchers from the start, for less than the store keeps changes

All 83 gateways watched by themselves, since at a start nobody knows who watches, and after 25 s each watch ended with the loss of its history, as no order changed and the store keeps changes for 20 s: another list each.

--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -27,6 +27,12 @@
 """A leaving server must get nothing new two seconds after it said so; this leaves most of it. Changes
 gather for as long while the registry fills after a start."""
 
+ORDERS_PATIENCE_MS = 2_000.0
+"""How long a gateway that has listed the orders of roll-outs waits for its zone's watchers: the servers
+that an order brings take longer to boot."""
+ORDERS_WAIT_MS = 15_000
+"""How long a watch of the orders waits, which are rare; platforms keep changes for some 20 s."""
+
 
 class FollowedObjects:
     """The followers of a gateway, and what they have learned.
@@ -67,7 +73,7 @@
         self.servers = self._follow(adapter.server_kind, registry, self._get_settle_ms)
         self.followers = [self.configuration, self.servers]
         if rollouts is not None:
-            orders = self._follow(adapter.rollout_kind, rollouts)
+            orders = self._follow_orders(adapter.rollout_kind, rollouts)
             rollouts.versions.request_refresh = orders.renew_watch
             self.followers.append(orders)
         self.guard = WatchGuard(
@@ -90,6 +96,13 @@
         self._watches[kind] = watch
         return ObjectFollower(watch, kind, consumer, self._clock, get_settle_ms)
 
+    def _follow_orders(self, kind: str, rollouts: Rollouts) -> ObjectFollower:
+        watch = RelayedWatch(
+            self._store, self._fleet, self._relay_page, self._clock, ORDERS_PATIENCE_MS
+        )
+        self._watches[kind] = watch
+        return ObjectFollower(watch, kind, rollouts, self._clock, wait_ms=ORDERS_WAIT_MS)
+
     @property
     def is_synced(self) -> bool:
         """Whether a configuration, the servers and the orders of roll-outs are known."""
--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -63,6 +63,8 @@
     clock : the time.
     get_settle_ms : returns how long to wait after a change before the next watch, so that changes
         that come together cost one call.
+    wait_ms : how long a watch waits. Where changes are rare it must be less than the time for which the
+        service keeps them, or each watch ends with the loss of its history.
     """
 
     def __init__(
@@ -72,7 +74,9 @@
         consumer: ObjectConsumer,
         clock: Clock,
         get_settle_ms: Callable[[], float] = lambda: 0.0,
+        wait_ms: int = WATCH_WAIT_MS,
     ) -> None:
+        self._wait_ms = wait_ms
         self.recovered_ms = float("-inf")
         self.heard_ms = float("-inf")
         self.first_synced_ms: float | None = None
@@ -136,7 +140,7 @@
         self.watch_sent_ms = self._clock.now_ms()
         self._task = gevent.getcurrent()
         try:
-            page = self._store.watch(self.kind, self._since, WATCH_WAIT_MS)
+            page = self._store.watch(self.kind, self._since, self._wait_ms)
         finally:
             self.watch_sent_ms = self._task = None
         self._note_heard()
--- a/hemlockswitch/process/gateway/relayed_watch.py
+++ b/hemlockswitch/process/gateway/relayed_watch.py
@@ -54,6 +54,8 @@
     directory : who watches in this zone.
     send_page : sends a page to the gateways of the zone that do not watch.
     clock : the time.
+    patience_ms : how long after a list to wait for the word of a watcher before this gateway watches
+        itself. After a start of all nobody knows yet who watches, and each would.
     """
 
     def __init__(
@@ -62,7 +64,10 @@
         directory: WatcherDirectory,
         send_page: Callable[[WatchedPage], None],
         clock: Clock,
+        patience_ms: float = 0.0,
     ) -> None:
+        self._patience_ms = patience_ms
+        self._patient_until_ms = float("-inf")
         self._store = store
         self._directory = directory
         self._send_page = send_page
@@ -78,6 +83,7 @@
         After the service has lost its history a watcher lists, and the others need not.
         """
         page = replace(self._store.list(kind, prefix), is_whole=True)
+        self._patient_until_ms = self._clock.now_ms() + self._patience_ms
         self._share(kind, 0, page)
         return page
 
@@ -115,6 +121,8 @@
 
     def _wait_for_page(self, kind: str, since: int) -> WatchedPage | None:
         """Return the page that follows version `since`; None if the service is to be asked."""
+        while self._may_wait_for_watchers(kind):
+            self._wait()
         while not self._must_ask and (relayed := self._find_relayed(kind, since)):
             page = self._find_page(since, relayed)
             if page is not None:
@@ -122,6 +130,12 @@
             self._wait()
         return None
 
+    def _may_wait_for_watchers(self, kind: str) -> bool:
+        """Return whether a watcher may still be heard before this gateway watches itself."""
+        if self._must_ask or self._clock.now_ms() >= self._patient_until_ms:
+            return False
+        return not self._directory.find_relayed_version(kind)
+
     def _find_relayed(self, kind: str, since: int) -> int:
         """Return what the watchers in touch have sent; 0 if this gateway is to watch itself."""
         watches = self._directory.is_watcher()
--- a/tests/test_relayed_watch.py
+++ b/tests/test_relayed_watch.py
@@ -11,6 +11,7 @@
 from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.process.gateway.follower import ObjectFollower
 from hemlockswitch.process.gateway.messages import WatchedPage
 from hemlockswitch.process.gateway.relayed_watch import (
     CATCH_UP_WAIT_MS,
@@ -267,3 +268,49 @@
         watcher.callers.stop_accepting()
         watcher._close()
     change_configuration(site, 3)
+
+
+def make_patient(fixture, patience_ms):
+    fixture.watch = RelayedWatch(
+        fixture.store, fixture.directory, fixture.sent.append, SystemClock(), patience_ms
+    )
+    fixture.watch.list(KIND)
+    fixture.sent.clear()
+
+
+def test_after_a_list_a_watcher_is_waited_for(fixture):
+    make_patient(fixture, 2_000)
+    fixture.directory.watches = True  # Nobody was heard yet, so this gateway takes itself for one.
+    gevent.spawn_later(0.05, setattr, fixture.directory, "watches", False)
+    gevent.spawn_later(0.05, setattr, fixture.directory, "relayed", 9)
+    gevent.spawn_later(0.1, fixture.watch.take_page, make_page(9, 10))
+    assert fixture.take(9) == ["from-watcher"]
+    assert fixture.store.asked == []
+
+
+def test_without_a_watcher_the_wait_ends(fixture):
+    make_patient(fixture, 100)
+    assert fixture.take(9) == ["from-store"]
+    assert fixture.store.asked == [(9, WAIT_MS)]
+
+
+def test_a_watch_of_rare_objects_ends_before_the_service_forgets():
+    asked = []
+
+    class QuietStore(Store):
+        def watch(self, kind, since, wait_ms, prefix=""):
+            asked.append(wait_ms)
+            return ObjectPage((), since)
+
+    follower = ObjectFollower(QuietStore(), KIND, Consumer(), SystemClock(), wait_ms=15_000)
+    follower.take_step()
+    follower.take_step()
+    assert asked == [15_000]
+
+
+class Consumer:
+    def replace_all(self, page):
+        pass
+
+    def apply_changes(self, page):
+        pass
