Keep the start-up times of new servers with their order, and say three things once

They were kept by gateway and noted at every request also after an order was closed, for servers of all time; now they go with the order, and a closed one notes nothing. The orders' follower is built as the others are. hemlock-ctl reads and shows an order by one model. Nothing else changes but that a version that is ordered again counts as cold for what its servers state then, and the order of fields in the JSON.

--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -12,7 +12,11 @@
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.configuration import TableHolder
 from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.follower import ObjectConsumer, ObjectFollower
+from hemlockswitch.process.gateway.follower import (
+    WATCH_WAIT_MS,
+    ObjectConsumer,
+    ObjectFollower,
+)
 from hemlockswitch.process.gateway.messages import WatchedPage
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
@@ -73,7 +77,12 @@
         self.servers = self._follow(adapter.server_kind, registry, self._get_settle_ms)
         self.followers = [self.configuration, self.servers]
         if rollouts is not None:
-            orders = self._follow_orders(adapter.rollout_kind, rollouts)
+            orders = self._follow(
+                adapter.rollout_kind,
+                rollouts,
+                patience_ms=ORDERS_PATIENCE_MS,
+                wait_ms=ORDERS_WAIT_MS,
+            )
             rollouts.versions.request_refresh = orders.renew_watch
             self.followers.append(orders)
         self.guard = WatchGuard(
@@ -91,17 +100,13 @@
         kind: str,
         consumer: ObjectConsumer,
         get_settle_ms: Callable[[], float] = lambda: 0.0,
+        patience_ms: float = 0.0,
+        wait_ms: int = WATCH_WAIT_MS,
     ) -> ObjectFollower:
-        watch = RelayedWatch(self._store, self._fleet, self._relay_page, self._clock)
+        """Return a follower over a relayed watch; see there for the times."""
+        watch = RelayedWatch(self._store, self._fleet, self._relay_page, self._clock, patience_ms)
         self._watches[kind] = watch
-        return ObjectFollower(watch, kind, consumer, self._clock, get_settle_ms)
-
-    def _follow_orders(self, kind: str, rollouts: Rollouts) -> ObjectFollower:
-        watch = RelayedWatch(
-            self._store, self._fleet, self._relay_page, self._clock, ORDERS_PATIENCE_MS
-        )
-        self._watches[kind] = watch
-        return ObjectFollower(watch, kind, rollouts, self._clock, wait_ms=ORDERS_WAIT_MS)
+        return ObjectFollower(watch, kind, consumer, self._clock, get_settle_ms, wait_ms)
 
     @property
     def is_synced(self) -> bool:
--- a/hemlockswitch/process/gateway/rollout_progress.py
+++ b/hemlockswitch/process/gateway/rollout_progress.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +15,7 @@
 from hemlockswitch.process.gateway.messages import RolloutFields
 from hemlockswitch.request.rollout_credit import ExposureBound, ExposureCredit
 from hemlockswitch.request.rollout_verdict import RouteTallies, Tally, Verdict, judge
+from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.rollout import RolloutOrder
 
 CLOSE_MARGIN_MS = 1_500.0
@@ -116,6 +117,7 @@
         self._paid_ms = float("-inf")
         self._durations_ms: dict[str, float] = {}
         self._broke_ms: dict[str, float] = {}
+        self._warm_at_ms: dict[str, float] = {}
 
     @property
     def is_open(self) -> bool:
@@ -128,6 +130,19 @@
         is_new = self.order.state is None
         return is_new and self.has_seen_target and not self.has_seen_others
 
+    def note_seen(
+        self, target: Sequence[BackendServer], others: Sequence[BackendServer], now_ms: float
+    ) -> None:
+        """Note which servers of the service there are, and until when the new ones are cold."""
+        self.has_seen_target = self.has_seen_target or bool(target)
+        self.has_seen_others = self.has_seen_others or bool(others)
+        for server in target:
+            self._warm_at_ms.setdefault(server.incarnation, now_ms + server.cold_left_ms)
+
+    def is_cold(self, server: BackendServer, now_ms: float) -> bool:
+        """Return whether a new server is slow for having just started."""
+        return self._warm_at_ms.get(server.incarnation, 0.0) > now_ms
+
     def get_age_ms(self, now_ms: float) -> float:
         """Return how long ago the order was given, as far as is known."""
         return now_ms - self.began_ms
--- a/hemlockswitch/process/gateway/rollouts.py
+++ b/hemlockswitch/process/gateway/rollouts.py
@@ -90,7 +90,6 @@
         self._chance = chance or random.Random()
         self._progress: dict[str, RolloutProgress] = {}
         self._sends: list[RolloutSend] = []
-        self._warm_at_ms: dict[str, float] = {}
 
     def replace_all(self, page: ObjectPage) -> None:
         """Take the whole list of orders."""
@@ -189,21 +188,8 @@
                 target.append(server)
             elif not self.versions.is_withheld(server):
                 others.append(server)
-        self._note_seen(progress, target, others)
         return self._select_by_order(progress, wish, target, others)
 
-    def _note_seen(
-        self,
-        progress: RolloutProgress,
-        target: Sequence[BackendServer],
-        others: Sequence[BackendServer],
-    ) -> None:
-        progress.has_seen_target = progress.has_seen_target or bool(target)
-        progress.has_seen_others = progress.has_seen_others or bool(others)
-        now_ms = self._clock.now_ms()
-        for server in target:
-            self._warm_at_ms.setdefault(server.incarnation, now_ms + server.cold_left_ms)
-
     def _select_by_order(
         self,
         progress: RolloutProgress,
@@ -213,6 +199,7 @@
     ) -> list[BackendServer]:
         if progress.order.state is RolloutState.COMPLETED:
             return target or others
+        progress.note_seen(target, others, self._clock.now_ms())
         if progress.is_in_force:
             return target
         if not progress.is_open or not target:
@@ -245,7 +232,7 @@
     ) -> list[BackendServer]:
         """Return the servers among which a trial goes: few, or all so that their caches fill."""
         now_ms = self._clock.now_ms()
-        warm = [one for one in target if self._warm_at_ms[one.incarnation] <= now_ms] or target
+        warm = [one for one in target if not progress.is_cold(one, now_ms)] or target
         if not wish.draws_canary:
             return warm
         by_name = {one.incarnation: one for one in warm}
@@ -263,8 +250,8 @@
         is_target = server.version == progress.order.target
         progress.count_send(route)
         now_ms = self._clock.now_ms()
-        is_cold = is_target and self._warm_at_ms.get(server.incarnation, 0.0) > now_ms
-        limits = SendLimits.from_expected(expected_ms, progress.get_duration_ms(route), is_cold)
+        usual_ms = progress.get_duration_ms(route)
+        limits = SendLimits.from_expected(expected_ms, usual_ms, progress.is_cold(server, now_ms))
         send = RolloutSend(progress, route, is_target, server.incarnation, limits, self._clock)
         self._sends.append(send)
         return send
--- a/hemlockswitch/programs/ctl_rollouts.py
+++ b/hemlockswitch/programs/ctl_rollouts.py
@@ -2,7 +2,6 @@
 
 import json
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass
 
 from pydantic import BaseModel, ConfigDict
 
@@ -24,6 +23,16 @@
 
 
 class _RolloutBody(BaseModel):
+    """An order on a gateway's status page.
+
+    Parameters
+    ==========
+
+    sent, bound : requests that this gateway has sent to the new version, and may have sent by now.
+    verdict : what the answers over all gateways say.
+    routes : by route, answers, failures and slow answers of the new version, and of the others.
+    """
+
     model_config = ConfigDict(extra="ignore", frozen=True)
 
     service: str
@@ -47,8 +56,7 @@
     rollouts: list[_RolloutBody] = []
 
 
-@dataclass(frozen=True)
-class RolloutView:
+class RolloutView(_RolloutBody):
     """How one gateway sees an order.
 
     Parameters
@@ -56,24 +64,10 @@
 
     gateway : its name.
     holds_duties : whether it decides on the order.
-    sent, bound : requests that this gateway has sent to the new version, and may have sent by now.
-    verdict : what the answers over all gateways say.
-    routes : by route, answers, failures and slow answers of the new version, and of the others.
     """
 
     gateway: str
     holds_duties: bool
-    service: str
-    target: str
-    state: str
-    age_ms: float
-    time_limit_ms: float
-    sent: int
-    bound: float
-    stopped_for: str
-    moves: bool
-    verdict: str
-    routes: dict[str, dict[str, tuple[int, int, int]]]
 
 
 class RolloutsCommand(StatusPagesCommand):
@@ -94,7 +88,9 @@
         views = [view for answer in answers if isinstance(answer, list) for view in answer]
         errors = [answer for answer in answers if isinstance(answer, str)]
         if self.option("json"):
-            self.line(json.dumps({"rollouts": [asdict(view) for view in views], "errors": errors}))
+            self.line(
+                json.dumps({"rollouts": [view.model_dump() for view in views], "errors": errors})
+            )
         else:
             for line in [*format_views(views), *errors]:
                 self.line(line)
@@ -111,8 +107,7 @@
         RolloutView(
             gateway=body.name,
             holds_duties=body.leads,
-            routes={route: one.model_dump() for route, one in order.routes.items()},
-            **order.model_dump(exclude={"routes"}),
+            **order.model_dump(),
         )
         for order in body.rollouts
     ]
@@ -136,8 +131,9 @@
     Examples
     ========
 
-    >>> view = RolloutView("front-1", True, "llm", "v2", "running", 4_000.0, 12_000.0, 7, 11.5, "",
-    ...     False, "undecided", {})
+    >>> view = RolloutView(gateway="front-1", holds_duties=True, service="llm", target="v2",
+    ...     state="running", age_ms=4_000.0, time_limit_ms=12_000.0, sent=7, bound=11.5,
+    ...     stopped_for="", moves=False, verdict="undecided", routes={})
     >>> format_view(view)
     'llm to v2 at front-1 (holds the duties): running for 4.0 of 12.0 s, sent 7 of 11.5, undecided'
     """
@@ -152,17 +148,17 @@
     )
 
 
-def format_route(route: str, tallies: dict[str, tuple[int, int, int]]) -> str:
+def format_route(route: str, answers: _RouteBody) -> str:
     """Return one line on the answers of a route.
 
     Examples
     ========
 
-    >>> format_route("draft", {"target": (20, 3, 1), "others": (200, 2, 9)})
+    >>> format_route("draft", _RouteBody(target=(20, 3, 1), others=(200, 2, 9)))
     'draft: new version 20 answers, 3 failed, 1 slow; others 200 answers, 2 failed, 9 slow'
     """
     new, others = (
-        f"{answers} answers, {failed} failed, {slow} slow"
-        for answers, failed, slow in (tallies["target"], tallies["others"])
+        f"{count} answers, {failed} failed, {slow} slow"
+        for count, failed, slow in (answers.target, answers.others)
     )
     return f"{route}: new version {new}; others {others}"
