--- a/hemlockswitch/process/gateway/rollout_progress.py
+++ b/hemlockswitch/process/gateway/rollout_progress.py
@@ -41,6 +41,8 @@
 TRIAL_GAP_MS = 25.0
 """Least time between two trials of a gateway."""
 NO_MOVE = -1.0
+NO_ANSWERS = [0] * 6
+"""What a gateway tells of a route on which it has no answers; see `_write_tallies`."""
 MOST_LIMIT_MS = 86_400_000.0
 
 
@@ -112,7 +114,7 @@
         sharing = daemons if order.state is None else None
         self._credit = ExposureCredit(bound, sharing, chance)
         self._own: dict[str, RouteTallies] = {}
-        self._told: dict[str, dict[str, RouteTallies]] = {}
+        self._told: dict[str, dict[str, list[int]]] = {}
         self._sums: dict[str, RouteTallies] = {}
         self._paid_ms = float("-inf")
         self._durations_ms: dict[str, float] = {}
@@ -270,12 +272,13 @@
         self.note_age(age_ms, now_ms)
         told = self._told.setdefault(process, {})
         for route, numbers in routes.items():
-            new, known = _read_tallies(numbers), told.get(route, RouteTallies())
-            if sum(numbers) < sum(_write_tallies(known)):
-                continue  # An older message.
-            told[route] = new
-            self._sums[route] = self._sums.get(route, RouteTallies()) + (new - known)
-            if new.target.bad > known.target.bad:
+            known = told.get(route, NO_ANSWERS)
+            if sum(numbers) <= sum(known):
+                continue  # An older message, or nothing new.
+            told[route] = numbers
+            change = _read_tallies([new - old for new, old in zip(numbers, known, strict=True)])
+            self._sums[route] = self._sums.get(route, RouteTallies()) + change
+            if change.target.bad > 0:
                 self._check_answers()
         if is_stopped and self.is_open:
             self.stop("told by another gateway")
--- a/tests/rollout_replay.py
+++ b/tests/rollout_replay.py
@@ -399,8 +399,9 @@
         """Play until a while after the time limit; return what it showed."""
         if self.faults:
             self.plan_faults()
-        for one in self.gateways:
-            self.at(BOOT_MS + self.rng.uniform(0, 600), lambda one=one: self.list_new(one))
+        for number in range(len(self.gateways)):
+            delay_ms = BOOT_MS + self.rng.uniform(0, 600)
+            self.at(delay_ms, lambda number=number: self.list_new(self.gateways[number]))
         step = 0
         while self.clock.now_ms() < self.limit_ms + AFTER_MS:
             while self.events and self.events[0][0] <= self.clock.now_ms():
