Keep with the order that its version was found good

All gateways were restarted during the move of a roll-out: no process knew the answers any more, so a version that had been found good was rolled back as not judged in time. The verdict needs tens of answers, which a tenth of the traffic does not give again in the seconds that are left.

The holder writes the finding into the object that says when the order was taken up, one write for an order, once the move begins. A later holder goes on with the move unless the answers since then speak against the version. Ruled out: to keep the counts; the sums would count twice with a holder whose gateways still know theirs, and 1,700 processes' counts are no small object.

--- a/hemlockswitch/process/gateway/rollout_duty.py
+++ b/hemlockswitch/process/gateway/rollout_duty.py
@@ -17,11 +17,16 @@
 from hemlockswitch.version.rollout import RolloutOrder, RolloutState
 
 BEGIN_KIND = "rollout-begins"
-"""When each order was taken up: kept, since no gateway may outlast the order."""
+"""When each order was taken up, and whether its version was found good: kept, since no gateway may
+outlast the order."""
 DRAIN_GRACE_MS = 500.0
 """How long to wait for what still runs on the old version once the move should be over."""
 
 
+Identity = tuple[str, str, int]
+"""What tells an order from every other one; see `RolloutOrder.identity`."""
+
+
 class StatusStore(ConditionalStore, Protocol):
     """An object service in which the state of an order can be written."""
 
@@ -71,11 +76,13 @@
         self._count_running = count_running
         self._true_time = true_time
         self._clock = clock
-        self._begun: set[tuple[str, str, int]] = set()
+        self._begun: set[Identity] = set()
+        self._found_good: set[Identity] = set()
 
     def take_over(self) -> None:
         """Begin as a new holder: what an earlier one has kept is still to be read."""
         self._begun.clear()
+        self._found_good.clear()
 
     def take_turn(self, get_fencing: Callable[[], int]) -> None:
         """Do what is due for each order.
@@ -92,6 +99,8 @@
             state = self._decide(progress)
             if state is not None and state is not progress.order.state:
                 self._write(progress, state, get_fencing)
+            elif progress.close_ms is not None and progress.is_open:
+                self._keep_good(progress)
 
     def _keep_begin(self, progress: RolloutProgress) -> None:
         """Write when the order was taken up, or learn when an earlier holder did so."""
@@ -109,12 +118,27 @@
         elif _is_of_order(found.value, order):
             progress.note_age(self._true_time.now_ms() - found.value["began_unix_ms"], now_ms)
             self._begun.add(order.identity)
+            if found.value.get("found_good") is True:
+                self._found_good.add(order.identity)
             return
         else:
             outcome = self._store.update(BEGIN_KIND, order.service, value, found.version)
         if isinstance(outcome, Written):
             self._begun.add(order.identity)
 
+    def _keep_good(self, progress: RolloutProgress) -> None:
+        """Write that the version was found good: the answers that say so end with the processes."""
+        order = progress.order
+        if order.identity in self._found_good:
+            return
+        found = self._store.read(BEGIN_KIND, order.service)
+        if found is None or not _is_of_order(found.value, order):
+            return
+        value = {**found.value, "found_good": True}
+        outcome = self._store.update(BEGIN_KIND, order.service, value, found.version)
+        if isinstance(outcome, Written):
+            self._found_good.add(order.identity)
+
     def _decide(self, progress: RolloutProgress) -> RolloutState | None:
         """Return the state that an order should have now; None if nothing is to be written."""
         now_ms = self._clock.now_ms()
@@ -134,7 +158,7 @@
         """Begin the move once the new version is good; end the order when it is too late for that."""
         planned_ms = progress.began_ms + progress.times.close_ms
         close_ms = max(planned_ms, now_ms + LEAST_MOVE_MS)
-        if progress.judge() is Verdict.GOOD:
+        if self._is_good(progress):
             # Also late: the answers have decided, only the duties were not held in time.
             progress.begin_move(close_ms)
             return None
@@ -144,6 +168,12 @@
         progress.stop("not judged in time" if has_come else "no server of it came")
         return RolloutState.ROLLED_BACK
 
+    def _is_good(self, progress: RolloutProgress) -> bool:
+        """Return whether the version was found good, now or by an earlier holder."""
+        verdict = progress.judge()
+        was_good = progress.order.identity in self._found_good
+        return verdict is Verdict.GOOD or (was_good and verdict is not Verdict.BAD)
+
     def _is_moved(self, progress: RolloutProgress, now_ms: float) -> bool:
         """Return whether the old servers may stop: nothing runs there, or there is no more time."""
         assert progress.close_ms is not None
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -127,6 +127,49 @@
     assert holder.store.states == ["running", "completed"]
 
 
+def test_a_version_that_was_found_good_is_moved_to_after_a_restart_of_all():
+    """All gateways were restarted during the move: nobody knew the answers any more.
+
+    The order was rolled back as not judged in time, though its version had been found good.
+    """
+    store, clock = RolloutStore(), ManualClock()
+    first = Holder(store, clock)
+    first.turn()
+    first.count(60)
+    first.play(9_000)
+    assert first.progress.close_ms is not None
+    store.watchers.clear()
+    second = Holder(store, clock)
+    second.play(LIMIT_MS)
+    assert store.states == ["running", "completed"]
+    assert clock.now_ms() <= LIMIT_MS
+
+
+def test_a_version_that_was_found_good_is_not_moved_to_once_its_answers_are_worse():
+    store, clock = RolloutStore(), ManualClock()
+    first = Holder(store, clock)
+    first.turn()
+    first.count(60)
+    first.play(9_000)
+    store.watchers.clear()
+    second = Holder(store, clock)
+    second.count(12, failures=8)
+    second.play(LIMIT_MS)
+    assert store.states == ["running", "rolled_back"]
+
+
+def test_what_another_order_was_found_does_not_count():
+    store, clock = RolloutStore(), ManualClock()
+    store.create(
+        BEGIN_KIND,
+        "llm",
+        {"target": "v2", "created": 1, "began_unix_ms": 1e12, "found_good": True},
+    )
+    holder = Holder(store, clock)
+    holder.play(LIMIT_MS + 2_000)
+    assert store.states == ["running", "rolled_back"]
+
+
 def test_it_waits_a_moment_for_what_runs_on_the_old_servers(holder):
     holder.turn()
     holder.count(60)
