Let a late move of a roll-out wait for old answers only while the time limit allows

A holder that took over 0.9 s before the time limit moved at once, but then waited 500 ms for what ran on the old servers, and wrote the end 0.1 to 0.3 s late. It waits until 500 ms before the limit at most.

--- a/hemlockswitch/process/gateway/rollout_duty.py
+++ b/hemlockswitch/process/gateway/rollout_duty.py
@@ -21,6 +21,8 @@
 outlast the order."""
 DRAIN_GRACE_MS = 500.0
 """How long to wait for what still runs on the old version once the move should be over."""
+WRITE_MS = 500.0
+"""Before the time limit: the time for a turn of the duties and a write of the object service."""
 
 
 Identity = tuple[str, str, int]
@@ -179,8 +181,10 @@
         assert progress.close_ms is not None
         if now_ms < progress.close_ms:
             return False
+        limit_ms = progress.began_ms + progress.times.limit_ms
+        patient_until_ms = min(progress.close_ms + DRAIN_GRACE_MS, limit_ms - WRITE_MS)
         old = [one.incarnation for one in self._list_old(progress.order)]
-        return now_ms >= progress.close_ms + DRAIN_GRACE_MS or self._count_running(old) == 0
+        return now_ms >= patient_until_ms or self._count_running(old) == 0
 
     @staticmethod
     def _is_target(server: BackendServer, order: RolloutOrder) -> bool:
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -127,6 +127,17 @@
     assert holder.store.states == ["running", "completed"]
 
 
+def test_a_late_move_does_not_wait_beyond_the_time_limit():
+    """A new holder found the version good 0.9 s before the time limit, and waited for old answers."""
+    holder = Holder(RolloutStore(), ManualClock())
+    holder.turn()
+    holder.count(60)
+    holder.running = 3
+    holder.clock.advance(11_100)
+    holder.play(LIMIT_MS)
+    assert holder.store.states == ["running", "completed"]
+
+
 def test_a_version_that_was_found_good_is_moved_to_after_a_restart_of_all():
     """All gateways were restarted during the move: nobody knew the answers any more.
 
