Ask a server that accepted a connection while it was ending once more

Cause: a server whose connection is cut is asked for another one at once. The kernel closes the sockets of a process one by one, so on a busy machine the listener still accepts: with seven busy processes 8 of 25 ends of the stand-in accepted, and cut that connection 0.4 to 4.3 ms later; alone 0 of 15. Such an end counted as a reset link. The gateway asks by the same rule.

Ruled out: that the restarted daemons lost what they knew (they loaded three ends and a trial), limits that were not granted (they were, 0.3 s after the start), and a death of the services with the test (they ended at the sends).

--- a/hemlockswitch/process/entry.py
+++ b/hemlockswitch/process/entry.py
@@ -46,7 +46,7 @@
 from hemlockswitch.version.settings import EntrySettings
 
 CLAIM_FLUSH_MS = 3_000.0
-ENDED_CONNECT_MS = 100.0
+ENDED_CONNECT_MS = 50.0
 """How long a server that cut a connection is asked for another one; a refusal takes a crossing, and the
 request waits for it."""
 
@@ -136,6 +136,7 @@
             ServerEnds(
                 lambda server: not self.directory.is_leaving(server.name),
                 lambda server: refuses_connection(server.address, ENDED_CONNECT_MS),
+                self.clock,
             ),
             HeldRequests(process, self.quarantine, self.facts.platform, self.clock),
             news,
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -200,7 +200,7 @@
         self.suspects = SuspectExchange(self.network, self.fleet, quarantine, clock)
         self.guard = Guard(
             quarantine,
-            ServerEnds(self.registry.is_live, self.prober.refuses),
+            ServerEnds(self.registry.is_live, self.prober.refuses, clock),
             HeldRequests(self._process, quarantine, self._adapter.store, clock),
             self.suspects,
             lambda: self.duties is not None and self.duties.leads,
