Explore the protocol of roll-outs at three gateways in any order of events

Hypothesis drives the real parts (orders, counts, messages, duty, conditional writes): restarts, stale reads, messages late, twice or never, duties that change hands, outages and lost answers, answers that turn bad at any time. Held in every state: the exposure, nothing sent by a process that knows of fifty bad answers or has stopped, one final state, none after it, none forgotten.

--- /dev/null
+++ b/tests/test_rollout_protocol.py
@@ -0,0 +1,252 @@
+"""The protocol of roll-outs at three gateways, in any order of events: no play passes a bound.
+
+The pattern: gateways restart and read old states of the order, messages come late, twice or never, the
+duties change hands while the store is away and its answers are lost, and the version may be bad at any
+time. Broken variants of the protocol show that the model finds what it is for.
+"""
+
+import random
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from hemlockswitch.connection.stored_objects import ObjectPage
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, PlatformError
+from hemlockswitch.core.logs import _write_by_structlog, set_log_writer
+from hemlockswitch.platform.rollouts import ROLLOUT_KIND, decode_rollout, encode_rollout_status
+from hemlockswitch.process.gateway.rollout_duty import RolloutDuty
+from hemlockswitch.process.gateway.rollouts import Rollouts, SendWish
+from hemlockswitch.process.gateway.true_time import TrueTime
+from hemlockswitch.process.lease import LeaseError
+from hemlockswitch.request.rollout_credit import ExposureBound, ExposureCredit
+from hemlockswitch.version.backend import BackendServer
+from tests.test_rollout_duty import RolloutStore
+
+BOUND = ExposureBound(0.1, 50)
+GATEWAYS = 3
+MOST_RESTARTS = 6
+MOST_KNOWN_BAD = 50
+GAP_MS = 30.0
+TURN_MS = 250.0
+FINAL = ("completed", "rolled_back")
+SERVERS = [
+    BackendServer(f"{version}-{number}", "z1", f"127.0.0.1:{number}", "llm", version=version)
+    for version in ("v1", "v2")
+    for number in range(2)
+]
+NUMBERS = st.integers(0, GATEWAYS - 1)
+SETTINGS = settings(
+    max_examples=120,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=[Phase.generate],
+)
+
+
+@pytest.fixture(autouse=True)
+def _no_lines():
+    set_log_writer(lambda event, level, fields: None)
+    yield
+    set_log_writer(_write_by_structlog)
+
+
+@dataclass
+class Process:
+    """One start of a gateway."""
+
+    name: str
+    rollouts: Rollouts
+    duty: RolloutDuty
+
+    @property
+    def progress(self):
+        """The order as this process knows it; None before it has read it."""
+        return self.rollouts._progress.get("llm")
+
+
+class MovingService(RuleBasedStateMachine):
+    """An order, three gateways, and everything that may happen to them."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.store = RolloutStore()
+        self.read_states = [self.store.order]
+        self.messages = []
+        self.starts = 0
+        self.asked = self.sent = 0
+        self.has_completed = False
+        self.holder = 0
+        self.processes = [self.start() for _ in range(GATEWAYS)]
+        for number in range(GATEWAYS):
+            self.read_order(number, age=0)
+
+    def start(self):
+        self.starts += 1
+        rollouts = Rollouts(
+            decode_rollout, BOUND, lambda: GATEWAYS, self.clock, random.Random(self.starts)
+        )
+        rollouts.replace_all(ObjectPage((), 1))
+        duty = RolloutDuty(
+            rollouts,
+            self.store,
+            ROLLOUT_KIND,
+            encode_rollout_status,
+            lambda: SERVERS,
+            lambda names: 0,
+            TrueTime(self.clock.now_ms, lambda: self.clock.now_ms() + 1e12),
+            self.clock,
+        )
+        return Process(f"process-{self.starts}", rollouts, duty)
+
+    @rule(number=NUMBERS, age=st.integers(0, 3))
+    def read_order(self, number, age):
+        """Read the order as it is, or as it was a few states ago."""
+        order = self.read_states[max(0, len(self.read_states) - 1 - age)]
+        process = self.processes[number]
+        was_final = process.progress is not None and process.progress.order.is_final
+        process.rollouts.apply_changes(ObjectPage((order,), order.version))
+        assert process.progress.order.is_final or not was_final, "back from a final state"
+
+    @rule(number=NUMBERS, count=st.integers(1, 80), bad_in_ten=st.sampled_from([0, 0, 2, 5, 10]))
+    def ask(self, number, count, bad_in_ten):
+        """Callers ask for some answers, one after the other."""
+        process = self.processes[number]
+        for turn in range(count):
+            self.clock.advance(GAP_MS)
+            self.asked += 1
+            route = ("draft", "reply")[turn % 2]
+            wish = SendWish("llm", route, is_first=True, draws_canary=bool(turn % 3))
+            selected = process.rollouts.select(wish, SERVERS)
+            if selected:
+                self.send(process, route, selected[0], fails=turn % 10 < bad_in_ten)
+
+    def send(self, process, route, server, *, fails):
+        is_new = server.version == "v2"
+        if is_new:
+            self.sent += not self.has_completed
+            self.check_may_send(process.progress)
+        send = process.rollouts.begin_send(route, server, 250.0)
+        if send is not None:
+            is_bad = is_new and fails
+            send.note_answer(succeeds=not is_bad)
+            send.end(is_bad)
+
+    def check_may_send(self, progress):
+        assert progress is not None, "a version that nobody ordered"
+        assert not progress.stopped_for, "a version that was stopped here"
+        assert progress.order.state != "rolled_back", "a version that was rolled back"
+        bad = sum(one.target.bad for one in progress.get_sums().values())
+        assert progress.order.is_final or bad < MOST_KNOWN_BAD, "a version known to be bad"
+
+    @rule(number=NUMBERS)
+    def tell(self, number):
+        process = self.processes[number]
+        told = process.rollouts.write_all(leads=number == self.holder)
+        self.messages.append((process.name, told))
+
+    @precondition(lambda self: self.messages)
+    @rule(number=NUMBERS, which=st.integers(0, 40))
+    def bring(self, number, which):
+        """Bring any message, also again; those that are never brought are lost."""
+        name, told = self.messages[-1 - which % len(self.messages)]
+        if name != self.processes[number].name:
+            self.processes[number].rollouts.take_told(name, told)
+
+    @rule(turns=st.sampled_from([1, 4, 16]))
+    def wait(self, turns):
+        """Let the holder take some turns."""
+        for _ in range(turns):
+            self.clock.advance(TURN_MS)
+            for process in self.processes:
+                process.rollouts.look()
+            self.take_turn(self.holder)
+
+    @rule(number=NUMBERS)
+    def take_turn(self, number):
+        """The holder does its duties; one that lost them meanwhile is refused its number."""
+
+        def get_fencing():
+            if number != self.holder:
+                raise LeaseError(ErrorKind.STALE_FENCING, "lapsed")
+            return 7
+
+        before = self.store.order
+        try:
+            self.processes[number].duty.take_turn(get_fencing)
+        except (LeaseError, PlatformError):
+            pass
+        if self.store.order is not before:
+            self.read_states.append(self.store.order)
+            self.has_completed = "completed" in self.store.states
+
+    @rule(number=NUMBERS)
+    def take_over(self, number):
+        self.holder = number
+        self.processes[number].duty.take_over()
+
+    @precondition(lambda self: self.starts < GATEWAYS + MOST_RESTARTS)
+    @rule(number=NUMBERS, age=st.integers(0, 1))
+    def restart(self, number, age):
+        self.processes[number] = self.start()
+        self.read_order(number, age)
+
+    @rule(is_away=st.booleans(), loses=st.integers(0, 2))
+    def disturb(self, is_away, loses):
+        self.store.is_away = is_away
+        self.store.loses = loses
+
+    @invariant()
+    def keeps_to_the_bound(self):
+        assert self.sent <= BOUND.share * self.asked + BOUND.slack, "exposure"
+
+    @invariant()
+    def ends_once(self):
+        ended = [state for state in self.store.states if state in FINAL]
+        assert self.store.states[-1:] == ended or not ended, "a state after the final one"
+
+
+class TestMovingService(MovingService.TestCase):
+    settings = SETTINGS
+
+
+def test_the_model_finds_gateways_that_do_not_keep_to_their_share(monkeypatch):
+    monkeypatch.setattr(ExposureCredit, "may_try", lambda self, route: True)
+    check_that_it_fails("exposure")
+
+
+def test_the_model_finds_a_gateway_that_goes_back_from_a_final_state(monkeypatch):
+    def take_state(self, progress, order):
+        progress.order = order
+
+    monkeypatch.setattr(Rollouts, "_take_state", take_state)
+    check_that_it_fails("back from a final state")
+
+
+def test_the_model_finds_a_holder_that_writes_whatever_the_version(monkeypatch):
+    write = RolloutStore.update_status
+    monkeypatch.setattr(
+        RolloutStore,
+        "update_status",
+        lambda self, kind, name, status, version: write(
+            self, kind, name, status, self.order.version
+        ),
+    )
+    check_that_it_fails("a state after the final one")
+
+
+def check_that_it_fails(message):
+    with pytest.raises(AssertionError, match=message):
+        run_state_machine_as_test(MovingService, settings=SETTINGS)
