--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -20,12 +20,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.gateway.messages import GatewayReport
-from hemlockswitch.process.gateway.neighbours import (
-    Neighbours,
-    Peer,
-    draw_relays,
-    rank_gateway,
-)
+from hemlockswitch.process.gateway.neighbours import Neighbours, Peer, draw_relays
 from hemlockswitch.process.gateway.registrations import GATEWAY_KIND, Registration
 from hemlockswitch.process.gateway.report_period import ReportPeriod, UsagePeriod
 from hemlockswitch.process.gateway.watch_guard import StoreView
@@ -40,9 +35,6 @@
 """A gateway that the holder of the duties has not heard for this long is taken as gone for good: its
 part of the limits goes to the others. In a longer partition a gateway that
 is cut off keeps its part, so that limits may be exceeded by the parts of those that are cut off."""
-WATCHERS_PER_ZONE = 2
-"""Gateways of each zone that watch the object service for the others. One that is killed or frozen
-leaves another, so that nothing waits for its silence to be noticed."""
 HEARD_MS = 100.0
 """How long a list of the gateways in touch serves: it is asked for at each spending that is told, some
 hundred times in a second, and a gateway falls out of touch after seconds."""
@@ -289,33 +281,6 @@
             for peer in self._peers.values()
         )
 
-    def is_watcher(self) -> bool:
-        """Return whether this gateway is to watch the object service for others of its zone."""
-        return self.name in self._list_watcher_names()
-
-    def find_relayed_version(self, kind: str) -> int:
-        """Return the newest version of a kind that a watcher of this zone in touch has sent."""
-        names = self._list_watcher_names()
-        watchers = (one for one in self._list_zone() if one.name in names)
-        relayed = (one.view.relayed.get(kind, 0) for one in watchers)
-        return max(relayed, default=0)
-
-    def list_relay_addresses(self) -> list[str]:
-        """Return the gateways of this zone that hear of changes from its watchers."""
-        names = self._list_watcher_names()
-        return [peer.address for peer in self._list_zone() if peer.name not in names]
-
-    def _list_zone(self) -> list[Peer]:
-        """Return the other gateways of this zone that were heard a moment ago."""
-        oldest_ms = self._clock.now_ms() - self.get_near_period().covered_ms
-        heard = (peer for peer in self._peers.values() if peer.heard_ms >= oldest_ms)
-        return [peer for peer in heard if peer.zone == self.zone]
-
-    def _list_watcher_names(self) -> list[str]:
-        ranks = [rank_gateway(peer.name, peer.link_mbps) for peer in self._list_zone()]
-        ranks.append(rank_gateway(self.name, self.link_mbps))
-        return [name for _, name in sorted(ranks)[:WATCHERS_PER_ZONE]]
-
     def describe(self) -> dict[str, Any]:
         """Return the state for the status page."""
         now_ms = self._clock.now_ms()
--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -22,6 +22,7 @@
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
 from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.watch_guard import StoreView, WatchGuard
+from hemlockswitch.process.gateway.zone_watchers import ZoneWatchers
 
 SETTLE_MS = 400.0
 """How long changes gather before the next watch: each change wakes the watch of every watcher, and
@@ -68,7 +69,7 @@
         self._tables = tables
         self._registry = registry
         self._network = network
-        self._fleet = fleet
+        self.watchers = ZoneWatchers(fleet, clock)
         self._hash_held = hash_held
         self._watches: dict[str, RelayedWatch] = {}
         self._clock = clock
@@ -104,7 +105,7 @@
         wait_ms: int = WATCH_WAIT_MS,
     ) -> ObjectFollower:
         """Return a follower over a relayed watch; see there for the times."""
-        watch = RelayedWatch(self._store, self._fleet, self._relay_page, self._clock, patience_ms)
+        watch = RelayedWatch(self._store, self.watchers, self._relay_page, self._clock, patience_ms)
         self._watches[kind] = watch
         return ObjectFollower(watch, kind, consumer, self._clock, get_settle_ms, wait_ms)
 
@@ -145,12 +146,12 @@
 
     def _describe_relayed(self) -> dict[str, int]:
         """Return the versions that this gateway's watches have told its zone; none if it is not to."""
-        if not self._fleet.is_watcher():
+        if not self.watchers.is_watcher():
             return {}
         return {one.kind: one.live_version for one in self.followers}
 
     def _relay_page(self, page: WatchedPage) -> None:
-        self._network.send_all(self._fleet.list_relay_addresses(), page)
+        self._network.send_all(self.watchers.list_relay_addresses(), page)
 
     def _take_page(self, _address: str, page: WatchedPage) -> None:
         if page.kind in self._watches:
@@ -160,4 +161,4 @@
         """Return how long changes of the registry may gather."""
         if not self.knows_all_servers():
             return LONGEST_SETTLE_MS
-        return SETTLE_MS if self._fleet.is_watcher() else 0.0
+        return SETTLE_MS if self.watchers.is_watcher() else 0.0
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -10,7 +10,6 @@
 from hemlockswitch.process.gateway.fleet import GONE_MS, Fleet
 from hemlockswitch.process.gateway.messages import GatewayReport
 from hemlockswitch.process.gateway.registrations import GATEWAY_KIND
-from hemlockswitch.process.gateway.report_period import LEAST_COVERED_MS
 from hemlockswitch.process.gateway.watch_guard import StoreView
 
 
@@ -130,25 +129,6 @@
     return GatewayReport(name, 1, 0.0, {}, {}, {}, zone=zone)
 
 
-def hear(fleet, name, zone, relayed_version=0):
-    view = StoreView(relayed={"servers": relayed_version})
-    fleet.note_report(f"10.0.0.1:{name}", make_zoned_report(name, zone), view)
-
-
-@pytest.fixture
-def zoned(clock):
-    return Fleet("g3", lambda: "10.0.0.1:0", clock, "z1")
-
-
-def test_the_first_two_gateways_of_a_zone_watch_for_it(zoned):
-    assert zoned.is_watcher(), "alone"
-    hear(zoned, "g0", "z2")
-    hear(zoned, "g1", "z1")
-    assert zoned.is_watcher()
-    hear(zoned, "g2", "z1")
-    assert not zoned.is_watcher()
-
-
 def test_a_holder_that_died_is_missed_first_by_its_zone(clock):
     """A lease lapses after four seconds; with 195 gateways far ones hear each other as seldom."""
     fleet = Fleet("g3", lambda: "10.0.0.1:0", clock, "z1")
@@ -160,32 +140,10 @@
     assert not fleet.has_other_leader()
 
 
-def test_the_gateways_with_the_fastest_links_work_for_their_zone(clock):
-    """Two VMs of a zone have links of 200 Mbit/s; what is passed on would fill one of 10."""
+def test_the_gateways_with_the_fastest_links_pass_changes_on(clock):
     fleet = Fleet("g3", lambda: "10.0.0.1:0", clock, "z1", link_mbps=10.0)
     for name, link_mbps in (("g1", 10.0), ("g7", 200.0), ("g8", 200.0)):
         report = replace(make_zoned_report(name, "z1"), link_mbps=link_mbps)
-        fleet.note_report(f"10.0.0.1:{name}", report, StoreView(relayed={"servers": ord(name[1])}))
-    assert not fleet.is_watcher()
-    assert fleet.find_relayed_version("servers") == ord("8")
-    assert fleet.list_relay_addresses() == ["10.0.0.1:g1"]
+        fleet.note_report(f"10.0.0.1:{name}", report, StoreView())
     (relays,) = fleet.draw_relays()
     assert sorted(relays) == ["10.0.0.1:g7", "10.0.0.1:g8"]
-
-
-def test_a_silent_watcher_is_replaced_by_the_next_gateway(zoned, clock):
-    hear(zoned, "g1", "z1")
-    hear(zoned, "g2", "z1")
-    clock.advance(int(LEAST_COVERED_MS) + 1)
-    hear(zoned, "g2", "z1")
-    assert zoned.is_watcher()
-
-
-def test_only_watchers_of_the_own_zone_relay(zoned):
-    hear(zoned, "g0", "z2", relayed_version=20)
-    hear(zoned, "g1", "z1", relayed_version=0)
-    assert zoned.find_relayed_version("servers") == 0, "its watch does not answer"
-    hear(zoned, "g2", "z1", relayed_version=7)
-    assert zoned.find_relayed_version("servers") == 7
-    hear(zoned, "g4", "z1")
-    assert zoned.list_relay_addresses() == ["10.0.0.1:g4"]
--- a/tests/test_relayed_watch.py
+++ b/tests/test_relayed_watch.py
@@ -186,7 +186,7 @@
 
 
 def find_watchers(site):
-    return [gateway for gateway in site.gateways if gateway.fleet.is_watcher()]
+    return [gateway for gateway in site.gateways if gateway.followed.watchers.is_watcher()]
 
 
 def knows(gateway, sequence):
@@ -228,7 +228,7 @@
     change_runner(site, 1)
     site.wait(lambda: all(knows(gateway, 1) for gateway in site.gateways))
     for watcher in find_watchers(site):
-        watcher.fleet.list_relay_addresses = list
+        watcher.followed.watchers.list_relay_addresses = list
     change_runner(site, 2)
     site.wait(lambda: all(knows(gateway, 2) for gateway in site.gateways))
 
--- a/tests/test_rollout_protocol.py
+++ b/tests/test_rollout_protocol.py
@@ -5,6 +5,7 @@
 time. Broken variants of the protocol show that the model finds what it is for.
 """
 
+import contextlib
 import random
 from dataclasses import dataclass
 
@@ -184,10 +185,8 @@
             return 7
 
         before = self.store.order
-        try:
+        with contextlib.suppress(LeaseError, PlatformError):
             self.processes[number].duty.take_turn(get_fencing)
-        except (LeaseError, PlatformError):
-            pass
         if self.store.order is not before:
             self.read_states.append(self.store.order)
             self.has_completed = "completed" in self.store.states
--- /dev/null
+++ b/tests/test_zone_watchers.py
@@ -0,0 +1,75 @@
+"""Which gateways watch the object service for the others of their zone."""
+
+from dataclasses import replace
+
+import pytest
+
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.messages import GatewayReport
+from hemlockswitch.process.gateway.report_period import LEAST_COVERED_MS
+from hemlockswitch.process.gateway.watch_guard import StoreView
+from hemlockswitch.process.gateway.zone_watchers import ZoneWatchers
+
+
+def make_zoned_report(name, zone):
+    return GatewayReport(name, 1, 0.0, {}, {}, {}, zone=zone)
+
+
+def hear(fleet, name, zone, relayed_version=0):
+    view = StoreView(relayed={"servers": relayed_version})
+    fleet.note_report(f"10.0.0.1:{name}", make_zoned_report(name, zone), view)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(now_ms=1_000)
+
+
+@pytest.fixture
+def fleet(clock):
+    return Fleet("g3", lambda: "10.0.0.1:0", clock, "z1")
+
+
+@pytest.fixture
+def watchers(fleet, clock):
+    return ZoneWatchers(fleet, clock)
+
+
+def test_the_first_two_gateways_of_a_zone_watch_for_it(fleet, watchers):
+    assert watchers.is_watcher(), "alone"
+    hear(fleet, "g0", "z2")
+    hear(fleet, "g1", "z1")
+    assert watchers.is_watcher()
+    hear(fleet, "g2", "z1")
+    assert not watchers.is_watcher()
+
+
+def test_the_gateways_with_the_fastest_links_work_for_their_zone(clock):
+    """Two VMs of a zone have links of 200 Mbit/s; what is passed on would fill one of 10."""
+    fleet = Fleet("g3", lambda: "10.0.0.1:0", clock, "z1", link_mbps=10.0)
+    for name, link_mbps in (("g1", 10.0), ("g7", 200.0), ("g8", 200.0)):
+        report = replace(make_zoned_report(name, "z1"), link_mbps=link_mbps)
+        fleet.note_report(f"10.0.0.1:{name}", report, StoreView(relayed={"servers": ord(name[1])}))
+    watchers = ZoneWatchers(fleet, clock)
+    assert not watchers.is_watcher()
+    assert watchers.find_relayed_version("servers") == ord("8")
+    assert watchers.list_relay_addresses() == ["10.0.0.1:g1"]
+
+
+def test_a_silent_watcher_is_replaced_by_the_next_gateway(fleet, watchers, clock):
+    hear(fleet, "g1", "z1")
+    hear(fleet, "g2", "z1")
+    clock.advance(int(LEAST_COVERED_MS) + 1)
+    hear(fleet, "g2", "z1")
+    assert watchers.is_watcher()
+
+
+def test_only_watchers_of_the_own_zone_relay(fleet, watchers):
+    hear(fleet, "g0", "z2", relayed_version=20)
+    hear(fleet, "g1", "z1", relayed_version=0)
+    assert watchers.find_relayed_version("servers") == 0, "its watch does not answer"
+    hear(fleet, "g2", "z1", relayed_version=7)
+    assert watchers.find_relayed_version("servers") == 7
+    hear(fleet, "g4", "z1")
+    assert watchers.list_relay_addresses() == ["10.0.0.1:g4"]
