--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -15,29 +15,25 @@
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.change_relay import ChangeRelay, name_process
 from hemlockswitch.process.gateway.configuration import TableHolder
-from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
+from hemlockswitch.process.gateway.duty_parts import build_duties
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.followed_objects import FollowedObjects
+from hemlockswitch.process.gateway.knowledge import Knowledge
 from hemlockswitch.process.gateway.loads import ServerLoads
 from hemlockswitch.process.gateway.observation import GatewayObserver
 from hemlockswitch.process.gateway.pages import GatewayPages
-from hemlockswitch.process.gateway.planned_copies import PlannedCopies
 from hemlockswitch.process.gateway.prober import Prober
 from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.readiness import Readiness
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.reporting import ReportSchedule
 from hemlockswitch.process.gateway.reports import ReportExchange
-from hemlockswitch.process.gateway.rollout_duty import RolloutDuty
 from hemlockswitch.process.gateway.rollouts import Rollouts
-from hemlockswitch.process.gateway.scaling import ScalingDuty
 from hemlockswitch.process.gateway.service_models import FIT_MS, ServiceModels
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
 from hemlockswitch.process.gateway.true_time import TrueTime
-from hemlockswitch.process.gateway.usage import UsageCounts, UsageDuty
-from hemlockswitch.process.gateway.usage_keeper import UsageKeeper
+from hemlockswitch.process.gateway.usage import UsageCounts
 from hemlockswitch.process.gateway.view import GatewayView
-from hemlockswitch.process.lease import Lease
 from hemlockswitch.process.quarantine.guard import Guard
 from hemlockswitch.process.quarantine.held_requests import HeldRequests
 from hemlockswitch.process.quarantine.server_ends import ServerEnds
@@ -113,6 +109,17 @@
         )
         self.quarantine = Quarantine(clock)
         self.rollouts = self._build_rollouts()
+        self.knowledge = Knowledge(
+            tables=self.tables,
+            registry=self.registry,
+            fleet=self.fleet,
+            reachability=self.reachability,
+            loads=self.loads,
+            models=self.models,
+            rollouts=self.rollouts,
+            usage=self.usage,
+            true_time=self.true_time,
+        )
         self.followed = FollowedObjects(
             adapter,
             self.tables,
@@ -149,16 +156,9 @@
             settings.name,
             self._incarnation,
             self.network,
-            self.fleet,
-            self.loads,
+            self.knowledge,
             self.limits,
-            self.usage,
-            self.true_time,
             lambda: self.duties is not None and self.duties.leads,
-            self.reachability,
-            self.models,
-            self.rollouts,
-            self.registry.list_all,
             self.followed.view,
             clock,
         )
@@ -170,17 +170,7 @@
             settings.repeat_window_s * MS_PER_SECOND,
             clock,
         )
-        view = GatewayView(
-            self.tables,
-            self.registry,
-            self.loads,
-            self.fleet,
-            self.reachability,
-            self.models,
-            self.rollouts,
-            self.schedule.note_large_prompt,
-            clock,
-        )
+        view = GatewayView(self.knowledge, self.schedule.note_large_prompt, clock)
         self._build_guard()
         self.forwarder = Forwarder(
             self._adapter.dialect,
@@ -211,55 +201,14 @@
 
     def _build_duties(self) -> None:
         """Build the duties, if there is an API that takes them."""
-        self.duties: DutyRunner | None = None
-        api = self._adapter.duty_api
-        if api is None:
-            return
-        store, clock = self._adapter.store, self._clock
-        lease = Lease(
-            store,
-            clock,
-            LEASE_NAME,
-            self.settings.name,
-            make_lease_times(self.settings.lease_term_ms),
-            self.fleet.count_daemons,
+        self.duties = build_duties(
+            self.settings,
+            self._adapter,
+            self.knowledge,
+            self.followed,
             lambda: self.network.address,
-        )
-        planned = PlannedCopies(self.registry, self.rollouts, self.loads, self.fleet)
-        scaling = ScalingDuty(
-            api,
-            self.settings.zones,
-            lambda: self.tables.current,
-            planned.list_servers,
-            planned.measure_demand,
-            lambda service: self.models.get(service).tokens_per_ms,
-            self.followed.knows_all_servers,
-            self.followed.knows_most_servers,
-            clock,
-            self.rollouts.is_moving,
-        )
-        rollouts = RolloutDuty(
-            self.rollouts,
-            store,
-            self._adapter.rollout_kind,
-            self._adapter.encode_rollout_status,
-            self.registry.list_all,
-            self.loads.count_running,
-            self.true_time,
-            clock,
-        )
-        keeper = UsageKeeper(self.usage, store, clock)
-        usage = UsageDuty(self.usage, store, api, keeper.load, self.fleet.get_usage_period)
-        self.duties = DutyRunner(
-            lease,
-            usage,
-            scaling,
-            keeper,
-            rollouts,
-            self.fleet,
-            self.true_time,
-            clock,
             self.reports.announce,
+            self._clock,
         )
 
     def _build_servers(self) -> None:
--- /dev/null
+++ b/hemlockswitch/process/gateway/duty_parts.py
@@ -0,0 +1,97 @@
+"""Builds the duties of a gateway from its parts."""
+
+from collections.abc import Callable
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.gateway.adapter import Adapter
+from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
+from hemlockswitch.process.gateway.followed_objects import FollowedObjects
+from hemlockswitch.process.gateway.knowledge import Knowledge
+from hemlockswitch.process.gateway.planned_copies import PlannedCopies
+from hemlockswitch.process.gateway.rollout_duty import RolloutDuty
+from hemlockswitch.process.gateway.scaling import ScalingApi, ScalingDuty
+from hemlockswitch.process.gateway.usage import UsageDuty
+from hemlockswitch.process.gateway.usage_keeper import UsageKeeper
+from hemlockswitch.process.lease import Lease
+from hemlockswitch.version.gateway_settings import GatewaySettings
+
+
+def build_duties(
+    settings: GatewaySettings,
+    adapter: Adapter,
+    knowledge: Knowledge,
+    followed: FollowedObjects,
+    get_address: Callable[[], str],
+    announce: Callable[[], None],
+    clock: Clock,
+) -> DutyRunner | None:
+    """Return the duties; None if there is no API that takes them.
+
+    Parameters
+    ==========
+
+    get_address : returns where other gateways reach this one.
+    announce : tells them that this one holds the duties.
+    """
+    api, store = adapter.duty_api, adapter.store
+    if api is None:
+        return None
+    fleet = knowledge.fleet
+    lease = Lease(
+        store,
+        clock,
+        LEASE_NAME,
+        settings.name,
+        make_lease_times(settings.lease_term_ms),
+        fleet.count_daemons,
+        get_address,
+    )
+    keeper = UsageKeeper(knowledge.usage, store, clock)
+    return DutyRunner(
+        lease,
+        UsageDuty(knowledge.usage, store, api, keeper.load, fleet.get_usage_period),
+        _build_scaling(settings, api, knowledge, followed, clock),
+        keeper,
+        _build_rollouts(adapter, knowledge, clock),
+        fleet,
+        knowledge.true_time,
+        clock,
+        announce,
+    )
+
+
+def _build_scaling(
+    settings: GatewaySettings,
+    api: ScalingApi,
+    knowledge: Knowledge,
+    followed: FollowedObjects,
+    clock: Clock,
+) -> ScalingDuty:
+    planned = PlannedCopies(
+        knowledge.registry, knowledge.rollouts, knowledge.loads, knowledge.fleet
+    )
+    return ScalingDuty(
+        api,
+        settings.zones,
+        lambda: knowledge.tables.current,
+        planned.list_servers,
+        planned.measure_demand,
+        lambda service: knowledge.models.get(service).tokens_per_ms,
+        followed.knows_all_servers,
+        followed.knows_most_servers,
+        clock,
+        knowledge.rollouts.is_moving,
+    )
+
+
+def _build_rollouts(adapter: Adapter, knowledge: Knowledge, clock: Clock) -> RolloutDuty:
+    return RolloutDuty(
+        knowledge.rollouts,
+        adapter.store,
+        adapter.rollout_kind,
+        adapter.encode_rollout_status,
+        knowledge.registry.list_all,
+        knowledge.loads.count_running,
+        knowledge.true_time,
+        clock,
+    )
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -21,8 +21,7 @@
     read_sent,
     write_loads,
 )
-from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.loads import ServerLoads
+from hemlockswitch.process.gateway.knowledge import Knowledge
 from hemlockswitch.process.gateway.messages import (
     ChangeReport,
     GatewayReport,
@@ -31,14 +30,8 @@
     UsageReport,
 )
 from hemlockswitch.process.gateway.neighbours import Peer
-from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.report_period import ReportPeriod
-from hemlockswitch.process.gateway.rollouts import Rollouts
-from hemlockswitch.process.gateway.service_models import ServiceModels
-from hemlockswitch.process.gateway.true_time import TrueTime
-from hemlockswitch.process.gateway.usage import UsageCounts
 from hemlockswitch.process.gateway.watch_guard import StoreView
-from hemlockswitch.version.backend import BackendServer
 
 
 class ReportExchange:
@@ -48,13 +41,11 @@
     ==========
 
     name : this gateway.
-    network, fleet : the streams to the other gateways, and who these are.
     incarnation : differs for each start of its process.
+    network : the streams to the other gateways.
+    knowledge : what this gateway knows, and where it puts what others tell.
+    limits : what the client accounts have spent.
     leads : returns whether this gateway holds the duties.
-    reachability : learns what other gateways cannot reach.
-    models : learns what other gateways have learned of the services.
-    rollouts : learns what came of their sends to services that move to another version.
-    list_servers : returns the backend servers that are registered.
     get_view : returns what this gateway knows of the object service.
     clock : the time.
     """
@@ -64,32 +55,25 @@
         name: str,
         incarnation: int,
         network: PeerNetwork,
-        fleet: Fleet,
-        loads: ServerLoads,
+        knowledge: Knowledge,
         limits: SharedLimits,
-        usage: UsageCounts,
-        true_time: TrueTime,
         leads: Callable[[], bool],
-        reachability: Reachability,
-        models: ServiceModels,
-        rollouts: Rollouts,
-        list_servers: Callable[[], list[BackendServer]],
         get_view: Callable[[], StoreView],
         clock: Clock,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
         self._network = network
-        self._fleet = fleet
-        self._loads = loads
+        self._fleet = knowledge.fleet
+        self._loads = knowledge.loads
         self._limits = limits
-        self._usage = usage
-        self._true_time = true_time
+        self._usage = knowledge.usage
+        self._true_time = knowledge.true_time
         self._leads = leads
-        self._reachability = reachability
-        self._models = models
-        self._rollouts = rollouts
-        self._list_servers = list_servers
+        self._reachability = knowledge.reachability
+        self._models = knowledge.models
+        self._rollouts = knowledge.rollouts
+        self._list_servers = knowledge.registry.list_all
         self._get_view = get_view
         self._clock = clock
         self._last_number = 0
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -4,14 +4,9 @@
 from collections.abc import Callable, Sequence
 
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.gateway.configuration import TableHolder
-from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.loads import ServerLoads
-from hemlockswitch.process.gateway.reachability import Reachability
-from hemlockswitch.process.gateway.registry import ServerRegistry
+from hemlockswitch.process.gateway.knowledge import Knowledge
 from hemlockswitch.process.gateway.rollout_sends import ObservedTicket
-from hemlockswitch.process.gateway.rollouts import Rollouts, SendWish, draw_canary
-from hemlockswitch.process.gateway.service_models import ServiceModels
+from hemlockswitch.process.gateway.rollouts import SendWish, draw_canary
 from hemlockswitch.request.forward_admission import AdmittedRequest
 from hemlockswitch.request.placement import (
     Placement,
@@ -38,28 +33,23 @@
     Parameters
     ==========
 
+    knowledge : the parts that hold what the gateway knows.
     on_large_prompt : called when a prompt was sent that the other gateways should hear of at once.
     """
 
     def __init__(
         self,
-        tables: TableHolder,
-        registry: ServerRegistry,
-        loads: ServerLoads,
-        fleet: Fleet,
-        reachability: Reachability,
-        models: ServiceModels,
-        rollouts: Rollouts,
+        knowledge: Knowledge,
         on_large_prompt: Callable[[], None],
         clock: Clock,
     ) -> None:
-        self._tables = tables
-        self._registry = registry
-        self._loads = loads
-        self._fleet = fleet
-        self._reachability = reachability
-        self._models = models
-        self._rollouts = rollouts
+        self._tables = knowledge.tables
+        self._registry = knowledge.registry
+        self._loads = knowledge.loads
+        self._fleet = knowledge.fleet
+        self._reachability = knowledge.reachability
+        self._models = knowledge.models
+        self._rollouts = knowledge.rollouts
         self._on_large_prompt = on_large_prompt
         self._clock = clock
         self._random = random.Random()
