Look at the load of the servers that are compared only, and remember the homes of shared parts

The servers to compare are drawn first, by their homes and by who is known to hold the prompt's first part; the homes of a part are remembered while the servers stay; the loads that others tell are added up for the drawn servers only. The choice is the same: what is known of each compared server equals that of a look at all (test), the homes equal those of plain rendezvous hashing for any servers that come and go (property test).

--- a/hemlockswitch/process/gateway/loads.py
+++ b/hemlockswitch/process/gateway/loads.py
@@ -1,5 +1,6 @@
 """The load of the backend servers: own sends, what other daemons report, and recent failures."""
 
+import random
 from collections import OrderedDict, defaultdict, deque
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
@@ -16,7 +17,8 @@
 )
 from hemlockswitch.request.dialect import Chain, Prompt
 from hemlockswitch.request.engine_model import PRIOR
-from hemlockswitch.request.placement import Candidate, rank_homes
+from hemlockswitch.request.homes import NO_HOME, Homes
+from hemlockswitch.request.placement import HOMES_CONSIDERED, Candidate, draw_considered
 from hemlockswitch.version.backend import BackendServer
 
 REMEMBERED_BEGINNINGS = 4_096
@@ -146,6 +148,7 @@
         self._memories: dict[str, PromptMemory] = {}
         self._demand: dict[str, DemandMeter] = {}
         self._reported = ReportedLoads(clock, get_period)
+        self._homes: dict[str, Homes] = defaultdict(Homes)
         self._begun_ms = clock.now_ms()
         self._untold: deque[SentPrompt] = deque(maxlen=MOST_TOLD)
 
@@ -264,20 +267,45 @@
         prompt: Prompt | None,
         tokens_per_ms: float = PRIOR.tokens_per_ms,
         find_distance_ms: Callable[[str], float] = lambda _: 0.0,
+        chance: random.Random | None = None,
     ) -> list[Candidate]:
-        """Return the servers with their load.
+        """Return the servers to compare for a request, with their load.
 
         Parameters
         ==========
 
+        servers : those of one service.
         tokens_per_ms : how fast the service's engines read.
         find_distance_ms : returns how much longer the way to a zone is.
+        chance : draws the servers that are compared for a prompt; None to compare all.
         """
-        key = prompt.shared_parts[-1].identifier if prompt and prompt.shared_parts else ""
-        ranks = rank_homes(key, [server.name for server in servers]) if key else {}
-        look = _Look(prompt, ranks, self._reported.sum_loads(), tokens_per_ms, find_distance_ms)
+        ranks = self._rank_homes(servers, prompt)
+        if prompt is not None and chance is not None:
+            likely = self._list_holders(prompt)
+            likely |= {name for name, rank in ranks.items() if rank < HOMES_CONSIDERED}
+            servers = draw_considered(
+                servers,
+                lambda server: server.name in likely or server.incarnation in likely,
+                chance,
+            )
+        others = self._reported.sum_loads({server.incarnation for server in servers})
+        look = _Look(prompt, ranks, others, tokens_per_ms, find_distance_ms)
         return [self._build_candidate(server, look) for server in servers]
 
+    def _rank_homes(self, servers: list[BackendServer], prompt: Prompt | None) -> dict[str, int]:
+        """Return the ranks of the homes of a prompt's last shared part."""
+        if not servers or prompt is None or not prompt.shared_parts:
+            return {}
+        key = prompt.shared_parts[-1].identifier
+        return self._homes[servers[0].serves].rank(key, [server.name for server in servers])
+
+    def _list_holders(self, prompt: Prompt) -> set[str]:
+        """Return the incarnations of the servers that are known to have a prompt's first part."""
+        if not prompt.shared_chain:
+            return set()
+        first = prompt.shared_chain[:1]
+        return {name for name, memory in self._memories.items() if memory.count_cached(first)}
+
     def _build_candidate(self, server: BackendServer, look: "_Look") -> Candidate:
         name = server.incarnation
         waiting_tokens = look.others.estimate_waiting_tokens(name, look.tokens_per_ms)
@@ -286,7 +314,7 @@
             running=self._running.get(name, 0) + look.others.running.get(name, 0),
             waiting_tokens=self._waiting.get(name, 0.0) + waiting_tokens,
             cached_tokens=self._count_cached(name, look.prompt) if look.prompt else None,
-            home_rank=look.ranks.get(server.name, 0),
+            home_rank=look.ranks.get(server.name, NO_HOME),
             distance_ms=look.find_distance_ms(server.zone),
             failure_rate=self.failures.get_rate(name),
         )
--- a/hemlockswitch/process/gateway/reported_loads.py
+++ b/hemlockswitch/process/gateway/reported_loads.py
@@ -49,11 +49,14 @@
         mean_age_ms = self.token_ages[name] / waiting_tokens
         return max(waiting_tokens - mean_age_ms * tokens_per_ms, 0.0)
 
-    def add(self, loads: Mapping[str, ServerLoad], age_ms: float) -> None:
-        """Add one daemon's load."""
+    def add(
+        self, loads: Mapping[str, ServerLoad], age_ms: float, names: set[str] | None = None
+    ) -> None:
+        """Add one daemon's load on some servers, or on all."""
         running, waiting_tokens, token_ages = self.running, self.waiting_tokens, self.token_ages
         stale_ms = max(age_ms - FRESH_MS, 0.0)
-        for name, load in loads.items():
+        for name in loads if names is None else loads.keys() & names:
+            load = loads[name]
             running[name] = running.get(name, 0) + load.running
             if load.waiting_tokens:
                 waiting_tokens[name] = waiting_tokens.get(name, 0.0) + load.waiting_tokens
@@ -151,12 +154,12 @@
             {**last.changed, **dict.fromkeys(newer, order)},
         )
 
-    def sum_loads(self) -> LoadSums:
-        """Return the sums over the daemons that reported lately."""
+    def sum_loads(self, names: set[str] | None = None) -> LoadSums:
+        """Return the sums over the daemons that reported lately, on some servers or on all."""
         now_ms = self._clock.now_ms()
         oldest_ms = now_ms - self._get_period().life_ms
         sums = LoadSums()
         for report in self._reports.values():
             if report.loads and report.received_ms >= oldest_ms:
-                sums.add(report.loads, now_ms - report.received_ms)
+                sums.add(report.loads, now_ms - report.received_ms, names)
         return sums
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -91,11 +91,15 @@
         service = admitted.service
         speed = ServiceSpeed(self._models.get(service), self._models.get_call_ms(service))
         candidates = self._loads.build_candidates(
-            servers, prompt, speed.engine.tokens_per_ms, self._reachability.find_distance_ms
+            servers,
+            prompt,
+            speed.engine.tokens_per_ms,
+            self._reachability.find_distance_ms,
+            None if is_careful else self._random,
         )
         if is_careful:
             candidates = keep_least_running(candidates)
-        return choose_server(prompt, candidates, self._random, speed)
+        return choose_server(prompt, candidates, speed)
 
     def begin_send(self, admitted: AdmittedRequest, placement: Placement) -> SendTicket:
         """Count a send, and learn from the time in which its answer begins."""
--- a/hemlockswitch/request/placement.py
+++ b/hemlockswitch/request/placement.py
@@ -3,18 +3,17 @@
 A model request waits for the prompts before it, then for the part of its own prompt that is not
 cached. Both are estimated in tokens, over all daemons, and turned into time by the model of the
 service's engines (`request.engine_model`).
-A shared prompt part has a home among the servers of a service, by rendezvous hashing, so that all
-daemons send it to the same one without a word; a busy home gives way to the next.
+A shared prompt part has homes among the servers of a service (`request.homes`); a busy home gives way
+to the next.
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-import xxhash
-
 from hemlockswitch.request.dialect import Prompt
 from hemlockswitch.request.engine_model import PRIOR, EngineModel, EngineWork
+from hemlockswitch.request.homes import HOMES
 from hemlockswitch.version.backend import BackendServer
 
 HOME_HIT_SHARES = (0.95, 0.5, 0.1)
@@ -95,25 +94,6 @@
     call_ms: float = PRIOR_CALL_MS
 
 
-def rank_homes(key: str, names: Sequence[str]) -> dict[str, int]:
-    """Return the rank of each server as a home of `key`: rendezvous hashing.
-
-    Examples
-    ========
-
-    >>> ranks = rank_homes("part", ["a", "b", "c"])
-    >>> sorted(ranks.values())
-    [0, 1, 2]
-    >>> less = rank_homes("part", [name for name in "abc" if ranks[name] != 0])
-    >>> all(less[name] == ranks[name] - 1 for name in less)
-    True
-    """
-    order = sorted(
-        names, key=lambda name: xxhash.xxh64_intdigest(f"{name}\0{key}".encode()), reverse=True
-    )
-    return {name: rank for rank, name in enumerate(order)}
-
-
 def estimate_uncached_tokens(prompt: Prompt, candidate: Candidate) -> float:
     """Return how much of a prompt the server must read."""
     if candidate.cached_tokens is not None:
@@ -125,7 +105,7 @@
     """Return the shared tokens to expect on the server for being one of their homes."""
     shared = sum(part.tokens for part in prompt.shared_parts)
     rank = candidate.home_rank
-    return shared * HOME_HIT_SHARES[rank] if rank < len(HOME_HIT_SHARES) else 0.0
+    return shared * HOME_HIT_SHARES[rank] if rank < HOMES else 0.0
 
 
 def describe_work(prompt: Prompt, candidate: Candidate) -> EngineWork:
@@ -165,10 +145,29 @@
     return [candidate for candidate in candidates if candidate.running == least]
 
 
+def draw_considered(
+    servers: Sequence[BackendServer],
+    is_likely: Callable[[BackendServer], bool],
+    chance: random.Random,
+) -> list[BackendServer]:
+    """Return the servers to compare for a prompt: the likely ones, and a few others.
+
+    Parameters
+    ==========
+
+    is_likely : returns whether a server has or should have the prompt's shared parts.
+    chance : source of random numbers.
+    """
+    likely: list[BackendServer] = []
+    others: list[BackendServer] = []
+    for server in servers:
+        (likely if is_likely(server) else others).append(server)
+    return likely + chance.sample(others, min(OTHERS_CONSIDERED, len(others)))
+
+
 def choose_server(
     prompt: Prompt | None,
     candidates: Sequence[Candidate],
-    rng: random.Random | None = None,
     speed: ServiceSpeed = ServiceSpeed(),
 ) -> Placement | None:
     """Return the server with the lowest expected cost, or None when there is none.
@@ -177,7 +176,6 @@
     ==========
 
     prompt : None for plain services.
-    rng : draws the servers that are compared for a prompt; None to compare all.
     speed : how fast the service's servers are.
 
     Examples
@@ -188,24 +186,10 @@
     >>> choose_server(None, [Candidate(far, distance_ms=3), Candidate(near)]).candidate.server.name
     'a'
     """
-    if prompt is not None and rng is not None:
-        candidates = _draw_considered(prompt, candidates, rng)
     placements = [_evaluate(prompt, candidate, speed) for candidate in candidates]
     return min(placements, key=lambda one: _weigh(prompt, one, speed.engine), default=None)
 
 
-def _draw_considered(
-    prompt: Prompt, candidates: Sequence[Candidate], rng: random.Random
-) -> list[Candidate]:
-    """Return the servers that have or should have the prompt's shared parts, and a few others."""
-    considered: list[Candidate] = []
-    others: list[Candidate] = []
-    for candidate in candidates:
-        is_home = bool(prompt.shared_parts) and candidate.home_rank < HOMES_CONSIDERED
-        (considered if is_home or candidate.cached_tokens else others).append(candidate)
-    return considered + rng.sample(others, min(OTHERS_CONSIDERED, len(others)))
-
-
 def _evaluate(prompt: Prompt | None, candidate: Candidate, speed: ServiceSpeed) -> Placement:
     if prompt is None:
         return Placement(candidate, predict_call_ms(candidate, speed.call_ms), 0.0)
--- a/tests/herd_replay.py
+++ b/tests/herd_replay.py
@@ -155,8 +155,9 @@
         prefix, prompt = self._draw_prompt(kind)
         number = self.rng.randrange(len(self.loads))
         loads = self.loads[number]
-        candidates = loads.build_candidates(self.servers, prompt)
-        placement = choose_server(prompt, candidates, self.rng if self.draws else None)
+        chance = self.rng if self.draws else None
+        candidates = loads.build_candidates(self.servers, prompt, chance=chance)
+        placement = choose_server(prompt, candidates)
         now_ms = self.clock.now_ms()
         if find_return_ms(placement, QueueBound(kind.objective_ms, kind.rank)) is not None:
             self.results.append(Result(now_ms, kind, None))
--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -75,7 +75,9 @@
     def _place(self, prefix):
         loads = self.random.choice(self.loads)
         prompt = make_prompt(prefix)
-        placement = self.choose(self.random, loads.build_candidates(self.servers, prompt), prompt)
+        chance = self.random if self.choose is choose_ours else None
+        candidates = loads.build_candidates(self.servers, prompt, chance=chance)
+        placement = self.choose(self.random, candidates, prompt)
         if self.bound is not None and find_return_ms(placement, self.bound) is not None:
             self.refused += 1
             return
@@ -106,4 +108,4 @@
 
 
 def choose_ours(rng, candidates, prompt):
-    return choose_server(prompt, candidates, rng)
+    return choose_server(prompt, candidates)
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,35 @@
+"""The homes of shared prompt parts stay what rendezvous hashing says, whatever is remembered."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hemlockswitch.request.homes import HOMES, KEPT_HOMES, Homes, rank_homes
+
+NAMES = [f"server-{number}" for number in range(40)]
+
+
+@given(st.lists(st.sets(st.sampled_from(NAMES), min_size=1), min_size=1, max_size=8))
+def test_remembered_homes_are_those_of_the_servers_that_are_there(turns):
+    """Servers come, go and come back; some are left out of a request."""
+    homes = Homes()
+    for present in turns:
+        for key in ("part-1", "part-2"):
+            expected = rank_homes(key, present)
+            assert homes.rank(key, sorted(present)) == {
+                name: rank for rank, name in enumerate(expected)
+            }
+
+
+def test_a_part_is_ranked_once_while_the_servers_stay(monkeypatch):
+    homes = Homes()
+    homes.rank("part", NAMES)
+    monkeypatch.setattr("hemlockswitch.request.homes.rank_homes", None)
+    assert len(homes.rank("part", NAMES[3:])) == HOMES
+
+
+def test_servers_that_are_gone_are_not_remembered_for_good():
+    homes = Homes()
+    for generation in range(200):
+        names = [f"{generation}-{number}" for number in range(KEPT_HOMES)]
+        homes.rank("part", names)
+    assert len(homes._known) <= 6 * KEPT_HOMES
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,11 +11,13 @@
 from hemlockswitch.process.gateway.reported_loads import FRESH_MS, ServerLoad
 from hemlockswitch.process.gateway.view import LARGE_READING_MS
 from hemlockswitch.request.engine_model import PRIOR
+from hemlockswitch.request.homes import rank_homes
 from hemlockswitch.request.placement import (
+    HOMES_CONSIDERED,
+    OTHERS_CONSIDERED,
     Candidate,
     choose_server,
     predict_first_event_ms,
-    rank_homes,
 )
 from tests.herd_replay import HerdReplay
 from tests.placement_replay import (
@@ -35,15 +37,14 @@
         before = rank_homes(f"p{number}", names)
         left = [name for name in names if name != "e3"]
         after = rank_homes(f"p{number}", left)
-        home = min(before, key=before.get)
-        if home != "e3":
-            assert min(after, key=after.get) == home
+        if before[0] != "e3":
+            assert after[0] == before[0]
 
 
 def test_homes_are_spread_evenly():
     names = [server.name for server in SERVERS]
     ranks = [rank_homes(f"p{number}", names) for number in range(1_200)]
-    homes = Counter(min(rank, key=rank.get) for rank in ranks)
+    homes = Counter(rank[0] for rank in ranks)
     assert max(homes.values()) < 1.3 * min(homes.values())
 
 
@@ -63,7 +64,8 @@
 
 def test_a_busy_home_gives_way():
     prompt = make_prompt(1)
-    ranks = rank_homes("p1", [server.name for server in SERVERS])
+    names = [server.name for server in SERVERS]
+    ranks = {name: rank for rank, name in enumerate(rank_homes("p1", names, len(names)))}
     candidates = [
         Candidate(
             server,
@@ -190,23 +192,34 @@
 def test_homes_and_servers_with_the_shared_parts_are_always_compared():
     prompt = make_prompt(1)
     servers = [make_server(f"s{number}") for number in range(40)]
-    ranks = rank_homes("p1", [server.name for server in servers])
-    candidates = [
-        Candidate(
-            server,
-            waiting_tokens=0 if ranks[server.name] in (1, 39) else 200_000,
-            cached_tokens=SHARED_TOKENS if ranks[server.name] == 39 else 0,
-            home_rank=ranks[server.name],
-        )
-        for server in servers
-    ]
-    for seed in range(20):
-        chosen = choose_server(prompt, candidates, random.Random(seed))
-        assert ranks[chosen.candidate.server.name] == 39, "it has the shared part"
-    without = [one for one in candidates if not one.cached_tokens]
+    ranked = rank_homes("p1", [server.name for server in servers], len(servers))
+    holder = next(server for server in servers if server.name == ranked[-1])
+    loads = ServerLoads(ManualClock())
+    loads.begin(holder, prompt, SHARED_TOKENS, CAPACITY_TOKENS)
     for seed in range(20):
-        chosen = choose_server(prompt, without, random.Random(seed))
-        assert ranks[chosen.candidate.server.name] == 1, "an idle home"
+        candidates = loads.build_candidates(servers, prompt, chance=random.Random(seed))
+        compared = {one.server.name: one for one in candidates}
+        assert {*ranked[:HOMES_CONSIDERED], holder.name} <= set(compared)
+        assert len(compared) <= HOMES_CONSIDERED + 1 + OTHERS_CONSIDERED
+        assert compared[holder.name].running == 1
+        assert compared[holder.name].cached_tokens == SHARED_TOKENS
+
+
+def test_what_is_known_of_a_server_is_the_same_however_few_are_compared():
+    """All loads were added up for each request, though it compares a handful of servers."""
+    rng = random.Random(7)
+    servers = [make_server(f"s{number}") for number in range(60)]
+    loads = ServerLoads(ManualClock())
+    for number in range(30):
+        some = rng.sample(servers, rng.randrange(1, 12))
+        report = {one.incarnation: ServerLoad(rng.randrange(4), 100.0) for one in some}
+        sent = [(one.incarnation, make_prompt(number % 5).shared_chain) for one in some[:2]]
+        loads.take_report(f"g{number}", report, sent)
+    for number in range(5):
+        prompt = make_prompt(number)
+        every = {one.server.name: one for one in loads.build_candidates(servers, prompt)}
+        for one in loads.build_candidates(servers, prompt, chance=rng):
+            assert one == every[one.server.name]
 
 
 def test_large_prompts_that_are_told_at_once_keep_the_others_off_their_engines():
