Split the tests of the copies' plan and the replay of roll-outs into modules

The market without a network is copies_market.py, what concerns first starts and takeovers test_first_copies.py; the replay's fleet, its plays and its command are three modules. No test is left out; one is added: a new holder gives no copy back in its first 2.5 s.

--- /dev/null
+++ b/tests/test_first_copies.py
@@ -0,0 +1,182 @@
+"""Which copies are ordered and given back at a first start and after a takeover.
+
+The load patterns are those of the sites' days: what is found runs at the full price, nobody asks for some
+seconds, and the list of the servers still fills.
+"""
+
+import math
+from dataclasses import replace
+
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.process.gateway.copies_plan import (
+    Pool,
+    plan_copies,
+)
+from hemlockswitch.version.serving_table import (
+    EngineTraits,
+)
+from tests.copies_market import (
+    BOOT_MS,
+    ON_DEMAND,
+    RECLAIMABLE,
+    SERVICE,
+    ZONES,
+    Market,
+    make_duty,
+    play,
+    situation,
+)
+
+
+def test_nothing_is_ordered_before_the_registry_is_complete():
+    market = Market(ManualClock(), is_listed=False)
+    duty = make_duty(market, tokens=0)
+    play(market, duty, 2_000)
+    assert market.calls == 0
+
+
+def add_found(market, per_zone):
+    for zone in ZONES:
+        for _ in range(per_zone):
+            market.add(Pool(zone, ON_DEMAND))
+
+
+def test_reclaimable_copies_are_ordered_before_the_registry_is_complete():
+    """A first start: what was found runs at the full price until reclaimable ones serve."""
+    market = Market(ManualClock(), is_listed=False)
+    duty = make_duty(market, tokens=0)
+    add_found(market, per_zone=1)
+    play(market, duty, 1_000)
+    assert market.calls == 0
+    market.is_mostly_listed = True
+    play(market, duty, 1_000)
+    assert {pool.machine_class for pool, _ in market.orders} == {RECLAIMABLE}
+    assert len(market.orders) == len(ZONES), "each pool once"
+
+
+def test_more_is_ordered_as_more_servers_register():
+    market = Market(ManualClock(), is_listed=False, is_mostly_listed=True)
+    duty = make_duty(market, tokens=0)
+    add_found(market, per_zone=1)
+    play(market, duty, 500)
+    add_found(market, per_zone=1)
+    play(market, duty, 500)
+    counts = [wanted for pool, wanted in market.orders if pool.zone == "z1"]
+    assert counts == sorted(counts)
+
+
+def test_nothing_is_ordered_early_while_reclaimable_copies_are_known():
+    """After a restart of all there are some, and how many of them is not known yet."""
+    market = Market(ManualClock(), is_listed=False, is_mostly_listed=True)
+    duty = make_duty(market, tokens=0)
+    market.add(Pool("z1", RECLAIMABLE))
+    market.add(Pool("z2", ON_DEMAND))
+    play(market, duty, 2_000)
+    assert market.calls == 0
+
+
+def test_a_full_zone_gets_reclaimable_copies_as_soon_as_it_has_room():
+    """Three copies a zone at the most: what was found fills it, and then goes."""
+    found = {Pool(zone, ON_DEMAND): 2 for zone in ZONES}
+    wanted = plan_copies(situation(live=found, tokens=100))
+    assert {wanted[Pool(zone, RECLAIMABLE)] for zone in ZONES} == {1}
+    fewer = {Pool(zone, ON_DEMAND): 1 for zone in ZONES}
+    wanted = plan_copies(situation(live=fewer, tokens=100))
+    assert {wanted[Pool(zone, RECLAIMABLE)] for zone in ZONES} == {2}
+
+
+def test_a_large_fleet_is_kept_in_part_until_its_demand_is_known():
+    """The start of a day at the grown sites: 30 copies, no request yet, then 250 a second."""
+    large = replace(SERVICE, scaling=replace(SERVICE.scaling, max_copies=15))
+    live = {Pool(zone, ON_DEMAND): 8 for zone in ZONES}
+    market = Market(ManualClock())
+    for pool, number in live.items():
+        for _ in range(number):
+            market.add(pool)
+    duty = make_duty(market, tokens=0, service=large)
+    play(market, duty, 20_000)
+    assert len(market.servers) >= 0.85 * 32
+
+
+def test_copies_that_were_ordered_do_not_count_as_found():
+    """At a small site the prior rose from 3 to 4 with the ordered copies, and the
+    second copy of each zone was given back just as a wave of reclaims began."""
+    market = Market(ManualClock())
+    for zone in ("z1", "z2", "z3", "z4", "z1", "z3"):
+        market.add(Pool(zone, ON_DEMAND))
+    roomy = replace(SERVICE, scaling=replace(SERVICE.scaling, max_copies=6))
+    duty = make_duty(market, tokens=0, service=roomy)
+    play(market, duty, 12_000)
+    classes = [one.machine_class for one in market.list()]
+    assert classes.count("reclaimable") == 12, "for all of the six that were found"
+
+
+def test_a_takeover_in_the_middle_of_a_day_does_not_raise_the_orders():
+    """All gateways are killed; the new holder finds the copies that the one before it ordered."""
+    roomy = replace(SERVICE, scaling=replace(SERVICE.scaling, max_copies=6))
+    market = Market(ManualClock())
+    for zone in ZONES:
+        market.add(Pool(zone, RECLAIMABLE))
+        market.add(Pool(zone, RECLAIMABLE))
+    market.add(Pool("z2", ON_DEMAND))
+    duty = make_duty(market, tokens=0, service=roomy)
+    for _ in range(3):
+        duty.take_over()
+        play(market, duty, 6_000)
+    classes = [one.machine_class for one in market.list()]
+    assert classes.count("reclaimable") == 8
+    assert classes.count("on_demand") == 0
+
+
+def test_found_copies_are_given_back_as_soon_as_all_that_fits_beside_them_serves():
+    """A first start finds half of the places taken by copies at the full price.
+
+    What may run beside them is less than the reserve that lets the found ones go at once, so each of
+    them was paid for four seconds longer.
+    """
+    market = Market(ManualClock())
+    for zone, found in zip(ZONES, (12, 11, 11, 11), strict=True):
+        for _ in range(found):
+            market.add(Pool(zone, ON_DEMAND))
+    scaling = replace(SERVICE.scaling, max_copies=23)
+    service = replace(SERVICE, engine=EngineTraits(32, 600_000), scaling=scaling)
+    duty = make_duty(market, tokens=0, service=service)
+    market.is_listed, market.is_mostly_listed = False, True
+    play(market, duty, 2 * BOOT_MS)
+    market.is_listed = True
+    play(market, duty, 500)
+    classes = [one.machine_class for one in market.list()]
+    assert classes.count("on_demand") == 0
+    assert classes.count("reclaimable") >= 39
+    play(market, duty, BOOT_MS + 1_000)
+    assert len(market.servers) == 80, "the places of the others are used by reclaimable ones"
+
+
+def test_a_new_holder_gives_no_copy_back_before_it_has_heard_of_the_demand():
+    """All gateways were killed in a wave of reclaims: copies at the full price carry the demand."""
+    market = Market(ManualClock())
+    for zone in ZONES:
+        for _ in range(3):
+            market.add(Pool(zone, ON_DEMAND))
+        market.add(Pool(zone, RECLAIMABLE))
+    scaling = replace(SERVICE.scaling, max_copies=15)
+    duty = make_duty(market, 0, replace(SERVICE, scaling=scaling))
+    play(market, duty, 10_000)
+    duty.take_over()
+    before = len(market.servers)
+    play(market, duty, 2_500)
+    assert len(market.servers) == before
+
+
+def test_found_copies_stay_while_a_zone_has_none_to_give():
+    market = Market(ManualClock())
+    for zone in ZONES:
+        for _ in range(11):
+            market.add(Pool(zone, ON_DEMAND))
+    scaling = replace(SERVICE.scaling, max_copies=23)
+    service = replace(SERVICE, engine=EngineTraits(32, 600_000), scaling=scaling)
+    duty = make_duty(market, tokens=0, service=service)
+    market.reclaim(ZONES[0], dry_ms=math.inf)
+    play(market, duty, BOOT_MS + 1_000)
+    classes = [one.machine_class for one in market.list()]
+    assert len(classes) >= 38
--- a/tests/test_rollout_replay.py
+++ b/tests/test_rollout_replay.py
@@ -9,7 +9,8 @@
 from hemlockswitch.core.logs import _write_by_structlog, set_log_writer
 from hemlockswitch.process.gateway.rollout_progress import RolloutProgress
 from hemlockswitch.request.rollout_credit import ExposureCredit
-from tests.rollout_replay import VERSIONS, Replay
+from tests.rollout_fleet import VERSIONS
+from tests.rollout_plays import Replay
 
 SEEDS = range(1, 4)
 BAD = [name for name, version in VERSIONS.items() if version.is_bad]
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -7,7 +7,7 @@
 import math
 import random
 from collections import defaultdict
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from itertools import pairwise
 
 import pytest
@@ -15,34 +15,25 @@
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.process.gateway.copies_plan import (
     FEWEST_COPIES,
-    CopiesSituation,
-    Demand,
     Pool,
     count_needed,
     plan_copies,
 )
-from hemlockswitch.process.gateway.scaling import OrderOutcome, ScalingDuty
 from hemlockswitch.version.backend import BackendServer, BackendState
-from hemlockswitch.version.machine_class import MachineClass
 from hemlockswitch.version.serving_table import (
-    CallerBounds,
     EngineTraits,
-    ForwardedService,
-    ScalingBounds,
-    ServingTable,
 )
-
-ZONES = ("z1", "z2", "z3", "z4")
-PRICES = {"z1": 1.0, "z2": 0.8, "z3": 1.25, "z4": 0.9}
-BOOT_MS = 4_000
-SERVICE = ForwardedService(
-    "llm", 600, EngineTraits(128, 600_000), ScalingBounds(1, 3, BOOT_MS, 0.15, PRICES)
+from tests.copies_market import (
+    BOOT_MS,
+    ON_DEMAND,
+    RECLAIMABLE,
+    SERVICE,
+    ZONES,
+    Market,
+    make_duty,
+    play,
+    situation,
 )
-RECLAIMABLE, ON_DEMAND = MachineClass.RECLAIMABLE, MachineClass.ON_DEMAND
-
-
-def situation(live=None, tokens=0.0, running=0, dry=()):
-    return CopiesSituation(SERVICE, ZONES, live or {}, Demand(tokens, running), frozenset(dry))
 
 
 def count(plan, machine_class):
@@ -128,86 +119,6 @@
     assert all(plan[Pool(zone, ON_DEMAND)] >= 1 for zone in ZONES)
 
 
-@dataclass
-class Market:
-    """A cloud API whose copies boot, are reclaimed by zone, and are not to be had for a while."""
-
-    clock: ManualClock
-    dry_until_ms: float = 0.0
-    booting: list = field(default_factory=list)
-    servers: dict = field(default_factory=dict)
-    calls: int = 0
-    is_listed: bool = True
-    is_mostly_listed: bool = False
-    made: int = 0
-    orders: list = field(default_factory=list)
-
-    def order_copies(self, service, pool, wanted, fencing):
-        self.calls += 1
-        self.orders.append((pool, wanted))
-        held = [one for one in self.servers.values() if self.pool_of(one) == pool]
-        coming = [entry for entry in self.booting if entry[1] == pool]
-        missing = wanted - len(held) - len(coming)
-        dry = self.clock.now_ms() < self.dry_until_ms
-        if missing > 0 and dry and pool.machine_class is RECLAIMABLE:
-            return OrderOutcome.NONE_AVAILABLE
-        for _ in range(max(missing, 0)):
-            self.booting.append((self.clock.now_ms() + BOOT_MS, pool))
-        for server in held[: max(-missing, 0)]:
-            del self.servers[server.name]
-        return OrderOutcome.TAKEN
-
-    @staticmethod
-    def pool_of(server):
-        return Pool(server.zone, MachineClass(server.machine_class))
-
-    def advance(self, duration_ms):
-        self.clock.advance(duration_ms)
-        for entry in [one for one in self.booting if one[0] <= self.clock.now_ms()]:
-            self.booting.remove(entry)
-            self.add(entry[1])
-
-    def add(self, pool):
-        self.made += 1
-        name = f"copy-{self.made}"
-        machine_class = pool.machine_class.value
-        self.servers[name] = BackendServer(
-            name, pool.zone, "127.0.0.1:1", "llm", machine_class, slots=128
-        )
-
-    def reclaim(self, zone, dry_ms):
-        self.dry_until_ms = max(self.dry_until_ms, self.clock.now_ms() + dry_ms)
-        pool = Pool(zone, RECLAIMABLE)
-        for server in [one for one in self.servers.values() if self.pool_of(one) == pool]:
-            del self.servers[server.name]
-
-    def list(self):
-        return list(self.servers.values())
-
-
-def make_duty(market, tokens, service=SERVICE, count_running=lambda: 0):
-    table = ServingTable(1, (), {"llm": service}, CallerBounds(), {})
-    return ScalingDuty(
-        market,
-        ZONES,
-        lambda: table,
-        market.list,
-        lambda name: Demand(tokens, count_running()),
-        lambda name: 50.0,
-        lambda: market.is_listed,
-        lambda: market.is_mostly_listed,
-        market.clock,
-    )
-
-
-def play(market, duty, duration_ms, lowest=None):
-    for _ in range(int(duration_ms / 250)):
-        duty.take_turn(lambda: 7)
-        market.advance(250)
-        if lowest is not None:
-            lowest.append(len(market.servers))
-
-
 def test_waves_of_reclaims_leave_what_is_needed_but_for_a_boot():
     market = Market(ManualClock())
     duty = make_duty(market, tokens=100)
@@ -311,141 +222,3 @@
     play(market, duty, 1_000)
     ordered = [pool for _, pool in market.booting if pool.machine_class is ON_DEMAND]
     assert len(ordered) == count_needed(situation(tokens=60))
-
-
-def test_nothing_is_ordered_before_the_registry_is_complete():
-    market = Market(ManualClock(), is_listed=False)
-    duty = make_duty(market, tokens=0)
-    play(market, duty, 2_000)
-    assert market.calls == 0
-
-
-def add_found(market, per_zone):
-    for zone in ZONES:
-        for _ in range(per_zone):
-            market.add(Pool(zone, ON_DEMAND))
-
-
-def test_reclaimable_copies_are_ordered_before_the_registry_is_complete():
-    """A first start: what was found runs at the full price until reclaimable ones serve."""
-    market = Market(ManualClock(), is_listed=False)
-    duty = make_duty(market, tokens=0)
-    add_found(market, per_zone=1)
-    play(market, duty, 1_000)
-    assert market.calls == 0
-    market.is_mostly_listed = True
-    play(market, duty, 1_000)
-    assert {pool.machine_class for pool, _ in market.orders} == {RECLAIMABLE}
-    assert len(market.orders) == len(ZONES), "each pool once"
-
-
-def test_more_is_ordered_as_more_servers_register():
-    market = Market(ManualClock(), is_listed=False, is_mostly_listed=True)
-    duty = make_duty(market, tokens=0)
-    add_found(market, per_zone=1)
-    play(market, duty, 500)
-    add_found(market, per_zone=1)
-    play(market, duty, 500)
-    counts = [wanted for pool, wanted in market.orders if pool.zone == "z1"]
-    assert counts == sorted(counts)
-
-
-def test_nothing_is_ordered_early_while_reclaimable_copies_are_known():
-    """After a restart of all there are some, and how many of them is not known yet."""
-    market = Market(ManualClock(), is_listed=False, is_mostly_listed=True)
-    duty = make_duty(market, tokens=0)
-    market.add(Pool("z1", RECLAIMABLE))
-    market.add(Pool("z2", ON_DEMAND))
-    play(market, duty, 2_000)
-    assert market.calls == 0
-
-
-def test_a_full_zone_gets_reclaimable_copies_as_soon_as_it_has_room():
-    """Three copies a zone at the most: what was found fills it, and then goes."""
-    found = {Pool(zone, ON_DEMAND): 2 for zone in ZONES}
-    wanted = plan_copies(situation(live=found, tokens=100))
-    assert {wanted[Pool(zone, RECLAIMABLE)] for zone in ZONES} == {1}
-    fewer = {Pool(zone, ON_DEMAND): 1 for zone in ZONES}
-    wanted = plan_copies(situation(live=fewer, tokens=100))
-    assert {wanted[Pool(zone, RECLAIMABLE)] for zone in ZONES} == {2}
-
-
-def test_a_large_fleet_is_kept_in_part_until_its_demand_is_known():
-    """The start of a day at the grown sites: 30 copies, no request yet, then 250 a second."""
-    large = replace(SERVICE, scaling=replace(SERVICE.scaling, max_copies=15))
-    live = {Pool(zone, ON_DEMAND): 8 for zone in ZONES}
-    market = Market(ManualClock())
-    for pool, number in live.items():
-        for _ in range(number):
-            market.add(pool)
-    duty = make_duty(market, tokens=0, service=large)
-    play(market, duty, 20_000)
-    assert len(market.servers) >= 0.85 * 32
-
-
-def test_copies_that_were_ordered_do_not_count_as_found():
-    """At a small site the prior rose from 3 to 4 with the ordered copies, and the
-    second copy of each zone was given back just as a wave of reclaims began."""
-    market = Market(ManualClock())
-    for zone in ("z1", "z2", "z3", "z4", "z1", "z3"):
-        market.add(Pool(zone, ON_DEMAND))
-    roomy = replace(SERVICE, scaling=replace(SERVICE.scaling, max_copies=6))
-    duty = make_duty(market, tokens=0, service=roomy)
-    play(market, duty, 12_000)
-    classes = [one.machine_class for one in market.list()]
-    assert classes.count("reclaimable") == 12, "for all of the six that were found"
-
-
-def test_a_takeover_in_the_middle_of_a_day_does_not_raise_the_orders():
-    """All gateways are killed; the new holder finds the copies that the one before it ordered."""
-    roomy = replace(SERVICE, scaling=replace(SERVICE.scaling, max_copies=6))
-    market = Market(ManualClock())
-    for zone in ZONES:
-        market.add(Pool(zone, RECLAIMABLE))
-        market.add(Pool(zone, RECLAIMABLE))
-    market.add(Pool("z2", ON_DEMAND))
-    duty = make_duty(market, tokens=0, service=roomy)
-    for _ in range(3):
-        duty.take_over()
-        play(market, duty, 6_000)
-    classes = [one.machine_class for one in market.list()]
-    assert classes.count("reclaimable") == 8
-    assert classes.count("on_demand") == 0
-
-
-def test_found_copies_are_given_back_as_soon_as_all_that_fits_beside_them_serves():
-    """A first start finds half of the places taken by copies at the full price.
-
-    What may run beside them is less than the reserve that lets the found ones go at once, so each of
-    them was paid for four seconds longer.
-    """
-    market = Market(ManualClock())
-    for zone, found in zip(ZONES, (12, 11, 11, 11), strict=True):
-        for _ in range(found):
-            market.add(Pool(zone, ON_DEMAND))
-    scaling = replace(SERVICE.scaling, max_copies=23)
-    service = replace(SERVICE, engine=EngineTraits(32, 600_000), scaling=scaling)
-    duty = make_duty(market, tokens=0, service=service)
-    market.is_listed, market.is_mostly_listed = False, True
-    play(market, duty, 2 * BOOT_MS)
-    market.is_listed = True
-    play(market, duty, 500)
-    classes = [one.machine_class for one in market.list()]
-    assert classes.count("on_demand") == 0
-    assert classes.count("reclaimable") >= 39
-    play(market, duty, BOOT_MS + 1_000)
-    assert len(market.servers) == 80, "the places of the others are used by reclaimable ones"
-
-
-def test_found_copies_stay_while_a_zone_has_none_to_give():
-    market = Market(ManualClock())
-    for zone in ZONES:
-        for _ in range(11):
-            market.add(Pool(zone, ON_DEMAND))
-    scaling = replace(SERVICE.scaling, max_copies=23)
-    service = replace(SERVICE, engine=EngineTraits(32, 600_000), scaling=scaling)
-    duty = make_duty(market, tokens=0, service=service)
-    market.reclaim(ZONES[0], dry_ms=math.inf)
-    play(market, duty, BOOT_MS + 1_000)
-    classes = [one.machine_class for one in market.list()]
-    assert len(classes) >= 38
