--- a/hemlockswitch/process/gateway/rollout_duty.py
+++ b/hemlockswitch/process/gateway/rollout_duty.py
@@ -14,7 +14,7 @@
 from hemlockswitch.process.gateway.true_time import TrueTime
 from hemlockswitch.request.rollout_verdict import Verdict
 from hemlockswitch.version.backend import BackendServer
-from hemlockswitch.version.rollout import RolloutOrder, RolloutState
+from hemlockswitch.version.rollout import OrderIdentity, RolloutOrder, RolloutState
 
 BEGIN_KIND = "rollout-begins"
 """When each order was taken up, and whether its version was found good: kept, since no gateway may
@@ -25,10 +25,6 @@
 """Before the time limit: the time for a turn of the duties and a write of the object service."""
 
 
-Identity = tuple[str, str, int]
-"""What tells an order from every other one; see `RolloutOrder.identity`."""
-
-
 class StatusStore(ConditionalStore, Protocol):
     """An object service in which the state of an order can be written."""
 
@@ -78,8 +74,8 @@
         self._count_running = count_running
         self._true_time = true_time
         self._clock = clock
-        self._begun: set[Identity] = set()
-        self._found_good: set[Identity] = set()
+        self._begun: set[OrderIdentity] = set()
+        self._found_good: set[OrderIdentity] = set()
 
     def take_over(self) -> None:
         """Begin as a new holder: what an earlier one has kept is still to be read."""
--- a/hemlockswitch/version/rollout.py
+++ b/hemlockswitch/version/rollout.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+OrderIdentity = tuple[str, str, int]
+"""Service, target and creation: what tells an order from every other one."""
+
 
 class RolloutState(StrEnum):
     """What became of an order; the last two are final."""
@@ -44,7 +47,7 @@
     version: int = 0
 
     @property
-    def identity(self) -> tuple[str, str, int]:
+    def identity(self) -> OrderIdentity:
         """What tells this order from every other one."""
         return self.service, self.target, self.created
 
