Remove differences of tallies that nobody takes, and pass the servers of a moving service as one

Since what is told is compared as numbers, no tally is subtracted from another. Two functions of rollouts.py shared four parameters; the servers by version are one value now.

--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -1,7 +1,8 @@
-"""What a gateway follows in the object service: the configuration and the registry of servers.
+"""What a gateway follows in the object service.
 
-So are the orders of roll-outs, where the platform has them. Each kind is followed by an `ObjectFollower` over a `RelayedWatch`, so that a zone's watchers watch for
-all; a `WatchGuard` finds watches that have gone deaf.
+The configuration, the registry of servers and, where the platform has them, the orders of roll-outs. Each
+kind is followed by an `ObjectFollower` over a `RelayedWatch`, so that a zone's watchers watch for all; a
+`WatchGuard` finds watches that have gone deaf.
 """
 
 from collections.abc import Callable
--- a/hemlockswitch/process/gateway/rollouts.py
+++ b/hemlockswitch/process/gateway/rollouts.py
@@ -56,6 +56,14 @@
     draws_canary: bool = False
 
 
+@dataclass(frozen=True)
+class _Listed:
+    """The servers of a service that moves: those of the version it moves to, and the others."""
+
+    target: list[BackendServer]
+    others: list[BackendServer]
+
+
 def draw_canary(request_id: str) -> bool:
     """Return whether a request that tries a new version is one of the half that tries few servers."""
     return bool(hash_stable(request_id) % 2)
@@ -188,44 +196,36 @@
                 target.append(server)
             elif not self.versions.is_withheld(server):
                 others.append(server)
-        return self._select_by_order(progress, wish, target, others)
+        return self._select_by_order(progress, wish, _Listed(target, others))
 
     def _select_by_order(
-        self,
-        progress: RolloutProgress,
-        wish: SendWish,
-        target: list[BackendServer],
-        others: list[BackendServer],
+        self, progress: RolloutProgress, wish: SendWish, listed: _Listed
     ) -> list[BackendServer]:
         if progress.order.state is RolloutState.COMPLETED:
-            return target or others
-        progress.note_seen(target, others, self._clock.now_ms())
+            return listed.target or listed.others
+        progress.note_seen(listed.target, listed.others, self._clock.now_ms())
         if progress.is_in_force:
-            return target
-        if not progress.is_open or not target:
-            return others
-        chosen = self._select_open(progress, wish, target, others)
+            return listed.target
+        if not progress.is_open or not listed.target:
+            return listed.others
+        chosen = self._select_open(progress, wish, listed)
         if chosen and chosen[0].version == progress.order.target:
             progress.pay(wish.route, self._clock.now_ms())
         return chosen
 
     def _select_open(
-        self,
-        progress: RolloutProgress,
-        wish: SendWish,
-        target: list[BackendServer],
-        others: list[BackendServer],
+        self, progress: RolloutProgress, wish: SendWish, listed: _Listed
     ) -> list[BackendServer]:
         """Return where a request goes while both versions are tried."""
         now_ms = self._clock.now_ms()
         if wish.begun_version:
-            goes_on = target if wish.begun_version == progress.order.target else others
-            return goes_on or others
+            is_target = wish.begun_version == progress.order.target
+            return (listed.target if is_target else listed.others) or listed.others
         if not wish.is_repeatable and progress.must_move(wish.route, now_ms):
-            return target
-        if progress.may_try(wish.route, now_ms) and (wish.is_first or not others):
-            return self._select_trial(progress, wish, target)
-        return others
+            return listed.target
+        if progress.may_try(wish.route, now_ms) and (wish.is_first or not listed.others):
+            return self._select_trial(progress, wish, listed.target)
+        return listed.others
 
     def _select_trial(
         self, progress: RolloutProgress, wish: SendWish, target: list[BackendServer]
--- a/hemlockswitch/request/rollout_verdict.py
+++ b/hemlockswitch/request/rollout_verdict.py
@@ -34,11 +34,6 @@
             self.answers + other.answers, self.failures + other.failures, self.slow + other.slow
         )
 
-    def __sub__(self, other: Self) -> "Tally":
-        return Tally(
-            self.answers - other.answers, self.failures - other.failures, self.slow - other.slow
-        )
-
     @property
     def bad(self) -> int:
         """How many answers were bad."""
@@ -55,9 +50,6 @@
     def __add__(self, other: Self) -> "RouteTallies":
         return RouteTallies(self.target + other.target, self.others + other.others)
 
-    def __sub__(self, other: Self) -> "RouteTallies":
-        return RouteTallies(self.target - other.target, self.others - other.others)
-
 
 class Verdict(StrEnum):
     """What the counts say of the new version."""
