Count a server that cannot be connected to as no dispatch of a call

What the caller saw: 503, no backend server could be reached, though two of six services were idle.

Cause: the four services that had ended were still listed. After 4 s their earlier failures no longer kept them apart.

The gateway already had the right rule (twelve servers or 1.5 s, no budget); it is now one small type that both use. A server that falls silent still ends the search after 1.5 s.

The new tests fail on the code before.

--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -37,13 +37,9 @@
     Sender,
     SendFailedError,
 )
+from hemlockswitch.request.unreached import UnreachedServers
 from hemlockswitch.version.backend import BackendServer
 
-MOST_UNREACHABLE = 12
-MOST_UNREACHABLE_MS = 1_500.0
-"""Servers that are tried without a connection before the request is given up, and how long from
-the first failure; none of these tries reaches a server, so they cost no budget. When a third of the
-servers is lost at once, a few tries may all meet lost ones."""
 COME_BACK_MS = 500
 """When to come back if no server could take the request: about the time in which a started copy
 or a repaired list of servers shows up."""
@@ -104,7 +100,7 @@
 
     def handle(self, request: ReceivedRequest, reply: Reply) -> None:
         """Serve one request and write its reply."""
-        progress = Progress(request)
+        progress = Progress(request, UnreachedServers(self._clock))
         try:
             self._serve(progress, reply)
         except RequestError as error:
@@ -239,20 +235,11 @@
     ) -> bool:
         """Return whether attempts and budget allow another send."""
         if failed.failure is SendFailure.UNREACHABLE:
-            return self._may_try_unreached(progress)
+            return progress.unreached.may_try_another()
         if len(progress.sends) >= admitted.route.max_attempts:
             return False
         return self._budget.take(admitted.service, self._view.count_daemons())
 
-    def _may_try_unreached(self, progress: Progress) -> bool:
-        """Return whether another server may be tried after one that could not be reached."""
-        now_ms = self._clock.now_ms()
-        progress.unreachable += 1
-        if progress.unreachable_since_ms is None:
-            progress.unreachable_since_ms = now_ms
-        is_soon = now_ms - progress.unreachable_since_ms < MOST_UNREACHABLE_MS
-        return is_soon and progress.unreachable < MOST_UNREACHABLE
-
     @staticmethod
     def _give_up(progress: Progress, verdict: SendVerdict, detail: str) -> None:
         if verdict.answer is None:
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -8,6 +8,7 @@
 from hemlockswitch.request.dialect import RequestFacts
 from hemlockswitch.request.forward_admission import AdmittedRequest
 from hemlockswitch.request.send_states import SendFailure, SendState
+from hemlockswitch.request.unreached import UnreachedServers
 
 
 @dataclass
@@ -22,18 +23,16 @@
     begun_version : the version of the server that began to answer; empty before.
     ended_with_connection : whether the end of the connection was the only sign of the answer's end.
     clearance : how it may be sent, as decided before the last send.
-    unreachable, unreachable_since_ms : servers that refused a connection or did not answer one, and
-        when the first of them had failed.
+    unreached : servers that refused a connection or did not answer one.
     """
 
     request: ReceivedRequest
+    unreached: UnreachedServers
     facts: RequestFacts | None = None
     admitted: AdmittedRequest | None = None
     state: SendState = SendState.NOT_RUN
     sends: list[str] = field(default_factory=list)
     excluded: list[str] = field(default_factory=list)
-    unreachable: int = 0
-    unreachable_since_ms: float | None = None
     in_flight: bool = False
     target: str = ""
     clearance: Clearance = Clearance.FREE
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -27,6 +27,7 @@
     build_deadline_error,
     clear_request,
 )
+from hemlockswitch.request.unreached import UnreachedServers
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.models import Operation, Service
 
@@ -76,6 +77,7 @@
     """What happened to a call so far."""
 
     excluded: set[str]
+    unreached: UnreachedServers
     dispatches: int = 0
     ran: Ran = Ran.NO
     last: BackendAnswer | None = None
@@ -178,13 +180,13 @@
         operation: Operation,
         deadline_ms: float,
     ) -> StoredAnswer:
-        progress = _Progress(excluded=set())
+        progress = _Progress(set(), UnreachedServers(self._clock))
         while True:
             self._check_deadline(progress, deadline_ms)
             is_first = progress.dispatches == 0
             clear_request(self._guard, content, is_first=is_first, ran=progress.ran)
             server = self._choose(request, content.service, progress)
-            progress.dispatches += 1
+            was_sent = True
             sent_ms = self._clock.now_ms()
             try:
                 answer = self._send(request, content.service, server, content.path, deadline_ms)
@@ -193,14 +195,22 @@
                     return _keep(answer)
                 progress.last, progress.ran = answer, Ran.YES
             except ExchangeError as failure:
-                if failure.stage is not Stage.BEFORE_SEND:
+                was_sent = failure.stage is not Stage.BEFORE_SEND
+                if was_sent:
                     progress.ran = Ran.UNKNOWN
                     self._guard.note_broken(content, server)
                 self._note_failure(progress, failure, operation)
             progress.excluded.add(server.name)
-            if progress.dispatches >= MAX_DISPATCHES or not self._budget.take():
+            if not self._may_try_another(progress, was_sent=was_sent):
                 return self._give_up(progress)
 
+    def _may_try_another(self, progress: _Progress, *, was_sent: bool) -> bool:
+        """Return whether another server may be tried after one that failed."""
+        if not was_sent:
+            return progress.unreached.may_try_another()
+        progress.dispatches += 1
+        return progress.dispatches < MAX_DISPATCHES and self._budget.take()
+
     def _check_deadline(self, progress: _Progress, deadline_ms: float) -> None:
         if self._clock.now_ms() >= deadline_ms:
             raise build_deadline_error(progress.ran)
--- /dev/null
+++ b/hemlockswitch/request/unreached.py
@@ -0,0 +1,41 @@
+"""How long a request looks for a server that can be connected to."""
+
+from hemlockswitch.core.clock import Clock
+
+MOST_UNREACHED = 12
+MOST_UNREACHED_MS = 1_500.0
+"""Servers that cannot be connected to and are tried before a request is given up, and how long from the
+first one. When a large share of the servers is lost at once, a few tries may all meet lost ones."""
+
+
+class UnreachedServers:
+    """The servers that one request could not be connected to.
+
+    Nothing was sent to them, so they count neither as attempts nor against a budget of repeats.
+
+    Parameters
+    ==========
+
+    clock : the time.
+
+    Examples
+    ========
+
+    >>> from hemlockswitch.core.clock import ManualClock
+    >>> unreached = UnreachedServers(ManualClock())
+    >>> sum(unreached.may_try_another() for _ in range(20)) == MOST_UNREACHED - 1
+    True
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._count = 0
+        self._since_ms: float | None = None
+
+    def may_try_another(self) -> bool:
+        """Count one more server, and return whether another one may be tried."""
+        now_ms = self._clock.now_ms()
+        if self._since_ms is None:
+            self._since_ms = now_ms
+        self._count += 1
+        return self._count < MOST_UNREACHED and now_ms - self._since_ms < MOST_UNREACHED_MS
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -9,6 +9,7 @@
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.service_call import ServiceCaller, find_operation
+from hemlockswitch.request.unreached import MOST_UNREACHED
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.models import Operation, Service
 from tests.guards import make_guard
@@ -33,8 +34,9 @@
 class Bench:
     """Stands for everything around the caller of services; `results` come one a dispatch."""
 
-    def __init__(self, *results, burst=10.0, guard=None):
+    def __init__(self, *results, burst=10.0, guard=None, servers=SERVERS):
         self.results = list(results)
+        self.servers = servers
         self.asked = []
         self.blamed = []
         self.claimed = []
@@ -45,7 +47,7 @@
         )
 
     def choose(self, need):
-        for server in SERVERS:
+        for server in self.servers:
             if server.name not in need.exclude:
                 return server
         raise RequestError(ErrorKind.NO_BACKEND, "none")
@@ -119,6 +121,27 @@
     assert len(bench.asked) == 2
 
 
+def test_servers_that_cannot_be_reached_count_as_no_dispatch():
+    """Four of six servers had ended and were still listed: calls that met these four were given up.
+
+    One harmless call in some ten was answered with "no backend server", as each refused connection took
+    one of its four dispatches and a part of the budget of repeats, though two servers were idle.
+    """
+    servers = [BackendServer(f"app-{n}", "z", f"127.0.0.1:{n}", "app") for n in range(1, 9)]
+    bench = Bench(*[BEFORE] * 7, OK, burst=0.0, servers=servers)
+    assert bench.send("/confirmations").status == 200
+    assert len(set(bench.asked)) == 8
+
+
+def test_a_call_does_not_look_for_a_server_for_ever():
+    servers = [BackendServer(f"app-{n}", "z", f"127.0.0.1:{n}", "app") for n in range(1, 100)]
+    bench = Bench(*[BEFORE] * 99, servers=servers)
+    with pytest.raises(RequestError) as raised:
+        bench.send("/slots")
+    assert raised.value.answer.ran is Ran.NO
+    assert len(bench.asked) == MOST_UNREACHED
+
+
 def test_an_answer_of_the_service_is_passed_on_whatever_its_status():
     assert Bench(BROKEN).send("/confirmations").status == 503
 
