--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -119,6 +119,11 @@
         return self.state.runs[request_id]
 
 
+def count_runs(runners, request_id):
+    """Return how often a request ran on some runners."""
+    return sum(runner.count_runs(request_id) for runner in runners)
+
+
 class Site:
     """The whole of a site; `close` ends it."""
 
--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,73 @@
+"""Streams through a gateway, over real sockets: whole or visibly cut, resumed, and left by callers."""
+
+import gevent
+import pytest
+
+from tests.gateway_site import Site, count_runs, make_events, make_request, tokens
+
+
+@pytest.fixture
+def site():
+    one = Site()
+    yield one
+    one.close()
+
+
+@pytest.fixture
+def engines(site):
+    return [site.add_runner("llm"), site.add_runner("llm")]
+
+
+def test_a_stream_comes_whole(site, engines):
+    reply = site.ask("/draft/x", "id-1", **tokens(12))
+    assert (reply.status, reply.is_whole) == (200, True)
+    assert reply.body == make_events("id-1", 12)
+
+
+def test_a_stream_that_cannot_go_on_does_not_look_whole(site, engines):
+    for engine in engines:
+        engine.fail(cut_after_events=5)
+    reply = site.ask("/draft/x", "id-1", **tokens(12))
+    assert not reply.is_whole
+    assert count_runs(engines, "id-1") == 1
+
+
+def test_a_resumable_stream_goes_on_elsewhere_in_one_answer(site, engines):
+    for engine in engines:
+        engine.fail(cut_after_events=5, count=1)
+    engines[1].fail()
+    engines[0].fail(cut_after_events=5)
+    reply = site.ask("/reply/x", "id-1", **tokens(12))
+    assert reply.is_whole
+    assert reply.body == make_events("id-1", 12)
+
+
+def test_a_caller_may_resume(site, engines):
+    reply = site.ask("/reply/x", "id-1", Last_Event_Id="7", **tokens(12))
+    assert reply.body == make_events("id-1", 12, first=8)
+
+
+def test_a_caller_that_leaves_stops_its_runner(site):
+    engine = site.add_runner("llm", event_ms=30)
+    with site.connect() as connection:
+        connection.sendall(make_request("/draft/x", "id-1", **tokens(200)))
+        assert connection.recv(100)
+    site.wait(lambda: engine.state.abandoned == ["id-1"])
+
+
+@pytest.mark.parametrize("path", ["/check/x", "/reply/x", "/hold/x"])
+def test_a_caller_that_leaves_before_its_answer_is_not_served_elsewhere(site, path):
+    runners = [site.add_runner(service, work_ms=300) for service in ("app", "app", "llm", "llm")]
+    with site.connect() as connection:
+        connection.sendall(make_request(path, "id-1", **tokens(20)))
+        site.wait(lambda: count_runs(runners, "id-1") == 1)
+    gevent.sleep(0.6)
+    assert count_runs(runners, "id-1") == 1
+    rates = [
+        candidate.failure_rate
+        for service in ("app", "llm")
+        for candidate in site.gateways[0].loads.build_candidates(
+            site.gateways[0].registry.list_ready(service), None
+        )
+    ]
+    assert rates == [0.0] * 4, "the servers are not to blame"
