Let a request wait for a gateway that is starting

After the end of all gateways callers ask again before the first list of servers has come and were told that no server is known. They may ask once more, half a second later, at a gateway that may not be further.

The time that it waited counts as its own: no server is handed more time than is left. Contents that are held back are known as well before the first request goes out.

Ruled out: calls over the store's rate (none refused), time-outs of the lists (no failed watch), loading of the process (0.6 s with half a core, before any of this).

--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -71,7 +71,7 @@
         self._adapter = adapter
         self._clock = clock
         self._tasks = Tasks(clock)
-        self._readiness = Readiness(lambda: self.followed.is_synced and self.guard.is_ready)
+        self._readiness = Readiness(lambda: self.followed.is_synced and self.guard.is_ready, clock)
         self._build_knowledge()
         self._build_forwarding()
         self._build_duties()
@@ -170,7 +170,7 @@
             settings.repeat_window_s * MS_PER_SECOND,
             clock,
         )
-        view = GatewayView(self.knowledge, self.schedule.note_large_prompt, clock)
+        view = GatewayView(self.knowledge, self._readiness, self.schedule.note_large_prompt, clock)
         self._build_guard()
         self.forwarder = Forwarder(
             self._adapter.dialect,
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -5,6 +5,7 @@
 
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.knowledge import Knowledge
+from hemlockswitch.process.gateway.readiness import Readiness
 from hemlockswitch.process.gateway.rollout_sends import ObservedTicket
 from hemlockswitch.process.gateway.rollouts import SendWish, draw_canary
 from hemlockswitch.request.forward_admission import AdmittedRequest
@@ -34,12 +35,14 @@
     ==========
 
     knowledge : the parts that hold what the gateway knows.
+    readiness : tells whether they have been filled since the start.
     on_large_prompt : called when a prompt was sent that the other gateways should hear of at once.
     """
 
     def __init__(
         self,
         knowledge: Knowledge,
+        readiness: Readiness,
         on_large_prompt: Callable[[], None],
         clock: Clock,
     ) -> None:
@@ -50,10 +53,15 @@
         self._reachability = knowledge.reachability
         self._models = knowledge.models
         self._rollouts = knowledge.rollouts
+        self._readiness = readiness
         self._on_large_prompt = on_large_prompt
         self._clock = clock
         self._random = random.Random()
 
+    def await_synced(self, most_ms: float) -> None:
+        """Wait until what a request needs is known, for `most_ms` at the most."""
+        self._readiness.await_synced(most_ms)
+
     def get_table(self) -> ServingTable | None:
         """Return the configuration in force."""
         return self._tables.current
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -14,7 +14,7 @@
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.request.clearance import RequestGuard
-from hemlockswitch.request.dialect import Dialect
+from hemlockswitch.request.dialect import Dialect, RequestFacts
 from hemlockswitch.request.forward_admission import (
     AccountLimiter,
     AdmittedRequest,
@@ -43,6 +43,8 @@
 COME_BACK_MS = 500
 """When to come back if no server could take the request: about the time in which a started copy
 or a repaired list of servers shows up."""
+START_WAIT_SHARE = 0.25
+"""Part of a request's time for which it may wait while this process starts."""
 
 
 @dataclass(frozen=True)
@@ -115,6 +117,7 @@
     def _serve(self, progress: Progress, reply: Reply) -> None:
         request = progress.request
         progress.facts = self._dialect.decode_request(request)
+        self._view.await_synced(find_start_wait_ms(progress.facts))
         if self._is_leaving:
             raise RequestError(ErrorKind.LEAVING, "this process ends before it could answer")
         admitted = admit_request(self._view.get_table(), request, progress.facts, self._limiter)
@@ -271,3 +274,13 @@
         request_id = progress.facts.request_id if progress.facts else ""
         answer = self._dialect.describe_error(error, request_id)
         reply.send(answer.status, answer.reason, list(answer.headers), answer.body)
+
+
+def find_start_wait_ms(facts: RequestFacts) -> float:
+    """Return how long a request may wait for a process that starts.
+
+    It is not longer than a refusal would send the caller away for, who may ask again only once.
+    """
+    if facts.time_left_ms is None:
+        return COME_BACK_MS
+    return min(COME_BACK_MS, facts.time_left_ms * START_WAIT_SHARE)
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -43,6 +43,9 @@
 class ForwardingView(Protocol):
     """What the process knows, as forwarding needs it."""
 
+    def await_synced(self, most_ms: float) -> None:
+        """Wait until what a request needs is known since the start, for `most_ms` at the most."""
+
     def get_table(self) -> ServingTable | None:
         """Return the configuration in force."""
 
--- /dev/null
+++ b/tests/test_readiness.py
@@ -0,0 +1,76 @@
+"""Requests that come while a gateway starts.
+
+The pattern: all gateways are killed at once and come back within a second, and their callers ask again
+before the first list of servers has come, which takes 0.7 s with a thousand servers on a link of
+10 Mbit/s. Each of them was told that no server was known. Such a caller asks once more, half a second
+later, and may meet another gateway that is not further.
+"""
+
+import gevent
+import pytest
+
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.process.gateway import readiness as readiness_module
+from hemlockswitch.process.gateway.readiness import LONGEST_START_MS, Readiness
+from hemlockswitch.request import forwarding
+from hemlockswitch.request.dialect import RequestFacts
+from hemlockswitch.request.forwarding import COME_BACK_MS, find_start_wait_ms
+from hemlockswitch.standin.gateway_store import StoreFaults
+from tests.gateway_site import Site
+
+START_MS = 1_000.0
+
+
+def make_readiness(synced_after_ms):
+    clock = ManualClock(now_ms=START_MS)
+    return Readiness(lambda: clock.now_ms() >= START_MS + synced_after_ms, clock), clock
+
+
+@pytest.mark.parametrize(
+    ("synced_after_ms", "least_ms", "most_ms"),
+    [(0, 0, 0), (200, 200, 210), (10_000, 500, 510)],
+)
+def test_a_request_waits_until_what_it_needs_is_known(synced_after_ms, least_ms, most_ms):
+    readiness, clock = make_readiness(synced_after_ms)
+    readiness.await_synced(500.0)
+    assert least_ms <= clock.now_ms() - START_MS <= most_ms
+
+
+def test_nobody_waits_for_an_outage_of_the_store():
+    readiness, clock = make_readiness(60_000)
+    clock.advance(LONGEST_START_MS)
+    readiness.await_synced(500.0)
+    assert clock.now_ms() - START_MS == LONGEST_START_MS
+
+
+def test_nobody_waits_for_what_was_known_once():
+    clock, answers = ManualClock(), [True, False]
+    readiness = Readiness(lambda: answers.pop(0), clock)
+    readiness.await_synced(500.0)
+    readiness.await_synced(500.0)
+    assert clock.now_ms() == ManualClock().now_ms()
+
+
+@pytest.mark.parametrize(
+    ("time_left_ms", "wait_ms"), [(None, COME_BACK_MS), (15_000, COME_BACK_MS), (800, 200)]
+)
+def test_the_wait_is_a_small_part_of_the_callers_time(time_left_ms, wait_ms):
+    facts = RequestFacts(request_id="r", host="h", key=None, time_left_ms=time_left_ms)
+    assert find_start_wait_ms(facts) == wait_ms
+
+
+def test_a_caller_of_a_gateway_that_starts_gets_its_answer(monkeypatch):
+    monkeypatch.setattr(readiness_module, "LONGEST_START_MS", 15_000.0)
+    monkeypatch.setattr(forwarding, "COME_BACK_MS", 10_000.0)
+    monkeypatch.setattr(forwarding, "START_WAIT_SHARE", 1.0)
+    site = Site()
+    try:
+        site.add_runner("app")
+        site.store.faults = StoreFaults(mode="silent")
+        site.add_gateway("gateway-2")
+        asked = gevent.spawn(site.ask, "/check/x", gateway=1, Hemlockswitch_Deadline_Ms="10000")
+        gevent.sleep(0.05)
+        site.store.faults = StoreFaults()
+        assert asked.get(timeout=15).status == 200
+    finally:
+        site.close()
