Let a trial go on that has reached no server yet

A harmless content that is held back at the entry daemons gets a trial after two seconds. If the server chosen for it could not be connected to, the guard was asked again before the next one, saw a trial under way (its own), and refused the request for another 20 s. Ruled out: a second trial, which the object service would have to grant.

How a request was cleared is kept with it. The new test fails on the code before.

--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -100,7 +100,13 @@
             try:
                 if not resume:
                     ran = running.state_ran()
-                    clear_request(self._guard, generation, is_first=not running.sent, ran=ran)
+                    running.clearance = clear_request(
+                        self._guard,
+                        generation,
+                        running.clearance,
+                        is_first=not running.sent,
+                        ran=ran,
+                    )
                     self._begin_attempt(running, cause)
                 yield from self._run_attempt(running, resume)
                 cause, resume = Cause.RECLAIM, False
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -6,7 +6,7 @@
 
 from hemlockswitch.connection.backends import BackendExchange
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
-from hemlockswitch.request.clearance import Content, RequestGuard
+from hemlockswitch.request.clearance import Clearance, Content, RequestGuard
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.prefixes import count_tokens, hash_blocks
 from hemlockswitch.request.routing import Need
@@ -90,6 +90,7 @@
     excluded : servers that lost this generation.
     sent_ms : when the attempt in progress began.
     sent : whether any backend server may have begun it.
+    clearance : how it may be sent, as decided before the last attempt.
     fruitless : attempts that may have run and brought no token.
     own_token : whether the connection in progress brought a token.
     brought_token : whether the attempt in progress did, over all its connections.
@@ -108,6 +109,7 @@
     attempts: int = 0
     sent_ms: float = 0.0
     sent: bool = False
+    clearance: Clearance = Clearance.FREE
     fruitless: int = 0
     own_token: bool = False
     brought_token: bool = False
@@ -178,16 +180,21 @@
         return self.need.prompt_tokens + self.base_tokens
 
 
-def clear_request(guard: RequestGuard, content: Content, *, is_first: bool, ran: Ran) -> None:
-    """Raise if a request is held back, with what is known of whether it ran.
+def clear_request(
+    guard: RequestGuard, content: Content, last: Clearance, *, is_first: bool, ran: Ran
+) -> Clearance:
+    """Return how a request may be sent, or raise with what is known of whether it ran.
 
     Parameters
     ==========
 
+    last : how it might be sent when a server was chosen for it before.
     is_first : whether nothing of it was sent yet, so that it may be sent as a trial.
     """
+    if is_first and last.is_trial:
+        return last  # The trial that was granted has reached no server yet.
     try:
-        guard.clear(content, may_try=is_first)
+        return guard.clear(content, may_try=is_first)
     except RequestError as held:
         if ran is Ran.NO:
             raise
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -16,7 +16,7 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.claims import Claims, StoredAnswer, fingerprint_call
-from hemlockswitch.request.clearance import RequestGuard
+from hemlockswitch.request.clearance import Clearance, RequestGuard
 from hemlockswitch.request.fingerprint import hash_call
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Need
@@ -79,6 +79,7 @@
     excluded: set[str]
     unreached: UnreachedServers
     dispatches: int = 0
+    clearance: Clearance = Clearance.FREE
     ran: Ran = Ran.NO
     last: BackendAnswer | None = None
 
@@ -184,7 +185,9 @@
         while True:
             self._check_deadline(progress, deadline_ms)
             is_first = progress.dispatches == 0
-            clear_request(self._guard, content, is_first=is_first, ran=progress.ran)
+            progress.clearance = clear_request(
+                self._guard, content, progress.clearance, is_first=is_first, ran=progress.ran
+            )
             server = self._choose(request, content.service, progress)
             was_sent = True
             sent_ms = self._clock.now_ms()
--- a/tests/test_quarantine_at_entry.py
+++ b/tests/test_quarantine_at_entry.py
@@ -23,7 +23,7 @@
 from tests.guards import ALONE, make_guard
 from tests.memory_store import MemoryStore
 from tests.test_relay import LOST
-from tests.test_service_calls import AFTER, OK, SERVERS
+from tests.test_service_calls import AFTER, BEFORE, OK, SERVERS
 
 CONTENT = "content"
 
@@ -88,6 +88,17 @@
     assert again.asked == []
 
 
+def test_a_trial_whose_first_server_cannot_be_reached_goes_to_another(clock):
+    """A harmless call that was held back was refused for another 20 s when its trial met a dead server."""
+    guard = make_guard(clock, ended={server.name for server in SERVERS})
+    with pytest.raises(RequestError):
+        test_service_calls.Bench(AFTER, AFTER, AFTER, guard=guard).send("/slots")
+    clock.advance(TRIAL_PAUSES_MS[0])
+    trial = test_service_calls.Bench(BEFORE, BEFORE, OK, guard=guard)
+    assert trial.send("/slots").status == 200
+    assert test_service_calls.Bench(OK, guard=guard).send("/slots").status == 200
+
+
 def test_a_call_that_may_run_once_counts_over_the_attempts_of_its_caller(clock):
     guard = make_guard(clock, ended={server.name for server in SERVERS})
     for _ in range(2):
