--- a/tests/crash_gateways.py
+++ b/tests/crash_gateways.py
@@ -18,6 +18,28 @@
 REPORT_MS = 600.0
 
 
+@dataclass(frozen=True)
+class Setting:
+    """How much there is of everything in a replay.
+
+    Parameters
+    ==========
+
+    contents : how many different deadly contents come.
+    has_memory : whether gateways remember contents at all; without, it is the code of before.
+    """
+
+    gateways: int = 8
+    zones: int = 3
+    servers: int = 8
+    deadly_per_s: float = 5.0
+    contents: int = 1
+    harmless_per_s: float = 20.0
+    popular_per_s: float = 2.0
+    has_faults: bool = True
+    has_memory: bool = True
+
+
 @dataclass
 class Server:
     """A backend server; each start is another incarnation."""
--- a/tests/crash_replay.py
+++ b/tests/crash_replay.py
@@ -13,7 +13,6 @@
 import random
 import sys
 from collections import Counter, defaultdict
-from dataclasses import dataclass
 from types import SimpleNamespace
 
 import structlog
@@ -24,7 +23,7 @@
 from hemlockswitch.process.quarantine.guard import LOOK_MS
 from hemlockswitch.request.clearance import Clearance
 from hemlockswitch.request.quarantine import MOST_ENDS
-from tests.crash_gateways import REPORT_MS, SETTLED_MS, Gateway, Server, Store
+from tests.crash_gateways import REPORT_MS, SETTLED_MS, Gateway, Server, Setting, Store
 
 DEADLY = "deadly"
 POPULAR = "popular"
@@ -37,28 +36,6 @@
 MOST_SENDS = 2
 
 
-@dataclass(frozen=True)
-class Setting:
-    """How much there is of everything in a replay.
-
-    Parameters
-    ==========
-
-    contents : how many different deadly contents come.
-    has_memory : whether gateways remember contents at all; without, it is the code of before.
-    """
-
-    gateways: int = 8
-    zones: int = 3
-    servers: int = 8
-    deadly_per_s: float = 5.0
-    contents: int = 1
-    harmless_per_s: float = 20.0
-    popular_per_s: float = 2.0
-    has_faults: bool = True
-    has_memory: bool = True
-
-
 class Replay:
     """One seed."""
 
