--- a/hemlockswitch/programs/gateway.py
+++ b/hemlockswitch/programs/gateway.py
@@ -83,7 +83,7 @@
     # Help and checks are for operators: only they load the command line framework.
     from hemlockswitch.programs.gateway_command import run_command
 
-    return run_command()
+    return run_command(serve)
 
 
 if __name__ == "__main__":
--- a/hemlockswitch/programs/gateway_command.py
+++ b/hemlockswitch/programs/gateway_command.py
@@ -1,12 +1,22 @@
 """The whole command line of ``hemlock-gateway``, for any arguments but a settings file alone."""
 
+from collections.abc import Callable
+
 from hemlockswitch.programs.daemon import DaemonCommand, run_program
-from hemlockswitch.programs.gateway import serve
 from hemlockswitch.version.gateway_settings import GatewaySettings
 
+Serve = Callable[[GatewaySettings, str], None]
+"""Runs a gateway by its settings, which were read from a path, until it is told to stop."""
+
 
 class GatewayCommand(DaemonCommand):
-    """Serves callers on the users' platform."""
+    """Serves callers on the users' platform.
+
+    Parameters
+    ==========
+
+    serve : runs the gateway.
+    """
 
     name = "gateway"
     description = "forward requests by routes, and take the duties when it is this daemon's turn"
@@ -17,11 +27,15 @@
     )
     settings_model = GatewaySettings
 
+    def __init__(self, serve: Serve) -> None:
+        super().__init__()
+        self._serve = serve
+
     def serve(self, settings: GatewaySettings, path: str) -> None:
         """Run the gateway until it is told to stop."""
-        serve(settings, path)
+        self._serve(settings, path)
 
 
-def run_command() -> int:
+def run_command(serve: Serve) -> int:
     """Run the program by its command line and return its exit code."""
-    return run_program("hemlock-gateway", GatewayCommand())
+    return run_program("hemlock-gateway", GatewayCommand(serve))
