--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -23,8 +23,10 @@
     return GATEWAYS[fault.target % len(GATEWAYS)]
 
 
-def _find_runner(world: SoakWorld, fault: Fault) -> SoakRunner:
-    linked = [runner for runner in world.runners if runner.service not in APART]
+def find_runner(world: SoakWorld, fault: Fault) -> SoakRunner:
+    """Return the runner that a fault is for; one that has not registered yet serves nobody."""
+    registered = [runner for runner in world.runners if runner.is_registered]
+    linked = [runner for runner in registered if runner.service not in APART]
     running = [runner for runner in linked if runner.program.is_running]
     return running[fault.target % len(running)]
 
@@ -90,7 +92,7 @@
 
 def _spoil_runner(**faults: object) -> Callable:
     def act(world: SoakWorld, fault: Fault) -> None:
-        address = _find_runner(world, fault).program.addresses["http"]
+        address = find_runner(world, fault).program.addresses["http"]
         call_json(address, "POST", "/standin/faults", faults)
 
     return act
@@ -101,7 +103,7 @@
 
 
 def _freeze_runner(world: SoakWorld, fault: Fault) -> None:
-    program = _find_runner(world, fault).program
+    program = find_runner(world, fault).program
     program.freeze()
     time.sleep(fault.for_s)
     program.thaw()
@@ -109,7 +111,7 @@
 
 def _kill_runner(world: SoakWorld, fault: Fault) -> None:
     """A runner crashes; its entry goes and another one comes a moment later."""
-    runner = _find_runner(world, fault)
+    runner = find_runner(world, fault)
     runner.program.kill()
     time.sleep(RESTART_S)
     world.unregister(runner)
@@ -118,7 +120,7 @@
 
 def _drain_runner(world: SoakWorld, fault: Fault) -> None:
     """A runner leaves as planned, after its successor has come."""
-    runner = _find_runner(world, fault)
+    runner = find_runner(world, fault)
     world.start_runner(runner.service)
     world.register(runner, "draining")
     time.sleep(DRAINING_S)
@@ -137,8 +139,8 @@
     return f"front-{_find_gateway(fault)}"
 
 
-def _find_runner_link(world: SoakWorld, fault: Fault) -> str:
-    return f"runner-{_find_runner(world, fault).name}"
+def find_runner_link(world: SoakWorld, fault: Fault) -> str:
+    return f"runner-{find_runner(world, fault).name}"
 
 
 _ACTIONS: dict[FaultKind, Callable[[SoakWorld, Fault], None]] = {
@@ -156,8 +158,8 @@
     FaultKind.STORE_SILENT: _spoil_store(mode="silent"),
     FaultKind.STORE_ANSWERS_LOST: _spoil_store(lose_answers=5),
     FaultKind.STORE_COMPACTED: _compact_store,
-    FaultKind.RUNNER_LINK_CUT: _spoil_link(_find_runner_link, mode="cut"),
-    FaultKind.RUNNER_LINK_SILENT: _spoil_link(_find_runner_link, mode="black_hole"),
+    FaultKind.RUNNER_LINK_CUT: _spoil_link(find_runner_link, mode="cut"),
+    FaultKind.RUNNER_LINK_SILENT: _spoil_link(find_runner_link, mode="black_hole"),
     FaultKind.RUNNER_ANSWERS_LOST: _spoil_runner(lose_answer=True, count=4),
     FaultKind.RUNNER_DECLINES: _spoil_runner(decline=True, count=6),
     FaultKind.RUNNER_FAILS: _spoil_runner(fail=True, count=6),
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -33,11 +33,18 @@
 
 @dataclass
 class SoakRunner:
-    """A running backend server; each start is a new one."""
+    """A running backend server; each start is a new one.
+
+    Parameters
+    ==========
+
+    is_registered : whether it has been registered, and has its link.
+    """
 
     name: str
     service: str
     program: Program
+    is_registered: bool = False
 
 
 class SoakWorld:
@@ -151,6 +158,7 @@
         if runner.service not in APART:
             address = self.cluster.add_link(f"runner-{runner.name}", address)
         self.put("servers", runner.name, make_entry(runner.service, address, state))
+        runner.is_registered = True
 
     def keep_frail_runners(self, stop: threading.Event) -> None:
         """Start a new runner of the frail service for each that has ended, until told to stop."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,14 @@
 
 import dataclasses
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 import pytest
 
 from tests.soak.callers import Call
+from tests.soak.injection import find_runner
 from tests.soak.moving import Move
-from tests.soak.plan import FaultKind, draw_plan
+from tests.soak.plan import Fault, FaultKind, draw_plan
 from tests.soak.promises import list_broken
 from tests.soak.run import play
 from tests.soak.world import SoakRunner
@@ -31,6 +33,17 @@
     return dataclasses.replace(record, **fields)
 
 
+@pytest.mark.parametrize("target", range(4))
+def test_a_fault_meets_no_runner_that_is_still_starting(target):
+    """A kill of a runner that had just been started by another fault ended the soak with an error."""
+    process = SimpleNamespace(is_running=True)
+    starting = SoakRunner("llm-2", "llm", process)
+    serving = SoakRunner("llm-1", "llm", process, is_registered=True)
+    world = SimpleNamespace(runners=[starting, serving])
+    fault = Fault(kind=FaultKind.RUNNER_KILLED, at_s=0.0, for_s=0.0, target=target)
+    assert find_runner(world, fault) is serving
+
+
 def test_a_calm_run_breaks_nothing():
     assert list_broken([CALL], [("r1", "id-1")], [USAGE, USAGE]) == []
 
