Clear a request before a send by one rule at both daemons

Behaviour is unchanged.

Run: formatter, linter, types, import contracts, the unit tests of quarantine, forwarding, calls, relay, start and sites, features/quarantine.feature; all passed.

--- a/hemlockswitch/request/clearance.py
+++ b/hemlockswitch/request/clearance.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import Protocol
 
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.version.backend import BackendServer
 
 
@@ -54,3 +55,24 @@
 
     def note_answered(self, content: Content, server: BackendServer, sent_ms: float) -> None:
         """A server has answered completely what was sent to it at `sent_ms`."""
+
+
+def clear_request(
+    guard: RequestGuard, content: Content, last: Clearance, *, is_first: bool, ran: Ran
+) -> Clearance:
+    """Return how a request may be sent, or raise with what is known of whether it ran.
+
+    Parameters
+    ==========
+
+    last : how it might be sent when a server was chosen for it before.
+    is_first : whether nothing of it was sent yet, so that it may be sent as a trial.
+    """
+    if is_first and last.is_trial:
+        return last  # The trial that was granted has reached no server yet.
+    try:
+        return guard.clear(content, may_try=is_first)
+    except RequestError as held:
+        if ran is Ran.NO:
+            raise
+        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, held.detail, ran=ran) from held
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -12,8 +12,8 @@
 from hemlockswitch.connection.forward_server import CallerLeftError, Reply
 from hemlockswitch.connection.heads import ReceivedRequest
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
-from hemlockswitch.core.errors import ErrorKind, RequestError
-from hemlockswitch.request.clearance import RequestGuard
+from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.request.clearance import RequestGuard, clear_request
 from hemlockswitch.request.dialect import Dialect, RequestFacts
 from hemlockswitch.request.forward_admission import (
     AccountLimiter,
@@ -154,17 +154,15 @@
 
     def _clear(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> None:
         """Raise if the request is held back; what is answered depends on what became of it so far."""
-        is_first = not progress.sends
-        if is_first and progress.clearance.is_trial:
-            return  # The trial that was granted has reached no server yet.
+        ran = Ran.NO if progress.state is SendState.NOT_RUN else Ran.UNKNOWN
         try:
-            progress.clearance = self._guard.clear(admitted, may_try=is_first)
+            progress.clearance = clear_request(
+                self._guard, admitted, progress.clearance, is_first=not progress.sends, ran=ran
+            )
         except RequestError as held:
             if reply.begun:
                 raise CallerLeftError(held.detail) from held
-            if progress.state is SendState.NOT_RUN:
-                raise
-            raise RequestError(ErrorKind.OUTCOME_UNKNOWN, held.detail) from held
+            raise
 
     def _note_answered(
         self, progress: Progress, admitted: AdmittedRequest, answered: _Answered
--- a/hemlockswitch/request/relay.py
+++ b/hemlockswitch/request/relay.py
@@ -8,7 +8,7 @@
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.attempt import Attempt, AttemptLostError, AttemptOpener
 from hemlockswitch.request.chunks import DONE_EVENT, SEPARATOR, Checked, Verdict, rewrite_usage
-from hemlockswitch.request.clearance import RequestGuard
+from hemlockswitch.request.clearance import RequestGuard, clear_request
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.retries import Pace, RetryBudget
 from hemlockswitch.request.running import (
@@ -20,7 +20,6 @@
     RelayObserver,
     Running,
     build_need,
-    clear_request,
 )
 from hemlockswitch.version.backend import BackendServer
 
--- a/hemlockswitch/request/running.py
+++ b/hemlockswitch/request/running.py
@@ -6,7 +6,7 @@
 
 from hemlockswitch.connection.backends import BackendExchange
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
-from hemlockswitch.request.clearance import Clearance, Content, RequestGuard
+from hemlockswitch.request.clearance import Clearance
 from hemlockswitch.request.generation import Cause, Generation
 from hemlockswitch.request.prefixes import count_tokens, hash_blocks
 from hemlockswitch.request.routing import Need
@@ -180,27 +180,6 @@
         return self.need.prompt_tokens + self.base_tokens
 
 
-def clear_request(
-    guard: RequestGuard, content: Content, last: Clearance, *, is_first: bool, ran: Ran
-) -> Clearance:
-    """Return how a request may be sent, or raise with what is known of whether it ran.
-
-    Parameters
-    ==========
-
-    last : how it might be sent when a server was chosen for it before.
-    is_first : whether nothing of it was sent yet, so that it may be sent as a trial.
-    """
-    if is_first and last.is_trial:
-        return last  # The trial that was granted has reached no server yet.
-    try:
-        return guard.clear(content, may_try=is_first)
-    except RequestError as held:
-        if ran is Ran.NO:
-            raise
-        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, held.detail, ran=ran) from held
-
-
 def build_need(generation: Generation) -> Need:
     """Return what the router must know of a generation that has not begun."""
     return Need(
--- a/hemlockswitch/request/service_call.py
+++ b/hemlockswitch/request/service_call.py
@@ -16,7 +16,7 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.claims import Claims, StoredAnswer, fingerprint_call
-from hemlockswitch.request.clearance import Clearance, RequestGuard
+from hemlockswitch.request.clearance import Clearance, RequestGuard, clear_request
 from hemlockswitch.request.fingerprint import hash_call
 from hemlockswitch.request.retries import RetryBudget
 from hemlockswitch.request.routing import Need
@@ -25,7 +25,6 @@
     Chooser,
     Directory,
     build_deadline_error,
-    clear_request,
 )
 from hemlockswitch.request.unreached import UnreachedServers
 from hemlockswitch.version.backend import BackendServer
