--- a/hemlockswitch/connection/stored_objects.py
+++ b/hemlockswitch/connection/stored_objects.py
@@ -1,7 +1,8 @@
 """Objects of an object service, and what became of a write: the types that every client of one uses."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Any, Protocol
 
 
@@ -25,6 +26,14 @@
     created: int = 0
 
 
+class PageSource(StrEnum):
+    """How a page came here."""
+
+    LIST = "list"
+    WATCH = "watch"
+    RELAY = "relay"
+
+
 @dataclass(frozen=True)
 class ObjectPage:
     """Objects that a list or a watch answered, and the service's version then.
@@ -33,11 +42,16 @@
     ==========
 
     is_whole : whether these are all objects of the kind, and not changes.
+    source : how it came here.
+    confirmed_ms : a moment of this process's clock; whoever has taken the page knows all that was written
+        before. None if no such moment is known.
     """
 
     items: tuple[StoredObject, ...]
     version: int
     is_whole: bool = False
+    source: PageSource = field(default=PageSource.WATCH, compare=False)
+    confirmed_ms: float | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -197,6 +197,7 @@
             clock,
         )
         self.observer.metrics.guard = self.guard.counts
+        self.observer.metrics.measure_ages = self.followed.measure_ages
         self.observer.metrics.describe_rollouts = self.rollouts.count_answers
 
     def _build_duties(self) -> None:
@@ -217,6 +218,7 @@
         self.status.add("name", lambda: self.settings.name)
         self.status.add("ready", self.is_ready)
         self.status.add("configuration", self.followed.describe_configuration)
+        self.status.add("followed", self.followed.describe)
         self.status.add("gateways", self.fleet.describe)
         self.status.add("models", self.models.describe)
         self.status.add("backend_servers", lambda: len(self.registry.list_all()))
--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -96,6 +96,7 @@
             clock,
         )
         registry.get_recovered_ms = lambda: self.servers.recovered_ms
+        registry.measure_age_ms = self.servers.measure_age_ms
 
     def _follow(
         self,
@@ -134,6 +135,18 @@
             "watch_lost": self.configuration.is_lost,
         }
 
+    def measure_ages(self) -> dict[str, float]:
+        """Return the age in ms of what is known of each kind of objects."""
+        return {one.kind: one.measure_age_ms() for one in self.followers}
+
+    def describe(self) -> dict[str, Any]:
+        """Return the version and the age of what is known of each kind, for the status page."""
+        return {
+            one.kind: {"version": one.version, "confirmed_ms_ago": round(one.measure_age_ms())}
+            for one in self.followers
+            if one.is_synced
+        }
+
     def view(self) -> StoreView:
         """Return what this gateway knows of the object service, for the others."""
         table = self._tables.current
--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -79,6 +79,7 @@
         self._wait_ms = wait_ms
         self.recovered_ms = float("-inf")
         self.heard_ms = float("-inf")
+        self.confirmed_ms = clock.now_ms()  # Nothing is older than the process.
         self.first_synced_ms: float | None = None
         self.is_synced = False
         self.is_lost = False
@@ -92,11 +93,20 @@
         self._since = 0
         self._must_list = True
 
+    @property
+    def version(self) -> int:
+        """The version up to which the consumer knows the kind."""
+        return self._since
+
     @property
     def live_version(self) -> int:
         """The version that the consumer knows; 0 while the service does not answer."""
         return self._since if self.is_synced and not self.is_lost else 0
 
+    def measure_age_ms(self) -> float:
+        """Return how long ago the consumer was known to know all that the service had."""
+        return self._clock.now_ms() - self.confirmed_ms
+
     def run(self) -> None:
         """Follow until the task is ended."""
         while True:
@@ -130,6 +140,7 @@
         page = self._store.list(self.kind)
         self._note_heard()
         self._consumer.replace_all(page)
+        self._note_confirmed(page)
         self._since = page.version
         self.is_synced = True
         self._must_list = False
@@ -149,9 +160,14 @@
             self._consumer.replace_all(page)
         elif page.items:
             self._consumer.apply_changes(page)
+        self._note_confirmed(page)
         if page.items:
             self._clock.sleep_ms(self._get_settle_ms())
 
+    def _note_confirmed(self, page: ObjectPage) -> None:
+        if page.confirmed_ms is not None:
+            self.confirmed_ms = max(self.confirmed_ms, page.confirmed_ms)
+
     def _note_lost(self, error: PlatformError) -> None:
         if not self.is_lost:
             log_event(Event.WATCH_FAILED, "warning", watch=self.kind, detail=error.detail)
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from hemlockswitch.connection.messages import register_message
-from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
+from hemlockswitch.connection.stored_objects import ObjectPage, PageSource, StoredObject
 
 Loads = dict[str, tuple[int, float]]
 """Server incarnation to (requests in progress, prompt tokens that wait)."""
@@ -218,4 +218,4 @@
     def to_object_page(self) -> ObjectPage:
         """Return the page as the object service answered it."""
         items = tuple(StoredObject(self.kind, *item) for item in self.items)
-        return ObjectPage(items, self.version, self.is_whole)
+        return ObjectPage(items, self.version, self.is_whole, PageSource.RELAY)
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -67,6 +67,7 @@
     connections : connections made to backend servers.
     begun : route to the times from a request's head to the beginning of its answer.
     guard : what the guard of requests under which servers end has counted.
+    measure_ages : returns the age in ms of what is known of each kind of objects.
     describe_rollouts : returns answers by service, version and result while services move.
 
     Examples
@@ -84,6 +85,7 @@
         self.connections = 0
         self.begun: dict[str, Timings] = defaultdict(Timings)
         self.guard = GuardCounts()
+        self.measure_ages: Callable[[], Mapping[str, float]] = dict
         self.describe_rollouts: Callable[[], Mapping[tuple[str, str, str], int]] = dict
 
     def render(self) -> bytes:
@@ -135,6 +137,14 @@
         yield CounterMetricFamily(
             "hemlock_backend_connections", "Connections made.", value=self.connections
         )
+        ages = GaugeMetricFamily(
+            "hemlock_view_age_seconds",
+            "How long ago all objects of a kind were known.",
+            labels=["kind"],
+        )
+        for kind, age_ms in self.measure_ages().items():
+            ages.add_metric([kind], age_ms / MS_PER_SECOND)
+        yield ages
         rollouts = GaugeMetricFamily(
             "hemlock_rollout_answers",
             "Answers under the newest roll-out of a service, by version and result.",
--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -101,6 +101,7 @@
             sends=progress.sends,
             server_version=progress.begun_version,
             expected_ms=round(progress.expected_ms),
+            list_age_ms=round(progress.list_age_ms),
             began_ms=round(began_ms - received_ms) if began_ms is not None else None,
             took_ms=round(now_ms - received_ms),
             outcome=progress.outcome,
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
+from hemlockswitch.connection.stored_objects import ObjectPage, PageSource, StoredObject
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ConfigurationError
 from hemlockswitch.core.events import Event
@@ -46,10 +46,15 @@
     state: BackendState
     version: int = 0
 
-    def log(self) -> None:
+    def log(self, source: PageSource | None) -> None:
         """Write a line for this server alone."""
         if self.state is BackendState.GONE:
-            log_event(Event.BACKEND_GONE, server=self.server.name, address=self.server.address)
+            log_event(
+                Event.BACKEND_GONE,
+                server=self.server.name,
+                address=self.server.address,
+                source=source,
+            )
             return
         log_event(
             Event.BACKEND_LISTED,
@@ -59,6 +64,7 @@
             state=self.state.value,
             machine_class=self.server.machine_class,
             version=self.version,
+            source=source,
         )
 
 
@@ -84,6 +90,7 @@
         self, decode: Decoder, clock: Clock, on_gone: Callable[[BackendServer], None]
     ) -> None:
         self.get_recovered_ms: Callable[[], float] = lambda: float("-inf")
+        self.measure_age_ms: Callable[[], float] = lambda: 0.0
         self._decode = decode
         self._clock = clock
         self._on_gone = on_gone
@@ -104,12 +111,12 @@
         is_lapse = self._looks_like_lapse(missing)
         for name in missing:
             self._remove(name, is_lapse=is_lapse)
-        self._log_changes()
+        self._log_changes(page.source)
 
     def apply_changes(self, page: ObjectPage) -> None:
         """Take changed and removed entries."""
         self._apply(page)
-        self._log_changes()
+        self._log_changes(page.source)
 
     def _apply(self, page: ObjectPage) -> None:
         removed = [item.name for item in page.items if item.deleted]
@@ -223,12 +230,12 @@
             before_unix_ms=before.started_unix_ms,
         )
 
-    def _log_changes(self) -> None:
-        """Log what the last page changed."""
+    def _log_changes(self, source: PageSource | None = None) -> None:
+        """Log what the last page changed, and how it came; None if an entry was held until now."""
         changes, self._changes = self._changes, []
         if len(changes) <= MOST_LINES:
             for change in changes:
-                change.log()
+                change.log(source)
             return
         names: dict[BackendState, list[str]] = defaultdict(list)
         for change in changes:
@@ -238,6 +245,7 @@
             live=names[BackendState.LIVE],
             leaving=names[BackendState.LEAVING],
             gone=names[BackendState.GONE],
+            source=source,
         )
 
     def _remove(self, name: str, *, is_lapse: bool) -> None:
--- a/hemlockswitch/process/gateway/relayed_watch.py
+++ b/hemlockswitch/process/gateway/relayed_watch.py
@@ -15,7 +15,7 @@
 from gevent.event import Event as Signal
 
 from hemlockswitch.connection.messages import encode_message
-from hemlockswitch.connection.stored_objects import ObjectPage
+from hemlockswitch.connection.stored_objects import ObjectPage, PageSource
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
@@ -82,7 +82,13 @@
 
         After the service has lost its history a watcher lists, and the others need not.
         """
-        page = replace(self._store.list(kind, prefix), is_whole=True)
+        asked_ms = self._clock.now_ms()
+        page = replace(
+            self._store.list(kind, prefix),
+            is_whole=True,
+            source=PageSource.LIST,
+            confirmed_ms=asked_ms,
+        )
         self._patient_until_ms = self._clock.now_ms() + self._patience_ms
         self._share(kind, 0, page)
         return page
@@ -101,7 +107,11 @@
         if self._must_ask:
             wait_ms = CATCH_UP_WAIT_MS
         self._must_ask = False
+        asked_ms = self._clock.now_ms()
         answer = self._store.watch(kind, since, wait_ms, prefix)
+        # Without a change it was answered at the end of the wait; with one, at any time since it was asked.
+        confirmed_ms = asked_ms if answer.items else asked_ms + wait_ms
+        answer = replace(answer, confirmed_ms=min(confirmed_ms, self._clock.now_ms()))
         self._share(kind, since, answer)
         return answer
 
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.knowledge import Knowledge
@@ -107,7 +108,10 @@
         )
         if is_careful:
             candidates = keep_least_running(candidates)
-        return choose_server(prompt, candidates, speed)
+        placement = choose_server(prompt, candidates, speed)
+        if placement is None:
+            return None
+        return replace(placement, list_age_ms=self._registry.measure_age_ms())
 
     def begin_send(self, admitted: AdmittedRequest, placement: Placement) -> SendTicket:
         """Count a send, and learn from the time in which its answer begins."""
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -185,6 +185,7 @@
         if placement is not None:
             progress.target = placement.candidate.server.name
             progress.expected_ms = placement.expected_ms
+            progress.list_age_ms = placement.list_age_ms
             self._check_queue(progress, admitted, placement)
             return placement
         if reply.begun:
--- a/hemlockswitch/request/placement.py
+++ b/hemlockswitch/request/placement.py
@@ -71,12 +71,14 @@
 
     expected_ms : the time to the first event.
     queue_ms : the part of it in which prompts before this one are read.
+    list_age_ms : how long ago the list of servers was known to be complete.
     """
 
     candidate: Candidate
     expected_ms: float
     uncached_tokens: float
     queue_ms: float = 0.0
+    list_age_ms: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -20,6 +20,7 @@
 
     sends : the servers that it was sent to.
     target : the server that was chosen last, also if no connection to it could be made.
+    list_age_ms : how old the knowledge of servers was by which the last one was chosen.
     begun_version : the version of the server that began to answer; empty before.
     ended_with_connection : whether the end of the connection was the only sign of the answer's end.
     clearance : how it may be sent, as decided before the last send.
@@ -38,6 +39,7 @@
     clearance: Clearance = Clearance.FREE
     ended_with_connection: bool = False
     expected_ms: float = 0.0
+    list_age_ms: float = 0.0
     began_ms: float | None = None
     last_event_id: str = ""
     begun_version: str = ""
--- /dev/null
+++ b/tests/test_view_age.py
@@ -0,0 +1,45 @@
+"""What a gateway tells of the age of its knowledge: status page, metrics, and lines."""
+
+import pytest
+import structlog
+
+from tests.gateway_site import Site
+
+GATEWAYS = 4
+
+
+@pytest.fixture
+def site():
+    one = Site(gateways=GATEWAYS)
+    one.add_runner("app")
+    one.wait(lambda: all(gateway.fleet.count_in_touch() == GATEWAYS for gateway in one.gateways))
+    yield one
+    one.close()
+
+
+def test_the_age_of_each_kind_is_told(site):
+    gateway = site.gateways[0]
+    assert set(gateway.followed.describe()) == {"config", "servers"}
+    ages = gateway.followed.measure_ages()
+    assert all(0.0 <= age_ms < 60_000.0 for age_ms in ages.values()), ages
+    assert b'hemlock_view_age_seconds{kind="servers"}' in gateway.observer.metrics.render()
+
+
+def test_a_request_tells_on_which_knowledge_its_server_was_chosen(site):
+    with structlog.testing.capture_logs() as lines:
+        assert site.ask("/check/1", method="GET").status == 200
+        site.wait(lambda: any(line["event"] == "request_ended" for line in lines))
+    (ended,) = (line for line in lines if line["event"] == "request_ended")
+    assert 0 <= ended["list_age_ms"] < 60_000
+
+
+def test_a_learned_change_tells_by_which_way_it_came(site):
+    with structlog.testing.capture_logs() as lines:
+        site.runners[0].write("draining")
+        site.wait(lambda: len(find_sources(lines)) >= GATEWAYS)
+    assert set(find_sources(lines)) == {"watch", "relay"}
+
+
+def find_sources(lines):
+    """Return how each gateway learned that the server leaves."""
+    return [line["source"] for line in lines if line.get("state") == "leaving"]
