--- a/tests/test_view_age.py
+++ b/tests/test_view_age.py
@@ -34,12 +34,19 @@
 
 
 def test_a_learned_change_tells_by_which_way_it_came(site):
+    change(site, "draining")  # Watches that the others sent before they knew the watchers end with it.
     with structlog.testing.capture_logs() as lines:
-        site.runners[0].write("draining")
-        site.wait(lambda: len(find_sources(lines)) >= GATEWAYS)
-    assert set(find_sources(lines)) == {"watch", "relay"}
+        change(site, "ready")
+    sources = [line["source"] for line in lines if line.get("state") == "live"]
+    assert sorted(sources) == ["relay", "relay", "watch", "watch"]
 
 
-def find_sources(lines):
-    """Return how each gateway learned that the server leaves."""
-    return [line["source"] for line in lines if line.get("state") == "leaving"]
+def change(site, state):
+    """Write the runner's state and wait until every gateway knows it."""
+    wanted = "leaving" if state == "draining" else "live"
+    site.runners[0].write(state)
+    site.wait(lambda: all(knows(gateway, wanted) for gateway in site.gateways))
+
+
+def knows(gateway, wanted):
+    return [one.state.value for one in gateway.registry.list_all()] == [wanted]
