--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -7,8 +7,11 @@
 import gevent
 from gevent import socket
 
+from hemlockswitch.connection.backoff import Backoff
+from hemlockswitch.connection.platform_calls import WATCH_MARGIN_MS, AnswerLostError
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.process.gateway.daemon import GatewayDaemon
+from hemlockswitch.platform.store import TIMEOUT_MS
 from hemlockswitch.programs.gateway import build_adapter
 from hemlockswitch.standin.gateway_store import GatewayStore
 from hemlockswitch.standin.gateway_store import build_application as build_store
@@ -124,6 +127,48 @@
     return sum(runner.count_runs(request_id) for runner in runners)
 
 
+class SilencedCalls:
+    """The calls of one gateway to the object service, whose answers are lost while it is silenced.
+
+    The caller waits for the answer as long as for one of a service that is silent.
+    """
+
+    def __init__(self, calls):
+        self.is_silenced = False
+        self._calls = calls
+
+    def call(self, backoff, method, path, body, headers, wait_ms=0):
+        """Make one call; its answer is lost if the gateway is silenced when it comes."""
+        began = time.monotonic()
+        if backoff.get_pause_ms() > 0:
+            return self._calls.call(backoff, method, path, body, headers, wait_ms)
+        answer = None
+        seen = Backoff(SystemClock())  # What the caller does not hear of must not count for it.
+        try:
+            if not self.is_silenced:
+                answer = self._calls.call(seen, method, path, body, headers, wait_ms)
+        finally:
+            if not self.is_silenced:
+                self._judge(seen, backoff, began)
+        if not self.is_silenced:
+            return answer
+        limit_ms = TIMEOUT_MS + wait_ms + (WATCH_MARGIN_MS if wait_ms else 0)
+        gevent.sleep(max(began + limit_ms / 1_000 - time.monotonic(), 0))
+        backoff.record_failure(began * 1_000)
+        raise AnswerLostError("silenced")
+
+    @staticmethod
+    def _judge(seen, backoff, began):
+        if seen.get_pause_ms() > 0:
+            backoff.record_failure(began * 1_000)
+        else:
+            backoff.record_success()
+
+    def close(self):
+        """Close the kept connections."""
+        self._calls.close()
+
+
 class Site:
     """The whole of a site; `close` ends it."""
 
@@ -153,7 +198,9 @@
             stop_grace_s=4.0,
             **self.settings,
         )
-        daemon = GatewayDaemon(settings, build_adapter(settings, clock), clock)
+        adapter = build_adapter(settings, clock)
+        adapter.store._calls = SilencedCalls(adapter.store._calls)
+        daemon = GatewayDaemon(settings, adapter, clock)
         daemon.addresses = daemon.start()
         self.gateways.append(daemon)
         return daemon
@@ -178,6 +225,11 @@
             assert time.monotonic() < deadline, "the condition did not come"
             gevent.sleep(0.01)
 
+    @staticmethod
+    def silence(gateway):
+        """Lose every answer of the object service to a gateway, also that of calls which wait."""
+        gateway._adapter.store._calls.is_silenced = True
+
     def make_id(self):
         """Return a new request identifier."""
         self._last += 1
--- /dev/null
+++ b/tests/test_deaf_watchers.py
@@ -0,0 +1,106 @@
+"""Watchers of a zone that lose the object service without a word, while the others are in touch with it.
+
+The pattern: a service that is silent for some gateways swallows their watches, so that nothing fails
+before the watch's own time-out of 28 s. Other gateways of the zone rely on them meanwhile, and would
+send requests to servers that left seconds ago, use a configuration whose keys were taken away, or
+know nothing of an order.
+"""
+
+import gevent
+import pytest
+
+from tests.gateway_site import Site, make_manifest
+
+GATEWAYS = 6
+FLAP_S = 0.15
+"""Time between two changes of another server: less than any repair could wait for a list to rest."""
+
+
+@pytest.fixture
+def site():
+    one = Site(gateways=GATEWAYS, rollout_share=0.1, rollout_slack=50)
+    one.add_runner("app")
+    one.add_runner("app")
+    one.wait(lambda: all(gateway.fleet.count_in_touch() == GATEWAYS for gateway in one.gateways))
+    one.wait(lambda: all(gateway.followed.knows_all_servers() for gateway in one.gateways))
+    one.wait(lambda: len(find_watchers(one)) == 2)
+    change_everything(one)
+    one.wait(lambda: all(map(relies, find_others(one))))
+    yield one
+    one.close()
+
+
+def find_watchers(site):
+    return [gateway for gateway in site.gateways if gateway.followed.watchers.is_watcher()]
+
+
+def find_others(site):
+    return [gateway for gateway in site.gateways if gateway not in find_watchers(site)]
+
+
+def relies(gateway):
+    """Return whether a gateway relies on the zone's watchers for every kind of objects."""
+    return all(watch._relies for watch in gateway.followed._watches.values())
+
+
+def change_everything(site):
+    """End the watches that gateways sent before they knew the watchers, by a change of each kind."""
+    site.store.put("config", "main", make_manifest(version=2))
+    site.runners[0].write("ready", cold_left_ms=1)
+    put_order(site, "v2")
+    site.wait(lambda: all(knows_order(gateway, "v2") for gateway in site.gateways))
+    site.wait(lambda: all(gateway.tables.current.revision == 2 for gateway in site.gateways))
+
+
+def put_order(site, target):
+    order = {"service": "app", "to": target, "duration_s": 60}
+    site.store.put("rollouts", "app", order)
+
+
+def knows_order(gateway, target):
+    return any(one.order.target == target for one in gateway.rollouts.list_open())
+
+
+def lists(gateway, runner):
+    return any(one.name == runner.name for one in gateway.registry.list_ready("app"))
+
+
+def silence_watchers(site):
+    """Silence the zone's watchers, and return the gateways that are in touch."""
+    watchers = find_watchers(site)
+    for gateway in watchers:
+        site.silence(gateway)
+    return [gateway for gateway in site.gateways if gateway not in watchers]
+
+
+def flap(runner):
+    """Change a server's entry all the time."""
+    number = 0
+    while True:
+        number += 1
+        runner.write("draining" if number % 2 else "ready")
+        gevent.sleep(FLAP_S)
+
+
+def test_a_leaving_server_is_learned_while_the_watchers_are_deaf(site):
+    in_touch = silence_watchers(site)
+    site.runners[0].write("draining")
+    site.wait(lambda: not any(lists(gateway, site.runners[0]) for gateway in in_touch))
+
+
+# Guards against requests to servers that left, where a zone relies on watchers that hear nothing and
+# the list never rests long enough for a comparison of whole lists.
+def test_a_leaving_server_is_learned_though_the_list_changes_all_the_time(site):
+    in_touch = silence_watchers(site)
+    task = gevent.spawn(flap, site.runners[1])
+    site.runners[0].write("draining")
+    try:
+        site.wait(lambda: not any(lists(gateway, site.runners[0]) for gateway in in_touch))
+    finally:
+        task.kill()
+
+
+def test_a_configuration_is_learned_while_the_watchers_are_deaf(site):
+    in_touch = silence_watchers(site)
+    site.store.put("config", "main", make_manifest(version=3))
+    site.wait(lambda: all(gateway.tables.current.revision == 3 for gateway in in_touch))
--- a/tests/test_view_age.py
+++ b/tests/test_view_age.py
@@ -34,7 +34,9 @@
 
 
 def test_a_learned_change_tells_by_which_way_it_came(site):
-    change(site, "draining")  # Watches that the others sent before they knew the watchers end with it.
+    change(
+        site, "draining"
+    )  # Watches that the others sent before they knew the watchers end with it.
     with structlog.testing.capture_logs() as lines:
         change(site, "ready")
     sources = [line["source"] for line in lines if line.get("state") == "live"]
