Bound the age of what a gateway knows of the object service

Cause: a gateway that relies on its zone's watchers learns nothing while both hear nothing, and nobody notices until a watch has waited out its 28.5 s.

Gateways with old knowledge watch for nobody. Entries are taken by version, as pages now come by ways that overtake one another.

--- a/hemlockswitch/connection/platform_calls.py
+++ b/hemlockswitch/connection/platform_calls.py
@@ -14,6 +14,7 @@
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 
 WATCH_MARGIN_MS = 2_000
+"""How much later than asked for a watch may end; a short one by its own time at the most."""
 MAX_ANSWER_BYTES = 16 * 1_048_576
 MOST_IDLE_MS = 60_000.0
 """Any kept connection will do; the pool bounds its age."""
@@ -113,7 +114,7 @@
         self, method: str, path: str, body: bytes, headers: dict[str, str], wait_ms: float
     ) -> Answer:
         exchange = self._open(method)
-        limit_ms = self._timeout_ms + wait_ms + (WATCH_MARGIN_MS if wait_ms > 0 else 0)
+        limit_ms = self._timeout_ms + wait_ms + min(wait_ms, WATCH_MARGIN_MS)
         timer = gevent.Timeout(limit_ms / MS_PER_SECOND)
         timer.start()
         try:
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -52,6 +52,8 @@
     MODEL_REFUSED = (323, "model_refused")
     BACKENDS_CHANGED = (324, "backends_changed")
     BACKEND_ENDED = (325, "backend_ended")
+    VIEW_AGED = (326, "view_aged")
+    VIEW_FRESH = (327, "view_fresh")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/process/gateway/change_relay.py
+++ b/hemlockswitch/process/gateway/change_relay.py
@@ -8,7 +8,8 @@
 gateways.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 from gevent.event import Event as Signal
 
@@ -52,6 +53,13 @@
     return f"{name}/{incarnation}"
 
 
+def send_to_first(network: PeerNetwork, relays: Iterable[str], message: Any) -> None:
+    """Tell the first relay that has a stream; one that was killed refuses connections."""
+    for address in relays:
+        if network.send(address, message):
+            return
+
+
 class ChangeRelay:
     """Takes the changes that others tell, and passes them on to the gateways near this one.
 
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -242,6 +242,8 @@
         page_addresses = self.pages.start()
         for follower in self.followed.followers:
             self._tasks.spawn(follower.kind, follower.run)
+        for kind, keeper in self.followed.keepers.items():
+            self._tasks.spawn(f"freshness of {kind}", keeper.run)
         for name, run in self._list_tasks().items():
             self._tasks.spawn(name, run)
         return {"listen": listen_address, "peer": peer_address, **page_addresses}
--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -18,6 +18,7 @@
     ObjectConsumer,
     ObjectFollower,
 )
+from hemlockswitch.process.gateway.freshness import ConfirmationExchange, FreshnessKeeper
 from hemlockswitch.process.gateway.messages import WatchedPage
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
@@ -70,7 +71,7 @@
         self._tables = tables
         self._registry = registry
         self._network = network
-        self.watchers = ZoneWatchers(fleet, clock)
+        self.watchers = ZoneWatchers(fleet, clock, self._measure_oldest_ms)
         self._hash_held = hash_held
         self._watches: dict[str, RelayedWatch] = {}
         self._clock = clock
@@ -95,6 +96,13 @@
             fleet.get_far_period,
             clock,
         )
+        followers = {one.kind: one for one in self.followers}
+        exchange = ConfirmationExchange(network, fleet, followers, clock)
+        find_turn = self.watchers.find_ask_turn
+        self.keepers = {
+            kind: FreshnessKeeper(one, find_turn, exchange.tell, clock)
+            for kind, one in followers.items()
+        }
         registry.get_recovered_ms = lambda: self.servers.recovered_ms
         registry.measure_age_ms = self.servers.measure_age_ms
 
@@ -139,6 +147,9 @@
         """Return the age in ms of what is known of each kind of objects."""
         return {one.kind: one.measure_age_ms() for one in self.followers}
 
+    def _measure_oldest_ms(self) -> float:
+        return max(self.measure_ages().values())
+
     def describe(self) -> dict[str, Any]:
         """Return the version and the age of what is known of each kind, for the status page."""
         return {
@@ -156,6 +167,7 @@
             self._store.last_outage,
             self._describe_relayed(),
             self._hash_held(),
+            self._measure_oldest_ms(),
         )
 
     def _describe_relayed(self) -> dict[str, int]:
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -48,6 +48,7 @@
     unreachable : incarnations of the backend servers that it cannot connect to.
     models : service to the model of its engines (`process.gateway.service_models`).
     rollouts : what became of the sends of this process, for each order that is not closed.
+    view_age_ms : see `process.gateway.watch_guard.StoreView`.
     """
 
     name: str
@@ -70,6 +71,7 @@
     link_mbps: float = 0.0
     held_digest: int = 0
     rollouts: list[RolloutFields] = field(default_factory=list)
+    view_age_ms: float = 0.0
 
 
 @register_message("change_report")
@@ -186,6 +188,8 @@
     items : (name, version, value, whether it was deleted, status, version at its creation) of each
         changed object, in order.
     is_whole : whether these are all objects of the kind; what is not among them is gone.
+    age_ms : how long ago the sender was known to know all that the service had with this page; None if
+        that is not known.
 
     Examples
     ========
@@ -200,22 +204,49 @@
     version: int
     items: list[tuple[str, int, Any, bool, Any, int]]
     is_whole: bool = False
+    age_ms: float | None = field(default=None, compare=False)
 
     @classmethod
-    def from_object_page(cls, kind: str, since: int, page: ObjectPage) -> "WatchedPage":
+    def from_object_page(
+        cls, kind: str, since: int, page: ObjectPage, now_ms: float = 0.0
+    ) -> "WatchedPage":
         """Return the message for the answer of a watch since a version, or of a list."""
+        age_ms = None if page.confirmed_ms is None else now_ms - page.confirmed_ms
         items = [
             (item.name, item.version, item.value, item.deleted, item.status, item.created)
             for item in page.items
         ]
-        return cls(kind, since, page.version, items, page.is_whole)
+        return cls(kind, since, page.version, items, page.is_whole, age_ms)
 
     @classmethod
     def make_notice(cls, kind: str, version: int) -> "WatchedPage":
         """Return the message that there is something newer, to be asked for."""
         return cls(kind, version, version, [])
 
-    def to_object_page(self) -> ObjectPage:
-        """Return the page as the object service answered it."""
+    def to_object_page(self, arrived_ms: float = 0.0) -> ObjectPage:
+        """Return the page as the object service answered it; it arrived here at `arrived_ms`."""
         items = tuple(StoredObject(self.kind, *item) for item in self.items)
-        return ObjectPage(items, self.version, self.is_whole, PageSource.RELAY)
+        confirmed_ms = None if self.age_ms is None else arrived_ms - self.age_ms
+        return ObjectPage(items, self.version, self.is_whole, PageSource.RELAY, confirmed_ms)
+
+
+@register_message("version_confirmation")
+@dataclass(frozen=True)
+class VersionConfirmation:
+    """What a gateway has heard from the object service about a kind of objects, for all gateways.
+
+    Parameters
+    ==========
+
+    kind : the kind of the objects.
+    changed : the version of the last change, or a later one at which there was none.
+    until : there is no change after `changed` up to this version.
+    age_ms : how long ago the service has said so.
+    is_passed_on : whether it comes from a relay inside the zone.
+    """
+
+    kind: str
+    changed: int
+    until: int
+    age_ms: float
+    is_passed_on: bool = False
--- /dev/null
+++ b/hemlockswitch/process/gateway/object_versions.py
@@ -0,0 +1,102 @@
+"""Versions of the objects of one kind that this process knows, by which older entries are told from news."""
+
+from dataclasses import replace
+
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
+
+MOST_REMOVED = 4_096
+"""Removed objects that are remembered; pages that are under way at one moment have far fewer."""
+
+
+class ObjectVersions:
+    """What is known of a kind's objects: their versions, and up to which version all changes are known.
+
+    Explanation
+    ===========
+
+    Pages come by several ways that overtake one another: by the own watch, by another gateway's, and as
+    the answer to a question of its own. An entry is taken only if it is newer than what is known of its name.
+
+    Examples
+    ========
+
+    >>> def make_page(*items):
+    ...     return ObjectPage(items, max(item.version for item in items))
+    >>> versions = ObjectVersions()
+    >>> leaving = make_page(StoredObject("servers", "s1", 9, "leaving"))
+    >>> len(versions.take(leaving).items)
+    1
+    >>> len(versions.take(make_page(StoredObject("servers", "s1", 7, "live"))).items)
+    0
+    >>> versions.known, versions.changed
+    (9, 9)
+    """
+
+    def __init__(self) -> None:
+        self.known = 0
+        self.changed = 0
+        self._present: dict[str, int] = {}
+        self._removed: dict[str, int] = {}
+
+    def take(self, page: ObjectPage) -> ObjectPage:
+        """Take a page, and return what is news of it; a list that is older than what is known has none."""
+        if page.is_whole:
+            return self._take_list(page)
+        news: list[StoredObject] = []
+        for item in page.items:
+            if self._is_news(item):
+                self.changed = max(self.changed, self._find_change(item, page))
+                self._note(item)
+                news.append(item)
+        self.known = max(self.known, page.version)
+        return replace(page, items=tuple(news))
+
+    def note_unchanged(self, changed: int, until: int) -> bool:
+        """Take that the last change up to version `until` was at `changed`.
+
+        Return whether everything up to there is known by it.
+        """
+        if self.known < changed:
+            return False
+        self.known = max(self.known, until)
+        return True
+
+    def _take_list(self, page: ObjectPage) -> ObjectPage:
+        if page.version < self.known:
+            return replace(page, items=(), is_whole=False)
+        listed = {item.name: item.version for item in page.items if not item.deleted}
+        for name in self._present.keys() - listed.keys():
+            self._note_removed(name, page.version)
+        self._present = listed
+        self.known = page.version
+        # The list does not show removals, so the last change may be as late as the list.
+        self.changed = max([page.version, *listed.values()])
+        return page
+
+    def _is_news(self, item: StoredObject) -> bool:
+        known = self._present.get(item.name)
+        if item.deleted:
+            return known is not None and known <= item.version
+        newest = self._removed.get(item.name, -1) if known is None else known
+        return item.version > newest
+
+    def _note(self, item: StoredObject) -> None:
+        if item.deleted:
+            del self._present[item.name]
+            self._note_removed(item.name, item.version)
+        else:
+            self._removed.pop(item.name, None)
+            self._present[item.name] = item.version
+
+    def _note_removed(self, name: str, version: int) -> None:
+        self._removed[name] = version
+        if len(self._removed) > MOST_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
+    def _find_change(self, item: StoredObject, page: ObjectPage) -> int:
+        """Return the version at which an object changed, or a later one.
+
+        A removed object may bear the version of the change before its removal.
+        """
+        known = self._present.get(item.name, 0)
+        return page.version if item.deleted and item.version <= known else item.version
--- a/hemlockswitch/process/gateway/relayed_watch.py
+++ b/hemlockswitch/process/gateway/relayed_watch.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from gevent.event import Event as Signal
@@ -26,6 +26,8 @@
 """Time between two looks at who watches while no page comes."""
 CATCH_UP_WAIT_MS = 100
 """How long a call may wait that asks for changes which are known to exist."""
+ASK_WAIT_MS = 1
+"""The same of a call that asks whether there are any: the shortest wait that there is."""
 MOST_RELAYED_BYTES = 32 * 1024
 """A larger page is not sent, only that there is one: to thirty neighbours over a link of 20 Mbit/s
 this much takes 0.4 s, and a configuration of 300 KB would take four seconds, where each of them reads
@@ -44,6 +46,12 @@
         """Return the newest version of a kind that a watcher has relayed; 0 if there is none."""
 
 
+@dataclass(frozen=True)
+class _ArrivedPage:
+    page: WatchedPage
+    arrived_ms: float
+
+
 class RelayedWatch:
     """The reading side of an object service, with pages of another gateway's watch where there are.
 
@@ -72,10 +80,11 @@
         self._directory = directory
         self._send_page = send_page
         self._clock = clock
-        self._pages: deque[WatchedPage] = deque(maxlen=MOST_PAGES_KEPT)
+        self._pages: deque[_ArrivedPage] = deque(maxlen=MOST_PAGES_KEPT)
         self._arrived = Signal()
         self._must_ask = False
         self._relies = False
+        self._known = 0
 
     def list(self, kind: str, prefix: str = "") -> ObjectPage:
         """Return all objects of a kind, from the object service itself.
@@ -101,9 +110,10 @@
 
         HistoryGoneError, PlatformError : as from the object service.
         """
-        page = self._wait_for_page(kind, since)
-        if page is not None:
-            return page.to_object_page()
+        arrived = self._wait_for_page(kind, since)
+        if arrived is not None:
+            return arrived.page.to_object_page(arrived.arrived_ms)
+        since = max(since, self._known)
         if self._must_ask:
             wait_ms = CATCH_UP_WAIT_MS
         self._must_ask = False
@@ -115,28 +125,55 @@
         self._share(kind, since, answer)
         return answer
 
+    def ask(self, kind: str, since: int) -> ObjectPage:
+        """Return what has changed after version `since`, from the object service and at once.
+
+        A change that its watchers have not told is news for the whole zone.
+
+        Raises
+        ======
+
+        HistoryGoneError, PlatformError : as from the object service.
+        """
+        asked_ms = self._clock.now_ms()
+        page = replace(self._store.watch(kind, since, ASK_WAIT_MS), confirmed_ms=asked_ms)
+        self.note_known(page.version)
+        if page.items:
+            self._send(kind, since, page)
+        return page
+
+    def note_known(self, version: int) -> None:
+        """All changes up to a version are known by another way than a page of `watch`."""
+        self._known = max(self._known, version)
+
     def _share(self, kind: str, since: int, page: ObjectPage) -> None:
         """Send what came to the rest of the zone, if this gateway watches for it."""
-        if not self._directory.is_watcher():
-            return
-        message = WatchedPage.from_object_page(kind, since, page)
+        if self._directory.is_watcher():
+            self._send(kind, since, page)
+
+    def _send(self, kind: str, since: int, page: ObjectPage) -> None:
+        message = WatchedPage.from_object_page(kind, since, page, self._clock.now_ms())
         if len(encode_message(message)) > MOST_RELAYED_BYTES:
             message = WatchedPage.make_notice(kind, page.version)
         self._send_page(message)
 
     def take_page(self, page: WatchedPage) -> None:
         """Take a page that a watcher has sent."""
-        self._pages.append(page)
+        self._pages.append(_ArrivedPage(page, self._clock.now_ms()))
         self._arrived.set()
 
-    def _wait_for_page(self, kind: str, since: int) -> WatchedPage | None:
-        """Return the page that follows version `since`; None if the service is to be asked."""
+    def _wait_for_page(self, kind: str, since: int) -> _ArrivedPage | None:
+        """Return the page that follows what is known; None if the service is to be asked."""
         while self._may_wait_for_watchers(kind):
             self._wait()
-        while not self._must_ask and (relayed := self._find_relayed(kind, since)):
-            page = self._find_page(since, relayed)
-            if page is not None:
-                return page
+        while not self._must_ask:
+            known = max(since, self._known)
+            relayed = self._find_relayed(kind, known)
+            if not relayed:
+                break
+            arrived = self._find_page(known, relayed)
+            if arrived is not None:
+                return arrived
             self._wait()
         return None
 
@@ -162,13 +199,14 @@
         self._relies = relies
         return relayed
 
-    def _find_page(self, since: int, relayed: int) -> WatchedPage | None:
+    def _find_page(self, since: int, relayed: int) -> _ArrivedPage | None:
         """Return the next page, or note that one is missing."""
         self._arrived.clear()
         while self._pages:
-            page = self._pages.popleft()
+            arrived = self._pages.popleft()
+            page = arrived.page
             if page.since <= since < page.version:
-                return page
+                return arrived
             if page.since > since:
                 self._note_gap(since, page.since)
                 return None
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -19,6 +19,7 @@
     name_process,
     read_loads,
     read_sent,
+    send_to_first,
     write_loads,
 )
 from hemlockswitch.process.gateway.knowledge import Knowledge
@@ -109,13 +110,7 @@
             self._rollouts.pop_changed(leads=self._leads()),
         )
         for relays in self._fleet.draw_relays():
-            self._tell_first(relays, change)
-
-    def _tell_first(self, relays: Iterable[str], change: ChangeReport) -> None:
-        """Tell the first relay that has a stream; one that was killed refuses connections."""
-        for address in relays:
-            if self._network.send(address, change):
-                return
+            send_to_first(self._network, relays, change)
 
     def send_spending(self) -> None:
         """Tell every gateway that is in touch what the accounts have spent."""
@@ -162,6 +157,7 @@
             link_mbps=self._fleet.link_mbps,
             held_digest=view.held_digest,
             rollouts=self._rollouts.write_all(leads=self._leads()),
+            view_age_ms=round(view.age_ms),
         )
 
     def _take_report(self, address: str, report: GatewayReport) -> None:
@@ -192,7 +188,12 @@
             began_ms_ago, ended_ms_ago = report.outage_ms_ago
             outage = Outage(now_ms - began_ms_ago, now_ms - ended_ms_ago)
         return StoreView(
-            report.revision, report.servers_digest, outage, report.relayed, report.held_digest
+            report.revision,
+            report.servers_digest,
+            outage,
+            report.relayed,
+            report.held_digest,
+            report.view_age_ms,
         )
 
     def _take_spending(self, _address: str, report: SpendingReport) -> None:
--- a/hemlockswitch/process/gateway/watch_guard.py
+++ b/hemlockswitch/process/gateway/watch_guard.py
@@ -48,6 +48,7 @@
     relayed : by kind of object, the version up to which it told the other gateways of its zone;
         empty while it does not watch for others (`process.gateway.relayed_watch`).
     held_digest : a hash of the requests that it holds back (`request.quarantine`); 0 if none.
+    age_ms : how old the oldest of what it knows was when it said so (`process.gateway.freshness`).
     """
 
     revision: int = 0
@@ -55,6 +56,7 @@
     outage: Outage | None = None
     relayed: Mapping[str, int] = field(default_factory=dict)
     held_digest: int = 0
+    age_ms: float = 0.0
 
 
 class WatchGuard:
--- a/hemlockswitch/process/gateway/zone_watchers.py
+++ b/hemlockswitch/process/gateway/zone_watchers.py
@@ -1,27 +1,42 @@
 """Which gateways of a zone watch the object service for the others of it."""
 
+from collections.abc import Callable
+
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.freshness import AskTurn
 from hemlockswitch.process.gateway.neighbours import Peer, rank_gateway
 
 WATCHERS_PER_ZONE = 2
 """Gateways of each zone that watch the object service for the others. One that is killed or frozen
 leaves another, so that nothing waits for its silence to be noticed."""
 
+STALE_MS = 2_000.0
+"""A gateway whose knowledge is older than this does not hear the object service, and watches for nobody."""
+
 
 class ZoneWatchers:
     """The watchers of this gateway's zone: of those in touch, the ones with the fastest links.
 
+    Gateways that do not hear the object service are left out, unless none hears it.
+
     Parameters
     ==========
 
     fleet : this gateway and the others.
     clock : the time.
+    measure_own_age_ms : returns the age of what this gateway knows of the object service.
     """
 
-    def __init__(self, fleet: Fleet, clock: Clock) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        measure_own_age_ms: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._fleet = fleet
         self._clock = clock
+        self._measure_own_age_ms = measure_own_age_ms
 
     def is_watcher(self) -> bool:
         """Return whether this gateway is to watch the object service for others of its zone."""
@@ -45,7 +60,21 @@
         heard = (peer for peer in self._fleet.list_peers() if peer.heard_ms >= oldest_ms)
         return [peer for peer in heard if peer.zone == self._fleet.zone]
 
+    def find_ask_turn(self) -> AskTurn:
+        """Return whether this gateway asks the object service for the fleet, its zone, or itself only."""
+        if self._rank_current(self._fleet.list_heard())[0][1] == self._fleet.name:
+            return AskTurn.FLEET
+        if self._rank_current(self._list_zone())[0][1] == self._fleet.name:
+            return AskTurn.ZONE
+        return AskTurn.SELF
+
     def _list_names(self) -> list[str]:
-        ranks = [rank_gateway(peer.name, peer.link_mbps) for peer in self._list_zone()]
-        ranks.append(rank_gateway(self._fleet.name, self._fleet.link_mbps))
-        return [name for _, name in sorted(ranks)[:WATCHERS_PER_ZONE]]
+        return [name for _, name in self._rank_current(self._list_zone())[:WATCHERS_PER_ZONE]]
+
+    def _rank_current(self, peers: list[Peer]) -> list[tuple[float, str]]:
+        """Return those of some gateways and this one that hear the object service; all if none does."""
+        own = rank_gateway(self._fleet.name, self._fleet.link_mbps)
+        ages = {rank_gateway(peer.name, peer.link_mbps): peer.view.age_ms for peer in peers}
+        ages[own] = self._measure_own_age_ms()
+        hearing = [rank for rank, age_ms in ages.items() if age_ms <= STALE_MS]
+        return sorted(hearing or ages)
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -10,8 +10,8 @@
 from hemlockswitch.connection.backoff import Backoff
 from hemlockswitch.connection.platform_calls import WATCH_MARGIN_MS, AnswerLostError
 from hemlockswitch.core.clock import SystemClock
-from hemlockswitch.process.gateway.daemon import GatewayDaemon
 from hemlockswitch.platform.store import TIMEOUT_MS
+from hemlockswitch.process.gateway.daemon import GatewayDaemon
 from hemlockswitch.programs.gateway import build_adapter
 from hemlockswitch.standin.gateway_store import GatewayStore
 from hemlockswitch.standin.gateway_store import build_application as build_store
@@ -152,7 +152,7 @@
                 self._judge(seen, backoff, began)
         if not self.is_silenced:
             return answer
-        limit_ms = TIMEOUT_MS + wait_ms + (WATCH_MARGIN_MS if wait_ms else 0)
+        limit_ms = TIMEOUT_MS + wait_ms + min(wait_ms, WATCH_MARGIN_MS)
         gevent.sleep(max(began + limit_ms / 1_000 - time.monotonic(), 0))
         backoff.record_failure(began * 1_000)
         raise AnswerLostError("silenced")
--- a/tests/test_deaf_watchers.py
+++ b/tests/test_deaf_watchers.py
@@ -104,3 +104,9 @@
     in_touch = silence_watchers(site)
     site.store.put("config", "main", make_manifest(version=3))
     site.wait(lambda: all(gateway.tables.current.revision == 3 for gateway in in_touch))
+
+
+def test_an_order_is_learned_while_the_watchers_are_deaf(site):
+    in_touch = silence_watchers(site)
+    put_order(site, "v3")
+    site.wait(lambda: all(knows_order(gateway, "v3") for gateway in in_touch))
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -1,53 +1,153 @@
-import gevent
+"""When a gateway asks the object service for what it may not know, and what it makes of the answer."""
+
+import random
+
 import pytest
 
-from hemlockswitch.core.clock import ManualClock, SystemClock
-from hemlockswitch.core.errors import ErrorKind, PeerError
-from hemlockswitch.process.freshness import PAUSE_MS, Freshness
+from hemlockswitch.connection.stored_objects import ObjectPage, StoredObject
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, HistoryGoneError, PlatformError
+from hemlockswitch.process.gateway.follower import ObjectFollower
+from hemlockswitch.process.gateway.freshness import START_MS, AskTurn, FreshnessKeeper
+from hemlockswitch.process.gateway.messages import WatchedPage
+from hemlockswitch.process.gateway.reachability import MOST_CONNECT_MS
+from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
+from hemlockswitch.process.gateway.zone_watchers import STALE_MS
+
+STRICTEST_BOUND_MS = 2_000.0
+AWAY = PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
 
 
-class PausedClock(ManualClock):
+class Store:
+    """Answers a list with one server at version 5, and every watch as it is told."""
+
     def __init__(self):
-        super().__init__()
-        self.advance(SystemClock().now_ms())
+        self.answers = []
+        self.asked = []
+
+    def list(self, kind, prefix=""):
+        return ObjectPage((StoredObject(kind, "a", 5, "live"),), 5)
+
+    def watch(self, kind, since, wait_ms, prefix=""):
+        self.asked.append(since)
+        answer = self.answers.pop(0) if self.answers else ObjectPage((), since)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class Directory:
+    def is_watcher(self):
+        return False
+
+    def find_relayed_version(self, kind):
+        return 5
+
+
+class Consumer:
+    def __init__(self):
+        self.known = {}
+
+    def replace_all(self, page):
+        self.known = {item.name: item.value for item in page.items}
+
+    def apply_changes(self, page):
+        self.known |= {item.name: item.value for item in page.items}
+
+
+class Fixture:
+    def __init__(self, turn=AskTurn.FLEET):
+        self.clock = ManualClock(now_ms=100_000)
+        self.store, self.consumer, self.told = Store(), Consumer(), []
+        self.watch = RelayedWatch(self.store, Directory(), lambda page: None, self.clock)
+        self.follower = ObjectFollower(self.watch, "servers", self.consumer, self.clock)
+        self.keeper = FreshnessKeeper(
+            self.follower,
+            lambda: turn,
+            lambda one: self.told.append((one.changed_version, one.version)),
+            self.clock,
+            random.Random(1),
+        )
+        self.clock.advance(START_MS)
+        self.follower.take_step()
+
+    def age(self):
+        return self.follower.measure_age_ms()
+
+
+def test_the_times_of_a_leaving_server_add_up_to_less_than_the_strictest_bound():
+    answer_ms = 100.0
+    assert max(turn.value[1] for turn in AskTurn) + answer_ms + MOST_CONNECT_MS < STRICTEST_BOUND_MS
+    assert max(turn.value[1] for turn in AskTurn) < STALE_MS
+
+
+@pytest.mark.parametrize("turn", AskTurn)
+def test_what_is_known_is_asked_for_before_it_is_too_old(turn):
+    fixture = Fixture(turn)
+    fixture.keeper.take_step()
+    passed_ms = fixture.clock.now_ms() - 100_000 - START_MS
+    assert turn.value[0] <= passed_ms <= turn.value[1]
+    assert fixture.store.asked == [5]
+    assert fixture.age() == 0
+    assert fixture.told == [(5, 5)]
 
 
-@pytest.fixture
-def clock():
-    return PausedClock()
+def test_a_change_that_no_watch_brought_is_learned_by_asking():
+    fixture = Fixture()
+    fixture.store.answers = [ObjectPage((StoredObject("servers", "a", 8, "leaving"),), 9)]
+    fixture.keeper.take_step()
+    assert fixture.consumer.known == {"a": "leaving"}
+    assert fixture.told == [(8, 9)]
 
 
-def fail():
-    raise PeerError(ErrorKind.NOT_READY, "was paused itself")
+def test_a_confirmation_of_what_is_known_spares_the_question():
+    fixture = Fixture()
+    fixture.clock.advance(600)
+    fixture.follower.take_confirmation(5, 12, fixture.clock.now_ms() - 20)
+    assert fixture.age() == 20
+    assert fixture.follower.version == 12, "the next watch need not go back"
+    fixture.clock.advance(300)
+    assert fixture.store.asked == []
 
 
-def test_requests_wait_after_a_pause_until_a_source_answered(clock):
-    answered = []
+def test_a_confirmation_of_a_change_that_is_missing_waits_for_it():
+    fixture = Fixture()
+    fixture.clock.advance(600)
+    fixture.follower.take_confirmation(8, 12, fixture.clock.now_ms())
+    assert fixture.age() == 600
+    fixture.clock.advance(100)
+    fixture.watch.take_page(WatchedPage("servers", 5, 9, [("a", 8, "leaving", False, None, 0)]))
+    fixture.follower.take_step()
+    assert fixture.consumer.known == {"a": "leaving"}
+    assert fixture.follower.version == 12
+    assert fixture.age() == 100
 
-    def answer():
-        gevent.sleep(0.02)
-        answered.append(True)
 
-    freshness = Freshness(clock, lambda: [fail, answer])
-    freshness.await_facts()
-    assert not answered
-    clock.advance(PAUSE_MS + 1)
-    assert not freshness.is_fresh
-    freshness.await_facts()
-    assert answered
-    assert freshness.is_fresh
+def test_a_service_that_does_not_answer_makes_what_is_known_old():
+    fixture = Fixture()
+    fixture.store.answers = [AWAY] * 20
+    for _ in range(10):
+        fixture.keeper.take_step()
+    assert fixture.age() >= STALE_MS
+    assert fixture.told == []
+    assert fixture.consumer.known == {"a": "live"}, "it serves by what it knows"
+    assert fixture.follower.live_version == 0, "nobody is to rely on it"
 
 
-def test_requests_go_on_with_what_is_known_when_nobody_answers(clock):
-    freshness = Freshness(clock, lambda: [fail])
-    clock.advance(PAUSE_MS + 1)
-    with gevent.Timeout(10):
-        freshness.await_facts()
+def test_a_question_beyond_the_history_leads_to_a_list():
+    fixture = Fixture()
+    fixture.store.answers = [HistoryGoneError(5)]
+    fixture.keeper.take_step()
+    assert not fixture.follower.is_synced
+    fixture.follower.take_step()
+    assert fixture.follower.is_synced
 
 
-def test_requests_do_not_wait_without_sources(clock):
-    freshness = Freshness(clock, list)
-    clock.advance(PAUSE_MS + 1)
-    with gevent.Timeout(10):
-        freshness.await_facts()
-    assert freshness.is_fresh
+def test_a_call_that_fails_late_is_no_outage_in_which_entries_lapsed():
+    fixture = Fixture()
+    fixture.store.answers = [AWAY]
+    fixture.keeper.take_step()
+    fixture.follower.take_confirmation(5, 12, fixture.clock.now_ms())
+    fixture.keeper.take_step()
+    assert not fixture.follower.is_lost
+    assert fixture.follower.recovered_ms == float("-inf")
--- a/tests/test_zone_watchers.py
+++ b/tests/test_zone_watchers.py
@@ -6,10 +6,11 @@
 
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.freshness import AskTurn
 from hemlockswitch.process.gateway.messages import GatewayReport
 from hemlockswitch.process.gateway.report_period import LEAST_COVERED_MS
 from hemlockswitch.process.gateway.watch_guard import StoreView
-from hemlockswitch.process.gateway.zone_watchers import ZoneWatchers
+from hemlockswitch.process.gateway.zone_watchers import STALE_MS, ZoneWatchers
 
 
 def make_zoned_report(name, zone):
@@ -73,3 +74,34 @@
     assert watchers.find_relayed_version("servers") == 7
     hear(fleet, "g4", "z1")
     assert watchers.list_relay_addresses() == ["10.0.0.1:g4"]
+
+
+def hear_age(fleet, name, zone, age_ms):
+    view = StoreView(relayed={"servers": 7}, age_ms=age_ms)
+    fleet.note_report(f"10.0.0.1:{name}", make_zoned_report(name, zone), view)
+
+
+def test_gateways_that_do_not_hear_the_object_service_watch_for_nobody(fleet, watchers):
+    hear_age(fleet, "g1", "z1", STALE_MS + 1)
+    hear_age(fleet, "g2", "z1", STALE_MS + 1)
+    assert watchers.is_watcher()
+    assert watchers.find_relayed_version("servers") == 0
+    hear_age(fleet, "g4", "z1", 300.0)
+    assert watchers.find_relayed_version("servers") == 7
+
+
+def test_where_nobody_hears_the_object_service_the_first_ones_stay_watchers(fleet, clock):
+    watchers = ZoneWatchers(fleet, clock, lambda: STALE_MS + 1)
+    hear_age(fleet, "g1", "z1", STALE_MS + 1)
+    hear_age(fleet, "g2", "z1", STALE_MS + 1)
+    assert not watchers.is_watcher()
+
+
+def test_the_first_gateway_that_hears_asks_for_the_fleet(fleet, watchers):
+    assert watchers.find_ask_turn() is AskTurn.FLEET, "alone"
+    hear_age(fleet, "g0", "z2", 300.0)
+    assert watchers.find_ask_turn() is AskTurn.ZONE
+    hear_age(fleet, "g1", "z1", 300.0)
+    assert watchers.find_ask_turn() is AskTurn.SELF
+    hear_age(fleet, "g1", "z1", STALE_MS + 1)
+    assert watchers.find_ask_turn() is AskTurn.ZONE
