Keep a server leaving when an older heartbeat of it is written late

What callers could see: a request sent to a server that had said it leaves. Cause: the registry took whatever entry came last, and the heartbeats' numbers were decoded and never compared. Two tests failed before: a late heartbeat right after the departure, and one after the entry's removal. A newer heartbeat, or another start of the process, makes the server live as before.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -54,6 +54,7 @@
     BACKEND_ENDED = (325, "backend_ended")
     VIEW_AGED = (326, "view_aged")
     VIEW_FRESH = (327, "view_fresh")
+    OLDER_HEARTBEAT_REFUSED = (328, "older_heartbeat_refused")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/platform/servers.py
+++ b/hemlockswitch/platform/servers.py
@@ -57,4 +57,5 @@
         started_unix_ms=body.born,
         version=body.version,
         cold_left_ms=body.cold_left_ms,
+        heartbeat=body.sequence,
     )
--- /dev/null
+++ b/hemlockswitch/process/gateway/departures.py
@@ -0,0 +1,48 @@
+"""Processes of backend servers that have said that they leave, and by which heartbeat."""
+
+from dataclasses import replace
+
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.version.backend import BackendServer, BackendState
+
+MOST_REMEMBERED = 4_096
+"""Departures that are remembered: more than a large fleet has in the time of a late write."""
+
+
+class Departures:
+    """Keeps a server leaving when an older heartbeat of the same process is written late.
+
+    Examples
+    ========
+
+    >>> leaving = BackendServer("s1", "z1", "10.0.0.1:80", "llm", state=BackendState.LEAVING, heartbeat=9)
+    >>> departures = Departures()
+    >>> departures.note(leaving)
+    >>> departures.correct(replace(leaving, state=BackendState.LIVE, heartbeat=10)).state.value
+    'live'
+    """
+
+    def __init__(self) -> None:
+        self._heartbeats: dict[str, int] = {}
+
+    def note(self, server: BackendServer) -> None:
+        """A server has said that it leaves."""
+        known = self._heartbeats.pop(server.incarnation, 0)
+        self._heartbeats[server.incarnation] = max(known, server.heartbeat)
+        if len(self._heartbeats) > MOST_REMEMBERED:
+            del self._heartbeats[next(iter(self._heartbeats))]
+
+    def correct(self, server: BackendServer) -> BackendServer:
+        """Return the server as its newest heartbeat told it."""
+        departed = self._heartbeats.get(server.incarnation, 0)
+        if server.state is not BackendState.LIVE or server.heartbeat >= departed:
+            return server
+        log_event(
+            Event.OLDER_HEARTBEAT_REFUSED,
+            "warning",
+            server=server.name,
+            heartbeat=server.heartbeat,
+            known=departed,
+        )
+        return replace(server, state=BackendState.LEAVING)
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -11,6 +11,7 @@
 from hemlockswitch.core.errors import ConfigurationError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.departures import Departures
 from hemlockswitch.version.backend import BackendServer, BackendState
 
 Decoder = Callable[[StoredObject], BackendServer]
@@ -102,6 +103,7 @@
         self._last_new_ms = float("-inf")
         self._is_complete = False
         self._changes: list[_Change] = []
+        self._departures = Departures()
 
     def replace_all(self, page: ObjectPage) -> None:
         """Take a whole list."""
@@ -202,6 +204,7 @@
             if item.name in self._servers:
                 self._drop(item.name)
             return
+        server = self._departures.correct(server)
         before = self._servers.get(server.name)
         if before is not None and before.incarnation != server.incarnation:
             self._note_restart(before, server)
@@ -216,6 +219,7 @@
         if before is None or before.state is not server.state:
             self._changes.append(_Change(server, server.state, item.version))
         if server.state is BackendState.LEAVING:
+            self._departures.note(server)
             self._on_gone(server)
 
     def _note_restart(self, before: BackendServer, server: BackendServer) -> None:
--- a/hemlockswitch/version/backend.py
+++ b/hemlockswitch/version/backend.py
@@ -33,6 +33,7 @@
     started_unix_ms : when its process started; 0 where the platform does not say.
     version : of its software; empty where the platform does not say.
     cold_left_ms : how much longer it is slow after its start, when this was written.
+    heartbeat : number of the heartbeat that told this, within the process; 0 where it is not told.
 
     Examples
     ========
@@ -53,6 +54,7 @@
     started_unix_ms: int = 0
     version: str = ""
     cold_left_ms: float = 0.0
+    heartbeat: int = 0
 
     @property
     def incarnation(self) -> str:
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -104,6 +104,32 @@
     assert [server.started_unix_ms for server in fixture.gone] == [1_000]
 
 
+# Guards against requests to a server that leaves, when its last heartbeat before that is written late.
+def test_an_older_heartbeat_does_not_make_a_leaving_server_live_again():
+    fixture = Fixture()
+    fixture.take(a={**GOOD, "sequence": 40})
+    fixture.take(a={**GOOD, "state": "draining", "sequence": 42})
+    fixture.take(a={**GOOD, "sequence": 41})
+    assert fixture.names() == []
+    assert [one.state for one in fixture.registry.list_all()] == [BackendState.LEAVING]
+
+
+def test_an_older_heartbeat_after_the_removal_does_not_either():
+    fixture = Fixture()
+    fixture.take(a={**GOOD, "state": "draining", "sequence": 42})
+    fixture.registry.replace_all(ObjectPage((), 6))
+    fixture.take(a={**GOOD, "sequence": 41})
+    assert fixture.names() == []
+
+
+@pytest.mark.parametrize("again", [{"sequence": 43}, {"born": 2_000, "sequence": 1}])
+def test_a_server_that_is_ready_after_it_has_left_is_used_again(again):
+    fixture = Fixture()
+    fixture.take(a={**GOOD, "born": 1_000, "state": "draining", "sequence": 42})
+    fixture.take(a={**GOOD, "born": 1_000, **again})
+    assert fixture.names() == ["a"]
+
+
 def test_a_heartbeat_is_no_restart():
     fixture = Fixture()
     fixture.take(a={**GOOD, "born": 1_000, "sequence": 1})
