Count the time on its way in the age of what gateways tell of the object service

A confirmation that a partition has held up arrives seconds later and would make old knowledge look new, for as long as the next question takes: up to 1.3 s more until a leaving server is known. A watch that ends early without a change counts from when it was asked, too.

--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -23,6 +23,7 @@
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
 from hemlockswitch.process.gateway.rollouts import Rollouts
+from hemlockswitch.process.gateway.transit import TransitTimes
 from hemlockswitch.process.gateway.watch_guard import StoreView, WatchGuard
 from hemlockswitch.process.gateway.zone_watchers import ZoneWatchers
 
@@ -74,6 +75,7 @@
         self.watchers = ZoneWatchers(fleet, clock, self._measure_oldest_ms)
         self._hash_held = hash_held
         self._watches: dict[str, RelayedWatch] = {}
+        self._transits = TransitTimes(clock)
         self._clock = clock
         network.handle(WatchedPage, self._take_page, quick=True)
         self.configuration = self._follow(adapter.config_kind, tables)
@@ -97,7 +99,7 @@
             clock,
         )
         followers = {one.kind: one for one in self.followers}
-        exchange = ConfirmationExchange(network, fleet, followers, clock)
+        exchange = ConfirmationExchange(network, fleet, followers, self._transits, clock)
         find_turn = self.watchers.find_ask_turn
         self.keepers = {
             kind: FreshnessKeeper(one, find_turn, exchange.tell, clock)
@@ -179,9 +181,10 @@
     def _relay_page(self, page: WatchedPage) -> None:
         self._network.send_all(self.watchers.list_relay_addresses(), page)
 
-    def _take_page(self, _address: str, page: WatchedPage) -> None:
+    def _take_page(self, address: str, page: WatchedPage) -> None:
+        delay_ms = self._transits.measure_delay_ms(address, page.sent_ms)
         if page.kind in self._watches:
-            self._watches[page.kind].take_page(page)
+            self._watches[page.kind].take_page(page, delay_ms)
 
     def _get_settle_ms(self) -> float:
         """Return how long changes of the registry may gather."""
--- a/hemlockswitch/process/gateway/freshness.py
+++ b/hemlockswitch/process/gateway/freshness.py
@@ -24,6 +24,7 @@
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.follower import RETRY_MS, ObjectFollower
 from hemlockswitch.process.gateway.messages import VersionConfirmation
+from hemlockswitch.process.gateway.transit import TransitTimes
 
 START_MS = 2_000.0
 """How long after its start a gateway does not ask: it has just listed, and does not know yet who else
@@ -55,6 +56,7 @@
 
     network, fleet : the other gateways.
     followers : of each kind.
+    transits : of the messages of the other gateways.
     clock : the time.
     """
 
@@ -63,8 +65,10 @@
         network: PeerNetwork,
         fleet: Fleet,
         followers: Mapping[str, ObjectFollower],
+        transits: TransitTimes,
         clock: Clock,
     ) -> None:
+        self._transits = transits
         self._network = network
         self._fleet = fleet
         self._followers = followers
@@ -78,6 +82,7 @@
             follower.changed_version,
             follower.version,
             follower.measure_age_ms(),
+            self._clock.now_ms(),
         )
         if not self._fleet.reports_by_zone:
             self._tell_near(confirmation)
@@ -88,13 +93,15 @@
     def _tell_near(self, confirmation: VersionConfirmation) -> None:
         self._network.send_all([peer.address for peer in self._fleet.list_near()], confirmation)
 
-    def _take(self, _address: str, confirmation: VersionConfirmation) -> None:
+    def _take(self, address: str, confirmation: VersionConfirmation) -> None:
+        delay_ms = self._transits.measure_delay_ms(address, confirmation.sent_ms)
+        age_ms = confirmation.age_ms + delay_ms
+        now_ms = self._clock.now_ms()
         follower = self._followers.get(confirmation.kind)
         if follower is not None:
-            confirmed_ms = self._clock.now_ms() - confirmation.age_ms
-            follower.take_confirmation(confirmation.changed, confirmation.until, confirmed_ms)
+            follower.take_confirmation(confirmation.changed, confirmation.until, now_ms - age_ms)
         if self._fleet.reports_by_zone and not confirmation.is_passed_on:
-            self._tell_near(replace(confirmation, is_passed_on=True))
+            self._tell_near(replace(confirmation, age_ms=age_ms, sent_ms=now_ms, is_passed_on=True))
 
 
 class FreshnessKeeper:
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -190,6 +190,7 @@
     is_whole : whether these are all objects of the kind; what is not among them is gone.
     age_ms : how long ago the sender was known to know all that the service had with this page; None if
         that is not known.
+    sent_ms : when it was sent, by the sender's clock (`process.gateway.transit`).
 
     Examples
     ========
@@ -205,6 +206,7 @@
     items: list[tuple[str, int, Any, bool, Any, int]]
     is_whole: bool = False
     age_ms: float | None = field(default=None, compare=False)
+    sent_ms: float = field(default=0.0, compare=False)
 
     @classmethod
     def from_object_page(
@@ -216,15 +218,15 @@
             (item.name, item.version, item.value, item.deleted, item.status, item.created)
             for item in page.items
         ]
-        return cls(kind, since, page.version, items, page.is_whole, age_ms)
+        return cls(kind, since, page.version, items, page.is_whole, age_ms, now_ms)
 
     @classmethod
-    def make_notice(cls, kind: str, version: int) -> "WatchedPage":
+    def make_notice(cls, kind: str, version: int, now_ms: float) -> "WatchedPage":
         """Return the message that there is something newer, to be asked for."""
-        return cls(kind, version, version, [])
+        return cls(kind, version, version, [], sent_ms=now_ms)
 
     def to_object_page(self, arrived_ms: float = 0.0) -> ObjectPage:
-        """Return the page as the object service answered it; it arrived here at `arrived_ms`."""
+        """Return the page as the object service answered it; it arrived here at `arrived_ms`, but for delays."""
         items = tuple(StoredObject(self.kind, *item) for item in self.items)
         confirmed_ms = None if self.age_ms is None else arrived_ms - self.age_ms
         return ObjectPage(items, self.version, self.is_whole, PageSource.RELAY, confirmed_ms)
@@ -242,6 +244,7 @@
     changed : the version of the last change, or a later one at which there was none.
     until : there is no change after `changed` up to this version.
     age_ms : how long ago the service has said so.
+    sent_ms : when it was sent, by the sender's clock (`process.gateway.transit`).
     is_passed_on : whether it comes from a relay inside the zone.
     """
 
@@ -249,4 +252,5 @@
     changed: int
     until: int
     age_ms: float
+    sent_ms: float
     is_passed_on: bool = False
--- a/hemlockswitch/process/gateway/relayed_watch.py
+++ b/hemlockswitch/process/gateway/relayed_watch.py
@@ -48,6 +48,8 @@
 
 @dataclass(frozen=True)
 class _ArrivedPage:
+    """A page, and when it would have arrived without a delay."""
+
     page: WatchedPage
     arrived_ms: float
 
@@ -120,8 +122,8 @@
         asked_ms = self._clock.now_ms()
         answer = self._store.watch(kind, since, wait_ms, prefix)
         # Without a change it was answered at the end of the wait; with one, at any time since it was asked.
-        confirmed_ms = asked_ms if answer.items else asked_ms + wait_ms
-        answer = replace(answer, confirmed_ms=min(confirmed_ms, self._clock.now_ms()))
+        has_waited = not answer.items and self._clock.now_ms() >= asked_ms + wait_ms
+        answer = replace(answer, confirmed_ms=asked_ms + wait_ms if has_waited else asked_ms)
         self._share(kind, since, answer)
         return answer
 
@@ -152,14 +154,15 @@
             self._send(kind, since, page)
 
     def _send(self, kind: str, since: int, page: ObjectPage) -> None:
-        message = WatchedPage.from_object_page(kind, since, page, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        message = WatchedPage.from_object_page(kind, since, page, now_ms)
         if len(encode_message(message)) > MOST_RELAYED_BYTES:
-            message = WatchedPage.make_notice(kind, page.version)
+            message = WatchedPage.make_notice(kind, page.version, now_ms)
         self._send_page(message)
 
-    def take_page(self, page: WatchedPage) -> None:
-        """Take a page that a watcher has sent."""
-        self._pages.append(_ArrivedPage(page, self._clock.now_ms()))
+    def take_page(self, page: WatchedPage, delay_ms: float = 0.0) -> None:
+        """Take a page that a watcher has sent; it was on its way for so much longer than usual."""
+        self._pages.append(_ArrivedPage(page, self._clock.now_ms() - delay_ms))
         self._arrived.set()
 
     def _wait_for_page(self, kind: str, since: int) -> _ArrivedPage | None:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -1,6 +1,7 @@
 """When a gateway asks the object service for what it may not know, and what it makes of the answer."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
@@ -8,10 +9,16 @@
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, HistoryGoneError, PlatformError
 from hemlockswitch.process.gateway.follower import ObjectFollower
-from hemlockswitch.process.gateway.freshness import START_MS, AskTurn, FreshnessKeeper
-from hemlockswitch.process.gateway.messages import WatchedPage
+from hemlockswitch.process.gateway.freshness import (
+    START_MS,
+    AskTurn,
+    ConfirmationExchange,
+    FreshnessKeeper,
+)
+from hemlockswitch.process.gateway.messages import VersionConfirmation, WatchedPage
 from hemlockswitch.process.gateway.reachability import MOST_CONNECT_MS
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
+from hemlockswitch.process.gateway.transit import TransitTimes
 from hemlockswitch.process.gateway.zone_watchers import STALE_MS
 
 STRICTEST_BOUND_MS = 2_000.0
@@ -123,6 +130,38 @@
     assert fixture.age() == 100
 
 
+class Port:
+    def __init__(self):
+        self.handlers = {}
+        self.sent = []
+
+    def handle(self, message_type, handler, *, quick):
+        self.handlers[message_type] = handler
+
+    def send_all(self, addresses, message):
+        self.sent += [(address, message) for address in addresses]
+
+
+# Guards against old knowledge that looks new, when a partition has held a confirmation up.
+def test_a_confirmation_that_was_held_up_is_as_old_as_it_is():
+    fixture, port = Fixture(), Port()
+    fleet = SimpleNamespace(reports_by_zone=True, list_near=lambda: [SimpleNamespace(address="n")])
+    followers = {"servers": fixture.follower}
+    transits = TransitTimes(fixture.clock)
+    ConfirmationExchange(port, fleet, followers, transits, fixture.clock)
+    take = port.handlers[VersionConfirmation]
+    sender_ahead_ms = 70_000.0
+    fixture.clock.advance(600)
+    sent_ms = fixture.clock.now_ms() + sender_ahead_ms
+    take("g1", VersionConfirmation("servers", 5, 12, age_ms=4.0, sent_ms=sent_ms))
+    assert fixture.age() == 4
+    fixture.clock.advance(5_000)
+    take("g1", VersionConfirmation("servers", 5, 20, age_ms=4.0, sent_ms=sent_ms + 200.0))
+    assert fixture.age() == 4_804
+    ages = [message.age_ms for _, message in port.sent]
+    assert ages == [4.0, 4_804.0], "what is passed on is as old"
+
+
 def test_a_service_that_does_not_answer_makes_what_is_known_old():
     fixture = Fixture()
     fixture.store.answers = [AWAY] * 20
