Count the time for which lapsed entries are kept from when they may have gone

What callers could see: requests to servers that are gone. When most entries go at once they are kept for 1.5 s, counted from when the removal was learned; learned 1.3 s late that is 2.8 s, more than the two seconds of the strictest site. An outage that was noticed is unchanged: what lapsed in it is kept until two seconds after the return.

--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -20,7 +20,7 @@
 """Entries that lapsed while the registry was away are back within two seconds of its return."""
 HOLD_MS = 1_500.0
 """How long such an entry is kept at the most; a server that is gone must get no work later than
-two seconds after its removal was learned."""
+two seconds after its removal."""
 LAPSE_SHARE = 0.5
 FEWEST_LAPSED = 4
 """More than half of all live servers do not leave at one moment without a word; a reclaim takes a
@@ -91,7 +91,7 @@
         self, decode: Decoder, clock: Clock, on_gone: Callable[[BackendServer], None]
     ) -> None:
         self.get_recovered_ms: Callable[[], float] = lambda: float("-inf")
-        self.measure_age_ms: Callable[[], float] = lambda: 0.0
+        self.measure_age_ms: Callable[[], float] = lambda: 0.0  # of what is known before a page
         self._decode = decode
         self._clock = clock
         self._on_gone = on_gone
@@ -257,7 +257,10 @@
         if server is None:
             return
         now_ms = self._clock.now_ms()
-        hold_ms = HOLD_MS if is_lapse else self.get_recovered_ms() + RETURN_WINDOW_MS - now_ms
+        hold_ms = self.get_recovered_ms() + RETURN_WINDOW_MS - now_ms
+        if is_lapse:
+            # The entry may have gone right after what was known was last confirmed.
+            hold_ms = max(hold_ms, HOLD_MS - self.measure_age_ms())
         if hold_ms <= 0 or server.state is not BackendState.LIVE:
             self._drop(name)
             return
--- a/tests/test_gateway_registry.py
+++ b/tests/test_gateway_registry.py
@@ -142,6 +142,19 @@
     assert fixture.names() == names[:5], "who is still missing is gone"
 
 
+# Guards against requests to servers that are gone, when the time until a removal is known and the time for
+# which entries are kept add up.
+def test_entries_whose_removal_is_learned_late_are_kept_for_less():
+    fixture = Fixture()
+    names = [f"s{number}" for number in range(8)]
+    fixture.registry.replace_all(page(*map(entry, names)))
+    fixture.registry.measure_age_ms = lambda: 1_300.0
+    fixture.registry.apply_changes(page(*(entry(name, deleted=True) for name in names)))
+    assert fixture.names() == names
+    fixture.clock.advance(HOLD_MS - 1_300 + 1)
+    assert fixture.names() == []
+
+
 def test_a_zone_that_goes_is_gone_at_once():
     fixture = Fixture()
     names = [f"s{number}" for number in range(8)]
