--- a/hemlockswitch/process/gateway/watch_guard.py
+++ b/hemlockswitch/process/gateway/watch_guard.py
@@ -5,6 +5,8 @@
 some 25 s, while the store already tells the others what changed. Three signs show it: another
 gateway saw an outage end after this watch was sent, another one has a newer configuration, or most
 others agree on another list of backend servers. Each sign renews the watch, which costs one call.
+
+These signs may come late or not at all; `process.gateway.freshness` bounds the age of what is known.
 """
 
 from collections import Counter
