--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -20,8 +20,6 @@
 RETRY_MS = 250.0
 """Pause after a failed call. A change must be known within two seconds of the platform's return,
 so the pause stays well below; the client's own back-off adds to it."""
-
-
 MOST_CONFIRMATIONS = 16
 """Confirmations that wait for a page; one or two come in a second."""
 
--- a/hemlockswitch/standin/gateway_store.py
+++ b/hemlockswitch/standin/gateway_store.py
@@ -21,6 +21,8 @@
 ROOT = "/hemlockswitch/objects"
 LONGEST_WAIT_MS = 30_000
 SWALLOWED_S = 60
+SHORTEST_WAIT_MS = 1
+"""A watch that waits no longer only asks whether there is a change, and is counted apart."""
 
 
 class GatewayStoreSettings(BaseModel):
@@ -92,6 +94,7 @@
     lost_answers: int = 0
     cloud_calls: list[dict[str, Any]] = field(default_factory=list)
     watch_calls: Counter[str] = field(default_factory=Counter)
+    ask_calls: Counter[str] = field(default_factory=Counter)
     changed: Signal = field(default_factory=Signal)
 
     def list_kind(self, kind: str) -> dict[str, Entry]:
@@ -233,7 +236,8 @@
     def _watch(self, req: falcon.Request, resp: falcon.Response, kind: str) -> None:
         since = req.get_param_as_int("watch", default=0)
         wait_ms = req.get_param_as_int("wait_ms", default=0)
-        self._store.watch_calls[kind] += 1
+        calls = self._store.ask_calls if wait_ms <= SHORTEST_WAIT_MS else self._store.watch_calls
+        calls[kind] += 1
         changes = self._store.wait_changes(kind, since, wait_ms)
         if since < self._store.oldest_revision:
             raise falcon.HTTPGone
