--- a/hemlockswitch/process/gateway/freshness.py
+++ b/hemlockswitch/process/gateway/freshness.py
@@ -29,9 +29,9 @@
 START_MS = 2_000.0
 """How long after its start a gateway does not ask: it has just listed, and does not know yet who else
 asks."""
-LATE_MS = 2_000.0
-"""Knowledge of this age is logged: a server that leaves must get nothing new two seconds after
-it said so."""
+STALE_MS = 2_000.0
+"""A gateway whose knowledge is this old does not hear the object service: a server that leaves must get
+nothing new two seconds after it said so."""
 LEAST_TOLD_MS = 200.0
 """A confirmation that is this little younger than one that was heard is not told."""
 
@@ -163,7 +163,7 @@
     def _note_late(self) -> None:
         """Log when the knowledge has become old, and when it is fresh again."""
         age_ms = self._follower.measure_age_ms()
-        is_late = age_ms >= LATE_MS
+        is_late = age_ms >= STALE_MS
         if is_late != self._is_late:
             log_event(
                 Event.VIEW_AGED if is_late else Event.VIEW_FRESH,
--- a/hemlockswitch/process/gateway/zone_watchers.py
+++ b/hemlockswitch/process/gateway/zone_watchers.py
@@ -4,16 +4,13 @@
 
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.freshness import AskTurn
+from hemlockswitch.process.gateway.freshness import STALE_MS, AskTurn
 from hemlockswitch.process.gateway.neighbours import Peer, rank_gateway
 
 WATCHERS_PER_ZONE = 2
 """Gateways of each zone that watch the object service for the others. One that is killed or frozen
 leaves another, so that nothing waits for its silence to be noticed."""
 
-STALE_MS = 2_000.0
-"""A gateway whose knowledge is older than this does not hear the object service, and watches for nobody."""
-
 
 class ZoneWatchers:
     """The watchers of this gateway's zone: of those in touch, the ones with the fastest links.
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -10,6 +10,7 @@
 from hemlockswitch.core.errors import ErrorKind, HistoryGoneError, PlatformError
 from hemlockswitch.process.gateway.follower import ObjectFollower
 from hemlockswitch.process.gateway.freshness import (
+    STALE_MS,
     START_MS,
     AskTurn,
     ConfirmationExchange,
@@ -19,7 +20,6 @@
 from hemlockswitch.process.gateway.reachability import MOST_CONNECT_MS
 from hemlockswitch.process.gateway.relayed_watch import RelayedWatch
 from hemlockswitch.process.gateway.transit import TransitTimes
-from hemlockswitch.process.gateway.zone_watchers import STALE_MS
 
 STRICTEST_BOUND_MS = 2_000.0
 AWAY = PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
--- a/tests/test_zone_watchers.py
+++ b/tests/test_zone_watchers.py
@@ -6,11 +6,11 @@
 
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.freshness import AskTurn
+from hemlockswitch.process.gateway.freshness import STALE_MS, AskTurn
 from hemlockswitch.process.gateway.messages import GatewayReport
 from hemlockswitch.process.gateway.report_period import LEAST_COVERED_MS
 from hemlockswitch.process.gateway.watch_guard import StoreView
-from hemlockswitch.process.gateway.zone_watchers import STALE_MS, ZoneWatchers
+from hemlockswitch.process.gateway.zone_watchers import ZoneWatchers
 
 
 def make_zoned_report(name, zone):
