--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -55,6 +55,7 @@
     VIEW_AGED = (326, "view_aged")
     VIEW_FRESH = (327, "view_fresh")
     OLDER_HEARTBEAT_REFUSED = (328, "older_heartbeat_refused")
+    ANSWER_FIELD_UNKNOWN = (329, "answer_field_unknown")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/platform/headers.py
+++ b/hemlockswitch/platform/headers.py
@@ -12,6 +12,7 @@
 from hemlockswitch.connection.message_parsers import ParsedAnswer
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
+from hemlockswitch.platform.answer_fields import UnknownFields
 from hemlockswitch.request.dialect import (
     ErrorReply,
     Prompt,
@@ -65,6 +66,13 @@
 class Headers:
     """The platform's implementation of `hemlockswitch.request.dialect.Dialect`."""
 
+    def __init__(self) -> None:
+        self._unknown_fields = UnknownFields()
+
+    def inspect_answer(self, answer: ParsedAnswer) -> None:
+        """Log the answer's unknown header fields."""
+        self._unknown_fields.record(answer.headers)
+
     def decode_request(self, request: ReceivedRequest) -> RequestFacts:
         """Decode the request's headers."""
         request_id = request.get(REQUEST_ID)
--- a/hemlockswitch/request/dialect.py
+++ b/hemlockswitch/request/dialect.py
@@ -124,6 +124,9 @@
     ) -> bytes:
         """Return the bytes to send to a backend server."""
 
+    def inspect_answer(self, answer: ParsedAnswer) -> None:
+        """Log the header fields of a backend server's answer that the dialect does not know."""
+
     def is_answer_to(self, answer: ParsedAnswer, request_id: str) -> bool:
         """Return whether the answer belongs to the request."""
 
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -185,6 +185,7 @@
         try:
             exchange.send(self._encode(send))
             answer = exchange.read_head()
+            self._dialect.inspect_answer(answer)
             self._view.record_answer(send.placement.candidate.server)
             self._check_run(answer, send.placement)
             ticket.record_first_event(succeeds=answer.status < HTTPStatus.BAD_REQUEST)
--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -63,6 +63,7 @@
     cut_after_events : reset a stream's connection within the event that follows this number.
     slow_factor : multiplier of the duration.
     every : only every nth request is affected.
+    rate_limit : the rate limit stated in the answers, as text; empty for none.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -76,6 +77,7 @@
     cut_after_events: int | None = None
     slow_factor: float = 1.0
     every: int = 1
+    rate_limit: str = ""
 
 
 @dataclass
@@ -118,6 +120,8 @@
         state = self._state
         request_id = req.get_header("Hemlockswitch-Request-Id") or ""
         faults = state.take_faults()
+        if faults.rate_limit:
+            resp.set_header("Server-Limit", faults.rate_limit)
         if self._declines(req, resp, faults):
             return
         body = req.bounded_stream.read()
