--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -1,6 +1,7 @@
 """Stand-in of a backend server on the users' platform: plain answers and event streams."""
 
 import json
+import time
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -84,6 +85,7 @@
 class RunnerState:
     """State and counts of the stand-in.
 
+    `arrivals` has the monotonic time in ms and the identifier of each request, also of declined ones.
     `end` terminates the stand-in; one that runs inside a test's process needs its own function.
     """
 
@@ -94,6 +96,7 @@
     runs: Counter = field(default_factory=Counter)
     seen: list[dict[str, Any]] = field(default_factory=list)
     abandoned: list[str] = field(default_factory=list)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
     end: Callable[[], None] = end_process
 
     def take_faults(self) -> RunnerFaults:
@@ -119,6 +122,7 @@
         """Run a request."""
         state = self._state
         request_id = req.get_header("Hemlockswitch-Request-Id") or ""
+        state.arrivals.append((time.monotonic() * MS_PER_SECOND, request_id))
         faults = state.take_faults()
         if faults.rate_limit:
             resp.set_header("Server-Limit", faults.rate_limit)
--- /dev/null
+++ b/tests/limit_checks.py
@@ -0,0 +1,82 @@
+"""The bound on what a server that states a rate limit may get, judged from its arrivals."""
+
+import math
+from dataclasses import dataclass
+
+WINDOW_MS = 4_000.0
+STABLE_MS = 3_000.0
+"""The bound holds for windows that begin this long after the server first stated a limit."""
+PASSED_ON_MS = 500.0
+"""A gateway counts this long after it has passed on an answer with a limit."""
+EXCESS_FACTOR = 1.5
+EXCESS_REQUESTS = 5
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached a server, and the gateway that sent it."""
+
+    at_ms: float
+    gateway: str
+
+
+@dataclass(frozen=True)
+class Statement:
+    """The limit that a server states from a time on; infinite if it states none."""
+
+    from_ms: float
+    limit_per_s: float
+
+
+@dataclass(frozen=True)
+class Excess:
+    """A window with more arrivals than allowed."""
+
+    from_ms: float
+    count: int
+    allowed: float
+
+
+def count_allowed(limit_per_s):
+    """Return how many requests a server may get in one window."""
+    return EXCESS_FACTOR * limit_per_s * WINDOW_MS / 1_000 + EXCESS_REQUESTS
+
+
+def find_limit(statements, from_ms, until_ms):
+    """Return the highest limit in force in a span of time."""
+    ends = [one.from_ms for one in statements[1:]] + [math.inf]
+    limits = [
+        one.limit_per_s
+        for one, end_ms in zip(statements, ends, strict=True)
+        if one.from_ms < until_ms and end_ms > from_ms - PASSED_ON_MS
+    ]
+    return max(limits, default=math.inf)
+
+
+def find_excesses(arrivals, told_ms, statements):
+    """Return the windows in which the gateways that were told have sent too much.
+
+    Parameters
+    ==========
+
+    arrivals : all arrivals at one server.
+    told_ms : gateway to the time at which it passed on an answer with a limit.
+    statements : the limits that the server stated, in order of time.
+    """
+    stated = [one.from_ms for one in statements if one.limit_per_s < math.inf]
+    if not stated:
+        return []
+    times_ms = sorted(
+        one.at_ms
+        for one in arrivals
+        if one.at_ms >= told_ms.get(one.gateway, math.inf) + PASSED_ON_MS
+    )
+    excesses = []
+    for number, from_ms in enumerate(times_ms):
+        if from_ms < stated[0] + STABLE_MS:
+            continue
+        count = sum(at_ms <= from_ms + WINDOW_MS for at_ms in times_ms[number:])
+        allowed = count_allowed(find_limit(statements, from_ms, from_ms + WINDOW_MS))
+        if count > allowed:
+            excesses.append(Excess(from_ms, count, allowed))
+    return excesses
