--- a/tests/test_server_limits_site.py
+++ b/tests/test_server_limits_site.py
@@ -54,8 +54,7 @@
     def list_arrivals(self, runner):
         """Return the arrivals at a runner."""
         return [
-            Arrival(at_ms, self.gateways[request_id])
-            for at_ms, request_id in runner.state.arrivals
+            Arrival(at_ms, self.gateways[request_id]) for at_ms, request_id in runner.state.arrivals
         ]
 
 
