--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -230,6 +230,11 @@
         """Lose every answer of the object service to a gateway, including those of waiting calls."""
         gateway._adapter.store._calls.is_silenced = True
 
+    @staticmethod
+    def unsilence(gateway):
+        """Let a gateway get the answers of its next calls again."""
+        gateway._adapter.store._calls.is_silenced = False
+
     def make_id(self):
         """Return a new request identifier."""
         self._last += 1
