--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -34,7 +34,7 @@
     name : instance identifier of the backend server.
     work_ms : duration of a plain call, and time to the first event of a stream.
     event_ms : time between two events of a stream.
-    prints_runs : print a line for each run, which remains readable after the process ends.
+    prints_runs : print a line for each arrival and each run, which remains readable after the process ends.
     ends_on : terminate the process on a request whose body contains this text, after `work_ms`;
         empty disables it.
     """
@@ -64,7 +64,6 @@
     cut_after_events : reset a stream's connection within the event that follows this number.
     slow_factor : multiplier of the duration.
     every : only every nth request is affected.
-    rate_limit : the rate limit stated in the answers, as text; empty for none.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -78,13 +77,21 @@
     cut_after_events: int | None = None
     slow_factor: float = 1.0
     every: int = 1
-    rate_limit: str = ""
+
+
+class RunnerLimit(BaseModel):
+    """The rate limit to state in all answers, as text; empty for none."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    limit: str
 
 
 @dataclass
 class RunnerState:
     """State and counts of the stand-in.
 
+    `rate_limit` is stated in all answers, unless it is empty.
     `arrivals` has the monotonic time in ms and the identifier of each request, also of declined ones.
     `end` terminates the stand-in; one that runs inside a test's process needs its own function.
     """
@@ -92,6 +99,7 @@
     settings: RunnerSettings
     faults: RunnerFaults = RunnerFaults()
     left: int = 0
+    rate_limit: str = ""
     asked: int = 0
     runs: Counter = field(default_factory=Counter)
     seen: list[dict[str, Any]] = field(default_factory=list)
@@ -122,10 +130,10 @@
         """Run a request."""
         state = self._state
         request_id = req.get_header("Hemlockswitch-Request-Id") or ""
-        state.arrivals.append((time.monotonic() * MS_PER_SECOND, request_id))
+        self._record_arrival(request_id)
+        if state.rate_limit:
+            resp.set_header("Server-Limit", state.rate_limit)
         faults = state.take_faults()
-        if faults.rate_limit:
-            resp.set_header("Server-Limit", faults.rate_limit)
         if self._declines(req, resp, faults):
             return
         body = req.bounded_stream.read()
@@ -151,6 +159,12 @@
         else:
             resp.data = b"answer of " + request_id.encode()
 
+    def _record_arrival(self, request_id: str) -> None:
+        at_ms = time.monotonic() * MS_PER_SECOND
+        self._state.arrivals.append((at_ms, request_id))
+        if self._state.settings.prints_runs:
+            print(json.dumps({"arrived": request_id, "at_ms": at_ms}), flush=True)
+
     def _declines(self, req: falcon.Request, resp: falcon.Response, faults: RunnerFaults) -> bool:
         expected = req.get_header("Hemlockswitch-Expect-Instance")
         if expected and expected != self._state.settings.name:
@@ -194,6 +208,11 @@
         self._state.left = self._state.faults.count
         resp.media = {}
 
+    def on_post_limit(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Change the stated rate limit."""
+        self._state.rate_limit = read_body(req, RunnerLimit).limit
+        resp.media = {}
+
     def on_get_stats(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Return the requests that were run, and the streams that were cut off."""
         resp.media = {
@@ -223,6 +242,7 @@
     application = make_application()
     harness = Harness(state)
     application.add_route("/standin/faults", harness, suffix="faults")
+    application.add_route("/standin/limit", harness, suffix="limit")
     application.add_route("/standin/stats", harness, suffix="stats")
     application.add_sink(Requests(state), prefix=r"/(?P<path>.*)")
     return application
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,6 +15,7 @@
     read_reply,
     tokens,
 )
+from tests.soak.limiting import LimitDriver
 from tests.soak.moving import RolloutDriver
 from tests.soak.world import CRASHING_CONTENT, GATEWAYS, MARKER, SoakWorld
 
@@ -44,6 +45,7 @@
     status : the HTTP status, 0 if there was no answer.
     is_whole : whether the answer is complete by its framing.
     is_right : whether the answer is complete, genuine and belongs to this request.
+    limit : the rate limit that the answer states; empty if none.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     status: int
     is_whole: bool
     is_right: bool
+    limit: str = ""
 
 
 class Callers:
@@ -69,6 +72,8 @@
             for number in range(CALLERS)
         ]
         self.rollout_driver = RolloutDriver(world, seed)
+        self.limit_driver = LimitDriver(world, seed)
+        self._threads.append(threading.Thread(target=self.limit_driver.run, args=(self._stop,)))
         self._threads.append(threading.Thread(target=self.rollout_driver.run, args=(self._stop,)))
         rng = random.Random(f"{seed}/moved")
         self._threads.append(threading.Thread(target=self._call_moved_service, args=(rng,)))
@@ -155,6 +160,7 @@
         reply.status if reply else 0,
         reply is not None and reply.is_whole,
         reply is not None and _is_right(reply, path, request_id),
+        reply.headers.get("server-limit", "") if reply else "",
     )
 
 
--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -6,18 +6,32 @@
 from features.support.gateways import call_json
 from features.support.processes import HarnessError
 from tests.soak.plan import Fault, FaultKind
-from tests.soak.world import GATEWAYS, UNLINKED_SERVICES, SoakRunner, SoakWorld
+from tests.soak.world import GATEWAYS, UNLINKED_SERVICES, Disturbance, SoakRunner, SoakWorld
 
 DRAINING_S = 2.0
 """Time between the draining mark and the removal of a runner. It exceeds the time in which gateways
 must observe the mark."""
+DISTURBING_GATEWAYS = (FaultKind.GATEWAY_FROZEN,)
+DISTURBING_RUNNERS = (
+    FaultKind.RUNNER_FROZEN,
+    FaultKind.RUNNER_LINK_CUT,
+    FaultKind.RUNNER_LINK_SILENT,
+)
+"""Faults under which requests reach a runner later than they were sent."""
 RESTART_S = 0.3
 """Delay before a stopped process is restarted."""
 
 
 def inject(world: SoakWorld, fault: Fault) -> None:
     """Inject a fault and end it after its duration; runs in a separate thread."""
+    name = ""
+    if fault.kind in DISTURBING_GATEWAYS:
+        name = _find_gateway(fault)
+    elif fault.kind in DISTURBING_RUNNERS:
+        name = find_runner(world, fault).name
+    from_s = time.monotonic()
     _ACTIONS[fault.kind](world, fault)
+    world.disturbances.append(Disturbance(name, from_s, time.monotonic()))
 
 
 def _find_gateway(fault: Fault) -> str:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,16 +1,19 @@
 """Checks of the documented guarantees against the records of callers, runners and the store."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any
 
+from tests.limit_checks import Arrival, find_excesses
 from tests.soak.callers import AT_MOST_ONCE, CRASHING_PATH, Call
+from tests.soak.limiting import LimitedRunner
 from tests.soak.moving import SETTLE_S as ROLLBACK_SETTLE_S
 from tests.soak.moving import Rollout
 from tests.soak.world import ROLLOUT_SHARE, ROLLOUT_SLACK
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 SUCCESS = 200
+MS_PER_SECOND = 1_000
 MIN_CRASHES, MAX_RETRIES = 3, 3
 SETTLE_S = 5.0
 """Time after the crash that completes `MIN_CRASHES` within which every gateway has the content
@@ -22,6 +25,7 @@
     runs: list[tuple[str, str]],
     cloud_calls: list[dict[str, Any]],
     move: Rollout | None = None,
+    limited: Sequence[LimitedRunner] = (),
 ) -> list[str]:
     """Return one line for each violated guarantee."""
     counts = Counter(request_id for _, request_id in runs)
@@ -31,6 +35,7 @@
         *_check_revisions(calls),
         *_check_duties(cloud_calls),
         *_check_quarantine(calls, counts),
+        *_check_limits(calls, limited),
         *(_check_rollout(calls, runs, move) if move is not None else ()),
     ]
 
@@ -108,6 +113,25 @@
         yield f"crashing content sent {len(late)} more times after {len(runs)} crashes: {late}"
 
 
+def _check_limits(calls: list[Call], limited: Sequence[LimitedRunner]) -> Iterator[str]:
+    """Check that no runner gets more from the gateways that it told than its limit allows."""
+    senders = {call.request_id: call.incarnation for call in calls}
+    for runner in limited:
+        ids = {request_id for _, request_id in runner.arrivals}
+        told = [
+            (call.ended_s * MS_PER_SECOND, call.incarnation)
+            for call in calls
+            if call.limit and call.request_id in ids
+        ]
+        arrivals = [
+            Arrival(at_ms, senders[request_id])
+            for at_ms, request_id in runner.arrivals
+            if request_id in senders and not runner.is_excused(at_ms, senders[request_id])
+        ]
+        for excess in find_excesses(arrivals, told, runner.statements):
+            yield f"runner {runner.name} got more than its limit allows: {excess}"
+
+
 def _check_rollout(calls: list[Call], runs: list[tuple[str, str]], move: Rollout) -> Iterator[str]:
     """Check that a faulty version gets few requests, is rolled back, and gets none afterwards."""
     if not move.is_bad:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -73,6 +73,7 @@
     callers.start()
     try:
         _inject_all(world, plan)
+        callers.limit_driver.end_limits()
         world.heal()
         violations = _check_service(world, "recovery")
     finally:
@@ -82,6 +83,7 @@
         world.list_runs(),
         world.call_store("GET", "/standin/cloud"),
         callers.rollout_driver.move,
+        callers.limit_driver.list_limited(),
     )
     answered = sum(call.is_right for call in calls)
     move = callers.rollout_driver.move
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -48,6 +48,15 @@
     is_registered: bool = False
 
 
+@dataclass(frozen=True)
+class Disturbance:
+    """A span of monotonic time in which a gateway or runner stood still or was cut off."""
+
+    name: str
+    from_s: float
+    until_s: float
+
+
 class SoakWorld:
     """The running processes. Fault threads call its methods concurrently."""
 
@@ -58,6 +67,7 @@
         self.starts: dict[str, int] = {}
         self.fronts: dict[str, str] = {}
         self.probes: list[Any] = []
+        self.disturbances: list[Disturbance] = []
         self._lock = threading.RLock()
         self.store = self.cluster.launch("store", [STANDIN, "gateway-store"], {})
 
@@ -187,6 +197,12 @@
             runs += [(runner.name, line["ran"]) for line in printed]
         return runs
 
+    def list_arrivals(self, runner: SoakRunner) -> list[tuple[float, str]]:
+        """Return (monotonic time in ms, request id) of each request that reached a runner."""
+        lines = runner.program.output_file.read_text().splitlines()
+        printed = [json.loads(line) for line in lines if line.startswith('{"arrived"')]
+        return [(line["at_ms"], line["arrived"]) for line in printed]
+
     # The store
 
     def change_configuration(self) -> int:
--- a/tests/test_server_limits_site.py
+++ b/tests/test_server_limits_site.py
@@ -65,7 +65,7 @@
 
 def limit_runner(runner, limit):
     """Let a runner state a limit from now on, and return the statement."""
-    runner.fail(rate_limit=limit)
+    runner.state.rate_limit = limit
     return Statement(time.monotonic() * 1_000, float(limit))
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,13 +6,15 @@
 
 import pytest
 
+from tests.limit_checks import Statement
 from tests.soak.callers import Call
 from tests.soak.injection import find_runner
+from tests.soak.limiting import LimitedRunner
 from tests.soak.moving import Rollout
 from tests.soak.plan import Fault, FaultKind, draw_plan
 from tests.soak.promises import find_violations
 from tests.soak.run import run_seed
-from tests.soak.world import SoakRunner
+from tests.soak.world import Disturbance, SoakRunner
 
 CI_SEED, CI_LENGTH_S = 101, 8.0
 REGRESSION_SEEDS: dict[int, str] = {
@@ -128,6 +130,28 @@
     assert len(find_violations(calls, few, [], dataclasses.replace(move, state="completed"))) == 1
 
 
+def make_limited_runner(**fields):
+    statements = [Statement(float("-inf"), float("inf")), Statement(0.0, 1.0)]
+    arrivals = [(5_000.0 + 100 * number, f"limited-{number}") for number in range(20)]
+    return LimitedRunner("r1", statements, arrivals, **fields)
+
+
+LIMITED_CALLS = [
+    replace_fields(CALL, path="/check/x", request_id=f"limited-{number}", limit="1")
+    for number in range(20)
+]
+
+
+def test_each_violation_of_a_runners_limit_is_reported():
+    runs = [("r1", one.request_id) for one in LIMITED_CALLS]
+    limited = [make_limited_runner()]
+    assert len(find_violations(LIMITED_CALLS, runs, [], limited=limited)) > 0
+    untold = [replace_fields(one, limit="") for one in LIMITED_CALLS]
+    assert find_violations(untold, runs, [], limited=limited) == []
+    frozen = [make_limited_runner(disturbances=[Disturbance("one", 4.0, 6.0)])]
+    assert find_violations(LIMITED_CALLS, runs, [], limited=frozen) == []
+
+
 def test_every_fault_kind_is_drawn():
     drawn = {fault.kind for seed in range(40) for fault in draw_plan(seed, 15)}
     assert drawn == set(FaultKind)
