End the pauses of a server when its limit changes, and compare designs in the replay

A gateway that was refused permits waits for up to ten seconds before it requests the next one. It now requests at once when another gateway reports that the limit has changed.

--- a/hemlockswitch/process/gateway/limit_exchange.py
+++ b/hemlockswitch/process/gateway/limit_exchange.py
@@ -6,6 +6,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 
 from gevent.event import Event as Signal
 
@@ -36,6 +37,7 @@
     network, fleet : the streams to the other gateways, and the list of these gateways.
     ranking : determines the issuer of each server's permits.
     limits : the limits known here.
+    on_changed : called with the incarnation of a server whose limit another gateway reports as changed.
     clock : the time.
     """
 
@@ -45,8 +47,10 @@
         fleet: Fleet,
         ranking: IssuerRanking,
         limits: ServerLimits,
+        on_changed: Callable[[str], None],
         clock: Clock,
     ) -> None:
+        self._on_changed = on_changed
         self._network = network
         self._fleet = fleet
         self._ranking = ranking
@@ -124,7 +128,10 @@
     def merge(self, fields: StatementFields, source: str) -> bool:
         """Apply a statement of another gateway; return whether it changes what is known here."""
         incarnation, _, number, limit_per_s = fields
-        return self._limits.merge(incarnation, read_statement(number, limit_per_s), source)
+        has_changed = self._limits.merge(incarnation, read_statement(number, limit_per_s), source)
+        if has_changed:
+            self._on_changed(incarnation)
+        return has_changed
 
     def _is_due(self, fields: StatementFields) -> bool:
         """Return whether a statement is to be broadcast now, and record that it is."""
--- a/hemlockswitch/process/gateway/permits.py
+++ b/hemlockswitch/process/gateway/permits.py
@@ -81,7 +81,7 @@
         self.limits = limits
         self.ranking = IssuerRanking(fleet)
         self.issuer = PermitIssuer(self.ranking, fleet, limits, clock, read_boot)
-        self.exchange = LimitExchange(network, fleet, self.ranking, limits, clock)
+        self.exchange = LimitExchange(network, fleet, self.ranking, limits, self._end_pauses, clock)
         self._network = network
         self._fleet = fleet
         self._clock = clock
@@ -92,7 +92,7 @@
     def record_answer(self, server: BackendServer, limit_per_s: float, sent_ms: float) -> None:
         """Record the limit in a server's answer to a request that was sent at `sent_ms`."""
         if self.limits.record_answer(server.incarnation, limit_per_s, sent_ms):
-            self._pauses.pop(server.incarnation, None)
+            self._end_pauses(server.incarnation)
             self.exchange.publish(server.incarnation, server.zone)
 
     def select(
@@ -171,6 +171,10 @@
             for server in self.limits.describe()
         ]
 
+    def _end_pauses(self, incarnation: str) -> None:
+        """Allow requests for a server's permits at once, as its limit has changed."""
+        self._pauses.pop(incarnation, None)
+
     def _may_request(self, server: BackendServer, urgency: int, now_ms: float) -> bool:
         if not self.is_limited(server):
             return True
--- a/tests/limit_replay.py
+++ b/tests/limit_replay.py
@@ -24,7 +24,13 @@
     ReportPeriod,
 )
 from hemlockswitch.process.gateway.server_limits import ServerLimits
-from hemlockswitch.request.permits import MIN_RATE_PER_S, PERMIT_LIFETIME_MS, UNLIMITED
+from hemlockswitch.request.permits import (
+    MIN_RATE_PER_S,
+    PERMIT_LIFETIME_MS,
+    UNLIMITED,
+    Decision,
+    Verdict,
+)
 from hemlockswitch.version.backend import BackendServer
 from tests.limit_checks import STABLE_MS, Arrival, Statement, find_excesses
 
@@ -49,6 +55,7 @@
     faults: int = 6
     loss: float = 0.01
     all_limited: bool = False
+    design: str = "issuer"
 
 
 @dataclass
@@ -105,7 +112,7 @@
             self.started_ms = self.world.now_ms
         self.clock = GatewayClock(self.world)
         self.handlers = {}
-        self.permits = Permits(
+        self.permits = DESIGNS[self.world.setting.design](
             self, self, ServerLimits(self.clock), self.clock, lambda: self.world.now_ms
         )
         self.is_sending = False
@@ -217,6 +224,32 @@
         return heard / len(self.world.gateways)
 
 
+class DividedPermits(Permits):
+    """Alternative design: each gateway issues itself its part of the limit, beginning with one permit."""
+
+    def _request(self, server, urgency):
+        rate_per_s = self.limits.get(server.incarnation).limit_per_s / len(
+            self._fleet.world.gateways
+        )
+        now_ms = self._clock.now_ms()
+        levels = self.__dict__.setdefault("levels", {})
+        level, filled_ms = levels.get(server.incarnation, (1.0, now_ms))
+        level = min(level + rate_per_s * (now_ms - filled_ms) / 1_000, 1.0)
+        is_granted = level >= 1.0
+        levels[server.incarnation] = (level - is_granted, now_ms)
+        return Decision(Verdict.GRANTED) if is_granted else Decision(Verdict.REFUSED, 50.0, 50.0)
+
+
+class SoleSenderPermits(Permits):
+    """Alternative design: only the issuer itself sends to a limited server."""
+
+    def _request(self, server, urgency):
+        return self.issuer.decide(server.incarnation, server.zone, urgency)
+
+
+DESIGNS = {"issuer": Permits, "divided": DividedPermits, "sole_sender": SoleSenderPermits}
+
+
 class Server:
     """A backend server that states limits."""
 
@@ -486,6 +519,7 @@
     parser.add_argument("--servers", type=int, default=8)
     parser.add_argument("--requests-per-s", type=float, default=160.0)
     parser.add_argument("--faults", type=int, default=6)
+    parser.add_argument("--design", choices=DESIGNS, default="issuer")
     parser.add_argument("--all-limited", action="store_true")
     options = vars(parser.parse_args())
     set_log_writer(lambda event, level, fields: None)
