--- a/hemlockswitch/platform/headers.py
+++ b/hemlockswitch/platform/headers.py
@@ -1,6 +1,7 @@
 """Header names and status codes of the platform's protocol for requests and answers."""
 
 import re
+from collections.abc import Mapping
 from http import HTTPStatus
 
 from hemlockswitch.connection.heads import (
@@ -164,10 +165,7 @@
 
     def is_genuine(self, answer: ParsedAnswer) -> bool:
         """Return whether a runner made the answer and no intermediary re-encoded it."""
-        fields = dict(_lower_names(answer))
-        if "content-encoding" in fields:
-            return False
-        return SEAL in fields or answer.status >= HTTPStatus.MULTIPLE_CHOICES
+        return _is_genuine(answer.status, dict(_lower_names(answer)))
 
     def read_slots(self, answer: ParsedAnswer) -> ReportedSlots | None:
         """Return the reported load (running, waiting, slots); None if absent or malformed."""
@@ -182,11 +180,13 @@
         """Return the stated limit in requests per second; infinite if none, None if the answer cannot tell."""
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return None
-        if not self.is_genuine(answer) and not self.states_not_run(answer):
+        names = _lower_names(answer)
+        fields = dict(names)
+        if not _is_genuine(answer.status, fields) and NOT_EXECUTED not in fields:
             return None
-        stated = [value for name, value in _lower_names(answer) if name == SERVER_LIMIT]
-        if not stated:
+        if SERVER_LIMIT not in fields:
             return UNLIMITED
+        stated = [value for name, value in names if name == SERVER_LIMIT]
         if len(stated) == 1 and _LIMIT.fullmatch(stated[0]):
             return float(stated[0])
         self._unreadable_fields.record(SERVER_LIMIT, ", ".join(stated))
@@ -220,6 +220,13 @@
         return ErrorReply(status, HTTPStatus(status).phrase, tuple(headers), body)
 
 
+def _is_genuine(status: int, fields: Mapping[str, str]) -> bool:
+    """Return whether a runner made the answer that has these fields, by their lowercase names."""
+    if "content-encoding" in fields:
+        return False
+    return SEAL in fields or status >= HTTPStatus.MULTIPLE_CHOICES
+
+
 def _lower_names(answer: ParsedAnswer) -> list[Header]:
     return [(name.lower(), value) for name, value in answer.headers]
 
--- a/hemlockswitch/process/gateway/server_limits.py
+++ b/hemlockswitch/process/gateway/server_limits.py
@@ -28,13 +28,13 @@
 
     source : `OWN`, or the name of the gateway that reported it.
     learned_ms : when this gateway learned of it.
-    limited_ms : when this gateway learned that the server is limited; None if it is not.
+    limited_since_ms : when this gateway learned that the server is limited; None if it is not.
     """
 
     statement: LimitStatement
     source: str
     learned_ms: float
-    limited_ms: float | None
+    limited_since_ms: float | None
 
 
 class ServerLimits:
@@ -130,11 +130,11 @@
                 "limit_per_s": record.statement.limit_per_s,
                 "number": record.statement.number,
                 "source": record.source,
-                "limited_ms": round(now_ms - record.limited_ms),
+                "limited_for_ms": round(now_ms - record.limited_since_ms),
                 "learned_ms_ago": round(now_ms - record.learned_ms),
             }
             for incarnation, record in self._records.items()
-            if record.limited_ms is not None
+            if record.limited_since_ms is not None
         ]
 
     def _put(self, incarnation: str, statement: LimitStatement, source: str) -> bool:
@@ -142,11 +142,11 @@
         if before is None and len(self._records) >= MAX_SERVERS:
             return False
         now_ms = self._clock.now_ms()
-        limited_ms = None
+        since_ms = None
         if statement.is_limited:
-            known_ms = None if before is None else before.limited_ms
-            limited_ms = now_ms if known_ms is None else known_ms
-        self._records[incarnation] = _Record(statement, source, now_ms, limited_ms)
+            known_ms = None if before is None else before.limited_since_ms
+            since_ms = now_ms if known_ms is None else known_ms
+        self._records[incarnation] = _Record(statement, source, now_ms, since_ms)
         self._log(incarnation, statement, source)
         if statement.is_limited:
             self._limited.add(incarnation)
--- a/hemlockswitch/programs/ctl_gateways.py
+++ b/hemlockswitch/programs/ctl_gateways.py
@@ -39,7 +39,7 @@
     server: str
     limit_per_s: float
     source: str
-    limited_ms: float
+    limited_for_ms: float
     issues_permits: bool
 
 
@@ -86,14 +86,14 @@
 
     limit_per_s : the requests per second that it takes from all gateways together.
     source : ``own``, or the name of the gateway that reported the limit.
-    limited_ms : time since this gateway learned that the server is limited.
+    limited_for_ms : time since this gateway learned that the server is limited.
     issues_permits : whether this gateway issues the permits for requests to the server.
     """
 
     server: str
     limit_per_s: float
     source: str
-    limited_ms: float
+    limited_for_ms: float
     issues_permits: bool
 
 
@@ -234,7 +234,7 @@
     >>> format_limited(LimitedServer("i-7f3a", 1.3, "front-2", 8_000.0, True))
     'i-7f3a takes 1.3 requests/s from all gateways, known for 8.0 s from front-2, permits issued here'
     """
-    known_s = server.limited_ms / MS_PER_SECOND
+    known_s = server.limited_for_ms / MS_PER_SECOND
     issued = ", permits issued here" if server.issues_permits else ""
     return (
         f"{server.server} takes {server.limit_per_s:g} requests/s from all gateways,"
--- a/tests/test_limit_replay.py
+++ b/tests/test_limit_replay.py
@@ -56,3 +56,8 @@
 
 def always(*_):
     return True
+
+
+# Guards against a check that counts gateways which could not learn of a lowered limit in a partition.
+def test_limit_that_is_lowered_in_a_partition_counts_once_it_is_told():
+    assert World(Setting(all_limited=True, requests_per_s=60.0), 79).run().excesses == []
