Check before a send whether its server has become limited

Found by reading: a server was chosen while it was not limited, its connection took a while to open, and the request was sent although the server had stated a limit meanwhile. The check of the permit now comes right before the send and covers this too; such a request goes to another server or is refused as not run. The new test fails without the check (a request arrives at a server that takes none).

--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -116,6 +116,16 @@
         choice = ServerChoice(admitted, excluded)
         return self._choose(choice, self._select_usable(choice, self._list_eligible(choice)))
 
+    def is_permitted(self, placement: Placement) -> bool:
+        """Return whether a request may be sent now.
+
+        The server may have become limited, or the permit may have expired, while a connection was opened.
+        """
+        permit = placement.permit
+        if permit is None:
+            return not self._permits.is_limited(placement.candidate.server)
+        return self._clock.now_ms() <= permit.expires_ms
+
     def find_permit_delay_ms(self, admitted: AdmittedRequest) -> float | None:
         """Return when a permit for a server of the service is expected; None if none was refused."""
         servers = self._registry.list_ready(admitted.service)
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -69,6 +69,9 @@
     def preview(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
         """Return the server that `place` would choose now, without a permit for it."""
 
+    def is_permitted(self, placement: Placement) -> bool:
+        """Return whether a request may be sent now: the server is not limited, or the permit is still valid."""
+
     def find_permit_delay_ms(self, admitted: AdmittedRequest) -> float | None:
         """Return when a permit for a limited server of the service is expected, in ms from now.
 
@@ -190,9 +193,9 @@
         """
         exchange = self._open(send)
         sent_ms = self._clock.now_ms()
-        if is_expired(send.placement, sent_ms):
-            self._pool.finish(exchange)
-            detail = "the permit of the limited server expired before a connection was open"
+        if not self._view.is_permitted(send.placement):
+            exchange.close()
+            detail = "no valid permit for the limited server when the connection was open"
             raise SendFailedError(SendFailure.UNREACHABLE, detail, False)
         ticket = self._view.begin_attempt(send.admitted, send.placement)
         send.progress.sends.append(send.placement.candidate.server.incarnation)
@@ -344,8 +347,3 @@
         send.progress.began_ms = self._clock.now_ms()
         send.progress.begun_version = send.placement.candidate.server.version
         self._observer.request_began(send.progress)
-
-
-def is_expired(placement: Placement, now_ms: float) -> bool:
-    """Return whether the permit of a placement has expired."""
-    return placement.permit is not None and placement.permit.expires_ms < now_ms
--- a/tests/test_server_limits_site.py
+++ b/tests/test_server_limits_site.py
@@ -11,6 +11,7 @@
 import gevent
 import pytest
 
+from hemlockswitch.connection.backend_pool import BackendPool
 from tests.gateway_site import Site, tokens
 from tests.limit_checks import Arrival, Statement, Told, find_excesses
 
@@ -103,3 +104,47 @@
     refused = [one for one in callers.replies if one.status != 200]
     assert {one.status for one in refused} <= {503}
     assert all(float(one.headers["retry-after"]) > 0 for one in refused)
+
+
+# Guards against a request to a server that stated its limit while the request's connection was opened.
+def test_server_that_becomes_limited_while_a_connection_is_opened_gets_no_request(monkeypatch):
+    site = Site(gateways=1)
+    runner = site.add_runner("app")
+    gateway = site.gateways[0]
+    server = gateway.registry.list_ready("app")[0]
+    open_connection = BackendPool.open
+
+    def open_while_limited(pool, *args, **kwargs):
+        gateway.permits.record_answer(server, 0.0, sent_ms=0.0)
+        return open_connection(pool, *args, **kwargs)
+
+    monkeypatch.setattr(BackendPool, "open", open_while_limited)
+    try:
+        reply = site.ask("/hold/x")
+        assert reply.status == 503
+        assert runner.state.arrivals == []
+    finally:
+        site.close()
+
+
+def test_caller_is_refused_at_once_with_the_time_of_the_next_permit():
+    site = Site(gateways=2)
+    runner = site.add_runner("app", work_ms=WORK_MS)
+    try:
+        site.wait(lambda: all(one.fleet.count_connected() == 2 for one in site.gateways))
+        runner.state.rate_limit = "0.5"
+        site.ask("/check/x", gateway=0)
+        site.wait(lambda: all(one.permits.limits.has_limited for one in site.gateways))
+        began_s = time.monotonic()
+        reply = site.ask("/hold/x", gateway=1)
+        assert reply.status == 503
+        assert reply.body.startswith(b"overloaded: every backend server of service app")
+        assert 0 < float(reply.headers["retry-after"]) <= 4
+        assert time.monotonic() - began_s < 1
+        assert len(runner.state.arrivals) == 1
+        runner.state.rate_limit = ""
+        site.wait(lambda: site.ask("/check/x", gateway=1).status == 200)
+        site.wait(lambda: not any(one.permits.limits.has_limited for one in site.gateways))
+        assert [site.ask("/hold/x", gateway=number % 2).status for number in range(6)] == [200] * 6
+    finally:
+        site.close()
