Report a wrong count of hemlock-ctl history as an error message

Operators saw a stack trace (ValueError) for `--count x`; 0 and negative numbers showed nothing. The count is checked before the platform is asked.

--- a/hemlockswitch/programs/ctl_platform.py
+++ b/hemlockswitch/programs/ctl_platform.py
@@ -78,6 +78,14 @@
         except ValueError as error:
             raise InvalidFileError.from_reason(f"--{name} must be a number of seconds") from error
 
+    def read_count(self, name: str) -> int:
+        """Return the value of an option that is a number of things, at least 1."""
+        text = self.option(name)
+        if not (text.isdecimal() and int(text) > 0):
+            reason = f'--{name} must be a whole number of at least 1, not "{text}"'
+            raise InvalidFileError.from_reason(reason)
+        return int(text)
+
     def write_answer(self, answer: dict[str, Any], lines: list[str]) -> None:
         """Write the answer as JSON with ``--json``, else as lines of text."""
         if self.option("json"):
--- a/hemlockswitch/programs/ctl_status.py
+++ b/hemlockswitch/programs/ctl_status.py
@@ -114,13 +114,13 @@
     help = """Goes back from the revision that the pointer names. A revision that the pointer never
 named (its apply crashed, or lost a race) is shown as never in force.
 
-Exit codes: 0 shown, 4 the platform does not answer."""
+Exit codes: 0 shown, 2 the count is wrong, 4 the platform does not answer."""
 
     def run_command(self) -> int:
         """Write the revisions, newest first."""
+        count = self.read_count("count")
         self._store = RevisionStore(self.client, self.clock, self.retry_timeout_ms)
         current = self._store.read_current()
-        count = int(self.option("count"))
         rows = self._list_rows(current.number, count)
         self.write_answer({"ok": True, "revisions": rows}, [_format_row(row) for row in rows])
         return ExitCode.DONE
