--- a/hemlockswitch/process/gateway/permit_issuer.py
+++ b/hemlockswitch/process/gateway/permit_issuer.py
@@ -1,8 +1,8 @@
 """The issuer of permits for limited backend servers: one gateway for each server.
 
 The issuer of a server is the first gateway, in rendezvous order, of those that are running in the server's
-zone: gateways of that zone hear one another most often, and can reach the server whenever anybody can.
-Gateways may disagree on it for a while; a gateway that does not consider itself the issuer issues nothing.
+zone: these exchange reports most often, and reach the server whenever any gateway does. Gateways may
+disagree on it for a while; a gateway that does not consider itself the issuer issues nothing.
 """
 
 from collections.abc import Callable
@@ -15,8 +15,8 @@
 from hemlockswitch.request.permits import Decision, PermitBucket, Verdict
 
 MIN_TAKEOVER_MS = 500.0
-"""Minimum time for which a new issuer of a server's permits waits, so that an earlier one has learned of it
-and stopped. In a larger fleet it waits for a period of the reports in its zone."""
+"""Minimum time for which a new issuer of a server's permits waits, so that an earlier one has received its
+report and stopped. In a larger fleet it waits for a report period of its zone."""
 PARTITION_FACTOR = 1.25
 """In a partition the issuer of each side issues this multiple of its side's fraction of the limit, at most
 the limit. The bound on what a server gets is 1.5 times its limit; with this factor, the loss of a fifth
