--- a/tests/limit_checks.py
+++ b/tests/limit_checks.py
@@ -73,7 +73,8 @@
 def find_excesses(arrivals, told, statements):
     """Return the windows in which the gateways that were told have sent too much.
 
-    A gateway that was told a higher limit last, and could not learn of a lower one, may keep to that.
+    A gateway that was told once counts from then on, also when the server states a limit again. One that was
+    told a higher limit last, since the server began to state limits, may keep to that.
 
     Parameters
     ==========
@@ -82,51 +83,48 @@
     told : each answer with a limit that a gateway passed on.
     statements : the limits that the server stated, in order of time.
     """
-    excesses = []
-    for from_ms, until_ms in list_limited_spans(statements):
-        in_span = sorted(
-            (one for one in told if from_ms <= one.at_ms < until_ms), key=lambda one: one.at_ms
-        )
-        sends = [
-            Send(one.at_ms, limit_per_s)
-            for one in sorted(arrivals, key=lambda one: one.at_ms)
-            if (limit_per_s := find_told_limit(in_span, one)) is not None
-        ]
-        excesses += _find_excesses_in_span(sends, from_ms + STABLE_MS, until_ms, statements)
-    return excesses
+    stated = [one.from_ms for one in statements if one.limit_per_s < math.inf]
+    if not stated:
+        return []
+    told = sorted(told, key=lambda one: one.at_ms)
+    sends = [
+        Send(one.at_ms, limit_per_s)
+        for one in sorted(arrivals, key=lambda one: one.at_ms)
+        if (limit_per_s := find_told_limit(told, one, statements)) is not None
+    ]
+    return _find_excesses_from(sends, stated[0] + STABLE_MS, statements)
 
 
-def find_told_limit(told, arrival):
-    """Return the limit that the sender was told last, or None if it was told none in time."""
-    limits = [
-        one.limit_per_s
+def find_told_limit(told, arrival, statements):
+    """Return the limit that the sender was told last, 0 if only of earlier ones, None if it was never told."""
+    in_time = [
+        one
         for one in told
         if one.gateway == arrival.gateway and one.at_ms + PASSED_ON_MS <= arrival.at_ms
     ]
-    return limits[-1] if limits else None
+    if not in_time:
+        return None
+    last = in_time[-1]
+    return last.limit_per_s if last.at_ms >= find_began_ms(statements, arrival.at_ms) else 0.0
 
 
-def list_limited_spans(statements):
-    """Return the spans of time in which a server states limits, whether or not they change."""
-    spans = []
-    began_ms = None
-    for one in statements:
-        if one.limit_per_s < math.inf:
-            began_ms = one.from_ms if began_ms is None else began_ms
-        elif began_ms is not None:
-            spans.append((began_ms, one.from_ms))
-            began_ms = None
-    if began_ms is not None:
-        spans.append((began_ms, math.inf))
-    return spans
+def find_began_ms(statements, at_ms):
+    """Return since when a server has stated limits without a break, as of a time."""
+    began_ms = math.inf
+    for before, one in zip(statements, statements[1:], strict=False):
+        if one.from_ms > at_ms:
+            break
+        if before.limit_per_s == math.inf:
+            began_ms = one.from_ms
+    return began_ms
 
 
-def _find_excesses_in_span(sends, from_ms, until_ms, statements):
+def _find_excesses_from(sends, from_ms, statements):
     excesses = []
     for number, first in enumerate(sends):
-        end_ms = first.at_ms + WINDOW_MS
-        if first.at_ms < from_ms or end_ms > until_ms:
+        if first.at_ms < from_ms:
             continue
+        end_ms = first.at_ms + WINDOW_MS
         window = [one for one in sends[number:] if one.at_ms <= end_ms]
         limit_per_s = find_limit(statements, first.at_ms, end_ms)
         allowed = count_allowed(max([limit_per_s, *(one.told_per_s for one in window)]))
