--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -105,6 +105,7 @@
             self.fleet.get_near_period,
             clock,
             lambda zone: self.forwarder.abandon_zone(zone),
+            self.registry.list_all,
         )
         self.loads = ServerLoads(
             clock, self.fleet.get_far_period, lambda: self.schedule.changed.set()
@@ -226,6 +227,7 @@
         self.status.add("configuration", self.followed.describe_configuration)
         self.status.add("followed", self.followed.describe)
         self.status.add("gateways", self.fleet.describe)
+        self.status.add("links", self.reachability.isolation.describe)
         self.status.add("models", self.models.describe)
         self.status.add("backend_servers", lambda: len(self.registry.list_all()))
         self.status.add("quarantine", self.quarantine.describe)
--- a/hemlockswitch/process/gateway/reachability.py
+++ b/hemlockswitch/process/gateway/reachability.py
@@ -22,6 +22,7 @@
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.isolation import IsolationDetector
 from hemlockswitch.process.gateway.report_period import (
     MISSED_REPORTS,
     UNRESPONSIVE_ZONE_GAPS,
@@ -108,6 +109,12 @@
     get_period : returns the time between two reports of the gateways of this zone.
     clock : the time.
     on_zone_suspected : called with a zone when it becomes suspected.
+    list_servers : returns the backend servers that are registered.
+
+    Attributes
+    ==========
+
+    isolation : tells whether this gateway has lost its links to all servers.
     """
 
     def __init__(
@@ -116,7 +123,9 @@
         get_period: Callable[[], ReportPeriod],
         clock: Clock,
         on_zone_suspected: Callable[[str], None] = lambda _: None,
+        list_servers: Callable[[], Iterable[BackendServer]] = tuple,
     ) -> None:
+        self.isolation = IsolationDetector(list_servers, clock)
         self._zone = zone
         self._get_period = get_period
         self._clock = clock
@@ -168,6 +177,7 @@
         """Record that a connection to a server was opened."""
         usual_ms = self._connect_ms.get(server.zone, took_ms)
         self._connect_ms[server.zone] = usual_ms + CONNECT_TIME_SMOOTHING * (took_ms - usual_ms)
+        self.isolation.record_connected()
         self.record_answer(server)
 
     def record_answer(self, server: BackendServer) -> None:
@@ -187,6 +197,7 @@
         has_timed_out : whether there was no answer at all; a refusal concerns this server alone.
         """
         self._suspect_server(server, "unreachable")
+        self.isolation.record_failed(server, has_timed_out=has_timed_out)
         if not has_timed_out:
             return
         state = self._zones.setdefault(server.zone, _ZoneState(self._clock.now_ms()))
@@ -253,6 +264,7 @@
         """Discard the state of a removed server."""
         self._suspects.pop(server.incarnation, None)
         self._reached_ms.pop(server.incarnation, None)
+        self.isolation.evict(server.incarnation)
 
     def _suspect_server(self, server: BackendServer, reason: str) -> None:
         if server.incarnation not in self._suspects:
