--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -10,6 +10,7 @@
 import falcon
 import gevent
 import xxhash
+from gevent.event import Event as Signal
 from pydantic import BaseModel, ConfigDict
 
 from hemlockswitch.standin.server import (
@@ -87,11 +88,32 @@
     limit: str
 
 
+class RunnerRoom(BaseModel):
+    """The room for requests; a request that finds none is declined.
+
+    Parameters
+    ==========
+
+    slots : number of requests that run concurrently; 0 means any number.
+    waiting : number of requests that may wait for a slot.
+    max_rejections : to state in all answers, as text: the runner falls over when it declines more requests
+        than this in one second for want of room; empty for a runner that never does.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    slots: int = 0
+    waiting: int = 0
+    max_rejections: str = ""
+
+
 @dataclass
 class RunnerState:
     """State and counts of the stand-in.
 
     `rate_limit` is stated in all answers, unless it is empty.
+    `rejections` has the monotonic time in ms of each request that was declined for want of room.
+    `fall` is called when the stand-in falls over; a harness that runs it decides what that means.
     `arrivals` has the monotonic time in ms and the identifier of each request, also of declined ones.
     `end` terminates the stand-in; one that runs inside a test's process needs its own function.
     """
@@ -106,6 +128,46 @@
     abandoned: list[str] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     end: Callable[[], None] = end_process
+    room: RunnerRoom = RunnerRoom()
+    running: int = 0
+    waiting: int = 0
+    rejections: list[float] = field(default_factory=list)
+    fall: Callable[[], None] = end_process
+    _slot_freed: Signal = field(default_factory=Signal)
+
+    def enter(self) -> bool:
+        """Wait for a slot; return False at once if there is no room to wait."""
+        if self.room.slots and self.running >= self.room.slots:
+            if self.waiting >= self.room.waiting:
+                self._record_rejection()
+                return False
+            self._await_slot()
+        self.running += 1
+        return True
+
+    def leave(self) -> None:
+        """Free a slot."""
+        self.running -= 1
+        self._slot_freed.set()
+        self._slot_freed.clear()
+
+    def _await_slot(self) -> None:
+        self.waiting += 1
+        try:
+            while self.running >= self.room.slots:
+                self._slot_freed.wait()
+        finally:
+            self.waiting -= 1
+
+    def _record_rejection(self) -> None:
+        now_ms = time.monotonic() * MS_PER_SECOND
+        self.rejections.append(now_ms)
+        if not self.room.max_rejections:
+            return
+        recent = [at_ms for at_ms in self.rejections if at_ms > now_ms - MS_PER_SECOND]
+        if len(recent) > int(self.room.max_rejections):
+            self.rejections.clear()
+            self.fall()
 
     def take_faults(self) -> RunnerFaults:
         """Return the faults for a new request."""
@@ -133,10 +195,30 @@
         self._record_arrival(request_id)
         if state.rate_limit:
             resp.set_header("Server-Limit", state.rate_limit)
+        if state.room.max_rejections:
+            resp.set_header("Server-Brittle", state.room.max_rejections)
         faults = state.take_faults()
         if self._declines(req, resp, faults):
             return
         body = req.bounded_stream.read()
+        if not state.enter():
+            resp.status = 503
+            resp.set_header("Hemlockswitch-Not-Executed", "1")
+            return
+        try:
+            self._run(req, resp, faults, request_id, body)
+        finally:
+            state.leave()
+
+    def _run(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        faults: RunnerFaults,
+        request_id: str,
+        body: bytes,
+    ) -> None:
+        state = self._state
         state.runs[request_id] += 1
         if state.settings.prints_runs:
             print(json.dumps({"ran": request_id}), flush=True)
@@ -213,6 +295,11 @@
         self._state.rate_limit = read_body(req, RunnerLimit).limit
         resp.media = {}
 
+    def on_post_room(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Change the room for requests."""
+        self._state.room = read_body(req, RunnerRoom)
+        resp.media = {}
+
     def on_get_stats(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Return the requests that were run, and the streams that were cut off."""
         resp.media = {
@@ -243,6 +330,7 @@
     harness = Harness(state)
     application.add_route("/standin/faults", harness, suffix="faults")
     application.add_route("/standin/limit", harness, suffix="limit")
+    application.add_route("/standin/room", harness, suffix="room")
     application.add_route("/standin/stats", harness, suffix="stats")
     application.add_sink(Requests(state), prefix=r"/(?P<path>.*)")
     return application
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -23,6 +23,10 @@
 HOST = "site.example"
 KEY = "key-of-hall"
 LIMIT_S = 15.0
+MAX_CONNECTIONS = 1_000
+"""With a limit, stopping a runner ends its connections."""
+FALL_S = 3.0
+"""How long a stand-in runner that fell over is down."""
 
 ROUTES = {
     "hold": {"kind": "non_idempotent", "service": "app", "max_attempts": 3},
@@ -103,10 +107,23 @@
         self.version = version
         self.state = RunnerState(RunnerSettings(name=name, **settings))
         self.fail(**(faults or {}))
-        self.server, self.address = listen(build_runner(self.state), "127.0.0.1:0")
+        self.state.fall = self.fall
+        self.falls = []
+        self._application = build_runner(self.state)
+        self.server, self.address = listen(self._application, "127.0.0.1:0", MAX_CONNECTIONS)
         self._store = store
         self.write("ready")
 
+    def fall(self, for_s=FALL_S):
+        """Close all connections and refuse new ones for a while."""
+        self.falls.append(time.monotonic())
+        gevent.spawn(self._fall, for_s)
+
+    def _fall(self, for_s):
+        self.server.stop(timeout=0)
+        gevent.sleep(for_s)
+        self.server, _ = listen(self._application, self.address, MAX_CONNECTIONS)
+
     def write(self, state, **fields):
         """Write the registry entry."""
         entry = make_entry(self.service, self.address, state, version=self.version, **fields)
