Connect isolated gateways to backend servers through other gateways

What callers saw: gateways that had lost their links to the servers refused almost all requests (0 of 59 at the first attempt, the others 132 of 135). Cause: every attempt ended in a connection of the gateway's own, and what a cut gateway believed of the servers was adopted by gateways that reached them. Now a request whose connection failed, and every request of a gateway that connects to no server, takes a tunnel through another gateway. That one passes bytes only; admission, limits, budgets, permits and repeats stay with the gateway that received the request, so each counts once. A failed connection is told to others only after another one opened.

--- a/hemlockswitch/connection/backend_pool.py
+++ b/hemlockswitch/connection/backend_pool.py
@@ -4,6 +4,7 @@
 from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeAlias
 
 from gevent import socket
 
@@ -11,6 +12,7 @@
 from hemlockswitch.connection.heads import find_header
 from hemlockswitch.connection.message_parsers import AnswerParser, ParsedAnswer
 from hemlockswitch.connection.sockets import abort, connect
+from hemlockswitch.connection.tunnels import TunnelConnection
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 
 READ_BYTES = 65_536
@@ -23,13 +25,14 @@
 """Limit for one server; far below the server's own limit on connections, which all daemons share."""
 
 IsOwn = Callable[[ParsedAnswer], bool]
+Connection: TypeAlias = socket.socket | TunnelConnection
 
 
 @dataclass
 class _IdleConnection:
     """A pooled connection without an exchange."""
 
-    connection: socket.socket
+    connection: Connection
     idle_since_ms: float
     expires_ms: float
 
@@ -46,7 +49,7 @@
 
     def __init__(
         self,
-        connection: socket.socket,
+        connection: Connection,
         address: str,
         method: str,
         is_own: IsOwn,
@@ -54,11 +57,17 @@
     ) -> None:
         self.address = address
         self.is_new = is_new
+        self.pieces_received = 0
         self._connection = connection
         self._is_own = is_own
         self._parser = AnswerParser(method)
         self._answer: ParsedAnswer | None = None
 
+    @property
+    def gateway(self) -> str:
+        """The gateway that the connection leads through; empty if it is direct."""
+        return _get_gateway(self._connection)
+
     @property
     def answer(self) -> ParsedAnswer:
         """This request's answer; only after `read_head`."""
@@ -168,7 +177,7 @@
         else:
             abort(self._connection)
 
-    def detach(self) -> socket.socket:
+    def detach(self) -> Connection:
         """Return the connection, for reuse by a later exchange."""
         return self._connection
 
@@ -177,6 +186,7 @@
             data = self._connection.recv(READ_BYTES)
         except OSError as error:
             raise _describe_failure(stage, error) from error
+        self.pieces_received += 1
         if not data:
             self._parser.end()
             if self._answer is not None and self._answer.done:
@@ -223,19 +233,60 @@
         max_idle_ms: float,
         timeout_ms: float,
     ) -> PooledExchange:
-        """Return an exchange on a connection that was idle for at most `max_idle_ms`, or on a new one.
+        """Return an exchange on a direct connection that was idle for at most `max_idle_ms`, or on a new one.
 
         Raises
         ======
 
         ExchangeError : no connection could be opened; nothing was sent.
         """
-        pooled = self._take_idle(address, max_idle_ms)
+        pooled = self._take_idle(address, max_idle_ms, _is_direct)
         if pooled is not None:
             return PooledExchange(pooled, address, method, is_own, is_new=False)
         connection = self._connect(address, timeout_ms)
         return PooledExchange(connection, address, method, is_own)
 
+    def open_detour(
+        self,
+        address: str,
+        method: str,
+        is_own: IsOwn,
+        *,
+        max_idle_ms: float,
+        uses_direct: bool,
+        connect_through: Callable[[], TunnelConnection | None],
+    ) -> PooledExchange | None:
+        """Return an exchange on an idle tunnel, or on a new one; None if no tunnel can be requested.
+
+        Parameters
+        ==========
+
+        uses_direct : whether an idle direct connection may be used as well.
+        connect_through : opens a tunnel.
+
+        Raises
+        ======
+
+        ExchangeError : no tunnel could be opened; nothing was sent.
+        """
+        pooled = self._take_idle(
+            address, max_idle_ms, _is_any if uses_direct else lambda one: not _is_direct(one)
+        )
+        if pooled is not None:
+            return PooledExchange(pooled, address, method, is_own, is_new=False)
+        tunnel = connect_through()
+        return None if tunnel is None else PooledExchange(tunnel, address, method, is_own)
+
+    def connect(self, address: str, timeout_ms: float) -> socket.socket:
+        """Return a new direct connection, which does not belong to the pool.
+
+        Raises
+        ======
+
+        ExchangeError : no connection could be opened.
+        """
+        return self._connect(address, timeout_ms)
+
     def preconnect(self, address: str, timeout_ms: float) -> None:
         """Open a connection and add it to the pool.
 
@@ -271,6 +322,29 @@
         for pooled in self._idle.pop(address, ()):
             pooled.connection.close()
 
+    def close_idle_where(self, applies: Callable[[Connection], bool]) -> None:
+        """Close the idle connections for which `applies` returns true."""
+        for address, idle in list(self._idle.items()):
+            for pooled in [one for one in idle if applies(one.connection)]:
+                idle.remove(pooled)
+                pooled.connection.close()
+            if not idle:
+                del self._idle[address]
+
+    def close_idle_direct(self, address: str | None = None) -> None:
+        """Close the idle direct connections to a server, or to all servers if `address` is None."""
+        if address is None:
+            self.close_idle_where(_is_direct)
+            return
+        idle = self._idle.get(address, deque())
+        for pooled in [one for one in idle if _is_direct(one.connection)]:
+            idle.remove(pooled)
+            pooled.connection.close()
+
+    def close_idle_tunnels(self, gateway: str) -> None:
+        """Close the idle tunnels through a gateway."""
+        self.close_idle_where(lambda connection: _get_gateway(connection) == gateway)
+
     def sweep(self) -> None:
         """Close the connections whose idle time has expired."""
         now_ms = self._clock.now_ms()
@@ -281,11 +355,20 @@
             if not idle:
                 del self._idle[address]
 
-    def _take_idle(self, address: str, max_idle_ms: float) -> socket.socket | None:
+    def _take_idle(
+        self, address: str, max_idle_ms: float, applies: Callable[[Connection], bool]
+    ) -> Connection | None:
         idle = self._idle.get(address)
         now_ms = self._clock.now_ms()
         while idle:
-            pooled = idle.pop()
+            if applies(idle[-1].connection):
+                pooled = idle.pop()
+            else:
+                found = next((one for one in reversed(idle) if applies(one.connection)), None)
+                if found is None:
+                    return None
+                idle.remove(found)
+                pooled = found
             usable = now_ms - pooled.idle_since_ms <= max_idle_ms and now_ms < pooled.expires_ms
             if usable and not _is_readable(pooled.connection):
                 return pooled.connection
@@ -293,7 +376,21 @@
         return None
 
 
-def _is_readable(connection: socket.socket) -> bool:
+def _get_gateway(connection: Connection) -> str:
+    return connection.gateway if isinstance(connection, TunnelConnection) else ""
+
+
+def _is_direct(connection: Connection) -> bool:
+    return not isinstance(connection, TunnelConnection)
+
+
+def _is_any(_: Connection) -> bool:
+    return True
+
+
+def _is_readable(connection: Connection) -> bool:
     """Return whether the server closed an idle connection or sent unrequested bytes on it."""
+    if isinstance(connection, TunnelConnection) and connection.has_buffered:
+        return True
     readable, _, _ = select.select([connection.fileno()], [], [], 0)
     return bool(readable)
--- a/hemlockswitch/connection/links.py
+++ b/hemlockswitch/connection/links.py
@@ -118,6 +118,7 @@
         self._has_received = False
         self._ended = Signal()
         self._tasks: list[gevent.Greenlet] = []
+        self._is_taken = False
 
     def start(self) -> None:
         """Start the link's tasks."""
@@ -167,6 +168,13 @@
             if task is not current:
                 task.kill(block=False)
 
+    def take_connection(self) -> socket.socket:
+        """Return the connection, which from now on belongs to the caller until the link is closed."""
+        assert self._connection is not None
+        self._is_taken = True
+        self._connection.settimeout(None)
+        return self._connection
+
     @property
     def has_queued(self) -> bool:
         """Whether the send queue is not empty."""
@@ -181,6 +189,8 @@
 
         The accepting end waits twice as long, so that the two ends rarely close at the same time.
         """
+        if self._is_taken:
+            return False
         if not self.address:
             return now_ms - self.last_used_ms > self._bounds.hello_timeout_ms
         idle_ms = self._bounds.idle_ms * (2 if self.accepted else 1)
--- a/hemlockswitch/connection/peers.py
+++ b/hemlockswitch/connection/peers.py
@@ -26,6 +26,7 @@
 from hemlockswitch.core.logs import log_event
 
 Handler = Callable[[str, Any], Any]
+StreamHandler = Callable[[socket.socket, Any], None]
 
 MAX_REQUEST_NUMBER = 0xFFFFFFFF
 SWEEP_INTERVAL_MS = 1_000
@@ -100,6 +101,7 @@
         self._clock = clock or SystemClock()
         self._bounds = bounds or PeerBounds()
         self._handlers: dict[type, _Registration] = {}
+        self._stream_handlers: dict[type, StreamHandler] = {}
         self._links: dict[str, Link] = {}
         self._all_links: set[Link] = set()
         self._pending: dict[int, _PendingRequest] = {}
@@ -155,6 +157,14 @@
         """
         self._handlers[message_type] = _Registration(handler, runs_inline)
 
+    def handle_stream(self, message_type: type, handler: StreamHandler) -> None:
+        """Register `handler` for streams whose first message is of `message_type`, in place of a hello.
+
+        The message has a field ``cluster``. The handler is called with the connection and the message, and
+        owns the connection until it returns.
+        """
+        self._stream_handlers[message_type] = handler
+
     def send(self, address: str, message: Any) -> bool:
         """Queue a one-way message; return whether it could be queued."""
         return self._send_frame(address, Frame(FrameKind.ONE_WAY, 0, encode_message(message)))
@@ -257,7 +267,7 @@
 
     def _receive(self, link: Link, frame: Frame) -> None:
         if not link.address:
-            self._accept_hello(link, frame)
+            self._accept_first(link, decode_message(frame.body))
             return
         self._backoffs.record_success(link.address)
         try:
@@ -274,8 +284,18 @@
             return
         self._dispatch(link, frame, message)
 
-    def _accept_hello(self, link: Link, frame: Frame) -> None:
-        hello = decode_message(frame.body)
+    def _accept_first(self, link: Link, message: Any) -> None:
+        """Accept the first message of a stream: a hello, or one that hands the stream over to a handler."""
+        handler = self._stream_handlers.get(type(message))
+        if handler is None or message.cluster != self._cluster:
+            self._accept_hello(link, message)
+            return
+        try:
+            handler(link.take_connection(), message)
+        finally:
+            link.close()
+
+    def _accept_hello(self, link: Link, hello: Any) -> None:
         if not isinstance(hello, Hello) or hello.cluster != self._cluster:
             log_event(Event.PEER_REFUSED, "warning", hello=repr(hello))
             raise PeerError(
--- a/hemlockswitch/connection/sockets.py
+++ b/hemlockswitch/connection/sockets.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import struct
+from typing import Any, Protocol
 
 from gevent import socket
 
@@ -62,7 +63,17 @@
     return False
 
 
-def reset_on_close(connection: socket.socket) -> None:
+class Closable(Protocol):
+    """A connection that can be closed, directly or through another process."""
+
+    def setsockopt(self, level: int, option: int, value: Any, /) -> None:
+        """Set an option of the socket."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+def reset_on_close(connection: Closable) -> None:
     """Make every close of the connection a reset.
 
     After a plain close the kernel continues to send: a request delayed by a partition would be
@@ -71,7 +82,7 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
-def abort(connection: socket.socket) -> None:
+def abort(connection: Closable) -> None:
     """Close with a reset, so that undelivered bytes are discarded."""
     # An error means that the connection is already closed.
     with contextlib.suppress(OSError):
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -62,6 +62,7 @@
     ANSWER_FIELD_UNREADABLE = (334, "answer_field_unreadable")
     LINKS_LOST = (335, "links_lost")
     LINKS_RESTORED = (336, "links_restored")
+    TUNNEL_REFUSED = (337, "tunnel_refused")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -32,6 +32,7 @@
 from hemlockswitch.process.gateway.reports import ReportExchange
 from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.server_limits import ServerLimits
+from hemlockswitch.process.gateway.server_links import ServerLinks
 from hemlockswitch.process.gateway.service_models import FIT_INTERVAL_MS, ServiceModels
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
 from hemlockswitch.process.gateway.usage import UsageCounts
@@ -106,6 +107,18 @@
             clock,
             lambda zone: self.forwarder.abandon_zone(zone),
             self.registry.list_all,
+            lambda address: self.links.handle_unreachable(address),
+        )
+        self.links = ServerLinks(
+            self.settings.cluster,
+            self.settings.name,
+            self.network,
+            self.fleet,
+            self.pool,
+            self.registry,
+            self.reachability,
+            lambda: self.forwarder,
+            clock,
         )
         self.loads = ServerLoads(
             clock, self.fleet.get_far_period, lambda: self.schedule.changed.set()
@@ -166,6 +179,7 @@
             lambda: self.duties is not None and self.duties.leads,
             self.followed.view,
             clock,
+            lambda: self.links.host.active,
         )
         self.schedule = ReportSchedule(self.reports, self.fleet, self.followed.guard, clock)
         self.observer = GatewayObserver(self.usage, self.fleet_clock, clock)
@@ -175,7 +189,13 @@
             settings.repeat_window_s * MS_PER_SECOND,
             clock,
         )
-        view = GatewayView(self.state, self._readiness, self.schedule.report_large_prompt, clock)
+        view = GatewayView(
+            self.state,
+            self._readiness,
+            self.links.detours,
+            self.schedule.report_large_prompt,
+            clock,
+        )
         self._build_guard()
         self.forwarder = Forwarder(
             self._adapter.dialect,
@@ -191,7 +211,9 @@
     def _build_guard(self) -> None:
         """Build the guard, which quarantines requests that crash backend servers."""
         clock, quarantine = self._clock, self.quarantine
-        self.prober = Prober(self.reachability, self.pool, self.registry.list_all, clock)
+        self.prober = Prober(
+            self.reachability, self.pool, self.registry.list_all, self.links.detours, clock
+        )
         self.suspects = SuspectExchange(self.network, self.fleet, quarantine, clock)
         self.guard = Guard(
             quarantine,
@@ -227,7 +249,7 @@
         self.status.add("configuration", self.followed.describe_configuration)
         self.status.add("followed", self.followed.describe)
         self.status.add("gateways", self.fleet.describe)
-        self.status.add("links", self.reachability.isolation.describe)
+        self.status.add("links", self.links.describe)
         self.status.add("models", self.models.describe)
         self.status.add("backend_servers", lambda: len(self.registry.list_all()))
         self.status.add("quarantine", self.quarantine.describe)
@@ -273,6 +295,7 @@
             "permits": self.permits.issuer.run,
             "sweep": self._sweep,
             "probes": self.prober.run,
+            "server links": self.links.run,
             "models": self._fit_models,
         }
         if self.settings.rollout_share is not None:
@@ -292,6 +315,7 @@
         began_ms = self._clock.now_ms()
         self._readiness.stop()
         self.callers.begin_closing()
+        self.links.host.begin_closing()
         end_ms = began_ms + self.settings.stop_grace_s * MS_PER_SECOND - FORCE_MARGIN_MS
         listen_until_ms = min(began_ms + LISTEN_ON_STOP_MS, end_ms)
         if self.duties is not None:
@@ -300,7 +324,7 @@
             self._clock.sleep_ms(STOP_POLL_INTERVAL_MS)
         self.forwarder.stop_admitting()
         self.callers.stop_accepting()
-        while self.callers.active and self._clock.now_ms() < end_ms:
+        while (self.callers.active or self.links.host.active) and self._clock.now_ms() < end_ms:
             self._clock.sleep_ms(STOP_POLL_INTERVAL_MS)
             self.callers.close_idle()
         self.reports.send_usage()
--- a/hemlockswitch/process/gateway/isolation.py
+++ b/hemlockswitch/process/gateway/isolation.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -22,6 +22,8 @@
 them if there are fewer."""
 CONTROL_INTERVAL_MS = 100.0
 """Minimum time between two connections to servers that are tried as a control."""
+ISOLATED_PROBES = 3
+"""Number of servers, drawn at random, that are probed at once while no server is reached."""
 
 
 @dataclass(frozen=True)
@@ -40,14 +42,14 @@
 
     list_servers : returns the backend servers that are registered.
     clock : the time.
-    on_isolated : called when the links were lost.
+    on_isolated : called when the links were lost, with whether connections hang.
     """
 
     def __init__(
         self,
         list_servers: Callable[[], Iterable[BackendServer]],
         clock: Clock,
-        on_isolated: Callable[[], None] = lambda: None,
+        on_isolated: Callable[[bool], None] = lambda _: None,
     ) -> None:
         self._list_servers = list_servers
         self._clock = clock
@@ -72,6 +74,16 @@
         """Whether lost connections do not answer at all, rather than being refused."""
         return any(failure.has_timed_out for failure in self._failures.values())
 
+    def count_failed(self) -> int:
+        """Return the number of servers to which no connection opened since one did."""
+        return len(self._failures)
+
+    def is_confirmed(self, after_ms: float) -> bool:
+        """Return whether connections have hung for a while, over several further attempts."""
+        if self._isolated_ms is None or not self.hangs:
+            return False
+        return self._clock.now_ms() - self._isolated_ms >= after_ms
+
     def record_failed(self, server: BackendServer, *, has_timed_out: bool) -> None:
         """Record that a connection to a server could not be opened."""
         self._failures[server.incarnation] = _Failure(server, has_timed_out)
@@ -103,6 +115,11 @@
         candidates = elsewhere or untried or servers
         return random.choice(candidates) if candidates else None
 
+    @staticmethod
+    def draw_probes(servers: Sequence[BackendServer]) -> list[BackendServer]:
+        """Return the servers to probe now while no server is reached."""
+        return random.sample(servers, min(ISOLATED_PROBES, len(servers)))
+
     def evict(self, incarnation: str) -> None:
         """Discard the failure of a removed server."""
         self._failures.pop(incarnation, None)
@@ -124,7 +141,7 @@
             zones=sorted({failure.server.zone for failure in self._failures.values()}),
             hangs=self.hangs,
         )
-        self._on_isolated()
+        self._on_isolated(self.hangs)
 
     def _are_links_lost(self) -> bool:
         if len(self._failures) < MIN_LOST_SERVERS:
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -49,6 +49,8 @@
     models : service to the model of its engines (`process.gateway.service_models`).
     rollouts : the results of this process's send attempts, for each order that is not closed.
     view_age_ms : see `process.gateway.watch_guard.StoreView`.
+    is_isolated : whether the gateway cannot connect to any backend server.
+    tunnels : number of tunnels that it serves for other gateways.
     """
 
     name: str
@@ -72,6 +74,8 @@
     held_digest: int = 0
     rollouts: list[RolloutFields] = field(default_factory=list)
     view_age_ms: float = 0.0
+    is_isolated: bool = False
+    tunnels: int = 0
 
 
 @register_message("change_report")
--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -99,6 +99,7 @@
             account=admitted.account.name if admitted and admitted.account else "",
             revision=admitted.revision if admitted else 0,
             sends=progress.sends,
+            through=[gateway for gateway in progress.through if gateway],
             server_version=progress.begun_version,
             expected_ms=round(progress.expected_ms),
             list_age_ms=round(progress.list_age_ms),
--- a/hemlockswitch/process/gateway/reachability.py
+++ b/hemlockswitch/process/gateway/reachability.py
@@ -18,6 +18,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.events import Event
@@ -59,11 +60,32 @@
 ZONE_RETURN_GRACE_MS = 1_500.0
 """How long after its return a zone is not suspected for missing messages: broken streams to its gateways
 are opened again only after a pause."""
+RECENT_TIMEOUT_MS = 1_000.0
+"""How long after a connection attempt that timed out another one would only wait for its time-out again; probes
+find a server that returns sooner."""
+TOLD_LIFETIME_MS = 1_000.0
+"""How long the report of another gateway counts at an isolated one, which cannot probe the server itself."""
 MIN_TIMED_OUT_SERVERS = 2
 """Number of servers of a zone that must not answer, without an answer from the zone in between, for the
 zone to be suspected before its time without messages is up."""
 
 
+class _Reason(StrEnum):
+    """Why a server is suspected."""
+
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+    TOLD = "told"
+
+
+@dataclass(frozen=True)
+class _Suspicion:
+    """The suspicion that a server cannot be reached."""
+
+    reason: _Reason
+    since_ms: float
+
+
 @dataclass(frozen=True)
 class _ReceivedReport:
     """When the last report of a gateway came, and the period within which it announced the next one."""
@@ -110,6 +132,7 @@
     clock : the time.
     on_zone_suspected : called with a zone when it becomes suspected.
     list_servers : returns the backend servers that are registered.
+    on_unreachable : called with the address of a server that does not answer, or with None if no server does.
 
     Attributes
     ==========
@@ -124,22 +147,48 @@
         clock: Clock,
         on_zone_suspected: Callable[[str], None] = lambda _: None,
         list_servers: Callable[[], Iterable[BackendServer]] = tuple,
+        on_unreachable: Callable[[str | None], None] = lambda _: None,
     ) -> None:
-        self.isolation = IsolationDetector(list_servers, clock)
+        self.isolation = IsolationDetector(list_servers, clock, self._handle_isolated)
+        self._on_unreachable = on_unreachable
         self._zone = zone
         self._get_period = get_period
         self._clock = clock
         self._on_zone_suspected = on_zone_suspected
         self._zones: dict[str, _ZoneState] = {}
-        self._suspects: dict[str, BackendServer] = {}
+        self._suspicions: dict[str, _Suspicion] = {}  # by incarnation
+        self._timed_out_ms: dict[str, float] = {}
+        self._connected_ms = float("-inf")
         self._reached_ms: dict[str, float] = {}
         self._connect_ms: dict[str, float] = {}
         self._checked_ms = clock.now_ms()
+        self._isolated_probe_ms = float("-inf")
 
     def is_suspect(self, server: BackendServer) -> bool:
-        """Return whether a server should get no requests while other servers are available."""
+        """Return whether a server should get no requests while other servers are available.
+
+        Failed connections of a gateway that reaches no server say nothing about single ones.
+        """
+        suspicion = self._suspicions.get(server.incarnation)
+        if suspicion is not None and not self._has_expired(suspicion):
+            return True
         zone = self._zones.get(server.zone)
-        return server.incarnation in self._suspects or (zone is not None and zone.is_suspect)
+        return zone is not None and zone.is_suspect and not self.isolation.is_isolated
+
+    def needs_detour(self, server: BackendServer) -> bool:
+        """Return whether connections to a server should lead through another gateway."""
+        return self.isolation.is_isolated or self.is_suspect(server)
+
+    def has_timed_out_lately(self, server: BackendServer) -> bool:
+        """Return whether a server did not answer a connection attempt a moment ago."""
+        timed_out_ms = self._timed_out_ms.get(server.incarnation, float("-inf"))
+        return self._clock.now_ms() - timed_out_ms < RECENT_TIMEOUT_MS
+
+    def is_hopeless(self, server: BackendServer) -> bool:
+        """Return whether another connection attempt to a server would only wait for its time-out."""
+        if self.isolation.is_isolated and self.isolation.hangs:
+            return True
+        return self.has_timed_out_lately(server)
 
     def select_reachable(self, servers: list[BackendServer]) -> list[BackendServer]:
         """Return the servers that are not suspected; all of them if every one is."""
@@ -177,6 +226,9 @@
         """Record that a connection to a server was opened."""
         usual_ms = self._connect_ms.get(server.zone, took_ms)
         self._connect_ms[server.zone] = usual_ms + CONNECT_TIME_SMOOTHING * (took_ms - usual_ms)
+        self._connected_ms = self._clock.now_ms()
+        if server.incarnation in self._suspicions:
+            self._end_suspicion(server)
         self.isolation.record_connected()
         self.record_answer(server)
 
@@ -185,8 +237,17 @@
         self.record_received(server.zone)
         self._zones[server.zone].timed_out.clear()
         self._reached_ms[server.incarnation] = self._clock.now_ms()
-        if self._suspects.pop(server.incarnation, None) is not None:
-            log_event(Event.BACKEND_REACHED, server=server.incarnation)
+        self._timed_out_ms.pop(server.incarnation, None)
+        suspicion = self._suspicions.get(server.incarnation)
+        if suspicion is None or suspicion.reason is _Reason.REFUSED:
+            return  # An old connection may live on while new ones are refused.
+        self._end_suspicion(server)
+
+    def record_answer_through(self, server: BackendServer) -> None:
+        """Record that a server sent bytes through another gateway, which says nothing about the own links."""
+        suspicion = self._suspicions.get(server.incarnation)
+        if suspicion is not None and suspicion.reason is _Reason.TOLD:
+            self._end_suspicion(server)
 
     def record_unreachable(self, server: BackendServer, *, has_timed_out: bool) -> None:
         """Record that a connection to a server could not be opened.
@@ -196,15 +257,28 @@
 
         has_timed_out : whether there was no answer at all; a refusal concerns this server alone.
         """
-        self._suspect_server(server, "unreachable")
+        if has_timed_out:
+            self._record_timeout(server)
+        self._suspect_server(server, _Reason.TIMED_OUT if has_timed_out else _Reason.REFUSED)
         self.isolation.record_failed(server, has_timed_out=has_timed_out)
-        if not has_timed_out:
+        if not has_timed_out or self.isolation.is_isolated:
             return
         state = self._zones.setdefault(server.zone, _ZoneState(self._clock.now_ms()))
         state.timed_out.add(server.incarnation)
         if server.zone != self._zone and len(state.timed_out) >= MIN_TIMED_OUT_SERVERS:
             self._suspect_zone(server.zone, state)
 
+    def record_unreachable_for_others(self, server: BackendServer) -> None:
+        """Record that another gateway, which reaches other servers, could not connect to a server."""
+        self._suspect_server(server, _Reason.TOLD)
+
+    def record_probe_failed(self, server: BackendServer, *, has_timed_out: bool) -> None:
+        """Record that a suspected server still cannot be connected to."""
+        if has_timed_out:
+            self._record_timeout(server)
+        if self.isolation.is_isolated:
+            self.isolation.record_failed(server, has_timed_out=has_timed_out)
+
     def record_report(self, zone: str, gateway: str, period_ms: float) -> None:
         """Record that a gateway of a zone reported, and will report again within a period."""
         self.record_received(zone)
@@ -226,11 +300,21 @@
         for server in servers:
             reached_ms = self._reached_ms.get(server.incarnation, float("-inf"))
             if server.incarnation in reported and reached_ms < oldest_ms:
-                self._suspect_server(server, "told")
+                self._suspect_server(server, _Reason.TOLD)
 
     def describe_unreachable(self) -> list[str]:
-        """Return the individually suspected servers, to be reported to other gateways."""
-        return sorted(self._suspects)
+        """Return the individually suspected servers, to be reported to other gateways.
+
+        A failed connection is reported only after another one has opened: before that, the fault may lie
+        with this gateway's own links.
+        """
+        if self.isolation.is_isolated:
+            return []
+        return sorted(
+            incarnation
+            for incarnation, suspicion in self._suspicions.items()
+            if suspicion.reason is _Reason.TOLD or suspicion.since_ms <= self._connected_ms
+        )
 
     def check_zones(self) -> None:
         """Suspect the zones that are unresponsive; to be called several times a second."""
@@ -248,6 +332,8 @@
     def list_probes(self, servers: Iterable[BackendServer]) -> list[BackendServer]:
         """Return the suspects to probe now: a few of each zone."""
         now_ms = self._clock.now_ms()
+        if self.isolation.is_isolated:
+            return self._list_isolated_probes(list(servers))
         by_zone: dict[str, list[BackendServer]] = defaultdict(list)
         for server in servers:
             if self.is_suspect(server):
@@ -262,16 +348,57 @@
 
     def evict(self, server: BackendServer) -> None:
         """Discard the state of a removed server."""
-        self._suspects.pop(server.incarnation, None)
+        self._suspicions.pop(server.incarnation, None)
+        self._timed_out_ms.pop(server.incarnation, None)
         self._reached_ms.pop(server.incarnation, None)
         self.isolation.evict(server.incarnation)
 
-    def _suspect_server(self, server: BackendServer, reason: str) -> None:
-        if server.incarnation not in self._suspects:
-            log_event(
-                Event.BACKEND_SUSPECTED, server=server.incarnation, zone=server.zone, reason=reason
-            )
-        self._suspects[server.incarnation] = server
+    def _list_isolated_probes(self, servers: list[BackendServer]) -> list[BackendServer]:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._isolated_probe_ms < PROBE_INTERVAL_MS:
+            return []
+        self._isolated_probe_ms = now_ms
+        return self.isolation.draw_probes(servers)
+
+    def _handle_isolated(self, hangs: bool) -> None:
+        """Discard the suspicions that the loss of the own links explains."""
+        explained = [
+            incarnation
+            for incarnation, suspicion in self._suspicions.items()
+            if suspicion.reason is not _Reason.TOLD and suspicion.since_ms > self._connected_ms
+        ]
+        for incarnation in explained:
+            del self._suspicions[incarnation]
+        if hangs:
+            self._on_unreachable(None)
+
+    def _has_expired(self, suspicion: _Suspicion) -> bool:
+        """Return whether a suspicion of another gateway is too old; an isolated gateway cannot verify it."""
+        if not self.isolation.is_isolated or suspicion.reason is not _Reason.TOLD:
+            return False
+        return self._clock.now_ms() - suspicion.since_ms > TOLD_LIFETIME_MS
+
+    def _record_timeout(self, server: BackendServer) -> None:
+        self._timed_out_ms[server.incarnation] = self._clock.now_ms()
+        self._on_unreachable(server.address)
+
+    def _suspect_server(self, server: BackendServer, reason: _Reason) -> None:
+        if self.isolation.is_isolated and reason is not _Reason.TOLD:
+            return
+        known = self._suspicions.get(server.incarnation)
+        if known is not None and not self._has_expired(known):
+            return
+        log_event(
+            Event.BACKEND_SUSPECTED,
+            server=server.incarnation,
+            zone=server.zone,
+            reason=reason.value,
+        )
+        self._suspicions[server.incarnation] = _Suspicion(reason, self._clock.now_ms())
+
+    def _end_suspicion(self, server: BackendServer) -> None:
+        del self._suspicions[server.incarnation]
+        log_event(Event.BACKEND_REACHED, server=server.incarnation)
 
     def _suspect_zone(self, zone: str, state: _ZoneState) -> None:
         if state.is_suspect:
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -159,6 +159,13 @@
             return False
         return registered.state is BackendState.LIVE
 
+    def find_live(self, incarnation: str) -> BackendServer | None:
+        """Return the registered server of an incarnation, unless it is leaving."""
+        server = self._servers.get(incarnation.partition("@")[0])
+        if server is None or server.incarnation != incarnation or not self.is_live(server):
+            return None
+        return server
+
     def list_all(self) -> list[BackendServer]:
         """Return every listed server, including those that are leaving."""
         self._drop_expired()
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -49,6 +49,7 @@
     leads : returns whether this gateway holds the duties.
     get_view : returns this gateway's view of the object service.
     clock : the time.
+    count_tunnels : returns the number of tunnels that this gateway serves for others.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         leads: Callable[[], bool],
         get_view: Callable[[], StoreView],
         clock: Clock,
+        count_tunnels: Callable[[], int] = lambda: 0,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -76,6 +78,7 @@
         self._rollouts = state.rollouts
         self._list_servers = state.registry.list_all
         self._get_view = get_view
+        self._count_tunnels = count_tunnels
         self._clock = clock
         self._last_number = 0
         network.handle(GatewayReport, self._apply_report, runs_inline=True)
@@ -160,6 +163,8 @@
             held_digest=view.held_digest,
             rollouts=self._rollouts.make_reports(leads=self._leads()),
             view_age_ms=round(view.age_ms),
+            is_isolated=self._reachability.isolation.is_isolated,
+            tunnels=self._count_tunnels(),
         )
 
     def _apply_report(self, address: str, report: GatewayReport) -> None:
@@ -173,7 +178,9 @@
         self._rollouts.apply_reports(process, report.rollouts)
         self._models.apply_report(report.name, report.models)
         self._reachability.record_report(report.zone, report.name, report.period_ms)
-        servers = self._list_servers() if report.unreachable else ()
+        if not report.unreachable or report.is_isolated:
+            return
+        servers = self._list_servers()
         self._reachability.apply_unreachable(report.zone, report.unreachable, servers)
 
     def _describe_outage(self, view: StoreView) -> tuple[float, ...]:
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
+from hemlockswitch.connection.tunnels import TunnelConnection
 from hemlockswitch.core.clock import Clock
+from hemlockswitch.process.gateway.detours import Detours, NoDetourError, ServerUnreachableError
 from hemlockswitch.process.gateway.gateway_state import GatewayState
 from hemlockswitch.process.gateway.readiness import Readiness
 from hemlockswitch.process.gateway.rollout_attempts import RolloutTicket
@@ -50,6 +52,7 @@
 
     state : the local state of the gateway.
     readiness : tells whether that state has been filled since the start.
+    detours : opens connections to servers through other gateways.
     on_large_prompt : called when a prompt was sent that must be reported to the other gateways at
         once.
     """
@@ -58,6 +61,7 @@
         self,
         state: GatewayState,
         readiness: Readiness,
+        detours: Detours,
         on_large_prompt: Callable[[], None],
         clock: Clock,
     ) -> None:
@@ -70,6 +74,7 @@
         self._rollouts = state.rollouts
         self._permits = state.permits
         self._readiness = readiness
+        self._detours = detours
         self._on_large_prompt = on_large_prompt
         self._clock = clock
         self._random = random.Random()
@@ -220,9 +225,36 @@
         """Record that connecting failed; `has_timed_out` if the server did not answer the attempt at all."""
         self._reachability.record_unreachable(server, has_timed_out=has_timed_out)
 
-    def record_answer(self, server: BackendServer) -> None:
-        """Record that a server sent bytes of an answer."""
-        self._reachability.record_answer(server)
+    def record_answer(self, server: BackendServer, *, is_direct: bool) -> None:
+        """Record that a server sent bytes of an answer, directly or through another gateway."""
+        if is_direct:
+            self._reachability.record_answer(server)
+        else:
+            self._reachability.record_answer_through(server)
+
+    def needs_detour(self, server: BackendServer) -> bool:
+        """Return whether a connection to a server should lead through another gateway."""
+        return self._reachability.needs_detour(server)
+
+    def is_hopeless(self, server: BackendServer) -> bool:
+        """Return whether a direct connection attempt to a server would only wait for its time-out."""
+        return self._reachability.is_hopeless(server)
+
+    def open_detour(self, server: BackendServer) -> TunnelConnection | None:
+        """Return a connection to a server through another gateway; None if no gateway helps.
+
+        Raises
+        ======
+
+        ExchangeError : another gateway cannot connect to the server either; nothing was sent.
+        """
+        try:
+            return self._detours.open(server)
+        except ServerUnreachableError:
+            self._reachability.record_unreachable_for_others(server)
+            raise
+        except NoDetourError:
+            return None
 
     def record_rate_limit(self, server: BackendServer, limit_per_s: float, sent_ms: float) -> None:
         """Record the limit in a server's answer to a request sent at `sent_ms`; infinite if it states none."""
--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -159,7 +159,13 @@
         return refused
 
     def record_broken_connection(self, content: Content, server: BackendServer) -> bool:
-        """Count a closed connection against its content if the server has crashed."""
+        """Count a closed connection against its content if the server has crashed.
+
+        The verdict takes connections to the server; it is reached also if the caller leaves meanwhile.
+        """
+        return gevent.spawn(self._record_if_crashed, content, server).get()
+
+    def _record_if_crashed(self, content: Content, server: BackendServer) -> bool:
         if not self._crash_detector.has_crashed(server):
             return False
         self.counts.ends += 1
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -103,6 +103,14 @@
         """Close the attempts in an unreachable zone whose requests may be sent again."""
         self._sender.abandon_zone(zone)
 
+    def abandon_stalled(self) -> None:
+        """Close the direct attempts on which nothing is received, if their requests may be sent again."""
+        self._sender.abandon_stalled()
+
+    def abandon_through(self, gateway: str) -> None:
+        """Close the attempts that lead through a gateway, if their requests may be sent again."""
+        self._sender.abandon_through(gateway)
+
     def handle(self, request: ReceivedRequest, reply: Reply) -> None:
         """Serve one request and write its reply."""
         progress = Progress(request, UnreachedServers(self._clock))
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -21,6 +21,7 @@
     sends : incarnations of the servers that the request was sent to.
     excluded : incarnations of the servers on which an attempt failed.
     in_flight : whether an attempt is in progress.
+    through : for each send, the gateway that its connection led through; empty if it was direct.
     target : name of the server chosen last, even if no connection to it could be made.
     list_age_ms : age of the list of servers from which the last one was chosen.
     began_ms : clock time at which the reply to the caller began.
@@ -37,6 +38,7 @@
     state: SendState = SendState.NOT_RUN
     sends: list[str] = field(default_factory=list)
     excluded: list[str] = field(default_factory=list)
+    through: list[str] = field(default_factory=list)
     in_flight: bool = False
     target: str = ""
     clearance: Clearance = Clearance.FREE
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -12,6 +12,7 @@
 from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.connection.forward_server import CallerLeftError, Reply
 from hemlockswitch.connection.message_parsers import ParsedAnswer
+from hemlockswitch.connection.tunnels import TunnelConnection
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.request.dialect import Dialect, SendFields
 from hemlockswitch.request.event_stream import EventSplitter
@@ -90,8 +91,23 @@
     def record_unreachable(self, server: BackendServer, *, has_timed_out: bool) -> None:
         """Record a failed connection; `has_timed_out` if it timed out rather than being refused."""
 
-    def record_answer(self, server: BackendServer) -> None:
-        """Record that bytes of an answer were received from a server."""
+    def record_answer(self, server: BackendServer, *, is_direct: bool) -> None:
+        """Record that bytes of an answer were received from a server, directly or through another daemon."""
+
+    def needs_detour(self, server: BackendServer) -> bool:
+        """Return whether a connection to the server should lead through another daemon."""
+
+    def is_hopeless(self, server: BackendServer) -> bool:
+        """Return whether a direct connection attempt would only wait for its time-out."""
+
+    def open_detour(self, server: BackendServer) -> TunnelConnection | None:
+        """Return a connection to the server through another daemon; None if no daemon helps.
+
+        Raises
+        ======
+
+        ExchangeError : another daemon cannot connect to the server either; nothing was sent.
+        """
 
     def record_rate_limit(self, server: BackendServer, limit_per_s: float, sent_ms: float) -> None:
         """Record the limit in a server's answer to a request sent at `sent_ms`; infinite if it states none."""
@@ -172,6 +188,9 @@
         self._observer = observer
         self._clock = clock
         self._in_flight: dict[PooledExchange, SendAttempt] = {}
+        self._pieces_received: dict[PooledExchange, int] = (
+            {}
+        )  # at the last call of `abandon_stalled`
 
     def abandon_zone(self, zone: str) -> None:
         """Close the attempts in an unreachable zone whose requests may be sent again.
@@ -183,6 +202,24 @@
             if is_there and send.may_follow:
                 exchange.close()
 
+    def abandon_stalled(self) -> None:
+        """Close the direct attempts on which nothing was received since the last call, if they may be repeated.
+
+        All other attempts continue to wait, as `abandon_zone` explains.
+        """
+        for exchange, send in list(self._in_flight.items()):
+            before = self._pieces_received.get(exchange)
+            self._pieces_received[exchange] = exchange.pieces_received
+            is_stalled = before == exchange.pieces_received
+            if is_stalled and send.may_follow and not exchange.gateway:
+                exchange.close()
+
+    def abandon_through(self, gateway: str) -> None:
+        """Close the attempts that lead through a gateway, if their requests may be sent again."""
+        for exchange, send in list(self._in_flight.items()):
+            if exchange.gateway == gateway and send.may_follow:
+                exchange.close()
+
     def send(self, send: SendAttempt) -> None:
         """Send the request to the chosen server and relay its answer.
 
@@ -199,6 +236,7 @@
             raise SendFailedError(SendFailure.UNREACHABLE, detail, False)
         ticket = self._view.begin_attempt(send.admitted, send.placement)
         send.progress.sends.append(send.placement.candidate.server.incarnation)
+        send.progress.through.append(exchange.gateway)
         send.progress.in_flight = True
         failed = True
         self._in_flight[exchange] = send
@@ -206,7 +244,7 @@
             exchange.send(self._encode(send))
             answer = exchange.read_head()
             self._inspect_answer(answer, send.placement, sent_ms)
-            self._view.record_answer(send.placement.candidate.server)
+            self._record_answer(send, exchange)
             self._check_run(answer, send.placement)
             ticket.record_first_event(succeeds=answer.status < HTTPStatus.BAD_REQUEST)
             self._relay(send, exchange)
@@ -223,14 +261,48 @@
             raise
         finally:
             del self._in_flight[exchange]
+            self._pieces_received.pop(exchange, None)
             ticket.end(failed)
             self._pool.finish(exchange)
 
+    def _record_answer(self, send: SendAttempt, exchange: PooledExchange) -> None:
+        self._view.record_answer(send.placement.candidate.server, is_direct=not exchange.gateway)
+
     def _open(self, send: SendAttempt) -> PooledExchange:
+        """Return an exchange with the server.
+
+        After a failed connection the next one leads through another daemon: it succeeds whether the first
+        server has failed or the own links have.
+        """
+        server = send.placement.candidate.server
+        if self._view.needs_detour(server) or send.progress.unreached.has_any:
+            exchange = self._open_detour(send)
+            if exchange is not None:
+                return exchange
+            if self._view.is_hopeless(server):
+                detail = "neither this daemon nor another one reaches the server"
+                raise SendFailedError(SendFailure.UNREACHABLE, detail, False)
+        return self._open_direct(send)
+
+    def _open_detour(self, send: SendAttempt) -> PooledExchange | None:
+        """Return an exchange through another daemon, or None if there is no daemon to lead through."""
+        admitted, server = send.admitted, send.placement.candidate.server
+        try:
+            return self._pool.open_detour(
+                server.address,
+                admitted.request.method,
+                lambda answer: self._dialect.is_answer_to(answer, admitted.facts.request_id),
+                max_idle_ms=find_max_idle_ms(admitted),
+                uses_direct=not send.progress.unreached.has_any,
+                connect_through=lambda: self._view.open_detour(server),
+            )
+        except ExchangeError as error:
+            raise SendFailedError(SendFailure.UNREACHABLE, error.detail, False) from error
+
+    def _open_direct(self, send: SendAttempt) -> PooledExchange:
         admitted = send.admitted
         server = send.placement.candidate.server
         request_id = admitted.facts.request_id
-        is_once = not admitted.route.is_repeatable
         began_ms = self._clock.now_ms()
         default_timeout_ms = self._view.find_connect_timeout_ms()
         timeout_ms = max(min(admitted.deadline_ms - began_ms, default_timeout_ms), 1.0)
@@ -239,7 +311,7 @@
                 server.address,
                 admitted.request.method,
                 lambda answer: self._dialect.is_answer_to(answer, request_id),
-                max_idle_ms=REUSE_IDLE_AT_MOST_ONCE_MS if is_once else REUSE_IDLE_MS,
+                max_idle_ms=find_max_idle_ms(admitted),
                 timeout_ms=timeout_ms,
             )
         except ExchangeError as error:
@@ -322,7 +394,7 @@
         progress, reply = send.progress, send.reply
         splitter = EventSplitter() if send.admitted.route.is_resumable else None
         while piece := exchange.read_piece():
-            self._view.record_answer(send.placement.candidate.server)
+            self._record_answer(send, exchange)
             if splitter is not None:
                 complete = splitter.feed(piece)
                 piece = complete.data
@@ -347,3 +419,8 @@
         send.progress.began_ms = self._clock.now_ms()
         send.progress.begun_version = send.placement.candidate.server.version
         self._observer.request_began(send.progress)
+
+
+def find_max_idle_ms(admitted: AdmittedRequest) -> float:
+    """Return for how long a connection may have been idle that a request is sent on."""
+    return REUSE_IDLE_MS if admitted.route.is_repeatable else REUSE_IDLE_AT_MOST_ONCE_MS
--- a/hemlockswitch/request/unreached_servers.py
+++ b/hemlockswitch/request/unreached_servers.py
@@ -32,6 +32,11 @@
         self._count = 0
         self._since_ms: float | None = None
 
+    @property
+    def has_any(self) -> bool:
+        """Whether a connection could not be made."""
+        return self._count > 0
+
     def may_try_another(self) -> bool:
         """Count one unreachable server, and return whether another one may be tried."""
         now_ms = self._clock.now_ms()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -184,6 +184,10 @@
         connection.close()
 
 
+VERDICT_S = 0.5
+"""Longer than a verdict on a server takes, which another gateway confirms after the caller has its answer."""
+
+
 @pytest.mark.parametrize("ends", [True, False])
 def test_answer_without_length_counts_as_crash_if_its_server_crashed(site, ends):
     route = {"kind": "idempotent", "service": "bare", "max_attempts": 1}
@@ -193,6 +197,7 @@
     site.wait(lambda: gateway.registry.list_ready("bare"))
     site.wait(lambda: gateway.tables.current.revision == 2)
     assert site.ask_for("/bare/x", "some content", 0).status == 200
+    gevent.sleep(VERDICT_S)
     counted = [len(one["ends"]) for one in gateway.quarantine.describe()]
     assert counted == ([1] if ends else [])
     runner.listener.close()
