Bound the requests in progress on brittle backend servers by permits of one issuer

Cause: nothing read the field, and each gateway judges a server's room by reports that are up to 0.2 s old. Now one gateway for each brittle server issues permits, as for rate limits, but for requests in progress, no more than the server has slots. A permit is returned when its request ends, and lapses with its gateway. A request waits for a slot for an eighth of its time at most, as it would in the server's queue, and is refused otherwise. Why this holds: the count is of one gateway; requests sent before the statement was known are counted from the reports; a rejection lowers the bound for a while; an issuer that takes over waits. What forwarding needs of the process, the state of zones and the fields of the status page get modules of their own.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -63,6 +63,8 @@
     LINKS_LOST = (335, "links_lost")
     LINKS_RESTORED = (336, "links_restored")
     TUNNEL_REFUSED = (337, "tunnel_refused")
+    SERVER_BRITTLE = (338, "server_brittle")
+    SERVER_STURDY = (339, "server_sturdy")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/platform/headers.py
+++ b/hemlockswitch/platform/headers.py
@@ -41,6 +41,7 @@
 NOT_EXECUTED = "hemlockswitch-not-executed"
 INSTANCE_LOAD = "hemlockswitch-instance-load"
 SERVER_LIMIT = "server-limit"
+SERVER_BRITTLE = "server-brittle"
 """The requests per second that a runner takes from all daemons together, for as long as it states it."""
 
 NOT_FORWARDED = frozenset(
@@ -79,6 +80,7 @@
         "keep-alive",
         "retry-after",
         "server",
+        SERVER_BRITTLE,
         SERVER_LIMIT,
         "transfer-encoding",
     }
@@ -178,18 +180,25 @@
 
     def read_rate_limit(self, answer: ParsedAnswer) -> float | None:
         """Return the stated limit in requests per second; infinite if none, None if the answer cannot tell."""
+        return self._read_stated(answer, SERVER_LIMIT)
+
+    def read_rejection_limit(self, answer: ParsedAnswer) -> float | None:
+        """Return after how many rejections in a second the runner falls over, in the same form."""
+        return self._read_stated(answer, SERVER_BRITTLE)
+
+    def _read_stated(self, answer: ParsedAnswer, field: str) -> float | None:
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return None
         names = _lower_names(answer)
         fields = dict(names)
         if not _is_genuine(answer.status, fields) and NOT_EXECUTED not in fields:
             return None
-        if SERVER_LIMIT not in fields:
+        if field not in fields:
             return UNLIMITED
-        stated = [value for name, value in names if name == SERVER_LIMIT]
+        stated = [value for name, value in names if name == field]
         if len(stated) == 1 and _LIMIT.fullmatch(stated[0]):
             return float(stated[0])
-        self._unreadable_fields.record(SERVER_LIMIT, ", ".join(stated))
+        self._unreadable_fields.record(field, ", ".join(stated))
         return None
 
     def select_answer_headers(self, answer: ParsedAnswer) -> list[Header]:
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -6,7 +6,6 @@
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.peers import PeerNetwork
-from hemlockswitch.connection.status_page import StatusPage
 from hemlockswitch.core.addresses import split_address
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.events import Event
@@ -16,6 +15,7 @@
 from hemlockswitch.process.gateway.change_relay import ChangeRelay, name_process
 from hemlockswitch.process.gateway.configuration import ServingTableStore
 from hemlockswitch.process.gateway.duty_assembly import build_duties
+from hemlockswitch.process.gateway.exposure import build_status_page, connect_metrics
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.fleet_clock import FleetClock
 from hemlockswitch.process.gateway.followed_objects import FollowedObjects
@@ -125,7 +125,14 @@
         )
         self.quarantine = Quarantine(clock)
         self.rollouts = self._build_rollouts()
-        self.permits = Permits(self.network, self.fleet, ServerLimits(clock), clock)
+        self.permits = Permits(
+            self.network,
+            self.fleet,
+            ServerLimits(clock),
+            clock,
+            count_running=self.loads.count_running,
+        )
+        self.permits.slots.issuer.find_slots = self.registry.find_slots
         self.state = GatewayState(
             tables=self.tables,
             registry=self.registry,
@@ -223,11 +230,7 @@
             lambda: self.duties is not None and self.duties.leads,
             clock,
         )
-        self.observer.metrics.guard = self.guard.counts
-        self.observer.metrics.measure_ages = self.followed.measure_ages
-        self.observer.metrics.permits = self.permits.verdicts
-        self.observer.metrics.count_limited = self.permits.limits.count_limited
-        self.observer.metrics.describe_rollouts = self.rollouts.count_answers
+        connect_metrics(self)
 
     def _build_duties(self) -> None:
         """Build the duties, if the adapter has an API for them."""
@@ -243,19 +246,7 @@
 
     def _build_servers(self) -> None:
         """Build the servers for callers, the balancer and operators."""
-        self.status = StatusPage()
-        self.status.add("name", lambda: self.settings.name)
-        self.status.add("ready", self.is_ready)
-        self.status.add("configuration", self.followed.describe_configuration)
-        self.status.add("followed", self.followed.describe)
-        self.status.add("gateways", self.fleet.describe)
-        self.status.add("links", self.links.describe)
-        self.status.add("models", self.models.describe)
-        self.status.add("backend_servers", lambda: len(self.registry.list_all()))
-        self.status.add("quarantine", self.quarantine.describe)
-        self.status.add("limited_servers", self.permits.describe)
-        self.status.add("leads", lambda: self.duties is not None and self.duties.leads)
-        self.status.add("rollouts", self.rollouts.describe)
+        self.status = build_status_page(self)
         self.callers = ForwardServer(
             split_address(self.settings.listen),
             self.forwarder.handle,
@@ -293,6 +284,8 @@
             "quarantine": self.guard.run,
             "limits": self.permits.exchange.run,
             "permits": self.permits.issuer.run,
+            "brittle servers": self.permits.slots.exchange.run,
+            "slots": self.permits.slots.issuer.run,
             "sweep": self._sweep,
             "probes": self.prober.run,
             "server links": self.links.run,
--- a/hemlockswitch/process/gateway/limit_exchange.py
+++ b/hemlockswitch/process/gateway/limit_exchange.py
@@ -7,6 +7,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from gevent.event import Event as Signal
 
@@ -28,6 +29,17 @@
 MAX_STATEMENTS_PER_MESSAGE = 500
 
 
+@dataclass(frozen=True)
+class ExchangeMessages:
+    """The types of the messages of an exchange."""
+
+    observations: type[LimitObservations]
+    broadcast: type[LimitBroadcast]
+
+
+LIMIT_MESSAGES = ExchangeMessages(LimitObservations, LimitBroadcast)
+
+
 class LimitExchange:
     """Sends and applies changed limits.
 
@@ -39,6 +51,7 @@
     limits : the limits known here.
     on_changed : called with the incarnation of a server whose limit another gateway reports as changed.
     clock : the time.
+    messages : the types of the messages.
     """
 
     def __init__(
@@ -49,7 +62,9 @@
         limits: ServerLimits,
         on_changed: Callable[[str], None],
         clock: Clock,
+        messages: ExchangeMessages = LIMIT_MESSAGES,
     ) -> None:
+        self._messages = messages
         self._on_changed = on_changed
         self._network = network
         self._fleet = fleet
@@ -59,8 +74,8 @@
         self._changed = Signal()
         self._unsent: dict[str, str] = {}
         self._broadcast: dict[str, tuple[bool, float]] = {}
-        network.handle(LimitObservations, self.apply_observations, runs_inline=True)
-        network.handle(LimitBroadcast, self.apply_broadcast, runs_inline=True)
+        network.handle(messages.observations, self.apply_observations, runs_inline=True)
+        network.handle(messages.broadcast, self.apply_broadcast, runs_inline=True)
 
     @property
     def has_unsent(self) -> bool:
@@ -98,7 +113,8 @@
         for peer in self._fleet.list_peers():
             if peer.name in by_issuer:
                 statements = by_issuer[peer.name][:MAX_STATEMENTS_PER_MESSAGE]
-                self._network.send(peer.address, LimitObservations(self._fleet.name, statements))
+                observations = self._messages.observations(self._fleet.name, statements)
+                self._network.send(peer.address, observations)
 
     def describe(self, incarnation: str, zone: str) -> StatementFields:
         """Return the fields of the newest statement of a server."""
@@ -122,7 +138,7 @@
         for fields in message.statements[:MAX_STATEMENTS_PER_MESSAGE]:
             self.merge(fields, message.name)
         if self._fleet.reports_by_zone and not message.is_relayed:
-            relayed = LimitBroadcast(message.name, message.statements, is_relayed=True)
+            relayed = self._messages.broadcast(message.name, message.statements, is_relayed=True)
             self._network.send_all([peer.address for peer in self._fleet.list_near()], relayed)
 
     def merge(self, fields: StatementFields, source: str) -> bool:
@@ -152,6 +168,6 @@
             relays = [address for address in relays if address not in near]
         for first in range(0, len(statements), MAX_STATEMENTS_PER_MESSAGE):
             part = statements[first : first + MAX_STATEMENTS_PER_MESSAGE]
-            name = self._fleet.name
-            self._network.send_all(near, LimitBroadcast(name, part, is_relayed=True))
-            self._network.send_all(relays, LimitBroadcast(name, part))
+            name, broadcast = self._fleet.name, self._messages.broadcast
+            self._network.send_all(near, broadcast(name, part, is_relayed=True))
+            self._network.send_all(relays, broadcast(name, part))
--- a/hemlockswitch/process/gateway/limit_messages.py
+++ b/hemlockswitch/process/gateway/limit_messages.py
@@ -66,3 +66,53 @@
     name: str
     statements: list[StatementFields] = field(default_factory=list)
     is_relayed: bool = False
+
+
+@register_message("brittle_observations")
+@dataclass(frozen=True)
+class BrittleObservations(LimitObservations):
+    """As `LimitObservations`, for the rejections per second after which brittle servers fall over."""
+
+
+@register_message("brittle_broadcast")
+@dataclass(frozen=True)
+class BrittleBroadcast(LimitBroadcast):
+    """As `LimitBroadcast`, for the rejections per second after which brittle servers fall over."""
+
+
+@register_message("slot_request")
+@dataclass(frozen=True)
+class SlotRequest:
+    """The request for a permit to have one more request in progress on a brittle server.
+
+    Parameters
+    ==========
+
+    name : the name of the requesting gateway.
+    permit : identifier of the permit.
+    hold_ms : for how long the request may last.
+    urgency : of the request to be sent; 0 is the most urgent.
+    statement : the newest statement that the sender knows.
+    """
+
+    name: str
+    permit: str
+    hold_ms: float
+    urgency: int
+    statement: StatementFields
+
+
+@register_message("slot_release")
+@dataclass(frozen=True)
+class SlotRelease:
+    """The return of a permit.
+
+    Parameters
+    ==========
+
+    was_rejected : whether the server turned the request away.
+    """
+
+    server: str
+    permit: str
+    was_rejected: bool = False
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -70,6 +70,10 @@
     measure_ages : returns the age in ms of the local state of each kind of object.
     permits : number of requested permits for limited backend servers, by verdict.
     count_limited : returns the number of limited backend servers.
+    slot_permits : number of requested permits for brittle backend servers, by verdict.
+    count_brittle : returns the number of brittle backend servers.
+    tunnels : number of requested tunnels through other gateways, by verdict.
+    is_isolated : returns whether this gateway cannot connect to any backend server.
     describe_rollouts : returns the answer counts by service, version and result during rollouts.
 
     Examples
@@ -90,6 +94,10 @@
         self.measure_ages: Callable[[], Mapping[str, float]] = dict
         self.permits: Counter[str] = Counter()
         self.count_limited: Callable[[], int] = lambda: 0
+        self.slot_permits: Counter[str] = Counter()
+        self.count_brittle: Callable[[], int] = lambda: 0
+        self.tunnels: Counter[str] = Counter()
+        self.is_isolated: Callable[[], bool] = lambda: False
         self.describe_rollouts: Callable[[], Mapping[tuple[str, str, str], int]] = dict
 
     def render(self) -> bytes:
@@ -154,14 +162,29 @@
             "Backend servers that state a rate limit.",
             value=self.count_limited(),
         )
-        permits = CounterMetricFamily(
-            "hemlock_permits",
-            "Requested permits for limited backend servers, by verdict.",
-            labels=["verdict"],
+        yield GaugeMetricFamily(
+            "hemlock_brittle_servers",
+            "Backend servers that state after how many rejections they fall over.",
+            value=self.count_brittle(),
+        )
+        yield GaugeMetricFamily(
+            "hemlock_isolated",
+            "1 while this gateway cannot connect to any backend server.",
+            value=int(self.is_isolated()),
         )
-        for verdict, count in self.permits.items():
-            permits.add_metric([verdict], count)
-        yield permits
+        for name, text, counts in (
+            ("hemlock_permits", "Requested permits for limited backend servers", self.permits),
+            (
+                "hemlock_slot_permits",
+                "Requested permits for brittle backend servers",
+                self.slot_permits,
+            ),
+            ("hemlock_tunnels", "Requested tunnels through other gateways", self.tunnels),
+        ):
+            verdicts = CounterMetricFamily(name, f"{text}, by verdict.", labels=["verdict"])
+            for verdict, count in counts.items():
+                verdicts.add_metric([verdict], count)
+            yield verdicts
         rollouts = GaugeMetricFamily(
             "hemlock_rollout_answers",
             "Answers under the newest roll-out of a service, by version and result.",
--- a/hemlockswitch/process/gateway/permits.py
+++ b/hemlockswitch/process/gateway/permits.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -19,6 +19,7 @@
 from hemlockswitch.process.gateway.limit_messages import PermitReply, PermitRequest
 from hemlockswitch.process.gateway.permit_issuer import IssuerRanking, PermitIssuer
 from hemlockswitch.process.gateway.server_limits import ServerLimits
+from hemlockswitch.process.gateway.slot_permits import SlotPermits
 from hemlockswitch.request.permits import (
     MAX_RETRY_DELAY_MS,
     MIN_RATE_PER_S,
@@ -62,10 +63,12 @@
     limits : the limits known here.
     clock : the time.
     read_boot : see `PermitIssuer`.
+    count_running : returns the number of requests of all gateways in progress on some servers.
 
     Attributes
     ==========
 
+    slots : the permits of brittle servers.
     verdicts : number of requests for a permit by their verdict.
     """
 
@@ -76,11 +79,13 @@
         limits: ServerLimits,
         clock: Clock,
         read_boot: Callable[[], float] = read_boot_ms,
+        count_running: Callable[[Collection[str]], int] = lambda _: 0,
     ) -> None:
         self.verdicts: Counter[str] = Counter()
         self.limits = limits
         self.ranking = IssuerRanking(fleet)
         self.issuer = PermitIssuer(self.ranking, fleet, limits, clock, read_boot)
+        self.slots = SlotPermits(network, fleet, self.ranking, count_running, clock)
         self.exchange = LimitExchange(network, fleet, self.ranking, limits, self._end_pauses, clock)
         self._network = network
         self._fleet = fleet
@@ -151,17 +156,20 @@
 
     def evict(self, incarnation: str) -> None:
         """Discard the state of a removed server."""
+        self.slots.evict(incarnation)
         self.limits.evict(incarnation)
         self.exchange.evict(incarnation)
         self._pauses.pop(incarnation, None)
 
     def evict_unlisted(self, list_servers: Callable[[], Iterable[BackendServer]]) -> None:
         """Discard the state of servers that have not been registered for a while."""
-        if not self.limits.has_records:
+        stated = [one for one in (self.limits, self.slots.brittle) if one.has_records]
+        if not stated:
             return
         listed = {server.incarnation for server in list_servers()}
-        for incarnation in self.limits.list_unlisted(listed):
-            self.evict(incarnation)
+        for limits in stated:
+            for incarnation in limits.list_unlisted(listed):
+                self.evict(incarnation)
 
     def describe(self) -> list[dict[str, Any]]:
         """Return the limited servers for the status page."""
--- a/hemlockswitch/process/gateway/reachability.py
+++ b/hemlockswitch/process/gateway/reachability.py
@@ -17,7 +17,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
 from hemlockswitch.core.clock import Clock
@@ -25,15 +25,11 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.gateway.isolation import IsolationDetector
 from hemlockswitch.process.gateway.report_period import (
-    MISSED_REPORTS,
-    UNRESPONSIVE_ZONE_GAPS,
     ReportPeriod,
 )
+from hemlockswitch.process.gateway.zone_state import ReceivedReport, ZoneState
 from hemlockswitch.version.backend import BackendServer
 
-MIN_ZONE_TIMEOUT_MS = 500.0
-"""Minimum time without a message before a zone is suspected; its gateways' report periods may demand
-more."""
 MIN_CONNECT_TIMEOUT_MS = 150.0
 MAX_CONNECT_TIMEOUT_MS = 500.0
 """Bounds of the connection time-out: longer than this process pauses for a large configuration, and
@@ -86,41 +82,6 @@
     since_ms: float
 
 
-@dataclass(frozen=True)
-class _ReceivedReport:
-    """When the last report of a gateway came, and the period within which it announced the next one."""
-
-    received_ms: float
-    period_ms: float
-
-
-@dataclass
-class _ZoneState:
-    """The state of a zone."""
-
-    last_received_ms: float
-    returned_ms: float = float("-inf")
-    is_suspect: bool = False
-    probed_ms: float = float("-inf")
-    timed_out: set[str] = field(default_factory=set)  # incarnations, since a server answered
-    reports: dict[str, _ReceivedReport] = field(default_factory=dict)  # by gateway
-
-    def find_timeout_ms(self) -> float:
-        """Return the time without a message after which the zone is suspected."""
-        active = [
-            report
-            for report in self.reports.values()
-            if self.last_received_ms - report.received_ms <= MISSED_REPORTS * report.period_ms
-        ]
-        if not active:
-            return MIN_ZONE_TIMEOUT_MS
-        gap_ms = 1.0 / sum(1.0 / report.period_ms for report in active)
-        shortest_ms = min(report.period_ms for report in active)
-        return max(
-            MIN_ZONE_TIMEOUT_MS, min(MISSED_REPORTS * shortest_ms, UNRESPONSIVE_ZONE_GAPS * gap_ms)
-        )
-
-
 class Reachability:
     """Tracks which backend servers and zones can be reached.
 
@@ -155,7 +116,7 @@
         self._get_period = get_period
         self._clock = clock
         self._on_zone_suspected = on_zone_suspected
-        self._zones: dict[str, _ZoneState] = {}
+        self._zones: dict[str, ZoneState] = {}
         self._suspicions: dict[str, _Suspicion] = {}  # by incarnation
         self._timed_out_ms: dict[str, float] = {}
         self._connected_ms = float("-inf")
@@ -214,7 +175,7 @@
 
     def record_received(self, zone: str) -> None:
         """Record that a report, or bytes of a server's answer, came from a zone."""
-        state = self._zones.setdefault(zone, _ZoneState(self._clock.now_ms()))
+        state = self._zones.setdefault(zone, ZoneState(self._clock.now_ms()))
         state.last_received_ms = self._clock.now_ms()
         if state.is_suspect:
             state.is_suspect = False
@@ -263,7 +224,7 @@
         self.isolation.record_failed(server, has_timed_out=has_timed_out)
         if not has_timed_out or self.isolation.is_isolated:
             return
-        state = self._zones.setdefault(server.zone, _ZoneState(self._clock.now_ms()))
+        state = self._zones.setdefault(server.zone, ZoneState(self._clock.now_ms()))
         state.timed_out.add(server.incarnation)
         if server.zone != self._zone and len(state.timed_out) >= MIN_TIMED_OUT_SERVERS:
             self._suspect_zone(server.zone, state)
@@ -283,7 +244,7 @@
         """Record that a gateway of a zone reported, and will report again within a period."""
         self.record_received(zone)
         if period_ms > 0:
-            self._zones[zone].reports[gateway] = _ReceivedReport(self._clock.now_ms(), period_ms)
+            self._zones[zone].reports[gateway] = ReceivedReport(self._clock.now_ms(), period_ms)
 
     def apply_unreachable(
         self, zone: str, unreachable: Iterable[str], servers: Iterable[BackendServer]
@@ -340,7 +301,7 @@
                 by_zone[server.zone].append(server)
         chosen: list[BackendServer] = []
         for zone, suspects in by_zone.items():
-            state = self._zones.setdefault(zone, _ZoneState(now_ms))
+            state = self._zones.setdefault(zone, ZoneState(now_ms))
             if now_ms - state.probed_ms >= PROBE_INTERVAL_MS:
                 state.probed_ms = now_ms
                 chosen += random.sample(suspects, min(MAX_PROBES_PER_ZONE, len(suspects)))
@@ -400,7 +361,7 @@
         del self._suspicions[server.incarnation]
         log_event(Event.BACKEND_REACHED, server=server.incarnation)
 
-    def _suspect_zone(self, zone: str, state: _ZoneState) -> None:
+    def _suspect_zone(self, zone: str, state: ZoneState) -> None:
         if state.is_suspect:
             return
         state.is_suspect = True
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -166,6 +166,11 @@
             return None
         return server
 
+    def find_slots(self, incarnation: str) -> int:
+        """Return the number of slots of a registered server; 0 if it states none."""
+        server = self._servers.get(incarnation.partition("@")[0])
+        return 0 if server is None else server.slots
+
     def list_all(self) -> list[BackendServer]:
         """Return every listed server, including those that are leaving."""
         self._drop_expired()
--- a/hemlockswitch/process/gateway/rollout_attempts.py
+++ b/hemlockswitch/process/gateway/rollout_attempts.py
@@ -4,8 +4,8 @@
 
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.rollout_progress import RolloutProgress
+from hemlockswitch.request.forwarding_view import SendTicket
 from hemlockswitch.request.rollout_verdict import Tally
-from hemlockswitch.request.sending import SendTicket
 
 SLOW_FACTOR = 2.0
 SLOW_OFFSET_MS = 30.0
--- a/hemlockswitch/process/gateway/server_limits.py
+++ b/hemlockswitch/process/gateway/server_limits.py
@@ -51,9 +51,17 @@
     ==========
 
     clock : the time.
+    began, ended : the events that are logged when a server states a limit, and when it states none.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        began: Event = Event.SERVER_LIMITED,
+        ended: Event = Event.SERVER_UNLIMITED,
+    ) -> None:
+        self._began = began
+        self._ended = ended
         self._clock = clock
         self._records: dict[str, _Record] = {}
         self._limited: set[str] = set()
@@ -108,6 +116,13 @@
         self._records.pop(incarnation, None)
         self._limited.discard(incarnation)
 
+    def measure_limited_ms(self, incarnation: str) -> float:
+        """Return for how long a server has been known to be limited; 0 if it is not."""
+        record = self._records.get(incarnation)
+        if record is None or record.limited_since_ms is None:
+            return 0.0
+        return self._clock.now_ms() - record.limited_since_ms
+
     def list_unlisted(self, listed: Collection[str]) -> list[str]:
         """Return the recorded servers that have not been registered for a while."""
         oldest_ms = self._clock.now_ms() - UNLISTED_RETENTION_MS
@@ -160,7 +175,7 @@
             return
         if statement.is_limited:
             log_event(
-                Event.SERVER_LIMITED,
+                self._began,
                 server=incarnation,
                 limit_per_s=statement.limit_per_s,
                 statement=statement.number,
@@ -168,7 +183,7 @@
             )
         else:
             log_event(
-                Event.SERVER_UNLIMITED,
+                self._ended,
                 server=incarnation,
                 statement=statement.number,
                 source=source,
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -1,4 +1,4 @@
-"""The gateway's state as forwarding needs it; implements `request.sending.ForwardingView`."""
+"""The gateway's state as forwarding needs it; implements `request.forwarding_view.ForwardingView`."""
 
 import random
 from collections.abc import Callable, Sequence
@@ -12,6 +12,8 @@
 from hemlockswitch.process.gateway.rollout_attempts import RolloutTicket
 from hemlockswitch.process.gateway.rollouts import SendProperties, draw_canary
 from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.request.forwarding_view import SendTicket
+from hemlockswitch.request.permits import Permit
 from hemlockswitch.request.placement import (
     Placement,
     ServiceSpeed,
@@ -19,7 +21,6 @@
     describe_work,
     select_least_loaded,
 )
-from hemlockswitch.request.sending import SendTicket
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.serving_table import ServingTable
 
@@ -109,12 +110,15 @@
         for _ in range(MAX_PERMITS_REQUESTED):
             usable = self._select_usable(choice, servers)
             placement = self._choose(choice, usable)
-            if placement is None or not self._permits.is_limited(placement.candidate.server):
+            if placement is None or not self._needs_permit(placement.candidate.server):
                 return placement
-            permit = self._permits.take(placement.candidate.server, admitted.urgency)
-            if permit is not None and self._may_send(placement.candidate.server):
+            permit = self._take_permit(placement.candidate.server, admitted)
+            if permit is None:
+                continue
+            if self._may_send(placement.candidate.server):
                 return replace(placement, permit=permit)
-        return self._choose(choice, [one for one in servers if not self._permits.is_limited(one)])
+            permit.release()
+        return self._choose(choice, [one for one in servers if not self._needs_permit(one)])
 
     def preview(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
         """Return the server that `place` would choose now, without requesting a permit for it."""
@@ -128,7 +132,7 @@
         """
         permit = placement.permit
         if permit is None:
-            return not self._permits.is_limited(placement.candidate.server)
+            return not self._needs_permit(placement.candidate.server)
         return self._clock.now_ms() <= permit.expires_ms
 
     def find_permit_delay_ms(self, admitted: AdmittedRequest) -> float | None:
@@ -136,12 +140,40 @@
         servers = self._registry.list_ready(admitted.service)
         return self._permits.find_retry_ms(servers, admitted.urgency)
 
+    def find_slot_delay_ms(self, admitted: AdmittedRequest) -> float | None:
+        """Return when a slot of a brittle server of the service is expected; None if no server is brittle."""
+        return self._permits.slots.find_retry_ms(
+            self._registry.list_ready(admitted.service), admitted.urgency
+        )
+
+    def _needs_permit(self, server: BackendServer) -> bool:
+        return self._permits.is_limited(server) or self._permits.slots.needs_permit(server)
+
+    def _take_permit(self, server: BackendServer, admitted: AdmittedRequest) -> Permit | None:
+        """Request what a server needs: a permit of its rate limit, of its slots, or both."""
+        slot = None
+        if self._permits.slots.needs_permit(server):
+            left_ms = max(admitted.deadline_ms - self._clock.now_ms(), 0.0)
+            slot = self._permits.slots.take(server, left_ms, admitted.urgency)
+            if slot is None:
+                return None
+        if not self._permits.is_limited(server):
+            return slot
+        permit = self._permits.take(server, admitted.urgency)
+        if slot is None:
+            return permit
+        if permit is None:
+            slot.release()
+            return None
+        return replace(permit, release=slot.release)
+
     def _select_usable(
         self, choice: ServerChoice, servers: list[BackendServer]
     ) -> list[BackendServer]:
         """Return the servers that need no permit, or for which one may be requested now."""
         admitted = choice.admitted
         is_repeatable = admitted.route.is_repeatable
+        servers = self._permits.slots.select(servers, admitted.urgency)
         return self._permits.select(servers, admitted.urgency, is_repeatable=is_repeatable)
 
     def _may_send(self, server: BackendServer) -> bool:
@@ -260,6 +292,16 @@
         """Record the limit in a server's answer to a request sent at `sent_ms`; infinite if it states none."""
         self._permits.record_answer(server, limit_per_s, sent_ms)
 
+    def record_rejection_limit(
+        self, server: BackendServer, rejections_per_s: float, sent_ms: float
+    ) -> None:
+        """Record after how many rejections a server falls over, as `record_rate_limit` does for its limit."""
+        self._permits.slots.record_answer(server, rejections_per_s, sent_ms)
+
+    def record_rejected(self, server: BackendServer) -> None:
+        """Record that a server turned a request away."""
+        self._permits.slots.record_rejection(server)
+
     def record_misdirected(self, server_name: str) -> None:
         """Exclude for a while a server whose address now belongs to another server."""
         self._registry.record_misdirected(server_name)
--- a/hemlockswitch/request/dialect.py
+++ b/hemlockswitch/request/dialect.py
@@ -146,6 +146,13 @@
         the server's own, or its field is malformed.
         """
 
+    def read_rejection_limit(self, answer: ParsedAnswer) -> float | None:
+        """Return after how many rejections in a second the backend server falls over.
+
+        The result is infinite if the answer states none, and None if the answer cannot tell, as in
+        `read_rate_limit`.
+        """
+
     def select_answer_headers(self, answer: ParsedAnswer) -> list[Header]:
         """Return the headers to relay to the caller."""
 
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -20,6 +20,7 @@
     AdmittedRequest,
     admit_request,
 )
+from hemlockswitch.request.forwarding_view import ForwardingView
 from hemlockswitch.request.overload import find_retry_delay_ms
 from hemlockswitch.request.placement import Placement
 from hemlockswitch.request.progress import ForwardObserver, Progress
@@ -31,7 +32,6 @@
     judge_failure,
 )
 from hemlockswitch.request.sending import (
-    ForwardingView,
     OverdueError,
     SendAttempt,
     Sender,
@@ -43,9 +43,12 @@
 RETRY_DELAY_MS = 500
 """Retry delay for the caller if no server could take the request: about the time until a started copy or
 a corrected list of servers becomes visible."""
+MIN_SLOT_RETRY_MS = 100
 RESUME_WAIT_MS = 1_500.0
 """Maximum wait for a permit to continue an answer that has begun: callers abandon a stream that pauses for
 two seconds."""
+SLOT_WAIT_SHARE = 0.125
+"""Fraction of the time to its deadline that a request may wait for a slot of a brittle server."""
 START_WAIT_SHARE = 0.25
 """Fraction of the time to its deadline that a request may wait while this process starts."""
 
@@ -163,7 +166,10 @@
                 self._sender.send(SendAttempt(progress, admitted, placement, reply))
                 return _Answered(placement.candidate.server, sent_ms)
             except SendFailedError as failed:
+                placement.release_permit()
                 self._prepare_next_attempt(progress, admitted, placement, failed, reply)
+            finally:
+                placement.release_permit()
 
     def _clear(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> None:
         """Raise if the request is quarantined; the error depends on whether it may have run."""
@@ -193,13 +199,17 @@
 
     def _choose(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> Placement:
         placement = self._place(progress, admitted)
-        if placement is None and reply.begun:
-            placement = self._await_permit(progress, admitted)
+        if placement is None:
+            placement = self._await_permit(progress, admitted, reply)
         if placement is not None:
             progress.target = placement.candidate.server.name
             progress.expected_ms = placement.expected_ms
             progress.list_age_ms = placement.list_age_ms
-            self._check_queue(progress, admitted, placement)
+            try:
+                self._check_queue(progress, admitted, placement)
+            except RequestError:
+                placement.release_permit()
+                raise
             return placement
         raise self._describe_missing_server(progress, admitted, reply)
 
@@ -216,11 +226,22 @@
             )
         return placement
 
-    def _await_permit(self, progress: Progress, admitted: AdmittedRequest) -> Placement | None:
-        """Choose a server that continues a begun answer as soon as a permit for one is available."""
-        until_ms = self._clock.now_ms() + RESUME_WAIT_MS
+    def _await_permit(
+        self, progress: Progress, admitted: AdmittedRequest, reply: Reply
+    ) -> Placement | None:
+        """Choose a server as soon as a permit for one is available, if it is soon.
+
+        A slot of a brittle server is waited for as in the queue that other servers have; a permit of a rate
+        limit only to continue a begun answer.
+        """
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + SLOT_WAIT_SHARE * (admitted.deadline_ms - now_ms)
+        if reply.begun:
+            until_ms = now_ms + RESUME_WAIT_MS
         while True:
-            delay_ms = self._view.find_permit_delay_ms(admitted)
+            delay_ms = self._view.find_slot_delay_ms(admitted)
+            if delay_ms is None and reply.begun:
+                delay_ms = self._view.find_permit_delay_ms(admitted)
             if delay_ms is None or self._clock.now_ms() + delay_ms > until_ms:
                 return None
             self._clock.sleep_ms(delay_ms)
@@ -237,6 +258,13 @@
         if progress.state is not SendState.NOT_RUN:
             detail = "no backend server is left for another attempt"
             return RequestError(ErrorKind.OUTCOME_UNKNOWN, detail)
+        delay_ms = self._view.find_slot_delay_ms(admitted)
+        if delay_ms is not None:
+            detail = (
+                f"all slots of the brittle backend servers of service {admitted.service} are in use"
+            )
+            retry_ms = max(round(delay_ms), MIN_SLOT_RETRY_MS)
+            return RequestError(ErrorKind.OVERLOADED, detail, retry_after_ms=retry_ms)
         delay_ms = self._view.find_permit_delay_ms(admitted)
         if delay_ms is not None:
             detail = f"every backend server of service {admitted.service} is at its stated limit"
--- a/hemlockswitch/request/permits.py
+++ b/hemlockswitch/request/permits.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -104,9 +105,11 @@
     ==========
 
     expires_ms : clock time until which the request must be sent.
+    release : returns the permit when the request has ended or was not sent.
     """
 
     expires_ms: float
+    release: Callable[[], None] = lambda: None
 
 
 class PermitBucket:
@@ -140,8 +143,8 @@
         self._level = 0.0
         self._filled_ms = opens_ms
         self._refused_ms: dict[int, float] = {}  # urgency to when it was last refused
-        self._retries = _Schedule()
-        self._requests = _Schedule()
+        self._retries = ReturnSchedule()
+        self._requests = ReturnSchedule()
 
     def take(self, now_ms: float, rate_per_s: float, urgency: int) -> Decision:
         """Take a permit for a request, or decide when the next one may be available.
@@ -193,7 +196,7 @@
         return Decision(Verdict.REFUSED, retry_at_ms - now_ms, request_at_ms - now_ms)
 
 
-class _Schedule:
+class ReturnSchedule:
     """Times at which refused requests return, one after the other, the more urgent first."""
 
     def __init__(self) -> None:
--- a/hemlockswitch/request/placement.py
+++ b/hemlockswitch/request/placement.py
@@ -84,6 +84,11 @@
     list_age_ms: float = 0.0
     permit: Permit | None = None
 
+    def release_permit(self) -> None:
+        """Return the permit; a further call has no effect."""
+        if self.permit is not None:
+            self.permit.release()
+
 
 @dataclass(frozen=True)
 class ServiceSpeed:
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -3,25 +3,22 @@
 Whether another attempt may follow is decided in `request.forwarding`.
 """
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Protocol
 
 from hemlockswitch.connection.backend_pool import BackendPool, PooledExchange
 from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.connection.forward_server import CallerLeftError, Reply
 from hemlockswitch.connection.message_parsers import ParsedAnswer
-from hemlockswitch.connection.tunnels import TunnelConnection
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.request.dialect import Dialect, SendFields
 from hemlockswitch.request.event_stream import EventSplitter
 from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.request.forwarding_view import ForwardingView
 from hemlockswitch.request.placement import Placement
 from hemlockswitch.request.progress import ForwardObserver, Progress
 from hemlockswitch.request.send_states import SendFailure
-from hemlockswitch.version.backend import BackendServer
-from hemlockswitch.version.serving_table import RequestKind, ServingTable
+from hemlockswitch.version.serving_table import RequestKind
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 REUSE_IDLE_MS = 60_000.0
@@ -31,94 +28,6 @@
 such a connection while the request is sent, it is unknown whether the request ran."""
 
 
-class SendTicket(Protocol):
-    """An attempt in progress, as counted in this daemon's estimate of the server's load."""
-
-    def record_first_event(self, *, succeeds: bool) -> None:
-        """Record the start of the answer, when the prompt is processed; `succeeds` unless it is an error."""
-
-    def end(self, failed: bool) -> None:
-        """Record the end of the attempt; `failed` raises the failure rate of the server."""
-
-
-class ForwardingView(Protocol):
-    """The process's state of configuration and servers, as used by forwarding."""
-
-    def await_synced(self, timeout_ms: float) -> None:
-        """Wait, at most `timeout_ms`, until the state that requests need is loaded after the start."""
-
-    def get_table(self) -> ServingTable | None:
-        """Return the active configuration."""
-
-    def place(
-        self,
-        admitted: AdmittedRequest,
-        excluded: Sequence[str],
-        *,
-        is_careful: bool = False,
-        begun_version: str = "",
-    ) -> Placement | None:
-        """Return the server for the next attempt, or None if there is none.
-
-        Parameters
-        ==========
-
-        is_careful : choose the server with the fewest requests in progress, as the request may crash it.
-        begun_version : the version that has begun to answer the request; empty if none has.
-        """
-
-    def preview(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
-        """Return the server that `place` would choose now, without a permit for it."""
-
-    def is_permitted(self, placement: Placement) -> bool:
-        """Return whether a request may be sent now: the server is not limited, or the permit is still valid."""
-
-    def find_permit_delay_ms(self, admitted: AdmittedRequest) -> float | None:
-        """Return when a permit for a limited server of the service is expected, in ms from now.
-
-        The result is None if no permit was refused.
-        """
-
-    def begin_attempt(self, admitted: AdmittedRequest, placement: Placement) -> SendTicket:
-        """Count an attempt as in progress and return its ticket."""
-
-    def find_connect_timeout_ms(self) -> float:
-        """Return the timeout for connecting to a server."""
-
-    def record_connected(self, server: BackendServer, took_ms: float) -> None:
-        """Record a new connection to a server."""
-
-    def record_unreachable(self, server: BackendServer, *, has_timed_out: bool) -> None:
-        """Record a failed connection; `has_timed_out` if it timed out rather than being refused."""
-
-    def record_answer(self, server: BackendServer, *, is_direct: bool) -> None:
-        """Record that bytes of an answer were received from a server, directly or through another daemon."""
-
-    def needs_detour(self, server: BackendServer) -> bool:
-        """Return whether a connection to the server should lead through another daemon."""
-
-    def is_hopeless(self, server: BackendServer) -> bool:
-        """Return whether a direct connection attempt would only wait for its time-out."""
-
-    def open_detour(self, server: BackendServer) -> TunnelConnection | None:
-        """Return a connection to the server through another daemon; None if no daemon helps.
-
-        Raises
-        ======
-
-        ExchangeError : another daemon cannot connect to the server either; nothing was sent.
-        """
-
-    def record_rate_limit(self, server: BackendServer, limit_per_s: float, sent_ms: float) -> None:
-        """Record the limit in a server's answer to a request sent at `sent_ms`; infinite if it states none."""
-
-    def record_misdirected(self, server_name: str) -> None:
-        """Record that the address of the server now belongs to another server."""
-
-    def count_daemons(self) -> int | None:
-        """Return the number of daemons that share the budgets, or None while it is undetermined."""
-
-
 class SendFailedError(Exception):
     """An attempt failed after nothing, or only complete events, had been relayed to the caller.
 
@@ -341,12 +250,17 @@
         limit_per_s = self._dialect.read_rate_limit(answer)
         if limit_per_s is not None:
             self._view.record_rate_limit(placement.candidate.server, limit_per_s, sent_ms)
+        rejections_per_s = self._dialect.read_rejection_limit(answer)
+        if rejections_per_s is not None:
+            self._view.record_rejection_limit(placement.candidate.server, rejections_per_s, sent_ms)
 
     def _check_run(self, answer: ParsedAnswer, placement: Placement) -> None:
         """Raise unless the server ran the request and the answer is its own."""
         if self._dialect.states_not_run(answer):
             if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
                 self._view.record_misdirected(placement.candidate.server.name)
+            else:
+                self._view.record_rejected(placement.candidate.server)
             detail = f"the server declined the request with status {answer.status}"
             raise SendFailedError(SendFailure.DECLINED, detail, True)
         if not self._dialect.is_genuine(answer):
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -13,13 +13,13 @@
     MAX_CONNECT_TIMEOUT_MS,
     MAX_PROBES_PER_ZONE,
     MIN_CONNECT_TIMEOUT_MS,
-    MIN_ZONE_TIMEOUT_MS,
     PROBE_INTERVAL_MS,
     ZONE_POLL_INTERVAL_MS,
     ZONE_RETURN_GRACE_MS,
     Reachability,
 )
 from hemlockswitch.process.gateway.report_period import MIN_SUSPICION_OVERRULE_MS, ReportPeriod
+from hemlockswitch.process.gateway.zone_state import MIN_ZONE_TIMEOUT_MS
 from hemlockswitch.version.backend import BackendServer
 
 REPORT_MS = 200.0
