--- a/tests/server_links.py
+++ b/tests/server_links.py
@@ -33,6 +33,7 @@
         self._link = link
         self._connection = connection
         self._unsent = b""
+        self._is_reset = False
         link.connections.add(self)
 
     def __getattr__(self, name):
@@ -50,12 +51,18 @@
     def recv(self, size):
         """Receive data; while the link hangs nothing arrives."""
         self._await_link()
-        data = self._connection.recv(size)
+        try:
+            data = self._connection.recv(size)
+        except OSError as error:
+            if self._is_reset:
+                raise ConnectionResetError("connection reset") from error
+            raise
         self._await_link()
         return data
 
-    def end(self):
+    def reset(self):
         """End the connection for both sides."""
+        self._is_reset = True
         try:
             self._connection.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -98,7 +105,7 @@
         self.cut_at_s[gateway] = time.monotonic()
         if kind == RESET:
             for connection in list(link.connections):
-                connection.end()
+                connection.reset()
 
     def restore(self, gateway):
         """Restore a gateway's links."""
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -14,6 +14,7 @@
     MAX_PROBES_PER_ZONE,
     MIN_CONNECT_TIMEOUT_MS,
     PROBE_INTERVAL_MS,
+    TOLD_LIFETIME_MS,
     ZONE_POLL_INTERVAL_MS,
     ZONE_RETURN_GRACE_MS,
     Reachability,
@@ -184,3 +185,80 @@
     site.reach.record_unreachable(SERVERS[2], has_timed_out=True)
     site.reach.evict(SERVERS[2])
     assert site.reach.describe_unreachable() == []
+
+
+# Guards against sound gateways that avoid sound servers because a gateway without links reported these.
+def test_a_failed_connection_is_reported_only_after_another_one_has_opened(site):
+    site.reach.record_unreachable(SERVERS[0], has_timed_out=False)
+    assert site.reach.is_suspect(SERVERS[0])
+    assert site.reach.describe_unreachable() == []
+    site.clock.advance(10)
+    site.reach.record_connected(SERVERS[1], took_ms=3)
+    assert site.reach.describe_unreachable() == ["z1-1"]
+
+
+# Guards against a server that counts as reachable by turns: old connections live on, new ones are refused.
+def test_an_answer_over_an_old_connection_does_not_end_the_suspicion_of_a_server_that_refuses(site):
+    site.reach.record_unreachable(SERVERS[0], has_timed_out=False)
+    site.reach.record_answer(SERVERS[0])
+    assert site.reach.is_suspect(SERVERS[0])
+    site.reach.record_connected(SERVERS[0], took_ms=3)
+    assert not site.reach.is_suspect(SERVERS[0])
+
+
+@pytest.fixture
+def isolated():
+    site = Site()
+    site.closed = []
+    site.reach = Reachability(
+        "z1",
+        ReportPeriod,
+        site.clock,
+        site.lost.append,
+        lambda: SERVERS,
+        site.closed.append,
+    )
+    for server in (SERVERS[0], SERVERS[2], SERVERS[4]):
+        site.reach.record_unreachable(server, has_timed_out=True)
+    return site
+
+
+def test_an_isolated_gateway_suspects_no_server_and_reports_none(isolated):
+    assert isolated.reach.isolation.is_isolated
+    assert not any(isolated.reach.is_suspect(server) for server in SERVERS)
+    assert all(isolated.reach.needs_detour(server) for server in SERVERS)
+    assert isolated.reach.describe_unreachable() == []
+    assert isolated.closed[-1] is None, "idle connections that hang are closed"
+
+
+def test_an_isolated_gateway_believes_for_a_while_that_others_do_not_reach_a_server(isolated):
+    isolated.reach.record_unreachable_for_others(SERVERS[1])
+    assert isolated.reach.is_suspect(SERVERS[1])
+    isolated.clock.advance(TOLD_LIFETIME_MS + 1)
+    assert not isolated.reach.is_suspect(SERVERS[1])
+
+
+def test_a_connection_that_opens_ends_the_isolation(isolated):
+    isolated.reach.record_connected(SERVERS[3], took_ms=3)
+    assert not isolated.reach.isolation.is_isolated
+    assert not any(isolated.reach.needs_detour(server) for server in SERVERS)
+
+
+def test_failed_servers_of_one_zone_do_not_isolate_a_gateway():
+    reach = Reachability("z1", ReportPeriod, ManualClock(), list_servers=lambda: SERVERS)
+    zone = [make_server(f"z2-{number}", "z2") for number in range(5)]
+    for server in zone:
+        reach.record_unreachable(server, has_timed_out=False)
+    assert not reach.isolation.is_isolated
+
+
+def test_a_control_is_tried_in_another_zone_after_a_failure():
+    clock = ManualClock()
+    reach = Reachability("z1", ReportPeriod, clock, list_servers=lambda: SERVERS)
+    assert reach.isolation.pick_control() is None
+    reach.record_unreachable(SERVERS[2], has_timed_out=False)
+    assert reach.isolation.pick_control().zone != "z2"
+    assert reach.isolation.pick_control() is None, "one at a time"
+    reach.record_connected(SERVERS[0], took_ms=3)
+    clock.advance(1_000)
+    assert reach.isolation.pick_control() is None
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -101,7 +101,7 @@
     site.links.cut(site.gateways[0], RESET)
     gevent.joinall(asked)
     gevent.sleep(0.5)
-    assert all(one.quarantine.is_empty for one in site.gateways)
+    assert [one.guard.counts.ends for one in site.gateways] == [0, 0, 0]
 
 
 @pytest.mark.parametrize("kind", [HANG, REFUSE])
