Report the loss and the return of a gateway's links at once

What callers saw: when all gateways had been isolated and some had their links back, the others refused requests for up to 0.2 s more, and left out for a second a gateway that had just declined a tunnel. The state is reported with the next urgent report, and a newer report ends the pause after a declined tunnel.

--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -108,6 +108,7 @@
             lambda zone: self.forwarder.abandon_zone(zone),
             self.registry.list_all,
             lambda address: self.links.handle_unreachable(address),
+            lambda: self.schedule.report_links(),
         )
         self.links = ServerLinks(
             self.settings.cluster,
--- a/hemlockswitch/process/gateway/detours.py
+++ b/hemlockswitch/process/gateway/detours.py
@@ -8,6 +8,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
@@ -36,6 +37,21 @@
 SAMPLED_GATEWAYS = 2
 
 
+@dataclass(frozen=True)
+class _Avoidance:
+    """A gateway that is left out, and why."""
+
+    since_ms: float
+    until_ms: float
+    is_isolated: bool
+
+    def applies(self, peer: Peer, now_ms: float) -> bool:
+        """Return whether a gateway is still left out; a newer report shows that it is no longer isolated."""
+        if self.until_ms <= now_ms:
+            return False
+        return not self.is_isolated or peer.reported_ms <= self.since_ms
+
+
 class NoDetourError(ExchangeError):
     """No other gateway can connect this one to backend servers; nothing was sent."""
 
@@ -94,7 +110,7 @@
         self._on_lost = on_lost
         self._clock = clock
         self._open: Counter[str] = Counter()
-        self._avoided_until_ms: dict[str, float] = {}
+        self._avoided: dict[str, _Avoidance] = {}
 
     def open(self, server: BackendServer) -> TunnelConnection:
         """Return a new tunnel to a server.
@@ -124,9 +140,10 @@
             return None
         return False
 
-    def avoid(self, gateway: str, for_ms: float) -> None:
-        """Leave a gateway out for some time."""
-        self._avoided_until_ms[gateway] = self._clock.now_ms() + for_ms
+    def avoid(self, gateway: str, for_ms: float, *, is_isolated: bool = False) -> None:
+        """Leave a gateway out for some time; an isolated one only until it reports that it is not."""
+        now_ms = self._clock.now_ms()
+        self._avoided[gateway] = _Avoidance(now_ms, now_ms + for_ms, is_isolated)
 
     def check(self) -> None:
         """Report the gateways with tunnels that are no longer connected."""
@@ -173,7 +190,8 @@
     def _record(self, peer: Peer, verdict: str, detail: str) -> None:
         """Record that a gateway does not help now."""
         self.verdicts[verdict] += 1
-        self.avoid(peer.name, AVOID_MS if verdict != TunnelVerdict.LEAVING else AVOID_LEAVING_MS)
+        for_ms = AVOID_LEAVING_MS if verdict == TunnelVerdict.LEAVING else AVOID_MS
+        self.avoid(peer.name, for_ms, is_isolated=verdict == TunnelVerdict.ISOLATED)
         log_event(Event.TUNNEL_REFUSED, gateway=peer.name, verdict=verdict, detail=detail)
 
     def _record_closed(self, gateway: str) -> None:
@@ -200,7 +218,7 @@
         return [
             peer
             for peer in self._fleet.list_connected()
-            if self._avoided_until_ms.get(peer.name, 0.0) <= now_ms
+            if not self._is_avoided(peer, now_ms)
             if peer.report is None or not peer.report.is_isolated
         ]
 
@@ -209,8 +227,11 @@
         reported = peer.report.tunnels if peer.report is not None else 0
         return max(reported, self._open[peer.name])
 
+    def _is_avoided(self, peer: Peer, now_ms: float) -> bool:
+        avoidance = self._avoided.get(peer.name)
+        return avoidance is not None and avoidance.applies(peer, now_ms)
+
     def _drop_expired(self) -> None:
         now_ms = self._clock.now_ms()
-        expired = [name for name, until in self._avoided_until_ms.items() if until <= now_ms]
-        for name in expired:
-            del self._avoided_until_ms[name]
+        for name in [name for name, one in self._avoided.items() if one.until_ms <= now_ms]:
+            del self._avoided[name]
--- a/hemlockswitch/process/gateway/isolation.py
+++ b/hemlockswitch/process/gateway/isolation.py
@@ -43,6 +43,7 @@
     list_servers : returns the backend servers that are registered.
     clock : the time.
     on_isolated : called when the links were lost, with whether connections hang.
+    on_restored : called when a connection opened again.
     """
 
     def __init__(
@@ -50,10 +51,12 @@
         list_servers: Callable[[], Iterable[BackendServer]],
         clock: Clock,
         on_isolated: Callable[[bool], None] = lambda _: None,
+        on_restored: Callable[[], None] = lambda: None,
     ) -> None:
         self._list_servers = list_servers
         self._clock = clock
         self._on_isolated = on_isolated
+        self._on_restored = on_restored
         self._failures: dict[str, _Failure] = {}  # since a connection opened, by incarnation
         self._isolated_ms: float | None = None
         self._control_ms = float("-inf")
@@ -98,6 +101,7 @@
         lasted_ms = round(self._clock.now_ms() - self._isolated_ms)
         self._isolated_ms = None
         log_event(Event.LINKS_RESTORED, lasted_ms=lasted_ms)
+        self._on_restored()
 
     def pick_control(self) -> BackendServer | None:
         """Return a server to connect to, to tell a failed server from lost links; None if there is no need.
--- a/hemlockswitch/process/gateway/reachability.py
+++ b/hemlockswitch/process/gateway/reachability.py
@@ -94,6 +94,7 @@
     on_zone_suspected : called with a zone when it becomes suspected.
     list_servers : returns the backend servers that are registered.
     on_unreachable : called with the address of a server that does not answer, or with None if no server does.
+    on_links_changed : called when this gateway lost its links to all servers, and when they returned.
 
     Attributes
     ==========
@@ -109,8 +110,12 @@
         on_zone_suspected: Callable[[str], None] = lambda _: None,
         list_servers: Callable[[], Iterable[BackendServer]] = tuple,
         on_unreachable: Callable[[str | None], None] = lambda _: None,
+        on_links_changed: Callable[[], None] = lambda: None,
     ) -> None:
-        self.isolation = IsolationDetector(list_servers, clock, self._handle_isolated)
+        self.isolation = IsolationDetector(
+            list_servers, clock, self._handle_isolated, on_links_changed
+        )
+        self._on_links_changed = on_links_changed
         self._on_unreachable = on_unreachable
         self._zone = zone
         self._get_period = get_period
@@ -332,6 +337,7 @@
             del self._suspicions[incarnation]
         if hangs:
             self._on_unreachable(None)
+        self._on_links_changed()
 
     def _has_expired(self, suspicion: _Suspicion) -> bool:
         """Return whether a suspicion of another gateway is too old; an isolated gateway cannot verify it."""
--- a/hemlockswitch/process/gateway/reporting.py
+++ b/hemlockswitch/process/gateway/reporting.py
@@ -52,6 +52,10 @@
         if not self._fleet.reports_by_zone:
             self._urgent.set()
 
+    def report_links(self) -> None:
+        """Report soon that the links to all servers were lost, or have returned."""
+        self._urgent.set()
+
     def send_near(self) -> None:
         """Report to the near gateways until the task is killed."""
         while True:
