Check pooled connections with poll, which has no limit on descriptors

What callers saw: with more than 1,023 open descriptors every second request's connection closed unanswered. Cause: select.select raises for such descriptors. Evidence: tests/test_descriptors.py, 10 of 20 requests unanswered beside 1,200 held descriptors before, none now.

--- a/hemlockswitch/connection/backend_pool.py
+++ b/hemlockswitch/connection/backend_pool.py
@@ -392,5 +392,6 @@
     """Return whether the server closed an idle connection or sent unrequested bytes on it."""
     if isinstance(connection, TunnelConnection) and connection.has_buffered:
         return True
-    readable, _, _ = select.select([connection.fileno()], [], [], 0)
-    return bool(readable)
+    poll = select.poll()  # `select.select` fails for descriptors above 1,023.
+    poll.register(connection.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
