--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -107,12 +107,19 @@
     max_rejections: str = ""
 
 
+def _make_set_signal() -> Signal:
+    signal = Signal()
+    signal.set()
+    return signal
+
+
 @dataclass
 class RunnerState:
     """State and counts of the stand-in.
 
     `rate_limit` is stated in all answers, unless it is empty.
     `rejections` has the monotonic time in ms of each request that was declined for want of room.
+    `goes_on` is cleared while the stand-in stands still: it answers nothing, and its connections stay open.
     `fall` is called when the stand-in falls over; a harness that runs it decides what that means.
     `arrivals` has the monotonic time in ms and the identifier of each request, also of declined ones.
     `end` terminates the stand-in; one that runs inside a test's process needs its own function.
@@ -133,6 +140,7 @@
     waiting: int = 0
     rejections: list[float] = field(default_factory=list)
     fall: Callable[[], None] = end_process
+    goes_on: Signal = field(default_factory=_make_set_signal)
     _slot_freed: Signal = field(default_factory=Signal)
 
     def enter(self) -> bool:
@@ -224,6 +232,7 @@
             print(json.dumps({"ran": request_id}), flush=True)
         state.seen.append(_describe(req, body))
         gevent.sleep(state.settings.work_ms * faults.slow_factor / MS_PER_SECOND)
+        state.goes_on.wait()
         ends_on = state.settings.ends_on
         if ends_on and ends_on.encode() in body:
             state.end()
@@ -272,6 +281,7 @@
                     cut_connection(req.env[SOCKET_KEY])
                 yield event
                 gevent.sleep(self._state.settings.event_ms / MS_PER_SECOND)
+                self._state.goes_on.wait()
             finished = True
         finally:
             if not finished:
--- a/tests/isolation_replay.py
+++ b/tests/isolation_replay.py
@@ -20,7 +20,6 @@
     NoDetourError,
     ServerUnreachableError,
 )
-from hemlockswitch.process.gateway.peer_groups import Peer
 from hemlockswitch.process.gateway.reachability import ZONE_POLL_INTERVAL_MS, Reachability
 from hemlockswitch.process.gateway.report_period import (
     MAX_FAR_REPORTS_PER_S,
@@ -127,6 +126,7 @@
         self.cuts = []  # (from, until, kind)
         self.down, self.frozen = [], []
         self.history = []  # (time, whether it was isolated)
+        self.peers = None
         self.start()
 
     def start(self):
@@ -185,7 +185,38 @@
 
     def list_connected(self):
         """Return the other gateways, as their last reports describe them."""
-        return [self.world.describe(one, self) for one in self.world.gateways if one is not self]
+        if self.peers is None:
+            seen = self.world.list_seen(self.zone)
+            self.peers = [one for one in seen if one.name != self.name]
+        return self.peers
+
+
+class SeenGateway:
+    """A gateway as its last report shows it to the gateways of a zone; stands for a `Peer` and its report."""
+
+    tunnels = 0
+
+    def __init__(self, world, gateway, zone):
+        is_near = gateway.zone == zone or world.far is world.near
+        self.name = self.address = gateway.name
+        self.zone = gateway.zone
+        self._age_ms = world.near.urgent_gap_ms + ROUND_TRIP_MS if is_near else world.far.ms
+        self._world, self._gateway = world, gateway
+
+    @property
+    def report(self):
+        return self
+
+    @property
+    def reported_ms(self):
+        return self._world.now_ms - self._age_ms
+
+    @property
+    def is_isolated(self):
+        for at_ms, is_isolated in reversed(self._gateway.history):
+            if at_ms <= self.reported_ms:
+                return is_isolated
+        return False
 
 
 class World:
@@ -197,6 +228,7 @@
         self.clock = SimpleNamespace(now_ms=lambda: self.now_ms)
         self.now_ms = 0.0
         self.result = Result()
+        self.seen = {}
         self._events = []
         self._numbers = itertools.count()
         self.servers = [
@@ -212,16 +244,11 @@
         self.gateways = [Gateway(self, number) for number in range(setting.gateways)]
         self.by_name = {one.name: one for one in self.gateways}
 
-    def describe(self, gateway, receiver):
-        """Return a gateway as its last report shows it to another one."""
-        is_near = gateway.zone == receiver.zone or self.far is self.near
-        age_ms = self.near.urgent_gap_ms + ROUND_TRIP_MS if is_near else self.far.ms
-        peer = Peer(gateway.name, gateway.name, 0.0, gateway.zone)
-        peer.reported_ms = self.now_ms - age_ms
-        reported = [one for at_ms, one in gateway.history if at_ms <= peer.reported_ms]
-        is_isolated = bool(reported) and reported[-1]
-        peer.report = SimpleNamespace(is_isolated=is_isolated, tunnels=0)
-        return peer
+    def list_seen(self, zone):
+        """Return all gateways as the gateways of a zone see them."""
+        if zone not in self.seen:
+            self.seen[zone] = [SeenGateway(self, one, zone) for one in self.gateways]
+        return self.seen[zone]
 
     def at(self, at_ms, action, *arguments):
         heapq.heappush(self._events, (at_ms, next(self._numbers), action, arguments))
