Tell the near gateways at once that a server is brittle, and replay such fleets

What would have been seen: of 100 gateways a quarter did not learn that a server was brittle while the zone of its issuer was cut off from theirs, went on sending without permits, and the server fell over. The gateway that observes the statement tells its near gateways itself, beside the issuer.

--- a/hemlockswitch/process/gateway/limit_exchange.py
+++ b/hemlockswitch/process/gateway/limit_exchange.py
@@ -93,6 +93,16 @@
         self._unsent[incarnation] = zone
         self._changed.set()
 
+    def tell_near(self, incarnation: str, zone: str) -> None:
+        """Send a server's statement, observed here, to the near gateways at once.
+
+        They thereby learn of it although the issuer of the server's permits may be cut off from them.
+        """
+        near = [peer.address for peer in self._fleet.list_near()]
+        statements = [self.describe(incarnation, zone)]
+        message = self._messages.broadcast(self._fleet.name, statements, is_relayed=True)
+        self._network.send_all(near, message)
+
     def run(self) -> None:
         """Send changed statements until the task is killed."""
         while True:
--- a/hemlockswitch/process/gateway/slot_permits.py
+++ b/hemlockswitch/process/gateway/slot_permits.py
@@ -82,6 +82,7 @@
         """Record what a server states in its answer to a request that was sent at `sent_ms`."""
         if self.brittle.record_answer(server.incarnation, rejections_per_s, sent_ms):
             self._end_pause(server.incarnation)
+            self.exchange.tell_near(server.incarnation, server.zone)
             self.exchange.publish(server.incarnation, server.zone)
 
     def needs_permit(self, server: BackendServer) -> bool:
--- a/tests/limit_replay.py
+++ b/tests/limit_replay.py
@@ -266,6 +266,8 @@
 class World:
     """The simulated fleet, its servers and callers."""
 
+    gateway_type = Gateway
+
     def __init__(self, setting, seed):
         self.setting = setting
         self.draws = random.Random(seed)
@@ -277,7 +279,7 @@
         self.by_zone = defaultdict(list)
         self._find_periods()
         for number in range(setting.gateways):
-            one = Gateway(self, number)
+            one = self.gateway_type(self, number)
             self.gateways.append(one)
             self.by_zone[one.zone].append(one)
         self.by_name = {one.name: one for one in self.gateways}
