--- a/hemlockswitch/connection/platform_calls.py
+++ b/hemlockswitch/connection/platform_calls.py
@@ -6,10 +6,11 @@
 
 import gevent
 
-from hemlockswitch.connection.backend_pool import BackendPool, PooledExchange
+from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.backoff import Backoff
 from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
 from hemlockswitch.connection.heads import encode_head
+from hemlockswitch.connection.pooled_exchange import PooledExchange
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
 
