Ask gateways that old reports call isolated when no other is left

What would have been seen: in a fleet of 100 whose gateways were all isolated, the others refused requests for up to 1.9 s, a far report period, after the first zone had its links back. When every gateway seems isolated, ten searches a second ask some, and one that opened a tunnel is asked again.

--- a/hemlockswitch/process/gateway/detours.py
+++ b/hemlockswitch/process/gateway/detours.py
@@ -32,6 +32,11 @@
 """Time for a gateway's reply, beyond the connection time-out that it applies itself."""
 AVOID_MS = 1_000.0
 """How long a gateway that did not help is left out."""
+OPENED_MS = 2_000.0
+"""How long after it opened a tunnel a gateway is asked although its last report, which may be old, calls it
+isolated."""
+HOPELESS_MS = 100.0
+"""How long no gateway is asked after a search among gateways that all seem to be isolated."""
 AVOID_LEAVING_MS = 30_000.0
 """How long a gateway that is shutting down is left out: longer than any shutdown."""
 SAMPLED_GATEWAYS = 2
@@ -111,6 +116,8 @@
         self._clock = clock
         self._open: Counter[str] = Counter()
         self._avoided: dict[str, _Avoidance] = {}
+        self._opened_ms: dict[str, float] = {}
+        self._hopeless_until_ms = float("-inf")
 
     def open(self, server: BackendServer) -> TunnelConnection:
         """Return a new tunnel to a server.
@@ -121,13 +128,18 @@
         NoDetourError : no other gateway helps.
         ServerUnreachableError : a gateway that reaches other servers cannot connect to this one.
         """
+        if self._clock.now_ms() < self._hopeless_until_ms:
+            raise NoDetourError
         for _ in range(MAX_GATEWAYS_TRIED):
             peer = self._choose_gateway(server.zone)
             if peer is None:
                 break
             tunnel = self._request(peer, server)
             if tunnel is not None:
+                self._opened_ms[peer.name] = self._clock.now_ms()
                 return tunnel
+        if not self._list_candidates(includes_isolated=False):
+            self._hopeless_until_ms = self._clock.now_ms() + HOPELESS_MS
         raise NoDetourError
 
     def confirms_refusal(self, server: BackendServer) -> bool | None:
@@ -205,7 +217,9 @@
         Gateways in the zone of the server or of this gateway are preferred, as bytes then cross zones no
         more often than without a detour.
         """
-        candidates = self._list_candidates()
+        candidates = self._list_candidates(includes_isolated=False)
+        # A report that a gateway is isolated may be old; its reply tells.
+        candidates = candidates or self._list_candidates(includes_isolated=True)
         close = [peer for peer in candidates if peer.zone in (zone, self._fleet.zone)]
         candidates = close or candidates
         if not candidates:
@@ -213,15 +227,21 @@
         sampled = random.sample(candidates, min(SAMPLED_GATEWAYS, len(candidates)))
         return min(sampled, key=self._estimate_tunnels)
 
-    def _list_candidates(self) -> list[Peer]:
+    def _list_candidates(self, *, includes_isolated: bool) -> list[Peer]:
         now_ms = self._clock.now_ms()
         return [
             peer
             for peer in self._fleet.list_connected()
             if not self._is_avoided(peer, now_ms)
-            if peer.report is None or not peer.report.is_isolated
+            if includes_isolated or self._seems_connected(peer, now_ms)
         ]
 
+    def _seems_connected(self, peer: Peer, now_ms: float) -> bool:
+        """Return whether a gateway reaches servers, by its report or by a tunnel that it opened lately."""
+        if peer.report is None or not peer.report.is_isolated:
+            return True
+        return now_ms - self._opened_ms.get(peer.name, float("-inf")) < OPENED_MS
+
     def _estimate_tunnels(self, peer: Peer) -> int:
         """Return the number of tunnels through a gateway, of this gateway and as it last reported."""
         reported = peer.report.tunnels if peer.report is not None else 0
@@ -235,3 +255,6 @@
         now_ms = self._clock.now_ms()
         for name in [name for name, one in self._avoided.items() if one.until_ms <= now_ms]:
             del self._avoided[name]
+        oldest_ms = now_ms - OPENED_MS
+        for name in [name for name, at_ms in self._opened_ms.items() if at_ms < oldest_ms]:
+            del self._opened_ms[name]
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -109,7 +109,9 @@
     site.isolate(kind, gateways=3)
     site.wait(lambda: site.ask("/hold/x", gateway=1).status == 503)
     site.wait(lambda: all(one.reachability.isolation.is_isolated for one in site.gateways[:2]))
-    site.send_until(lambda: not site.gateways[0].links.detours._list_candidates())
+    site.send_until(
+        lambda: not site.gateways[0].links.detours._list_candidates(includes_isolated=False)
+    )
     began_s = time.monotonic()
     reply = site.ask("/hold/x", "id-1")
     assert (reply.status, count_runs(site.runners, "id-1")) == (503, 0)
