--- a/hemlockswitch/process/gateway/detours.py
+++ b/hemlockswitch/process/gateway/detours.py
@@ -171,10 +171,6 @@
         """Return the number of open tunnels by gateway, for the status page."""
         return dict(self._open)
 
-    def count_open(self) -> int:
-        """Return the number of open tunnels."""
-        return sum(self._open.values())
-
     def _request(self, peer: Peer, server: BackendServer) -> TunnelConnection | None:
         """Request a tunnel through a gateway; return None if it does not help."""
         request = TunnelRequest(
