Admit a version only by a list of orders that was requested after it appeared

What callers could see: requests for a service go at once, in any number, to the servers of a version whose rollout order has not been read yet.

Cause: a gateway noted when a list of the orders was answered, not when it was requested. A list that was requested before the order was written, and answered after the servers of its version had appeared, admitted the version. The renewal that the gateway requested meanwhile was lost as well: the follower took the list that was in progress for it.

Evidence: both new tests failed before (three servers of an unknown version selected; list, watch, watch in place of list, list, watch).

Now the time of the request decides, which pages of lists already carry for the age of the view, also where a watcher relays them; and the follower takes note of a renewal before it makes a call, so one that is requested during a call remains.

--- a/hemlockswitch/process/gateway/admitted_versions.py
+++ b/hemlockswitch/process/gateway/admitted_versions.py
@@ -20,7 +20,7 @@
 
     The versions present when a service is first selected for are in force. A version that appears later
     may belong to an order that has not been received yet, so it gets requests only after the orders have
-    been listed once more.
+    been listed once more, by a call that began after the version appeared.
 
     Parameters
     ==========
@@ -37,9 +37,9 @@
         self._listed_ms = float("-inf")
         self._refreshed_ms = float("-inf")
 
-    def record_listed(self) -> None:
-        """Record that all rollout orders have just been listed."""
-        self._listed_ms = self._clock.now_ms()
+    def record_listed(self, requested_ms: float) -> None:
+        """Record a list of all rollout orders that was requested at a time of this process's clock."""
+        self._listed_ms = max(self._listed_ms, requested_ms)
 
     def put_in_force(self, service: str, version: str) -> None:
         """Record that a service has moved to a version."""
--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -210,15 +210,17 @@
     def run_step(self) -> None:
         """Make one call, and pause if it fails."""
         began_ms = self._clock.now_ms()
+        lists = self._must_list or not self.is_synced
+        self._must_list = False
         try:
-            if self._must_list or not self.is_synced:
+            if lists:
                 self._list()
             else:
                 self._watch()
         except HistoryGoneError:
             self._record_history_loss()
         except PlatformError as error:
-            self._must_list = not self._must_list
+            self._must_list = self._must_list or not lists
             self._record_failure(error, began_ms)
             self._clock.sleep_ms(RETRY_DELAY_MS)
 
@@ -231,7 +233,6 @@
         self._record_answer()
         self._apply(replace(page, is_whole=True))
         self.is_synced = True
-        self._must_list = False
         if self.first_synced_ms is None:
             self.first_synced_ms = self._clock.now_ms()
 
--- a/hemlockswitch/process/gateway/rollouts.py
+++ b/hemlockswitch/process/gateway/rollouts.py
@@ -101,7 +101,8 @@
 
     def replace_all(self, page: ObjectPage) -> None:
         """Apply a complete list of orders; orders that are not on it are withdrawn."""
-        self.versions.record_listed()
+        if page.confirmed_ms is not None:
+            self.versions.record_listed(page.confirmed_ms)
         listed = {item.name for item in page.items if not item.deleted}
         for service in [name for name in self._progress if name not in listed]:
             self._withdraw(service)
--- a/tests/test_relayed_watch.py
+++ b/tests/test_relayed_watch.py
@@ -317,6 +317,27 @@
     assert waits_ms == [15_000]
 
 
+# Guards against a renewal that is lost because a list was in progress when it was requested.
+def test_renewal_during_a_list_is_followed_by_another_list():
+    calls = []
+
+    class AskedStore:
+        def list(self, kind, prefix=""):
+            calls.append("list")
+            if len(calls) == 1:
+                follower.renew_watch()
+            return ObjectPage((), 1)
+
+        def watch(self, kind, since, wait_ms, prefix=""):
+            calls.append("watch")
+            return ObjectPage((), since)
+
+    follower = ObjectFollower(AskedStore(), KIND, Consumer(), SystemClock())
+    for _ in range(3):
+        follower.run_step()
+    assert calls == ["list", "list", "watch"]
+
+
 class Consumer:
     def replace_all(self, page):
         pass
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -194,10 +194,20 @@
     assert gateway.ask(servers=OLD).version == "v1"
     assert set(gateway.ask_many(10)) == {"v1"}
     assert gateway.refreshed == 1
-    gateway.rollouts.replace_all(ObjectPage((), 9))
+    gateway.rollouts.replace_all(ObjectPage((), 9, confirmed_ms=gateway.clock.now_ms()))
     assert gateway.rollouts.select(FIRST, [*OLD, *NEW]) == [*OLD, *NEW]
 
 
+# Guards against requests to a version by a list that was requested before its order existed.
+def test_list_requested_before_a_version_appeared_does_not_admit_it(gateway):
+    gateway.ask(servers=OLD)
+    requested_ms = gateway.clock.now_ms()
+    gateway.clock.advance(40)
+    assert set(gateway.ask_many(10)) == {"v1"}
+    gateway.rollouts.replace_all(ObjectPage((), 9, confirmed_ms=requested_ms))
+    assert gateway.rollouts.select(FIRST, [*OLD, *NEW]) == OLD
+
+
 def test_version_gets_no_requests_before_its_order_is_read(gateway):
     gateway.ask(servers=OLD)
     assert set(gateway.ask_many(5)) == {"v1"}
