Test a version without order by its lists, not by half a second

It slept 0.5 s after registration. Traced: while the registry fills after a start, a gateway gathers changes for up to 600 ms, so the new server is listed some 0.30 s after it is ready elsewhere, and served after 0.31 to 0.35 s (6 runs alone). Beside 40 busy processes 4 of 80 runs took longer than 0.5 s, up to 0.90 s, and in each the version was served right after the list of the orders. So the sleep tested the speed of the machine.

In its place: the gateways' lists of orders are held; both gateways request one; 100 further requests are answered, none by the new version; it is served after the lists are answered, and no request fails. Stricter than before: that nothing is sent before the list was not tested at a site.

--- a/tests/test_rollout_site.py
+++ b/tests/test_rollout_site.py
@@ -9,6 +9,7 @@
 
 import gevent
 import pytest
+from gevent.event import Event as Signal
 
 from tests.gateway_site import Site
 
@@ -192,7 +193,39 @@
     assert move.count_new() == sent
 
 
+class HeldLists:
+    """Lists of the rollout orders by the gateways, which are not answered until `release` is called."""
+
+    def __init__(self, gateways):
+        self.asked = set()
+        self._released = Signal()
+        for gateway in gateways:
+            self._hold(gateway.settings.name, gateway._adapter.store)
+
+    def _hold(self, name, store):
+        read = store.list
+
+        def list_objects(kind, prefix=""):
+            if kind == "rollouts":
+                self.asked.add(name)
+                self._released.wait()
+            return read(kind, prefix)
+
+        store.list = list_objects
+
+    def release(self):
+        self._released.set()
+
+
+# Guards against requests to a version whose order may not have been read yet, and against a version that
+# no order names staying without requests.
 def test_version_without_order_serves_once_orders_are_listed_again(move):
+    lists = HeldLists(move.site.gateways)
     move.new = [move.site.add_runner("app", version="v1b")]
-    gevent.sleep(0.5)
-    assert move.count_new() > 0
+    move.site.wait(lambda: len(lists.asked) == len(move.site.gateways))
+    answered = move.traffic.answered
+    move.site.wait(lambda: move.traffic.answered > answered + 100)
+    assert move.count_new() == 0
+    lists.release()
+    move.site.wait(lambda: move.count_new() > 0)
+    assert move.traffic.failed == 0
