--- a/hemlockswitch/process/gateway/server_links.py
+++ b/hemlockswitch/process/gateway/server_links.py
@@ -6,11 +6,11 @@
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.clock import Clock
-from hemlockswitch.process.gateway.detours import AVOID_LEAVING_MS, Detours
+from hemlockswitch.process.gateway.detours import AVOID_LEAVING_MS, AVOID_MS, Detours
 from hemlockswitch.process.gateway.fleet import Fleet
 from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.registry import ServerRegistry
-from hemlockswitch.process.gateway.tunnel_host import TunnelHost, TunnelsClosing
+from hemlockswitch.process.gateway.tunnel_host import TunnelHost, TunnelsClosing, TunnelsStalled
 
 CONFIRM_MS = 400.0
 """Time without a connection after which requests in progress are moved away from links that hang."""
@@ -19,8 +19,11 @@
 class SendAttempts(Protocol):
     """The attempts to send requests that are in progress."""
 
-    def abandon_stalled(self) -> None:
-        """Close the direct attempts on which nothing was received lately, if they may be repeated."""
+    def abandon_stalled(self, gateway: str = "") -> None:
+        """Close the attempts on which nothing was received since the last call, if they may be repeated.
+
+        These are the attempts that lead through a gateway, or the direct ones.
+        """
 
     def abandon_through(self, gateway: str) -> None:
         """Close the attempts that lead through a gateway, if they may be repeated."""
@@ -74,6 +77,7 @@
         self._get_attempts = get_attempts
         self._clock = clock
         network.handle(TunnelsClosing, self._apply_closing, runs_inline=True)
+        network.handle(TunnelsStalled, self._apply_stalled, runs_inline=True)
 
     def run(self) -> None:
         """Look for lost links and gateways until the task is killed."""
@@ -82,6 +86,7 @@
             self.detours.check()
             if self._reachability.isolation.is_confirmed(CONFIRM_MS):
                 self._get_attempts().abandon_stalled()
+                self.host.report_stalled()
 
     def handle_unreachable(self, address: str | None) -> None:
         """Close the idle connections to a server, or to all servers, that no longer answers."""
@@ -103,3 +108,9 @@
         """Use other gateways instead of one that is shutting down; its tunnels in use stay open."""
         self.detours.avoid(message.name, AVOID_LEAVING_MS)
         self._pool.close_idle_tunnels(message.name)
+
+    def _apply_stalled(self, _address: str, message: TunnelsStalled) -> None:
+        """Move requests away from a gateway whose links to the servers hang."""
+        self.detours.avoid(message.name, AVOID_MS, is_isolated=True)
+        self._pool.close_idle_tunnels(message.name)
+        self._get_attempts().abandon_stalled(message.name)
--- a/hemlockswitch/process/gateway/tunnel_host.py
+++ b/hemlockswitch/process/gateway/tunnel_host.py
@@ -35,6 +35,17 @@
     name: str
 
 
+@register_message("tunnels_stalled")
+@dataclass(frozen=True)
+class TunnelsStalled:
+    """Sent by a gateway whose own links to the servers hang, to those that have tunnels through it.
+
+    The tunnels stay open: the answer of a request that must not run twice may still arrive.
+    """
+
+    name: str
+
+
 class TunnelHost:
     """Serves the tunnels of other gateways.
 
@@ -76,13 +87,20 @@
     def begin_closing(self) -> None:
         """Refuse new tunnels, and ask the gateways that have tunnels to use others from now on."""
         self._is_leaving = True
-        addresses = {request.address for request in self._tunnels.values()}
-        self._network.send_all(addresses, TunnelsClosing(self._name))
+        self._send_to_users(TunnelsClosing(self._name))
+
+    def report_stalled(self) -> None:
+        """Tell the gateways that have tunnels that the links to the servers hang."""
+        self._send_to_users(TunnelsStalled(self._name))
 
     def describe(self) -> dict[str, Any]:
         """Return the number of tunnels by the gateway that uses them, for the status page."""
         return dict(Counter(request.name for request in self._tunnels.values()))
 
+    def _send_to_users(self, message: TunnelsClosing | TunnelsStalled) -> None:
+        addresses = {request.address for request in self._tunnels.values()}
+        self._network.send_all(addresses, message)
+
     def _serve(self, stream: socket.socket, request: TunnelRequest) -> None:
         """Serve one tunnel until it ends."""
         with contextlib.suppress(OSError):  # The other gateway may have given up already.
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -106,9 +106,12 @@
         """Close the attempts in an unreachable zone whose requests may be sent again."""
         self._sender.abandon_zone(zone)
 
-    def abandon_stalled(self) -> None:
-        """Close the direct attempts on which nothing is received, if their requests may be sent again."""
-        self._sender.abandon_stalled()
+    def abandon_stalled(self, gateway: str = "") -> None:
+        """Close the attempts on which nothing is received, if their requests may be sent again.
+
+        These are the attempts that lead through a gateway, or the direct ones.
+        """
+        self._sender.abandon_stalled(gateway)
 
     def abandon_through(self, gateway: str) -> None:
         """Close the attempts that lead through a gateway, if their requests may be sent again."""
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -112,16 +112,22 @@
             if is_there and send.may_follow:
                 exchange.close()
 
-    def abandon_stalled(self) -> None:
-        """Close the direct attempts on which nothing was received since the last call, if they may be repeated.
+    def abandon_stalled(self, gateway: str = "") -> None:
+        """Close the attempts on which nothing was received since the last call, if they may be repeated.
 
         All other attempts continue to wait, as `abandon_zone` explains.
+
+        Parameters
+        ==========
+
+        gateway : the attempts that lead through this gateway; the direct ones if empty.
         """
         for exchange, send in list(self._in_flight.items()):
+            if exchange.gateway != gateway:
+                continue
             before = self._pieces_received.get(exchange)
             self._pieces_received[exchange] = exchange.pieces_received
-            is_stalled = before == exchange.pieces_received
-            if is_stalled and send.may_follow and not exchange.gateway:
+            if before == exchange.pieces_received and send.may_follow:
                 exchange.close()
 
     def abandon_through(self, gateway: str) -> None:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -21,6 +21,7 @@
 )
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import PeerError
+from tests import server_links
 from tests.gateway_site import Site, count_runs, make_events, make_request, read_reply, tokens
 from tests.server_links import HANG, REFUSE, RESET, ServerLinks
 
@@ -83,6 +84,31 @@
     assert site.gateways[0].links.detours.verdicts["open"] == opened
 
 
+# Guards against a request that waits until its deadline for a gateway whose own links hang.
+def test_repeatable_request_is_sent_again_when_the_links_of_the_other_gateway_hang(monkeypatch):
+    monkeypatch.setattr(server_links, "KEEPALIVE_S", 30.0)
+    site = CutSite(gateways=4)
+    try:
+        site.isolate()
+        for _ in range(60):  # allow as many repeats as there are requests in progress below
+            site.ask("/check/x", body=site.make_id().encode())
+        slow = [runner for runner in site.runners if runner.service == "app"]
+        for runner in slow:
+            runner.state.settings = runner.state.settings.model_copy(update={"work_ms": 400})
+        asked = [gevent.spawn(site.ask, "/check/x", body=site.make_id().encode()) for _ in range(4)]
+        site.wait(lambda: sum(runner.state.running for runner in slow) >= len(asked))
+        through = {one.gateway for one in site.gateways[0].forwarder._sender._in_flight}
+        helper = next(one for one in site.gateways if one.settings.name in through)
+        site.links.cut(helper, HANG)
+        number = site.gateways.index(helper)
+        while not all(one.ready() for one in asked):
+            gevent.spawn(site.ask, "/check/x", body=site.make_id().encode(), gateway=number)
+            gevent.sleep(0.05)
+        assert [one.get().status for one in asked] == [200] * len(asked)
+    finally:
+        site.close()
+
+
 def test_other_gateways_adopt_no_suspicion_of_an_isolated_one(site):
     site.isolate()
     for _ in range(10):
