Count an attempt that is moved away from lost links as no failure of its server

Cause: a closed exchange and a broken one raise the same error. Evidence: the new test fails without the change (failure rate above 0) and passes with it. Now the sender remembers which exchanges it closed because of links.

Open: attempts that a cut resets at once, before the gateway knows of the cut, still count.

--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -98,9 +98,8 @@
         self._observer = observer
         self._clock = clock
         self._in_flight: dict[PooledExchange, SendAttempt] = {}
-        self._pieces_received: dict[PooledExchange, int] = (
-            {}
-        )  # at the last call of `abandon_stalled`
+        self._pieces_received: dict[PooledExchange, int] = {}  # at the last `abandon_stalled`
+        self._abandoned: set[PooledExchange] = set()
 
     def abandon_zone(self, zone: str) -> None:
         """Close the attempts in an unreachable zone whose requests may be sent again.
@@ -110,7 +109,7 @@
         for exchange, send in list(self._in_flight.items()):
             is_there = send.placement.candidate.server.zone == zone
             if is_there and send.may_follow:
-                exchange.close()
+                self._abandon(exchange)
 
     def abandon_stalled(self, gateway: str = "") -> None:
         """Close the attempts on which nothing was received since the last call, if they may be repeated.
@@ -128,13 +127,18 @@
             before = self._pieces_received.get(exchange)
             self._pieces_received[exchange] = exchange.pieces_received
             if before == exchange.pieces_received and send.may_follow:
-                exchange.close()
+                self._abandon(exchange)
 
     def abandon_through(self, gateway: str) -> None:
         """Close the attempts that lead through a gateway, if their requests may be sent again."""
         for exchange, send in list(self._in_flight.items()):
             if exchange.gateway == gateway and send.may_follow:
-                exchange.close()
+                self._abandon(exchange)
+
+    def _abandon(self, exchange: PooledExchange) -> None:
+        """Close an attempt because of the links, which is no failure of its server."""
+        self._abandoned.add(exchange)
+        exchange.close()
 
     def send(self, send: SendAttempt) -> None:
         """Send the request to the chosen server and relay its answer.
@@ -166,6 +170,7 @@
             self._relay(send, exchange)
             failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         except ExchangeError as error:
+            failed = exchange not in self._abandoned
             raise SendFailedError(
                 SendFailure.BROKEN, error.detail, was_sent=True, was_cut=error.was_closed
             ) from error
@@ -178,6 +183,7 @@
         finally:
             del self._in_flight[exchange]
             self._pieces_received.pop(exchange, None)
+            self._abandoned.discard(exchange)
             ticket.end(failed)
             self._pool.finish(exchange)
 
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -334,3 +334,18 @@
     assert [reply.status for reply in replies] == [200, 200]
     assert near.count_runs("id-1") == 1
     assert (far.count_runs("id-2"), near.count_runs("id-2")) == (1, 0), "it may run only once"
+
+
+# Guards against failure rates, and verdicts on versions, that blame a server for lost links.
+def test_attempt_that_leaves_an_unreachable_zone_is_no_failure_of_the_server(site):
+    far = site.add_runner("llm", work_ms=1_500)
+    far.write("ready", zone="z2")
+    site.wait(lambda: site.gateways[0].registry.list_ready("llm")[0].zone == "z2")
+    (server,) = site.gateways[0].registry.list_ready("llm")
+    asked = gevent.spawn(site.ask, "/reply/x", "id-1", **tokens(20))
+    site.wait(lambda: far.count_runs("id-1") == 1)
+    site.add_runner("llm")
+    for gateway in site.gateways:
+        gateway.forwarder.abandon_zone("z2")
+    assert asked.get(timeout=10).status == 200
+    assert all(one.loads.failures.get_rate(server.incarnation) == 0 for one in site.gateways)
