Release the slot of a brittle server if the wait for its rate permit ends

What callers could see: fewer slots of a server that is brittle and has a rate limit: a caller that leaves while its gateway waits for the permit of the rate leaves the slot occupied until the deadline of its request.

Cause: the slot was released only if the second permit was refused, not if the wait ended with an exception. The new test fails without the change (0 releases of 1).

--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -159,13 +159,15 @@
                 return None
         if not self._permits.is_limited(server):
             return slot
-        permit = self._permits.take(server, admitted.urgency)
         if slot is None:
-            return permit
-        if permit is None:
-            slot.release()
-            return None
-        return replace(permit, release=slot.release)
+            return self._permits.take(server, admitted.urgency)
+        permit = None
+        try:
+            permit = self._permits.take(server, admitted.urgency)
+        finally:  # Also if the caller leaves meanwhile.
+            if permit is None:
+                slot.release()
+        return replace(permit, release=slot.release) if permit is not None else None
 
     def _select_usable(
         self, choice: ServerChoice, servers: list[BackendServer]
