--- a/hemlockswitch/process/gateway/change_relay.py
+++ b/hemlockswitch/process/gateway/change_relay.py
@@ -128,6 +128,7 @@
             return
         self._fleet.record_alive(report.name)
         order = (report.incarnation, report.number)
+        self._fleet.record_links(report.name, order, is_isolated=report.is_isolated)
         changes, sent = read_loads(report.loads), read_sent(report.sent)
         self._loads.apply_changes(report.name, changes, sent, order)
         self._loads.failures.apply_reported(report.name, report.results)
--- a/hemlockswitch/process/gateway/detours.py
+++ b/hemlockswitch/process/gateway/detours.py
@@ -54,7 +54,9 @@
         """Return whether a gateway is still left out; a newer report shows that it is no longer isolated."""
         if self.until_ms <= now_ms:
             return False
-        return not self.is_isolated or peer.reported_ms <= self.since_ms
+        if not self.is_isolated or peer.links is None:
+            return True
+        return peer.links.reported_ms <= self.since_ms
 
 
 class NoDetourError(ExchangeError):
@@ -234,7 +236,7 @@
 
     def _seems_connected(self, peer: Peer, now_ms: float) -> bool:
         """Return whether a gateway reaches servers, by its report or by a tunnel that it opened lately."""
-        if peer.report is None or not peer.report.is_isolated:
+        if peer.links is None or not peer.links.is_isolated:
             return True
         return now_ms - self._opened_ms.get(peer.name, float("-inf")) < OPENED_MS
 
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -20,7 +20,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.gateway.messages import GatewayReport
-from hemlockswitch.process.gateway.peer_groups import Peer, PeerGroups, draw_relays
+from hemlockswitch.process.gateway.peer_groups import Peer, PeerGroups, ReportedLinks, draw_relays
 from hemlockswitch.process.gateway.registrations import GATEWAY_KIND, Registration
 from hemlockswitch.process.gateway.report_period import ReportPeriod, UsagePeriod
 from hemlockswitch.process.gateway.watch_guard import StoreView
@@ -167,6 +167,8 @@
         peer.link_mbps = report.link_mbps
         peer.report = report
         peer.view = view
+        order = (report.incarnation, report.number)
+        self.record_links(report.name, order, is_isolated=report.is_isolated)
 
     def record_alive(self, name: str) -> None:
         """Record that a change of a gateway was received over a relay, so it is running and connected.
@@ -178,6 +180,12 @@
         if peer is not None:
             peer.last_received_ms = self._clock.now_ms()
 
+    def record_links(self, name: str, order: tuple[int, int], *, is_isolated: bool) -> None:
+        """Record whether a gateway is isolated; a report older than the last one is ignored."""
+        peer = self._peers.get(name)
+        if peer is not None and (peer.links is None or peer.links.order < order):
+            peer.links = ReportedLinks(order, self._clock.now_ms(), is_isolated)
+
     def list_peers(self) -> list[Peer]:
         """Return the other gateways."""
         return list(self._peers.values())
--- a/hemlockswitch/process/gateway/messages.py
+++ b/hemlockswitch/process/gateway/messages.py
@@ -18,7 +18,7 @@
 the old version ends (negative unless the sender is the holder of the duties), and by route the numbers of
 answers, failures and slow answers of the new version, and of the other versions."""
 ChangeFields = tuple[
-    str, int, int, Loads, list[PromptFields], dict[str, float], Results, list[RolloutFields]
+    str, int, int, Loads, list[PromptFields], dict[str, float], Results, list[RolloutFields], bool
 ]
 """The fields of a `ChangeReport`."""
 
@@ -93,6 +93,7 @@
         last change report.
     results : server incarnation to the numbers of send attempts that (succeeded, failed) since then.
     rollouts : as in `GatewayReport`, for the orders whose counts have changed since then.
+    is_isolated : as in `GatewayReport`.
     """
 
     name: str
@@ -103,6 +104,7 @@
     spent: dict[str, float]
     results: Results
     rollouts: list[RolloutFields] = field(default_factory=list)
+    is_isolated: bool = False
 
     def list_fields(self) -> ChangeFields:
         """Return the fields in the order used by `RelayedChanges`."""
@@ -115,6 +117,7 @@
             self.spent,
             self.results,
             self.rollouts,
+            self.is_isolated,
         )
 
 
--- a/hemlockswitch/process/gateway/peer_groups.py
+++ b/hemlockswitch/process/gateway/peer_groups.py
@@ -19,6 +19,22 @@
 that is cut off without an error loses only half of the changes."""
 
 
+@dataclass(frozen=True)
+class ReportedLinks:
+    """Whether a gateway cannot connect to any backend server, as it last reported or as a relay passed on.
+
+    Parameters
+    ==========
+
+    order : the incarnation of the gateway and the number of its report, which increase.
+    reported_ms : when the report was received.
+    """
+
+    order: tuple[int, int]
+    reported_ms: float
+    is_isolated: bool
+
+
 @dataclass
 class Peer:
     """Another gateway."""
@@ -35,6 +51,7 @@
     report: GatewayReport | None = None
     reported_ms: float = float("-inf")  # when `report` was received
     view: StoreView = StoreView()
+    links: ReportedLinks | None = None
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/process/gateway/reporting.py
+++ b/hemlockswitch/process/gateway/reporting.py
@@ -53,8 +53,9 @@
             self._urgent.set()
 
     def report_links(self) -> None:
-        """Report soon that the links to all servers were lost, or have returned."""
+        """Report soon, to all gateways, that the links to all servers were lost, or have returned."""
         self._urgent.set()
+        self.changed.set()
 
     def send_near(self) -> None:
         """Report to the near gateways until the task is killed."""
--- a/hemlockswitch/process/gateway/reports.py
+++ b/hemlockswitch/process/gateway/reports.py
@@ -111,6 +111,7 @@
             self._limits.pop_unreported(),
             self._loads.failures.pop_unreported(),
             self._rollouts.pop_changed_reports(leads=self._leads()),
+            self._reachability.isolation.is_isolated,
         )
         for relays in self._fleet.draw_relays():
             send_to_first(self._network, relays, change)
--- a/tests/isolation_replay.py
+++ b/tests/isolation_replay.py
@@ -15,6 +15,7 @@
 
 from hemlockswitch.connection.tunnels import TunnelVerdict
 from hemlockswitch.core.logs import set_log_writer
+from hemlockswitch.process.gateway.change_relay import RELAY_INTERVAL_MS
 from hemlockswitch.process.gateway.detours import (
     Detours,
     NoDetourError,
@@ -27,6 +28,7 @@
     MESH_GATEWAYS,
     ReportPeriod,
 )
+from hemlockswitch.process.gateway.reporting import CHANGE_REPORT_INTERVAL_MS
 from hemlockswitch.request.unreached_servers import MAX_UNREACHED, MAX_UNREACHED_MS
 from hemlockswitch.version.backend import BackendServer
 from tests.server_links import HANG, REFUSE, RESET
@@ -35,6 +37,8 @@
 ROUND_TRIP_MS = 2.0
 CUT_MS = (4_000.0, 12_000.0)
 SHARES = (0.1, 0.4, 0.7, 1.0)
+RELAYED_MS = CHANGE_REPORT_INTERVAL_MS + RELAY_INTERVAL_MS
+"""Time after which a change has reached the gateways of other zones at the latest."""
 
 
 @dataclass(frozen=True)
@@ -200,23 +204,36 @@
         is_near = gateway.zone == zone or world.far is world.near
         self.name = self.address = gateway.name
         self.zone = gateway.zone
-        self._age_ms = world.near.urgent_gap_ms + ROUND_TRIP_MS if is_near else world.far.ms
+        self._report_age_ms = world.near.urgent_gap_ms if is_near else world.far.ms
+        self._change_age_ms = min(self._report_age_ms, RELAYED_MS) + ROUND_TRIP_MS
         self._world, self._gateway = world, gateway
 
     @property
     def report(self):
         return self
 
+    @property
+    def links(self):
+        return self
+
     @property
     def reported_ms(self):
-        return self._world.now_ms - self._age_ms
+        """When the last report arrived: a periodic one, or that of a change."""
+        change = self._find_change()
+        changed_ms = change[0] + self._change_age_ms if change else float("-inf")
+        return max(self._world.now_ms - self._report_age_ms, changed_ms)
 
     @property
     def is_isolated(self):
-        for at_ms, is_isolated in reversed(self._gateway.history):
-            if at_ms <= self.reported_ms:
-                return is_isolated
-        return False
+        change = self._find_change()
+        return change is not None and change[1]
+
+    def _find_change(self):
+        """Return the last change that has arrived, and whether the gateway was isolated from then on."""
+        for change in reversed(self._gateway.history):
+            if change[0] + self._change_age_ms <= self._world.now_ms:
+                return change
+        return None
 
 
 class World:
--- a/tests/test_change_relay.py
+++ b/tests/test_change_relay.py
@@ -77,8 +77,10 @@
             self.port, self.fleet, self.loads, self.limits, self.rollouts, clock
         )
 
-    def send_change(self, load, number, spent=None):
-        report = ChangeReport(self.name, 1, number, load, [], spent or {}, {})
+    def send_change(self, load, number, spent=None, *, is_isolated=False):
+        report = ChangeReport(
+            self.name, 1, number, load, [], spent or {}, {}, is_isolated=is_isolated
+        )
         for relays in self.fleet.draw_relays():
             self.port.send_all(relays[:1], report)
 
@@ -104,6 +106,11 @@
     return made
 
 
+def find_peer(gateway, name):
+    (peer,) = [one for one in gateway.fleet.list_peers() if one.name == name]
+    return peer
+
+
 def relay_all(gateways):
     for gateway in gateways:
         if gateway.relay.has_gathered:
@@ -164,6 +171,23 @@
     assert listener.count_running() == 2
 
 
+# Guards against gateways that are still left out as helpers after their links to the servers have returned.
+def test_lost_and_returned_links_are_known_in_every_zone_before_the_next_report(gateways):
+    for number, is_isolated in enumerate((True, False), start=1):
+        gateways[0].send_change({}, number, is_isolated=is_isolated)
+        relay_all(gateways)
+        seen = [find_peer(one, "g00").links.is_isolated for one in gateways[1:]]
+        assert seen == [is_isolated] * (len(gateways) - 1)
+
+
+def test_an_older_report_of_lost_links_is_ignored(gateways):
+    gateways[0].send_change({}, number=5, is_isolated=False)
+    relay_all(gateways)
+    late = GatewayReport("g00", 1, 0.0, {}, {}, {}, zone="z0", number=4, is_isolated=True)
+    gateways[1].fleet.record_report(gateways[0].address, late, StoreView())
+    assert not find_peer(gateways[1], "g00").links.is_isolated
+
+
 def test_a_change_leaves_the_load_on_other_servers_as_it_is(gateways):
     """A gateway with six requests in progress sends only the server concerned at each change."""
     listener = gateways[1]
--- a/tests/test_isolation_replay.py
+++ b/tests/test_isolation_replay.py
@@ -23,6 +23,8 @@
     [
         (range(1, 7), Setting()),
         (range(1, 3), Setting(gateways=100, servers=200, requests_per_s=600)),
+        # All gateways are isolated, and then those of one zone have their links back.
+        ((6,), Setting(gateways=100, servers=400)),
     ],
 )
 def test_isolated_gateways_serve_as_often_as_the_others(seeds, setting):
