Answer a request that an unexpected exception ends

Cause: nothing caught an exception that no code expects, in any stage of a request; it ended the greenlet of the caller's connection.

Now the caller gets 503 if nothing was sent, 500 if the request may have run, and a closed connection only if its answer had begun; a complete answer stays complete. The fault is logged with the identifier of the request and the traceback (event 210). The load is back at 0 and the next request is served. A permit is also returned if the check of the queue ends with another exception than a refusal.

--- a/hemlockswitch/connection/forward_server.py
+++ b/hemlockswitch/connection/forward_server.py
@@ -13,6 +13,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from hemlockswitch.connection.faults import log_fault
 from hemlockswitch.connection.heads import Header, ReceivedRequest, encode_head
 from hemlockswitch.connection.message_parsers import RequestParser
 from hemlockswitch.connection.sockets import set_liveness_options
@@ -162,6 +163,12 @@
         except RequestError as error:
             self._refuse(error)
             return False
+        except (OSError, CallerLeftError):
+            raise
+        except Exception as fault:  # noqa: BLE001 - the caller must get an answer
+            log_fault("", fault)
+            self._refuse(RequestError(ErrorKind.INTERNAL, "an internal error of this process"))
+            return False
         if request is None:
             return False
         return self._serve(request)
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -27,6 +27,7 @@
     REQUEST_QUARANTINED = (207, "request_quarantined")
     REQUEST_RELEASED = (208, "request_released")
     QUARANTINE_TRIAL = (209, "quarantine_trial")
+    REQUEST_FAULT = (210, "request_fault")
     BACKEND_LEAVING = (301, "backend_leaving")
     BACKEND_FAILED = (302, "backend_failed")
     BACKEND_RECORD_INVALID = (303, "backend_record_invalid")
--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -65,7 +65,7 @@
         if self._line_limiter.allow():
             log_event(
                 Event.ATTEMPT_FAILED,
-                request_id=progress.facts.request_id if progress.facts else "",
+                request_id=progress.request_id,
                 fingerprint=progress.admitted.fingerprint if progress.admitted else "",
                 server=progress.target,
                 failure=failure.value,
@@ -94,7 +94,7 @@
         began_ms = progress.began_ms
         log_event(
             Event.REQUEST_ENDED if progress.outcome == "answered" else Event.REQUEST_REFUSED,
-            request_id=progress.facts.request_id if progress.facts else "",
+            request_id=progress.request_id,
             route=route,
             account=admitted.account.name if admitted and admitted.account else "",
             revision=admitted.revision if admitted else 0,
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -9,12 +9,14 @@
 import gevent
 
 from hemlockswitch.connection.backend_pool import BackendPool
+from hemlockswitch.connection.faults import log_fault
 from hemlockswitch.connection.forward_server import CallerLeftError, Reply
 from hemlockswitch.connection.heads import ReceivedRequest
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.clearance import RequestGuard, clear_request
 from hemlockswitch.request.dialect import Dialect, RequestFacts
+from hemlockswitch.request.faults import describe_fault
 from hemlockswitch.request.forward_admission import (
     AccountLimiter,
     AdmittedRequest,
@@ -127,9 +129,12 @@
         except CallerLeftError:
             progress.outcome = progress.outcome or "caller_gone"
             raise
+        except Exception as fault:  # noqa: BLE001 - the caller must get an answer
+            log_fault(progress.request_id, fault)
+            self._answer_fault(progress, reply)
         finally:
             progress.status = reply.status
-            self._observer.request_ended(progress)
+            self._report_ended(progress)
 
     def _serve(self, progress: Progress, reply: Reply) -> None:
         request = progress.request
@@ -210,7 +215,7 @@
             progress.list_age_ms = placement.list_age_ms
             try:
                 self._check_queue(progress, admitted, placement)
-            except RequestError:
+            except BaseException:
                 placement.release_permit()
                 raise
             return placement
@@ -346,12 +351,26 @@
         progress.state = verdict.state
         raise RequestError(verdict.answer, "the deadline of the request has passed")
 
+    def _answer_fault(self, progress: Progress, reply: Reply) -> None:
+        """Answer a request that an unexpected exception has ended, unless its answer is complete."""
+        if reply.ended:
+            return
+        if reply.begun:
+            progress.outcome = ErrorKind.INTERNAL.value
+            raise CallerLeftError("an internal error while the answer was relayed")
+        self._answer_error(progress, reply, describe_fault(progress))
+
+    def _report_ended(self, progress: Progress) -> None:
+        try:
+            self._observer.request_ended(progress)
+        except Exception as fault:  # noqa: BLE001 - the request has its answer
+            log_fault(progress.request_id, fault)
+
     def _answer_error(self, progress: Progress, reply: Reply, error: RequestError) -> None:
         """Answer a request with an error; its reply must not have begun."""
         progress.outcome = error.kind.value
         progress.detail = error.detail
-        request_id = progress.facts.request_id if progress.facts else ""
-        answer = self._dialect.describe_error(error, request_id)
+        answer = self._dialect.describe_error(error, progress.request_id)
         reply.send(answer.status, answer.reason, list(answer.headers), answer.body)
 
 
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -52,6 +52,11 @@
     status: int = 0
     detail: str = ""
 
+    @property
+    def request_id(self) -> str:
+        """The identifier of the request; empty if it was not read."""
+        return self.facts.request_id if self.facts is not None else ""
+
 
 class ForwardObserver(Protocol):
     """Is notified of the progress of requests, for logs, metrics and usage counts."""
