--- /dev/null
+++ b/hemlockswitch/request/placements.py
@@ -0,0 +1,129 @@
+"""Choice of the server for each attempt of a request, with the wait for a permit if the server needs one."""
+
+from hemlockswitch.connection.forward_server import CallerLeftError, Reply
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.core.errors import ErrorKind, RequestError
+from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.request.forwarding_view import ForwardingView
+from hemlockswitch.request.overload import find_retry_delay_ms
+from hemlockswitch.request.placement import Placement
+from hemlockswitch.request.progress import Progress
+from hemlockswitch.request.send_states import SendState
+
+RETRY_DELAY_MS = 500
+"""Retry delay for the caller if no server could take the request: about the time until a started copy or
+a corrected list of servers becomes visible."""
+MIN_SLOT_RETRY_MS = 100
+RESUME_WAIT_MS = 1_500.0
+"""Maximum wait for a permit to continue an answer that has begun: callers abandon a stream that pauses for
+two seconds."""
+SLOT_WAIT_SHARE = 0.125
+"""Fraction of the time to its deadline that a request may wait for a slot of a brittle server."""
+
+
+class Placements:
+    """Chooses the servers of requests.
+
+    Parameters
+    ==========
+
+    view : the process's state of configuration and servers.
+    clock : the process's clock.
+    """
+
+    def __init__(self, view: ForwardingView, clock: Clock) -> None:
+        self._view = view
+        self._clock = clock
+
+    def choose(self, progress: Progress, admitted: AdmittedRequest, reply: Reply) -> Placement:
+        """Return the server for the next attempt; wait for a permit if one is expected soon.
+
+        Raises
+        ======
+
+        RequestError : no server can take the request now.
+        CallerLeftError : no server can continue the answer that has begun.
+        """
+        placement = self._place(progress, admitted)
+        if placement is None:
+            placement = self._await_permit(progress, admitted, reply)
+        if placement is not None:
+            progress.target = placement.candidate.server.name
+            progress.expected_ms = placement.expected_ms
+            progress.list_age_ms = placement.list_age_ms
+            try:
+                self._check_queue(progress, admitted, placement)
+            except BaseException:
+                placement.release_permit()
+                raise
+            return placement
+        raise self._describe_missing_server(progress, admitted, reply)
+
+    def _place(self, progress: Progress, admitted: AdmittedRequest) -> Placement | None:
+        """Choose a server; one on which an attempt failed is chosen only if there is no other."""
+        is_careful = progress.clearance.is_careful
+        begun_version = progress.begun_version
+        placement = self._view.place(
+            admitted, progress.excluded, is_careful=is_careful, begun_version=begun_version
+        )
+        if placement is None and progress.excluded:
+            placement = self._view.place(
+                admitted, (), is_careful=is_careful, begun_version=begun_version
+            )
+        return placement
+
+    def _await_permit(
+        self, progress: Progress, admitted: AdmittedRequest, reply: Reply
+    ) -> Placement | None:
+        """Choose a server as soon as a permit for one is available, if it is soon.
+
+        A slot of a brittle server is waited for as in the queue that other servers have; a permit of a rate
+        limit only to continue a begun answer.
+        """
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + SLOT_WAIT_SHARE * (admitted.deadline_ms - now_ms)
+        if reply.begun:
+            until_ms = now_ms + RESUME_WAIT_MS
+        while True:
+            delay_ms = self._view.find_slot_delay_ms(admitted)
+            if delay_ms is None and reply.begun:
+                delay_ms = self._view.find_permit_delay_ms(admitted)
+            if delay_ms is None or self._clock.now_ms() + delay_ms > until_ms:
+                return None
+            self._clock.sleep_ms(delay_ms)
+            placement = self._place(progress, admitted)
+            if placement is not None:
+                return placement
+
+    def _describe_missing_server(
+        self, progress: Progress, admitted: AdmittedRequest, reply: Reply
+    ) -> Exception:
+        """Return the error for a request for which no server could be chosen."""
+        if reply.begun:
+            return CallerLeftError("no server is left to continue the answer")
+        if progress.state is not SendState.NOT_RUN:
+            detail = "no backend server is left for another attempt"
+            return RequestError(ErrorKind.OUTCOME_UNKNOWN, detail)
+        delay_ms = self._view.find_slot_delay_ms(admitted)
+        if delay_ms is not None:
+            detail = (
+                f"all slots of the brittle backend servers of service {admitted.service} are in use"
+            )
+            retry_ms = max(round(delay_ms), MIN_SLOT_RETRY_MS)
+            return RequestError(ErrorKind.OVERLOADED, detail, retry_after_ms=retry_ms)
+        delay_ms = self._view.find_permit_delay_ms(admitted)
+        if delay_ms is not None:
+            detail = f"every backend server of service {admitted.service} is at its stated limit"
+            return RequestError(ErrorKind.OVERLOADED, detail, retry_after_ms=round(delay_ms))
+        detail = f"no backend server for service {admitted.service}"
+        return RequestError(ErrorKind.NO_BACKEND, detail, retry_after_ms=RETRY_DELAY_MS)
+
+    @staticmethod
+    def _check_queue(progress: Progress, admitted: AdmittedRequest, placement: Placement) -> None:
+        """Refuse a new model request that would wait too long; one that was already sent continues."""
+        if admitted.facts.prompt is None or progress.sends or progress.last_event_id:
+            return
+        retry_delay_ms = find_retry_delay_ms(placement, admitted.queue_bound)
+        if retry_delay_ms is not None:
+            detail = f"overloaded: the first event is expected after {placement.expected_ms:.0f} ms"
+            raise RequestError(ErrorKind.OVERLOADED, detail, retry_after_ms=round(retry_delay_ms))
--- a/tests/test_internal_faults.py
+++ b/tests/test_internal_faults.py
@@ -26,7 +26,7 @@
     "decode": lambda forwarder: (forwarder._dialect, "decode_request"),
     "start": lambda forwarder: (forwarder._view, "await_synced"),
     "place": lambda forwarder: (forwarder._view, "place"),
-    "check queue": lambda forwarder: (forwarder, "_check_queue"),
+    "check queue": lambda forwarder: (forwarder._placements, "_check_queue"),
     "connect": lambda forwarder: (forwarder._sender._pool, "open"),
 }
 AFTER_SEND = {
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -14,7 +14,8 @@
 from hemlockswitch.process.gateway.readiness import MAX_START_MS, Readiness
 from hemlockswitch.request import forwarding
 from hemlockswitch.request.dialect import RequestFacts
-from hemlockswitch.request.forwarding import RETRY_DELAY_MS, find_start_wait_ms
+from hemlockswitch.request.forwarding import find_start_wait_ms
+from hemlockswitch.request.placements import RETRY_DELAY_MS
 from hemlockswitch.standin.gateway_store import StoreFaults
 from tests.gateway_site import Site
 
