--- a/hemlockswitch/connection/page_server.py
+++ b/hemlockswitch/connection/page_server.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from hemlockswitch.connection.forward_server import ForwardServer, Reply
+from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.heads import ReceivedRequest
+from hemlockswitch.connection.replies import Reply
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.version.serving_table import CallerLimits
 
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -10,8 +10,8 @@
 
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.faults import log_fault
-from hemlockswitch.connection.forward_server import CallerLeftError, Reply
 from hemlockswitch.connection.heads import ReceivedRequest
+from hemlockswitch.connection.replies import CallerLeftError, Reply
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.request.clearance import RequestGuard, clear_request
--- a/hemlockswitch/request/placements.py
+++ b/hemlockswitch/request/placements.py
@@ -1,6 +1,6 @@
 """Choice of the server for each attempt of a request, with the wait for a permit if the server needs one."""
 
-from hemlockswitch.connection.forward_server import CallerLeftError, Reply
+from hemlockswitch.connection.replies import CallerLeftError, Reply
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.request.forward_admission import AdmittedRequest
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -8,9 +8,9 @@
 
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
-from hemlockswitch.connection.forward_server import CallerLeftError, Reply
 from hemlockswitch.connection.message_parsers import ParsedAnswer
 from hemlockswitch.connection.pooled_exchange import PooledExchange
+from hemlockswitch.connection.replies import CallerLeftError, Reply
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.request.dialect import Dialect, SendFields
 from hemlockswitch.request.event_stream import EventSplitter
--- a/tests/test_internal_faults.py
+++ b/tests/test_internal_faults.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from hemlockswitch.connection.forward_server import Reply
 from hemlockswitch.connection.message_parsers import RequestParser
+from hemlockswitch.connection.replies import Reply
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import _write_by_structlog, set_log_writer
 from tests.gateway_site import Site, tokens
