Keep callers from using up the descriptors of a gateway

What callers saw: connections that say nothing use up the descriptors of the process; then nobody can connect any more.

Cause: connections of callers had no bound of their own, and one that is idle stayed open until its time was up, whoever waited.

Now callers may have half of the descriptors (RLIMIT_NOFILE) open, as a request in progress needs a second one for its server; the other half is for servers, other gateways, the object service and pages. Beyond that connections wait in the kernel's queue. A new connection takes the place of the one that has been idle for longest, at least 0.1 s and without unread bytes; if all are in use it is refused at once with 503 and Retry-After. One eighth of the connections is kept for these refusals.

A version that closed the longest idle connection whatever its age closed callers whose request was in transit unanswered.

Metrics: open connections of callers, open descriptors, and their limit. Open: idle connections to servers, and the number of streams to other gateways, have no bound of their own.

--- a/hemlockswitch/connection/forward_server.py
+++ b/hemlockswitch/connection/forward_server.py
@@ -4,6 +4,7 @@
 connection, so that a caller that closes it is detected immediately.
 """
 
+import math
 from collections.abc import Callable
 from enum import Enum, auto
 from http import HTTPStatus
@@ -11,8 +12,10 @@
 
 import gevent
 from gevent import socket
+from gevent.pool import Pool
 from gevent.server import StreamServer
 
+from hemlockswitch.connection.descriptors import find_session_limit
 from hemlockswitch.connection.faults import log_fault
 from hemlockswitch.connection.heads import ReceivedRequest, encode_head
 from hemlockswitch.connection.message_parsers import RequestParser
@@ -34,6 +37,8 @@
 """How long to read after a refusal that closes the connection, so that no reset discards the
 refusal."""
 BACKLOG = 1_024
+MIN_IDLE_MS = 100.0
+"""How long a connection stays open while no other can be closed for a new one; its first request may be in transit."""
 
 Handler = Callable[[ReceivedRequest, "Reply"], None]
 
@@ -65,6 +70,31 @@
         self._watcher: Any = None
         self._task: gevent.Greenlet | None = None
         self.is_waiting = False
+        self.idle_since_ms = server.clock.now_ms()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or served."""
+        is_reading = bool(self._early_bytes) or not self._parser.is_idle
+        return self.is_waiting and not is_reading and not self._has_unread()
+
+    def _has_unread(self) -> bool:
+        """Return whether bytes, or the end of the connection, have arrived and were not read."""
+        try:
+            self._connection._sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return False
+        return True
+
+    def refuse(self) -> None:
+        """Refuse the connection, because all others are in use."""
+        try:
+            self._connection.settimeout(WRITE_TIMEOUT_MS / MS_PER_SECOND)
+            self._refuse(RequestError(ErrorKind.OVERLOADED, "all connections are in use"))
+        except OSError as error:
+            log_event(Event.REQUEST_UNREADABLE, "warning", kind="caller_gone", detail=str(error))
+        finally:
+            self._connection.close()
 
     def run(self) -> None:
         """Serve requests until either side closes."""
@@ -83,13 +113,9 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
-        if (
-            self.is_waiting
-            and self._parser.is_idle
-            and not self._early_bytes
-            and self._task is not None
-        ):
-            self._task.kill(CallerLeftError("stopping"), block=False)
+        if self.is_idle and self._task is not None:
+            self._server.sessions.discard(self)
+            self._task.kill(CallerLeftError("closed while idle"), block=False)
 
     def _serve_next(self) -> bool:
         """Serve one request; return whether the connection stays open."""
@@ -176,6 +202,7 @@
             early, self._early_bytes = self._early_bytes, b""
             return early
         self.is_waiting = True
+        self.idle_since_ms = self._server.clock.now_ms()
         try:
             socket.wait_read(self._connection.fileno())
         finally:
@@ -215,6 +242,9 @@
         log_event(Event.REQUEST_UNREADABLE, "warning", kind=error.kind.value, detail=error.detail)
         phrase = HTTPStatus(error.answer.status).phrase
         headers = [("Content-Length", "0"), ("Connection", "close")]
+        if error.answer.retry_after_ms:
+            seconds = math.ceil(error.answer.retry_after_ms / MS_PER_SECOND)
+            headers.append(("Retry-After", str(seconds)))
         self._connection.sendall(encode_head(f"HTTP/1.1 {error.answer.status} {phrase}", headers))
         self._connection.shutdown(socket.SHUT_WR)
         with gevent.Timeout(LINGER_MS / MS_PER_SECOND, False):
@@ -233,6 +263,9 @@
     get_bounds : returns the active limits.
     clock : the clock for the reception times of requests.
 
+    max_connections : how many connections may be open at a time; further ones wait in the kernel. None for no
+        limit. While so many requests are in progress, new connections are refused.
+
     `active` is the number of requests that are being served.
     """
 
@@ -242,6 +275,7 @@
         handler: Handler,
         get_bounds: Callable[[], CallerLimits],
         clock: Clock,
+        max_connections: int | None = None,
     ) -> None:
         self.handler = handler
         self.get_bounds = get_bounds
@@ -249,7 +283,13 @@
         self.sessions: set[CallerSession] = set()
         self.active = 0
         self.is_closing = False
-        self._server = StreamServer(address, self._accept, backlog=BACKLOG)
+        self._max_sessions = find_session_limit(max_connections)
+        self._server = StreamServer(
+            address,
+            self._accept,
+            backlog=BACKLOG,
+            spawn="default" if max_connections is None else Pool(max_connections),
+        )
 
     def start(self) -> str:
         """Start to listen; return the bound address."""
@@ -277,4 +317,22 @@
             session.close_if_idle()
 
     def _accept(self, connection: socket.socket, _address: Any) -> None:
-        CallerSession(self, connection).run()
+        session = CallerSession(self, connection)
+        if self._make_room():
+            session.run()
+        else:
+            session.refuse()
+
+    def _make_room(self) -> bool:
+        """Close the connection that has been idle for longest if there are too many; False if all are in use."""
+        while len(self.sessions) >= self._max_sessions:
+            idle = [session for session in self.sessions if session.is_idle]
+            if not idle:
+                return False
+            longest = min(idle, key=lambda session: session.idle_since_ms)
+            wait_ms = longest.idle_since_ms + MIN_IDLE_MS - self.clock.now_ms()
+            if wait_ms <= 0:
+                longest.close_if_idle()
+                return True
+            self.clock.sleep_ms(wait_ms)
+        return True
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from hemlockswitch.connection.backend_pool import BackendPool
+from hemlockswitch.connection.descriptors import find_caller_limit
 from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.addresses import split_address
@@ -253,6 +254,7 @@
             self.forwarder.handle,
             lambda: self.tables.bounds,
             self._clock,
+            find_caller_limit(),
         )
         self.pages = GatewayPages(
             self.settings, self.is_ready, self.status, self.observer.metrics.render, self._clock
--- a/hemlockswitch/process/gateway/exposure.py
+++ b/hemlockswitch/process/gateway/exposure.py
@@ -36,6 +36,7 @@
     metrics.slot_permits = daemon.permits.slots.verdicts
     metrics.tunnels = daemon.links.detours.verdicts
     metrics.count_brittle = daemon.permits.slots.brittle.count_limited
+    metrics.count_callers = lambda: len(daemon.callers.sessions)
     metrics.is_isolated = lambda: daemon.reachability.isolation.is_isolated
     metrics.count_limited = daemon.permits.limits.count_limited
     metrics.describe_rollouts = daemon.rollouts.count_answers
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
+from hemlockswitch.connection.descriptors import count_descriptors, find_descriptor_limit
 from hemlockswitch.core.clock import MS_PER_SECOND
 from hemlockswitch.process.quarantine.guard import GuardCounts
 from hemlockswitch.process.quarantine.metrics import GuardCollector
@@ -74,6 +75,7 @@
     count_brittle : returns the number of brittle backend servers.
     tunnels : number of requested tunnels through other gateways, by verdict.
     is_isolated : returns whether this gateway cannot connect to any backend server.
+    count_callers : returns the number of open connections of callers.
     describe_rollouts : returns the answer counts by service, version and result during rollouts.
 
     Examples
@@ -98,6 +100,7 @@
         self.count_brittle: Callable[[], int] = lambda: 0
         self.tunnels: Counter[str] = Counter()
         self.is_isolated: Callable[[], bool] = lambda: False
+        self.count_callers: Callable[[], int] = lambda: 0
         self.describe_rollouts: Callable[[], Mapping[tuple[str, str, str], int]] = dict
 
     def render(self) -> bytes:
@@ -172,6 +175,19 @@
             "1 while this gateway cannot connect to any backend server.",
             value=int(self.is_isolated()),
         )
+        yield GaugeMetricFamily(
+            "hemlock_caller_connections",
+            "Open connections of callers.",
+            value=self.count_callers(),
+        )
+        yield GaugeMetricFamily(
+            "hemlock_descriptors", "Open descriptors of the process.", value=count_descriptors()
+        )
+        yield GaugeMetricFamily(
+            "hemlock_descriptor_limit",
+            "Descriptors that the process may open.",
+            value=find_descriptor_limit(),
+        )
         for name, text, counts in (
             ("hemlock_permits", "Requested permits for limited backend servers", self.permits),
             (
