Bound idle connections to servers, and leave descriptors for the other gateways

What callers could see (worked out): with half of the descriptors for callers, as many again for their servers, and up to 32 idle connections to each server without a bound over all, nothing is left for streams to other gateways, the object service and the pages, which a gateway needs to serve anybody.

--- a/hemlockswitch/connection/backend_pool.py
+++ b/hemlockswitch/connection/backend_pool.py
@@ -1,5 +1,6 @@
 """Pool of connections to backend servers, with one exchange at a time on each connection."""
 
+import math
 import select
 from collections import defaultdict, deque
 from collections.abc import Callable
@@ -40,10 +41,17 @@
 
     clock : the clock that idle times are measured with.
     on_connect : called with the address of each new connection.
+    max_idle : how many idle connections to all servers remain after a sweep.
     """
 
-    def __init__(self, clock: Clock, on_connect: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        on_connect: Callable[[str], None] = lambda _: None,
+        max_idle: float = math.inf,
+    ) -> None:
         self._clock = clock
+        self._max_idle = max_idle
         self._on_connect = on_connect
         self._idle: dict[str, deque[_IdleConnection]] = defaultdict(deque)
 
@@ -169,7 +177,18 @@
         self.close_idle_where(lambda connection: get_gateway(connection) == gateway)
 
     def sweep(self) -> None:
-        """Close the connections whose idle time has expired."""
+        """Close the connections whose idle time has expired, and those idle for longest if there are too many."""
+        self._close_expired()
+        excess = sum(map(len, self._idle.values())) - self._max_idle
+        if excess <= 0:
+            return
+        every = [
+            (one.idle_since_ms, address) for address, idle in self._idle.items() for one in idle
+        ]
+        for _, address in sorted(every)[: int(excess)]:
+            self._idle[address].popleft().connection.close()
+
+    def _close_expired(self) -> None:
         now_ms = self._clock.now_ms()
         for address in list(self._idle):
             idle = self._idle[address]
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from hemlockswitch.connection.backend_pool import BackendPool
-from hemlockswitch.connection.descriptors import find_caller_limit
+from hemlockswitch.connection.descriptors import find_caller_limit, find_idle_limit
 from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.addresses import split_address
@@ -90,7 +90,7 @@
         self.usage = UsageCounts(self.settings.usage_window_s, self._process)
         self.tables = ServingTableStore(adapter.config_name, adapter.decode_table)
         self.models = ServiceModels(clock)
-        self.pool = BackendPool(clock, self._count_connection)
+        self.pool = BackendPool(clock, self._count_connection, find_idle_limit())
         self.registry = ServerRegistry(adapter.decode_server, clock, self._evict_server)
         self.network = PeerNetwork(
             self.settings.cluster, self.settings.name, self.settings.peer_listen, clock=clock
--- a/hemlockswitch/process/gateway/slot_permits.py
+++ b/hemlockswitch/process/gateway/slot_permits.py
@@ -78,9 +78,7 @@
         self._numbers = itertools.count()
         self._paused_until_ms: dict[str, dict[int, float]] = {}  # by server and urgency
         self._unresponsive_until_ms: dict[str, float] = {}
-        self._sent_releases: list[tuple[str, SlotRelease]] = (
-            []
-        )  # with the issuer, since the last repetition
+        self._sent_releases: list[tuple[str, SlotRelease]] = []  # to be repeated, by issuer
         network.handle(SlotRequest, self._apply_request, runs_inline=True)
         network.handle(SlotRelease, self._apply_release, runs_inline=True)
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,13 +4,36 @@
 import resource
 
 import pytest
+from gevent import socket
 
+from hemlockswitch.connection.backend_pool import BackendPool
+from hemlockswitch.core.clock import ManualClock
 from tests.gateway_site import Site
 
 HELD = 1_200
 """More than the 1,023 descriptors that `select` can wait for."""
 
 
+@pytest.fixture
+def runners():
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+    yield [f"127.0.0.1:{one.getsockname()[1]}" for one in listeners]
+    for listener in listeners:
+        listener.close()
+
+
+# Guards against idle connections to many servers that use up the descriptors.
+def test_connections_that_are_idle_for_longest_are_closed_first(runners):
+    clock = ManualClock()
+    pool = BackendPool(clock, max_idle=4)
+    for address in [*runners, *runners]:
+        pool.preconnect(address, 1_000.0)
+        clock.advance(10)
+    pool.sweep()
+    kept = {address: [one.idle_since_ms for one in idle] for address, idle in pool._idle.items()}
+    assert kept == {runners[0]: [30], runners[1]: [40], runners[2]: [20, 50]}
+
+
 @pytest.fixture
 def held_descriptors():
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
