--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -217,6 +217,9 @@
                 self._list()
             else:
                 self._watch()
+        except WatchRenewedError:
+            self._must_list = self._must_list or lists
+            raise
         except HistoryGoneError:
             self._record_history_loss()
         except PlatformError as error:
--- a/tests/test_relayed_watch.py
+++ b/tests/test_relayed_watch.py
@@ -11,7 +11,7 @@
 from hemlockswitch.connection.stored_objects import ObjectPage, PageSource, StoredObject
 from hemlockswitch.core.clock import SystemClock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
-from hemlockswitch.process.gateway.follower import ObjectFollower
+from hemlockswitch.process.gateway.follower import ObjectFollower, WatchRenewedError
 from hemlockswitch.process.gateway.messages import WatchedPage
 from hemlockswitch.process.gateway.relayed_watch import (
     CATCH_UP_WAIT_MS,
@@ -338,6 +338,30 @@
     assert calls == ["list", "list", "watch"]
 
 
+# Guards against a renewal that is lost because it cancels the list that it requested.
+def test_cancelled_list_is_made_again():
+    calls = []
+
+    class CancelledStore:
+        def list(self, kind, prefix=""):
+            calls.append("list")
+            if len(calls) == 2:
+                raise WatchRenewedError
+            return ObjectPage((), 1)
+
+        def watch(self, kind, since, wait_ms, prefix=""):
+            calls.append("watch")
+            return ObjectPage((), since)
+
+    follower = ObjectFollower(CancelledStore(), KIND, Consumer(), SystemClock())
+    follower.run_step()
+    follower.renew_watch()
+    with pytest.raises(WatchRenewedError):
+        follower.run_step()
+    follower.run_step()
+    assert calls == ["list", "list", "list"]
+
+
 class Consumer:
     def replace_all(self, page):
         pass
