Log how the end of an answer was marked, and what of a stream is unfinished

Before, the log said 'answered' for an answer that a crash had cut short and nothing told it from a whole one. No decision changes, but an answer without a body (204, 304, HEAD) no longer counts as one that ends with its connection: its connection is reused and its server is not probed for a crash.

--- a/hemlockswitch/connection/message_parsers.py
+++ b/hemlockswitch/connection/message_parsers.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from enum import StrEnum
 from http import HTTPStatus
 
 import httptools
@@ -17,6 +18,15 @@
 MAX_INTERIM_STATUS = 199
 
 
+class AnswerEnd(StrEnum):
+    """What marks the end of an answer's body."""
+
+    HEAD = "head"  # There is no body.
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 class RequestParser:
     """Parses the requests of one caller's connection, with size limits for head and body.
 
@@ -153,13 +163,23 @@
         self.pieces: list[bytes] = []
         self.head_done = False
         self.done = False
+        self.has_body = True
         self.keep_alive = True
 
+    @property
+    def end(self) -> AnswerEnd:
+        """What marks the end of the body; only after the head is complete."""
+        if not self.has_body:
+            return AnswerEnd.HEAD
+        names = {name.lower() for name, _ in self.headers}
+        if "transfer-encoding" in names:
+            return AnswerEnd.CHUNKS
+        return AnswerEnd.LENGTH if "content-length" in names else AnswerEnd.CONNECTION
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether the body has neither a length nor chunks and ends when the connection closes."""
-        names = {name.lower() for name, _ in self.headers}
-        return not names & {"content-length", "transfer-encoding"}
+        return self.end is AnswerEnd.CONNECTION
 
     def take_body(self) -> bytes:
         """Remove and return the body parsed since the last call."""
@@ -237,6 +257,7 @@
         bodiless = current.status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
         if self._without_body or bodiless:
             current.done = True
+            current.has_body = False
             self.must_close = self._without_body
 
     def on_body(self, piece: bytes) -> None:
--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -106,6 +106,8 @@
             began_ms=round(began_ms - received_ms) if began_ms is not None else None,
             took_ms=round(now_ms - received_ms),
             outcome=progress.outcome,
+            answer_end=progress.answer_end,
+            unfinished_bytes=progress.unfinished_bytes,
             status=progress.status,
             ran=progress.state.value,
             detail=progress.detail,
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -11,6 +11,7 @@
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.faults import log_fault
 from hemlockswitch.connection.heads import ReceivedRequest
+from hemlockswitch.connection.message_parsers import AnswerEnd
 from hemlockswitch.connection.replies import CallerLeftError, Reply
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
@@ -191,7 +192,7 @@
         An answer that ends with the connection appears complete also if its server has crashed, so the
         guard first checks for a crash.
         """
-        if progress.ended_with_connection and self._guard.record_broken_connection(
+        if progress.answer_end == AnswerEnd.CONNECTION and self._guard.record_broken_connection(
             admitted, answered.server
         ):
             return
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -26,7 +26,8 @@
     list_age_ms : age of the list of servers from which the last one was chosen.
     began_ms : clock time at which the reply to the caller began.
     begun_version : version of the server that began to answer; empty before.
-    ended_with_connection : whether the end of the answer was marked only by the end of the connection.
+    answer_end : what marked the end of the relayed answer; empty if none was relayed to its end.
+    unfinished_bytes : size of the part after the last complete event of the last stream.
     clearance : the clearance for the last attempt.
     unreached : counts the servers to which no connection could be made.
     """
@@ -42,7 +43,8 @@
     in_flight: bool = False
     target: str = ""
     clearance: Clearance = Clearance.FREE
-    ended_with_connection: bool = False
+    answer_end: str = ""
+    unfinished_bytes: int = 0
     expected_ms: float = 0.0
     list_age_ms: float = 0.0
     began_ms: float | None = None
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -287,7 +287,7 @@
         else:
             self._relay_complete(send, exchange)
         send.progress.outcome = "answered"
-        send.progress.ended_with_connection = exchange.answer.ends_with_connection
+        send.progress.answer_end = exchange.answer.end
 
     def _relay_complete(self, send: SendAttempt, exchange: PooledExchange) -> None:
         """Read the complete answer before relaying it to the caller."""
@@ -319,18 +319,20 @@
     def _relay_stream(self, send: SendAttempt, exchange: PooledExchange) -> None:
         """Relay events as they arrive; of a resumable stream, only complete events."""
         progress, reply = send.progress, send.reply
-        splitter = EventSplitter() if send.admitted.route.is_resumable else None
+        splitter = EventSplitter()
+        is_resumable = send.admitted.route.is_resumable
         while piece := exchange.read_piece():
             self._record_answer(send, exchange)
-            if splitter is not None:
-                complete = splitter.feed(piece)
+            complete = splitter.feed(piece)
+            progress.unfinished_bytes = len(splitter.remainder)
+            if is_resumable:
                 piece = complete.data
                 progress.last_event_id = complete.last_id or progress.last_event_id
             if piece:
                 self._begin_reply(send, exchange.answer)
                 reply.write(piece)
         self._begin_reply(send, exchange.answer)
-        if splitter is not None:
+        if is_resumable:
             reply.write(splitter.remainder)
         reply.end()
 
