--- /dev/null
+++ b/tests/test_unframed_answers.py
@@ -0,0 +1,160 @@
+"""Answers with neither a length nor chunks, which end with the connection of their server."""
+
+import pytest
+
+from tests.gateway_site import Site, tokens
+from tests.scripted_server import End, Script, ScriptedServer
+
+LAST = 6
+BEGUN = 3
+HTTP_VERSIONS = ("1.1", "1.0")
+STREAMS = {"/draft/x": False, "/reply/x": True}
+"""Stream routes, and whether their streams are resumable."""
+CUTS = {
+    "one byte": ("\n", "i"),
+    "half a line": ("\n", "id: 4\ndata: no"),
+    "an identifier": ("\n", "id: 4\n"),
+    "no blank line": ("\n", "id: 4\ndata: no\n"),
+    "a comment": ("\n", ": no\n"),
+    "no blank line, CR LF": ("\r\n", "id: 4\r\ndata: no\r\n"),
+    "between CR and LF": ("\r\n", "id: 4\r\ndata: no\r\n\r"),
+    "no blank line, CR": ("\r", "id: 4\rdata: no\r"),
+}
+"""For each cut inside an event: the line end of the stream, and the bytes after the last whole event."""
+
+
+def make_events(first, last, line_end="\n"):
+    """Return events of a stream, each as a piece."""
+    return tuple(
+        f"id: {number}{line_end}data: event {number}{line_end}{line_end}".encode()
+        for number in range(first, last + 1)
+    )
+
+
+def continue_stream(request, line_end="\n"):
+    """Return the rest of the stream that a request asks for."""
+    return make_events(int(request.get("last-event-id", "0")) + 1, LAST, line_end)
+
+
+class FirstCut:
+    """Chooses a script that is cut short for the first request, and a whole answer for any other."""
+
+    def __init__(self, cut, make_whole):
+        self._cut = cut
+        self._make_whole = make_whole
+        self._asked = 0
+
+    def __call__(self, request):
+        self._asked += 1
+        return self._cut if self._asked == 1 else Script(self._make_whole(request))
+
+
+class Bench:
+    """A site with two scripted servers of a service."""
+
+    def __init__(self, service, choose, http="1.1", gateways=1):
+        self.site = Site(gateways)
+        self.servers = [
+            ScriptedServer(self.site, f"scripted-{number}", service, choose, http)
+            for number in (1, 2)
+        ]
+
+    def ask(self, path, **headers):
+        """Send a request and return its reply."""
+        return self.site.ask(path, "id-1", **headers)
+
+    def count_runs(self):
+        """Return how many requests ran."""
+        return sum(len(server.runs) for server in self.servers)
+
+    def close(self):
+        """Stop all processes."""
+        for server in self.servers:
+            server.close()
+        self.site.close()
+
+
+@pytest.fixture
+def make_bench():
+    benches = []
+
+    def make(*args, **kwargs):
+        benches.append(Bench(*args, **kwargs))
+        return benches[-1]
+
+    yield make
+    for bench in benches:
+        bench.close()
+
+
+def find_stream_fault(bench, path, line_end):
+    """Return what is wrong with the reply to a request whose first answer was cut short."""
+    reply = bench.ask(path, **tokens(LAST))
+    whole = b"".join(make_events(1, LAST, line_end))
+    if not STREAMS[path]:
+        if reply.is_whole:
+            return "framed as complete"
+        return "" if bench.count_runs() == 1 else "sent again"
+    if not reply.is_whole:
+        return "broken off"
+    return "" if reply.body == whole else f"framed as complete: {reply.body!r}"
+
+
+# Guards against a clean end of the server's connection inside an event counting as the end of the stream.
+def test_stream_that_ends_inside_an_event_is_not_complete(make_bench):
+    faults = {}
+    for http in HTTP_VERSIONS:
+        for path in STREAMS:
+            for cut, (line_end, torn) in CUTS.items():
+                pieces = (*make_events(1, BEGUN, line_end), torn.encode())
+                choose = FirstCut(
+                    Script(pieces), lambda request, end=line_end: continue_stream(request, end)
+                )
+                fault = find_stream_fault(make_bench("llm", choose, http), path, line_end)
+                if fault:
+                    faults[http, path, cut] = fault
+    assert not faults
+
+
+# Guards against an answer being completed that ended because its server crashed between two events, before the
+# first one, or within a plain body.
+def test_answer_of_a_crashed_server_is_not_complete(make_bench):
+    faults = {}
+    for http in HTTP_VERSIONS:
+        for path in STREAMS:
+            for pieces, end in ((make_events(1, BEGUN), End.DEATH), ((), End.CLOSE)):
+                choose = FirstCut(Script(pieces, end), continue_stream)
+                fault = find_stream_fault(make_bench("llm", choose, http), path, "\n")
+                if fault:
+                    faults[http, path, len(pieces)] = fault
+        for path, status in (("/check/x", 200), ("/hold/x", 502)):
+            choose = FirstCut(Script((b"half ",), End.DEATH), lambda _: (b"half ", b"and half"))
+            reply = make_bench("app", choose, http).ask(path)
+            if reply.status != status or (status == 200 and reply.body != b"half and half"):
+                faults[http, path] = (reply.status, reply.body)
+    assert not faults
+
+
+def test_whole_answers_without_length_arrive_whole(make_bench):
+    for http in HTTP_VERSIONS:
+        for path in STREAMS:
+            bench = make_bench("llm", lambda request: Script(continue_stream(request)), http)
+            reply = bench.ask(path, **tokens(LAST))
+            assert reply.is_whole and reply.body == b"".join(make_events(1, LAST))
+            assert bench.count_runs() == 1
+        for path in ("/check/x", "/hold/x"):
+            bench = make_bench("app", lambda _: Script((b"whole ", b"answer")), http)
+            reply = bench.ask(path)
+            assert (reply.status, reply.body, reply.is_whole) == (200, b"whole answer", True)
+            assert bench.count_runs() == 1
+
+
+def test_log_states_how_the_end_of_an_answer_was_marked(make_bench):
+    bench = make_bench("llm", lambda request: Script(continue_stream(request)))
+    seen = []
+    observer = bench.site.gateways[0].observer
+    report = observer.request_ended
+    observer.request_ended = lambda progress: (seen.append(progress), report(progress))
+    bench.ask("/draft/x", **tokens(LAST))
+    bench.site.wait(lambda: seen)
+    assert (seen[0].answer_end, seen[0].unfinished_bytes) == ("connection", 0)
