Break off a stream that ends inside an event

Callers got a stream that a crash had cut inside an event, or before its first one, framed as complete: of an answer without length and chunks each clean end of the connection counted as the end of the answer, and the remainder and the last chunk were written. No code knew where an event ends on routes that are not resumable.

The ends of events are now found on every stream route, with LF, CR LF and CR as line ends, also across pieces. A stream that ends inside an event has failed, however it is framed; so has one that ends with its connection before its first event, unless it continues another one. A resumable stream goes on at another server after its last complete event; any other ends without the last chunk, or with 502 if nothing was relayed. Answers with status 3xx on stream routes are relayed as plain ones, as they are no events.

--- a/hemlockswitch/request/event_stream.py
+++ b/hemlockswitch/request/event_stream.py
@@ -1,8 +1,86 @@
 """Splits a server-sent event stream into complete events, so that a truncated one is never relayed."""
 
+import re
 from dataclasses import dataclass
 
-EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+LINE_ENDS = b"\r\n"
+EVENT_END = re.compile(rb"(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))|\r\r\n?")
+"""The end of a line and a blank line; lines end with CR LF, LF or CR.
+
+A CR that follows a line ended by LF or CR LF may be the first half of CR LF, so it counts only with the
+byte after it.
+"""
+MAX_PARTIAL_END_BYTES = 3
+"""Length of the longest part of `EVENT_END` that the next piece may complete, ``\\r\\n\\r``."""
+
+
+class EventBoundaries:
+    """Finds the ends of events in a stream that is received in pieces; keeps none of its data.
+
+    Examples
+    ========
+
+    >>> boundaries = EventBoundaries()
+    >>> boundaries.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
+    15
+    >>> boundaries.is_inside_event, boundaries.has_event
+    (True, True)
+    """
+
+    def __init__(self) -> None:
+        self.has_event = False
+        self._open_end = b""  # the last bytes of an event that has begun
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._open_end)
+
+    def feed(self, data: bytes) -> int | None:
+        """Return the position in `data` that follows the last end of an event, or None if there is none.
+
+        Blank lines between events belong to the event before them.
+        """
+        if not self._open_end:
+            return self._feed_between(data)
+        text = self._open_end + data
+        end = _find_last_end(text)
+        if end is None:
+            self._open_end = text[-MAX_PARTIAL_END_BYTES:]
+            return None
+        self._record_end(text, end)
+        return end - (len(text) - len(data))
+
+    def _feed_between(self, data: bytes) -> int | None:
+        """Handle data that begins between two events."""
+        begin = _skip_blank_lines(data, 0)
+        end = _find_last_end(data[begin:])
+        if end is None:
+            self._open_end = data[begin:][-MAX_PARTIAL_END_BYTES:]
+            return begin or None
+        self._record_end(data, begin + end)
+        return begin + end
+
+    def _record_end(self, text: bytes, end: int) -> None:
+        self.has_event = True
+        self._open_end = text[end:][-MAX_PARTIAL_END_BYTES:]
+
+
+def _find_last_end(text: bytes) -> int | None:
+    """Return the position that follows the last end of an event, and the blank lines after it."""
+    if b"\r" not in text:
+        begin = text.rfind(b"\n\n")
+        return None if begin < 0 else begin + len(b"\n\n")
+    end = None
+    for match in EVENT_END.finditer(text):
+        end = match.end()
+    return None if end is None else _skip_blank_lines(text, end)
+
+
+def _skip_blank_lines(text: bytes, begin: int) -> int:
+    while begin < len(text) and text[begin] in LINE_ENDS:
+        begin += 1
+    return begin
 
 
 @dataclass(frozen=True)
@@ -14,7 +92,12 @@
 
 
 class EventSplitter:
-    """Buffers the bytes of a stream and returns complete events.
+    """Passes the bytes of a stream on, and tells whether it ends inside an event.
+
+    Parameters
+    ==========
+
+    holds_back : whether the bytes of an event are held back until it is complete.
 
     Examples
     ========
@@ -26,24 +109,33 @@
     '2'
     """
 
-    def __init__(self) -> None:
-        self._remainder = b""
+    def __init__(self, *, holds_back: bool = True) -> None:
+        self.open_bytes = 0
+        self._holds_back = holds_back
+        self._boundaries = EventBoundaries()
+        self._open_pieces: list[bytes] = []
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return self._boundaries.is_inside_event
 
     @property
-    def remainder(self) -> bytes:
-        """The bytes of an incomplete event."""
-        return self._remainder
+    def has_event(self) -> bool:
+        """Whether an event has ended."""
+        return self._boundaries.has_event
 
     def feed(self, data: bytes) -> CompleteEvents:
-        """Add `data` and return the events that it completes."""
-        self._remainder += data
-        ends = (
-            self._remainder.rfind(mark) + len(mark)
-            for mark in EVENT_ENDS
-            if mark in self._remainder
-        )
-        end = max(ends, default=0)
-        complete, self._remainder = self._remainder[:end], self._remainder[end:]
+        """Add `data` and return the events that it completes, or `data` itself if nothing is held back."""
+        end = self._boundaries.feed(data)
+        self.open_bytes = self.open_bytes + len(data) if end is None else len(data) - end
+        if not self._holds_back:
+            return CompleteEvents(data, "")
+        if end is None:
+            self._open_pieces.append(data)
+            return CompleteEvents(b"", "")
+        complete = b"".join([*self._open_pieces, data[:end]])
+        self._open_pieces = [data[end:]]
         return CompleteEvents(complete, find_last_id(complete))
 
 
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -281,7 +281,7 @@
             raise SendFailedError(SendFailure.BROKEN, detail, True)
 
     def _relay(self, send: SendAttempt, exchange: PooledExchange) -> None:
-        is_success = exchange.answer.status < HTTPStatus.BAD_REQUEST
+        is_success = exchange.answer.status < HTTPStatus.MULTIPLE_CHOICES
         if send.admitted.route.kind is RequestKind.STREAM and is_success:
             self._relay_stream(send, exchange)
         else:
@@ -319,23 +319,34 @@
     def _relay_stream(self, send: SendAttempt, exchange: PooledExchange) -> None:
         """Relay events as they arrive; of a resumable stream, only complete events."""
         progress, reply = send.progress, send.reply
-        splitter = EventSplitter()
-        is_resumable = send.admitted.route.is_resumable
+        splitter = EventSplitter(holds_back=send.admitted.route.is_resumable)
         while piece := exchange.read_piece():
             self._record_answer(send, exchange)
-            complete = splitter.feed(piece)
-            progress.unfinished_bytes = len(splitter.remainder)
-            if is_resumable:
-                piece = complete.data
-                progress.last_event_id = complete.last_id or progress.last_event_id
-            if piece:
+            events = splitter.feed(piece)
+            progress.unfinished_bytes = splitter.open_bytes
+            progress.last_event_id = events.last_id or progress.last_event_id
+            if events.data:
                 self._begin_reply(send, exchange.answer)
-                reply.write(piece)
+                reply.write(events.data)
+        self._check_stream_end(send, exchange.answer, splitter)
         self._begin_reply(send, exchange.answer)
-        if is_resumable:
-            reply.write(splitter.remainder)
         reply.end()
 
+    @staticmethod
+    def _check_stream_end(send: SendAttempt, answer: ParsedAnswer, splitter: EventSplitter) -> None:
+        """Raise if the stream has been broken off.
+
+        The end of the connection does not show whether the server had finished, or was terminated. If nothing
+        is left to continue, a stream may be empty.
+        """
+        is_cut = answer.ends_with_connection
+        if splitter.is_inside_event:
+            detail = "the stream ended inside an event"
+            raise SendFailedError(SendFailure.BROKEN, detail, True, was_cut=is_cut)
+        if is_cut and not splitter.has_event and not send.progress.last_event_id:
+            detail = "the connection ended before the first event of the stream"
+            raise SendFailedError(SendFailure.BROKEN, detail, True, was_cut=is_cut)
+
     def _begin_reply(self, send: SendAttempt, answer: ParsedAnswer) -> None:
         """Relay the head of the first server's answer, unless the reply has begun."""
         if send.reply.begun:
