Check for a crash of the server before an answer without length counts as complete

Callers got an answer framed as complete whose server had crashed between two events, or within a plain body: the kernel closes the connections of a crashed process in good order, so the end of the connection says nothing, and the crash detector was asked only after the last chunk had been written, for the quarantine.

It is now asked before the end is passed on. If the server has crashed the attempt has failed: a resumable stream and an idempotent call go on at another server, any other stream ends without the last chunk, any other call gets 502. The crash counts once. If the deadline passes during the check, the answer goes out.

A test of the quarantine expected status 200 for half a body of a crashed server: that is this fault, and it now expects 502 if the server crashed and 200 if not.

--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -11,7 +11,6 @@
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.faults import log_fault
 from hemlockswitch.connection.heads import ReceivedRequest
-from hemlockswitch.connection.message_parsers import AnswerEnd
 from hemlockswitch.connection.replies import CallerLeftError, Reply
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
@@ -86,7 +85,7 @@
         self._view = view
         self._limiter = limiter
         self._placements = Placements(view, clock)
-        self._sender = Sender(dialect, view, pool, observer, clock)
+        self._sender = Sender(dialect, view, pool, guard, observer, clock)
         self._guard = guard
         self._budget = budget
         self._observer = observer
@@ -151,7 +150,7 @@
             return
         finally:
             timer.close()
-        self._report_answered(progress, admitted, answered)
+        self._guard.record_complete_answer(admitted, answered.server, answered.sent_ms)
 
     def _send_until_answered(
         self, progress: Progress, admitted: AdmittedRequest, reply: Reply
@@ -184,20 +183,6 @@
                 raise CallerLeftError(quarantined.detail) from quarantined
             raise
 
-    def _report_answered(
-        self, progress: Progress, admitted: AdmittedRequest, answered: _Answered
-    ) -> None:
-        """Report an answer to the guard.
-
-        An answer that ends with the connection appears complete also if its server has crashed, so the
-        guard first checks for a crash.
-        """
-        if progress.answer_end == AnswerEnd.CONNECTION and self._guard.record_broken_connection(
-            admitted, answered.server
-        ):
-            return
-        self._guard.record_complete_answer(admitted, answered.server, answered.sent_ms)
-
     def _prepare_next_attempt(
         self,
         progress: Progress,
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -12,6 +12,7 @@
 from hemlockswitch.connection.pooled_exchange import PooledExchange
 from hemlockswitch.connection.replies import CallerLeftError, Reply
 from hemlockswitch.core.clock import Clock
+from hemlockswitch.request.clearance import RequestGuard
 from hemlockswitch.request.dialect import Dialect, SendFields
 from hemlockswitch.request.event_stream import EventSplitter
 from hemlockswitch.request.forward_admission import AdmittedRequest
@@ -80,6 +81,7 @@
     dialect : the wire format of callers and backend servers.
     view : the process's state of configuration and servers.
     pool : connections to backend servers.
+    guard : tells whether a server has crashed, and counts it against the request.
     observer : is notified when an answer begins.
     clock : the process's clock.
     """
@@ -89,12 +91,14 @@
         dialect: Dialect,
         view: ForwardingView,
         pool: BackendPool,
+        guard: RequestGuard,
         observer: ForwardObserver,
         clock: Clock,
     ) -> None:
         self._dialect = dialect
         self._view = view
         self._pool = pool
+        self._guard = guard
         self._observer = observer
         self._clock = clock
         self._in_flight: dict[PooledExchange, SendAttempt] = {}
@@ -293,6 +297,7 @@
         """Read the complete answer before relaying it to the caller."""
         answer, reply = exchange.answer, send.reply
         body = exchange.read_body(MAX_ANSWER_BYTES)
+        self._check_crash(send, answer)
         is_failure = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if is_failure and send.admitted.route.is_repeatable and self._may_retry_in_time(send):
             raise SendFailedError(SendFailure.BROKEN, f"the server failed: {answer.status}", True)
@@ -329,6 +334,7 @@
                 self._begin_reply(send, exchange.answer)
                 reply.write(events.data)
         self._check_stream_end(send, exchange.answer, splitter)
+        self._check_crash(send, exchange.answer)
         self._begin_reply(send, exchange.answer)
         reply.end()
 
@@ -347,6 +353,22 @@
             detail = "the connection ended before the first event of the stream"
             raise SendFailedError(SendFailure.BROKEN, detail, True, was_cut=is_cut)
 
+    def _check_crash(self, send: SendAttempt, answer: ParsedAnswer) -> None:
+        """Raise if the answer ended because its server has crashed, which closes its connections likewise.
+
+        If the deadline passes meanwhile the answer counts as complete, as nothing shows that it is not.
+        """
+        if not answer.ends_with_connection:
+            return
+        server = send.placement.candidate.server
+        try:
+            has_crashed = self._guard.record_broken_connection(send.admitted, server)
+        except OverdueError:
+            return
+        if has_crashed:
+            detail = "the server crashed when its answer ended"
+            raise SendFailedError(SendFailure.BROKEN, detail, was_sent=True)
+
     def _begin_reply(self, send: SendAttempt, answer: ParsedAnswer) -> None:
         """Relay the head of the first server's answer, unless the reply has begun."""
         if send.reply.begun:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -196,7 +196,7 @@
     gateway = site.gateways[0]
     site.wait(lambda: gateway.registry.list_ready("bare"))
     site.wait(lambda: gateway.tables.current.revision == 2)
-    assert site.ask_for("/bare/x", "some content", 0).status == 200
+    assert site.ask_for("/bare/x", "some content", 0).status == (502 if ends else 200)
     gevent.sleep(VERDICT_S)
     counted = [len(one["ends"]) for one in gateway.quarantine.describe()]
     assert counted == ([1] if ends else [])
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -4,6 +4,7 @@
 
 from tests.gateway_site import Site, tokens
 from tests.scripted_server import End, Script, ScriptedServer
+from tests.server_links import REFUSE, ServerLinks
 
 OUTCOME_UNKNOWN_STATUS = 502
 LAST = 6
@@ -136,6 +137,37 @@
     assert not faults
 
 
+# Guards against one crash counting twice: when the end of the answer is checked, and when the attempt fails.
+@pytest.mark.parametrize("torn", [b"", b"id: 4\nda"])
+def test_crash_at_the_end_of_an_answer_counts_once(make_bench, torn):
+    cut = Script((*make_events(1, BEGUN), torn), End.DEATH)
+    bench = make_bench("llm", FirstCut(cut, continue_stream))
+    assert bench.ask("/reply/x", **tokens(LAST)).is_whole
+    assert bench.site.gateways[0].guard.counts.ends == 1
+
+
+# Guards against an end being judged differently if the connection to the server leads through another gateway.
+@pytest.mark.parametrize("path", STREAMS)
+@pytest.mark.parametrize(
+    "cut",
+    [
+        Script((*make_events(1, BEGUN), b"id: 4\n")),
+        Script(make_events(1, BEGUN), End.DEATH),
+        Script(make_events(1, BEGUN), End.RESET),
+    ],
+)
+def test_answer_that_is_cut_short_behind_a_tunnel_is_not_complete(make_bench, path, cut):
+    bench = make_bench("llm", FirstCut(cut, continue_stream), gateways=2)
+    links = ServerLinks()
+    links.attach(bench.site.gateways[0])
+    links.cut(bench.site.gateways[0], REFUSE)
+    bench.site.wait(
+        lambda: bench.site.gateways[0].links.detours._list_candidates(includes_isolated=False)
+    )
+    assert find_stream_fault(bench, path, "\n") == ""
+    assert bench.site.gateways[0].links.detours.verdicts["open"] > 0
+
+
 def test_whole_answers_without_length_arrive_whole(make_bench):
     for http in HTTP_VERSIONS:
         for path in STREAMS:
