Take an open idle connection as the proof that a server has not crashed

The check for a crash at the end of an answer opened two connections for each answer without length. A crash closes all connections of a server, so one that was used in the last second and is open proves as much as a new one.

--- a/hemlockswitch/connection/backend_pool.py
+++ b/hemlockswitch/connection/backend_pool.py
@@ -130,6 +130,19 @@
         now_ms = self._clock.now_ms()
         self._idle[address].append(_IdleConnection(connection, now_ms, now_ms + DEFAULT_IDLE_MS))
 
+    def has_open(self, address: str, max_idle_ms: float) -> bool:
+        """Return whether a direct connection to a server is open that was idle for at most `max_idle_ms`.
+
+        Connections that have been idle for longer are left out, as they may have lost their server silently.
+        """
+        oldest_ms = self._clock.now_ms() - max_idle_ms
+        return any(
+            _is_direct(one.connection)
+            and one.idle_since_ms >= oldest_ms
+            and not _is_readable(one.connection)
+            for one in self._idle.get(address, ())
+        )
+
     def _connect(self, address: str, timeout_ms: float) -> socket.socket:
         try:
             connection = connect(address, timeout_ms)
--- a/hemlockswitch/process/gateway/prober.py
+++ b/hemlockswitch/process/gateway/prober.py
@@ -12,6 +12,9 @@
 from hemlockswitch.process.gateway.reachability import ZONE_POLL_INTERVAL_MS, Reachability
 from hemlockswitch.version.backend import BackendServer
 
+MAX_IDLE_PROOF_MS = 1_000.0
+"""An idle connection that was used in this time and is open shows that its server is running."""
+
 
 @dataclass(frozen=True)
 class _Failure:
@@ -62,8 +65,11 @@
         """Connect to a server, and return whether it refuses connections, also those of another gateway.
 
         A connection attempt that times out is not a refusal. A refusal of this gateway alone may come from
-        its own links, which are not to blame on the server.
+        its own links, which are not to blame on the server. No connection is opened if another one, which a
+        crash would have closed, is open.
         """
+        if self._pool.has_open(server.address, MAX_IDLE_PROOF_MS):
+            return False
         if not self._reachability.isolation.is_isolated and not self._refuses_here(server):
             return False
         confirmed = self._detours.confirms_refusal(server)
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -20,7 +20,7 @@
 
     CLOSE = auto()
     RESET = auto()
-    DEATH = auto()  # The server stops listening and closes its connection in good order.
+    DEATH = auto()  # The server stops listening and closes all its connections in good order.
 
 
 @dataclass(frozen=True)
@@ -41,6 +41,7 @@
         self.name = name
         self.service = service
         self.runs = []
+        self._connections = set()
         self._site = site
         self._choose = choose
         self._http = http
@@ -52,9 +53,15 @@
         site.wait(lambda: all(site._knows(one, self) for one in site.gateways))
 
     def _serve(self, connection, _):
-        request = self._read(connection)
-        if request is None:
-            return
+        self._connections.add(connection)
+        try:
+            request = self._read(connection)
+            if request is not None:
+                self._answer(connection, request)
+        finally:
+            self._connections.discard(connection)
+
+    def _answer(self, connection, request):
         self.runs.append(request)
         script = self._choose(request)
         connection.sendall(self._encode_head(request))
@@ -66,6 +73,8 @@
             return
         if script.end is End.DEATH:
             self._server.close()
+            for other in self._connections - {connection}:
+                other.shutdown(socket.SHUT_RDWR)
         connection.shutdown(socket.SHUT_RDWR)
 
     @staticmethod
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -168,6 +168,25 @@
     assert bench.site.gateways[0].links.detours.verdicts["open"] > 0
 
 
+# Guards against the check for a crash opening connections while the server is running.
+def test_check_for_a_crash_reuses_connections(make_bench):
+    bench = make_bench("llm", lambda request: Script(continue_stream(request)))
+    answers = 20
+    for _ in range(answers):
+        assert bench.site.ask("/draft/x", **tokens(LAST)).is_whole
+    opened = bench.site.gateways[0].observer.metrics.connections
+    assert opened <= answers + len(bench.servers)
+
+
+def test_crash_is_found_while_connections_to_the_server_are_idle(make_bench):
+    choose = FirstCut(Script(make_events(1, BEGUN), End.DEATH), continue_stream)
+    bench = make_bench("llm", choose)
+    gateway = bench.site.gateways[0]
+    for server in bench.servers:
+        gateway.pool.preconnect(server.address, 1_000)
+    assert find_stream_fault(bench, "/reply/x", "\n") == ""
+
+
 def test_whole_answers_without_length_arrive_whole(make_bench):
     for http in HTTP_VERSIONS:
         for path in STREAMS:
