--- a/hemlockswitch/process/quarantine/crash_detector.py
+++ b/hemlockswitch/process/quarantine/crash_detector.py
@@ -53,6 +53,10 @@
             return False
         if server.incarnation in self._crashed:
             return True
+        earlier = self._pending_probes.get(server.incarnation)
+        if earlier is not None and earlier.get():
+            return True
+        # An earlier probe may have connected before the crash.
         pending = self._pending_probes.get(server.incarnation)
         return pending.get() if pending is not None else self._probe(server)
 
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -5,9 +5,10 @@
 not counted, and a crashing request reached six servers instead of four.
 """
 
+import gevent
 import pytest
 
-from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.clock import ManualClock, SystemClock
 from hemlockswitch.process.quarantine.crash_detector import (
     MAX_FIRST_PROBE_MS,
     ConnectionCrashDetector,
@@ -54,6 +55,23 @@
     assert [detector.has_crashed(SERVER) for _ in range(3)] == [True] * 3
 
 
+# Guards against a crash being missed because a probe that began before it is still in progress.
+def test_verdict_of_an_earlier_probe_is_not_used_for_a_later_crash():
+    answers = [False, False, True]
+
+    def probe(_):
+        answer = answers.pop(0)
+        gevent.sleep(0.01)
+        return answer
+
+    detector = ConnectionCrashDetector(lambda server: True, probe, SystemClock())
+    earlier = gevent.spawn(detector.has_crashed, SERVER)
+    while len(answers) > 1:
+        gevent.sleep(0.001)
+    assert [gevent.spawn(detector.has_crashed, SERVER).get() for _ in range(2)] == [True, True]
+    assert earlier.get() is False
+
+
 def test_leaving_server_is_not_probed():
     detector, probe = make_detector(True, is_live=False)
     assert detector.has_crashed(SERVER) is False
