Answer callers of HTTP/1.0 without chunks, and reset their broken answers

Callers of HTTP/1.0 got streams in chunks, which that version does not have, and so could not tell a whole stream from a broken one. Their streams now end with the connection. The connection is set to be reset from the head on, and to be closed in good order once the answer is complete, so that a partial one never looks whole, also if the process is killed.

--- a/hemlockswitch/connection/heads.py
+++ b/hemlockswitch/connection/heads.py
@@ -35,6 +35,7 @@
     headers : in the order received, names in their original case.
     has_body : whether the request declared a body, possibly an empty one.
     received_ms : time at which the head was complete.
+    http_version : for example ``1.1``.
     """
 
     method: str
@@ -44,6 +45,12 @@
     has_body: bool = False
     keep_alive: bool = True
     received_ms: float = 0.0
+    http_version: str = "1.1"
+
+    @property
+    def allows_chunks(self) -> bool:
+        """Whether the answer may be chunked (RFC 9112, section 6.1)."""
+        return self.http_version != "1.0"
 
     def get(self, name: str, default: str = "") -> str:
         """Return the first value of the header `name`, which must be in lower case."""
--- a/hemlockswitch/connection/message_parsers.py
+++ b/hemlockswitch/connection/message_parsers.py
@@ -127,6 +127,7 @@
             has_body=self._has_body,
             keep_alive=self._parser.should_keep_alive(),
             received_ms=self._received_ms,
+            http_version=self._parser.get_http_version(),
         )
         self.complete.append(request)
         self._reset()
--- a/hemlockswitch/connection/replies.py
+++ b/hemlockswitch/connection/replies.py
@@ -1,8 +1,11 @@
 """The answer to one request, as written to the caller's connection."""
 
+from collections.abc import Callable
+
 from gevent import socket
 
 from hemlockswitch.connection.heads import Header, ReceivedRequest, encode_head
+from hemlockswitch.connection.sockets import Closable, allow_orderly_close, reset_on_close
 
 
 class CallerLeftError(Exception):
@@ -22,11 +25,15 @@
     `send` writes a complete answer; `begin`, `write` and `end` write a chunked one. If a reply was
     begun and not ended, the connection is closed without the last chunk, so that the caller does
     not mistake a partial answer for a complete one.
+
+    A caller of HTTP/1.0 cannot read chunks: its answer ends with the connection, which is reset unless the
+    reply was ended, also if this process is killed.
     """
 
     def __init__(self, connection: socket.socket, request: ReceivedRequest, closes: bool) -> None:
         self._connection = connection
         self._method = request.method
+        self._is_chunked = request.allows_chunks
         self.closes = closes or not request.keep_alive
         self.status = 0
         self.begun = False
@@ -43,16 +50,25 @@
     def begin(self, status: int, reason: str, headers: list[Header]) -> None:
         """Write the head of an answer of unknown length."""
         self._start(status)
-        self._write_all(self._encode(status, reason, [*headers, ("Transfer-Encoding", "chunked")]))
+        if self._is_chunked:
+            headers = [*headers, ("Transfer-Encoding", "chunked")]
+        else:
+            self.closes = True
+            self._set_option(reset_on_close)
+        self._write_all(self._encode(status, reason, headers))
 
     def write(self, piece: bytes) -> None:
         """Write a piece of the body."""
-        if piece:
-            self._write_all(b"%x\r\n%b\r\n" % (len(piece), piece))
+        if piece and self._is_chunked:
+            piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+        self._write_all(piece)
 
     def end(self) -> None:
-        """Write the last chunk of the body."""
-        self._write_all(b"0\r\n\r\n")
+        """Mark the end of the body."""
+        if self._is_chunked:
+            self._write_all(b"0\r\n\r\n")
+        else:
+            self._set_option(allow_orderly_close)
         self.ended = True
 
     def _start(self, status: int) -> None:
@@ -64,6 +80,12 @@
             headers = [*headers, ("Connection", "close")]
         return encode_head(f"HTTP/1.1 {status} {reason}", headers)
 
+    def _set_option(self, change: Callable[[Closable], None]) -> None:
+        try:
+            change(self._connection)
+        except OSError as error:
+            raise CallerLeftError(str(error)) from error
+
     def _write_all(self, data: bytes) -> None:
         try:
             self._connection.sendall(data)
--- a/hemlockswitch/connection/sockets.py
+++ b/hemlockswitch/connection/sockets.py
@@ -82,6 +82,11 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
+def allow_orderly_close(connection: Closable) -> None:
+    """Undo `reset_on_close`."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
+
+
 def abort(connection: Closable) -> None:
     """Close with a reset, so that undelivered bytes are discarded."""
     # An error means that the connection is already closed.
