Play streams without length that end inside an event in the soak

The stand-in runner can answer a stream with neither a length nor chunks, and end it in good order, also inside an event. Soak plans draw this fault beside the others, so that earlier seeds draw the same other faults. A crash between two events is not played there: runners answer behind the proxy, which accepts connections also when they are gone.

--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NoReturn
 
 import falcon
 import gevent
@@ -17,6 +17,7 @@
     SOCKET_KEY,
     TARGET_KEY,
     cut_connection,
+    end_connection,
     end_process,
     make_application,
     read_body,
@@ -63,6 +64,8 @@
     foreign_answer : answer with the identifier of another request.
     without_seal : answer without the seal of a genuine answer.
     cut_after_events : reset a stream's connection within the event that follows this number.
+    unframed : answer a stream with neither a length nor chunks; it ends, also if it is cut, by a close of the
+        connection in good order.
     slow_factor : multiplier of the duration.
     every : only every nth request is affected.
     """
@@ -76,6 +79,7 @@
     foreign_answer: bool = False
     without_seal: bool = False
     cut_after_events: int | None = None
+    unframed: bool = False
     slow_factor: float = 1.0
     every: int = 1
 
@@ -244,6 +248,8 @@
             resp.set_header("Hemlockswitch-Response-Seal", make_seal(request_id))
         if faults.fail:
             resp.status, resp.data = 500, b"failed"
+        elif req.get_header("Hemlockswitch-Token-Counts") and faults.unframed:
+            self._answer_unframed(req, faults, request_id)
         elif req.get_header("Hemlockswitch-Token-Counts"):
             resp.content_type = "text/event-stream"
             resp.stream = self._stream(req, faults, request_id)
@@ -267,6 +273,21 @@
             resp.set_header("Hemlockswitch-Not-Executed", "1")
         return faults.decline
 
+    def _answer_unframed(
+        self, req: falcon.Request, faults: RunnerFaults, request_id: str
+    ) -> NoReturn:
+        """Write a stream past the server's framing, and end its connection."""
+        connection = req.env[SOCKET_KEY]
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Hemlockswitch-Request-Id: {request_id}",
+            f"Hemlockswitch-Response-Seal: {make_seal(request_id)}",
+        ]
+        connection.sendall("\r\n".join([*lines, "", ""]).encode())
+        for event in self._stream(req, faults, request_id):
+            connection.sendall(event)
+        end_connection(connection)
+
     def _stream(
         self, req: falcon.Request, faults: RunnerFaults, request_id: str
     ) -> Iterator[bytes]:
@@ -278,7 +299,8 @@
                 event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
                 if faults.cut_after_events is not None and number > faults.cut_after_events:
                     yield event[:5]
-                    cut_connection(req.env[SOCKET_KEY])
+                    cut = end_connection if faults.unframed else cut_connection
+                    cut(req.env[SOCKET_KEY])
                 yield event
                 gevent.sleep(self._state.settings.event_ms / MS_PER_SECOND)
                 self._state.goes_on.wait()
--- a/hemlockswitch/standin/server.py
+++ b/hemlockswitch/standin/server.py
@@ -121,6 +121,18 @@
     raise CutError
 
 
+def end_connection(connection: socket.socket) -> NoReturn:
+    """Close `connection` in good order, without marking the end of the answer otherwise.
+
+    Raises
+    ======
+
+    CutError : always, to leave the handler.
+    """
+    connection.shutdown(socket.SHUT_RDWR)
+    raise CutError
+
+
 def end_process() -> None:
     """Terminate this process immediately, as a crash does."""
     os._exit(1)
--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -182,6 +182,9 @@
     FaultKind.RUNNER_DECLINES: _make_runner_action(decline=True, count=6),
     FaultKind.RUNNER_FAILS: _make_runner_action(fail=True, count=6),
     FaultKind.RUNNER_BREAKS_OFF: _make_runner_action(cut_after_events=3, count=4),
+    FaultKind.RUNNER_ENDS_INSIDE_EVENT: _make_runner_action(
+        unframed=True, cut_after_events=3, count=8
+    ),
     FaultKind.RUNNER_FROZEN: _freeze_runner,
     FaultKind.RUNNER_KILLED: _kill_runner,
     FaultKind.RUNNER_DRAINED: _drain_runner,
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -1,6 +1,7 @@
 """Fault plans drawn from a seed. Targets are numbers, resolved to processes at injection time."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -28,6 +29,7 @@
     RUNNER_DECLINES = "runner_declines"
     RUNNER_FAILS = "runner_fails"
     RUNNER_BREAKS_OFF = "runner_breaks_off"
+    RUNNER_ENDS_INSIDE_EVENT = "runner_ends_inside_event"
     RUNNER_FROZEN = "runner_frozen"
     RUNNER_KILLED = "runner_killed"
     RUNNER_DRAINED = "runner_drained"
@@ -40,6 +42,9 @@
 FREQUENT_WEIGHT = 3
 MEAN_GAP_S = 1.2
 """Mean time between two faults. A fault lasts about two seconds, so that one or two overlap."""
+ADDED = (FaultKind.RUNNER_ENDS_INSIDE_EVENT,)
+"""Kinds that are drawn separately, so that a seed draws the same other faults as before they were added."""
+MEAN_ADDED_GAP_S = 4.0
 MAX_FAULT_S = 4.0
 MIN_FAULT_S = 0.3
 
@@ -73,14 +78,21 @@
     >>> all(fault.at_s < 20 for fault in draw_plan(7, 20))
     True
     """
-    rng = random.Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind not in ADDED]
+    faults = _draw_faults(random.Random(seed), kinds, MEAN_GAP_S, length_s)
+    faults += _draw_faults(random.Random(f"{seed}/added"), ADDED, MEAN_ADDED_GAP_S, length_s)
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _draw_faults(
+    rng: random.Random, kinds: Sequence[FaultKind], mean_gap_s: float, length_s: float
+) -> list[Fault]:
     weights = [FREQUENT_WEIGHT if kind in FREQUENT else 1 for kind in kinds]
     faults = []
-    at_s = rng.expovariate(1 / MEAN_GAP_S)
+    at_s = rng.expovariate(1 / mean_gap_s)
     while at_s < length_s:
         (kind,) = rng.choices(kinds, weights)
         for_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
         faults.append(Fault(round(at_s, 2), kind, rng.randrange(1_000), round(for_s, 2)))
-        at_s += rng.expovariate(1 / MEAN_GAP_S)
-    return tuple(faults)
+        at_s += rng.expovariate(1 / mean_gap_s)
+    return faults
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -32,6 +32,15 @@
     assert count_runs(engines, "id-1") == 1
 
 
+def test_stand_in_ends_a_stream_without_framing(site, engines):
+    for engine in engines:
+        engine.fail(unframed=True)
+    assert site.ask("/draft/x", "id-1", **tokens(12)).body == make_events("id-1", 12)
+    for engine in engines:
+        engine.fail(unframed=True, cut_after_events=5)
+    assert not site.ask("/draft/x", "id-2", **tokens(12)).is_whole
+
+
 def test_resumable_stream_continues_on_another_server(site, engines):
     for engine in engines:
         engine.fail(cut_after_events=5, count=1)
