--- a/hemlockswitch/platform/headers.py
+++ b/hemlockswitch/platform/headers.py
@@ -34,6 +34,7 @@
 PROMPT_PREFIX = "hemlockswitch-prompt-prefix"
 """All parts of the prompt, not only its prefix; the last part is specific to the request."""
 LAST_EVENT_ID = "last-event-id"
+RESUMES = "resumes"
 EXPECT_INSTANCE = "hemlockswitch-expect-instance"
 URGENCY = "hemlockswitch-request-urgency"
 SEAL = "hemlockswitch-response-seal"
@@ -125,6 +126,7 @@
             time_left_ms=_decode_deadline(request.get(DEADLINE)),
             prompt=_decode_prompt(request),
             last_event_id=request.get(LAST_EVENT_ID),
+            resumes=request.get(RESUMES),
         )
 
     def encode_request(
--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -99,6 +99,8 @@
             account=admitted.account.name if admitted and admitted.account else "",
             revision=admitted.revision if admitted else 0,
             sends=progress.sends,
+            send_versions=progress.send_versions,
+            resumes=progress.facts.resumes if progress.facts else "",
             through=[gateway for gateway in progress.through if gateway],
             server_version=progress.begun_version,
             expected_ms=round(progress.expected_ms),
--- a/hemlockswitch/request/dialect.py
+++ b/hemlockswitch/request/dialect.py
@@ -73,6 +73,8 @@
     time_left_ms : how long the caller waits; None if the request does not state it.
     prompt : the prompt of a model request, else None.
     last_event_id : the last event of an earlier answer that the caller received; empty if none.
+    resumes : identifier of the attempt that brought the first event of the stream that is to go on; empty if
+        the request states none.
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     time_left_ms: float | None = None
     prompt: Prompt | None = None
     last_event_id: str = ""
+    resumes: str = ""
 
 
 @dataclass(frozen=True)
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -19,6 +19,7 @@
     ==========
 
     sends : incarnations of the servers that the request was sent to.
+    send_versions : software versions of these servers.
     excluded : incarnations of the servers on which an attempt failed.
     in_flight : whether an attempt is in progress.
     through : for each send, the gateway that its connection led through; empty if it was direct.
@@ -38,6 +39,7 @@
     admitted: AdmittedRequest | None = None
     state: SendState = SendState.NOT_RUN
     sends: list[str] = field(default_factory=list)
+    send_versions: list[str] = field(default_factory=list)
     excluded: list[str] = field(default_factory=list)
     through: list[str] = field(default_factory=list)
     in_flight: bool = False
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -159,7 +159,9 @@
             detail = "no valid permit for the limited server when the connection was open"
             raise SendFailedError(SendFailure.UNREACHABLE, detail, False)
         ticket = self._view.begin_attempt(send.admitted, send.placement)
-        send.progress.sends.append(send.placement.candidate.server.incarnation)
+        server = send.placement.candidate.server
+        send.progress.sends.append(server.incarnation)
+        send.progress.send_versions.append(server.version)
         send.progress.through.append(exchange.gateway)
         send.progress.in_flight = True
         failed = True
--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -37,6 +37,7 @@
     work_ms : duration of a plain call, and time to the first event of a stream.
     event_ms : time between two events of a stream.
     prints_runs : print a line for each arrival and each run, which remains readable after the process ends.
+    version : software version, written into each event of a stream; empty to leave it out.
     ends_on : terminate the process on a request whose body contains this text, after `work_ms`;
         empty disables it.
     """
@@ -48,6 +49,7 @@
     work_ms: float = 5
     event_ms: float = 5
     prints_runs: bool = False
+    version: str = ""
     ends_on: str = ""
 
 
@@ -296,7 +298,8 @@
         finished = False
         try:
             for number in range(first, last + 1):
-                event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+                text = f"{request_id} {number} {self._state.settings.version}".rstrip()
+                event = f"id: {number}\ndata: {text}\n\n".encode()
                 if faults.cut_after_events is not None and number > faults.cut_after_events:
                     yield event[:5]
                     cut = end_connection if faults.unframed else cut_connection
