Continue an answer only at the software version of its first event

Callers got streams with events of two versions within one answer: after a broken attempt the next server was chosen without regard to its version, or, during a roll-out, from the other version if none was left. Which version began an answer was known, but used for the exposure of roll-outs only.

A stream that has begun now goes on at servers of its version only. If there is none, or its version was stopped or withheld, it ends there, broken off: what another version writes does not fit. A stream of the old version goes on there after the move of its service, for as long as its servers are registered. A test of the roll-outs expected a stream of a stopped version to go on at the old one, which is this fault; it now expects no server, and that a stream of the old version still has one.

--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -102,7 +102,7 @@
             send_versions=progress.send_versions,
             resumes=progress.facts.resumes if progress.facts else "",
             through=[gateway for gateway in progress.through if gateway],
-            server_version=progress.begun_version,
+            server_version=progress.begun_version or "",
             expected_ms=round(progress.expected_ms),
             list_age_ms=round(progress.list_age_ms),
             began_ms=round(began_ms - received_ms) if began_ms is not None else None,
--- a/hemlockswitch/process/gateway/rollouts.py
+++ b/hemlockswitch/process/gateway/rollouts.py
@@ -44,7 +44,7 @@
 
     is_first : whether the request is new and no part of it has been sent.
     is_repeatable : whether it can continue on another server if its server stops.
-    begun_version : the version that has started to answer it; empty if none has.
+    begun_version : the version that has begun the stream, which alone may continue it; None if none has.
     draws_canary : whether its trial is limited to the canary servers.
     """
 
@@ -52,7 +52,7 @@
     route: str
     is_first: bool
     is_repeatable: bool = False
-    begun_version: str = ""
+    begun_version: str | None = None
     draws_canary: bool = False
 
 
@@ -186,6 +186,8 @@
 
     def select(self, request: SendProperties, servers: list[BackendServer]) -> list[BackendServer]:
         """Return the servers, out of a service's `servers`, that a request may be sent to."""
+        if request.begun_version is not None:
+            return self._select_begun(request, servers)
         if self._bound is None:
             return servers
         progress = self._progress.get(request.service)
@@ -199,6 +201,22 @@
                 others.append(server)
         return self._select_by_order(progress, request, _ServersByVersion(target, others))
 
+    def _select_begun(
+        self, request: SendProperties, servers: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Return the servers that may continue a stream: those of the version that began it, unless it was stopped."""
+        same = [server for server in servers if server.version == request.begun_version]
+        progress = self._progress.get(request.service)
+        if progress is None or request.begun_version != progress.order.target:
+            return [server for server in same if not self.versions.is_withheld(server)]
+        is_in_force = progress.order.state is RolloutState.COMPLETED or progress.is_in_force
+        if is_in_force or not same:
+            return same
+        if not progress.is_open:
+            return []
+        progress.charge(request.route, self._clock.now_ms())
+        return same
+
     def _select_by_order(
         self, progress: RolloutProgress, request: SendProperties, listed: _ServersByVersion
     ) -> list[BackendServer]:
@@ -219,9 +237,6 @@
     ) -> list[BackendServer]:
         """Return the candidate servers of a request while the order is open."""
         now_ms = self._clock.now_ms()
-        if request.begun_version:
-            is_target = request.begun_version == progress.order.target
-            return (listed.target if is_target else listed.others) or listed.others
         if not request.is_repeatable and progress.must_move(request.route, now_ms):
             return listed.target
         if progress.may_try(request.route, now_ms) and (request.is_first or not listed.others):
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -42,7 +42,7 @@
     admitted: AdmittedRequest
     excluded: Sequence[str]
     is_careful: bool = False
-    begun_version: str = ""
+    begun_version: str | None = None
 
 
 class GatewayView:
@@ -94,7 +94,7 @@
         excluded: Sequence[str],
         *,
         is_careful: bool = False,
-        begun_version: str = "",
+        begun_version: str | None = None,
     ) -> Placement | None:
         """Return the server for the next send attempt, or None when there is none.
 
@@ -103,7 +103,7 @@
 
         is_careful : choose the server with the fewest requests in progress, because this request may
             crash it.
-        begun_version : the version that has begun to answer the request; empty if none has.
+        begun_version : the version that has begun the stream, which alone may continue it; None if none has.
         """
         choice = ServerChoice(admitted, excluded, is_careful, begun_version)
         servers = self._list_eligible(choice)
--- a/hemlockswitch/request/forwarding_view.py
+++ b/hemlockswitch/request/forwarding_view.py
@@ -35,7 +35,7 @@
         excluded: Sequence[str],
         *,
         is_careful: bool = False,
-        begun_version: str = "",
+        begun_version: str | None = None,
     ) -> Placement | None:
         """Return the server for the next attempt, or None if there is none.
 
@@ -43,7 +43,7 @@
         ==========
 
         is_careful : choose the server with the fewest requests in progress, as the request may crash it.
-        begun_version : the version that has begun to answer the request; empty if none has.
+        begun_version : the version that has begun the stream, which alone may continue it; None if none has.
         """
 
     def preview(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -26,7 +26,7 @@
     target : name of the server chosen last, even if no connection to it could be made.
     list_age_ms : age of the list of servers from which the last one was chosen.
     began_ms : clock time at which the reply to the caller began.
-    begun_version : version of the server that began to answer; empty before.
+    begun_version : version of the server that began the answer, or the stream that it continues; None before.
     answer_end : what marked the end of the relayed answer; empty if none was relayed to its end.
     unfinished_bytes : size of the part after the last complete event of the last stream.
     clearance : the clearance for the last attempt.
@@ -51,7 +51,7 @@
     list_age_ms: float = 0.0
     began_ms: float | None = None
     last_event_id: str = ""
-    begun_version: str = ""
+    begun_version: str | None = None
     outcome: str = ""
     status: int = 0
     detail: str = ""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -181,7 +181,15 @@
     assert {one.version for one in gateway.rollouts.select(began_old, [*OLD, *NEW])} == {"v1"}
     assert {one.version for one in gateway.rollouts.select(began_new, [*OLD, *NEW])} == {"v2"}
     gateway.progress.stop("told to stop by another gateway")
-    assert {one.version for one in gateway.rollouts.select(began_new, [*OLD, *NEW])} == {"v1"}
+    assert gateway.rollouts.select(began_new, [*OLD, *NEW]) == []
+    assert {one.version for one in gateway.rollouts.select(began_old, [*OLD, *NEW])} == {"v1"}
+
+
+def test_stream_of_the_old_version_goes_on_there_after_the_move(gateway):
+    gateway.read(make_order(status={"state": "completed"}))
+    began_old = SendProperties(SERVICE, ROUTE, is_first=False, begun_version="v1")
+    assert {one.version for one in gateway.rollouts.select(began_old, [*OLD, *NEW])} == {"v1"}
+    assert gateway.rollouts.select(began_old, NEW) == []
 
 
 def test_repeated_request_does_not_try_the_new_version(gateway):
