Continue a caller's stream only at the software version that began it

Callers that took a stream up at another gateway got events of another version: nothing read Resumes, and the version that began a stream was known to its own process only.

Each gateway now records the version of a resumable stream before the first event is relayed, for twice the route's time limit. While servers of one version are registered for a service, that is all. If nobody knows, the stream goes on only if all servers that were registered in that time had one version, by a list of servers that is recent, or as recent as that of all gateways asked; otherwise the request is refused at once as not run.

--- a/hemlockswitch/core/errors.py
+++ b/hemlockswitch/core/errors.py
@@ -30,6 +30,7 @@
     CONCURRENCY_LIMIT = "concurrency_limit"
     OVERLOADED = "overloaded"
     NO_BACKEND = "no_backend"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     QUARANTINED = "quarantined"
     LEAVING = "leaving"
     NOT_READY = "not_ready"
@@ -81,6 +82,7 @@
     ErrorKind.CONCURRENCY_LIMIT: Answer(429, Ran.NO, 1_000),
     ErrorKind.OVERLOADED: Answer(503, Ran.NO, 1_000),
     ErrorKind.NO_BACKEND: Answer(503, Ran.NO, 2_000),
+    ErrorKind.STREAM_VERSION_UNKNOWN: Answer(503, Ran.NO, 500),
     ErrorKind.QUARANTINED: Answer(503, Ran.NO, 2_000),
     ErrorKind.LEAVING: Answer(503, Ran.NO, 100),
     ErrorKind.NOT_READY: Answer(503, Ran.NO, 1_000),
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -35,6 +35,7 @@
 from hemlockswitch.process.gateway.server_limits import ServerLimits
 from hemlockswitch.process.gateway.server_links import ServerLinks
 from hemlockswitch.process.gateway.service_models import FIT_INTERVAL_MS, ServiceModels
+from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
 from hemlockswitch.process.gateway.usage import UsageCounts
 from hemlockswitch.process.gateway.view import GatewayView
@@ -135,6 +136,10 @@
             count_running=self.loads.count_running,
         )
         self.permits.slots.issuer.find_slots = self.registry.find_slots
+        self.streams = StreamVersions(
+            self.network, self.fleet, lambda: self.registry.measure_age_ms(), clock
+        )
+        self.registry.on_listed = self.streams.record_listed
         self.state = GatewayState(
             tables=self.tables,
             registry=self.registry,
@@ -143,6 +148,7 @@
             loads=self.loads,
             models=self.models,
             rollouts=self.rollouts,
+            streams=self.streams,
             permits=self.permits,
             usage=self.usage,
             fleet_clock=self.fleet_clock,
@@ -360,6 +366,7 @@
         while True:
             self._clock.sleep_ms(SWEEP_INTERVAL_MS)
             self.pool.sweep()
+            self.streams.sweep()
             self.permits.evict_unlisted(self.registry.list_all)
             self.fleet_clock.apply_estimates(self.fleet.list_time_estimates())
 
@@ -373,6 +380,7 @@
         self.reachability.evict(server)
         self.loads.evict(server.incarnation)
         self.permits.evict(server.incarnation)
+        self.streams.history.record_removed(server)
 
     def _count_connection(self, _address: str) -> None:
         self.observer.metrics.connections += 1
--- a/hemlockswitch/process/gateway/fleet.py
+++ b/hemlockswitch/process/gateway/fleet.py
@@ -23,6 +23,7 @@
 from hemlockswitch.process.gateway.peer_groups import Peer, PeerGroups, ReportedLinks, draw_relays
 from hemlockswitch.process.gateway.registrations import GATEWAY_KIND, Registration
 from hemlockswitch.process.gateway.report_period import ReportPeriod, UsagePeriod
+from hemlockswitch.process.gateway.stream_holders import HolderRing
 from hemlockswitch.process.gateway.watch_guard import StoreView
 
 LIST_INTERVAL_MS = 10_000.0
@@ -74,6 +75,7 @@
         self._clock = clock
         self._peers: dict[str, Peer] = {}
         self._peer_groups: PeerGroups | None = None  # None after a change
+        self._holder_ring: HolderRing | None = None  # None after a change
         self._connected: list[Peer] | None = None  # None after a change
         self._connected_listed_ms = float("-inf")
 
@@ -153,6 +155,7 @@
     def _drop_cached_lists(self) -> None:
         """Drop the cached lists after a gateway was added, removed or moved to another zone."""
         self._peer_groups = None
+        self._holder_ring = None
         self._connected = None
 
     def record_report(self, address: str, report: GatewayReport, view: StoreView) -> None:
@@ -209,6 +212,12 @@
             self._peer_groups = PeerGroups.from_peers(self.list_peers(), self.zone)
         return self._peer_groups
 
+    def get_holder_ring(self) -> HolderRing:
+        """Return the order in which the other gateways hold the records of streams."""
+        if self._holder_ring is None:
+            self._holder_ring = HolderRing(self._peers.values())
+        return self._holder_ring
+
     def get_near_period(self) -> ReportPeriod:
         """Return the time between two reports to the gateways near this one."""
         return self._get_peer_groups().near_period
@@ -266,17 +275,24 @@
 
         One that has never been received from counts for as long as its first report may take.
         """
-        now_ms = self._clock.now_ms()
-        near_ms = now_ms - self.get_near_period().disconnected_ms
-        far_ms = now_ms - self.get_far_period().disconnected_ms
         return [
             peer
             for peer in self._peers.values()
             if zone is None or peer.zone == zone
-            if max(peer.last_received_ms, peer.first_seen_ms)
-            >= (near_ms if peer.zone == self.zone else far_ms)
+            if self._is_running(peer)
         ]
 
+    def find_running(self, name: str) -> Peer | None:
+        """Return a gateway that `list_running` would return, by its name."""
+        peer = self._peers.get(name)
+        return peer if peer is not None and self._is_running(peer) else None
+
+    def _is_running(self, peer: Peer) -> bool:
+        is_near = peer.zone == self.zone
+        period = self.get_near_period() if is_near else self.get_far_period()
+        received_ms = max(peer.last_received_ms, peer.first_seen_ms)
+        return received_ms >= self._clock.now_ms() - period.disconnected_ms
+
     def get_connected_fraction(self) -> float:
         """Return the fraction of the fleet that is connected to this gateway, which is included."""
         return self.count_connected() / self.count_daemons()
--- a/hemlockswitch/process/gateway/gateway_state.py
+++ b/hemlockswitch/process/gateway/gateway_state.py
@@ -11,6 +11,7 @@
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.service_models import ServiceModels
+from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.process.gateway.usage import UsageCounts
 
 
@@ -28,6 +29,7 @@
     loads : the requests in progress on the servers, and the prompts in their caches.
     models : the fitted models of the services.
     rollouts : the orders that move services to other versions.
+    streams : the versions that began streams.
     permits : the limits that servers state, and the permits for requests to limited servers.
     usage : the counts for the usage reports.
     fleet_clock : the estimate of the wall-clock time.
@@ -40,6 +42,7 @@
     loads: ServerLoads
     models: ServiceModels
     rollouts: Rollouts
+    streams: StreamVersions
     permits: Permits
     usage: UsageCounts
     fleet_clock: FleetClock
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -94,6 +94,7 @@
     def __init__(
         self, decode: Decoder, clock: Clock, on_removed: Callable[[BackendServer], None]
     ) -> None:
+        self.on_listed: Callable[[BackendServer], None] = lambda _: None  # with each live entry
         self.get_recovered_ms: Callable[[], float] = lambda: float("-inf")
         self.measure_age_ms: Callable[[], float] = (
             lambda: 0.0
@@ -239,6 +240,8 @@
         if server.state is BackendState.LEAVING:
             self._departures.record(server)
             self._on_removed(server)
+        elif server.state is BackendState.LIVE:
+            self.on_listed(server)
 
     def _record_restart(self, before: BackendServer, server: BackendServer) -> None:
         """Discard the state of the process that had this name before."""
--- /dev/null
+++ b/hemlockswitch/process/gateway/stream_versions.py
@@ -0,0 +1,269 @@
+"""Which software version began a stream that a caller takes up again, possibly at another gateway.
+
+While servers of one version only are registered for a service, its streams need no record. Otherwise the gateway
+that begins or continues a stream tells the gateways that hold its record before the caller gets the first
+event, and a gateway that has no record asks them. A stream of unknown origin goes on only if all servers that may
+have begun it had one version.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.core.errors import ErrorKind, PeerError, RequestError
+from hemlockswitch.core.events import Event
+from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.peer_groups import Peer
+from hemlockswitch.process.gateway.stream_holders import ASKED, HOLDERS, choose_holders
+from hemlockswitch.process.gateway.stream_messages import (
+    RecordFields,
+    StreamQuery,
+    StreamReply,
+    StreamsBegun,
+)
+from hemlockswitch.process.gateway.version_history import VersionEvidence, VersionHistory
+from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.request.stream_records import StreamKey, StreamRecord, StreamRecords
+from hemlockswitch.version.backend import BackendServer
+
+LIFE_FACTOR = 2.0
+"""A caller may take a stream up for this multiple of its route's time limit."""
+MAX_LIST_AGE_MS = 2_000.0
+"""Age up to which a list of servers is taken for complete; a server that registered since is hardly used yet."""
+QUERY_TIMEOUT_MS = 250.0
+ASK_TIMEOUT_MS = 300.0
+"""Limits the wait for all replies, including the time to send the questions."""
+MAX_RECORDS_PER_MESSAGE = 500
+
+
+class StreamVersions:
+    """Records and finds the versions that began streams.
+
+    Parameters
+    ==========
+
+    network, fleet : the streams to the other gateways, and the list of these gateways.
+    measure_list_age_ms : returns how long ago the list of servers was known to be complete.
+    clock : the time source.
+
+    Attributes
+    ==========
+
+    history : the versions that were registered lately.
+    origins : number of streams taken up again, by how their version was found.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        fleet: Fleet,
+        measure_list_age_ms: Callable[[], float],
+        clock: Clock,
+    ) -> None:
+        self.history = VersionHistory(clock)
+        self.origins: Counter[str] = Counter()
+        self._network = network
+        self._fleet = fleet
+        self._measure_list_age_ms = measure_list_age_ms
+        self._clock = clock
+        self._records = StreamRecords(clock)  # of all streams that this gateway knows
+        self._untold = StreamRecords(clock)  # of its own streams that only this gateway knows
+        network.handle(StreamsBegun, self._apply_begun, runs_inline=True)
+        network.handle(StreamQuery, self._reply_to, runs_inline=True)
+
+    def record_listed(self, server: BackendServer) -> None:
+        """Record a registered server, and tell the other gateways of the streams if its version is a new one."""
+        if self.history.record_listed(server):
+            self._tell(self._untold.pop_live(server.serves))
+
+    def record_begun(self, admitted: AdmittedRequest, server: BackendServer) -> None:
+        """Record the version of a stream whose first event is about to be relayed."""
+        life_ms = find_life_ms(admitted)
+        key = build_key(admitted)
+        record = StreamRecord(key, server.version, self._clock.now_ms() + life_ms)
+        self._records.put(record)
+        if len(self.history.list_versions(key.service, life_ms)) > 1:
+            self._tell([record])
+        else:
+            self._untold.put(record)
+
+    def find(self, admitted: AdmittedRequest) -> str:
+        """Return the version that began the stream that a request continues.
+
+        Raises
+        ======
+
+        RequestError : it is not known, and servers of several versions may have begun it.
+        """
+        key, life_ms = build_key(admitted), find_life_ms(admitted)
+        version = self._records.find_version(key)
+        if version is not None:
+            return self._count("own", version)
+        own = self.history.describe(key.service, life_ms, self._measure_list_age_ms())
+        is_fresh = own.list_age_ms <= MAX_LIST_AGE_MS
+        if len(own.versions) == 1 and is_fresh and own.watched_ms >= life_ms:
+            return self._count("single", *own.versions)
+        return self._find_elsewhere(admitted, key, own)
+
+    def sweep(self) -> None:
+        """Remove the expired records."""
+        self._records.remove_expired()
+        self._untold.remove_expired()
+
+    def describe(self) -> dict[str, Any]:
+        """Return the number of known streams by service and version, for the status page."""
+        return self._records.count_by_version()
+
+    def _find_elsewhere(
+        self, admitted: AdmittedRequest, key: StreamKey, own: VersionEvidence
+    ) -> str:
+        """Ask other gateways for the version that began a stream."""
+        asked = self._list_asked(key)
+        replies = self._ask(key, asked, find_life_ms(admitted))
+        known = {reply.version for reply in replies.values() if reply.version is not None}
+        if len(known) == 1:
+            (version,) = known
+            self._log_found(admitted, version, replies)
+            return self._count("peer", version)
+        versions = own.versions.union(*(reply.versions for reply in replies.values()))
+        if len(versions) == 1 and not known and self._is_conclusive(own, asked, replies):
+            return self._count("single", *versions)
+        self.origins["unknown"] += 1
+        self._log_unknown(admitted, versions, asked, replies, own)
+        raise RequestError(
+            ErrorKind.STREAM_VERSION_UNKNOWN,
+            f"no gateway knows which version of service {key.service} began the stream"
+            f' "{admitted.facts.resumes}"',
+        )
+
+    @staticmethod
+    def _log_found(
+        admitted: AdmittedRequest, version: str, replies: dict[str, StreamReply]
+    ) -> None:
+        log_event(
+            Event.STREAM_VERSION_TOLD,
+            request_id=admitted.facts.request_id,
+            resumes=admitted.facts.resumes,
+            service=admitted.service,
+            version=version,
+            known_by=[name for name, reply in replies.items() if reply.version is not None],
+        )
+
+    @staticmethod
+    def _log_unknown(
+        admitted: AdmittedRequest,
+        versions: frozenset[str],
+        asked: list[Peer],
+        replies: dict[str, StreamReply],
+        own: VersionEvidence,
+    ) -> None:
+        log_event(
+            Event.STREAM_VERSION_UNKNOWN,
+            "warning",
+            request_id=admitted.facts.request_id,
+            resumes=admitted.facts.resumes,
+            service=admitted.service,
+            versions=sorted(versions),
+            asked=[peer.name for peer in asked],
+            replied=list(replies),
+            watched_ms=round(own.watched_ms),
+            list_age_ms=round(own.list_age_ms),
+        )
+
+    def _is_conclusive(
+        self, own: VersionEvidence, asked: list[Peer], replies: dict[str, StreamReply]
+    ) -> bool:
+        """Return whether a version that nobody knows of can be ruled out.
+
+        A recent list shows all servers. If no list is recent, no gateway that replied has seen a new server
+        either; one that did not reply may have.
+        """
+        ages_ms = [own.list_age_ms, *(reply.list_age_ms for reply in replies.values())]
+        if min(ages_ms) <= MAX_LIST_AGE_MS:
+            return True
+        is_alone = self._fleet.is_listed and not self._fleet.list_peers()
+        return is_alone or (bool(asked) and len(replies) == len(asked))
+
+    def _count(self, origin: str, version: str) -> str:
+        self.origins[origin] += 1
+        return version
+
+    def _list_asked(self, key: StreamKey) -> list[Peer]:
+        """Return the gateways to ask for a record."""
+        if not self._fleet.reports_by_zone:
+            return self._fleet.list_running(None)
+        return self._choose_peers(key, ASKED)
+
+    def _choose_peers(self, key: StreamKey, count: int) -> list[Peer]:
+        """Return the running gateways that follow a stream's key on the circle."""
+        ring = self._fleet.get_holder_ring()
+        return choose_holders(ring, self._fleet.find_running, key.digest, count)
+
+    def _tell(self, records: list[StreamRecord]) -> None:
+        """Send records to the gateways that hold them."""
+        if not self._fleet.reports_by_zone:
+            addresses = [peer.address for peer in self._fleet.list_running(None)]
+            for first in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
+                part = records[first : first + MAX_RECORDS_PER_MESSAGE]
+                self._network.send_all(addresses, StreamsBegun([*map(self._encode, part)]))
+            return
+        for record in records:
+            holders = [peer.address for peer in self._choose_peers(record.key, HOLDERS)]
+            self._network.send_all(holders, StreamsBegun([self._encode(record)]))
+
+    def _encode(self, record: StreamRecord) -> RecordFields:
+        key = record.key
+        left_ms = record.expires_ms - self._clock.now_ms()
+        return key.digest, key.account, key.service, record.version, left_ms
+
+    def _apply_begun(self, _address: str, message: StreamsBegun) -> None:
+        now_ms = self._clock.now_ms()
+        for digest, account, service, version, left_ms in message.records:
+            key = StreamKey(digest, account, service)
+            self._records.put(StreamRecord(key, version, now_ms + left_ms))
+
+    def _ask(self, key: StreamKey, peers: list[Peer], span_ms: float) -> dict[str, StreamReply]:
+        """Ask gateways at the same time; return the replies by their names, up to the first with a version."""
+        query = StreamQuery(key.digest, key.account, key.service, span_ms)
+        tasks = {gevent.spawn(self._ask_one, peer, query): peer.name for peer in peers}
+        replies: dict[str, StreamReply] = {}
+        with gevent.iwait(tasks, timeout=ASK_TIMEOUT_MS / MS_PER_SECOND) as ended:
+            for task in ended:
+                if task.value is None:
+                    continue
+                replies[tasks[task]] = task.value
+                if task.value.version is not None:
+                    break
+        return replies
+
+    def _ask_one(self, peer: Peer, query: StreamQuery) -> StreamReply | None:
+        try:
+            return self._network.request(peer.address, query, QUERY_TIMEOUT_MS)
+        except PeerError as error:
+            log_event(
+                Event.STREAM_QUERY_UNANSWERED, "warning", gateway=peer.name, detail=error.detail
+            )
+            return None
+
+    def _reply_to(self, _address: str, query: StreamQuery) -> StreamReply:
+        key = StreamKey(query.digest, query.account, query.service)
+        seen = self.history.describe(query.service, query.span_ms, self._measure_list_age_ms())
+        version = self._records.find_version(key)
+        return StreamReply(version, sorted(seen.versions), seen.list_age_ms)
+
+
+def build_key(admitted: AdmittedRequest) -> StreamKey:
+    """Return the key of the stream that a request begins or continues."""
+    account = admitted.account.name if admitted.account is not None else ""
+    attempt = admitted.facts.resumes or admitted.facts.request_id
+    return StreamKey.build(account, admitted.service, attempt)
+
+
+def find_life_ms(admitted: AdmittedRequest) -> float:
+    """Return for how long a caller may take up a stream of a request's route."""
+    return LIFE_FACTOR * admitted.route.timeout_ms
--- /dev/null
+++ b/hemlockswitch/process/gateway/version_history.py
@@ -0,0 +1,95 @@
+"""The software versions of each service whose servers were registered lately, as this gateway saw them."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+
+from hemlockswitch.core.clock import Clock
+from hemlockswitch.version.backend import BackendServer
+
+RETENTION_MS = 600_000.0
+"""How long the end of a version is remembered; longer than any caller takes up a stream."""
+
+
+@dataclass(frozen=True)
+class VersionEvidence:
+    """The versions of a service that may have begun a stream, as one gateway saw them.
+
+    Parameters
+    ==========
+
+    versions : those that were registered at any time in the span asked for.
+    watched_ms : for how long this gateway has been watching.
+    list_age_ms : how long ago its list of servers was known to be complete.
+    """
+
+    versions: frozenset[str]
+    watched_ms: float
+    list_age_ms: float
+
+
+class _ServiceVersions:
+    """The registered servers of one service, and when versions without a server were last registered."""
+
+    def __init__(self) -> None:
+        self.by_server: dict[str, str] = {}
+        self.counts: Counter[str] = Counter()
+        self.ended_ms: dict[str, float] = {}
+
+
+class VersionHistory:
+    """Remembers when the versions of each service were last registered.
+
+    Parameters
+    ==========
+
+    clock : the time source.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._began_ms = clock.now_ms()
+        self._services: defaultdict[str, _ServiceVersions] = defaultdict(_ServiceVersions)
+
+    def record_listed(self, server: BackendServer) -> bool:
+        """Record a registered server; return whether none with its version was registered."""
+        service = self._services[server.serves]
+        if service.by_server.get(server.name) == server.version:
+            return False
+        self.record_removed(server)
+        service.by_server[server.name] = server.version
+        service.counts[server.version] += 1
+        service.ended_ms.pop(server.version, None)
+        return service.counts[server.version] == 1
+
+    def record_removed(self, server: BackendServer) -> None:
+        """Record a server that gets no new requests from now on."""
+        service = self._services[server.serves]
+        version = service.by_server.pop(server.name, None)
+        if version is None:
+            return
+        service.counts[version] -= 1
+        if not service.counts[version]:
+            del service.counts[version]
+            self._record_end(service, version)
+
+    def list_versions(self, service: str, span_ms: float) -> frozenset[str]:
+        """Return the versions that were registered at any time in the last `span_ms`."""
+        if service not in self._services:
+            return frozenset()
+        oldest_ms = self._clock.now_ms() - span_ms
+        known = self._services[service]
+        ended = (version for version, at_ms in known.ended_ms.items() if at_ms >= oldest_ms)
+        return frozenset((*known.counts, *ended))
+
+    def describe(self, service: str, span_ms: float, list_age_ms: float) -> VersionEvidence:
+        """Return what this gateway saw of a service in the last `span_ms`."""
+        watched_ms = self._clock.now_ms() - self._began_ms
+        return VersionEvidence(self.list_versions(service, span_ms), watched_ms, list_age_ms)
+
+    def _record_end(self, service: _ServiceVersions, version: str) -> None:
+        now_ms = self._clock.now_ms()
+        service.ended_ms[version] = now_ms
+        for one in [
+            one for one, at_ms in service.ended_ms.items() if at_ms < now_ms - RETENTION_MS
+        ]:
+            del service.ended_ms[one]
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -73,6 +73,7 @@
         self._reachability = state.reachability
         self._models = state.models
         self._rollouts = state.rollouts
+        self._streams = state.streams
         self._permits = state.permits
         self._readiness = readiness
         self._detours = detours
@@ -120,6 +121,20 @@
             permit.release()
         return self._choose(choice, [one for one in servers if not self._needs_permit(one)])
 
+    def find_begun_version(self, admitted: AdmittedRequest) -> str:
+        """Return the version that began the stream that a request continues.
+
+        Raises
+        ======
+
+        RequestError : it is not known, and servers of several versions may have begun it.
+        """
+        return self._streams.find(admitted)
+
+    def record_stream_begun(self, admitted: AdmittedRequest, server: BackendServer) -> None:
+        """Record the version of a resumable stream before its first event is relayed."""
+        self._streams.record_begun(admitted, server)
+
     def preview(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
         """Return the server that `place` would choose now, without requesting a permit for it."""
         choice = ServerChoice(admitted, excluded)
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -144,6 +144,8 @@
         timer = gevent.Timeout(max(left_ms, 0) / MS_PER_SECOND, OverdueError())
         timer.start()
         try:
+            if continues_stream(admitted):
+                progress.begun_version = self._view.find_begun_version(admitted)
             answered = self._send_until_answered(progress, admitted, reply)
         except OverdueError:
             self._give_up_overdue(progress, reply)
@@ -267,6 +269,12 @@
         reply.send(answer.status, answer.reason, list(answer.headers), answer.body)
 
 
+def continues_stream(admitted: AdmittedRequest) -> bool:
+    """Return whether a request continues a stream that an earlier attempt of its caller began."""
+    facts = admitted.facts
+    return admitted.route.is_resumable and bool(facts.last_event_id or facts.resumes)
+
+
 def find_start_wait_ms(facts: RequestFacts) -> float:
     """Return how long a request may wait while the process starts.
 
--- a/hemlockswitch/request/forwarding_view.py
+++ b/hemlockswitch/request/forwarding_view.py
@@ -46,6 +46,18 @@
         begun_version : the version that has begun the stream, which alone may continue it; None if none has.
         """
 
+    def find_begun_version(self, admitted: AdmittedRequest) -> str:
+        """Return the version that began the stream that a request continues.
+
+        Raises
+        ======
+
+        RequestError : it is not known, and servers of several versions may have begun it.
+        """
+
+    def record_stream_begun(self, admitted: AdmittedRequest, server: BackendServer) -> None:
+        """Record the version of a resumable stream before its first event is relayed."""
+
     def preview(self, admitted: AdmittedRequest, excluded: Sequence[str]) -> Placement | None:
         """Return the server that `place` would choose now, without a permit for it."""
 
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -381,7 +381,10 @@
 
     def _record_begun(self, send: SendAttempt) -> None:
         send.progress.began_ms = self._clock.now_ms()
-        send.progress.begun_version = send.placement.candidate.server.version
+        server = send.placement.candidate.server
+        send.progress.begun_version = server.version
+        if send.admitted.route.is_resumable:
+            self._view.record_stream_begun(send.admitted, server)
         self._observer.request_began(send.progress)
 
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -186,7 +186,7 @@
 
 
 def test_stream_of_the_old_version_goes_on_there_after_the_move(gateway):
-    gateway.read(make_order(status={"state": "completed"}))
+    gateway.read(make_order(status={"state": "completed", "to": "v2"}))
     began_old = SendProperties(SERVICE, ROUTE, is_first=False, begun_version="v1")
     assert {one.version for one in gateway.rollouts.select(began_old, [*OLD, *NEW])} == {"v1"}
     assert gateway.rollouts.select(began_old, NEW) == []
