--- /dev/null
+++ b/tests/test_stream_records.py
@@ -0,0 +1,222 @@
+"""What gateways keep and tell of the versions that began streams."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.core.errors import ErrorKind, RequestError
+from hemlockswitch.process.gateway.peer_groups import Peer
+from hemlockswitch.process.gateway.stream_holders import HOLDERS, HolderRing, choose_holders
+from hemlockswitch.process.gateway.stream_versions import MAX_LIST_AGE_MS, StreamVersions
+from hemlockswitch.process.gateway.version_history import VersionHistory
+from hemlockswitch.request.stream_records import StreamKey, StreamRecord, StreamRecords
+from hemlockswitch.version.backend import BackendServer
+
+SERVICE = "llm"
+TIMEOUT_MS = 5_000.0
+LIFE_MS = 10_000.0
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(now_ms=1_000_000)
+
+
+def make_server(name, version, service=SERVICE):
+    return BackendServer(name, "z1", f"127.0.0.1:{len(name)}", service, version=version)
+
+
+def make_admitted(request_id="id-2", resumes="id-1", account="hall", service=SERVICE):
+    return SimpleNamespace(
+        facts=SimpleNamespace(request_id=request_id, resumes=resumes),
+        account=SimpleNamespace(name=account) if account else None,
+        service=service,
+        route=SimpleNamespace(timeout_ms=TIMEOUT_MS),
+    )
+
+
+class FakeNetwork:
+    """Delivers messages to the other gateways at once."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.others = {}
+        self.sent = []
+
+    def handle(self, message_type, handler, runs_inline):
+        self.handlers[message_type] = handler
+
+    def send_all(self, addresses, message):
+        for address in addresses:
+            self.sent.append((address, message))
+            self.others[address].handlers[type(message)]("", message)
+
+    def request(self, address, message, timeout_ms):
+        return self.others[address].handlers[type(message)]("", message)
+
+
+class Gateways:
+    """Some gateways that are all connected, as a small fleet."""
+
+    def __init__(self, clock, count=3):
+        self.networks = {f"g{number}": FakeNetwork() for number in range(count)}
+        self.ages_ms = dict.fromkeys(self.networks, 0.0)
+        self.streams = {
+            name: StreamVersions(
+                network, self._make_fleet(name), lambda one=name: self.ages_ms[one], clock
+            )
+            for name, network in self.networks.items()
+        }
+
+    def _make_fleet(self, name):
+        peers = [Peer(other, other, 0.0) for other in self.networks if other != name]
+        for peer in peers:
+            self.networks[name].others[peer.address] = self.networks[peer.name]
+        return SimpleNamespace(
+            reports_by_zone=False,
+            is_listed=True,
+            list_running=lambda _: peers,
+            list_peers=lambda: peers,
+        )
+
+    def __getitem__(self, number):
+        return self.streams[f"g{number}"]
+
+    def list_server(self, server):
+        """Let every gateway see a registered server."""
+        for streams in self.streams.values():
+            streams.record_listed(server)
+
+    def begin(self, number, version, **fields):
+        """Let a gateway begin the stream that later attempts resume."""
+        admitted = make_admitted("id-1", "", **fields)
+        self[number].record_begun(admitted, make_server("any", version))
+
+
+def find_error(streams, **fields):
+    with pytest.raises(RequestError) as raised:
+        streams.find(make_admitted(**fields))
+    return raised.value.kind
+
+
+def test_version_of_a_single_version_service_needs_no_messages(clock):
+    gateways = Gateways(clock)
+    gateways.list_server(make_server("a", "v1"))
+    gateways.begin(0, "v1")
+    clock.advance(LIFE_MS)
+    assert gateways[1].find(make_admitted()) == "v1"
+    assert not gateways.networks["g0"].sent
+
+
+def test_version_is_told_to_the_others_before_the_first_event(clock):
+    gateways = Gateways(clock)
+    for server in (make_server("a", "v1"), make_server("b", "v2")):
+        gateways.list_server(server)
+    gateways.begin(0, "v2")
+    assert [one.find(make_admitted()) for one in gateways.streams.values()] == ["v2"] * 3
+
+
+# Guards against a stream being unknown elsewhere that began while its service had one version.
+def test_streams_are_told_when_a_second_version_appears(clock):
+    gateways = Gateways(clock)
+    gateways.list_server(make_server("a", "v1"))
+    gateways.begin(0, "v1")
+    assert not gateways.networks["g0"].sent
+    gateways.list_server(make_server("b", "v2"))
+    assert gateways[1]._records.find_version(StreamKey.build("hall", SERVICE, "id-1")) == "v1"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"resumes": "of nobody"},
+        {"resumes": ""},
+        {"resumes": "id-2"},
+        {"account": "another"},
+        {"service": "app"},
+    ],
+)
+def test_stream_of_unknown_origin_is_refused_if_versions_differ(clock, fields):
+    gateways = Gateways(clock)
+    for service in (SERVICE, "app"):
+        for version in ("v1", "v2"):
+            gateways.list_server(make_server(f"{service}-{version}", version, service))
+    gateways.begin(0, "v1")
+    assert find_error(gateways[1], **fields) is ErrorKind.STREAM_VERSION_UNKNOWN
+    assert gateways[1].origins["unknown"] == 1
+
+
+# Guards against a version being ruled out whose servers have left while a stream may still be taken up.
+def test_version_that_came_and_went_counts_for_the_life_of_a_stream(clock):
+    gateways = Gateways(clock, 1)
+    gateways.list_server(make_server("a", "v1"))
+    clock.advance(2 * LIFE_MS)
+    gateways.list_server(make_server("b", "v2"))
+    gateways[0].history.record_removed(make_server("b", "v2"))
+    assert find_error(gateways[0]) is ErrorKind.STREAM_VERSION_UNKNOWN
+    clock.advance(LIFE_MS + 1)
+    assert gateways[0].find(make_admitted()) == "v1"
+
+
+# Guards against a gateway that has just started ruling out what it has not seen itself.
+def test_gateway_that_has_just_started_asks_the_others(clock):
+    gateways = Gateways(clock, 2)
+    gateways.list_server(make_server("a", "v1"))
+    gateways[1].record_listed(make_server("b", "v2"))
+    gateways[1].history.record_removed(make_server("b", "v2"))
+    assert find_error(gateways[0]) is ErrorKind.STREAM_VERSION_UNKNOWN
+
+
+def test_old_list_of_servers_is_accepted_only_if_all_others_have_no_newer_one(clock):
+    gateways = Gateways(clock, 2)
+    gateways.list_server(make_server("a", "v1"))
+    clock.advance(2 * LIFE_MS)
+    gateways.ages_ms.update(dict.fromkeys(gateways.ages_ms, MAX_LIST_AGE_MS + 1))
+    assert gateways[0].find(make_admitted()) == "v1"
+    gateways.networks["g0"].request = lambda *_: None
+    assert find_error(gateways[0]) is ErrorKind.STREAM_VERSION_UNKNOWN
+
+
+def test_records_are_bounded_and_the_largest_account_loses_its_oldest(clock):
+    records = StreamRecords(clock, max_records=10)
+    keys = [StreamKey.build("small", SERVICE, f"s-{number}") for number in range(3)]
+    keys += [StreamKey.build("large", SERVICE, f"l-{number}") for number in range(20)]
+    for key in keys:
+        records.put(StreamRecord(key, "v1", clock.now_ms() + LIFE_MS))
+    kept = [key for key in keys if records.find_version(key) == "v1"]
+    assert kept == keys[:3] + keys[-7:]
+
+
+def test_records_expire(clock):
+    records = StreamRecords(clock)
+    key = StreamKey.build("hall", SERVICE, "id-1")
+    records.put(StreamRecord(key, "v1", clock.now_ms() + LIFE_MS))
+    clock.advance(LIFE_MS)
+    assert records.find_version(key) is None
+    records.remove_expired()
+    assert records.count_by_version() == {}
+
+
+def test_history_knows_a_version_for_as_long_as_any_of_its_servers(clock):
+    history = VersionHistory(clock)
+    first, second = make_server("a", "v1"), make_server("b", "v1")
+    assert [history.record_listed(one) for one in (first, first, second)] == [True, False, False]
+    history.record_removed(first)
+    assert history.list_versions(SERVICE, 0) == {"v1"}
+    history.record_listed(make_server("b", "v2"))
+    assert history.list_versions(SERVICE, 0.0) == {"v1", "v2"}
+    clock.advance(1)
+    assert history.list_versions(SERVICE, 0.0) == {"v2"}
+
+
+def test_one_that_began_a_stream_and_one_that_is_asked_find_the_same_holders():
+    names = [f"g{number}" for number in range(300)]
+    for number in range(50):
+        digest = StreamKey.build("hall", SERVICE, f"id-{number}").digest
+        found = []
+        for own in ("g7", "g211"):
+            peers = {name: Peer(name, name, 0.0) for name in names if name != own}
+            ring = HolderRing(peers.values())
+            found.append({peer.name for peer in choose_holders(ring, peers.get, digest, HOLDERS)})
+        assert len(found[0] & found[1]) >= HOLDERS - 1
