Choose the service of a resumed stream by the attempt that began it

Routes that split their requests between services choose by the identifier of the attempt, which differs for each, so a stream could go on at another service than the one that began it. The choice now follows Resumes. The test of it fails on the code before.

--- a/hemlockswitch/request/forward_admission.py
+++ b/hemlockswitch/request/forward_admission.py
@@ -81,7 +81,8 @@
         raise RequestError(ErrorKind.UNKNOWN_ROUTE, "no route has this host and path")
     account = _find_account(table, route, facts)
     _check_limit(limiter, account, facts)
-    service = route.choose_service(facts.request_id)
+    # The attempts of one stream go to the service of the first one.
+    service = route.choose_service(facts.resumes or facts.request_id)
     return AdmittedRequest(
         request=request,
         facts=facts,
--- a/tests/test_serving_table.py
+++ b/tests/test_serving_table.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from hemlockswitch.connection.heads import ReceivedRequest
 from hemlockswitch.core.errors import ConfigurationError
+from hemlockswitch.request.dialect import RequestFacts
+from hemlockswitch.request.forward_admission import admit_request
 from hemlockswitch.version.serving_table import (
     CallerLimits,
     RequestKind,
@@ -42,6 +45,18 @@
     assert route.choose_service("id-1") == route.choose_service("id-1")
 
 
+# Guards against a stream going on at another service than the one that began it.
+def test_attempts_of_one_stream_go_to_the_service_of_the_first():
+    targets = (("s", 50), ("t", 50))
+    table = make_table(make_route("r", "/a/", RequestKind.STREAM, targets, is_resumable=True))
+    request = ReceivedRequest("POST", "/a/x", ())
+    for number in range(50):
+        first = RequestFacts(f"first-{number}", "a.example")
+        again = RequestFacts(f"again-{number}", "a.example", resumes=f"first-{number}")
+        services = {admit_request(table, request, facts, None).service for facts in (first, again)}
+        assert len(services) == 1
+
+
 def test_service_with_weight_zero_receives_no_requests():
     route = make_route("r", "/a/", targets=(("s", 0), ("t", 5)))
     assert {route.choose_service(str(number)) for number in range(100)} == {"t"}
