Show the versions of services with their streams, and replay fleets of several versions

hemlock-ctl gateways shows services whose servers run several versions, with the streams begun at each; a metric counts how the version of a resumed stream was found. The replay plays the gateways' own records, histories and questions in fleets of any size while servers come and go and gateways are killed or cut off.

--- a/hemlockswitch/process/gateway/exposure.py
+++ b/hemlockswitch/process/gateway/exposure.py
@@ -22,6 +22,7 @@
     status.add("quarantine", daemon.quarantine.describe)
     status.add("limited_servers", daemon.permits.describe)
     status.add("brittle_servers", daemon.permits.slots.brittle.describe)
+    status.add("streams", daemon.streams.describe)
     status.add("leads", lambda: daemon.duties is not None and daemon.duties.leads)
     status.add("rollouts", daemon.rollouts.describe)
     return status
@@ -34,6 +35,7 @@
     metrics.measure_ages = daemon.followed.measure_ages
     metrics.permits = daemon.permits.verdicts
     metrics.slot_permits = daemon.permits.slots.verdicts
+    metrics.resumed_streams = daemon.streams.origins
     metrics.tunnels = daemon.links.detours.verdicts
     metrics.count_brittle = daemon.permits.slots.brittle.count_limited
     metrics.count_callers = lambda: len(daemon.callers.sessions)
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -74,6 +74,8 @@
     slot_permits : number of requested permits for brittle backend servers, by verdict.
     count_brittle : returns the number of brittle backend servers.
     tunnels : number of requested tunnels through other gateways, by verdict.
+    resumed_streams : number of streams that callers took up again, by how the version that began them was
+        found: ``own`` record, ``peer``, ``single`` registered version, or ``unknown``.
     is_isolated : returns whether this gateway cannot connect to any backend server.
     count_callers : returns the number of open connections of callers.
     describe_rollouts : returns the answer counts by service, version and result during rollouts.
@@ -99,6 +101,7 @@
         self.slot_permits: Counter[str] = Counter()
         self.count_brittle: Callable[[], int] = lambda: 0
         self.tunnels: Counter[str] = Counter()
+        self.resumed_streams: Counter[str] = Counter()
         self.is_isolated: Callable[[], bool] = lambda: False
         self.count_callers: Callable[[], int] = lambda: 0
         self.describe_rollouts: Callable[[], Mapping[tuple[str, str, str], int]] = dict
@@ -201,6 +204,14 @@
             for verdict, count in counts.items():
                 verdicts.add_metric([verdict], count)
             yield verdicts
+        resumed = CounterMetricFamily(
+            "hemlock_resumed_streams",
+            "Streams that callers took up again, by how the version that began them was found.",
+            labels=["origin"],
+        )
+        for origin, count in self.resumed_streams.items():
+            resumed.add_metric([origin], count)
+        yield resumed
         rollouts = GaugeMetricFamily(
             "hemlock_rollout_answers",
             "Answers under the newest roll-out of a service, by version and result.",
--- a/hemlockswitch/process/gateway/stream_versions.py
+++ b/hemlockswitch/process/gateway/stream_versions.py
@@ -116,8 +116,12 @@
         self._untold.remove_expired()
 
     def describe(self) -> dict[str, Any]:
-        """Return the number of known streams by service and version, for the status page."""
-        return self._records.count_by_version()
+        """Return the registered versions of each service, with the streams known of each, for the status page."""
+        counts = self._records.count_by_version()
+        return {
+            service: {version: counts.get(service, {}).get(version, 0) for version in versions}
+            for service, versions in self.history.list_registered().items()
+        }
 
     def _find_elsewhere(
         self, admitted: AdmittedRequest, key: StreamKey, own: VersionEvidence
--- a/hemlockswitch/process/gateway/version_history.py
+++ b/hemlockswitch/process/gateway/version_history.py
@@ -81,6 +81,14 @@
         ended = (version for version, at_ms in known.ended_ms.items() if at_ms >= oldest_ms)
         return frozenset((*known.counts, *ended))
 
+    def list_registered(self) -> dict[str, list[str]]:
+        """Return the registered versions of each service that has servers."""
+        return {
+            name: sorted(service.counts)
+            for name, service in self._services.items()
+            if service.counts
+        }
+
     def describe(self, service: str, span_ms: float, list_age_ms: float) -> VersionEvidence:
         """Return what this gateway saw of a service in the last `span_ms`."""
         watched_ms = self._clock.now_ms() - self._began_ms
--- a/hemlockswitch/programs/ctl_gateways.py
+++ b/hemlockswitch/programs/ctl_gateways.py
@@ -12,6 +12,7 @@
     LimitedServer,
     LinksState,
     QuarantinedContent,
+    ServiceVersions,
     format_status,
 )
 from hemlockswitch.programs.status_pages import (
@@ -83,6 +84,7 @@
     limited_servers: list[_LimitBody] = []
     brittle_servers: list[_BrittleBody] = []
     links: _LinksBody = _LinksBody()
+    streams: dict[str, dict[str, int]] = {}
 
 
 class GatewaysCommand(StatusPagesCommand):
@@ -94,7 +96,8 @@
     )
     help = """Reads the status pages of all addresses concurrently and shows a line for each gateway,
 followed by a line for each content that it has quarantined because backend servers crashed while
-serving it, and for each backend server that limits its requests or is brittle. A gateway that cannot
+serving it, for each backend server that limits its requests or is brittle, and for each service whose
+servers run several versions. A gateway that cannot
 connect to any backend server is shown with the gateways that connect it. Gateways that differ in revision or in the number of servers for longer than a few
 seconds are cut off from the store or from one another.
 
@@ -135,6 +138,16 @@
             for one in body.brittle_servers
         ),
         _read_links(body.links),
+        _list_versions(body.streams),
+    )
+
+
+def _list_versions(streams: dict[str, dict[str, int]]) -> tuple[ServiceVersions, ...]:
+    """Return the services with servers of several versions."""
+    return tuple(
+        ServiceVersions(service, tuple(sorted(counts.items())))
+        for service, counts in sorted(streams.items())
+        if len(counts) > 1
     )
 
 
--- a/hemlockswitch/programs/gateway_status.py
+++ b/hemlockswitch/programs/gateway_status.py
@@ -82,6 +82,14 @@
     tunnels_for: tuple[tuple[str, int], ...] = ()
 
 
+@dataclass(frozen=True)
+class ServiceVersions:
+    """The versions of a service's servers, each with the streams that callers may take up at it."""
+
+    service: str
+    streams: tuple[tuple[str, int], ...]
+
+
 @dataclass(frozen=True)
 class GatewayStatus:
     """The local state of one gateway, or the reason why it could not be read.
@@ -97,6 +105,7 @@
     limited : the backend servers that limit their requests.
     brittle : the backend servers that fall over after too many rejections.
     links : the links to the backend servers.
+    versions : services with servers of several versions, each with the streams that a version has begun.
     error : empty if the gateway answered.
     """
 
@@ -111,6 +120,7 @@
     limited: tuple[LimitedServer, ...] = ()
     brittle: tuple[BrittleServer, ...] = ()
     links: LinksState = LinksState()
+    versions: tuple[ServiceVersions, ...] = ()
     error: str = ""
 
 
@@ -136,6 +146,7 @@
     lines += [format_quarantined(one) for one in status.held]
     lines += [format_limited(one) for one in status.limited]
     lines += [format_brittle(one) for one in status.brittle]
+    lines += [format_versions(one) for one in status.versions]
     return "\n".join([first, *(f"  {line}" for line in lines)])
 
 
@@ -204,6 +215,19 @@
     return ", ".join(f"{name} ({count})" for name, count in counts)
 
 
+def format_versions(versions: ServiceVersions) -> str:
+    """Return one line for a service with servers of several versions.
+
+    Examples
+    ========
+
+    >>> format_versions(ServiceVersions("report-models", (("v1", 12), ("v1.1", 3))))
+    'report-models runs in versions v1 (12 streams begun), v1.1 (3 streams begun)'
+    """
+    listed = ", ".join(f"{version} ({count} streams begun)" for version, count in versions.streams)
+    return f"{versions.service} runs in versions {listed}"
+
+
 def format_brittle(server: BrittleServer) -> str:
     """Return one line for a brittle backend server.
 
--- a/tests/test_ctl_gateways.py
+++ b/tests/test_ctl_gateways.py
@@ -60,6 +60,14 @@
     assert (shown["fingerprint"], shown["ends"], shown["trials"]) == ("content", 3, 0)
 
 
+def test_versions_of_a_service_are_shown_with_their_streams(site):
+    site.add_runner("app", version="v1.1")
+    code, output, _ = run("gateways", list_control(site)[0])
+    assert code == ExitCode.DONE
+    versions = output.splitlines()[1]
+    assert versions == "  app runs in versions v1 (0 streams begun), v1.1 (0 streams begun)"
+
+
 def test_answer_that_is_not_a_status_page_is_reported(site):
     code, output, _ = run("gateways", site.runners[0].address)
     assert code == ExitCode.PLATFORM
--- /dev/null
+++ b/tests/version_replay.py
@@ -0,0 +1,466 @@
+"""Replay of a fleet on a simulated clock while servers of several software versions serve side by side.
+
+The records, histories and questions are the gateways' own code; the fleet's membership, the messages, the servers
+and the callers are simulated. The seed draws servers that come and go, callers that take their streams up
+elsewhere, and gateways that are killed or cut off: one, most or all of them.
+"""
+
+import argparse
+import heapq
+import itertools
+import random
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+from hemlockswitch.connection.messages import encode_message
+from hemlockswitch.core.errors import ErrorKind, PeerError, RequestError
+from hemlockswitch.core.logs import set_log_writer
+from hemlockswitch.process.gateway.peer_groups import Peer
+from hemlockswitch.process.gateway.report_period import MESH_GATEWAYS
+from hemlockswitch.process.gateway.stream_holders import HolderRing
+from hemlockswitch.process.gateway.stream_versions import StreamVersions
+from hemlockswitch.version.backend import BackendServer
+
+SERVICE = "llm"
+TIMEOUT_MS = 15_000.0
+DELAY_MS = (1.0, 12.0)
+LIST_DELAY_MS = (50.0, 400.0)
+"""Time until a gateway knows of a server that has registered or left."""
+LIST_AGE_MS = 200.0
+RESTART_MS = (300.0, 1_500.0)
+MISSED_MS = 1_500.0
+"""Time after which a gateway that has ended is known to have ended."""
+RETRY_MS = 500.0
+STABLE_MS = 3_000.0
+"""Time after a start or a cut from which a gateway owes its callers that their streams go on."""
+MAX_REFUSALS = 2
+
+
+@dataclass(frozen=True)
+class Setting:
+    """Size and load of a replay."""
+
+    gateways: int = 9
+    zones: int = 4
+    servers: int = 12
+    versions: int = 3
+    streams_per_s: float = 40.0
+    length_ms: float = 60_000.0
+    kills: int = 5
+    cuts: int = 3
+    changes: int = 14
+
+
+@dataclass
+class Result:
+    """What the callers of a replay saw, and what it cost."""
+
+    begun: int = 0
+    not_begun: int = 0
+    outcomes: Counter = field(default_factory=Counter)
+    owed: int = 0
+    owed_gone_on: int = 0
+    mixed: list = field(default_factory=list)
+    origins: Counter = field(default_factory=Counter)
+    messages: int = 0
+    sent_bytes: int = 0
+    most_records: int = 0
+
+    @property
+    def share(self):
+        """Share of the streams that went on while two servers of their version served."""
+        return self.owed_gone_on / self.owed if self.owed else 1.0
+
+
+class Clock:
+    """The clock of the world."""
+
+    def __init__(self):
+        self.at_ms = 0.0
+
+    def now_ms(self):
+        return self.at_ms
+
+
+@dataclass
+class Stream:
+    """A stream as its caller sees it."""
+
+    name: str
+    zone: str
+    first_id: str = ""
+    version: str = ""
+    attempts: int = 0
+    refusals: int = 0
+    ends_ms: float = 0.0
+    gateway: "Gateway | None" = None
+
+
+class Gateway:
+    """A gateway: the real `StreamVersions`, with simulated messages and membership."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.name = f"g{number}"
+        self.zone = f"z{number % world.setting.zones}"
+        self.peer = Peer(self.name, self.name, 0.0, self.zone)
+        self.is_up = True
+        self.ended_ms = float("-inf")
+        self.cut_ms = None
+        self.disturbed_ms = float("-inf")
+        self.is_listed = True
+        self.streams = None
+        self.start()
+        self.disturbed_ms = float("-inf")
+
+    def start(self):
+        """Start with an empty state, and list the servers."""
+        self.handlers = {}
+        self.known = {}
+        self.streams = StreamVersions(self, self, self.measure_age_ms, self.world.clock)
+        for server in self.world.servers.values():
+            self.learn(server)
+        self.is_up = True
+        self.disturbed_ms = self.world.clock.now_ms()
+
+    @property
+    def is_in_touch(self):
+        """Whether it has run undisturbed for a while."""
+        return self.cut_ms is None and self.world.clock.now_ms() - self.disturbed_ms > STABLE_MS
+
+    def measure_age_ms(self):
+        """Return the age of the list of servers, which grows while the gateway is cut off."""
+        if self.cut_ms is None:
+            return LIST_AGE_MS
+        return self.world.clock.now_ms() - self.cut_ms
+
+    def learn(self, server):
+        """Learn of a registered server."""
+        self.known[server.name] = server
+        self.streams.record_listed(server)
+
+    def forget(self, server):
+        """Learn that a server has left."""
+        if self.known.pop(server.name, None) is not None:
+            self.streams.history.record_removed(server)
+
+    def heal(self):
+        """Catch up with the registry after a cut."""
+        self.cut_ms = None
+        self.disturbed_ms = self.world.clock.now_ms()
+        for server in list(self.known.values()):
+            if server.name not in self.world.servers:
+                self.forget(server)
+        for server in self.world.servers.values():
+            self.learn(server)
+
+    # The interface of the network.
+
+    def handle(self, message_type, handler, runs_inline):
+        self.handlers[message_type] = handler
+
+    def send_all(self, addresses, message):
+        size = len(encode_message(message))
+        for address in addresses:
+            self.world.deliver(self, address, message, size)
+
+    def request(self, address, message, timeout_ms):
+        other = self.world.by_name[address]
+        if not other.is_up or self.cut_ms is not None or other.cut_ms is not None:
+            raise PeerError(ErrorKind.PEER_UNAVAILABLE, "no reply")
+        self.world.result.messages += 2
+        reply = other.handlers[type(message)](self.name, message)
+        self.world.result.sent_bytes += len(encode_message(message)) + len(encode_message(reply))
+        return reply
+
+    # The interface of the fleet.
+
+    @property
+    def reports_by_zone(self):
+        return self.world.setting.gateways > MESH_GATEWAYS + 1
+
+    def get_holder_ring(self):
+        return self.world.ring
+
+    def find_running(self, name):
+        other = self.world.by_name[name]
+        if other is self:
+            return None
+        missed = not other.is_up and other.ended_ms < self.world.clock.now_ms() - MISSED_MS
+        return None if missed else other.peer
+
+    def list_running(self, _):
+        found = (self.find_running(one.name) for one in self.world.gateways)
+        return [peer for peer in found if peer is not None]
+
+    def list_peers(self):
+        return [one.peer for one in self.world.gateways if one is not self]
+
+
+class World:
+    """A replay in progress."""
+
+    def __init__(self, seed, setting):
+        self.setting = setting
+        self.draws = random.Random(seed)
+        self.clock = Clock()
+        self.result = Result()
+        self.servers = {}
+        self._events = []
+        self._numbers = itertools.count()
+        self.versions = [f"v1.{number}" for number in range(setting.versions)]
+        for _ in range(setting.servers):
+            server = self._make_server(self.draws.choice(self.versions[:2]))
+            self.servers[server.name] = server
+        self.gateways = []
+        self.by_name = {}
+        self.ring = None
+        self.gateways = [Gateway(self, number) for number in range(setting.gateways)]
+        self.by_name = {one.name: one for one in self.gateways}
+        self.ring = HolderRing([one.peer for one in self.gateways])
+        self.by_zone = defaultdict(list)
+        for one in self.gateways:
+            self.by_zone[one.zone].append(one)
+        self.running = defaultdict(set)
+
+    def at(self, at_ms, act, *args):
+        """Schedule an action."""
+        heapq.heappush(self._events, (at_ms, next(self._numbers), act, args))
+
+    def after(self, bounds, act, *args):
+        """Schedule an action after a delay drawn from bounds."""
+        self.at(self.clock.now_ms() + self.draws.uniform(*bounds), act, *args)
+
+    def deliver(self, sender, address, message, size):
+        """Deliver a message, unless an end is cut off or down by then."""
+        self.result.messages += 1
+        self.result.sent_bytes += size
+        if sender.cut_ms is None:
+            self.after(DELAY_MS, self._arrive, address, message)
+
+    def _arrive(self, address, message):
+        other = self.by_name[address]
+        if other.is_up and other.cut_ms is None:
+            other.handlers[type(message)]("", message)
+
+    def run(self):
+        """Play until the end and return the result."""
+        self._plan()
+        while self._events:
+            at_ms, _, act, args = heapq.heappop(self._events)
+            if at_ms > self.setting.length_ms:
+                break
+            self.clock.at_ms = at_ms
+            act(*args)
+        for one in self.gateways:
+            self.result.origins.update(one.streams.origins)
+        return self.result
+
+    def _plan(self):
+        setting, draws = self.setting, self.draws
+        count = int(setting.streams_per_s * setting.length_ms / 1_000)
+        for number in range(count):
+            self.at(draws.uniform(0, setting.length_ms), self._begin, number)
+        for _ in range(setting.changes):
+            self.at(draws.uniform(0, setting.length_ms), self._change_server)
+        for _ in range(setting.kills):
+            share = draws.choice((1 / setting.gateways, 0.35, 0.7, 1.0))
+            self.at(draws.uniform(0, setting.length_ms), self._kill, share)
+        for _ in range(setting.cuts):
+            self.at(draws.uniform(0, setting.length_ms), self._cut, draws.choice((0.0, 0.35)))
+        for at_ms in range(1_000, int(setting.length_ms), 1_000):
+            self.at(at_ms, self._sweep)
+
+    def _make_server(self, version):
+        name = f"s{next(self._numbers)}"
+        return BackendServer(name, "z0", "127.0.0.1:1", SERVICE, version=version)
+
+    def _change_server(self):
+        """Start a server of any version, and end one."""
+        started = self._make_server(self.draws.choice(self.versions))
+        self.servers[started.name] = started
+        ended = self.servers.pop(self.draws.choice(sorted(self.servers)))
+        for one in self.gateways:
+            self.after(LIST_DELAY_MS, self._tell_gateway, one, started)
+            self.after(LIST_DELAY_MS, self._tell_gateway, one, ended)
+
+    def _tell_gateway(self, gateway, server):
+        if not gateway.is_up or gateway.cut_ms is not None:
+            return
+        if server.name in self.servers:
+            gateway.learn(server)
+        else:
+            gateway.forget(server)
+
+    def _pick(self, share):
+        count = max(1, round(share * len(self.gateways)))
+        return self.draws.sample(self.gateways, count)
+
+    def _kill(self, share):
+        for gateway in self._pick(share):
+            if not gateway.is_up:
+                continue
+            gateway.is_up = False
+            gateway.ended_ms = self.clock.now_ms()
+            gateway.cut_ms = None
+            self.result.origins.update(gateway.streams.origins)
+            gateway.streams.origins.clear()
+            self.after(RESTART_MS, gateway.start)
+            for stream in list(self.running.pop(gateway.name, ())):
+                self.after((5, 500), self._resume, stream)
+
+    def _cut(self, share):
+        for gateway in self._pick(share):
+            if gateway.is_up and gateway.cut_ms is None:
+                gateway.cut_ms = self.clock.now_ms()
+                self.after((1_000, 8_000), self._heal, gateway, gateway.cut_ms)
+
+    @staticmethod
+    def _heal(gateway, cut_ms):
+        if gateway.is_up and gateway.cut_ms == cut_ms:
+            gateway.heal()
+
+    def _sweep(self):
+        for one in self.gateways:
+            if one.is_up:
+                one.streams.sweep()
+                counts = one.streams._records.count_by_version().get(SERVICE, {})
+                self.result.most_records = max(self.result.most_records, sum(counts.values()))
+
+    def _find_gateway(self, zone):
+        """Return a running gateway of a zone, or of another one if it has none."""
+        up = [one for one in self.by_zone[zone] if one.is_up]
+        up = up or [one for one in self.gateways if one.is_up]
+        return self.draws.choice(up) if up else None
+
+    @staticmethod
+    def _make_admitted(stream):
+        request_id = f"{stream.name}.{stream.attempts}"
+        return SimpleNamespace(
+            facts=SimpleNamespace(request_id=request_id, resumes=stream.first_id),
+            account=SimpleNamespace(name=f"a{int(stream.name) % 5}"),
+            service=SERVICE,
+            route=SimpleNamespace(timeout_ms=TIMEOUT_MS),
+        )
+
+    def _begin(self, number):
+        zone = f"z{number % self.setting.zones}"
+        gateway = self._find_gateway(zone)
+        if gateway is None or not gateway.known:
+            self.result.not_begun += 1
+            return
+        server = gateway.known[self.draws.choice(sorted(gateway.known))]
+        stream = Stream(str(number), zone, version=server.version, attempts=1)
+        self.result.begun += 1
+        self._relay(stream, gateway, server)
+        stream.first_id = f"{stream.name}.1"
+
+    def _relay(self, stream, gateway, server):
+        """Begin or go on with a stream at a gateway; some break off before their end."""
+        gateway.streams.record_begun(self._make_admitted(stream), server)
+        stream.gateway = gateway
+        self.running[gateway.name].add(_Entry(stream, stream.attempts))
+        length_ms = self.draws.uniform(500, 6_000)
+        breaks = self.draws.random() < 0.15
+        self.after((length_ms, length_ms), self._end, stream, stream.attempts, breaks)
+
+    def _end(self, stream, attempt, breaks):
+        entry = _Entry(stream, attempt)
+        if stream.gateway is None or entry not in self.running[stream.gateway.name]:
+            return
+        self.running[stream.gateway.name].discard(entry)
+        if breaks:
+            self.after((5, 300), self._resume, entry)
+
+    def _resume(self, entry):
+        stream = entry.stream
+        stream.attempts += 1
+        gateway = self._find_gateway(stream.zone)
+        if gateway is None:
+            self.after((100, RETRY_MS), self._resume, entry)
+            return
+        serving = sum(one.version == stream.version for one in self.servers.values())
+        is_owed = serving >= 2 and gateway.is_in_touch and stream.refusals == 0
+        self.result.owed += is_owed
+        try:
+            version = gateway.streams.find(self._make_admitted(stream))
+        except RequestError:
+            self.result.outcomes["unknown"] += 1
+            stream.refusals += 1
+            if stream.refusals < MAX_REFUSALS:
+                self.after((RETRY_MS, RETRY_MS + 50), self._resume, entry)
+            return
+        same = [name for name, one in sorted(gateway.known.items()) if one.version == version]
+        if version != stream.version:
+            self.result.mixed.append((self.clock.now_ms(), stream.name, stream.version, version))
+        if not same:
+            self.result.outcomes["no server"] += 1
+            return
+        self.result.outcomes["went on"] += 1
+        self.result.owed_gone_on += is_owed
+        self._relay(stream, gateway, gateway.known[self.draws.choice(same)])
+
+
+class _Entry:
+    """A stream at one attempt."""
+
+    def __init__(self, stream, attempt):
+        self.stream = stream
+        self.attempt = attempt
+
+    def __eq__(self, other):
+        return isinstance(other, _Entry) and (self.stream.name, self.attempt) == (
+            other.stream.name,
+            other.attempt,
+        )
+
+    def __hash__(self):
+        return hash((self.stream.name, self.attempt))
+
+
+def replay(seed, setting=None):
+    """Return the result of a seed."""
+    return World(seed, setting or Setting()).run()
+
+
+def main():
+    """Replay seeds and print what their callers saw."""
+    set_log_writer(lambda event, level, fields: None)
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=20)
+    for name, value in Setting.__dataclass_fields__.items():
+        parser.add_argument(f"--{name.replace('_', '-')}", type=value.type, default=value.default)
+    options = vars(parser.parse_args())
+    first, seeds = options.pop("first"), options.pop("seeds")
+    setting = Setting(**options)
+    total, shares, mixed = Result(), [], []
+    for seed in range(first, first + seeds):
+        one = replay(seed, setting)
+        mixed += [(seed, *case) for case in one.mixed]
+        shares.append(one.share)
+        total.begun += one.begun
+        total.owed += one.owed
+        total.owed_gone_on += one.owed_gone_on
+        total.outcomes.update(one.outcomes)
+        total.origins.update(one.origins)
+        total.messages += one.messages
+        total.sent_bytes += one.sent_bytes
+        total.most_records = max(total.most_records, one.most_records)
+    seconds = seeds * setting.length_ms / 1_000 * setting.gateways
+    print(f"seeds {first} to {first + seeds - 1}, {setting}")
+    print(f"mixed: {len(mixed)} {mixed[:5]}")
+    print(f"begun {total.begun}, taken up: {dict(total.outcomes)}, by {dict(total.origins)}")
+    print(
+        f"went on while two servers of the version served: {total.owed_gone_on} of {total.owed},"
+        f" {total.share:.3f}; worst seed {min(shares):.3f}"
+    )
+    print(
+        f"for each gateway and second: {total.messages / seconds:.1f} messages,"
+        f" {total.sent_bytes / seconds:.0f} bytes; most records {total.most_records}"
+    )
+
+
+if __name__ == "__main__":
+    main()
