Run two versions of the engines side by side in the soak, with callers that resume

Callers take broken streams up at a random gateway, naming the attempt that began them, and the soak checks the version and the order of every event over all attempts.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,16 +1,18 @@
 """Threads that call the gateways continuously and record the outcome of each call."""
 
 import random
+import re
 import socket
 import threading
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from tests.gateway_site import (
     KEY,
     Reply,
     is_genuine,
-    make_events,
     make_request,
     read_reply,
     tokens,
@@ -30,6 +32,11 @@
 MOVED_PAUSE_S = 0.02
 AT_MOST_ONCE = ("/hold/x", "/draft/x")
 STREAMS = ("/draft/x", "/reply/x")
+SUCCESS = 200
+RESUMABLE_PATH = "/reply/x"
+MAX_RESUMES = 3
+RESUME_PAUSE_S = 0.1
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) \d+ (\S+)\n\n")
 MARKER_SHARE = 0.15
 """Fraction of calls to a marker route, which exists in a single revision."""
 
@@ -46,6 +53,8 @@
     is_whole : whether the answer is complete by its framing.
     is_right : whether the answer is complete, genuine and belongs to this request.
     limit : the rate limit that the answer states; empty if none.
+    resumes : the attempt that began the stream; empty if it is this one.
+    events : the number and the software version of each whole event of a stream.
     """
 
     request_id: str
@@ -58,6 +67,8 @@
     is_whole: bool
     is_right: bool
     limit: str = ""
+    resumes: str = ""
+    events: tuple[tuple[int, str], ...] = ()
 
 
 class Callers:
@@ -109,10 +120,26 @@
                 f"call-{number}-{turn}",
             )
             self.calls.append(call)
+            if call.path == RESUMABLE_PATH and call.events and not call.is_whole:
+                self._resume(call, random.Random(call.request_id))
             time.sleep(rng.uniform(*PAUSE_S))
         for connection in connections.values():
             connection.close()
 
+    def _resume(self, first: Call, rng: random.Random) -> None:
+        """Take a broken stream up again, at a random gateway each time."""
+        last = first
+        for turn in range(MAX_RESUMES):
+            time.sleep(RESUME_PAUSE_S)
+            fields = {"Last_Event_Id": str(last.events[-1][0]), "Resumes": first.request_id}
+            request_id = f"{first.request_id}-{turn}"
+            gateway = rng.choice(GATEWAYS)
+            call = make_call(self._world, {}, gateway, RESUMABLE_PATH, request_id, fields)
+            self.calls.append(call)
+            if call.is_whole and call.status == SUCCESS:
+                return
+            last = call if call.events else last
+
     def _send_crashing_content(self, rng: random.Random) -> None:
         """Repeatedly send content that crashes runners, to a random gateway each time."""
         turn = 0
@@ -145,11 +172,20 @@
     gateway: str,
     path: str,
     request_id: str,
+    fields: Mapping[str, str] = MappingProxyType({}),
 ) -> Call:
-    """Make one call, on an idle connection to the gateway if there is one, and check its answer."""
+    """Make one call, on an idle connection to the gateway if there is one, and check its answer.
+
+    Parameters
+    ==========
+
+    fields : header fields by which the call continues a stream.
+    """
     incarnation = world.find_incarnation(gateway)
     began_s = time.monotonic()
-    reply = _exchange(world, connections, gateway, path, request_id)
+    reply = _exchange(world, connections, gateway, path, request_id, fields)
+    first = int(fields.get("Last_Event_Id", 0)) + 1
+    is_stream = reply is not None and path in STREAMS and reply.status == SUCCESS
     return Call(
         request_id,
         path,
@@ -159,20 +195,28 @@
         time.monotonic(),
         reply.status if reply else 0,
         reply is not None and reply.is_whole,
-        reply is not None and _is_right(reply, path, request_id),
+        reply is not None and _is_right(reply, path, request_id, first),
         reply.headers.get("server-limit", "") if reply else "",
+        fields.get("Resumes", ""),
+        list_events(reply.body) if is_stream else (),
     )
 
 
+def list_events(body: bytes) -> tuple[tuple[int, str], ...]:
+    """Return the number and the version of each whole event."""
+    return tuple((int(number), version.decode()) for number, _, version in EVENT.findall(body))
+
+
 def _exchange(
     world: SoakWorld,
     connections: dict[str, socket.socket],
     gateway: str,
     path: str,
     request_id: str,
+    fields: Mapping[str, str],
 ) -> Reply | None:
     """Return the answer, or None if the connection failed before it arrived."""
-    headers = tokens(STREAM_EVENTS) if path in STREAMS else {}
+    headers = {**tokens(STREAM_EVENTS), **fields} if path in STREAMS else {}
     body = CRASHING_CONTENT.encode() if path == CRASHING_PATH else b"{}"
     try:
         connection = connections.pop(gateway, None) or _connect(world, gateway)
@@ -192,9 +236,18 @@
     return socket.create_connection((host, int(port)), timeout=CALL_TIMEOUT_S)
 
 
-def _is_right(reply: Reply, path: str, request_id: str) -> bool:
+def _is_right(reply: Reply, path: str, request_id: str, first: int) -> bool:
+    """Return whether a reply is the whole answer to a request, from its event number `first` on."""
     if path in STREAMS:
-        expected = make_events(request_id, STREAM_EVENTS)
+        versions = {version for _, version in list_events(reply.body)} or {""}
+        expected = _make_events(request_id, first, min(versions))
     else:
         expected = b"answer of " + request_id.encode()
     return reply.is_whole and reply.body == expected and is_genuine(reply, request_id)
+
+
+def _make_events(request_id: str, first: int, version: str) -> bytes:
+    return b"".join(
+        f"id: {number}\ndata: {request_id} {number} {version}\n\n".encode()
+        for number in range(first, STREAM_EVENTS + 1)
+    )
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,14 +5,14 @@
 from typing import Any
 
 from tests.limit_checks import Arrival, Told, find_excesses
-from tests.soak.callers import AT_MOST_ONCE, CRASHING_PATH, Call
+from tests.soak.callers import AT_MOST_ONCE, CRASHING_PATH, SUCCESS, Call
 from tests.soak.limiting import LimitedRunner
 from tests.soak.moving import SETTLE_S as ROLLBACK_SETTLE_S
 from tests.soak.moving import Rollout
 from tests.soak.world import ROLLOUT_SHARE, ROLLOUT_SLACK
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-SUCCESS = 200
+
 MS_PER_SECOND = 1_000
 MIN_CRASHES, MAX_RETRIES = 3, 3
 SETTLE_S = 5.0
@@ -31,6 +31,7 @@
     counts = Counter(request_id for _, request_id in runs)
     return [
         *_check_answers(calls),
+        *_check_streams(calls),
         *_check_runs(calls, counts),
         *_check_revisions(calls),
         *_check_duties(cloud_calls),
@@ -47,6 +48,20 @@
             yield f"complete answer with wrong content: {call}"
 
 
+def _check_streams(calls: list[Call]) -> Iterator[str]:
+    """Check that no stream has events of two versions, or an event twice or missing, over all attempts."""
+    streams: dict[str, list[Call]] = defaultdict(list)
+    for call in calls:
+        if call.events:
+            streams[call.resumes or call.request_id].append(call)
+    for attempts in streams.values():
+        events = [event for call in attempts for event in call.events]
+        if len({version for _, version in events}) > 1:
+            yield f"stream with events of two versions: {attempts}"
+        if [number for number, _ in events] != list(range(1, len(events) + 1)):
+            yield f"stream with events out of order: {attempts}"
+
+
 def _check_runs(calls: list[Call], counts: Counter) -> Iterator[str]:
     """Check the runs of each request.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 
 GATEWAYS = ("one", "two", "three")
 PLAIN_RUNNERS, ENGINES = 2, 2
+VERSIONS = ("v1", "v1.2")
 STOP_GRACE_S = 5
 EVENT_MS = 20
 FRAIL, FRAIL_RUNNERS = "frail", 3
@@ -39,12 +40,14 @@
     Parameters
     ==========
 
+    version : software version.
     is_registered : whether the runner has been registered, and has its link if it uses one.
     """
 
     name: str
     service: str
     program: Program
+    version: str = "v1"
     is_registered: bool = False
 
 
@@ -155,20 +158,31 @@
         """Start a runner without registering it."""
         with self._lock:
             name = f"{service}-{len(self.runners) + 1}"
+            version = self._choose_version(service)
             settings = {"name": name, "event_ms": EVENT_MS, "prints_runs": True}
+            if service == "llm":
+                settings["version"] = version
             if service == FRAIL:
                 settings["ends_on"] = CRASHING_CONTENT
             program = self.cluster.launch(name, [STANDIN, "runner"], settings)
-            runner = SoakRunner(name, service, program)
+            runner = SoakRunner(name, service, program, version)
             self.runners.append(runner)
             return runner
 
+    def _choose_version(self, service: str) -> str:
+        """Return the version of a new runner; engines run two versions side by side."""
+        if service != "llm":
+            return VERSIONS[0]
+        engines = sum(runner.service == service for runner in self.runners)
+        return VERSIONS[engines % len(VERSIONS)]
+
     def register(self, runner: SoakRunner, state: str) -> None:
         """Write the registry entry of a runner."""
         address = runner.program.addresses["http"]
         if runner.service not in UNLINKED_SERVICES:
             address = self.cluster.add_link(f"runner-{runner.name}", address)
-        self.put("servers", runner.name, make_entry(runner.service, address, state))
+        entry = make_entry(runner.service, address, state, version=runner.version)
+        self.put("servers", runner.name, entry)
         runner.is_registered = True
 
     def replace_crashed_runners(self, stop: threading.Event) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -46,6 +46,16 @@
     assert find_runner(world, fault) is serving
 
 
+@pytest.mark.parametrize(
+    "events",
+    [((2, "v1"), (3, "v1.2")), ((2, "v1.2"), (3, "v1.2")), ((3, "v1"),), ((1, "v1"), (2, "v1"))],
+)
+def test_stream_that_mixes_versions_or_loses_its_order_is_reported(events):
+    begun = replace_fields(CALL, path="/reply/x", is_whole=False, events=((1, "v1"),))
+    resumed = replace_fields(begun, request_id="id-2", resumes="id-1", events=events)
+    assert find_violations([begun, resumed], [], [])
+
+
 def test_no_violation_is_reported_without_faults():
     assert find_violations([CALL], [("r1", "id-1")], [USAGE, USAGE]) == []
 
