Keep the versions of services with several of them in the object service

A recent list of servers says nothing of the time before it, and after a start of all gateways nobody remembers that time.

A stream of unknown origin now goes on only if the versions of its whole life are known: to a gateway that has watched for that long, or from an object that the holder of the duties writes when a service gets a second version, and that a gateway reads when it has to know versions of a time before its start. It is not written while services have one version.

--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -35,6 +35,7 @@
 from hemlockswitch.process.gateway.server_limits import ServerLimits
 from hemlockswitch.process.gateway.server_links import ServerLinks
 from hemlockswitch.process.gateway.service_models import FIT_INTERVAL_MS, ServiceModels
+from hemlockswitch.process.gateway.stored_versions import SAVE_INTERVAL_MS, StoredVersions
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
 from hemlockswitch.process.gateway.usage import UsageCounts
@@ -140,6 +141,8 @@
             self.network, self.fleet, lambda: self.registry.measure_age_ms(), clock
         )
         self.registry.on_listed = self.streams.record_listed
+        self.stored_versions = StoredVersions(self._adapter.store, self.streams.history, clock)
+        self.streams.load_stored = self.stored_versions.load
         self.state = GatewayState(
             tables=self.tables,
             registry=self.registry,
@@ -300,6 +303,7 @@
             "probes": self.prober.run,
             "server links": self.links.run,
             "models": self._fit_models,
+            "stored versions": self._save_versions,
         }
         if self.settings.rollout_share is not None:
             tasks["rollouts"] = self.rollouts.run
@@ -370,6 +374,12 @@
             self.permits.evict_unlisted(self.registry.list_all)
             self.fleet_clock.apply_estimates(self.fleet.list_time_estimates())
 
+    def _save_versions(self) -> None:
+        while True:
+            self._clock.sleep_ms(SAVE_INTERVAL_MS)
+            if self.duties is not None and self.duties.leads:
+                self.stored_versions.save()
+
     def _fit_models(self) -> None:
         while True:
             self._clock.sleep_ms(FIT_INTERVAL_MS)
--- a/hemlockswitch/process/gateway/stream_messages.py
+++ b/hemlockswitch/process/gateway/stream_messages.py
@@ -43,9 +43,10 @@
     ==========
 
     version : the version that began the stream; None if it is not known here.
-    versions, list_age_ms : see `process.gateway.version_history.VersionEvidence`.
+    versions, watched_ms, list_age_ms : see `process.gateway.version_history.VersionEvidence`.
     """
 
     version: str | None
     versions: list[str]
+    watched_ms: float
     list_age_ms: float
--- a/hemlockswitch/process/gateway/stream_versions.py
+++ b/hemlockswitch/process/gateway/stream_versions.py
@@ -55,6 +55,7 @@
     ==========
 
     history : the versions that were registered lately.
+    load_stored : adds the versions of the object service to the history; returns whether it could.
     origins : number of streams taken up again, by how their version was found.
     """
 
@@ -66,6 +67,7 @@
         clock: Clock,
     ) -> None:
         self.history = VersionHistory(clock)
+        self.load_stored: Callable[[], bool] = lambda: False
         self.origins: Counter[str] = Counter()
         self._network = network
         self._fleet = fleet
@@ -134,8 +136,10 @@
             (version,) = known
             self._log_found(admitted, version, replies)
             return self._count("peer", version)
-        versions = own.versions.union(*(reply.versions for reply in replies.values()))
-        if len(versions) == 1 and not known and self._is_conclusive(own, asked, replies):
+        evidence = [own, *map(_read_evidence, replies.values())]
+        is_recent = _is_recent(evidence, is_complete=self._is_complete(asked, replies))
+        versions = self._collect_versions(admitted, evidence)
+        if len(versions) == 1 and is_recent and not known:
             return self._count("single", *versions)
         self.origins["unknown"] += 1
         self._log_unknown(admitted, versions, asked, replies, own)
@@ -145,6 +149,18 @@
             f' "{admitted.facts.resumes}"',
         )
 
+    def _collect_versions(
+        self, admitted: AdmittedRequest, evidence: list[VersionEvidence]
+    ) -> frozenset[str]:
+        """Return the versions that may have begun a stream; none if nobody knows those of its whole life."""
+        life_ms = find_life_ms(admitted)
+        versions = frozenset[str]().union(*(one.versions for one in evidence))
+        if max(one.watched_ms for one in evidence) >= life_ms:
+            return versions
+        if not self.load_stored():
+            return frozenset()
+        return versions | self.history.list_versions(admitted.service, life_ms)
+
     @staticmethod
     def _log_found(
         admitted: AdmittedRequest, version: str, replies: dict[str, StreamReply]
@@ -179,19 +195,11 @@
             list_age_ms=round(own.list_age_ms),
         )
 
-    def _is_conclusive(
-        self, own: VersionEvidence, asked: list[Peer], replies: dict[str, StreamReply]
-    ) -> bool:
-        """Return whether a version that nobody knows of can be ruled out.
-
-        A recent list shows all servers. If no list is recent, no gateway that replied has seen a new server
-        either; one that did not reply may have.
-        """
-        ages_ms = [own.list_age_ms, *(reply.list_age_ms for reply in replies.values())]
-        if min(ages_ms) <= MAX_LIST_AGE_MS:
-            return True
-        is_alone = self._fleet.is_listed and not self._fleet.list_peers()
-        return is_alone or (bool(asked) and len(replies) == len(asked))
+    def _is_complete(self, asked: list[Peer], replies: dict[str, StreamReply]) -> bool:
+        """Return whether all gateways that were asked have replied, or there is no other one."""
+        if not asked:
+            return self._fleet.is_listed and not self._fleet.list_peers()
+        return len(replies) == len(asked)
 
     def _count(self, origin: str, version: str) -> str:
         self.origins[origin] += 1
@@ -258,7 +266,7 @@
         key = StreamKey(query.digest, query.account, query.service)
         seen = self.history.describe(query.service, query.span_ms, self._measure_list_age_ms())
         version = self._records.find_version(key)
-        return StreamReply(version, sorted(seen.versions), seen.list_age_ms)
+        return StreamReply(version, sorted(seen.versions), seen.watched_ms, seen.list_age_ms)
 
 
 def build_key(admitted: AdmittedRequest) -> StreamKey:
@@ -271,3 +279,15 @@
 def find_life_ms(admitted: AdmittedRequest) -> float:
     """Return for how long a caller may take up a stream of a request's route."""
     return LIFE_FACTOR * admitted.route.timeout_ms
+
+
+def _read_evidence(reply: StreamReply) -> VersionEvidence:
+    return VersionEvidence(frozenset(reply.versions), reply.watched_ms, reply.list_age_ms)
+
+
+def _is_recent(evidence: list[VersionEvidence], *, is_complete: bool) -> bool:
+    """Return whether no server can have registered that the evidence does not show.
+
+    If no list is recent, no gateway that replied has seen a new server either; one that did not reply may have.
+    """
+    return is_complete or min(one.list_age_ms for one in evidence) <= MAX_LIST_AGE_MS
--- a/hemlockswitch/process/gateway/version_history.py
+++ b/hemlockswitch/process/gateway/version_history.py
@@ -72,6 +72,16 @@
             del service.counts[version]
             self._record_end(service, version)
 
+    def record_stored(self, service: str, version: str) -> None:
+        """Record a version that other gateways saw before this one started."""
+        known = self._services[service]
+        if version not in known.counts:
+            known.ended_ms[version] = self._clock.now_ms()
+
+    def list_services(self) -> list[str]:
+        """Return the services that have or had servers."""
+        return list(self._services)
+
     def list_versions(self, service: str, span_ms: float) -> frozenset[str]:
         """Return the versions that were registered at any time in the last `span_ms`."""
         if service not in self._services:
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -7,11 +7,13 @@
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.process.gateway.peer_groups import Peer
+from hemlockswitch.process.gateway.stored_versions import KEPT_MS, VERSIONS_NAME, StoredVersions
 from hemlockswitch.process.gateway.stream_holders import HOLDERS, HolderRing, choose_holders
 from hemlockswitch.process.gateway.stream_versions import MAX_LIST_AGE_MS, StreamVersions
 from hemlockswitch.process.gateway.version_history import VersionHistory
 from hemlockswitch.request.stream_records import StreamKey, StreamRecord, StreamRecords
 from hemlockswitch.version.backend import BackendServer
+from tests.memory_store import MemoryStore
 
 SERVICE = "llm"
 TIMEOUT_MS = 5_000.0
@@ -159,6 +161,61 @@
     assert gateways[0].find(make_admitted()) == "v1"
 
 
+def make_stored(clock, store, *servers):
+    """Return a gateway's history of some servers, and its access to the object of versions."""
+    history = VersionHistory(clock)
+    for server in servers:
+        history.record_listed(server)
+    return history, StoredVersions(store, history, clock)
+
+
+# Guards against a start of all gateways hiding a version whose servers have left.
+def test_versions_of_the_time_before_a_start_are_read_from_the_store(clock):
+    store = MemoryStore()
+    history, stored = make_stored(clock, store, make_server("a", "v1"), make_server("b", "v2"))
+    stored.save()
+    later, read = make_stored(clock, store, make_server("a", "v1"))
+    assert later.list_versions(SERVICE, LIFE_MS) == {"v1"}
+    assert read.load()
+    assert later.list_versions(SERVICE, LIFE_MS) == {"v1", "v2"}
+    history.record_removed(make_server("b", "v2"))
+    clock.advance(KEPT_MS + 1)
+    stored.save()
+    assert store.objects == {}
+
+
+def test_versions_are_written_only_when_they_change(clock):
+    store = MemoryStore()
+    history, stored = make_stored(clock, store, make_server("a", "v1"))
+    stored.save()
+    assert store.version == 0
+    history.record_listed(make_server("b", "v2"))
+    for _ in range(3):
+        stored.save()
+    assert store.version == 1
+
+
+def test_store_that_does_not_answer_is_asked_again(clock):
+    store = MemoryStore()
+    _, stored = make_stored(clock, store, make_server("a", "v1"), make_server("b", "v2"))
+    store.is_down = True
+    stored.save()
+    assert not stored.load()
+    store.is_down = False
+    store.lost_answers = 1
+    for _ in range(3):
+        stored.save()
+    assert store.objects[VERSIONS_NAME].value == {SERVICE: ["v1", "v2"]}
+
+
+def test_single_version_is_accepted_after_a_start_only_if_the_store_answers(clock):
+    gateways = Gateways(clock)
+    gateways.list_server(make_server("a", "v1"))
+    assert find_error(gateways[0]) is ErrorKind.STREAM_VERSION_UNKNOWN
+    gateways[0].load_stored = lambda: True
+    assert gateways[0].find(make_admitted()) == "v1"
+
+
 # Guards against a gateway that has just started ruling out what it has not seen itself.
 def test_gateway_that_has_just_started_asks_the_others(clock):
     gateways = Gateways(clock, 2)
--- a/tests/test_version_replay.py
+++ b/tests/test_version_replay.py
@@ -6,12 +6,18 @@
 
 MIN_SHARE = 0.5
 """Of the streams that are taken up while two servers of their version serve."""
+ONE_AT_FIRST = Setting(versions=2, first_versions=1, servers=6, kills=6, cuts=20, changes=6)
+"""A second version comes and goes, and gateways that have not seen it are asked."""
 LARGE = Setting(gateways=100, zones=8, servers=30, streams_per_s=120.0, length_ms=20_000.0, kills=3)
 
 
 @pytest.mark.parametrize(
     ("seed", "setting"),
-    [*((seed, Setting()) for seed in range(1, 9)), *((seed, LARGE) for seed in (1, 2))],
+    [
+        *((seed, Setting()) for seed in range(1, 9)),
+        *((seed, ONE_AT_FIRST) for seed in (4, 20, 35, 47, 51)),
+        *((seed, LARGE) for seed in (1, 2)),
+    ],
 )
 def test_no_stream_mixes_versions(seed, setting):
     result = replay(seed, setting)
--- a/tests/version_replay.py
+++ b/tests/version_replay.py
@@ -14,13 +14,15 @@
 from types import SimpleNamespace
 
 from hemlockswitch.connection.messages import encode_message
-from hemlockswitch.core.errors import ErrorKind, PeerError, RequestError
+from hemlockswitch.core.errors import ErrorKind, PeerError, PlatformError, RequestError
 from hemlockswitch.core.logs import set_log_writer
 from hemlockswitch.process.gateway.peer_groups import Peer
 from hemlockswitch.process.gateway.report_period import MESH_GATEWAYS
+from hemlockswitch.process.gateway.stored_versions import SAVE_INTERVAL_MS, StoredVersions
 from hemlockswitch.process.gateway.stream_holders import HolderRing
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.version.backend import BackendServer
+from tests.memory_store import MemoryStore
 
 SERVICE = "llm"
 TIMEOUT_MS = 15_000.0
@@ -45,10 +47,12 @@
     zones: int = 4
     servers: int = 12
     versions: int = 3
+    first_versions: int = 2
     streams_per_s: float = 40.0
     length_ms: float = 60_000.0
     kills: int = 5
     cuts: int = 3
+    outages: int = 1
     changes: int = 14
 
 
@@ -97,6 +101,19 @@
     gateway: "Gateway | None" = None
 
 
+class ReachedStore:
+    """The object service as one gateway reaches it."""
+
+    def __init__(self, store, is_reached):
+        self._store = store
+        self._is_reached = is_reached
+
+    def __getattr__(self, name):
+        if not self._is_reached():
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+        return getattr(self._store, name)
+
+
 class Gateway:
     """A gateway: the real `StreamVersions`, with simulated messages and membership."""
 
@@ -119,8 +136,11 @@
         self.handlers = {}
         self.known = {}
         self.streams = StreamVersions(self, self, self.measure_age_ms, self.world.clock)
-        for server in self.world.servers.values():
-            self.learn(server)
+        store = ReachedStore(self.world.store, self.reaches_store)
+        self.stored = StoredVersions(store, self.streams.history, self.world.clock)
+        self.streams.load_stored = self.stored.load
+        if self.world.outage_ms is None:
+            self.list_servers()
         self.is_up = True
         self.disturbed_ms = self.world.clock.now_ms()
 
@@ -129,11 +149,14 @@
         """Whether it has run undisturbed for a while."""
         return self.cut_ms is None and self.world.clock.now_ms() - self.disturbed_ms > STABLE_MS
 
+    def reaches_store(self):
+        """Return whether the object service answers this gateway."""
+        return self.is_up and self.cut_ms is None and self.world.outage_ms is None
+
     def measure_age_ms(self):
         """Return the age of the list of servers, which grows while the gateway is cut off."""
-        if self.cut_ms is None:
-            return LIST_AGE_MS
-        return self.world.clock.now_ms() - self.cut_ms
+        lost_ms = self.world.outage_ms if self.cut_ms is None else self.cut_ms
+        return LIST_AGE_MS if lost_ms is None else self.world.clock.now_ms() - lost_ms
 
     def learn(self, server):
         """Learn of a registered server."""
@@ -146,9 +169,14 @@
             self.streams.history.record_removed(server)
 
     def heal(self):
-        """Catch up with the registry after a cut."""
+        """Catch up with the other gateways and the registry after a cut."""
         self.cut_ms = None
         self.disturbed_ms = self.world.clock.now_ms()
+        if self.world.outage_ms is None:
+            self.list_servers()
+
+    def list_servers(self):
+        """Catch up with the registry."""
         for server in list(self.known.values()):
             if server.name not in self.world.servers:
                 self.forget(server)
@@ -206,12 +234,14 @@
         self.draws = random.Random(seed)
         self.clock = Clock()
         self.result = Result()
+        self.store = MemoryStore()
+        self.outage_ms = None  # since when the registry has been away for all gateways
         self.servers = {}
         self._events = []
         self._numbers = itertools.count()
         self.versions = [f"v1.{number}" for number in range(setting.versions)]
         for _ in range(setting.servers):
-            server = self._make_server(self.draws.choice(self.versions[:2]))
+            server = self._make_server(self.draws.choice(self.versions[: setting.first_versions]))
             self.servers[server.name] = server
         self.gateways = []
         self.by_name = {}
@@ -269,6 +299,10 @@
             self.at(draws.uniform(0, setting.length_ms), self._kill, share)
         for _ in range(setting.cuts):
             self.at(draws.uniform(0, setting.length_ms), self._cut, draws.choice((0.0, 0.35)))
+        for _ in range(setting.outages):
+            self.at(draws.uniform(0, setting.length_ms), self._begin_outage)
+        for at_ms in range(0, int(setting.length_ms), int(SAVE_INTERVAL_MS)):
+            self.at(at_ms, self._save)
         for at_ms in range(1_000, int(setting.length_ms), 1_000):
             self.at(at_ms, self._sweep)
 
@@ -286,7 +320,7 @@
             self.after(LIST_DELAY_MS, self._tell_gateway, one, ended)
 
     def _tell_gateway(self, gateway, server):
-        if not gateway.is_up or gateway.cut_ms is not None:
+        if not gateway.is_up or gateway.cut_ms is not None or self.outage_ms is not None:
             return
         if server.name in self.servers:
             gateway.learn(server)
@@ -321,6 +355,24 @@
         if gateway.is_up and gateway.cut_ms == cut_ms:
             gateway.heal()
 
+    def _begin_outage(self):
+        """Let the registry be away for a while; what has changed meanwhile is listed afterwards."""
+        if self.outage_ms is None:
+            self.outage_ms = self.clock.now_ms()
+            self.after((1_000, 8_000), self._end_outage)
+
+    def _end_outage(self):
+        self.outage_ms = None
+        for one in self.gateways:
+            if one.is_up and one.cut_ms is None:
+                one.list_servers()
+
+    def _save(self):
+        """Let one gateway hold the duties."""
+        holder = next((one for one in self.gateways if one.reaches_store()), None)
+        if holder is not None:
+            holder.stored.save()
+
     def _sweep(self):
         for one in self.gateways:
             if one.is_up:
