--- /dev/null
+++ b/hemlockswitch/request/answer_ends.py
@@ -0,0 +1,70 @@
+"""Checks whether an answer that seems to have ended is complete.
+
+A server may be terminated while it answers. If the answer has neither a length nor chunks, the end of its connection
+looks the same in both cases.
+"""
+
+from hemlockswitch.connection.message_parsers import ParsedAnswer
+from hemlockswitch.request.clearance import RequestGuard
+from hemlockswitch.request.event_stream import EventSplitter
+from hemlockswitch.request.forward_admission import AdmittedRequest
+from hemlockswitch.request.placement import Placement
+from hemlockswitch.request.send_errors import OverdueError, SendFailedError
+from hemlockswitch.request.send_states import SendFailure
+
+
+def check_stream_end(answer: ParsedAnswer, splitter: EventSplitter, *, continues: bool) -> None:
+    """Check that a stream has not ended inside an event, or before its first one.
+
+    Parameters
+    ==========
+
+    continues : whether the stream continues an earlier one, of which nothing may be left.
+
+    Raises
+    ======
+
+    SendFailedError : the stream has been broken off.
+    """
+    is_cut = answer.ends_with_connection
+    if splitter.is_inside_event:
+        detail = "the stream ended inside an event"
+        raise SendFailedError(SendFailure.BROKEN, detail, was_sent=True, was_cut=is_cut)
+    if is_cut and not splitter.has_event and not continues:
+        detail = "the connection ended before the first event of the stream"
+        raise SendFailedError(SendFailure.BROKEN, detail, was_sent=True, was_cut=is_cut)
+
+
+class AnswerEnds:
+    """Checks answers that ended with their connection.
+
+    Parameters
+    ==========
+
+    guard : tells whether a server has crashed, and counts it against the request.
+    """
+
+    def __init__(self, guard: RequestGuard) -> None:
+        self._guard = guard
+
+    def check_server(
+        self, admitted: AdmittedRequest, placement: Placement, answer: ParsedAnswer
+    ) -> None:
+        """Check that the server did not crash when its answer ended with the connection.
+
+        If the deadline passes meanwhile the answer counts as complete, as nothing shows that it is not.
+
+        Raises
+        ======
+
+        SendFailedError : the server has crashed, which has been counted.
+        """
+        if not answer.ends_with_connection:
+            return
+        try:
+            has_crashed = self._guard.record_broken_connection(admitted, placement.candidate.server)
+        except OverdueError:
+            return
+        if has_crashed:
+            detail = "the server crashed when its answer ended"
+            raise SendFailedError(SendFailure.BROKEN, detail, was_sent=True)
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -27,18 +27,14 @@
 from hemlockswitch.request.placements import RETRY_DELAY_MS, Placements
 from hemlockswitch.request.progress import ForwardObserver, Progress
 from hemlockswitch.request.repeat_budget import RepeatBudget
+from hemlockswitch.request.send_errors import OverdueError, SendFailedError
 from hemlockswitch.request.send_states import (
     SendFailure,
     SendState,
     SendVerdict,
     judge_failure,
 )
-from hemlockswitch.request.sending import (
-    OverdueError,
-    SendAttempt,
-    Sender,
-    SendFailedError,
-)
+from hemlockswitch.request.sending import SendAttempt, Sender
 from hemlockswitch.request.unreached_servers import UnreachedServers
 from hemlockswitch.version.backend import BackendServer
 
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -12,6 +12,7 @@
 from hemlockswitch.connection.pooled_exchange import PooledExchange
 from hemlockswitch.connection.replies import CallerLeftError, Reply
 from hemlockswitch.core.clock import Clock
+from hemlockswitch.request.answer_ends import AnswerEnds, check_stream_end
 from hemlockswitch.request.clearance import RequestGuard
 from hemlockswitch.request.dialect import Dialect, SendFields
 from hemlockswitch.request.event_stream import EventSplitter
@@ -19,6 +20,7 @@
 from hemlockswitch.request.forwarding_view import ForwardingView
 from hemlockswitch.request.placement import Placement
 from hemlockswitch.request.progress import ForwardObserver, Progress
+from hemlockswitch.request.send_errors import OverdueError, SendFailedError
 from hemlockswitch.request.send_states import SendFailure
 from hemlockswitch.version.serving_table import RequestKind
 
@@ -30,32 +32,6 @@
 such a connection while the request is sent, it is unknown whether the request ran."""
 
 
-class SendFailedError(Exception):
-    """An attempt failed after nothing, or only complete events, had been relayed to the caller.
-
-    Parameters
-    ==========
-
-    failure : how the attempt failed.
-    detail : description for the log and the error.
-    was_sent : whether any byte of the request may have reached the server.
-    was_cut : whether the server closed or reset the connection before the end of the answer.
-    """
-
-    def __init__(
-        self, failure: SendFailure, detail: str, was_sent: bool, was_cut: bool = False
-    ) -> None:
-        super().__init__(detail)
-        self.failure = failure
-        self.detail = detail
-        self.was_sent = was_sent
-        self.was_cut = was_cut
-
-
-class OverdueError(Exception):
-    """The deadline of the request has passed."""
-
-
 @dataclass(frozen=True)
 class SendAttempt:
     """An attempt to send a request to one server, with the reply that its answer is written to."""
@@ -98,7 +74,7 @@
         self._dialect = dialect
         self._view = view
         self._pool = pool
-        self._guard = guard
+        self._ends = AnswerEnds(guard)
         self._observer = observer
         self._clock = clock
         self._in_flight: dict[PooledExchange, SendAttempt] = {}
@@ -299,7 +275,7 @@
         """Read the complete answer before relaying it to the caller."""
         answer, reply = exchange.answer, send.reply
         body = exchange.read_body(MAX_ANSWER_BYTES)
-        self._check_crash(send, answer)
+        self._ends.check_server(send.admitted, send.placement, answer)
         is_failure = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if is_failure and send.admitted.route.is_repeatable and self._may_retry_in_time(send):
             raise SendFailedError(SendFailure.BROKEN, f"the server failed: {answer.status}", True)
@@ -335,42 +311,11 @@
             if events.data:
                 self._begin_reply(send, exchange.answer)
                 reply.write(events.data)
-        self._check_stream_end(send, exchange.answer, splitter)
-        self._check_crash(send, exchange.answer)
+        check_stream_end(exchange.answer, splitter, continues=bool(progress.last_event_id))
+        self._ends.check_server(send.admitted, send.placement, exchange.answer)
         self._begin_reply(send, exchange.answer)
         reply.end()
 
-    @staticmethod
-    def _check_stream_end(send: SendAttempt, answer: ParsedAnswer, splitter: EventSplitter) -> None:
-        """Raise if the stream has been broken off.
-
-        The end of the connection does not show whether the server had finished, or was terminated. If nothing
-        is left to continue, a stream may be empty.
-        """
-        is_cut = answer.ends_with_connection
-        if splitter.is_inside_event:
-            detail = "the stream ended inside an event"
-            raise SendFailedError(SendFailure.BROKEN, detail, True, was_cut=is_cut)
-        if is_cut and not splitter.has_event and not send.progress.last_event_id:
-            detail = "the connection ended before the first event of the stream"
-            raise SendFailedError(SendFailure.BROKEN, detail, True, was_cut=is_cut)
-
-    def _check_crash(self, send: SendAttempt, answer: ParsedAnswer) -> None:
-        """Raise if the answer ended because its server has crashed, which closes its connections likewise.
-
-        If the deadline passes meanwhile the answer counts as complete, as nothing shows that it is not.
-        """
-        if not answer.ends_with_connection:
-            return
-        server = send.placement.candidate.server
-        try:
-            has_crashed = self._guard.record_broken_connection(send.admitted, server)
-        except OverdueError:
-            return
-        if has_crashed:
-            detail = "the server crashed when its answer ended"
-            raise SendFailedError(SendFailure.BROKEN, detail, was_sent=True)
-
     def _begin_reply(self, send: SendAttempt, answer: ParsedAnswer) -> None:
         """Relay the head of the first server's answer, unless the reply has begun."""
         if send.reply.begun:
