Send the records of streams when a gateway shuts down

A stream that began while its service had one version was known to its gateway only; if that ended before a second version appeared, the caller was refused elsewhere. The records that were not sent yet now go out before the gateway closes.

Terms of the new modules: records are sent and received.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -66,7 +66,7 @@
     TUNNEL_REFUSED = (337, "tunnel_refused")
     SERVER_BRITTLE = (338, "server_brittle")
     SERVER_STURDY = (339, "server_sturdy")
-    STREAM_VERSION_TOLD = (340, "stream_version_told")
+    STREAM_VERSION_RECEIVED = (340, "stream_version_received")
     STREAM_VERSION_UNKNOWN = (341, "stream_version_unknown")
     STREAM_QUERY_UNANSWERED = (342, "stream_query_unanswered")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -335,6 +335,7 @@
             self._clock.sleep_ms(STOP_POLL_INTERVAL_MS)
             self.callers.close_idle()
         self.reports.send_usage()
+        self.streams.hand_over()
         self._clock.sleep_ms(STOP_POLL_INTERVAL_MS)
         self._close()
 
--- a/hemlockswitch/process/gateway/stored_versions.py
+++ b/hemlockswitch/process/gateway/stored_versions.py
@@ -1,8 +1,8 @@
 """The services with servers of several software versions, as an object of the object service.
 
-A gateway that has just started cannot know a version whose servers have left, and after a start of all gateways
-nobody else does. The object is written by the holder of the duties, only when a service gets a second version or
-has had one for long enough, and read by a gateway that has to know versions of a time before its start.
+After a start of a gateway its own history lacks the versions whose servers have left, and after a start of all
+gateways so do those of the others. The object is written by the holder of the duties when a service gets a second
+version, or has had a single one for long enough, and is read for the time before the start.
 """
 
 from typing import Any
@@ -31,7 +31,7 @@
     ==========
 
     store : the object service.
-    history : the versions seen by this gateway, to which those of the object are added.
+    history : the versions registered since the start, to which those of the object are added.
     clock : the time source.
     """
 
--- a/hemlockswitch/process/gateway/stream_versions.py
+++ b/hemlockswitch/process/gateway/stream_versions.py
@@ -1,8 +1,8 @@
 """Which software version began a stream that a caller takes up again, possibly at another gateway.
 
 While servers of one version only are registered for a service, its streams need no record. Otherwise the gateway
-that begins or continues a stream tells the gateways that hold its record before the caller gets the first
-event, and a gateway that has no record asks them. A stream of unknown origin goes on only if all servers that may
+that begins or continues a stream sends a record to its holders before the caller gets the first event, and a
+gateway that has no record asks them. A stream of unknown origin goes on only if all servers that may
 have begun it had one version.
 """
 
@@ -73,15 +73,19 @@
         self._fleet = fleet
         self._measure_list_age_ms = measure_list_age_ms
         self._clock = clock
-        self._records = StreamRecords(clock)  # of all streams that this gateway knows
-        self._untold = StreamRecords(clock)  # of its own streams that only this gateway knows
+        self._records = StreamRecords(clock)
+        self._unsent = StreamRecords(clock)  # of streams begun here, not sent to the holders yet
         network.handle(StreamsBegun, self._apply_begun, runs_inline=True)
         network.handle(StreamQuery, self._reply_to, runs_inline=True)
 
     def record_listed(self, server: BackendServer) -> None:
-        """Record a registered server, and tell the other gateways of the streams if its version is a new one."""
+        """Record a registered server, and send the records of its service's streams if its version is new."""
         if self.history.record_listed(server):
-            self._tell(self._untold.pop_live(server.serves))
+            self._send(self._unsent.pop_live(server.serves))
+
+    def hand_over(self) -> None:
+        """Send all records that were not sent yet, because this gateway is shutting down."""
+        self._send(self._unsent.pop_live())
 
     def record_begun(self, admitted: AdmittedRequest, server: BackendServer) -> None:
         """Record the version of a stream whose first event is about to be relayed."""
@@ -90,9 +94,9 @@
         record = StreamRecord(key, server.version, self._clock.now_ms() + life_ms)
         self._records.put(record)
         if len(self.history.list_versions(key.service, life_ms)) > 1:
-            self._tell([record])
+            self._send([record])
         else:
-            self._untold.put(record)
+            self._unsent.put(record)
 
     def find(self, admitted: AdmittedRequest) -> str:
         """Return the version that began the stream that a request continues.
@@ -115,10 +119,10 @@
     def sweep(self) -> None:
         """Remove the expired records."""
         self._records.remove_expired()
-        self._untold.remove_expired()
+        self._unsent.remove_expired()
 
     def describe(self) -> dict[str, Any]:
-        """Return the registered versions of each service, with the streams known of each, for the status page."""
+        """Return the registered versions of each service and the number of records of each, for the status page."""
         counts = self._records.count_by_version()
         return {
             service: {version: counts.get(service, {}).get(version, 0) for version in versions}
@@ -145,14 +149,14 @@
         self._log_unknown(admitted, versions, asked, replies, own)
         raise RequestError(
             ErrorKind.STREAM_VERSION_UNKNOWN,
-            f"no gateway knows which version of service {key.service} began the stream"
+            f"it is unknown which version of service {key.service} began the stream"
             f' "{admitted.facts.resumes}"',
         )
 
     def _collect_versions(
         self, admitted: AdmittedRequest, evidence: list[VersionEvidence]
     ) -> frozenset[str]:
-        """Return the versions that may have begun a stream; none if nobody knows those of its whole life."""
+        """Return the versions that may have begun a stream; none if those of its whole life are unknown."""
         life_ms = find_life_ms(admitted)
         versions = frozenset[str]().union(*(one.versions for one in evidence))
         if max(one.watched_ms for one in evidence) >= life_ms:
@@ -166,7 +170,7 @@
         admitted: AdmittedRequest, version: str, replies: dict[str, StreamReply]
     ) -> None:
         log_event(
-            Event.STREAM_VERSION_TOLD,
+            Event.STREAM_VERSION_RECEIVED,
             request_id=admitted.facts.request_id,
             resumes=admitted.facts.resumes,
             service=admitted.service,
@@ -216,7 +220,7 @@
         ring = self._fleet.get_holder_ring()
         return choose_holders(ring, self._fleet.find_running, key.digest, count)
 
-    def _tell(self, records: list[StreamRecord]) -> None:
+    def _send(self, records: list[StreamRecord]) -> None:
         """Send records to the gateways that hold them."""
         if not self._fleet.reports_by_zone:
             addresses = [peer.address for peer in self._fleet.list_running(None)]
@@ -288,6 +292,6 @@
 def _is_recent(evidence: list[VersionEvidence], *, is_complete: bool) -> bool:
     """Return whether no server can have registered that the evidence does not show.
 
-    If no list is recent, no gateway that replied has seen a new server either; one that did not reply may have.
+    If no list is recent, none that replied can list a new server either; one that did not reply may.
     """
     return is_complete or min(one.list_age_ms for one in evidence) <= MAX_LIST_AGE_MS
--- a/hemlockswitch/process/gateway/version_history.py
+++ b/hemlockswitch/process/gateway/version_history.py
@@ -1,4 +1,4 @@
-"""The software versions of each service whose servers were registered lately, as this gateway saw them."""
+"""The software versions of each service whose servers were registered lately."""
 
 from collections import Counter, defaultdict
 from dataclasses import dataclass
@@ -7,18 +7,18 @@
 from hemlockswitch.version.backend import BackendServer
 
 RETENTION_MS = 600_000.0
-"""How long the end of a version is remembered; longer than any caller takes up a stream."""
+"""How long the end of a version is kept; callers take up their streams sooner."""
 
 
 @dataclass(frozen=True)
 class VersionEvidence:
-    """The versions of a service that may have begun a stream, as one gateway saw them.
+    """The versions of a service that may have begun a stream, by the history of one gateway.
 
     Parameters
     ==========
 
     versions : those that were registered at any time in the span asked for.
-    watched_ms : for how long this gateway has been watching.
+    watched_ms : length of that history.
     list_age_ms : how long ago its list of servers was known to be complete.
     """
 
@@ -37,7 +37,7 @@
 
 
 class VersionHistory:
-    """Remembers when the versions of each service were last registered.
+    """When the versions of each service were last registered.
 
     Parameters
     ==========
@@ -73,7 +73,7 @@
             self._record_end(service, version)
 
     def record_stored(self, service: str, version: str) -> None:
-        """Record a version that other gateways saw before this one started."""
+        """Record a version that was registered before this process started."""
         known = self._services[service]
         if version not in known.counts:
             known.ended_ms[version] = self._clock.now_ms()
@@ -100,7 +100,7 @@
         }
 
     def describe(self, service: str, span_ms: float, list_age_ms: float) -> VersionEvidence:
-        """Return what this gateway saw of a service in the last `span_ms`."""
+        """Return the evidence on the last `span_ms`."""
         watched_ms = self._clock.now_ms() - self._began_ms
         return VersionEvidence(self.list_versions(service, span_ms), watched_ms, list_age_ms)
 
--- a/hemlockswitch/request/stream_records.py
+++ b/hemlockswitch/request/stream_records.py
@@ -91,19 +91,15 @@
             return None
         return record.version
 
-    def list_live(self, service: str) -> list[StreamRecord]:
-        """Return the records of a service that have not expired."""
+    def pop_live(self, service: str | None = None) -> list[StreamRecord]:
+        """Remove and return the records of a service, or of all, that have not expired."""
         now_ms = self._clock.now_ms()
-        return [
+        live = [
             record
             for records in self._by_account.values()
             for record in records.values()
-            if record.key.service == service and record.expires_ms > now_ms
+            if service in (None, record.key.service) and record.expires_ms > now_ms
         ]
-
-    def pop_live(self, service: str) -> list[StreamRecord]:
-        """Remove and return the records of a service that have not expired."""
-        live = self.list_live(service)
         for record in live:
             del self._by_account[record.key.account][record.key.digest]
         self._count -= len(live)
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -129,6 +129,17 @@
     assert gateways[1]._records.find_version(StreamKey.build("hall", SERVICE, "id-1")) == "v1"
 
 
+# Guards against streams being unknown elsewhere whose gateway ended before a second version appeared.
+def test_gateway_that_shuts_down_tells_the_others_its_streams(clock):
+    gateways = Gateways(clock)
+    gateways.list_server(make_server("a", "v1"))
+    gateways.begin(0, "v1")
+    gateways[0].hand_over()
+    gateways.list_server(make_server("b", "v2"))
+    assert gateways[1].find(make_admitted()) == "v1"
+    assert gateways[1].origins["own"] == 1
+
+
 @pytest.mark.parametrize(
     "fields",
     [
