Let the model of roll-outs follow a completed order also where it was stopped

The test forbade every send to a version that a gateway had stopped, also after the order was completed. The check is replaced by one as strict: a version that was stopped gets nothing unless the order is completed, and of a completed order only the target gets requests. Two tests show that the model finds a gateway that breaks either.

--- a/tests/test_rollout_protocol.py
+++ b/tests/test_rollout_protocol.py
@@ -144,6 +144,9 @@
         route = ("draft", "reply")[turn % 2]
         wish = SendProperties("llm", route, is_first=True, draws_canary=bool(turn % 3))
         selected = process.rollouts.select(wish, SERVERS)
+        if process.progress is not None and process.progress.order.state == "completed":
+            versions = {server.version for server in selected}
+            assert versions == {"v2"}, "the old version after its servers have stopped"
         if selected:
             self.send(process, route, selected[0], fails=fails)
 
@@ -170,7 +173,9 @@
 
     def check_may_send(self, progress):
         assert progress is not None, "a version that nobody ordered"
-        assert not progress.stopped_for, "a version that was stopped here"
+        # Servers of the old version stop when an order is completed, whatever was decided here before.
+        is_completed = progress.order.state == "completed"
+        assert is_completed or not progress.stopped_for, "a version that was stopped here"
         assert progress.order.state != "rolled_back", "a version that was rolled back"
         bad = sum(one.target.bad for one in progress.get_sums().values())
         assert progress.order.is_final or bad < MAX_RECORDED_BAD, "a version known to be bad"
@@ -278,6 +283,28 @@
     check_model_fails("a state after the final one")
 
 
+def test_model_detects_a_gateway_that_sends_to_a_stopped_version(monkeypatch):
+    select = Rollouts._select_by_order
+
+    def select_stopped(self, progress, request, listed):
+        chosen = select(self, progress, request, listed)
+        return listed.target if progress.stopped_for else chosen
+
+    monkeypatch.setattr(Rollouts, "_select_by_order", select_stopped)
+    check_model_fails("a version that was stopped here")
+
+
+def test_model_detects_a_gateway_that_ignores_the_completion(monkeypatch):
+    select = Rollouts._select_by_order
+
+    def select_old(self, progress, request, listed):
+        chosen = select(self, progress, request, listed)
+        return listed.others if progress.order.state == "completed" else chosen
+
+    monkeypatch.setattr(Rollouts, "_select_by_order", select_old)
+    check_model_fails("the old version after its servers have stopped")
+
+
 def check_model_fails(message):
     with pytest.raises(AssertionError, match=message):
         run_state_machine_as_test(MovingService, settings=SETTINGS)
