Require a recent list and a long history of the same gateway

For a stream of unknown origin the list of one gateway could be recent and the history of another one long enough, with a gap between them. Unless all gateways that were asked have replied, one gateway must have both, or the object of versions is read.

--- a/hemlockswitch/process/gateway/stream_versions.py
+++ b/hemlockswitch/process/gateway/stream_versions.py
@@ -141,9 +141,10 @@
             self._log_found(admitted, version, replies)
             return self._count("peer", version)
         evidence = [own, *map(_read_evidence, replies.values())]
-        is_recent = _is_recent(evidence, is_complete=self._is_complete(asked, replies))
-        versions = self._collect_versions(admitted, evidence)
-        if len(versions) == 1 and is_recent and not known:
+        versions = self._collect_versions(
+            admitted, evidence, is_complete=self._is_complete(asked, replies)
+        )
+        if len(versions) == 1 and not known:
             return self._count("single", *versions)
         self.origins["unknown"] += 1
         self._log_unknown(admitted, versions, asked, replies, own)
@@ -154,12 +155,24 @@
         )
 
     def _collect_versions(
-        self, admitted: AdmittedRequest, evidence: list[VersionEvidence]
+        self, admitted: AdmittedRequest, evidence: list[VersionEvidence], *, is_complete: bool
     ) -> frozenset[str]:
-        """Return the versions that may have begun a stream; none if those of its whole life are unknown."""
+        """Return the versions that may have begun a stream; none if those of its whole life are unknown.
+
+        If no list is recent, none of the gateways that replied can list a new server; one that did not reply may.
+
+        Parameters
+        ==========
+
+        is_complete : whether all gateways that were asked have replied.
+        """
         life_ms = find_life_ms(admitted)
+        recent = [one for one in evidence if one.list_age_ms <= MAX_LIST_AGE_MS]
+        if not recent and not is_complete:
+            return frozenset()
         versions = frozenset[str]().union(*(one.versions for one in evidence))
-        if max(one.watched_ms for one in evidence) >= life_ms:
+        watched = evidence if is_complete else recent
+        if max(one.watched_ms for one in watched) >= life_ms:
             return versions
         if not self.load_stored():
             return frozenset()
@@ -287,11 +300,3 @@
 
 def _read_evidence(reply: StreamReply) -> VersionEvidence:
     return VersionEvidence(frozenset(reply.versions), reply.watched_ms, reply.list_age_ms)
-
-
-def _is_recent(evidence: list[VersionEvidence], *, is_complete: bool) -> bool:
-    """Return whether no server can have registered that the evidence does not show.
-
-    If no list is recent, none that replied can list a new server either; one that did not reply may.
-    """
-    return is_complete or min(one.list_age_ms for one in evidence) <= MAX_LIST_AGE_MS
