--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -251,7 +251,7 @@
         if faults.fail:
             resp.status, resp.data = 500, b"failed"
         elif req.get_header("Hemlockswitch-Token-Counts") and faults.unframed:
-            self._answer_unframed(req, faults, request_id)
+            self._answer_unframed(req, resp, faults, request_id)
         elif req.get_header("Hemlockswitch-Token-Counts"):
             resp.content_type = "text/event-stream"
             resp.stream = self._stream(req, faults, request_id)
@@ -276,16 +276,13 @@
         return faults.decline
 
     def _answer_unframed(
-        self, req: falcon.Request, faults: RunnerFaults, request_id: str
+        self, req: falcon.Request, resp: falcon.Response, faults: RunnerFaults, request_id: str
     ) -> NoReturn:
         """Write a stream past the server's framing, and end its connection."""
         connection = req.env[SOCKET_KEY]
-        lines = [
-            "HTTP/1.1 200 OK",
-            f"Hemlockswitch-Request-Id: {request_id}",
-            f"Hemlockswitch-Response-Seal: {make_seal(request_id)}",
-        ]
-        connection.sendall("\r\n".join([*lines, "", ""]).encode())
+        headers = [f"{name}: {value}" for name, value in resp.headers.items()]
+        head = "\r\n".join(["HTTP/1.1 200 OK", *headers, "", ""])
+        connection.sendall(head.encode())
         for event in self._stream(req, faults, request_id):
             connection.sendall(event)
         end_connection(connection)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -32,10 +32,14 @@
     assert count_runs(engines, "id-1") == 1
 
 
+# Guards against a stand-in that states its limit in framed answers only, so that it seems to have ended.
 def test_stand_in_ends_a_stream_without_framing(site, engines):
     for engine in engines:
         engine.fail(unframed=True)
-    assert site.ask("/draft/x", "id-1", **tokens(12)).body == make_events("id-1", 12)
+        engine.state.rate_limit = "50"
+    reply = site.ask("/draft/x", "id-1", **tokens(12))
+    assert reply.body == make_events("id-1", 12)
+    assert reply.headers["server-limit"] == "50"
     for engine in engines:
         engine.fail(unframed=True, cut_after_events=5)
     assert not site.ask("/draft/x", "id-2", **tokens(12)).is_whole
