Relay a framed answer of another type on a stream route as it is

Since streams that end inside an event are broken off, a body that states another type than events, such as JSON, with a length or chunks was broken off on stream routes if it had no blank line at its end. It is now relayed whole; the check applies to event streams, to bodies without a type, and to all that end with their connection.

--- a/hemlockswitch/request/answer_ends.py
+++ b/hemlockswitch/request/answer_ends.py
@@ -4,9 +4,10 @@
 looks the same in both cases.
 """
 
+from hemlockswitch.connection.heads import find_header
 from hemlockswitch.connection.message_parsers import ParsedAnswer
 from hemlockswitch.request.clearance import RequestGuard
-from hemlockswitch.request.event_stream import EventSplitter
+from hemlockswitch.request.event_stream import EventSplitter, is_event_stream
 from hemlockswitch.request.forward_admission import AdmittedRequest
 from hemlockswitch.request.placement import Placement
 from hemlockswitch.request.send_errors import OverdueError, SendFailedError
@@ -16,6 +17,8 @@
 def check_stream_end(answer: ParsedAnswer, splitter: EventSplitter, *, continues: bool) -> None:
     """Check that a stream has not ended inside an event, or before its first one.
 
+    A body of another type than events is complete if it is framed.
+
     Parameters
     ==========
 
@@ -27,6 +30,8 @@
     SendFailedError : the stream has been broken off.
     """
     is_cut = answer.ends_with_connection
+    if not is_cut and not is_event_stream(find_header(answer.headers, "content-type")):
+        return
     if splitter.is_inside_event:
         detail = "the stream ended inside an event"
         raise SendFailedError(SendFailure.BROKEN, detail, was_sent=True, was_cut=is_cut)
--- a/hemlockswitch/request/event_stream.py
+++ b/hemlockswitch/request/event_stream.py
@@ -3,6 +3,7 @@
 import re
 from dataclasses import dataclass
 
+EVENT_STREAM_TYPE = "text/event-stream"
 LINE_ENDS = b"\r\n"
 EVENT_END = re.compile(rb"(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))|\r\r\n?")
 """The end of a line and a blank line; lines end with CR LF, LF or CR.
@@ -125,6 +126,12 @@
         """Whether an event has ended."""
         return self._boundaries.has_event
 
+    def take_rest(self) -> bytes:
+        """Remove and return the bytes that are held back."""
+        rest = b"".join(self._open_pieces)
+        self._open_pieces = []
+        return rest
+
     def feed(self, data: bytes) -> CompleteEvents:
         """Add `data` and return the events that it completes, or `data` itself if nothing is held back."""
         end = self._boundaries.feed(data)
@@ -139,6 +146,19 @@
         return CompleteEvents(complete, find_last_id(complete))
 
 
+def is_event_stream(content_type: str) -> bool:
+    """Return whether an answer of a stream route is a series of events; one that states no type is.
+
+    Examples
+    ========
+
+    >>> [is_event_stream(one) for one in ("text/event-stream; charset=utf-8", "", "application/json")]
+    [True, True, False]
+    """
+    media_type = content_type.partition(";")[0].strip().lower()
+    return media_type in ("", EVENT_STREAM_TYPE)
+
+
 def find_last_id(events: bytes) -> str:
     """Return the last ``id`` field in complete events, or an empty string.
 
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -314,6 +314,7 @@
         check_stream_end(exchange.answer, splitter, continues=bool(progress.last_event_id))
         self._ends.check_server(send.admitted, send.placement, exchange.answer)
         self._begin_reply(send, exchange.answer)
+        reply.write(splitter.take_rest())
         reply.end()
 
     def _begin_reply(self, send: SendAttempt, answer: ParsedAnswer) -> None:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -187,6 +187,24 @@
     assert find_stream_fault(bench, "/reply/x", "\n") == ""
 
 
+# Guards against a framed answer of another type being taken for a stream that ended inside an event.
+@pytest.mark.parametrize("path", STREAMS)
+def test_framed_answer_of_another_type_is_complete(make_bench, path):
+    body = b'{"status": "done"}\n'
+    headers = ("Content-Type: application/json", f"Content-Length: {len(body)}")
+    bench = make_bench("llm", lambda _: Script((body,), headers=headers))
+    reply = bench.ask(path, **tokens(LAST))
+    assert (reply.status, reply.body, reply.is_whole) == (200, body, True)
+
+
+@pytest.mark.parametrize("path", STREAMS)
+def test_framed_stream_that_ends_inside_an_event_is_not_complete(make_bench, path):
+    torn = (*make_events(1, BEGUN), b"id: 4\nda")
+    headers = ("Content-Type: text/event-stream", f"Content-Length: {sum(map(len, torn))}")
+    choose = FirstCut(Script(torn, headers=headers), continue_stream)
+    assert find_stream_fault(make_bench("llm", choose), path, "\n") == ""
+
+
 def test_whole_answers_without_length_arrive_whole(make_bench):
     for http in HTTP_VERSIONS:
         for path in STREAMS:
