Write no body after the answer of a stream route to HEAD

Callers that sent HEAD to a stream route got the last chunk after the head, which a connection that is kept passes on as the beginning of the next answer. Found by reading for the framing of answers; the test of it fails on the code before, on both stream routes.

--- a/hemlockswitch/connection/replies.py
+++ b/hemlockswitch/connection/replies.py
@@ -32,7 +32,7 @@
 
     def __init__(self, connection: socket.socket, request: ReceivedRequest, closes: bool) -> None:
         self._connection = connection
-        self._method = request.method
+        self._has_body = request.method != "HEAD"
         self._is_chunked = request.allows_chunks
         self.closes = closes or not request.keep_alive
         self.status = 0
@@ -44,7 +44,7 @@
         framed = [*headers, ("Content-Length", str(len(body)))]
         self._start(status)
         head = self._encode(status, reason, framed)
-        self._write_all(head if self._method == "HEAD" else head + body)
+        self._write_all(head + body if self._has_body else head)
         self.ended = True
 
     def begin(self, status: int, reason: str, headers: list[Header]) -> None:
@@ -59,16 +59,18 @@
 
     def write(self, piece: bytes) -> None:
         """Write a piece of the body."""
-        if piece and self._is_chunked:
+        if not piece or not self._has_body:
+            return
+        if self._is_chunked:
             piece = b"%x\r\n%b\r\n" % (len(piece), piece)
         self._write_all(piece)
 
     def end(self) -> None:
         """Mark the end of the body."""
-        if self._is_chunked:
-            self._write_all(b"0\r\n\r\n")
-        else:
+        if not self._is_chunked:
             self._set_option(allow_orderly_close)
+        elif self._has_body:
+            self._write_all(b"0\r\n\r\n")
         self.ended = True
 
     def _start(self, status: int) -> None:
--- a/tests/test_caller_framing.py
+++ b/tests/test_caller_framing.py
@@ -68,6 +68,24 @@
                 pass
 
 
+# Guards against bytes of a body after the answer to a HEAD request, which the next answer would begin with.
+@pytest.mark.parametrize("path", ["/draft/x", "/reply/x"])
+def test_answer_of_a_stream_route_to_head_has_no_body(site, path):
+    site.add_runner("llm")
+    site.add_runner("app")
+    with site.connect() as connection:
+        connection.sendall(make_request(path, "id-1", method="HEAD", body=b"", **tokens(LAST)))
+        connection.sendall(make_request("/check/x", "id-2"))
+        data = b""
+        while not data.endswith(b"answer of id-2"):
+            piece = connection.recv(65_536)
+            assert piece, data
+            data += piece
+    first, _, rest = data.partition(b"\r\n\r\n")
+    assert first.startswith(b"HTTP/1.1 200")
+    assert rest.startswith(b"HTTP/1.1 200"), rest
+
+
 def test_complete_answer_to_a_caller_of_http_1_0_has_a_length(site):
     site.add_runner("app")
     with site.connect() as connection:
