Share one read of the versions among the streams that need them

After a start of all gateways each stream of unknown origin read the object on its own, at the moment at which the object service gets the lists of all gateways.

--- a/hemlockswitch/process/gateway/stored_versions.py
+++ b/hemlockswitch/process/gateway/stored_versions.py
@@ -40,19 +40,29 @@
         self._history = history
         self._clock = clock
         self._is_loaded = False
+        self._loading: gevent.Greenlet | None = None
         self._stored: dict[str, list[str]] = {}
         self._version = 0  # of the object; 0 if there is none
 
     def load(self) -> bool:
-        """Add the versions of the object to the history, unless they have been; return whether they have."""
-        if not self._is_loaded:
-            try:
-                with gevent.Timeout(READ_TIMEOUT_MS / MS_PER_SECOND, False):
-                    self._apply(self._store.read(VERSIONS_KIND, VERSIONS_NAME))
-            except PlatformError as error:
-                log_event(Event.WATCH_FAILED, "warning", watch=VERSIONS_KIND, detail=error.detail)
+        """Add the versions of the object to the history, unless they have been; return whether they have.
+
+        Requests that need them at the same time share one read.
+        """
+        if self._is_loaded:
+            return True
+        if self._loading is None or self._loading.ready():
+            self._loading = gevent.spawn(self._read)
+        self._loading.join()
         return self._is_loaded
 
+    def _read(self) -> None:
+        try:
+            with gevent.Timeout(READ_TIMEOUT_MS / MS_PER_SECOND, False):
+                self._apply(self._store.read(VERSIONS_KIND, VERSIONS_NAME))
+        except PlatformError as error:
+            log_event(Event.WATCH_FAILED, "warning", watch=VERSIONS_KIND, detail=error.detail)
+
     def save(self) -> None:
         """Write the services that have several versions now, if they differ from the object."""
         if not self.load():
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import gevent
 import pytest
 
 from hemlockswitch.core.clock import ManualClock
@@ -206,6 +207,17 @@
     assert store.version == 1
 
 
+# Guards against a read of the store for each stream that is taken up after a start of all gateways.
+def test_requests_share_one_read_of_the_store(clock):
+    store = MemoryStore()
+    reads = []
+    store.check = lambda: (reads.append(1), gevent.sleep(0.01))
+    _, stored = make_stored(clock, store)
+    tasks = [gevent.spawn(stored.load) for _ in range(5)]
+    assert [task.get() for task in tasks] == [True] * 5
+    assert len(reads) == 1
+
+
 def test_store_that_does_not_answer_is_asked_again(clock):
     store = MemoryStore()
     _, stored = make_stored(clock, store, make_server("a", "v1"), make_server("b", "v2"))
