Count a list as recent for a second if another gateway replies

While a peer is restarting or frozen, so that not all gateways reply, callers would have been refused for that. A gateway that gets a reply is not cut off from the others, which is what the half second guards against; it stays for a gateway that gets none.

--- a/hemlockswitch/process/gateway/stream_versions.py
+++ b/hemlockswitch/process/gateway/stream_versions.py
@@ -33,9 +33,11 @@
 
 LIFE_FACTOR = 2.0
 """A caller may take a stream up for this multiple of its route's time limit."""
-MAX_LIST_AGE_MS = 500.0
-"""Age up to which a list of servers counts as recent: too short for a new server to be listed elsewhere, begin a
-stream and lose it."""
+MAX_LIST_AGE_MS = 1_000.0
+"""Age up to which a list of servers counts as recent; lists are confirmed more often, unless a gateway is cut off."""
+MAX_UNCONFIRMED_LIST_AGE_MS = 500.0
+"""The same while no other gateway replies, so that this one may be cut off: too short for a new server to be
+listed elsewhere, begin a stream and lose it."""
 QUERY_TIMEOUT_MS = 250.0
 ASK_TIMEOUT_MS = 300.0
 """Limits the wait for all replies, including the time to send the questions."""
@@ -112,8 +114,8 @@
         if version is not None:
             return self._count("own", version)
         own = self.history.describe(key.service, life_ms, self._measure_list_age_ms())
-        is_fresh = own.list_age_ms <= MAX_LIST_AGE_MS
-        if len(own.versions) == 1 and is_fresh and own.watched_ms >= life_ms:
+        is_recent = own.list_age_ms <= MAX_UNCONFIRMED_LIST_AGE_MS
+        if len(own.versions) == 1 and is_recent and own.watched_ms >= life_ms:
             return self._count("single", *own.versions)
         return self._find_elsewhere(admitted, key, own)
 
@@ -165,10 +167,13 @@
         Parameters
         ==========
 
+        evidence : that of this gateway, and of those that replied.
         is_complete : whether all gateways that were asked have replied.
         """
         life_ms = find_life_ms(admitted)
-        recent = [one for one in evidence if one.list_age_ms <= MAX_LIST_AGE_MS]
+        has_reply = len(evidence) > 1
+        max_age_ms = MAX_LIST_AGE_MS if has_reply else MAX_UNCONFIRMED_LIST_AGE_MS
+        recent = [one for one in evidence if one.list_age_ms <= max_age_ms]
         if not recent and not is_complete:
             return frozenset()
         versions = frozenset[str]().union(*(one.versions for one in evidence))
