Take the reason and the return of a refused stream from servers of its version

A caller that took up a stream whose version had no server left, or limited ones only, could be told that every server of the service is at its limit, and to return when a server of another version, which may not go on with it, has a permit. Both are now taken over the servers of the version, and the error names it. Found on reading the landing; two tests, which fail on the code before.

--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -150,16 +150,26 @@
             return not self._needs_permit(placement.candidate.server)
         return self._clock.now_ms() <= permit.expires_ms
 
-    def find_permit_delay_ms(self, admitted: AdmittedRequest) -> float | None:
+    def find_permit_delay_ms(
+        self, admitted: AdmittedRequest, begun_version: str | None
+    ) -> float | None:
         """Return when a permit for a server of the service is expected; None if none was refused."""
-        servers = self._registry.list_ready(admitted.service)
+        servers = self._list_ready(admitted.service, begun_version)
         return self._permits.find_retry_ms(servers, admitted.urgency)
 
-    def find_slot_delay_ms(self, admitted: AdmittedRequest) -> float | None:
+    def find_slot_delay_ms(
+        self, admitted: AdmittedRequest, begun_version: str | None
+    ) -> float | None:
         """Return when a slot of a brittle server of the service is expected; None if no server is brittle."""
-        return self._permits.slots.find_retry_ms(
-            self._registry.list_ready(admitted.service), admitted.urgency
-        )
+        servers = self._list_ready(admitted.service, begun_version)
+        return self._permits.slots.find_retry_ms(servers, admitted.urgency)
+
+    def _list_ready(self, service: str, begun_version: str | None) -> list[BackendServer]:
+        """Return the ready servers of a service, or of the version that alone may continue a stream."""
+        servers = self._registry.list_ready(service)
+        if begun_version is None:
+            return servers
+        return [server for server in servers if server.version == begun_version]
 
     def _needs_permit(self, server: BackendServer) -> bool:
         return self._permits.is_limited(server) or self._permits.slots.needs_permit(server)
--- a/hemlockswitch/request/forwarding_view.py
+++ b/hemlockswitch/request/forwarding_view.py
@@ -64,7 +64,9 @@
     def is_permitted(self, placement: Placement) -> bool:
         """Return whether a request may be sent now: the server is not limited, or the permit is still valid."""
 
-    def find_permit_delay_ms(self, admitted: AdmittedRequest) -> float | None:
+    def find_permit_delay_ms(
+        self, admitted: AdmittedRequest, begun_version: str | None
+    ) -> float | None:
         """Return when a permit for a limited server of the service is expected, in ms from now.
 
         The result is None if no permit was refused.
@@ -103,7 +105,9 @@
     def record_rate_limit(self, server: BackendServer, limit_per_s: float, sent_ms: float) -> None:
         """Record the limit in a server's answer to a request sent at `sent_ms`; infinite if it states none."""
 
-    def find_slot_delay_ms(self, admitted: AdmittedRequest) -> float | None:
+    def find_slot_delay_ms(
+        self, admitted: AdmittedRequest, begun_version: str | None
+    ) -> float | None:
         """Return when a slot of a brittle server of the service is expected, in ms from now, or None."""
 
     def record_rejection_limit(
--- a/hemlockswitch/request/placements.py
+++ b/hemlockswitch/request/placements.py
@@ -85,9 +85,9 @@
         if reply.begun:
             until_ms = now_ms + RESUME_WAIT_MS
         while True:
-            delay_ms = self._view.find_slot_delay_ms(admitted)
+            delay_ms = self._view.find_slot_delay_ms(admitted, progress.begun_version)
             if delay_ms is None and reply.begun:
-                delay_ms = self._view.find_permit_delay_ms(admitted)
+                delay_ms = self._view.find_permit_delay_ms(admitted, progress.begun_version)
             if delay_ms is None or self._clock.now_ms() + delay_ms > until_ms:
                 return None
             self._clock.sleep_ms(delay_ms)
@@ -104,18 +104,17 @@
         if progress.state is not SendState.NOT_RUN:
             detail = "no backend server is left for another attempt"
             return RequestError(ErrorKind.OUTCOME_UNKNOWN, detail)
-        delay_ms = self._view.find_slot_delay_ms(admitted)
+        target = describe_target(progress, admitted)
+        delay_ms = self._view.find_slot_delay_ms(admitted, progress.begun_version)
         if delay_ms is not None:
-            detail = (
-                f"all slots of the brittle backend servers of service {admitted.service} are in use"
-            )
+            detail = f"all slots of the brittle backend servers of {target} are in use"
             retry_ms = max(round(delay_ms), MIN_SLOT_RETRY_MS)
             return RequestError(ErrorKind.OVERLOADED, detail, retry_after_ms=retry_ms)
-        delay_ms = self._view.find_permit_delay_ms(admitted)
+        delay_ms = self._view.find_permit_delay_ms(admitted, progress.begun_version)
         if delay_ms is not None:
-            detail = f"every backend server of service {admitted.service} is at its stated limit"
+            detail = f"every backend server of {target} is at its stated limit"
             return RequestError(ErrorKind.OVERLOADED, detail, retry_after_ms=round(delay_ms))
-        detail = f"no backend server for service {admitted.service}"
+        detail = f"no backend server of {target}"
         return RequestError(ErrorKind.NO_BACKEND, detail, retry_after_ms=RETRY_DELAY_MS)
 
     @staticmethod
@@ -127,3 +126,11 @@
         if retry_delay_ms is not None:
             detail = f"overloaded: the first event is expected after {placement.expected_ms:.0f} ms"
             raise RequestError(ErrorKind.OVERLOADED, detail, retry_after_ms=round(retry_delay_ms))
+
+
+def describe_target(progress: Progress, admitted: AdmittedRequest) -> str:
+    """Return which servers a request may be sent to, for its error."""
+    service = f"service {admitted.service}"
+    if progress.begun_version is None:
+        return service
+    return f"version {progress.begun_version} of {service}, which began the stream"
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -160,3 +160,60 @@
     for number, stream in enumerate(streams):
         stream.ask(number % 3)
     assert_kept(streams)
+
+
+def take_up_elsewhere(site, *, break_version):
+    """Begin a stream at one gateway, change the servers of its version, and take it up at another gateway."""
+    (stream,) = begin_streams(site, 1, gateways=[0])
+    version = stream.events[0][1]
+    break_version([runner for runner in site.runners if runner.version == version])
+    request_id = site.make_id()
+    fields = {"Last_Event_Id": str(stream.events[-1][0]), "Resumes": stream.first_id}
+    reply = site.ask("/reply/x", request_id, gateway=1, **fields, **tokens(LAST))
+    assert not any(runner.count_runs(request_id) for runner in site.runners)
+    return reply
+
+
+def remove(site, runners):
+    """Remove the registry entries of runners, and wait until every gateway knows."""
+    for runner in runners:
+        site.store.remove("servers", runner.name)
+    names = {runner.name for runner in runners}
+    site.wait(
+        lambda: not any(
+            names & {one.name for one in gateway.registry.list_ready("llm")}
+            for gateway in site.gateways
+        )
+    )
+
+
+def state_limit(site, runners, limit):
+    """Let runners state a rate limit, and wait until every gateway knows."""
+    for gateway in site.gateways:
+        for runner in runners:
+            (server,) = [
+                one for one in gateway.registry.list_ready("llm") if one.name == runner.name
+            ]
+            gateway.permits.record_answer(server, limit, gateway._clock.now_ms())
+
+
+# Guards against a refusal that names the limits of servers which could not go on with the stream anyway.
+def test_stream_without_a_server_of_its_version_is_refused_for_that(make_site):
+    site = make_site(2)
+
+    def break_version(same):
+        remove(site, same)
+        state_limit(site, [one for one in site.runners if one not in same], 0.0)
+
+    reply = take_up_elsewhere(site, break_version=break_version)
+    assert reply.status == 503
+    assert reply.body.startswith(b"no_backend: no backend server of version")
+
+
+# Guards against a caller being told to return when a server of another version has a permit.
+def test_stream_whose_servers_are_limited_returns_when_one_of_its_version_may_take_it(make_site):
+    site = make_site(2)
+    reply = take_up_elsewhere(site, break_version=lambda same: state_limit(site, same, 0.0))
+    assert reply.status == 503
+    assert reply.body.startswith(b"overloaded: every backend server of version")
+    assert float(reply.headers["retry-after"]) > 0
