--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -100,7 +100,7 @@
             revision=admitted.revision if admitted else 0,
             sends=progress.sends,
             send_versions=progress.send_versions,
-            resumes=progress.facts.resumes if progress.facts else "",
+            resumes=progress.facts.resumes_shown if progress.facts else "",
             through=[gateway for gateway in progress.through if gateway],
             server_version=progress.begun_version or "",
             expected_ms=round(progress.expected_ms),
--- a/hemlockswitch/process/gateway/stream_versions.py
+++ b/hemlockswitch/process/gateway/stream_versions.py
@@ -154,7 +154,7 @@
         raise RequestError(
             ErrorKind.STREAM_VERSION_UNKNOWN,
             f"it is unknown which version of service {key.service} began the stream"
-            f' "{admitted.facts.resumes}"',
+            f' "{admitted.facts.resumes_shown}"',
         )
 
     def _collect_versions(
@@ -191,7 +191,7 @@
         log_event(
             Event.STREAM_VERSION_RECEIVED,
             request_id=admitted.facts.request_id,
-            resumes=admitted.facts.resumes,
+            resumes=admitted.facts.resumes_shown,
             service=admitted.service,
             version=version,
             known_by=[name for name, reply in replies.items() if reply.version is not None],
@@ -209,7 +209,7 @@
             Event.STREAM_VERSION_UNKNOWN,
             "warning",
             request_id=admitted.facts.request_id,
-            resumes=admitted.facts.resumes,
+            resumes=admitted.facts.resumes_shown,
             service=admitted.service,
             versions=sorted(versions),
             asked=[peer.name for peer in asked],
--- a/hemlockswitch/request/dialect.py
+++ b/hemlockswitch/request/dialect.py
@@ -13,6 +13,7 @@
 from hemlockswitch.connection.message_parsers import ParsedAnswer
 from hemlockswitch.core.errors import RequestError
 
+MAX_SHOWN_CHARS = 64
 Chain = tuple[tuple[int, int], ...]
 """Prefixes of a prompt as (hash, tokens of the last part), the shortest first."""
 
@@ -85,6 +86,11 @@
     last_event_id: str = ""
     resumes: str = ""
 
+    @property
+    def resumes_shown(self) -> str:
+        """`resumes` as logs and errors show it, which the caller cannot make long."""
+        return self.resumes[:MAX_SHOWN_CHARS]
+
 
 @dataclass(frozen=True)
 class SendFields:
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -12,6 +12,7 @@
 from hemlockswitch.process.gateway.stream_holders import HOLDERS, HolderRing, choose_holders
 from hemlockswitch.process.gateway.stream_versions import MAX_LIST_AGE_MS, StreamVersions
 from hemlockswitch.process.gateway.version_history import VersionHistory
+from hemlockswitch.request.dialect import RequestFacts
 from hemlockswitch.request.stream_records import StreamKey, StreamRecord, StreamRecords
 from hemlockswitch.version.backend import BackendServer
 from tests.memory_store import MemoryStore
@@ -32,7 +33,7 @@
 
 def make_admitted(request_id="id-2", resumes="id-1", account="hall", service=SERVICE):
     return SimpleNamespace(
-        facts=SimpleNamespace(request_id=request_id, resumes=resumes),
+        facts=RequestFacts(request_id, "site.example", resumes=resumes),
         account=SimpleNamespace(name=account) if account else None,
         service=service,
         route=SimpleNamespace(timeout_ms=TIMEOUT_MS),
@@ -147,6 +148,7 @@
         {"resumes": "of nobody"},
         {"resumes": ""},
         {"resumes": "id-2"},
+        {"resumes": "x" * 10_000},
         {"account": "another"},
         {"service": "app"},
     ],
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -217,3 +217,12 @@
     assert reply.status == 503
     assert reply.body.startswith(b"overloaded: every backend server of version")
     assert float(reply.headers["retry-after"]) > 0
+
+
+# Guards against callers filling the log, or their own error, with the text of a header.
+def test_long_identifier_of_a_stream_is_refused_and_shown_in_part(make_site):
+    site = make_site(2)
+    fields = {"Last_Event_Id": "3", "Resumes": "x" * 5_000}
+    reply = site.ask("/reply/x", **fields, **tokens(LAST))
+    assert (reply.status, reply.body.split(b":")[0]) == (503, b"stream_version_unknown")
+    assert len(reply.body) < 300
