--- a/tests/version_replay.py
+++ b/tests/version_replay.py
@@ -21,6 +21,7 @@
 from hemlockswitch.process.gateway.stored_versions import SAVE_INTERVAL_MS, StoredVersions
 from hemlockswitch.process.gateway.stream_holders import HolderRing
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
+from hemlockswitch.request.dialect import RequestFacts
 from hemlockswitch.version.backend import BackendServer
 from tests.memory_store import MemoryStore
 
@@ -390,7 +391,7 @@
     def _make_admitted(stream):
         request_id = f"{stream.name}.{stream.attempts}"
         return SimpleNamespace(
-            facts=SimpleNamespace(request_id=request_id, resumes=stream.first_id),
+            facts=RequestFacts(request_id, host="", resumes=stream.first_id),
             account=SimpleNamespace(name=f"a{int(stream.name) % 5}"),
             service=SERVICE,
             route=SimpleNamespace(timeout_ms=TIMEOUT_MS),
