Keep a copy of a state whose holder did not answer the confirmation

Callers of a moved request could hear 404 unknown_request although nothing had died: a daemon takes a state in two steps, and if no answer to the second one (ConfirmTake) arrived in three attempts it gave the state up, while the holder had released it. Nobody had it then. The taker now keeps a copy with the same number of hops and refuses with `moved` as before, so that the caller's next attempt finds it; if the holder had not released its own, the two are copies like those of a lost HandOver answer, of which one is served and the other dropped. Lines 714 and 715 tell of it.

The new test fails on the code before with exactly that error and passes now.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -97,6 +97,8 @@
     ENTRY_LEAVING = (711, "entry_leaving")
     HANDOVER_ENDED = (712, "handover_ended")
     GENERATION_RESUMED = (713, "generation_resumed")
+    TAKE_UNCONFIRMED = (714, "take_unconfirmed")
+    STATE_COPY_REFUSED = (715, "state_copy_refused")
     LEASE_TAKEN = (801, "lease_taken")
     LEASE_LOST = (802, "lease_lost")
     LEASE_LAPSED = (803, "lease_lapsed")
--- a/hemlockswitch/process/handover/resuming.py
+++ b/hemlockswitch/process/handover/resuming.py
@@ -175,9 +175,10 @@
         for _, member in holders:
             try:
                 taken = self._request_with_retries(member, TakeState(request_id, account, taker))
-                self._request_with_retries(member, ConfirmTake(request_id, taker))
             except PeerError:
                 continue
+            if not self._confirm(member, ConfirmTake(request_id, taker), taken):
+                continue
             for _, other in holders:
                 if other.name != member.name:
                     gevent.spawn(self._drop_at, other, DropState(request_id, taken.hops + 1))
@@ -185,6 +186,30 @@
         detail = "state of the request could not be taken over"
         raise RequestError(ErrorKind.MOVED, detail, ran=Ran.UNKNOWN, retry_after_ms=RETRY_MS)
 
+    def _confirm(self, member: HandoverMember, message: ConfirmTake, taken: StateTaken) -> bool:
+        """Confirm that this daemon has a state; return whether the holder has released it."""
+        try:
+            self._request_with_retries(member, message)
+        except PeerError as error:
+            log_event(
+                Event.TAKE_UNCONFIRMED,
+                "warning",
+                request=message.request_id,
+                holder=member.name,
+                detail=error.detail,
+            )
+            if error.kind is ErrorKind.PEER_UNAVAILABLE:
+                self._keep_copy(taken)
+            return False
+        return True
+
+    def _keep_copy(self, taken: StateTaken) -> None:
+        """Store a state that its holder may have released, for the caller's next attempt."""
+        try:
+            self._store.put("", HandOver(taken.state, taken.hops))
+        except PeerError as error:
+            log_event(Event.STATE_COPY_REFUSED, "error", detail=error.detail)
+
     def _drop_at(self, member: HandoverMember, message: DropState) -> None:
         try:
             self._request(member, message)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,7 +21,12 @@
     decode_state,
     encode_state,
 )
-from hemlockswitch.process.handover.resuming import Resuming, render_events, serve_state_message
+from hemlockswitch.process.handover.resuming import (
+    MAX_ATTEMPTS,
+    Resuming,
+    render_events,
+    serve_state_message,
+)
 from hemlockswitch.process.handover.state_store import (
     RESERVATION_MS,
     STATE_RETENTION_MS,
@@ -182,6 +187,18 @@
     assert find_holders(peers) == [] and peers.lost == []
 
 
+def test_a_state_survives_a_fetch_whose_confirmation_is_never_answered():
+    """Guards against a state that its holder has released and its taker has given up."""
+    peers = Peers("one", "two", "three")
+    peers.stores["three"].put("", MESSAGE)
+    peers.lost = [ConfirmTake] * MAX_ATTEMPTS
+    with pytest.raises(RequestError) as caught:
+        peers.make_resuming("two")._take("req-1", "abdoun")
+    assert caught.value.kind is ErrorKind.MOVED
+    assert decode_state(peers.make_resuming("one")._take("req-1", "abdoun").state) == STATE
+    assert find_holders(peers) == []
+
+
 def test_a_state_is_not_reported_lost_while_a_daemon_does_not_answer():
     peers = Peers("one", "two", "three")
     peers.gone = {"three"}
