Store the versions of streams in segments, for callers who return after all gateways ended

While several software versions of a service served, an end of all gateways (a power failure, a restart of the fleet) lost the records of which version had begun each stream, so every caller who took a stream up afterwards was refused with 503 stream_version_unknown until the stream was given up.

Cause: the records were in the memory of gateways only. A write for each stream is no remedy, since the limit of the object service holds for the whole fleet. The new records of all gateways now go into one object twice a second, written by one gateway of a small fleet and by one of each zone of a larger one; a gateway reads these objects if no other gateway knows a stream, at most once in five seconds. Writers replace each other by conditional writes, so a segment that its writer does not know is never overwritten.

Why it holds: a record says which version began an attempt, which never changes; a record that is read late can be missing but not wrong. Nothing is written while a service has one version.

--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -35,6 +35,7 @@
 from hemlockswitch.process.gateway.server_limits import ServerLimits
 from hemlockswitch.process.gateway.server_links import ServerLinks
 from hemlockswitch.process.gateway.service_models import FIT_INTERVAL_MS, ServiceModels
+from hemlockswitch.process.gateway.stored_streams import StoredStreams
 from hemlockswitch.process.gateway.stored_versions import SAVE_INTERVAL_MS, StoredVersions
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
@@ -143,6 +144,9 @@
         self.registry.on_listed = self.streams.record_listed
         self.stored_versions = StoredVersions(self._adapter.store, self.streams.history, clock)
         self.streams.load_stored = self.stored_versions.load
+        self.stored_streams = StoredStreams(self._adapter.store, self.network, self.fleet, clock)
+        self.streams.on_recorded = self.stored_streams.record
+        self.streams.find_stored = self.stored_streams.find
         self.state = GatewayState(
             tables=self.tables,
             registry=self.registry,
@@ -304,6 +308,7 @@
             "server links": self.links.run,
             "models": self._fit_models,
             "stored versions": self._save_versions,
+            "stored streams": self.stored_streams.save_forever,
         }
         if self.settings.rollout_share is not None:
             tasks["rollouts"] = self.rollouts.run
@@ -372,6 +377,7 @@
             self._clock.sleep_ms(SWEEP_INTERVAL_MS)
             self.pool.sweep()
             self.streams.sweep()
+            self.stored_streams.sweep()
             self.permits.evict_unlisted(self.registry.list_all)
             self.fleet_clock.apply_estimates(self.fleet.list_time_estimates())
 
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -75,7 +75,7 @@
     count_brittle : returns the number of brittle backend servers.
     tunnels : number of requested tunnels through other gateways, by verdict.
     resumed_streams : number of streams that callers took up again, by how the version that began them was
-        found: ``own`` record, ``peer``, ``single`` registered version, or ``unknown``.
+        found: ``own`` record, ``peer``, ``stored``, ``single`` registered version, or ``unknown``.
     is_isolated : returns whether this gateway cannot connect to any backend server.
     count_callers : returns the number of open connections of callers.
     describe_rollouts : returns the answer counts by service, version and result during rollouts.
--- a/hemlockswitch/process/gateway/stored_versions.py
+++ b/hemlockswitch/process/gateway/stored_versions.py
@@ -14,6 +14,7 @@
 from hemlockswitch.core.errors import PlatformError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
+from hemlockswitch.process.gateway.shared_call import SharedCall
 from hemlockswitch.process.gateway.version_history import VersionHistory
 
 VERSIONS_KIND = "service-versions"
@@ -40,7 +41,7 @@
         self._history = history
         self._clock = clock
         self._is_loaded = False
-        self._loading: gevent.Greenlet | None = None
+        self._loading = SharedCall(self._read)
         self._stored: dict[str, list[str]] = {}
         self._version = 0  # of the object; 0 if there is none
 
@@ -49,11 +50,8 @@
 
         Requests that need them at the same time share one read.
         """
-        if self._is_loaded:
-            return True
-        if self._loading is None or self._loading.ready():
-            self._loading = gevent.spawn(self._read)
-        self._loading.join()
+        if not self._is_loaded:
+            self._loading.run()
         return self._is_loaded
 
     def _read(self) -> None:
--- a/hemlockswitch/process/gateway/stream_messages.py
+++ b/hemlockswitch/process/gateway/stream_messages.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass
 
 from hemlockswitch.connection.messages import register_message
+from hemlockswitch.request.stream_records import StreamKey, StreamRecord
 
+MAX_RECORDS_PER_MESSAGE = 500
 RecordFields = tuple[bytes, str, str, str, float]
 """A stream's digest, account, service and version, and for how long in ms its caller may take it up."""
 
@@ -16,6 +18,14 @@
     records: list[RecordFields]
 
 
+@register_message("streams_to_store")
+@dataclass(frozen=True)
+class StreamsToStore:
+    """Streams of a gateway, for the one that writes the records of its zone to the object service."""
+
+    records: list[RecordFields]
+
+
 @register_message("stream_query")
 @dataclass(frozen=True)
 class StreamQuery:
@@ -50,3 +60,15 @@
     versions: list[str]
     watched_ms: float
     list_age_ms: float
+
+
+def encode_record(record: StreamRecord, now_ms: float) -> RecordFields:
+    """Return a record as messages carry it."""
+    key = record.key
+    return key.digest, key.account, key.service, record.version, record.expires_ms - now_ms
+
+
+def decode_record(fields: RecordFields, now_ms: float) -> StreamRecord:
+    """Return the record that a message carries."""
+    digest, account, service, version, left_ms = fields
+    return StreamRecord(StreamKey(digest, account, service), version, now_ms + left_ms)
--- a/hemlockswitch/process/gateway/stream_versions.py
+++ b/hemlockswitch/process/gateway/stream_versions.py
@@ -21,10 +21,12 @@
 from hemlockswitch.process.gateway.peer_groups import Peer
 from hemlockswitch.process.gateway.stream_holders import ASKED, HOLDERS, choose_holders
 from hemlockswitch.process.gateway.stream_messages import (
-    RecordFields,
+    MAX_RECORDS_PER_MESSAGE,
     StreamQuery,
     StreamReply,
     StreamsBegun,
+    decode_record,
+    encode_record,
 )
 from hemlockswitch.process.gateway.version_history import VersionEvidence, VersionHistory
 from hemlockswitch.request.forward_admission import AdmittedRequest
@@ -41,7 +43,6 @@
 QUERY_TIMEOUT_MS = 250.0
 ASK_TIMEOUT_MS = 300.0
 """Limits the wait for all replies, including the time to send the questions."""
-MAX_RECORDS_PER_MESSAGE = 500
 
 
 class StreamVersions:
@@ -59,6 +60,8 @@
 
     history : the versions that were registered lately.
     load_stored : adds the versions of the object service to the history; returns whether it could.
+    on_recorded : called with the record of a stream whose service has several versions.
+    find_stored : returns the version that the object service has for a stream, or None.
     origins : number of streams taken up again, by how their version was found.
     """
 
@@ -71,6 +74,8 @@
     ) -> None:
         self.history = VersionHistory(clock)
         self.load_stored: Callable[[], bool] = lambda: False
+        self.on_recorded: Callable[[StreamRecord], None] = lambda record: None
+        self.find_stored: Callable[[StreamKey], str | None] = lambda key: None
         self.origins: Counter[str] = Counter()
         self._network = network
         self._fleet = fleet
@@ -96,7 +101,7 @@
         key = build_key(admitted)
         record = StreamRecord(key, server.version, self._clock.now_ms() + life_ms)
         self._records.put(record)
-        if len(self.history.list_versions(key.service, life_ms)) > 1:
+        if self._has_several(key.service, life_ms):
             self._send([record])
         else:
             self._unsent.put(record)
@@ -141,7 +146,8 @@
         known = {reply.version for reply in replies.values() if reply.version is not None}
         if len(known) == 1:
             (version,) = known
-            self._log_found(admitted, version, replies)
+            known_by = [name for name, reply in replies.items() if reply.version is not None]
+            self._log_found(admitted, version, known_by)
             return self._count("peer", version)
         evidence = [own, *map(_read_evidence, replies.values())]
         versions = self._collect_versions(
@@ -149,6 +155,10 @@
         )
         if len(versions) == 1 and not known:
             return self._count("single", *versions)
+        stored = self.find_stored(key) if not known else None
+        if stored is not None:
+            self._log_found(admitted, stored, [])
+            return self._count("stored", stored)
         self.origins["unknown"] += 1
         self._log_unknown(admitted, versions, asked, replies, own)
         raise RequestError(
@@ -184,17 +194,19 @@
             return frozenset()
         return versions | self.history.list_versions(admitted.service, life_ms)
 
+    def _has_several(self, service: str, span_ms: float) -> bool:
+        """Return whether servers of several versions of a service were registered lately."""
+        return len(self.history.list_versions(service, span_ms)) > 1
+
     @staticmethod
-    def _log_found(
-        admitted: AdmittedRequest, version: str, replies: dict[str, StreamReply]
-    ) -> None:
+    def _log_found(admitted: AdmittedRequest, version: str, known_by: list[str]) -> None:
         log_event(
             Event.STREAM_VERSION_RECEIVED,
             request_id=admitted.facts.request_id,
             resumes=admitted.facts.resumes_shown,
             service=admitted.service,
             version=version,
-            known_by=[name for name, reply in replies.items() if reply.version is not None],
+            known_by=known_by,
         )
 
     @staticmethod
@@ -240,27 +252,31 @@
         return choose_holders(ring, self._fleet.find_running, key.digest, count)
 
     def _send(self, records: list[StreamRecord]) -> None:
-        """Send records to the gateways that hold them."""
+        """Send records to the gateways that hold them, and have them stored."""
+        now_ms = self._clock.now_ms()
+        for record in records:
+            self.on_recorded(record)
         if not self._fleet.reports_by_zone:
             addresses = [peer.address for peer in self._fleet.list_running(None)]
             for first in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
                 part = records[first : first + MAX_RECORDS_PER_MESSAGE]
-                self._network.send_all(addresses, StreamsBegun([*map(self._encode, part)]))
+                fields = [encode_record(record, now_ms) for record in part]
+                self._network.send_all(addresses, StreamsBegun(fields))
             return
         for record in records:
             holders = [peer.address for peer in self._choose_peers(record.key, HOLDERS)]
-            self._network.send_all(holders, StreamsBegun([self._encode(record)]))
-
-    def _encode(self, record: StreamRecord) -> RecordFields:
-        key = record.key
-        left_ms = record.expires_ms - self._clock.now_ms()
-        return key.digest, key.account, key.service, record.version, left_ms
+            self._network.send_all(holders, StreamsBegun([encode_record(record, now_ms)]))
 
     def _apply_begun(self, _address: str, message: StreamsBegun) -> None:
         now_ms = self._clock.now_ms()
-        for digest, account, service, version, left_ms in message.records:
-            key = StreamKey(digest, account, service)
-            self._records.put(StreamRecord(key, version, now_ms + left_ms))
+        for fields in message.records:
+            record = decode_record(fields, now_ms)
+            self._records.put(record)
+            # In a larger fleet the gateway that began the stream has it stored.
+            if not self._fleet.reports_by_zone and self._has_several(
+                record.key.service, record.expires_ms - now_ms
+            ):
+                self.on_recorded(record)
 
     def _ask(self, key: StreamKey, peers: list[Peer], span_ms: float) -> dict[str, StreamReply]:
         """Ask gateways at the same time; return the replies by their names, up to the first with a version."""
--- a/hemlockswitch/request/stream_records.py
+++ b/hemlockswitch/request/stream_records.py
@@ -71,6 +71,9 @@
             OrderedDict
         )
 
+    def __len__(self) -> int:
+        return self._count
+
     def put(self, record: StreamRecord) -> None:
         """Add a record, or replace that of the same stream."""
         records = self._by_account[record.key.account]
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -1,5 +1,7 @@
 """An in-memory object service for tests of stored records."""
 
+from collections import defaultdict
+
 from hemlockswitch.connection.stored_objects import (
     Conflict,
     ObjectPage,
@@ -65,3 +67,32 @@
             self.lost_answers -= 1
             return Unknown("lost")
         return Written(self.version)
+
+
+class MemoryStores:
+    """An object service with objects of several kinds."""
+
+    def __init__(self):
+        self.kinds = defaultdict(MemoryStore)
+
+    def list(self, kind, prefix=""):
+        """Return all objects of a kind whose names start with `prefix`."""
+        page = self.kinds[kind].list_stale(kind)
+        items = tuple(item for item in page.items if item.name.startswith(prefix))
+        return ObjectPage(items, page.version)
+
+    def read(self, kind, name):
+        """Return an object, or None if it does not exist."""
+        return self.kinds[kind].read(kind, name)
+
+    def create(self, kind, name, value):
+        """Create an object; conflicts if it exists."""
+        return self.kinds[kind].create(kind, name, value)
+
+    def update(self, kind, name, value, version):
+        """Replace an object if it is at this version."""
+        return self.kinds[kind].update(kind, name, value, version)
+
+    def delete(self, kind, name, version):
+        """Delete an object."""
+        return self.kinds[kind].delete(kind, name, version)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from hemlockswitch.process.gateway.stored_streams import RECORDS_KIND, Segment
+from hemlockswitch.request.stream_records import StreamKey
 from hemlockswitch.standin.runner import RunnerFaults
 from tests.gateway_site import Site, tokens
 
@@ -50,6 +52,38 @@
         self.add_gateway(old.settings.name)
         self.gateways.insert(number, self.gateways.pop())
 
+    def replace_all_gateways(self):
+        """End all gateways, and start as many new processes of the same names."""
+        names = [gateway.settings.name for gateway in self.gateways]
+        for gateway in self.gateways:
+            gateway.callers.stop_accepting()
+            gateway._close()
+        self.gateways.clear()
+        for name in names:
+            self.add_gateway(name)
+        self.await_servers()
+
+    def await_saved(self):
+        """Wait until the records of all streams are in the object service."""
+        self.wait(lambda: len(self.list_saved()) >= len(self.list_recorded()))
+
+    def list_saved(self):
+        """Return the keys of the streams that are in the object service."""
+        segments = [
+            Segment.from_value(entry.spec, 0.0)
+            for entry in self.store.list_kind(RECORDS_KIND).values()
+        ]
+        return {record.key for segment in segments for record in segment.records}
+
+    def list_recorded(self):
+        """Return the keys of the streams that some gateway knows."""
+        return {
+            StreamKey(digest, account, "llm")
+            for gateway in self.gateways
+            for account, records in gateway.streams._records._by_account.items()
+            for digest in records
+        }
+
     def await_servers(self):
         """Wait until every gateway knows every server."""
         for runner in self.runners:
@@ -162,6 +196,18 @@
     assert_kept(streams)
 
 
+# Guards against streams being refused because all gateways that knew their versions ended at once.
+def test_version_is_known_after_all_gateways_have_been_replaced(make_site):
+    site = make_site(3)
+    streams = begin_streams(site, 30, gateways=[0, 1, 2])
+    assert len(streams) == 30
+    site.await_saved()
+    site.replace_all_gateways()
+    for number, stream in enumerate(streams):
+        stream.ask(number % 3)
+    assert_kept(streams, min_share=1.0)
+
+
 def take_up_elsewhere(site, *, break_version):
     """Begin a stream at one gateway, change the servers of its version, and take it up at another gateway."""
     (stream,) = begin_streams(site, 1, gateways=[0])
--- a/tests/version_replay.py
+++ b/tests/version_replay.py
@@ -2,7 +2,7 @@
 
 The records, histories and questions are the gateways' own code; the fleet's membership, the messages, the servers
 and the callers are simulated. The seed draws servers that come and go, callers that take their streams up
-elsewhere, and gateways that are killed or cut off: one, most or all of them.
+elsewhere, and gateways that are killed or cut off: one, most or all of them, or those of whole zones.
 """
 
 import argparse
@@ -18,12 +18,13 @@
 from hemlockswitch.core.logs import set_log_writer
 from hemlockswitch.process.gateway.peer_groups import Peer
 from hemlockswitch.process.gateway.report_period import MESH_GATEWAYS
+from hemlockswitch.process.gateway.stored_streams import StoredStreams
 from hemlockswitch.process.gateway.stored_versions import SAVE_INTERVAL_MS, StoredVersions
 from hemlockswitch.process.gateway.stream_holders import HolderRing
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.request.dialect import RequestFacts
 from hemlockswitch.version.backend import BackendServer
-from tests.memory_store import MemoryStore
+from tests.memory_store import MemoryStores
 
 SERVICE = "llm"
 TIMEOUT_MS = 15_000.0
@@ -55,6 +56,10 @@
     cuts: int = 3
     outages: int = 1
     changes: int = 14
+    all_kills: int = 0
+    zone_kills: int = 0
+    zone_cuts: int = 0
+    stores_streams: bool = True
 
 
 @dataclass
@@ -64,6 +69,7 @@
     begun: int = 0
     not_begun: int = 0
     outcomes: Counter = field(default_factory=Counter)
+    given_up: int = 0
     owed: int = 0
     owed_gone_on: int = 0
     mixed: list = field(default_factory=list)
@@ -140,6 +146,10 @@
         store = ReachedStore(self.world.store, self.reaches_store)
         self.stored = StoredVersions(store, self.streams.history, self.world.clock)
         self.streams.load_stored = self.stored.load
+        self.stored_streams = StoredStreams(store, self, self, self.world.clock)
+        if self.world.setting.stores_streams:
+            self.streams.on_recorded = self.stored_streams.record
+            self.streams.find_stored = self.stored_streams.find
         if self.world.outage_ms is None:
             self.list_servers()
         self.is_up = True
@@ -189,6 +199,10 @@
     def handle(self, message_type, handler, runs_inline):
         self.handlers[message_type] = handler
 
+    def send(self, address, message):
+        self.world.deliver(self, address, message, len(encode_message(message)))
+        return True
+
     def send_all(self, addresses, message):
         size = len(encode_message(message))
         for address in addresses:
@@ -219,8 +233,9 @@
         missed = not other.is_up and other.ended_ms < self.world.clock.now_ms() - MISSED_MS
         return None if missed else other.peer
 
-    def list_running(self, _):
-        found = (self.find_running(one.name) for one in self.world.gateways)
+    def list_running(self, zone):
+        near = self.world.gateways if zone is None else self.world.by_zone[zone]
+        found = (self.find_running(one.name) for one in near)
         return [peer for peer in found if peer is not None]
 
     def list_peers(self):
@@ -235,7 +250,7 @@
         self.draws = random.Random(seed)
         self.clock = Clock()
         self.result = Result()
-        self.store = MemoryStore()
+        self.store = MemoryStores()
         self.outage_ms = None  # since when the registry has been away for all gateways
         self.servers = {}
         self._events = []
@@ -290,23 +305,36 @@
 
     def _plan(self):
         setting, draws = self.setting, self.draws
-        count = int(setting.streams_per_s * setting.length_ms / 1_000)
-        for number in range(count):
-            self.at(draws.uniform(0, setting.length_ms), self._begin, number)
+        for number in range(int(setting.streams_per_s * setting.length_ms / 1_000)):
+            self._plan_once(self._begin, number)
         for _ in range(setting.changes):
-            self.at(draws.uniform(0, setting.length_ms), self._change_server)
+            self._plan_once(self._change_server)
         for _ in range(setting.kills):
             share = draws.choice((1 / setting.gateways, 0.35, 0.7, 1.0))
-            self.at(draws.uniform(0, setting.length_ms), self._kill, share)
+            self._plan_once(self._kill, share)
         for _ in range(setting.cuts):
             self.at(draws.uniform(0, setting.length_ms), self._cut, draws.choice((0.0, 0.35)))
         for _ in range(setting.outages):
-            self.at(draws.uniform(0, setting.length_ms), self._begin_outage)
+            self._plan_once(self._begin_outage)
+        self._plan_zone_faults()
         for at_ms in range(0, int(setting.length_ms), int(SAVE_INTERVAL_MS)):
             self.at(at_ms, self._save)
         for at_ms in range(1_000, int(setting.length_ms), 1_000):
             self.at(at_ms, self._sweep)
 
+    def _plan_zone_faults(self):
+        """Plan the faults that strike all gateways, or all of a zone, at once."""
+        for _ in range(self.setting.all_kills):
+            self._plan_once(self._kill, 1.0)
+        for _ in range(self.setting.zone_kills):
+            self._plan_once(self._kill_zone)
+        for _ in range(self.setting.zone_cuts):
+            self._plan_once(self._cut_zone)
+
+    def _plan_once(self, act, *args):
+        """Schedule an action at any time of the replay."""
+        self.at(self.draws.uniform(0, self.setting.length_ms), act, *args)
+
     def _make_server(self, version):
         name = f"s{next(self._numbers)}"
         return BackendServer(name, "z0", "127.0.0.1:1", SERVICE, version=version)
@@ -333,7 +361,13 @@
         return self.draws.sample(self.gateways, count)
 
     def _kill(self, share):
-        for gateway in self._pick(share):
+        self._kill_all(self._pick(share))
+
+    def _kill_zone(self):
+        self._kill_all(self.by_zone[self.draws.choice(sorted(self.by_zone))])
+
+    def _kill_all(self, gateways):
+        for gateway in gateways:
             if not gateway.is_up:
                 continue
             gateway.is_up = False
@@ -346,7 +380,13 @@
                 self.after((5, 500), self._resume, stream)
 
     def _cut(self, share):
-        for gateway in self._pick(share):
+        self._cut_all(self._pick(share))
+
+    def _cut_zone(self):
+        self._cut_all(self.by_zone[self.draws.choice(sorted(self.by_zone))])
+
+    def _cut_all(self, gateways):
+        for gateway in gateways:
             if gateway.is_up and gateway.cut_ms is None:
                 gateway.cut_ms = self.clock.now_ms()
                 self.after((1_000, 8_000), self._heal, gateway, gateway.cut_ms)
@@ -369,15 +409,19 @@
                 one.list_servers()
 
     def _save(self):
-        """Let one gateway hold the duties."""
+        """Let one gateway hold the duties, and all have their records stored."""
         holder = next((one for one in self.gateways if one.reaches_store()), None)
         if holder is not None:
             holder.stored.save()
+        for one in self.gateways:
+            if one.is_up:
+                one.stored_streams.save()
 
     def _sweep(self):
         for one in self.gateways:
             if one.is_up:
                 one.streams.sweep()
+                one.stored_streams.sweep()
                 counts = one.streams._records.count_by_version().get(SERVICE, {})
                 self.result.most_records = max(self.result.most_records, sum(counts.values()))
 
@@ -443,6 +487,8 @@
             stream.refusals += 1
             if stream.refusals < MAX_REFUSALS:
                 self.after((RETRY_MS, RETRY_MS + 50), self._resume, entry)
+            else:
+                self.result.given_up += 1
             return
         same = [name for name, one in sorted(gateway.known.items()) if one.version == version]
         if version != stream.version:
@@ -484,7 +530,8 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=20)
     for name, value in Setting.__dataclass_fields__.items():
-        parser.add_argument(f"--{name.replace('_', '-')}", type=value.type, default=value.default)
+        parse = int if value.type is bool else value.type
+        parser.add_argument(f"--{name.replace('_', '-')}", type=parse, default=value.default)
     options = vars(parser.parse_args())
     first, seeds = options.pop("first"), options.pop("seeds")
     setting = Setting(**options)
@@ -497,6 +544,7 @@
         total.owed += one.owed
         total.owed_gone_on += one.owed_gone_on
         total.outcomes.update(one.outcomes)
+        total.given_up += one.given_up
         total.origins.update(one.origins)
         total.messages += one.messages
         total.sent_bytes += one.sent_bytes
@@ -504,7 +552,10 @@
     seconds = seeds * setting.length_ms / 1_000 * setting.gateways
     print(f"seeds {first} to {first + seeds - 1}, {setting}")
     print(f"mixed: {len(mixed)} {mixed[:5]}")
-    print(f"begun {total.begun}, taken up: {dict(total.outcomes)}, by {dict(total.origins)}")
+    print(
+        f"begun {total.begun}, attempts to take up: {dict(total.outcomes)}, by {dict(total.origins)},"
+        f" given up {total.given_up}"
+    )
     print(
         f"went on while two servers of the version served: {total.owed_gone_on} of {total.owed},"
         f" {total.share:.3f}; worst seed {min(shares):.3f}"
