Read and write the segments of the zone once the fleet is known to be large

Records now wait until the gateways are listed, and a read of one group's segments does not count for another group, nor do their numbers. Two of the three new tests fail on the code before; the third (numbers of another group) passed there, as the conditional write already found the difference.

--- a/hemlockswitch/process/gateway/stored_streams.py
+++ b/hemlockswitch/process/gateway/stored_streams.py
@@ -128,6 +128,7 @@
         self._stored = StreamRecords(clock)  # as read from the segments
         self._reading = SharedCall(self._read)
         self._read_ms = float("-inf")
+        self._read_kind = ""
         self._number: int | None = None  # of the last segment; None if it is not known
         self._versions: dict[str, int] = {}  # of the segments' objects, by name
         network.handle(StreamsToStore, self._apply_sent, runs_inline=True)
@@ -139,14 +140,14 @@
     def find(self, key: StreamKey) -> str | None:
         """Return the version that began a stream, or None if no segment has it or the store does not answer."""
         version = self._stored.find_version(key)
-        if version is None and self._clock.now_ms() - self._read_ms >= READ_INTERVAL_MS:
+        if version is None and self._is_read_due():
             self._reading.run()
             version = self._stored.find_version(key)
         return version
 
     def save(self) -> None:
         """Write the new records, or send them to the gateway that does."""
-        if not len(self._new):
+        if not len(self._new) or not self._fleet.is_listed:
             return
         writer = self._find_writer()
         if writer is None:
@@ -165,9 +166,13 @@
         self._new.remove_expired()
         self._stored.remove_expired()
 
+    def _is_read_due(self) -> bool:
+        is_recent = self._clock.now_ms() - self._read_ms < READ_INTERVAL_MS
+        return not is_recent or self._read_kind != self._kind
+
     @property
     def _kind(self) -> str:
-        """The kind of the segments of this gateway's group."""
+        """The kind of the segments of this gateway's group, which changes when the fleet outgrows a small one."""
         zone = self._fleet.zone
         return f"{RECORDS_KIND}-{zone}" if self._fleet.reports_by_zone else RECORDS_KIND
 
@@ -203,7 +208,8 @@
 
     def _write_segment(self, records: list[StreamRecord]) -> bool:
         """Write a segment; return whether it was confirmed."""
-        if self._number is None:
+        if self._number is None or self._read_kind != self._kind:
+            self._number = None
             self._reading.run()
         if self._number is None:
             return False
@@ -230,9 +236,11 @@
         return self._store.update(self._kind, name, value, version)
 
     def _read(self) -> None:
+        kind = self._kind
         try:
             with gevent.Timeout(READ_TIMEOUT_MS / MS_PER_SECOND):
-                self._apply_listed(self._store.list(self._kind).items)
+                self._apply_listed(self._store.list(kind).items)
+            self._read_kind, self._read_ms = kind, self._clock.now_ms()
         except PlatformError as error:
             log_event(Event.STREAMS_NOT_STORED, "warning", detail=error.detail)
         except gevent.Timeout:
@@ -249,7 +257,6 @@
             self._number = max(self._number, segment.number)
             for record in segment.records:
                 self._stored.put(record)
-        self._read_ms = self._clock.now_ms()
 
 
 def _read_segment(item: StoredObject, now_ms: float) -> Segment | None:
--- a/tests/test_stored_streams.py
+++ b/tests/test_stored_streams.py
@@ -55,6 +55,7 @@
         self.zones = zones
         self.ended = set()
         self.handlers = {}
+        self.fleets = {}
         self.names = [f"g{number}" for number in range(count)]
         self.all = {name: self.start(name) for name in self.names}
 
@@ -69,8 +70,9 @@
             near = [one for one in running if zone in (None, self.find_zone(one))]
             return [Peer(one, one, 0.0, self.find_zone(one)) for one in near]
 
-        fleet = SimpleNamespace(
+        fleet = self.fleets[name] = SimpleNamespace(
             name=name,
+            is_listed=True,
             zone=self.find_zone(name),
             reports_by_zone=bool(self.zones),
             list_running=list_running,
@@ -221,6 +223,45 @@
     assert gateways.find("g1", "0") is None
 
 
+# Guards against reading the segments of a small fleet before the other gateways are known, and then none for a while.
+def test_segments_are_read_again_once_the_fleet_is_known_to_be_large():
+    gateways = Gateways(count=8, zones=("z0", "z1") * 4)
+    gateways.begin("g0", "a", "v1")
+    for _ in range(2):
+        gateways.save()
+    gateways.restart_all()
+    gateways.fleets["g2"].reports_by_zone = False
+    assert gateways.find("g2", "a") is None
+    gateways.fleets["g2"].reports_by_zone = True
+    assert gateways.find("g2", "a") == "v1"
+
+
+def test_records_wait_until_the_other_gateways_are_listed():
+    gateways = Gateways(count=1)
+    gateways.fleets["g0"].is_listed = False
+    gateways.begin("g0", "a", "v1")
+    gateways.save()
+    assert gateways.store.writes == 0
+    gateways.fleets["g0"].is_listed = True
+    gateways.save()
+    assert gateways.store.writes == 1
+
+
+# Guards against a writer that takes the numbers of one zone's segments for those of the small fleet.
+def test_writer_lists_the_segments_after_the_fleet_has_grown():
+    gateways = Gateways(count=1, zones=("z0",))
+    gateways.fleets["g0"].reports_by_zone = False
+    gateways.begin("g0", "a", "v1")
+    gateways.save()
+    gateways.fleets["g0"].reports_by_zone = True
+    for attempt in ("b", "c"):
+        gateways.begin("g0", attempt, "v1")
+        gateways.save()
+    assert gateways.store.writes == 3
+    gateways.restart_all()
+    assert gateways.find("g0", "c") == "v1"
+
+
 def test_records_that_have_expired_are_neither_written_nor_found():
     gateways = Gateways(count=1)
     gateways.begin("g0", "a", "v1")
