Break off an answer without length whose leaving server ended with it

What callers saw: an answer with neither a length nor chunks whose server ended between two events, while it was draining or after its entry had been removed, was framed as complete though it was not.

Cause: the crash detector was asked about servers in force only, so that an announced end is not counted against the request. The end of the answer was judged by the same question. These are two: whether the server has ended (then the answer was cut) and whether it has crashed (then the request may be the reason). The detector now answers both; the check of an answer's end asks the first also for a server that is leaving, the quarantine counts the second only.

Why this holds: a server that serves to its end accepts connections until then, so one that refuses them right after it closed one has ended; a whole answer of a leaving server that still listens stays complete (test). What it costs: a server that stops listening before its last answers has those without length broken off or repeated; the users' servers go on listening.

--- a/hemlockswitch/process/quarantine/crash_detector.py
+++ b/hemlockswitch/process/quarantine/crash_detector.py
@@ -2,7 +2,7 @@
 
 A connection also ends when a link resets it, when the server drops this one request, or when it shuts down
 as announced. None of these incriminates the request, so a server counts as crashed only if nothing
-listens at its address shortly afterwards. The kernel closes the sockets of a process one by one, so a server
+listens at its address shortly afterwards, and as crashed by the request only if it had not announced its end. The kernel closes the sockets of a process one by one, so a server
 that is terminating may still accept a connection; one that accepts is therefore probed a second time. A
 server that does not answer a probe at all does not count as crashed.
 """
@@ -16,8 +16,8 @@
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.version.backend import BackendServer
 
-MAX_CACHED_CRASHES = 1_024
-"""Limit on the cached crashed servers; the cache avoids repeated probes."""
+MAX_CACHED_ENDS = 1_024
+"""Limit on the cached servers that have ended; the cache avoids repeated probes."""
 SECOND_PROBE_DELAY_MS = 25.0
 """Delay of the second probe after the answer to the first."""
 MAX_FIRST_PROBE_MS = 75.0
@@ -45,13 +45,18 @@
         self._refuses = refuses
         self._clock = clock
         self._pending_probes: dict[str, AsyncResult] = {}
-        self._crashed: dict[str, None] = {}
+        self._ended: dict[str, None] = {}
 
     def has_crashed(self, server: BackendServer) -> bool:
         """Return whether a server that closed a connection has crashed."""
-        if not self._is_live(server):
-            return False
-        if server.incarnation in self._crashed:
+        return self._is_live(server) and self._has_ended(server)
+
+    def has_left(self, server: BackendServer) -> bool:
+        """Return whether a server that was leaving, or is no longer registered, has ended."""
+        return not self._is_live(server) and self._has_ended(server)
+
+    def _has_ended(self, server: BackendServer) -> bool:
+        if server.incarnation in self._ended:
             return True
         earlier = self._pending_probes.get(server.incarnation)
         if earlier is not None and earlier.get():
@@ -62,15 +67,15 @@
 
     def _probe(self, server: BackendServer) -> bool:
         result = self._pending_probes[server.incarnation] = AsyncResult()
-        is_crashed = False
+        has_ended = False
         try:
-            is_crashed = self._refuses_twice(server)
+            has_ended = self._refuses_twice(server)
         finally:
             del self._pending_probes[server.incarnation]
-            result.set(is_crashed)
-        if is_crashed:
-            self._record_crash(server)
-        return is_crashed
+            result.set(has_ended)
+        if has_ended:
+            self._record_end(server)
+        return has_ended
 
     def _refuses_twice(self, server: BackendServer) -> bool:
         """Return whether a server refuses the first or the second probe."""
@@ -82,8 +87,8 @@
         self._clock.sleep_ms(SECOND_PROBE_DELAY_MS)
         return self._refuses(server)
 
-    def _record_crash(self, server: BackendServer) -> None:
-        self._crashed[server.incarnation] = None
-        if len(self._crashed) > MAX_CACHED_CRASHES:
-            del self._crashed[next(iter(self._crashed))]
+    def _record_end(self, server: BackendServer) -> None:
+        self._ended[server.incarnation] = None
+        if len(self._ended) > MAX_CACHED_ENDS:
+            del self._ended[next(iter(self._ended))]
         log_event(Event.BACKEND_ENDED, server=server.incarnation, zone=server.zone)
--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -43,6 +43,9 @@
     def has_crashed(self, server: BackendServer) -> bool:
         """Return whether a server that closed a connection has crashed."""
 
+    def has_left(self, server: BackendServer) -> bool:
+        """Return whether a server that was leaving, or is no longer registered, has ended."""
+
 
 class QuarantinePeers(Protocol):
     """The peers that also count server crashes."""
@@ -165,6 +168,10 @@
         """
         return gevent.spawn(self._record_if_crashed, content, server).get()
 
+    def has_left(self, server: BackendServer) -> bool:
+        """Return whether a server that closed a connection has ended as announced; no content is blamed for it."""
+        return gevent.spawn(self._crash_detector.has_left, server).get()
+
     def _record_if_crashed(self, content: Content, server: BackendServer) -> bool:
         if not self._crash_detector.has_crashed(server):
             return False
--- a/hemlockswitch/request/answer_ends.py
+++ b/hemlockswitch/request/answer_ends.py
@@ -46,7 +46,7 @@
     Parameters
     ==========
 
-    guard : tells whether a server has crashed, and counts it against the request.
+    guard : tells whether a server has ended, and counts a crash against the request.
     """
 
     def __init__(self, guard: RequestGuard) -> None:
@@ -55,21 +55,23 @@
     def check_server(
         self, admitted: AdmittedRequest, placement: Placement, answer: ParsedAnswer
     ) -> None:
-        """Check that the server did not crash when its answer ended with the connection.
+        """Check that the server did not end when its answer ended with the connection.
 
-        If the deadline passes meanwhile the answer counts as complete, as nothing shows that it is not.
+        A server may also end while it is leaving, with answers in progress. If the deadline passes meanwhile the answer counts as complete, as nothing shows that it is not.
 
         Raises
         ======
 
-        SendFailedError : the server has crashed, which has been counted.
+        SendFailedError : the server has ended; a crash has been counted.
         """
         if not answer.ends_with_connection:
             return
+        server = placement.candidate.server
         try:
-            has_crashed = self._guard.record_broken_connection(admitted, placement.candidate.server)
+            has_crashed = self._guard.record_broken_connection(admitted, server)
+            has_left = not has_crashed and self._guard.has_left(server)
         except OverdueError:
             return
-        if has_crashed:
-            detail = "the server crashed when its answer ended"
+        if has_crashed or has_left:
+            detail = f"the server {'crashed' if has_crashed else 'left'} when its answer ended"
             raise SendFailedError(SendFailure.BROKEN, detail, was_sent=True)
--- a/hemlockswitch/request/clearance.py
+++ b/hemlockswitch/request/clearance.py
@@ -53,6 +53,9 @@
     def record_broken_connection(self, content: Content, server: BackendServer) -> bool:
         """Record a connection closed before the end of the answer; return whether the server crashed."""
 
+    def has_left(self, server: BackendServer) -> bool:
+        """Return whether a server that closed a connection has ended as announced."""
+
     def record_complete_answer(
         self, content: Content, server: BackendServer, sent_ms: float
     ) -> None:
--- a/tests/crash_gateways.py
+++ b/tests/crash_gateways.py
@@ -101,7 +101,7 @@
         self.exchange = SuspectExchange(self, self, self.quarantine, clock)
         self.guard = Guard(
             self.quarantine,
-            SimpleNamespace(has_crashed=lambda server: True),
+            SimpleNamespace(has_crashed=lambda server: True, has_left=lambda server: False),
             held,
             self.exchange,
             lambda: self.name == "g0",
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -19,5 +19,7 @@
     """Return the guard of a single daemon; `ended` has the names of the crashed servers."""
     quarantine = Quarantine(clock)
     held = QuarantineStore("daemon/1", quarantine, MemoryStore(), clock)
-    ends = SimpleNamespace(has_crashed=lambda server: server.name in ended)
+    ends = SimpleNamespace(
+        has_crashed=lambda server: server.name in ended, has_left=lambda server: False
+    )
     return Guard(quarantine, ends, held, ALONE, lambda: True, clock)
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -76,3 +76,11 @@
     detector, probe = make_detector(True, is_live=False)
     assert detector.has_crashed(SERVER) is False
     assert probe.answers == [True]
+
+
+@pytest.mark.parametrize(("is_live", "has_left"), [(True, False), (False, True)])
+def test_server_that_ends_after_it_announced_so_has_left(is_live, has_left):
+    detector, probe = make_detector(True, is_live=is_live)
+    assert detector.has_left(SERVER) is has_left
+    assert probe.answers == ([] if has_left else [True])
+    assert detector.has_crashed(SERVER) is not has_left
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.gateway_site import Site, tokens
+from tests.gateway_site import Site, make_entry, tokens
 from tests.scripted_server import End, Script, ScriptedServer
 from tests.server_links import REFUSE, ServerLinks
 
@@ -137,6 +137,60 @@
     assert not faults
 
 
+class LeavingCut(FirstCut):
+    """As `FirstCut`, and lets the server that is asked first announce that it leaves, or be removed, before it answers."""
+
+    def __init__(self, announce, cut, make_whole):
+        super().__init__(cut, make_whole)
+        self.bench = None
+        self._announce = announce
+
+    def __call__(self, request):
+        if not self._asked:
+            (server,) = [one for one in self.bench.servers if request in one.runs]
+            self._announce(self.bench.site, server)
+            self.bench.site.wait(lambda: not self._is_listed(server))
+        return super().__call__(request)
+
+    def _is_listed(self, server):
+        gateways = self.bench.site.gateways
+        ready = [one.name for gateway in gateways for one in gateway.registry.list_ready("llm")]
+        return server.name in ready
+
+
+def announce_draining(site, server):
+    """Let a server announce that it leaves."""
+    entry = make_entry(server.service, server.address, state="draining")
+    site.store.put("servers", server.name, entry)
+
+
+def remove_entry(site, server):
+    """Remove the entry of a server, which goes on serving."""
+    site.store.remove("servers", server.name)
+
+
+# Guards against an answer being completed that ended because a server which is leaving ended between two events.
+@pytest.mark.parametrize("announce", [announce_draining, remove_entry])
+@pytest.mark.parametrize("path", STREAMS)
+def test_answer_of_a_server_that_ends_while_leaving_is_not_complete(make_bench, announce, path):
+    cut = Script(make_events(1, BEGUN), End.DEATH)
+    choose = LeavingCut(announce, cut, continue_stream)
+    choose.bench = make_bench("llm", choose)
+    assert find_stream_fault(choose.bench, path, "\n") == ""
+    assert choose.bench.site.gateways[0].guard.counts.ends == 0
+
+
+# Guards against a whole answer being broken off because its server is leaving.
+@pytest.mark.parametrize("announce", [announce_draining, remove_entry])
+@pytest.mark.parametrize("path", STREAMS)
+def test_whole_answer_of_a_server_that_is_leaving_is_complete(make_bench, announce, path):
+    choose = LeavingCut(announce, Script(make_events(1, LAST)), continue_stream)
+    choose.bench = make_bench("llm", choose)
+    reply = choose.bench.ask(path, **tokens(LAST))
+    assert reply.is_whole and reply.body == b"".join(make_events(1, LAST))
+    assert choose.bench.count_runs() == 1
+
+
 # Guards against one crash counting twice: when the end of the answer is checked, and when the attempt fails.
 @pytest.mark.parametrize("torn", [b"", b"id: 4\nda"])
 def test_crash_at_the_end_of_an_answer_counts_once(make_bench, torn):
