Show what the callers of a refused stream saw in the reports of the reclaim feature

The failure that KNOWN-RED.txt lists showed the last refusal only: not the events with a name, such as an error, that came before it, nor whether a connection was lost. Both are in the report of a failed check now; what is checked is the same.

--- a/features/steps/entry_reclaim_steps.py
+++ b/features/steps/entry_reclaim_steps.py
@@ -172,6 +172,18 @@
     return any(event.name == "moved" for event in stream.named)
 
 
+def describe_refused(stream, refusal):
+    """Return what a caller saw of a stream before it was refused, for failure reports."""
+    return {
+        "request": stream.check.request_id,
+        "tokens": stream.check.tokens,
+        "last event": stream.check.last_event_id,
+        "named events": stream.named,
+        "lost": [*stream.earlier_losses, stream.lost],
+        "refusal": (refusal.status, refusal.body),
+    }
+
+
 def list_serving(context):
     daemons = context.cluster.list_daemons()
     return [item.addresses["callers"] for item in daemons if item.name not in context.leaving]
@@ -204,7 +216,12 @@
 @then("every stream is whole and its own")
 def check_streams(context):
     refusals = read_all_to_end(context, context.streams)
-    assert refusals == [None] * len(refusals), refusals
+    refused = [
+        describe_refused(stream, refusal)
+        for stream, refusal in zip(context.streams, refusals, strict=True)
+        if refusal is not None
+    ]
+    assert not refused, refused
     for stream in context.streams:
         assert stream.check.list_problems() == [], stream.check
     cut = sum(not was_moved(stream) for stream in context.streams)
--- a/features/support/calls.py
+++ b/features/support/calls.py
@@ -102,6 +102,7 @@
     reply_headers: dict[str, str] = field(default_factory=dict)
     named: list[ServerEvent] = field(default_factory=list)
     lost: str = ""
+    earlier_losses: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         prompt = join_prompt(self.body["messages"])
@@ -123,6 +124,8 @@
 
     def follow(self, address: str, path: str, timeout_s: float = TIMEOUT_S) -> "ChatStream":
         """Request the remaining events from a path."""
+        if self.lost:
+            self.earlier_losses.append(self.lost)
         self.lost = ""
         return self._follow(*open_call(address, "GET", path, None, self.headers, timeout_s))
 
