--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -192,6 +192,16 @@
     assert gateway.rollouts.select(began_old, NEW) == []
 
 
+# Guards against a stream that goes on at a version which is withheld, or at another one instead.
+def test_stream_of_a_withheld_version_goes_on_nowhere(gateway):
+    gateway.read(make_order())
+    gateway.read(make_deleted())
+    began_withheld = SendProperties(SERVICE, ROUTE, is_first=False, begun_version="v2")
+    assert gateway.rollouts.select(began_withheld, [*OLD, *NEW]) == []
+    began_old = SendProperties(SERVICE, ROUTE, is_first=False, begun_version="v1")
+    assert gateway.rollouts.select(began_old, [*OLD, *NEW]) == OLD
+
+
 def test_repeated_request_does_not_try_the_new_version(gateway):
     gateway.read(make_order())
     repeat = SendProperties(SERVICE, ROUTE, is_first=False)
