Wait two seconds after a failed write of the records of streams

While the object service is away the writer took all records that wait out of their set and put them back, twice a second: up to 50,000, about 0.1 s of processor time each (worked out from 2 microseconds a step). It now waits two seconds after a write that was not answered; a write that another gateway has made first is repeated at once, as before.

--- a/hemlockswitch/process/gateway/stored_streams.py
+++ b/hemlockswitch/process/gateway/stored_streams.py
@@ -20,7 +20,7 @@
     Written,
 )
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
-from hemlockswitch.core.errors import PlatformError
+from hemlockswitch.core.errors import ErrorKind, PlatformError
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.identifiers import rank_rendezvous
 from hemlockswitch.core.logs import log_event
@@ -41,6 +41,8 @@
 """Keeps a segment, at 22 bytes a record, far below the largest object that the object service stores."""
 SAVE_INTERVAL_MS = 500.0
 READ_TIMEOUT_MS = 500.0
+RETRY_INTERVAL_MS = 2_000.0
+"""Time to the next write after one that failed; meanwhile the records that wait may be many."""
 READ_INTERVAL_MS = 5_000.0
 """Limits the reads that callers with streams of unknown origin can cause."""
 
@@ -131,6 +133,7 @@
         self._read_kind = ""
         self._number: int | None = None  # of the last segment; None if it is not known
         self._versions: dict[str, int] = {}  # of the segments' objects, by name
+        self._paused_until_ms = float("-inf")
         network.handle(StreamsToStore, self._apply_sent, runs_inline=True)
 
     def record(self, record: StreamRecord) -> None:
@@ -151,7 +154,8 @@
             return
         writer = self._find_writer()
         if writer is None:
-            self._write(self._new.pop_live())
+            if self._clock.now_ms() >= self._paused_until_ms:
+                self._write(self._new.pop_live())
         elif self._fleet.reports_by_zone:
             self._send(writer, self._new.pop_live())
 
@@ -198,7 +202,13 @@
 
     def _write(self, records: list[StreamRecord]) -> None:
         for first in range(0, len(records), MAX_RECORDS_PER_SEGMENT):
-            if not self._write_segment(records[first : first + MAX_RECORDS_PER_SEGMENT]):
+            try:
+                is_written = self._write_segment(records[first : first + MAX_RECORDS_PER_SEGMENT])
+            except PlatformError as error:
+                log_event(Event.STREAMS_NOT_STORED, "warning", detail=error.detail)
+                self._paused_until_ms = self._clock.now_ms() + RETRY_INTERVAL_MS
+                is_written = False
+            if not is_written:
                 self._put_back(records[first:])
                 return
 
@@ -207,20 +217,22 @@
             self._new.put(record)
 
     def _write_segment(self, records: list[StreamRecord]) -> bool:
-        """Write a segment; return whether it was confirmed."""
+        """Write a segment; return whether it was confirmed.
+
+        Raises
+        ======
+
+        PlatformError : the object service does not answer.
+        """
         if self._number is None or self._read_kind != self._kind:
             self._number = None
             self._reading.run()
         if self._number is None:
-            return False
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "the segments are not known")
         last_ms = max(record.expires_ms for record in records)
         segment = Segment(self._number + 1, last_ms - self._clock.now_ms(), tuple(records))
         name = str(segment.number % SEGMENTS)
-        try:
-            outcome = self._put(name, segment.to_value())
-        except PlatformError as error:
-            log_event(Event.STREAMS_NOT_STORED, "warning", detail=error.detail)
-            return False
+        outcome = self._put(name, segment.to_value())
         if not isinstance(outcome, Written):
             # Another gateway has written it, or the outcome is not known.
             self._number = None
--- a/tests/test_stored_streams.py
+++ b/tests/test_stored_streams.py
@@ -15,6 +15,7 @@
 from hemlockswitch.process.gateway.stored_streams import (
     READ_INTERVAL_MS,
     RECORDS_KIND,
+    RETRY_INTERVAL_MS,
     SEGMENTS,
     Segment,
     StoredStreams,
@@ -186,6 +187,9 @@
     assert gateways.find("g0", "a") is None
     gateways.store.kinds[RECORDS_KIND].is_down = False
     gateways.save()
+    assert gateways.store.writes == 0
+    gateways.clock.advance(RETRY_INTERVAL_MS)
+    gateways.save()
     gateways.restart_all()
     assert gateways.find("g0", "a") == "v1"
 
