--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -22,6 +22,7 @@
 from hemlockswitch.process.gateway.followed_objects import FollowedObjects
 from hemlockswitch.process.gateway.gateway_state import GatewayState
 from hemlockswitch.process.gateway.loads import ServerLoads
+from hemlockswitch.process.gateway.maintenance import Maintenance
 from hemlockswitch.process.gateway.observation import GatewayObserver
 from hemlockswitch.process.gateway.pages import GatewayPages
 from hemlockswitch.process.gateway.permits import Permits
@@ -34,9 +35,7 @@
 from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.server_limits import ServerLimits
 from hemlockswitch.process.gateway.server_links import ServerLinks
-from hemlockswitch.process.gateway.service_models import FIT_INTERVAL_MS, ServiceModels
-from hemlockswitch.process.gateway.stored_streams import StoredStreams
-from hemlockswitch.process.gateway.stored_versions import SAVE_INTERVAL_MS, StoredVersions
+from hemlockswitch.process.gateway.service_models import ServiceModels
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
 from hemlockswitch.process.gateway.usage import UsageCounts
@@ -52,7 +51,6 @@
 from hemlockswitch.version.backend import BackendServer
 from hemlockswitch.version.gateway_settings import GatewaySettings
 
-SWEEP_INTERVAL_MS = 1_000.0
 LISTEN_ON_STOP_MS = 2_500.0
 """How long to accept connections after a stop signal. Balancers check readiness once a second and remove
 a daemon after two answers, so new connections arrive for up to two seconds. Requests that arrive after
@@ -142,11 +140,6 @@
             self.network, self.fleet, lambda: self.registry.measure_age_ms(), clock
         )
         self.registry.on_listed = self.streams.record_listed
-        self.stored_versions = StoredVersions(self._adapter.store, self.streams.history, clock)
-        self.streams.load_stored = self.stored_versions.load
-        self.stored_streams = StoredStreams(self._adapter.store, self.network, self.fleet, clock)
-        self.streams.on_recorded = self.stored_streams.record
-        self.streams.find_stored = self.stored_streams.find
         self.state = GatewayState(
             tables=self.tables,
             registry=self.registry,
@@ -160,6 +153,9 @@
             usage=self.usage,
             fleet_clock=self.fleet_clock,
         )
+        self.maintenance = Maintenance(
+            adapter.store, self.network, self.state, self.pool, self._leads, clock
+        )
         self.followed = FollowedObjects(
             adapter,
             self.tables,
@@ -198,7 +194,7 @@
             self.network,
             self.state,
             self.limits,
-            lambda: self.duties is not None and self.duties.leads,
+            self._leads,
             self.followed.view,
             clock,
             lambda: self.links.host.active,
@@ -242,7 +238,7 @@
             ConnectionCrashDetector(self.registry.is_live, self.prober.refuses, clock),
             QuarantineStore(self._process, quarantine, self._adapter.store, clock),
             self.suspects,
-            lambda: self.duties is not None and self.duties.leads,
+            self._leads,
             clock,
         )
         connect_metrics(self)
@@ -289,7 +285,7 @@
     def _list_tasks(self) -> dict[str, Callable[[], None]]:
         """Return the background tasks, which run until the process ends, by name."""
         tasks: dict[str, Callable[[], None]] = {
-            "registrations": self._refresh_fleet,
+            **self.maintenance.list_tasks(),
             "near reports": self.schedule.send_near,
             "far reports": self.schedule.send_far,
             "changes": self.schedule.send_changes,
@@ -303,12 +299,8 @@
             "brittle servers": self.permits.slots.exchange.run,
             "slots": self.permits.slots.issuer.run,
             "slot releases": self.permits.slots.run,
-            "sweep": self._sweep,
             "probes": self.prober.run,
             "server links": self.links.run,
-            "models": self._fit_models,
-            "stored versions": self._save_versions,
-            "stored streams": self.stored_streams.save_forever,
         }
         if self.settings.rollout_share is not None:
             tasks["rollouts"] = self.rollouts.run
@@ -365,32 +357,9 @@
         self.pages.stop()
         self._adapter.store.close()
 
-    def _refresh_fleet(self) -> None:
-        while True:
-            self.fleet.refresh(self._adapter.store)
-            if self.duties is not None and self.duties.leads:
-                self.fleet.remove_expired(self._adapter.store)
-            self._clock.sleep_ms(self.fleet.get_list_period_ms())
-
-    def _sweep(self) -> None:
-        while True:
-            self._clock.sleep_ms(SWEEP_INTERVAL_MS)
-            self.pool.sweep()
-            self.streams.sweep()
-            self.stored_streams.sweep()
-            self.permits.evict_unlisted(self.registry.list_all)
-            self.fleet_clock.apply_estimates(self.fleet.list_time_estimates())
-
-    def _save_versions(self) -> None:
-        while True:
-            self._clock.sleep_ms(SAVE_INTERVAL_MS)
-            if self.duties is not None and self.duties.leads:
-                self.stored_versions.save()
-
-    def _fit_models(self) -> None:
-        while True:
-            self._clock.sleep_ms(FIT_INTERVAL_MS)
-            self.models.fit()
+    def _leads(self) -> bool:
+        """Return whether this gateway holds the duties."""
+        return self.duties is not None and self.duties.leads
 
     def _evict_server(self, server: BackendServer) -> None:
         self.pool.close_idle(server.address)
