--- a/hemlockswitch/process/quarantine/crash_detector.py
+++ b/hemlockswitch/process/quarantine/crash_detector.py
@@ -1,10 +1,10 @@
 """Detects crashed backend servers: a crashed server closes a connection and refuses a new one.
 
 A connection also ends when a link resets it, when the server drops this one request, or when it shuts down
-as announced. None of these incriminates the request, so a server counts as crashed only if nothing
-listens at its address shortly afterwards, and as crashed by the request only if it had not announced its end. The kernel closes the sockets of a process one by one, so a server
-that is terminating may still accept a connection; one that accepts is therefore probed a second time. A
-server that does not answer a probe at all does not count as crashed.
+as announced. A server counts as ended only if nothing listens at its address shortly afterwards, and as
+crashed, which incriminates the request, only if it had not announced its end. The kernel closes the sockets
+of a process one by one, so a server that is terminating may still accept a connection; one that accepts is
+therefore probed a second time. A server that does not answer a probe at all does not count as ended.
 """
 
 from collections.abc import Callable
--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -169,7 +169,7 @@
         return gevent.spawn(self._record_if_crashed, content, server).get()
 
     def has_left(self, server: BackendServer) -> bool:
-        """Return whether a server that closed a connection has ended as announced; no content is blamed for it."""
+        """Return whether a server that closed a connection has ended as announced, which counts against no content."""
         return gevent.spawn(self._crash_detector.has_left, server).get()
 
     def _record_if_crashed(self, content: Content, server: BackendServer) -> bool:
--- a/hemlockswitch/request/answer_ends.py
+++ b/hemlockswitch/request/answer_ends.py
@@ -57,7 +57,8 @@
     ) -> None:
         """Check that the server did not end when its answer ended with the connection.
 
-        A server may also end while it is leaving, with answers in progress. If the deadline passes meanwhile the answer counts as complete, as nothing shows that it is not.
+        A server that is leaving may end as well while answers are in progress. If the deadline passes meanwhile
+        the answer counts as complete, as nothing shows that it is not.
 
         Raises
         ======
