Leave announced ends of servers out of the detection of lost links

A refusal now counts only if the server is in force. The new test failed before for a draining and for a removed server.

--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -230,7 +230,12 @@
         """Build the guard, which quarantines requests that crash backend servers."""
         clock, quarantine = self._clock, self.quarantine
         self.prober = Prober(
-            self.reachability, self.pool, self.registry.list_all, self.links.detours, clock
+            self.reachability,
+            self.pool,
+            self.registry.list_all,
+            self.registry.is_live,
+            self.links.detours,
+            clock,
         )
         self.suspects = SuspectExchange(self.network, self.fleet, quarantine, clock)
         self.guard = Guard(
--- a/hemlockswitch/process/gateway/prober.py
+++ b/hemlockswitch/process/gateway/prober.py
@@ -32,6 +32,7 @@
     reachability : tells which servers are suspected, and records which answer.
     pool : opens the connections.
     list_servers : returns the backend servers that are registered.
+    is_live : returns whether a server is registered and not leaving.
     detours : asks other gateways for a second opinion.
     clock : the time.
     """
@@ -41,12 +42,14 @@
         reachability: Reachability,
         pool: BackendPool,
         list_servers: Callable[[], list[BackendServer]],
+        is_live: Callable[[BackendServer], bool],
         detours: Detours,
         clock: Clock,
     ) -> None:
         self._reachability = reachability
         self._pool = pool
         self._list_servers = list_servers
+        self._is_live = is_live
         self._detours = detours
         self._clock = clock
 
@@ -81,7 +84,9 @@
         failure = self._connect(server)
         if failure is None:
             return False
-        self._reachability.record_unreachable(server, has_timed_out=failure.has_timed_out)
+        # The announced end of a server says nothing of the links to it.
+        if self._is_live(server):
+            self._reachability.record_unreachable(server, has_timed_out=failure.has_timed_out)
         return not failure.has_timed_out
 
     def _probe(self, server: BackendServer) -> None:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -180,6 +180,23 @@
     assert choose.bench.site.gateways[0].guard.counts.ends == 0
 
 
+# Guards against announced ends of servers counting as lost links of the gateway.
+@pytest.mark.parametrize("announce", [announce_draining, remove_entry])
+def test_end_of_a_server_that_is_leaving_raises_no_suspicion(make_bench, announce):
+    choose = LeavingCut(announce, Script(make_events(1, BEGUN), End.DEATH), continue_stream)
+    choose.bench = make_bench("llm", choose)
+    gateway = choose.bench.site.gateways[0]
+    failed = []
+    record = gateway.reachability.record_unreachable
+    gateway.reachability.record_unreachable = lambda server, **fields: (
+        failed.append(server.name),
+        record(server, **fields),
+    )
+    choose.bench.ask("/draft/x", **tokens(LAST))
+    assert gateway.guard._crash_detector._ended
+    assert not failed
+
+
 # Guards against a whole answer being broken off because its server is leaving.
 @pytest.mark.parametrize("announce", [announce_draining, remove_entry])
 @pytest.mark.parametrize("path", STREAMS)
