Let callers that say nothing use up the connections of gateways in the soak

A gateway of the soak may open 256 descriptors now, and a new kind of fault opens 300 connections to one of them that send nothing or half a head, every second one half-open, for some seconds.

--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -48,9 +48,15 @@
 
     # Starting and ending processes
 
-    def launch(self, name: str, command: list[str], settings: dict[str, Any]) -> Program:
+    def launch(
+        self,
+        name: str,
+        command: list[str],
+        settings: dict[str, Any],
+        max_files: int | None = None,
+    ) -> Program:
         """Start a program of the project and return at once; kill a previous one of that name."""
-        program = Program(name, command, settings, self.folder)
+        program = Program(name, command, settings, self.folder, max_files)
         old = self.programs.get(name)
         if old is not None:
             old.kill()
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -3,6 +3,7 @@
 import ctypes
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -47,8 +48,12 @@
     raise HarnessError(f"{what}: not true within {limit_s} s, last result {last!r}")
 
 
-def _die_with_parent() -> None:
+def _prepare_process(max_files: int | None) -> None:
+    """Prepare a new process, which ends with its parent."""
     _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+    if max_files is not None:
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max_files, hard))
 
 
 class Program:
@@ -61,10 +66,16 @@
     command : arguments after ``python -m``; the settings file is appended.
     settings : content of the settings file.
     folder : folder for the settings, output and log files.
+    max_files : how many descriptors the program may open; None for as many as this process.
     """
 
     def __init__(
-        self, name: str, command: list[str], settings: dict[str, Any], folder: Path
+        self,
+        name: str,
+        command: list[str],
+        settings: dict[str, Any],
+        folder: Path,
+        max_files: int | None = None,
     ) -> None:
         self.name = name
         self.module = command[0]
@@ -81,7 +92,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=log,
-                preexec_fn=_die_with_parent,
+                preexec_fn=lambda: _prepare_process(max_files),
             )
 
     @property
--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -1,5 +1,7 @@
 """Actions that inject the faults of a plan into the processes and the links between them."""
 
+import contextlib
+import socket
 import time
 from collections.abc import Callable
 
@@ -18,6 +20,11 @@
     FaultKind.RUNNER_LINK_SILENT,
 )
 """Faults under which requests reach a runner later than they were sent."""
+IDLE_CALLERS = 300
+"""Half of them are half-open and soon closed; the others alone exceed a gateway's limit on connections of callers."""
+IDLE_CALLER_BYTES = (b"", b"POST /hold/x HT", b"POST /check/x HTTP/1.1\r\nHost: ")
+"""What the callers send that then say nothing."""
+CONNECT_TIMEOUT_S = 1.0
 RESTART_S = 0.3
 """Delay before a stopped process is restarted."""
 
@@ -87,6 +94,21 @@
         world.start_gateway(name)
 
 
+def _connect_idle_callers(world: SoakWorld, fault: Fault) -> None:
+    """Open connections to a gateway beyond its limit, say nothing or half a head on them, and close them later."""
+    host, port = world.cluster.programs[_find_gateway(fault)].addresses["listen"].split(":")
+    with contextlib.ExitStack() as opened:
+        for number in range(IDLE_CALLERS):
+            # The gateway may refuse, close or be replaced at any time.
+            with contextlib.suppress(OSError):
+                caller = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+                opened.enter_context(caller)
+                caller.sendall(IDLE_CALLER_BYTES[number % len(IDLE_CALLER_BYTES)])
+                if number % 2:
+                    caller.shutdown(socket.SHUT_WR)
+        time.sleep(fault.for_s)
+
+
 def _make_link_action(find: Callable[[SoakWorld, Fault], str], **faults: object) -> Callable:
     """Return an action that sets `faults` on a link for the duration of the fault."""
 
@@ -168,6 +190,7 @@
     FaultKind.GATEWAY_RELOADED: _reload_gateway,
     FaultKind.ALL_GATEWAYS_KILLED: _kill_all_gateways,
     FaultKind.CALLERS_RESET: _make_link_action(_find_front_link, mode="cut"),
+    FaultKind.CALLERS_IDLE: _connect_idle_callers,
     FaultKind.STORE_LINK_CUT: _make_link_action(_find_store_link, mode="cut"),
     FaultKind.STORE_LINK_SILENT: _make_link_action(_find_store_link, mode="black_hole"),
     FaultKind.STORE_LINK_ONE_WAY: _make_link_action(_find_store_link, freeze="to_caller"),
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -15,6 +15,7 @@
     GATEWAY_RELOADED = "gateway_reloaded"
     ALL_GATEWAYS_KILLED = "all_gateways_killed"
     CALLERS_RESET = "callers_reset"
+    CALLERS_IDLE = "callers_idle"
     STORE_LINK_CUT = "store_link_cut"
     STORE_LINK_SILENT = "store_link_silent"
     STORE_LINK_ONE_WAY = "store_link_one_way"
@@ -42,8 +43,12 @@
 FREQUENT_WEIGHT = 3
 MEAN_GAP_S = 1.2
 """Mean time between two faults. A fault lasts about two seconds, so that one or two overlap."""
-ADDED = (FaultKind.RUNNER_ENDS_INSIDE_EVENT,)
-"""Kinds that are drawn separately, so that a seed draws the same other faults as before they were added."""
+ADDED = {
+    FaultKind.RUNNER_ENDS_INSIDE_EVENT: "added",
+    FaultKind.CALLERS_IDLE: "idle",
+}
+"""Kinds that are drawn separately, so that a seed draws the same other faults as before they were added, with
+the suffix of the seed that each is drawn from."""
 MEAN_ADDED_GAP_S = 4.0
 MAX_FAULT_S = 4.0
 MIN_FAULT_S = 0.3
@@ -80,7 +85,9 @@
     """
     kinds = [kind for kind in FaultKind if kind not in ADDED]
     faults = _draw_faults(random.Random(seed), kinds, MEAN_GAP_S, length_s)
-    faults += _draw_faults(random.Random(f"{seed}/added"), ADDED, MEAN_ADDED_GAP_S, length_s)
+    for kind, suffix in ADDED.items():
+        rng = random.Random(f"{seed}/{suffix}")
+        faults += _draw_faults(rng, (kind,), MEAN_ADDED_GAP_S, length_s)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,6 +16,8 @@
 VERSIONS = ("v1", "v1.2")
 STOP_GRACE_S = 5
 EVENT_MS = 20
+GATEWAY_MAX_FILES = 256
+"""Descriptors of a gateway, few enough for callers that say nothing to use up their share."""
 FRAIL, FRAIL_RUNNERS = "frail", 3
 MOVED = "moved"
 MOVED_ROUTE = {"kind": "idempotent", "service": MOVED, "max_attempts": 1}
@@ -115,7 +117,7 @@
                 "rollout_slack": ROLLOUT_SLACK,
             }
             self._archive_output(name)
-            program = self.cluster.launch(name, [GATEWAY], settings)
+            program = self.cluster.launch(name, [GATEWAY], settings, GATEWAY_MAX_FILES)
         self._point_front_when_ready(name, program)
 
     def _point_front_when_ready(self, name: str, program: Program) -> None:
