--- a/tests/version_replay.py
+++ b/tests/version_replay.py
@@ -13,31 +13,22 @@
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
-from hemlockswitch.connection.messages import encode_message
-from hemlockswitch.core.errors import ErrorKind, PeerError, PlatformError, RequestError
+from hemlockswitch.core.errors import RequestError
 from hemlockswitch.core.logs import set_log_writer
-from hemlockswitch.process.gateway.peer_groups import Peer
-from hemlockswitch.process.gateway.report_period import MESH_GATEWAYS
-from hemlockswitch.process.gateway.stored_streams import StoredStreams
-from hemlockswitch.process.gateway.stored_versions import SAVE_INTERVAL_MS, StoredVersions
+from hemlockswitch.process.gateway.stored_versions import SAVE_INTERVAL_MS
 from hemlockswitch.process.gateway.stream_holders import HolderRing
-from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.request.dialect import RequestFacts
 from hemlockswitch.version.backend import BackendServer
 from tests.memory_store import MemoryStores
+from tests.version_gateways import Gateway
 
 SERVICE = "llm"
 TIMEOUT_MS = 15_000.0
 DELAY_MS = (1.0, 12.0)
 LIST_DELAY_MS = (50.0, 400.0)
 """Time until a gateway knows of a server that has registered or left."""
-LIST_AGE_MS = 200.0
 RESTART_MS = (300.0, 1_500.0)
-MISSED_MS = 1_500.0
-"""Time after which a gateway that has ended is known to have ended."""
 RETRY_MS = 500.0
-STABLE_MS = 3_000.0
-"""Time after a start or a cut from which a gateway owes its callers that their streams go on."""
 MAX_REFUSALS = 2
 
 
@@ -108,140 +99,6 @@
     gateway: "Gateway | None" = None
 
 
-class ReachedStore:
-    """The object service as one gateway reaches it."""
-
-    def __init__(self, store, is_reached):
-        self._store = store
-        self._is_reached = is_reached
-
-    def __getattr__(self, name):
-        if not self._is_reached():
-            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
-        return getattr(self._store, name)
-
-
-class Gateway:
-    """A gateway: the real `StreamVersions`, with simulated messages and membership."""
-
-    def __init__(self, world, number):
-        self.world = world
-        self.name = f"g{number}"
-        self.zone = f"z{number % world.setting.zones}"
-        self.peer = Peer(self.name, self.name, 0.0, self.zone)
-        self.is_up = True
-        self.ended_ms = float("-inf")
-        self.cut_ms = None
-        self.disturbed_ms = float("-inf")
-        self.is_listed = True
-        self.streams = None
-        self.start()
-        self.disturbed_ms = float("-inf")
-
-    def start(self):
-        """Start with an empty state, and list the servers."""
-        self.handlers = {}
-        self.known = {}
-        self.streams = StreamVersions(self, self, self.measure_age_ms, self.world.clock)
-        store = ReachedStore(self.world.store, self.reaches_store)
-        self.stored = StoredVersions(store, self.streams.history, self.world.clock)
-        self.streams.load_stored = self.stored.load
-        self.stored_streams = StoredStreams(store, self, self, self.world.clock)
-        if self.world.setting.stores_streams:
-            self.streams.on_recorded = self.stored_streams.record
-            self.streams.find_stored = self.stored_streams.find
-        if self.world.outage_ms is None:
-            self.list_servers()
-        self.is_up = True
-        self.disturbed_ms = self.world.clock.now_ms()
-
-    @property
-    def is_in_touch(self):
-        """Whether it has run undisturbed for a while."""
-        return self.cut_ms is None and self.world.clock.now_ms() - self.disturbed_ms > STABLE_MS
-
-    def reaches_store(self):
-        """Return whether the object service answers this gateway."""
-        return self.is_up and self.cut_ms is None and self.world.outage_ms is None
-
-    def measure_age_ms(self):
-        """Return the age of the list of servers, which grows while the gateway is cut off."""
-        lost_ms = self.world.outage_ms if self.cut_ms is None else self.cut_ms
-        return LIST_AGE_MS if lost_ms is None else self.world.clock.now_ms() - lost_ms
-
-    def learn(self, server):
-        """Learn of a registered server."""
-        self.known[server.name] = server
-        self.streams.record_listed(server)
-
-    def forget(self, server):
-        """Learn that a server has left."""
-        if self.known.pop(server.name, None) is not None:
-            self.streams.history.record_removed(server)
-
-    def heal(self):
-        """Catch up with the other gateways and the registry after a cut."""
-        self.cut_ms = None
-        self.disturbed_ms = self.world.clock.now_ms()
-        if self.world.outage_ms is None:
-            self.list_servers()
-
-    def list_servers(self):
-        """Catch up with the registry."""
-        for server in list(self.known.values()):
-            if server.name not in self.world.servers:
-                self.forget(server)
-        for server in self.world.servers.values():
-            self.learn(server)
-
-    # The interface of the network.
-
-    def handle(self, message_type, handler, runs_inline):
-        self.handlers[message_type] = handler
-
-    def send(self, address, message):
-        self.world.deliver(self, address, message, len(encode_message(message)))
-        return True
-
-    def send_all(self, addresses, message):
-        size = len(encode_message(message))
-        for address in addresses:
-            self.world.deliver(self, address, message, size)
-
-    def request(self, address, message, timeout_ms):
-        other = self.world.by_name[address]
-        if not other.is_up or self.cut_ms is not None or other.cut_ms is not None:
-            raise PeerError(ErrorKind.PEER_UNAVAILABLE, "no reply")
-        self.world.result.messages += 2
-        reply = other.handlers[type(message)](self.name, message)
-        self.world.result.sent_bytes += len(encode_message(message)) + len(encode_message(reply))
-        return reply
-
-    # The interface of the fleet.
-
-    @property
-    def reports_by_zone(self):
-        return self.world.setting.gateways > MESH_GATEWAYS + 1
-
-    def get_holder_ring(self):
-        return self.world.ring
-
-    def find_running(self, name):
-        other = self.world.by_name[name]
-        if other is self:
-            return None
-        missed = not other.is_up and other.ended_ms < self.world.clock.now_ms() - MISSED_MS
-        return None if missed else other.peer
-
-    def list_running(self, zone):
-        near = self.world.gateways if zone is None else self.world.by_zone[zone]
-        found = (self.find_running(one.name) for one in near)
-        return [peer for peer in found if peer is not None]
-
-    def list_peers(self):
-        return [one.peer for one in self.world.gateways if one is not self]
-
-
 class World:
     """A replay in progress."""
 
