Replay fleets of several versions alike in every process

A seed of tests.version_replay gave other figures in each process, so that a seed which had shown a fault need not show it again: the streams in progress at a gateway were kept in a set, and the order of their callers' returns after a kill followed the hash seed of the process. They are kept in the order of their begin now; three hash seeds give the same figures.

--- a/hemlockswitch/process/gateway/stored_streams.py
+++ b/hemlockswitch/process/gateway/stored_streams.py
@@ -150,7 +150,7 @@
 
     def save(self) -> None:
         """Write the new records, or send them to the gateway that does."""
-        if not len(self._new) or not self._fleet.is_listed:
+        if not self._new or not self._fleet.is_listed:
             return
         writer = self._find_writer()
         if writer is None:
--- a/tests/version_replay.py
+++ b/tests/version_replay.py
@@ -125,7 +125,7 @@
         self.by_zone = defaultdict(list)
         for one in self.gateways:
             self.by_zone[one.zone].append(one)
-        self.running = defaultdict(set)
+        self.running = defaultdict(dict)  # entries in the order of their begin; a set has none
 
     def at(self, at_ms, act, *args):
         """Schedule an action."""
@@ -314,7 +314,7 @@
         """Begin or go on with a stream at a gateway; some break off before their end."""
         gateway.streams.record_begun(self._make_admitted(stream), server)
         stream.gateway = gateway
-        self.running[gateway.name].add(_Entry(stream, stream.attempts))
+        self.running[gateway.name][_Entry(stream, stream.attempts)] = None
         length_ms = self.draws.uniform(500, 6_000)
         breaks = self.draws.random() < 0.15
         self.after((length_ms, length_ms), self._end, stream, stream.attempts, breaks)
@@ -323,7 +323,7 @@
         entry = _Entry(stream, attempt)
         if stream.gateway is None or entry not in self.running[stream.gateway.name]:
             return
-        self.running[stream.gateway.name].discard(entry)
+        del self.running[stream.gateway.name][entry]
         if breaks:
             self.after((5, 300), self._resume, entry)
 
