--- a/hemlockswitch/process/gateway/stream_versions.py
+++ b/hemlockswitch/process/gateway/stream_versions.py
@@ -2,8 +2,8 @@
 
 While servers of one version only are registered for a service, its streams need no record. Otherwise the gateway
 that begins or continues a stream sends a record to its holders before the caller gets the first event, and a
-gateway that has no record asks them. A stream of unknown origin goes on only if all servers that may
-have begun it had one version.
+gateway that has no record asks them, and reads what is stored in the object service. A stream of unknown origin
+goes on only if all servers that may have begun it had one version.
 """
 
 from collections import Counter
