Log the prompt parts of failed attempts, and whether the answer had begun

Callers saw one server after another crash; the lines 205 of the requests in progress there named contents that were all different, so that a common part could not be told from servers that are overrun. The test fails on the old code: the lines have no parts.

--- a/hemlockswitch/platform/headers.py
+++ b/hemlockswitch/platform/headers.py
@@ -267,4 +267,4 @@
     identifier, _, tokens = entry.strip().partition(":")
     if not tokens.isdigit():
         raise RequestError(ErrorKind.BAD_REQUEST, "a prompt part has no token count")
-    return PromptPart(identifier, int(tokens))
+    return PromptPart(identifier.lower(), int(tokens))
--- a/hemlockswitch/process/gateway/observation.py
+++ b/hemlockswitch/process/gateway/observation.py
@@ -11,6 +11,8 @@
 
 MAX_LINES_PER_SECOND = 100
 """Maximum rate of request log lines; at this rate they use half a percent of a core."""
+MAX_LOGGED_PARTS = 16
+"""Maximum number of prompt parts in one line, as a caller may send hundreds."""
 
 
 class LineRateLimiter:
@@ -63,10 +65,14 @@
         """Count and log a failed send attempt."""
         self.metrics.failures[failure.value] += 1
         if self._line_limiter.allow():
+            admitted = progress.admitted
+            parts = admitted.part_fingerprints if admitted else ()
             log_event(
                 Event.ATTEMPT_FAILED,
                 request_id=progress.request_id,
-                fingerprint=progress.admitted.fingerprint if progress.admitted else "",
+                fingerprint=admitted.fingerprint if admitted else "",
+                parts=list(parts[:MAX_LOGGED_PARTS]),
+                has_begun=progress.began_ms is not None,
                 server=progress.target,
                 failure=failure.value,
                 detail=detail,
--- a/hemlockswitch/request/fingerprint.py
+++ b/hemlockswitch/request/fingerprint.py
@@ -1,4 +1,4 @@
-"""Fingerprints of requests by their content, identical for every attempt of a caller.
+"""Fingerprints of requests by their content, identical for every attempt of a caller, and of prompt parts.
 
 A caller that retries sends a new request identifier, possibly to another daemon. The account, method,
 target and body do not change. Their hash identifies the request in logs and messages without revealing
@@ -11,6 +11,8 @@
 
 HASH_CHARACTERS = 32
 """128 bits, which makes it infeasible to find two contents with equal fingerprints."""
+PART_PREFIX = "part-"
+"""Distinguishes the fingerprints of prompt parts from those of contents."""
 LENGTH_BYTES = 4
 """Each part is prefixed with its length, so that different lists of parts never give equal bytes."""
 
@@ -30,3 +32,15 @@
         digest.update(len(encoded).to_bytes(LENGTH_BYTES, "big") + encoded)
     digest.update(body)
     return digest.hexdigest()[:HASH_CHARACTERS]
+
+
+def hash_part(service: str, identifier: str) -> str:
+    """Return the fingerprint of a prompt part, identical for all requests of a service that contain it.
+
+    Examples
+    ========
+
+    >>> hash_part("llm", "5c1e07a2") == hash_part("llm", "91bd3f06")
+    False
+    """
+    return PART_PREFIX + hash_call(("part", service, identifier), b"")
--- a/hemlockswitch/request/forward_admission.py
+++ b/hemlockswitch/request/forward_admission.py
@@ -7,7 +7,7 @@
 from hemlockswitch.connection.heads import ReceivedRequest
 from hemlockswitch.core.errors import ErrorKind, RequestError
 from hemlockswitch.request.dialect import RequestFacts
-from hemlockswitch.request.fingerprint import hash_call
+from hemlockswitch.request.fingerprint import hash_call, hash_part
 from hemlockswitch.request.overload import QueueBound
 from hemlockswitch.version.serving_table import ForwardedAccount, Route, ServingTable
 
@@ -60,6 +60,14 @@
         parts = (account, request.method, self.facts.host, request.target)
         return hash_call(parts, request.body)
 
+    @cached_property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Fingerprints of the prompt's parts that other requests may contain too, each once, in order."""
+        if self.facts.prompt is None:
+            return ()
+        identifiers = dict.fromkeys(part.identifier for part in self.facts.prompt.shared_parts)
+        return tuple(hash_part(self.service, identifier) for identifier in identifiers)
+
 
 def admit_request(
     table: ServingTable | None,
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -7,6 +7,7 @@
 import structlog
 from gevent import socket
 
+from hemlockswitch.request.fingerprint import hash_part
 from tests.gateway_site import (
     HOST,
     KEY,
@@ -217,6 +218,19 @@
     assert {line["server"] for line in failed} == {runner.name}
 
 
+def test_log_of_failed_attempt_identifies_prompt_parts_independently_of_content(site):
+    """Guards against failed attempts that show nothing in common, as their contents all differ."""
+    site.add_runner("llm", faults={"lose_answer": True})
+    with structlog.testing.capture_logs() as lines:
+        for number, parts in enumerate(["a1:3,B2:3,c:1", "b2:3,B2:3,d:1"]):
+            site.ask("/draft/x", f"id-{number}", body=b"%d" % number, **tokens(3, parts))
+    first, second = [line for line in lines if line["event"] == "attempt_failed"]
+    assert first["fingerprint"] != second["fingerprint"]
+    assert first["parts"] == [hash_part("llm", "a1"), hash_part("llm", "b2")]
+    assert second["parts"] == [hash_part("llm", "b2")]
+    assert not first["has_begun"]
+
+
 def test_reassigned_address_is_not_used(site, app):
     stale, sound = app
     stale.state.settings = stale.state.settings.model_copy(update={"name": "somebody-else"})
