--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -40,6 +40,7 @@
     version : software version, written into each event of a stream; empty to leave it out.
     ends_on : terminate the process on a request whose body contains this text, after `work_ms`;
         empty disables it.
+    ends_on_part : the same for requests whose prompt has this part, other than as its last one.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -51,6 +52,7 @@
     prints_runs: bool = False
     version: str = ""
     ends_on: str = ""
+    ends_on_part: str = ""
 
 
 class RunnerFaults(BaseModel):
@@ -239,8 +241,7 @@
         state.seen.append(_describe(req, body))
         gevent.sleep(state.settings.work_ms * faults.slow_factor / MS_PER_SECOND)
         state.goes_on.wait()
-        ends_on = state.settings.ends_on
-        if ends_on and ends_on.encode() in body:
+        if _is_deadly(state.settings, req, body):
             state.end()
         if faults.lose_answer:
             cut_connection(req.env[SOCKET_KEY])
@@ -346,6 +347,14 @@
     return xxhash.xxh64_hexdigest(request_id.encode())
 
 
+def _is_deadly(settings: RunnerSettings, req: falcon.Request, body: bytes) -> bool:
+    if settings.ends_on and settings.ends_on.encode() in body:
+        return True
+    entries = (req.get_header("Hemlockswitch-Prompt-Prefix") or "").split(",")
+    shared_parts = [entry.partition(":")[0].strip() for entry in entries[:-1]]
+    return bool(settings.ends_on_part) and settings.ends_on_part in shared_parts
+
+
 def _describe(req: falcon.Request, body: bytes) -> dict[str, Any]:
     headers = {name.lower(): value for name, value in req.headers.items()}
     return {
--- a/tests/crashing_runners.py
+++ b/tests/crashing_runners.py
@@ -11,6 +11,8 @@
 from tests.gateway_site import Site, make_entry, tokens
 
 DEADLY = "this content ends its server"
+DEADLY_PART = "dead"
+"""Identifier of a prompt part that ends each server that begins an answer on it."""
 RESTART_DELAY_S = 0.4
 """Time between the crash of a server and its restart."""
 MAX_CONNECTIONS = 1_000
@@ -47,8 +49,11 @@
     def start(self):
         """Start serving at the previous address, and register."""
         self.starts += 1
-        settings = RunnerSettings(name=self.name, work_ms=self.work_ms, ends_on=DEADLY)
+        settings = RunnerSettings(
+            name=self.name, work_ms=self.work_ms, ends_on=DEADLY, ends_on_part=DEADLY_PART
+        )
         self.state = RunnerState(settings, end=lambda: self.end(is_crash=True))
+        self.site.states.append(self.state)
         application = build_runner(self.state)
         self.server, self.address = listen(application, self.address, MAX_CONNECTIONS)
         self.is_running = True
@@ -80,15 +85,16 @@
 
 
 class CrashingSite(Site):
-    """A site of crashing servers; `ends` lists their ends."""
+    """A site of crashing servers; `ends` lists their ends, `states` the state of each start."""
 
-    def __init__(self, gateways=2, servers=4, work_ms=20):
+    def __init__(self, gateways=2, servers=4, work_ms=20, services=("app", "llm")):
         self.ends = []
+        self.states = []
         self.is_closed = False
         super().__init__(gateways=gateways)
         self.crashing = [
             CrashingRunner(self, number, service, work_ms)
-            for service in ("app", "llm")
+            for service in services
             for number in range(servers)
         ]
         self.wait_until_served()
--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,124 @@
+"""A prompt part that crashes each backend server that begins an answer on it, whatever else the prompt has.
+
+Guards against crashes counted by content only: the requests with the part were all different, each of them was
+the first of its content, and 45 servers of a service crashed one after the other. Sound requests share the
+account and the other parts of the prompt; they must be served meanwhile.
+"""
+
+import itertools
+import time
+from collections import Counter
+
+import gevent
+import pytest
+
+from tests.crashing_runners import DEADLY_PART, CrashingSite
+from tests.gateway_site import tokens
+
+SERVERS = 8
+CRASHES = 5
+MAX_LATE_SENDS = 3
+PROPAGATION_S = 1.0
+"""Time within which every connected gateway receives the crash counts."""
+SETTLED_S = 2 * PROPAGATION_S
+MIN_SERVED_SHARE = 0.9
+LENGTH_S = 8.0
+DEADLY_INTERVAL_S = 1 / 6
+SOUND_INTERVAL_S = 1 / 20
+
+
+class PartTraffic:
+    """Sends deadly and sound requests to the gateways of a site in turn, and records what became of them."""
+
+    def __init__(self, site, path, deadly_parts, sound_parts):
+        self.site = site
+        self.path = path
+        self.deadly_parts = deadly_parts
+        self.sound_parts = sound_parts
+        self.outcomes = []  # of sound requests: time sent, parts, status
+        self._numbers = itertools.count()
+
+    def play(self):
+        """Send requests for `LENGTH_S`, and wait for their answers."""
+        until_s = time.monotonic() + LENGTH_S
+        tasks = [
+            gevent.spawn(self._send_all, until_s, DEADLY_INTERVAL_S, self._ask_deadly),
+            gevent.spawn(self._send_all, until_s, SOUND_INTERVAL_S, self._ask_sound),
+        ]
+        gevent.joinall(tasks)
+
+    def _send_all(self, until_s, interval_s, ask):
+        asked = []
+        while time.monotonic() < until_s:
+            asked.append(gevent.spawn(ask, next(self._numbers)))
+            gevent.sleep(interval_s)
+        gevent.joinall(asked, timeout=10)
+
+    def _ask(self, kind, number, parts):
+        shared = ",".join(f"{part}:10" for part in parts)
+        headers = tokens(3, f"{shared},{kind}{number}:5")
+        body = f"{kind} {number}".encode()
+        gateway = number % len(self.site.gateways)
+        request_id = f"{kind}-{number}"
+        return self.site.ask(self.path, request_id, body=body, gateway=gateway, **headers)
+
+    def _ask_deadly(self, number):
+        self._ask("deadly", number, self.deadly_parts[number % len(self.deadly_parts)])
+
+    def _ask_sound(self, number):
+        parts = self.sound_parts[number % len(self.sound_parts)]
+        sent_s = time.monotonic()
+        status = self._ask("sound", number, parts).status
+        self.outcomes.append((sent_s, parts, status))
+
+    def count_late_sends(self):
+        """Return how often servers got a deadly request later than `PROPAGATION_S` after the fifth crash."""
+        late_ms = (self._find_crash_s() + PROPAGATION_S) * 1_000
+        arrivals = [one for state in self.site.states for one in state.arrivals]
+        return sum(at_ms > late_ms and name.startswith("deadly") for at_ms, name in arrivals)
+
+    def find_served_shares(self):
+        """Return the served share of the sound requests sent `SETTLED_S` after the fifth crash, by their parts."""
+        settled_s = self._find_crash_s() + SETTLED_S
+        counts, served = Counter(), Counter()
+        for sent_s, parts, status in self.outcomes:
+            if sent_s > settled_s:
+                counts[parts] += 1
+                served[parts] += status == 200
+        return {parts: served[parts] / counts[parts] for parts in counts}
+
+    def _find_crash_s(self):
+        """Return the time of the fifth crash, or of the last one if there were fewer."""
+        crashes = [one.at_s for one in self.site.ends if one.is_crash]
+        return crashes[min(CRASHES, len(crashes)) - 1]
+
+
+def play(deadly_parts, sound_parts, gateways=2, path="/reply/x"):
+    """Return the traffic of a run, and close its site."""
+    site = CrashingSite(gateways=gateways, servers=SERVERS, work_ms=100, services=("llm",))
+    try:
+        traffic = PartTraffic(site, path, deadly_parts, sound_parts)
+        traffic.play()
+        return traffic
+    finally:
+        site.close()
+
+
+D = DEADLY_PART
+
+
+@pytest.mark.parametrize(
+    ("path", "gateways", "deadly_parts", "sound_parts"),
+    [
+        pytest.param("/reply/x", 2, [("a", D)], [("a", "b")], id="middle"),
+    ],
+)
+def test_part_that_crashes_servers_is_stopped_and_sound_requests_are_served(
+    path, gateways, deadly_parts, sound_parts
+):
+    traffic = play(deadly_parts, sound_parts, gateways, path)
+    assert len([one for one in traffic.site.ends if one.is_crash]) >= 3
+    assert traffic.count_late_sends() <= MAX_LATE_SENDS
+    shares = traffic.find_served_shares()
+    assert set(shares) == set(sound_parts)
+    assert min(shares.values()) >= MIN_SERVED_SHARE, shares
