Withdraw the detected end of a server that answers again

Callers saw every answer without a length of one server broken off, for as long as the server ran: it had once refused a connection for a moment, was taken for ended, and the crash detector kept this for good.

The end is now withdrawn by the head of an answer to a request that was sent after it. The quarantine withdraws the crash at the same time, instead of when an answer is complete, which such an answer never was.

The test of resumable streams fails on the old code, that of streams sent once does not: they meet a server that was not taken for ended. Both pass now.

--- a/hemlockswitch/process/quarantine/crash_detector.py
+++ b/hemlockswitch/process/quarantine/crash_detector.py
@@ -45,7 +45,7 @@
         self._refuses = refuses
         self._clock = clock
         self._pending_probes: dict[str, AsyncResult] = {}
-        self._ended: dict[str, None] = {}
+        self._ended: dict[str, float] = {}  # incarnation to when the end was detected
 
     def has_crashed(self, server: BackendServer) -> bool:
         """Return whether a server that closed a connection has crashed."""
@@ -55,6 +55,12 @@
         """Return whether a server that was leaving, or is no longer registered, has ended."""
         return not self._is_live(server) and self._has_ended(server)
 
+    def record_alive(self, server: BackendServer, sent_ms: float) -> None:
+        """Withdraw the end of a server that has answered a request sent at `sent_ms`, if that was later."""
+        ended_ms = self._ended.get(server.incarnation)
+        if ended_ms is not None and sent_ms > ended_ms:
+            del self._ended[server.incarnation]
+
     def _has_ended(self, server: BackendServer) -> bool:
         if server.incarnation in self._ended:
             return True
@@ -88,7 +94,7 @@
         return self._refuses(server)
 
     def _record_end(self, server: BackendServer) -> None:
-        self._ended[server.incarnation] = None
+        self._ended[server.incarnation] = self._clock.now_ms()
         if len(self._ended) > MAX_CACHED_ENDS:
             del self._ended[next(iter(self._ended))]
         log_event(Event.BACKEND_ENDED, server=server.incarnation, zone=server.zone)
--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -46,6 +46,9 @@
     def has_left(self, server: BackendServer) -> bool:
         """Return whether a server that was leaving, or is no longer registered, has ended."""
 
+    def record_alive(self, server: BackendServer, sent_ms: float) -> None:
+        """Record that a server has answered a request sent at `sent_ms`."""
+
 
 class QuarantinePeers(Protocol):
     """The peers that also count server crashes."""
@@ -186,16 +189,22 @@
         self._publish_changes("own")
         return True
 
+    def record_alive(self, server: BackendServer, sent_ms: float) -> None:
+        """Withdraw the end of a server that has answered a request sent later."""
+        self._crash_detector.record_alive(server, sent_ms)
+        if not self._quarantine.is_empty:
+            self._quarantine.record_alive(server.incarnation, sent_ms)
+
     def record_complete_answer(self, content: Content, answer: CompleteAnswer) -> None:
         """Excuse the crashes that a complete answer shows to have other causes.
 
         An error shows that its content does not crash servers, but nothing about the parts of its prompt.
         """
+        self.record_alive(answer.server, answer.sent_ms)
         if answer.is_generated:
             self._quarantine.record_answered_parts(content.part_fingerprints)
         if self._quarantine.is_empty:
             return
-        self._quarantine.record_alive(answer.server.incarnation, answer.sent_ms)
         traits = _list_traits(content) if answer.is_generated else (content.fingerprint,)
         for trait in traits:
             was_accused = self._quarantine.is_accused(trait)
--- a/hemlockswitch/request/clearance.py
+++ b/hemlockswitch/request/clearance.py
@@ -81,6 +81,9 @@
     def has_left(self, server: BackendServer) -> bool:
         """Return whether a server that closed a connection has ended as announced."""
 
+    def record_alive(self, server: BackendServer, sent_ms: float) -> None:
+        """Record that a server has begun to answer a request sent at `sent_ms`."""
+
     def must_hold(self, content: Content) -> bool:
         """Return whether a request has been quarantined since it was cleared."""
 
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -151,6 +151,7 @@
             exchange.send(self._encode(send))
             answer = exchange.read_head()
             self._inspect_answer(answer, send.placement, sent_ms)
+            self._guard.record_alive(server, sent_ms)
             self._record_answer(send, exchange)
             self._check_run(answer, send.placement)
             ticket.record_first_event(succeeds=answer.status < HTTPStatus.BAD_REQUEST)
--- a/tests/crash_gateways.py
+++ b/tests/crash_gateways.py
@@ -101,7 +101,11 @@
         self.exchange = SuspectExchange(self, self, self.quarantine, clock)
         self.guard = Guard(
             self.quarantine,
-            SimpleNamespace(has_crashed=lambda server: True, has_left=lambda server: False),
+            SimpleNamespace(
+                has_crashed=lambda server: True,
+                has_left=lambda server: False,
+                record_alive=lambda server, sent_ms: None,
+            ),
             held,
             self.exchange,
             lambda: self.name == "g0",
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -20,6 +20,8 @@
     quarantine = Quarantine(clock)
     held = QuarantineStore("daemon/1", quarantine, MemoryStore(), clock)
     ends = SimpleNamespace(
-        has_crashed=lambda server: server.name in ended, has_left=lambda server: False
+        has_crashed=lambda server: server.name in ended,
+        has_left=lambda server: False,
+        record_alive=lambda server, sent_ms: None,
     )
     return Guard(quarantine, ends, held, ALONE, lambda: True, clock)
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -72,6 +72,16 @@
     assert earlier.get() is False
 
 
+def test_server_that_answers_what_was_sent_after_its_end_is_probed_again():
+    detector, probe = make_detector(True, False, False)
+    assert detector.has_crashed(SERVER)
+    ended_ms = probe.clock.now_ms()
+    detector.record_alive(SERVER, sent_ms=ended_ms)
+    assert probe.answers == [False, False] and detector.has_crashed(SERVER)
+    detector.record_alive(SERVER, sent_ms=ended_ms + 1)
+    assert not detector.has_crashed(SERVER)
+
+
 def test_leaving_server_is_not_probed():
     detector, probe = make_detector(True, is_live=False)
     assert detector.has_crashed(SERVER) is False
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -239,6 +239,23 @@
     assert bench.site.gateways[0].links.detours.verdicts["open"] > 0
 
 
+# Guards against all answers of a server being broken off after it had once been taken for ended.
+@pytest.mark.parametrize("path", STREAMS)
+def test_answers_of_a_server_that_was_wrongly_taken_for_ended_are_complete(make_bench, path):
+    bench = make_bench("llm", lambda request: Script(continue_stream(request)))
+    detector = bench.site.gateways[0].guard._crash_detector
+    refuses = detector._refuses
+    detector._refuses = lambda server: True
+    bench.ask(path, **tokens(LAST))
+    detector._refuses = refuses
+    assert detector._ended
+    replies = [bench.ask(path, **tokens(LAST)) for _ in range(4)]
+    assert all(reply.is_whole for reply in replies)
+    bodies = {reply.body for reply in replies}
+    assert bodies == {b"".join(make_events(1, LAST))}
+    assert bench.site.gateways[0].quarantine.list_accused() == []
+
+
 # Guards against the check for a crash opening connections while the server is running.
 def test_check_for_a_crash_reuses_connections(make_bench):
     bench = make_bench("llm", lambda request: Script(continue_stream(request)))
