Let a prompt part end runners in the soak

The part is sent five times a second to any gateway, each time with another content, beside the content that ends runners.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,7 +19,7 @@
 )
 from tests.soak.limiting import LimitDriver
 from tests.soak.moving import RolloutDriver
-from tests.soak.world import CRASHING_CONTENT, GATEWAYS, MARKER, SoakWorld
+from tests.soak.world import CRASHING_CONTENT, CRASHING_PART, GATEWAYS, MARKER, SoakWorld
 
 CALLERS = 6
 PAUSE_S = (0.0, 0.25)
@@ -27,6 +27,7 @@
 STREAM_EVENTS = 30
 PATHS = ("/hold/x", "/check/x", "/draft/x", "/reply/x", "/open/x", "/frail/x")
 CRASHING_PATH = "/frail/deadly"
+CRASHING_PART_PATH = "/frail/part"
 CRASHING_PAUSE_S = 0.2
 MOVED_PATH = "/moved/x"
 MOVED_PAUSE_S = 0.02
@@ -88,8 +89,9 @@
         self._threads.append(threading.Thread(target=self.rollout_driver.run, args=(self._stop,)))
         rng = random.Random(f"{seed}/moved")
         self._threads.append(threading.Thread(target=self._call_moved_service, args=(rng,)))
-        rng = random.Random(f"{seed}/deadly")
-        self._threads.append(threading.Thread(target=self._send_crashing_content, args=(rng,)))
+        for path, name in ((CRASHING_PATH, "deadly"), (CRASHING_PART_PATH, "part")):
+            crashing = (path, name, random.Random(f"{seed}/{name}"))
+            self._threads.append(threading.Thread(target=self._send_crashing, args=crashing))
         self._threads.append(
             threading.Thread(target=world.replace_crashed_runners, args=(self._stop,))
         )
@@ -140,13 +142,13 @@
                 return
             last = call if call.events else last
 
-    def _send_crashing_content(self, rng: random.Random) -> None:
-        """Repeatedly send content that crashes runners, to a random gateway each time."""
+    def _send_crashing(self, path: str, name: str, rng: random.Random) -> None:
+        """Repeatedly send requests that crash runners, to a random gateway each time."""
         turn = 0
         while not self._stop.wait(CRASHING_PAUSE_S):
             turn += 1
             gateway = rng.choice(GATEWAYS)
-            self.calls.append(make_call(self._world, {}, gateway, CRASHING_PATH, f"deadly-{turn}"))
+            self.calls.append(make_call(self._world, {}, gateway, path, f"{name}-{turn}"))
 
     def _call_moved_service(self, rng: random.Random) -> None:
         """Repeatedly call the service under rollout, at a random gateway each time."""
@@ -218,6 +220,9 @@
     """Return the answer, or None if the connection failed before it arrived."""
     headers = {**tokens(STREAM_EVENTS), **fields} if path in STREAMS else {}
     body = CRASHING_CONTENT.encode() if path == CRASHING_PATH else b"{}"
+    if path == CRASHING_PART_PATH:
+        headers = tokens(STREAM_EVENTS, f"aa:100,{CRASHING_PART}:10,{request_id}:10")
+        body = request_id.encode()
     try:
         connection = connections.pop(gateway, None) or _connect(world, gateway)
         connection.sendall(make_request(path, request_id, key=KEY, body=body, **headers))
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from tests.limit_checks import Arrival, Told, find_excesses
-from tests.soak.callers import AT_MOST_ONCE, CRASHING_PATH, SUCCESS, Call
+from tests.soak.callers import AT_MOST_ONCE, CRASHING_PART_PATH, CRASHING_PATH, SUCCESS, Call
 from tests.soak.limiting import LimitedRunner
 from tests.soak.moving import SETTLE_S as ROLLBACK_SETTLE_S
 from tests.soak.moving import Rollout
@@ -14,7 +14,9 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 MS_PER_SECOND = 1_000
-MIN_CRASHES, MAX_RETRIES = 3, 3
+MIN_CRASHES = {CRASHING_PATH: 3, CRASHING_PART_PATH: 5}
+"""Crashes after which requests to a path may be sent `MAX_RETRIES` more times."""
+MAX_RETRIES = 3
 SETTLE_S = 5.0
 """Time after the crash that completes `MIN_CRASHES` within which every gateway has the content
 quarantined."""
@@ -35,7 +37,11 @@
         *_check_runs(calls, counts),
         *_check_revisions(calls),
         *_check_duties(cloud_calls),
-        *_check_quarantine(calls, counts),
+        *(
+            fault
+            for path, crashes in MIN_CRASHES.items()
+            for fault in _check_quarantine(calls, counts, path, crashes)
+        ),
         *_check_limits(calls, limited),
         *(_check_rollout(calls, runs, move) if move is not None else ()),
     ]
@@ -115,17 +121,19 @@
                 yield f"usage window with two counts: {call}, earlier {windows[window]}"
 
 
-def _check_quarantine(calls: list[Call], counts: Counter) -> Iterator[str]:
-    """Check that content that crashed three servers is sent at most three more times."""
-    deadly = [call for call in calls if call.path == CRASHING_PATH]
+def _check_quarantine(
+    calls: list[Call], counts: Counter, path: str, min_crashes: int
+) -> Iterator[str]:
+    """Check that requests that crashed `min_crashes` servers are sent at most three more times."""
+    deadly = [call for call in calls if call.path == path]
     runs = [call for call in deadly for _ in range(counts[call.request_id])]
     runs.sort(key=lambda one: one.ended_s)
-    if len(runs) < MIN_CRASHES:
+    if len(runs) < min_crashes:
         return
-    deadline_s = runs[MIN_CRASHES - 1].ended_s + SETTLE_S
+    deadline_s = runs[min_crashes - 1].ended_s + SETTLE_S
     late = [call for call in runs if call.began_s > deadline_s]
     if len(late) > MAX_RETRIES:
-        yield f"crashing content sent {len(late)} more times after {len(runs)} crashes: {late}"
+        yield f"requests to {path} sent {len(late)} more times after {len(runs)} crashes: {late}"
 
 
 def _check_limits(calls: list[Call], limited: Sequence[LimitedRunner]) -> Iterator[str]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -28,6 +28,8 @@
 """Services whose runners have no link and get none of the injected faults."""
 FRAIL_ROUTE = {"kind": "idempotent", "service": FRAIL, "max_attempts": 2}
 CRASHING_CONTENT = "this content ends its server"
+CRASHING_PART = "dead"
+"""Identifier of a prompt part that ends the runners of the frail service."""
 """Content that crashes each runner of the frail service that runs it. These runners have no links:
 a refused connection tells a crashed server from a lost answer, and a link would accept it."""
 FRAIL_POLL_INTERVAL_S = 0.05
@@ -166,6 +168,7 @@
                 settings["version"] = version
             if service == FRAIL:
                 settings["ends_on"] = CRASHING_CONTENT
+                settings["ends_on_part"] = CRASHING_PART
             program = self.cluster.launch(name, [STANDIN, "runner"], settings)
             runner = SoakRunner(name, service, program, version)
             self.runners.append(runner)
