--- a/tests/part_replay.py
+++ b/tests/part_replay.py
@@ -15,8 +15,9 @@
 
 import structlog
 
+from hemlockswitch.process.gateway.watch_guard import StoreView
 from hemlockswitch.request.fingerprint import hash_part
-from tests.crash_gateways import Setting
+from tests.crash_gateways import REPORT_MS, Setting
 from tests.crash_replay import LENGTH_MS, Replay, _drop_line
 
 SERVICE = "llm"
@@ -74,8 +75,15 @@
             self.deadly_from_ms[part] = self.draws.uniform(FIRST_DEADLY_MS, LENGTH_MS / 2)
             if self.draws.random() < TURNED_SHARE:
                 self.turned.add(part)
+        self.near = {one.name: self._list_near(one) for one in self.gateways}
         self.served = defaultdict(Counter)  # by phase and popularity
 
+    def _list_near(self, gateway):
+        others = [one for one in self.gateways if one is not gateway]
+        if gateway.reports_by_zone:
+            return [one for one in others if one.zone == gateway.zone]
+        return others
+
     def _plan_faults(self):
         super()._plan_faults()
         if self.setting.has_waves and self.draws.random() < 0.5:
@@ -86,6 +94,15 @@
         for server in self.draws.sample(self.servers, count):
             self.at(self.draws.uniform(0, 1_000), self._end_server, server)
 
+    def _report(self, gateway):
+        """Report to the gateways of the zone only, as large fleets do."""
+        view = StoreView(held_digest=gateway.quarantine.hash_quarantined())
+        peer = SimpleNamespace(view=view, address=gateway.name)
+        for other in self.near[gateway.name]:
+            if not other.is_cut and not gateway.is_cut:
+                other.reports[gateway.name] = (peer, self.clock.now_ms())
+        self.at(REPORT_MS, self._report, gateway)
+
     # Requests
 
     def _draw_content(self, kind):
