Move trials of quarantined requests and answered parts to modules of their own

An answered part is tried every 200 s after its third trial, as many requests may need it. A gateway also tells that a part was answered if a peer reported the crash first. Both have a test.

--- a/hemlockswitch/request/quarantine.py
+++ b/hemlockswitch/request/quarantine.py
@@ -25,8 +25,8 @@
 import xxhash
 
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
+from hemlockswitch.request.answered_parts import AnsweredParts
 from hemlockswitch.request.attribution import (
-    MAX_UNEXPLAINED,
     Accusation,
     Crashes,
     attribute_crashes,
@@ -34,6 +34,7 @@
 )
 from hemlockswitch.request.fingerprint import is_part
 from hemlockswitch.request.suspects import ANSWERED, Suspect, SuspectRecord
+from hemlockswitch.request.trials import find_trial_delay_ms, list_tested, order_causes
 
 MIN_CRASHES = 3
 """Number of unexplained crashes at which a trait is quarantined. A single crash is weak evidence, as it counts
@@ -42,16 +43,6 @@
 CAREFUL_CRASHES = MIN_CRASHES - 1
 """Number of unexplained crashes from which a request is sent to the server with the fewest requests in
 progress: the next crash may be the one that quarantines it."""
-TRIAL_INTERVALS_MS = (2_000.0, 20_000.0, 200_000.0)
-"""Time from the last crash or trial to the next trial. The first trial comes when crashed servers have
-restarted, and lets a harmless content through while its caller still waits. A harmful content costs a
-server at every trial, so trials are few and their intervals increase."""
-EXPLAINED_TRIAL_INTERVAL_MS = 2_000.0
-"""Time between two trials of traits whose crashes other quarantined traits would explain as well."""
-MAX_EXPLAINED_TRIALS = 3
-"""Number of trials after which traits are tried at `TRIAL_INTERVALS_MS` only."""
-MAX_ANSWERED_PARTS = 4_096
-"""Number of prompt parts that are remembered as answered; the least recently answered are dropped."""
 MAX_SUSPECTS = 4_096
 """Limits memory: a trait takes about a kilobyte. Those with the fewest and oldest crashes are evicted
 first."""
@@ -117,10 +108,9 @@
         self._by_server: dict[str, set[str]] = defaultdict(set)
         self._crashed_ms: dict[str, float] = {}  # when the crash of a server was recorded
         self._unsent: set[str] = set()
-        self._answered_parts: dict[str, None] = {}  # the least recently answered first
-        self._evictable: list[tuple[tuple[int, float], str]] = (
-            []
-        )  # the lowest ranks when last listed
+        self._answered_parts = AnsweredParts()
+        # The lowest ranks when they were last listed.
+        self._evictable: list[tuple[tuple[int, float], str]] = []
 
     @property
     def is_empty(self) -> bool:
@@ -152,56 +142,14 @@
                 len(find_unexplained(one.counted, [trait], causes)) >= CAREFUL_CRASHES
                 for trait, one in suspects.items()
             ),
-            trial_in_ms=self._find_trial_ms(held or suspects),
+            trial_in_ms=find_trial_delay_ms(held or suspects, causes, now_ms),
             expires_in_ms=max(max(one.expires_ms - now_ms, 0.0) for one in shown),
-            held=tuple(sorted(held, key=self._order_cause)),
+            held=order_causes(held),
         )
 
-    def _order_cause(self, trait: str) -> tuple[bool, bool, int, str]:
-        """Return the sort key of a quarantined trait; the likeliest part comes first, contents come last.
-
-        Many contents may share a part, and must not be tried at the same time.
-        """
-        suspect = self._suspects[trait]
-        return not is_part(trait), suspect.was_answered, -len(suspect.counted), trait
-
     def list_tested(self, held: Iterable[str]) -> list[str]:
-        """Return those of a request's quarantined traits that a trial of the request tests.
-
-        If the request has an unanswered part, its crash says little about the answered ones; requests without the
-        unanswered part test them.
-        """
-        likely = [one for one in held if not self._is_answered_part(one)]
-        return likely if any(is_part(one) for one in likely) else list(held)
-
-    def _is_answered_part(self, trait: str) -> bool:
-        return is_part(trait) and self._suspects[trait].was_answered
-
-    def _find_trial_ms(self, suspects: dict[str, Suspect]) -> float | None:
-        """Return the time until traits may be tried together, or None if any of them has no trials left."""
-        now_ms = self._clock.now_ms()
-        if self._are_explained(suspects):
-            tried_ms = max(one.tried_ms for one in suspects.values())
-            return max(tried_ms + EXPLAINED_TRIAL_INTERVAL_MS - now_ms, 0.0)
-        if any(one.trials >= len(TRIAL_INTERVALS_MS) for one in suspects.values()):
-            return None
-        due_ms = max(one.changed_ms + TRIAL_INTERVALS_MS[one.trials] for one in suspects.values())
-        return max(due_ms - now_ms, 0.0)
-
-    def _are_explained(self, suspects: dict[str, Suspect]) -> bool:
-        """Return whether other quarantined traits would explain the crashes of these.
-
-        Contents do not explain those of a part: the contents with a deadly part would.
-        """
-        causes = self._find_causes()
-        if max(one.trials for one in suspects.values()) >= MAX_EXPLAINED_TRIALS:
-            return False
-        if any(is_part(trait) for trait in suspects):
-            causes = {trait: crashes for trait, crashes in causes.items() if is_part(trait)}
-        return all(
-            len(find_unexplained(one.counted, suspects, causes)) <= MAX_UNEXPLAINED
-            for one in suspects.values()
-        )
+        """Return those of a request's quarantined traits that a trial of the request tests."""
+        return list_tested({trait: self._suspects[trait] for trait in held})
 
     def _find_causes(self) -> dict[str, Crashes]:
         """Return the quarantined traits with their crashes."""
@@ -220,17 +168,14 @@
             self._unsent.add(fingerprint)
         suspect = self._suspects[fingerprint]
         suspect.was_seen_here = True
-        if fingerprint in self._answered_parts:
+        if fingerprint in self._answered_parts and not suspect.was_answered:
             suspect.excused.add(ANSWERED)
+            self._unsent.add(fingerprint)
             self._update_accused(fingerprint)
 
     def record_answered_parts(self, fingerprints: Iterable[str]) -> None:
         """Remember that requests with these prompt parts have been answered, in case servers crash later."""
-        for fingerprint in fingerprints:
-            self._answered_parts.pop(fingerprint, None)
-            self._answered_parts[fingerprint] = None
-        while len(self._answered_parts) > MAX_ANSWERED_PARTS:
-            del self._answered_parts[next(iter(self._answered_parts))]
+        self._answered_parts.record(fingerprints)
 
     def was_seen_here(self, fingerprint: str) -> bool:
         """Return whether this daemon itself saw a server crash while the trait was in progress."""
--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -7,15 +7,11 @@
 from hypothesis import strategies as st
 
 from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.request.answered_parts import MAX_ANSWERED_PARTS
 from hemlockswitch.request.attribution import Accusation, attribute_crashes
-from hemlockswitch.request.quarantine import (
-    EXPLAINED_TRIAL_INTERVAL_MS,
-    MAX_ANSWERED_PARTS,
-    MIN_CRASHES,
-    TRIAL_INTERVALS_MS,
-    Quarantine,
-)
+from hemlockswitch.request.quarantine import MIN_CRASHES, Quarantine
 from hemlockswitch.request.suspects import ANSWERED, SuspectRecord
+from hemlockswitch.request.trials import EXPLAINED_TRIAL_INTERVAL_MS, TRIAL_INTERVALS_MS
 
 SERVERS = [f"s{number}" for number in range(9)]
 TRAITS = ["part-deadly", "part-shared", "part-rare", "other"]
@@ -151,6 +147,27 @@
     assert quarantine.list_tested(["part-shared"]) == ["part-shared"]
 
 
+def test_answered_part_is_tried_again_after_its_last_interval(clock, quarantine):
+    """Guards against a popular part that is refused for an hour, as servers crashed during its trials."""
+    quarantine.record_answered_parts(["part-shared"])
+    for part in ("part-shared", "part-deadly"):
+        crash(quarantine, part)
+        for number in range(1, 5):
+            quarantine.record_trial(part, number)
+    assert quarantine.judge(("part-shared",)).trial_in_ms == TRIAL_INTERVALS_MS[-1]
+    assert quarantine.judge(("part-deadly",)).trial_in_ms is None
+
+
+def test_gateway_tells_that_a_part_was_answered_if_a_peer_reported_the_crash_first(clock):
+    one, other = Quarantine(clock), Quarantine(clock)
+    one.record_answered_parts(["part-shared"])
+    one.merge(SuspectRecord("part-shared", ("s0",)))
+    one.record_crash("part-shared", "s0")
+    for record in one.pop_unsent():
+        other.merge(record)
+    assert other.get_record("part-shared").excused == (ANSWERED,)
+
+
 def test_request_with_explained_crashes_needs_no_careful_placement(quarantine):
     crash(quarantine, "part-deadly", count=4)
     crash(quarantine, "part-shared", count=2)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -16,7 +16,7 @@
 import pytest
 
 from hemlockswitch.process.quarantine.quarantine_store import HELD_KIND
-from hemlockswitch.request.quarantine import TRIAL_INTERVALS_MS
+from hemlockswitch.request.trials import TRIAL_INTERVALS_MS
 from hemlockswitch.standin.runner import RunnerFaults, make_seal
 from tests.crashing_runners import DEADLY, CrashingSite
 from tests.gateway_site import make_entry, make_manifest, tokens
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,10 +11,10 @@
     MAX_SERVERS_PER_SUSPECT,
     MAX_SUSPECTS,
     MIN_CRASHES,
-    TRIAL_INTERVALS_MS,
     Quarantine,
 )
 from hemlockswitch.request.suspects import CLEARED_RETENTION_MS, SUSPECT_RETENTION_MS, SuspectRecord
+from hemlockswitch.request.trials import TRIAL_INTERVALS_MS
 
 CONTENT = "content"
 SERVERS = [f"s{number}" for number in range(8)]
--- a/tests/test_quarantine_at_entry.py
+++ b/tests/test_quarantine_at_entry.py
@@ -18,12 +18,9 @@
 from hemlockswitch.process.quarantine.guard import QUARANTINED_LOAD_INTERVAL_MS, Guard
 from hemlockswitch.process.quarantine.quarantine_store import QuarantineStore
 from hemlockswitch.process.quarantine.suspect_gossip import SUSPECT_PREFIX, SuspectGossip
-from hemlockswitch.request.quarantine import (
-    MIN_CRASHES,
-    TRIAL_INTERVALS_MS,
-    Quarantine,
-)
+from hemlockswitch.request.quarantine import MIN_CRASHES, Quarantine
 from hemlockswitch.request.suspects import SUSPECT_RETENTION_MS
+from hemlockswitch.request.trials import TRIAL_INTERVALS_MS
 from tests import test_relay, test_service_calls
 from tests.guards import ALONE, make_guard
 from tests.memory_store import MemoryStore
--- a/tests/test_quarantine_store.py
+++ b/tests/test_quarantine_store.py
@@ -15,11 +15,9 @@
     MAX_LIST_LAG_MS,
     QuarantineStore,
 )
-from hemlockswitch.request.quarantine import (
-    TRIAL_INTERVALS_MS,
-    Quarantine,
-)
+from hemlockswitch.request.quarantine import Quarantine
 from hemlockswitch.request.suspects import SUSPECT_RETENTION_MS, SuspectRecord
+from hemlockswitch.request.trials import TRIAL_INTERVALS_MS
 from tests.memory_store import MemoryStore
 
 CONTENT = "content"
