Send a request that was released while it waited for the permission for its trial

Such a request was refused with 503, an empty reason and no trait that is held back: the quarantine was asked again after the refused permission, but the answer was taken for a refusal. The test fails on the old code.

--- a/hemlockswitch/process/quarantine/guard.py
+++ b/hemlockswitch/process/quarantine/guard.py
@@ -154,6 +154,8 @@
                 self._peers.publish_changes()
                 return Clearance.TRIAL
             status = self._quarantine.judge(status.held)
+            if not status.is_quarantined:
+                return Clearance.CAREFUL
         raise RequestError(
             ErrorKind.QUARANTINED,
             self._quarantine.explain(status.held),
--- a/tests/test_quarantine_at_entry.py
+++ b/tests/test_quarantine_at_entry.py
@@ -16,7 +16,7 @@
 from hemlockswitch.process.gossip.state import GossipItem, GossipState
 from hemlockswitch.process.quarantine import guard as guard_module
 from hemlockswitch.process.quarantine.guard import QUARANTINED_LOAD_INTERVAL_MS, Guard
-from hemlockswitch.process.quarantine.quarantine_store import QuarantineStore
+from hemlockswitch.process.quarantine.quarantine_store import QuarantineStore, TrialOutcome
 from hemlockswitch.process.quarantine.suspect_gossip import SUSPECT_PREFIX, SuspectGossip
 from hemlockswitch.request.quarantine import MIN_CRASHES, Quarantine
 from hemlockswitch.request.suspects import SUSPECT_RETENTION_MS
@@ -70,6 +70,20 @@
     make_relay_bench(guard).run()
 
 
+def test_request_released_while_it_waited_for_its_trial_is_sent(clock):
+    guard = make_guard(clock, ended={"llm-1", "llm-2", "llm-3", "llm-4"})
+    with pytest.raises(RequestError):
+        make_relay_bench(guard, *[{0: CUT}] * 20).run()
+    clock.advance(TRIAL_INTERVALS_MS[0])
+
+    def release(traits):
+        guard._quarantine.record_answer(traits[0])
+        return TrialOutcome(False, "another trial has started")
+
+    guard._store.request_trial = release
+    make_relay_bench(guard).run()
+
+
 def test_lost_connections_to_live_engines_quarantine_nothing(clock):
     guard = make_guard(clock)
     with pytest.raises(RequestError):
