--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -56,6 +56,13 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (max_files, hard))
 
 
+def write_settings(path: Path, settings: dict[str, Any]) -> None:
+    """Replace a settings file in one step, as a program may read it at any moment."""
+    written = path.with_suffix(".new")
+    written.write_text(json.dumps(settings))
+    written.replace(path)
+
+
 class Program:
     """One running program of the project.
 
@@ -82,7 +89,7 @@
         self.settings = settings
         self._addresses: dict[str, str] = {}
         settings_file = folder / f"{name}.json"
-        settings_file.write_text(json.dumps(settings))
+        write_settings(settings_file, settings)
         self.output_file = folder / f"{name}.out"
         self.log_file = folder / f"{name}.log"
         with self.output_file.open("wb") as output, self.log_file.open("ab") as log:
