--- a/tests/test_part_replay.py
+++ b/tests/test_part_replay.py
@@ -1,6 +1,6 @@
 """Some seeds of the replay of prompt parts that crash servers; `tests.part_replay` runs more by hand.
 
-Without the quarantine the first five seeds crash 90 to 213 servers, and serve 0.01 to 0.59 of the sound requests.
+Without the quarantine the first five seeds crash 96 to 214 servers, and serve 0.01 to 0.59 of the sound requests.
 """
 
 import pytest
