--- a/hemlockswitch/request/fingerprint.py
+++ b/hemlockswitch/request/fingerprint.py
@@ -16,6 +16,8 @@
 """Distinguishes the fingerprints of prompt parts from those of contents."""
 MAX_CACHED_PARTS = 4_096
 """Number of prompt parts whose fingerprints are cached: requests share most of their parts."""
+MAX_CACHED_CHARACTERS = 64
+"""Longest identifier that is cached: callers choose identifiers, and could fill the memory with long ones."""
 LENGTH_BYTES = 4
 """Each part is prefixed with its length, so that different lists of parts never give equal bytes."""
 
@@ -37,7 +39,6 @@
     return digest.hexdigest()[:HASH_CHARACTERS]
 
 
-@lru_cache(MAX_CACHED_PARTS)
 def hash_part(service: str, identifier: str) -> str:
     """Return the fingerprint of a prompt part, identical for all requests of a service that contain it.
 
@@ -47,9 +48,18 @@
     >>> hash_part("llm", "5c1e07a2") == hash_part("llm", "91bd3f06")
     False
     """
+    if len(identifier) > MAX_CACHED_CHARACTERS:
+        return _hash_part(service, identifier)
+    return _hash_cached_part(service, identifier)
+
+
+def _hash_part(service: str, identifier: str) -> str:
     return PART_PREFIX + hash_call(("part", service, identifier), b"")
 
 
+_hash_cached_part = lru_cache(MAX_CACHED_PARTS)(_hash_part)
+
+
 def is_part(fingerprint: str) -> bool:
     """Return whether a fingerprint is that of a prompt part."""
     return fingerprint.startswith(PART_PREFIX)
--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -7,8 +7,10 @@
 from hypothesis import strategies as st
 
 from hemlockswitch.core.clock import ManualClock
+from hemlockswitch.request import fingerprint
 from hemlockswitch.request.answered_parts import MAX_ANSWERED_PARTS
 from hemlockswitch.request.attribution import Accusation, attribute_crashes
+from hemlockswitch.request.fingerprint import hash_part, is_part
 from hemlockswitch.request.quarantine import MIN_CRASHES, Quarantine
 from hemlockswitch.request.suspects import ANSWERED, SuspectRecord
 from hemlockswitch.request.trials import EXPLAINED_TRIAL_INTERVAL_MS, TRIAL_INTERVALS_MS
@@ -168,6 +170,14 @@
     assert other.get_record("part-shared").excused == (ANSWERED,)
 
 
+def test_long_identifiers_of_parts_are_not_cached():
+    """Guards against a caller that fills the memory of a gateway with identifiers of thousands of characters."""
+    identifier = "f" * 10_000
+    cached = fingerprint._hash_cached_part.cache_info().currsize
+    assert is_part(hash_part("llm", identifier))
+    assert fingerprint._hash_cached_part.cache_info().currsize == cached
+
+
 def test_request_with_explained_crashes_needs_no_careful_placement(quarantine):
     crash(quarantine, "part-deadly", count=4)
     crash(quarantine, "part-shared", count=2)
