--- a/hemlockswitch/process/gateway/exposure.py
+++ b/hemlockswitch/process/gateway/exposure.py
@@ -1,44 +1,79 @@
 """What a gateway shows to operators: the fields of its status page, and the sources of its metrics."""
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from hemlockswitch.connection.forward_server import ForwardServer
 from hemlockswitch.connection.status_page import StatusPage
+from hemlockswitch.process.gateway.duties import DutyRunner
+from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.followed_objects import FollowedObjects
+from hemlockswitch.process.gateway.observation import GatewayObserver
+from hemlockswitch.process.gateway.permits import Permits
+from hemlockswitch.process.gateway.reachability import Reachability
+from hemlockswitch.process.gateway.registry import ServerRegistry
+from hemlockswitch.process.gateway.rollouts import Rollouts
+from hemlockswitch.process.gateway.server_links import ServerLinks
+from hemlockswitch.process.gateway.service_models import ServiceModels
+from hemlockswitch.process.gateway.stream_versions import StreamVersions
+from hemlockswitch.process.quarantine.guard import Guard
+from hemlockswitch.request.quarantine import Quarantine
+from hemlockswitch.version.gateway_settings import GatewaySettings
 
-if TYPE_CHECKING:
-    from hemlockswitch.process.gateway.daemon import GatewayDaemon
 
+class GatewayParts(Protocol):
+    """The parts of a gateway whose state operators see."""
 
-def build_status_page(daemon: "GatewayDaemon") -> StatusPage:
+    settings: GatewaySettings
+    callers: ForwardServer
+    duties: DutyRunner | None
+    fleet: Fleet
+    followed: FollowedObjects
+    guard: Guard
+    links: ServerLinks
+    models: ServiceModels
+    observer: GatewayObserver
+    permits: Permits
+    quarantine: Quarantine
+    reachability: Reachability
+    registry: ServerRegistry
+    rollouts: Rollouts
+    streams: StreamVersions
+
+    def is_ready(self) -> bool:
+        """Return whether the gateway is ready for callers."""
+
+
+def build_status_page(gateway: GatewayParts) -> StatusPage:
     """Return the status page of a gateway."""
     status = StatusPage()
-    status.add("name", lambda: daemon.settings.name)
-    status.add("ready", daemon.is_ready)
-    status.add("configuration", daemon.followed.describe_configuration)
-    status.add("followed", daemon.followed.describe)
-    status.add("gateways", daemon.fleet.describe)
-    status.add("links", daemon.links.describe)
-    status.add("models", daemon.models.describe)
-    status.add("backend_servers", lambda: len(daemon.registry.list_all()))
-    status.add("quarantine", daemon.quarantine.describe)
-    status.add("limited_servers", daemon.permits.describe)
-    status.add("brittle_servers", daemon.permits.slots.brittle.describe)
-    status.add("streams", daemon.streams.describe)
-    status.add("leads", lambda: daemon.duties is not None and daemon.duties.leads)
-    status.add("rollouts", daemon.rollouts.describe)
+    status.add("name", lambda: gateway.settings.name)
+    status.add("ready", gateway.is_ready)
+    status.add("configuration", gateway.followed.describe_configuration)
+    status.add("followed", gateway.followed.describe)
+    status.add("gateways", gateway.fleet.describe)
+    status.add("links", gateway.links.describe)
+    status.add("models", gateway.models.describe)
+    status.add("backend_servers", lambda: len(gateway.registry.list_all()))
+    status.add("quarantine", gateway.quarantine.describe)
+    status.add("limited_servers", gateway.permits.describe)
+    status.add("brittle_servers", gateway.permits.slots.brittle.describe)
+    status.add("streams", gateway.streams.describe)
+    status.add("leads", lambda: gateway.duties is not None and gateway.duties.leads)
+    status.add("rollouts", gateway.rollouts.describe)
     return status
 
 
-def connect_metrics(daemon: "GatewayDaemon") -> None:
+def connect_metrics(gateway: GatewayParts) -> None:
     """Let the metrics of a gateway read the state that they show."""
-    metrics = daemon.observer.metrics
-    metrics.guard = daemon.guard.counts
-    metrics.measure_ages = daemon.followed.measure_ages
-    metrics.permits = daemon.permits.verdicts
-    metrics.slot_permits = daemon.permits.slots.verdicts
-    metrics.resumed_streams = daemon.streams.origins
-    metrics.tunnels = daemon.links.detours.verdicts
-    metrics.count_brittle = daemon.permits.slots.brittle.count_limited
-    metrics.count_callers = lambda: len(daemon.callers.sessions)
-    metrics.is_isolated = lambda: daemon.reachability.isolation.is_isolated
-    metrics.count_limited = daemon.permits.limits.count_limited
-    metrics.describe_rollouts = daemon.rollouts.count_answers
+    metrics = gateway.observer.metrics
+    metrics.guard = gateway.guard.counts
+    metrics.measure_ages = gateway.followed.measure_ages
+    metrics.permits = gateway.permits.verdicts
+    metrics.slot_permits = gateway.permits.slots.verdicts
+    metrics.resumed_streams = gateway.streams.origins
+    metrics.tunnels = gateway.links.detours.verdicts
+    metrics.count_brittle = gateway.permits.slots.brittle.count_limited
+    metrics.count_callers = lambda: len(gateway.callers.sessions)
+    metrics.is_isolated = lambda: gateway.reachability.isolation.is_isolated
+    metrics.count_limited = gateway.permits.limits.count_limited
+    metrics.describe_rollouts = gateway.rollouts.count_answers
