Print the message of each failed test at the end of the test run

Only the end of that output is kept, so what the scenario saw was lost. The messages of failed tests now stand beside their names.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,28 +16,44 @@
 REPORTS = ROOT / "reports"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 3
+MAX_MESSAGE_CHARS = 2_000
 PARALLEL_FEATURES = 3
 """Features run in parallel because they mostly wait for time-outs; each has its own processes and ports."""
 
 
 @dataclass
 class Totals:
-    """Counts over all test runners, with the names of failed tests."""
+    """Counts over all test runners, with the names of failed tests and their messages."""
 
     passed: int = 0
     failed: list[str] = field(default_factory=list)
+    messages: dict[str, str] = field(default_factory=dict)
 
 
 def read_report(path: Path, totals: Totals) -> None:
     """Add the results of one JUnit file to `totals`."""
     for case in ElementTree.parse(path).getroot().iter("testcase"):
         name = f"{case.get('classname')}: {case.get('name')}"
-        if case.find("failure") is not None or case.find("error") is not None:
+        fault = find_fault(case)
+        if fault is not None:
             totals.failed.append(name)
+            totals.messages[name] = describe_fault(fault)
         elif case.find("skipped") is None:
             totals.passed += 1
 
 
+def find_fault(case: ElementTree.Element) -> ElementTree.Element | None:
+    """Return the element that says why a test case failed; None if it did not fail."""
+    failure = case.find("failure")
+    return failure if failure is not None else case.find("error")
+
+
+def describe_fault(fault: ElementTree.Element) -> str:
+    """Return the start of a failure's message, which names the failed check."""
+    message = fault.get("message") or fault.text or ""
+    return message.strip()[:MAX_MESSAGE_CHARS]
+
+
 def read_known_red() -> list[str]:
     """Return the names of the tests listed in KNOWN-RED.txt."""
     if not KNOWN_RED.exists():
@@ -87,6 +103,7 @@
     unexpected = [name for name in totals.failed if name not in known]
     for name in totals.failed:
         print("known red:" if name in known else "failed:", name)
+        print(totals.messages[name])
     broken = max(unit_code, feature_code) and not totals.failed
     if broken:
         print("a runner failed without naming a test")
