Count each attempt to hand a generation over, so that the newest copy of its state wins

Cause: copies are ordered by hops, and copies of different age had the same number. A handover whose answers were lost is repeated after the relay went on, with the same hops, and the receiver kept its first copy. A stored state was forwarded with one hop more, so that a copy that was forwarded while a daemon took the state ranked with the next handover of that daemon. Ruled out: the order of queries at the resuming daemon; the copies themselves had equal hops. Now each attempt counts, and forwarding does not, since it changes nothing in the state. Both tests fail without the change.

--- a/hemlockswitch/process/handover/handover.py
+++ b/hemlockswitch/process/handover/handover.py
@@ -133,13 +133,15 @@
         pool.join()
 
     def _forward(self, state: GenerationState, hops: int) -> None:
-        if self._send(state, hops + 1):
+        # The copy is as old as the stored state: only a daemon that relayed it has a newer one.
+        if self._send(state, hops):
             self._store.remove(state.request_id)
 
     def _hand_over(self, generation: Generation) -> bool:
         """Send a generation whose relay has stopped to a peer; return whether one accepted it."""
-        state = generation.export_state(self._clock)
-        done = self._send(state, generation.hops + 1)
+        # A copy of an earlier handover, whose answer was lost, has fewer tokens and fewer hops.
+        generation.hops += 1
+        done = self._send(generation.export_state(self._clock), generation.hops)
         self.moved += done
         self.failed += not done
         self._count("handed_over" if done else "kept")
--- a/hemlockswitch/process/handover/messages.py
+++ b/hemlockswitch/process/handover/messages.py
@@ -17,8 +17,8 @@
     ==========
 
     state : the fields of a `GenerationState`.
-    hops : how many times the generation has moved between daemons, including this time; of two
-        copies the one with more hops is newer.
+    hops : how often a daemon that relayed the generation has tried to hand it over, including this
+        time; of two copies the one with more hops is newer.
     """
 
     state: dict[str, Any]
--- a/hemlockswitch/request/generation.py
+++ b/hemlockswitch/request/generation.py
@@ -104,7 +104,7 @@
     trace_parent, attempt_parent : trace headers of the caller and of the attempt.
     finish_event : the last event, set when the answer is complete.
     earlier_ids : stream ids of earlier attempts.
-    hops : number of times that another daemon has taken over the generation.
+    hops : number of attempts to hand the generation over; of two copies the one with more is newer.
     """
 
     request_id: str
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,7 +12,12 @@
 from hemlockswitch.connection.callers import CallerRequest
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.core.errors import ErrorKind, PeerError, RequestError
-from hemlockswitch.process.handover.handover import Handover, HandoverMember, rank_receivers
+from hemlockswitch.process.handover.handover import (
+    ATTEMPTS_PER_RECEIVER,
+    Handover,
+    HandoverMember,
+    rank_receivers,
+)
 from hemlockswitch.process.handover.messages import (
     ConfirmTake,
     FindState,
@@ -224,3 +229,23 @@
     assert events.startswith(b"id: req-1:1\ndata: ")
     assert events.endswith(b"\n\n") and events.count(b"\n\n") == 1
     assert b'"content": "b "' in events and b'"id": "req-1"' in events
+
+
+def test_a_repeated_handover_replaces_the_copy_of_an_earlier_one():
+    """Guards against a receiver that keeps the old copy of a handover whose answer was lost."""
+    peers = Peers("one", "two")
+    handover = peers.make_handover("one")
+    generation = Generation.from_state(STATE, peers.clock)
+    peers.lost = [HandOver] * ATTEMPTS_PER_RECEIVER
+    assert not handover._hand_over(generation)
+    generation.tokens.append(b"c ")
+    assert handover._hand_over(generation)
+    assert decode_state(take(peers.stores["two"], "one").state).tokens == (b"a ", b"b ", b"c ")
+
+
+def test_a_stored_state_is_forwarded_with_the_hops_it_has():
+    """Guards against a forwarded copy that outranks the handover of the daemon that took it."""
+    peers = Peers("one", "two")
+    peers.stores["one"].put("", MESSAGE)
+    peers.make_handover("one")._forward_stored()
+    assert peers.stores["two"].find("", FindState("req-1", "abdoun")).hops == MESSAGE.hops
