Keep a state that a leaving daemon took but cannot serve

Cause: a taker that hears no answer to its confirmation keeps a copy for the caller's next attempt, and the store of a leaving daemon refuses every new state. The holder had released it, so that no copy was left. The same happened to a state whose caller names a wrong position, with a 500. Both tests fail without the change.

--- a/hemlockswitch/process/handover/resuming.py
+++ b/hemlockswitch/process/handover/resuming.py
@@ -110,7 +110,7 @@
             start = _find_start(request, generation)
         except RequestError:
             # The caller may retry with a correct position; the state is now stored here.
-            self._store.put("", HandOver(taken.state, taken.hops + 1))
+            self._store.put_back(HandOver(taken.state, taken.hops + 1))
             raise
         done = len(generation.tokens)
         charged = count_tokens(generation.prompt) + done if done else 0
@@ -206,7 +206,7 @@
     def _keep_copy(self, taken: StateTaken) -> None:
         """Store a state that its holder may have released, for the caller's next attempt."""
         try:
-            self._store.put("", HandOver(taken.state, taken.hops))
+            self._store.put_back(HandOver(taken.state, taken.hops))
         except PeerError as error:
             log_event(Event.STATE_COPY_REFUSED, "error", detail=error.detail)
 
--- a/hemlockswitch/process/handover/state_store.py
+++ b/hemlockswitch/process/handover/state_store.py
@@ -88,9 +88,19 @@
 
         PeerError : this daemon is leaving too, or stores too many; the sender still owns it.
         """
-        state = decode_state(message.state)
         if not self.accepting:
             raise PeerError(ErrorKind.LEAVING, "this daemon is leaving too")
+        return self.put_back(message)
+
+    def put_back(self, message: HandOver) -> HandedOver:
+        """Store a generation that this daemon took, also while it is leaving.
+
+        Raises
+        ======
+
+        PeerError : this daemon stores too many.
+        """
+        state = decode_state(message.state)
         known = self._states.get(state.request_id)
         if known is not None and known.hops >= message.hops:
             return HandedOver(state.request_id)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -231,6 +231,30 @@
     assert b'"content": "b "' in events and b'"id": "req-1"' in events
 
 
+def test_a_leaving_daemon_keeps_a_state_whose_confirmation_is_never_answered():
+    """Guards against a state that a leaving taker has given up after its holder released it."""
+    peers = Peers("one", "two", "three")
+    peers.stores["three"].put("", MESSAGE)
+    peers.stores["two"].accepting = False
+    peers.lost = [ConfirmTake] * MAX_ATTEMPTS
+    with pytest.raises(RequestError) as caught:
+        peers.make_resuming("two")._take("req-1", "abdoun")
+    assert caught.value.kind is ErrorKind.MOVED
+    assert find_holders(peers) == ["two"]
+
+
+def test_a_wrong_last_event_id_at_a_leaving_daemon_does_not_lose_the_state():
+    """Guards against a state that a leaving daemon takes and does not put back."""
+    peers = Peers("one", "two")
+    peers.stores["one"].put("", MESSAGE)
+    peers.stores["two"].accepting = False
+    request = CallerRequest("req-2", "GET", "/", headers={"last-event-id": "req-1:7"})
+    with pytest.raises(RequestError) as caught:
+        peers.make_resuming("two").resume(request, "abdoun", "req-1")
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+    assert find_holders(peers) == ["two"]
+
+
 def test_a_repeated_handover_replaces_the_copy_of_an_earlier_one():
     """Guards against a receiver that keeps the old copy of a handover whose answer was lost."""
     peers = Peers("one", "two")
