Report a request as unknown only if every leaving daemon has answered or been silent for 3 s

Now it counts as stopped after it has answered nothing for 3 s; until then the caller is asked to return. The cost: an unknown id gets 503 in place of 404 for 3 s after a leaving daemon ended. The test fails without the change.

--- a/hemlockswitch/process/handover/resuming.py
+++ b/hemlockswitch/process/handover/resuming.py
@@ -32,6 +32,7 @@
 MAX_QUERIED_PER_ZONE = 3
 MAX_QUERIED = 64
 MAX_ATTEMPTS = 3
+LEAVING_SILENCE_MS = 3_000.0
 RETRY_MS = 300
 LAST_EVENT_HEADER = "last-event-id"
 
@@ -57,6 +58,9 @@
     several copies the newest is taken, and the daemons with older copies discard them. The state
     is reserved, then confirmed, and only then served, so that exactly one daemon owns it.
 
+    A state is reported as unknown only if every daemon that may store it has answered. A leaving
+    daemon that has answered nothing for `LEAVING_SILENCE_MS` counts as stopped.
+
     Parameters
     ==========
 
@@ -93,6 +97,7 @@
         self._records = records
         self._answer = answer
         self._count = count
+        self._silent_since_ms: dict[str, float] = {}
 
     def resume(self, request: CallerRequest, account: str, resumed_id: str) -> CallerAnswer:
         """Return the remaining part of an earlier request's answer.
@@ -154,9 +159,8 @@
         queries = [(member, gevent.spawn(self._find_at, member, query)) for member in members]
         gevent.joinall([task for _, task in queries])
         answers = [(task.value, member) for member, task in queries]
-        # A leaving daemon that does not answer has most likely stopped, after handing over all.
         unresponsive = {
-            member.name for hops, member in answers if hops is None and not member.leaving
+            member.name for hops, member in answers if hops is None and self._may_run(member)
         }
         holders = [(hops, member) for hops, member in answers if hops]
         holders.sort(key=lambda holder: holder[0], reverse=True)
@@ -164,9 +168,18 @@
 
     def _find_at(self, member: HandoverMember, query: FindState) -> int | None:
         try:
-            return self._request(member, query).hops
+            hops = self._request(member, query).hops
         except PeerError:
             return None
+        self._silent_since_ms.pop(member.name, None)
+        return hops
+
+    def _may_run(self, member: HandoverMember) -> bool:
+        """Return whether a daemon that did not answer may still run and store states."""
+        if not member.leaving:
+            return True
+        now_ms = self._clock.now_ms()
+        return now_ms - self._silent_since_ms.setdefault(member.name, now_ms) < LEAVING_SILENCE_MS
 
     def _take_from(
         self, holders: list[tuple[int, HandoverMember]], request_id: str, account: str
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -27,6 +27,7 @@
     encode_state,
 )
 from hemlockswitch.process.handover.resuming import (
+    LEAVING_SILENCE_MS,
     MAX_ATTEMPTS,
     Resuming,
     render_events,
@@ -273,3 +274,18 @@
     peers.stores["one"].put("", MESSAGE)
     peers.make_handover("one")._forward_stored()
     assert peers.stores["two"].find("", FindState("req-1", "abdoun")).hops == MESSAGE.hops
+
+
+def test_a_state_is_not_reported_unknown_while_a_leaving_daemon_does_not_answer():
+    """Guards against 404 for a state that a slow, leaving daemon still stores."""
+    peers = Peers("one", "two")
+    peers.members = [replace(member, leaving=member.name == "one") for member in peers.members]
+    peers.gone = {"one"}
+    resuming = peers.make_resuming("two")
+    with pytest.raises(RequestError) as caught:
+        resuming._take("req-1", "abdoun")
+    assert caught.value.kind is ErrorKind.MOVED
+    peers.clock.advance(LEAVING_SILENCE_MS)
+    with pytest.raises(RequestError) as caught:
+        resuming._take("req-1", "abdoun")
+    assert caught.value.kind is ErrorKind.UNKNOWN_REQUEST
