--- a/hemlockswitch/process/handover/resuming.py
+++ b/hemlockswitch/process/handover/resuming.py
@@ -44,6 +44,20 @@
         """Return a permit; another daemon has already charged `tokens_charged` tokens of it."""
 
 
+class PositionError(RequestError):
+    """The caller's ``Last-Event-ID`` does not fit the state of the request.
+
+    Parameters
+    ==========
+
+    is_later : the event is later than the state, which may be an old copy.
+    """
+
+    def __init__(self, detail: str, *, is_later: bool = False) -> None:
+        super().__init__(ErrorKind.BAD_REQUEST, detail)
+        self.is_later = is_later
+
+
 AnswerRemaining = Callable[[Generation, CallerRequest, RequestRecord, bytes], CallerAnswer]
 
 
@@ -113,9 +127,8 @@
         generation.hops = taken.hops
         try:
             start = _find_start(request, generation)
-        except RequestError:
-            # The caller may retry with a correct position; the state is now stored here.
-            self._store.put_back(HandOver(taken.state, taken.hops + 1))
+        except PositionError as error:
+            self._release(FindState(resumed_id, account), taken, error)
             raise
         done = len(generation.tokens)
         charged = count_tokens(generation.prompt) + done if done else 0
@@ -125,6 +138,25 @@
         log_event(Event.GENERATION_RESUMED, request=resumed_id, position=start)
         return self._answer(generation, request, record, render_events(generation, start))
 
+    def _release(self, query: FindState, taken: StateTaken, error: PositionError) -> None:
+        """Store a state for the next attempt of a caller whose position does not fit it.
+
+        Raises
+        ======
+
+        RequestError : the caller names a later event, so that there may be a newer copy.
+        """
+        holders: list[tuple[int, HandoverMember]] = []
+        unresponsive: set[str] = set()
+        if error.is_later:
+            members = list(self._list_members())[:MAX_QUERIED]
+            holders, unresponsive = self._find_holders(query, members)
+        is_old_copy = any(hops > taken.hops for hops, _ in holders)
+        if not is_old_copy:
+            self._store.put_back(HandOver(taken.state, taken.hops))
+        if is_old_copy or unresponsive:
+            raise self._build_not_found_yet() from error
+
     def _take(self, request_id: str, account: str) -> StateTaken:
         query = FindState(request_id, account)
         members = list(self._list_members())
@@ -137,14 +169,18 @@
             unresponsive |= more_unresponsive
         if not holders and unresponsive:
             # The state may be at a daemon that did not answer, so it is not reported as lost.
-            detail = "state of the request not found yet: some daemons did not answer"
-            raise RequestError(ErrorKind.MOVED, detail, ran=Ran.UNKNOWN, retry_after_ms=RETRY_MS)
+            raise self._build_not_found_yet()
         if not holders:
             raise RequestError(
                 ErrorKind.UNKNOWN_REQUEST, "no request with this id is waiting to be resumed"
             )
         return self._take_from(holders, request_id, account)
 
+    @staticmethod
+    def _build_not_found_yet() -> RequestError:
+        detail = "state of the request not found yet: some daemons did not answer"
+        return RequestError(ErrorKind.MOVED, detail, ran=Ran.UNKNOWN, retry_after_ms=RETRY_MS)
+
     def _find_holders(
         self, query: FindState, members: list[HandoverMember]
     ) -> tuple[list[tuple[int, HandoverMember]], set[str]]:
@@ -185,16 +221,16 @@
         self, holders: list[tuple[int, HandoverMember]], request_id: str, account: str
     ) -> StateTaken:
         taker = make_identifier("take")
-        for _, member in holders:
+        newest_hops = holders[0][0]
+        for _, member in [holder for holder in holders if holder[0] == newest_hops]:
             try:
                 taken = self._request_with_retries(member, TakeState(request_id, account, taker))
             except PeerError:
                 continue
             if not self._confirm(member, ConfirmTake(request_id, taker), taken):
                 continue
-            for _, other in holders:
-                if other.name != member.name:
-                    gevent.spawn(self._drop_at, other, DropState(request_id, taken.hops + 1))
+            others = [other for _, other in holders if other.name != member.name]
+            self._drop_copies(others, DropState(request_id, taken.hops + 1))
             return taken
         detail = "state of the request could not be taken over"
         raise RequestError(ErrorKind.MOVED, detail, ran=Ran.UNKNOWN, retry_after_ms=RETRY_MS)
@@ -223,6 +259,14 @@
         except PeerError as error:
             log_event(Event.STATE_COPY_REFUSED, "error", detail=error.detail)
 
+    def _drop_copies(self, holders: list[HandoverMember], message: DropState) -> None:
+        """Discard older copies: an own one at once, since a newer one may be stored here next."""
+        for member in holders:
+            if member.name == self._name:
+                self._store.drop("", message)
+            else:
+                gevent.spawn(self._drop_at, member, message)
+
     def _drop_at(self, member: HandoverMember, message: DropState) -> None:
         try:
             self._request(member, message)
@@ -282,13 +326,9 @@
     named_id, _, position = last.rpartition(":")
     fits = position.isascii() and position.isdigit() and len(position) < 12
     if named_id != generation.request_id or not fits:
-        raise RequestError(
-            ErrorKind.BAD_REQUEST, "Last-Event-ID is not an event id of this request"
-        )
+        raise PositionError("Last-Event-ID is not an event id of this request")
     if int(position) >= len(generation.tokens):
-        raise RequestError(
-            ErrorKind.BAD_REQUEST, "Last-Event-ID names an event that was not sent yet"
-        )
+        raise PositionError("Last-Event-ID names an event that was not sent yet", is_later=True)
     return int(position) + 1
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -289,3 +289,26 @@
     with pytest.raises(RequestError) as caught:
         resuming._take("req-1", "abdoun")
     assert caught.value.kind is ErrorKind.UNKNOWN_REQUEST
+
+
+def test_an_older_copy_is_not_taken_while_the_newest_is_reserved():
+    """Guards against an answer that begins again from an older copy."""
+    peers = Peers("one", "two", "three")
+    peers.stores["one"].put("", MESSAGE)
+    peers.stores["three"].put("", replace(MESSAGE, hops=2))
+    take(peers.stores["three"], "another fetch")
+    with pytest.raises(RequestError) as caught:
+        peers.make_resuming("two")._take("req-1", "abdoun")
+    assert caught.value.kind is ErrorKind.MOVED
+
+
+def test_a_caller_that_is_ahead_of_an_old_copy_is_asked_to_return():
+    """Guards against 400 for a caller whose newest state is at a daemon that does not answer."""
+    peers = Peers("one", "two", "three")
+    peers.stores["one"].put("", MESSAGE)
+    peers.gone = {"three"}
+    request = CallerRequest("req-2", "GET", "/", headers={"last-event-id": "req-1:7"})
+    with pytest.raises(RequestError) as caught:
+        peers.make_resuming("two").resume(request, "abdoun", "req-1")
+    assert caught.value.kind is ErrorKind.MOVED
+    assert find_holders(peers) == ["two"]
