Use no server of a zone whose last daemon leaves

Seen in features/storm.feature: a call of a plain service got 502, outcome_unknown, while a whole zone was reclaimed. Cause, from the logs of that run: the daemon that remained never heard that service-khalda-hall-2 leaves (no line 301 for it), and its call there broke as the VM was killed, 1.5 s after the notice. Other zones learn of leaving servers by asking a live daemon of the zone. All daemons of this zone left together with their servers, so nobody was asked any more, and the last offer counted for 2 s. Ruled out: the handover of streams (98 of 98 whole), the claim (one run of the key), the outage of the object service (over for 2 s by then). Now the offer of a zone is withdrawn when its last daemon leaves or dies, and an answer to an earlier query does not bring it back. The cost: servers of a zone without daemons are left out up to 2 s sooner.

--- a/hemlockswitch/process/cluster_state.py
+++ b/hemlockswitch/process/cluster_state.py
@@ -125,6 +125,7 @@
             clock=self._clock,
             times=ProbeTimes.from_period(settings.probe_period_ms),
         )
+        self.membership.add_listener(self._handle_member)
         self.membership.start()
         spawn("freshness", self.freshness.run)
         watch_vms = Watcher("vm list", self.post, self.vms.query, VM_LIST_INTERVAL_MS, self._clock)
@@ -162,6 +163,10 @@
             self.membership.stop()
         self.network.stop()
 
+    def _handle_member(self, member: Member) -> None:
+        if not member.is_live:
+            self.zone_queries.withdraw_unattended(member.zone)
+
     def _find_covered_zones(self) -> set[str]:
         live = self.membership.list_live() if self.membership else []
         return {member.zone for member in live if member.name != self._settings.name}
--- a/hemlockswitch/process/servers/backends.py
+++ b/hemlockswitch/process/servers/backends.py
@@ -219,6 +219,10 @@
         if current is None or requested_ms > current.requested_ms:
             self._offers[zone] = _ZoneOffer({one.name: one for one in servers}, requested_ms)
 
+    def withdraw_offer(self, zone: str) -> None:
+        """Use no server of another zone until a query that is sent from now on is answered."""
+        self._offers[zone] = _ZoneOffer({}, self._clock.now_ms())
+
     def record_leaving(self, name: str, deadline_wall_ms: int = 0) -> None:
         """Record that the server is leaving: it permanently gets no new work."""
         if name in self._leaving:
--- a/hemlockswitch/process/servers/zones.py
+++ b/hemlockswitch/process/servers/zones.py
@@ -193,6 +193,11 @@
         state.answered_ms, state.silent = requested_ms, False
         self._directory.record_offer(zone, state.servers, requested_ms)
 
+    def withdraw_unattended(self, zone: str) -> None:
+        """Use no server of a zone without a live daemon: nobody there says which servers leave."""
+        if zone != self._directory.zone and zone not in self._list_addresses():
+            self._directory.withdraw_offer(zone)
+
     def refresh_from(self, address: str) -> None:
         """Fetch the leaving servers from a daemon of the local zone.
 
