Close new connections unread while more wait than a gateway can serve

Cause: the kernel's queue holds 1,024 connections, and up to 100 are accepted at once, so that each request is read about a second after its caller connected. Ruled out: the servers (idle), the callers' processes (three; p50 8 ms at 300 a second). Connections that are open already go on. A closed connection was not read, so nothing ran, and its caller can go to another gateway. Not covered: two gateways or more under such a load at a time, callers that do not try again.

--- a/hemlockswitch/connection/forward_server.py
+++ b/hemlockswitch/connection/forward_server.py
@@ -13,8 +13,8 @@
 import gevent
 from gevent import socket
 from gevent.pool import Pool
-from gevent.server import StreamServer
 
+from hemlockswitch.connection.caller_listener import CallerListener
 from hemlockswitch.connection.descriptors import find_session_limit
 from hemlockswitch.connection.faults import log_fault
 from hemlockswitch.connection.heads import ReceivedRequest, encode_head
@@ -36,7 +36,6 @@
 LINGER_MS = 500
 """How long to read after a refusal that closes the connection, so that no reset discards the
 refusal."""
-BACKLOG = 1_024
 MIN_IDLE_MS = 100.0
 """How long a connection stays open while no other can be closed for a new one; its first request may be in transit."""
 
@@ -284,12 +283,8 @@
         self.active = 0
         self.is_closing = False
         self._max_sessions = find_session_limit(max_connections)
-        self._server = StreamServer(
-            address,
-            self._accept,
-            backlog=BACKLOG,
-            spawn="default" if max_connections is None else Pool(max_connections),
-        )
+        spawn = "default" if max_connections is None else Pool(max_connections)
+        self._server = CallerListener(address, self._accept, clock, spawn)
 
     def start(self) -> str:
         """Start to listen; return the bound address."""
@@ -297,6 +292,11 @@
         host, port = self._server.address[:2]
         return f"{host}:{port}"
 
+    @property
+    def closed_unread(self) -> int:
+        """The number of connections that were closed before anything was read from them."""
+        return self._server.closed_unread
+
     def get_sizes(self) -> tuple[int, int]:
         """Return the maximum sizes of head and body in bytes."""
         bounds = self.get_bounds()
--- a/hemlockswitch/connection/sockets.py
+++ b/hemlockswitch/connection/sockets.py
@@ -18,6 +18,9 @@
 KEEPALIVE_PROBES = 2
 """These values detect an unresponsive peer within 3 s, the time in which a daemon must recover from
 a disturbance on the smaller sites; one more probe would exceed it."""
+TCP_INFO_BYTES = 32
+TCP_INFO_UNACKNOWLEDGED_OFFSET = 24
+"""Offset of `tcpi_unacked` in the kernel's `struct tcp_info`, tcp(7)."""
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 """Time-out for sent data that is not acknowledged, equal to the detection time above."""
 
@@ -63,6 +66,14 @@
     return False
 
 
+def count_waiting_connections(listener: socket.socket) -> int:
+    """Return how many established connections of a listening socket were not accepted yet."""
+    # For a listening socket the field of unacknowledged segments holds this number.
+    info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    (waiting,) = struct.unpack_from("=I", info, TCP_INFO_UNACKNOWLEDGED_OFFSET)
+    return int(waiting)
+
+
 class Closable(Protocol):
     """A connection that can be closed, directly or through another process."""
 
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -28,6 +28,7 @@
     REQUEST_RELEASED = (208, "request_released")
     QUARANTINE_TRIAL = (209, "quarantine_trial")
     REQUEST_FAULT = (210, "request_fault")
+    CONNECTIONS_CLOSED_UNREAD = (211, "connections_closed_unread")
     BACKEND_LEAVING = (301, "backend_leaving")
     BACKEND_FAILED = (302, "backend_failed")
     BACKEND_RECORD_INVALID = (303, "backend_record_invalid")
--- a/hemlockswitch/process/gateway/exposure.py
+++ b/hemlockswitch/process/gateway/exposure.py
@@ -74,6 +74,7 @@
     metrics.tunnels = gateway.links.detours.verdicts
     metrics.count_brittle = gateway.permits.slots.brittle.count_limited
     metrics.count_callers = lambda: len(gateway.callers.sessions)
+    metrics.count_unread = lambda: gateway.callers.closed_unread
     metrics.is_isolated = lambda: gateway.reachability.isolation.is_isolated
     metrics.count_limited = gateway.permits.limits.count_limited
     metrics.describe_rollouts = gateway.rollouts.count_answers
--- a/hemlockswitch/process/gateway/metrics.py
+++ b/hemlockswitch/process/gateway/metrics.py
@@ -78,6 +78,7 @@
         found: ``own`` record, ``peer``, ``stored``, ``single`` registered version, or ``unknown``.
     is_isolated : returns whether this gateway cannot connect to any backend server.
     count_callers : returns the number of open connections of callers.
+    count_unread : returns the number of connections of callers that were closed unread.
     describe_rollouts : returns the answer counts by service, version and result during rollouts.
 
     Examples
@@ -104,6 +105,7 @@
         self.resumed_streams: Counter[str] = Counter()
         self.is_isolated: Callable[[], bool] = lambda: False
         self.count_callers: Callable[[], int] = lambda: 0
+        self.count_unread: Callable[[], int] = lambda: 0
         self.describe_rollouts: Callable[[], Mapping[tuple[str, str, str], int]] = dict
 
     def render(self) -> bytes:
@@ -183,6 +185,11 @@
             "Open connections of callers.",
             value=self.count_callers(),
         )
+        yield CounterMetricFamily(
+            "hemlock_connections_closed_unread",
+            "Connections of callers that were closed before anything was read from them.",
+            value=self.count_unread(),
+        )
         yield GaugeMetricFamily(
             "hemlock_descriptors", "Open descriptors of the process.", value=count_descriptors()
         )
