Let most callers of the soak go to one gateway for a while

A new kind of fault, drawn separately, so that a seed keeps its other faults: nine in ten calls go to one gateway, each over a new connection.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -38,6 +38,8 @@
 MAX_RESUMES = 3
 RESUME_PAUSE_S = 0.1
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) \d+ (\S+)\n\n")
+POPULAR_SHARE = 0.9
+"""Fraction of calls that go to the popular gateway while there is one."""
 MARKER_SHARE = 0.15
 """Fraction of calls to a marker route, which exists in a single revision."""
 
@@ -113,7 +115,9 @@
         turn = 0
         while not self._stop.is_set():
             turn += 1
-            gateway = rng.choice(GATEWAYS)
+            gateway = self._choose_gateway(rng)
+            if self._world.popular_gateway:
+                _close_all(connections)
             call = make_call(
                 self._world,
                 connections,
@@ -125,8 +129,14 @@
             if call.path == RESUMABLE_PATH and call.events and not call.is_whole:
                 self._resume(call, random.Random(call.request_id))
             time.sleep(rng.uniform(*PAUSE_S))
-        for connection in connections.values():
-            connection.close()
+        _close_all(connections)
+
+    def _choose_gateway(self, rng: random.Random) -> str:
+        """Return a random gateway, or mostly the popular one while there is one."""
+        popular = self._world.popular_gateway
+        if popular and rng.random() < POPULAR_SHARE:
+            return popular
+        return rng.choice(GATEWAYS)
 
     def _resume(self, first: Call, rng: random.Random) -> None:
         """Take a broken stream up again, at a random gateway each time."""
@@ -135,7 +145,7 @@
             time.sleep(RESUME_PAUSE_S)
             fields = {"Last_Event_Id": str(last.events[-1][0]), "Resumes": first.request_id}
             request_id = f"{first.request_id}-{turn}"
-            gateway = rng.choice(GATEWAYS)
+            gateway = self._choose_gateway(rng)
             call = make_call(self._world, {}, gateway, RESUMABLE_PATH, request_id, fields)
             self.calls.append(call)
             if call.is_whole and call.status == SUCCESS:
@@ -147,7 +157,7 @@
         turn = 0
         while not self._stop.wait(CRASHING_PAUSE_S):
             turn += 1
-            gateway = rng.choice(GATEWAYS)
+            gateway = self._choose_gateway(rng)
             self.calls.append(make_call(self._world, {}, gateway, path, f"{name}-{turn}"))
 
     def _call_moved_service(self, rng: random.Random) -> None:
@@ -156,7 +166,7 @@
         connections: dict[str, socket.socket] = {}
         while not self._stop.wait(MOVED_PAUSE_S):
             turn += 1
-            gateway = rng.choice(GATEWAYS)
+            gateway = self._choose_gateway(rng)
             call = make_call(self._world, connections, gateway, MOVED_PATH, f"moved-{turn}")
             self.calls.append(call)
 
@@ -168,6 +178,12 @@
         return rng.choice(PATHS)
 
 
+def _close_all(connections: dict[str, socket.socket]) -> None:
+    for connection in connections.values():
+        connection.close()
+    connections.clear()
+
+
 def make_call(
     world: SoakWorld,
     connections: dict[str, socket.socket],
--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -115,6 +115,13 @@
         time.sleep(fault.for_s)
 
 
+def _send_callers_to_one_gateway(world: SoakWorld, fault: Fault) -> None:
+    """Let most calls go to one gateway, each over a new connection."""
+    world.popular_gateway = _find_gateway(fault)
+    time.sleep(fault.for_s)
+    world.popular_gateway = ""
+
+
 def _make_link_action(find: Callable[[SoakWorld, Fault], str], **faults: object) -> Callable:
     """Return an action that sets `faults` on a link for the duration of the fault."""
 
@@ -197,6 +204,7 @@
     FaultKind.ALL_GATEWAYS_KILLED: _kill_all_gateways,
     FaultKind.CALLERS_RESET: _make_link_action(_find_front_link, mode="cut"),
     FaultKind.CALLERS_IDLE: _connect_idle_callers,
+    FaultKind.CALLERS_AT_ONE_GATEWAY: _send_callers_to_one_gateway,
     FaultKind.STORE_LINK_CUT: _make_link_action(_find_store_link, mode="cut"),
     FaultKind.STORE_LINK_SILENT: _make_link_action(_find_store_link, mode="black_hole"),
     FaultKind.STORE_LINK_ONE_WAY: _make_link_action(_find_store_link, freeze="to_caller"),
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,6 +16,7 @@
     ALL_GATEWAYS_KILLED = "all_gateways_killed"
     CALLERS_RESET = "callers_reset"
     CALLERS_IDLE = "callers_idle"
+    CALLERS_AT_ONE_GATEWAY = "callers_at_one_gateway"
     STORE_LINK_CUT = "store_link_cut"
     STORE_LINK_SILENT = "store_link_silent"
     STORE_LINK_ONE_WAY = "store_link_one_way"
@@ -46,6 +47,7 @@
 ADDED = {
     FaultKind.RUNNER_ENDS_INSIDE_EVENT: "added",
     FaultKind.CALLERS_IDLE: "idle",
+    FaultKind.CALLERS_AT_ONE_GATEWAY: "one",
 }
 """Kinds that are drawn separately, so that a seed draws the same other faults as before they were added, with
 the suffix of the seed that each is drawn from."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -75,6 +75,7 @@
         self.fronts: dict[str, str] = {}
         self.probes: list[Any] = []
         self.disturbances: list[Disturbance] = []
+        self.popular_gateway = ""
         self._lock = threading.RLock()
         self.store = self.cluster.launch("store", [STANDIN, "gateway-store"], {})
 
