Forget silent daemons that have left the membership

The times since which leaving daemons are silent were kept for good: one name for each daemon that was killed while it left. Names a method and completes a comment as well.

--- a/hemlockswitch/connection/forward_server.py
+++ b/hemlockswitch/connection/forward_server.py
@@ -262,8 +262,8 @@
     get_bounds : returns the active limits.
     clock : the clock for the reception times of requests.
 
-    max_connections : how many connections may be open at a time; further ones wait in the kernel. None for no
-        limit. While so many requests are in progress, new connections are refused.
+    max_connections : how many connections may be open at a time; further ones wait in the kernel, or are
+        closed unread if too many do (`CallerListener`). None for no limit. While so many requests are in progress, new connections are refused.
 
     `active` is the number of requests that are being served.
     """
--- a/hemlockswitch/process/handover/resuming.py
+++ b/hemlockswitch/process/handover/resuming.py
@@ -128,7 +128,7 @@
         try:
             start = _find_start(request, generation)
         except PositionError as error:
-            self._release(FindState(resumed_id, account), taken, error)
+            self._give_back(FindState(resumed_id, account), taken, error)
             raise
         done = len(generation.tokens)
         charged = count_tokens(generation.prompt) + done if done else 0
@@ -138,7 +138,7 @@
         log_event(Event.GENERATION_RESUMED, request=resumed_id, position=start)
         return self._answer(generation, request, record, render_events(generation, start))
 
-    def _release(self, query: FindState, taken: StateTaken, error: PositionError) -> None:
+    def _give_back(self, query: FindState, taken: StateTaken, error: PositionError) -> None:
         """Store a state for the next attempt of a caller whose position does not fit it.
 
         Raises
@@ -160,6 +160,7 @@
     def _take(self, request_id: str, account: str) -> StateTaken:
         query = FindState(request_id, account)
         members = list(self._list_members())
+        self._forget_absent(members)
         holders, unresponsive = self._find_holders(query, _choose_first(request_id, members))
         if not holders:
             remaining = [member for member in members if member.name not in unresponsive][
@@ -217,6 +218,10 @@
         now_ms = self._clock.now_ms()
         return now_ms - self._silent_since_ms.setdefault(member.name, now_ms) < LEAVING_SILENCE_MS
 
+    def _forget_absent(self, members: list[HandoverMember]) -> None:
+        for name in self._silent_since_ms.keys() - {member.name for member in members}:
+            del self._silent_since_ms[name]
+
     def _take_from(
         self, holders: list[tuple[int, HandoverMember]], request_id: str, account: str
     ) -> StateTaken:
