--- a/hemlockswitch/programs/standin.py
+++ b/hemlockswitch/programs/standin.py
@@ -103,7 +103,8 @@
 
     def serve(self, settings: dict[str, Any]) -> None:
         """Serve a runner."""
-        from hemlockswitch.standin.runner import RunnerSettings, serve_runner
+        from hemlockswitch.standin.runner import serve_runner
+        from hemlockswitch.standin.runner_models import RunnerSettings
 
         serve_runner(RunnerSettings.model_validate(settings))
 
--- a/tests/crashing_runners.py
+++ b/tests/crashing_runners.py
@@ -5,8 +5,9 @@
 
 import gevent
 
-from hemlockswitch.standin.runner import RunnerSettings, RunnerState
+from hemlockswitch.standin.runner import RunnerState
 from hemlockswitch.standin.runner import build_application as build_runner
+from hemlockswitch.standin.runner_models import RunnerSettings
 from hemlockswitch.standin.server import listen
 from tests.gateway_site import Site, make_entry, tokens
 
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -15,8 +15,9 @@
 from hemlockswitch.programs.gateway import build_adapter
 from hemlockswitch.standin.gateway_store import GatewayStore
 from hemlockswitch.standin.gateway_store import build_application as build_store
-from hemlockswitch.standin.runner import RunnerFaults, RunnerSettings, RunnerState, make_seal
+from hemlockswitch.standin.runner import RunnerState, make_seal
 from hemlockswitch.standin.runner import build_application as build_runner
+from hemlockswitch.standin.runner_models import RunnerFaults, RunnerSettings
 from hemlockswitch.standin.server import listen
 from hemlockswitch.version.gateway_settings import GatewaySettings
 
--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -9,7 +9,7 @@
 import gevent
 import pytest
 
-from hemlockswitch.standin.runner import RunnerRoom
+from hemlockswitch.standin.runner_models import RunnerRoom
 from tests.gateway_site import Site
 
 GATEWAYS, RUNNERS = 9, 6
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -17,7 +17,8 @@
 
 from hemlockswitch.process.quarantine.quarantine_store import HELD_KIND
 from hemlockswitch.request.trials import TRIAL_INTERVALS_MS
-from hemlockswitch.standin.runner import RunnerFaults, make_seal
+from hemlockswitch.standin.runner import make_seal
+from hemlockswitch.standin.runner_models import RunnerFaults
 from tests.crashing_runners import DEADLY, CrashingSite
 from tests.gateway_site import make_entry, make_manifest, tokens
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -9,7 +9,7 @@
 
 from hemlockswitch.process.gateway.stored_streams import RECORDS_KIND, Segment
 from hemlockswitch.request.stream_records import StreamKey
-from hemlockswitch.standin.runner import RunnerFaults
+from hemlockswitch.standin.runner_models import RunnerFaults
 from tests.gateway_site import Site, tokens
 
 LAST = 12
