--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -43,6 +43,7 @@
     """State and counts of the stand-in.
 
     `rate_limit` is stated in all answers, unless it is empty.
+    `is_leaving` is stated in all answers, as the text `leaving_value`.
     `rejections` has the monotonic time in ms of each request that was declined for want of room.
     `goes_on` is cleared while the stand-in stands still: it answers nothing, and its connections stay open.
     `fall` is called when the stand-in falls over; a harness that runs it decides what that means.
@@ -54,6 +55,8 @@
     faults: RunnerFaults = RunnerFaults()
     left: int = 0
     rate_limit: str = ""
+    is_leaving: bool = False
+    leaving_value: str = "1"
     asked: int = 0
     runs: Counter = field(default_factory=Counter)
     seen: list[dict[str, Any]] = field(default_factory=list)
@@ -128,6 +131,8 @@
         self._record_arrival(request_id)
         if state.rate_limit:
             resp.set_header("Server-Limit", state.rate_limit)
+        if state.is_leaving:
+            resp.set_header("Server-Leaving", state.leaving_value)
         if state.room.max_rejections:
             resp.set_header("Server-Brittle", state.room.max_rejections)
         faults = state.take_faults()
@@ -191,6 +196,8 @@
         if faults.decline:
             resp.status = 503
             resp.set_header("Hemlockswitch-Not-Executed", "1")
+            if faults.retry_after:
+                resp.set_header("Retry-After", faults.retry_after)
         return faults.decline
 
     def _answer_unframed(
@@ -245,6 +252,11 @@
         self._state.rate_limit = read_body(req, RunnerLimit).limit
         resp.media = {}
 
+    def on_post_leaving(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """State in all answers from now on that the runner leaves."""
+        self._state.is_leaving = True
+        resp.media = {}
+
     def on_post_room(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Change the room for requests."""
         self._state.room = read_body(req, RunnerRoom)
@@ -288,6 +300,7 @@
     harness = Harness(state)
     application.add_route("/standin/faults", harness, suffix="faults")
     application.add_route("/standin/limit", harness, suffix="limit")
+    application.add_route("/standin/leaving", harness, suffix="leaving")
     application.add_route("/standin/room", harness, suffix="room")
     application.add_route("/standin/stats", harness, suffix="stats")
     application.add_sink(Requests(state), prefix=r"/(?P<path>.*)")
--- a/hemlockswitch/standin/runner_models.py
+++ b/hemlockswitch/standin/runner_models.py
@@ -39,6 +39,7 @@
 
     count : number of requests that are affected; 0 means all.
     decline : answer 503 and state that the request was not run.
+    retry_after : the ``Retry-After`` of declined requests, as text; empty for none.
     fail : run the request and answer 500.
     lose_answer : run the request and reset the connection.
     foreign_answer : answer with the identifier of another request.
@@ -54,6 +55,7 @@
 
     count: int = 0
     decline: bool = False
+    retry_after: str = ""
     fail: bool = False
     lose_answer: bool = False
     foreign_answer: bool = False
