Send nothing to a server after its answer that it leaves

Callers' requests reached a server 4.5 and 5.0 s after an answer had told the gateway that sent them that the server leaves (allowed: 2 s). While the store could not be written, a gateway went on by the registry's entry, and nothing read the field Server-Leaving: seven gateways logged it as unknown (329).

A statement in a server's own answer now makes it leaving at once and until its process ends, whatever heartbeats or lists say later. The server is asked for again before the bytes of a request go out, so neither a wait for a connection nor one for a permit leads around it. The gateway that a tunnel leads through is told, as the server sees that one.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -71,6 +71,7 @@
     STREAM_VERSION_UNKNOWN = (341, "stream_version_unknown")
     STREAM_QUERY_UNANSWERED = (342, "stream_query_unanswered")
     STREAMS_NOT_STORED = (343, "streams_not_stored")
+    SERVER_STATES_LEAVING = (344, "server_states_leaving")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/platform/headers.py
+++ b/hemlockswitch/platform/headers.py
@@ -42,8 +42,11 @@
 NOT_EXECUTED = "hemlockswitch-not-executed"
 INSTANCE_LOAD = "hemlockswitch-instance-load"
 SERVER_LIMIT = "server-limit"
-SERVER_BRITTLE = "server-brittle"
 """The requests per second that a runner takes from all daemons together, for as long as it states it."""
+SERVER_BRITTLE = "server-brittle"
+"""The rejections in one second after which a runner falls over, for as long as it states it."""
+SERVER_LEAVING = "server-leaving"
+"""``1`` in all answers of a runner that leaves."""
 
 NOT_FORWARDED = frozenset(
     {
@@ -82,6 +85,7 @@
         "retry-after",
         "server",
         SERVER_BRITTLE,
+        SERVER_LEAVING,
         SERVER_LIMIT,
         "transfer-encoding",
     }
@@ -188,19 +192,28 @@
         """Return after how many rejections in a second the runner falls over, in the same form."""
         return self._read_stated(answer, SERVER_BRITTLE)
 
+    def states_leaving(self, answer: ParsedAnswer) -> bool:
+        """Return whether the runner states that it leaves.
+
+        A malformed value counts as this statement: a server that is left out by mistake costs less than
+        requests to one that is about to end.
+        """
+        values = _list_own_values(answer, SERVER_LEAVING)
+        if not values or values == ["0"]:
+            return False
+        if any(value != "1" for value in values):
+            self._unreadable_fields.record(SERVER_LEAVING, ", ".join(values))
+        return True
+
     def _read_stated(self, answer: ParsedAnswer, field: str) -> float | None:
-        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+        values = _list_own_values(answer, field)
+        if values is None:
             return None
-        names = _lower_names(answer)
-        fields = dict(names)
-        if not _is_genuine(answer.status, fields) and NOT_EXECUTED not in fields:
-            return None
-        if field not in fields:
+        if not values:
             return UNLIMITED
-        stated = [value for name, value in names if name == field]
-        if len(stated) == 1 and _LIMIT.fullmatch(stated[0]):
-            return float(stated[0])
-        self._unreadable_fields.record(field, ", ".join(stated))
+        if len(values) == 1 and _LIMIT.fullmatch(values[0]):
+            return float(values[0])
+        self._unreadable_fields.record(field, ", ".join(values))
         return None
 
     def select_answer_headers(self, answer: ParsedAnswer) -> list[Header]:
@@ -238,6 +251,17 @@
     return SEAL in fields or status >= HTTPStatus.MULTIPLE_CHOICES
 
 
+def _list_own_values(answer: ParsedAnswer, field: str) -> list[str] | None:
+    """Return the values of a field; None if the answer may not be that of the addressed runner."""
+    if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return None
+    names = _lower_names(answer)
+    fields = dict(names)
+    if not _is_genuine(answer.status, fields) and NOT_EXECUTED not in fields:
+        return None
+    return [value for name, value in names if name == field]
+
+
 def _lower_names(answer: ParsedAnswer) -> list[Header]:
     return [(name.lower(), value) for name, value in answer.headers]
 
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -35,6 +35,7 @@
 from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.server_limits import ServerLimits
 from hemlockswitch.process.gateway.server_links import ServerLinks
+from hemlockswitch.process.gateway.server_statements import ServerStatements
 from hemlockswitch.process.gateway.service_models import ServiceModels
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.process.gateway.suspect_exchange import SuspectExchange
@@ -123,6 +124,9 @@
             lambda: self.forwarder,
             clock,
         )
+        self.statements = ServerStatements(
+            self.network, self.fleet, self.registry, self.links.host.list_users
+        )
         self.loads = ServerLoads(
             clock, self.fleet.get_far_period, lambda: self.schedule.changed.set()
         )
@@ -149,6 +153,7 @@
             models=self.models,
             rollouts=self.rollouts,
             streams=self.streams,
+            statements=self.statements,
             permits=self.permits,
             usage=self.usage,
             fleet_clock=self.fleet_clock,
--- a/hemlockswitch/process/gateway/exposure.py
+++ b/hemlockswitch/process/gateway/exposure.py
@@ -54,6 +54,7 @@
     status.add("links", gateway.links.describe)
     status.add("models", gateway.models.describe)
     status.add("backend_servers", lambda: len(gateway.registry.list_all()))
+    status.add("leaving_servers", gateway.registry.list_stated_leaving)
     status.add("quarantine", gateway.quarantine.describe)
     status.add("limited_servers", gateway.permits.describe)
     status.add("brittle_servers", gateway.permits.slots.brittle.describe)
--- a/hemlockswitch/process/gateway/gateway_state.py
+++ b/hemlockswitch/process/gateway/gateway_state.py
@@ -10,6 +10,7 @@
 from hemlockswitch.process.gateway.reachability import Reachability
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.rollouts import Rollouts
+from hemlockswitch.process.gateway.server_statements import ServerStatements
 from hemlockswitch.process.gateway.service_models import ServiceModels
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.process.gateway.usage import UsageCounts
@@ -30,6 +31,7 @@
     models : the fitted models of the services.
     rollouts : the orders that move services to other versions.
     streams : the versions that began streams.
+    statements : what servers state about further requests to them.
     permits : the limits that servers state, and the permits for requests to limited servers.
     usage : the counts for the usage reports.
     fleet_clock : the estimate of the wall-clock time.
@@ -43,6 +45,7 @@
     models: ServiceModels
     rollouts: Rollouts
     streams: StreamVersions
+    statements: ServerStatements
     permits: Permits
     usage: UsageCounts
     fleet_clock: FleetClock
--- a/hemlockswitch/process/gateway/registry.py
+++ b/hemlockswitch/process/gateway/registry.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import xxhash
 
@@ -111,6 +111,9 @@
         self._is_complete = False
         self._changes: list[_Change] = []
         self._departures = Departures()
+        self._listed_states: dict[str, BackendState] = (
+            {}
+        )  # without what the servers state in answers
 
     def replace_all(self, page: ObjectPage) -> None:
         """Apply a complete list."""
@@ -160,6 +163,33 @@
             return False
         return registered.state is BackendState.LIVE
 
+    def record_leaving(self, incarnation: str, source: str) -> bool:
+        """Record that a server stated in an answer that it leaves; return whether this is new.
+
+        Parameters
+        ==========
+
+        source : ``own``, or the name of the gateway that received the answer.
+        """
+        if not self._departures.record_statement(incarnation):
+            return False
+        log_event(Event.SERVER_STATES_LEAVING, server=incarnation, source=source)
+        server = self.find_live(incarnation)
+        if server is not None:
+            leaving = replace(server, state=BackendState.LEAVING)
+            self._servers[server.name] = leaving
+            self._by_service[server.serves][server.name] = leaving
+            self._on_removed(leaving)
+        return True
+
+    def list_stated_leaving(self) -> list[str]:
+        """Return the registered servers that stated in an answer that they leave."""
+        return [
+            one.incarnation
+            for one in self.list_all()
+            if self._departures.is_stated(one.incarnation)
+        ]
+
     def find_live(self, incarnation: str) -> BackendServer | None:
         """Return the registered server of an incarnation, unless it is leaving."""
         server = self._servers.get(incarnation.partition("@")[0])
@@ -203,10 +233,11 @@
         return self._is_complete
 
     def hash_servers(self) -> int:
-        """Return a hash of the servers and their states, to compare with other gateways."""
+        """Return a hash of the servers and their registered states, to compare with other gateways."""
         if self._digest is None:
             states = sorted(
-                f"{one.incarnation} {one.state.value}" for one in self._servers.values()
+                f"{one.incarnation} {self._listed_states[one.name].value}"
+                for one in self._servers.values()
             )
             self._digest = xxhash.xxh32_intdigest("\n".join(states).encode())
         return self._digest
@@ -224,6 +255,9 @@
                 self._drop(item.name)
             return
         server = self._departures.correct(server)
+        listed_state = server.state
+        if self._departures.is_stated(server.incarnation):
+            server = replace(server, state=BackendState.LEAVING)
         before = self._servers.get(server.name)
         if before is not None and before.incarnation != server.incarnation:
             self._record_restart(before, server)
@@ -232,13 +266,15 @@
         else:
             self._by_service[before.serves].pop(before.name, None)
         self._servers[server.name] = server
+        self._listed_states[server.name] = listed_state
         self._digest = None
         self._by_service[server.serves][server.name] = server
         self._retained_until_ms.pop(server.name, None)
         if before is None or before.state is not server.state:
             self._changes.append(_Change(server, server.state, item.version))
-        if server.state is BackendState.LEAVING:
+        if listed_state is BackendState.LEAVING:
             self._departures.record(server)
+        if server.state is BackendState.LEAVING:
             self._on_removed(server)
         elif server.state is BackendState.LIVE:
             self.on_listed(server)
@@ -301,6 +337,7 @@
         self._retained_until_ms.pop(name, None)
         self._misdirected_until_ms.pop(name, None)
         server = self._servers.pop(name)
+        del self._listed_states[name]
         self._digest = None
         self._by_service[server.serves].pop(name, None)
         self._changes.append(_Change(server, BackendState.GONE))
--- a/hemlockswitch/process/gateway/tunnel_host.py
+++ b/hemlockswitch/process/gateway/tunnel_host.py
@@ -93,6 +93,12 @@
         """Tell the gateways that have tunnels that the links to the servers hang."""
         self._send_to_users(TunnelsStalled(self._name))
 
+    def list_users(self, incarnation: str) -> set[str]:
+        """Return the addresses of the gateways that have tunnels to a server."""
+        return {
+            request.address for request in self._tunnels.values() if request.server == incarnation
+        }
+
     def describe(self) -> dict[str, Any]:
         """Return the number of tunnels by the gateway that uses them, for the status page."""
         return dict(Counter(request.name for request in self._tunnels.values()))
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -75,6 +75,7 @@
         self._rollouts = state.rollouts
         self._streams = state.streams
         self._permits = state.permits
+        self._statements = state.statements
         self._readiness = readiness
         self._detours = detours
         self._on_large_prompt = on_large_prompt
@@ -143,8 +144,11 @@
     def is_permitted(self, placement: Placement) -> bool:
         """Return whether a request may be sent now.
 
-        The server may have become limited, or the permit may have expired, while a connection was opened.
+        The server may have announced that it leaves or become limited, or the permit may have expired, while
+        a connection was opened.
         """
+        if not self._registry.is_live(placement.candidate.server):
+            return False
         permit = placement.permit
         if permit is None:
             return not self._needs_permit(placement.candidate.server)
@@ -325,6 +329,10 @@
         """Record after how many rejections a server falls over, as `record_rate_limit` does for its limit."""
         self._permits.slots.record_answer(server, rejections_per_s, sent_ms)
 
+    def record_leaving(self, server: BackendServer, gateway: str) -> None:
+        """Record that a server stated in an answer, received through `gateway`, that it leaves."""
+        self._statements.record_leaving(server, gateway)
+
     def record_rejected(self, server: BackendServer) -> None:
         """Record that a server turned a request away."""
         self._permits.slots.record_rejection(server)
--- a/hemlockswitch/request/dialect.py
+++ b/hemlockswitch/request/dialect.py
@@ -162,6 +162,9 @@
         `read_rate_limit`.
         """
 
+    def states_leaving(self, answer: ParsedAnswer) -> bool:
+        """Return whether the answer is the backend server's own and states that it leaves."""
+
     def select_answer_headers(self, answer: ParsedAnswer) -> list[Header]:
         """Return the headers to relay to the caller."""
 
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -100,7 +100,8 @@
 
     def handle(self, request: ReceivedRequest, reply: Reply) -> None:
         """Serve one request and write its reply."""
-        progress = Progress(request, UnreachedServers(self._clock))
+        clock = self._clock
+        progress = Progress(request, UnreachedServers(clock), UnreachedServers(clock))
         try:
             self._serve(progress, reply)
         except RequestError as error:
@@ -209,6 +210,8 @@
         """Return whether the limits on attempts and the budget allow another attempt."""
         if failed.failure is SendFailure.UNREACHABLE:
             return progress.unreached.may_try_another()
+        if failed.failure is SendFailure.WITHDRAWN:
+            return progress.withdrawn.may_try_another()
         if len(progress.sends) >= admitted.route.max_attempts:
             return False
         return self._budget.take(admitted.service, self._view.count_daemons())
--- a/hemlockswitch/request/forwarding_view.py
+++ b/hemlockswitch/request/forwarding_view.py
@@ -62,7 +62,11 @@
         """Return the server that `place` would choose now, without a permit for it."""
 
     def is_permitted(self, placement: Placement) -> bool:
-        """Return whether a request may be sent now: the server is not limited, or the permit is still valid."""
+        """Return whether a request may be sent now.
+
+        Since the choice of the server it may have announced that it leaves or become limited, or the permit
+        may have expired.
+        """
 
     def find_permit_delay_ms(
         self, admitted: AdmittedRequest, begun_version: str | None
@@ -115,6 +119,15 @@
     ) -> None:
         """Record after how many rejections a server falls over; infinite if its answer states none."""
 
+    def record_leaving(self, server: BackendServer, gateway: str) -> None:
+        """Record that a server stated in an answer that it leaves.
+
+        Parameters
+        ==========
+
+        gateway : the daemon that the connection to the server leads through; empty if it is direct.
+        """
+
     def record_rejected(self, server: BackendServer) -> None:
         """Record that a server turned a request away."""
 
--- a/hemlockswitch/request/progress.py
+++ b/hemlockswitch/request/progress.py
@@ -31,10 +31,12 @@
     unfinished_bytes : size of the part after the last complete event of the last stream.
     clearance : the clearance for the last attempt.
     unreached : counts the servers to which no connection could be made.
+    withdrawn : counts the servers that could no longer get the request when the connection was open.
     """
 
     request: ReceivedRequest
     unreached: UnreachedServers
+    withdrawn: UnreachedServers
     facts: RequestFacts | None = None
     admitted: AdmittedRequest | None = None
     state: SendState = SendState.NOT_RUN
--- a/hemlockswitch/request/send_states.py
+++ b/hemlockswitch/request/send_states.py
@@ -21,6 +21,7 @@
 class SendFailure(StrEnum):
     """How an attempt ended without a complete answer."""
 
+    WITHDRAWN = "withdrawn"  # the server may no longer get the request, which was not sent
     UNREACHABLE = "unreachable"
     DECLINED = "declined"
     BROKEN = "broken"
@@ -46,6 +47,7 @@
 
 
 _NOT_RUN_ANSWERS = {
+    SendFailure.WITHDRAWN: ErrorKind.NO_BACKEND,
     SendFailure.UNREACHABLE: ErrorKind.NO_BACKEND,
     SendFailure.DECLINED: ErrorKind.OVERLOADED,
     SendFailure.BROKEN: ErrorKind.OUTCOME_UNKNOWN,
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -133,12 +133,12 @@
         sent_ms = self._clock.now_ms()
         if not self._view.is_permitted(send.placement):
             exchange.close()
-            detail = "no valid permit for the limited server when the connection was open"
-            raise SendFailedError(SendFailure.UNREACHABLE, detail, False)
+            detail = "the server could no longer get requests when the connection was open"
+            raise SendFailedError(SendFailure.WITHDRAWN, detail, False)
         if not send.progress.clearance.is_trial and self._guard.must_hold(send.admitted):
             exchange.close()
             detail = "the request was quarantined before the connection was open"
-            raise SendFailedError(SendFailure.UNREACHABLE, detail, False)
+            raise SendFailedError(SendFailure.WITHDRAWN, detail, False)
         ticket = self._view.begin_attempt(send.admitted, send.placement)
         server = send.placement.candidate.server
         send.progress.sends.append(server.incarnation)
@@ -150,7 +150,7 @@
         try:
             exchange.send(self._encode(send))
             answer = exchange.read_head()
-            self._inspect_answer(answer, send.placement, sent_ms)
+            self._inspect_answer(answer, send.placement, sent_ms, exchange.gateway)
             self._guard.record_alive(server, sent_ms)
             self._record_answer(send, exchange)
             self._check_run(answer, send.placement)
@@ -246,9 +246,13 @@
         )
         return self._dialect.encode_request(admitted.request, admitted.facts, fields)
 
-    def _inspect_answer(self, answer: ParsedAnswer, placement: Placement, sent_ms: float) -> None:
-        """Record what the answer states beside its content."""
+    def _inspect_answer(
+        self, answer: ParsedAnswer, placement: Placement, sent_ms: float, gateway: str
+    ) -> None:
+        """Record what the answer, received through `gateway`, states beside its content."""
         self._dialect.inspect_answer(answer)
+        if self._dialect.states_leaving(answer):
+            self._view.record_leaving(placement.candidate.server, gateway)
         limit_per_s = self._dialect.read_rate_limit(answer)
         if limit_per_s is not None:
             self._view.record_rate_limit(placement.candidate.server, limit_per_s, sent_ms)
