--- a/hemlockswitch/platform/headers.py
+++ b/hemlockswitch/platform/headers.py
@@ -11,9 +11,10 @@
     select_end_to_end,
 )
 from hemlockswitch.connection.message_parsers import ParsedAnswer
-from hemlockswitch.core.clock import MS_PER_SECOND
+from hemlockswitch.core.clock import MS_PER_SECOND, Clock, SystemClock
 from hemlockswitch.core.errors import ErrorKind, Ran, RequestError
 from hemlockswitch.platform.answer_fields import UnknownFields, UnreadableFields
+from hemlockswitch.platform.retry_after import parse_retry_after_ms
 from hemlockswitch.request.dialect import (
     ErrorReply,
     Prompt,
@@ -47,6 +48,8 @@
 """The rejections in one second after which a runner falls over, for as long as it states it."""
 SERVER_LEAVING = "server-leaving"
 """``1`` in all answers of a runner that leaves."""
+RETRY_AFTER = "retry-after"
+"""In an answer 503 of a runner: the time for which it wants nothing from the machine that gets the answer."""
 
 NOT_FORWARDED = frozenset(
     {
@@ -82,7 +85,7 @@
         SEAL,
         WEIGHT_VERSIONS,
         "keep-alive",
-        "retry-after",
+        RETRY_AFTER,
         "server",
         SERVER_BRITTLE,
         SERVER_LEAVING,
@@ -102,9 +105,10 @@
 class Headers:
     """The platform's implementation of `hemlockswitch.request.dialect.Dialect`."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or SystemClock()
         self._unknown_fields = UnknownFields(KNOWN_ANSWER_FIELDS)
-        self._unreadable_fields = UnreadableFields()
+        self._unreadable_fields = UnreadableFields(self._clock)
 
     def inspect_answer(self, answer: ParsedAnswer) -> None:
         """Log the answer's unknown header fields."""
@@ -205,6 +209,22 @@
             self._unreadable_fields.record(SERVER_LEAVING, ", ".join(values))
         return True
 
+    def read_rest_ms(self, answer: ParsedAnswer) -> float:
+        """Return for how long the runner wants nothing from this machine, in ms; 0 if it states no time.
+
+        Of several values the longest counts; malformed ones are logged.
+        """
+        if answer.status != HTTPStatus.SERVICE_UNAVAILABLE:
+            return 0.0
+        date = dict(_lower_names(answer)).get("date", "")
+        rest_ms = 0.0
+        for value in _list_own_values(answer, RETRY_AFTER) or ():
+            stated_ms = parse_retry_after_ms(value, date, self._clock.wall_ms())
+            if stated_ms is None:
+                self._unreadable_fields.record(RETRY_AFTER, value)
+            rest_ms = max(rest_ms, stated_ms or 0.0)
+        return rest_ms
+
     def _read_stated(self, answer: ParsedAnswer, field: str) -> float | None:
         values = _list_own_values(answer, field)
         if values is None:
--- a/hemlockswitch/request/dialect.py
+++ b/hemlockswitch/request/dialect.py
@@ -165,6 +165,9 @@
     def states_leaving(self, answer: ParsedAnswer) -> bool:
         """Return whether the answer is the backend server's own and states that it leaves."""
 
+    def read_rest_ms(self, answer: ParsedAnswer) -> float:
+        """Return for how long the backend server wants no requests from this daemon, in ms; 0 if it states none."""
+
     def select_answer_headers(self, answer: ParsedAnswer) -> list[Header]:
         """Return the headers to relay to the caller."""
 
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -268,6 +268,9 @@
             else:
                 self._view.record_rejected(placement.candidate.server)
             detail = f"the server declined the request with status {answer.status}"
+            rest_ms = self._dialect.read_rest_ms(answer)
+            if rest_ms:
+                detail += f" and wants no requests for {rest_ms:.0f} ms"
             raise SendFailedError(SendFailure.DECLINED, detail, True)
         if not self._dialect.is_genuine(answer):
             detail = f"the answer with status {answer.status} may not come from the server itself"
