Let a server rest for the time that it asks for

A server that turned a machine away with 503 and asked it for 3 s of rest got three to five requests from that machine in the time (two may be).

A gateway now keeps until when a server wants nothing, does not choose it, and asks again before the bytes go out. The gateway that a tunnel leads through is told, since the server sees that one, and tells the others with tunnels to the server. The rests of the gateways end at different moments, and then one request at a time tries the server.

--- a/hemlockswitch/connection/tunnels.py
+++ b/hemlockswitch/connection/tunnels.py
@@ -41,6 +41,7 @@
     ISOLATED = "isolated"
     LEAVING = "leaving"
     FULL = "full"
+    SERVER_RESTS = "server_rests"
 
 
 @register_message("tunnel_request")
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -72,6 +72,8 @@
     STREAM_QUERY_UNANSWERED = (342, "stream_query_unanswered")
     STREAMS_NOT_STORED = (343, "streams_not_stored")
     SERVER_STATES_LEAVING = (344, "server_states_leaving")
+    SERVER_RESTS = (345, "server_rests")
+    SERVER_RESTED = (346, "server_rested")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -35,6 +35,7 @@
 from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.server_limits import ServerLimits
 from hemlockswitch.process.gateway.server_links import ServerLinks
+from hemlockswitch.process.gateway.server_rests import ServerRests
 from hemlockswitch.process.gateway.server_statements import ServerStatements
 from hemlockswitch.process.gateway.service_models import ServiceModels
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
@@ -125,8 +126,13 @@
             clock,
         )
         self.statements = ServerStatements(
-            self.network, self.fleet, self.registry, self.links.host.list_users
+            self.network,
+            self.fleet,
+            self.registry,
+            ServerRests(clock),
+            self.links.host.list_users,
         )
+        self.links.host.may_send = self.statements.rests.may_send
         self.loads = ServerLoads(
             clock, self.fleet.get_far_period, lambda: self.schedule.changed.set()
         )
@@ -376,6 +382,7 @@
         self.reachability.evict(server)
         self.loads.evict(server.incarnation)
         self.permits.evict(server.incarnation)
+        self.statements.rests.evict(server.incarnation)
         self.streams.history.record_removed(server)
 
     def _count_connection(self, _address: str) -> None:
--- a/hemlockswitch/process/gateway/detours.py
+++ b/hemlockswitch/process/gateway/detours.py
@@ -191,7 +191,7 @@
         if reply.verdict == TunnelVerdict.SERVER_UNREACHABLE:
             self.verdicts[reply.verdict] += 1
             raise ServerUnreachableError(peer.name, reply.has_timed_out)
-        if reply.verdict == TunnelVerdict.UNKNOWN_SERVER:
+        if reply.verdict in (TunnelVerdict.UNKNOWN_SERVER, TunnelVerdict.SERVER_RESTS):
             self.verdicts[reply.verdict] += 1
             return None
         self._record(peer, reply.verdict, "")
--- a/hemlockswitch/process/gateway/exposure.py
+++ b/hemlockswitch/process/gateway/exposure.py
@@ -13,6 +13,7 @@
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.rollouts import Rollouts
 from hemlockswitch.process.gateway.server_links import ServerLinks
+from hemlockswitch.process.gateway.server_statements import ServerStatements
 from hemlockswitch.process.gateway.service_models import ServiceModels
 from hemlockswitch.process.gateway.stream_versions import StreamVersions
 from hemlockswitch.process.quarantine.guard import Guard
@@ -37,6 +38,7 @@
     reachability: Reachability
     registry: ServerRegistry
     rollouts: Rollouts
+    statements: ServerStatements
     streams: StreamVersions
 
     def is_ready(self) -> bool:
@@ -55,6 +57,7 @@
     status.add("models", gateway.models.describe)
     status.add("backend_servers", lambda: len(gateway.registry.list_all()))
     status.add("leaving_servers", gateway.registry.list_stated_leaving)
+    status.add("resting_servers", gateway.statements.rests.describe)
     status.add("quarantine", gateway.quarantine.describe)
     status.add("limited_servers", gateway.permits.describe)
     status.add("brittle_servers", gateway.permits.slots.brittle.describe)
--- a/hemlockswitch/process/gateway/tunnel_host.py
+++ b/hemlockswitch/process/gateway/tunnel_host.py
@@ -69,6 +69,7 @@
         find_server: Callable[[str], BackendServer | None],
         clock: Clock,
     ) -> None:
+        self.may_send: Callable[[str], bool] = lambda _: True  # by incarnation
         self._name = name
         self._network = network
         self._pool = pool
@@ -128,6 +129,8 @@
         server = self._find_server(request.server)
         if refusal is None and server is None:
             refusal = TunnelReply(TunnelVerdict.UNKNOWN_SERVER.value)
+        if refusal is None and not self.may_send(request.server):
+            refusal = TunnelReply(TunnelVerdict.SERVER_RESTS.value)
         if refusal is None and server is not None:
             if self._reachability.has_timed_out_lately(server):
                 refusal = TunnelReply(TunnelVerdict.SERVER_UNREACHABLE.value, has_timed_out=True)
--- a/hemlockswitch/process/gateway/view.py
+++ b/hemlockswitch/process/gateway/view.py
@@ -76,6 +76,7 @@
         self._streams = state.streams
         self._permits = state.permits
         self._statements = state.statements
+        self._rests = state.statements.rests
         self._readiness = readiness
         self._detours = detours
         self._on_large_prompt = on_large_prompt
@@ -144,10 +145,11 @@
     def is_permitted(self, placement: Placement) -> bool:
         """Return whether a request may be sent now.
 
-        The server may have announced that it leaves or become limited, or the permit may have expired, while
-        a connection was opened.
+        The server may have announced that it leaves, have asked for rest or become limited, or the permit may
+        have expired, while a connection was opened.
         """
-        if not self._registry.is_live(placement.candidate.server):
+        server = placement.candidate.server
+        if not self._registry.is_live(server) or not self._rests.may_send(server.incarnation):
             return False
         permit = placement.permit
         if permit is None:
@@ -168,6 +170,12 @@
         servers = self._list_ready(admitted.service, begun_version)
         return self._permits.slots.find_retry_ms(servers, admitted.urgency)
 
+    def find_rest_delay_ms(
+        self, admitted: AdmittedRequest, begun_version: str | None
+    ) -> float | None:
+        """Return when the first server of the service may get requests again; None unless all rest."""
+        return self._rests.find_delay_ms(self._list_ready(admitted.service, begun_version))
+
     def _list_ready(self, service: str, begun_version: str | None) -> list[BackendServer]:
         """Return the ready servers of a service, or of the version that alone may continue a stream."""
         servers = self._registry.list_ready(service)
@@ -216,7 +224,7 @@
         admitted = choice.admitted
         ready = self._registry.list_ready(admitted.service)
         servers = [server for server in ready if server.incarnation not in choice.excluded]
-        servers = self._reachability.select_reachable(servers)
+        servers = self._reachability.select_reachable(self._rests.select(servers))
         is_first = not (choice.excluded or choice.is_careful or admitted.facts.last_event_id)
         properties = SendProperties(
             service=admitted.service,
@@ -254,6 +262,7 @@
         if engine.estimate_prefill_ms(placement.uncached_tokens) >= LARGE_PROMPT_READ_MS:
             self._on_large_prompt()
         server = placement.candidate.server
+        self._rests.record_sent(server.incarnation)
         ticket = self._loads.begin(
             server,
             admitted.facts.prompt,
@@ -333,6 +342,14 @@
         """Record that a server stated in an answer, received through `gateway`, that it leaves."""
         self._statements.record_leaving(server, gateway)
 
+    def record_rest(self, server: BackendServer, rest_ms: float, gateway: str) -> None:
+        """Record that a server wants no requests for `rest_ms`, by an answer received through `gateway`."""
+        self._statements.record_rest(server, rest_ms, gateway)
+
+    def record_answered(self, server: BackendServer, sent_ms: float, *, was_declined: bool) -> None:
+        """Record that a server has answered a request sent at `sent_ms`, or declined it."""
+        self._statements.record_answered(server, sent_ms, was_declined=was_declined)
+
     def record_rejected(self, server: BackendServer) -> None:
         """Record that a server turned a request away."""
         self._permits.slots.record_rejection(server)
--- a/hemlockswitch/programs/ctl_gateways.py
+++ b/hemlockswitch/programs/ctl_gateways.py
@@ -12,6 +12,7 @@
     LimitedServer,
     LinksState,
     QuarantinedTrait,
+    RestingServer,
     ServiceVersions,
     format_status,
 )
@@ -70,6 +71,14 @@
     limited_for_ms: float
 
 
+class _RestBody(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    server: str
+    left_ms: float
+    source: str
+
+
 class _StatusBody(BaseModel):
     """The fields of a gateway's status page that this command uses; all others are ignored."""
 
@@ -83,6 +92,8 @@
     quarantine: list[_SuspectBody] = []
     limited_servers: list[_LimitBody] = []
     brittle_servers: list[_BrittleBody] = []
+    leaving_servers: list[str] = []
+    resting_servers: list[_RestBody] = []
     links: _LinksBody = _LinksBody()
     streams: dict[str, dict[str, int]] = {}
 
@@ -91,9 +102,7 @@
     """Show the local state of gateways."""
 
     name = "gateways"
-    description = (
-        "Show the state of gateways: readiness, revision, gateways, servers, quarantine, limits."
-    )
+    description = "Show the state of gateways: readiness, revision, gateways, servers, quarantine, limits, departures, rests."
     help = """Reads the status pages of all addresses concurrently and shows a line for each gateway,
 followed by a line for each content and each prompt part that it has quarantined because servers crashed
 while serving it, for each backend server that limits its requests or is brittle, and for each service
@@ -139,6 +148,8 @@
         ),
         _read_links(body.links),
         _list_versions(body.streams),
+        leaving=tuple(body.leaving_servers),
+        resting=tuple(RestingServer(**one.model_dump()) for one in body.resting_servers),
     )
 
 
--- a/hemlockswitch/programs/gateway_status.py
+++ b/hemlockswitch/programs/gateway_status.py
@@ -63,6 +63,22 @@
     known_for_ms: float
 
 
+@dataclass(frozen=True)
+class RestingServer:
+    """A backend server that wants no requests from a gateway for a while.
+
+    Parameters
+    ==========
+
+    left_ms : time until the gateway sends to it again.
+    source : ``own``, or the name of the gateway that received the server's answer.
+    """
+
+    server: str
+    left_ms: float
+    source: str
+
+
 @dataclass(frozen=True)
 class LinksState:
     """The links of a gateway to the backend servers.
@@ -107,6 +123,8 @@
     links : the links to the backend servers.
     versions : services with servers of several versions, each with the streams that a version has begun.
     error : empty if the gateway answered.
+    leaving : the backend servers that stated in an answer that they leave.
+    resting : the backend servers that want no requests from this gateway for a while.
     """
 
     address: str
@@ -122,6 +140,8 @@
     links: LinksState = LinksState()
     versions: tuple[ServiceVersions, ...] = ()
     error: str = ""
+    leaving: tuple[str, ...] = ()
+    resting: tuple[RestingServer, ...] = ()
 
 
 def format_status(status: GatewayStatus) -> str:
@@ -146,6 +166,8 @@
     lines += [format_quarantined(one) for one in status.held]
     lines += [format_limited(one) for one in status.limited]
     lines += [format_brittle(one) for one in status.brittle]
+    lines += [f"{server} leaves, by its own answer" for server in status.leaving]
+    lines += [format_resting(one) for one in status.resting]
     lines += [format_versions(one) for one in status.versions]
     return "\n".join([first, *(f"  {line}" for line in lines)])
 
@@ -226,6 +248,19 @@
     return f"{versions.service} runs in versions {listed}"
 
 
+def format_resting(server: RestingServer) -> str:
+    """Return one line for a resting backend server.
+
+    Examples
+    ========
+
+    >>> format_resting(RestingServer("i-7f3a", 2_500.0, "own"))
+    'i-7f3a gets no requests for 2.5 s, asked for by an answer to own'
+    """
+    left_s = server.left_ms / MS_PER_SECOND
+    return f"{server.server} gets no requests for {left_s:.1f} s, asked for by an answer to {server.source}"
+
+
 def format_brittle(server: BrittleServer) -> str:
     """Return one line for a brittle backend server.
 
--- a/hemlockswitch/request/forwarding.py
+++ b/hemlockswitch/request/forwarding.py
@@ -202,7 +202,8 @@
             self._guard.record_broken_connection(admitted, placement.candidate.server)
         if verdict.may_send_again and self._may_retry(progress, admitted, failed):
             return
-        self._give_up(progress, verdict, failed.detail)
+        retry_after_ms = self._placements.find_retry_ms(progress, admitted)
+        self._give_up(progress, verdict, failed.detail, retry_after_ms)
 
     def _may_retry(
         self, progress: Progress, admitted: AdmittedRequest, failed: SendFailedError
@@ -217,13 +218,15 @@
         return self._budget.take(admitted.service, self._view.count_daemons())
 
     @staticmethod
-    def _give_up(progress: Progress, verdict: SendVerdict, detail: str) -> None:
+    def _give_up(
+        progress: Progress, verdict: SendVerdict, detail: str, retry_after_ms: int
+    ) -> None:
         if verdict.answer is None:
             progress.outcome = "broken_off"
             progress.detail = detail
             raise CallerLeftError(detail)
         if verdict.state is SendState.NOT_RUN:
-            raise RequestError(verdict.answer, detail, retry_after_ms=RETRY_DELAY_MS)
+            raise RequestError(verdict.answer, detail, retry_after_ms=retry_after_ms)
         raise RequestError(verdict.answer, detail)
 
     def _give_up_overdue(self, progress: Progress, reply: Reply) -> None:
--- a/hemlockswitch/request/forwarding_view.py
+++ b/hemlockswitch/request/forwarding_view.py
@@ -64,8 +64,8 @@
     def is_permitted(self, placement: Placement) -> bool:
         """Return whether a request may be sent now.
 
-        Since the choice of the server it may have announced that it leaves or become limited, or the permit
-        may have expired.
+        Since the choice of the server it may have announced that it leaves, have asked for rest or become
+        limited, or the permit may have expired.
         """
 
     def find_permit_delay_ms(
@@ -128,6 +128,17 @@
         gateway : the daemon that the connection to the server leads through; empty if it is direct.
         """
 
+    def find_rest_delay_ms(
+        self, admitted: AdmittedRequest, begun_version: str | None
+    ) -> float | None:
+        """Return when the first server may get requests again, in ms from now; None unless all rest."""
+
+    def record_rest(self, server: BackendServer, rest_ms: float, gateway: str) -> None:
+        """Record that a server wants no requests for `rest_ms`; `gateway` as in `record_leaving`."""
+
+    def record_answered(self, server: BackendServer, sent_ms: float, *, was_declined: bool) -> None:
+        """Record that a server has answered a request sent at `sent_ms`, or declined it."""
+
     def record_rejected(self, server: BackendServer) -> None:
         """Record that a server turned a request away."""
 
--- a/hemlockswitch/request/placements.py
+++ b/hemlockswitch/request/placements.py
@@ -75,17 +75,17 @@
     def _await_permit(
         self, progress: Progress, admitted: AdmittedRequest, reply: Reply
     ) -> Placement | None:
-        """Choose a server as soon as a permit for one is available, if it is soon.
+        """Choose a server as soon as a permit for one is available or the rest of one ends, if it is soon.
 
-        A slot of a brittle server is waited for as in the queue that other servers have; a permit of a rate
-        limit only to continue a begun answer.
+        A slot of a brittle server and the end of a rest are waited for as in the queue that other servers have;
+        a permit of a rate limit only to continue a begun answer.
         """
         now_ms = self._clock.now_ms()
         until_ms = now_ms + SLOT_WAIT_SHARE * (admitted.deadline_ms - now_ms)
         if reply.begun:
             until_ms = now_ms + RESUME_WAIT_MS
         while True:
-            delay_ms = self._view.find_slot_delay_ms(admitted, progress.begun_version)
+            delay_ms = self._find_wait_ms(progress, admitted)
             if delay_ms is None and reply.begun:
                 delay_ms = self._view.find_permit_delay_ms(admitted, progress.begun_version)
             if delay_ms is None or self._clock.now_ms() + delay_ms > until_ms:
@@ -95,6 +95,18 @@
             if placement is not None:
                 return placement
 
+    def _find_wait_ms(self, progress: Progress, admitted: AdmittedRequest) -> float | None:
+        """Return when a slot of a brittle server or the end of a rest is expected, in ms from now, or None."""
+        delay_ms = self._view.find_rest_delay_ms(admitted, progress.begun_version)
+        if delay_ms is not None:
+            return delay_ms
+        return self._view.find_slot_delay_ms(admitted, progress.begun_version)
+
+    def find_retry_ms(self, progress: Progress, admitted: AdmittedRequest) -> int:
+        """Return the retry delay of a request that no other server may get now."""
+        delay_ms = self._view.find_rest_delay_ms(admitted, progress.begun_version)
+        return RETRY_DELAY_MS if delay_ms is None else max(round(delay_ms), MIN_SLOT_RETRY_MS)
+
     def _describe_missing_server(
         self, progress: Progress, admitted: AdmittedRequest, reply: Reply
     ) -> Exception:
@@ -105,6 +117,11 @@
             detail = "no backend server is left for another attempt"
             return RequestError(ErrorKind.OUTCOME_UNKNOWN, detail)
         target = describe_target(progress, admitted)
+        delay_ms = self._view.find_rest_delay_ms(admitted, progress.begun_version)
+        if delay_ms is not None:
+            detail = f"every backend server of {target} wants no requests for now"
+            retry_ms = max(round(delay_ms), MIN_SLOT_RETRY_MS)
+            return RequestError(ErrorKind.OVERLOADED, detail, retry_after_ms=retry_ms)
         delay_ms = self._view.find_slot_delay_ms(admitted, progress.begun_version)
         if delay_ms is not None:
             detail = f"all slots of the brittle backend servers of {target} are in use"
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -153,6 +153,8 @@
             self._inspect_answer(answer, send.placement, sent_ms, exchange.gateway)
             self._guard.record_alive(server, sent_ms)
             self._record_answer(send, exchange)
+            was_declined = self._dialect.states_not_run(answer)
+            self._view.record_answered(server, sent_ms, was_declined=was_declined)
             self._check_run(answer, send.placement)
             ticket.record_first_event(succeeds=answer.status < HTTPStatus.BAD_REQUEST)
             began_ms = self._relay(send, exchange)
@@ -253,6 +255,9 @@
         self._dialect.inspect_answer(answer)
         if self._dialect.states_leaving(answer):
             self._view.record_leaving(placement.candidate.server, gateway)
+        rest_ms = self._dialect.read_rest_ms(answer)
+        if rest_ms:
+            self._view.record_rest(placement.candidate.server, rest_ms, gateway)
         limit_per_s = self._dialect.read_rate_limit(answer)
         if limit_per_s is not None:
             self._view.record_rate_limit(placement.candidate.server, limit_per_s, sent_ms)
