--- a/hemlockswitch/connection/platform_calls.py
+++ b/hemlockswitch/connection/platform_calls.py
@@ -9,7 +9,7 @@
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.backoff import Backoff
 from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
-from hemlockswitch.connection.heads import encode_head
+from hemlockswitch.connection.heads import Header, encode_head
 from hemlockswitch.connection.pooled_exchange import PooledExchange
 from hemlockswitch.core.clock import MS_PER_SECOND, Clock
 from hemlockswitch.core.errors import ErrorKind, PlatformError
@@ -27,6 +27,7 @@
 
     status: int
     body: bytes
+    headers: tuple[Header, ...] = ()
 
 
 class NotSentError(Exception):
@@ -121,8 +122,9 @@
         timer.start()
         try:
             exchange.send(self._encode(method, path, body, headers))
-            status = exchange.read_head().status
-            return Answer(status, exchange.read_body(MAX_ANSWER_BYTES))
+            head = exchange.read_head()
+            body = exchange.read_body(MAX_ANSWER_BYTES)
+            return Answer(head.status, body, tuple(head.headers))
         except gevent.Timeout as error:
             if error is not timer:
                 raise
--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -74,6 +74,7 @@
     SERVER_STATES_LEAVING = (344, "server_states_leaving")
     SERVER_RESTS = (345, "server_rests")
     SERVER_RESTED = (346, "server_rested")
+    STORE_ERA_BEGAN = (347, "store_era_began")
     CLAIM_WRITE_FAILED = (401, "claim_write_failed")
     CLAIM_OUTCOME_DROPPED = (402, "claim_outcome_dropped")
     CLAIM_OUTCOME_UNKNOWN = (403, "claim_outcome_unknown")
--- a/hemlockswitch/platform/store.py
+++ b/hemlockswitch/platform/store.py
@@ -27,6 +27,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.platform.bodies import Body
+from hemlockswitch.platform.store_era import EraTracker
 
 ROOT = "/hemlockswitch/objects"
 TIMEOUT_MS = 1_500.0
@@ -104,6 +105,7 @@
     def __init__(self, address: str, clock: Clock, timeout_ms: float = TIMEOUT_MS) -> None:
         self._calls = PlatformCalls(address, {}, timeout_ms, clock)
         self._backoff = Backoff(clock, MAX_BACKOFF_MS)
+        self._era = EraTracker(clock)
 
     @property
     def last_outage(self) -> Outage | None:
@@ -188,7 +190,9 @@
 
     def _get(self, path: str, wait_ms: float = 0) -> Answer:
         try:
-            return self._calls.call(self._backoff, "GET", path, b"", {}, wait_ms)
+            answer = self._calls.call(self._backoff, "GET", path, b"", {}, wait_ms)
+            self._era.record(answer.headers)
+            return answer
         except AnswerLostError as error:
             raise make_unavailable(str(error), self._backoff) from error
 
@@ -199,6 +203,7 @@
             answer = self._calls.call(self._backoff, method, path, encoded, headers)
         except AnswerLostError as error:
             return Unknown(str(error))
+        self._era.record(answer.headers)
         if answer.status == HTTPStatus.NOT_FOUND:
             return Conflict(0)
         if answer.status == HTTPStatus.CONFLICT:
--- a/hemlockswitch/standin/gateway_store.py
+++ b/hemlockswitch/standin/gateway_store.py
@@ -1,5 +1,6 @@
 """Stand-in of the users' platform for gateways: object store, cloud API and test harness."""
 
+import copy
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -82,9 +83,23 @@
     rendered: dict[str, Any]
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """A copy of the contents of the store at one revision."""
+
+    revision: int
+    objects: dict[str, dict[str, Entry]]
+    history: list[Change]
+
+
 @dataclass
 class GatewayStore:
-    """State of the stand-in."""
+    """State of the stand-in.
+
+    `era` rises by one each time the store comes back from a copy; it is stated in all answers unless it is 0.
+    """
+
+    era: int = 0
 
     revision: int = 1
     objects: dict[str, dict[str, Entry]] = field(default_factory=dict)
@@ -137,6 +152,19 @@
         self.history.clear()
         self.oldest_revision = self.revision
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the present contents."""
+        return StoreCopy(self.revision, copy.deepcopy(self.objects), list(self.history))
+
+    def return_from(self, earlier: StoreCopy) -> None:
+        """Go back to a copy: all later writes are lost, and their revisions are given out again."""
+        self.era += 1
+        self.revision = earlier.revision
+        self.objects = copy.deepcopy(earlier.objects)
+        self.history = list(earlier.history)
+        self.changed.set()
+        self.changed.clear()
+
     def find_changes(self, kind: str, since: int) -> list[Change]:
         """Return the changes of a kind after a revision."""
         return [one for one in self.history if one.kind == kind and one.revision > since]
@@ -144,19 +172,40 @@
     def wait_changes(self, kind: str, since: int, wait_ms: float) -> list[Change]:
         """Return the changes of a kind after a revision, waiting up to `wait_ms` for the first.
 
-        The wait ends early if a compaction drops the changes after `since`.
+        The wait ends early if a compaction drops the changes after `since`, or the store goes back.
         """
+        era = self.era
         with gevent.Timeout(min(wait_ms, MAX_WAIT_MS) / 1_000, False):
-            while not self.find_changes(kind, since) and since >= self.oldest_revision:
+            while (
+                self.era == era and not self.find_changes(kind, since) and self.has_revision(since)
+            ):
                 self.changed.wait()
         return self.find_changes(kind, since)
 
+    def has_revision(self, revision: int) -> bool:
+        """Return whether a watch may begin after a revision."""
+        return self.oldest_revision <= revision <= self.revision
+
     def _publish(self, change: Change) -> None:
         self.history.append(change)
         self.changed.set()
         self.changed.clear()
 
 
+class EraHeader:
+    """Middleware that states the era of the store in all answers."""
+
+    def __init__(self, store: GatewayStore) -> None:
+        self._store = store
+
+    def process_response(
+        self, req: falcon.Request, resp: falcon.Response, resource: object, req_succeeded: bool
+    ) -> None:
+        """Add the header."""
+        if self._store.era:
+            resp.set_header("Store-Era", str(self._store.era))
+
+
 class ObjectCalls:
     """The calls of the object store, under `ROOT`."""
 
@@ -241,8 +290,9 @@
         wait_ms = req.get_param_as_int("wait_ms", default=0)
         calls = self._store.check_calls if wait_ms <= MAX_CHECK_WAIT_MS else self._store.watch_calls
         calls[kind] += 1
+        era = self._store.era
         changes = self._store.wait_changes(kind, since, wait_ms)
-        if since < self._store.oldest_revision:
+        if self._store.era != era or not self._store.has_revision(since):
             raise falcon.HTTPGone
         self._apply_faults(resp)
         events = [{"tombstone": one.tombstone, "object": one.rendered} for one in changes]
@@ -327,6 +377,7 @@
 def build_application(store: GatewayStore) -> falcon.App:
     """Return the stand-in's WSGI application."""
     application = make_application()
+    application.add_middleware(EraHeader(store))
     calls = ObjectCalls(store)
     application.add_route(f"{ROOT}/{{kind}}", calls)
     application.add_route(f"{ROOT}/{{kind}}/{{name}}", calls)
