Order the versions of the object store over its returns from copies

Two holders of the duties sent falling fencing numbers (110, then 75; 153, then 119) after the store had come back from a copy some seconds old, and each gateway listed and watched the registry some 80 times a second without taking anything new from it: the number is the revision of the lease, and revisions go back then and are given out again.

A version is now the era that the store states and the revision in one number, made where the store is called; a version of an earlier era names nothing that the store still has. The lease names the era in which it was written: a candidate waits a full term before it takes one of an earlier era, and the holder whose term still ran writes it again at once.

--- a/hemlockswitch/platform/store.py
+++ b/hemlockswitch/platform/store.py
@@ -13,6 +13,12 @@
     PlatformCalls,
     make_unavailable,
 )
+from hemlockswitch.connection.store_order import (
+    StoreEra,
+    find_era,
+    find_revision,
+    make_version,
+)
 from hemlockswitch.connection.stored_objects import (
     Conflict,
     ObjectPage,
@@ -51,13 +57,13 @@
     spec: msgspec.Raw = msgspec.Raw(b"null")
     status: msgspec.Raw = msgspec.Raw(b"null")
 
-    def to_object(self, kind: str, deleted: bool = False) -> StoredObject:
-        """Convert to a `StoredObject`; a spec or status that cannot be decoded becomes None."""
+    def to_object(self, kind: str, era: int, deleted: bool = False) -> StoredObject:
+        """Convert to a `StoredObject` of an era; a spec or status that cannot be decoded becomes None."""
         metadata = self.metadata
         return StoredObject(
             kind,
             metadata.name,
-            metadata.revision,
+            make_version(era, metadata.revision),
             _read_part(kind, metadata.name, self.spec),
             deleted,
             _read_part(kind, metadata.name, self.status),
@@ -95,6 +101,14 @@
 class ObjectStore:
     """Client of the object store; `PlatformClient` describes the guarantees of reads and writes.
 
+    Explanation
+    ===========
+
+    The store may come back from a copy. The versions that this client returns keep their order over that; they
+    combine the store's revisions with its era. A version of an earlier era names nothing that the store still
+    has, although an object may have its revision again: a write that depends on it conflicts, and its history
+    is gone.
+
     Parameters
     ==========
 
@@ -107,6 +121,10 @@
         self._backoff = Backoff(clock, MAX_BACKOFF_MS)
         self._era = EraTracker(clock)
 
+    def get_era(self) -> StoreEra:
+        """Return the newest era that an answer has stated."""
+        return self._era.current
+
     @property
     def last_outage(self) -> Outage | None:
         """The most recent outage that has ended."""
@@ -121,7 +139,7 @@
         answer = self._get(_path(kind, name))
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
-        return _parse(_ObjectBody, answer).to_object(kind)
+        return _parse(_ObjectBody, answer).to_object(kind, self._era.record(answer.headers))
 
     def list(self, kind: str, prefix: str = "") -> ObjectPage:
         """Return all objects of a kind whose names start with `prefix`."""
@@ -134,14 +152,20 @@
     def _list(self, kind: str, prefix: str, options: dict[str, str]) -> ObjectPage:
         items: list[StoredObject] = []
         version: int | None = None
+        first_era: int | None = None
         after = ""
         for _ in range(MAX_PAGES):
             query = urlencode({"after": after, **options})
-            page = _parse(_ListBody, self._get(f"{_path(kind)}?{query}"))
-            readable = _read_items(kind, page.items)
+            answer = self._get(f"{_path(kind)}?{query}")
+            page = _parse(_ListBody, answer)
+            era = self._era.record(answer.headers)
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                raise _make_era_error("a list")
+            readable = _read_items(kind, page.items, era)
             items += readable
             # A watch from the first page's revision includes the changes made during the listing.
-            version = page.store_revision if version is None else version
+            version = make_version(era, page.store_revision) if version is None else version
             if not page.has_more or not page.items:
                 break
             if not readable:
@@ -160,14 +184,19 @@
 
         HistoryGoneError : the store no longer has the changes since that revision.
         """
-        query = urlencode({"watch": since, "wait_ms": wait_ms})
+        if find_era(since) < self._era.current.number:
+            raise HistoryGoneError(since)
+        query = urlencode({"watch": find_revision(since), "wait_ms": wait_ms})
         answer = self._get(f"{_path(kind)}?{query}", wait_ms)
+        era = self._era.record(answer.headers)
         if answer.status == HTTPStatus.GONE:
             raise HistoryGoneError(since)
         page = _parse(_WatchBody, answer)
-        items = _read_events(kind, page.events)
+        if era != find_era(since):
+            raise HistoryGoneError(since)
+        items = _read_events(kind, page.events, era)
         matching = tuple(item for item in items if item.name.startswith(prefix))
-        return ObjectPage(matching, page.store_revision)
+        return ObjectPage(matching, make_version(era, page.store_revision))
 
     def create(self, kind: str, name: str, value: Any) -> WriteOutcome:
         """Create an object; a `Conflict` if it exists."""
@@ -176,25 +205,36 @@
 
     def update(self, kind: str, name: str, value: Any, version: int) -> WriteOutcome:
         """Replace an object if its revision is `version`."""
-        body = {"metadata": {"name": name, "revision": version}, "spec": value}
-        return self._write("PUT", _path(kind, name), body)
+        body = {"metadata": {"name": name, "revision": find_revision(version)}, "spec": value}
+        return self._write_if("PUT", _path(kind, name), body, version)
 
     def update_status(self, kind: str, name: str, status: Any, version: int) -> WriteOutcome:
         """Replace the status of an object if the object's revision is `version`."""
-        body = {"metadata": {"name": name, "revision": version}, "status": status}
-        return self._write("PUT", f"{_path(kind, name)}/status", body)
+        body = {"metadata": {"name": name, "revision": find_revision(version)}, "status": status}
+        return self._write_if("PUT", f"{_path(kind, name)}/status", body, version)
 
     def delete(self, kind: str, name: str, version: int) -> WriteOutcome:
         """Delete an object if its revision is `version`."""
-        return self._write("DELETE", f"{_path(kind, name)}?revision={version}", None)
+        path = f"{_path(kind, name)}?revision={find_revision(version)}"
+        return self._write_if("DELETE", path, None, version)
 
     def _get(self, path: str, wait_ms: float = 0) -> Answer:
         try:
             answer = self._calls.call(self._backoff, "GET", path, b"", {}, wait_ms)
-            self._era.record(answer.headers)
-            return answer
         except AnswerLostError as error:
             raise make_unavailable(str(error), self._backoff) from error
+        self._era.record(answer.headers)
+        return answer
+
+    def _write_if(self, method: str, path: str, body: Any, version: int) -> WriteOutcome:
+        """Write if the object has a version; in another era its revision may name another write."""
+        era = find_era(version)
+        if era < self._era.current.number:
+            return Conflict(0)
+        outcome = self._write(method, path, body)
+        if isinstance(outcome, Written) and find_era(outcome.version) != era:
+            return Unknown("the object store has come back from a copy")
+        return outcome
 
     def _write(self, method: str, path: str, body: Any) -> WriteOutcome:
         encoded = encode_value(body) if body is not None else b""
@@ -203,18 +243,20 @@
             answer = self._calls.call(self._backoff, method, path, encoded, headers)
         except AnswerLostError as error:
             return Unknown(str(error))
-        self._era.record(answer.headers)
+        era = self._era.record(answer.headers)
+        if era < self._era.current.number:
+            return Unknown("the answer is older than the era of the object store")
         if answer.status == HTTPStatus.NOT_FOUND:
             return Conflict(0)
         if answer.status == HTTPStatus.CONFLICT:
-            return Conflict(_parse(_ObjectBody, answer).metadata.revision)
+            return Conflict(make_version(era, _parse(_ObjectBody, answer).metadata.revision))
         if answer.status >= HTTPStatus.BAD_REQUEST:
             # According to the platform's documentation, 503 means that nothing was written.
             raise PlatformError(
                 ErrorKind.PLATFORM_UNAVAILABLE,
                 f"the object store answered a write with status {answer.status}",
             )
-        return _parse_written(answer)
+        return _parse_written(answer, era)
 
 
 def _path(kind: str, name: str = "") -> str:
@@ -222,24 +264,29 @@
     return f"{path}/{quote(name, safe='')}" if name else path
 
 
-def _read_items(kind: str, raw_items: tuple[msgspec.Raw, ...]) -> list[StoredObject]:
+def _make_era_error(call: str) -> PlatformError:
+    detail = f"the object store came back from a copy during {call}"
+    return PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, detail)
+
+
+def _read_items(kind: str, raw_items: tuple[msgspec.Raw, ...], era: int) -> list[StoredObject]:
     """Decode the objects of a list, skipping and logging each one that cannot be decoded."""
     items: list[StoredObject] = []
     for raw in raw_items:
         try:
-            items.append(_decode(_ObjectBody, raw).to_object(kind))
+            items.append(_decode(_ObjectBody, raw).to_object(kind, era))
         except msgspec.DecodeError as error:
             _log_unreadable(kind, "", error)
     return items
 
 
-def _read_events(kind: str, raw_events: tuple[msgspec.Raw, ...]) -> list[StoredObject]:
+def _read_events(kind: str, raw_events: tuple[msgspec.Raw, ...], era: int) -> list[StoredObject]:
     """Decode the changed objects of a watch, skipping and logging as `_read_items` does."""
     items: list[StoredObject] = []
     for raw in raw_events:
         try:
             event = _decode(_EventBody, raw)
-            items.append(_decode(_ObjectBody, event.object).to_object(kind, event.tombstone))
+            items.append(_decode(_ObjectBody, event.object).to_object(kind, era, event.tombstone))
         except msgspec.DecodeError as error:
             _log_unreadable(kind, "", error)
     return items
@@ -270,8 +317,8 @@
         raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, detail) from error
 
 
-def _parse_written(answer: Answer) -> WriteOutcome:
+def _parse_written(answer: Answer, era: int) -> WriteOutcome:
     try:
-        return Written(_decode(_ObjectBody, answer.body).metadata.revision)
+        return Written(make_version(era, _decode(_ObjectBody, answer.body).metadata.revision))
     except msgspec.DecodeError:
         return Unknown("invalid answer of the object store to a write")
--- a/hemlockswitch/platform/store_era.py
+++ b/hemlockswitch/platform/store_era.py
@@ -3,6 +3,7 @@
 import re
 
 from hemlockswitch.connection.heads import Header, find_header
+from hemlockswitch.connection.store_order import StoreEra
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
@@ -23,17 +24,15 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self.era = 0
-        self.heard_ms = clock.now_ms()
+        self.current = StoreEra()
 
     def record(self, headers: tuple[Header, ...]) -> int:
         """Return the era of an answer; that of the last one if it states none that can be read."""
         stated = find_header(list(headers), STORE_ERA).strip()
         if not _NUMBER.fullmatch(stated):
-            return self.era
+            return self.current.number
         era = int(stated)
-        if era > self.era:
-            log_event(Event.STORE_ERA_BEGAN, era=era, before=self.era)
-            self.era = era
-            self.heard_ms = self._clock.now_ms()
+        if era > self.current.number:
+            log_event(Event.STORE_ERA_BEGAN, era=era, before=self.current.number)
+            self.current = StoreEra(era, self._clock.now_ms())
         return era
--- a/hemlockswitch/process/gateway/adapter.py
+++ b/hemlockswitch/process/gateway/adapter.py
@@ -5,6 +5,7 @@
 from typing import Any, Protocol
 
 from hemlockswitch.connection.backoff import Outage
+from hemlockswitch.connection.store_order import StoreEra
 from hemlockswitch.connection.stored_objects import ListedStore, StoredObject
 from hemlockswitch.process.gateway.follower import WatchedStore
 from hemlockswitch.process.gateway.rollout_duty import StatusStore
@@ -19,6 +20,9 @@
 class GatewayStore(WatchedStore, ListedStore, StatusStore, Protocol):
     """The object service; implemented by `PlatformClient` and by the adapter's store."""
 
+    def get_era(self) -> StoreEra:
+        """Return the era of the service as known to this process."""
+
     @property
     def last_outage(self) -> Outage | None:
         """The last completed period in which every call failed; None if there was none."""
--- a/hemlockswitch/process/gateway/duty_assembly.py
+++ b/hemlockswitch/process/gateway/duty_assembly.py
@@ -45,6 +45,7 @@
         make_lease_times(settings.lease_term_ms),
         fleet.count_daemons,
         get_address,
+        store.get_era,
     )
     usage_store = UsageStore(state.usage, store, clock)
     return DutyRunner(
--- a/hemlockswitch/process/lease.py
+++ b/hemlockswitch/process/lease.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from hemlockswitch.connection.store_order import FIRST_ERA, StoreEra, find_era
 from hemlockswitch.connection.stored_objects import (
     ConditionalStore,
     StoredObject,
@@ -61,6 +62,14 @@
     ends_ms: float
 
 
+@dataclass(frozen=True)
+class _SentWrite:
+    """A write of the lease: when it was sent, and in which era of the object service."""
+
+    sent_ms: float
+    era: int
+
+
 @dataclass(frozen=True)
 class _ObservedVersion:
     version: int
@@ -82,6 +91,13 @@
     answer, the process finds its write by the identifier in the lease's value; the term then
     counts from the time that this write was sent.
 
+    The object service may come back from a copy in which the lease is older than its holder's last
+    write, or missing. In a new era a candidate therefore waits for a full term since it read such a
+    lease; by then every holder of an earlier era has stopped. A holder whose term had not ended when
+    it got the first answer of the era writes the lease again at once: no other process can have held
+    it. The lease names the era in which it was written, which tells a process that has just started
+    whether it must wait.
+
     Parameters
     ==========
 
@@ -96,6 +112,7 @@
     get_address : returns the address that this process has bound, or an empty string. A candidate
         that finds its own address in the lease takes the lease immediately: the address could not
         be bound if the process that wrote the lease were still running.
+    get_era : returns the era of the object service.
     """
 
     def __init__(
@@ -107,6 +124,7 @@
         times: LeaseTimes | None = None,
         count_candidates: Callable[[], int] = lambda: 2,
         get_address: Callable[[], str] = lambda: "",
+        get_era: Callable[[], StoreEra] = StoreEra,
     ) -> None:
         self._platform = platform
         self._clock = clock
@@ -115,9 +133,10 @@
         self._times = times or LeaseTimes()
         self._count_candidates = count_candidates
         self._get_address = get_address
+        self._get_era = get_era
         self._held: _Held | None = None
         self._observed: _ObservedVersion | None = None
-        self._sent_ms: dict[str, float] = {}
+        self._sent: dict[str, _SentWrite] = {}
         self._recent_holders: list[str] = []
         self._lapse_logged = False
 
@@ -170,10 +189,17 @@
     def release(self) -> None:
         """Release the lease, so that a successor need not wait for the end of the term."""
         held, self._held = self._held, None
+        self._sent.clear()
         if held is None:
             return
         recent = [self._holder, *self._recent_holders][:RECENT_HOLDERS]
-        value = {"holder": "", "write": "", "term_ms": 0, "recent": recent}
+        value = {
+            "holder": "",
+            "write": "",
+            "term_ms": 0,
+            "recent": recent,
+            "era": self._get_era().number,
+        }
         try:
             outcome = self._platform.update(LEASE_KIND, self._zone, value, held.version)
         except PlatformError as error:
@@ -186,17 +212,50 @@
         return held.ends_ms - self._times.stop_before_ms - self._clock.now_ms()
 
     def _renew(self, held: _Held) -> float:
+        if find_era(held.version) < self._get_era().number:
+            return self._hold_in_new_era(held)
         self._write(
             lambda value: self._platform.update(LEASE_KIND, self._zone, value, held.version)
         )
         return self._times.renew_ms
 
+    def _hold_in_new_era(self, held: _Held) -> float:
+        """Write the lease again, or become a candidate if another process may have held it since.
+
+        Nobody else has held it if this process got an answer of the era before its term ended.
+        """
+        found = self._platform.read(LEASE_KIND, self._zone)
+        sent = self._find_own_write(found) if found is not None else None
+        if found is not None and sent is not None:
+            self._hold(found.version, sent.sent_ms)
+            return self._times.renew_ms
+        was_held = self._get_era().observed_ms <= held.ends_ms
+        if was_held and found is None:
+            return self._create()
+        if was_held and found is not None and not self._is_written_now(found):
+            return self._take(found)
+        self._lose(found.version if found is not None else 0)
+        return self._times.renew_ms / 4
+
+    def _is_written_now(self, found: StoredObject) -> bool:
+        """Return whether the lease was written in the present era of the object service."""
+        return bool(found.value.get("era", 0) == self._get_era().number)
+
+    def _find_own_write(self, found: StoredObject) -> _SentWrite | None:
+        """Return the write of this process that the lease shows; one of an earlier era has come back."""
+        sent = self._sent.get(found.value["write"])
+        return sent if sent is not None and sent.era == find_era(found.version) else None
+
+    def _create(self) -> float:
+        self._write(lambda value: self._platform.create(LEASE_KIND, self._zone, value))
+        return self._times.renew_ms
+
     def _poll(self) -> float:
         found = self._platform.read(LEASE_KIND, self._zone)
         if found is None:
-            self._write(lambda value: self._platform.create(LEASE_KIND, self._zone, value))
-            return self._times.renew_ms
-        if self._is_predecessor(found):
+            left_ms = self._measure_era_wait_ms()
+            return min(left_ms, self._times.renew_ms) if left_ms > 0 else self._create()
+        if self._is_written_now(found) and self._is_predecessor(found):
             return self._take(found)
         now_ms = self._clock.now_ms()
         observed = self._observed
@@ -208,10 +267,26 @@
             return min(left_ms, self._times.renew_ms)
         return self._take(found)
 
+    def _measure_era_wait_ms(self) -> float:
+        """Return how long holders of an earlier era may still act, if the lease is missing.
+
+        One that is missing in the first era was never written.
+        """
+        era = self._get_era()
+        if era.number <= FIRST_ERA:
+            return 0.0
+        term_ms = self._times.term_ms + self._times.margin_ms
+        return era.observed_ms + term_ms - self._clock.now_ms()
+
     def _find_term_ms(self, found: StoredObject) -> float:
-        """Return how long this process must wait after it first read this version."""
+        """Return how long this process must wait after it first read this version.
+
+        It was read in the present era. If it was written in an earlier one, a later write of the lease may be
+        lost, or a holder of the present era may have been overruled by a late write; either holder acts for
+        a term at most.
+        """
         _, *before = _list_holders(found)
-        if self._holder in before:
+        if self._holder in before or not self._is_written_now(found):
             return max(float(found.value["term_ms"]), self._times.term_ms)
         return float(found.value["term_ms"])
 
@@ -228,6 +303,8 @@
         """
         if self._find_term_ms(found) == 0:
             return self._take(found)
+        if not self._is_written_now(found):
+            return self._times.renew_ms
         two_renewals_ms = self._times.renew_ms * 2
         now_ms = self._clock.now_ms()
         if before is None or now_ms - before.since_ms > two_renewals_ms:
@@ -248,17 +325,19 @@
         """Write the lease once and determine the outcome."""
         identifier = make_identifier("lease")
         sent_ms = self._clock.now_ms()
-        self._record_write(identifier, sent_ms)
+        era = self._get_era().number
+        self._record_write(identifier, _SentWrite(sent_ms, era))
         value: dict[str, Any] = {
             "holder": self._holder,
             "write": identifier,
             "term_ms": self._times.term_ms,
             "recent": self._recent_holders[:RECENT_HOLDERS],
+            "era": era,
         }
         if address := self._get_address():
             value["address"] = address
         outcome = send(value)
-        if isinstance(outcome, Written):
+        if isinstance(outcome, Written) and find_era(outcome.version) == era:
             self._hold(outcome.version, sent_ms)
         else:
             self._read_back(outcome)
@@ -268,20 +347,28 @@
         found = self._platform.read(LEASE_KIND, self._zone)
         if found is None:
             return
-        sent_ms = self._sent_ms.get(found.value["write"])
+        sent = self._find_own_write(found)
         is_old_read = self._held is not None and found.version < self._held.version
-        if sent_ms is not None and not is_old_read:
+        if sent is not None and not is_old_read:
             log_event(Event.LEASE_READ_BACK, zone=self._zone, fencing=found.version)
-            self._hold(found.version, sent_ms)
+            self._hold(found.version, sent.sent_ms)
             return
         log_event(Event.LEASE_NOT_WRITTEN, zone=self._zone, outcome=repr(outcome))
-        if self._held is not None and found.version > self._held.version:
+        if self._held is not None and self._is_overruled(found, self._held):
             self._lose(found.version)
 
-    def _record_write(self, identifier: str, sent_ms: float) -> None:
-        self._sent_ms[identifier] = sent_ms
-        while len(self._sent_ms) > MAX_RECORDED_WRITES:
-            del self._sent_ms[next(iter(self._sent_ms))]
+    @staticmethod
+    def _is_overruled(found: StoredObject, held: _Held) -> bool:
+        """Return whether a version of the lease shows that another process holds it.
+
+        One of a later era may be an earlier write that came back.
+        """
+        return found.version > held.version and find_era(found.version) == find_era(held.version)
+
+    def _record_write(self, identifier: str, sent: _SentWrite) -> None:
+        self._sent[identifier] = sent
+        while len(self._sent) > MAX_RECORDED_WRITES:
+            del self._sent[next(iter(self._sent))]
 
     def _hold(self, version: int, sent_ms: float) -> None:
         if self._held is None:
@@ -293,7 +380,7 @@
         log_event(Event.LEASE_LOST, "warning", zone=self._zone, highest=highest)
         self._held = None
         self._observed = None
-        self._sent_ms.clear()
+        self._sent.clear()
 
     def _log_unreachable(self, error: PlatformError) -> None:
         log_event(Event.LEASE_UNREACHABLE, "warning", zone=self._zone, detail=error.detail)
