Report no window a second time whose counts the store may have lost

A holder fixes the counts of a window in the store and reports them. If the store comes back from a copy without them, the next holder would fix its own counts and report the window again: two reports of one window with different counts. It now leaves such a window out (834), unless the store still has its counts. Three tests of tests/test_gateway_usage.py; the first one fails without the check.

--- a/hemlockswitch/core/events.py
+++ b/hemlockswitch/core/events.py
@@ -127,6 +127,7 @@
     COPIES_ORDERED = (831, "copies_ordered")
     USAGE_REPORTED = (832, "usage_reported")
     DUTY_FAILED = (833, "duty_failed")
+    USAGE_WINDOW_LEFT_OUT = (834, "usage_window_left_out")
     ROLLOUT_KNOWN = (841, "rollout_known")
     ROLLOUT_UNREADABLE = (842, "rollout_unreadable")
     ROLLOUT_STATE_WRITTEN = (843, "rollout_state_written")
--- a/hemlockswitch/process/gateway/duty_assembly.py
+++ b/hemlockswitch/process/gateway/duty_assembly.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 
+from hemlockswitch.connection.store_order import FIRST_ERA, StoreEra
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.copy_demand import PlannedCopies
 from hemlockswitch.process.gateway.duties import LEASE_NAME, DutyRunner, make_lease_times
+from hemlockswitch.process.gateway.fleet_clock import FleetClock
 from hemlockswitch.process.gateway.followed_objects import FollowedObjects
 from hemlockswitch.process.gateway.gateway_state import GatewayState
 from hemlockswitch.process.gateway.rollout_duty import RolloutDuty
@@ -50,7 +52,14 @@
     usage_store = UsageStore(state.usage, store, clock)
     return DutyRunner(
         lease,
-        UsageDuty(state.usage, store, api, usage_store.load, fleet.get_usage_period),
+        UsageDuty(
+            state.usage,
+            store,
+            api,
+            usage_store.load,
+            fleet.get_usage_period,
+            lambda: _find_return_ms(store.get_era(), state.fleet_clock, clock),
+        ),
         _build_scaling(settings, api, state, followed, clock),
         usage_store,
         _build_rollouts(adapter, state, clock),
@@ -61,6 +70,13 @@
     )
 
 
+def _find_return_ms(era: StoreEra, fleet_clock: FleetClock, clock: Clock) -> float:
+    """Return the wall-clock time by which the object service had come back from a copy; minus infinity if never."""
+    if era.number <= FIRST_ERA:
+        return float("-inf")
+    return fleet_clock.now_ms() - (clock.now_ms() - era.observed_ms)
+
+
 def _build_scaling(
     settings: GatewaySettings,
     api: ScalingApi,
--- a/hemlockswitch/process/gateway/usage.py
+++ b/hemlockswitch/process/gateway/usage.py
@@ -45,6 +45,10 @@
         """Return the number of the window that contains a time."""
         return int(wall_ms // self._window_ms)
 
+    def find_end_ms(self, window: int) -> float:
+        """Return the wall-clock time at which a window ends."""
+        return (window + 1) * self._window_ms
+
     def count(self, wall_ms: float, account: str) -> None:
         """Count one request that started to run."""
         window = self.find_window(wall_ms)
@@ -120,6 +124,9 @@
     The counts are written to the object service before they are reported. A holder that takes
     over in between reads them there and reports exactly the same counts.
 
+    If the service comes back from a copy, the counts of a window that an earlier holder has reported may be
+    missing there. Such a window is left out: a second report with other counts would contradict the first.
+
     Parameters
     ==========
 
@@ -128,6 +135,8 @@
     api : accepts the reports.
     load_stored : loads the counts that an earlier holder stored for windows that are not reported yet.
     get_period : returns the interval at which other gateways report their counts.
+    find_return_ms : returns the wall-clock time at which the object service had come back from a copy; minus
+        infinity if it has not.
     """
 
     def __init__(
@@ -137,9 +146,12 @@
         api: UsageApi,
         load_stored: Callable[[], None] = lambda: None,
         get_period: Callable[[], UsagePeriod] = lambda: UsagePeriod(),
+        find_return_ms: Callable[[], float] = lambda: float("-inf"),
     ) -> None:
         self._load_stored = load_stored
         self._get_period = get_period
+        self._find_return_ms = find_return_ms
+        self._taken_over_ms = float("-inf")
         self._counts = counts
         self._store = store
         self._api = api
@@ -150,6 +162,7 @@
     def take_over(self, wall_ms: float) -> None:
         """Start as a new holder, and wait for the counts of the other gateways."""
         self._first_window = None
+        self._taken_over_ms = wall_ms
         self._reports_from_ms = wall_ms + self._get_period().takeover_ms
 
     def list_due(self, wall_ms: float) -> list[int]:
@@ -173,7 +186,7 @@
         LeaseError : the lease is no longer held.
         """
         self._load_stored()
-        counts = self._decide(window)
+        counts = self._find_lost(window) if self._may_be_lost(window) else self._decide(window)
         if counts is None:
             return
         fencing = get_fencing()
@@ -182,6 +195,20 @@
             self._reported.add(window)
             self._counts.discard_before(window - RETAINED_WINDOWS)
 
+    def _may_be_lost(self, window: int) -> bool:
+        """Return whether an earlier holder may have fixed the counts of a window in writes that were lost."""
+        end_ms = self._counts.find_end_ms(window)
+        return end_ms <= self._taken_over_ms and end_ms <= self._find_return_ms()
+
+    def _find_lost(self, window: int) -> dict[str, int] | None:
+        """Return the counts that an earlier holder fixed; without them the window counts as reported."""
+        found = self._store.read(USAGE_KIND, str(window))
+        if found is not None:
+            return dict(found.value["counts"])
+        log_event(Event.USAGE_WINDOW_LEFT_OUT, "warning", window=window)
+        self._reported.add(window)
+        return None
+
     def _decide(self, window: int) -> dict[str, int] | None:
         """Return the counts stored in the object service, by this process or an earlier holder.
 
--- a/tests/test_gateway_usage.py
+++ b/tests/test_gateway_usage.py
@@ -38,9 +38,10 @@
         return self.accepts
 
 
-def make_duty(store=None, api=None):
+def make_duty(store=None, api=None, returned_ms=float("-inf")):
     counts = UsageCounts(WINDOW_S)
-    return counts, UsageDuty(counts, store or Store(), api or Api())
+    duty = UsageDuty(counts, store or Store(), api or Api(), find_return_ms=lambda: returned_ms)
+    return counts, duty
 
 
 def test_window_is_due_after_its_reports_have_settled():
@@ -134,3 +135,32 @@
     estimate.apply_estimates({"a": 1_009_000.0})
     estimate.apply_estimates({"a": 1_000_100.0, "b": 1_000_200.0})
     assert estimate.now_ms() == 1_000_000.0
+
+
+# Guards against two reports of one window with different counts, the first of which the store has lost.
+def test_new_holder_leaves_a_window_out_whose_counts_the_store_may_have_lost():
+    api, end_ms = Api(), NOW_MS + WINDOW_MS
+    counts, duty = make_duty(api=api, returned_ms=end_ms + 500)
+    counts.count(NOW_MS, "a")
+    duty.take_over(end_ms + 1_000)
+    duty.report(1_000, lambda: 7)
+    assert api.reports == []
+    assert 1_000 not in duty.list_due(end_ms + 10_000)
+
+
+def test_new_holder_reports_the_counts_that_the_store_still_has_after_a_return():
+    store, api, end_ms = Store(), Api(), NOW_MS + WINDOW_MS
+    store.stored["1000"] = {"counts": {"a": 3}}
+    _, duty = make_duty(store, api, returned_ms=end_ms + 500)
+    duty.take_over(end_ms + 1_000)
+    duty.report(1_000, lambda: 7)
+    assert api.reports == [(1_000, {"a": 3})]
+
+
+def test_holder_of_before_the_return_reports_the_windows_that_ended_under_it():
+    api, end_ms = Api(), NOW_MS + WINDOW_MS
+    counts, duty = make_duty(api=api, returned_ms=end_ms + 500)
+    counts.count(NOW_MS, "a")
+    duty.take_over(NOW_MS)
+    duty.report(1_000, lambda: 7)
+    assert api.reports == [(1_000, {"a": 1})]
