--- a/hemlockswitch/process/gateway/follower.py
+++ b/hemlockswitch/process/gateway/follower.py
@@ -116,6 +116,7 @@
         self._versions = ObjectVersions()
         self._confirmations: list[_Confirmation] = []
         self._failed_call_ms = float("-inf")
+        self._history_lost_ms = float("-inf")
         self._must_list = True
 
     @property
@@ -222,6 +223,9 @@
             raise
         except HistoryGoneError:
             self._record_history_loss()
+            if began_ms - self._history_lost_ms < RETRY_DELAY_MS:
+                self._clock.sleep_ms(RETRY_DELAY_MS)
+            self._history_lost_ms = self._clock.now_ms()
         except PlatformError as error:
             self._must_list = self._must_list or not lists
             self._record_failure(error, began_ms)
