Let every stated era count as one that may have begun with a return

The lease and the usage windows took an era of 1 for that of a store which has never come back from a copy. A store that counts from 0, or states nothing before its first return, is in era 1 after it: a candidate that found no lease then created one at once while the holder of before could still act.

--- a/hemlockswitch/connection/store_order.py
+++ b/hemlockswitch/connection/store_order.py
@@ -8,8 +8,6 @@
 
 REVISION_BITS = 44
 """A fleet that writes 10,000 revisions a second reaches this many bits after 55 years."""
-FIRST_ERA = 1
-"""The era of an object service that has not yet come back from a copy, if it states eras."""
 _REVISION_MASK = (1 << REVISION_BITS) - 1
 
 
@@ -20,7 +18,7 @@
     Parameters
     ==========
 
-    number : 0 for a service that states none.
+    number : 0 for a service that states none. Any other era may have begun with a return from a copy.
     observed_ms : when this process got the first answer of this era, by its clock; the era began earlier.
     """
 
--- a/hemlockswitch/process/gateway/duty_assembly.py
+++ b/hemlockswitch/process/gateway/duty_assembly.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from hemlockswitch.connection.store_order import FIRST_ERA, StoreEra
+from hemlockswitch.connection.store_order import StoreEra
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.copy_demand import PlannedCopies
@@ -72,7 +72,7 @@
 
 def _find_return_ms(era: StoreEra, fleet_clock: FleetClock, clock: Clock) -> float:
     """Return the wall-clock time by which the object service had come back from a copy; minus infinity if never."""
-    if era.number <= FIRST_ERA:
+    if not era.number:
         return float("-inf")
     return fleet_clock.now_ms() - (clock.now_ms() - era.observed_ms)
 
--- a/hemlockswitch/process/lease.py
+++ b/hemlockswitch/process/lease.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hemlockswitch.connection.store_order import FIRST_ERA, StoreEra, find_era
+from hemlockswitch.connection.store_order import StoreEra, find_era
 from hemlockswitch.connection.stored_objects import (
     ConditionalStore,
     StoredObject,
@@ -270,10 +270,10 @@
     def _measure_era_wait_ms(self) -> float:
         """Return how long holders of an earlier era may still act, if the lease is missing.
 
-        One that is missing in the first era was never written.
+        In a service that has never come back from a copy it was never written.
         """
         era = self._get_era()
-        if era.number <= FIRST_ERA:
+        if not era.number:
             return 0.0
         term_ms = self._times.term_ms + self._times.margin_ms
         return era.observed_ms + term_ms - self._clock.now_ms()
--- a/tests/return_replay.py
+++ b/tests/return_replay.py
@@ -177,7 +177,7 @@
 class Replay:
     """One seed."""
 
-    def __init__(self, seed, candidates, era=1):
+    def __init__(self, seed, candidates, era=0):
         random.seed(seed)  # the lease spreads its polls by the module's generator
         self.rng = random.Random(seed)
         self.clock = SimulatedClock()
@@ -300,10 +300,11 @@
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--candidates", type=int, default=9)
+    parser.add_argument("--era", type=int, default=0, help="of the service before its first return")
     options = parser.parse_args()
     broken, returns, calls, gap_ms = [], 0, 0, 0.0
     for seed in range(options.first, options.first + options.seeds):
-        result = Replay(seed, options.candidates).run()
+        result = Replay(seed, options.candidates, options.era).run()
         returns += result.returns
         calls += result.calls
         gap_ms = max(gap_ms, result.longest_gap_ms)
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -22,7 +22,7 @@
 from hemlockswitch.core.errors import HistoryGoneError
 from hemlockswitch.platform.store import ObjectStore
 from tests.gateway_site import Site, make_manifest
-from tests.return_replay import Replay
+from tests.return_replay import TERM_MS, Replay
 
 LOST_CHANGES = 300
 MAX_CALLS = 30
@@ -183,11 +183,30 @@
 
 # Guards against two holders, and against a late write that takes the lease from its holder for another one.
 @pytest.mark.parametrize(
-    "candidates, seed", [(3, 74), (9, 112), *((5, seed) for seed in range(12))]
+    "candidates, seed, era",
+    [(3, 74, 1), (9, 112, 1), *((5, seed, seed % 2) for seed in range(12))],
 )
-def test_no_fencing_number_falls_or_is_shared_in_a_replay(candidates, seed):
+def test_no_fencing_number_falls_or_is_shared_in_a_replay(candidates, seed, era):
     state = random.getstate()
-    result = Replay(seed, candidates).run()
+    result = Replay(seed, candidates, era).run()
     random.setstate(state)
     assert result.returns > 0
     assert (result.falls, result.shared) == ([], [])
+
+
+# Guards against a candidate that creates a lease which the store has lost while its holder still acts.
+@pytest.mark.parametrize("era", [1, 2])
+def test_candidate_waits_for_a_term_if_the_lease_is_missing_after_a_return(era):
+    replay = Replay(seed=1, candidates=2, era=era)
+    replay.service.make_copy()
+    for candidate in replay.candidates:
+        candidate.client.hear()
+    candidate = replay.candidates[0]
+    candidate.lease.run_step()
+    assert not candidate.lease.is_held
+    replay.clock.ms += TERM_MS
+    candidate.lease.run_step()
+    assert not candidate.lease.is_held
+    replay.clock.ms += TERM_MS
+    candidate.lease.run_step()
+    assert candidate.lease.is_held
