Bound what is read of a server that sends bytes without end

A server that sent bytes without end in the head of an answer, or in an answer to another request, was read until the caller's deadline: the bytes were collected meanwhile, and the caller got 504 at the end. The same held for an event of a resumable stream that never ended.

--- a/hemlockswitch/connection/pooled_exchange.py
+++ b/hemlockswitch/connection/pooled_exchange.py
@@ -13,6 +13,9 @@
 from hemlockswitch.core.clock import MS_PER_SECOND
 
 READ_BYTES = 65_536
+MAX_BYTES_BEFORE_HEAD = 1024 * 1024
+"""Maximum number of bytes received before the head of the answer is complete, with what belongs to other
+requests: a faulty server may send bytes without end."""
 KEEPALIVE_MARGIN_MS = 1_000.0
 """An idle connection is dropped this long before the server would close it, so that no request is
 sent while the server is closing; servers state the time in whole seconds."""
@@ -48,6 +51,7 @@
         self._is_own = is_own
         self._parser = AnswerParser(method)
         self._answer: ParsedAnswer | None = None
+        self._bytes_before_head = 0
 
     @property
     def gateway(self) -> str:
@@ -93,12 +97,15 @@
         Raises
         ======
 
-        ExchangeError : the connection ended first, or the received bytes are not HTTP.
+        ExchangeError : the connection ended first, or the received bytes are not HTTP or too many.
         """
         while self._answer is None:
             self._drop_mismatched()
             if self._answer is None:
-                self._receive(Stage.AFTER_SEND)
+                self._bytes_before_head += self._receive(Stage.AFTER_SEND)
+                if self._bytes_before_head > MAX_BYTES_BEFORE_HEAD:
+                    detail = f"no head of an answer within {MAX_BYTES_BEFORE_HEAD} bytes"
+                    raise ExchangeError(Stage.AFTER_SEND, detail)
         return self._answer
 
     def _drop_mismatched(self) -> None:
@@ -167,7 +174,8 @@
         """Return the connection, for reuse by a later exchange."""
         return self._connection
 
-    def _receive(self, stage: Stage) -> None:
+    def _receive(self, stage: Stage) -> int:
+        """Receive and parse bytes; return their number."""
         try:
             data = self._connection.recv(READ_BYTES)
         except OSError as error:
@@ -176,9 +184,9 @@
         if not data:
             self._parser.end()
             if self._answer is not None and self._answer.done:
-                return
+                return 0
             if self._answer is None and any(one.done for one in self._parser.answers):
-                return
+                return 0
             raise ExchangeError(
                 stage,
                 "the server closed the connection before the end of the answer",
@@ -188,6 +196,7 @@
             self._parser.feed(data)
         except ValueError as error:
             raise ExchangeError(stage, str(error)) from error
+        return len(data)
 
 
 def _describe_failure(stage: Stage, error: OSError) -> ExchangeError:
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -25,6 +25,8 @@
 from hemlockswitch.version.serving_table import RequestKind
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
+"""Maximum size of an event of a resumable stream, whose bytes are held back until it is complete."""
 REUSE_IDLE_MS = 60_000.0
 """Repeatable requests use any pooled connection; the pool limits the age."""
 REUSE_IDLE_AT_MOST_ONCE_MS = 1_000.0
@@ -335,6 +337,9 @@
             self._record_answer(send, exchange)
             events = splitter.feed(piece)
             progress.unfinished_bytes = splitter.open_bytes
+            if send.admitted.route.is_resumable and splitter.open_bytes > MAX_EVENT_BYTES:
+                detail = f"an event of the stream exceeds {MAX_EVENT_BYTES} bytes"
+                raise SendFailedError(SendFailure.BROKEN, detail, True)
             progress.last_event_id = events.last_id or progress.last_event_id
             if events.data:
                 self._begin_reply(send, exchange.answer)
