--- a/hemlockswitch/standin/gateway_store.py
+++ b/hemlockswitch/standin/gateway_store.py
@@ -2,7 +2,7 @@
 
 import copy
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
 from typing import Any, Literal
 
@@ -22,6 +22,8 @@
 ROOT = "/hemlockswitch/objects"
 MAX_WAIT_MS = 30_000
 SWALLOWED_CALL_DELAY_S = 60
+REWRITTEN_KINDS = ("config", "servers", "rollouts")
+"""Kinds that the operator and the servers write."""
 MAX_CHECK_WAIT_MS = 1
 """A watch with at most this wait only checks for a change, and is counted separately."""
 
@@ -96,10 +98,12 @@
 class GatewayStore:
     """State of the stand-in.
 
+    `kept_copy` is what the store returns from when a harness lets it.
     `era` rises by one each time the store comes back from a copy; it is stated in all answers unless it is 0.
     """
 
     era: int = 0
+    kept_copy: StoreCopy | None = None
 
     revision: int = 1
     objects: dict[str, dict[str, Entry]] = field(default_factory=dict)
@@ -156,12 +160,24 @@
         """Return a copy of the present contents."""
         return StoreCopy(self.revision, copy.deepcopy(self.objects), list(self.history))
 
-    def return_from(self, earlier: StoreCopy) -> None:
-        """Go back to a copy: all later writes are lost, and their revisions are given out again."""
+    def return_from(self, earlier: StoreCopy, rewritten: Collection[str] = ()) -> None:
+        """Go back to a copy: all later writes are lost, and their revisions are given out again.
+
+        Parameters
+        ==========
+
+        rewritten : the kinds whose writers write all objects again as they were.
+        """
+        written = {kind: dict(self.list_kind(kind)) for kind in rewritten}
         self.era += 1
         self.revision = earlier.revision
         self.objects = copy.deepcopy(earlier.objects)
         self.history = list(earlier.history)
+        for kind, entries in written.items():
+            for name in self.list_kind(kind).keys() - entries.keys():
+                self.remove(kind, name)
+            for name, entry in entries.items():
+                self.put(kind, name, entry.spec)
         self.changed.set()
         self.changed.clear()
 
@@ -369,6 +385,17 @@
         self._store.discard_history()
         resp.media = {}
 
+    def on_post_copy(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Keep a copy of the contents."""
+        self._store.kept_copy = self._store.make_copy()
+        resp.media = {}
+
+    def on_post_return(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Go back to the copy; what the operator and the servers wrote is written again."""
+        if self._store.kept_copy is not None:
+            self._store.return_from(self._store.kept_copy, REWRITTEN_KINDS)
+        resp.media = {}
+
     def on_get_cloud(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Return the recorded calls of the cloud API."""
         resp.media = self._store.cloud_calls
@@ -388,6 +415,8 @@
     application.add_route("/standin/objects/{kind}/{name}", harness, suffix="object")
     application.add_route("/standin/faults", harness, suffix="faults")
     application.add_route("/standin/compact", harness, suffix="compact")
+    application.add_route("/standin/copy", harness, suffix="copy")
+    application.add_route("/standin/return", harness, suffix="return")
     application.add_route("/standin/cloud", harness, suffix="cloud")
     return application
 
--- a/hemlockswitch/standin/runner.py
+++ b/hemlockswitch/standin/runner.py
@@ -187,6 +187,12 @@
         if self._state.settings.prints_runs:
             print(json.dumps({"arrived": request_id, "at_ms": at_ms}), flush=True)
 
+    def _record_rest(self, request_id: str, faults: RunnerFaults) -> None:
+        if self._state.settings.prints_runs:
+            at_ms = time.monotonic() * MS_PER_SECOND
+            rest = {"rested": request_id, "at_ms": at_ms, "retry_after": faults.retry_after}
+            print(json.dumps(rest), flush=True)
+
     def _declines(self, req: falcon.Request, resp: falcon.Response, faults: RunnerFaults) -> bool:
         expected = req.get_header("Hemlockswitch-Expect-Instance")
         if expected and expected != self._state.settings.name:
@@ -198,6 +204,7 @@
             resp.set_header("Hemlockswitch-Not-Executed", "1")
             if faults.retry_after:
                 resp.set_header("Retry-After", faults.retry_after)
+                self._record_rest(req.get_header("Hemlockswitch-Request-Id") or "", faults)
         return faults.decline
 
     def _answer_unframed(
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -56,6 +56,7 @@
     is_whole : whether the answer is complete by its framing.
     is_right : whether the answer is complete, genuine and belongs to this request.
     limit : the rate limit that the answer states; empty if none.
+    states_leaving : whether the answer states that the runner leaves.
     resumes : the attempt that began the stream; empty if it is this one.
     events : the number and the software version of each whole event of a stream.
     """
@@ -72,6 +73,7 @@
     limit: str = ""
     resumes: str = ""
     events: tuple[tuple[int, str], ...] = ()
+    states_leaving: bool = False
 
 
 class Callers:
@@ -217,6 +219,7 @@
         reply.headers.get("server-limit", "") if reply else "",
         fields.get("Resumes", ""),
         list_events(reply.body) if is_stream else (),
+        reply is not None and "server-leaving" in reply.headers,
     )
 
 
--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -13,6 +13,8 @@
 DRAINING_S = 2.0
 """Time between the draining mark and the removal of a runner. It exceeds the time in which gateways
 must observe the mark."""
+STATED_LEAVING_S = 5.0
+"""Time for which a runner that states that it leaves stays registered: longer than gateways may go on sending."""
 DISTURBING_GATEWAYS = (FaultKind.GATEWAY_FROZEN,)
 DISTURBING_RUNNERS = (
     FaultKind.RUNNER_FROZEN,
@@ -180,6 +182,22 @@
     world.unregister(runner)
 
 
+def _leave_by_answers(world: SoakWorld, fault: Fault) -> None:
+    """Start a replacement, let a runner state in its answers that it leaves, and unregister it later."""
+    runner = find_runner(world, fault)
+    world.start_runner(runner.service)
+    call_json(runner.program.addresses["http"], "POST", "/standin/leaving")
+    time.sleep(STATED_LEAVING_S)
+    world.unregister(runner)
+
+
+def _return_store(world: SoakWorld, fault: Fault) -> None:
+    """Let the store come back as it was some time ago."""
+    world.call_store("POST", "/standin/copy")
+    time.sleep(fault.for_s)
+    world.call_store("POST", "/standin/return")
+
+
 def _change_configuration(world: SoakWorld, _: Fault) -> None:
     world.change_configuration()
 
@@ -225,5 +243,8 @@
     FaultKind.RUNNER_FROZEN: _freeze_runner,
     FaultKind.RUNNER_KILLED: _kill_runner,
     FaultKind.RUNNER_DRAINED: _drain_runner,
+    FaultKind.RUNNER_RESTS: _make_runner_action(decline=True, retry_after="1.5", count=4),
+    FaultKind.RUNNER_STATES_LEAVING: _leave_by_answers,
+    FaultKind.STORE_RETURNED: _return_store,
     FaultKind.CONFIGURATION_CHANGED: _change_configuration,
 }
--- a/tests/soak/limiting.py
+++ b/tests/soak/limiting.py
@@ -3,12 +3,13 @@
 import random
 import threading
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from features.support.gateways import call_json
 from features.support.processes import HarnessError
 from tests.limit_checks import STABLE_MS, Statement
-from tests.soak.world import Disturbance, SoakRunner, SoakWorld
+from tests.soak.world import MS_PER_SECOND, Disturbance, SoakRunner, SoakWorld
 
 SERVICES = ("app", "llm")
 LIMITS = ("0", "0.05", "0.5", "1", "1.3", "3")
@@ -18,7 +19,6 @@
 PAUSE_S = (0.5, 3.0)
 CHANGE_SHARE = 0.3
 """Fraction of the limits that change to another one before they end."""
-MS_PER_SECOND = 1_000
 
 
 @dataclass
@@ -40,12 +40,16 @@
 
     def is_excused(self, at_ms: float, incarnation: str) -> bool:
         """Return whether the runner, or the gateway that sent a request, was disturbed lately."""
-        names = (self.name, incarnation.partition("/")[0])
-        return any(
-            one.name in names
-            and one.from_s * MS_PER_SECOND <= at_ms <= one.until_s * MS_PER_SECOND + STABLE_MS
-            for one in self.disturbances
-        )
+        return is_disturbed(self.disturbances, (self.name, incarnation.partition("/")[0]), at_ms)
+
+
+def is_disturbed(disturbances: Sequence[Disturbance], names: Sequence[str], at_ms: float) -> bool:
+    """Return whether a runner or a gateway of these names was disturbed lately."""
+    return any(
+        one.name in names
+        and one.from_s * MS_PER_SECOND <= at_ms <= one.until_s * MS_PER_SECOND + STABLE_MS
+        for one in disturbances
+    )
 
 
 class LimitDriver:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -35,6 +35,9 @@
     RUNNER_FROZEN = "runner_frozen"
     RUNNER_KILLED = "runner_killed"
     RUNNER_DRAINED = "runner_drained"
+    RUNNER_RESTS = "runner_rests"
+    RUNNER_STATES_LEAVING = "runner_states_leaving"
+    STORE_RETURNED = "store_returned"
     CONFIGURATION_CHANGED = "configuration_changed"
 
 
@@ -48,6 +51,9 @@
     FaultKind.RUNNER_ENDS_INSIDE_EVENT: "added",
     FaultKind.CALLERS_IDLE: "idle",
     FaultKind.CALLERS_AT_ONE_GATEWAY: "one",
+    FaultKind.RUNNER_RESTS: "rests",
+    FaultKind.RUNNER_STATES_LEAVING: "leaving",
+    FaultKind.STORE_RETURNED: "returned",
 }
 """Kinds that are drawn separately, so that a seed draws the same other faults as before they were added, with
 the suffix of the seed that each is drawn from."""
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -9,6 +9,7 @@
 from tests.soak.limiting import LimitedRunner
 from tests.soak.moving import SETTLE_S as ROLLBACK_SETTLE_S
 from tests.soak.moving import Rollout
+from tests.soak.statements import StatingRunner, check_statements
 from tests.soak.world import ROLLOUT_SHARE, ROLLOUT_SLACK
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -28,6 +29,7 @@
     cloud_calls: list[dict[str, Any]],
     move: Rollout | None = None,
     limited: Sequence[LimitedRunner] = (),
+    stating: Sequence[StatingRunner] = (),
 ) -> list[str]:
     """Return one line for each violated guarantee."""
     counts = Counter(request_id for _, request_id in runs)
@@ -43,6 +45,7 @@
             for fault in _check_quarantine(calls, counts, path, crashes)
         ),
         *_check_limits(calls, limited),
+        *check_statements(calls, stating),
         *(_check_rollout(calls, runs, move) if move is not None else ()),
     ]
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,6 +20,7 @@
 from tests.soak.injection import inject
 from tests.soak.plan import draw_plan
 from tests.soak.promises import find_violations
+from tests.soak.statements import list_stating_runners
 from tests.soak.world import GATEWAYS, SoakWorld
 
 LENGTH_S = 15.0
@@ -84,6 +85,7 @@
         world.call_store("GET", "/standin/cloud"),
         callers.rollout_driver.move,
         callers.limit_driver.list_limited(),
+        list_stating_runners(world),
     )
     answered = sum(call.is_right for call in calls)
     move = callers.rollout_driver.move
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,6 +11,7 @@
 from features.support.processes import HarnessError, Program, write_settings
 from tests.gateway_site import make_entry, make_manifest
 
+MS_PER_SECOND = 1_000
 GATEWAYS = ("one", "two", "three")
 PLAIN_RUNNERS, ENGINES = 2, 2
 VERSIONS = ("v1", "v1.2")
@@ -223,6 +224,15 @@
         printed = [json.loads(line) for line in lines if line.startswith('{"arrived"')]
         return [(line["at_ms"], line["arrived"]) for line in printed]
 
+    def list_rests(self, runner: SoakRunner) -> list[tuple[float, str, float]]:
+        """Return (monotonic time in ms, request id, rest in ms) of each request turned away with a rest."""
+        lines = runner.program.output_file.read_text().splitlines()
+        printed = [json.loads(line) for line in lines if line.startswith('{"rested"')]
+        return [
+            (line["at_ms"], line["rested"], float(line["retry_after"]) * MS_PER_SECOND)
+            for line in printed
+        ]
+
     # The store
 
     def change_configuration(self) -> int:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 from tests.soak.plan import Fault, FaultKind, draw_plan
 from tests.soak.promises import find_violations
 from tests.soak.run import run_seed
+from tests.soak.statements import StatingRunner, check_statements
 from tests.soak.world import Disturbance, SoakRunner
 
 CI_SEED, CI_LENGTH_S = 101, 8.0
@@ -162,6 +163,41 @@
     assert find_violations(LIMITED_CALLS, runs, [], limited=frozen) == []
 
 
+def make_stating_runner(**fields):
+    arrivals = [(1_000.0 + 1_000 * number, f"stated-{number}") for number in range(8)]
+    return StatingRunner("r1", arrivals, **{"rests": [], "disturbances": [], **fields})
+
+
+STATING_CALLS = [
+    replace_fields(
+        CALL,
+        path="/check/x",
+        request_id=f"stated-{number}",
+        began_s=1.0 + number,
+        ended_s=1.1 + number,
+    )
+    for number in range(8)
+]
+
+
+def test_requests_to_a_runner_that_leaves_are_reported():
+    calls = [replace_fields(STATING_CALLS[0], states_leaving=True), *STATING_CALLS[1:]]
+    reported = list(check_statements(calls, [make_stating_runner()]))
+    assert len(reported) == 5  # those that were sent more than two seconds later
+    frozen = make_stating_runner(disturbances=[Disturbance("one", 0.0, 9.0)])
+    assert list(check_statements(calls, [frozen])) == []
+    others = [replace_fields(one, incarnation="two/1") for one in calls[1:]]
+    assert list(check_statements([calls[0], *others], [make_stating_runner()])) == []
+
+
+def test_requests_to_a_runner_that_rests_are_reported():
+    rests = [(1_000.0, "stated-0", 3_500.0)]
+    reported = list(check_statements(STATING_CALLS, [make_stating_runner(rests=rests)]))
+    assert len(reported) == 1
+    shorter = [(1_000.0, "stated-0", 2_500.0)]
+    assert list(check_statements(STATING_CALLS, [make_stating_runner(rests=shorter)])) == []
+
+
 def test_every_fault_kind_is_drawn():
     drawn = {fault.kind for seed in range(40) for fault in draw_plan(seed, 15)}
     assert drawn == set(FaultKind)
