Keep the rest of a server whose entry is lost and registered again

A rest was discarded with the registry entry of its server. An entry that lapses and is registered again, as after a return of the store, so freed its server within the time for which it wanted no requests. The rest now stays until 30 s after its end. Seen by reading the diff; tests/test_resting_servers.py fails with the former eviction.

--- a/hemlockswitch/platform/store_era.py
+++ b/hemlockswitch/platform/store_era.py
@@ -28,7 +28,7 @@
 
     def record(self, headers: tuple[Header, ...]) -> int:
         """Return the era of an answer; that of the last one if it states none that can be read."""
-        stated = find_header(list(headers), STORE_ERA).strip()
+        stated = find_header(headers, STORE_ERA).strip()
         if not _NUMBER.fullmatch(stated):
             return self.current.number
         era = int(stated)
--- a/hemlockswitch/process/gateway/daemon.py
+++ b/hemlockswitch/process/gateway/daemon.py
@@ -382,7 +382,6 @@
         self.reachability.evict(server)
         self.loads.evict(server.incarnation)
         self.permits.evict(server.incarnation)
-        self.statements.rests.evict(server.incarnation)
         self.streams.history.record_removed(server)
 
     def _count_connection(self, _address: str) -> None:
--- a/hemlockswitch/process/gateway/maintenance.py
+++ b/hemlockswitch/process/gateway/maintenance.py
@@ -74,6 +74,7 @@
             self._pool.sweep()
             state.streams.sweep()
             self._stored_streams.sweep()
+            state.statements.rests.remove_ended()
             state.permits.evict_unlisted(state.registry.list_all)
             state.fleet_clock.apply_estimates(state.fleet.list_time_estimates())
 
--- a/hemlockswitch/process/gateway/server_rests.py
+++ b/hemlockswitch/process/gateway/server_rests.py
@@ -17,6 +17,8 @@
 TRIAL_MS = 100.0
 """Time for which a request after a rest keeps others back, unless it is answered earlier: a server that turns
 requests away does so at once."""
+KEPT_MS = 30_000.0
+"""Time after the end of a rest for which requests are sent one at a time if none has been accepted."""
 MAX_SERVERS = 16_384
 """Maximum number of servers whose rests are recorded; more than a fleet has."""
 
@@ -137,9 +139,14 @@
         first_ms = min(ends_ms, default=0.0)
         return first_ms - now_ms if first_ms > now_ms else None
 
-    def evict(self, incarnation: str) -> None:
-        """Discard the rest of a server that was removed."""
-        self._rests.pop(incarnation, None)
+    def remove_ended(self) -> None:
+        """Discard the rests after which no request was sent for `KEPT_MS`.
+
+        The rest of a server that was removed stays until then: its entry may be registered again.
+        """
+        oldest_ms = self._clock.now_ms() - KEPT_MS
+        for name in [name for name, rest in self._rests.items() if rest.until_ms < oldest_ms]:
+            del self._rests[name]
 
     def describe(self) -> list[dict[str, Any]]:
         """Return the resting servers for the status page."""
--- a/tests/test_resting_servers.py
+++ b/tests/test_resting_servers.py
@@ -15,6 +15,7 @@
 
 from hemlockswitch.core.clock import ManualClock
 from hemlockswitch.process.gateway.server_rests import (
+    KEPT_MS,
     MAX_REST_MS,
     MAX_SERVERS,
     MAX_SPREAD_MS,
@@ -117,6 +118,20 @@
     assert site.ask("/hold/x").status == 200
 
 
+# Guards against requests in a rest to a server whose entry was lost and is registered again.
+def test_rest_outlives_the_registry_entry(site):
+    runners = [site.add_runner("app", work_ms=5) for _ in range(3)]
+    ask_for_rest(site, runners[0], rest="30")
+    gateway = site.gateways[0]
+    site.store.remove("servers", runners[0].name)
+    site.wait(lambda: len(gateway.registry.list_all()) == 2)
+    runners[0].write("ready", sequence=2)
+    site.wait(lambda: len(gateway.registry.list_all()) == 3)
+    before = len(runners[0].state.arrivals)
+    send_some(site)
+    assert len(runners[0].state.arrivals) == before
+
+
 def test_server_gets_requests_again_after_its_rest(site):
     runners = [site.add_runner("app", work_ms=5) for _ in range(2)]
     ask_for_rest(site, runners[0], rest="0.5")
@@ -232,6 +247,16 @@
         assert min(ends) >= 3_000
         assert max(ends) - min(ends) > 300
 
+    def test_ended_rests_are_discarded(self):
+        rests, clock = self.make()
+        rests.record("s1", 1_000, "own")
+        clock.advance(10_000)
+        rests.remove_ended()
+        assert len(rests._rests) == 1
+        clock.advance(KEPT_MS)
+        rests.remove_ended()
+        assert len(rests._rests) == 0
+
     def test_memory_is_bounded(self):
         rests, _ = self.make()
         for number in range(MAX_SERVERS + 10):
