Read the statements of an answer once, and most answers without a copy of their fields

The fields by which servers leave and rest cost each answer two more passes over its header. An answer without Server-Leaving is now left at the first look, and whether it states that the request was not run is asked once.

--- a/hemlockswitch/platform/headers.py
+++ b/hemlockswitch/platform/headers.py
@@ -202,6 +202,8 @@
         A malformed value counts as this statement: a server that is left out by mistake costs less than
         requests to one that is about to end.
         """
+        if all(name.lower() != SERVER_LEAVING for name, _ in answer.headers):
+            return False  # Most answers do not have the field.
         values = _list_own_values(answer, SERVER_LEAVING)
         if not values or values == ["0"]:
             return False
--- a/hemlockswitch/request/sending.py
+++ b/hemlockswitch/request/sending.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import NoReturn
 
 from hemlockswitch.connection.backend_pool import BackendPool
 from hemlockswitch.connection.exchange_errors import ExchangeError, Stage
@@ -157,7 +158,9 @@
             self._record_answer(send, exchange)
             was_declined = self._dialect.states_not_run(answer)
             self._view.record_answered(server, sent_ms, was_declined=was_declined)
-            self._check_run(answer, send.placement)
+            if was_declined:
+                self._raise_declined(answer, send.placement)
+            self._check_genuine(answer)
             ticket.record_first_event(succeeds=answer.status < HTTPStatus.BAD_REQUEST)
             began_ms = self._relay(send, exchange)
             failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
@@ -267,18 +270,20 @@
         if rejections_per_s is not None:
             self._view.record_rejection_limit(placement.candidate.server, rejections_per_s, sent_ms)
 
-    def _check_run(self, answer: ParsedAnswer, placement: Placement) -> None:
-        """Raise unless the server ran the request and the answer is its own."""
-        if self._dialect.states_not_run(answer):
-            if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
-                self._view.record_misdirected(placement.candidate.server.name)
-            else:
-                self._view.record_rejected(placement.candidate.server)
-            detail = f"the server declined the request with status {answer.status}"
-            rest_ms = self._dialect.read_rest_ms(answer)
-            if rest_ms:
-                detail += f" and wants no requests for {rest_ms:.0f} ms"
-            raise SendFailedError(SendFailure.DECLINED, detail, True)
+    def _raise_declined(self, answer: ParsedAnswer, placement: Placement) -> NoReturn:
+        """Raise for an answer by which the server did not run the request."""
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+            self._view.record_misdirected(placement.candidate.server.name)
+        else:
+            self._view.record_rejected(placement.candidate.server)
+        detail = f"the server declined the request with status {answer.status}"
+        rest_ms = self._dialect.read_rest_ms(answer)
+        if rest_ms:
+            detail += f" and wants no requests for {rest_ms:.0f} ms"
+        raise SendFailedError(SendFailure.DECLINED, detail, True)
+
+    def _check_genuine(self, answer: ParsedAnswer) -> None:
+        """Raise unless the answer is the server's own."""
         if not self._dialect.is_genuine(answer):
             detail = f"the answer with status {answer.status} may not come from the server itself"
             raise SendFailedError(SendFailure.BROKEN, detail, True)
