Show the era of the object store in hemlock-ctl gateways

An operator could not tell a gateway that follows the store since its return from one that does not. The status page has the era and the revision of each kind apart, and the command shows the era if the store states one.

--- a/hemlockswitch/process/gateway/followed_objects.py
+++ b/hemlockswitch/process/gateway/followed_objects.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from hemlockswitch.connection.peers import PeerNetwork
+from hemlockswitch.connection.store_order import find_era, find_revision
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.adapter import Adapter
 from hemlockswitch.process.gateway.configuration import ServingTableStore
@@ -155,9 +156,13 @@
         return max(self.measure_ages().values())
 
     def describe(self) -> dict[str, Any]:
-        """Return the version and age of the recorded state of each kind, for the status page."""
+        """Return the era, revision and age of the recorded state of each kind, for the status page."""
         return {
-            one.kind: {"version": one.version, "confirmed_ms_ago": round(one.measure_age_ms())}
+            one.kind: {
+                "era": find_era(one.version),
+                "revision": find_revision(one.version),
+                "confirmed_ms_ago": round(one.measure_age_ms()),
+            }
             for one in self.followers
             if one.is_synced
         }
--- a/hemlockswitch/programs/ctl_gateways.py
+++ b/hemlockswitch/programs/ctl_gateways.py
@@ -71,6 +71,12 @@
     limited_for_ms: float
 
 
+class _FollowedBody(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    era: int = 0
+
+
 class _RestBody(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
 
@@ -92,6 +98,7 @@
     quarantine: list[_SuspectBody] = []
     limited_servers: list[_LimitBody] = []
     brittle_servers: list[_BrittleBody] = []
+    followed: dict[str, _FollowedBody] = {}
     leaving_servers: list[str] = []
     resting_servers: list[_RestBody] = []
     links: _LinksBody = _LinksBody()
@@ -148,6 +155,7 @@
         ),
         _read_links(body.links),
         _list_versions(body.streams),
+        store_era=max((one.era for one in body.followed.values()), default=0),
         leaving=tuple(body.leaving_servers),
         resting=tuple(RestingServer(**one.model_dump()) for one in body.resting_servers),
     )
--- a/hemlockswitch/programs/gateway_status.py
+++ b/hemlockswitch/programs/gateway_status.py
@@ -123,6 +123,7 @@
     links : the links to the backend servers.
     versions : services with servers of several versions, each with the streams that a version has begun.
     error : empty if the gateway answered.
+    store_era : the era of the object service in which its state was recorded; 0 if none is stated.
     leaving : the backend servers that stated in an answer that they leave.
     resting : the backend servers that want no requests from this gateway for a while.
     """
@@ -140,6 +141,7 @@
     links: LinksState = LinksState()
     versions: tuple[ServiceVersions, ...] = ()
     error: str = ""
+    store_era: int = 0
     leaving: tuple[str, ...] = ()
     resting: tuple[RestingServer, ...] = ()
 
@@ -152,6 +154,8 @@
 
     >>> format_status(GatewayStatus("10.0.0.1:7615", "front-1", True, 7, False, 8, 16))
     '10.0.0.1:7615 front-1: ready, revision 7, hears 8 gateways, knows 16 servers'
+    >>> format_status(GatewayStatus("10.0.0.1:7615", "front-1", True, 7, store_era=2))
+    '10.0.0.1:7615 front-1: ready, revision 7, store era 2, hears 0 gateways, knows 0 servers'
     >>> format_status(GatewayStatus("10.0.0.1:7615", error="no answer: refused"))
     '10.0.0.1:7615: no answer: refused'
     """
@@ -160,8 +164,9 @@
     ready = "ready" if status.ready else "not ready"
     revision = "no revision" if status.revision is None else f"revision {status.revision}"
     lost = " (store not in touch)" if status.watch_lost else ""
+    era = f", store era {status.store_era}" if status.store_era else ""
     counts = f"hears {status.hears} gateways, knows {status.servers} servers"
-    first = f"{status.address} {status.name}: {ready}, {revision}{lost}, {counts}"
+    first = f"{status.address} {status.name}: {ready}, {revision}{lost}{era}, {counts}"
     lines = format_links(status.links)
     lines += [format_quarantined(one) for one in status.held]
     lines += [format_limited(one) for one in status.limited]
