--- a/hemlockswitch/process/gateway/peer_groups.py
+++ b/hemlockswitch/process/gateway/peer_groups.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Self
+from typing import Protocol, Self
 
 from hemlockswitch.process.gateway.messages import GatewayReport
 from hemlockswitch.process.gateway.report_period import (
@@ -109,3 +109,26 @@
         :RELAYS_PER_ZONE
     ]
     return [peer.address for peer in random.sample(relays, len(relays))]
+
+
+class GroupedFleet(Protocol):
+    """The other gateways, as needed for a message to all of them."""
+
+    @property
+    def reports_by_zone(self) -> bool:
+        """Whether messages to other zones are relayed there."""
+
+    def list_near(self) -> list[Peer]:
+        """Return the gateways that get messages directly."""
+
+    def draw_relays(self) -> list[list[str]]:
+        """Return the addresses of the relays of each other zone."""
+
+
+def list_broadcast_addresses(fleet: GroupedFleet) -> list[str]:
+    """Return the addresses of the near gateways, and of the relays of the other zones."""
+    addresses = [peer.address for peer in fleet.list_near()]
+    if fleet.reports_by_zone:
+        relays = [address for zone in fleet.draw_relays() for address in zone]
+        addresses += [address for address in relays if address not in addresses]
+    return addresses
--- a/hemlockswitch/process/gateway/server_statements.py
+++ b/hemlockswitch/process/gateway/server_statements.py
@@ -12,6 +12,7 @@
 from hemlockswitch.core.events import Event
 from hemlockswitch.core.logs import log_event
 from hemlockswitch.process.gateway.fleet import Fleet
+from hemlockswitch.process.gateway.peer_groups import list_broadcast_addresses
 from hemlockswitch.process.gateway.registry import ServerRegistry
 from hemlockswitch.process.gateway.server_limits import OWN
 from hemlockswitch.process.gateway.server_rests import ServerRests
@@ -95,7 +96,7 @@
         """Record that a server stated in an answer, received through `gateway`, that it leaves."""
         message = ServerLeaving(self._fleet.name, server.incarnation)
         if self._registry.record_leaving(server.incarnation, OWN):
-            self._send(self._list_addresses(), message)
+            self._send(list_broadcast_addresses(self._fleet), message)
             self._send_to_users(message)
         # Also if it is known: the message to this gateway may have been lost.
         self._send(self._list_addresses_of(gateway), message)
@@ -143,14 +144,6 @@
     def _send(self, addresses: Iterable[str], message: ServerLeaving | ServerRest) -> None:
         self._network.send_all(addresses, message)
 
-    def _list_addresses(self) -> list[str]:
-        """Return the addresses of the near gateways, and of the relays of the other zones."""
-        addresses = [peer.address for peer in self._fleet.list_near()]
-        if self._fleet.reports_by_zone:
-            relays = [address for zone in self._fleet.draw_relays() for address in zone]
-            addresses += [address for address in relays if address not in addresses]
-        return addresses
-
     def _list_addresses_of(self, gateway: str) -> list[str]:
         """Return the address of the gateway that a connection leads through; none if it is direct."""
         return [peer.address for peer in self._fleet.list_connected() if peer.name == gateway]
--- a/hemlockswitch/process/gateway/suspect_exchange.py
+++ b/hemlockswitch/process/gateway/suspect_exchange.py
@@ -14,7 +14,7 @@
 from hemlockswitch.connection.peers import PeerNetwork
 from hemlockswitch.core.clock import Clock
 from hemlockswitch.process.gateway.fleet import Fleet
-from hemlockswitch.process.gateway.peer_groups import Peer
+from hemlockswitch.process.gateway.peer_groups import Peer, list_broadcast_addresses
 from hemlockswitch.request.quarantine import Quarantine
 from hemlockswitch.request.suspects import SuspectFields, SuspectRecord
 
@@ -92,7 +92,7 @@
         for first in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
             fields = [one.list_fields() for one in records[first : first + MAX_RECORDS_PER_MESSAGE]]
             report = SuspectReport(self._fleet.name, fields)
-            self._network.send_all(self._list_addresses(), report)
+            self._network.send_all(list_broadcast_addresses(self._fleet), report)
 
     def repair(self) -> None:
         """Send up to `MAX_RECORDS_PER_MESSAGE` records to the near gateways that quarantine different contents.
@@ -135,11 +135,3 @@
         if self._fleet.reports_by_zone and not report.is_relayed:
             relayed = SuspectReport(report.name, report.suspects, is_relayed=True)
             self._network.send_all([peer.address for peer in self._fleet.list_near()], relayed)
-
-    def _list_addresses(self) -> list[str]:
-        """Return the addresses of the near gateways, and of the relays of the other zones."""
-        addresses = [peer.address for peer in self._fleet.list_near()]
-        if self._fleet.reports_by_zone:
-            relays = [address for zone in self._fleet.draw_relays() for address in zone]
-            addresses += [address for address in relays if address not in addresses]
-        return addresses
