--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import copy
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,6 +25,8 @@
 HOST = "127.0.0.1"
 ZONE = "zone-a"
 RESET = struct.pack("ii", 1, 0)
+PORTS = (12_000, 30_000)  # below those that the kernel gives to outgoing connections
+_USED_PORTS = set()
 
 
 def now():
@@ -32,10 +35,19 @@
 
 
 def find_port():
-    """Return a free port of the loopback address."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a free port of the loopback address, which no outgoing connection takes meanwhile."""
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _USED_PORTS:
+            continue
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _USED_PORTS.add(port)
+        return port
 
 
 class Record:
@@ -59,7 +71,7 @@
         self._handle = handle
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((HOST, port))
+        self._listener.bind((HOST, port or find_port()))
         self._listener.listen(256)
         self.address = f"{HOST}:{self._listener.getsockname()[1]}"
         self._connections = set()
@@ -372,7 +384,8 @@
         for name, port in self.ready.items():
             while not self._is_ready(port):
                 if now() > until or self._processes[name].poll() is not None:
-                    raise RuntimeError(f"{name} did not become ready")
+                    tail = self.read_log(name)[-500:]
+                    raise RuntimeError(f"{name} did not become ready: {tail}")
                 time.sleep(0.05)
             self._record.write(f"{name}: is ready")
 
@@ -439,8 +452,14 @@
     }
 
 
+def _stop_late(number, _frame):
+    raise RuntimeError(f"ended by {signal.Signals(number).name}")
+
+
 def finish(run, seconds):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    signal.signal(signal.SIGALRM, _stop_late)
+    signal.signal(signal.SIGTERM, _stop_late)
     signal.alarm(seconds)
     try:
         is_broken = run()
