--- a/review/standins.py
+++ b/review/standins.py
@@ -467,4 +467,5 @@
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.stderr.flush()
         os._exit(2)
+    sys.stdout.flush()
     os._exit(1 if is_broken else 0)
