--- a/review/9/case.py
+++ b/review/9/case.py
@@ -15,7 +15,7 @@
 WARM_S = 8.0
 DEADLY_INTERVAL_S = 1.5
 BACK_S = 2.0
-LENGTH_S = 75.0
+LENGTH_S = 20.0
 
 
 async def play(record, scratch, keeps_id):
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -10,6 +10,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -22,6 +23,9 @@
 ROOT = Path(__file__).resolve().parents[1]
 HOST = "127.0.0.1"
 PORTS = (12_000, 30_000)  # below the range of outgoing connections
+BLOCK_PORTS = 500
+_HOLDERS = []
+_FREE_PORTS = []
 ROLE = "gateway"
 SETTINGS_PATH = "/etc/hemlockswitch/boot.json"
 BEAT_S = 1.2
@@ -58,12 +62,27 @@
     return time.monotonic()
 
 
-def find_port():
-    """Return a free port of the loopback address."""
-    import socket
+def _claim_ports():
+    """Return the ports of a block that no other script uses; its first port is held by this process."""
+    starts = list(range(*PORTS, BLOCK_PORTS))
+    for start in random.sample(starts, len(starts)):
+        holder = socket.socket()
+        try:
+            holder.bind((HOST, start))
+        except OSError:
+            holder.close()
+            continue
+        _HOLDERS.append(holder)
+        return list(range(start + 1, start + BLOCK_PORTS))
+    raise NotRunError("no block of ports is free")
 
+
+def find_port():
+    """Return a free port of the loopback address, each only once."""
+    if not _HOLDERS:
+        _FREE_PORTS.extend(_claim_ports())
     while True:
-        port = random.randrange(*PORTS)
+        port = _FREE_PORTS.pop()
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
